--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/box/src/exchange.rs
@@ -0,0 +1,487 @@
+//! Carries one request's effects out: writes to replicas, reads their answers, reports what came.
+//!
+//! The task of a request waits for the reducer's steps. On `Assign` it reports that it is about to
+//! write; on `Send`, the reducer's last word, it writes at once. What came back goes to the reducer
+//! as an event, and the next step follows from it. The head of the answer goes to the caller as soon
+//! as it is certain; a held answer, and the end of every answer, wait for the reducer.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use ravenspoke_core::attempt::RequestRefusal;
+use ravenspoke_core::effect::AttemptOrder;
+use ravenspoke_core::event::{AttemptEnd, BoxEvent, RequestTicket};
+use ravenspoke_core::ids::RequestKey;
+use ravenspoke_core::message::OutcomeRecord;
+use ravenspoke_core::reason::ReasonCode;
+use ravenspoke_platform::RatingClient;
+use reqwest::header::HeaderMap;
+use rocket::http::Method;
+use serde_json::{json, Value};
+use tokio::sync::mpsc::{channel, UnboundedReceiver};
+use tokio::sync::oneshot;
+
+use crate::answer::{refusal_json, AnswerBody, BodySender, HeadAnswer, BODY_PIECES};
+use crate::driver::{BoxDriver, RequestStep};
+use crate::stream::EventReader;
+
+/// Header by which a backend server echoes the attempt.
+pub const ECHO_HEADER: &str = "x-ravenspoke-attempt";
+
+/// Header by which a backend server says that it did not run a request.
+pub const RUN_HEADER: &str = "x-ravenspoke-run";
+
+/// Header that asks an engine to resume a stream behind this many tokens.
+pub const RESUME_HEADER: &str = "x-ravenspoke-resume";
+
+/// What the exchange needs of the box.
+pub struct ExchangeTools {
+    /// The reducer.
+    pub driver: Arc<BoxDriver>,
+    /// Client for replicas.
+    pub http: reqwest::Client,
+    /// Client of the rating service.
+    pub rating: RatingClient,
+    /// Longest silence within an answer.
+    pub silence: Duration,
+    /// Largest answer, in bytes.
+    pub answer_bytes: usize,
+}
+
+/// What is written to the replica.
+#[derive(Clone, Debug)]
+pub enum UpstreamCall {
+    /// A chat completion; the model's name is set to the version.
+    Chat {
+        /// The caller's body.
+        body: Value,
+        /// Whether the caller wants a stream.
+        stream: bool,
+        /// Request class, for rating.
+        class: u8,
+    },
+    /// An operation of a plain service.
+    Service {
+        /// HTTP method.
+        method: Method,
+        /// Path and query.
+        path: String,
+        /// Media type.
+        content_type: String,
+        /// Body.
+        body: Bytes,
+        /// The caller's key, passed on.
+        caller_key: Option<String>,
+    },
+}
+
+/// A whole answer, held until it may leave.
+struct HeldAnswer {
+    status: u16,
+    content_type: String,
+    body: Bytes,
+}
+
+/// The task of one request.
+pub struct RequestExchange {
+    /// What it needs of the box.
+    pub tools: Arc<ExchangeTools>,
+    /// Its ticket.
+    pub ticket: RequestTicket,
+    /// Its id.
+    pub id: u128,
+    /// What is written.
+    pub call: UpstreamCall,
+    /// Where the head of the answer goes.
+    pub head: Option<oneshot::Sender<HeadAnswer>>,
+    /// Where pieces of a streamed answer go, once its head has left.
+    pub body: Option<BodySender>,
+    /// A whole answer that waits.
+    held: Option<HeldAnswer>,
+    text: String,
+    version: String,
+    session_token: Option<String>,
+    replica: String,
+    key: Option<RequestKey>,
+}
+
+impl RequestExchange {
+    /// A task for a request that is about to be fed to the reducer.
+    pub fn new(
+        tools: Arc<ExchangeTools>,
+        ticket: RequestTicket,
+        id: u128,
+        call: UpstreamCall,
+        head: oneshot::Sender<HeadAnswer>,
+    ) -> Self {
+        Self {
+            tools,
+            ticket,
+            id,
+            call,
+            head: Some(head),
+            body: None,
+            held: None,
+            text: String::new(),
+            version: String::new(),
+            session_token: None,
+            replica: String::new(),
+            key: None,
+        }
+    }
+
+    /// Runs the request to its end.
+    pub async fn run(mut self, mut steps: UnboundedReceiver<RequestStep>) {
+        let mut order = None;
+        while let Some(step) = self.next_step(&mut steps).await {
+            match step {
+                RequestStep::Assign(key, assigned) => {
+                    self.key = Some(key);
+                    if assigned.session_token.is_some() {
+                        self.session_token = assigned.session_token.clone();
+                    }
+                    order = Some(assigned);
+                    self.tools.driver.feed(BoxEvent::SendBegins(key));
+                }
+                RequestStep::Send => {
+                    let (Some(key), Some(order)) = (self.key, order.take()) else { continue };
+                    let end = self.attempt(key, &order).await;
+                    match end {
+                        Some(end) => self.tools.driver.feed(BoxEvent::AttemptEnded(key, end)),
+                        None => self.caller_left(),
+                    }
+                }
+                RequestStep::Judge(key) => {
+                    let good = self.rate().await;
+                    self.tools.driver.feed(BoxEvent::Judged(key, good));
+                }
+                RequestStep::Rate => self.rate_later(),
+                RequestStep::Finish(reasons) => {
+                    self.finish(&reasons).await;
+                    break;
+                }
+                RequestStep::Refuse(refusal) => {
+                    self.refuse(&refusal).await;
+                    break;
+                }
+                RequestStep::Replay(outcome) => {
+                    self.replay(outcome);
+                    break;
+                }
+            }
+        }
+        self.tools.driver.close_request(self.ticket);
+    }
+
+    /// The next step; a caller that goes away while the request waits is noticed here.
+    async fn next_step(
+        &mut self,
+        steps: &mut UnboundedReceiver<RequestStep>,
+    ) -> Option<RequestStep> {
+        if let Ok(step) = steps.try_recv() {
+            return Some(step);
+        }
+        let gone = match (&mut self.head, &self.body) {
+            (Some(head), _) => {
+                tokio::select! {
+                    step = steps.recv() => return step,
+                    () = head.closed() => true,
+                }
+            }
+            (None, Some(body)) => {
+                tokio::select! {
+                    step = steps.recv() => return step,
+                    () = body.closed() => true,
+                }
+            }
+            (None, None) => false,
+        };
+        if gone {
+            self.caller_left();
+        }
+        steps.recv().await
+    }
+
+    fn caller_left(&mut self) {
+        self.head = None;
+        self.body = None;
+        self.tools.driver.feed(BoxEvent::CallerLeft(self.ticket));
+    }
+
+    fn request(&self, order: &AttemptOrder) -> reqwest::RequestBuilder {
+        let http = &self.tools.http;
+        let echo = self.echo(order);
+        match &self.call {
+            UpstreamCall::Chat { body, .. } => {
+                let mut body = body.clone();
+                body["model"] = Value::from(order.version.as_str());
+                let url = format!("http://{}/v1/chat/completions", order.address);
+                let request = http.post(url).header(ECHO_HEADER, echo).json(&body);
+                match order.resume_from {
+                    0 => request,
+                    tokens => request.header(RESUME_HEADER, tokens),
+                }
+            }
+            UpstreamCall::Service { method, path, content_type, body, caller_key } => {
+                let method = reqwest::Method::from_bytes(method.as_str().as_bytes());
+                let url = format!("http://{}{path}", order.address);
+                let request = http
+                    .request(method.unwrap_or(reqwest::Method::POST), url)
+                    .header(ECHO_HEADER, echo)
+                    .header("content-type", content_type)
+                    .body(body.clone());
+                match caller_key {
+                    Some(key) => request.header("idempotency-key", key),
+                    None => request,
+                }
+            }
+        }
+    }
+
+    fn echo(&self, order: &AttemptOrder) -> String {
+        format!("{:032x}.{}", self.id, order.number)
+    }
+
+    /// Makes one attempt; `None` if the caller went away.
+    async fn attempt(&mut self, key: RequestKey, order: &AttemptOrder) -> Option<AttemptEnd> {
+        self.version.clone_from(&order.version);
+        self.replica.clone_from(&order.replica);
+        let sent = self.request(order).send();
+        let silence = self.tools.silence;
+        let sent = self.unless_left(tokio::time::timeout(silence, sent)).await?;
+        let response = match sent {
+            Err(_elapsed) => return Some(AttemptEnd::Broken { delivered: 0 }),
+            Ok(Err(error)) if error.is_connect() => return Some(AttemptEnd::NeverConnected),
+            Ok(Err(_)) => return Some(AttemptEnd::Broken { delivered: 0 }),
+            Ok(Ok(response)) => response,
+        };
+        let said = |name| header(response.headers(), name);
+        if said(RUN_HEADER) == Some("not_run") {
+            let leaving = said("x-ravenspoke-leaving").is_some();
+            return Some(AttemptEnd::Declined { leaving });
+        }
+        if said(ECHO_HEADER) != Some(self.echo(order).as_str()) {
+            return Some(AttemptEnd::WrongEcho);
+        }
+        let streams = matches!(self.call, UpstreamCall::Chat { stream: true, .. });
+        if streams && response.status().is_success() {
+            self.read_stream(key, order, response).await
+        } else {
+            self.read_whole(key, response).await
+        }
+    }
+
+    /// Waits for `work`, unless the caller goes away first.
+    async fn unless_left<T>(&mut self, work: impl std::future::Future<Output = T>) -> Option<T> {
+        match (&mut self.head, &self.body) {
+            (Some(head), _) => {
+                tokio::select! {
+                    done = work => Some(done),
+                    () = head.closed() => None,
+                }
+            }
+            (None, Some(body)) => {
+                tokio::select! {
+                    done = work => Some(done),
+                    () = body.closed() => None,
+                }
+            }
+            (None, None) => Some(work.await),
+        }
+    }
+
+    async fn read_whole(
+        &mut self,
+        key: RequestKey,
+        mut response: reqwest::Response,
+    ) -> Option<AttemptEnd> {
+        let status = response.status().as_u16();
+        let media = header(response.headers(), "content-type").unwrap_or("application/json");
+        let content_type = media.to_owned();
+        let mut body = BytesMut::new();
+        loop {
+            let piece = tokio::time::timeout(self.tools.silence, response.chunk());
+            match self.unless_left(piece).await? {
+                Ok(Ok(Some(piece))) => {
+                    if body.is_empty() {
+                        self.tools.driver.feed(BoxEvent::FirstToken(key));
+                    }
+                    body.extend_from_slice(&piece);
+                    if body.len() > self.tools.answer_bytes {
+                        return Some(AttemptEnd::Broken { delivered: 0 });
+                    }
+                }
+                Ok(Ok(None)) => break,
+                Ok(Err(_)) | Err(_) => return Some(AttemptEnd::Broken { delivered: 0 }),
+            }
+        }
+        let body = body.freeze();
+        let mut tokens = 0;
+        if matches!(self.call, UpstreamCall::Chat { .. }) {
+            if status >= 500 {
+                return Some(AttemptEnd::Broken { delivered: 0 });
+            }
+            let Ok(value) = serde_json::from_slice::<Value>(&body) else {
+                return Some(AttemptEnd::Broken { delivered: 0 });
+            };
+            let used = value["usage"]["completion_tokens"].as_u64().unwrap_or(0);
+            tokens = u32::try_from(used).unwrap_or(u32::MAX);
+            let content = value["choices"][0]["message"]["content"].as_str();
+            self.text = content.unwrap_or_default().to_owned();
+        }
+        let kept = if matches!(self.call, UpstreamCall::Service { .. }) {
+            body.to_vec()
+        } else {
+            Vec::new()
+        };
+        self.held = Some(HeldAnswer { status, content_type, body });
+        Some(AttemptEnd::Answered { tokens, status, body: kept })
+    }
+
+    async fn read_stream(
+        &mut self,
+        key: RequestKey,
+        order: &AttemptOrder,
+        mut response: reqwest::Response,
+    ) -> Option<AttemptEnd> {
+        let mut reader = EventReader::default();
+        let mut held = BytesMut::new();
+        let mut first = true;
+        loop {
+            let piece = tokio::time::timeout(self.tools.silence, response.chunk());
+            let broken =
+                AttemptEnd::Broken { delivered: if order.buffered { 0 } else { reader.tokens } };
+            let piece = match self.unless_left(piece).await? {
+                Ok(Ok(Some(piece))) => piece,
+                Ok(Ok(None)) if reader.ended => break,
+                Ok(Ok(None) | Err(_)) | Err(_) => return Some(broken),
+            };
+            if first {
+                first = false;
+                self.tools.driver.feed(BoxEvent::FirstToken(key));
+            }
+            let Ok(events) = reader.push(&piece) else { return Some(broken) };
+            if order.buffered {
+                held.extend_from_slice(&events);
+                if held.len() > self.tools.answer_bytes {
+                    return Some(broken);
+                }
+            } else if !events.is_empty() && !self.pass_on(events).await {
+                return None;
+            }
+        }
+        self.text = std::mem::take(&mut reader.text);
+        if order.buffered {
+            held.extend_from_slice(&EventReader::end_marker());
+            let content_type = "text/event-stream".to_owned();
+            self.held = Some(HeldAnswer { status: 200, content_type, body: held.freeze() });
+        }
+        let tokens = reader.tokens;
+        Some(AttemptEnd::Answered { tokens, status: 200, body: Vec::new() })
+    }
+
+    /// Passes a piece on to the caller; the first one carries the head. False if the caller left.
+    async fn pass_on(&mut self, piece: Bytes) -> bool {
+        if self.body.is_none() {
+            let (sender, receiver) = channel(BODY_PIECES);
+            let head = self.head_answer(200, "text/event-stream", AnswerBody::Stream(receiver));
+            let Some(to_caller) = self.head.take() else { return false };
+            if to_caller.send(head).is_err() {
+                return false;
+            }
+            self.body = Some(sender);
+        }
+        match &self.body {
+            Some(body) => body.send(Ok(piece)).await.is_ok(),
+            None => false,
+        }
+    }
+
+    fn head_answer(&self, status: u16, content_type: &str, body: AnswerBody) -> HeadAnswer {
+        let mut headers = vec![
+            ("x-ravenspoke-version", self.version.clone()),
+            ("x-ravenspoke-replica", self.replica.clone()),
+        ];
+        if let Some(token) = &self.session_token {
+            headers.push(("x-ravenspoke-session", token.clone()));
+        }
+        HeadAnswer { status, content_type: content_type.to_owned(), headers, body }
+    }
+
+    async fn finish(&mut self, reasons: &[ReasonCode]) {
+        if let Some(body) = self.body.take() {
+            // A caller that left does not need the end.
+            let _ = body.send(Ok(EventReader::end_marker())).await;
+            return;
+        }
+        let Some(held) = self.held.take() else { return };
+        let whole = AnswerBody::Whole(held.body);
+        let mut answer = self.head_answer(held.status, &held.content_type, whole);
+        let slugs: Vec<&str> = reasons.iter().map(|reason| reason.slug()).collect();
+        answer.headers.push(("x-ravenspoke-reason", slugs.join(",")));
+        if let Some(head) = self.head.take() {
+            let _ = head.send(answer);
+        }
+    }
+
+    /// Ends the request with a typed error: before the head as its status, after it as an event and
+    /// a cut connection, so that nobody takes the answer for whole.
+    async fn refuse(&mut self, refusal: &RequestRefusal) {
+        if let Some(body) = self.body.take() {
+            let event = format!("data: {}\n\n", refusal_json(refusal, self.id));
+            let _ = body.send(Ok(event.into())).await;
+            let cut = io::Error::new(io::ErrorKind::ConnectionAborted, refusal.reason.slug());
+            let _ = body.send(Err(cut)).await;
+        } else if let Some(head) = self.head.take() {
+            let _ = head.send(HeadAnswer::refusal(refusal, self.id));
+        }
+    }
+
+    fn replay(&mut self, outcome: OutcomeRecord) {
+        let status = u16::try_from(outcome.status).unwrap_or(200);
+        let mut answer = if outcome.body.is_empty() {
+            HeadAnswer::json(status, &json!({ "run": "ran", "status": status }))
+        } else {
+            let body = AnswerBody::Whole(outcome.body.into());
+            self.head_answer(status, "application/json", body)
+        };
+        answer.headers.push(("x-ravenspoke-reason", "already_ran".to_owned()));
+        if let Some(head) = self.head.take() {
+            let _ = head.send(answer);
+        }
+    }
+
+    fn question(&self) -> String {
+        let UpstreamCall::Chat { body, .. } = &self.call else { return String::new() };
+        let last = body["messages"].as_array().and_then(|messages| messages.last());
+        last.and_then(|message| message["content"].as_str()).unwrap_or_default().to_owned()
+    }
+
+    fn class(&self) -> u8 {
+        match self.call {
+            UpstreamCall::Chat { class, .. } => class,
+            UpstreamCall::Service { .. } => 0,
+        }
+    }
+
+    async fn rate(&self) -> Option<bool> {
+        let rating = &self.tools.rating;
+        rating.rate(&self.version, self.class(), &self.question(), &self.text).await.ok()
+    }
+
+    /// Rates in a task of its own: the answer does not wait for it.
+    fn rate_later(&self) {
+        let (tools, version, class) = (self.tools.clone(), self.version.clone(), self.class());
+        let (question, text) = (self.question(), self.text.clone());
+        tokio::spawn(async move {
+            let good = tools.rating.rate(&version, class, &question, &text).await.ok();
+            tools.driver.feed(BoxEvent::Rated { version, class, good });
+        });
+    }
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
--- /dev/null
+++ b/crates/box/src/follow.rs
@@ -0,0 +1,139 @@
+//! Follows the platform: the log's streams, the box list, and the replicas' load.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ravenspoke_core::appender::LogStream;
+use ravenspoke_core::event::BoxEvent;
+use ravenspoke_core::message::LogRecord;
+use ravenspoke_platform::{read_load, ListClient, LogClient};
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::{sleep, MissedTickBehavior};
+
+use crate::driver::BoxDriver;
+
+/// How long a read of the log waits for news: half of the freshness lease at most.
+const READ_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Pause after the log could not be read.
+const READ_RETRY: Duration = Duration::from_millis(250);
+
+/// Time between readings of the box list.
+const LIST_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time between load reports of one replica.
+const LOAD_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time between ticks.
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Reads a stream for ever, feeding what comes.
+pub async fn follow_stream(driver: Arc<BoxDriver>, log: LogClient, stream: LogStream) {
+    loop {
+        let from = driver.state().next_offset(stream);
+        let asked_at = driver.now();
+        let read = log.read(stream.name(), from, READ_WAIT);
+        let read = tokio::select! {
+            read = read => read,
+            () = driver.read_bundles.notified(), if stream == LogStream::Bundles => continue,
+        };
+        match read {
+            Ok(read) => driver.feed(BoxEvent::LogRead {
+                stream,
+                asked_at,
+                first: read.first,
+                tail: read.tail,
+                age_ms: read.age_ms,
+                records: read.records,
+            }),
+            Err(error) => {
+                metrics::counter!("ravenspoke_log_errors_total").increment(1);
+                tracing::debug!(event = 501, name = "log_unreachable", stream = stream.name(), %error);
+                sleep(READ_RETRY).await;
+            }
+        }
+    }
+}
+
+/// Appends batches; streams do not wait for one another.
+pub async fn run_appends(
+    driver: Arc<BoxDriver>,
+    log: LogClient,
+    mut batches: UnboundedReceiver<(LogStream, Vec<LogRecord>)>,
+) {
+    while let Some((stream, batch)) = batches.recv().await {
+        let (driver, log) = (driver.clone(), log.clone());
+        tokio::spawn(async move {
+            match log.append(stream.name(), &batch).await {
+                Ok(_) => driver.feed(BoxEvent::AppendDone(stream)),
+                Err(error) => {
+                    metrics::counter!("ravenspoke_append_errors_total").increment(1);
+                    tracing::warn!(event = 503, name = "append_failed", stream = stream.name(), %error);
+                    driver.feed(BoxEvent::AppendFailed(stream));
+                }
+            }
+        });
+    }
+}
+
+/// Reads the box list, and keeps a poller for each replica on it.
+pub async fn follow_list(driver: Arc<BoxDriver>, list: ListClient, http: reqwest::Client) {
+    let mut pollers = std::collections::HashMap::new();
+    loop {
+        match list.read().await {
+            Ok(read) => {
+                for replica in &read.replicas {
+                    let key = (replica.name.clone(), replica.address.clone());
+                    pollers.entry(key).or_insert_with(|| {
+                        let (driver, http) = (driver.clone(), http.clone());
+                        let (name, address) = (replica.name.clone(), replica.address.clone());
+                        tokio::spawn(follow_load(driver, http, name, address))
+                    });
+                }
+                pollers.retain(|(name, address), task: &mut tokio::task::JoinHandle<()>| {
+                    let stays = read
+                        .replicas
+                        .iter()
+                        .any(|row| row.name == *name && row.address == *address);
+                    if !stays {
+                        task.abort();
+                    }
+                    stays
+                });
+                driver.feed(BoxEvent::ListRead { boxes: read.boxes, replicas: read.replicas });
+            }
+            Err(error) => {
+                metrics::counter!("ravenspoke_list_errors_total").increment(1);
+                tracing::debug!(event = 502, name = "list_unreachable", %error);
+            }
+        }
+        sleep(LIST_INTERVAL).await;
+    }
+}
+
+async fn follow_load(
+    driver: Arc<BoxDriver>,
+    http: reqwest::Client,
+    replica: String,
+    address: String,
+) {
+    loop {
+        let asked_at = driver.now();
+        if let Ok((report, age_ms)) = read_load(&http, &address).await {
+            let at = asked_at.minus_millis(age_ms);
+            let replica = replica.clone();
+            driver.feed(BoxEvent::LoadReported { replica, at, report });
+        }
+        sleep(LOAD_INTERVAL).await;
+    }
+}
+
+/// Feeds ticks.
+pub async fn run_ticks(driver: Arc<BoxDriver>) {
+    let mut ticks = tokio::time::interval(TICK_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        driver.feed(BoxEvent::Tick);
+    }
+}
--- /dev/null
+++ b/crates/box/src/links.rs
@@ -0,0 +1,141 @@
+//! Links to other boxes: one outgoing connection for each box that this one writes to.
+//!
+//! Messages are hints and repeats are harmless, so a link that can't keep up drops its oldest word
+//! by dropping the message; the reducer asks again. Witnessed bills are asked again after a bound.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use prost::Message;
+use ravenspoke_core::event::BoxEvent;
+use ravenspoke_core::message::{PeerBody, PeerMessage};
+use ravenspoke_peer::{raw_codec, PeerCodec, PeerHello, CHALLENGE_BYTES};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{channel, Receiver, Sender, UnboundedReceiver};
+use tokio::time::timeout;
+use tokio_util::codec::{Framed, FramedWrite};
+
+use crate::driver::BoxDriver;
+
+/// Messages that may wait for one link.
+const LINK_QUEUE: usize = 1_024;
+
+/// Bound on connecting and greeting.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A link without messages is closed after this.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Who this box is to others.
+#[derive(Clone)]
+pub struct LinkIdentity {
+    /// Box name.
+    pub name: String,
+    /// Incarnation.
+    pub incarnation: u64,
+    /// Secret that boxes share.
+    pub key: Arc<[u8]>,
+}
+
+/// Hands messages to links, opening them as needed.
+pub async fn run_links(
+    identity: LinkIdentity,
+    driver: Arc<BoxDriver>,
+    mut messages: UnboundedReceiver<(String, PeerBody)>,
+) {
+    let mut links: HashMap<String, Sender<PeerMessage>> = HashMap::new();
+    while let Some((name, body)) = messages.recv().await {
+        let message = PeerMessage {
+            from: identity.name.clone(),
+            incarnation: identity.incarnation,
+            body: Some(body),
+        };
+        let link = links.get(&name).filter(|link| !link.is_closed());
+        let link = match link {
+            Some(link) => link.clone(),
+            None => {
+                let address = driver.state().members().find(&name).map(|r| r.listed.peer.clone());
+                let Some(address) = address else { continue };
+                let (sender, receiver) = channel(LINK_QUEUE);
+                tokio::spawn(run_link(identity.clone(), address, receiver));
+                links.insert(name, sender.clone());
+                sender
+            }
+        };
+        // Full: the other box does not read; what it misses it will ask for.
+        let _ = link.try_send(message);
+    }
+}
+
+/// Writes one link's messages until it is idle or broken; a new message opens a new link.
+async fn run_link(identity: LinkIdentity, address: String, mut messages: Receiver<PeerMessage>) {
+    let greeted = timeout(CONNECT_TIMEOUT, greet(&identity, &address)).await;
+    let Ok(Ok(stream)) = greeted else { return };
+    let mut frames = FramedWrite::new(stream, PeerCodec::default());
+    while let Ok(Some(message)) = timeout(IDLE_TIMEOUT, messages.recv()).await {
+        if frames.feed(message).await.is_err() {
+            return;
+        }
+        while let Ok(message) = messages.try_recv() {
+            if frames.feed(message).await.is_err() {
+                return;
+            }
+        }
+        if frames.flush().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn greet(identity: &LinkIdentity, address: &str) -> std::io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let mut frames = Framed::new(stream, raw_codec());
+    let challenge = frames.next().await.ok_or(std::io::ErrorKind::UnexpectedEof)??;
+    let hello = PeerHello::answer(&identity.key, &challenge, &identity.name);
+    frames.send(Bytes::from(hello.encode_to_vec())).await?;
+    Ok(frames.into_inner())
+}
+
+/// Accepts links from other boxes.
+pub async fn accept_links(identity: LinkIdentity, driver: Arc<BoxDriver>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        tokio::spawn(read_link(identity.clone(), driver.clone(), stream));
+    }
+}
+
+async fn read_link(identity: LinkIdentity, driver: Arc<BoxDriver>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let Ok(Ok((name, mut frames))) = timeout(CONNECT_TIMEOUT, welcome(&identity, stream)).await
+    else {
+        metrics::counter!("ravenspoke_peers_refused_total").increment(1);
+        tracing::warn!(event = 601, name = "peer_refused");
+        return;
+    };
+    while let Some(Ok(message)) = frames.next().await {
+        // A link speaks for the box that greeted, and for no other.
+        if message.from == name {
+            driver.feed(BoxEvent::PeerMessage(message));
+        }
+    }
+}
+
+async fn welcome(
+    identity: &LinkIdentity,
+    stream: TcpStream,
+) -> std::io::Result<(String, Framed<TcpStream, PeerCodec>)> {
+    let challenge: [u8; CHALLENGE_BYTES] = rand::random();
+    let mut frames = Framed::new(stream, raw_codec());
+    frames.send(Bytes::copy_from_slice(&challenge)).await?;
+    let hello = frames.next().await.ok_or(std::io::ErrorKind::UnexpectedEof)??;
+    let hello = PeerHello::decode(hello).map_err(std::io::Error::other)?;
+    if !hello.is_valid(&identity.key, &challenge) {
+        return Err(std::io::ErrorKind::PermissionDenied.into());
+    }
+    // The peer does not wait after its hello, so the bytes read ahead go on to the next codec.
+    Ok((hello.name, frames.map_codec(|_| PeerCodec::default())))
+}
--- /dev/null
+++ b/crates/box/src/observe.rs
@@ -0,0 +1,81 @@
+//! Numbered log events and metrics. `docs/EVENTS.md` is the catalogue; a test holds it to this file.
+
+use metrics::counter;
+use ravenspoke_core::attempt::RunState;
+use ravenspoke_core::effect::BoxEffect;
+use tracing::{error, info, warn};
+
+/// Numbers and names of the log events.
+pub const EVENT_CATALOGUE: &[(u32, &str)] = &[
+    (101, "box_started"),
+    (102, "box_stopping"),
+    (103, "box_exits"),
+    (110, "settings_refused"),
+    (201, "bundle_in_force"),
+    (202, "bundle_rejected"),
+    (210, "rollout_halted"),
+    (211, "rollout_step"),
+    (301, "request_refused"),
+    (310, "replica_leaving"),
+    (401, "bills_taken_over"),
+    (402, "bill_unwitnessed"),
+    (501, "log_unreachable"),
+    (502, "list_unreachable"),
+    (503, "append_failed"),
+    (601, "peer_refused"),
+];
+
+/// Logs and counts an effect, where it is worth it.
+pub fn note_effect(effect: &BoxEffect) {
+    match effect {
+        BoxEffect::BundleInForce { sequence, digest } => {
+            metrics::gauge!("ravenspoke_bundle_sequence").set(*sequence as f64);
+            info!(event = 201, name = "bundle_in_force", sequence, digest);
+        }
+        BoxEffect::BundleRejected(rejection) => {
+            counter!("ravenspoke_bundles_rejected_total").increment(1);
+            warn!(event = 202, name = "bundle_rejected", %rejection);
+        }
+        BoxEffect::RolloutHalted(version) => {
+            counter!("ravenspoke_rollouts_halted_total").increment(1);
+            warn!(event = 210, name = "rollout_halted", version);
+        }
+        BoxEffect::RolloutStep(version, step) => {
+            info!(event = 211, name = "rollout_step", version, step);
+        }
+        BoxEffect::Refuse(_, refusal) => {
+            let run = match refusal.run() {
+                RunState::NotRun => "not_run",
+                RunState::Unknown => "unknown",
+                RunState::Ran => "ran",
+            };
+            let code = refusal.reason.slug();
+            counter!("ravenspoke_refused_total", "code" => code, "run" => run).increment(1);
+            tracing::debug!(event = 301, name = "request_refused", code, run);
+        }
+        BoxEffect::ReplicaLeaving(replica) => {
+            info!(event = 310, name = "replica_leaving", replica);
+        }
+        BoxEffect::OwnerVanished { owner, bills } => {
+            warn!(event = 401, name = "bills_taken_over", owner, bills);
+        }
+        BoxEffect::Unwitnessed(bill) => {
+            counter!("ravenspoke_bills_unwitnessed_total").increment(1);
+            error!(event = 402, name = "bill_unwitnessed", request = bill.request);
+        }
+        BoxEffect::Finish(..) => counter!("ravenspoke_answered_total").increment(1),
+        BoxEffect::Send(_) => counter!("ravenspoke_dispatched_total").increment(1),
+        BoxEffect::Append(stream, batch) => {
+            counter!("ravenspoke_appends_total", "stream" => stream.name()).increment(1);
+            counter!("ravenspoke_append_records_total", "stream" => stream.name())
+                .increment(batch.len() as u64);
+        }
+        BoxEffect::SendPeer(..) => counter!("ravenspoke_peer_messages_total").increment(1),
+        BoxEffect::Assign(..)
+        | BoxEffect::Judge(..)
+        | BoxEffect::Rate(_)
+        | BoxEffect::Replay(..)
+        | BoxEffect::ReadBundles
+        | BoxEffect::MayExit => {}
+    }
+}
--- /dev/null
+++ b/crates/box/src/stream.rs
@@ -0,0 +1,81 @@
+//! Reads a stream of server-sent events piece by piece.
+//!
+//! Complete events pass on as they come; the end marker is held back until the request is billed. A
+//! stream that ends without its marker is broken, whatever it said so far.
+
+use bytes::{Bytes, BytesMut};
+use serde_json::Value;
+
+/// Longest event, in bytes.
+pub const EVENT_LIMIT: usize = 1 << 20;
+
+/// Longest answer text kept for rating, in bytes.
+pub const TEXT_LIMIT: usize = 64 * 1024;
+
+const END_MARKER: &[u8] = b"data: [DONE]";
+const EVENT_END: &[u8] = b"\n\n";
+
+/// An event is longer than [`EVENT_LIMIT`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("an event of the stream is longer than {EVENT_LIMIT} bytes")]
+pub struct EventTooLong;
+
+/// State of the reader.
+#[derive(Debug, Default)]
+pub struct EventReader {
+    pending: BytesMut,
+    /// Events with content that were passed on.
+    pub tokens: u32,
+    /// Whether the end marker came.
+    pub ended: bool,
+    /// Text of the answer so far, for rating.
+    pub text: String,
+}
+
+impl EventReader {
+    /// Takes a piece; gives the complete events to pass on, without the end marker.
+    ///
+    /// # Errors
+    /// [`EventTooLong`]; the stream can't be read further.
+    pub fn push(&mut self, piece: &[u8]) -> Result<Bytes, EventTooLong> {
+        self.pending.extend_from_slice(piece);
+        let mut passed = BytesMut::new();
+        while let Some(length) = find(&self.pending, EVENT_END) {
+            let event = self.pending.split_to(length + EVENT_END.len());
+            if self.ended {
+                continue;
+            }
+            if event.starts_with(END_MARKER) {
+                self.ended = true;
+            } else {
+                self.count(&event);
+                passed.extend_from_slice(&event);
+            }
+        }
+        if self.pending.len() > EVENT_LIMIT {
+            return Err(EventTooLong);
+        }
+        Ok(passed.freeze())
+    }
+
+    fn count(&mut self, event: &[u8]) {
+        let Some(data) = event.strip_prefix(b"data: ") else { return };
+        let Ok(value) = serde_json::from_slice::<Value>(data) else { return };
+        let Some(content) = value["choices"][0]["delta"]["content"].as_str() else { return };
+        if !content.is_empty() {
+            self.tokens += 1;
+            if self.text.len() + content.len() <= TEXT_LIMIT {
+                self.text.push_str(content);
+            }
+        }
+    }
+
+    /// The end marker, to be passed on last.
+    pub fn end_marker() -> Bytes {
+        Bytes::from_static(b"data: [DONE]\n\n")
+    }
+}
+
+fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
+    bytes.windows(pattern.len()).position(|window| window == pattern)
+}
--- /dev/null
+++ b/crates/cli/src/config.rs
@@ -0,0 +1,93 @@
+//! The operator's settings: where the platform is, and whose sign-offs count.
+
+use ravenspoke_config::settings::SignerSettings;
+use ravenspoke_core::fold::SignOffRule;
+use ravenspoke_platform::{BoxList, ListClient, LogClient};
+use serde::Deserialize;
+
+use crate::CommandError;
+
+/// Environment variable with the operator key.
+pub const OPERATOR_KEY: &str = "RAVENSPOKE_OPERATOR_KEY";
+
+/// The operator's settings.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OperatorFile {
+    log: String,
+    list: String,
+    sign_offs_needed: usize,
+    sign_off: Vec<SignerFile>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SignerFile {
+    id: String,
+    public: String,
+}
+
+/// What commands work with.
+pub struct OperatorConfig {
+    /// The log.
+    pub log: LogClient,
+    /// Whose sign-offs count.
+    pub rule: SignOffRule,
+    list: ListClient,
+    http: reqwest::Client,
+}
+
+impl OperatorConfig {
+    /// Reads the file at `path`.
+    ///
+    /// # Errors
+    /// [`CommandError::File`] with what is wrong.
+    pub fn read(path: &str) -> Result<Self, CommandError> {
+        let wrong = |error: String| CommandError::File { file: path.to_owned(), error };
+        let text = std::fs::read_to_string(path).map_err(|error| wrong(error.to_string()))?;
+        let file: OperatorFile = toml::from_str(&text).map_err(|error| wrong(error.to_string()))?;
+        let signer = |row: SignerFile| SignerSettings { id: row.id, public: row.public };
+        let signers: Vec<SignerSettings> = file.sign_off.into_iter().map(signer).collect();
+        let rule = ravenspoke_config::settings::sign_off_rule(&signers, file.sign_offs_needed);
+        if rule.needed == 0 || rule.needed > rule.keys.len() {
+            let words = "sign_offs_needed must be between 1 and the number of valid signers";
+            return Err(wrong(words.to_owned()));
+        }
+        let http = reqwest::Client::new();
+        Ok(Self {
+            log: LogClient::new(http.clone(), &file.log),
+            list: ListClient::new(http.clone(), &file.list),
+            rule,
+            http,
+        })
+    }
+
+    /// Reads the box list.
+    ///
+    /// # Errors
+    /// [`CommandError::Unreachable`].
+    pub async fn boxes(&self) -> Result<BoxList, CommandError> {
+        Ok(self.list.read().await?)
+    }
+
+    /// Asks a box's operator listener; `None` if it does not answer or knows nothing.
+    pub async fn ask(&self, address: &str, path: &str) -> Option<serde_json::Value> {
+        let key = std::env::var(OPERATOR_KEY).unwrap_or_default();
+        let request = self.http.get(format!("http://{address}{path}")).bearer_auth(key);
+        let sent = request.timeout(ravenspoke_platform::CALL_TIMEOUT).send().await.ok()?;
+        sent.error_for_status().ok()?.json().await.ok()
+    }
+
+    /// Orders a box's planned stop.
+    ///
+    /// # Errors
+    /// [`CommandError::Unreachable`].
+    pub async fn stop(&self, address: &str) -> Result<(), CommandError> {
+        let key = std::env::var(OPERATOR_KEY).unwrap_or_default();
+        let request = self.http.post(format!("http://{address}/stop")).bearer_auth(key);
+        let sent = request.timeout(ravenspoke_platform::CALL_TIMEOUT).send().await;
+        sent.and_then(reqwest::Response::error_for_status)
+            .map(drop)
+            .map_err(|error| CommandError::Unreachable(error.without_url().to_string()))
+    }
+}
--- /dev/null
+++ b/crates/config/src/table.rs
@@ -0,0 +1,126 @@
+//! Walks a TOML table against a description of its fields.
+
+use std::ops::Range;
+
+use toml_edit::{ImDocument, Item, TableLike};
+
+use crate::finding::FindingList;
+
+/// What a field holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FieldKind {
+    /// A string.
+    Text,
+    /// A whole number, not negative.
+    Count,
+    /// A number, not negative.
+    Number,
+    /// A list of strings.
+    Texts,
+    /// A list of whole numbers, not negative.
+    Counts,
+    /// A table, or a list of tables, that is walked by its own description.
+    Nested,
+}
+
+impl FieldKind {
+    fn words(self) -> &'static str {
+        match self {
+            Self::Text => "a string",
+            Self::Count => "a whole number, not negative",
+            Self::Number => "a number, not negative",
+            Self::Texts => "a list of strings",
+            Self::Counts => "a list of whole numbers, not negative",
+            Self::Nested => "a table",
+        }
+    }
+
+    fn fits(self, item: &Item) -> bool {
+        let is_count = |value: &toml_edit::Value| value.as_integer().is_some_and(|n| n >= 0);
+        let all = |test: &dyn Fn(&toml_edit::Value) -> bool| {
+            item.as_array().is_some_and(|array| array.iter().all(test))
+        };
+        match self {
+            Self::Text => item.is_str(),
+            Self::Count => item.as_value().is_some_and(is_count),
+            Self::Number => {
+                let float = item.as_float().is_some_and(|n| n >= 0.0 && n.is_finite());
+                float || item.as_value().is_some_and(is_count)
+            }
+            Self::Texts => all(&toml_edit::Value::is_str),
+            Self::Counts => all(&is_count),
+            Self::Nested => item.is_table_like() || item.is_array_of_tables() || item.is_array(),
+        }
+    }
+}
+
+/// A field of a table.
+#[derive(Clone, Copy, Debug)]
+pub struct TableField {
+    /// Its name.
+    pub name: &'static str,
+    /// What it holds.
+    pub kind: FieldKind,
+    /// Whether it must be there.
+    pub required: bool,
+}
+
+/// A field that must be there.
+pub const fn needed(name: &'static str, kind: FieldKind) -> TableField {
+    TableField { name, kind, required: true }
+}
+
+/// A field that may be left out.
+pub const fn optional(name: &'static str, kind: FieldKind) -> TableField {
+    TableField { name, kind, required: false }
+}
+
+/// Parses `text`; a syntax error becomes the only finding.
+pub fn parse_text<'a>(text: &'a str, list: &mut FindingList) -> Option<ImDocument<&'a str>> {
+    match ImDocument::parse(text) {
+        Ok(document) => Some(document),
+        Err(error) => {
+            let place = error.span().unwrap_or(0..0);
+            list.add(place, format!("not TOML: {}", error.message()), "correct the syntax");
+            None
+        }
+    }
+}
+
+/// Place of an item; the start of the file if the parser gave none.
+pub fn place_of(item: &Item) -> Range<usize> {
+    item.span().unwrap_or(0..0)
+}
+
+/// Checks the fields of `table`, called `name` in findings, that starts at `place`.
+pub fn check_table(
+    table: &dyn TableLike,
+    name: &str,
+    place: Range<usize>,
+    fields: &[TableField],
+    list: &mut FindingList,
+) {
+    for (key, item) in table.iter() {
+        let Some(field) = fields.iter().find(|field| field.name == key) else {
+            let known: Vec<&str> = fields.iter().map(|field| field.name).collect();
+            let at = table.key(key).and_then(toml_edit::Key::span).unwrap_or(place_of(item));
+            let help = format!("remove it, or use one of: {}", known.join(", "));
+            list.add(at, format!("{name} has no field `{key}`"), help);
+            continue;
+        };
+        if !field.kind.fits(item) {
+            let help = format!("write {}", field.kind.words());
+            list.add(
+                place_of(item),
+                format!("{name}: `{key}` is not {}", field.kind.words()),
+                help,
+            );
+        }
+    }
+    for field in fields.iter().filter(|field| field.required) {
+        if !table.contains_key(field.name) {
+            let help = format!("add `{} = …`, {}", field.name, field.kind.words());
+            list.add(place.clone(), format!("{name} lacks `{}`", field.name), help);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/fair_queue.rs
@@ -0,0 +1,182 @@
+//! Weighted fair queues: requests wait by client account, within deadlines and bounds.
+//!
+//! One queue for each version and for each plain service. Start-time fair queueing: each request
+//! gets a tag from its account's weight, the lowest tag leaves first, so a large account's backlog
+//! delays itself. A request that cannot be served in time is refused when that becomes known.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::ids::{AccountKey, RequestKey};
+use crate::time::BoxTime;
+
+/// Requests of one account that may wait in one queue.
+pub const ACCOUNT_QUEUE_LIMIT: usize = 512;
+
+/// Weight of one departure in the estimate of the drain rate.
+const DRAIN_WEIGHT: f64 = 0.05;
+
+/// Shortest time a refused caller is told to stay away, in milliseconds.
+const RETRY_FLOOR_MS: f64 = 500.0;
+
+/// A request that waits.
+#[derive(Clone, Copy, Debug)]
+struct WaitingRequest {
+    key: RequestKey,
+    tag: f64,
+    deadline: BoxTime,
+}
+
+/// Why a request may not wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QueueRefusal {
+    /// The account has too many waiting.
+    Full,
+    /// It would be served too late.
+    Late,
+}
+
+/// A weighted fair queue.
+#[derive(Debug, Default)]
+pub struct FairQueue {
+    accounts: BTreeMap<AccountKey, VecDeque<WaitingRequest>>,
+    tags: BTreeMap<AccountKey, f64>,
+    virtual_tag: f64,
+    length: usize,
+    last_left: Option<BoxTime>,
+    gap_ms: Option<f64>,
+}
+
+impl FairQueue {
+    /// Requests waiting.
+    pub fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// How long a new request of `account` would wait, in milliseconds, by the drain rate; 0 while
+    /// no rate is known.
+    pub fn wait_ms(&self, account: AccountKey) -> f64 {
+        let own = self.accounts.get(&account).map_or(0, VecDeque::len);
+        let active = self.accounts.len() + usize::from(own == 0);
+        let ahead = (own * active).min(self.length);
+        self.gap_ms.unwrap_or(0.0) * (ahead + 1) as f64
+    }
+
+    /// Adds a request.
+    ///
+    /// # Errors
+    /// [`QueueRefusal`] if it may not wait.
+    pub fn push(
+        &mut self,
+        account: AccountKey,
+        weight: u32,
+        key: RequestKey,
+        deadline: BoxTime,
+        now: BoxTime,
+    ) -> Result<(), QueueRefusal> {
+        let waiting = self.accounts.get(&account).map_or(0, VecDeque::len);
+        if waiting >= ACCOUNT_QUEUE_LIMIT {
+            return Err(QueueRefusal::Full);
+        }
+        if self.length > 0 && now.plus_millis(self.wait_ms(account) as u64) > deadline {
+            return Err(QueueRefusal::Late);
+        }
+        let before = self.tags.get(&account).copied().unwrap_or(0.0);
+        let tag = before.max(self.virtual_tag) + 1.0 / f64::from(weight.max(1));
+        self.tags.insert(account, tag);
+        let request = WaitingRequest { key, tag, deadline };
+        self.accounts.entry(account).or_default().push_back(request);
+        self.length += 1;
+        Ok(())
+    }
+
+    /// Adds a request back that was taken out but could not be placed.
+    pub fn requeue(
+        &mut self,
+        account: AccountKey,
+        key: RequestKey,
+        deadline: BoxTime,
+        now: BoxTime,
+    ) {
+        let request = WaitingRequest { key, tag: self.virtual_tag, deadline };
+        self.accounts.entry(account).or_default().push_front(request);
+        self.length += 1;
+        self.last_left = Some(now);
+    }
+
+    /// Takes the next request.
+    pub fn pop(&mut self, now: BoxTime) -> Option<RequestKey> {
+        let first = |(_, queue): &(&AccountKey, &VecDeque<WaitingRequest>)| queue[0].tag;
+        let account = *self
+            .accounts
+            .iter()
+            .min_by(|a, b| first(a).total_cmp(&first(b)))
+            .map(|(account, _)| account)?;
+        let queue = self.accounts.get_mut(&account)?;
+        let request = queue.pop_front()?;
+        if queue.is_empty() {
+            self.accounts.remove(&account);
+        }
+        self.length -= 1;
+        self.virtual_tag = self.virtual_tag.max(request.tag);
+        self.note_left(now);
+        Some(request.key)
+    }
+
+    fn note_left(&mut self, now: BoxTime) {
+        if let Some(last) = self.last_left {
+            let gap = (now.0 - last.0.min(now.0)) as f64 / 1_000.0;
+            let before = self.gap_ms.unwrap_or(gap);
+            self.gap_ms = Some(before + (gap - before) * DRAIN_WEIGHT);
+        }
+        // A gap is only a drain rate while something still waits.
+        self.last_left = (self.length > 0).then_some(now);
+    }
+
+    /// Takes out what can no longer be served in time.
+    pub fn expire(&mut self, now: BoxTime) -> Vec<RequestKey> {
+        let mut late = Vec::new();
+        self.accounts.retain(|_, queue| {
+            queue.retain(|request| {
+                let keep = request.deadline > now;
+                if !keep {
+                    late.push(request.key);
+                }
+                keep
+            });
+            !queue.is_empty()
+        });
+        self.length -= late.len();
+        late
+    }
+
+    /// Takes out one request, because its caller went away.
+    pub fn remove(&mut self, key: RequestKey) {
+        let mut removed = 0;
+        self.accounts.retain(|_, queue| {
+            let before = queue.len();
+            queue.retain(|request| request.key != key);
+            removed += before - queue.len();
+            !queue.is_empty()
+        });
+        self.length -= removed;
+    }
+
+    /// Everything that waits, in order of account; the queue is empty afterwards.
+    pub fn drain(&mut self) -> Vec<RequestKey> {
+        self.length = 0;
+        let queues = std::mem::take(&mut self.accounts);
+        queues.into_values().flatten().map(|request| request.key).collect()
+    }
+
+    /// When a refused caller should come back, in milliseconds: when the queue of now is drained,
+    /// up to half as long again by `dice`, so that callers do not return together.
+    pub fn retry_after_ms(&self, dice: u64) -> u64 {
+        let drained = (self.gap_ms.unwrap_or(0.0) * self.length as f64).max(RETRY_FLOOR_MS);
+        (drained * (1.0 + (dice % 512) as f64 / 1_024.0)) as u64
+    }
+}
--- /dev/null
+++ b/crates/core/src/fold.rs
@@ -0,0 +1,348 @@
+//! The fold of the `bundles` stream: which bundle is in force, the same on every box.
+//!
+//! Each record is checked against the bundle in force *at its offset*: it must be one sequence
+//! later, name the digest of the bundle in force as its base, give the digest of what results, and
+//! carry enough sign-offs. Of two racing operators the first in log order wins; the other's record
+//! is rejected by every box, in the same way.
+//!
+//! The log is trimmed. A fold that starts behind the trimmed part, or that fell behind it, has lost
+//! records and cannot tell a loser from a winner. It is *unanchored*: it puts records aside until it
+//! reads one that a box carried forward. A carried record says "up to offset `folded_to`, this is
+//! in force"; where nothing after `folded_to` was trimmed, the fold takes it and goes on with the
+//! records put aside from that offset. Taking a carried record without that check would be wrong: a
+//! carry can land late, behind a bundle that its writer had not read (`spec/bundle.pml`, mutant
+//! `NO_ANCHOR`).
+
+use ed25519_dalek::{Signature, Verifier, VerifyingKey};
+
+use crate::bundle::{bundle_digest, signed_bytes, BundleSpec, SectionMap};
+use crate::message::{BundleRecord, BundleSection, SignOff};
+
+/// Base of the first bundle.
+pub const NO_BASE: &str = "none";
+
+/// Operator keys, and how many of them must sign.
+#[derive(Clone, Debug, Default)]
+pub struct SignOffRule {
+    /// Sign-offs needed.
+    pub needed: usize,
+    /// Public keys by id.
+    pub keys: Vec<(String, VerifyingKey)>,
+}
+
+impl SignOffRule {
+    /// How many different operators validly signed.
+    pub fn count(&self, sequence: u64, base: &str, digest: &str, sign_offs: &[SignOff]) -> usize {
+        let bytes = signed_bytes(sequence, base, digest);
+        let valid = |id: &str, key: &VerifyingKey| {
+            sign_offs.iter().any(|sign_off| {
+                sign_off.key_id == id
+                    && Signature::from_slice(&sign_off.signature)
+                        .is_ok_and(|signature| key.verify(&bytes, &signature).is_ok())
+            })
+        };
+        self.keys.iter().filter(|(id, key)| valid(id, key)).count()
+    }
+}
+
+/// The bundle in force.
+#[derive(Clone, Debug)]
+pub struct BundleInForce {
+    /// Its sequence.
+    pub sequence: u64,
+    /// Its digest.
+    pub digest: String,
+    /// Its base.
+    pub base: String,
+    /// Its sections.
+    pub sections: SectionMap,
+    /// Its sign-offs.
+    pub sign_offs: Vec<SignOff>,
+}
+
+impl BundleInForce {
+    /// The whole bundle as a record for a peer.
+    pub fn whole_record(&self) -> BundleRecord {
+        let section = |(name, json): (&String, &String)| BundleSection {
+            name: name.clone(),
+            json: json.clone(),
+        };
+        BundleRecord {
+            sequence: self.sequence,
+            base: self.base.clone(),
+            digest: self.digest.clone(),
+            whole: true,
+            changed: self.sections.iter().map(section).collect(),
+            removed: Vec::new(),
+            sign_offs: self.sign_offs.clone(),
+            carried: false,
+            folded_to: 0,
+        }
+    }
+}
+
+/// Why a record was not accepted.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FoldRejection {
+    /// Another bundle of the same sequence came first.
+    #[error("bundle {sequence} lost the race: {winner} came first in the log")]
+    LostRace {
+        /// Sequence of both.
+        sequence: u64,
+        /// Digest of the winner.
+        winner: String,
+    },
+    /// The base is not the bundle in force.
+    #[error("bundle {sequence} names base {base}, but {in_force} is in force")]
+    WrongBase {
+        /// Sequence of the record.
+        sequence: u64,
+        /// Base that it names.
+        base: String,
+        /// Digest in force.
+        in_force: String,
+    },
+    /// The sections do not give the digest.
+    #[error("bundle {0}: its sections do not give its digest")]
+    WrongDigest(u64),
+    /// Too few operators signed.
+    #[error("bundle {sequence} has {valid} valid sign-offs of {needed} needed")]
+    SignOffs {
+        /// Sequence of the record.
+        sequence: u64,
+        /// Valid sign-offs.
+        valid: usize,
+        /// Sign-offs needed.
+        needed: usize,
+    },
+    /// Earlier records were trimmed and this one was not carried by a box.
+    #[error("bundle {0} follows a trimmed part of the log and was not carried forward")]
+    Unanchored(u64),
+    /// The sections are not a bundle.
+    #[error("bundle {0} is not of this format: {1}")]
+    Unreadable(u64, String),
+}
+
+/// What folding a record did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FoldOutcome {
+    /// The record is now in force.
+    Accepted,
+    /// The record was in force already, or is older than what is.
+    Repeated,
+    /// The record is not accepted.
+    Rejected(FoldRejection),
+}
+
+/// State of the fold.
+#[derive(Debug, Default)]
+pub struct BundleFold {
+    rule: SignOffRule,
+    in_force: Option<BundleInForce>,
+    /// Next offset of the stream.
+    next: u64,
+    /// Offset behind the last trimmed part that this fold missed, while it is unanchored.
+    gap: Option<u64>,
+    /// Records read since the gap.
+    aside: Vec<(u64, BundleRecord)>,
+}
+
+impl BundleFold {
+    /// A fold with nothing in force, at offset 0 of an untrimmed stream.
+    pub fn new(rule: SignOffRule) -> Self {
+        Self { rule, ..Self::default() }
+    }
+
+    /// The bundle in force.
+    pub fn in_force(&self) -> Option<&BundleInForce> {
+        self.in_force.as_ref()
+    }
+
+    /// Sequence in force; 0 for none.
+    pub fn sequence(&self) -> u64 {
+        self.in_force.as_ref().map_or(0, |bundle| bundle.sequence)
+    }
+
+    /// Next offset to read.
+    pub fn next_offset(&self) -> u64 {
+        self.next
+    }
+
+    /// Whether the fold can tell winners from losers.
+    pub fn anchored(&self) -> bool {
+        self.gap.is_none()
+    }
+
+    /// Notes that the records from the next offset up to `first` were trimmed unread.
+    pub fn note_gap(&mut self, first: u64) {
+        self.gap = Some(first);
+        self.aside.clear();
+        self.next = first;
+    }
+
+    /// The record that carries the bundle in force forward; only an anchored box may write it.
+    pub fn carry_record(&self) -> Option<BundleRecord> {
+        let bundle = self.in_force.as_ref().filter(|_| self.anchored())?;
+        let record = bundle.whole_record();
+        Some(BundleRecord { carried: true, folded_to: self.next, ..record })
+    }
+
+    /// Folds the record at `offset`; a record below the next offset was folded before.
+    pub fn fold_record(&mut self, offset: u64, record: &BundleRecord) -> FoldOutcome {
+        if offset < self.next {
+            return FoldOutcome::Repeated;
+        }
+        self.next = offset + 1;
+        match self.gap {
+            None => self.fold_anchored(record),
+            Some(gap) if record.carried && record.folded_to >= gap => self.anchor(record),
+            Some(_) => {
+                self.aside.push((offset, record.clone()));
+                FoldOutcome::Rejected(FoldRejection::Unanchored(record.sequence))
+            }
+        }
+    }
+
+    /// Passes over a record of another kind at `offset`.
+    pub fn skip_record(&mut self, offset: u64) {
+        self.next = self.next.max(offset + 1);
+    }
+
+    fn fold_anchored(&mut self, record: &BundleRecord) -> FoldOutcome {
+        if record.sequence <= self.sequence() {
+            return self.older_record(record);
+        }
+        if record.carried {
+            return self.take(record);
+        }
+        match self.check_base(record) {
+            Ok(()) => self.take(record),
+            Err(rejection) => FoldOutcome::Rejected(rejection),
+        }
+    }
+
+    fn anchor(&mut self, carried: &BundleRecord) -> FoldOutcome {
+        let before = self.sequence();
+        if carried.sequence > before {
+            if let FoldOutcome::Rejected(rejection) = self.take(carried) {
+                return FoldOutcome::Rejected(rejection);
+            }
+        }
+        self.gap = None;
+        for (offset, record) in std::mem::take(&mut self.aside) {
+            if offset >= carried.folded_to {
+                self.fold_anchored(&record);
+            }
+        }
+        if self.sequence() > before {
+            return FoldOutcome::Accepted;
+        }
+        FoldOutcome::Repeated
+    }
+
+    /// Takes what a peer has in force. Never lowers the sequence.
+    pub fn adopt_record(&mut self, record: &BundleRecord) -> FoldOutcome {
+        if record.sequence <= self.sequence() {
+            return self.older_record(record);
+        }
+        if record.whole {
+            return self.take(record);
+        }
+        match self.check_base(record) {
+            Ok(()) => self.take(record),
+            Err(rejection) => FoldOutcome::Rejected(rejection),
+        }
+    }
+
+    fn older_record(&self, record: &BundleRecord) -> FoldOutcome {
+        match &self.in_force {
+            Some(bundle)
+                if bundle.sequence == record.sequence && bundle.digest != record.digest =>
+            {
+                FoldOutcome::Rejected(FoldRejection::LostRace {
+                    sequence: record.sequence,
+                    winner: bundle.digest.clone(),
+                })
+            }
+            _ => FoldOutcome::Repeated,
+        }
+    }
+
+    fn check_base(&self, record: &BundleRecord) -> Result<(), FoldRejection> {
+        let in_force = self.in_force.as_ref().map_or(NO_BASE, |bundle| &bundle.digest);
+        if record.sequence == self.sequence() + 1 && record.base == in_force {
+            return Ok(());
+        }
+        Err(FoldRejection::WrongBase {
+            sequence: record.sequence,
+            base: record.base.clone(),
+            in_force: in_force.to_owned(),
+        })
+    }
+
+    fn take(&mut self, record: &BundleRecord) -> FoldOutcome {
+        match self.checked(record) {
+            Ok(bundle) => {
+                self.in_force = Some(bundle);
+                FoldOutcome::Accepted
+            }
+            Err(rejection) => FoldOutcome::Rejected(rejection),
+        }
+    }
+
+    fn checked(&self, record: &BundleRecord) -> Result<BundleInForce, FoldRejection> {
+        let sequence = record.sequence;
+        let mut sections = match &self.in_force {
+            Some(bundle) if !record.whole => bundle.sections.clone(),
+            _ => SectionMap::new(),
+        };
+        for section in &record.changed {
+            sections.insert(section.name.clone(), section.json.clone());
+        }
+        for name in &record.removed {
+            sections.remove(name);
+        }
+        if bundle_digest(&sections) != record.digest {
+            return Err(FoldRejection::WrongDigest(sequence));
+        }
+        let needed = self.rule.needed;
+        let valid = self.rule.count(sequence, &record.base, &record.digest, &record.sign_offs);
+        if valid < needed {
+            return Err(FoldRejection::SignOffs { sequence, valid, needed });
+        }
+        BundleSpec::from_sections(&sections)
+            .map_err(|error| FoldRejection::Unreadable(sequence, error))?;
+        Ok(BundleInForce {
+            sequence,
+            digest: record.digest.clone(),
+            base: record.base.clone(),
+            sections,
+            sign_offs: record.sign_offs.clone(),
+        })
+    }
+}
+
+/// The record that turns `base` into `sections`: only what changed, or the whole without a base.
+pub fn change_record(
+    base: Option<&BundleInForce>,
+    sections: &SectionMap,
+    sign_offs: Vec<SignOff>,
+) -> BundleRecord {
+    let empty = SectionMap::new();
+    let before = base.map_or(&empty, |bundle| &bundle.sections);
+    let changed = sections.iter().filter(|(name, json)| before.get(*name) != Some(*json));
+    let removed = before.keys().filter(|name| !sections.contains_key(*name));
+    BundleRecord {
+        sequence: base.map_or(1, |bundle| bundle.sequence + 1),
+        base: base.map_or(NO_BASE.to_owned(), |bundle| bundle.digest.clone()),
+        digest: bundle_digest(sections),
+        whole: base.is_none(),
+        changed: changed
+            .map(|(name, json)| BundleSection { name: name.clone(), json: json.clone() })
+            .collect(),
+        removed: removed.cloned().collect(),
+        sign_offs,
+        carried: false,
+        folded_to: 0,
+    }
+}
--- /dev/null
+++ b/crates/core/src/message.rs
@@ -0,0 +1,342 @@
+//! Messages between boxes and records in the platform's log.
+//!
+//! Both are `prost` messages by derive, so the build needs no generator and no generated code is
+//! committed. Every log record carries the incarnation of the box that wrote it and a natural key
+//! of its own (bundle sequence, claim nonce, bill key, verdict), by which readers drop repeats: an
+//! append whose acknowledgement was lost may have taken effect, may take effect late, and is sent
+//! again.
+
+use prost::{Message, Oneof};
+
+/// One section of a bundle: a top-level entry such as `accounts.alpha`.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct BundleSection {
+    /// Section name, `table.entry`.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// The section's content as canonical JSON.
+    #[prost(string, tag = "2")]
+    pub json: String,
+}
+
+/// An operator's signature over a bundle's sequence, base and digest.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct SignOff {
+    /// Name of the operator's key, from the settings.
+    #[prost(string, tag = "1")]
+    pub key_id: String,
+    /// Ed25519 signature, 64 bytes.
+    #[prost(bytes = "vec", tag = "2")]
+    pub signature: Vec<u8>,
+}
+
+/// A bundle, whole or as the sections that changed against its base.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct BundleRecord {
+    /// One more than the sequence of the base; the first bundle is 1.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// Digest of the base, or `none` for the first bundle.
+    #[prost(string, tag = "2")]
+    pub base: String,
+    /// Digest of the whole bundle, after the change.
+    #[prost(string, tag = "3")]
+    pub digest: String,
+    /// Whether `changed` holds every section.
+    #[prost(bool, tag = "4")]
+    pub whole: bool,
+    /// New and changed sections.
+    #[prost(message, repeated, tag = "5")]
+    pub changed: Vec<BundleSection>,
+    /// Names of sections that the bundle drops.
+    #[prost(string, repeated, tag = "6")]
+    pub removed: Vec<String>,
+    /// Sign-offs.
+    #[prost(message, repeated, tag = "7")]
+    pub sign_offs: Vec<SignOff>,
+    /// Set where a box carries the bundle in force forward before its record expires.
+    #[prost(bool, tag = "8")]
+    pub carried: bool,
+    /// Of a carried record: the offset up to which its writer had folded the stream.
+    #[prost(uint64, tag = "9")]
+    pub folded_to: u64,
+}
+
+/// A claim to run a call that may not be repeated.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ClaimRecord {
+    /// Client account and caller's key, `account/uuid`.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Unique for each claim.
+    #[prost(uint64, tag = "2")]
+    pub nonce: u64,
+}
+
+/// How a claimed call ended.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct OutcomeRecord {
+    /// Client account and caller's key.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Nonce of the claim that ran.
+    #[prost(uint64, tag = "2")]
+    pub nonce: u64,
+    /// HTTP status of the backend server's answer.
+    #[prost(uint32, tag = "3")]
+    pub status: u32,
+    /// The answer's body, if it is at most [`crate::claims::OUTCOME_BODY_LIMIT`] bytes.
+    #[prost(bytes = "vec", tag = "4")]
+    pub body: Vec<u8>,
+}
+
+/// One billed request.
+#[derive(Clone, PartialEq, Message)]
+pub struct BillRecord {
+    /// By this readers drop repeats: `account/caller-key`, or `incarnation/number`.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Client account.
+    #[prost(string, tag = "2")]
+    pub account: String,
+    /// Version that gave the answer, or the name of the plain service.
+    #[prost(string, tag = "3")]
+    pub version: String,
+    /// Request id in hexadecimal.
+    #[prost(string, tag = "4")]
+    pub request: String,
+    /// Cost over all attempts, in the bundle's cost units.
+    #[prost(double, tag = "5")]
+    pub cost: f64,
+    /// Tokens generated over all attempts.
+    #[prost(uint32, tag = "6")]
+    pub tokens: u32,
+    /// Attempts made.
+    #[prost(uint32, tag = "7")]
+    pub attempts: u32,
+    /// Sequence of the bundle that allowed the last attempt.
+    #[prost(uint64, tag = "8")]
+    pub bundle: u64,
+    /// Codes of the decision's reasons, see [`crate::reason::ReasonCode`].
+    #[prost(uint32, repeated, tag = "9")]
+    pub reasons: Vec<u32>,
+    /// Number of the bill on its box, from 1.
+    #[prost(uint64, tag = "10")]
+    pub number: u64,
+}
+
+/// A verdict of the roll-out guard.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct VerdictRecord {
+    /// Version under roll-out.
+    #[prost(string, tag = "1")]
+    pub version: String,
+    /// Whether the roll-out is halted; else the step below is reached.
+    #[prost(bool, tag = "2")]
+    pub halted: bool,
+    /// Step that the roll-out has reached, from 0.
+    #[prost(uint32, tag = "3")]
+    pub step: u32,
+}
+
+/// A lease on ordering the replicas of a pool; its log offset is the fencing token.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct LeaseRecord {
+    /// Pool that the holder may order.
+    #[prost(string, tag = "1")]
+    pub pool: String,
+    /// How long the lease holds, counted by the holder from before the append was sent and by
+    /// others from when they read it, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub term_ms: u64,
+}
+
+/// What a log record says.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum RecordBody {
+    /// A bundle.
+    #[prost(message, tag = "3")]
+    Bundle(BundleRecord),
+    /// A claim.
+    #[prost(message, tag = "4")]
+    Claim(ClaimRecord),
+    /// A claimant's word that its claim will never run.
+    #[prost(message, tag = "5")]
+    Void(ClaimRecord),
+    /// How a claimed call ended.
+    #[prost(message, tag = "6")]
+    Outcome(OutcomeRecord),
+    /// A bill.
+    #[prost(message, tag = "7")]
+    Bill(BillRecord),
+    /// A verdict.
+    #[prost(message, tag = "8")]
+    Verdict(VerdictRecord),
+    /// A lease.
+    #[prost(message, tag = "9")]
+    Lease(LeaseRecord),
+}
+
+/// A record in one of the log's streams.
+#[derive(Clone, PartialEq, Message)]
+pub struct LogRecord {
+    /// Incarnation of the box that wrote it; 0 for an operator.
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+    /// What it says.
+    #[prost(oneof = "RecordBody", tags = "3, 4, 5, 6, 7, 8, 9")]
+    pub body: Option<RecordBody>,
+}
+
+/// What a box passes on about another box.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct PeerSummary {
+    /// Box name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Incarnation.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// Age of the last beat known of it, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+    /// Sequence that it has in force.
+    #[prost(uint64, tag = "4")]
+    pub sequence: u64,
+    /// Whether it is leaving.
+    #[prost(bool, tag = "5")]
+    pub leaving: bool,
+}
+
+/// A heartbeat; the receiver answers it with a [`BeatReply`].
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct PeerBeat {
+    /// The sender's clock when it sent this, in microseconds; only the sender reads it.
+    #[prost(uint64, tag = "1")]
+    pub stamp: u64,
+    /// Sequence that the sender has in force.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+    /// Whether the sender is leaving.
+    #[prost(bool, tag = "3")]
+    pub leaving: bool,
+}
+
+/// The answer to a [`PeerBeat`].
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct BeatReply {
+    /// The stamp of the beat that this answers.
+    #[prost(uint64, tag = "1")]
+    pub echo: u64,
+    /// Age of what the answering box knows from the log, in milliseconds; `u64::MAX` for never.
+    #[prost(uint64, tag = "2")]
+    pub log_age_ms: u64,
+    /// Sequence that the answering box has in force.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// Whether the answering box is leaving.
+    #[prost(bool, tag = "4")]
+    pub leaving: bool,
+    /// A few other boxes. They stand in the reply and not in the beat, so that their ages count from
+    /// a time on the asker's own clock.
+    #[prost(message, repeated, tag = "5")]
+    pub others: Vec<PeerSummary>,
+}
+
+/// Bills handed to a witness.
+#[derive(Clone, PartialEq, Message)]
+pub struct WitnessBills {
+    /// The bills.
+    #[prost(message, repeated, tag = "1")]
+    pub bills: Vec<BillRecord>,
+}
+
+/// Numbers of bills, acknowledged by a witness or released by their owner.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct BillNumbers {
+    /// Bill numbers of the owner.
+    #[prost(uint64, repeated, tag = "1")]
+    pub numbers: Vec<u64>,
+}
+
+/// A replica's leaving mark, passed between boxes because the box list lags.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct LeavingMark {
+    /// Replica name.
+    #[prost(string, tag = "1")]
+    pub replica: String,
+}
+
+/// What a message between boxes says.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum PeerBody {
+    /// A heartbeat.
+    #[prost(message, tag = "3")]
+    Beat(PeerBeat),
+    /// The answer to a heartbeat.
+    #[prost(message, tag = "4")]
+    Reply(BeatReply),
+    /// The bundle in force, from a box that knows of a lower one.
+    #[prost(message, tag = "5")]
+    Bundle(BundleRecord),
+    /// Bills to witness.
+    #[prost(message, tag = "6")]
+    Witness(WitnessBills),
+    /// The witness holds these.
+    #[prost(message, tag = "7")]
+    Witnessed(BillNumbers),
+    /// These are in the log; the witness may drop them.
+    #[prost(message, tag = "8")]
+    Release(BillNumbers),
+    /// A roll-out verdict.
+    #[prost(message, tag = "9")]
+    Verdict(VerdictRecord),
+    /// A leaving replica.
+    #[prost(message, tag = "10")]
+    Leaving(LeavingMark),
+    /// A call for the whole bundle in force.
+    #[prost(message, tag = "11")]
+    WantBundle(BundleWanted),
+    /// Evidence on a version under roll-out, for the first canary box.
+    #[prost(message, tag = "12")]
+    Evidence(RolloutEvidence),
+}
+
+/// Judged answers of a version under roll-out, of one request class.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct RolloutEvidence {
+    /// Version.
+    #[prost(string, tag = "1")]
+    pub version: String,
+    /// Request class.
+    #[prost(uint32, tag = "2")]
+    pub class: u32,
+    /// Good answers.
+    #[prost(uint32, tag = "3")]
+    pub good: u32,
+    /// Bad answers and failures.
+    #[prost(uint32, tag = "4")]
+    pub bad: u32,
+}
+
+/// A call for the whole bundle in force.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct BundleWanted {
+    /// Sequence that the asker has in force.
+    #[prost(uint64, tag = "1")]
+    pub have: u64,
+}
+
+/// A message from one box to another.
+#[derive(Clone, PartialEq, Message)]
+pub struct PeerMessage {
+    /// Name of the box that sent it.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// Incarnation of the box that sent it.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// What it says.
+    #[prost(oneof = "PeerBody", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    pub body: Option<PeerBody>,
+}
--- /dev/null
+++ b/crates/core/src/state.rs
@@ -0,0 +1,322 @@
+//! The reducer: all state of a box, and the one function that changes it.
+//!
+//! [`BoxState::apply`] hands each event to the module that has its job: `admit` (a request arrives),
+//! `choose` (model, version, replica), `run` (attempts), `settle` (ratings, bills, the end of an
+//! answer), `log` (folds and appends), `peers` (heartbeats, witnesses, marks), `guard` (roll-outs)
+//! and `stop`. `dump` describes the state for operators.
+
+mod admit;
+mod choose;
+mod dump;
+mod guard;
+mod log;
+mod peers;
+mod run;
+mod settle;
+mod stop;
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use serde::Serialize;
+use slotmap::SlotMap;
+
+use crate::appender::{AppendQueue, LogStream};
+use crate::attempt::{Attempt, Dispatched, Queued, Ready};
+use crate::bills::BillLedger;
+use crate::bundle::{BundleIndex, NameIndex};
+use crate::cascade::QualityTable;
+use crate::claims::ClaimFold;
+use crate::effect::BoxEffect;
+use crate::event::{BoxEvent, EventStamp, RequestTarget, RequestTicket};
+use crate::fair_queue::FairQueue;
+use crate::fold::{BundleFold, SignOffRule};
+use crate::freshness::{FreshLease, FreshState};
+use crate::ids::{AccountKey, ReplicaKey, RequestKey, VersionKey};
+use crate::membership::BoxMembership;
+use crate::message::{LogRecord, RecordBody};
+use crate::reason::ReasonCode;
+use crate::replica::ReplicaTable;
+use crate::retry::RetryBudget;
+use crate::rollout::RolloutState;
+use crate::session::{SessionPins, TokenKeys};
+use crate::time::BoxTime;
+
+pub use dump::{DecisionRecord, StateDump};
+
+/// Decisions kept for `explain`.
+pub const DECISIONS_KEPT: usize = 4_096;
+
+/// Settings of a box that the reducer needs.
+#[derive(Clone, Debug)]
+pub struct BoxSettings {
+    /// Box name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Random number drawn when the process started.
+    pub incarnation: u64,
+    /// Operator keys.
+    pub sign_off: SignOffRule,
+    /// Keys of session tokens.
+    pub token_keys: TokenKeys,
+    /// How long the log keeps records, in milliseconds.
+    pub retention_ms: u64,
+    /// How long a request may wait for a replica, in milliseconds.
+    pub queue_ms: u64,
+    /// How long a claim may wait for the log, in milliseconds.
+    pub claim_ms: u64,
+    /// How long callers keep the answer about which address to use, in milliseconds.
+    pub entry_keep_ms: u64,
+    /// Bills that may wait for the log before new requests are refused.
+    pub bill_limit: usize,
+    /// Share of answers rated after they left, in 1/256.
+    pub rate_share: u64,
+}
+
+/// Stage of a request, with its attempt's state as a type.
+#[derive(Clone, Copy, Debug)]
+enum RequestStage {
+    /// Waits for its claim.
+    Claiming(Attempt<Queued>),
+    /// Waits for a replica.
+    Waiting(Attempt<Queued>),
+    /// Has a replica.
+    Ready(Attempt<Ready>),
+    /// Runs.
+    Running(Attempt<Dispatched>),
+    /// Its held answer is being rated.
+    Judging(Attempt<Dispatched>),
+    /// Its end waits for witnesses.
+    Billing,
+}
+
+/// Where a request waits.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum QueueName {
+    Version(VersionKey),
+    Service(String),
+}
+
+/// A request that the box has taken in.
+#[derive(Debug)]
+struct RequestState {
+    ticket: RequestTicket,
+    id: u128,
+    account: AccountKey,
+    target: RequestTarget,
+    /// Key that the bill is known by, where the caller gave one.
+    bill_key: Option<String>,
+    claim: Option<(String, u64)>,
+    /// Whether it may run more than once.
+    repeatable: bool,
+    deadline: BoxTime,
+    stage: RequestStage,
+    /// Rung of a cascade that answers now, and whether its answer is rated before release.
+    rung: usize,
+    gated: bool,
+    version: Option<VersionKey>,
+    pins: SessionPins,
+    pins_changed: bool,
+    delivered: u32,
+    avoid: Option<ReplicaKey>,
+    reasons: Vec<ReasonCode>,
+    cost: f64,
+    tokens: u32,
+    attempts: u32,
+}
+
+/// All state of a box.
+#[derive(Debug)]
+pub struct BoxState {
+    settings: BoxSettings,
+    names: NameIndex,
+    index: BundleIndex,
+    fold: BundleFold,
+    claims: ClaimFold,
+    claim_next: u64,
+    verdict_next: u64,
+    /// When the record of the bundle in force was read, and how old it was then, in milliseconds.
+    bundle_seen: (BoxTime, u64),
+    fresh: FreshLease,
+    members: BoxMembership,
+    replicas: ReplicaTable,
+    quality: QualityTable,
+    rollouts: BTreeMap<String, RolloutState>,
+    queues: BTreeMap<QueueName, FairQueue>,
+    retry: RetryBudget,
+    appends: BTreeMap<LogStream, AppendQueue>,
+    ledger: BillLedger,
+    requests: SlotMap<RequestKey, RequestState>,
+    tickets: HashMap<RequestTicket, RequestKey>,
+    decisions: VecDeque<DecisionRecord>,
+    next_beat: BoxTime,
+    next_evidence: BoxTime,
+    stopping_since: Option<BoxTime>,
+    counts: BoxCounts,
+}
+
+/// Counters since the box started.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct BoxCounts {
+    /// Requests taken in.
+    pub arrived: u64,
+    /// Whole answers.
+    pub answered: u64,
+    /// Refusals, run or not.
+    pub refused: u64,
+    /// Attempts dispatched.
+    pub dispatched: u64,
+    /// Retries.
+    pub retried: u64,
+    /// Escalations of a cascade.
+    pub escalated: u64,
+}
+
+impl BoxState {
+    /// State of a box that has just started and knows nothing.
+    pub fn new(settings: BoxSettings) -> Self {
+        let queue = |stream| {
+            let limit = if stream == LogStream::Bills { settings.bill_limit } else { 4_096 };
+            (stream, AppendQueue::new(limit))
+        };
+        Self {
+            names: NameIndex::default(),
+            index: BundleIndex::default(),
+            fold: BundleFold::new(settings.sign_off.clone()),
+            claims: ClaimFold::default(),
+            claim_next: 0,
+            verdict_next: 0,
+            bundle_seen: (BoxTime::default(), 0),
+            fresh: FreshLease::default(),
+            members: BoxMembership::new(&settings.name),
+            replicas: ReplicaTable::new(&settings.name),
+            quality: QualityTable::default(),
+            rollouts: BTreeMap::new(),
+            queues: BTreeMap::new(),
+            retry: RetryBudget::default(),
+            appends: LogStream::ALL.into_iter().map(queue).collect(),
+            ledger: BillLedger::default(),
+            requests: SlotMap::with_key(),
+            tickets: HashMap::new(),
+            decisions: VecDeque::new(),
+            next_beat: BoxTime::default(),
+            next_evidence: BoxTime::default(),
+            stopping_since: None,
+            counts: BoxCounts::default(),
+            settings,
+        }
+    }
+
+    /// Applies one event and gives what the box must do.
+    pub fn apply(&mut self, stamp: EventStamp, event: BoxEvent) -> Vec<BoxEffect> {
+        let mut effects = Vec::new();
+        let out = &mut effects;
+        match event {
+            BoxEvent::Tick => self.on_tick(stamp, out),
+            BoxEvent::LogRead { stream, asked_at, first, tail, age_ms, records } => {
+                let read = log::StreamRead { stream, asked_at, first, tail, age_ms };
+                self.on_log_read(stamp, read, records, out);
+            }
+            BoxEvent::AppendDone(stream) => self.on_append_done(stamp, stream, out),
+            BoxEvent::AppendFailed(stream) => self.on_append_failed(stamp, stream),
+            BoxEvent::ListRead { boxes, replicas } => self.on_list_read(boxes, &replicas, out),
+            BoxEvent::PeerMessage(message) => self.on_peer_message(stamp, message, out),
+            BoxEvent::LoadReported { replica, at, report } => {
+                self.on_load_reported(stamp, &replica, at, &report, out);
+            }
+            BoxEvent::RequestArrived(ask) => self.on_request(stamp, ask, out),
+            BoxEvent::SendBegins(key) => self.on_send_begins(stamp, key, out),
+            BoxEvent::FirstToken(key) => self.on_first_token(stamp, key),
+            BoxEvent::AttemptEnded(key, end) => self.on_attempt_ended(stamp, key, end, out),
+            BoxEvent::Judged(key, good) => self.on_judged(stamp, key, good, out),
+            BoxEvent::Rated { version, class, good } => {
+                self.on_rated(stamp, &version, class, good, out);
+            }
+            BoxEvent::CallerLeft(ticket) => self.on_caller_left(stamp, ticket, out),
+            BoxEvent::StopAsked => self.on_stop_asked(stamp, out),
+        }
+        effects
+    }
+
+    fn on_tick(&mut self, stamp: EventStamp, out: &mut Vec<BoxEffect>) {
+        self.drain_queues(stamp, out);
+        self.expire_claiming(stamp, out);
+        self.press_witnesses(stamp, out);
+        self.append_due(stamp, out);
+        if stamp.now >= self.next_beat {
+            self.next_beat = stamp.now.plus_millis(crate::membership::BEAT_INTERVAL_MS);
+            self.beat(stamp, out);
+            self.take_over_bills(stamp, out);
+            self.carry_bundle(stamp);
+            let keep = self.settings.retention_ms + 2 * crate::claims::KEY_SKEW_MS;
+            self.claims.forget(stamp.now.as_millis(), keep);
+        }
+        self.send_evidence(stamp, out);
+        self.check_stopped(stamp, out);
+    }
+
+    /// What the box may rely on now.
+    pub fn fresh_state(&self, now: BoxTime) -> FreshState {
+        let seen = self.members.seen_count(now);
+        self.fresh.state(now, seen, self.members.listed_count())
+    }
+
+    /// Sequence in force; 0 for none.
+    pub fn sequence(&self) -> u64 {
+        self.fold.sequence()
+    }
+
+    /// Next offset to read of a stream that the box follows.
+    pub fn next_offset(&self, stream: LogStream) -> u64 {
+        match stream {
+            LogStream::Claims => self.claim_next,
+            LogStream::Verdicts => self.verdict_next,
+            _ => self.fold.next_offset(),
+        }
+    }
+
+    /// Counters since the box started.
+    pub fn counts(&self) -> BoxCounts {
+        self.counts
+    }
+
+    /// The bundle's lookups.
+    pub fn index(&self) -> &BundleIndex {
+        &self.index
+    }
+
+    /// Interned names.
+    pub fn names(&self) -> &NameIndex {
+        &self.names
+    }
+
+    /// Replicas.
+    pub fn replicas(&self) -> &ReplicaTable {
+        &self.replicas
+    }
+
+    /// Boxes.
+    pub fn members(&self) -> &BoxMembership {
+        &self.members
+    }
+
+    fn record(&self, body: RecordBody) -> LogRecord {
+        LogRecord { incarnation: self.settings.incarnation, body: Some(body) }
+    }
+
+    fn push_record(&mut self, stream: LogStream, body: RecordBody) {
+        let record = self.record(body);
+        if let Some(queue) = self.appends.get_mut(&stream) {
+            queue.push(record);
+        }
+    }
+}
+
+/// Spreads one random number into another, for a second use within one event.
+fn next_dice(dice: u64) -> u64 {
+    // SplitMix64's finalizer.
+    let mut mixed = dice.wrapping_add(0x9E37_79B9_7F4A_7C15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    mixed ^ (mixed >> 31)
+}
--- /dev/null
+++ b/crates/core/src/state/admit.rs
@@ -0,0 +1,297 @@
+//! A request arrives: every check that needs no replica, in one place.
+
+use crate::attempt::{Attempt, RequestRefusal};
+use crate::bundle::CascadeSpec;
+use crate::cascade::{CascadePlan, RungView};
+use crate::claims::{check_key, KeyError};
+use crate::effect::BoxEffect;
+use crate::event::{EventStamp, RequestAsk, RequestTarget};
+use crate::freshness::FreshState;
+use crate::ids::{AccountKey, RequestKey};
+use crate::message::{ClaimRecord, RecordBody};
+use crate::reason::ReasonCode;
+use crate::session::SessionPins;
+use crate::{appender::LogStream, fair_queue::FairQueue};
+
+use super::{next_dice, BoxState, DecisionRecord, RequestStage, RequestState};
+
+/// When a caller should come back to a box that waits for its bundle, in milliseconds.
+const BUNDLE_WAIT_MS: u64 = 1_000;
+
+/// When a caller should come back after the log could not be reached, in milliseconds.
+const LOG_WAIT_MS: u64 = 5_000;
+
+impl BoxState {
+    pub(super) fn on_request(
+        &mut self,
+        stamp: EventStamp,
+        ask: RequestAsk,
+        out: &mut Vec<BoxEffect>,
+    ) {
+        self.counts.arrived += 1;
+        let ticket = ask.ticket;
+        let id = ask.id;
+        let target = ask.target.clone();
+        match self.admit(stamp, ask, out) {
+            Ok(()) => {}
+            Err(refusal) => {
+                self.counts.refused += 1;
+                self.keep_decision(DecisionRecord::refused_early(id, &target, &refusal));
+                out.push(BoxEffect::Refuse(ticket, refusal));
+            }
+        }
+    }
+
+    fn admit(
+        &mut self,
+        stamp: EventStamp,
+        ask: RequestAsk,
+        out: &mut Vec<BoxEffect>,
+    ) -> Result<(), RequestRefusal> {
+        self.check_box(stamp, &ask)?;
+        let account = self
+            .index
+            .account(&ask.key_hash)
+            .ok_or_else(|| Attempt::first().refuse(ReasonCode::UnknownKey))?;
+        let bill_key = ask
+            .caller_key
+            .as_ref()
+            .map(|key| format!("{}/{key}", self.names.accounts.name(account)));
+        let mut request = RequestState {
+            ticket: ask.ticket,
+            id: ask.id,
+            account,
+            bill_key,
+            claim: None,
+            repeatable: true,
+            deadline: stamp.now.plus_millis(self.settings.queue_ms),
+            stage: RequestStage::Waiting(Attempt::first()),
+            rung: 0,
+            gated: false,
+            version: None,
+            pins: SessionPins::new(),
+            pins_changed: false,
+            delivered: 0,
+            avoid: None,
+            reasons: Vec::new(),
+            cost: 0.0,
+            tokens: 0,
+            attempts: 0,
+            target: ask.target,
+        };
+        match &request.target {
+            RequestTarget::Model { .. } => self.admit_model(stamp, &mut request)?,
+            RequestTarget::Service { .. } => {
+                self.admit_service(stamp, &mut request, ask.caller_key.as_deref())?;
+            }
+        }
+        if request.repeatable {
+            self.retry.earn();
+            let key = self.insert(request);
+            self.place(stamp, key, false, out);
+            return Ok(());
+        }
+        self.claim(stamp, request, out)
+    }
+
+    /// Checks that concern the box and not the request.
+    fn check_box(&self, stamp: EventStamp, ask: &RequestAsk) -> Result<(), RequestRefusal> {
+        let refuse = |reason| Err(Attempt::first().refuse(reason).retry_after(BUNDLE_WAIT_MS));
+        if self.stop_is_over(stamp.now) {
+            return refuse(ReasonCode::Stopping);
+        }
+        if self.fold.in_force().is_none() {
+            return refuse(ReasonCode::NoBundle);
+        }
+        if self.fresh_state(stamp.now) == FreshState::CutOff {
+            return refuse(ReasonCode::CutOff);
+        }
+        if self.tickets.contains_key(&ask.ticket) {
+            return refuse(ReasonCode::QueueFull);
+        }
+        let bills = self.appends.get(&LogStream::Bills);
+        if bills.is_some_and(|queue| queue.is_full()) {
+            return Err(Attempt::first().refuse(ReasonCode::BillBacklog).retry_after(LOG_WAIT_MS));
+        }
+        Ok(())
+    }
+
+    fn admit_model(
+        &mut self,
+        stamp: EventStamp,
+        request: &mut RequestState,
+    ) -> Result<(), RequestRefusal> {
+        let RequestTarget::Model { name, class, session, .. } = &request.target else {
+            return Ok(());
+        };
+        let refuse = |reason| Err(Attempt::first().refuse(reason));
+        let spec = &self.index.spec;
+        let account = self.names.accounts.name(request.account);
+        let allow = spec.accounts.get(account).map_or(&[][..], |row| &row.allow);
+        let model = spec.versions.get(name).map(|row| &row.model);
+        if model.is_none() && !spec.models.contains_key(name) && !spec.cascades.contains_key(name) {
+            return refuse(ReasonCode::UnknownTarget);
+        }
+        if !allow.contains(name) && !model.is_some_and(|model| allow.contains(model)) {
+            return refuse(ReasonCode::NotAllowed);
+        }
+        if let Some(token) = session {
+            let claims = self.settings.token_keys.open(token).map_err(|error| {
+                Attempt::first().refuse(ReasonCode::BadToken).detail(error.to_string())
+            })?;
+            if claims.account != account {
+                return refuse(ReasonCode::BadToken);
+            }
+            request.pins = claims.pins;
+        }
+        if let Some(cascade) = spec.cascades.get(name) {
+            let plan = self.plan_cascade(cascade, *class, next_dice(stamp.dice));
+            request.rung = plan.rung;
+            request.gated = plan.gated;
+            request.reasons.push(plan.reason);
+        }
+        Ok(())
+    }
+
+    fn plan_cascade(&self, cascade: &CascadeSpec, class: u8, dice: u64) -> CascadePlan {
+        let models = &self.index.spec.models;
+        let view = |model: &'_ String| models.get(model).map_or(0.0, |row| row.cost_per_1k);
+        let rungs: Vec<RungView<'_>> =
+            cascade.rungs.iter().map(|model| RungView { model, cost: view(model) }).collect();
+        self.quality.plan(&rungs, cascade.target, class, dice)
+    }
+
+    fn admit_service(
+        &mut self,
+        stamp: EventStamp,
+        request: &mut RequestState,
+        caller_key: Option<&str>,
+    ) -> Result<(), RequestRefusal> {
+        let RequestTarget::Service { name, method, path } = &request.target else {
+            return Ok(());
+        };
+        let spec = &self.index.spec;
+        let Some(service) = spec.services.get(name) else {
+            return Err(Attempt::first().refuse(ReasonCode::UnknownTarget));
+        };
+        let account = self.names.accounts.name(request.account);
+        if !spec.accounts.get(account).is_some_and(|row| row.services.contains(name)) {
+            return Err(Attempt::first().refuse(ReasonCode::NotAllowed));
+        }
+        request.reasons.push(ReasonCode::ServiceRoute);
+        if service.runs_once(method, path) {
+            request.repeatable = false;
+            let retention = self.settings.retention_ms;
+            check_key(caller_key, stamp.wall, retention).map_err(key_refusal)?;
+        }
+        Ok(())
+    }
+
+    /// Queues the claim of a call that may not be repeated, unless the key is known.
+    fn claim(
+        &mut self,
+        stamp: EventStamp,
+        mut request: RequestState,
+        out: &mut Vec<BoxEffect>,
+    ) -> Result<(), RequestRefusal> {
+        let key = request.bill_key.clone().unwrap_or_default();
+        if let Some(entry) = self.claims.find(&key) {
+            let outcome = entry.outcome.clone();
+            return self.answer_claimed(&request, outcome, out);
+        }
+        let claims = self.appends.get(&LogStream::Claims);
+        if claims.is_some_and(|queue| queue.failing() || queue.is_full()) {
+            let refusal = Attempt::first().refuse(ReasonCode::LogDown).retry_after(LOG_WAIT_MS);
+            return Err(refusal);
+        }
+        let nonce = next_dice(stamp.dice ^ self.settings.incarnation);
+        request.claim = Some((key.clone(), nonce));
+        request.deadline = stamp.now.plus_millis(self.settings.claim_ms);
+        request.stage = RequestStage::Claiming(Attempt::first());
+        self.insert(request);
+        self.push_record(LogStream::Claims, RecordBody::Claim(ClaimRecord { key, nonce }));
+        self.append_due(stamp, out);
+        Ok(())
+    }
+
+    /// Answers a request whose key was claimed by an earlier one.
+    fn answer_claimed(
+        &mut self,
+        request: &RequestState,
+        outcome: Option<crate::message::OutcomeRecord>,
+        out: &mut Vec<BoxEffect>,
+    ) -> Result<(), RequestRefusal> {
+        match outcome {
+            Some(outcome) => {
+                self.counts.answered += 1;
+                out.push(BoxEffect::Replay(request.ticket, outcome));
+                Ok(())
+            }
+            None => {
+                let refusal = RequestRefusal::earlier_may_have_run(ReasonCode::AlreadyClaimed);
+                Err(refusal.retry_after(LOG_WAIT_MS))
+            }
+        }
+    }
+
+    /// A claim of this box lost to an earlier one.
+    pub(super) fn lose_claim(
+        &mut self,
+        key: RequestKey,
+        outcome: Option<crate::message::OutcomeRecord>,
+        out: &mut Vec<BoxEffect>,
+    ) {
+        let Some(request) = self.requests.remove(key) else { return };
+        self.tickets.remove(&request.ticket);
+        if let Err(refusal) = self.answer_claimed(&request, outcome, out) {
+            self.counts.refused += 1;
+            self.keep_decision(self.describe(&request, Some(&refusal), None));
+            out.push(BoxEffect::Refuse(request.ticket, refusal));
+        }
+    }
+
+    /// Refuses requests whose claim did not come back in time, and voids their claims.
+    pub(super) fn expire_claiming(&mut self, stamp: EventStamp, out: &mut Vec<BoxEffect>) {
+        let late: Vec<(RequestKey, Attempt<_>)> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.deadline < stamp.now)
+            .filter_map(|(key, request)| match request.stage {
+                RequestStage::Claiming(attempt) => Some((key, attempt)),
+                _ => None,
+            })
+            .collect();
+        for (key, attempt) in late {
+            let refusal = attempt.refuse(ReasonCode::LogDown).retry_after(LOG_WAIT_MS);
+            self.end_refused(key, refusal, out);
+        }
+    }
+
+    fn insert(&mut self, request: RequestState) -> RequestKey {
+        let ticket = request.ticket;
+        let key = self.requests.insert(request);
+        self.tickets.insert(ticket, key);
+        key
+    }
+
+    /// Weight of an account's fair share.
+    pub(super) fn weight(&self, account: AccountKey) -> u32 {
+        let name = self.names.accounts.name(account);
+        self.index.spec.accounts.get(name).map_or(1, |row| row.weight)
+    }
+
+    /// When a caller refused by this queue should come back.
+    pub(super) fn come_back_ms(queue: Option<&FairQueue>, dice: u64) -> u64 {
+        queue.map_or(BUNDLE_WAIT_MS, |queue| queue.retry_after_ms(dice))
+    }
+}
+
+/// The refusal for a key. An expired key says nothing about an earlier request with it.
+pub(super) fn key_refusal(error: KeyError) -> RequestRefusal {
+    let refusal = match error {
+        KeyError::Missing | KeyError::NotUuidV7 => Attempt::first().refuse(ReasonCode::BadClaimKey),
+        KeyError::Future => RequestRefusal::earlier_may_have_run(ReasonCode::BadClaimKey),
+        KeyError::Expired => RequestRefusal::earlier_may_have_run(ReasonCode::KeyExpired),
+    };
+    refusal.detail(error.to_string())
+}
--- /dev/null
+++ b/crates/core/src/state/guard.rs
@@ -0,0 +1,179 @@
+//! The roll-out guard's part of the reducer: shares, evidence and verdicts.
+
+use crate::appender::LogStream;
+use crate::cascade::QualityCount;
+use crate::effect::BoxEffect;
+use crate::event::{EventStamp, RequestTarget};
+use crate::ids::{AccountKey, RequestKey, VersionKey};
+use crate::membership::BEAT_INTERVAL_MS;
+use crate::message::{PeerBody, RecordBody, RolloutEvidence, VerdictRecord};
+use crate::rollout::{GuardVerdict, JudgedCount, RolloutState, BASE_ANSWERS, CANARY_BOXES};
+
+use super::BoxState;
+
+/// Share of bad answers assumed of a version that was hardly rated.
+const UNKNOWN_BASE_BAD: f64 = 0.1;
+
+impl BoxState {
+    /// Name of the version, if the bundle rolls it out and it is not the default yet.
+    pub(super) fn under_rollout(&self, version: VersionKey) -> Option<&str> {
+        let name = self.names.versions.name(version);
+        self.index.spec.rollouts.get_key_value(name).map(|(name, _)| name.as_str())
+    }
+
+    /// The version under roll-out that a new session of `model` should use, by share and dice.
+    pub(super) fn rollout_version(
+        &self,
+        model: &str,
+        account: AccountKey,
+        dice: u64,
+    ) -> Option<VersionKey> {
+        let spec = &self.index.spec;
+        let (name, rollout) = spec
+            .rollouts
+            .iter()
+            .find(|(name, _)| spec.versions.get(*name).is_some_and(|row| row.model == model))?;
+        let version = self.names.versions.find(name)?;
+        let fresh = RolloutState::default();
+        let state = self.rollouts.get(name).unwrap_or(&fresh);
+        let share = state.share(rollout, self.members.rank(name));
+        let chosen = dice % 100 < u64::from(share);
+        let has_replica = !self.replicas.subset(version).is_empty();
+        (chosen && has_replica && self.check_version(account, version, false).is_ok())
+            .then_some(version)
+    }
+
+    /// Counts a request that goes to a version under roll-out.
+    pub(super) fn note_exposed(&mut self, version: VersionKey) {
+        if let Some(name) = self.under_rollout(version).map(str::to_owned) {
+            self.rollouts.entry(name).or_default().exposed += 1;
+        }
+    }
+
+    /// A failed attempt counts as a bad answer of a version under roll-out.
+    pub(super) fn note_failure_evidence(&mut self, key: RequestKey) {
+        let request = &self.requests[key];
+        let RequestTarget::Model { class, .. } = request.target else { return };
+        let Some(version) = request.version else { return };
+        if let Some(name) = self.under_rollout(version).map(str::to_owned) {
+            self.rollouts.entry(name).or_default().note(class, false);
+        }
+    }
+
+    pub(super) fn on_rated(
+        &mut self,
+        stamp: EventStamp,
+        version: &str,
+        class: u8,
+        good: Option<bool>,
+        out: &mut Vec<BoxEffect>,
+    ) {
+        let Some(good) = good else {
+            self.quality.rating_failed();
+            return;
+        };
+        let spec = &self.index.spec;
+        if spec.rollouts.contains_key(version) {
+            self.rollouts.entry(version.to_owned()).or_default().note(class, good);
+            if self.members.rank(version) < CANARY_BOXES {
+                self.flush_evidence(stamp, version, out);
+            }
+        } else if let Some(row) = spec.versions.get(version) {
+            let model = row.model.clone();
+            self.quality.add(&model, class, good);
+        }
+    }
+
+    /// Sends what other boxes gathered, now and then: the fewer, the more boxes there are.
+    pub(super) fn send_evidence(&mut self, stamp: EventStamp, out: &mut Vec<BoxEffect>) {
+        /// Boxes whose evidence the first canary box takes in a second.
+        const BOXES_PER_SECOND: u64 = 50;
+        if stamp.now < self.next_evidence {
+            return;
+        }
+        let rounds = (self.members.listed_count() as u64).div_ceil(BOXES_PER_SECOND).max(1);
+        self.next_evidence = stamp.now.plus_millis(rounds * BEAT_INTERVAL_MS);
+        let unsent: Vec<String> = self
+            .rollouts
+            .iter()
+            .filter(|(_, state)| !state.unsent.is_empty())
+            .map(|(version, _)| version.clone())
+            .collect();
+        for version in unsent {
+            self.flush_evidence(stamp, &version, out);
+        }
+    }
+
+    fn flush_evidence(&mut self, stamp: EventStamp, version: &str, out: &mut Vec<BoxEffect>) {
+        let guard = self.members.first_alive(version, stamp.now);
+        let Some(state) = self.rollouts.get_mut(version) else { return };
+        for (class, count) in std::mem::take(&mut state.unsent) {
+            let evidence = RolloutEvidence {
+                version: version.to_owned(),
+                class: u32::from(class),
+                good: count.good,
+                bad: count.bad,
+            };
+            match &guard {
+                Some(name) => {
+                    out.push(BoxEffect::SendPeer(name.clone(), PeerBody::Evidence(evidence)));
+                }
+                None => self.on_evidence(stamp, &evidence, out),
+            }
+        }
+    }
+
+    /// Weighs evidence; this box is the first canary box, or was taken for it.
+    pub(super) fn on_evidence(
+        &mut self,
+        stamp: EventStamp,
+        evidence: &RolloutEvidence,
+        out: &mut Vec<BoxEffect>,
+    ) {
+        let Some(spec) = self.index.spec.rollouts.get(&evidence.version).cloned() else { return };
+        let class = u8::try_from(evidence.class).unwrap_or(u8::MAX);
+        let base = self.base_bad(&evidence.version, class);
+        let state = self.rollouts.entry(evidence.version.clone()).or_default();
+        let count = JudgedCount { good: evidence.good, bad: evidence.bad };
+        let Some(verdict) = state.weigh(&spec, class, count, base) else { return };
+        let (halted, step) = match verdict {
+            GuardVerdict::Halt => (true, state.step),
+            GuardVerdict::Step(step) => (false, step),
+        };
+        let record = VerdictRecord { version: evidence.version.clone(), halted, step };
+        self.push_record(LogStream::Verdicts, RecordBody::Verdict(record.clone()));
+        self.take_verdict(stamp, &record, out);
+        self.append_due(stamp, out);
+    }
+
+    /// Share of bad answers of the version that `version` replaces.
+    fn base_bad(&self, version: &str, class: u8) -> f64 {
+        let spec = &self.index.spec;
+        let Some(model) = spec.versions.get(version).map(|row| &row.model) else {
+            return UNKNOWN_BASE_BAD;
+        };
+        let count: QualityCount = self.quality.count(model, class);
+        if count.good + count.bad < BASE_ANSWERS {
+            return UNKNOWN_BASE_BAD;
+        }
+        1.0 - count.mean()
+    }
+
+    /// Takes a verdict, own, passed on or read, and passes it on if it is news.
+    pub(super) fn take_verdict(
+        &mut self,
+        _stamp: EventStamp,
+        verdict: &VerdictRecord,
+        out: &mut Vec<BoxEffect>,
+    ) {
+        let state = self.rollouts.entry(verdict.version.clone()).or_default();
+        if !state.take_verdict(verdict.halted, verdict.step) {
+            return;
+        }
+        out.push(match verdict.halted {
+            true => BoxEffect::RolloutHalted(verdict.version.clone()),
+            false => BoxEffect::RolloutStep(verdict.version.clone(), verdict.step),
+        });
+        self.spread(PeerBody::Verdict(verdict.clone()), out);
+    }
+}
--- /dev/null
+++ b/crates/core/src/state/peers.rs
@@ -0,0 +1,221 @@
+//! Boxes among themselves: heartbeats, bundles, witnesses and marks.
+
+use crate::appender::LogStream;
+use crate::bills::OWNER_SILENCE_MS;
+use crate::effect::BoxEffect;
+use crate::event::EventStamp;
+use crate::ids::ReplicaKey;
+use crate::membership::ListedBox;
+use crate::message::{
+    BeatReply, BillNumbers, BundleWanted, LeavingMark, PeerBeat, PeerBody, PeerMessage,
+    PeerSummary, RecordBody,
+};
+use crate::replica::{ListedReplica, LoadReport};
+use crate::time::BoxTime;
+
+use super::BoxState;
+
+impl BoxState {
+    pub(super) fn on_list_read(
+        &mut self,
+        boxes: Vec<ListedBox>,
+        replicas: &[ListedReplica],
+        out: &mut Vec<BoxEffect>,
+    ) {
+        self.members.take_list(boxes);
+        if self.stopping_since.is_some() {
+            self.members.mark_leaving(&self.settings.name.clone());
+        }
+        let before: Vec<String> = self.leaving_names();
+        self.replicas.take_list(replicas);
+        for name in self.leaving_names() {
+            if !before.contains(&name) {
+                self.spread_leaving(&name, out);
+            }
+        }
+    }
+
+    fn leaving_names(&self) -> Vec<String> {
+        let leaving = self.replicas.rows().filter(|(_, row)| row.leaving);
+        leaving.map(|(_, row)| row.listed.name.clone()).collect()
+    }
+
+    pub(super) fn on_load_reported(
+        &mut self,
+        stamp: EventStamp,
+        name: &str,
+        at: BoxTime,
+        report: &LoadReport,
+        out: &mut Vec<BoxEffect>,
+    ) {
+        let Some(key) = self.replicas.find(name) else { return };
+        let versions =
+            report.versions.iter().map(|version| self.names.versions.intern(version)).collect();
+        if self.replicas.take_report(key, report, versions, at) {
+            self.spread_leaving(name, out);
+        }
+        if self.queues.values().any(|queue| !queue.is_empty()) {
+            self.drain_queues(stamp, out);
+        }
+    }
+
+    pub(super) fn note_leaving(&mut self, key: ReplicaKey, out: &mut Vec<BoxEffect>) {
+        let Some(row) = self.replicas.get(key) else { return };
+        let name = row.listed.name.clone();
+        if self.replicas.mark_leaving(&name) {
+            self.spread_leaving(&name, out);
+        }
+    }
+
+    fn spread_leaving(&mut self, name: &str, out: &mut Vec<BoxEffect>) {
+        out.push(BoxEffect::ReplicaLeaving(name.to_owned()));
+        let mark = LeavingMark { replica: name.to_owned() };
+        self.spread(PeerBody::Leaving(mark), out);
+    }
+
+    /// Sends to a few boxes, each of which passes it on if it is news to it.
+    pub(super) fn spread(&mut self, body: PeerBody, out: &mut Vec<BoxEffect>) {
+        for name in self.members.next_targets() {
+            out.push(BoxEffect::SendPeer(name, body.clone()));
+        }
+    }
+
+    pub(super) fn beat(&mut self, stamp: EventStamp, out: &mut Vec<BoxEffect>) {
+        let beat = PeerBeat {
+            stamp: stamp.now.0,
+            sequence: self.fold.sequence(),
+            leaving: self.stopping_since.is_some(),
+        };
+        self.spread(PeerBody::Beat(beat), out);
+    }
+
+    pub(super) fn on_peer_message(
+        &mut self,
+        stamp: EventStamp,
+        message: PeerMessage,
+        out: &mut Vec<BoxEffect>,
+    ) {
+        let (from, incarnation) = (message.from, message.incarnation);
+        let Some(body) = message.body else { return };
+        if self.members.find(&from).is_none() {
+            // The box list lags behind a new box: it is answered, so that it can start, but nothing
+            // that it says is counted.
+            if !matches!(body, PeerBody::Beat(_) | PeerBody::WantBundle(_)) {
+                return;
+            }
+        }
+        match body {
+            PeerBody::Beat(beat) => self.on_beat(stamp, &from, &beat, out),
+            PeerBody::Reply(reply) => self.on_reply(&from, incarnation, &reply, out),
+            PeerBody::Bundle(record) => {
+                let outcome = self.fold.adopt_record(&record);
+                self.bundle_folded(stamp, &record, outcome, Some(&from), out);
+            }
+            PeerBody::WantBundle(wanted) => self.on_bundle_wanted(&from, wanted.have, out),
+            PeerBody::Witness(witness) => {
+                let numbers = witness.bills.iter().map(|bill| bill.number).collect();
+                for bill in witness.bills {
+                    self.ledger.hold(&from, incarnation, bill);
+                }
+                let body = PeerBody::Witnessed(BillNumbers { numbers });
+                out.push(BoxEffect::SendPeer(from, body));
+            }
+            PeerBody::Witnessed(held) => self.on_witnessed(stamp, &from, &held.numbers, out),
+            PeerBody::Release(done) => self.ledger.release(&from, incarnation, &done.numbers),
+            PeerBody::Verdict(verdict) => self.take_verdict(stamp, &verdict, out),
+            PeerBody::Leaving(mark) => {
+                if self.replicas.mark_leaving(&mark.replica) {
+                    self.spread_leaving(&mark.replica, out);
+                }
+            }
+            PeerBody::Evidence(evidence) => self.on_evidence(stamp, &evidence, out),
+        }
+    }
+
+    fn on_beat(
+        &mut self,
+        stamp: EventStamp,
+        from: &str,
+        beat: &PeerBeat,
+        out: &mut Vec<BoxEffect>,
+    ) {
+        if beat.leaving {
+            self.members.mark_leaving(from);
+        }
+        if beat.sequence > self.fold.sequence() {
+            self.want_bundle(from, out);
+        }
+        let reply = BeatReply {
+            echo: beat.stamp,
+            log_age_ms: self.fresh.age_ms(stamp.now),
+            sequence: self.fold.sequence(),
+            leaving: self.stopping_since.is_some(),
+            others: self.members.summaries(from, stamp.now),
+        };
+        out.push(BoxEffect::SendPeer(from.to_owned(), PeerBody::Reply(reply)));
+    }
+
+    fn on_reply(
+        &mut self,
+        from: &str,
+        incarnation: u64,
+        reply: &BeatReply,
+        out: &mut Vec<BoxEffect>,
+    ) {
+        let asked_at = BoxTime(reply.echo);
+        let direct = PeerSummary {
+            name: from.to_owned(),
+            incarnation,
+            age_ms: 0,
+            sequence: reply.sequence,
+            leaving: reply.leaving,
+        };
+        self.members.heard(from, &direct, asked_at);
+        for other in reply.others.iter().filter(|other| other.name != self.settings.name) {
+            self.members.heard(&other.name, other, asked_at);
+        }
+        if reply.sequence > self.fold.sequence() {
+            // What the peer knows is newer: nothing is fresh until this box has it too.
+            self.want_bundle(from, out);
+        } else {
+            self.fresh.renew_from_peer(asked_at, reply.log_age_ms);
+        }
+    }
+
+    pub(super) fn want_bundle(&self, peer: &str, out: &mut Vec<BoxEffect>) {
+        out.push(BoxEffect::ReadBundles);
+        let wanted = BundleWanted { have: self.fold.sequence() };
+        out.push(BoxEffect::SendPeer(peer.to_owned(), PeerBody::WantBundle(wanted)));
+    }
+
+    fn on_bundle_wanted(&self, from: &str, have: u64, out: &mut Vec<BoxEffect>) {
+        if let Some(bundle) = self.fold.in_force().filter(|bundle| bundle.sequence > have) {
+            let body = PeerBody::Bundle(bundle.whole_record());
+            out.push(BoxEffect::SendPeer(from.to_owned(), body));
+        }
+    }
+
+    /// Appends the bills held for boxes that vanished: replaced, silent, or no longer listed.
+    pub(super) fn take_over_bills(&mut self, stamp: EventStamp, out: &mut Vec<BoxEffect>) {
+        for owner in self.ledger.held_owners() {
+            let (name, incarnation) = &owner;
+            let silence = OWNER_SILENCE_MS.max(self.members.silence_ms());
+            let vanished = match self.members.find(name) {
+                None => true,
+                Some(row) if row.incarnation != 0 && row.incarnation != *incarnation => true,
+                Some(row) => {
+                    let heard = row.alive_at.unwrap_or_default();
+                    stamp.now.millis_since(heard) > silence
+                }
+            };
+            if !vanished {
+                continue;
+            }
+            let bills = self.ledger.take_held(&owner);
+            out.push(BoxEffect::OwnerVanished { owner: name.clone(), bills: bills.len() });
+            for bill in bills {
+                self.push_record(LogStream::Bills, RecordBody::Bill(bill));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/state/stop.rs
@@ -0,0 +1,55 @@
+//! The planned stop: out of the entry list at once, serving on while callers may keep the answer,
+//! then out once nothing runs and every bill is in the log.
+
+use crate::effect::BoxEffect;
+use crate::event::EventStamp;
+use crate::message::{PeerBeat, PeerBody};
+use crate::time::BoxTime;
+
+use super::BoxState;
+
+/// How long a stopping box waits for the log with bills that its witnesses hold, in milliseconds.
+const BILL_GRACE_MS: u64 = 5_000;
+
+/// Boxes told directly of a stop; beyond that the word goes round with the heartbeats.
+const TOLD_DIRECTLY: usize = 32;
+
+impl BoxState {
+    pub(super) fn on_stop_asked(&mut self, stamp: EventStamp, out: &mut Vec<BoxEffect>) {
+        if self.stopping_since.is_some() {
+            return;
+        }
+        self.stopping_since = Some(stamp.now);
+        let me = self.settings.name.clone();
+        self.members.mark_leaving(&me);
+        let sequence = self.fold.sequence();
+        let beat = PeerBeat { stamp: stamp.now.0, sequence, leaving: true };
+        for row in self.members.peers().take(TOLD_DIRECTLY) {
+            out.push(BoxEffect::SendPeer(row.listed.name.clone(), PeerBody::Beat(beat.clone())));
+        }
+    }
+
+    /// Whether the box takes no new requests any more.
+    pub(super) fn stop_is_over(&self, now: BoxTime) -> bool {
+        self.stopping_since
+            .is_some_and(|since| now.millis_since(since) >= self.settings.entry_keep_ms)
+    }
+
+    pub(super) fn check_stopped(&mut self, stamp: EventStamp, out: &mut Vec<BoxEffect>) {
+        let Some(since) = self.stopping_since else { return };
+        if !self.stop_is_over(stamp.now) || !self.requests.is_empty() {
+            return;
+        }
+        let owed = self.appends.values().any(|queue| !queue.is_empty());
+        let grace = self.settings.entry_keep_ms + BILL_GRACE_MS;
+        let witnessed = self.ledger.all_witnessed();
+        if !owed || (witnessed && stamp.now.millis_since(since) >= grace) {
+            out.push(BoxEffect::MayExit);
+        }
+    }
+
+    /// Whether a planned stop was asked.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping_since.is_some()
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine.rs
@@ -0,0 +1,206 @@
+//! Stand-in of a model engine: streams, resume, a bounded batch, a lagging load report, bad answers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use rocket::http::ContentType;
+use rocket::serde::json::Json;
+use rocket::{get, post, routes, State};
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use tokio::sync::{mpsc, Semaphore};
+
+use crate::rating::BAD_MARK;
+use crate::serve::{launch, rocket_on, HeaderMapView, PieceAnswer, RunningServer};
+
+/// Settings and faults of an engine.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default)]
+pub struct EngineFaults {
+    /// Versions loaded.
+    pub versions: BTreeSet<String>,
+    /// Versions whose answers are bad.
+    pub bad: BTreeSet<String>,
+    /// Time to the first token, in milliseconds.
+    pub prefill_ms: u64,
+    /// Time between tokens, in milliseconds.
+    pub token_ms: u64,
+    /// Cut this many streams after half of their tokens.
+    pub cut: u32,
+    /// End this many streams without their marker.
+    pub no_marker: u32,
+    /// Echo the wrong attempt this many times.
+    pub wrong_echo: u32,
+    /// Answer nothing.
+    pub frozen: bool,
+    /// Decline everything: leaving.
+    pub leaving: bool,
+    /// Age of the load report, in milliseconds.
+    pub lag_ms: u64,
+}
+
+impl Default for EngineFaults {
+    fn default() -> Self {
+        Self {
+            versions: BTreeSet::new(),
+            bad: BTreeSet::new(),
+            prefill_ms: 2,
+            token_ms: 1,
+            cut: 0,
+            no_marker: 0,
+            wrong_echo: 0,
+            frozen: false,
+            leaving: false,
+            lag_ms: 0,
+        }
+    }
+}
+
+/// Requests that the batch takes.
+const SLOTS: usize = 64;
+
+struct EngineState {
+    faults: Mutex<EngineFaults>,
+    /// Requests that ran, by version.
+    ran: Mutex<BTreeMap<String, u64>>,
+    slots: Semaphore,
+}
+
+impl EngineState {
+    fn faults(&self) -> EngineFaults {
+        self.faults.lock().expect("no panic while locked").clone()
+    }
+
+    fn spend(&self, pick: impl Fn(&mut EngineFaults) -> &mut u32) -> bool {
+        let mut faults = self.faults.lock().expect("no panic while locked");
+        let left = pick(&mut faults);
+        let spent = *left > 0;
+        *left -= u32::from(spent);
+        spent
+    }
+}
+
+/// Tokens of an answer, each with a space behind it.
+fn answer_tokens(count: u64, bad: bool) -> Vec<String> {
+    let word = if bad { BAD_MARK } else { "right" };
+    (0..count).map(|index| format!("{word}{index} ")).collect()
+}
+
+#[post("/v1/chat/completions", data = "<body>")]
+async fn chat(
+    body: Json<Value>,
+    headers: HeaderMapView,
+    state: &State<Arc<EngineState>>,
+) -> PieceAnswer {
+    let faults = state.faults();
+    if faults.leaving {
+        return PieceAnswer::whole(503, "{}")
+            .header("x-ravenspoke-run", "not_run")
+            .header("x-ravenspoke-leaving", "1");
+    }
+    if faults.frozen {
+        std::future::pending::<()>().await;
+    }
+    let version = body["model"].as_str().unwrap_or_default().to_owned();
+    if !faults.versions.contains(&version) {
+        return PieceAnswer::whole(404, "{}").header("x-ravenspoke-run", "not_run");
+    }
+    let echo = match state.spend(|faults| &mut faults.wrong_echo) {
+        true => "another request".to_owned(),
+        false => headers.get("x-ravenspoke-attempt").unwrap_or_default().to_owned(),
+    };
+    *state.ran.lock().expect("no panic while locked").entry(version.clone()).or_default() += 1;
+    let count = body["max_tokens"].as_u64().unwrap_or(8).min(4_096);
+    let tokens = answer_tokens(count, faults.bad.contains(&version));
+    let permit = state.slots.acquire().await.expect("the slots stay open");
+    tokio::time::sleep(Duration::from_millis(faults.prefill_ms)).await;
+    if !body["stream"].as_bool().unwrap_or(false) {
+        tokio::time::sleep(Duration::from_millis(faults.token_ms * count)).await;
+        drop(permit);
+        let text = tokens.concat();
+        let whole = json!({
+            "id": "stand-in", "object": "chat.completion", "model": version,
+            "choices": [{ "index": 0, "finish_reason": "stop",
+                "message": { "role": "assistant", "content": text } }],
+            "usage": { "prompt_tokens": 1, "completion_tokens": count, "total_tokens": count + 1 },
+        });
+        return PieceAnswer::whole(200, whole.to_string()).header("x-ravenspoke-attempt", echo);
+    }
+    drop(permit);
+    let resume = headers.get("x-ravenspoke-resume").and_then(|n| n.parse().ok()).unwrap_or(0);
+    let (sender, pieces) = mpsc::channel(64);
+    tokio::spawn(stream(state.inner().clone(), version, tokens, resume, sender));
+    PieceAnswer {
+        status: 200,
+        content_type: ContentType::new("text", "event-stream"),
+        headers: vec![("x-ravenspoke-attempt", echo)],
+        pieces,
+    }
+}
+
+async fn stream(
+    state: Arc<EngineState>,
+    version: String,
+    tokens: Vec<String>,
+    resume: usize,
+    sender: mpsc::Sender<io::Result<Bytes>>,
+) {
+    let Ok(_permit) = state.slots.acquire().await else { return };
+    let token_ms = state.faults().token_ms;
+    let cut = state.spend(|faults| &mut faults.cut);
+    let no_marker = !cut && state.spend(|faults| &mut faults.no_marker);
+    let half = tokens.len() / 2;
+    for (index, token) in tokens.iter().enumerate().skip(resume) {
+        if cut && index == half {
+            let _ = sender.send(Err(io::ErrorKind::ConnectionAborted.into())).await;
+            return;
+        }
+        if no_marker && index == half {
+            return;
+        }
+        let event = json!({
+            "id": "stand-in", "object": "chat.completion.chunk", "model": version,
+            "choices": [{ "index": 0, "delta": { "content": token } }],
+        });
+        if sender.send(Ok(format!("data: {event}\n\n").into())).await.is_err() {
+            return;
+        }
+        if token_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(token_ms)).await;
+        }
+    }
+    let _ = sender.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await;
+}
+
+#[get("/load")]
+fn load(state: &State<Arc<EngineState>>) -> Json<Value> {
+    let faults = state.faults();
+    let running = SLOTS - state.slots.available_permits();
+    Json(json!({
+        "versions": faults.versions, "running": running, "waiting": 0, "slots": SLOTS,
+        "leaving": faults.leaving, "age_ms": faults.lag_ms,
+    }))
+}
+
+#[post("/faults", data = "<faults>")]
+fn set_faults(faults: Json<EngineFaults>, state: &State<Arc<EngineState>>) {
+    *state.faults.lock().expect("no panic while locked") = faults.into_inner();
+}
+
+#[get("/counts")]
+fn counts(state: &State<Arc<EngineState>>) -> Json<BTreeMap<String, u64>> {
+    Json(state.ran.lock().expect("no panic while locked").clone())
+}
+
+/// Starts an engine.
+pub async fn start(faults: EngineFaults) -> RunningServer {
+    let state = Arc::new(EngineState {
+        faults: Mutex::new(faults),
+        ran: Mutex::default(),
+        slots: Semaphore::new(SLOTS),
+    });
+    launch(rocket_on(0).manage(state).mount("/", routes![chat, load, set_faults, counts])).await
+}
--- /dev/null
+++ b/crates/standins/src/rating.rs
@@ -0,0 +1,59 @@
+//! Stand-in of the rating service: an answer that carries [`BAD_MARK`] is bad.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use rocket::http::Status;
+use rocket::serde::json::Json;
+use rocket::{get, post, routes, State};
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+
+use crate::serve::{launch, rocket_on, RunningServer};
+
+/// Word by which an engine marks an answer as bad.
+pub const BAD_MARK: &str = "wrong";
+
+/// Faults of the rating service.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct RatingFaults {
+    /// Refuse everything.
+    pub down: bool,
+    /// Answer after this many milliseconds.
+    pub slow_ms: u64,
+}
+
+#[derive(Default)]
+struct RatingState {
+    faults: Mutex<RatingFaults>,
+    rated: Mutex<u64>,
+}
+
+#[post("/v1/rate", data = "<body>")]
+async fn rate(body: Json<Value>, state: &State<Arc<RatingState>>) -> Result<Json<Value>, Status> {
+    let faults = state.faults.lock().expect("no panic while locked").clone();
+    tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
+    if faults.down {
+        return Err(Status::ServiceUnavailable);
+    }
+    *state.rated.lock().expect("no panic while locked") += 1;
+    let bad = body["answer"].as_str().unwrap_or_default().contains(BAD_MARK);
+    Ok(Json(json!({ "good": !bad })))
+}
+
+#[post("/faults", data = "<faults>")]
+fn set_faults(faults: Json<RatingFaults>, state: &State<Arc<RatingState>>) {
+    *state.faults.lock().expect("no panic while locked") = faults.into_inner();
+}
+
+#[get("/counts")]
+fn counts(state: &State<Arc<RatingState>>) -> Json<Value> {
+    Json(json!({ "rated": *state.rated.lock().expect("no panic while locked") }))
+}
+
+/// Starts a rating service.
+pub async fn start() -> RunningServer {
+    let state = Arc::new(RatingState::default());
+    launch(rocket_on(0).manage(state).mount("/", routes![rate, set_faults, counts])).await
+}
--- /dev/null
+++ b/crates/standins/src/service.rs
@@ -0,0 +1,78 @@
+//! Stand-in of a plain service whose calls may not be repeated: it counts what ran, by caller key.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use rocket::serde::json::Json;
+use rocket::{get, post, routes, State};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::serve::{launch, rocket_on, HeaderMapView, PieceAnswer, RunningServer};
+
+/// Faults of the service.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ServiceFaults {
+    /// Run, and answer after this many milliseconds.
+    pub slow_ms: u64,
+    /// Run this many calls and cut their answers.
+    pub cut: u32,
+}
+
+#[derive(Default)]
+struct ServiceState {
+    faults: Mutex<ServiceFaults>,
+    ran: Mutex<BTreeMap<String, u32>>,
+}
+
+#[post("/<path..>", data = "<_body>")]
+async fn run(
+    path: PathBuf,
+    headers: HeaderMapView,
+    _body: String,
+    state: &State<Arc<ServiceState>>,
+) -> PieceAnswer {
+    let key = headers.get("idempotency-key").unwrap_or("none").to_owned();
+    let times = {
+        let mut ran = state.ran.lock().expect("no panic while locked");
+        let count = ran.entry(key.clone()).or_default();
+        *count += 1;
+        *count
+    };
+    let slow = state.faults.lock().expect("no panic while locked").slow_ms;
+    tokio::time::sleep(Duration::from_millis(slow)).await;
+    {
+        let mut faults = state.faults.lock().expect("no panic while locked");
+        if faults.cut > 0 {
+            faults.cut -= 1;
+            return PieceAnswer::cut();
+        }
+    }
+    let echo = headers.get("x-ravenspoke-attempt").unwrap_or_default();
+    let body = json!({ "path": path.display().to_string(), "key": key, "times": times });
+    PieceAnswer::whole(200, body.to_string()).header("x-ravenspoke-attempt", echo)
+}
+
+#[post("/faults", data = "<faults>", rank = 1)]
+fn set_faults(faults: Json<ServiceFaults>, state: &State<Arc<ServiceState>>) {
+    *state.faults.lock().expect("no panic while locked") = faults.into_inner();
+}
+
+#[get("/counts")]
+fn counts(state: &State<Arc<ServiceState>>) -> Json<BTreeMap<String, u32>> {
+    Json(state.ran.lock().expect("no panic while locked").clone())
+}
+
+#[get("/load")]
+fn load() -> Json<serde_json::Value> {
+    Json(json!({ "running": 0, "waiting": 0, "slots": 64 }))
+}
+
+/// Starts a plain service.
+pub async fn start() -> RunningServer {
+    let state = Arc::new(ServiceState::default());
+    launch(rocket_on(0).manage(state).mount("/", routes![run, set_faults, counts, load])).await
+}
