--- /dev/null
+++ b/crates/bench/src/fleet.rs
@@ -0,0 +1,399 @@
+//! Reducers, a log and a clock in one process.
+//!
+//! Each box keeps its own clock from its start. Messages take a delay; a cut link loses them. The
+//! log takes appends with or without an acknowledgement, at once or late. Effects that concern a
+//! request are handed to whoever runs the requests.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+use prost::Message;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use ravenspoke_core::appender::LogStream;
+use ravenspoke_core::effect::BoxEffect;
+use ravenspoke_core::event::{BoxEvent, EventStamp};
+use ravenspoke_core::message::{LogRecord, PeerMessage};
+use ravenspoke_core::replica::ListedReplica;
+use ravenspoke_core::state::{BoxSettings, BoxState};
+use ravenspoke_core::time::{BoxTime, WallTime};
+
+use crate::fixture::{box_settings, listed_box};
+
+/// One-way time between boxes, in microseconds.
+pub const PEER_DELAY_US: u64 = 1_500;
+
+/// Time of an append or a read, in microseconds.
+pub const LOG_DELAY_US: u64 = 4_000;
+
+/// Time between reads of each stream that find nothing new, in microseconds.
+pub const POLL_US: u64 = 1_000_000;
+
+/// Time between ticks, in microseconds.
+pub const TICK_US: u64 = 20_000;
+
+/// Wall-clock time at virtual time zero, in milliseconds.
+pub const WALL_START_MS: u64 = 1_800_000_000_000;
+
+/// What happens at a time.
+#[derive(Clone, Debug, PartialEq)]
+enum Due {
+    Tick(usize, u64),
+    Poll(usize, u64),
+    Read(usize, u64, LogStream, u64),
+    Deliver(usize, PeerMessage),
+    AppendEnd(usize, u64, LogStream, bool),
+    LateEffect(LogStream, Vec<LogRecord>),
+}
+
+/// Faults of the log.
+#[derive(Clone, Debug, Default)]
+pub struct LogFaults {
+    /// Nothing is taken or read.
+    pub outage: bool,
+    /// This many appends take effect without an acknowledgement.
+    pub lose_acks: u32,
+    /// This many appends are refused and take effect this much later, in microseconds.
+    pub late_effects: u32,
+    /// How much later.
+    pub late_us: u64,
+}
+
+/// A box with its state.
+pub struct VirtualBox {
+    /// The reducer's state.
+    pub state: BoxState,
+    /// Box name.
+    pub name: String,
+    /// Whether it runs.
+    pub alive: bool,
+    /// Whether it is paused: events wait.
+    pub paused: bool,
+    started_us: u64,
+    incarnation: u64,
+    waiting: Vec<BoxEvent>,
+    /// Control bytes that it sent, and messages.
+    pub sent_bytes: u64,
+    /// Messages that it sent.
+    pub sent_messages: u64,
+}
+
+/// Reducers, a log and a clock.
+pub struct VirtualFleet {
+    /// Boxes.
+    pub boxes: Vec<VirtualBox>,
+    /// Faults of the log.
+    pub log_faults: LogFaults,
+    /// Boxes that do not reach the log.
+    pub log_cut: BTreeSet<usize>,
+    /// Pairs of boxes that do not reach each other.
+    pub cut: BTreeSet<(usize, usize)>,
+    /// Records of each stream; the first offset kept, then the records.
+    pub streams: BTreeMap<LogStream, (u64, Vec<LogRecord>)>,
+    /// Appends that took effect.
+    pub appends: u64,
+    /// Effects that concern requests, with the box that gave them.
+    pub effects: Vec<(usize, BoxEffect)>,
+    now_us: u64,
+    due: BinaryHeap<Reverse<(u64, u64)>>,
+    events: BTreeMap<u64, Due>,
+    next_event: u64,
+    rng: StdRng,
+    replicas: Vec<ListedReplica>,
+    tune: fn(&mut BoxSettings),
+    zones: usize,
+}
+
+impl VirtualFleet {
+    /// A fleet of `count` boxes in `zones` availability zones.
+    pub fn new(count: usize, zones: usize, seed: u64, replicas: Vec<ListedReplica>) -> Self {
+        Self::tuned(count, zones, seed, replicas, |_| {})
+    }
+
+    /// A fleet whose boxes' settings are changed by `tune`.
+    pub fn tuned(
+        count: usize,
+        zones: usize,
+        seed: u64,
+        replicas: Vec<ListedReplica>,
+        tune: fn(&mut BoxSettings),
+    ) -> Self {
+        let mut fleet = Self {
+            boxes: Vec::new(),
+            log_faults: LogFaults::default(),
+            log_cut: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            streams: BTreeMap::new(),
+            appends: 0,
+            effects: Vec::new(),
+            now_us: 0,
+            due: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            next_event: 0,
+            rng: StdRng::seed_from_u64(seed),
+            replicas,
+            tune,
+            zones,
+        };
+        for index in 0..count {
+            let (name, zone) = (format!("box-{index}"), format!("zone-{}", index % zones));
+            let state = fleet.fresh_state(&name, &zone, index as u64 + 1);
+            fleet.boxes.push(VirtualBox {
+                state,
+                name,
+                alive: true,
+                paused: false,
+                started_us: 0,
+                incarnation: index as u64 + 1,
+                waiting: Vec::new(),
+                sent_bytes: 0,
+                sent_messages: 0,
+            });
+        }
+        for index in 0..count {
+            fleet.start_box(index);
+        }
+        fleet
+    }
+
+    fn fresh_state(&self, name: &str, zone: &str, incarnation: u64) -> BoxState {
+        let mut settings = box_settings(name, zone, incarnation);
+        (self.tune)(&mut settings);
+        BoxState::new(settings)
+    }
+
+    fn start_box(&mut self, index: usize) {
+        let incarnation = self.boxes[index].incarnation;
+        let jitter = self.rng.gen_range(0..TICK_US);
+        self.list_to(index);
+        self.at(self.now_us + jitter, Due::Tick(index, incarnation));
+        self.at(self.now_us + jitter, Due::Poll(index, incarnation));
+    }
+
+    /// Hands the box list to a box.
+    pub fn list_to(&mut self, index: usize) {
+        let zones = self.zones;
+        let zone_of = |index: usize| format!("zone-{}", index % zones);
+        let listed = |row: &VirtualBox, i: usize| listed_box(&row.name, &zone_of(i));
+        let boxes = self.boxes.iter().enumerate().map(|(i, row)| listed(row, i)).collect();
+        let replicas = self.replicas.clone();
+        self.feed(index, BoxEvent::ListRead { boxes, replicas });
+    }
+
+    fn at(&mut self, time: u64, due: Due) {
+        self.next_event += 1;
+        self.due.push(Reverse((time, self.next_event)));
+        self.events.insert(self.next_event, due);
+    }
+
+    /// Virtual time, in microseconds.
+    pub fn now_us(&self) -> u64 {
+        self.now_us
+    }
+
+    /// Time of the next event of the fleet, in microseconds.
+    pub fn next_due_us(&self) -> u64 {
+        self.due.peek().map_or(u64::MAX, |Reverse((time, _))| *time)
+    }
+
+    /// Time on the clock of a box.
+    pub fn box_time(&self, index: usize) -> BoxTime {
+        BoxTime(self.now_us - self.boxes[index].started_us)
+    }
+
+    /// Hands an event to a box; a paused box gets it when it goes on, a dead one never.
+    pub fn feed(&mut self, index: usize, event: BoxEvent) {
+        if !self.boxes[index].alive {
+            return;
+        }
+        if self.boxes[index].paused {
+            self.boxes[index].waiting.push(event);
+            return;
+        }
+        let stamp = EventStamp {
+            now: self.box_time(index),
+            wall: WallTime(WALL_START_MS + self.now_us / 1_000),
+            dice: self.rng.gen(),
+        };
+        for effect in self.boxes[index].state.apply(stamp, event) {
+            self.carry_out(index, effect);
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, effect: BoxEffect) {
+        match effect {
+            BoxEffect::Append(stream, batch) => self.append(index, stream, batch),
+            BoxEffect::SendPeer(name, body) => {
+                let row = &mut self.boxes[index];
+                let message = PeerMessage {
+                    from: row.name.clone(),
+                    incarnation: row.incarnation,
+                    body: Some(body),
+                };
+                row.sent_bytes += message.encoded_len() as u64 + 4;
+                row.sent_messages += 1;
+                let Some(to) = self.boxes.iter().position(|row| row.name == name) else { return };
+                let pair = (index.min(to), index.max(to));
+                if !self.cut.contains(&pair) {
+                    self.at(self.now_us + PEER_DELAY_US, Due::Deliver(to, message));
+                }
+            }
+            BoxEffect::ReadBundles => {
+                let incarnation = self.boxes[index].incarnation;
+                let read = Due::Read(index, incarnation, LogStream::Bundles, self.now_us);
+                self.at(self.now_us + LOG_DELAY_US, read);
+            }
+            other => self.effects.push((index, other)),
+        }
+    }
+
+    fn append(&mut self, index: usize, stream: LogStream, batch: Vec<LogRecord>) {
+        let incarnation = self.boxes[index].incarnation;
+        let end = self.now_us + LOG_DELAY_US;
+        if self.log_faults.outage || self.log_cut.contains(&index) {
+            self.at(end, Due::AppendEnd(index, incarnation, stream, false));
+            return;
+        }
+        if self.log_faults.late_effects > 0 {
+            self.log_faults.late_effects -= 1;
+            self.at(end + self.log_faults.late_us, Due::LateEffect(stream, batch));
+            self.at(end, Due::AppendEnd(index, incarnation, stream, false));
+            return;
+        }
+        self.take(stream, batch);
+        let acknowledged = self.log_faults.lose_acks == 0;
+        self.log_faults.lose_acks = self.log_faults.lose_acks.saturating_sub(1);
+        self.at(end, Due::AppendEnd(index, incarnation, stream, acknowledged));
+    }
+
+    /// Puts records into the log, as an operator or a late effect does.
+    pub fn take(&mut self, stream: LogStream, batch: Vec<LogRecord>) {
+        self.appends += 1;
+        self.streams.entry(stream).or_default().1.extend(batch);
+        if matches!(stream, LogStream::Bills | LogStream::Leases) {
+            return;
+        }
+        for index in 0..self.boxes.len() {
+            let incarnation = self.boxes[index].incarnation;
+            let read = Due::Read(index, incarnation, stream, self.now_us);
+            self.at(self.now_us + LOG_DELAY_US, read);
+        }
+    }
+
+    /// Trims a stream to its last `keep` records.
+    pub fn trim(&mut self, stream: LogStream, keep: usize) {
+        let (first, records) = self.streams.entry(stream).or_default();
+        let drop = records.len().saturating_sub(keep);
+        records.drain(..drop);
+        *first += drop as u64;
+    }
+
+    fn read(&mut self, index: usize, stream: LogStream, asked_us: u64) {
+        if self.log_faults.outage || self.log_cut.contains(&index) || !self.boxes[index].alive {
+            return;
+        }
+        let (first, rows) = self.streams.entry(stream).or_default();
+        let from = self.boxes[index].state.next_offset(stream).max(*first);
+        let skip = (from - *first) as usize;
+        let records = rows.iter().enumerate().skip(skip);
+        let records = records.map(|(i, row)| (*first + i as u64, row.clone())).collect();
+        let (first, tail) = (*first, *first + rows.len() as u64);
+        let asked_at = BoxTime(asked_us.saturating_sub(self.boxes[index].started_us));
+        let event = BoxEvent::LogRead { stream, asked_at, first, tail, age_ms: 0, records };
+        self.feed(index, event);
+    }
+
+    /// Runs the fleet until `until_us`.
+    pub fn run_until(&mut self, until_us: u64) {
+        while let Some(Reverse((time, id))) = self.due.peek().copied() {
+            if time > until_us {
+                break;
+            }
+            self.due.pop();
+            self.now_us = time;
+            if let Some(due) = self.events.remove(&id) {
+                self.happen(due);
+            }
+        }
+        self.now_us = until_us;
+    }
+
+    /// Runs the fleet for `millis` more.
+    pub fn run_ms(&mut self, millis: u64) {
+        self.run_until(self.now_us + millis * 1_000);
+    }
+
+    fn is_current(&self, index: usize, incarnation: u64) -> bool {
+        self.boxes[index].alive && self.boxes[index].incarnation == incarnation
+    }
+
+    fn happen(&mut self, due: Due) {
+        match due {
+            Due::Tick(index, incarnation) if self.is_current(index, incarnation) => {
+                if !self.boxes[index].paused {
+                    self.feed(index, BoxEvent::Tick);
+                }
+                self.at(self.now_us + TICK_US, Due::Tick(index, incarnation));
+            }
+            Due::Poll(index, incarnation) if self.is_current(index, incarnation) => {
+                if !self.boxes[index].paused {
+                    for stream in [LogStream::Bundles, LogStream::Claims, LogStream::Verdicts] {
+                        let read = Due::Read(index, incarnation, stream, self.now_us);
+                        self.at(self.now_us + LOG_DELAY_US, read);
+                    }
+                }
+                self.at(self.now_us + POLL_US, Due::Poll(index, incarnation));
+            }
+            Due::Read(index, incarnation, stream, asked) if self.is_current(index, incarnation) => {
+                self.read(index, stream, asked);
+            }
+            Due::Deliver(index, message) => self.feed(index, BoxEvent::PeerMessage(message)),
+            Due::AppendEnd(index, incarnation, stream, done)
+                if self.is_current(index, incarnation) =>
+            {
+                let event = match done {
+                    true => BoxEvent::AppendDone(stream),
+                    false => BoxEvent::AppendFailed(stream),
+                };
+                self.feed(index, event);
+            }
+            Due::LateEffect(stream, batch) => self.take(stream, batch),
+            Due::Tick(..) | Due::Poll(..) | Due::Read(..) | Due::AppendEnd(..) => {}
+        }
+    }
+
+    /// Kills a box.
+    pub fn kill(&mut self, index: usize) {
+        self.boxes[index].alive = false;
+        self.boxes[index].waiting.clear();
+    }
+
+    /// Starts a killed box again: a new incarnation that knows nothing.
+    pub fn restart(&mut self, index: usize) {
+        let incarnation = self.rng.gen();
+        let (name, zone) = (self.boxes[index].name.clone(), format!("zone-{}", index % self.zones));
+        let state = self.fresh_state(&name, &zone, incarnation);
+        let row = &mut self.boxes[index];
+        (row.state, row.incarnation, row.started_us) = (state, incarnation, self.now_us);
+        (row.alive, row.paused) = (true, false);
+        self.start_box(index);
+    }
+
+    /// Pauses a box.
+    pub fn pause(&mut self, index: usize) {
+        self.boxes[index].paused = true;
+    }
+
+    /// Lets a paused box go on: what waited in its sockets arrives now.
+    pub fn resume(&mut self, index: usize) {
+        self.boxes[index].paused = false;
+        for event in std::mem::take(&mut self.boxes[index].waiting) {
+            self.feed(index, event);
+        }
+    }
+
+    /// Takes the effects that concern requests.
+    pub fn take_effects(&mut self) -> Vec<(usize, BoxEffect)> {
+        std::mem::take(&mut self.effects)
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,15 @@
-//! Placeholder.
+//! The bench: real reducers in virtual time, and small models of engines and ratings. Unpublished.
+//!
+//! [`fleet`] holds reducers, a log and a clock in one process: what a box would read from a socket is
+//! handed to it as an event after a delay, and bytes are counted by the encoded size of each message.
+//! [`engine`] models a replica, [`workload`] draws requests, [`policy`] routes them by the reducer or
+//! by a baseline, and [`scenario`] puts them together and measures.
+
+pub mod baseline;
+pub mod engine;
+pub mod fixture;
+pub mod fleet;
+pub mod plot;
+pub mod policy;
+pub mod scenario;
+pub mod workload;
--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -10,7 +10,9 @@
 //! A majority may so serve on, cut off from a log that a minority still reaches. That is why
 //! a bundle is reported *in force* only once a majority of the listed boxes confirmed it and a lease
 //! has passed: every majority that serves on then has a confirming box in it, which passes the bundle
-//! on (`spec/freshness.pml`, mutants `SERVE_ON` and `NO_CONFIRM`). Boxes that read the bundle obey it at once.
+//! on. A box that restarted has forgotten what it confirmed, so it counts toward a majority only
+//! once it has learnt something of the log itself. `spec/freshness.pml` checks this and refutes it
+//! without each guard. Boxes that read a bundle obey it at once.
 
 use serde::Serialize;
 
@@ -47,7 +49,8 @@
 
     /// A peer answered a beat sent at `asked_at`; what it knows of the log was `age_ms` old then.
     pub fn renew_from_peer(&mut self, asked_at: BoxTime, age_ms: u64) {
-        if asked_at.0 / 1_000 >= age_ms {
+        // Older than this box's own start: it would prove nothing since.
+        if asked_at.as_millis() >= age_ms {
             self.renew(asked_at.minus_millis(age_ms));
         }
     }
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -50,6 +50,10 @@
     pub sequence: u64,
     /// Whether it says that it leaves.
     pub leaving: bool,
+    /// Whether it has learnt something of the log since it started: only then does it count toward
+    /// a majority that serves on through an outage. A box that restarted has forgotten what it
+    /// confirmed (`spec/freshness.pml`, mutant `PROVED`).
+    pub proved: bool,
 }
 
 /// The boxes that this box knows of, itself included.
@@ -78,6 +82,7 @@
                 alive_at: None,
                 sequence: 0,
                 leaving: false,
+                proved: false,
             });
             state.listed = row;
             self.rows.insert(name, state);
@@ -117,9 +122,9 @@
         row.alive_at.is_some_and(|at| now.millis_since(at) <= self.silence_ms())
     }
 
-    /// Boxes lately heard, this one counted if listed.
+    /// Boxes that count toward a majority: lately heard and proved, this one counted if listed.
     pub fn seen_count(&self, now: BoxTime) -> usize {
-        let alive = self.peers().filter(|row| self.is_alive(row, now)).count();
+        let alive = self.peers().filter(|row| row.proved && self.is_alive(row, now)).count();
         alive + usize::from(self.rows.contains_key(&self.me))
     }
 
@@ -135,6 +140,7 @@
         row.incarnation = summary.incarnation;
         row.sequence = summary.sequence;
         row.leaving = summary.leaving;
+        row.proved = summary.proved;
         replaced
     }
 
@@ -174,6 +180,7 @@
             age_ms: row.alive_at.map_or(u64::MAX, |at| now.millis_since(at)),
             sequence: row.sequence,
             leaving: row.leaving,
+            proved: row.proved,
         };
         rows.iter().take(SUMMARY_COUNT).map(describe).collect()
     }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -206,6 +206,9 @@
     /// Whether it is leaving.
     #[prost(bool, tag = "5")]
     pub leaving: bool,
+    /// Whether it has learnt something of the log since it started.
+    #[prost(bool, tag = "6")]
+    pub proved: bool,
 }
 
 /// A heartbeat; the receiver answers it with a [`BeatReply`].
@@ -220,6 +223,13 @@
     /// Whether the sender is leaving.
     #[prost(bool, tag = "3")]
     pub leaving: bool,
+    /// Replicas that the sender lately heard are leaving: a mark that was passed on once may have
+    /// missed a box.
+    #[prost(string, repeated, tag = "4")]
+    pub leaving_replicas: Vec<String>,
+    /// Versions whose roll-out is halted.
+    #[prost(string, repeated, tag = "5")]
+    pub halted: Vec<String>,
 }
 
 /// The answer to a [`PeerBeat`].
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -149,6 +149,8 @@
     requests: SlotMap<RequestKey, RequestState>,
     tickets: HashMap<RequestTicket, RequestKey>,
     decisions: VecDeque<DecisionRecord>,
+    /// Replicas lately heard to be leaving, with when; repeated in heartbeats for a while.
+    leaving_marks: VecDeque<(BoxTime, String)>,
     next_beat: BoxTime,
     next_evidence: BoxTime,
     stopping_since: Option<BoxTime>,
@@ -199,6 +201,7 @@
             requests: SlotMap::with_key(),
             tickets: HashMap::new(),
             decisions: VecDeque::new(),
+            leaving_marks: VecDeque::new(),
             next_beat: BoxTime::default(),
             next_evidence: BoxTime::default(),
             stopping_since: None,
@@ -219,7 +222,9 @@
             }
             BoxEvent::AppendDone(stream) => self.on_append_done(stamp, stream, out),
             BoxEvent::AppendFailed(stream) => self.on_append_failed(stamp, stream),
-            BoxEvent::ListRead { boxes, replicas } => self.on_list_read(boxes, &replicas, out),
+            BoxEvent::ListRead { boxes, replicas } => {
+                self.on_list_read(stamp, boxes, &replicas, out)
+            }
             BoxEvent::PeerMessage(message) => self.on_peer_message(stamp, message, out),
             BoxEvent::LoadReported { replica, at, report } => {
                 self.on_load_reported(stamp, &replica, at, &report, out);
@@ -266,6 +271,11 @@
         self.fold.sequence()
     }
 
+    /// The bundle in force.
+    pub fn in_force(&self) -> Option<&crate::fold::BundleInForce> {
+        self.fold.in_force()
+    }
+
     /// Next offset to read of a stream that the box follows.
     pub fn next_offset(&self, stream: LogStream) -> u64 {
         match stream {
--- a/crates/core/src/state/peers.rs
+++ b/crates/core/src/state/peers.rs
@@ -8,16 +8,23 @@
 use crate::membership::ListedBox;
 use crate::message::{
     BeatReply, BillNumbers, BundleWanted, LeavingMark, PeerBeat, PeerBody, PeerMessage,
-    PeerSummary, RecordBody,
+    PeerSummary, RecordBody, VerdictRecord,
 };
 use crate::replica::{ListedReplica, LoadReport};
 use crate::time::BoxTime;
 
 use super::BoxState;
 
+/// How long a leaving mark is repeated in heartbeats, in milliseconds.
+const MARK_REPEAT_MS: u64 = 10_000;
+
+/// Marks of one kind in one heartbeat, at most.
+const MARKS_IN_BEAT: usize = 16;
+
 impl BoxState {
     pub(super) fn on_list_read(
         &mut self,
+        stamp: EventStamp,
         boxes: Vec<ListedBox>,
         replicas: &[ListedReplica],
         out: &mut Vec<BoxEffect>,
@@ -30,7 +37,7 @@
         self.replicas.take_list(replicas);
         for name in self.leaving_names() {
             if !before.contains(&name) {
-                self.spread_leaving(&name, out);
+                self.spread_leaving(stamp, &name, out);
             }
         }
     }
@@ -52,22 +59,32 @@
         let versions =
             report.versions.iter().map(|version| self.names.versions.intern(version)).collect();
         if self.replicas.take_report(key, report, versions, at) {
-            self.spread_leaving(name, out);
+            self.spread_leaving(stamp, name, out);
         }
         if self.queues.values().any(|queue| !queue.is_empty()) {
             self.drain_queues(stamp, out);
         }
     }
 
-    pub(super) fn note_leaving(&mut self, key: ReplicaKey, out: &mut Vec<BoxEffect>) {
+    pub(super) fn note_leaving(
+        &mut self,
+        stamp: EventStamp,
+        key: ReplicaKey,
+        out: &mut Vec<BoxEffect>,
+    ) {
         let Some(row) = self.replicas.get(key) else { return };
         let name = row.listed.name.clone();
-        if self.replicas.mark_leaving(&name) {
-            self.spread_leaving(&name, out);
+        self.take_leaving_mark(stamp, &name, out);
+    }
+
+    fn take_leaving_mark(&mut self, stamp: EventStamp, name: &str, out: &mut Vec<BoxEffect>) {
+        if self.replicas.mark_leaving(name) {
+            self.spread_leaving(stamp, name, out);
         }
     }
 
-    fn spread_leaving(&mut self, name: &str, out: &mut Vec<BoxEffect>) {
+    fn spread_leaving(&mut self, stamp: EventStamp, name: &str, out: &mut Vec<BoxEffect>) {
+        self.leaving_marks.push_back((stamp.now, name.to_owned()));
         out.push(BoxEffect::ReplicaLeaving(name.to_owned()));
         let mark = LeavingMark { replica: name.to_owned() };
         self.spread(PeerBody::Leaving(mark), out);
@@ -81,10 +98,23 @@
     }
 
     pub(super) fn beat(&mut self, stamp: EventStamp, out: &mut Vec<BoxEffect>) {
+        while self
+            .leaving_marks
+            .front()
+            .is_some_and(|(at, _)| stamp.now.millis_since(*at) > MARK_REPEAT_MS)
+        {
+            self.leaving_marks.pop_front();
+        }
+        let marks = self.leaving_marks.iter().rev().take(MARKS_IN_BEAT);
+        let named = &self.index.spec.rollouts;
+        let halted =
+            self.rollouts.iter().filter(|(name, row)| row.halted && named.contains_key(*name));
         let beat = PeerBeat {
             stamp: stamp.now.0,
             sequence: self.fold.sequence(),
             leaving: self.stopping_since.is_some(),
+            leaving_replicas: marks.map(|(_, name)| name.clone()).collect(),
+            halted: halted.map(|(name, _)| name.clone()).take(MARKS_IN_BEAT).collect(),
         };
         self.spread(PeerBody::Beat(beat), out);
     }
@@ -124,9 +154,7 @@
             PeerBody::Release(done) => self.ledger.release(&from, incarnation, &done.numbers),
             PeerBody::Verdict(verdict) => self.take_verdict(stamp, &verdict, out),
             PeerBody::Leaving(mark) => {
-                if self.replicas.mark_leaving(&mark.replica) {
-                    self.spread_leaving(&mark.replica, out);
-                }
+                self.take_leaving_mark(stamp, &mark.replica, out);
             }
             PeerBody::Evidence(evidence) => self.on_evidence(stamp, &evidence, out),
         }
@@ -145,6 +173,13 @@
         if beat.sequence > self.fold.sequence() {
             self.want_bundle(from, out);
         }
+        for replica in &beat.leaving_replicas {
+            self.take_leaving_mark(stamp, replica, out);
+        }
+        for version in &beat.halted {
+            let verdict = VerdictRecord { version: version.clone(), halted: true, step: 0 };
+            self.take_verdict(stamp, &verdict, out);
+        }
         let reply = BeatReply {
             echo: beat.stamp,
             log_age_ms: self.fresh.age_ms(stamp.now),
@@ -169,6 +204,7 @@
             age_ms: 0,
             sequence: reply.sequence,
             leaving: reply.leaving,
+            proved: reply.log_age_ms != u64::MAX,
         };
         self.members.heard(from, &direct, asked_at);
         for other in reply.others.iter().filter(|other| other.name != self.settings.name) {
--- a/crates/core/src/state/run.rs
+++ b/crates/core/src/state/run.rs
@@ -107,7 +107,7 @@
             }
             AttemptEnd::Declined { leaving } => {
                 if leaving {
-                    self.note_leaving(replica, out);
+                    self.note_leaving(stamp, replica, out);
                 } else {
                     self.replicas.failed(replica, stamp.now);
                 }
