--- /dev/null
+++ b/crates/bench/examples/bench-policy.rs
@@ -0,0 +1,210 @@
+//! Runs every scenario under every policy, over seeds: JSON lines on stdout, a table on stderr.
+
+use std::collections::BTreeMap;
+use std::sync::mpsc;
+
+use lexopt::prelude::*;
+use ravenspoke_bench::baseline::BaselineKind;
+use ravenspoke_bench::plot::{draw_svg, PlotPanel, PlotPoint};
+use ravenspoke_bench::policy::BenchPolicy;
+use ravenspoke_bench::scenario::{run, scenarios, BadKind, RunMeasures, ScenarioPlan};
+use serde_json::json;
+
+/// Median over the seeds, by scenario, policy and measure.
+type Medians = BTreeMap<(String, String, &'static str), f64>;
+
+struct Options {
+    seeds: u64,
+    only: Option<String>,
+    plot: Option<String>,
+}
+
+fn options() -> Result<Options, lexopt::Error> {
+    let mut options = Options { seeds: 10, only: None, plot: None };
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("seeds") => options.seeds = parser.value()?.parse()?,
+            Long("only") => options.only = Some(parser.value()?.string()?),
+            Long("plot") => options.plot = Some(parser.value()?.string()?),
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(options)
+}
+
+fn unit(measure: &str) -> &'static str {
+    match measure {
+        "cost_per_request" => "cost units",
+        "exposed_requests" => "requests",
+        "attempts_per_request" => "attempts",
+        name if name.contains("ttft") || name.contains("itl") => "ms",
+        _ => "share",
+    }
+}
+
+/// Every run: scenario, policy, and the policy's name in results.
+fn runs(only: Option<&str>) -> Vec<(String, ScenarioPlan, BenchPolicy, String)> {
+    let mut rows = Vec::new();
+    for (deployment, coteau) in [("coteau", true), ("agency", false)] {
+        for plan in scenarios(coteau) {
+            let name = format!("{deployment}/{}", plan.name);
+            let mut policies = vec![(BenchPolicy::Ravenspoke(plan.boxes), "ravenspoke".to_owned())];
+            for kind in BenchPolicy::BASELINES {
+                // A fixed canary differs only where a version is rolled out.
+                if kind == BaselineKind::FixedCanary && plan.bad == BadKind::None {
+                    continue;
+                }
+                let policy = BenchPolicy::Baseline(kind);
+                policies.push((policy, policy.name().to_owned()));
+            }
+            if plan.name == "bad_version_at_once" && coteau {
+                for boxes in [50, 200] {
+                    policies.push((BenchPolicy::Ravenspoke(boxes), format!("ravenspoke_{boxes}")));
+                }
+            }
+            for (policy, label) in policies {
+                let boxes = match policy {
+                    BenchPolicy::Ravenspoke(boxes) => boxes,
+                    BenchPolicy::Baseline(_) => plan.boxes,
+                };
+                rows.push((name.clone(), ScenarioPlan { boxes, ..plan }, policy, label));
+            }
+        }
+    }
+    rows.retain(|(name, ..)| only.is_none_or(|only| name.contains(only)));
+    rows
+}
+
+fn main() {
+    let options = match options() {
+        Ok(options) => options,
+        Err(error) => {
+            eprintln!("{error}\nusage: bench-policy [--seeds N] [--only WORD] [--plot FILE.svg]");
+            std::process::exit(2);
+        }
+    };
+    let rows = runs(options.only.as_deref());
+    let medians = run_all(&rows, options.seeds);
+    print_table(&rows, &medians);
+    if let Some(file) = options.plot {
+        if let Err(error) = std::fs::write(&file, draw_svg(&panels(&rows, &medians))) {
+            eprintln!("{file}: {error}");
+            std::process::exit(1);
+        }
+    }
+}
+
+fn run_all(rows: &[(String, ScenarioPlan, BenchPolicy, String)], seeds: u64) -> Medians {
+    let tasks: Vec<(usize, u64)> =
+        (0..rows.len()).flat_map(|row| (1..=seeds).map(move |seed| (row, seed))).collect();
+    let next = std::sync::atomic::AtomicUsize::new(0);
+    let (sender, receiver) = mpsc::channel::<(usize, u64, RunMeasures)>();
+    // Half of the machine: the rest is for whoever else works on it.
+    let threads = std::thread::available_parallelism().map_or(2, |n| n.get().div_ceil(2));
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            let (sender, tasks, next) = (sender.clone(), &tasks, &next);
+            scope.spawn(move || loop {
+                let task = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                let Some((row, seed)) = tasks.get(task) else { return };
+                let measures = run(rows[*row].1, rows[*row].2, *seed);
+                if sender.send((*row, *seed, measures)).is_err() {
+                    return;
+                }
+            });
+        }
+        drop(sender);
+        let mut results: Vec<_> = receiver.iter().collect();
+        results.sort_by_key(|(row, seed, _)| (*row, *seed));
+        medians(rows, &results)
+    })
+}
+
+fn medians(
+    rows: &[(String, ScenarioPlan, BenchPolicy, String)],
+    results: &[(usize, u64, RunMeasures)],
+) -> Medians {
+    let mut values = BTreeMap::<(String, String, &'static str), Vec<f64>>::new();
+    for (row, seed, measures) in results {
+        let (scenario, _, _, policy) = &rows[*row];
+        for (measure, value) in &measures.0 {
+            println!(
+                "{}",
+                json!({ "scenario": scenario, "policy": policy, "measure": measure,
+                    "value": value, "unit": unit(measure), "seed": seed })
+            );
+            values.entry((scenario.clone(), policy.clone(), measure)).or_default().push(*value);
+        }
+    }
+    let median = |mut values: Vec<f64>| {
+        values.sort_by(f64::total_cmp);
+        values[values.len() / 2]
+    };
+    values.into_iter().map(|(key, values)| (key, median(values))).collect()
+}
+
+const COLUMNS: [&str; 11] = [
+    "cost_per_request",
+    "quality_met",
+    "ttft_p50",
+    "ttft_p95",
+    "ttft_p99",
+    "itl_p95",
+    "exposed_requests",
+    "refused",
+    "late",
+    "attempts_per_request",
+    "prefix_hit",
+];
+
+fn print_table(rows: &[(String, ScenarioPlan, BenchPolicy, String)], medians: &Medians) {
+    eprintln!(
+        "{:<32}{:<22}cost   quality  p50    p95    p99    itl95  exposed refused late  attempts prefix",
+        "scenario", "policy"
+    );
+    for (scenario, _, _, policy) in rows {
+        let cell = |measure| medians.get(&(scenario.clone(), policy.clone(), measure));
+        let cells: Vec<String> = COLUMNS
+            .iter()
+            .map(|measure| match cell(measure) {
+                Some(value) if *value >= 100.0 => format!("{value:<7.0}"),
+                Some(value) => format!("{value:<7.3}"),
+                None => "-      ".to_owned(),
+            })
+            .collect();
+        eprintln!("{scenario:<32}{policy:<22}{}", cells.join(""));
+    }
+    let p99 = |name: &str| {
+        medians.get(&(name.to_owned(), "ravenspoke".to_owned(), "small_ttft_p99")).copied()
+    };
+    for deployment in ["coteau", "agency"] {
+        let with = p99(&format!("{deployment}/one_large_account"));
+        let without = p99(&format!("{deployment}/without_large_account"));
+        if let (Some(with), Some(without)) = (with, without) {
+            eprintln!(
+                "{deployment}: fairness {:.3} ({with:.0} ms / {without:.0} ms)",
+                with / without
+            );
+        }
+    }
+}
+
+fn panels(
+    rows: &[(String, ScenarioPlan, BenchPolicy, String)],
+    medians: &Medians,
+) -> Vec<PlotPanel> {
+    let panel = |scenario: &str, title: &str, x: &'static str, y: &'static str| {
+        let points = rows.iter().filter(|(name, ..)| name == scenario).filter_map(|row| {
+            let value = |m| medians.get(&(row.0.clone(), row.3.clone(), m)).copied();
+            Some(PlotPoint { label: row.3.clone(), x: value(x)?, y: value(y)? })
+        });
+        PlotPanel { title: title.to_owned(), x_name: x, y_name: y, points: points.collect() }
+    };
+    vec![
+        panel("coteau/steady", "Coteau, steady", "cost_per_request", "quality_met"),
+        panel("coteau/shift_start", "Coteau, shift start", "refused", "ttft_p99"),
+        panel("agency/steady", "Agency, steady", "cost_per_request", "quality_met"),
+        panel("agency/tender_deadline", "Agency, tender deadline", "refused", "ttft_p99"),
+    ]
+}
--- a/crates/bench/src/baseline.rs
+++ b/crates/bench/src/baseline.rs
@@ -1,1 +1,103 @@
-//! To come.
+//! What operators do today, as routers of the bench; and the oracle, which bounds what can be done.
+//!
+//! `round_robin` and `least_reported_load` choose the model as ravenspoke does, from ratings of their
+//! own, so that they differ in the replica only. None of them limits, queues or refuses.
+
+use ravenspoke_core::cascade::{QualityTable, RungView};
+
+use crate::workload::{meets, BenchRequest};
+
+/// A baseline.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BaselineKind {
+    /// The strong model for everything, least reported load.
+    AlwaysStrong,
+    /// The cheap model for everything, rated before release, then the strong one.
+    CheapFirst,
+    /// Learned model, replicas in turn.
+    RoundRobin,
+    /// Learned model, least reported load.
+    LeastReportedLoad,
+    /// As the one before, with 5% of requests on the new version for ten minutes.
+    FixedCanary,
+    /// As `least_reported_load`, but each prefix always goes to one replica, however loaded.
+    UnboundedAffinity,
+    /// Knows each request's difficulty and each engine's load.
+    Oracle,
+}
+
+/// Model to use: 0 cheap, 1 strong; and whether the answer is rated before release.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ModelChoice {
+    /// 0 cheap, 1 strong.
+    pub model: usize,
+    /// Whether the answer is rated before release.
+    pub gated: bool,
+}
+
+/// State of a baseline.
+#[derive(Debug)]
+pub struct BaselineRouter {
+    /// Which.
+    pub kind: BaselineKind,
+    /// What it learnt.
+    pub quality: QualityTable,
+    turn: usize,
+}
+
+impl BaselineRouter {
+    /// A baseline that knows nothing.
+    pub fn new(kind: BaselineKind) -> Self {
+        Self { kind, quality: QualityTable::default(), turn: 0 }
+    }
+
+    /// Chooses the model.
+    pub fn model(
+        &mut self,
+        request: &BenchRequest,
+        costs: [f64; 2],
+        target: f64,
+        dice: u64,
+    ) -> ModelChoice {
+        let plain = |model| ModelChoice { model, gated: false };
+        match self.kind {
+            BaselineKind::AlwaysStrong => plain(1),
+            BaselineKind::CheapFirst => ModelChoice { model: 0, gated: true },
+            BaselineKind::Oracle => plain(usize::from(!meets(crate::policy::STRENGTH[0], request))),
+            BaselineKind::RoundRobin
+            | BaselineKind::LeastReportedLoad
+            | BaselineKind::UnboundedAffinity
+            | BaselineKind::FixedCanary => {
+                let rungs = [
+                    RungView { model: "small", cost: costs[0] },
+                    RungView { model: "large", cost: costs[1] },
+                ];
+                let plan = self.quality.plan("assist", &rungs, target, request.class, dice);
+                ModelChoice { model: plan.rung, gated: plan.gated }
+            }
+        }
+    }
+
+    /// Chooses one of the engines in `pool`, by what was `reported` or what is true `now`.
+    pub fn replica(
+        &mut self,
+        pool: &[usize],
+        reported: &[u32],
+        now: &[u32],
+        prefix: u64,
+        dice: u64,
+    ) -> usize {
+        self.turn += 1;
+        let least = |loads: &[u32]| {
+            let start = dice as usize % pool.len();
+            let order = (0..pool.len()).map(|step| pool[(start + step) % pool.len()]);
+            order.min_by_key(|engine| loads[*engine]).unwrap_or(pool[0])
+        };
+        match self.kind {
+            BaselineKind::RoundRobin => pool[self.turn % pool.len()],
+            BaselineKind::UnboundedAffinity => pool[prefix as usize % pool.len()],
+            BaselineKind::Oracle => least(now),
+            _ => least(reported),
+        }
+    }
+}
--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -1,1 +1,700 @@
-//! To come.
+//! Scenarios: a workload, faults, and one policy, run in virtual time and measured.
+//!
+//! One loop serves every policy. It pops the next thing that happens (an arrival, a token, a rating,
+//! a load report) and hands it to the reducers or to the baseline; engines, ratings and callers are
+//! the same for all.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use hdrhistogram::Histogram;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use ravenspoke_core::appender::LogStream;
+use ravenspoke_core::attempt::RunState;
+use ravenspoke_core::effect::{AttemptOrder, BoxEffect};
+use ravenspoke_core::event::{AttemptEnd, BoxEvent, RequestAsk, RequestTarget, RequestTicket};
+use ravenspoke_core::ids::RequestKey;
+use ravenspoke_core::message::{LogRecord, RecordBody};
+use ravenspoke_core::replica::{ListedReplica, LoadReport};
+use ravenspoke_core::time::BoxTime;
+
+use crate::baseline::{BaselineKind, BaselineRouter};
+use crate::engine::{EngineJob, EngineModel, JobTimes, LARGE, SMALL};
+use crate::fixture::{bundle, caller_hash, signed_record};
+use crate::fleet::VirtualFleet;
+use crate::policy::{BenchPolicy, COST, STRENGTH, TARGET};
+use crate::workload::{meets, BenchRequest, WorkloadPlan};
+
+/// Time before arrivals begin, in microseconds: boxes start and read.
+const WARM_US: u64 = 4_000_000;
+
+/// Time between load reports, in microseconds.
+const REPORT_US: u64 = 250_000;
+
+/// Time of a rating, in microseconds.
+const RATING_US: u64 = 250_000;
+
+/// Share of ratings that are wrong.
+const RATING_ERROR: f64 = 0.02;
+
+/// A first token later than this is late, in microseconds.
+const LATE_US: u64 = 2_000_000;
+
+/// Times that a caller of `retry_storm` asks again.
+const STORM_TRIES: u32 = 3;
+
+/// How a new version is bad.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BadKind {
+    /// There is no roll-out.
+    None,
+    /// It is as good as the old one.
+    Good,
+    /// Half of its answers are bad, at once.
+    AtOnce,
+    /// A third of its answers is bad, from the fourth minute on.
+    Slowly,
+    /// Half of its answers of class 1 are bad.
+    OneClass,
+}
+
+/// A scenario.
+#[derive(Clone, Copy, Debug)]
+pub struct ScenarioPlan {
+    /// Name in results.
+    pub name: &'static str,
+    /// Cheap and strong engines.
+    pub engines: (usize, usize),
+    /// Boxes.
+    pub boxes: usize,
+    /// Arrivals.
+    pub work: WorkloadPlan,
+    /// The new version.
+    pub bad: BadKind,
+    /// From this second on the rating service is down.
+    pub rating_down: Option<u64>,
+    /// From this second on the log is down.
+    pub log_down: Option<u64>,
+    /// From this second on half of the strong pool is gone.
+    pub pool_out: Option<u64>,
+    /// Lag of load reports, in microseconds.
+    pub lag_us: u64,
+    /// One engine of each pool does nothing in these seconds.
+    pub frozen: Option<(u64, u64)>,
+    /// Callers ask again at once when refused.
+    pub storm: bool,
+    /// Requests of account 0 are left out.
+    pub without_large: bool,
+}
+
+/// What a run measured.
+#[derive(Clone, Debug, Default)]
+pub struct RunMeasures(pub BTreeMap<&'static str, f64>);
+
+/// Something that will happen.
+#[derive(Clone, Copy, Debug)]
+enum Due {
+    Arrive(usize),
+    First(usize),
+    Done(usize),
+    Judged(usize),
+    Rated(usize),
+    Report,
+}
+
+/// An attempt on an engine.
+#[derive(Clone, Debug)]
+struct BenchJob {
+    request: usize,
+    engine: usize,
+    /// 0 cheap, 1 strong.
+    model: usize,
+    new_version: bool,
+    gated: bool,
+    owner: Option<(usize, RequestKey)>,
+    good: bool,
+}
+
+/// What became of a request.
+#[derive(Clone, Debug, Default)]
+struct Fate {
+    first_us: Option<u64>,
+    attempts: u32,
+    tries: u32,
+    cost: f64,
+    good: Option<bool>,
+    refused: bool,
+    exposed: bool,
+    order: Option<AttemptOrder>,
+    home: usize,
+}
+
+struct ScenarioRun {
+    plan: ScenarioPlan,
+    rng: StdRng,
+    requests: Vec<BenchRequest>,
+    fates: Vec<Fate>,
+    engines: Vec<EngineModel>,
+    jobs: Vec<BenchJob>,
+    keys: BTreeMap<usize, RequestKey>,
+    last_jobs: Vec<usize>,
+    reports: Vec<(u64, Vec<(u32, u32)>)>,
+    seen_loads: Vec<u32>,
+    fleet: Option<VirtualFleet>,
+    baseline: Option<BaselineRouter>,
+    due: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    events: Vec<Due>,
+    now_us: u64,
+    halted_at: Option<u64>,
+    tokens: Histogram<u64>,
+    hits: (u64, u64),
+}
+
+/// Runs a scenario under a policy.
+pub fn run(plan: ScenarioPlan, policy: BenchPolicy, seed: u64) -> RunMeasures {
+    let mut draw = StdRng::seed_from_u64(seed);
+    let mut requests = plan.work.draw(&mut draw);
+    if plan.without_large {
+        requests.retain(|request| request.account != 0);
+    }
+    let mut run = ScenarioRun::new(plan, policy, requests, seed);
+    run.run();
+    run.measure()
+}
+
+impl ScenarioRun {
+    fn new(
+        plan: ScenarioPlan,
+        policy: BenchPolicy,
+        requests: Vec<BenchRequest>,
+        seed: u64,
+    ) -> Self {
+        let (small, large) = plan.engines;
+        let mut engines: Vec<EngineModel> = (0..small + large)
+            .map(|index| EngineModel::new(if index < small { SMALL } else { LARGE }))
+            .collect();
+        if let Some((from, to)) = plan.frozen {
+            let span = (WARM_US + from * 1_000_000, WARM_US + to * 1_000_000);
+            engines[0].frozen = span;
+            engines[small].frozen = span;
+        }
+        let fleet = match policy {
+            BenchPolicy::Ravenspoke(boxes) => Some(start_fleet(plan, boxes, seed)),
+            BenchPolicy::Baseline(_) => None,
+        };
+        let baseline = match policy {
+            BenchPolicy::Baseline(kind) => Some(BaselineRouter::new(kind)),
+            BenchPolicy::Ravenspoke(_) => None,
+        };
+        Self {
+            rng: StdRng::seed_from_u64(seed ^ 0x5eed),
+            fates: vec![Fate::default(); requests.len()],
+            seen_loads: vec![0; engines.len()],
+            last_jobs: vec![0; requests.len()],
+            plan,
+            requests,
+            engines,
+            jobs: Vec::new(),
+            keys: BTreeMap::new(),
+            reports: Vec::new(),
+            fleet,
+            baseline,
+            due: BinaryHeap::new(),
+            events: Vec::new(),
+            now_us: 0,
+            halted_at: None,
+            tokens: Histogram::new(3).expect("three digits"),
+            hits: (0, 0),
+        }
+    }
+
+    fn at(&mut self, time_us: u64, due: Due) {
+        self.events.push(due);
+        let id = self.events.len();
+        self.due.push(Reverse((time_us, id as u64, id - 1)));
+    }
+
+    fn run(&mut self) {
+        for index in 0..self.requests.len() {
+            self.at(WARM_US + self.requests[index].at_us, Due::Arrive(index));
+        }
+        self.at(WARM_US - 1_000_000, Due::Report);
+        let end_us = WARM_US + (self.plan.work.seconds + 40) * 1_000_000;
+        while let Some(Reverse((time_us, _, id))) = self.due.pop() {
+            if time_us > end_us {
+                break;
+            }
+            self.advance(time_us);
+            self.happen(self.events[id]);
+            self.effects();
+        }
+    }
+
+    /// Lets the fleet's own events before `time_us` happen first.
+    fn advance(&mut self, time_us: u64) {
+        while self.fleet.as_ref().is_some_and(|fleet| fleet.next_due_us() <= time_us) {
+            let Some(fleet) = &mut self.fleet else { break };
+            fleet.run_until(fleet.next_due_us());
+            self.now_us = fleet.now_us();
+            self.effects();
+        }
+        if let Some(fleet) = &mut self.fleet {
+            fleet.run_until(time_us);
+        }
+        self.now_us = time_us;
+    }
+
+    fn since(&self, second: Option<u64>) -> bool {
+        second.is_some_and(|second| self.now_us >= WARM_US + second * 1_000_000)
+    }
+
+    fn happen(&mut self, due: Due) {
+        match due {
+            Due::Arrive(request) => self.arrive(request),
+            Due::First(job) => self.first(job),
+            Due::Done(job) => self.done(job),
+            Due::Judged(job) => self.judged(job),
+            Due::Rated(job) => self.rated(job),
+            Due::Report => self.report(),
+        }
+    }
+
+    fn arrive(&mut self, index: usize) {
+        let request = self.requests[index];
+        self.fates[index].refused = false;
+        let down = self.since(self.plan.log_down);
+        if let Some(fleet) = &mut self.fleet {
+            fleet.log_faults.outage = down;
+            let home = self.rng.gen_range(0..fleet.boxes.len());
+            self.fates[index].home = home;
+            let ticket = RequestTicket(index as u64 * 8 + u64::from(self.fates[index].tries));
+            fleet.feed(
+                home,
+                BoxEvent::RequestArrived(RequestAsk {
+                    ticket,
+                    id: u128::from(ticket.0),
+                    key_hash: caller_hash(&format!("account-{}", request.account)),
+                    target: RequestTarget::Model {
+                        name: "assist".to_owned(),
+                        prompt_tokens: request.prompt,
+                        class: request.class,
+                        prefix: request.prefix,
+                        session: None,
+                    },
+                    caller_key: None,
+                }),
+            );
+            return;
+        }
+        let dice = self.rng.gen();
+        let Some(router) = &mut self.baseline else { return };
+        let choice = router.model(&request, COST, TARGET, dice);
+        let canary = router.kind == BaselineKind::FixedCanary
+            && choice.model == 0
+            && self.plan.bad != BadKind::None
+            && self.now_us < WARM_US + 600_000_000
+            && self.rng.gen_bool(0.05);
+        self.baseline_send(index, choice.model, choice.gated, canary);
+    }
+
+    fn baseline_send(&mut self, index: usize, model: usize, gated: bool, new_version: bool) {
+        let small = self.plan.engines.0;
+        let pool: Vec<usize> = (0..self.engines.len())
+            .filter(|engine| (*engine >= small) == (model == 1) && !self.engines[*engine].gone)
+            .collect();
+        let now: Vec<u32> = self
+            .engines
+            .iter()
+            .map(|engine| engine.running + engine.waiting.len() as u32)
+            .collect();
+        let (prefix, dice) = (self.requests[index].prefix, self.rng.gen());
+        let Some(router) = &mut self.baseline else { return };
+        let engine = router.replica(&pool, &self.seen_loads, &now, prefix, dice);
+        self.submit(index, engine, model, gated, new_version, None);
+    }
+
+    fn submit(
+        &mut self,
+        index: usize,
+        engine: usize,
+        model: usize,
+        gated: bool,
+        new_version: bool,
+        owner: Option<(usize, RequestKey)>,
+    ) {
+        let request = self.requests[index];
+        let good = self.is_good(&request, model, new_version);
+        let fate = &mut self.fates[index];
+        fate.attempts += 1;
+        fate.exposed |= new_version;
+        fate.cost += COST[model] * f64::from(request.tokens) / 1_000.0;
+        let id = self.jobs.len();
+        self.jobs.push(BenchJob { request: index, engine, model, new_version, gated, owner, good });
+        self.last_jobs[index] = id;
+        let job = EngineJob {
+            id,
+            prompt: request.prompt,
+            tokens: request.tokens,
+            prefix: request.prefix,
+        };
+        let started = self.engines[engine].submit(job, self.now_us);
+        self.started(started);
+    }
+
+    fn started(&mut self, times: Option<JobTimes>) {
+        let Some(times) = times else { return };
+        self.at(times.first_us, Due::First(times.id));
+        self.at(times.done_us, Due::Done(times.id));
+        self.hits.0 += u64::from(times.hit);
+        self.hits.1 += 1;
+        let _ = self.tokens.record(times.token_us as u64);
+    }
+
+    fn is_good(&mut self, request: &BenchRequest, model: usize, new_version: bool) -> bool {
+        let good = meets(STRENGTH[model], request);
+        let minutes = self.now_us.saturating_sub(WARM_US) / 60_000_000;
+        let spoilt = match self.plan.bad {
+            BadKind::AtOnce => 0.5,
+            BadKind::Slowly if minutes >= 3 => 0.33,
+            BadKind::OneClass if request.class == 1 => 0.5,
+            _ => 0.0,
+        };
+        good && !(new_version && self.rng.gen_bool(spoilt))
+    }
+
+    fn first(&mut self, job: usize) {
+        let BenchJob { request, gated, owner, .. } = self.jobs[job];
+        if let (Some((home, key)), Some(fleet)) = (owner, &mut self.fleet) {
+            fleet.feed(home, BoxEvent::FirstToken(key));
+        }
+        if !gated {
+            self.fates[request].first_us.get_or_insert(self.now_us);
+        }
+    }
+
+    fn done(&mut self, job: usize) {
+        let BenchJob { request, engine, gated, owner, good, .. } = self.jobs[job];
+        let next = self.engines[engine].finish(self.now_us);
+        self.started(next);
+        if !gated {
+            self.fates[request].good = Some(good);
+        }
+        if let (Some((home, key)), Some(fleet)) = (owner, &mut self.fleet) {
+            let tokens = self.requests[request].tokens;
+            let end = AttemptEnd::Answered { tokens, status: 200, body: Vec::new() };
+            fleet.feed(home, BoxEvent::AttemptEnded(key, end));
+            return;
+        }
+        let learns = self.rng.gen_bool(16.0 / 256.0);
+        if gated {
+            self.at(self.now_us + RATING_US, Due::Judged(job));
+        } else if learns {
+            self.at(self.now_us + RATING_US, Due::Rated(job));
+        }
+    }
+
+    fn rating(&mut self, job: usize) -> Option<bool> {
+        if self.since(self.plan.rating_down) {
+            return None;
+        }
+        Some(self.jobs[job].good != self.rng.gen_bool(RATING_ERROR))
+    }
+
+    fn judged(&mut self, job: usize) {
+        let rating = self.rating(job);
+        let BenchJob { request, model, owner, good, .. } = self.jobs[job];
+        if rating == Some(true) {
+            self.fates[request].first_us.get_or_insert(self.now_us);
+            self.fates[request].good = Some(good);
+        }
+        if let (Some((home, key)), Some(fleet)) = (owner, &mut self.fleet) {
+            fleet.feed(home, BoxEvent::Judged(key, rating));
+            return;
+        }
+        self.learn(request, model, rating);
+        if rating != Some(true) {
+            self.baseline_send(request, 1, false, false);
+        }
+    }
+
+    fn rated(&mut self, job: usize) {
+        let rating = self.rating(job);
+        let BenchJob { request, model, new_version, owner, .. } = self.jobs[job];
+        if let (Some((home, _)), Some(fleet)) = (owner, &mut self.fleet) {
+            let version = if new_version { "small-2" } else { ["small-1", "large-1"][model] };
+            let class = self.requests[request].class;
+            let version = version.to_owned();
+            fleet.feed(home, BoxEvent::Rated { version, class, good: rating });
+            return;
+        }
+        self.learn(request, model, rating);
+    }
+
+    fn learn(&mut self, request: usize, model: usize, rating: Option<bool>) {
+        let class = self.requests[request].class;
+        let Some(router) = &mut self.baseline else { return };
+        match rating {
+            Some(good) => router.quality.add(["small", "large"][model], class, good),
+            None => router.quality.rating_failed(),
+        }
+    }
+
+    fn report(&mut self) {
+        let small = self.plan.engines.0;
+        if self.since(self.plan.pool_out) {
+            let large = small..self.engines.len();
+            let half = large.len() / 2;
+            for engine in large.take(half) {
+                self.engines[engine].gone = true;
+            }
+        }
+        let loads = self.engines.iter().map(|e| (e.running, e.waiting.len() as u32)).collect();
+        self.reports.push((self.now_us, loads));
+        let asked = self.now_us.saturating_sub(self.plan.lag_us);
+        let row = self.reports.iter().rev().find(|(at, _)| *at <= asked).cloned();
+        if let Some((at_us, loads)) = row {
+            self.hand_report(at_us, &loads);
+        }
+        if self.reports.len() > 64 {
+            self.reports.drain(..32);
+        }
+        // A fleet of hundreds asks less often, as the capacity page has it.
+        let slower = if self.plan.boxes > 50 { 4 } else { 1 };
+        self.at(self.now_us + REPORT_US * slower, Due::Report);
+    }
+
+    fn hand_report(&mut self, at_us: u64, loads: &[(u32, u32)]) {
+        let small = self.plan.engines.0;
+        self.seen_loads = loads.iter().map(|(running, waiting)| running + waiting).collect();
+        let Some(fleet) = &mut self.fleet else { return };
+        for (engine, (running, waiting)) in loads.iter().enumerate() {
+            let versions = match engine < small {
+                true => vec!["small-1".to_owned(), "small-2".to_owned()],
+                false => vec!["large-1".to_owned()],
+            };
+            let report = LoadReport {
+                versions,
+                running: *running,
+                waiting: *waiting,
+                slots: self.engines[engine].kind.slots,
+                leaving: self.engines[engine].gone,
+            };
+            for home in 0..fleet.boxes.len() {
+                let (replica, report) = (format!("engine-{engine}"), report.clone());
+                fleet.feed(home, BoxEvent::LoadReported { replica, at: BoxTime(at_us), report });
+            }
+        }
+    }
+
+    /// Carries out what the reducers asked for.
+    fn effects(&mut self) {
+        loop {
+            let Some(fleet) = &mut self.fleet else { return };
+            let effects = fleet.take_effects();
+            if effects.is_empty() {
+                return;
+            }
+            for (home, effect) in effects {
+                self.effect(home, effect);
+            }
+        }
+    }
+
+    fn effect(&mut self, home: usize, effect: BoxEffect) {
+        let index = |ticket: RequestTicket| (ticket.0 / 8) as usize;
+        match effect {
+            BoxEffect::Assign(ticket, key, order) => {
+                self.fates[index(ticket)].order = Some(order);
+                if let Some(fleet) = &mut self.fleet {
+                    fleet.feed(home, BoxEvent::SendBegins(key));
+                }
+                self.fates[index(ticket)].home = home;
+                self.keys.insert(index(ticket), key);
+            }
+            BoxEffect::Send(ticket) => self.send(home, index(ticket)),
+            BoxEffect::Judge(ticket, _) => {
+                let job = self.last_job(index(ticket));
+                self.at(self.now_us + RATING_US, Due::Judged(job));
+            }
+            BoxEffect::Rate(ticket) => {
+                let job = self.last_job(index(ticket));
+                self.at(self.now_us + RATING_US, Due::Rated(job));
+            }
+            BoxEffect::Refuse(ticket, refusal) => {
+                self.refused(index(ticket), refusal.run(), refusal.retry_after_ms);
+            }
+            BoxEffect::RolloutHalted(_) => {
+                self.halted_at.get_or_insert(self.now_us);
+            }
+            _ => {}
+        }
+    }
+
+    fn last_job(&self, request: usize) -> usize {
+        self.last_jobs[request]
+    }
+
+    fn send(&mut self, home: usize, index: usize) {
+        let Some(order) = self.fates[index].order.clone() else { return };
+        let engine = order.replica.trim_start_matches("engine-").parse().unwrap_or(0);
+        let model = usize::from(engine >= self.plan.engines.0);
+        let key = self.keys.get(&index).copied();
+        let owner = key.map(|key| (home, key));
+        self.submit(index, engine, model, order.buffered, order.version == "small-2", owner);
+    }
+
+    fn refused(&mut self, index: usize, run: RunState, _retry_ms: Option<u64>) {
+        debug_assert_eq!(run, RunState::NotRun);
+        let fate = &mut self.fates[index];
+        fate.refused = true;
+        fate.tries += 1;
+        if self.plan.storm && fate.tries < STORM_TRIES {
+            self.at(self.now_us + 10_000, Due::Arrive(index));
+        }
+    }
+
+    fn measure(&self) -> RunMeasures {
+        let mut first = Histogram::<u64>::new(3).expect("three digits");
+        let mut small_first = Histogram::<u64>::new(3).expect("three digits");
+        let (mut cost, mut answered, mut good, mut late, mut refused, mut exposed) =
+            (0.0, 0u64, 0u64, 0u64, 0u64, 0u64);
+        let mut attempts = 0u64;
+        for (fate, request) in self.fates.iter().zip(&self.requests) {
+            attempts += u64::from(fate.attempts);
+            refused += u64::from(fate.refused);
+            cost += fate.cost;
+            exposed += u64::from(fate.exposed);
+            let Some(first_us) = fate.first_us else {
+                late += u64::from(!fate.refused);
+                continue;
+            };
+            let wait = first_us - (WARM_US + request.at_us).min(first_us);
+            let _ = first.record(wait);
+            if request.account != 0 {
+                let _ = small_first.record(wait);
+            }
+            late += u64::from(wait > LATE_US);
+            answered += 1;
+            good += u64::from(fate.good == Some(true));
+        }
+        let count = self.requests.len().max(1) as f64;
+        let ms = |histogram: &Histogram<u64>, quantile| {
+            histogram.value_at_quantile(quantile) as f64 / 1_000.0
+        };
+        let answered = answered.max(1) as f64;
+        let mut rows = BTreeMap::new();
+        rows.insert("cost_per_request", cost / answered);
+        rows.insert("quality_met", good as f64 / answered);
+        rows.insert("ttft_p50", ms(&first, 0.5));
+        rows.insert("ttft_p95", ms(&first, 0.95));
+        rows.insert("ttft_p99", ms(&first, 0.99));
+        rows.insert("small_ttft_p99", ms(&small_first, 0.99));
+        rows.insert("itl_p95", ms(&self.tokens, 0.95));
+        rows.insert("exposed_requests", exposed as f64);
+        rows.insert("halted", f64::from(u8::from(self.halted_at.is_some())));
+        rows.insert("refused", refused as f64 / count);
+        rows.insert("late", late as f64 / count);
+        rows.insert("attempts_per_request", attempts as f64 / count);
+        rows.insert("prefix_hit", self.hits.0 as f64 / self.hits.1.max(1) as f64);
+        RunMeasures(rows)
+    }
+}
+
+fn start_fleet(plan: ScenarioPlan, boxes: usize, seed: u64) -> VirtualFleet {
+    let count = plan.engines.0 + plan.engines.1;
+    let replicas = (0..count).map(|index| ListedReplica {
+        name: format!("engine-{index}"),
+        address: format!("engine-{index}:1"),
+        zone: "zone-0".to_owned(),
+        service: "engines".to_owned(),
+        engine: true,
+        leaving: false,
+    });
+    let mut fleet = VirtualFleet::new(boxes, 4, seed, replicas.collect());
+    let spec = bundle(&bundle_text(plan));
+    let record = signed_record(None, &spec);
+    let record = LogRecord { incarnation: 0, body: Some(RecordBody::Bundle(record)) };
+    fleet.take(LogStream::Bundles, vec![record]);
+    fleet
+}
+
+fn bundle_text(plan: ScenarioPlan) -> String {
+    let rollout = match plan.bad {
+        BadKind::None => "",
+        _ => {
+            "[rollouts.small-2]\nfrom = \"small-1\"\nsteps = [5, 25, 100]\nexposure_budget = 100\n"
+        }
+    };
+    let accounts: String = (0..plan.work.accounts)
+        .map(|account| {
+            let hash = hex::encode(caller_hash(&format!("account-{account}")));
+            format!("[accounts.a{account}]\nkey_hashes = [\"{hash}\"]\nallow = [\"assist\"]\n")
+        })
+        .collect();
+    format!(
+        "[models.small]\ncost_per_1k = {}\nversion = \"small-1\"\n\
+         [models.large]\ncost_per_1k = {}\nversion = \"large-1\"\n\
+         [versions.small-1]\nmodel = \"small\"\nstate = \"serving\"\n\
+         [versions.small-2]\nmodel = \"small\"\nstate = \"serving\"\n\
+         [versions.large-1]\nmodel = \"large\"\nstate = \"serving\"\n\
+         [cascades.assist]\nrungs = [\"small\", \"large\"]\ntarget = {TARGET}\n{rollout}{accounts}",
+        COST[0], COST[1]
+    )
+}
+
+/// The scenarios of a deployment: name, cheap and strong engines, boxes, requests a second.
+pub fn scenarios(coteau: bool) -> Vec<ScenarioPlan> {
+    let (engines, boxes, rate) = if coteau { ((14, 6), 9, 5.0) } else { ((8, 4), 7, 3.0) };
+    let work = WorkloadPlan {
+        rate,
+        seconds: 300,
+        burst_from: u64::MAX,
+        burst_to: 0,
+        burst: 1.0,
+        dossiers: false,
+        accounts: 10,
+        large_share: 0.3,
+        prefixes: 120,
+    };
+    let base = ScenarioPlan {
+        name: "steady",
+        engines,
+        boxes,
+        work,
+        bad: BadKind::None,
+        rating_down: None,
+        log_down: None,
+        pool_out: None,
+        lag_us: REPORT_US,
+        frozen: None,
+        storm: false,
+        without_large: false,
+    };
+    let burst = WorkloadPlan { burst_from: 120, burst_to: 240, burst: 6.0, ..work };
+    let busy = WorkloadPlan { rate: rate * 2.0, ..work };
+    let long = WorkloadPlan { seconds: 600, ..work };
+    let greedy = WorkloadPlan { rate: rate * 5.0, large_share: 0.8, ..work };
+    let rolled = |name, bad| ScenarioPlan { name, work: long, bad, ..base };
+    vec![
+        base,
+        ScenarioPlan { name: "shift_start", work: burst, ..base },
+        ScenarioPlan {
+            name: "tender_deadline",
+            work: WorkloadPlan { dossiers: true, burst: 4.0, ..burst },
+            ..base
+        },
+        rolled("bad_version_at_once", BadKind::AtOnce),
+        rolled("bad_version_slowly", BadKind::Slowly),
+        rolled("bad_version_one_class", BadKind::OneClass),
+        rolled("good_version", BadKind::Good),
+        ScenarioPlan { name: "rating_down", rating_down: Some(100), ..base },
+        ScenarioPlan { name: "log_down", log_down: Some(60), ..base },
+        ScenarioPlan { name: "pool_out", work: busy, pool_out: Some(100), ..base },
+        ScenarioPlan { name: "stale_reports", work: busy, lag_us: 2_000_000, ..base },
+        ScenarioPlan { name: "frozen_replica", work: busy, frozen: Some((100, 160)), ..base },
+        ScenarioPlan { name: "retry_storm", work: burst, storm: true, ..base },
+        ScenarioPlan { name: "one_large_account", work: greedy, ..base },
+        ScenarioPlan { name: "without_large_account", work: greedy, without_large: true, ..base },
+    ]
+}
--- a/crates/bench/src/workload.rs
+++ b/crates/bench/src/workload.rs
@@ -1,1 +1,93 @@
-//! To come.
+//! Draws requests: arrivals, accounts, classes, prompts, and a difficulty that no router sees.
+
+use rand::rngs::StdRng;
+use rand::Rng;
+
+/// A request of the bench.
+#[derive(Clone, Copy, Debug)]
+pub struct BenchRequest {
+    /// Arrival, in microseconds.
+    pub at_us: u64,
+    /// Client account; 0 is the large one.
+    pub account: usize,
+    /// Request class, 0 (easy) to 2 (hard).
+    pub class: u8,
+    /// Hidden difficulty, 0 to 1.
+    pub difficulty: f64,
+    /// Tokens in the prompt.
+    pub prompt: u32,
+    /// Tokens in the answer.
+    pub tokens: u32,
+    /// Prefix of the prompt.
+    pub prefix: u64,
+}
+
+/// How requests arrive.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkloadPlan {
+    /// Requests a second in quiet times.
+    pub rate: f64,
+    /// Length, in seconds.
+    pub seconds: u64,
+    /// From this second on, arrivals rise within a minute ...
+    pub burst_from: u64,
+    /// ... and end at this second ...
+    pub burst_to: u64,
+    /// ... to this multiple.
+    pub burst: f64,
+    /// Whether requests of the burst are long dossiers.
+    pub dossiers: bool,
+    /// Client accounts.
+    pub accounts: usize,
+    /// Share of requests of account 0.
+    pub large_share: f64,
+    /// Prefixes in use.
+    pub prefixes: u64,
+}
+
+impl WorkloadPlan {
+    fn factor(&self, second: f64) -> f64 {
+        let (from, to) = (self.burst_from as f64, self.burst_to as f64);
+        if second < from || second >= to {
+            return 1.0;
+        }
+        1.0 + (self.burst - 1.0) * ((second - from) / 60.0).min(1.0)
+    }
+
+    /// Draws all requests, in order of arrival.
+    pub fn draw(&self, rng: &mut StdRng) -> Vec<BenchRequest> {
+        let mut requests = Vec::new();
+        let mut second = 0.0;
+        while second < self.seconds as f64 {
+            let factor = self.factor(second);
+            second += -(1.0 - rng.gen::<f64>()).ln() / (self.rate * factor);
+            requests.push(self.request(second, factor > 1.0, rng));
+        }
+        requests
+    }
+
+    fn request(&self, second: f64, in_burst: bool, rng: &mut StdRng) -> BenchRequest {
+        let class = [0, 0, 0, 0, 0, 1, 1, 1, 2, 2][rng.gen_range(0..10)];
+        let (low, high) = [(0.0, 0.62), (0.2, 0.8), (0.5, 1.0)][usize::from(class)];
+        let long = self.dossiers && in_burst && rng.gen_bool(0.5);
+        let account = match rng.gen_bool(self.large_share) {
+            true => 0,
+            false => rng.gen_range(1..self.accounts.max(2)),
+        };
+        BenchRequest {
+            at_us: (second * 1e6) as u64,
+            account,
+            class,
+            difficulty: rng.gen_range(low..high),
+            prompt: if long { rng.gen_range(3_000..6_000) } else { rng.gen_range(150..900) },
+            tokens: rng.gen_range(40..200),
+            // Squared, so that a few prefixes are hot.
+            prefix: 1 + (rng.gen::<f64>().powi(2) * self.prefixes as f64) as u64,
+        }
+    }
+}
+
+/// Whether an answer of a model of `strength` meets the quality target.
+pub fn meets(strength: f64, request: &BenchRequest) -> bool {
+    request.difficulty < strength
+}
--- a/crates/core/src/cascade.rs
+++ b/crates/core/src/cascade.rs
@@ -1,10 +1,15 @@
 //! Where a cascade starts: learned for each request class from ratings.
 //!
-//! For each class and model the box keeps decayed counts of answers that met the quality target.
-//! Three plans are weighed by expected cost: a cheap rung as it is, where the lower bound of its
-//! success meets the target; a cheap rung whose answer is rated before release, with escalation; and
-//! the last rung. While too little is known the answer is rated, which is safe and teaches; while
-//! ratings are down the last estimates serve, and without them the last rung.
+//! A cascade's target is a share of all its answers. For each class and model the box keeps decayed
+//! counts of answers that met the quality target, and uses their lower bound. Each cascade has
+//! a *quality price*: the rung that costs least, after its expected quality is paid for, answers; the
+//! price rises while the chosen rungs fall short of the target and falls while they exceed it. So the
+//! cheap rung is spent on the classes where a unit of cost saves the most quality.
+//!
+//! While too little is known of a class its cheap answers are rated before release, with escalation,
+//! which is safe and teaches. That waits for the whole answer, so known classes are not gated: only
+//! a small share is, to keep learning. While ratings are down the last estimates serve, and without
+//! them the last rung.
 
 use std::collections::HashMap;
 
@@ -24,8 +29,20 @@
 /// Share of requests, in 1/256, that try the cheap rung with a gate although it does not pay now.
 pub const EXPLORE_SHARE: u64 = 3;
 
-/// Cost of rating one answer before release, as a share of the last rung's cost: its latency.
-pub const GATE_PRICE: f64 = 0.02;
+/// Quality above the target that the price aims at.
+pub const TARGET_MARGIN: f64 = 0.01;
+
+/// Change of the price for each answer, as a share of the last rung's cost and of the shortfall.
+pub const PRICE_STEP: f64 = 0.25;
+
+/// First price, and its bound, in costs of the last rung.
+pub const PRICE_FIRST: f64 = 4.0;
+
+/// Highest price, in costs of the last rung.
+pub const PRICE_LIMIT: f64 = 20.0;
+
+/// Quality assumed of a last rung that was hardly rated.
+const LAST_QUALITY: f64 = 0.97;
 
 /// Ratings that must fail in a row before the service counts as down.
 pub const RATING_DOWN_FAILURES: u32 = 3;
@@ -92,6 +109,7 @@
 #[derive(Debug, Default)]
 pub struct QualityTable {
     counts: HashMap<(String, u8), QualityCount>,
+    prices: HashMap<String, f64>,
     rating_failures: u32,
 }
 
@@ -133,14 +151,25 @@
         rows
     }
 
-    /// Plans a request of `class`; `dice` decides on exploration.
-    pub fn plan(&self, rungs: &[RungView<'_>], target: f64, class: u8, dice: u64) -> CascadePlan {
+    /// Plans a request of `class` for the cascade called `name`; `dice` decides on exploration.
+    pub fn plan(
+        &mut self,
+        name: &str,
+        rungs: &[RungView<'_>],
+        target: f64,
+        class: u8,
+        dice: u64,
+    ) -> CascadePlan {
         let last = rungs.len().saturating_sub(1);
         let down = self.rating_down();
-        let safe = CascadePlan { rung: last, gated: false, reason: ReasonCode::CascadeSafe };
-        let mut best = CascadePlan { reason: ReasonCode::CascadeStrong, ..safe };
         let last_cost = rungs.get(last).map_or(0.0, |rung| rung.cost);
-        let mut best_cost = last_cost;
+        let last_count =
+            rungs.get(last).map_or(QualityCount::default(), |rung| self.count(rung.model, class));
+        let last_known = last_count.total() >= MIN_RATINGS;
+        let last_quality = if last_known { last_count.mean() } else { LAST_QUALITY };
+        let price = self.prices.get(name).copied().unwrap_or(PRICE_FIRST * last_cost);
+        let mut best = CascadePlan { rung: last, gated: false, reason: ReasonCode::CascadeStrong };
+        let (mut best_net, mut best_quality) = (last_cost - price * last_quality, last_quality);
         let mut known = false;
         for (index, rung) in rungs.iter().enumerate().take(last) {
             let count = self.count(rung.model, class);
@@ -151,19 +180,19 @@
                 continue;
             }
             known = true;
-            if count.lower() >= target && rung.cost < best_cost {
-                best_cost = rung.cost;
+            let quality = count.lower();
+            let net = rung.cost - price * quality;
+            if net < best_net {
+                (best_net, best_quality) = (net, quality);
                 best = CascadePlan { rung: index, gated: false, reason: ReasonCode::CascadeCheap };
             }
-            let escalated = rung.cost + (1.0 - count.mean() + GATE_PRICE) * last_cost;
-            if !down && escalated < best_cost {
-                best_cost = escalated;
-                best = gated(index);
-            }
         }
-        if down && !known {
-            return safe;
+        if down && !known && last > 0 {
+            return CascadePlan { rung: last, gated: false, reason: ReasonCode::CascadeSafe };
         }
+        let shortfall = target + TARGET_MARGIN - best_quality;
+        let next = price + PRICE_STEP * last_cost * shortfall;
+        self.prices.insert(name.to_owned(), next.clamp(0.0, PRICE_LIMIT * last_cost));
         if best.rung == last && last > 0 && !down && dice % 256 < EXPLORE_SHARE {
             return gated(0);
         }
--- a/crates/core/src/state/admit.rs
+++ b/crates/core/src/state/admit.rs
@@ -145,7 +145,8 @@
             request.pins = claims.pins;
         }
         if let Some(cascade) = spec.cascades.get(name) {
-            let plan = self.plan_cascade(cascade, *class, next_dice(stamp.dice));
+            let cascade = cascade.clone();
+            let plan = self.plan_cascade(name, &cascade, *class, next_dice(stamp.dice));
             request.rung = plan.rung;
             request.gated = plan.gated;
             request.reasons.push(plan.reason);
@@ -153,12 +154,18 @@
         Ok(())
     }
 
-    fn plan_cascade(&self, cascade: &CascadeSpec, class: u8, dice: u64) -> CascadePlan {
+    fn plan_cascade(
+        &mut self,
+        name: &str,
+        cascade: &CascadeSpec,
+        class: u8,
+        dice: u64,
+    ) -> CascadePlan {
         let models = &self.index.spec.models;
         let view = |model: &'_ String| models.get(model).map_or(0.0, |row| row.cost_per_1k);
         let rungs: Vec<RungView<'_>> =
             cascade.rungs.iter().map(|model| RungView { model, cost: view(model) }).collect();
-        self.quality.plan(&rungs, cascade.target, class, dice)
+        self.quality.plan(name, &rungs, cascade.target, class, dice)
     }
 
     fn admit_service(
