--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -86,6 +86,8 @@
     pub storm: bool,
     /// Requests of account 0 are left out.
     pub without_large: bool,
+    /// Requests before this second are served and not measured: every policy starts knowing nothing.
+    pub measure_from: u64,
 }
 
 /// What a run measured.
@@ -560,11 +562,16 @@
         let (mut cost, mut answered, mut good, mut late, mut refused, mut exposed) =
             (0.0, 0u64, 0u64, 0u64, 0u64, 0u64);
         let mut attempts = 0u64;
+        let from_us = self.plan.measure_from * 1_000_000;
+        let measured = |request: &BenchRequest| request.at_us >= from_us;
         for (fate, request) in self.fates.iter().zip(&self.requests) {
+            exposed += u64::from(fate.exposed);
+            if !measured(request) {
+                continue;
+            }
             attempts += u64::from(fate.attempts);
             refused += u64::from(fate.refused);
             cost += fate.cost;
-            exposed += u64::from(fate.exposed);
             let Some(first_us) = fate.first_us else {
                 late += u64::from(!fate.refused);
                 continue;
@@ -578,7 +585,7 @@
             answered += 1;
             good += u64::from(fate.good == Some(true));
         }
-        let count = self.requests.len().max(1) as f64;
+        let count = self.requests.iter().filter(|row| measured(row)).count().max(1) as f64;
         let ms = |histogram: &Histogram<u64>, quantile| {
             histogram.value_at_quantile(quantile) as f64 / 1_000.0
         };
@@ -592,6 +599,8 @@
         rows.insert("small_ttft_p99", ms(&small_first, 0.99));
         rows.insert("itl_p95", ms(&self.tokens, 0.95));
         rows.insert("exposed_requests", exposed as f64);
+        let halt_s = self.halted_at.map_or(-1.0, |at| (at - WARM_US) as f64 / 1e6);
+        rows.insert("halted_at", halt_s);
         rows.insert("halted", f64::from(u8::from(self.halted_at.is_some())));
         rows.insert("refused", refused as f64 / count);
         rows.insert("late", late as f64 / count);
@@ -670,14 +679,16 @@
         frozen: None,
         storm: false,
         without_large: false,
+        measure_from: 60,
     };
     let burst = WorkloadPlan { burst_from: 120, burst_to: 240, burst: 6.0, ..work };
     let busy = WorkloadPlan { rate: rate * 2.0, ..work };
-    let long = WorkloadPlan { seconds: 600, ..work };
+    let long = WorkloadPlan { seconds: 600, ..busy };
     let greedy = WorkloadPlan { rate: rate * 5.0, large_share: 0.8, ..work };
     let rolled = |name, bad| ScenarioPlan { name, work: long, bad, ..base };
     vec![
         base,
+        ScenarioPlan { name: "cold_start", measure_from: 0, ..base },
         ScenarioPlan { name: "shift_start", work: burst, ..base },
         ScenarioPlan {
             name: "tender_deadline",
--- a/crates/core/src/cascade.rs
+++ b/crates/core/src/cascade.rs
@@ -1,21 +1,24 @@
 //! Where a cascade starts: learned for each request class from ratings.
 //!
 //! A cascade's target is a share of all its answers. For each class and model the box keeps decayed
-//! counts of answers that met the quality target, and uses their lower bound. Each cascade has
-//! a *quality price*: the rung that costs least, after its expected quality is paid for, answers; the
-//! price rises while the chosen rungs fall short of the target and falls while they exceed it. So the
-//! cheap rung is spent on the classes where a unit of cost saves the most quality.
+//! counts of answers that met the quality target, and uses their lower bound; for each cascade it
+//! keeps how often each class comes. Where all classes on the last rung would exceed the target, the
+//! excess is spent on cheaper rungs, first on the class and rung that save the most cost for the
+//! quality they lose; the class at the margin gets its cheaper rung for a share of its requests.
+//! (A price that followed the shortfall request by request was tried first: it took hundreds of
+//! requests a box to settle, docs/POLICY.md.)
 //!
 //! While too little is known of a class its cheap answers are rated before release, with escalation,
-//! which is safe and teaches. That waits for the whole answer, so known classes are not gated: only
-//! a small share is, to keep learning. While ratings are down the last estimates serve, and without
-//! them the last rung.
+//! which is safe and teaches. That waits for the whole answer, so known classes are not gated: a small
+//! share tries the cheap rung and is rated after it left. Boxes share what they learn. While ratings
+//! are down the last estimates serve, and without them the last rung.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use serde::Serialize;
 
 use crate::reason::ReasonCode;
+use crate::rollout::CLASS_COUNT;
 
 /// Counts are halved when they reach this, so that old ratings fade.
 pub const DECAY_AT: f64 = 400.0;
@@ -23,23 +26,18 @@
 /// Ratings of a class below which its estimate is not used.
 pub const MIN_RATINGS: f64 = 20.0;
 
-/// Standard errors between the mean and the lower bound.
-pub const BOUND_ERRORS: f64 = 1.64;
+/// Standard errors between the mean and the lower bound: the target is over all answers, so errors
+/// of single classes even out, and a wide bound pays for quality that nobody asked for.
+pub const BOUND_ERRORS: f64 = 0.5;
 
-/// Share of requests, in 1/256, that try the cheap rung with a gate although it does not pay now.
-pub const EXPLORE_SHARE: u64 = 3;
+/// Share of requests, in 1/256, that try the cheapest rung although it is not planned, to learn.
+pub const EXPLORE_SHARE: u64 = 2;
 
-/// Quality above the target that the price aims at.
-pub const TARGET_MARGIN: f64 = 0.01;
+/// Quality above the target that is aimed at.
+pub const TARGET_MARGIN: f64 = 0.005;
 
-/// Change of the price for each answer, as a share of the last rung's cost and of the shortfall.
-pub const PRICE_STEP: f64 = 0.25;
-
-/// First price, and its bound, in costs of the last rung.
-pub const PRICE_FIRST: f64 = 4.0;
-
-/// Highest price, in costs of the last rung.
-pub const PRICE_LIMIT: f64 = 20.0;
+/// Requests of a cascade after which its class counts are halved.
+pub const MIX_DECAY_AT: f64 = 2_000.0;
 
 /// Quality assumed of a last rung that was hardly rated.
 const LAST_QUALITY: f64 = 0.97;
@@ -109,7 +107,8 @@
 #[derive(Debug, Default)]
 pub struct QualityTable {
     counts: HashMap<(String, u8), QualityCount>,
-    prices: HashMap<String, f64>,
+    mixes: HashMap<String, [f64; CLASS_COUNT]>,
+    unshared: BTreeMap<(String, u8), QualityCount>,
     rating_failures: u32,
 }
 
@@ -117,6 +116,7 @@
     /// Adds a rating.
     pub fn add(&mut self, model: &str, class: u8, good: bool) {
         self.rating_failures = 0;
+        self.unshared.entry((model.to_owned(), class)).or_default().add(good);
         match self.counts.get_mut(&(model.to_owned(), class)) {
             Some(count) => count.add(good),
             None => {
@@ -151,7 +151,28 @@
         rows
     }
 
-    /// Plans a request of `class` for the cascade called `name`; `dice` decides on exploration.
+    /// Takes the ratings of this box that it has not yet shared with others.
+    pub fn take_unshared(&mut self) -> BTreeMap<(String, u8), QualityCount> {
+        std::mem::take(&mut self.unshared)
+    }
+
+    /// Adds what another box learnt.
+    pub fn add_shared(&mut self, model: &str, class: u8, shared: QualityCount) {
+        let count = self.counts.entry((model.to_owned(), class)).or_default();
+        count.good += shared.good;
+        count.bad += shared.bad;
+        while count.total() > DECAY_AT {
+            count.good /= 2.0;
+            count.bad /= 2.0;
+        }
+    }
+
+    /// Whether nothing was learnt yet.
+    pub fn is_empty(&self) -> bool {
+        self.counts.is_empty()
+    }
+
+    /// Plans a request of `class` for the cascade called `name`; `dice` decides shares.
     pub fn plan(
         &mut self,
         name: &str,
@@ -161,45 +182,96 @@
         dice: u64,
     ) -> CascadePlan {
         let last = rungs.len().saturating_sub(1);
-        let down = self.rating_down();
-        let last_cost = rungs.get(last).map_or(0.0, |rung| rung.cost);
-        let last_count =
-            rungs.get(last).map_or(QualityCount::default(), |rung| self.count(rung.model, class));
-        let last_known = last_count.total() >= MIN_RATINGS;
-        let last_quality = if last_known { last_count.mean() } else { LAST_QUALITY };
-        let price = self.prices.get(name).copied().unwrap_or(PRICE_FIRST * last_cost);
-        let mut best = CascadePlan { rung: last, gated: false, reason: ReasonCode::CascadeStrong };
-        let (mut best_net, mut best_quality) = (last_cost - price * last_quality, last_quality);
-        let mut known = false;
-        for (index, rung) in rungs.iter().enumerate().take(last) {
-            let count = self.count(rung.model, class);
-            if count.total() < MIN_RATINGS {
-                if !down {
-                    return gated(index);
-                }
-                continue;
-            }
-            known = true;
-            let quality = count.lower();
-            let net = rung.cost - price * quality;
-            if net < best_net {
-                (best_net, best_quality) = (net, quality);
-                best = CascadePlan { rung: index, gated: false, reason: ReasonCode::CascadeCheap };
+        let class = usize::from(class).min(CLASS_COUNT - 1);
+        let mix = self.note_class(name, class);
+        let strong = CascadePlan { rung: last, gated: false, reason: ReasonCode::CascadeStrong };
+        if last == 0 {
+            return strong;
+        }
+        if self.count(rungs[0].model, class as u8).total() < MIN_RATINGS {
+            return match self.rating_down() {
+                true => CascadePlan { reason: ReasonCode::CascadeSafe, ..strong },
+                false => CascadePlan { rung: 0, gated: true, reason: ReasonCode::CascadeGated },
+            };
+        }
+        if !self.rating_down() && dice % 256 < EXPLORE_SHARE {
+            return CascadePlan { rung: 0, gated: false, reason: ReasonCode::CascadeExplore };
+        }
+        let (rung, share) = self.spend(rungs, target, &mix, class);
+        // The low bits decided on exploration.
+        let drawn = (dice >> 16) as f64 / (1u64 << 48) as f64;
+        if rung < last && drawn < share {
+            return CascadePlan { rung, gated: false, reason: ReasonCode::CascadeCheap };
+        }
+        strong
+    }
+
+    /// Counts a request of the class; gives the decayed counts of all classes.
+    fn note_class(&mut self, name: &str, class: usize) -> [f64; CLASS_COUNT] {
+        if !self.mixes.contains_key(name) {
+            self.mixes.insert(name.to_owned(), [0.0; CLASS_COUNT]);
+        }
+        let Some(mix) = self.mixes.get_mut(name) else { return [0.0; CLASS_COUNT] };
+        mix[class] += 1.0;
+        if mix.iter().sum::<f64>() > MIX_DECAY_AT {
+            mix.iter_mut().for_each(|count| *count /= 2.0);
+        }
+        *mix
+    }
+
+    /// The cheaper rung of `class`, and for which share of its requests the target lets it answer.
+    fn spend(
+        &self,
+        rungs: &[RungView<'_>],
+        target: f64,
+        mix: &[f64; CLASS_COUNT],
+        class: usize,
+    ) -> (usize, f64) {
+        let total: f64 = mix.iter().sum();
+        let mut excess = -(target + TARGET_MARGIN) * total;
+        let mut offers = Vec::with_capacity(CLASS_COUNT);
+        for (class, count) in mix.iter().enumerate().filter(|(_, count)| **count > 0.0) {
+            let quality = self.last_quality(rungs, class);
+            excess += quality * count;
+            if let Some((rung, loss, worth)) = self.best_offer(rungs, class, quality) {
+                offers.push((worth, class, rung, loss * count));
             }
         }
-        if down && !known && last > 0 {
-            return CascadePlan { rung: last, gated: false, reason: ReasonCode::CascadeSafe };
+        offers.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for (_, offered, rung, loss) in offers {
+            let share = if loss <= 0.0 { 1.0 } else { (excess / loss).clamp(0.0, 1.0) };
+            if offered == class {
+                return (rung, share);
+            }
+            excess -= loss * share;
         }
-        let shortfall = target + TARGET_MARGIN - best_quality;
-        let next = price + PRICE_STEP * last_cost * shortfall;
-        self.prices.insert(name.to_owned(), next.clamp(0.0, PRICE_LIMIT * last_cost));
-        if best.rung == last && last > 0 && !down && dice % 256 < EXPLORE_SHARE {
-            return gated(0);
+        (rungs.len() - 1, 0.0)
+    }
+
+    fn last_quality(&self, rungs: &[RungView<'_>], class: usize) -> f64 {
+        let count = rungs.last().map(|rung| self.count(rung.model, class as u8));
+        match count {
+            Some(count) if count.total() >= MIN_RATINGS => count.mean(),
+            _ => LAST_QUALITY,
         }
-        best
     }
-}
 
-fn gated(rung: usize) -> CascadePlan {
-    CascadePlan { rung, gated: true, reason: ReasonCode::CascadeGated }
+    /// The cheaper rung that saves the most cost for the quality it loses: rung, loss, worth.
+    fn best_offer(
+        &self,
+        rungs: &[RungView<'_>],
+        class: usize,
+        last_quality: f64,
+    ) -> Option<(usize, f64, f64)> {
+        let last_cost = rungs.last()?.cost;
+        let offers = rungs.iter().enumerate().take(rungs.len() - 1).filter_map(|(index, rung)| {
+            let count = self.count(rung.model, class as u8);
+            if count.total() < MIN_RATINGS {
+                return None;
+            }
+            let loss = (last_quality - count.lower()).max(0.0);
+            Some((index, loss, (last_cost - rung.cost) / loss.max(1e-6)))
+        });
+        offers.max_by(|a, b| a.2.total_cmp(&b.2))
+    }
 }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -310,8 +310,43 @@
     /// Evidence on a version under roll-out, for the first canary box.
     #[prost(message, tag = "12")]
     Evidence(RolloutEvidence),
+    /// Ratings since the last round, or all that a new box asked for.
+    #[prost(message, tag = "13")]
+    Quality(QualityShare),
+    /// A new box asks what the others learnt.
+    #[prost(message, tag = "14")]
+    WantQuality(QualityWanted),
 }
 
+/// Ratings by model and class.
+#[derive(Clone, PartialEq, Message)]
+pub struct QualityShare {
+    /// Rows.
+    #[prost(message, repeated, tag = "1")]
+    pub rows: Vec<QualityRow>,
+}
+
+/// Ratings of one model on one class.
+#[derive(Clone, PartialEq, Message)]
+pub struct QualityRow {
+    /// Model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// Request class.
+    #[prost(uint32, tag = "2")]
+    pub class: u32,
+    /// Answers that met the target, decayed.
+    #[prost(float, tag = "3")]
+    pub good: f32,
+    /// Answers that did not.
+    #[prost(float, tag = "4")]
+    pub bad: f32,
+}
+
+/// A call for what the others learnt.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct QualityWanted {}
+
 /// Judged answers of a version under roll-out, of one request class.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct RolloutEvidence {
@@ -347,6 +382,6 @@
     #[prost(fixed64, tag = "2")]
     pub incarnation: u64,
     /// What it says.
-    #[prost(oneof = "PeerBody", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "PeerBody", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub body: Option<PeerBody>,
 }
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -48,6 +48,7 @@
     ServiceRoute = 14, "service_route", "a plain service";
     NoHealthy = 15, "all_ejected", "every replica is ejected, so ejection is ignored";
     Queued = 16, "queued", "waited for a replica";
+    CascadeExplore = 17, "cascade_explore", "tried on the cheap rung to learn how it does, and rated";
     UnknownKey = 40, "invalid_api_key", "no client account has this caller key";
     NotAllowed = 41, "model_not_allowed", "the bundle does not allow this account the model, version or service";
     Withdrawn = 42, "version_withdrawn", "the version was withdrawn; open a new session";
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -33,6 +33,10 @@
 /// Load bound of affinity: the preferred replica may carry this times the mean, and one more.
 pub const AFFINITY_BOUND: f64 = 1.5;
 
+/// Reported load, as a share of slots, below which a box may use more than its own part: reports
+/// lag, and above it all boxes would fill the same slots.
+pub const OPEN_LOAD: f64 = 0.7;
+
 /// A replica as the box list gives it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct ListedReplica {
@@ -152,6 +156,9 @@
     names: HashMap<String, ReplicaKey>,
     by_version: HashMap<VersionKey, Vec<ReplicaKey>>,
     by_service: HashMap<String, Vec<ReplicaKey>>,
+    /// Boxes that use a replica of the subset, by its length before it was cut.
+    pool_sizes: HashMap<VersionKey, usize>,
+    boxes: usize,
     seed: u64,
     ttft_ms: f64,
 }
@@ -208,6 +215,11 @@
         self.rebuild();
     }
 
+    /// Notes how many boxes are listed; they share the replicas.
+    pub fn set_boxes(&mut self, boxes: usize) {
+        self.boxes = boxes;
+    }
+
     /// Marks a replica as leaving. Returns whether that is news.
     pub fn mark_leaving(&mut self, name: &str) -> bool {
         let Some(key) = self.find(name) else { return false };
@@ -250,6 +262,7 @@
                 self.by_service.entry(row.listed.service.clone()).or_default().push(key);
             }
         }
+        self.pool_sizes = self.by_version.iter().map(|(key, keys)| (*key, keys.len())).collect();
         let (rows, seed) = (&self.rows, self.seed);
         for keys in self.by_version.values_mut().chain(self.by_service.values_mut()) {
             keys.sort_by_cached_key(|key| {
@@ -302,8 +315,21 @@
         PickOutcome::Picked(key, if floor { PickWay::AllEjected } else { PickWay::TwoChoices })
     }
 
+    /// Whether this box may send one more: while the replica is not busy, or within this box's own
+    /// part of its slots. Without the part, each report of a free slot is taken by every box at once.
     fn has_room(&self, key: ReplicaKey) -> bool {
-        self.rows[key].load() < 1.0
+        let row = &self.rows[key];
+        let sharers = self.sharers(row);
+        let part = f64::from(row.slots.max(1)) / sharers;
+        let crowd = f64::from(row.reported) + f64::from(row.since_report) * sharers;
+        f64::from(row.outstanding) < part.ceil() || crowd < f64::from(row.slots) * OPEN_LOAD
+    }
+
+    /// Boxes that send to a replica, at least one.
+    fn sharers(&self, row: &ReplicaState) -> f64 {
+        let pool = row.versions.iter().filter_map(|version| self.pool_sizes.get(version)).max();
+        let used = pool.map_or(1.0, |pool| (SUBSET_SIZE as f64 / *pool as f64).min(1.0));
+        (self.boxes as f64 * used).max(1.0)
     }
 
     fn affine(&self, pool: &[ReplicaKey], prefix: u64) -> Option<ReplicaKey> {
--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -20,8 +20,9 @@
 /// Request classes.
 pub const CLASS_COUNT: usize = 8;
 
-/// The version is called bad when its share of bad answers is this much above the replaced one's.
-pub const BAD_MARGIN: f64 = 0.15;
+/// The version is called bad when its share of bad answers is this much above the replaced one's. One
+/// test for each margin: the small one finds a slight fault, the large one a gross fault sooner.
+pub const BAD_MARGINS: [f64; 2] = [0.15, 0.4];
 
 /// Evidence for "bad", as a log-likelihood ratio, at which a roll-out is halted.
 pub const HALT_EVIDENCE: f64 = 7.5;
@@ -66,7 +67,7 @@
     /// Requests that this box gave to the version in this step.
     pub exposed: u32,
     /// Evidence for "bad" over all classes and for each; the first canary box keeps it.
-    evidence: [f64; CLASS_COUNT + 1],
+    evidence: [[f64; CLASS_COUNT + 1]; BAD_MARGINS.len()],
     judged: u32,
     /// Evidence that this box has not yet sent to the first canary box.
     pub unsent: BTreeMap<u8, JudgedCount>,
@@ -119,18 +120,20 @@
             return None;
         }
         let base = base_bad.clamp(BASE_BAD_FLOOR, 0.8);
-        let worse = (base + BAD_MARGIN).min(0.95);
-        let step_bad = (worse / base).ln();
-        let step_good = ((1.0 - worse) / (1.0 - base)).ln();
         let class = usize::from(class).min(CLASS_COUNT - 1) + 1;
-        for slot in [0, class] {
-            let sum = self.evidence[slot]
-                + f64::from(count.good) * step_good
-                + f64::from(count.bad) * step_bad;
-            self.evidence[slot] = sum.max(0.0);
+        for (margin, evidence) in BAD_MARGINS.iter().zip(&mut self.evidence) {
+            let worse = (base + margin).min(0.95);
+            let for_bad = (worse / base).ln();
+            let for_good = ((1.0 - worse) / (1.0 - base)).ln();
+            for slot in [0, class] {
+                let sum = evidence[slot]
+                    + f64::from(count.good) * for_good
+                    + f64::from(count.bad) * for_bad;
+                evidence[slot] = sum.max(0.0);
+            }
         }
         self.judged += count.good + count.bad;
-        let worst = self.evidence.iter().copied().fold(0.0, f64::max);
+        let worst = self.evidence.iter().flatten().copied().fold(0.0, f64::max);
         if worst >= HALT_EVIDENCE {
             return Some(GuardVerdict::Halt);
         }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -141,6 +141,8 @@
     members: BoxMembership,
     replicas: ReplicaTable,
     quality: QualityTable,
+    /// Whether another box has shared what it learnt.
+    quality_joined: bool,
     rollouts: BTreeMap<String, RolloutState>,
     queues: BTreeMap<QueueName, FairQueue>,
     retry: RetryBudget,
@@ -193,6 +195,7 @@
             members: BoxMembership::new(&settings.name),
             replicas: ReplicaTable::new(&settings.name),
             quality: QualityTable::default(),
+            quality_joined: false,
             rollouts: BTreeMap::new(),
             queues: BTreeMap::new(),
             retry: RetryBudget::default(),
@@ -251,6 +254,7 @@
         if stamp.now >= self.next_beat {
             self.next_beat = stamp.now.plus_millis(crate::membership::BEAT_INTERVAL_MS);
             self.beat(stamp, out);
+            self.share_quality(out);
             self.take_over_bills(stamp, out);
             self.carry_bundle(stamp);
             let keep = self.settings.retention_ms + 2 * crate::claims::KEY_SKEW_MS;
--- a/crates/core/src/state/peers.rs
+++ b/crates/core/src/state/peers.rs
@@ -2,13 +2,14 @@
 
 use crate::appender::LogStream;
 use crate::bills::OWNER_SILENCE_MS;
+use crate::cascade::QualityCount;
 use crate::effect::BoxEffect;
 use crate::event::EventStamp;
 use crate::ids::ReplicaKey;
 use crate::membership::ListedBox;
 use crate::message::{
     BeatReply, BillNumbers, BundleWanted, LeavingMark, PeerBeat, PeerBody, PeerMessage,
-    PeerSummary, RecordBody, VerdictRecord,
+    PeerSummary, QualityRow, QualityShare, QualityWanted, RecordBody, VerdictRecord,
 };
 use crate::replica::{ListedReplica, LoadReport};
 use crate::time::BoxTime;
@@ -30,6 +31,7 @@
         out: &mut Vec<BoxEffect>,
     ) {
         self.members.take_list(boxes);
+        self.replicas.set_boxes(self.members.listed_count());
         if self.stopping_since.is_some() {
             self.members.mark_leaving(&self.settings.name.clone());
         }
@@ -119,6 +121,42 @@
         self.spread(PeerBody::Beat(beat), out);
     }
 
+    /// Shares this box's ratings of the last round with the boxes of this round. They are not passed
+    /// on, so nothing is counted twice.
+    pub(super) fn share_quality(&mut self, out: &mut Vec<BoxEffect>) {
+        let rows: Vec<QualityRow> = self
+            .quality
+            .take_unshared()
+            .into_iter()
+            .map(|((model, class), count)| quality_row(model, class, count))
+            .collect();
+        if !rows.is_empty() {
+            self.spread(PeerBody::Quality(QualityShare { rows }), out);
+        }
+    }
+
+    fn on_quality(&mut self, share: &QualityShare) {
+        self.quality_joined = true;
+        for row in &share.rows {
+            let count = QualityCount { good: f64::from(row.good), bad: f64::from(row.bad) };
+            let valid = |n: f64| n.is_finite() && n >= 0.0;
+            if let (Ok(class), true) =
+                (u8::try_from(row.class), valid(count.good) && valid(count.bad))
+            {
+                self.quality.add_shared(&row.model, class, count);
+            }
+        }
+    }
+
+    fn on_quality_wanted(&self, from: String, out: &mut Vec<BoxEffect>) {
+        let rows = self.quality.rows().into_iter();
+        let rows: Vec<QualityRow> =
+            rows.map(|(model, class, count)| quality_row(model, class, count)).collect();
+        if !rows.is_empty() {
+            out.push(BoxEffect::SendPeer(from, PeerBody::Quality(QualityShare { rows })));
+        }
+    }
+
     pub(super) fn on_peer_message(
         &mut self,
         stamp: EventStamp,
@@ -157,6 +195,8 @@
                 self.take_leaving_mark(stamp, &mark.replica, out);
             }
             PeerBody::Evidence(evidence) => self.on_evidence(stamp, &evidence, out),
+            PeerBody::Quality(share) => self.on_quality(&share),
+            PeerBody::WantQuality(_) => self.on_quality_wanted(from, out),
         }
     }
 
@@ -207,6 +247,10 @@
             proved: reply.log_age_ms != u64::MAX,
         };
         self.members.heard(from, &direct, asked_at);
+        if !self.quality_joined && self.quality.is_empty() {
+            let wanted = PeerBody::WantQuality(QualityWanted {});
+            out.push(BoxEffect::SendPeer(from.to_owned(), wanted));
+        }
         for other in reply.others.iter().filter(|other| other.name != self.settings.name) {
             self.members.heard(&other.name, other, asked_at);
         }
@@ -255,3 +299,8 @@
         }
     }
 }
+
+fn quality_row(model: String, class: u8, count: QualityCount) -> QualityRow {
+    let (good, bad) = (count.good as f32, count.bad as f32);
+    QualityRow { model, class: u32::from(class), good, bad }
+}
--- a/crates/core/src/state/settle.rs
+++ b/crates/core/src/state/settle.rs
@@ -65,6 +65,7 @@
         let request = &self.requests[key];
         let Some(version) = request.version else { return false };
         self.under_rollout(version).is_some()
+            || request.reasons.contains(&ReasonCode::CascadeExplore)
             || next_dice(stamp.dice ^ 6) % 256 < self.settings.rate_share
     }
 
