--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 //! by a baseline, and [`scenario`] puts them together and measures.
 
 pub mod baseline;
+pub mod capacity;
 pub mod engine;
 pub mod fixture;
 pub mod fleet;
--- a/crates/core/src/cascade.rs
+++ b/crates/core/src/cascade.rs
@@ -106,7 +106,7 @@
 /// What was learned.
 #[derive(Debug, Default)]
 pub struct QualityTable {
-    counts: HashMap<(String, u8), QualityCount>,
+    counts: HashMap<String, [QualityCount; CLASS_COUNT]>,
     mixes: HashMap<String, [f64; CLASS_COUNT]>,
     unshared: BTreeMap<(String, u8), QualityCount>,
     rating_failures: u32,
@@ -117,14 +117,12 @@
     pub fn add(&mut self, model: &str, class: u8, good: bool) {
         self.rating_failures = 0;
         self.unshared.entry((model.to_owned(), class)).or_default().add(good);
-        match self.counts.get_mut(&(model.to_owned(), class)) {
-            Some(count) => count.add(good),
-            None => {
-                let mut count = QualityCount::default();
-                count.add(good);
-                self.counts.insert((model.to_owned(), class), count);
-            }
-        }
+        self.slot(model, class).add(good);
+    }
+
+    fn slot(&mut self, model: &str, class: u8) -> &mut QualityCount {
+        let row = self.counts.entry(model.to_owned()).or_default();
+        &mut row[usize::from(class).min(CLASS_COUNT - 1)]
     }
 
     /// Notes that a rating could not be had.
@@ -139,14 +137,19 @@
 
     /// Count of a model on a class.
     pub fn count(&self, model: &str, class: u8) -> QualityCount {
-        // A lookup by owned key costs an allocation; the tables are small and the path is measured.
-        self.counts.get(&(model.to_owned(), class)).copied().unwrap_or_default()
+        let row = self.counts.get(model);
+        row.map_or(QualityCount::default(), |row| row[usize::from(class).min(CLASS_COUNT - 1)])
     }
 
     /// All counts, for the dump.
     pub fn rows(&self) -> Vec<(String, u8, QualityCount)> {
-        let mut rows: Vec<_> =
-            self.counts.iter().map(|((model, class), c)| (model.clone(), *class, *c)).collect();
+        let classes = |(model, row): (&String, &[QualityCount; CLASS_COUNT])| {
+            let model = model.clone();
+            let rated = row.iter().enumerate().filter(|(_, count)| count.total() > 0.0);
+            let rows = rated.map(|(class, count)| (model.clone(), class as u8, *count));
+            rows.collect::<Vec<_>>()
+        };
+        let mut rows: Vec<_> = self.counts.iter().flat_map(classes).collect();
         rows.sort_by(|a, b| (&a.0, a.1).cmp(&(&b.0, b.1)));
         rows
     }
@@ -158,7 +161,7 @@
 
     /// Adds what another box learnt.
     pub fn add_shared(&mut self, model: &str, class: u8, shared: QualityCount) {
-        let count = self.counts.entry((model.to_owned(), class)).or_default();
+        let count = self.slot(model, class);
         count.good += shared.good;
         count.bad += shared.bad;
         while count.total() > DECAY_AT {
--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -61,10 +61,11 @@
     }
 
     /// What the box may rely on, where `seen` of `listed` boxes were lately heard, itself counted.
-    pub fn state(&self, now: BoxTime, seen: usize, listed: usize) -> FreshState {
+    /// The boxes are counted only once the lease has lapsed: this is asked for each request.
+    pub fn state(&self, now: BoxTime, listed: usize, seen: impl FnOnce() -> usize) -> FreshState {
         if self.age_ms(now) <= FRESH_LEASE_MS {
             FreshState::Fresh
-        } else if self.fresh_at.is_some() && listed > 1 && seen * 2 > listed {
+        } else if self.fresh_at.is_some() && listed > 1 && seen() * 2 > listed {
             FreshState::OutageMajority
         } else {
             FreshState::CutOff
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -5,7 +5,7 @@
 //! within the load bound. A replica that fails or stops moving is ejected for a while, at most half
 //! of a subset at a time.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use serde::Serialize;
 use slotmap::SlotMap;
@@ -74,6 +74,9 @@
 pub struct ReplicaState {
     /// As listed.
     pub listed: ListedReplica,
+    /// Hash of its name, for affinity.
+    #[serde(skip)]
+    name_hash: u64,
     /// Versions loaded.
     #[serde(skip)]
     pub versions: Vec<VersionKey>,
@@ -188,10 +191,11 @@
     /// Takes a new reading of the box list. A leaving mark is never taken back by the list, which
     /// lags; a replica that comes back has left the list in between.
     pub fn take_list(&mut self, listed: &[ListedReplica]) {
+        let names: HashSet<&str> = listed.iter().map(|new| new.name.as_str()).collect();
         let gone: Vec<ReplicaKey> = self
             .rows
             .iter()
-            .filter(|(_, row)| !listed.iter().any(|new| new.name == row.listed.name))
+            .filter(|(_, row)| !names.contains(row.listed.name.as_str()))
             .map(|(key, _)| key)
             .collect();
         for key in gone {
@@ -303,12 +307,13 @@
         // left would be overrun.
         let floor = healthy.len() * 2 < staying.len();
         let pool = if floor { &staying } else { &healthy };
+        let sharers = self.sharers(&self.rows[staying[0]]);
         let open: Vec<ReplicaKey> =
-            pool.iter().copied().filter(|key| self.has_room(*key)).collect();
+            pool.iter().copied().filter(|key| self.has_room(*key, sharers)).collect();
         if open.is_empty() {
             return PickOutcome::Full;
         }
-        if let Some(key) = self.affine(pool, ask.prefix) {
+        if let Some(key) = self.affine(pool, ask.prefix, sharers) {
             return PickOutcome::Picked(key, PickWay::Affinity);
         }
         let key = self.less_loaded(&open, ask.dice);
@@ -317,9 +322,8 @@
 
     /// Whether this box may send one more: while the replica is not busy, or within this box's own
     /// part of its slots. Without the part, each report of a free slot is taken by every box at once.
-    fn has_room(&self, key: ReplicaKey) -> bool {
+    fn has_room(&self, key: ReplicaKey, sharers: f64) -> bool {
         let row = &self.rows[key];
-        let sharers = self.sharers(row);
         let part = f64::from(row.slots.max(1)) / sharers;
         let crowd = f64::from(row.reported) + f64::from(row.since_report) * sharers;
         f64::from(row.outstanding) < part.ceil() || crowd < f64::from(row.slots) * OPEN_LOAD
@@ -332,19 +336,17 @@
         (self.boxes as f64 * used).max(1.0)
     }
 
-    fn affine(&self, pool: &[ReplicaKey], prefix: u64) -> Option<ReplicaKey> {
+    fn affine(&self, pool: &[ReplicaKey], prefix: u64, sharers: f64) -> Option<ReplicaKey> {
         if prefix == 0 {
             return None;
         }
-        // The same replica from every box: hashed by name and prefix only.
-        let preferred = pool
-            .iter()
-            .copied()
-            .min_by_key(|key| xxh3_64_with_seed(self.rows[*key].listed.name.as_bytes(), prefix))?;
+        // The same replica from every box: by name and prefix only.
+        let weight = |key: &ReplicaKey| mix(self.rows[*key].name_hash ^ prefix);
+        let preferred = pool.iter().copied().min_by_key(weight)?;
         let mean = pool.iter().map(|key| self.rows[*key].load()).sum::<f64>() / pool.len() as f64;
         let row = &self.rows[preferred];
         let bound = mean * AFFINITY_BOUND + 1.0 / f64::from(row.slots.max(1));
-        (row.load() <= bound && self.has_room(preferred)).then_some(preferred)
+        (row.load() <= bound && self.has_room(preferred, sharers)).then_some(preferred)
     }
 
     fn less_loaded(&self, open: &[ReplicaKey], dice: u64) -> ReplicaKey {
@@ -407,11 +409,20 @@
     }
 }
 
+/// Spreads a hash: SplitMix64's finalizer.
+pub(crate) fn mix(hash: u64) -> u64 {
+    let mut mixed = hash.wrapping_add(0x9E37_79B9_7F4A_7C15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    mixed ^ (mixed >> 31)
+}
+
 fn fresh_row(listed: &ListedReplica) -> ReplicaState {
     /// Slots assumed of a replica that has not reported.
     const ASSUMED_SLOTS: u32 = 16;
     ReplicaState {
         listed: listed.clone(),
+        name_hash: xxhash_rust::xxh3::xxh3_64(listed.name.as_bytes()),
         versions: Vec::new(),
         leaving: listed.leaving,
         reported: 0,
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -148,6 +148,8 @@
     retry: RetryBudget,
     appends: BTreeMap<LogStream, AppendQueue>,
     ledger: BillLedger,
+    /// Boxes that bills of this round go to; chosen anew with each heartbeat.
+    witnesses: Vec<String>,
     requests: SlotMap<RequestKey, RequestState>,
     tickets: HashMap<RequestTicket, RequestKey>,
     decisions: VecDeque<DecisionRecord>,
@@ -201,6 +203,7 @@
             retry: RetryBudget::default(),
             appends: LogStream::ALL.into_iter().map(queue).collect(),
             ledger: BillLedger::default(),
+            witnesses: Vec::new(),
             requests: SlotMap::with_key(),
             tickets: HashMap::new(),
             decisions: VecDeque::new(),
@@ -254,6 +257,7 @@
         if stamp.now >= self.next_beat {
             self.next_beat = stamp.now.plus_millis(crate::membership::BEAT_INTERVAL_MS);
             self.beat(stamp, out);
+            self.choose_witnesses(stamp);
             self.share_quality(out);
             self.take_over_bills(stamp, out);
             self.carry_bundle(stamp);
@@ -266,8 +270,7 @@
 
     /// What the box may rely on now.
     pub fn fresh_state(&self, now: BoxTime) -> FreshState {
-        let seen = self.members.seen_count(now);
-        self.fresh.state(now, seen, self.members.listed_count())
+        self.fresh.state(now, self.members.listed_count(), || self.members.seen_count(now))
     }
 
     /// Sequence in force; 0 for none.
@@ -328,9 +331,5 @@
 
 /// Spreads one random number into another, for a second use within one event.
 fn next_dice(dice: u64) -> u64 {
-    // SplitMix64's finalizer.
-    let mut mixed = dice.wrapping_add(0x9E37_79B9_7F4A_7C15);
-    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-    mixed ^ (mixed >> 31)
+    crate::replica::mix(dice)
 }
--- a/crates/core/src/state/settle.rs
+++ b/crates/core/src/state/settle.rs
@@ -160,11 +160,18 @@
         self.append_due(stamp, out);
     }
 
+    /// Chooses the boxes that bills go to until the next heartbeat.
+    pub(super) fn choose_witnesses(&mut self, stamp: EventStamp) {
+        let zone = &self.settings.zone;
+        self.witnesses = self.members.witnesses(stamp.dice, zone, stamp.now, &[]);
+        self.witnesses.truncate(WITNESS_COUNT);
+    }
+
     /// Witnesses needed: two, or as many other boxes as are alive.
     fn witnesses_needed(&self, stamp: EventStamp) -> usize {
         let members = &self.members;
-        let alive = members.peers().filter(|row| members.is_alive(row, stamp.now)).count();
-        alive.min(WITNESS_COUNT)
+        let alive = members.peers().filter(|row| members.is_alive(row, stamp.now));
+        alive.take(WITNESS_COUNT).count()
     }
 
     fn ask_witnesses(&mut self, stamp: EventStamp, number: u64, out: &mut Vec<BoxEffect>) {
@@ -172,7 +179,10 @@
         let Some(bill) = self.ledger.owned_mut(number) else { return };
         let missing = needed.saturating_sub(bill.held_by.len());
         let asked: Vec<String> = bill.asked.iter().cloned().collect();
-        let mut names = self.members.witnesses(number, &self.settings.zone, stamp.now, &asked);
+        let mut names = match asked.is_empty() && self.witnesses.len() >= missing {
+            true => self.witnesses.clone(),
+            false => self.members.witnesses(number, &self.settings.zone, stamp.now, &asked),
+        };
         if names.len() < missing {
             // Everybody was asked already: ask again those that did not answer.
             names = asked.into_iter().filter(|name| !bill.held_by.contains(name)).collect();
