--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -116,9 +116,9 @@
     let count = body["max_tokens"].as_u64().unwrap_or(8).min(4_096);
     let tokens = answer_tokens(count, faults.bad.contains(&version));
     let permit = state.slots.acquire().await.expect("the slots stay open");
-    tokio::time::sleep(Duration::from_millis(faults.prefill_ms)).await;
+    pause(faults.prefill_ms).await;
     if !body["stream"].as_bool().unwrap_or(false) {
-        tokio::time::sleep(Duration::from_millis(faults.token_ms * count)).await;
+        pause(faults.token_ms * count).await;
         drop(permit);
         let text = tokens.concat();
         let whole = json!({
@@ -141,6 +141,13 @@
     }
 }
 
+/// Sleeps, but not for nothing: a timer takes up to a millisecond.
+async fn pause(millis: u64) {
+    if millis > 0 {
+        tokio::time::sleep(Duration::from_millis(millis)).await;
+    }
+}
+
 async fn stream(
     state: Arc<EngineState>,
     version: String,
@@ -168,9 +175,7 @@
         if sender.send(Ok(format!("data: {event}\n\n").into())).await.is_err() {
             return;
         }
-        if token_ms > 0 {
-            tokio::time::sleep(Duration::from_millis(token_ms)).await;
-        }
+        pause(token_ms).await;
     }
     let _ = sender.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await;
 }
