--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -56,7 +56,7 @@
     PieceAnswer::whole(200, body.to_string()).header("x-ravenspoke-attempt", echo)
 }
 
-#[post("/faults", data = "<faults>", rank = 1)]
+#[post("/faults", data = "<faults>")]
 fn set_faults(faults: Json<ServiceFaults>, state: &State<Arc<ServiceState>>) {
     *state.faults.lock().expect("no panic while locked") = faults.into_inner();
 }
