--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -10,7 +10,6 @@
     (101, "box_started"),
     (102, "box_stopping"),
     (103, "box_exits"),
-    (110, "settings_refused"),
     (201, "bundle_in_force"),
     (202, "bundle_rejected"),
     (210, "rollout_halted"),
--- /dev/null
+++ b/crates/box/tests/catalogue.rs
@@ -0,0 +1,69 @@
+//! docs/EVENTS.md and the code name the same events; the stream reader takes any bytes.
+
+use proptest::prelude::*;
+use ravenspoke_box::observe::EVENT_CATALOGUE;
+use ravenspoke_box::stream::EventReader;
+
+#[test]
+fn the_catalogue_in_the_docs_is_the_one_in_the_code() {
+    let page =
+        std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/EVENTS.md"));
+    let page = page.expect("docs/EVENTS.md is there");
+    let listed: Vec<(u32, String)> = page
+        .lines()
+        .filter_map(|line| {
+            let mut cells = line.strip_prefix("| ")?.split(" | ");
+            let number = cells.next()?.parse().ok()?;
+            Some((number, cells.next()?.trim_matches('`').to_owned()))
+        })
+        .collect();
+
+    let coded: Vec<(u32, String)> =
+        EVENT_CATALOGUE.iter().map(|(number, name)| (*number, (*name).to_owned())).collect();
+    assert_eq!(listed, coded);
+}
+
+#[test]
+fn every_event_of_the_catalogue_is_logged_and_no_other() {
+    let mut logged = std::collections::BTreeSet::new();
+    for file in ["observe", "links", "follow", "operator", "process", "main"] {
+        let path = format!("{}/src/{file}.rs", env!("CARGO_MANIFEST_DIR"));
+        let text = std::fs::read_to_string(path).expect("a source file");
+        for part in text.split("event = ").skip(1) {
+            let number: String = part.chars().take_while(char::is_ascii_digit).collect();
+            logged.extend(number.parse::<u32>());
+        }
+    }
+    let coded: std::collections::BTreeSet<u32> =
+        EVENT_CATALOGUE.iter().map(|(number, _)| *number).collect();
+    assert_eq!(logged, coded);
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_read_and_never_taken_for_an_end(
+        pieces in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 0..80), 0..12)
+    ) {
+        let mut reader = EventReader::default();
+        let mut all = Vec::new();
+        for piece in &pieces {
+            all.extend_from_slice(piece);
+            if reader.push(piece).is_err() {
+                return Ok(());
+            }
+        }
+        let marked = all.windows(12).any(|window| window == b"data: [DONE]");
+        prop_assert!(!reader.ended || marked);
+    }
+
+    #[test]
+    fn a_stream_cut_anywhere_before_its_marker_is_not_whole(cut in 0usize..60, step in 1usize..20) {
+        let stream = b"data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\ndata: [DONE]\n\n";
+        let end = stream.len() - 1 - cut.min(stream.len() - 1);
+        let mut reader = EventReader::default();
+        for piece in stream[..end].chunks(step) {
+            reader.push(piece).expect("short events");
+        }
+        prop_assert!(!reader.ended);
+    }
+}
--- a/crates/config/src/table.rs
+++ b/crates/config/src/table.rs
@@ -87,9 +87,11 @@
     }
 }
 
-/// Place of an item; the start of the file if the parser gave none.
+/// Place of an item; of a table that only its sections write, the first section's; else the start of
+/// the file.
 pub fn place_of(item: &Item) -> Range<usize> {
-    item.span().unwrap_or(0..0)
+    let first = || item.as_table_like()?.iter().find_map(|(_, entry)| entry.span());
+    item.span().or_else(first).unwrap_or(0..0)
 }
 
 /// Checks the fields of `table`, called `name` in findings, that starts at `place`.
--- /dev/null
+++ b/crates/peer/tests/any_bytes.rs
@@ -0,0 +1,54 @@
+//! Any bytes give a message or an error, and never a panic.
+
+use bytes::BytesMut;
+use proptest::prelude::*;
+use ravenspoke_core::message::{PeerBeat, PeerBody, PeerMessage};
+use ravenspoke_peer::{FrameError, PeerCodec, PeerHello, FRAME_LIMIT};
+use tokio_util::codec::{Decoder, Encoder};
+
+fn beat(stamp: u64, name: &str) -> PeerMessage {
+    let beat = PeerBeat { stamp, sequence: 7, ..PeerBeat::default() };
+    PeerMessage { from: name.to_owned(), incarnation: 3, body: Some(PeerBody::Beat(beat)) }
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_a_message_or_an_error(bytes in proptest::collection::vec(any::<u8>(), 0..600)) {
+        let mut buffer = BytesMut::from(bytes.as_slice());
+        let mut codec = PeerCodec::default();
+        while let Ok(Some(_)) = codec.decode(&mut buffer) {}
+    }
+
+    #[test]
+    fn what_is_encoded_is_decoded_however_it_is_cut(stamp in any::<u64>(), name in "[a-z]{0,40}", cut in 0usize..200) {
+        let message = beat(stamp, &name);
+        let mut wire = BytesMut::new();
+        PeerCodec::default().encode(message.clone(), &mut wire).expect("a short frame");
+        let tail = wire.split_off(cut.min(wire.len()));
+        let mut codec = PeerCodec::default();
+        let mut got = codec.decode(&mut wire).expect("no error in a valid frame");
+        if got.is_none() {
+            wire.extend_from_slice(&tail);
+            got = codec.decode(&mut wire).expect("no error in a valid frame");
+        }
+        prop_assert_eq!(got, Some(message));
+    }
+
+    #[test]
+    fn a_hello_of_another_key_is_not_valid(key in proptest::collection::vec(any::<u8>(), 16..40)) {
+        let hello = PeerHello::answer(&key, b"challenge", "box-1");
+        prop_assert!(hello.is_valid(&key, b"challenge"));
+        prop_assert!(!hello.is_valid(&key, b"another"));
+        prop_assert!(!hello.is_valid(b"another key, long", b"challenge"));
+    }
+}
+
+#[test]
+fn a_frame_that_claims_to_be_too_long_is_refused_at_once() {
+    let mut buffer = BytesMut::new();
+    buffer.extend_from_slice(&(FRAME_LIMIT as u32 + 1).to_be_bytes());
+
+    let decoded = PeerCodec::default().decode(&mut buffer);
+
+    assert!(matches!(decoded, Err(FrameError::Io(_))));
+}
