--- /dev/null
+++ b/crates/bench/tests/sessions.rs
@@ -0,0 +1,431 @@
+//! Golden files: whole sessions event by event, with their effects, readable as a story.
+//!
+//! Each session is a list of events on real reducers in virtual time; the files under
+//! `tests/golden` hold what came of them. `UPDATE_EXPECT=1 cargo test` writes them anew.
+
+use std::fmt::Write;
+
+use expect_test::expect_file;
+use ravenspoke_bench::fixture::{bundle, caller_hash, signed_record};
+use ravenspoke_bench::fleet::{VirtualFleet, WALL_START_MS};
+use ravenspoke_core::appender::LogStream;
+use ravenspoke_core::bundle::BundleSpec;
+use ravenspoke_core::effect::BoxEffect;
+use ravenspoke_core::event::{AttemptEnd, BoxEvent, RequestAsk, RequestTarget, RequestTicket};
+use ravenspoke_core::ids::RequestKey;
+use ravenspoke_core::message::{LogRecord, RecordBody};
+use ravenspoke_core::replica::{ListedReplica, LoadReport};
+
+/// A session being told.
+struct Story {
+    fleet: VirtualFleet,
+    text: String,
+    keys: std::collections::BTreeMap<u64, (usize, RequestKey)>,
+    token: Option<String>,
+    versions: [String; 3],
+}
+
+/// A deployment: cheap, new cheap and strong version, cascade, account, service.
+struct Deployment {
+    small: &'static str,
+    large: &'static str,
+    cascade: &'static str,
+    account: &'static str,
+    service: &'static str,
+}
+
+const COTEAU: Deployment = Deployment {
+    small: "assist-small",
+    large: "assist-large",
+    cascade: "assist",
+    account: "pipeline-shops",
+    service: "lic-broker",
+};
+
+const AGENCY: Deployment = Deployment {
+    small: "analise-curta",
+    large: "analise-longa",
+    cascade: "clausulas",
+    account: "analysts",
+    service: "portal",
+};
+
+impl Deployment {
+    fn bundle(&self, default: u8, first: &str, rollout: bool) -> BundleSpec {
+        let Deployment { small, large, cascade, account, service } = self;
+        let rollout = match rollout {
+            true => format!(
+                "[rollouts.{small}-2]\nfrom = \"{small}-1\"\nsteps = [100]\nexposure_budget = 40\n"
+            ),
+            false => String::new(),
+        };
+        bundle(&format!(
+            "[models.{small}]\ncost_per_1k = 1.0\nversion = \"{small}-{default}\"\n\
+             [models.{large}]\ncost_per_1k = 9.0\nversion = \"{large}-1\"\n\
+             [versions.{small}-1]\nmodel = \"{small}\"\nstate = \"{first}\"\n\
+             [versions.{small}-2]\nmodel = \"{small}\"\nstate = \"serving\"\n\
+             [versions.{large}-1]\nmodel = \"{large}\"\nstate = \"serving\"\n\
+             [cascades.{cascade}]\nrungs = [\"{small}\", \"{large}\"]\ntarget = 0.9\n{rollout}\
+             [accounts.{account}]\nkey_hashes = [\"{}\"]\nallow = [\"{cascade}\", \"{small}\"]\n\
+             services = [\"{service}\"]\n\
+             [services.{service}]\nnot_repeatable = [\"POST /filings\"]\n",
+            hex::encode(caller_hash("key"))
+        ))
+    }
+
+    fn story(&self) -> Story {
+        let replica = |name: &str, service: &str, engine| ListedReplica {
+            name: name.to_owned(),
+            address: format!("{name}:1"),
+            zone: "zone-0".to_owned(),
+            service: service.to_owned(),
+            engine,
+            leaving: false,
+        };
+        let replicas = vec![
+            replica("engine-1", "engines", true),
+            replica("engine-2", "engines", true),
+            replica("plain-1", self.service, false),
+        ];
+        let versions =
+            [format!("{}-1", self.small), format!("{}-2", self.small), format!("{}-1", self.large)];
+        let fleet = VirtualFleet::new(3, 3, 42, replicas);
+        let mut story =
+            Story { fleet, text: String::new(), keys: Default::default(), token: None, versions };
+        story.publish("bundle 1", &self.bundle(1, "serving", false));
+        story.wait(3_000);
+        story.loads();
+        story
+    }
+}
+
+impl Story {
+    fn say(&mut self, words: &str) {
+        let millis = self.fleet.now_us() / 1_000;
+        // Writing to a string does not fail.
+        let _ = writeln!(self.text, "{millis:>7} ms  {words}");
+    }
+
+    fn loads(&mut self) {
+        for index in 0..3 {
+            for engine in ["engine-1", "engine-2"] {
+                let report = LoadReport {
+                    versions: self.versions.to_vec(),
+                    slots: 64,
+                    ..LoadReport::default()
+                };
+                let at = self.fleet.box_time(index);
+                let replica = engine.to_owned();
+                self.fleet.feed(index, BoxEvent::LoadReported { replica, at, report });
+            }
+        }
+        self.tell();
+    }
+
+    fn publish(&mut self, name: &str, spec: &BundleSpec) {
+        self.say(&format!("> an operator publishes {name}"));
+        let base = self.fleet.boxes[1].state.in_force().cloned();
+        let record = signed_record(base.as_ref(), spec);
+        let body = Some(RecordBody::Bundle(record));
+        self.fleet.take(LogStream::Bundles, vec![LogRecord { incarnation: 0, body }]);
+    }
+
+    fn wait(&mut self, millis: u64) {
+        for _ in 0..millis / 10 {
+            self.fleet.run_ms(10);
+            self.tell();
+        }
+    }
+
+    fn chat(&mut self, ticket: u64, index: usize, name: &str, class: u8) {
+        let session = self.token.clone();
+        let kept = if session.is_some() { ", in the session" } else { "" };
+        self.say(&format!("> request {ticket} to box-{index}: {name}, class {class}{kept}"));
+        let target = RequestTarget::Model {
+            name: name.to_owned(),
+            prompt_tokens: 40,
+            class,
+            prefix: 0,
+            session,
+        };
+        self.ask(ticket, index, target, None);
+    }
+
+    fn filing(&mut self, ticket: u64, index: usize, service: &str, key: &str) {
+        self.say(&format!("> request {ticket} to box-{index}: POST /filings, key {}", &key[24..]));
+        let target = RequestTarget::Service {
+            name: service.to_owned(),
+            method: "POST".to_owned(),
+            path: "/filings".to_owned(),
+        };
+        self.ask(ticket, index, target, Some(key.to_owned()));
+    }
+
+    fn ask(&mut self, ticket: u64, index: usize, target: RequestTarget, key: Option<String>) {
+        let ask = RequestAsk {
+            ticket: RequestTicket(ticket),
+            id: u128::from(ticket),
+            key_hash: caller_hash("key"),
+            target,
+            caller_key: key,
+        };
+        self.fleet.feed(index, BoxEvent::RequestArrived(ask));
+        self.tell();
+    }
+
+    fn answer(&mut self, ticket: u64, words: &str, end: AttemptEnd) {
+        self.say(&format!("> the replica: {words} (request {ticket})"));
+        let (index, key) = self.keys[&ticket];
+        self.fleet.feed(index, BoxEvent::AttemptEnded(key, end));
+        self.tell();
+    }
+
+    fn whole(&mut self, ticket: u64) {
+        let end = AttemptEnd::Answered { tokens: 50, status: 200, body: b"filed".to_vec() };
+        self.answer(ticket, "a whole answer of 50 tokens", end);
+    }
+
+    fn judge(&mut self, ticket: u64, good: bool) {
+        self.say(&format!(
+            "> the rating service: request {ticket} is {}",
+            if good { "good" } else { "bad" }
+        ));
+        let (index, key) = self.keys[&ticket];
+        self.fleet.feed(index, BoxEvent::Judged(key, Some(good)));
+        self.tell();
+    }
+
+    /// Tells the effects that concern requests and operators, and carries out what a box would.
+    fn tell(&mut self) {
+        loop {
+            let effects = self.fleet.take_effects();
+            if effects.is_empty() {
+                return;
+            }
+            for (index, effect) in effects {
+                if let Some(words) = self.words(index, &effect) {
+                    self.say(&format!("  box-{index}: {words}"));
+                }
+                if let BoxEffect::Assign(_, key, _) = effect {
+                    self.fleet.feed(index, BoxEvent::SendBegins(key));
+                }
+            }
+        }
+    }
+
+    fn words(&mut self, index: usize, effect: &BoxEffect) -> Option<String> {
+        Some(match effect {
+            BoxEffect::Assign(ticket, key, order) => {
+                self.keys.insert(ticket.0, (index, *key));
+                if order.session_token.is_some() {
+                    self.token.clone_from(&order.session_token);
+                }
+                let held = if order.buffered { ", held until rated" } else { "" };
+                let resumed = match order.resume_from {
+                    0 => String::new(),
+                    tokens => format!(", resumed behind token {tokens}"),
+                };
+                let version = if order.version.is_empty() { "the service" } else { &order.version };
+                let attempt = order.number;
+                format!("request {} attempt {attempt}: {version}{held}{resumed}", ticket.0)
+            }
+            BoxEffect::Send(ticket) => format!("request {} is written", ticket.0),
+            BoxEffect::Judge(ticket, _) => format!("request {} goes to be rated", ticket.0),
+            BoxEffect::Finish(ticket, reasons) => {
+                let slugs: Vec<&str> = reasons.iter().map(|reason| reason.slug()).collect();
+                let slugs = slugs.join(", ");
+                format!("request {} ends whole and billed: {slugs}", ticket.0)
+            }
+            BoxEffect::Refuse(ticket, refusal) => format!(
+                "request {} is refused: {}, {:?}, come back {}",
+                ticket.0,
+                refusal.reason.slug(),
+                refusal.run(),
+                refusal.retry_after_ms.map_or("never".to_owned(), |ms| format!("in {ms} ms")),
+            ),
+            BoxEffect::Replay(ticket, outcome) => {
+                format!("request {} ran earlier; its answer was {}", ticket.0, outcome.status)
+            }
+            BoxEffect::BundleInForce { sequence, .. } => format!("bundle {sequence} is in force"),
+            BoxEffect::BundleRejected(_) => "a bundle is rejected".to_owned(),
+            BoxEffect::RolloutHalted(version) => format!("the roll-out of {version} is halted"),
+            BoxEffect::ReplicaLeaving(replica) => format!("{replica} is leaving"),
+            BoxEffect::OwnerVanished { owner, bills } => {
+                format!("{owner} vanished; {bills} bills are written for it")
+            }
+            BoxEffect::Unwitnessed(_) => "a bill has too few witnesses".to_owned(),
+            BoxEffect::MayExit => "nothing is owed any more".to_owned(),
+            BoxEffect::RolloutStep(version, step) => format!("{version} reached step {step}"),
+            _ => return None,
+        })
+    }
+}
+
+fn once_key(tail: u8) -> String {
+    let millis = WALL_START_MS;
+    format!("{:08x}-{:04x}-7000-8000-0000000000{tail:02x}", millis >> 16, millis & 0xffff)
+}
+
+fn a_day(deployment: &Deployment) -> Story {
+    let mut story = deployment.story();
+    let Deployment { cascade, small, service, .. } = *deployment;
+    story.chat(1, 0, cascade, 0);
+    story.whole(1);
+    story.judge(1, true);
+    story.wait(200);
+    story.chat(2, 1, cascade, 2);
+    story.whole(2);
+    story.judge(2, false);
+    story.whole(2);
+    story.wait(200);
+    let key = once_key(1);
+    story.filing(3, 0, service, &key);
+    story.wait(200);
+    story.whole(3);
+    story.wait(200);
+    story.filing(4, 2, service, &key);
+    story.publish(
+        "bundle 2: the second version is the default, the first drains",
+        &deployment.bundle(2, "draining", false),
+    );
+    story.wait(200);
+    story.chat(5, 2, small, 0);
+    story.whole(5);
+    story.token = None;
+    story.chat(6, 2, small, 0);
+    story.whole(6);
+    story.wait(200);
+    story
+}
+
+#[test]
+fn a_callers_day_at_coteau() {
+    expect_file!["golden/coteau_day.txt"].assert_eq(&a_day(&COTEAU).text);
+}
+
+#[test]
+fn a_callers_day_at_the_agency() {
+    expect_file!["golden/agency_day.txt"].assert_eq(&a_day(&AGENCY).text);
+}
+
+#[test]
+fn withdrawn_under_a_session() {
+    let mut story = COTEAU.story();
+    story.chat(1, 0, "assist-small", 0);
+    story.whole(1);
+    story.wait(100);
+    story
+        .publish("bundle 2: the first version is withdrawn", &COTEAU.bundle(2, "withdrawn", false));
+    story.wait(100);
+    story.chat(2, 1, "assist-small", 0);
+    story.token = None;
+    story.chat(3, 1, "assist-small", 0);
+    story.whole(3);
+    story.wait(100);
+    expect_file!["golden/withdrawn_session.txt"].assert_eq(&story.text);
+}
+
+#[test]
+fn a_version_turns_bad_and_is_halted() {
+    let mut story = AGENCY.story();
+    story.publish("bundle 2: the second version is rolled in", &AGENCY.bundle(1, "serving", true));
+    story.wait(200);
+    let mut ticket = 1;
+    while !story.text.contains("is halted") && ticket < 60 {
+        for index in 0..3 {
+            story.token = None;
+            story.chat(ticket, index, "analise-curta", 0);
+            story.whole(ticket);
+            let (version, good) = ("analise-curta-2".to_owned(), Some(false));
+            if story
+                .text
+                .rsplit("attempt 1: ")
+                .next()
+                .is_some_and(|text| text.starts_with(&version))
+            {
+                story.say("> the rating service: bad");
+                story.fleet.feed(index, BoxEvent::Rated { version, class: 0, good });
+                story.wait(10);
+            }
+            ticket += 1;
+        }
+        story.wait(100);
+    }
+    story.chat(100, 0, "analise-curta", 0);
+    expect_file!["golden/bad_version.txt"].assert_eq(&story.text);
+}
+
+#[test]
+fn a_stream_breaks_and_is_resumed() {
+    let mut story = COTEAU.story();
+    story.chat(1, 0, "assist-small", 0);
+    story.answer(1, "breaks off behind 12 tokens", AttemptEnd::Broken { delivered: 12 });
+    story.whole(1);
+    story.wait(100);
+    story.chat(2, 0, "assist-small", 0);
+    story.answer(2, "says that it is leaving", AttemptEnd::Declined { leaving: true });
+    story.whole(2);
+    story.wait(100);
+    expect_file!["golden/broken_stream.txt"].assert_eq(&story.text);
+}
+
+#[test]
+fn the_platform_is_out_and_a_box_dies() {
+    let mut story = AGENCY.story();
+    story.say("> the log goes down");
+    story.fleet.log_faults.outage = true;
+    story.chat(1, 0, "analise-curta", 0);
+    story.whole(1);
+    story.wait(500);
+    story.filing(2, 0, "portal", &once_key(2));
+    story.wait(4_000);
+    story.filing(3, 0, "portal", &once_key(3));
+    story.say("> box-0 dies");
+    story.fleet.kill(0);
+    story.wait(2_000);
+    story.say("> the log comes back");
+    story.fleet.log_faults.outage = false;
+    story.wait(12_000);
+    expect_file!["golden/outage_and_death.txt"].assert_eq(&story.text);
+}
+
+#[test]
+fn a_holder_is_paused_past_its_deadline() {
+    let mut story = AGENCY.story();
+    story.filing(1, 0, "portal", &once_key(4));
+    story.say("> box-0 is paused");
+    story.fleet.pause(0);
+    story.wait(6_000);
+    story.filing(2, 1, "portal", &once_key(4));
+    story.wait(200);
+    story.say("> box-0 goes on");
+    story.fleet.resume(0);
+    story.tell();
+    story.wait(500);
+    story.filing(3, 1, "portal", &once_key(4));
+    story.wait(200);
+    story.whole(3);
+    story.wait(200);
+    expect_file!["golden/paused_holder.txt"].assert_eq(&story.text);
+}
+
+#[test]
+fn operators_race_and_a_box_stops_as_planned() {
+    let mut story = COTEAU.story();
+    let first = COTEAU.bundle(2, "serving", false);
+    let second = COTEAU.bundle(2, "withdrawn", false);
+    story.publish("bundle 2", &first);
+    story.publish("another bundle 2, on the same base", &second);
+    story.wait(200);
+    story.say("> an operator stops box-0");
+    story.fleet.feed(0, BoxEvent::StopAsked);
+    story.chat(1, 0, "assist-small", 0);
+    story.whole(1);
+    for _ in 0..1_200 {
+        story.wait(10);
+        if story.text.contains("nothing is owed") {
+            break;
+        }
+    }
+    expect_file!["golden/race_and_stop.txt"].assert_eq(&story.text);
+}
