Orders to pools: lease in the log, fencing token, paced loads

Cause: nothing brought a version into the engines; the lease stood in the model check only. Change: pools in the bundle; the fold of the leases stream; one box of a pool orders what replicas should have loaded; a successor waits where servers do not check tokens; the time left is checked last thing before the write. The quickstart's engines now start empty and are ordered to load.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -270,7 +270,7 @@
     pub fn take(&mut self, stream: LogStream, batch: Vec<LogRecord>) {
         self.appends += 1;
         self.streams.entry(stream).or_default().1.extend(batch);
-        if matches!(stream, LogStream::Bills | LogStream::Leases) {
+        if matches!(stream, LogStream::Bills) {
             return;
         }
         for index in 0..self.boxes.len() {
@@ -337,7 +337,12 @@
             }
             Due::Poll(index, incarnation) if self.is_current(index, incarnation) => {
                 if !self.boxes[index].paused {
-                    for stream in [LogStream::Bundles, LogStream::Claims, LogStream::Verdicts] {
+                    for stream in [
+                        LogStream::Bundles,
+                        LogStream::Claims,
+                        LogStream::Verdicts,
+                        LogStream::Leases,
+                    ] {
                         let read = Due::Read(index, incarnation, stream, self.now_us);
                         self.at(self.now_us + LOG_DELAY_US, read);
                     }
--- a/crates/box/src/driver.rs
+++ b/crates/box/src/driver.rs
@@ -10,7 +10,7 @@
 
 use ravenspoke_core::appender::LogStream;
 use ravenspoke_core::attempt::RequestRefusal;
-use ravenspoke_core::effect::{AttemptOrder, BoxEffect};
+use ravenspoke_core::effect::{AttemptOrder, BoxEffect, PoolOrder};
 use ravenspoke_core::event::{BoxEvent, EventStamp, RequestTicket};
 use ravenspoke_core::ids::RequestKey;
 use ravenspoke_core::message::{LogRecord, OutcomeRecord, PeerBody};
@@ -47,6 +47,8 @@
     pub appends: UnboundedSender<(LogStream, Vec<LogRecord>)>,
     /// Messages to other boxes.
     pub peers: UnboundedSender<(String, PeerBody)>,
+    /// Orders to replicas.
+    pub orders: UnboundedSender<PoolOrder>,
 }
 
 /// The reducer's state, its clocks and its sinks.
@@ -145,6 +147,7 @@
             // The receivers live as long as the process.
             BoxEffect::Append(stream, batch) => drop(self.sinks.appends.send((stream, batch))),
             BoxEffect::SendPeer(name, body) => drop(self.sinks.peers.send((name, body))),
+            BoxEffect::Order(order) => drop(self.sinks.orders.send(order)),
             BoxEffect::ReadBundles => self.read_bundles.notify_one(),
             BoxEffect::MayExit => self.may_exit.notify_one(),
             BoxEffect::BundleInForce { .. }
--- a/crates/box/src/follow.rs
+++ b/crates/box/src/follow.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use ravenspoke_core::appender::LogStream;
+use ravenspoke_core::effect::PoolOrder;
 use ravenspoke_core::event::BoxEvent;
+use ravenspoke_core::lease::ORDER_FLIGHT_MS;
 use ravenspoke_core::message::LogRecord;
 use ravenspoke_platform::{read_load, ListClient, LogClient};
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -128,6 +130,32 @@
     }
 }
 
+/// Gives orders to replicas; one whose time has passed is dropped, last thing before the write.
+pub async fn run_orders(
+    driver: Arc<BoxDriver>,
+    http: reqwest::Client,
+    mut orders: UnboundedReceiver<PoolOrder>,
+) {
+    while let Some(order) = orders.recv().await {
+        let (driver, http) = (driver.clone(), http.clone());
+        tokio::spawn(async move {
+            let body = serde_json::json!({ "token": order.token, "versions": order.versions });
+            let request = http
+                .post(format!("http://{}/orders", order.address))
+                .timeout(Duration::from_millis(ORDER_FLIGHT_MS))
+                .json(&body);
+            if driver.now() >= order.send_before {
+                return;
+            }
+            if let Err(error) = request.send().await.and_then(reqwest::Response::error_for_status) {
+                metrics::counter!("ravenspoke_order_errors_total").increment(1);
+                let error = error.without_url();
+                tracing::warn!(event = 504, name = "order_failed", replica = order.replica, %error);
+            }
+        });
+    }
+}
+
 /// Feeds ticks.
 pub async fn run_ticks(driver: Arc<BoxDriver>) {
     let mut ticks = tokio::time::interval(TICK_INTERVAL);
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -12,6 +12,7 @@
     (103, "box_exits"),
     (201, "bundle_in_force"),
     (202, "bundle_rejected"),
+    (203, "order_given"),
     (210, "rollout_halted"),
     (211, "rollout_step"),
     (301, "request_refused"),
@@ -21,6 +22,7 @@
     (501, "log_unreachable"),
     (502, "list_unreachable"),
     (503, "append_failed"),
+    (504, "order_failed"),
     (601, "peer_refused"),
 ];
 
@@ -52,6 +54,10 @@
             counter!("ravenspoke_refused_total", "code" => code, "run" => run).increment(1);
             tracing::debug!(event = 301, name = "request_refused", code, run);
         }
+        BoxEffect::Order(order) => {
+            let versions = order.versions.join(" ");
+            info!(event = 203, name = "order_given", order.replica, order.token, versions);
+        }
         BoxEffect::ReplicaLeaving(replica) => {
             info!(event = 310, name = "replica_leaving", replica);
         }
--- a/crates/box/src/process.rs
+++ b/crates/box/src/process.rs
@@ -54,7 +54,8 @@
     let incarnation: u64 = rand::random();
     let (append_sender, appends) = unbounded_channel();
     let (peer_sender, messages) = unbounded_channel();
-    let sinks = EffectSinks { appends: append_sender, peers: peer_sender };
+    let (order_sender, orders) = unbounded_channel();
+    let sinks = EffectSinks { appends: append_sender, peers: peer_sender, orders: order_sender };
     let state = BoxState::new(box_settings(&settings, incarnation));
     let driver = Arc::new(BoxDriver::new(state, sinks));
     let identity = LinkIdentity {
@@ -73,7 +74,8 @@
     tokio::spawn(accept_links(identity.clone(), driver.clone(), listener));
     tokio::spawn(run_links(identity, driver.clone(), messages));
     tokio::spawn(follow::run_appends(driver.clone(), log.clone(), appends));
-    for stream in [LogStream::Bundles, LogStream::Claims, LogStream::Verdicts] {
+    tokio::spawn(follow::run_orders(driver.clone(), platform_http.clone(), orders));
+    for stream in [LogStream::Bundles, LogStream::Claims, LogStream::Verdicts, LogStream::Leases] {
         tokio::spawn(follow::follow_stream(driver.clone(), log.clone(), stream));
     }
     tokio::spawn(follow::follow_list(driver.clone(), list, platform_http.clone()));
--- a/crates/config/src/bundle_file.rs
+++ b/crates/config/src/bundle_file.rs
@@ -36,6 +36,14 @@
             optional("weight", FieldKind::Count),
         ],
     ),
+    (
+        "pools",
+        &[
+            needed("models", FieldKind::Texts),
+            needed("checks_token", FieldKind::Flag),
+            needed("loads_at_once", FieldKind::Count),
+        ],
+    ),
     (
         "services",
         &[
@@ -130,6 +138,20 @@
         self.check_cascades();
         self.check_accounts();
         self.check_services();
+        self.check_pools();
+    }
+
+    fn check_pools(&mut self) {
+        for (name, pool) in &self.spec.pools {
+            for model in pool.models.iter().filter(|model| !self.spec.models.contains_key(*model)) {
+                let message = format!("its model `{model}` is not in [models]");
+                self.find("pools", name, message, "add the model, or name another");
+            }
+            if pool.loads_at_once == 0 {
+                let message = "loads_at_once = 0 never loads anything".to_owned();
+                self.find("pools", name, message, "write how many replicas may load at once");
+            }
+        }
     }
 
     fn check_models(&mut self) {
--- a/crates/config/src/table.rs
+++ b/crates/config/src/table.rs
@@ -15,6 +15,8 @@
     Count,
     /// A number, not negative.
     Number,
+    /// `true` or `false`.
+    Flag,
     /// A list of strings.
     Texts,
     /// A list of whole numbers, not negative.
@@ -29,6 +31,7 @@
             Self::Text => "a string",
             Self::Count => "a whole number, not negative",
             Self::Number => "a number, not negative",
+            Self::Flag => "true or false",
             Self::Texts => "a list of strings",
             Self::Counts => "a list of whole numbers, not negative",
             Self::Nested => "a table",
@@ -47,6 +50,7 @@
                 let float = item.as_float().is_some_and(|n| n >= 0.0 && n.is_finite());
                 float || item.as_value().is_some_and(is_count)
             }
+            Self::Flag => item.is_bool(),
             Self::Texts => all(&toml_edit::Value::is_str),
             Self::Counts => all(&is_count),
             Self::Nested => item.is_table_like() || item.is_array_of_tables() || item.is_array(),
--- a/crates/config/tests/files.rs
+++ b/crates/config/tests/files.rs
@@ -46,7 +46,7 @@
         bundle.toml:3: models.small: `cost_per_1k` is not a number, not negative (write a number, not negative)
         bundle.toml:5: models.small has no field `colour` (remove it, or use one of: cost_per_1k, version)
         bundle.toml:7: versions.small-1 lacks `state` (add `state = …`, a string)
-        bundle.toml:10: a bundle has no table `cascade` (use one of: models, versions, rollouts, cascades, accounts, services)"#]]
+        bundle.toml:10: a bundle has no table `cascade` (use one of: models, versions, rollouts, cascades, accounts, pools, services)"#]]
     .assert_eq(&told);
 }
 
--- a/crates/core/src/bundle.rs
+++ b/crates/core/src/bundle.rs
@@ -129,6 +129,18 @@
     }
 }
 
+/// A pool of model engines whose loaded versions the boxes keep as the bundle says.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PoolSpec {
+    /// Models whose versions every replica of the pool has loaded, unless they are withdrawn.
+    pub models: Vec<String>,
+    /// Whether the replicas refuse an order whose fencing token is lower than one they have seen.
+    pub checks_token: bool,
+    /// Replicas that may load at once: the weight store's rate.
+    pub loads_at_once: u32,
+}
+
 /// A whole bundle.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -151,9 +163,20 @@
     /// Plain services by name.
     #[serde(default)]
     pub services: BTreeMap<String, ServiceSpec>,
+    /// Pools of model engines by the service name of the box list.
+    #[serde(default)]
+    pub pools: BTreeMap<String, PoolSpec>,
 }
 
 impl BundleSpec {
+    /// Versions that a replica of `pool` should have loaded, in order of name.
+    pub fn pool_versions(&self, pool: &PoolSpec) -> Vec<String> {
+        let wanted = |(_, version): &(&String, &VersionSpec)| {
+            version.state != VersionState::Withdrawn && pool.models.contains(&version.model)
+        };
+        self.versions.iter().filter(wanted).map(|(name, _)| name.clone()).collect()
+    }
+
     /// Splits the bundle into its sections.
     pub fn sections(&self) -> SectionMap {
         let mut sections = SectionMap::new();
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -30,6 +30,21 @@
     pub session_token: Option<String>,
 }
 
+/// An order to a replica of a pool: the versions it should have loaded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PoolOrder {
+    /// Replica name.
+    pub replica: String,
+    /// Its address.
+    pub address: String,
+    /// Fencing token.
+    pub token: u64,
+    /// Versions.
+    pub versions: Vec<String>,
+    /// The write must begin before this.
+    pub send_before: BoxTime,
+}
+
 /// An effect.
 #[derive(Clone, Debug, PartialEq)]
 pub enum BoxEffect {
@@ -47,6 +62,9 @@
     Refuse(RequestTicket, RequestRefusal),
     /// The call ran earlier; this was its answer.
     Replay(RequestTicket, OutcomeRecord),
+    /// Give a replica an order, unless its time has passed; orders name a target state, so a repeat is
+    /// harmless.
+    Order(PoolOrder),
     /// Append a batch; then report `AppendDone` or `AppendFailed`.
     Append(LogStream, Vec<LogRecord>),
     /// Send a message to another box.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod fold;
 pub mod freshness;
 pub mod ids;
+pub mod lease;
 pub mod membership;
 pub mod message;
 pub mod reason;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -149,6 +149,9 @@
     /// others from when they read it, in milliseconds.
     #[prost(uint64, tag = "2")]
     pub term_ms: u64,
+    /// The holder's clock before it sent the append, in microseconds; only the holder reads it.
+    #[prost(uint64, tag = "3")]
+    pub asked_us: u64,
 }
 
 /// What a log record says.
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -2,14 +2,15 @@
 //!
 //! [`BoxState::apply`] hands each event to the module that has its job: `admit` (a request arrives),
 //! `choose` (model, version, replica), `run` (attempts), `settle` (ratings, bills, the end of an
-//! answer), `log` (folds and appends), `peers` (heartbeats, witnesses, marks), `guard` (roll-outs)
-//! and `stop`. `dump` describes the state for operators.
+//! answer), `log` (folds and appends), `peers` (heartbeats, witnesses, marks), `guard` (roll-outs),
+//! `orders` (what engines should load) and `stop`. `dump` describes the state for operators.
 
 mod admit;
 mod choose;
 mod dump;
 mod guard;
 mod log;
+mod orders;
 mod peers;
 mod run;
 mod settle;
@@ -32,6 +33,7 @@
 use crate::fold::{BundleFold, SignOffRule};
 use crate::freshness::{FreshLease, FreshState};
 use crate::ids::{AccountKey, ReplicaKey, RequestKey, VersionKey};
+use crate::lease::LeaseFold;
 use crate::membership::BoxMembership;
 use crate::message::{LogRecord, RecordBody};
 use crate::reason::ReasonCode;
@@ -135,6 +137,12 @@
     claims: ClaimFold,
     claim_next: u64,
     verdict_next: u64,
+    leases: LeaseFold,
+    lease_next: u64,
+    /// Lease records that were sent and not read back, with when.
+    lease_asked: BTreeMap<String, BoxTime>,
+    /// Orders given, by replica, with when and what: a load takes a while to show in the report.
+    ordered: BTreeMap<String, (BoxTime, Vec<String>)>,
     /// When the record of the bundle in force was read, and how old it was then, in milliseconds.
     bundle_seen: (BoxTime, u64),
     fresh: FreshLease,
@@ -192,6 +200,10 @@
             claims: ClaimFold::default(),
             claim_next: 0,
             verdict_next: 0,
+            leases: LeaseFold::default(),
+            lease_next: 0,
+            lease_asked: BTreeMap::new(),
+            ordered: BTreeMap::new(),
             bundle_seen: (BoxTime::default(), 0),
             fresh: FreshLease::default(),
             members: BoxMembership::new(&settings.name),
@@ -259,6 +271,7 @@
             self.beat(stamp, out);
             self.choose_witnesses(stamp);
             self.share_quality(out);
+            self.order_pools(stamp, out);
             self.take_over_bills(stamp, out);
             self.carry_bundle(stamp);
             let keep = self.settings.retention_ms + 2 * crate::claims::KEY_SKEW_MS;
@@ -288,6 +301,7 @@
         match stream {
             LogStream::Claims => self.claim_next,
             LogStream::Verdicts => self.verdict_next,
+            LogStream::Leases => self.lease_next,
             _ => self.fold.next_offset(),
         }
     }
--- a/crates/core/src/state/log.rs
+++ b/crates/core/src/state/log.rs
@@ -36,7 +36,8 @@
             LogStream::Bundles => self.read_bundles(stamp, read, records, out),
             LogStream::Claims => self.read_claims(stamp, read, records, out),
             LogStream::Verdicts => self.read_verdicts(stamp, read, records, out),
-            LogStream::Bills | LogStream::Leases => {}
+            LogStream::Leases => self.read_leases(stamp, read, records),
+            LogStream::Bills => {}
         }
     }
 
--- /dev/null
+++ b/crates/core/src/state/orders.rs
@@ -0,0 +1,127 @@
+//! Orders to pools: every replica should have loaded what the bundle in force says.
+//!
+//! The first live box of a pool by hash takes the pool's lease and compares what replicas report with
+//! what they should have. An order names the whole target state, so a roll-out that was interrupted
+//! halfway goes on with whoever holds the lease next, and a repeat is harmless. No more replicas load at
+//! once than the weight store feeds.
+
+use crate::appender::LogStream;
+use crate::bundle::PoolSpec;
+use crate::effect::{BoxEffect, PoolOrder};
+use crate::event::EventStamp;
+use crate::lease::{LEASE_TERM_MS, ORDER_FLIGHT_MS};
+use crate::message::{LeaseRecord, LogRecord, RecordBody};
+use crate::replica::ReplicaState;
+use crate::time::BoxTime;
+
+use super::log::StreamRead;
+use super::BoxState;
+
+/// A load that does not show in the report after this is ordered again, in milliseconds.
+const LOAD_LIMIT_MS: u64 = 120_000;
+
+impl BoxState {
+    pub(super) fn read_leases(
+        &mut self,
+        stamp: EventStamp,
+        read: StreamRead,
+        records: Vec<(u64, LogRecord)>,
+    ) {
+        self.lease_next = self.lease_next.max(read.first);
+        for (offset, record) in records {
+            if offset < self.lease_next {
+                continue;
+            }
+            self.lease_next = offset + 1;
+            let Some(RecordBody::Lease(lease)) = record.body else { continue };
+            let mine = record.incarnation == self.settings.incarnation;
+            let from = if mine { BoxTime(lease.asked_us) } else { stamp.now };
+            if mine {
+                self.lease_asked.remove(&lease.pool);
+            }
+            let (pool, term) = (&lease.pool, lease.term_ms);
+            self.leases.fold_lease(pool, record.incarnation, offset, from, term);
+        }
+    }
+
+    /// Renews leases and gives the orders that are due.
+    pub(super) fn order_pools(&mut self, stamp: EventStamp, out: &mut Vec<BoxEffect>) {
+        if self.stopping_since.is_some() || self.fold.in_force().is_none() {
+            return;
+        }
+        let pools = self.index.spec.pools.clone();
+        for (name, pool) in &pools {
+            let job = format!("order/{name}");
+            if self.members.first_alive(&job, stamp.now).is_none() {
+                self.renew_lease(stamp, name, out);
+                self.order_pool(stamp, name, pool, out);
+            }
+        }
+    }
+
+    fn renew_lease(&mut self, stamp: EventStamp, pool: &str, out: &mut Vec<BoxEffect>) {
+        let me = self.settings.incarnation;
+        let asked = self.lease_asked.get(pool);
+        let pending = asked.is_some_and(|at| stamp.now.millis_since(*at) < LEASE_TERM_MS);
+        if pending || !self.leases.wants_renewal(pool, me, stamp.now) {
+            return;
+        }
+        self.lease_asked.insert(pool.to_owned(), stamp.now);
+        let lease =
+            LeaseRecord { pool: pool.to_owned(), term_ms: LEASE_TERM_MS, asked_us: stamp.now.0 };
+        self.push_record(LogStream::Leases, RecordBody::Lease(lease));
+        self.append_due(stamp, out);
+    }
+
+    fn order_pool(
+        &mut self,
+        stamp: EventStamp,
+        name: &str,
+        pool: &PoolSpec,
+        out: &mut Vec<BoxEffect>,
+    ) {
+        let me = self.settings.incarnation;
+        let lease = self.leases.may_order(name, me, pool.checks_token, stamp.now).copied();
+        let Some(lease) = lease else { return };
+        let wanted = self.index.spec.pool_versions(pool);
+        let behind: Vec<(String, String)> = self
+            .replicas
+            .rows()
+            .filter(|(_, row)| row.listed.engine && row.listed.service == name && !row.leaving)
+            .filter(|(_, row)| row.reported_at > BoxTime::default())
+            .filter(|(_, row)| self.loaded_names(row) != wanted)
+            .map(|(_, row)| (row.listed.name.clone(), row.listed.address.clone()))
+            .collect();
+        self.ordered.retain(|replica, (at, versions)| {
+            let fresh = stamp.now.millis_since(*at) < LOAD_LIMIT_MS && *versions == wanted;
+            fresh && behind.iter().any(|(name, _)| name == replica)
+        });
+        for (replica, address) in behind {
+            if self.ordered.len() >= pool.loads_at_once.max(1) as usize {
+                return;
+            }
+            if self.ordered.contains_key(&replica) {
+                continue;
+            }
+            self.ordered.insert(replica.clone(), (stamp.now, wanted.clone()));
+            let versions = wanted.clone();
+            let send_before = lease.until.min(stamp.now.plus_millis(ORDER_FLIGHT_MS));
+            let token = lease.token;
+            out.push(BoxEffect::Order(PoolOrder {
+                replica,
+                address,
+                token,
+                versions,
+                send_before,
+            }));
+        }
+    }
+
+    /// Versions that a replica reported, in order of name.
+    fn loaded_names(&self, row: &ReplicaState) -> Vec<String> {
+        let name = |key: &crate::ids::VersionKey| self.names.versions.name(*key).to_owned();
+        let mut names: Vec<String> = row.versions.iter().map(name).collect();
+        names.sort();
+        names
+    }
+}
--- a/crates/standins/examples/quickstart.rs
+++ b/crates/standins/examples/quickstart.rs
@@ -47,6 +47,12 @@
 key_hashes = ["{}"]
 allow = ["assist-small"]
 
+# Every engine loads what its pool's models need; the boxes order it.
+[pools.engines]
+models = ["assist-small", "assist-large"]
+checks_token = true
+loads_at_once = 2
+
 [services.broker]
 not_repeatable = ["POST /releases"]
 cost_per_call = 0.5
@@ -57,16 +63,12 @@
 }
 
 fn plan() -> FleetPlan {
-    let engine = |versions: &[&str]| EngineFaults {
-        versions: versions.iter().map(|version| (*version).to_owned()).collect(),
-        ..EngineFaults::default()
-    };
-    let small = engine(&["assist-small-1", "assist-small-2"]);
-    let large = engine(&["assist-large-1"]);
+    // Nothing is loaded at first: the box that holds the pool's lease orders it.
+    let engine = EngineFaults { load_ms: 100, ..EngineFaults::default() };
     let zones = ["regina-hall", "saskatoon-hall", "calgary-hall"];
     FleetPlan {
         boxes: zones.iter().map(|zone| (zone.replace("-hall", "-1"), (*zone).to_owned())).collect(),
-        engines: vec![small.clone(), small, large.clone(), large],
+        engines: vec![engine; 4],
         limits: "entry_keep_ms = 500\nretention_ms = 86400000\n".to_owned(),
     }
 }
@@ -95,6 +97,7 @@
     fleet.publish("bundle-1.toml", &bundle("assist-small-1", "serving", "serving")).await;
     step("bundle 1, signed by two operators, is in force on every box");
     wait_ready(&fleet).await;
+    step("the engines loaded what the bundle says, two at once, by fenced orders");
 
     let (request, token) = cascade_session(&fleet).await;
     refused(&fleet).await;
@@ -176,21 +179,27 @@
     let change = fleet.publish("bundle-2.toml", &next);
     let (statuses, sequence) = tokio::join!(traffic, change);
     assert!(statuses.iter().all(|(status, ..)| *status == 200), "the roll cut a request");
-    let ran = |counts: &Value| counts["assist-small-1"].as_u64().unwrap_or(0);
-    let before =
-        ran(&fleet.counts(&fleet.engines[0]).await) + ran(&fleet.counts(&fleet.engines[1]).await);
+    let before = ran_on(fleet, "assist-small-1").await;
     let (status, version, ..) =
         read(fleet.chat(0, GUEST, "assist-small", false).send().await.expect("an answer")).await;
     assert_eq!((status, version.as_str()), (200, "assist-small-2"));
     let held = fleet.chat(0, DRAFTER, "assist", false).header("x-ravenspoke-session", token);
     let (status, _, _, body) = read(held.send().await.expect("an answer")).await;
     assert_eq!((status, &body["error"]["code"]), (410, &json!("version_withdrawn")));
-    let after =
-        ran(&fleet.counts(&fleet.engines[0]).await) + ran(&fleet.counts(&fleet.engines[1]).await);
+    let after = ran_on(fleet, "assist-small-1").await;
     assert_eq!(before, after, "the withdrawn version got no new work");
     step(&format!("bundle {sequence} rolled a version in and withdrew one under traffic"));
 }
 
+/// Requests that the engines ran on a version.
+async fn ran_on(fleet: &RunningFleet, version: &str) -> u64 {
+    let mut total = 0;
+    for engine in &fleet.engines {
+        total += fleet.counts(engine).await[version].as_u64().unwrap_or(0);
+    }
+    total
+}
+
 async fn explained(fleet: &RunningFleet, request: &str) {
     let shown = fleet.command_json(&["explain", request]).await;
     let reasons = shown["reasons"].as_array().map_or(0, Vec::len);
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -40,6 +40,10 @@
     pub leaving: bool,
     /// Age of the load report, in milliseconds.
     pub lag_ms: u64,
+    /// Time that loading a version takes, in milliseconds.
+    pub load_ms: u64,
+    /// Whether an order with a lower token than one seen before is refused.
+    pub checks_token: bool,
 }
 
 impl Default for EngineFaults {
@@ -55,6 +59,8 @@
             frozen: false,
             leaving: false,
             lag_ms: 0,
+            load_ms: 0,
+            checks_token: true,
         }
     }
 }
@@ -67,6 +73,8 @@
     /// Requests that ran, by version.
     ran: Mutex<BTreeMap<String, u64>>,
     slots: Semaphore,
+    /// Tokens of the orders obeyed.
+    tokens: Mutex<Vec<u64>>,
 }
 
 impl EngineState {
@@ -180,6 +188,27 @@
     let _ = sender.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await;
 }
 
+#[post("/orders", data = "<order>")]
+async fn orders(order: Json<Value>, state: &State<Arc<EngineState>>) -> rocket::http::Status {
+    let token = order["token"].as_u64().unwrap_or(0);
+    let wanted: BTreeSet<String> =
+        serde_json::from_value(order["versions"].clone()).unwrap_or_default();
+    {
+        let mut tokens = state.tokens.lock().expect("no panic while locked");
+        let highest = tokens.iter().max().copied().unwrap_or(0);
+        if state.faults().checks_token && token < highest {
+            return rocket::http::Status::Conflict;
+        }
+        tokens.push(token);
+    }
+    let state = state.inner().clone();
+    tokio::spawn(async move {
+        pause(state.faults().load_ms).await;
+        state.faults.lock().expect("no panic while locked").versions = wanted;
+    });
+    rocket::http::Status::Accepted
+}
+
 #[get("/load")]
 fn load(state: &State<Arc<EngineState>>) -> Json<Value> {
     let faults = state.faults();
@@ -206,6 +235,8 @@
         faults: Mutex::new(faults),
         ran: Mutex::default(),
         slots: Semaphore::new(SLOTS),
+        tokens: Mutex::default(),
     });
-    launch(rocket_on(0).manage(state).mount("/", routes![chat, load, set_faults, counts])).await
+    launch(rocket_on(0).manage(state).mount("/", routes![chat, load, orders, set_faults, counts]))
+        .await
 }
