A paused box that hears of a newer bundle served by the old one for a moment

Cause: the SIGSTOP test failed in 1 of 6 runs of the whole file. A box whose lease had lapsed beats to its peers; their answers say that they have a newer bundle, for which it asks, and they also made it see a majority again, so it counted as in an outage of all and served by the old bundle until the new one came. Why the model check missed it: it took a newer bundle over in the same step in which it heard of it. Change: once the lease has lapsed, a box that heard of a newer sequence counts nobody. The model has the step between; without the guard (mutant BEHIND) it is refuted after 2135854 states, with it the property holds (6209757 states). Test: fails without ('OutageMajority by bundle 1'), passes with, over 40 phases.

--- a/crates/bench/tests/promises/main.rs
+++ b/crates/bench/tests/promises/main.rs
@@ -458,3 +458,26 @@
     let now = fleet.box_time(0);
     assert_eq!(fleet.boxes[0].state.fresh_state(now), FreshState::CutOff);
 }
+
+#[test]
+fn paused_box_that_hears_of_a_newer_bundle_does_not_serve_before_it_has_it() {
+    // Found as a flaky test on processes: the answers that told a box of a newer bundle also made it
+    // see a majority again, and it served by the old one until the new one arrived.
+    for phase in 0..40 {
+        let mut fleet = fleet(3);
+        fleet.pause(0);
+        fleet.log_cut.insert(0);
+        fleet.cut.extend([(0, 1), (0, 2)]);
+        publish(&mut fleet, Some(1), &bundle_text(V2, "withdrawn"));
+        fleet.run_ms(6_000 + phase * 27);
+        fleet.resume(0);
+        fleet.cut.clear();
+        for _ in 0..1_500 {
+            let state = &fleet.boxes[0].state;
+            let fresh = state.fresh_state(fleet.box_time(0));
+            assert!(state.sequence() == 2 || fresh == FreshState::CutOff, "{fresh:?} by bundle 1");
+            fleet.run_ms(1);
+        }
+        assert_eq!(fleet.boxes[0].state.sequence(), 2);
+    }
+}
--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -11,7 +11,8 @@
 //! a bundle is reported *in force* only once a majority of the listed boxes confirmed it and a lease
 //! has passed: every majority that serves on then has a confirming box in it, which passes the bundle
 //! on. A box that restarted has forgotten what it confirmed, so it counts toward a majority only
-//! once it has learnt something of the log itself. `spec/freshness.pml` checks this and refutes it
+//! once it has learnt something of the log itself. And a box that heard of a newer bundle counts nobody
+//! until it has that bundle. `spec/freshness.pml` checks this and refutes it
 //! without each guard. Boxes that read a bundle obey it at once.
 
 use serde::Serialize;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -128,6 +128,11 @@
         alive + usize::from(self.rows.contains_key(&self.me))
     }
 
+    /// Highest sequence that any listed box was heard to have in force.
+    pub fn newest_sequence(&self) -> u64 {
+        self.rows.values().map(|row| row.sequence).max().unwrap_or(0)
+    }
+
     /// Notes a box's own answer to a beat sent at `asked_at`. Returns whether its incarnation is new.
     pub fn heard(&mut self, name: &str, summary: &PeerSummary, asked_at: BoxTime) -> bool {
         let Some(row) = self.rows.get_mut(name) else { return false };
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -283,7 +283,15 @@
 
     /// What the box may rely on now.
     pub fn fresh_state(&self, now: BoxTime) -> FreshState {
-        self.fresh.state(now, self.members.listed_count(), || self.members.seen_count(now))
+        let own = self.fold.sequence();
+        self.fresh.state(now, self.members.listed_count(), || {
+            // A majority that includes a box with a newer bundle says that this one is stale.
+            if self.members.newest_sequence() > own {
+                0
+            } else {
+                self.members.seen_count(now)
+            }
+        })
     }
 
     /// Sequence in force; 0 for none.
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -6,6 +6,7 @@
 use std::future::Future;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
@@ -130,11 +131,16 @@
     }
 }
 
-/// A loopback address that nobody listens on, below the range that the system gives to outgoing
-/// connections: one of those could take the port before its box binds it, or while the box restarts.
+/// A loopback address that nobody listens on. Ports are counted up from a random start, so that no
+/// two fleets of a process get the same one, and stay below the range that the system gives to
+/// outgoing connections: one of those could take the port before its box binds it.
 fn free_address() -> String {
+    static NEXT: std::sync::OnceLock<AtomicU16> = std::sync::OnceLock::new();
+    let next = NEXT.get_or_init(|| {
+        AtomicU16::new(rand::Rng::gen_range(&mut rand::thread_rng(), 12_000..28_000))
+    });
     loop {
-        let port: u16 = rand::Rng::gen_range(&mut rand::thread_rng(), 15_000..32_000);
+        let port = next.fetch_add(1, Ordering::Relaxed);
         if let Ok(listener) = std::net::TcpListener::bind(("127.0.0.1", port)) {
             return listener.local_addr().expect("a bound port").to_string();
         }
--- a/spec/freshness.pml
+++ b/spec/freshness.pml
@@ -8,7 +8,7 @@
  * The rule is the same on each box, so only box 0's dispatches are looked at.
  *
  * Property: once bundle 2 counts as in force, box 0 does not dispatch by bundle 1.
- * Guards removed by macros: LEASE, MAJORITY, CONFIRM, ECHO, NEWER_FIRST, PROVED.
+ * Guards removed by macros: LEASE, MAJORITY, CONFIRM, ECHO, NEWER_FIRST, PROVED, BEHIND.
  */
 #define N 3
 #define LEASE_AGE 2              /* ages up to this are within the lease */
@@ -23,6 +23,7 @@
 bool waiting;                    /* a reply to box 0 under way: */
 bool r_proved; byte r_from, r_seq, r_fresh; /* who, its sequence, its freshness when it answered */
 byte r_age;                      /* since box 0 asked */
+bool behind;                     /* box 0 heard of a newer bundle and has not got it */
 bool confirmed; byte since;      /* age of the confirmation by a majority */
 
 #define IN_FORCE (confirmed && since > LEASE_AGE)
@@ -49,7 +50,8 @@
 }
 
 inline read_log(i) {
-  seq[i] = log_seq; fresh[i] = 0; proved[i] = true
+  seq[i] = log_seq; fresh[i] = 0; proved[i] = true;
+  if :: i == 0 -> behind = false :: else -> skip fi
 }
 
 /* Box i asks box j and hears at once; box 0's replies may wait instead. */
@@ -91,15 +93,15 @@
 #endif
        if
        :: r_seq > seq[0] ->
+          behind = true                    /* it asks for the bundle, which comes later */
 #ifdef NO_NEWER_FIRST
-          fresh[0] = SUM(r_fresh, r_age)   /* renewed by what this box has not got yet */
-#else
-          seq[0] = r_seq
+          ; fresh[0] = SUM(r_fresh, r_age) /* renewed by what this box has not got yet */
 #endif
        :: r_seq <= seq[0] && SUM(r_fresh, r_age) < fresh[0] -> fresh[0] = SUM(r_fresh, r_age)
        :: r_seq <= seq[0] && SUM(r_fresh, r_age) >= fresh[0] -> skip
        fi;
        waiting = false; r_proved = false; r_from = 0; r_seq = 0; r_fresh = 0; r_age = 0 }
+  :: atomic { behind -> seq[0] = 2; behind = false }
 #ifdef NO_CONFIRM
   :: atomic { !confirmed && log_seq == 2 -> confirmed = true }
 #else
@@ -114,7 +116,12 @@
 #ifdef NO_MAJORITY
 #define MAY_DISPATCH (fresh[0] <= LEASE_AGE || true)
 #else
-#define MAY_DISPATCH (fresh[0] <= LEASE_AGE || seen[1] <= LEASE_AGE || seen[2] <= LEASE_AGE)
+#ifdef NO_BEHIND
+#define COUNTS true
+#else
+#define COUNTS (!behind)
+#endif
+#define MAY_DISPATCH (fresh[0] <= LEASE_AGE || COUNTS && (seen[1] <= LEASE_AGE || seen[2] <= LEASE_AGE))
 #endif
 #endif
 
