--- a/crates/core/src/state/admit.rs
+++ b/crates/core/src/state/admit.rs
@@ -48,7 +48,7 @@
         ask: RequestAsk,
         out: &mut Vec<BoxEffect>,
     ) -> Result<(), RequestRefusal> {
-        self.check_box(stamp, &ask)?;
+        self.check_box(stamp)?;
         let account = self
             .index
             .account(&ask.key_hash)
@@ -95,7 +95,7 @@
     }
 
     /// Checks that concern the box and not the request.
-    fn check_box(&self, stamp: EventStamp, ask: &RequestAsk) -> Result<(), RequestRefusal> {
+    fn check_box(&self, stamp: EventStamp) -> Result<(), RequestRefusal> {
         let refuse = |reason| Err(Attempt::first().refuse(reason).retry_after(BUNDLE_WAIT_MS));
         if self.stop_is_over(stamp.now) {
             return refuse(ReasonCode::Stopping);
@@ -106,9 +106,6 @@
         if self.fresh_state(stamp.now) == FreshState::CutOff {
             return refuse(ReasonCode::CutOff);
         }
-        if self.tickets.contains_key(&ask.ticket) {
-            return refuse(ReasonCode::QueueFull);
-        }
         let bills = self.appends.get(&LogStream::Bills);
         if bills.is_some_and(|queue| queue.is_full()) {
             return Err(Attempt::first().refuse(ReasonCode::BillBacklog).retry_after(LOG_WAIT_MS));
--- a/crates/core/src/state/log.rs
+++ b/crates/core/src/state/log.rs
@@ -35,7 +35,7 @@
         match read.stream {
             LogStream::Bundles => self.read_bundles(stamp, read, records, out),
             LogStream::Claims => self.read_claims(stamp, read, records, out),
-            LogStream::Verdicts => self.read_verdicts(stamp, read, records, out),
+            LogStream::Verdicts => self.read_verdicts(read, records, out),
             LogStream::Leases => self.read_leases(stamp, read, records),
             LogStream::Bills => {}
         }
@@ -184,7 +184,6 @@
 
     fn read_verdicts(
         &mut self,
-        stamp: EventStamp,
         read: StreamRead,
         records: Vec<(u64, LogRecord)>,
         out: &mut Vec<BoxEffect>,
@@ -196,7 +195,7 @@
             }
             self.verdict_next = offset + 1;
             if let Some(RecordBody::Verdict(verdict)) = record.body {
-                self.take_verdict(stamp, &verdict, out);
+                self.take_verdict(&verdict, out);
             }
         }
     }
--- a/crates/core/src/state/peers.rs
+++ b/crates/core/src/state/peers.rs
@@ -190,7 +190,7 @@
             }
             PeerBody::Witnessed(held) => self.on_witnessed(stamp, &from, &held.numbers, out),
             PeerBody::Release(done) => self.ledger.release(&from, incarnation, &done.numbers),
-            PeerBody::Verdict(verdict) => self.take_verdict(stamp, &verdict, out),
+            PeerBody::Verdict(verdict) => self.take_verdict(&verdict, out),
             PeerBody::Leaving(mark) => {
                 self.take_leaving_mark(stamp, &mark.replica, out);
             }
@@ -218,7 +218,7 @@
         }
         for version in &beat.halted {
             let verdict = VerdictRecord { version: version.clone(), halted: true, step: 0 };
-            self.take_verdict(stamp, &verdict, out);
+            self.take_verdict(&verdict, out);
         }
         let reply = BeatReply {
             echo: beat.stamp,
--- a/crates/core/src/state/run.rs
+++ b/crates/core/src/state/run.rs
@@ -9,6 +9,7 @@
 use crate::reason::ReasonCode;
 use crate::retry::ATTEMPT_LIMIT;
 
+use super::settle::WholeAnswer;
 use super::{BoxState, QueueName, RequestStage};
 
 impl BoxState {
@@ -103,7 +104,8 @@
                 if attempt.state.first_token.is_none() {
                     self.replicas.answered(replica, assigned_at, stamp.now);
                 }
-                self.on_answered(stamp, key, attempt, tokens, status, body, out);
+                let answer = WholeAnswer { tokens, status, body };
+                self.on_answered(stamp, key, attempt, answer, out);
             }
             AttemptEnd::Declined { leaving } => {
                 if leaving {
--- a/crates/core/src/state/settle.rs
+++ b/crates/core/src/state/settle.rs
@@ -14,18 +14,23 @@
 
 use super::{next_dice, BoxState, RequestStage};
 
+/// A whole answer of a replica.
+pub(super) struct WholeAnswer {
+    pub tokens: u32,
+    pub status: u16,
+    pub body: Vec<u8>,
+}
+
 impl BoxState {
-    #[allow(clippy::too_many_arguments)]
     pub(super) fn on_answered(
         &mut self,
         stamp: EventStamp,
         key: RequestKey,
         attempt: Attempt<Dispatched>,
-        tokens: u32,
-        status: u16,
-        body: Vec<u8>,
+        answer: WholeAnswer,
         out: &mut Vec<BoxEffect>,
     ) {
+        let WholeAnswer { tokens, status, body } = answer;
         let cost = self.attempt_cost(key, tokens);
         let request = &mut self.requests[key];
         request.cost += cost;
