The paused holder's test refutes its mutant

Cause: scripts/mutants showed that paused_holder_gives_no_order_after_its_term passed without the check of the term: the paused holder read its successor's lease on going on, which stopped it too. Change: it does not reach the log, and its own orders are old enough to be given again. That the successor does the whole work is asserted by the other test of orders; here, that it orders at all.

--- a/crates/bench/tests/promises/orders.rs
+++ b/crates/bench/tests/promises/orders.rs
@@ -107,14 +107,16 @@
     engines.run_to_first_order(&mut fleet, false);
     let holder = engines.tokens[0].0;
 
+    // It reads nothing of its successor's lease, and its own orders are old enough to be given again.
+    fleet.log_cut.insert(holder);
     fleet.pause(holder);
-    engines.run(&mut fleet, 40, true);
+    engines.run(&mut fleet, 140, false);
     let before = engines.tokens.len();
     fleet.resume(holder);
-    fleet.run_ms(1_000);
-    engines.take(&mut fleet, true);
+    engines.run(&mut fleet, 5, false);
 
     let late = engines.tokens[before..].iter().filter(|(index, ..)| *index == holder);
     assert_eq!(late.count(), 0);
-    assert_eq!(engines.loaded.len(), 6, "its successor did the work");
+    let others = engines.tokens.iter().filter(|(index, ..)| *index != holder);
+    assert!(others.count() > 0, "its successor went on");
 }
