--- a/crates/bench/src/fixture.rs
+++ b/crates/bench/src/fixture.rs
@@ -5,6 +5,7 @@
 use ravenspoke_core::fold::{change_record, BundleInForce, SignOffRule};
 use ravenspoke_core::membership::ListedBox;
 use ravenspoke_core::message::{BundleRecord, SignOff};
+use ravenspoke_core::replica::ListedReplica;
 use ravenspoke_core::session::{TokenKey, TokenKeys};
 use ravenspoke_core::state::BoxSettings;
 use sha2::{Digest, Sha256};
@@ -55,6 +56,18 @@
     }
 }
 
+/// Row of a replica in the box list.
+pub fn listed_replica(name: &str, service: &str, engine: bool) -> ListedReplica {
+    ListedReplica {
+        name: name.to_owned(),
+        address: format!("{name}:1"),
+        zone: "zone-0".to_owned(),
+        service: service.to_owned(),
+        engine,
+        leaving: false,
+    }
+}
+
 /// The signed record that brings `spec` into force after `base`.
 pub fn signed_record(base: Option<&BundleInForce>, spec: &BundleSpec) -> BundleRecord {
     let mut record = change_record(base, &spec.sections(), Vec::new());
--- a/crates/bench/tests/promises/main.rs
+++ b/crates/bench/tests/promises/main.rs
@@ -6,7 +6,7 @@
 mod orders;
 mod support;
 
-use ravenspoke_bench::fixture::{sign_off_rule, signed_record};
+use ravenspoke_bench::fixture::{listed_replica, sign_off_rule, signed_record};
 use ravenspoke_bench::fleet::VirtualFleet;
 use ravenspoke_core::appender::LogStream;
 use ravenspoke_core::attempt::RunState;
@@ -242,7 +242,10 @@
 
 #[test]
 fn bill_backlog_refuses_new_work_truthfully_and_loses_nothing() {
-    let replicas = vec![replica("engine-1", "engines", true), replica("engine-2", "engines", true)];
+    let replicas = vec![
+        listed_replica("engine-1", "engines", true),
+        listed_replica("engine-2", "engines", true),
+    ];
     let mut fleet = VirtualFleet::tuned(3, 3, 5, replicas, |settings| settings.bill_limit = 5);
     publish(&mut fleet, None, &bundle_text(V1, "serving"));
     fleet.run_ms(3_000);
@@ -461,8 +464,8 @@
 
 #[test]
 fn paused_box_that_hears_of_a_newer_bundle_does_not_serve_before_it_has_it() {
-    // Found as a flaky test on processes: the answers that told a box of a newer bundle also made it
-    // see a majority again, and it served by the old one until the new one arrived.
+    // Found by reading, after a test on processes failed once: the answers that told a box of a newer
+    // bundle also made it see a majority again, and it served by the old one until the new one came.
     for phase in 0..40 {
         let mut fleet = fleet(3);
         fleet.pause(0);
--- a/crates/bench/tests/promises/orders.rs
+++ b/crates/bench/tests/promises/orders.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use ravenspoke_bench::fixture::listed_replica;
 use ravenspoke_bench::fleet::VirtualFleet;
 use ravenspoke_core::bundle::{BundleSpec, PoolSpec};
 use ravenspoke_core::effect::BoxEffect;
@@ -74,7 +75,8 @@
 }
 
 fn pooled_fleet(checks_token: bool) -> VirtualFleet {
-    let replicas = (0..6).map(|n| replica(&format!("engine-{n}"), "engines", true)).collect();
+    let replicas =
+        (0..6).map(|n| listed_replica(&format!("engine-{n}"), "engines", true)).collect();
     let mut fleet = VirtualFleet::new(3, 3, 9, replicas);
     publish(&mut fleet, None, &pooled(checks_token));
     fleet
@@ -119,4 +121,7 @@
     assert_eq!(late.count(), 0);
     let others = engines.tokens.iter().filter(|(index, ..)| *index != holder);
     assert!(others.count() > 0, "its successor went on");
+
+    engines.run(&mut fleet, 150, true);
+    assert_eq!(engines.loaded.len(), 6, "its successor did the work");
 }
--- a/crates/bench/tests/promises/support.rs
+++ b/crates/bench/tests/promises/support.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use ravenspoke_bench::fixture::{bundle, caller_hash, signed_record};
+use ravenspoke_bench::fixture::{bundle, caller_hash, listed_replica, signed_record};
 use ravenspoke_bench::fleet::{VirtualFleet, WALL_START_MS};
 use ravenspoke_core::appender::LogStream;
 use ravenspoke_core::attempt::RunState;
@@ -13,7 +13,7 @@
 use ravenspoke_core::ids::RequestKey;
 use ravenspoke_core::message::{LogRecord, RecordBody};
 use ravenspoke_core::reason::ReasonCode;
-use ravenspoke_core::replica::{ListedReplica, LoadReport};
+use ravenspoke_core::replica::LoadReport;
 
 pub const V1: &str = "small-1";
 pub const V2: &str = "small-2";
@@ -45,23 +45,12 @@
     ))
 }
 
-pub fn replica(name: &str, service: &str, engine: bool) -> ListedReplica {
-    ListedReplica {
-        name: name.to_owned(),
-        address: format!("{name}:1"),
-        zone: "zone-0".to_owned(),
-        service: service.to_owned(),
-        engine,
-        leaving: false,
-    }
-}
-
 /// A fleet with a bundle in force, two engines and one broker, each known to every box.
 pub fn fleet(boxes: usize) -> VirtualFleet {
     let replicas = vec![
-        replica("engine-1", "engines", true),
-        replica("engine-2", "engines", true),
-        replica("broker-1", "broker", false),
+        listed_replica("engine-1", "engines", true),
+        listed_replica("engine-2", "engines", true),
+        listed_replica("broker-1", "broker", false),
     ];
     let mut fleet = VirtualFleet::new(boxes, 3, 11, replicas);
     publish(&mut fleet, None, &bundle_text(V1, "serving"));
--- a/crates/bench/tests/sessions.rs
+++ b/crates/bench/tests/sessions.rs
@@ -6,7 +6,7 @@
 use std::fmt::Write;
 
 use expect_test::expect_file;
-use ravenspoke_bench::fixture::{bundle, caller_hash, signed_record};
+use ravenspoke_bench::fixture::{bundle, caller_hash, listed_replica, signed_record};
 use ravenspoke_bench::fleet::{VirtualFleet, WALL_START_MS};
 use ravenspoke_core::appender::LogStream;
 use ravenspoke_core::bundle::BundleSpec;
@@ -14,7 +14,7 @@
 use ravenspoke_core::event::{AttemptEnd, BoxEvent, RequestAsk, RequestTarget, RequestTicket};
 use ravenspoke_core::ids::RequestKey;
 use ravenspoke_core::message::{LogRecord, RecordBody};
-use ravenspoke_core::replica::{ListedReplica, LoadReport};
+use ravenspoke_core::replica::LoadReport;
 
 /// A session being told.
 struct Story {
@@ -74,18 +74,10 @@
     }
 
     fn story(&self) -> Story {
-        let replica = |name: &str, service: &str, engine| ListedReplica {
-            name: name.to_owned(),
-            address: format!("{name}:1"),
-            zone: "zone-0".to_owned(),
-            service: service.to_owned(),
-            engine,
-            leaving: false,
-        };
         let replicas = vec![
-            replica("engine-1", "engines", true),
-            replica("engine-2", "engines", true),
-            replica("plain-1", self.service, false),
+            listed_replica("engine-1", "engines", true),
+            listed_replica("engine-2", "engines", true),
+            listed_replica("plain-1", self.service, false),
         ];
         let versions =
             [format!("{}-1", self.small), format!("{}-2", self.small), format!("{}-1", self.large)];
--- a/crates/core/src/state/orders.rs
+++ b/crates/core/src/state/orders.rs
@@ -1,6 +1,7 @@
 //! Orders to pools: every replica should have loaded what the bundle in force says.
 //!
-//! The first live box of a pool by hash takes the pool's lease and compares what replicas report with
+//! The first live box of a pool by hash takes the pool's lease, or a later one where that does not
+//! renew it, and compares what replicas report with
 //! what they should have. An order names the whole target state, so a roll-out that was interrupted
 //! halfway goes on with whoever holds the lease next, and a repeat is harmless. No more replicas load at
 //! once than the weight store feeds.
@@ -51,14 +52,26 @@
         }
         let pools = self.index.spec.pools.clone();
         for (name, pool) in &pools {
-            let job = format!("order/{name}");
-            if self.members.first_alive(&job, stamp.now).is_none() {
+            if self.should_hold(stamp, name) {
                 self.renew_lease(stamp, name, out);
-                self.order_pool(stamp, name, pool, out);
             }
+            self.order_pool(stamp, name, pool, out);
         }
     }
 
+    /// Whether this box should hold the pool's lease: it does, it is the first live box for it, or
+    /// the boxes before it had a term each to renew it and did not: alive, but cut off from the log.
+    fn should_hold(&self, stamp: EventStamp, pool: &str) -> bool {
+        let job = format!("order/{pool}");
+        let entry = self.leases.find(pool);
+        let holds = entry.is_some_and(|entry| entry.holder == self.settings.incarnation);
+        let turns = 1 + self.members.rank(&job) as u64;
+        let lapsed = entry.map_or(BoxTime::default(), |entry| entry.until);
+        holds
+            || self.members.first_alive(&job, stamp.now).is_none()
+            || stamp.now >= lapsed.plus_millis(turns * LEASE_TERM_MS)
+    }
+
     fn renew_lease(&mut self, stamp: EventStamp, pool: &str, out: &mut Vec<BoxEffect>) {
         let me = self.settings.incarnation;
         let asked = self.lease_asked.get(pool);
