--- /dev/null
+++ b/crates/box/src/gateway/directory.rs
@@ -0,0 +1,85 @@
+//! Answers about addresses, readiness, state and metrics.
+
+use std::sync::Arc;
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use ravenspoke_adapter::directory::{addresses_answer, READY_PATH, RESOLVE_PATH};
+use rocket::http::{ContentType, Method, Status};
+use rocket::route::{Handler, Outcome};
+use rocket::{Data, Request, Route};
+
+use super::driver::GatewayDriver;
+
+/// Path of the state dump, beside the metrics.
+pub const STATE_PATH: &str = "/state";
+
+#[derive(Clone)]
+struct ReadyHandler(Arc<GatewayDriver>);
+
+#[rocket::async_trait]
+impl Handler for ReadyHandler {
+    async fn handle<'r>(&self, request: &'r Request<'_>, _data: Data<'r>) -> Outcome<'r> {
+        let ready = self.0.state().ready(self.0.now());
+        Outcome::from(request, if ready { Status::Ok } else { Status::ServiceUnavailable })
+    }
+}
+
+#[derive(Clone)]
+struct ResolveHandler {
+    driver: Arc<GatewayDriver>,
+    keep_ms: u64,
+}
+
+#[rocket::async_trait]
+impl Handler for ResolveHandler {
+    async fn handle<'r>(&self, request: &'r Request<'_>, _data: Data<'r>) -> Outcome<'r> {
+        let named = self.driver.state().named(self.driver.now());
+        if named.is_empty() {
+            return Outcome::from(request, Status::ServiceUnavailable);
+        }
+        Outcome::from(request, (ContentType::JSON, addresses_answer(named, self.keep_ms)))
+    }
+}
+
+#[derive(Clone)]
+struct MetricsHandler(PrometheusHandle);
+
+#[rocket::async_trait]
+impl Handler for MetricsHandler {
+    async fn handle<'r>(&self, request: &'r Request<'_>, _data: Data<'r>) -> Outcome<'r> {
+        Outcome::from(request, (ContentType::Plain, self.0.render()))
+    }
+}
+
+#[derive(Clone)]
+struct StateHandler(Arc<GatewayDriver>);
+
+#[rocket::async_trait]
+impl Handler for StateHandler {
+    async fn handle<'r>(&self, request: &'r Request<'_>, _data: Data<'r>) -> Outcome<'r> {
+        let dump = serde_json::to_string(&self.0.state().dump(self.0.now()));
+        match dump {
+            Ok(dump) => Outcome::from(request, (ContentType::JSON, dump)),
+            Err(_) => Outcome::from(request, Status::InternalServerError),
+        }
+    }
+}
+
+/// Routes by which the platform asks whether the box is ready.
+pub fn ready_routes(driver: &Arc<GatewayDriver>) -> Vec<Route> {
+    vec![Route::new(Method::Get, READY_PATH, ReadyHandler(driver.clone()))]
+}
+
+/// Routes by which callers ask for addresses.
+pub fn resolve_routes(driver: &Arc<GatewayDriver>, keep_ms: u64) -> Vec<Route> {
+    let handler = ResolveHandler { driver: driver.clone(), keep_ms };
+    vec![Route::new(Method::Get, RESOLVE_PATH, handler)]
+}
+
+/// Routes of the metrics and the state dump.
+pub fn metrics_routes(driver: &Arc<GatewayDriver>, handle: PrometheusHandle) -> Vec<Route> {
+    vec![
+        Route::new(Method::Get, "/metrics", MetricsHandler(handle)),
+        Route::new(Method::Get, STATE_PATH, StateHandler(driver.clone())),
+    ]
+}
--- /dev/null
+++ b/crates/box/src/gateway/driver.rs
@@ -0,0 +1,135 @@
+//! The driver: one lock around the reducer's state, one place that applies events.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use ravenspoke_core::event::{EventStamp, RequestTicket};
+use ravenspoke_core::route::event::{RefusalReason, RouteEffect, RouteEvent, RouteRefusal, SendOrder};
+use ravenspoke_core::route::peers::PeerNote;
+use ravenspoke_core::route::trial::TrialVerdict;
+use ravenspoke_core::route::RouteState;
+use ravenspoke_core::time::{BoxTime, WallTime};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::Notify;
+
+use super::observe;
+
+/// What the reducer tells the task of one request.
+#[derive(Debug)]
+pub enum RequestStep {
+    /// Send it to this replica.
+    Send(Box<SendOrder>),
+    /// Pass the answer on.
+    Relay,
+    /// End it with a refusal.
+    Refuse(RouteRefusal),
+    /// Break the answer off.
+    BreakOff(RefusalReason),
+}
+
+/// A request of this box, as its task and the log know it.
+#[derive(Clone, Debug)]
+pub struct RequestName {
+    /// Number given by this box.
+    pub ticket: RequestTicket,
+    /// Id given by the caller.
+    pub id: String,
+}
+
+/// Channels that effects are handed to.
+pub struct GatewaySinks {
+    /// Notes for other boxes.
+    pub notes: UnboundedSender<(Vec<String>, Box<PeerNote>)>,
+    /// Verdicts for the store.
+    pub verdicts: UnboundedSender<TrialVerdict>,
+}
+
+/// The reducer's state, its clocks and its sinks.
+pub struct GatewayDriver {
+    state: Mutex<RouteState>,
+    sinks: GatewaySinks,
+    started: Instant,
+    next_ticket: AtomicU64,
+    /// Wakes the reader of the plan.
+    pub read_plan: Notify,
+}
+
+impl GatewayDriver {
+    /// A driver of `state`.
+    pub fn new(state: RouteState, sinks: GatewaySinks) -> Self {
+        Self {
+            state: Mutex::new(state),
+            sinks,
+            started: Instant::now(),
+            next_ticket: AtomicU64::new(1),
+            read_plan: Notify::new(),
+        }
+    }
+
+    /// The box's steady clock.
+    pub fn now(&self) -> BoxTime {
+        BoxTime(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
+    }
+
+    /// How long it is until `time`.
+    pub fn until(&self, time: BoxTime) -> Duration {
+        Duration::from_micros(time.0.saturating_sub(self.now().0))
+    }
+
+    /// Looks at the state.
+    pub fn state(&self) -> MutexGuard<'_, RouteState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A number for a new request.
+    pub fn next_ticket(&self) -> RequestTicket {
+        RequestTicket(self.next_ticket.fetch_add(1, Ordering::Relaxed))
+    }
+
+    fn stamp(&self) -> EventStamp {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let wall = WallTime(u64::try_from(wall.as_millis()).unwrap_or(u64::MAX));
+        EventStamp { now: self.now(), wall, dice: rand::random() }
+    }
+
+    fn apply(&self, event: RouteEvent) -> Vec<RouteEffect> {
+        let mut state = self.state();
+        // Stamped under the lock: a pause before it can't make an old time look current.
+        state.apply(self.stamp(), event)
+    }
+
+    /// Applies an event that is no request's, and hands its effects on.
+    pub fn feed(&self, event: RouteEvent) {
+        for effect in self.apply(event) {
+            self.hand_on(effect);
+        }
+    }
+
+    /// Applies an event of a request, and gives what its task is to do.
+    pub fn feed_request(&self, name: &RequestName, event: RouteEvent) -> Option<RequestStep> {
+        let mut step = None;
+        for effect in self.apply(event) {
+            observe::note_request(name, &effect);
+            match effect {
+                RouteEffect::Send(_, order) => step = Some(RequestStep::Send(Box::new(order))),
+                RouteEffect::Relay(_) => step = Some(RequestStep::Relay),
+                RouteEffect::Refuse(_, refusal, _) => step = Some(RequestStep::Refuse(refusal)),
+                RouteEffect::BreakOff(_, reason) => step = Some(RequestStep::BreakOff(reason)),
+                other => self.hand_on(other),
+            }
+        }
+        step
+    }
+
+    fn hand_on(&self, effect: RouteEffect) {
+        observe::note_effect(&effect);
+        match effect {
+            // The receivers live as long as the process.
+            RouteEffect::SendNotes(to, note) => drop(self.sinks.notes.send((to, note))),
+            RouteEffect::WriteVerdict(verdict) => drop(self.sinks.verdicts.send(verdict)),
+            RouteEffect::ReadPlan => self.read_plan.notify_one(),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/box/src/gateway/exchange.rs
@@ -0,0 +1,294 @@
+//! Serves one request: asks the reducer, sends it to replicas, and passes the answer on.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use ravenspoke_adapter::headers;
+use ravenspoke_core::route::event::{AnswerHead, AttemptFailure, RouteEvent, RouteRefusal, SendOrder};
+
+use super::driver::{GatewayDriver, RequestName, RequestStep};
+use super::observe;
+use super::pool::{ReplicaLink, ReplicaPool};
+use super::relay::relay_stream;
+
+/// Largest answer that is no stream, in bytes; it is read whole before any of it is passed on.
+pub const ANSWER_LIMIT: usize = 4 << 20;
+
+/// Why an answer breaks off: its connection is closed.
+#[derive(Debug, thiserror::Error)]
+#[error("the answer was broken off: {0}")]
+pub struct BrokenAnswer(pub &'static str);
+
+/// Body of an answer to a caller.
+pub type CallerBody = UnsyncBoxBody<Bytes, BrokenAnswer>;
+
+/// What requests are served with.
+pub struct GatewayTools {
+    /// Decides.
+    pub driver: Arc<GatewayDriver>,
+    /// Connections to replicas.
+    pub pool: Arc<ReplicaPool>,
+    /// Set when the planned stop begins.
+    pub stopping: AtomicBool,
+}
+
+/// A caller's request, read whole.
+pub struct CallerRequest {
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
+/// Tells the reducer when the task of a request is dropped: its caller has left.
+pub struct RequestGuard {
+    pub(super) driver: Arc<GatewayDriver>,
+    pub(super) name: RequestName,
+    pub(super) began: Instant,
+    ended: bool,
+}
+
+impl RequestGuard {
+    /// Applies an event of the request. One that leaves it no further step has ended it.
+    pub fn feed(&mut self, event: RouteEvent) -> Option<RequestStep> {
+        let step = self.driver.feed_request(&self.name, event);
+        self.ended |= matches!(step, Some(RequestStep::Refuse(_) | RequestStep::BreakOff(_)));
+        step
+    }
+
+    /// Notes that the whole answer was passed on.
+    pub fn finish(&mut self, status: u16) {
+        self.feed(RouteEvent::Finished(self.name.ticket));
+        self.ended = true;
+        observe::note_finished(&self.name, status, self.began.elapsed());
+    }
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        if !self.ended {
+            observe::note_caller_left(&self.name, self.began.elapsed());
+            self.feed(RouteEvent::CallerLeft(self.name.ticket));
+        }
+    }
+}
+
+/// A replica's answer.
+pub struct ReplicaAnswer {
+    pub(super) head: http::response::Parts,
+    pub(super) decoded: AnswerHead,
+    pub(super) body: AnswerBody,
+}
+
+/// Body of a replica's answer.
+pub enum AnswerBody {
+    /// Read whole.
+    Whole(Bytes),
+    /// A stream that goes on.
+    Stream(Incoming, ReplicaLink),
+}
+
+/// Serves a request.
+///
+/// # Errors
+/// [`BrokenAnswer`], if the caller's request can't be read.
+pub async fn serve_request(
+    tools: Arc<GatewayTools>,
+    request: Request<Incoming>,
+) -> Result<Response<CallerBody>, BrokenAnswer> {
+    let (head, body) = request.into_parts();
+    let limit = tools.driver.state().plan().limits.body_bytes;
+    let body = match Limited::new(body, limit).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<LengthLimitError>() => {
+            return Ok(plain_answer(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
+        }
+        Err(_) => return Err(BrokenAnswer("the request's body did not come whole")),
+    };
+    let ask = headers::read_request(&head);
+    let driver = tools.driver.clone();
+    let name = RequestName { ticket: driver.next_ticket(), id: ask.id.clone() };
+    let mut guard = RequestGuard { driver, name, began: Instant::now(), ended: false };
+    let mut step = guard.feed(RouteEvent::Arrived(guard.name.ticket, ask));
+    let caller = CallerRequest { method: head.method, uri: head.uri, headers: head.headers, body };
+    loop {
+        let order = match step {
+            Some(RequestStep::Send(order)) => order,
+            Some(RequestStep::Refuse(refusal)) => return Ok(refuse(refusal)),
+            _ => return Err(BrokenAnswer("the reducer gave no step")),
+        };
+        match attempt(&tools, &caller, &mut guard, &order, None).await {
+            Attempted::Answer(answer) => {
+                step = guard.feed(RouteEvent::HeadCame(guard.name.ticket, answer.decoded));
+                if matches!(step, Some(RequestStep::Relay)) {
+                    return Ok(pass_on(tools, caller, guard, order, *answer));
+                }
+            }
+            Attempted::Ended(next) => step = next,
+        }
+    }
+}
+
+/// What an attempt led to.
+pub enum Attempted {
+    /// An answer to this request.
+    Answer(Box<ReplicaAnswer>),
+    /// None; the reducer's next step.
+    Ended(Option<RequestStep>),
+}
+
+/// Sends the request to a replica and waits for its answer, as long as the order says.
+pub async fn attempt(
+    tools: &GatewayTools,
+    caller: &CallerRequest,
+    guard: &mut RequestGuard,
+    order: &SendOrder,
+    resume_after: Option<&str>,
+) -> Attempted {
+    let began = Instant::now();
+    let left = tools.driver.until(order.deadline);
+    let wait = left.min(Duration::from_millis(order.head_ms));
+    let asked = ask_replica(tools, caller, order, resume_after);
+    let (failure, why) = match tokio::time::timeout(wait, asked).await {
+        Ok(Ok(answer)) => return Attempted::Answer(Box::new(answer)),
+        Ok(Err(failed)) => failed,
+        Err(_) if wait == left => {
+            return Attempted::Ended(guard.feed(RouteEvent::TimeUp(guard.name.ticket)));
+        }
+        Err(_) => (AttemptFailure::Silent, "no head in time".to_owned()),
+    };
+    observe::note_attempt_failed(&guard.name, failure, &why, began.elapsed());
+    Attempted::Ended(guard.feed(RouteEvent::AttemptFailed(guard.name.ticket, failure)))
+}
+
+/// A failure with what is known of its cause.
+type FailedAttempt = (AttemptFailure, String);
+
+async fn ask_replica(
+    tools: &GatewayTools,
+    caller: &CallerRequest,
+    order: &SendOrder,
+    resume_after: Option<&str>,
+) -> Result<ReplicaAnswer, FailedAttempt> {
+    let never = |why: String| (AttemptFailure::NeverSent, why);
+    let broken = |why: String| (AttemptFailure::Broken, why);
+    let address: SocketAddr =
+        order.address.parse().map_err(|_| never("the entry has no address".to_owned()))?;
+    let mut link = match tools.pool.take(address) {
+        Some(link) => link,
+        None => open(tools, order, address).await?,
+    };
+    let response = loop {
+        let request = replica_request(tools, caller, order, resume_after);
+        let error = match link.sender.try_send_request(request).await {
+            Ok(response) => break response,
+            Err(error) => error,
+        };
+        // Given back means that none of it was written; a connection kept idle may end so.
+        if error.message().is_none() {
+            return Err(broken(error.into_error().to_string()));
+        }
+        if !link.used {
+            return Err(never(error.into_error().to_string()));
+        }
+        link = open(tools, order, address).await?;
+    };
+    let (head, body) = response.into_parts();
+    if !headers::answers_request(&caller.headers, &head.headers) {
+        return Err(broken("the answer is another request's".to_owned()));
+    }
+    let decoded = headers::read_answer(&head);
+    if order.kind.is_stream() && head.status.is_success() {
+        return Ok(ReplicaAnswer { head, decoded, body: AnswerBody::Stream(body, link) });
+    }
+    let whole = Limited::new(body, ANSWER_LIMIT).collect().await;
+    let whole = whole.map_err(|error| broken(error.to_string()))?.to_bytes();
+    give_back(tools, link, &head.headers);
+    Ok(ReplicaAnswer { head, decoded, body: AnswerBody::Whole(whole) })
+}
+
+async fn open(
+    tools: &GatewayTools,
+    order: &SendOrder,
+    address: SocketAddr,
+) -> Result<ReplicaLink, FailedAttempt> {
+    let limit = tools.driver.until(order.deadline);
+    let opened = tools.pool.open(address, limit).await;
+    opened.map_err(|error| (AttemptFailure::NeverSent, error.to_string()))
+}
+
+/// Gives a connection back in a task of its own: the caller's answer doesn't wait for the proof.
+pub(super) fn give_back(tools: &GatewayTools, link: ReplicaLink, answer: &HeaderMap) {
+    let kept_ms = headers::kept_idle_ms(answer);
+    let pool = tools.pool.clone();
+    tokio::spawn(async move { pool.give_back(link, kept_ms).await });
+}
+
+fn replica_request(
+    tools: &GatewayTools,
+    caller: &CallerRequest,
+    order: &SendOrder,
+    resume_after: Option<&str>,
+) -> Request<Full<Bytes>> {
+    let left_ms = tools.driver.until(order.deadline).as_millis() as u64;
+    let mut request = Request::new(Full::new(caller.body.clone()));
+    *request.method_mut() = caller.method.clone();
+    *request.uri_mut() = caller.uri.clone();
+    *request.headers_mut() =
+        headers::replica_headers(&caller.headers, order, left_ms, resume_after);
+    request
+}
+
+fn pass_on(
+    tools: Arc<GatewayTools>,
+    caller: CallerRequest,
+    mut guard: RequestGuard,
+    order: Box<SendOrder>,
+    answer: ReplicaAnswer,
+) -> Response<CallerBody> {
+    let is_stream = matches!(answer.body, AnswerBody::Stream(..));
+    let status = answer.head.status;
+    let caller_headers = headers::caller_headers(&answer.head.headers, is_stream);
+    let body = match answer.body {
+        AnswerBody::Whole(bytes) => {
+            guard.finish(status.as_u16());
+            whole_body(bytes)
+        }
+        AnswerBody::Stream(body, link) => {
+            relay_stream(tools, caller, guard, order, answer.head.headers, body, link)
+        }
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = caller_headers;
+    response
+}
+
+fn whole_body(bytes: Bytes) -> CallerBody {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
+
+fn plain_answer(status: StatusCode, text: &'static str) -> Response<CallerBody> {
+    let mut response = Response::new(whole_body(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
+
+fn refuse(refusal: RouteRefusal) -> Response<CallerBody> {
+    let status = StatusCode::from_u16(refusal.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = plain_answer(status, refusal.reason.slug());
+    if let Some(retry_after_ms) = refusal.retry_after_ms {
+        let seconds = format!("{:.3}", retry_after_ms as f64 / 1_000.0);
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(http::header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/crates/box/src/gateway/mod.rs
@@ -0,0 +1,18 @@
+//! A box that routes by host and prefix on the users' platform.
+//!
+//! [`driver`] holds the reducer's state. [`entry`] takes callers' connections, [`exchange`] serves one
+//! request, [`relay`] passes a stream on and takes it up elsewhere when it breaks, [`pool`] keeps
+//! connections to replicas. [`follow`] reads the platform's store, [`notes`] talks to other boxes,
+//! [`directory`] answers who asks for addresses, readiness, state and metrics. [`observe`] logs.
+
+pub mod directory;
+pub mod driver;
+pub mod entry;
+pub mod event_cut;
+pub mod exchange;
+pub mod follow;
+pub mod notes;
+pub mod observe;
+pub mod pool;
+pub mod process;
+pub mod relay;
--- /dev/null
+++ b/crates/box/src/gateway/observe.rs
@@ -0,0 +1,154 @@
+//! Log events and metrics of a routing box. `docs/EVENTS.md` is the catalogue.
+//!
+//! A line for each decision that touches a request or changes what the box believes, with its inputs
+//! and their age. Lines go to a bounded buffer and never block; what it drops is counted.
+
+use std::time::Duration;
+
+use metrics::{counter, gauge, histogram};
+use ravenspoke_adapter::records::RecordError;
+use ravenspoke_adapter::store::StoreError;
+use ravenspoke_core::route::event::{AttemptFailure, RouteEffect};
+use tracing::{error, info, warn};
+
+use super::driver::RequestName;
+
+/// Logs what was decided of a request.
+pub fn note_request(name: &RequestName, effect: &RouteEffect) {
+    let id = name.id.as_str();
+    match effect {
+        RouteEffect::Send(_, order) => {
+            counter!("ravenspoke_sends_total", "attempt" => order.number.to_string()).increment(1);
+            info!(
+                event = 701,
+                name = "request_sent",
+                id,
+                attempt = order.number,
+                route = order.route,
+                replica = order.replica_id,
+                address = order.address,
+                version = order.version,
+                model = order.model,
+                plan = order.inputs.plan_version,
+                plan_age_ms = order.inputs.plan_age_ms,
+                candidates = order.inputs.candidates,
+                load = order.inputs.load,
+                affine = order.inputs.affine,
+                head_ms = order.head_ms,
+            );
+        }
+        RouteEffect::Refuse(_, refusal, inputs) => {
+            let reason = refusal.reason.slug();
+            counter!("ravenspoke_route_refused_total", "reason" => reason).increment(1);
+            info!(
+                event = 702,
+                name = "request_given_up",
+                id,
+                reason,
+                status = refusal.status,
+                retry_after_ms = refusal.retry_after_ms,
+                plan = inputs.plan_version,
+                plan_age_ms = inputs.plan_age_ms,
+            );
+        }
+        RouteEffect::BreakOff(_, reason) => {
+            counter!("ravenspoke_broken_off_total").increment(1);
+            warn!(event = 703, name = "answer_broken_off", id, reason = reason.slug());
+        }
+        _ => {}
+    }
+}
+
+/// Logs that a replica's answer was no answer, or none came.
+pub fn note_attempt_failed(name: &RequestName, failure: AttemptFailure, why: &str, after: Duration) {
+    counter!("ravenspoke_attempts_failed_total").increment(1);
+    let after_ms = after.as_millis() as u64;
+    info!(event = 704, name = "attempt_failed", id = name.id, ?failure, why, after_ms);
+}
+
+/// Logs how a request ended whose answer was passed on.
+pub fn note_finished(name: &RequestName, status: u16, took: Duration) {
+    histogram!("ravenspoke_answer_seconds").record(took.as_secs_f64());
+    let took_ms = took.as_millis() as u64;
+    info!(event = 705, name = "answer_passed_on", id = name.id, status, took_ms);
+}
+
+/// Logs that the caller went away before the end.
+pub fn note_caller_left(name: &RequestName, after: Duration) {
+    counter!("ravenspoke_callers_left_total").increment(1);
+    let after_ms = after.as_millis() as u64;
+    info!(event = 706, name = "caller_left", id = name.id, after_ms);
+}
+
+/// Logs a change of what the box believes.
+pub fn note_effect(effect: &RouteEffect) {
+    match effect {
+        RouteEffect::PlanInForce { version, routes } => {
+            gauge!("ravenspoke_plan_version").set(*version as f64);
+            info!(event = 710, name = "plan_in_force", version, routes);
+        }
+        RouteEffect::PlanTooOld { version } => {
+            warn!(event = 711, name = "plan_too_old", version);
+        }
+        RouteEffect::BackendLeaving(replica) => {
+            info!(event = 712, name = "backend_leaving", replica);
+        }
+        RouteEffect::TrialMoved { service, version, state, runs, bad } => {
+            info!(event = 713, name = "trial_moved", service, version, ?state, runs, bad);
+        }
+        RouteEffect::WriteVerdict(verdict) => {
+            let (service, version, state) = (&verdict.service, &verdict.version, verdict.state);
+            info!(event = 714, name = "verdict_due", service, version, ?state);
+        }
+        RouteEffect::StopBegun => info!(event = 715, name = "stop_begun"),
+        _ => {}
+    }
+}
+
+/// Logs that the process runs.
+pub fn note_started(name: &str, address: std::net::SocketAddr) {
+    info!(event = 720, name = "gateway_started", box_name = name, %address);
+}
+
+/// Logs that the settings were read anew.
+pub fn note_reloaded(changed: bool) {
+    info!(event = 721, name = "settings_read", changed);
+}
+
+/// Logs that the settings can't be read; the last ones serve.
+pub fn note_reload_failed(why: &str) {
+    warn!(event = 722, name = "settings_unreadable", why);
+}
+
+/// Logs that the process ends.
+pub fn note_exit(open_connections: usize, in_hand: usize) {
+    info!(event = 723, name = "gateway_exits", open_connections, in_hand);
+}
+
+/// Logs that a reader lost the store.
+pub fn note_store_lost(topic: &str, error: &StoreError) {
+    counter!("ravenspoke_store_errors_total").increment(1);
+    warn!(event = 730, name = "store_lost", topic, why = %error);
+}
+
+/// Logs that a reader has the store again.
+pub fn note_store_regained(topic: &str, after: Duration) {
+    let after_ms = after.as_millis() as u64;
+    info!(event = 731, name = "store_regained", topic, after_ms);
+}
+
+/// Logs a record that can't be decoded.
+pub fn note_bad_record(error: &RecordError) {
+    error!(event = 732, name = "record_unreadable", why = %error);
+}
+
+/// Logs a note of another box that can't be decoded.
+pub fn note_bad_note(why: &str) {
+    counter!("ravenspoke_bad_notes_total").increment(1);
+    warn!(event = 733, name = "note_unreadable", why);
+}
+
+/// Logs that a socket of the box's own failed.
+pub fn note_socket_failed(purpose: &str, error: &std::io::Error) {
+    warn!(event = 734, name = "socket_failed", purpose, why = %error);
+}
--- /dev/null
+++ b/crates/box/src/gateway/process.rs
@@ -0,0 +1,220 @@
+//! Puts a routing box together: state, listeners and tasks, until the planned stop is over.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use ravenspoke_adapter::settings::read_settings;
+use ravenspoke_adapter::store::StoreClient;
+use ravenspoke_config::gateway::GatewaySettings;
+use ravenspoke_core::route::event::RouteEvent;
+use ravenspoke_core::route::{RouteSettings, RouteState};
+use rocket::Route;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::directory::{metrics_routes, ready_routes, resolve_routes};
+use super::driver::{GatewayDriver, GatewaySinks};
+use super::entry::{accept_callers, CallerCount, CALLER_PART};
+use super::exchange::GatewayTools;
+use super::pool::ReplicaPool;
+use super::{follow, notes, observe};
+use crate::process::{ignite, server, ProcessError};
+
+/// Time passes for the reducer this often, in milliseconds.
+pub const TICK_MS: u64 = 200;
+
+/// The settings file is looked at this often, in milliseconds; it may change without a signal.
+pub const SETTINGS_EVERY_MS: u64 = 3_000;
+
+/// Idle connections are looked at this often, in milliseconds.
+pub const SWEEP_EVERY_MS: u64 = 1_000;
+
+/// Kept back from the time between the signal to stop and the kill, in milliseconds.
+pub const GRACE_MARGIN_MS: u64 = 500;
+
+/// While stopping, the box looks this often whether anything is left to do, in milliseconds.
+pub const STOP_LOOK_MS: u64 = 50;
+
+/// Runs a box until its planned stop is over.
+///
+/// # Errors
+/// [`ProcessError`], if it can't start.
+pub async fn run_gateway(
+    settings: GatewaySettings,
+    file: PathBuf,
+    metrics_port: Option<u16>,
+) -> Result<(), ProcessError> {
+    let handle = metrics_exporter_prometheus::PrometheusBuilder::new()
+        .install_recorder()
+        .map_err(|error| ProcessError::Metrics(error.to_string()))?;
+    let (note_sender, note_receiver) = unbounded_channel();
+    let (verdict_sender, verdict_receiver) = unbounded_channel();
+    let sinks = GatewaySinks { notes: note_sender, verdicts: verdict_sender };
+    let state = RouteState::new(route_settings(&settings));
+    let driver = Arc::new(GatewayDriver::new(state, sinks));
+    let store = StoreClient::new(&settings.store)?;
+
+    let socket = UdpSocket::bind(settings.notes).await;
+    let socket = Arc::new(socket.map_err(|error| listen_error(settings.notes, "notes", &error))?);
+    let listener = TcpListener::bind(settings.entry).await;
+    let listener = listener.map_err(|error| listen_error(settings.entry, "entry", &error))?;
+
+    tokio::spawn(notes::hear_notes(driver.clone(), socket.clone()));
+    tokio::spawn(notes::send_notes(socket, note_receiver));
+    tokio::spawn(follow::follow_operator(driver.clone(), store.clone()));
+    tokio::spawn(follow::follow_backends(driver.clone(), store.clone()));
+    tokio::spawn(follow::follow_verdicts(driver.clone(), store.clone()));
+    tokio::spawn(follow::write_verdicts(driver.clone(), store.clone(), verdict_receiver));
+    let note_address = settings.notes.to_string();
+    tokio::spawn(follow::follow_boxes(
+        driver.clone(),
+        store.clone(),
+        settings.name.clone(),
+        note_address,
+    ));
+    let seeds = settings.seeds.iter().map(SocketAddr::to_string).collect();
+    driver.feed(RouteEvent::PeersNamed(seeds));
+
+    let pool = Arc::new(ReplicaPool::default());
+    tokio::spawn(run_ticks(driver.clone(), pool.clone()));
+    let stopping = AtomicBool::new(false);
+    let tools = Arc::new(GatewayTools { driver: driver.clone(), pool, stopping });
+    let callers = Arc::new(CallerCount::default());
+    let limit = (settings.descriptors as f64 * CALLER_PART) as usize;
+    let (stop_sender, stop) = watch::channel(false);
+    tokio::spawn(accept_callers(listener, tools.clone(), callers.clone(), limit, stop));
+
+    launch(settings.ready, "ready", ready_routes(&driver)).await?;
+    launch(settings.directory, "directory", resolve_routes(&driver, settings.keep_ms)).await?;
+    if let Some(port) = metrics_port {
+        let address = SocketAddr::new(settings.entry.ip(), port);
+        launch(address, "metrics", metrics_routes(&driver, handle)).await?;
+    }
+    observe::note_started(&settings.name, settings.entry);
+    tokio::spawn(follow_settings(driver.clone(), file));
+
+    wait_for_stop().await;
+    let began = Instant::now();
+    driver.feed(RouteEvent::StopAsked);
+    tools.stopping.store(true, Ordering::Relaxed);
+    // The receivers live as long as the accept loop.
+    let _ = stop_sender.send(true);
+    follow::forget_box(&store, &settings.name).await;
+    wait_until_empty(&settings, &driver, &callers, began).await;
+    observe::note_exit(callers.open(), driver.state().in_hand());
+    Ok(())
+}
+
+fn listen_error(address: SocketAddr, purpose: &'static str, error: &std::io::Error) -> ProcessError {
+    ProcessError::Listen { address, purpose, error: error.to_string() }
+}
+
+async fn launch(
+    address: SocketAddr,
+    purpose: &'static str,
+    routes: Vec<Route>,
+) -> Result<(), ProcessError> {
+    let rocket = ignite(server(address).mount("/", routes), address, purpose).await?;
+    tokio::spawn(async move {
+        if let Err(error) = rocket.launch().await {
+            observe::note_socket_failed(purpose, &std::io::Error::other(error.to_string()));
+            // A box without one of its listeners is no box: the platform starts it anew.
+            std::process::exit(1);
+        }
+    });
+    Ok(())
+}
+
+fn route_settings(settings: &GatewaySettings) -> RouteSettings {
+    RouteSettings {
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        incarnation: rand::random(),
+        entry_address: settings.entry.to_string(),
+        note_address: settings.notes.to_string(),
+        fresh: settings.fresh,
+        budget: settings.budget,
+    }
+}
+
+async fn run_ticks(driver: Arc<GatewayDriver>, pool: Arc<ReplicaPool>) {
+    let mut swept = Instant::now();
+    loop {
+        driver.feed(RouteEvent::Tick);
+        if swept.elapsed() >= Duration::from_millis(SWEEP_EVERY_MS) {
+            swept = Instant::now();
+            pool.sweep();
+        }
+        tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
+    }
+}
+
+/// Takes changes of the settings' bounds, at a signal or when the file is found changed.
+async fn follow_settings(driver: Arc<GatewayDriver>, file: PathBuf) {
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(error) => return observe::note_socket_failed("signal", &error),
+    };
+    let mut last = std::fs::read_to_string(&file).unwrap_or_default();
+    loop {
+        let asked = tokio::select! {
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(Duration::from_millis(SETTINGS_EVERY_MS)) => false,
+        };
+        let text = match std::fs::read_to_string(&file) {
+            Ok(text) => text,
+            Err(error) => {
+                observe::note_reload_failed(&error.to_string());
+                continue;
+            }
+        };
+        let changed = text != last;
+        if changed {
+            match read_settings(&file.display().to_string(), &text) {
+                Ok(settings) => driver.state().set_bounds(settings.fresh, settings.budget),
+                Err(findings) => observe::note_reload_failed(&findings.lines().join("; ")),
+            }
+            last = text;
+        }
+        if asked || changed {
+            observe::note_reloaded(changed);
+        }
+    }
+}
+
+async fn wait_for_stop() {
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+/// Waits until callers can no longer come and all that is open has ended, or the time is up.
+async fn wait_until_empty(
+    settings: &GatewaySettings,
+    driver: &GatewayDriver,
+    callers: &CallerCount,
+    began: Instant,
+) {
+    let limit = Duration::from_millis(settings.grace_ms.saturating_sub(GRACE_MARGIN_MS));
+    // Callers keep an answer for its time, some of them longer; then they look for another.
+    let stay = Duration::from_millis(settings.keep_ms).min(limit);
+    loop {
+        let empty = callers.open() == 0 && driver.state().in_hand() == 0;
+        if (empty && began.elapsed() >= stay) || began.elapsed() >= limit {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(STOP_LOOK_MS)).await;
+    }
+}
--- /dev/null
+++ b/crates/box/src/gateway/relay.rs
@@ -0,0 +1,157 @@
+//! Passes a stream on, whole events only, and takes it up at another replica when it breaks.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::HeaderMap;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use ravenspoke_core::route::event::{AttemptFailure, RouteEvent, SendOrder};
+
+use super::driver::RequestStep;
+use super::event_cut::EventCutter;
+use super::exchange::{
+    attempt, give_back, AnswerBody, Attempted, BrokenAnswer, CallerBody, CallerRequest,
+    GatewayTools, RequestGuard,
+};
+use super::observe;
+use super::pool::ReplicaLink;
+
+/// A stream under way. Dropped when the caller leaves, which closes the replica's connection.
+struct StreamRelay {
+    tools: Arc<GatewayTools>,
+    caller: CallerRequest,
+    guard: RequestGuard,
+    order: Box<SendOrder>,
+    cutter: EventCutter,
+    source: Option<StreamSource>,
+}
+
+/// The replica's side of a stream.
+struct StreamSource {
+    body: Incoming,
+    link: ReplicaLink,
+    headers: HeaderMap,
+}
+
+/// What came next of a stream.
+enum StreamPiece {
+    Bytes(Bytes),
+    End,
+    Failed(AttemptFailure, &'static str),
+    TimeUp,
+}
+
+/// The body of a stream for the caller.
+pub(super) fn relay_stream(
+    tools: Arc<GatewayTools>,
+    caller: CallerRequest,
+    guard: RequestGuard,
+    order: Box<SendOrder>,
+    headers: HeaderMap,
+    body: Incoming,
+    link: ReplicaLink,
+) -> CallerBody {
+    let source = Some(StreamSource { body, link, headers });
+    let relay = StreamRelay { tools, caller, guard, order, cutter: EventCutter::default(), source };
+    let pieces = stream::unfold(Some(relay), |relay| async move {
+        let mut relay = relay?;
+        match relay.next_events().await {
+            Ok(Some(events)) => Some((Ok(Frame::data(events)), Some(relay))),
+            Ok(None) => None,
+            Err(broken) => Some((Err(broken), None)),
+        }
+    });
+    StreamBody::new(pieces).boxed_unsync()
+}
+
+impl StreamRelay {
+    /// The next whole events; `None` at the end.
+    async fn next_events(&mut self) -> Result<Option<Bytes>, BrokenAnswer> {
+        loop {
+            let began = Instant::now();
+            let (failure, why) = match self.next_piece().await {
+                StreamPiece::Bytes(bytes) => match self.cutter.push(&bytes) {
+                    Ok(Some(events)) => return Ok(Some(events)),
+                    Ok(None) => continue,
+                    Err(_) => (AttemptFailure::Broken, "an event is too long"),
+                },
+                StreamPiece::End if self.cutter.has_part() => {
+                    (AttemptFailure::Broken, "it ended within an event")
+                }
+                StreamPiece::End => {
+                    self.end();
+                    return Ok(None);
+                }
+                StreamPiece::Failed(failure, why) => (failure, why),
+                StreamPiece::TimeUp => {
+                    self.guard.feed(RouteEvent::TimeUp(self.guard.name.ticket));
+                    return Err(BrokenAnswer("the time is up"));
+                }
+            };
+            observe::note_attempt_failed(&self.guard.name, failure, why, began.elapsed());
+            self.resume(failure).await?;
+        }
+    }
+
+    async fn next_piece(&mut self) -> StreamPiece {
+        let Some(source) = &mut self.source else {
+            return StreamPiece::Failed(AttemptFailure::Broken, "no replica");
+        };
+        let left = self.tools.driver.until(self.order.deadline);
+        let wait = left.min(Duration::from_millis(self.order.pause_ms));
+        match tokio::time::timeout(wait, source.body.frame()).await {
+            Ok(Some(Ok(frame))) => StreamPiece::Bytes(frame.into_data().unwrap_or_default()),
+            Ok(Some(Err(_))) => StreamPiece::Failed(AttemptFailure::Broken, "it broke off"),
+            Ok(None) => StreamPiece::End,
+            Err(_) if wait == left => StreamPiece::TimeUp,
+            Err(_) => StreamPiece::Failed(AttemptFailure::Silent, "no event in time"),
+        }
+    }
+
+    /// Goes on at another replica, behind the last whole event.
+    async fn resume(&mut self, failure: AttemptFailure) -> Result<(), BrokenAnswer> {
+        // Closed before the new run begins, so that no two replicas work on the request.
+        self.source = None;
+        self.cutter.drop_part();
+        let ticket = self.guard.name.ticket;
+        let mut step = self.guard.feed(RouteEvent::AttemptFailed(ticket, failure));
+        loop {
+            let Some(RequestStep::Send(order)) = step else {
+                return Err(BrokenAnswer("no replica could go on"));
+            };
+            self.order = order;
+            let last = self.cutter.last_id().map(str::to_owned);
+            let attempted = attempt(
+                &self.tools,
+                &self.caller,
+                &mut self.guard,
+                &self.order,
+                last.as_deref(),
+            );
+            match attempted.await {
+                Attempted::Answer(answer) => {
+                    step = self.guard.feed(RouteEvent::HeadCame(ticket, answer.decoded));
+                    if !matches!(step, Some(RequestStep::Relay)) {
+                        continue;
+                    }
+                    let AnswerBody::Stream(body, link) = answer.body else {
+                        return Err(BrokenAnswer("what goes on is no stream"));
+                    };
+                    self.source = Some(StreamSource { body, link, headers: answer.head.headers });
+                    return Ok(());
+                }
+                Attempted::Ended(next) => step = next,
+            }
+        }
+    }
+
+    fn end(&mut self) {
+        if let Some(source) = self.source.take() {
+            give_back(&self.tools, source.link, &source.headers);
+        }
+        self.guard.finish(http::StatusCode::OK.as_u16());
+    }
+}
--- a/crates/box/src/main.rs
+++ b/crates/box/src/main.rs
@@ -1,19 +1,27 @@
 //! `ravenspoked`: an entry box. All work is in the library.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use lexopt::prelude::*;
 use miette::{IntoDiagnostic, WrapErr};
+use ravenspoke_adapter::settings as adapter_settings;
+use ravenspoke_box::gateway::process::run_gateway;
+use ravenspoke_box::process::ProcessError;
+use ravenspoke_config::gateway::GatewaySettings;
 use ravenspoke_config::settings::{read_settings, ProcessSettings};
 
 const HELP: &str = "\
 Run an entry box of ravenspoke.
 
 Usage: ravenspoked --settings FILE
+       ravenspoked --platform [--settings FILE] [--metrics PORT]
 
 Options:
-  -s, --settings FILE  Settings of the box, TOML (see docs/OPERATING.md)
+  -s, --settings FILE  Settings of the box, TOML (see docs/OPERATIONS.md)
+      --platform       Run on the users' platform: the settings are the platform's, at
+                       the path that it names unless --settings gives another
+      --metrics PORT   With --platform: serve metrics and the state dump at this port
   -h, --help           Print this help
   -V, --version        Print the version
 
@@ -26,19 +34,43 @@
   1  the box could not run
   2  the command line or the settings are wrong";
 
+/// What the command line asks for.
+enum CommandLine {
+    /// Help or version was printed.
+    Printed,
+    /// A box of signed bundles.
+    Bundles(Box<ProcessSettings>),
+    /// A box on the users' platform.
+    Platform(Box<GatewaySettings>, PathBuf, Option<u16>),
+}
+
 fn main() -> ExitCode {
-    let settings = match load() {
-        Ok(Some(settings)) => settings,
-        Ok(None) => return ExitCode::SUCCESS,
+    match load() {
+        Ok(CommandLine::Printed) => ExitCode::SUCCESS,
+        Ok(CommandLine::Bundles(settings)) => {
+            start_logs(&settings);
+            let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+            run(runtime, ravenspoke_box::process::run_box(*settings))
+        }
+        Ok(CommandLine::Platform(settings, path, port)) => {
+            let _writer = start_platform_logs();
+            // A box has a part of one core there: more threads would only take turns.
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            run(runtime, run_gateway(*settings, path, port))
+        }
         Err(report) => {
             eprintln!("{report:?}");
-            return ExitCode::from(2);
+            ExitCode::from(2)
         }
-    };
-    start_logs(&settings);
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    }
+}
+
+fn run(
+    runtime: std::io::Result<tokio::runtime::Runtime>,
+    work: impl std::future::Future<Output = Result<(), ProcessError>>,
+) -> ExitCode {
     let ran = match runtime {
-        Ok(runtime) => runtime.block_on(ravenspoke_box::process::run_box(settings)),
+        Ok(runtime) => runtime.block_on(work),
         Err(error) => {
             eprintln!("the runtime can't start: {error}");
             return ExitCode::FAILURE;
@@ -53,34 +85,78 @@
     }
 }
 
-/// Reads the command line and the settings; `None` if help or version was asked for.
-fn load() -> miette::Result<Option<ProcessSettings>> {
+/// Reads the command line and the settings.
+fn load() -> miette::Result<CommandLine> {
     let mut path: Option<PathBuf> = None;
+    let mut platform = false;
+    let mut metrics_port = None;
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next().into_diagnostic()? {
         match arg {
             Short('s') | Long("settings") => {
                 path = Some(parser.value().into_diagnostic()?.into());
             }
+            Long("platform") => platform = true,
+            Long("metrics") => {
+                let value = parser.value().into_diagnostic()?;
+                metrics_port = Some(value.parse().into_diagnostic()?);
+            }
             Short('h') | Long("help") => {
                 println!("{HELP}");
-                return Ok(None);
+                return Ok(CommandLine::Printed);
             }
             Short('V') | Long("version") => {
                 println!("ravenspoked {}", env!("CARGO_PKG_VERSION"));
-                return Ok(None);
+                return Ok(CommandLine::Printed);
             }
             other => return Err(other.unexpected()).into_diagnostic(),
         }
     }
+    if platform {
+        let path = path.unwrap_or_else(platform_path);
+        let text = read_text(&path)?;
+        let settings = adapter_settings::read_settings(&path.display().to_string(), &text);
+        return Ok(CommandLine::Platform(
+            Box::new(settings.map_err(|findings| *findings)?),
+            path,
+            metrics_port,
+        ));
+    }
+    if metrics_port.is_some() {
+        return Err(miette::miette!(help = "see --help", "--metrics goes with --platform"));
+    }
     let path =
         path.ok_or_else(|| miette::miette!(help = "see --help", "--settings FILE is needed"))?;
-    let text = std::fs::read_to_string(&path)
-        .into_diagnostic()
-        .wrap_err_with(|| format!("can't read the settings {}", path.display()))?;
+    let text = read_text(&path)?;
     let settings =
         read_settings(&path.display().to_string(), &text).map_err(|findings| *findings)?;
-    Ok(Some(settings))
+    Ok(CommandLine::Bundles(Box::new(settings)))
+}
+
+fn platform_path() -> PathBuf {
+    let named = std::env::var_os(adapter_settings::SETTINGS_VARIABLE);
+    named.map_or_else(|| adapter_settings::SETTINGS_PATH.into(), PathBuf::from)
+}
+
+fn read_text(path: &Path) -> miette::Result<String> {
+    std::fs::read_to_string(path)
+        .into_diagnostic()
+        .wrap_err_with(|| format!("can't read the settings {}", path.display()))
+}
+
+/// Lines that may wait to be written; more are dropped and counted.
+const LOG_LINES: usize = 8_192;
+
+/// Starts the logs of a box on the platform: JSON lines on standard output, through a bounded buffer
+/// that never blocks.
+fn start_platform_logs() -> tracing_appender::non_blocking::WorkerGuard {
+    let (writer, guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(LOG_LINES)
+        .finish(std::io::stdout());
+    let filter = tracing_subscriber::EnvFilter::new("warn,ravenspoke_box=info");
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(writer).json().init();
+    guard
 }
 
 fn start_logs(settings: &ProcessSettings) {
--- a/crates/box/src/process.rs
+++ b/crates/box/src/process.rs
@@ -130,7 +130,7 @@
     Ok(())
 }
 
-async fn ignite(
+pub(crate) async fn ignite(
     rocket: Rocket<Build>,
     address: SocketAddr,
     purpose: &'static str,
@@ -141,7 +141,7 @@
     })
 }
 
-fn server(address: SocketAddr) -> Rocket<Build> {
+pub(crate) fn server(address: SocketAddr) -> Rocket<Build> {
     let shutdown = Shutdown {
         ctrlc: false,
         signals: std::collections::HashSet::<Sig>::new(),
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod bundle_file;
 pub mod finding;
+pub mod gateway;
 pub mod settings;
 pub mod table;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod replica;
 pub mod retry;
 pub mod rollout;
+pub mod route;
 pub mod session;
 pub mod state;
 pub mod time;
--- /dev/null
+++ b/crates/core/src/route/dump.rs
@@ -0,0 +1,50 @@
+//! The state as operators see it.
+
+use serde::Serialize;
+
+use super::backend::BackendState;
+use super::peers::PeerState;
+use super::plan::RoutePlan;
+use super::trial::VersionTrial;
+use super::RouteState;
+use crate::time::BoxTime;
+
+/// State of a routing box. Keys of client accounts are left out.
+#[derive(Debug, Serialize)]
+pub struct RouteDump<'a> {
+    /// Box name.
+    pub name: &'a str,
+    /// Whether callers may be sent here.
+    pub open: bool,
+    /// Whether the planned stop has begun.
+    pub stopping: bool,
+    /// Age of what is known of the plan, in milliseconds.
+    pub plan_age_ms: Option<u64>,
+    /// The plan.
+    pub plan: &'a RoutePlan,
+    /// Replicas.
+    pub backends: Vec<&'a BackendState>,
+    /// Other boxes, by name.
+    pub peers: Vec<(&'a String, &'a PeerState)>,
+    /// Trials.
+    pub trials: Vec<&'a VersionTrial>,
+    /// Requests in hand.
+    pub in_hand: usize,
+}
+
+impl RouteState {
+    /// Describes the state at `now`.
+    pub fn dump(&self, now: BoxTime) -> RouteDump<'_> {
+        RouteDump {
+            name: &self.settings.name,
+            open: self.open(now),
+            stopping: self.stopping,
+            plan_age_ms: self.fresh.age_ms(now),
+            plan: self.table.plan(),
+            backends: self.backends.rows().map(|(_, row)| row).collect(),
+            peers: self.peers.rows().collect(),
+            trials: self.trials.values().collect(),
+            in_hand: self.requests.len(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/route/event.rs
@@ -0,0 +1,240 @@
+//! What can happen to a routing box, and what it can be told to do, as data.
+
+use super::backend::{BackendChange, BackendEntry, BackendLoad};
+use super::peers::PeerNote;
+use super::plan::{RouteKind, RoutePlan};
+use super::trial::{TrialOrder, TrialState, TrialVerdict};
+use crate::event::RequestTicket;
+use crate::ids::ReplicaKey;
+use crate::time::BoxTime;
+
+/// A caller's request, decoded.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RouteAsk {
+    /// Id that the caller gave it.
+    pub id: String,
+    /// Host that it names.
+    pub host: String,
+    /// Path, without the query.
+    pub path: String,
+    /// Key that the caller shows.
+    pub key: Option<String>,
+    /// How long the caller waits, in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// Hash of the prompt's shared parts; 0 for none.
+    pub affinity: u64,
+    /// Whether the caller leaves the model to the router.
+    pub any_model: bool,
+}
+
+/// The head of a replica's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// HTTP status.
+    pub status: u16,
+    /// Load that it tells.
+    pub load: Option<BackendLoad>,
+    /// How sure the model is of its answer, 0 to 100.
+    pub confidence: Option<u8>,
+    /// Whether the replica says that it did not run the request.
+    pub not_run: bool,
+    /// Whether another replica answers at this address now.
+    pub other_replica: bool,
+    /// Whether the answer carries the replica's proof.
+    pub proven: bool,
+}
+
+/// How an attempt failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptFailure {
+    /// No connection came about: nothing was written.
+    NeverSent,
+    /// The connection broke, or what came was no answer to this request.
+    Broken,
+    /// Nothing came for too long.
+    Silent,
+}
+
+/// An event.
+#[derive(Clone, Debug)]
+pub enum RouteEvent {
+    /// Time passed.
+    Tick,
+    /// The plan was read from the store; `None` if it is as it was.
+    PlanRead {
+        /// When the read began.
+        asked_at: BoxTime,
+        /// The plan.
+        plan: Option<RoutePlan>,
+    },
+    /// Orders to bring versions in were read.
+    OrdersRead(Vec<TrialOrder>),
+    /// Verdicts were read.
+    VerdictsRead(Vec<TrialVerdict>),
+    /// Changes to the replicas' entries were read.
+    BackendsChanged(Vec<BackendChange>),
+    /// All entries of the replicas were read.
+    BackendsListed(Vec<BackendEntry>),
+    /// A call to the store failed.
+    StoreFailed,
+    /// Another box's note came.
+    PeerHeard(PeerNote),
+    /// Addresses where other boxes may be.
+    PeersNamed(Vec<String>),
+    /// A caller's request arrived.
+    Arrived(RequestTicket, RouteAsk),
+    /// The head of a replica's answer came.
+    HeadCame(RequestTicket, AnswerHead),
+    /// The attempt failed.
+    AttemptFailed(RequestTicket, AttemptFailure),
+    /// The whole answer was passed on.
+    Finished(RequestTicket),
+    /// The time of the request is up.
+    TimeUp(RequestTicket),
+    /// The caller went away.
+    CallerLeft(RequestTicket),
+    /// The operator asks for a planned stop.
+    StopAsked,
+}
+
+/// Why a request ends without a replica's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// No plan is known yet.
+    NoPlan,
+    /// What the box knows is too old to honour keys.
+    Stale,
+    /// No route takes the request.
+    NoRoute,
+    /// The key is missing or unknown.
+    UnknownKey,
+    /// No replica may be used.
+    NoReplica,
+    /// Every replica that was asked said that it is full.
+    Full,
+    /// It may have run, and no further attempt is allowed.
+    Failed,
+    /// The time is up.
+    TimeUp,
+}
+
+impl RefusalReason {
+    /// Name in logs and metrics.
+    pub fn slug(self) -> &'static str {
+        match self {
+            RefusalReason::NoPlan => "no_plan",
+            RefusalReason::Stale => "plan_stale",
+            RefusalReason::NoRoute => "no_route",
+            RefusalReason::UnknownKey => "unknown_key",
+            RefusalReason::NoReplica => "no_replica",
+            RefusalReason::Full => "replicas_full",
+            RefusalReason::Failed => "replica_failed",
+            RefusalReason::TimeUp => "time_up",
+        }
+    }
+}
+
+/// A refusal. Status 503 says that the request has not run and never will; 502 and 504 say nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RouteRefusal {
+    /// HTTP status.
+    pub status: u16,
+    /// Why.
+    pub reason: RefusalReason,
+    /// When to come back, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
+/// What a decision rested on, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct DecisionInputs {
+    /// Version of the plan.
+    pub plan_version: u64,
+    /// Its age, in milliseconds.
+    pub plan_age_ms: u64,
+    /// Replicas that could have been taken.
+    pub candidates: usize,
+    /// Estimated load of the one taken.
+    pub load: f64,
+    /// Whether it was taken for the prompt's shared parts.
+    pub affine: bool,
+}
+
+/// A replica for an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SendOrder {
+    /// Number of the attempt within its request, from 1.
+    pub number: u32,
+    /// The replica.
+    pub replica: ReplicaKey,
+    /// Its id.
+    pub replica_id: String,
+    /// Its address.
+    pub address: String,
+    /// Version of its software.
+    pub version: String,
+    /// Route name.
+    pub route: String,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Model to ask for, where the router chooses.
+    pub model: Option<String>,
+    /// Client account, where keys are asked for.
+    pub account: Option<String>,
+    /// The request's time is up then.
+    pub deadline: BoxTime,
+    /// Give up on the attempt when no head came for this long, in milliseconds.
+    pub head_ms: u64,
+    /// Give up on the attempt when no event came for this long, in milliseconds.
+    pub pause_ms: u64,
+    /// What the decision rested on.
+    pub inputs: DecisionInputs,
+}
+
+/// An effect.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RouteEffect {
+    /// Send the request to this replica.
+    Send(RequestTicket, SendOrder),
+    /// Pass this answer on.
+    Relay(RequestTicket),
+    /// End the request with a refusal.
+    Refuse(RequestTicket, RouteRefusal, DecisionInputs),
+    /// Break the answer off: the caller has a part of it, and the rest can't be had.
+    BreakOff(RequestTicket, RefusalReason),
+    /// Tell other boxes.
+    SendNotes(Vec<String>, Box<PeerNote>),
+    /// Write a verdict to the store, unless it has one.
+    WriteVerdict(TrialVerdict),
+    /// Read the plan at once: another box has a newer one.
+    ReadPlan,
+    /// A plan came into force.
+    PlanInForce {
+        /// Its version.
+        version: u64,
+        /// Routes in it.
+        routes: usize,
+    },
+    /// A plan was older than the one in force and was dropped.
+    PlanTooOld {
+        /// Its version.
+        version: u64,
+    },
+    /// A replica leaves or is gone.
+    BackendLeaving(String),
+    /// A trial changed its state.
+    TrialMoved {
+        /// Service.
+        service: String,
+        /// Version on trial.
+        version: String,
+        /// New state.
+        state: TrialState,
+        /// Answers of the version so far.
+        runs: f64,
+        /// Failures among them.
+        bad: f64,
+    },
+    /// The planned stop has begun.
+    StopBegun,
+}
--- /dev/null
+++ b/crates/core/src/route/mod.rs
@@ -0,0 +1,320 @@
+//! Routing by host and prefix, on a platform that keeps plans, entries and verdicts in its store.
+//!
+//! [`RouteState`] is the reducer of a box on such a platform, beside [`crate::state::BoxState`] for
+//! signed bundles. Claims, bills and witnesses have no place in it: a caller's retry is a new request
+//! there, and nobody reads bills. The flow of a request is in `request`; trials of new versions are in
+//! `verdict`; `dump` describes the state.
+//!
+//! [`plan`] what is routed where · [`fresh`] how long that may be relied on · [`backend`] replicas ·
+//! [`peers`] the other boxes · [`trial`] new versions · [`budget`] further sends · [`sizes`] models.
+
+pub mod backend;
+pub mod budget;
+mod dump;
+pub mod event;
+pub mod fresh;
+pub mod peers;
+pub mod plan;
+mod request;
+pub mod sizes;
+pub mod trial;
+mod verdict;
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use crate::event::{EventStamp, RequestTicket};
+use crate::time::BoxTime;
+
+use backend::{BackendChange, BackendTable};
+use budget::{BudgetBounds, SendBudget};
+use event::{RouteEffect, RouteEvent};
+use fresh::{FreshBounds, PlanFreshness};
+use peers::{PeerNote, PeerTable, TrialNote};
+use plan::{RoutePlan, RouteTable};
+use request::RouteRequest;
+use trial::VersionTrial;
+
+pub use dump::RouteDump;
+
+/// A leaving replica is told to other boxes for this long, in milliseconds: past the two seconds
+/// within which all must know.
+pub const TELL_LEAVING_MS: u64 = 3_000;
+
+/// The store counts as unsound for this long after a failed call, in milliseconds: entries that
+/// lapsed meanwhile are written again within two seconds of its return.
+pub const UNSOUND_MS: u64 = 8_000;
+
+/// A box whose plan is older than this is not named to callers, in milliseconds, unless all are: two
+/// polls of the store.
+pub const NAMED_AGE_MS: u64 = 2_500;
+
+/// Settings of a box that the reducer needs.
+#[derive(Clone, Debug)]
+pub struct RouteSettings {
+    /// Box name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Random number drawn when the process started.
+    pub incarnation: u64,
+    /// Where it takes callers.
+    pub entry_address: String,
+    /// Where it hears other boxes' notes.
+    pub note_address: String,
+    /// Bounds of freshness.
+    pub fresh: FreshBounds,
+    /// Bounds of further sends.
+    pub budget: BudgetBounds,
+}
+
+/// All state of a routing box.
+#[derive(Debug)]
+pub struct RouteState {
+    settings: RouteSettings,
+    table: RouteTable,
+    fresh: PlanFreshness,
+    backends: BackendTable,
+    peers: PeerTable,
+    trials: BTreeMap<String, VersionTrial>,
+    /// When a verdict became due or was last sent to the store, by service.
+    verdict_at: BTreeMap<String, BoxTime>,
+    budgets: HashMap<String, SendBudget>,
+    requests: HashMap<RequestTicket, RouteRequest>,
+    store_failed_at: Option<BoxTime>,
+    leaving: VecDeque<(BoxTime, String)>,
+    note_number: u64,
+    next_note: BoxTime,
+    stopping: bool,
+}
+
+impl RouteState {
+    /// State of a box that has just started and knows nothing.
+    pub fn new(settings: RouteSettings) -> Self {
+        Self {
+            settings,
+            table: RouteTable::default(),
+            fresh: PlanFreshness::default(),
+            backends: BackendTable::default(),
+            peers: PeerTable::default(),
+            trials: BTreeMap::new(),
+            verdict_at: BTreeMap::new(),
+            budgets: HashMap::new(),
+            requests: HashMap::new(),
+            store_failed_at: None,
+            leaving: VecDeque::new(),
+            note_number: 0,
+            next_note: BoxTime::default(),
+            stopping: false,
+        }
+    }
+
+    /// Applies one event and gives what the box must do.
+    pub fn apply(&mut self, stamp: EventStamp, event: RouteEvent) -> Vec<RouteEffect> {
+        let mut effects = Vec::new();
+        let out = &mut effects;
+        match event {
+            RouteEvent::Tick => self.on_tick(stamp, out),
+            RouteEvent::PlanRead { asked_at, plan } => self.on_plan_read(asked_at, plan, out),
+            RouteEvent::OrdersRead(orders) => self.on_orders(stamp, orders, out),
+            RouteEvent::VerdictsRead(verdicts) => {
+                for verdict in verdicts {
+                    self.take_verdict(verdict, out);
+                }
+            }
+            RouteEvent::BackendsChanged(changes) => self.on_backends(stamp, changes, out),
+            RouteEvent::BackendsListed(entries) => {
+                let unsound = self.store_unsound(stamp.now);
+                for id in self.backends.take_all(entries, stamp.now, unsound) {
+                    self.tell_leaving(stamp, id, out);
+                }
+            }
+            RouteEvent::StoreFailed => self.store_failed_at = Some(stamp.now),
+            RouteEvent::PeerHeard(note) => self.on_note(stamp, &note, out),
+            RouteEvent::PeersNamed(addresses) => {
+                self.peers.hear_of(&addresses, &self.settings.note_address, stamp.now);
+            }
+            RouteEvent::Arrived(ticket, ask) => self.on_arrived(stamp, ticket, ask, out),
+            RouteEvent::HeadCame(ticket, head) => self.on_head(stamp, ticket, head, out),
+            RouteEvent::AttemptFailed(ticket, failure) => {
+                self.on_failed(stamp, ticket, failure, out);
+            }
+            RouteEvent::Finished(ticket) => self.on_finished(stamp, ticket),
+            RouteEvent::TimeUp(ticket) => self.on_time_up(stamp, ticket, out),
+            RouteEvent::CallerLeft(ticket) => self.on_caller_left(stamp, ticket),
+            RouteEvent::StopAsked => {
+                self.stopping = true;
+                self.next_note = BoxTime::default();
+                out.push(RouteEffect::StopBegun);
+                self.on_tick(stamp, out);
+            }
+        }
+        effects
+    }
+
+    fn on_tick(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
+        self.backends.forget_lapsed(stamp.now);
+        self.judge_trials(stamp, out);
+        if stamp.now < self.next_note {
+            return;
+        }
+        self.next_note = stamp.now.plus_millis(peers::NOTE_EVERY_MS);
+        self.peers.forget(stamp.now);
+        let told = |at: BoxTime| stamp.now.millis_since(at) < TELL_LEAVING_MS;
+        self.leaving.retain(|(at, _)| told(*at));
+        let targets = self.peers.note_targets(stamp.dice);
+        if !targets.is_empty() {
+            out.push(RouteEffect::SendNotes(targets, Box::new(self.note(stamp))));
+        }
+    }
+
+    fn on_plan_read(
+        &mut self,
+        asked_at: BoxTime,
+        plan: Option<RoutePlan>,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let Some(plan) = plan else {
+            // "As it was" says nothing to a box that has no plan yet.
+            if self.has_plan() {
+                self.fresh.renew(asked_at);
+            }
+            return;
+        };
+        if self.has_plan() && plan.version < self.table.plan().version {
+            out.push(RouteEffect::PlanTooOld { version: plan.version });
+            return;
+        }
+        self.fresh.renew(asked_at);
+        if self.has_plan() && plan.version == self.table.plan().version {
+            return;
+        }
+        let (version, routes) = (plan.version, plan.routes.len());
+        self.table = RouteTable::build(plan);
+        out.push(RouteEffect::PlanInForce { version, routes });
+    }
+
+    fn on_backends(
+        &mut self,
+        stamp: EventStamp,
+        changes: Vec<BackendChange>,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let unsound = self.store_unsound(stamp.now);
+        for change in changes {
+            if let Some(id) = self.backends.take(change, stamp.now, unsound) {
+                self.tell_leaving(stamp, id, out);
+            }
+        }
+    }
+
+    fn tell_leaving(&mut self, stamp: EventStamp, id: String, out: &mut Vec<RouteEffect>) {
+        self.leaving.push_back((stamp.now, id.clone()));
+        out.push(RouteEffect::BackendLeaving(id));
+    }
+
+    fn on_note(&mut self, stamp: EventStamp, note: &PeerNote, out: &mut Vec<RouteEffect>) {
+        if note.name == self.settings.name || !self.peers.hear(note, stamp.now) {
+            return;
+        }
+        self.peers.hear_of(&note.others, &self.settings.note_address, stamp.now);
+        for id in &note.leaving {
+            if self.backends.mark_leaving(id) {
+                out.push(RouteEffect::BackendLeaving(id.clone()));
+            }
+        }
+        self.hear_trials(stamp, note, out);
+        if note.plan_version > self.table.plan().version {
+            out.push(RouteEffect::ReadPlan);
+        }
+    }
+
+    fn note(&mut self, stamp: EventStamp) -> PeerNote {
+        self.note_number += 1;
+        let trials = self.trials.values().map(|trial| TrialNote {
+            service: trial.order.service.clone(),
+            version: trial.order.version.clone(),
+            age_ms: stamp.now.millis_since(trial.began),
+            tallies: trial.own.clone(),
+        });
+        PeerNote {
+            name: self.settings.name.clone(),
+            incarnation: self.settings.incarnation,
+            number: self.note_number,
+            note_address: self.settings.note_address.clone(),
+            entry_address: self.settings.entry_address.clone(),
+            zone: self.settings.zone.clone(),
+            open: self.open(stamp.now),
+            plan_version: self.table.plan().version,
+            leaving: self.leaving.iter().map(|(_, id)| id.clone()).collect(),
+            trials: trials.collect(),
+            verdicts: self.verdicts(),
+            others: self.peers.rows().map(|(_, row)| row.note_address.clone()).collect(),
+        }
+    }
+
+    fn has_plan(&self) -> bool {
+        self.table.plan().version > 0
+    }
+
+    fn store_unsound(&self, now: BoxTime) -> bool {
+        self.store_failed_at.is_some_and(|at| now.millis_since(at) < UNSOUND_MS)
+    }
+
+    /// Whether callers may be sent here.
+    pub fn open(&self, now: BoxTime) -> bool {
+        let fresh = self.fresh.age_ms(now).is_some_and(|age| age < NAMED_AGE_MS);
+        self.ready(now) && fresh
+    }
+
+    /// Whether the box can serve at all.
+    pub fn ready(&self, now: BoxTime) -> bool {
+        self.has_plan() && !self.stopping && self.fresh.honours_keys(now, self.settings.fresh)
+    }
+
+    /// Whether the planned stop has begun.
+    pub fn stopping(&self) -> bool {
+        self.stopping
+    }
+
+    /// Requests in hand.
+    pub fn in_hand(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Whether a trial is under way, so that verdicts have to be read.
+    pub fn on_trial(&self) -> bool {
+        self.trials.values().any(|trial| trial.state == trial::TrialState::Running)
+    }
+
+    /// The plan in force.
+    pub fn plan(&self) -> &RoutePlan {
+        self.table.plan()
+    }
+
+    /// Other boxes.
+    pub fn peers(&self) -> &PeerTable {
+        &self.peers
+    }
+
+    /// Replicas.
+    pub fn backends(&self) -> &BackendTable {
+        &self.backends
+    }
+
+    /// Takes new bounds, after a change of the settings.
+    pub fn set_bounds(&mut self, fresh: FreshBounds, budget: BudgetBounds) {
+        self.settings.fresh = fresh;
+        self.settings.budget = budget;
+    }
+
+    /// Addresses for a caller: open boxes; where none is open, those that live and don't stop.
+    pub fn named(&self, now: BoxTime) -> Vec<String> {
+        let mut named: Vec<String> =
+            self.peers.open_rows(now).map(|row| row.entry_address.clone()).collect();
+        if self.open(now) || (named.is_empty() && self.ready(now)) {
+            named.push(self.settings.entry_address.clone());
+        }
+        named.truncate(peers::NAMED_LIMIT);
+        named
+    }
+}
--- /dev/null
+++ b/crates/core/src/route/peers.rs
@@ -0,0 +1,176 @@
+//! The other boxes: who lives, what they know, and which of them callers are sent to.
+//!
+//! Boxes tell each other by datagrams. A note carries what its sender is and has seen; a box that is
+//! silent for [`SILENT_MS`] is no longer named to callers.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use super::trial::{RouteTallies, TrialVerdict};
+use crate::time::BoxTime;
+
+/// Time between two notes to the same box, in milliseconds.
+pub const NOTE_EVERY_MS: u64 = 500;
+
+/// A box that has said nothing for this long is no longer named to callers, in milliseconds: three
+/// notes in a row may be lost, the fourth is late.
+pub const SILENT_MS: u64 = 1_800;
+
+/// A box that has said nothing for this long is forgotten, in milliseconds.
+pub const FORGET_MS: u64 = 60_000;
+
+/// Boxes that a note is sent to each time; at most this many, chosen anew.
+pub const NOTE_FANOUT: usize = 12;
+
+/// Addresses in an answer to a caller, at most; the platform's limit.
+pub const NAMED_LIMIT: usize = 64;
+
+/// What a box says of one trial.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct TrialNote {
+    /// Service.
+    pub service: String,
+    /// Version on trial.
+    pub version: String,
+    /// How long ago the order was given, in milliseconds.
+    pub age_ms: u64,
+    /// What the sender saw.
+    pub tallies: RouteTallies,
+}
+
+/// What a box tells another.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PeerNote {
+    /// Name of the sender.
+    pub name: String,
+    /// Random number of this life of its process.
+    pub incarnation: u64,
+    /// Number of the note; a lower one than seen is old.
+    pub number: u64,
+    /// Where it hears notes.
+    pub note_address: String,
+    /// Where it takes callers.
+    pub entry_address: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Whether callers may be sent to it.
+    pub open: bool,
+    /// Version of its plan.
+    pub plan_version: u64,
+    /// Ids of replicas that it lately learnt to be leaving.
+    pub leaving: Vec<String>,
+    /// Trials under way.
+    pub trials: Vec<TrialNote>,
+    /// Verdicts known.
+    pub verdicts: Vec<TrialVerdict>,
+    /// Where other boxes hear notes.
+    pub others: Vec<String>,
+}
+
+/// What is known of another box.
+#[derive(Clone, Debug, Serialize)]
+pub struct PeerState {
+    /// Random number of this life of its process.
+    pub incarnation: u64,
+    /// Number of its last note.
+    pub number: u64,
+    /// Where it hears notes.
+    pub note_address: String,
+    /// Where it takes callers.
+    pub entry_address: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Whether callers may be sent to it.
+    pub open: bool,
+    /// Version of its plan.
+    pub plan_version: u64,
+    /// When it was heard last.
+    pub heard_at: BoxTime,
+}
+
+/// The other boxes, by name.
+#[derive(Debug, Default)]
+pub struct PeerTable {
+    rows: BTreeMap<String, PeerState>,
+    /// Addresses that were only heard of, with when.
+    hearsay: BTreeMap<String, BoxTime>,
+}
+
+impl PeerTable {
+    /// All other boxes.
+    pub fn rows(&self) -> impl Iterator<Item = (&String, &PeerState)> {
+        self.rows.iter()
+    }
+
+    /// Takes a note. Returns false if it is older than one that was taken.
+    pub fn hear(&mut self, note: &PeerNote, now: BoxTime) -> bool {
+        if let Some(row) = self.rows.get(&note.name) {
+            if row.incarnation == note.incarnation && row.number >= note.number {
+                return false;
+            }
+        }
+        self.hearsay.remove(&note.note_address);
+        // An address has one box; a machine that took it over has another name.
+        self.rows.retain(|name, row| {
+            *name == note.name || row.note_address != note.note_address
+        });
+        self.rows.insert(note.name.clone(), PeerState {
+            incarnation: note.incarnation,
+            number: note.number,
+            note_address: note.note_address.clone(),
+            entry_address: note.entry_address.clone(),
+            zone: note.zone.clone(),
+            open: note.open,
+            plan_version: note.plan_version,
+            heard_at: now,
+        });
+        true
+    }
+
+    /// Notes addresses that may have a box.
+    pub fn hear_of(&mut self, addresses: &[String], own: &str, now: BoxTime) {
+        for address in addresses {
+            let known = self.rows.values().any(|row| row.note_address == *address);
+            if !known && address != own {
+                self.hearsay.entry(address.clone()).or_insert(now);
+            }
+        }
+    }
+
+    /// Forgets boxes that were silent for long, and addresses where nobody answered.
+    pub fn forget(&mut self, now: BoxTime) {
+        self.rows.retain(|_, row| now.millis_since(row.heard_at) < FORGET_MS);
+        self.hearsay.retain(|_, at| now.millis_since(*at) < FORGET_MS);
+    }
+
+    /// Boxes that live, this one included.
+    pub fn live_count(&self, now: BoxTime) -> usize {
+        1 + self.rows.values().filter(|row| now.millis_since(row.heard_at) < SILENT_MS).count()
+    }
+
+    /// Addresses for the next round of notes: all if they are few, else some by chance.
+    pub fn note_targets(&self, dice: u64) -> Vec<String> {
+        let known = self.rows.values().map(|row| &row.note_address);
+        let mut all: Vec<&String> = known.chain(self.hearsay.keys()).collect();
+        if all.len() > NOTE_FANOUT {
+            let order = |address: &&String| {
+                xxhash_rust::xxh3::xxh3_64_with_seed(address.as_bytes(), dice)
+            };
+            all.sort_by_cached_key(order);
+            all.truncate(NOTE_FANOUT);
+        }
+        all.into_iter().cloned().collect()
+    }
+
+    /// Live boxes that callers may be sent to.
+    pub fn open_rows(&self, now: BoxTime) -> impl Iterator<Item = &PeerState> {
+        self.rows.values().filter(move |row| row.open && now.millis_since(row.heard_at) < SILENT_MS)
+    }
+
+    /// Whether this box is the first, by name, of those that live.
+    pub fn rank(&self, me: &str, now: BoxTime) -> usize {
+        let live = self.rows.iter().filter(|(_, row)| now.millis_since(row.heard_at) < SILENT_MS);
+        live.filter(|(name, _)| name.as_str() < me).count()
+    }
+}
--- /dev/null
+++ b/crates/core/src/route/request.rs
@@ -0,0 +1,445 @@
+//! The life of a request: found a route, given a replica, tried again, or refused.
+//!
+//! One place ends a request without a replica's answer ([`RouteState::give_up`]), and there alone it
+//! is decided whether "has not run" may be said.
+
+use super::backend::{BackendAsk, BackendDeed, VersionWish};
+use super::event::{
+    AnswerHead, AttemptFailure, DecisionInputs, RefusalReason, RouteAsk, RouteEffect, RouteRefusal,
+    SendOrder,
+};
+use super::plan::{RouteKind, RouteSpec};
+use super::sizes;
+use super::trial::TrialState;
+use super::RouteState;
+use crate::event::{EventStamp, RequestTicket};
+use crate::ids::ReplicaKey;
+use crate::replica::mix;
+use crate::time::BoxTime;
+
+/// Connections that did not come about and cost a request none of its attempts, at most.
+pub const FREE_CONNECTS: u32 = 3;
+
+/// A head that comes later than this many times the target is not waited for, where another replica
+/// may be asked.
+pub const HEAD_TARGETS: f64 = 1.0;
+
+/// For an answer that is no stream: its work takes a fraction of the target.
+pub const PLAIN_HEAD_TARGETS: f64 = 2.0;
+
+/// A pause between events is not waited out beyond this part of the longest that counts in full.
+pub const PAUSE_PART: f64 = 0.8;
+
+/// Callers are told to come back after this, in milliseconds, when replicas are full: about what a
+/// short answer takes.
+pub const FULL_RETRY_MS: u64 = 300;
+
+/// Callers are told to come back after this, in milliseconds, when this box can't serve: by then
+/// they have another address.
+pub const ELSEWHERE_RETRY_MS: u64 = 100;
+
+/// An attempt under way.
+#[derive(Clone, Copy, Debug)]
+struct RunningAttempt {
+    replica: ReplicaKey,
+    began: BoxTime,
+    /// Whether it runs on a version on trial.
+    on_trial: bool,
+}
+
+/// A request in hand.
+#[derive(Clone, Debug)]
+pub(super) struct RouteRequest {
+    route: RouteSpec,
+    service: String,
+    account: Option<String>,
+    affinity: u64,
+    /// Row of `route.sizes` that answers, where the router chooses.
+    size: Option<usize>,
+    deadline: BoxTime,
+    tried: Vec<ReplicaKey>,
+    sends: u32,
+    free_connects: u32,
+    /// Whether any replica may have begun to work on it.
+    may_have_run: bool,
+    /// Whether the caller has the head of an answer.
+    relayed: bool,
+    /// How well the replica whose answer was relayed did.
+    deed: BackendDeed,
+    attempt: Option<RunningAttempt>,
+}
+
+impl RouteState {
+    pub(super) fn on_arrived(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        ask: RouteAsk,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let request = match self.admit(stamp, &ask) {
+            Ok(request) => request,
+            Err(reason) => {
+                out.push(RouteEffect::Refuse(ticket, refusal(reason, false), self.inputs(stamp)));
+                return;
+            }
+        };
+        let boxes = self.peers.live_count(stamp.now);
+        let budget = self.budgets.entry(request.service.clone()).or_default();
+        budget.earn(self.settings.budget, boxes, stamp.now);
+        self.requests.insert(ticket, request);
+        self.send(stamp, ticket, RefusalReason::NoReplica, out);
+    }
+
+    fn admit(&self, stamp: EventStamp, ask: &RouteAsk) -> Result<RouteRequest, RefusalReason> {
+        if !self.has_plan() {
+            return Err(RefusalReason::NoPlan);
+        }
+        let bounds = self.settings.fresh;
+        let deny = |reason| {
+            let sure = self.fresh.may_deny(stamp.now, bounds);
+            if sure { reason } else { RefusalReason::Stale }
+        };
+        let route = self.table.find(&ask.host, &ask.path);
+        let route = route.ok_or_else(|| deny(RefusalReason::NoRoute))?;
+        let keyed = self.table.asks_for_keys() && !route.anonymous;
+        if keyed && !self.fresh.honours_keys(stamp.now, bounds) {
+            return Err(RefusalReason::Stale);
+        }
+        let holder = ask.key.as_deref().and_then(|key| self.table.holder(key));
+        if keyed && holder.is_none() {
+            return Err(deny(RefusalReason::UnknownKey));
+        }
+        let allowed = ask.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+        let service = pick_target(route, stamp.dice).ok_or(RefusalReason::NoReplica)?;
+        let chooses = ask.any_model && !route.sizes.is_empty();
+        Ok(RouteRequest {
+            service,
+            account: holder.map(|holder| holder.name.clone()),
+            affinity: ask.affinity,
+            size: if chooses { sizes::first_size(&route.sizes) } else { None },
+            deadline: stamp.now.plus_millis(allowed),
+            tried: Vec::new(),
+            sends: 0,
+            free_connects: 0,
+            may_have_run: false,
+            relayed: false,
+            deed: BackendDeed::Served,
+            attempt: None,
+            route: route.clone(),
+        })
+    }
+
+    /// Sends a request to a replica, or gives it up for `otherwise` if there is none.
+    fn send(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        otherwise: RefusalReason,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let Some(request) = self.requests.get(&ticket) else { return };
+        let (version, on_trial) = self.version_wish(stamp, &request.service);
+        let ask = BackendAsk {
+            service: &request.service,
+            version,
+            affinity: request.affinity,
+            zone: &self.settings.zone,
+            tried: &request.tried,
+            dice: stamp.dice,
+            now: stamp.now,
+        };
+        // A wish that nobody fits gives way, but never to a version that was rolled back.
+        let fallback = self.fallback_wish(&request.service);
+        let pick = self.backends.pick(&ask).map(|pick| (pick, on_trial)).or_else(|| {
+            let ask = BackendAsk { version: fallback, ..ask };
+            self.backends.pick(&ask).map(|pick| (pick, false))
+        });
+        let Some((pick, on_trial)) = pick else {
+            self.give_up(stamp, ticket, otherwise, out);
+            return;
+        };
+        let inputs = DecisionInputs {
+            candidates: pick.candidates,
+            load: pick.load,
+            affine: pick.affine,
+            ..self.inputs(stamp)
+        };
+        self.backends.sent(pick.key);
+        let Some(row) = self.backends.get(pick.key) else { return };
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let began = stamp.now;
+        request.attempt = Some(RunningAttempt { replica: pick.key, began, on_trial });
+        request.tried.push(pick.key);
+        request.sends += 1;
+        let spare = request.route.kind.repeatable() && request.sends < request.route.attempts;
+        let left = request.deadline.millis_since(stamp.now);
+        let order = SendOrder {
+            number: request.sends,
+            replica: pick.key,
+            replica_id: row.entry.id.clone(),
+            address: row.entry.address.clone(),
+            version: row.entry.version.clone(),
+            route: request.route.name.clone(),
+            kind: request.route.kind,
+            model: request.size.map(|size| request.route.sizes[size].clone()),
+            account: request.account.clone(),
+            deadline: request.deadline,
+            head_ms: if spare { head_ms(&request.route).min(left) } else { left },
+            pause_ms: if spare { pause_ms(&request.route).min(left) } else { left },
+            inputs,
+        };
+        out.push(RouteEffect::Send(ticket, order));
+    }
+
+    /// Which versions a new attempt may go to, and whether that is one on trial.
+    fn version_wish(&self, stamp: EventStamp, service: &str) -> (VersionWish<'_>, bool) {
+        let Some(trial) = self.trials.get(service) else { return (VersionWish::Any, false) };
+        let version = trial.order.version.as_str();
+        let chance = (mix(stamp.dice ^ 0x7269) >> 11) as f64 / (1_u64 << 53) as f64;
+        if chance < trial.share(stamp.now) {
+            (VersionWish::Only(version), trial.state == TrialState::Running)
+        } else {
+            (VersionWish::Not(version), false)
+        }
+    }
+
+    fn fallback_wish(&self, service: &str) -> VersionWish<'_> {
+        match self.trials.get(service) {
+            Some(trial) if trial.state == TrialState::Done => VersionWish::Any,
+            Some(trial) => VersionWish::Not(&trial.order.version),
+            None => VersionWish::Any,
+        }
+    }
+
+    pub(super) fn on_head(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        head: AnswerHead,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let Some(attempt) = request.attempt else { return };
+        if let Some(load) = head.load {
+            self.backends.reported(attempt.replica, load, stamp.now);
+        }
+        if head.not_run || head.other_replica {
+            let deed =
+                if head.other_replica { BackendDeed::Unreachable } else { BackendDeed::Neither };
+            self.end_attempt(stamp, ticket, deed);
+            self.try_again(stamp, ticket, RefusalReason::Full, out);
+            return;
+        }
+        request.may_have_run = true;
+        let failed = head.status >= 500 || !head.proven;
+        let took = stamp.now.millis_since(attempt.began) as f64;
+        self.tally(ticket, failed, (!failed).then_some(took));
+        let Some(request) = self.requests.get(&ticket) else { return };
+        let relayed = request.relayed;
+        if failed && request.route.kind.repeatable() && self.may_send_again(stamp, ticket) {
+            self.end_attempt(stamp, ticket, BackendDeed::Failed);
+            self.send(stamp, ticket, RefusalReason::Failed, out);
+            return;
+        }
+        if !head.proven || (failed && relayed) {
+            self.end_attempt(stamp, ticket, BackendDeed::Failed);
+            self.give_up(stamp, ticket, RefusalReason::Failed, out);
+            return;
+        }
+        if !failed && self.wants_larger(stamp, ticket, head) {
+            self.end_attempt(stamp, ticket, BackendDeed::Served);
+            self.send(stamp, ticket, RefusalReason::Failed, out);
+            return;
+        }
+        if let Some(request) = self.requests.get_mut(&ticket) {
+            request.relayed = true;
+            request.deed = if failed { BackendDeed::Failed } else { BackendDeed::Served };
+        }
+        out.push(RouteEffect::Relay(ticket));
+    }
+
+    /// Whether a larger model is to answer; if so, the request is set to it.
+    fn wants_larger(&mut self, stamp: EventStamp, ticket: RequestTicket, head: AnswerHead) -> bool {
+        let Some(request) = self.requests.get(&ticket) else { return false };
+        let Some(size) = request.size.filter(|_| !request.relayed) else { return false };
+        let Some(next) = sizes::next_size(&request.route.sizes, size, head.confidence) else {
+            return false;
+        };
+        if !self.may_send_again(stamp, ticket) {
+            return false;
+        }
+        if let Some(request) = self.requests.get_mut(&ticket) {
+            request.size = Some(next);
+            // The replica that holds the parts did nothing wrong.
+            request.tried.pop();
+        }
+        true
+    }
+
+    pub(super) fn on_failed(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        failure: AttemptFailure,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        if failure == AttemptFailure::NeverSent {
+            request.free_connects += 1;
+            if request.free_connects <= FREE_CONNECTS {
+                request.sends -= 1;
+            }
+            self.end_attempt(stamp, ticket, BackendDeed::Unreachable);
+            self.try_again(stamp, ticket, RefusalReason::NoReplica, out);
+            return;
+        }
+        request.may_have_run = true;
+        self.tally(ticket, true, None);
+        self.end_attempt(stamp, ticket, BackendDeed::Failed);
+        let Some(request) = self.requests.get(&ticket) else { return };
+        if request.route.kind.repeatable() && self.may_send_again(stamp, ticket) {
+            self.send(stamp, ticket, RefusalReason::Failed, out);
+        } else {
+            self.give_up(stamp, ticket, RefusalReason::Failed, out);
+        }
+    }
+
+    /// Sends a request again that this attempt certainly did not run.
+    fn try_again(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        otherwise: RefusalReason,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        if self.may_send_again(stamp, ticket) {
+            self.send(stamp, ticket, otherwise, out);
+        } else {
+            self.give_up(stamp, ticket, otherwise, out);
+        }
+    }
+
+    /// Whether attempts, time and the fleet's budget allow another send; takes it from the budget.
+    fn may_send_again(&mut self, stamp: EventStamp, ticket: RequestTicket) -> bool {
+        let Some(request) = self.requests.get(&ticket) else { return false };
+        if request.sends >= request.route.attempts || request.deadline <= stamp.now {
+            return false;
+        }
+        let boxes = self.peers.live_count(stamp.now);
+        let budget = self.budgets.entry(request.service.clone()).or_default();
+        budget.spend(self.settings.budget, boxes, stamp.now)
+    }
+
+    fn end_attempt(&mut self, stamp: EventStamp, ticket: RequestTicket, deed: BackendDeed) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        if let Some(attempt) = request.attempt.take() {
+            self.backends.ended(attempt.replica, deed, stamp.now);
+        }
+    }
+
+    /// Adds the attempt's answer to its service's trial, if there is one.
+    fn tally(&mut self, ticket: RequestTicket, bad: bool, took_ms: Option<f64>) {
+        let Some(request) = self.requests.get(&ticket) else { return };
+        let Some(attempt) = request.attempt else { return };
+        let Some(trial) = self.trials.get_mut(&request.service) else { return };
+        if trial.state != TrialState::Running {
+            return;
+        }
+        let row = trial.own.entry(request.route.name.clone()).or_default();
+        let side = if attempt.on_trial { &mut row.fresh } else { &mut row.base };
+        side.add(bad, took_ms);
+    }
+
+    pub(super) fn on_finished(&mut self, stamp: EventStamp, ticket: RequestTicket) {
+        let deed = self.requests.get(&ticket).map_or(BackendDeed::Neither, |request| request.deed);
+        self.end_attempt(stamp, ticket, deed);
+        self.requests.remove(&ticket);
+    }
+
+    pub(super) fn on_caller_left(&mut self, stamp: EventStamp, ticket: RequestTicket) {
+        self.end_attempt(stamp, ticket, BackendDeed::Neither);
+        self.requests.remove(&ticket);
+    }
+
+    pub(super) fn on_time_up(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        if let Some(request) = self.requests.get_mut(&ticket) {
+            request.may_have_run |= request.attempt.is_some();
+        }
+        self.end_attempt(stamp, ticket, BackendDeed::Neither);
+        self.give_up(stamp, ticket, RefusalReason::TimeUp, out);
+    }
+
+    /// Ends a request without a replica's answer. The only place that decides what may be said.
+    fn give_up(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        reason: RefusalReason,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let Some(request) = self.requests.remove(&ticket) else { return };
+        if request.relayed {
+            out.push(RouteEffect::BreakOff(ticket, reason));
+            return;
+        }
+        let refusal = refusal(reason, request.may_have_run);
+        out.push(RouteEffect::Refuse(ticket, refusal, self.inputs(stamp)));
+    }
+
+    fn inputs(&self, stamp: EventStamp) -> DecisionInputs {
+        DecisionInputs {
+            plan_version: self.table.plan().version,
+            plan_age_ms: self.fresh.age_ms(stamp.now).unwrap_or(0),
+            ..DecisionInputs::default()
+        }
+    }
+}
+
+/// A service of the route, by the weights of its targets.
+fn pick_target(route: &RouteSpec, dice: u64) -> Option<String> {
+    let total: u64 = route.targets.iter().map(|target| u64::from(target.weight)).sum();
+    let mut left = mix(dice ^ 0x7370) % total.max(1);
+    for target in &route.targets {
+        let weight = u64::from(target.weight);
+        if left < weight {
+            return Some(target.service.clone());
+        }
+        left -= weight;
+    }
+    None
+}
+
+fn head_ms(route: &RouteSpec) -> u64 {
+    let targets = if route.kind.is_stream() { HEAD_TARGETS } else { PLAIN_HEAD_TARGETS };
+    (route.target_ms as f64 * targets) as u64
+}
+
+fn pause_ms(route: &RouteSpec) -> u64 {
+    match route.kind {
+        RouteKind::Stream { .. } if route.pause_ms > 0 => {
+            (route.pause_ms as f64 * PAUSE_PART) as u64
+        }
+        _ => route.timeout_ms,
+    }
+}
+
+fn refusal(reason: RefusalReason, may_have_run: bool) -> RouteRefusal {
+    let (status, retry_after_ms) = match reason {
+        RefusalReason::NoRoute => (404, None),
+        RefusalReason::UnknownKey => (401, None),
+        RefusalReason::TimeUp if may_have_run => (504, None),
+        _ if may_have_run => (502, None),
+        RefusalReason::Full | RefusalReason::TimeUp | RefusalReason::Failed => {
+            (503, Some(FULL_RETRY_MS))
+        }
+        RefusalReason::NoReplica => (503, Some(FULL_RETRY_MS)),
+        RefusalReason::NoPlan | RefusalReason::Stale => (503, Some(ELSEWHERE_RETRY_MS)),
+    };
+    RouteRefusal { status, reason, retry_after_ms }
+}
--- /dev/null
+++ b/crates/core/src/route/trial.rs
@@ -0,0 +1,251 @@
+//! A new version of a service on trial: who gets it, what speaks against it, and the verdict.
+//!
+//! The operator's order names a service, a version and a time. A small share of requests goes to the
+//! new version; every box tallies the answers of both versions, and boxes tell each other their
+//! tallies, so the verdict rests on the evidence of the fleet. A bad version is rolled back as soon as
+//! the evidence holds; a good one is taken over shortly before the order's time is up, after a short
+//! span in which it carries all, since some versions turn bad only under load.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::time::BoxTime;
+
+/// Share of requests that the version on trial gets. The users allow 0.15 of the fleet's requests
+/// for a bad one; retries and the last span come on top.
+pub const TRIAL_SHARE: f64 = 0.08;
+
+/// Part of the order's time after which a version that did well carries all.
+pub const RAMP_AT: f64 = 0.82;
+
+/// Part of the order's time after which it is taken over.
+pub const DONE_AT: f64 = 0.88;
+
+/// Answers of the version on trial without which it is never taken over.
+pub const DONE_RUNS: f64 = 20.0;
+
+/// Answers on trial below which nothing is held against it.
+pub const BAD_RUNS: f64 = 8.0;
+
+/// Standard errors that the trial's failures must exceed the other versions' by.
+pub const BAD_ERRORS: f64 = 3.0;
+
+/// Failures beyond the other versions' share that count at the least.
+pub const BAD_SHARE: f64 = 0.08;
+
+/// Logarithm of how many times slower counts as bad: 1.7 times.
+pub const SLOW_LOG: f64 = 0.53;
+
+/// Counts of the answers of one version on one route.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct VersionTally {
+    /// Answers, failed ones included.
+    pub runs: f64,
+    /// Failures.
+    pub bad: f64,
+    /// Answers whose time was taken.
+    pub timed: f64,
+    /// Sum of the logarithms of their times.
+    pub log_sum: f64,
+    /// Sum of the squares of those logarithms.
+    pub log_square: f64,
+}
+
+impl VersionTally {
+    /// Adds an answer: whether it failed, and how long it took if that says something.
+    pub fn add(&mut self, bad: bool, took_ms: Option<f64>) {
+        self.runs += 1.0;
+        self.bad += f64::from(u8::from(bad));
+        if let Some(took) = took_ms {
+            let log = took.max(1.0).ln();
+            self.timed += 1.0;
+            self.log_sum += log;
+            self.log_square += log * log;
+        }
+    }
+
+    /// Adds another tally.
+    pub fn join(&mut self, other: &VersionTally) {
+        self.runs += other.runs;
+        self.bad += other.bad;
+        self.timed += other.timed;
+        self.log_sum += other.log_sum;
+        self.log_square += other.log_square;
+    }
+
+    fn bad_share(&self) -> f64 {
+        self.bad / self.runs.max(1.0)
+    }
+
+    fn log_mean(&self) -> f64 {
+        self.log_sum / self.timed.max(1.0)
+    }
+
+    fn log_variance(&self) -> f64 {
+        let mean = self.log_mean();
+        (self.log_square / self.timed.max(1.0) - mean * mean).max(0.04)
+    }
+}
+
+/// Tallies of one route: the version on trial beside the others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct TrialTally {
+    /// The version on trial.
+    pub fresh: VersionTally,
+    /// The others.
+    pub base: VersionTally,
+}
+
+impl TrialTally {
+    /// Whether the version on trial does worse than chance explains.
+    pub fn is_bad(&self) -> bool {
+        self.fails_more() || self.is_slower()
+    }
+
+    fn fails_more(&self) -> bool {
+        let (fresh, base) = (&self.fresh, &self.base);
+        if fresh.runs < BAD_RUNS {
+            return false;
+        }
+        let usual = (base.bad + 1.0) / (base.runs + 20.0);
+        let error = (usual * (1.0 - usual) / fresh.runs).sqrt();
+        let excess = fresh.bad_share() - usual;
+        excess > BAD_SHARE && excess > BAD_ERRORS * error
+    }
+
+    fn is_slower(&self) -> bool {
+        let (fresh, base) = (&self.fresh, &self.base);
+        if fresh.timed < BAD_RUNS || base.timed < BAD_RUNS {
+            return false;
+        }
+        let excess = fresh.log_mean() - base.log_mean();
+        let error =
+            (base.log_variance() / fresh.timed + base.log_variance() / base.timed).sqrt();
+        excess > SLOW_LOG && excess > BAD_ERRORS * error
+    }
+}
+
+/// Tallies by route name.
+pub type RouteTallies = BTreeMap<String, TrialTally>;
+
+/// What is to be done with a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum TrialState {
+    /// On trial.
+    Running,
+    /// Taken over: it alone serves.
+    Done,
+    /// Rolled back: it serves nobody.
+    RolledBack,
+}
+
+/// The operator's order to bring a version in.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct TrialOrder {
+    /// Service.
+    pub service: String,
+    /// Version to bring in.
+    pub version: String,
+    /// Time for it, in milliseconds.
+    pub duration_ms: u64,
+}
+
+/// A verdict, as it stands in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct TrialVerdict {
+    /// Service.
+    pub service: String,
+    /// Version judged.
+    pub version: String,
+    /// The verdict.
+    pub state: TrialState,
+}
+
+/// A trial.
+#[derive(Clone, Debug, Serialize)]
+pub struct VersionTrial {
+    /// The order.
+    pub order: TrialOrder,
+    /// When it was given, as far as this box or its peers know.
+    pub began: BoxTime,
+    /// What stands in the store, or was learnt from a peer that read it.
+    pub state: TrialState,
+    /// Whether the store has any word of this trial.
+    pub written: bool,
+    /// What this box saw.
+    pub own: RouteTallies,
+    /// What the others saw, by box name.
+    pub peers: BTreeMap<String, RouteTallies>,
+}
+
+impl VersionTrial {
+    /// A trial that this box has just heard of.
+    pub fn new(order: TrialOrder, began: BoxTime) -> Self {
+        Self {
+            order,
+            began,
+            state: TrialState::Running,
+            written: false,
+            own: RouteTallies::new(),
+            peers: BTreeMap::new(),
+        }
+    }
+
+    /// Part of the order's time that has passed.
+    pub fn elapsed(&self, now: BoxTime) -> f64 {
+        now.millis_since(self.began) as f64 / self.order.duration_ms.max(1) as f64
+    }
+
+    /// The evidence of all boxes, by route.
+    pub fn evidence(&self) -> RouteTallies {
+        let mut all = self.own.clone();
+        for (route, tally) in self.peers.values().flatten() {
+            let row = all.entry(route.clone()).or_default();
+            row.fresh.join(&tally.fresh);
+            row.base.join(&tally.base);
+        }
+        all
+    }
+
+    /// Whether the evidence speaks against the version, on any route or on all together.
+    pub fn is_bad(&self) -> bool {
+        let evidence = self.evidence();
+        let mut all = TrialTally::default();
+        for tally in evidence.values() {
+            // Times of different routes don't compare; failures do.
+            all.fresh.runs += tally.fresh.runs;
+            all.fresh.bad += tally.fresh.bad;
+            all.base.runs += tally.base.runs;
+            all.base.bad += tally.base.bad;
+        }
+        all.is_bad() || evidence.values().any(TrialTally::is_bad)
+    }
+
+    /// Share of requests that the version gets now.
+    pub fn share(&self, now: BoxTime) -> f64 {
+        match self.state {
+            TrialState::Done => 1.0,
+            TrialState::RolledBack => 0.0,
+            TrialState::Running if self.is_bad() => 0.0,
+            TrialState::Running if self.elapsed(now) >= RAMP_AT && self.proven() => 1.0,
+            TrialState::Running => TRIAL_SHARE,
+        }
+    }
+
+    fn proven(&self) -> bool {
+        let runs: f64 = self.evidence().values().map(|tally| tally.fresh.runs).sum();
+        runs >= DONE_RUNS
+    }
+
+    /// The verdict that the evidence gives now, if it is time for one.
+    pub fn due(&self, now: BoxTime) -> Option<TrialState> {
+        if self.state != TrialState::Running {
+            return None;
+        }
+        if self.is_bad() {
+            return Some(TrialState::RolledBack);
+        }
+        (self.elapsed(now) >= DONE_AT && self.proven()).then_some(TrialState::Done)
+    }
+}
