Sessions keep their version in a roll-out; the smallest model first

Ruled out: remembering which sessions run and telling it between boxes. A read that found nothing shows the topic as of the end of its wait.

--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -157,7 +157,10 @@
     let wait = left.min(Duration::from_millis(order.head_ms));
     let asked = ask_replica(tools, caller, order, resume_after);
     let (failure, why) = match tokio::time::timeout(wait, asked).await {
-        Ok(Ok(answer)) => return Attempted::Answer(Box::new(answer)),
+        Ok(Ok(answer)) => {
+            observe::note_head(&guard.name, &answer.decoded, began.elapsed());
+            return Attempted::Answer(Box::new(answer));
+        }
         Ok(Err(failed)) => failed,
         Err(_) if wait == left => {
             return Attempted::Ended(guard.feed(RouteEvent::TimeUp(guard.name.ticket)));
--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -109,6 +109,7 @@
         let asked_at = driver.now();
         match follower.read(&mut next, OPERATOR_WAIT_MS).await {
             Some(news) => {
+                let asked_at = shown_at(&driver, asked_at, &news);
                 if !take_operator(&driver, asked_at, news.records) {
                     // What can't be decoded may be a newer plan: nothing is renewed, all is read anew.
                     next = None;
@@ -126,6 +127,16 @@
     }
 }
 
+/// As of when a read that began at `asked_at` shows the topic. One that found nothing was held for
+/// the whole wait before it was answered; any other may have been answered at once.
+fn shown_at(driver: &GatewayDriver, asked_at: BoxTime, news: &TopicNews) -> BoxTime {
+    let held = driver.now().millis_since(asked_at) >= OPERATOR_WAIT_MS;
+    if held && !news.whole && news.records.is_empty() {
+        return asked_at.plus_millis(OPERATOR_WAIT_MS);
+    }
+    asked_at
+}
+
 /// Takes the operator's records. Returns false if one can't be decoded.
 fn take_operator(driver: &GatewayDriver, asked_at: BoxTime, records: Vec<KeyedRecord>) -> bool {
     let mut orders = Vec::new();
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -8,7 +8,7 @@
 use metrics::{counter, gauge, histogram};
 use ravenspoke_adapter::records::RecordError;
 use ravenspoke_adapter::store::StoreError;
-use ravenspoke_core::route::event::{AttemptFailure, RouteEffect};
+use ravenspoke_core::route::event::{AnswerHead, AttemptFailure, RouteEffect};
 use tracing::{error, info, warn};
 
 use super::driver::RequestName;
@@ -66,6 +66,23 @@
     info!(event = 704, name = "attempt_failed", id = name.id, ?failure, why, after_ms);
 }
 
+/// Logs the head of a replica's answer: what the next decision rests on.
+pub fn note_head(name: &RequestName, head: &AnswerHead, after: Duration) {
+    let after_ms = after.as_millis() as u64;
+    info!(
+        event = 707,
+        name = "head_came",
+        id = name.id,
+        status = head.status,
+        not_run = head.not_run || head.other_replica,
+        proven = head.proven,
+        confidence = head.confidence,
+        waiting = head.load.map(|load| load.waiting),
+        running = head.load.map(|load| load.running),
+        after_ms,
+    );
+}
+
 /// Logs how a request ended whose answer was passed on.
 pub fn note_finished(name: &RequestName, status: u16, took: Duration) {
     histogram!("ravenspoke_answer_seconds").record(took.as_secs_f64());
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -13,6 +13,8 @@
 pub struct RouteAsk {
     /// Id that the caller gave it.
     pub id: String,
+    /// Hash of the session that it belongs to; 0 for none.
+    pub session: u64,
     /// Host that it names.
     pub host: String,
     /// Path, without the query.
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -54,6 +54,7 @@
     service: String,
     account: Option<String>,
     affinity: u64,
+    session: u64,
     /// Row of `route.sizes` that answers, where the router chooses.
     size: Option<usize>,
     deadline: BoxTime,
@@ -117,6 +118,7 @@
             service,
             account: holder.map(|holder| holder.name.clone()),
             affinity: ask.affinity,
+            session: ask.session,
             size: if chooses { sizes::first_size(&route.sizes) } else { None },
             deadline: stamp.now.plus_millis(allowed),
             tried: Vec::new(),
@@ -139,7 +141,7 @@
         out: &mut Vec<RouteEffect>,
     ) {
         let Some(request) = self.requests.get(&ticket) else { return };
-        let (version, on_trial) = self.version_wish(stamp, &request.service);
+        let (version, on_trial) = self.version_wish(stamp, &request.service, request.session);
         let ask = BackendAsk {
             service: &request.service,
             version,
@@ -193,11 +195,15 @@
     }
 
     /// Which versions a new attempt may go to, and whether that is one on trial.
-    fn version_wish(&self, stamp: EventStamp, service: &str) -> (VersionWish<'_>, bool) {
+    fn version_wish(
+        &self,
+        stamp: EventStamp,
+        service: &str,
+        session: u64,
+    ) -> (VersionWish<'_>, bool) {
         let Some(trial) = self.trials.get(service) else { return (VersionWish::Any, false) };
         let version = trial.order.version.as_str();
-        let chance = (mix(stamp.dice ^ 0x7269) >> 11) as f64 / (1_u64 << 53) as f64;
-        if chance < trial.share(stamp.now) {
+        if trial.takes(session, stamp.dice, stamp.now) {
             (VersionWish::Only(version), trial.state == TrialState::Running)
         } else {
             (VersionWish::Not(version), false)
--- a/crates/core/src/route/sizes.rs
+++ b/crates/core/src/route/sizes.rs
@@ -6,11 +6,11 @@
 
 /// An answer whose model is less sure than this is asked of a larger one, 0 to 100. From the bench:
 /// docs/POLICY.md.
-pub const SURE_ENOUGH: u8 = 101;
+pub const SURE_ENOUGH: u8 = 0;
 
 /// The model to begin with.
 pub fn first_size(sizes: &[String]) -> Option<usize> {
-    sizes.len().checked_sub(1)
+    (!sizes.is_empty()).then_some(0)
 }
 
 /// The model to go on with after `size` answered with `confidence`; `None` to keep the answer.
