--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -19,14 +19,14 @@
 
 /// A read of the operator's topic waits this long for a record, in milliseconds: the price of a call
 /// against the age of what is known.
-pub const OPERATOR_WAIT_MS: u64 = 1_000;
+pub const OPERATOR_WAIT_MS: u64 = 2_000;
 
 /// Replicas' entries are read this often, in milliseconds: a leaving one must be known everywhere
 /// within two seconds of the store's word.
-pub const BACKEND_EVERY_MS: u64 = 600;
+pub const BACKEND_EVERY_MS: u64 = 900;
 
 /// Verdicts are read this often, in milliseconds, while a trial is under way.
-pub const VERDICT_EVERY_MS: u64 = 1_000;
+pub const VERDICT_EVERY_MS: u64 = 2_000;
 
 /// Other boxes' records are read this often, in milliseconds; notes are quicker, this mends what they
 /// can't.
--- a/crates/core/src/route/sizes.rs
+++ b/crates/core/src/route/sizes.rs
@@ -6,7 +6,7 @@
 
 /// An answer whose model is less sure than this is asked of a larger one, 0 to 100. From the bench:
 /// docs/POLICY.md.
-pub const SURE_ENOUGH: u8 = 0;
+pub const SURE_ENOUGH: u8 = 50;
 
 /// The model to begin with.
 pub fn first_size(sizes: &[String]) -> Option<usize> {
