--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -153,19 +153,29 @@
     resume_after: Option<&str>,
 ) -> Attempted {
     let began = Instant::now();
-    let left = tools.driver.until(order.deadline);
-    let wait = left.min(Duration::from_millis(order.head_ms));
     let asked = ask_replica(tools, caller, order, resume_after);
-    let (failure, why) = match tokio::time::timeout(wait, asked).await {
-        Ok(Ok(answer)) => {
-            observe::note_head(&guard.name, &answer.decoded, began.elapsed());
-            return Attempted::Answer(Box::new(answer));
+    tokio::pin!(asked);
+    let mut patience = Duration::from_millis(order.head_ms);
+    let (failure, why) = loop {
+        let left = tools.driver.until(order.deadline);
+        match tokio::time::timeout(left.min(patience), asked.as_mut()).await {
+            Ok(Ok(answer)) => {
+                observe::note_head(&guard.name, &answer.decoded, began.elapsed());
+                return Attempted::Answer(Box::new(answer));
+            }
+            Ok(Err(failed)) => break failed,
+            Err(_) if left <= patience => {
+                return Attempted::Ended(guard.feed(RouteEvent::TimeUp(guard.name.ticket)));
+            }
+            Err(_) => {}
         }
-        Ok(Err(failed)) => failed,
-        Err(_) if wait == left => {
-            return Attempted::Ended(guard.feed(RouteEvent::TimeUp(guard.name.ticket)));
+        // Silence alone ends nothing: the reducer names another replica, or the wait goes on.
+        if let Some(step) = guard.feed(RouteEvent::Paused(guard.name.ticket)) {
+            let why = "no head in time";
+            observe::note_attempt_failed(&guard.name, AttemptFailure::Silent, why, began.elapsed());
+            return Attempted::Ended(Some(step));
         }
-        Err(_) => (AttemptFailure::Silent, "no head in time".to_owned()),
+        patience = Duration::MAX;
     };
     observe::note_attempt_failed(&guard.name, failure, &why, began.elapsed());
     Attempted::Ended(guard.feed(RouteEvent::AttemptFailed(guard.name.ticket, failure)))
--- a/crates/box/src/gateway/relay.rs
+++ b/crates/box/src/gateway/relay.rs
@@ -40,7 +40,8 @@
 enum StreamPiece {
     Bytes(Bytes),
     End,
-    Failed(AttemptFailure, &'static str),
+    Broken(&'static str),
+    Paused,
     TimeUp,
 }
 
@@ -70,54 +71,70 @@
 impl StreamRelay {
     /// The next whole events; `None` at the end.
     async fn next_events(&mut self) -> Result<Option<Bytes>, BrokenAnswer> {
+        let mut patience = Duration::from_millis(self.order.pause_ms);
         loop {
             let began = Instant::now();
-            let (failure, why) = match self.next_piece().await {
+            let why = match self.next_piece(patience).await {
                 StreamPiece::Bytes(bytes) => match self.cutter.push(&bytes) {
                     Ok(Some(events)) => return Ok(Some(events)),
                     Ok(None) => continue,
-                    Err(_) => (AttemptFailure::Broken, "an event is too long"),
+                    Err(_) => "an event is too long",
                 },
-                StreamPiece::End if self.cutter.has_part() => {
-                    (AttemptFailure::Broken, "it ended within an event")
-                }
+                StreamPiece::End if self.cutter.has_part() => "it ended within an event",
                 StreamPiece::End => {
                     self.end();
                     return Ok(None);
                 }
-                StreamPiece::Failed(failure, why) => (failure, why),
+                StreamPiece::Broken(why) => why,
+                StreamPiece::Paused => {
+                    let step = self.guard.feed(RouteEvent::Paused(self.guard.name.ticket));
+                    if step.is_none() {
+                        patience = Duration::MAX;
+                        continue;
+                    }
+                    self.note_failed(AttemptFailure::Silent, "no event in time", began);
+                    self.resume(step).await?;
+                    patience = Duration::from_millis(self.order.pause_ms);
+                    continue;
+                }
                 StreamPiece::TimeUp => {
                     self.guard.feed(RouteEvent::TimeUp(self.guard.name.ticket));
                     return Err(BrokenAnswer("the time is up"));
                 }
             };
-            observe::note_attempt_failed(&self.guard.name, failure, why, began.elapsed());
-            self.resume(failure).await?;
+            self.note_failed(AttemptFailure::Broken, why, began);
+            // Closed before the reducer is asked, so that no two replicas work on the request.
+            self.source = None;
+            let failed = RouteEvent::AttemptFailed(self.guard.name.ticket, AttemptFailure::Broken);
+            let step = self.guard.feed(failed);
+            self.resume(step).await?;
+            patience = Duration::from_millis(self.order.pause_ms);
         }
     }
 
-    async fn next_piece(&mut self) -> StreamPiece {
+    fn note_failed(&self, failure: AttemptFailure, why: &str, began: Instant) {
+        observe::note_attempt_failed(&self.guard.name, failure, why, began.elapsed());
+    }
+
+    async fn next_piece(&mut self, patience: Duration) -> StreamPiece {
         let Some(source) = &mut self.source else {
-            return StreamPiece::Failed(AttemptFailure::Broken, "no replica");
+            return StreamPiece::Broken("no replica");
         };
         let left = self.tools.driver.until(self.order.deadline);
-        let wait = left.min(Duration::from_millis(self.order.pause_ms));
-        match tokio::time::timeout(wait, source.body.frame()).await {
+        match tokio::time::timeout(left.min(patience), source.body.frame()).await {
             Ok(Some(Ok(frame))) => StreamPiece::Bytes(frame.into_data().unwrap_or_default()),
-            Ok(Some(Err(_))) => StreamPiece::Failed(AttemptFailure::Broken, "it broke off"),
+            Ok(Some(Err(_))) => StreamPiece::Broken("it broke off"),
             Ok(None) => StreamPiece::End,
-            Err(_) if wait == left => StreamPiece::TimeUp,
-            Err(_) => StreamPiece::Failed(AttemptFailure::Silent, "no event in time"),
+            Err(_) if left <= patience => StreamPiece::TimeUp,
+            Err(_) => StreamPiece::Paused,
         }
     }
 
     /// Goes on at another replica, behind the last whole event.
-    async fn resume(&mut self, failure: AttemptFailure) -> Result<(), BrokenAnswer> {
-        // Closed before the new run begins, so that no two replicas work on the request.
+    async fn resume(&mut self, mut step: Option<RequestStep>) -> Result<(), BrokenAnswer> {
         self.source = None;
         self.cutter.drop_part();
         let ticket = self.guard.name.ticket;
-        let mut step = self.guard.feed(RouteEvent::AttemptFailed(ticket, failure));
         loop {
             let Some(RequestStep::Send(order)) = step else {
                 return Err(BrokenAnswer("no replica could go on"));
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -53,7 +53,7 @@
     NeverSent,
     /// The connection broke, or what came was no answer to this request.
     Broken,
-    /// Nothing came for too long.
+    /// Nothing came for too long, and another replica is asked.
     Silent,
 }
 
@@ -87,6 +87,9 @@
     Arrived(RequestTicket, RouteAsk),
     /// The head of a replica's answer came.
     HeadCame(RequestTicket, AnswerHead),
+    /// Nothing came for as long as the order says: another replica may be asked, or the attempt is
+    /// waited for further. Silence alone never ends a request.
+    Paused(RequestTicket),
     /// The attempt failed.
     AttemptFailed(RequestTicket, AttemptFailure),
     /// The whole answer was passed on.
@@ -185,9 +188,9 @@
     pub account: Option<String>,
     /// The request's time is up then.
     pub deadline: BoxTime,
-    /// Give up on the attempt when no head came for this long, in milliseconds.
+    /// Ask whether to go elsewhere when no head came for this long, in milliseconds.
     pub head_ms: u64,
-    /// Give up on the attempt when no event came for this long, in milliseconds.
+    /// Ask whether to go elsewhere when no event came for this long, in milliseconds.
     pub pause_ms: u64,
     /// What the decision rested on.
     pub inputs: DecisionInputs,
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -135,6 +135,7 @@
             }
             RouteEvent::Arrived(ticket, ask) => self.on_arrived(stamp, ticket, ask, out),
             RouteEvent::HeadCame(ticket, head) => self.on_head(stamp, ticket, head, out),
+            RouteEvent::Paused(ticket) => self.on_paused(stamp, ticket, out),
             RouteEvent::AttemptFailed(ticket, failure) => {
                 self.on_failed(stamp, ticket, failure, out);
             }
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -3,7 +3,7 @@
 //! One place ends a request without a replica's answer ([`RouteState::give_up`]), and there alone it
 //! is decided whether "has not run" may be said.
 
-use super::backend::{BackendAsk, BackendDeed, VersionWish};
+use super::backend::{BackendAsk, BackendDeed, BackendPick, VersionWish};
 use super::event::{
     AnswerHead, AttemptFailure, DecisionInputs, RefusalReason, RouteAsk, RouteEffect, RouteRefusal,
     SendOrder,
@@ -140,7 +140,16 @@
         otherwise: RefusalReason,
         out: &mut Vec<RouteEffect>,
     ) {
-        let Some(request) = self.requests.get(&ticket) else { return };
+        let Some((pick, on_trial)) = self.choose(stamp, ticket) else {
+            self.give_up(stamp, ticket, otherwise, out);
+            return;
+        };
+        self.assign(stamp, ticket, pick, on_trial, out);
+    }
+
+    /// The replica for a request's next attempt, and whether it runs a version on trial.
+    fn choose(&self, stamp: EventStamp, ticket: RequestTicket) -> Option<(BackendPick, bool)> {
+        let request = self.requests.get(&ticket)?;
         let (version, on_trial) = self.version_wish(stamp, &request.service, request.session);
         let ask = BackendAsk {
             service: &request.service,
@@ -153,14 +162,21 @@
         };
         // A wish that nobody fits gives way, but never to a version that was rolled back.
         let fallback = self.fallback_wish(&request.service);
-        let pick = self.backends.pick(&ask).map(|pick| (pick, on_trial)).or_else(|| {
+        self.backends.pick(&ask).map(|pick| (pick, on_trial)).or_else(|| {
             let ask = BackendAsk { version: fallback, ..ask };
             self.backends.pick(&ask).map(|pick| (pick, false))
-        });
-        let Some((pick, on_trial)) = pick else {
-            self.give_up(stamp, ticket, otherwise, out);
-            return;
-        };
+        })
+    }
+
+    /// Gives a request to a replica.
+    fn assign(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        pick: BackendPick,
+        on_trial: bool,
+        out: &mut Vec<RouteEffect>,
+    ) {
         let inputs = DecisionInputs {
             candidates: pick.candidates,
             load: pick.load,
@@ -283,6 +299,29 @@
         true
     }
 
+    /// Goes elsewhere if there is where to go and the budget allows it; else the attempt goes on.
+    pub(super) fn on_paused(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let Some(request) = self.requests.get(&ticket) else { return };
+        if !request.route.kind.repeatable() {
+            return;
+        }
+        let Some((pick, on_trial)) = self.choose(stamp, ticket) else { return };
+        if !self.may_send_again(stamp, ticket) {
+            return;
+        }
+        if let Some(request) = self.requests.get_mut(&ticket) {
+            request.may_have_run = true;
+        }
+        self.tally(ticket, true, None);
+        self.end_attempt(stamp, ticket, BackendDeed::Failed);
+        self.assign(stamp, ticket, pick, on_trial, out);
+    }
+
     pub(super) fn on_failed(
         &mut self,
         stamp: EventStamp,
