A stopping box takes requests only while they can end; tests of the routing rules

Change: after 2.5 s a stopping box takes no connection, and refuses what still comes as not run. A test of the reducer found that a replica's own failure was replaced by a 502 where no other replica was left; it is passed on now.

--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use ravenspoke_core::event::{EventStamp, RequestTicket};
-use ravenspoke_core::route::event::{RefusalReason, RouteEffect, RouteEvent, RouteRefusal, SendOrder};
+use ravenspoke_core::route::event::{
+    RefusalReason, RouteEffect, RouteEvent, RouteRefusal, SendOrder,
+};
 use ravenspoke_core::route::peers::PeerNote;
 use ravenspoke_core::route::trial::TrialVerdict;
 use ravenspoke_core::route::RouteState;
--- a/crates/box/src/gateway/entry.rs
+++ b/crates/box/src/gateway/entry.rs
@@ -80,7 +80,11 @@
     }
 }
 
-async fn serve_caller(stream: TcpStream, tools: Arc<GatewayTools>, mut stop: watch::Receiver<bool>) {
+async fn serve_caller(
+    stream: TcpStream,
+    tools: Arc<GatewayTools>,
+    mut stop: watch::Receiver<bool>,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         observe::note_socket_failed("entry", &error);
     }
--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -11,7 +11,9 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use ravenspoke_adapter::headers;
-use ravenspoke_core::route::event::{AnswerHead, AttemptFailure, RouteEvent, RouteRefusal, SendOrder};
+use ravenspoke_core::route::event::{
+    AnswerHead, AttemptFailure, RouteEvent, RouteRefusal, SendOrder,
+};
 
 use super::driver::{GatewayDriver, RequestName, RequestStep};
 use super::observe;
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -60,7 +60,12 @@
 }
 
 /// Logs that a replica's answer was no answer, or none came.
-pub fn note_attempt_failed(name: &RequestName, failure: AttemptFailure, why: &str, after: Duration) {
+pub fn note_attempt_failed(
+    name: &RequestName,
+    failure: AttemptFailure,
+    why: &str,
+    after: Duration,
+) {
     counter!("ravenspoke_attempts_failed_total").increment(1);
     let after_ms = after.as_millis() as u64;
     info!(event = 704, name = "attempt_failed", id = name.id, ?failure, why, after_ms);
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -10,7 +10,7 @@
 use ravenspoke_adapter::store::StoreClient;
 use ravenspoke_config::gateway::GatewaySettings;
 use ravenspoke_core::route::event::RouteEvent;
-use ravenspoke_core::route::{RouteSettings, RouteState};
+use ravenspoke_core::route::{RouteSettings, RouteState, STOP_TAKE_MS};
 use rocket::Route;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{signal, SignalKind};
@@ -88,7 +88,8 @@
     let callers = Arc::new(CallerCount::default());
     let limit = (settings.descriptors as f64 * CALLER_PART) as usize;
     let (stop_sender, stop) = watch::channel(false);
-    tokio::spawn(accept_callers(listener, tools.clone(), callers.clone(), limit, stop));
+    let accepting =
+        tokio::spawn(accept_callers(listener, tools.clone(), callers.clone(), limit, stop));
 
     launch(settings.ready, "ready", ready_routes(&driver)).await?;
     launch(settings.directory, "directory", resolve_routes(&driver, settings.keep_ms)).await?;
@@ -105,13 +106,22 @@
     tools.stopping.store(true, Ordering::Relaxed);
     // The receivers live as long as the accept loop.
     let _ = stop_sender.send(true);
+    tokio::spawn(async move {
+        // A caller that is refused a connection tries another address at once.
+        tokio::time::sleep(Duration::from_millis(STOP_TAKE_MS)).await;
+        accepting.abort();
+    });
     follow::forget_box(&store, &settings.name).await;
     wait_until_empty(&settings, &driver, &callers, began).await;
     observe::note_exit(callers.open(), driver.state().in_hand());
     Ok(())
 }
 
-fn listen_error(address: SocketAddr, purpose: &'static str, error: &std::io::Error) -> ProcessError {
+fn listen_error(
+    address: SocketAddr,
+    purpose: &'static str,
+    error: &std::io::Error,
+) -> ProcessError {
     ProcessError::Listen { address, purpose, error: error.to_string() }
 }
 
--- a/crates/box/src/gateway/relay.rs
+++ b/crates/box/src/gateway/relay.rs
@@ -141,13 +141,8 @@
             };
             self.order = order;
             let last = self.cutter.last_id().map(str::to_owned);
-            let attempted = attempt(
-                &self.tools,
-                &self.caller,
-                &mut self.guard,
-                &self.order,
-                last.as_deref(),
-            );
+            let attempted =
+                attempt(&self.tools, &self.caller, &mut self.guard, &self.order, last.as_deref());
             match attempted.await {
                 Attempted::Answer(answer) => {
                     step = self.guard.feed(RouteEvent::HeadCame(ticket, answer.decoded));
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -297,11 +297,8 @@
                 && !ask.tried.contains(*key)
         };
         let usable: Vec<ReplicaKey> = keys.iter().filter(fits).copied().collect();
-        let well: Vec<ReplicaKey> = usable
-            .iter()
-            .copied()
-            .filter(|key| self.rows[*key].passed_until <= ask.now)
-            .collect();
+        let well: Vec<ReplicaKey> =
+            usable.iter().copied().filter(|key| self.rows[*key].passed_until <= ask.now).collect();
         // With more than half passed over the cause is not the replicas.
         let pool = if well.len() * 2 < usable.len() { usable } else { well };
         let lightest = self.lightest(&pool, ask)?;
@@ -323,9 +320,9 @@
             row.load(ask.now) + far
         };
         let order = |key: &ReplicaKey| mix(self.rows[*key].id_hash ^ ask.dice);
-        pool.iter().copied().min_by(|a, b| {
-            weigh(a).total_cmp(&weigh(b)).then_with(|| order(a).cmp(&order(b)))
-        })
+        pool.iter()
+            .copied()
+            .min_by(|a, b| weigh(a).total_cmp(&weigh(b)).then_with(|| order(a).cmp(&order(b))))
     }
 
     /// The replica that holds the prompt's shared parts: the same from every box, by id and parts
--- a/crates/core/src/route/dump.rs
+++ b/crates/core/src/route/dump.rs
@@ -38,7 +38,7 @@
         RouteDump {
             name: &self.settings.name,
             open: self.open(now),
-            stopping: self.stopping,
+            stopping: self.stopping(),
             plan_age_ms: self.fresh.age_ms(now),
             plan: self.table.plan(),
             backends: self.backends.rows().map(|(_, row)| row).collect(),
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -121,6 +121,8 @@
     Failed,
     /// The time is up.
     TimeUp,
+    /// The box stops, and could no longer serve it before it is killed.
+    Stopping,
 }
 
 impl RefusalReason {
@@ -135,6 +137,7 @@
             RefusalReason::Full => "replicas_full",
             RefusalReason::Failed => "replica_failed",
             RefusalReason::TimeUp => "time_up",
+            RefusalReason::Stopping => "box_stopping",
         }
     }
 }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -48,6 +48,10 @@
 /// polls of the store.
 pub const NAMED_AGE_MS: u64 = 2_500;
 
+/// New requests are still taken for this long after the planned stop began, in milliseconds: callers
+/// keep an address for a while. One taken later might not end before the process is killed.
+pub const STOP_TAKE_MS: u64 = 2_500;
+
 /// Settings of a box that the reducer needs.
 #[derive(Clone, Debug)]
 pub struct RouteSettings {
@@ -84,7 +88,7 @@
     leaving: VecDeque<(BoxTime, String)>,
     note_number: u64,
     next_note: BoxTime,
-    stopping: bool,
+    stopping_since: Option<BoxTime>,
 }
 
 impl RouteState {
@@ -104,7 +108,7 @@
             leaving: VecDeque::new(),
             note_number: 0,
             next_note: BoxTime::default(),
-            stopping: false,
+            stopping_since: None,
         }
     }
 
@@ -143,7 +147,7 @@
             RouteEvent::TimeUp(ticket) => self.on_time_up(stamp, ticket, out),
             RouteEvent::CallerLeft(ticket) => self.on_caller_left(stamp, ticket),
             RouteEvent::StopAsked => {
-                self.stopping = true;
+                self.stopping_since.get_or_insert(stamp.now);
                 self.next_note = BoxTime::default();
                 out.push(RouteEffect::StopBegun);
                 self.on_tick(stamp, out);
@@ -269,12 +273,12 @@
 
     /// Whether the box can serve at all.
     pub fn ready(&self, now: BoxTime) -> bool {
-        self.has_plan() && !self.stopping && self.fresh.honours_keys(now, self.settings.fresh)
+        self.has_plan() && !self.stopping() && self.fresh.honours_keys(now, self.settings.fresh)
     }
 
     /// Whether the planned stop has begun.
     pub fn stopping(&self) -> bool {
-        self.stopping
+        self.stopping_since.is_some()
     }
 
     /// Requests in hand.
--- a/crates/core/src/route/peers.rs
+++ b/crates/core/src/route/peers.rs
@@ -112,19 +112,20 @@
         }
         self.hearsay.remove(&note.note_address);
         // An address has one box; a machine that took it over has another name.
-        self.rows.retain(|name, row| {
-            *name == note.name || row.note_address != note.note_address
-        });
-        self.rows.insert(note.name.clone(), PeerState {
-            incarnation: note.incarnation,
-            number: note.number,
-            note_address: note.note_address.clone(),
-            entry_address: note.entry_address.clone(),
-            zone: note.zone.clone(),
-            open: note.open,
-            plan_version: note.plan_version,
-            heard_at: now,
-        });
+        self.rows.retain(|name, row| *name == note.name || row.note_address != note.note_address);
+        self.rows.insert(
+            note.name.clone(),
+            PeerState {
+                incarnation: note.incarnation,
+                number: note.number,
+                note_address: note.note_address.clone(),
+                entry_address: note.entry_address.clone(),
+                zone: note.zone.clone(),
+                open: note.open,
+                plan_version: note.plan_version,
+                heard_at: now,
+            },
+        );
         true
     }
 
@@ -154,9 +155,8 @@
         let known = self.rows.values().map(|row| &row.note_address);
         let mut all: Vec<&String> = known.chain(self.hearsay.keys()).collect();
         if all.len() > NOTE_FANOUT {
-            let order = |address: &&String| {
-                xxhash_rust::xxh3::xxh3_64_with_seed(address.as_bytes(), dice)
-            };
+            let order =
+                |address: &&String| xxhash_rust::xxh3::xxh3_64_with_seed(address.as_bytes(), dice);
             all.sort_by_cached_key(order);
             all.truncate(NOTE_FANOUT);
         }
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -11,7 +11,7 @@
 use super::plan::{RouteKind, RouteSpec};
 use super::sizes;
 use super::trial::TrialState;
-use super::RouteState;
+use super::{RouteState, STOP_TAKE_MS};
 use crate::event::{EventStamp, RequestTicket};
 use crate::ids::ReplicaKey;
 use crate::replica::mix;
@@ -93,13 +93,21 @@
     }
 
     fn admit(&self, stamp: EventStamp, ask: &RouteAsk) -> Result<RouteRequest, RefusalReason> {
+        let since = self.stopping_since;
+        if since.is_some_and(|since| stamp.now.millis_since(since) >= STOP_TAKE_MS) {
+            return Err(RefusalReason::Stopping);
+        }
         if !self.has_plan() {
             return Err(RefusalReason::NoPlan);
         }
         let bounds = self.settings.fresh;
         let deny = |reason| {
             let sure = self.fresh.may_deny(stamp.now, bounds);
-            if sure { reason } else { RefusalReason::Stale }
+            if sure {
+                reason
+            } else {
+                RefusalReason::Stale
+            }
         };
         let route = self.table.find(&ask.host, &ask.path);
         let route = route.ok_or_else(|| deny(RefusalReason::NoRoute))?;
@@ -258,10 +266,9 @@
         let took = stamp.now.millis_since(attempt.began) as f64;
         self.tally(ticket, failed, (!failed).then_some(took));
         let Some(request) = self.requests.get(&ticket) else { return };
-        let relayed = request.relayed;
-        if failed && request.route.kind.repeatable() && self.may_send_again(stamp, ticket) {
-            self.end_attempt(stamp, ticket, BackendDeed::Failed);
-            self.send(stamp, ticket, RefusalReason::Failed, out);
+        let (kind, relayed) = (request.route.kind, request.relayed);
+        if failed && kind.repeatable() && self.go_elsewhere(stamp, ticket, BackendDeed::Failed, out)
+        {
             return;
         }
         if !head.proven || (failed && relayed) {
@@ -269,9 +276,7 @@
             self.give_up(stamp, ticket, RefusalReason::Failed, out);
             return;
         }
-        if !failed && self.wants_larger(stamp, ticket, head) {
-            self.end_attempt(stamp, ticket, BackendDeed::Served);
-            self.send(stamp, ticket, RefusalReason::Failed, out);
+        if !failed && self.ask_larger(stamp, ticket, head, out) {
             return;
         }
         if let Some(request) = self.requests.get_mut(&ticket) {
@@ -281,22 +286,29 @@
         out.push(RouteEffect::Relay(ticket));
     }
 
-    /// Whether a larger model is to answer; if so, the request is set to it.
-    fn wants_larger(&mut self, stamp: EventStamp, ticket: RequestTicket, head: AnswerHead) -> bool {
-        let Some(request) = self.requests.get(&ticket) else { return false };
+    /// Asks a larger model in place of an unsure one, if one may be asked.
+    fn ask_larger(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        head: AnswerHead,
+        out: &mut Vec<RouteEffect>,
+    ) -> bool {
+        let Some(request) = self.requests.get_mut(&ticket) else { return false };
         let Some(size) = request.size.filter(|_| !request.relayed) else { return false };
-        let Some(next) = sizes::next_size(&request.route.sizes, size, head.confidence) else {
-            return false;
-        };
-        if !self.may_send_again(stamp, ticket) {
-            return false;
+        let next = sizes::next_size(&request.route.sizes, size, head.confidence);
+        let Some(next) = next else { return false };
+        request.size = Some(next);
+        // The replica did nothing wrong, and it holds the prompt's shared parts.
+        let tried = request.tried.pop();
+        if self.go_elsewhere(stamp, ticket, BackendDeed::Served, out) {
+            return true;
         }
         if let Some(request) = self.requests.get_mut(&ticket) {
-            request.size = Some(next);
-            // The replica that holds the parts did nothing wrong.
-            request.tried.pop();
+            request.size = Some(size);
+            request.tried.extend(tried);
         }
-        true
+        false
     }
 
     /// Goes elsewhere if there is where to go and the budget allows it; else the attempt goes on.
@@ -306,20 +318,34 @@
         ticket: RequestTicket,
         out: &mut Vec<RouteEffect>,
     ) {
-        let Some(request) = self.requests.get(&ticket) else { return };
-        if !request.route.kind.repeatable() {
+        let repeatable = self.requests.get(&ticket).map(|row| row.route.kind.repeatable());
+        if repeatable != Some(true) {
             return;
         }
-        let Some((pick, on_trial)) = self.choose(stamp, ticket) else { return };
-        if !self.may_send_again(stamp, ticket) {
-            return;
+        self.tally(ticket, true, None);
+        if self.go_elsewhere(stamp, ticket, BackendDeed::Failed, out) {
+            if let Some(request) = self.requests.get_mut(&ticket) {
+                request.may_have_run = true;
+            }
         }
-        if let Some(request) = self.requests.get_mut(&ticket) {
-            request.may_have_run = true;
+    }
+
+    /// Ends the attempt under way and gives the request to another replica, if there is one and
+    /// attempts, time and budget allow it. Else nothing changes.
+    fn go_elsewhere(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        deed: BackendDeed,
+        out: &mut Vec<RouteEffect>,
+    ) -> bool {
+        let Some((pick, on_trial)) = self.choose(stamp, ticket) else { return false };
+        if !self.may_send_again(stamp, ticket) {
+            return false;
         }
-        self.tally(ticket, true, None);
-        self.end_attempt(stamp, ticket, BackendDeed::Failed);
+        self.end_attempt(stamp, ticket, deed);
         self.assign(stamp, ticket, pick, on_trial, out);
+        true
     }
 
     pub(super) fn on_failed(
@@ -484,7 +510,9 @@
             (503, Some(FULL_RETRY_MS))
         }
         RefusalReason::NoReplica => (503, Some(FULL_RETRY_MS)),
-        RefusalReason::NoPlan | RefusalReason::Stale => (503, Some(ELSEWHERE_RETRY_MS)),
+        RefusalReason::NoPlan | RefusalReason::Stale | RefusalReason::Stopping => {
+            (503, Some(ELSEWHERE_RETRY_MS))
+        }
     };
     RouteRefusal { status, reason, retry_after_ms }
 }
--- a/crates/core/src/route/trial.rs
+++ b/crates/core/src/route/trial.rs
@@ -130,8 +130,7 @@
             return false;
         }
         let excess = fresh.log_mean() - base.log_mean();
-        let error =
-            (base.log_variance() / fresh.timed + base.log_variance() / base.timed).sqrt();
+        let error = (base.log_variance() / fresh.timed + base.log_variance() / base.timed).sqrt();
         excess > SLOW_LOG && excess > BAD_ERRORS * error
     }
 }
--- /dev/null
+++ b/crates/core/tests/route/fixture.rs
@@ -0,0 +1,176 @@
+//! A routing box with a plan and replicas, and what a test needs to drive it.
+
+use ravenspoke_core::event::{EventStamp, RequestTicket};
+use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
+use ravenspoke_core::route::budget::BudgetBounds;
+use ravenspoke_core::route::event::{
+    AnswerHead, RefusalReason, RouteAsk, RouteEffect, RouteEvent, RouteRefusal, SendOrder,
+};
+use ravenspoke_core::route::fresh::FreshBounds;
+use ravenspoke_core::route::peers::PeerNote;
+use ravenspoke_core::route::plan::{KeyHolder, RouteKind, RoutePlan, RouteSpec, RouteTarget};
+use ravenspoke_core::route::{RouteSettings, RouteState};
+use ravenspoke_core::time::{BoxTime, WallTime};
+
+pub const KEY: &str = "alpha-key";
+pub const HOST: &str = "api.example";
+
+/// A box under test with its clock.
+pub struct TestBox {
+    pub state: RouteState,
+    pub now: u64,
+    dice: u64,
+    tickets: u64,
+}
+
+pub fn settings(name: &str) -> RouteSettings {
+    RouteSettings {
+        name: name.to_owned(),
+        zone: "east".to_owned(),
+        incarnation: 1,
+        entry_address: format!("{name}:80"),
+        note_address: format!("{name}:90"),
+        fresh: FreshBounds { revoke_ms: Some(5_000), apply_ms: 2_000 },
+        budget: BudgetBounds { ratio: 0.9, slack: 60.0, window_ms: 10_000 },
+    }
+}
+
+pub fn route(name: &str, kind: RouteKind) -> RouteSpec {
+    RouteSpec {
+        name: name.to_owned(),
+        host: HOST.to_owned(),
+        prefix: format!("/{name}/"),
+        kind,
+        timeout_ms: 5_000,
+        target_ms: 1_000,
+        pause_ms: 1_000,
+        priority: 1,
+        attempts: 3,
+        anonymous: false,
+        sizes: Vec::new(),
+        targets: vec![RouteTarget { service: "pool".to_owned(), weight: 1 }],
+    }
+}
+
+pub fn plan(version: u64) -> RoutePlan {
+    let holder = KeyHolder { name: "alpha".to_owned(), keys: vec![KEY.to_owned()], priority: None };
+    RoutePlan {
+        version,
+        routes: vec![
+            route("read", RouteKind::Idempotent),
+            route("file", RouteKind::Single),
+            route("chat", RouteKind::Stream { resumable: true }),
+        ],
+        holders: Some(vec![holder]),
+        ..RoutePlan::default()
+    }
+}
+
+pub fn entry(id: &str, version: &str) -> BackendEntry {
+    BackendEntry {
+        id: id.to_owned(),
+        address: format!("{id}:80"),
+        service: "pool".to_owned(),
+        zone: "east".to_owned(),
+        version: version.to_owned(),
+        slots: 4,
+        leaving: false,
+        cold_ms: 0,
+    }
+}
+
+pub fn head(status: u16) -> AnswerHead {
+    AnswerHead {
+        status,
+        load: None,
+        confidence: None,
+        not_run: false,
+        other_replica: false,
+        proven: true,
+    }
+}
+
+pub fn ask(path: &str) -> RouteAsk {
+    RouteAsk {
+        id: "r1".to_owned(),
+        host: HOST.to_owned(),
+        path: path.to_owned(),
+        key: Some(KEY.to_owned()),
+        deadline_ms: Some(4_000),
+        ..RouteAsk::default()
+    }
+}
+
+/// A box that knows nothing.
+pub fn new_box(name: &str) -> TestBox {
+    TestBox { state: RouteState::new(settings(name)), now: 1_000, dice: 7, tickets: 0 }
+}
+
+/// A box with plan 1 and replicas `a` and `b`.
+pub fn ready_box() -> TestBox {
+    let mut subject = new_box("box-1");
+    subject.read_plan(Some(plan(1)));
+    subject.put(entry("a", "v1"));
+    subject.put(entry("b", "v1"));
+    subject
+}
+
+impl TestBox {
+    pub fn feed(&mut self, event: RouteEvent) -> Vec<RouteEffect> {
+        self.dice = self.dice.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        let now = BoxTime::from_millis(self.now);
+        self.state.apply(EventStamp { now, wall: WallTime(0), dice: self.dice }, event)
+    }
+
+    /// A read of the store that began now.
+    pub fn read_plan(&mut self, plan: Option<RoutePlan>) -> Vec<RouteEffect> {
+        let asked_at = BoxTime::from_millis(self.now);
+        self.feed(RouteEvent::PlanRead { asked_at, plan })
+    }
+
+    pub fn put(&mut self, entry: BackendEntry) {
+        self.feed(RouteEvent::BackendsChanged(vec![BackendChange::Put(entry)]));
+    }
+
+    pub fn arrive(&mut self, ask: RouteAsk) -> (RequestTicket, Vec<RouteEffect>) {
+        self.tickets += 1;
+        let ticket = RequestTicket(self.tickets);
+        (ticket, self.feed(RouteEvent::Arrived(ticket, ask)))
+    }
+
+    /// A request that was sent, with its order.
+    pub fn sent(&mut self, ask: RouteAsk) -> (RequestTicket, SendOrder) {
+        let (ticket, effects) = self.arrive(ask);
+        (ticket, order_in(&effects).expect("the request is sent"))
+    }
+
+    pub fn refused(&mut self, ask: RouteAsk) -> RouteRefusal {
+        let (_, effects) = self.arrive(ask);
+        refusal_in(&effects).expect("the request is refused")
+    }
+}
+
+pub fn order_in(effects: &[RouteEffect]) -> Option<SendOrder> {
+    effects.iter().find_map(|effect| match effect {
+        RouteEffect::Send(_, order) => Some(order.clone()),
+        _ => None,
+    })
+}
+
+pub fn refusal_in(effects: &[RouteEffect]) -> Option<RouteRefusal> {
+    effects.iter().find_map(|effect| match effect {
+        RouteEffect::Refuse(_, refusal, _) => Some(*refusal),
+        _ => None,
+    })
+}
+
+pub fn note_in(effects: &[RouteEffect]) -> Option<PeerNote> {
+    effects.iter().find_map(|effect| match effect {
+        RouteEffect::SendNotes(_, note) => Some((**note).clone()),
+        _ => None,
+    })
+}
+
+pub fn is_refused(refusal: RouteRefusal, status: u16, reason: RefusalReason) -> bool {
+    refusal.status == status && refusal.reason == reason
+}
--- /dev/null
+++ b/crates/core/tests/route/main.rs
@@ -0,0 +1,7 @@
+//! The rules of routing by host and prefix, each on the real reducer in virtual time.
+
+mod fixture;
+mod membership;
+mod plan;
+mod requests;
+mod trials;
--- /dev/null
+++ b/crates/core/tests/route/requests.rs
@@ -0,0 +1,316 @@
+//! Attempts, what may be repeated, and what a refusal may say.
+
+use ravenspoke_core::route::backend::{BackendChange, BackendLoad};
+use ravenspoke_core::route::event::{
+    AnswerHead, AttemptFailure, RefusalReason, RouteAsk, RouteEffect, RouteEvent,
+};
+use ravenspoke_core::route::plan::RouteKind;
+use ravenspoke_core::route::STOP_TAKE_MS;
+
+use crate::fixture::{
+    ask, entry, head, is_refused, new_box, order_in, plan, ready_box, refusal_in, route,
+};
+
+#[test]
+fn a_call_that_may_have_run_is_never_sent_again_and_never_called_not_run() {
+    let mut subject = ready_box();
+    let (ticket, _) = subject.sent(ask("/file/x"));
+    let effects = subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken));
+    assert_eq!(order_in(&effects), None);
+    let refusal = refusal_in(&effects).expect("it is given up");
+    assert!(is_refused(refusal, 502, RefusalReason::Failed));
+    assert_eq!(refusal.retry_after_ms, None);
+}
+
+#[test]
+fn a_call_that_a_replica_did_not_run_is_sent_to_another() {
+    let mut subject = ready_box();
+    let (ticket, first) = subject.sent(ask("/file/x"));
+    let full = AnswerHead { not_run: true, ..head(503) };
+    let second = order_in(&subject.feed(RouteEvent::HeadCame(ticket, full))).expect("another");
+    assert_ne!(first.replica_id, second.replica_id);
+    assert_eq!(second.number, 2);
+}
+
+#[test]
+fn full_replicas_everywhere_are_a_truthful_refusal_with_a_time() {
+    let mut subject = ready_box();
+    let (ticket, _) = subject.sent(ask("/file/x"));
+    let full = AnswerHead { not_run: true, ..head(503) };
+    subject.feed(RouteEvent::HeadCame(ticket, full));
+    let refusal = refusal_in(&subject.feed(RouteEvent::HeadCame(ticket, full))).expect("refused");
+    assert!(is_refused(refusal, 503, RefusalReason::Full));
+    assert!(refusal.retry_after_ms.is_some());
+}
+
+#[test]
+fn one_send_that_may_have_run_forbids_not_run_for_good() {
+    let mut subject = ready_box();
+    let (ticket, _) = subject.sent(ask("/read/x"));
+    subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken));
+    let full = AnswerHead { not_run: true, ..head(503) };
+    let refusal = refusal_in(&subject.feed(RouteEvent::HeadCame(ticket, full))).expect("refused");
+    assert_eq!(refusal.status, 502);
+}
+
+#[test]
+fn no_more_replicas_are_asked_than_the_route_allows() {
+    let mut subject = ready_box();
+    for id in ["c", "d", "e"] {
+        subject.put(entry(id, "v1"));
+    }
+    let (ticket, _) = subject.sent(ask("/read/x"));
+    let mut sends = 1;
+    loop {
+        let effects = subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken));
+        match order_in(&effects) {
+            Some(_) => sends += 1,
+            None => break,
+        }
+    }
+    assert_eq!(sends, 3);
+}
+
+#[test]
+fn a_connection_that_never_came_about_costs_no_attempt() {
+    let mut subject = new_box("box-1");
+    let mut single = plan(1);
+    single.routes[1].attempts = 1;
+    subject.read_plan(Some(single));
+    subject.put(entry("a", "v1"));
+    subject.put(entry("b", "v1"));
+    let (ticket, first) = subject.sent(ask("/file/x"));
+    let effects = subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::NeverSent));
+    let second = order_in(&effects).expect("another replica");
+    assert_ne!(first.replica_id, second.replica_id);
+    assert_eq!(second.number, 1);
+}
+
+#[test]
+fn a_failed_answer_is_asked_again_where_that_is_allowed_and_else_passed_on() {
+    let mut subject = ready_box();
+    let (ticket, _) = subject.sent(ask("/read/x"));
+    assert!(order_in(&subject.feed(RouteEvent::HeadCame(ticket, head(500)))).is_some());
+    let effects = subject.feed(RouteEvent::HeadCame(ticket, head(500)));
+    assert_eq!(effects, [RouteEffect::Relay(ticket)], "the replica's own failure is the answer");
+
+    let (ticket, _) = subject.sent(ask("/file/x"));
+    let effects = subject.feed(RouteEvent::HeadCame(ticket, head(500)));
+    assert_eq!(effects, [RouteEffect::Relay(ticket)]);
+}
+
+#[test]
+fn an_answer_without_the_replicas_proof_is_never_passed_on() {
+    let mut subject = ready_box();
+    let (ticket, _) = subject.sent(ask("/file/x"));
+    let unproven = AnswerHead { proven: false, ..head(200) };
+    let effects = subject.feed(RouteEvent::HeadCame(ticket, unproven));
+    assert_eq!(refusal_in(&effects).expect("given up").status, 502);
+}
+
+#[test]
+fn silence_alone_ends_no_request() {
+    let mut subject = new_box("box-1");
+    subject.read_plan(Some(plan(1)));
+    subject.put(entry("a", "v1"));
+    let (ticket, _) = subject.sent(ask("/chat/x"));
+    assert_eq!(subject.feed(RouteEvent::Paused(ticket)), [], "there is no other replica");
+    subject.put(entry("b", "v1"));
+    assert!(order_in(&subject.feed(RouteEvent::Paused(ticket))).is_some());
+}
+
+#[test]
+fn silence_sends_no_call_again_that_may_run_once() {
+    let mut subject = ready_box();
+    let (ticket, _) = subject.sent(ask("/file/x"));
+    assert_eq!(subject.feed(RouteEvent::Paused(ticket)), []);
+}
+
+#[test]
+fn a_broken_stream_is_taken_up_elsewhere_and_a_failure_is_never_joined_to_it() {
+    let mut subject = ready_box();
+    let (ticket, _) = subject.sent(ask("/chat/x"));
+    subject.feed(RouteEvent::HeadCame(ticket, head(200)));
+    let effects = subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken));
+    assert!(order_in(&effects).is_some());
+    let effects = subject.feed(RouteEvent::HeadCame(ticket, head(500)));
+    assert_eq!(effects, [RouteEffect::BreakOff(ticket, RefusalReason::Failed)]);
+}
+
+#[test]
+fn a_stream_that_may_not_be_taken_up_is_broken_off() {
+    let mut subject = new_box("box-1");
+    let mut spec = plan(1);
+    spec.routes = vec![route("chat", RouteKind::Stream { resumable: false })];
+    subject.read_plan(Some(spec));
+    subject.put(entry("a", "v1"));
+    subject.put(entry("b", "v1"));
+    let (ticket, _) = subject.sent(ask("/chat/x"));
+    subject.feed(RouteEvent::HeadCame(ticket, head(200)));
+    let effects = subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken));
+    assert_eq!(effects, [RouteEffect::BreakOff(ticket, RefusalReason::Failed)]);
+}
+
+#[test]
+fn the_time_is_the_callers_or_the_routes_whichever_is_less() {
+    let mut subject = ready_box();
+    let (_, short) = subject.sent(ask("/read/x"));
+    assert_eq!(short.deadline.as_millis(), subject.now + 4_000);
+    let patient = RouteAsk { deadline_ms: Some(60_000), ..ask("/read/x") };
+    let (_, long) = subject.sent(patient);
+    assert_eq!(long.deadline.as_millis(), subject.now + 5_000);
+}
+
+#[test]
+fn time_that_is_up_is_not_called_not_run_once_a_replica_has_the_request() {
+    let mut subject = ready_box();
+    let (ticket, _) = subject.sent(ask("/file/x"));
+    let refusal = refusal_in(&subject.feed(RouteEvent::TimeUp(ticket))).expect("given up");
+    assert!(is_refused(refusal, 504, RefusalReason::TimeUp));
+}
+
+#[test]
+fn a_leaving_replica_gets_nothing_new() {
+    let mut subject = ready_box();
+    let leaving =
+        ravenspoke_core::route::backend::BackendEntry { leaving: true, ..entry("a", "v1") };
+    subject.put(leaving);
+    for _ in 0..20 {
+        let (_, order) = subject.sent(ask("/read/x"));
+        assert_eq!(order.replica_id, "b");
+    }
+}
+
+#[test]
+fn a_vanished_entry_counts_at_once_while_the_store_is_sound() {
+    let mut subject = ready_box();
+    subject.feed(RouteEvent::BackendsChanged(vec![BackendChange::Gone("a".to_owned())]));
+    for _ in 0..20 {
+        let (_, order) = subject.sent(ask("/read/x"));
+        assert_eq!(order.replica_id, "b");
+    }
+}
+
+#[test]
+fn entries_that_lapse_with_the_store_are_used_until_they_must_be_back() {
+    let mut subject = ready_box();
+    subject.feed(RouteEvent::StoreFailed);
+    let gone = ["a", "b"].map(|id| BackendChange::Gone(id.to_owned()));
+    subject.feed(RouteEvent::BackendsChanged(gone.to_vec()));
+    subject.sent(ask("/read/x"));
+    subject.now += 1_500;
+    subject.feed(RouteEvent::Tick);
+    let refusal = subject.refused(ask("/read/x"));
+    assert!(is_refused(refusal, 503, RefusalReason::NoReplica));
+}
+
+#[test]
+fn the_lighter_replica_is_taken() {
+    let mut subject = ready_box();
+    let (ticket, first) = subject.sent(ask("/read/x"));
+    let load = Some(BackendLoad { running: 4, waiting: 2, slots: 4 });
+    subject.feed(RouteEvent::HeadCame(ticket, AnswerHead { load, ..head(200) }));
+    subject.feed(RouteEvent::Finished(ticket));
+    for _ in 0..3 {
+        let (_, order) = subject.sent(ask("/read/x"));
+        assert_ne!(order.replica_id, first.replica_id);
+    }
+}
+
+#[test]
+fn requests_with_the_same_shared_parts_go_to_the_same_replica_from_every_box() {
+    let mut first = ready_box();
+    let mut second = new_box("box-2");
+    second.read_plan(Some(plan(1)));
+    second.put(entry("b", "v1"));
+    second.put(entry("a", "v1"));
+    for affinity in 1..40_u64 {
+        let shared = RouteAsk { affinity: affinity.wrapping_mul(0x9e37_79b9), ..ask("/chat/x") };
+        let (ticket, here) = first.sent(shared.clone());
+        first.feed(RouteEvent::CallerLeft(ticket));
+        let (ticket, there) = second.sent(shared);
+        second.feed(RouteEvent::CallerLeft(ticket));
+        assert_eq!(here.replica_id, there.replica_id);
+    }
+}
+
+#[test]
+fn a_replica_that_can_not_be_reached_is_passed_over_for_a_while() {
+    let mut subject = ready_box();
+    let (ticket, first) = subject.sent(ask("/read/x"));
+    subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::NeverSent));
+    subject.feed(RouteEvent::CallerLeft(ticket));
+    for _ in 0..6 {
+        let (ticket, order) = subject.sent(ask("/read/x"));
+        assert_ne!(order.replica_id, first.replica_id);
+        subject.feed(RouteEvent::Finished(ticket));
+    }
+}
+
+#[test]
+fn an_unsure_answer_is_asked_of_the_largest_model_and_a_sure_one_is_kept() {
+    let mut subject = new_box("box-1");
+    let mut spec = plan(1);
+    spec.routes[2].sizes = ["small", "middle", "large"].map(str::to_owned).to_vec();
+    subject.read_plan(Some(spec));
+    subject.put(entry("a", "v1"));
+    let any = RouteAsk { any_model: true, ..ask("/chat/x") };
+    let (ticket, first) = subject.sent(any.clone());
+    assert_eq!(first.model.as_deref(), Some("small"));
+    let unsure = AnswerHead { confidence: Some(5), ..head(200) };
+    let second = order_in(&subject.feed(RouteEvent::HeadCame(ticket, unsure))).expect("larger");
+    assert_eq!(second.model.as_deref(), Some("large"));
+    assert_eq!(subject.feed(RouteEvent::HeadCame(ticket, unsure)), [RouteEffect::Relay(ticket)]);
+
+    let (ticket, _) = subject.sent(any);
+    let sure = AnswerHead { confidence: Some(95), ..head(200) };
+    assert_eq!(subject.feed(RouteEvent::HeadCame(ticket, sure)), [RouteEffect::Relay(ticket)]);
+}
+
+#[test]
+fn a_model_that_the_caller_names_is_never_changed() {
+    let mut subject = new_box("box-1");
+    let mut spec = plan(1);
+    spec.routes[2].sizes = vec!["small".to_owned()];
+    subject.read_plan(Some(spec));
+    subject.put(entry("a", "v1"));
+    let (_, order) = subject.sent(ask("/chat/x"));
+    assert_eq!(order.model, None);
+}
+
+#[test]
+fn a_stopping_box_takes_requests_only_while_it_can_still_serve_them() {
+    let mut subject = ready_box();
+    subject.feed(RouteEvent::StopAsked);
+    assert!(!subject.state.ready(ravenspoke_core::time::BoxTime::from_millis(subject.now)));
+    subject.now += STOP_TAKE_MS - 1;
+    subject.read_plan(None);
+    subject.sent(ask("/read/x"));
+    subject.now += 1;
+    let refusal = subject.refused(ask("/read/x"));
+    assert!(is_refused(refusal, 503, RefusalReason::Stopping), "{refusal:?}");
+}
+
+#[test]
+fn a_caller_that_left_leaves_nothing_behind() {
+    let mut subject = ready_box();
+    let (ticket, _) = subject.sent(ask("/read/x"));
+    subject.feed(RouteEvent::CallerLeft(ticket));
+    assert_eq!(subject.state.in_hand(), 0);
+    assert!(subject.state.backends().rows().all(|(_, row)| row.outstanding == 0));
+    assert_eq!(subject.feed(RouteEvent::HeadCame(ticket, head(200))), []);
+}
+
+#[test]
+fn further_sends_stop_when_the_budget_is_spent() {
+    let mut subject = ready_box();
+    let mut sent_again = 0;
+    for _ in 0..200 {
+        let (ticket, _) = subject.sent(ask("/read/x"));
+        let effects = subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken));
+        sent_again += usize::from(order_in(&effects).is_some());
+        subject.feed(RouteEvent::CallerLeft(ticket));
+    }
+    // 0.9 for each request, six tenths of it used, and half of the slack to begin with.
+    assert!((100..=140).contains(&sent_again), "{sent_again}");
+}
--- /dev/null
+++ b/crates/core/tests/route/trials.rs
@@ -0,0 +1,159 @@
+//! New versions: whose sessions they get, the verdict, and who writes it.
+
+use ravenspoke_core::route::event::{RouteAsk, RouteEffect, RouteEvent};
+use ravenspoke_core::route::trial::{TrialOrder, TrialState, TrialVerdict, TRIAL_SHARE};
+
+use crate::fixture::{ask, entry, head, ready_box, TestBox};
+
+fn order() -> TrialOrder {
+    TrialOrder { service: "pool".to_owned(), version: "v2".to_owned(), duration_ms: 10_000 }
+}
+
+fn verdict(state: TrialState) -> TrialVerdict {
+    TrialVerdict { service: "pool".to_owned(), version: "v2".to_owned(), state }
+}
+
+/// A box with two replicas of each version, told to bring in `v2` within ten seconds.
+fn box_on_trial() -> TestBox {
+    let mut subject = ready_box();
+    subject.put(entry("c", "v2"));
+    subject.put(entry("d", "v2"));
+    subject.feed(RouteEvent::OrdersRead(vec![order()]));
+    subject.feed(RouteEvent::VerdictsRead(vec![verdict(TrialState::Running)]));
+    subject
+}
+
+/// Lets time pass with the plan read anew.
+fn pass(subject: &mut TestBox, millis: u64) -> Vec<RouteEffect> {
+    subject.now += millis;
+    subject.read_plan(None);
+    subject.feed(RouteEvent::Tick)
+}
+
+/// Version that serves a session's request, which ends with `status`.
+fn serve(subject: &mut TestBox, session: u64, status: u16) -> String {
+    let request = RouteAsk { session, ..ask("/file/x") };
+    let (ticket, order) = subject.sent(request);
+    let status = if order.version == "v2" { status } else { 200 };
+    subject.feed(RouteEvent::HeadCame(ticket, head(status)));
+    subject.feed(RouteEvent::Finished(ticket));
+    order.version
+}
+
+fn session(number: u64) -> u64 {
+    number.wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
+fn due(effects: &[RouteEffect]) -> Option<TrialState> {
+    effects.iter().find_map(|effect| match effect {
+        RouteEffect::WriteVerdict(verdict) => Some(verdict.state),
+        _ => None,
+    })
+}
+
+#[test]
+fn no_session_is_moved_in_the_first_half() {
+    let mut subject = box_on_trial();
+    pass(&mut subject, 5_000);
+    for number in 1..200 {
+        assert_eq!(serve(&mut subject, session(number), 200), "v1");
+    }
+}
+
+#[test]
+fn in_the_second_half_a_session_that_was_moved_is_never_moved_back() {
+    let mut subject = box_on_trial();
+    pass(&mut subject, 5_500);
+    let moved: Vec<u64> =
+        (1..400).map(session).filter(|key| serve(&mut subject, *key, 200) == "v2").collect();
+    let share = moved.len() as f64 / 399.0;
+    assert!((share - TRIAL_SHARE).abs() < 0.07, "{share}");
+    for millis in [500, 1_500, 1_000, 500] {
+        pass(&mut subject, millis);
+        assert!(moved.iter().all(|key| serve(&mut subject, *key, 200) == "v2"));
+    }
+}
+
+#[test]
+fn a_bad_version_gets_nothing_more_and_is_rolled_back() {
+    let mut subject = box_on_trial();
+    pass(&mut subject, 5_500);
+    let mut exposed = 0;
+    for number in 1..400 {
+        let status = if number % 2 == 0 { 500 } else { 200 };
+        exposed += usize::from(serve(&mut subject, session(number), status) == "v2");
+    }
+    assert!(exposed < 30, "{exposed} of 399 met the bad version");
+    assert_eq!(due(&pass(&mut subject, 200)), Some(TrialState::RolledBack));
+    subject.feed(RouteEvent::VerdictsRead(vec![verdict(TrialState::RolledBack)]));
+    assert_eq!(serve(&mut subject, session(2), 200), "v1");
+}
+
+#[test]
+fn a_good_version_is_taken_over_before_its_time_is_up() {
+    let mut subject = box_on_trial();
+    pass(&mut subject, 5_500);
+    for number in 1..200 {
+        serve(&mut subject, session(number), 200);
+    }
+    pass(&mut subject, 2_600);
+    assert_eq!(serve(&mut subject, session(1), 200), "v2", "it carries all for a while");
+    let effects = pass(&mut subject, 900);
+    assert_eq!(due(&effects), Some(TrialState::Done));
+}
+
+#[test]
+fn a_version_of_which_nothing_is_known_is_not_taken_over() {
+    let mut subject = box_on_trial();
+    assert_eq!(due(&pass(&mut subject, 9_500)), None);
+}
+
+#[test]
+fn a_verdict_is_never_taken_back() {
+    let mut subject = box_on_trial();
+    subject.feed(RouteEvent::VerdictsRead(vec![verdict(TrialState::RolledBack)]));
+    subject.feed(RouteEvent::VerdictsRead(vec![verdict(TrialState::Done)]));
+    pass(&mut subject, 6_000);
+    for number in 1..100 {
+        assert_eq!(serve(&mut subject, session(number), 200), "v1");
+    }
+}
+
+#[test]
+fn the_next_box_writes_a_verdict_that_the_first_did_not() {
+    let mut subject = ready_box();
+    subject.feed(RouteEvent::PeerHeard(ravenspoke_core::route::peers::PeerNote {
+        name: "box-0".to_owned(),
+        number: 1,
+        note_address: "box-0:90".to_owned(),
+        ..Default::default()
+    }));
+    subject.feed(RouteEvent::OrdersRead(vec![order()]));
+    assert_eq!(due(&subject.feed(RouteEvent::Tick)), None, "box-0 goes first");
+    subject.now += 600;
+    assert_eq!(due(&subject.feed(RouteEvent::Tick)), Some(TrialState::Running));
+}
+
+#[test]
+fn the_evidence_of_other_boxes_counts() {
+    let mut seen_bad = box_on_trial();
+    pass(&mut seen_bad, 5_500);
+    for number in 1..100 {
+        serve(&mut seen_bad, session(number), 500);
+    }
+    let dump = seen_bad.state.dump(Default::default());
+    let tallies = dump.trials[0].own.clone();
+    let mut other = box_on_trial();
+    other.feed(RouteEvent::PeerHeard(ravenspoke_core::route::peers::PeerNote {
+        name: "box-9".to_owned(),
+        number: 1,
+        trials: vec![ravenspoke_core::route::peers::TrialNote {
+            service: "pool".to_owned(),
+            version: "v2".to_owned(),
+            age_ms: 5_500,
+            tallies,
+        }],
+        ..Default::default()
+    }));
+    assert_eq!(due(&other.feed(RouteEvent::Tick)), Some(TrialState::RolledBack));
+}
