Stand-in of the platform, seventeen tests on processes; pauses and a full budget at the start

And a test on processes found that a box that has just started had no budget for a further send. Change: the last replica is asked only after three pauses in a row; the budget begins full; calls to the store leave from the box's own address.

--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -157,7 +157,7 @@
     let began = Instant::now();
     let asked = ask_replica(tools, caller, order, resume_after);
     tokio::pin!(asked);
-    let mut patience = Duration::from_millis(order.head_ms);
+    let patience = Duration::from_millis(order.head_ms);
     let (failure, why) = loop {
         let left = tools.driver.until(order.deadline);
         match tokio::time::timeout(left.min(patience), asked.as_mut()).await {
@@ -177,7 +177,6 @@
             observe::note_attempt_failed(&guard.name, AttemptFailure::Silent, why, began.elapsed());
             return Attempted::Ended(Some(step));
         }
-        patience = Duration::MAX;
     };
     observe::note_attempt_failed(&guard.name, failure, &why, began.elapsed());
     Attempted::Ended(guard.feed(RouteEvent::AttemptFailed(guard.name.ticket, failure)))
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -58,7 +58,7 @@
     let sinks = GatewaySinks { notes: note_sender, verdicts: verdict_sender };
     let state = RouteState::new(route_settings(&settings));
     let driver = Arc::new(GatewayDriver::new(state, sinks));
-    let store = StoreClient::new(&settings.store)?;
+    let store = StoreClient::new(&settings.store, settings.entry.ip())?;
 
     let socket = UdpSocket::bind(settings.notes).await;
     let socket = Arc::new(socket.map_err(|error| listen_error(settings.notes, "notes", &error))?);
--- a/crates/box/src/gateway/relay.rs
+++ b/crates/box/src/gateway/relay.rs
@@ -71,9 +71,9 @@
 impl StreamRelay {
     /// The next whole events; `None` at the end.
     async fn next_events(&mut self) -> Result<Option<Bytes>, BrokenAnswer> {
-        let mut patience = Duration::from_millis(self.order.pause_ms);
         loop {
             let began = Instant::now();
+            let patience = Duration::from_millis(self.order.pause_ms);
             let why = match self.next_piece(patience).await {
                 StreamPiece::Bytes(bytes) => match self.cutter.push(&bytes) {
                     Ok(Some(events)) => return Ok(Some(events)),
@@ -89,12 +89,10 @@
                 StreamPiece::Paused => {
                     let step = self.guard.feed(RouteEvent::Paused(self.guard.name.ticket));
                     if step.is_none() {
-                        patience = Duration::MAX;
                         continue;
                     }
                     self.note_failed(AttemptFailure::Silent, "no event in time", began);
                     self.resume(step).await?;
-                    patience = Duration::from_millis(self.order.pause_ms);
                     continue;
                 }
                 StreamPiece::TimeUp => {
@@ -108,7 +106,6 @@
             let failed = RouteEvent::AttemptFailed(self.guard.name.ticket, AttemptFailure::Broken);
             let step = self.guard.feed(failed);
             self.resume(step).await?;
-            patience = Duration::from_millis(self.order.pause_ms);
         }
     }
 
--- a/crates/box/tests/catalogue.rs
+++ b/crates/box/tests/catalogue.rs
@@ -26,7 +26,7 @@
 #[test]
 fn every_event_of_the_catalogue_is_logged_and_no_other() {
     let mut logged = std::collections::BTreeSet::new();
-    for file in ["observe", "links", "follow", "operator", "process", "main"] {
+    for file in ["observe", "links", "follow", "operator", "process", "main", "gateway/observe"] {
         let path = format!("{}/src/{file}.rs", env!("CARGO_MANIFEST_DIR"));
         let text = std::fs::read_to_string(path).expect("a source file");
         for part in text.split("event = ").skip(1) {
--- /dev/null
+++ b/crates/box/tests/platform.rs
@@ -0,0 +1,365 @@
+//! Routing boxes as processes before the stand-ins of the platform.
+//!
+//! The stand-ins' own records are the witness of what ran. Waiting is on a condition with a bound.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use ravenspoke_standins::fleet::wait_for;
+use ravenspoke_standins::platform::replica::ReplicaMode;
+use ravenspoke_standins::platform::site::{RunningSite, SiteBox, SITE_KEY};
+use ravenspoke_standins::platform::store::{StoreFaults, StoreOutage};
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// A store with a plan in it.
+async fn site() -> RunningSite {
+    let site = RunningSite::start(Path::new(env!("CARGO_BIN_EXE_ravenspoked"))).await;
+    site.write_plan(1, &[SITE_KEY]);
+    site
+}
+
+/// Waits until the box knows `count` replicas.
+async fn wait_replicas(subject: &SiteBox, count: usize) {
+    wait_for("the box knows the replicas", || async {
+        let state = subject.state().await?;
+        (state["backends"].as_array()?.len() == count).then_some(())
+    })
+    .await;
+}
+
+/// Asks once for each id and gives the statuses.
+async fn statuses(site: &RunningSite, subject: &SiteBox, path: &str, ids: &[&str]) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    for id in ids {
+        let answer = site.request(subject, "POST", path, id).body("b").send().await;
+        statuses.push(answer.map_or(0, |answer| answer.status().as_u16()));
+    }
+    statuses
+}
+
+#[tokio::test]
+async fn a_request_reaches_a_replica_as_it_was_sent_and_without_the_key() {
+    let mut site = site().await;
+    let replica = site.start_replica("i-1", 3, 1).await;
+    let subject = site.start_ready("box-1").await;
+    wait_replicas(&subject, 1).await;
+
+    let request = site.request(&subject, "POST", "/file/a%20b?x=1&y=%2F", "r1");
+    let request = request.header("X-Ravenspoke-Tenant", "forged").header("Hold", "h").body("bytes");
+    let answer = request.send().await.expect("an answer");
+
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.headers()["x-ravenspoke-response-stamp"], "stamp");
+    assert_eq!(answer.text().await.expect("a body"), "i-1 answers r1");
+    let run = &replica.runs()[0];
+    let header = |name: &str| {
+        let rows = run.headers.iter().filter(|(row, _)| row == name);
+        rows.map(|(_, value)| value.clone()).collect::<Vec<_>>()
+    };
+    assert_eq!(
+        (run.target.as_str(), run.body.as_slice()),
+        ("/file/a%20b?x=1&y=%2F", &b"bytes"[..])
+    );
+    assert_eq!(header("x-ravenspoke-tenant"), ["alpha"]);
+    assert_eq!(header("x-ravenspoke-target-instance"), ["i-1"]);
+    assert!(header("authorization").is_empty() && header("hold").is_empty());
+    let left: u64 = header("x-ravenspoke-deadline-ms")[0].parse().expect("a number");
+    assert!((3_000..=3_500).contains(&left), "{left}");
+}
+
+#[tokio::test]
+async fn a_box_without_a_plan_is_not_ready_and_denies_nothing() {
+    let mut site = RunningSite::start(Path::new(env!("CARGO_BIN_EXE_ravenspoked"))).await;
+    let subject = site.start_box("box-1");
+    let status = wait_for("the box answers", || async {
+        let answer = site.request(&subject, "POST", "/read/x", "r1").send().await.ok()?;
+        Some((answer.status().as_u16(), answer.headers().contains_key("retry-after")))
+    });
+    assert_eq!(status.await, (503, true));
+    assert!(!subject.ready().await);
+
+    site.write_plan(1, &[SITE_KEY]);
+    wait_for("the box is ready", || async { subject.ready().await.then_some(()) }).await;
+    assert_eq!(statuses(&site, &subject, "/nowhere/x", &["r2"]).await, [404]);
+}
+
+#[tokio::test]
+async fn a_key_that_is_taken_away_runs_nothing_more() {
+    let mut site = site().await;
+    let replica = site.start_replica("i-1", 3, 1).await;
+    let subject = site.start_ready("box-1").await;
+    wait_replicas(&subject, 1).await;
+    site.write_plan(2, &["another"]);
+    wait_for("the key is refused", || async {
+        (statuses(&site, &subject, "/file/x", &["r"]).await == [401]).then_some(())
+    })
+    .await;
+    let ran = replica.runs().len();
+    assert_eq!(statuses(&site, &subject, "/file/x", &["a", "b", "c"]).await, [401; 3]);
+    assert_eq!(replica.runs().len(), ran);
+}
+
+#[tokio::test]
+async fn a_box_cut_from_the_store_stops_before_a_key_may_be_gone_and_is_no_longer_named() {
+    let mut site = site().await;
+    let replica = site.start_replica("i-1", 3, 1).await;
+    let (first, second) = (site.start_ready("box-1").await, site.start_ready("box-2").await);
+    wait_replicas(&first, 1).await;
+    wait_for("both are named", || async { (second.resolve().await?.len() == 2).then_some(()) })
+        .await;
+
+    let only = [first.ip].into();
+    site.store.set_faults(StoreFaults { outage: StoreOutage::Silent, only, ..Default::default() });
+    let cut_at = Instant::now();
+    site.write_plan(2, &["another"]);
+    let taken_away = Instant::now();
+
+    wait_for("the box refuses", || async {
+        (statuses(&site, &first, "/file/x", &["r"]).await == [503]).then_some(())
+    })
+    .await;
+    assert!(taken_away.elapsed() < Duration::from_millis(5_000), "{:?}", cut_at.elapsed());
+    let ran = replica.runs().len();
+    assert_eq!(statuses(&site, &first, "/file/x", &["a", "b"]).await, [503, 503]);
+    assert_eq!(replica.runs().len(), ran);
+    wait_for("it is no longer named", || async {
+        (second.resolve().await? == [second.entry_address()]).then_some(())
+    })
+    .await;
+    assert!(!first.events("store_lost").is_empty());
+
+    site.store.set_faults(StoreFaults::default());
+    wait_for("it knows the new plan", || async {
+        (statuses(&site, &first, "/file/x", &["r"]).await == [401]).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_call_that_may_run_once_runs_once_whatever_the_replica_does() {
+    let mut site = site().await;
+    let replicas = [site.start_replica("i-1", 3, 1).await, site.start_replica("i-2", 3, 1).await];
+    let subject = site.start_ready("box-1").await;
+    wait_replicas(&subject, 2).await;
+    let modes =
+        [ReplicaMode::Closing, ReplicaMode::WrongId, ReplicaMode::Unproven, ReplicaMode::Failing];
+    for (number, mode) in modes.into_iter().enumerate() {
+        replicas.iter().for_each(|replica| replica.set_mode(mode));
+        let id = format!("once-{number}");
+        let status = statuses(&site, &subject, "/file/x", &[&id]).await[0];
+        assert!([500, 502].contains(&status), "{mode:?} gave {status}");
+        let runs = replicas.iter().flat_map(|replica| replica.runs());
+        assert_eq!(runs.filter(|run| run.id == id).count(), 1, "{mode:?}");
+    }
+}
+
+#[tokio::test]
+async fn full_replicas_give_a_refusal_that_is_true_and_says_when_to_come_back() {
+    let mut site = site().await;
+    let replica = site.start_replica("i-1", 3, 1).await;
+    let subject = site.start_ready("box-1").await;
+    wait_replicas(&subject, 1).await;
+    replica.set_mode(ReplicaMode::Full);
+    let began = Instant::now();
+    let answer = site.request(&subject, "POST", "/file/x", "r1").send().await.expect("an answer");
+    assert_eq!(answer.status(), 503);
+    assert!(answer.headers().contains_key("retry-after"));
+    assert!(began.elapsed() < Duration::from_millis(500), "it is not held back");
+    assert!(replica.runs().is_empty());
+}
+
+#[tokio::test]
+async fn what_a_replica_sends_behind_an_answer_reaches_nobody() {
+    let mut site = site().await;
+    let replica = site.start_replica("i-1", 3, 1).await;
+    let subject = site.start_ready("box-1").await;
+    wait_replicas(&subject, 1).await;
+    replica.set_mode(ReplicaMode::Surplus);
+    for number in 0..20 {
+        let id = format!("s-{number}");
+        let answer =
+            site.request(&subject, "POST", "/read/x", &id).send().await.expect("an answer");
+        assert_eq!(answer.status(), 200);
+        assert_eq!(answer.text().await.expect("a body"), format!("i-1 answers {id}"));
+    }
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_within_an_event_goes_on_elsewhere_whole() {
+    let mut site = site().await;
+    let replicas = [site.start_replica("i-1", 8, 2).await, site.start_replica("i-2", 8, 2).await];
+    let subject = site.start_ready("box-1").await;
+    wait_replicas(&subject, 2).await;
+    let whole: String = (1..=8).map(|n| format!("id: {n}\ndata: piece {n}\n\n")).collect();
+    for mode in [ReplicaMode::CutAt(4), ReplicaMode::PauseAt(4)] {
+        replicas[0].set_mode(mode);
+        for number in 0..4 {
+            let id = format!("{mode:?}-{number}");
+            let answer = site.chat(&subject, &id).send().await.expect("an answer");
+            assert_eq!(answer.text().await.expect("a whole body"), whole, "{id}");
+        }
+    }
+    let resumed = replicas[1].runs().into_iter().filter(|run| {
+        run.headers.iter().any(|(name, value)| name == "last-event-id" && value == "3")
+    });
+    assert!(resumed.count() > 0, "a stream was taken up behind its last whole event");
+}
+
+#[tokio::test]
+async fn a_stream_that_nobody_can_go_on_with_never_looks_complete() {
+    let mut site = site().await;
+    let replica = site.start_replica("i-1", 8, 2).await;
+    let subject = site.start_ready("box-1").await;
+    wait_replicas(&subject, 1).await;
+    replica.set_mode(ReplicaMode::CutAt(4));
+    let answer = site.chat(&subject, "r1").send().await.expect("a head");
+    assert!(answer.text().await.is_err(), "the caller's connection is cut");
+    assert_eq!(subject.events("answer_broken_off").len(), 1);
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_ends_the_replicas_work() {
+    let mut site = site().await;
+    let replica = site.start_replica("i-1", 1_000, 10).await;
+    let subject = site.start_ready("box-1").await;
+    wait_replicas(&subject, 1).await;
+    let mut answer = site.chat(&subject, "r1").send().await.expect("a head");
+    answer.chunk().await.expect("an event");
+    drop(answer);
+    let left_at = Instant::now();
+    wait_for("the replica notices", || async {
+        replica.runs().iter().any(|run| run.left).then_some(())
+    })
+    .await;
+    assert!(left_at.elapsed() < Duration::from_millis(500), "{:?}", left_at.elapsed());
+    wait_for("the log says so", || async {
+        (!subject.events("caller_left").is_empty()).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_planned_stop_cuts_no_stream_and_is_not_named_any_more() {
+    let mut site = site().await;
+    let _replica = site.start_replica("i-1", 60, 20).await;
+    let first = site.start_ready("box-1").await;
+    let second = site.start_ready("box-2").await;
+    wait_replicas(&first, 1).await;
+    wait_for("both are named", || async { (second.resolve().await?.len() == 2).then_some(()) })
+        .await;
+    let answer = site.chat(&first, "r1").send().await.expect("a head");
+    first.signal("TERM");
+    wait_for("it is no longer named", || async {
+        (second.resolve().await? == [second.entry_address()]).then_some(())
+    })
+    .await;
+    assert!(!first.ready().await);
+    let text = answer.text().await.expect("the whole stream");
+    assert_eq!(text.matches("data: piece").count(), 60);
+    let first = std::cell::RefCell::new(first);
+    let code = || std::future::ready(first.borrow_mut().exit_code());
+    assert_eq!(wait_for("it ends", code).await, 0);
+}
+
+#[tokio::test]
+async fn a_connection_is_kept_for_the_next_request_and_a_dead_one_is_not_used() {
+    let mut site = site().await;
+    let replica = site.start_replica("i-1", 3, 1).await;
+    let subject = site.start_ready("box-1").await;
+    wait_replicas(&subject, 1).await;
+    assert_eq!(statuses(&site, &subject, "/read/x", &["a", "b", "c", "d"]).await, [200; 4]);
+    assert_eq!(replica.connections(), 1);
+}
+
+#[tokio::test]
+async fn a_leaving_replica_gets_nothing_and_a_compacted_store_is_read_anew() {
+    let mut site = site().await;
+    let leaving = site.start_replica("i-1", 3, 1).await;
+    let _staying = site.start_replica("i-2", 3, 1).await;
+    let subject = site.start_ready("box-1").await;
+    wait_replicas(&subject, 2).await;
+    site.store.put("keyed.servers", "i-1", &leaving.entry("pool", "v1", "draining"));
+    site.store.compact("keyed.servers");
+    site.store.compact("keyed.op");
+    wait_for("the box knows", || async {
+        (!subject.events("backend_leaving").is_empty()).then_some(())
+    })
+    .await;
+    let ran = leaving.runs().len();
+    assert_eq!(statuses(&site, &subject, "/read/x", &["a", "b", "c", "d", "e"]).await, [200; 5]);
+    assert_eq!(leaving.runs().len(), ran);
+}
+
+#[tokio::test]
+async fn a_verdict_whose_answer_is_lost_is_not_written_twice() {
+    let mut site = site().await;
+    let _replica = site.start_replica("i-1", 3, 1).await;
+    let subject = site.start_ready("box-1").await;
+    site.store.set_faults(StoreFaults { lose_answers: 1, ..Default::default() });
+    let order = json!({ "service": "pool", "target_version": "v2", "duration_s": 30 });
+    site.store.put("keyed.op", "rollout/pool", &order);
+    wait_for("the trial is under way", || async {
+        let status = site.store.newest("keyed.status", "rollout/pool")?;
+        (status["state"] == "running" && status["target_version"] == "v2").then_some(())
+    })
+    .await;
+    wait_for("the box reads it back", || async {
+        let state = subject.state().await?;
+        (state["trials"][0]["written"] == true).then_some(())
+    })
+    .await;
+    assert_eq!(site.store.calls(subject.ip, "log-append"), 2, "its own record and one verdict");
+}
+
+#[tokio::test]
+async fn changed_settings_are_taken_at_a_signal_and_bad_ones_change_nothing() {
+    let mut site = site().await;
+    let subject = site.start_ready("box-1").await;
+    std::fs::write(&subject.settings, "node = 3").expect("settings can be written");
+    subject.signal("HUP");
+    wait_for("the finding is logged", || async {
+        (!subject.events("settings_unreadable").is_empty()).then_some(())
+    })
+    .await;
+    assert!(subject.ready().await);
+}
+
+#[tokio::test]
+async fn a_failed_request_can_be_explained_by_its_id() {
+    let mut site = site().await;
+    let replica = site.start_replica("i-1", 3, 1).await;
+    let subject = site.start_ready("box-1").await;
+    wait_replicas(&subject, 1).await;
+    replica.set_mode(ReplicaMode::Closing);
+    assert_eq!(statuses(&site, &subject, "/file/x", &["the-id"]).await, [502]);
+    let of = |name: &str| {
+        let lines = subject.events(name).into_iter();
+        lines.filter(|line| line["id"] == "the-id").collect::<Vec<_>>()
+    };
+    wait_for("the log has its end", || std::future::ready(of("request_given_up").pop())).await;
+    assert_eq!(of("request_sent")[0]["replica"], "i-1");
+    assert_eq!(of("attempt_failed")[0]["failure"], "Broken");
+    assert_eq!(of("request_given_up")[0]["reason"], "replica_failed");
+    let metrics = subject.metrics().await.expect("metrics");
+    assert!(metrics.contains("ravenspoke_route_refused_total"));
+}
+
+#[tokio::test]
+async fn a_body_beyond_the_limit_and_a_broken_head_are_refused_and_run_nothing() {
+    let mut site = site().await;
+    let replica = site.start_replica("i-1", 3, 1).await;
+    let subject = site.start_ready("box-1").await;
+    wait_replicas(&subject, 1).await;
+    let large = vec![b'x'; 100_001];
+    let sent = site.request(&subject, "POST", "/file/x", "r1").body(large).send().await;
+    // The connection may be closed before all of it was sent.
+    assert!(sent.map_or(true, |answer| answer.status() == 413));
+    let mut stream = TcpStream::connect(subject.entry_address()).await.expect("a connection");
+    stream.write_all(b"nonsense\r\n\r\n").await.expect("it is taken");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an answer and the end");
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    assert!(replica.runs().is_empty());
+}
--- a/crates/core/src/route/budget.rs
+++ b/crates/core/src/route/budget.rs
@@ -21,15 +21,16 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SendBudget {
     tokens: f64,
-    filled_at: BoxTime,
+    /// `None` before the first request: the bucket begins full.
+    filled_at: Option<BoxTime>,
 }
 
 impl SendBudget {
     /// Notes a request; `boxes` share the slack.
     pub fn earn(&mut self, bounds: BudgetBounds, boxes: usize, now: BoxTime) {
+        self.refill(bounds, boxes, now);
         let limit = self.limit(bounds, boxes);
         self.tokens = (self.tokens + bounds.ratio * RATIO_USED).min(limit);
-        self.refill(bounds, boxes, now);
     }
 
     /// Takes one further send, if there is one.
@@ -49,8 +50,10 @@
 
     fn refill(&mut self, bounds: BudgetBounds, boxes: usize, now: BoxTime) {
         let limit = self.limit(bounds, boxes);
-        let share = now.millis_since(self.filled_at) as f64 / bounds.window_ms.max(1) as f64;
+        let share = self
+            .filled_at
+            .map_or(1.0, |at| now.millis_since(at) as f64 / bounds.window_ms.max(1) as f64);
         self.tokens = (self.tokens + limit * share).min(limit);
-        self.filled_at = now;
+        self.filled_at = Some(now);
     }
 }
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -30,6 +30,10 @@
 /// A pause between events is not waited out beyond this part of the longest that counts in full.
 pub const PAUSE_PART: f64 = 0.8;
 
+/// A stream of which the caller has a part is given to the last replica that may be asked only after
+/// this many pauses in a row: should that one fail, the answer is lost, and the first may only be slow.
+pub const LAST_PAUSES: u32 = 3;
+
 /// Callers are told to come back after this, in milliseconds, when replicas are full: about what a
 /// short answer takes.
 pub const FULL_RETRY_MS: u64 = 300;
@@ -45,6 +49,8 @@
     began: BoxTime,
     /// Whether it runs on a version on trial.
     on_trial: bool,
+    /// Pauses so far.
+    pauses: u32,
 }
 
 /// A request in hand.
@@ -195,7 +201,7 @@
         let Some(row) = self.backends.get(pick.key) else { return };
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         let began = stamp.now;
-        request.attempt = Some(RunningAttempt { replica: pick.key, began, on_trial });
+        request.attempt = Some(RunningAttempt { replica: pick.key, began, on_trial, pauses: 0 });
         request.tried.push(pick.key);
         request.sends += 1;
         let spare = request.route.kind.repeatable() && request.sends < request.route.attempts;
@@ -318,8 +324,12 @@
         ticket: RequestTicket,
         out: &mut Vec<RouteEffect>,
     ) {
-        let repeatable = self.requests.get(&ticket).map(|row| row.route.kind.repeatable());
-        if repeatable != Some(true) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let Some(attempt) = &mut request.attempt else { return };
+        attempt.pauses += 1;
+        let last = request.sends + 1 >= request.route.attempts;
+        let too_early = request.relayed && last && attempt.pauses < LAST_PAUSES;
+        if !request.route.kind.repeatable() || too_early {
             return;
         }
         self.tally(ticket, true, None);
--- a/crates/core/tests/route/requests.rs
+++ b/crates/core/tests/route/requests.rs
@@ -119,6 +119,18 @@
     assert!(order_in(&subject.feed(RouteEvent::Paused(ticket))).is_some());
 }
 
+#[test]
+fn a_stream_is_given_to_the_last_replica_only_after_a_long_silence() {
+    let mut subject = ready_box();
+    subject.put(entry("c", "v1"));
+    let (ticket, _) = subject.sent(ask("/chat/x"));
+    assert!(order_in(&subject.feed(RouteEvent::Paused(ticket))).is_some());
+    subject.feed(RouteEvent::HeadCame(ticket, head(200)));
+    assert_eq!(subject.feed(RouteEvent::Paused(ticket)), []);
+    assert_eq!(subject.feed(RouteEvent::Paused(ticket)), []);
+    assert!(order_in(&subject.feed(RouteEvent::Paused(ticket))).is_some());
+}
+
 #[test]
 fn silence_sends_no_call_again_that_may_run_once() {
     let mut subject = ready_box();
@@ -301,6 +313,17 @@
     assert_eq!(subject.feed(RouteEvent::HeadCame(ticket, head(200))), []);
 }
 
+#[test]
+fn a_box_that_has_just_started_may_send_again() {
+    let mut subject = ready_box();
+    for _ in 0..5 {
+        let (ticket, _) = subject.sent(ask("/read/x"));
+        let effects = subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken));
+        assert!(order_in(&effects).is_some());
+        subject.feed(RouteEvent::CallerLeft(ticket));
+    }
+}
+
 #[test]
 fn further_sends_stop_when_the_budget_is_spent() {
     let mut subject = ready_box();
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod list;
 pub mod log;
+pub mod platform;
 pub mod rating;
 pub mod serve;
 pub mod service;
--- /dev/null
+++ b/crates/standins/src/platform/mod.rs
@@ -0,0 +1,10 @@
+//! Stand-ins of the users' platform, written from its published protocol: the store, replicas, and a
+//! site of routing boxes as processes before them.
+//!
+//! Each fault is a setting, and each keeps a record of what it was asked: a test's witness is the
+//! stand-in and not the router's word.
+
+pub mod replica;
+pub mod site;
+pub mod store;
+mod wire;
--- /dev/null
+++ b/crates/standins/src/platform/replica.rs
@@ -0,0 +1,248 @@
+//! A replica: it runs requests, streams events, and fails in the ways that the protocol tells.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use serde_json::{json, Value};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::wire::{answer_head, chunk, read_request, whole_answer, WireRequest};
+
+/// What a replica does with a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ReplicaMode {
+    /// It answers.
+    #[default]
+    Well,
+    /// It is full: it says that it did not run the request.
+    Full,
+    /// It runs the request and answers 500.
+    Failing,
+    /// It runs the request and closes the connection without an answer.
+    Closing,
+    /// It runs the request and says nothing.
+    Silent,
+    /// It answers, and sends a second answer behind the first.
+    Surplus,
+    /// It answers with another request's id.
+    WrongId,
+    /// It answers without its proof.
+    Unproven,
+    /// It breaks its streams off within the event of this number.
+    CutAt(u32),
+    /// It pauses its streams for good before the event of this number.
+    PauseAt(u32),
+}
+
+/// A request that a replica ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaRun {
+    /// Request id.
+    pub id: String,
+    /// Path and query.
+    pub target: String,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Headers, names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Whether the caller left before the end.
+    pub left: bool,
+}
+
+#[derive(Default)]
+struct ReplicaRecord {
+    mode: ReplicaMode,
+    runs: Vec<ReplicaRun>,
+    connections: u32,
+}
+
+/// A running replica.
+#[derive(Clone)]
+pub struct ReplicaStandin {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Id of this life.
+    pub id: String,
+    /// Events in a stream.
+    pub events: u32,
+    /// Time between two events, in milliseconds.
+    pub gap_ms: u64,
+    record: Arc<Mutex<ReplicaRecord>>,
+}
+
+impl ReplicaStandin {
+    /// Starts a replica on `ip`.
+    pub async fn start(ip: IpAddr, id: &str, events: u32, gap_ms: u64) -> Self {
+        let listener = TcpListener::bind((ip, 0)).await.expect("a free port");
+        let address = listener.local_addr().expect("it listens");
+        let replica = Self { address, id: id.to_owned(), events, gap_ms, record: Arc::default() };
+        let server = replica.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                server.lock().connections += 1;
+                let server = server.clone();
+                // How a connection ends shows at the caller.
+                tokio::spawn(async move { drop(server.serve(stream).await) });
+            }
+        });
+        replica
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ReplicaRecord> {
+        self.record.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets what it does from now on.
+    pub fn set_mode(&self, mode: ReplicaMode) {
+        self.lock().mode = mode;
+    }
+
+    /// What it ran.
+    pub fn runs(&self) -> Vec<ReplicaRun> {
+        self.lock().runs.clone()
+    }
+
+    /// Connections that were opened to it.
+    pub fn connections(&self) -> u32 {
+        self.lock().connections
+    }
+
+    /// Its entry in the store.
+    pub fn entry(&self, service: &str, version: &str, state: &str) -> Value {
+        json!({
+            "service": service, "address": self.address.to_string(), "zone": "east",
+            "version": version, "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1,
+        })
+    }
+
+    async fn serve(&self, stream: TcpStream) -> std::io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut stream = BufReader::new(stream);
+        while let Some(request) = read_request(&mut stream).await? {
+            if !self.answer(&mut stream, &request).await? {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    /// Answers a request. Returns whether the connection goes on.
+    async fn answer(
+        &self,
+        stream: &mut BufReader<TcpStream>,
+        request: &WireRequest,
+    ) -> std::io::Result<bool> {
+        let id = request.header("x-ravenspoke-request-id").unwrap_or_default().to_owned();
+        let expected = request.header("x-ravenspoke-target-instance");
+        if expected.is_some_and(|expected| expected != self.id) {
+            let headers = [("X-Ravenspoke-Request-Id", id.as_str())];
+            stream.write_all(&whole_answer(421, &headers, b"")).await?;
+            return Ok(true);
+        }
+        let mode = self.lock().mode;
+        if mode == ReplicaMode::Full {
+            let headers =
+                [("X-Ravenspoke-Request-Id", id.as_str()), ("X-Ravenspoke-Not-Executed", "1")];
+            stream.write_all(&whole_answer(503, &headers, b"")).await?;
+            return Ok(true);
+        }
+        let row = self.note_run(&id, request);
+        if request.header("accept") == Some("text/event-stream") {
+            let went_on = self.stream(stream, request, &id, mode).await;
+            self.lock().runs[row].left = went_on.is_err();
+            return went_on;
+        }
+        self.plain(stream, &id, mode).await
+    }
+
+    fn note_run(&self, id: &str, request: &WireRequest) -> usize {
+        let mut record = self.lock();
+        record.runs.push(ReplicaRun {
+            id: id.to_owned(),
+            target: request.target.clone(),
+            body: request.body.clone(),
+            headers: request.headers.clone(),
+            left: false,
+        });
+        record.runs.len() - 1
+    }
+
+    async fn plain(
+        &self,
+        stream: &mut BufReader<TcpStream>,
+        id: &str,
+        mode: ReplicaMode,
+    ) -> std::io::Result<bool> {
+        let body = format!("{} answers {id}", self.id);
+        let id = if mode == ReplicaMode::WrongId { "another" } else { id };
+        let mut headers =
+            vec![("X-Ravenspoke-Request-Id", id), ("X-Ravenspoke-Instance-Load", "1,0,8")];
+        if mode != ReplicaMode::Unproven {
+            headers.push(("X-Ravenspoke-Response-Stamp", "stamp"));
+        }
+        let status = if mode == ReplicaMode::Failing { 500 } else { 200 };
+        let answer = whole_answer(status, &headers, body.as_bytes());
+        match mode {
+            ReplicaMode::Closing => return Ok(false),
+            ReplicaMode::Silent => return std::future::pending().await,
+            ReplicaMode::Surplus => stream.write_all(&[answer.clone(), answer].concat()).await?,
+            _ => stream.write_all(&answer).await?,
+        }
+        Ok(true)
+    }
+
+    async fn stream(
+        &self,
+        stream: &mut BufReader<TcpStream>,
+        request: &WireRequest,
+        id: &str,
+        mode: ReplicaMode,
+    ) -> std::io::Result<bool> {
+        match mode {
+            ReplicaMode::Closing => return Ok(false),
+            ReplicaMode::Silent => return wait_for_leaving(stream).await,
+            _ => {}
+        }
+        let after: u32 =
+            request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let headers = [
+            ("X-Ravenspoke-Request-Id", id),
+            ("X-Ravenspoke-Response-Stamp", "stamp"),
+            ("Content-Type", "text/event-stream"),
+            ("Transfer-Encoding", "chunked"),
+        ];
+        let mut head = answer_head(200, &headers);
+        head.extend(b"\r\n");
+        stream.write_all(&head).await?;
+        for number in after + 1..=self.events {
+            let event = format!("id: {number}\ndata: piece {number}\n\n");
+            match mode {
+                ReplicaMode::CutAt(at) if at == number => {
+                    stream.write_all(&chunk(&event.as_bytes()[..9])).await?;
+                    return Ok(false);
+                }
+                ReplicaMode::PauseAt(at) if at == number => return wait_for_leaving(stream).await,
+                _ => stream.write_all(&chunk(event.as_bytes())).await?,
+            }
+            pause_or_leave(stream, Duration::from_millis(self.gap_ms)).await?;
+        }
+        stream.write_all(b"0\r\n\r\n").await?;
+        Ok(true)
+    }
+}
+
+/// Waits; an error says that the caller left meanwhile.
+async fn pause_or_leave(stream: &mut BufReader<TcpStream>, pause: Duration) -> std::io::Result<()> {
+    match tokio::time::timeout(pause, stream.read_u8()).await {
+        Err(_) => Ok(()),
+        Ok(Err(error)) => Err(error),
+        Ok(Ok(_)) => Err(std::io::Error::other("bytes where none are due")),
+    }
+}
+
+async fn wait_for_leaving(stream: &mut BufReader<TcpStream>) -> std::io::Result<bool> {
+    pause_or_leave(stream, Duration::MAX).await?;
+    Ok(false)
+}
--- /dev/null
+++ b/crates/standins/src/platform/store.rs
@@ -0,0 +1,286 @@
+//! The platform's store: keyed topics, reads that wait, appends under a condition, and its faults.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use base64::Engine;
+use serde_json::{json, Value};
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+use super::wire::{read_request, whole_answer, WireRequest};
+
+/// How the store fails.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreOutage {
+    /// It doesn't.
+    #[default]
+    None,
+    /// Calls get 503.
+    Busy,
+    /// Calls get no answer.
+    Silent,
+    /// Connections are closed.
+    Reset,
+}
+
+/// Faults of the store.
+#[derive(Clone, Debug, Default)]
+pub struct StoreFaults {
+    /// How it fails.
+    pub outage: StoreOutage,
+    /// Callers for whom it fails; empty for all.
+    pub only: HashSet<IpAddr>,
+    /// Time that each call takes, in milliseconds.
+    pub slow_ms: u64,
+    /// Appends that are done and not answered.
+    pub lose_answers: u32,
+}
+
+#[derive(Clone, Debug)]
+struct StoredRecord {
+    key: String,
+    value: Vec<u8>,
+}
+
+/// A topic: records from `first` on.
+#[derive(Debug, Default)]
+struct StoredTopic {
+    first: u64,
+    records: Vec<StoredRecord>,
+}
+
+impl StoredTopic {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+}
+
+#[derive(Default)]
+struct StoreState {
+    topics: HashMap<String, StoredTopic>,
+    /// Newest value of each key, which stays when records go.
+    newest: BTreeMap<(String, String), (u64, Vec<u8>)>,
+    faults: StoreFaults,
+    calls: HashMap<(IpAddr, String), u64>,
+}
+
+impl StoreState {
+    fn push(&mut self, topic: &str, key: &str, value: Vec<u8>) -> u64 {
+        let row = self.topics.entry(topic.to_owned()).or_default();
+        let offset = row.end();
+        row.records.push(StoredRecord { key: key.to_owned(), value: value.clone() });
+        let place = (topic.to_owned(), key.to_owned());
+        if value.is_empty() {
+            self.newest.remove(&place);
+        } else {
+            self.newest.insert(place, (offset, value));
+        }
+        offset
+    }
+}
+
+/// A running store.
+#[derive(Clone)]
+pub struct StoreStandin {
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<Mutex<StoreState>>,
+    changed: Arc<Notify>,
+}
+
+impl StoreStandin {
+    /// Starts a store on `ip`.
+    pub async fn start(ip: IpAddr) -> Self {
+        let listener = TcpListener::bind((ip, 0)).await.expect("a free port");
+        let address = listener.local_addr().expect("it listens");
+        let store = Self { address, state: Arc::default(), changed: Arc::default() };
+        let server = store.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, from)) = listener.accept().await {
+                let server = server.clone();
+                tokio::spawn(async move { server.serve(stream, from.ip()).await });
+            }
+        });
+        store
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StoreState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Writes a record, as the operator or a replica does.
+    pub fn put(&self, topic: &str, key: &str, value: &Value) {
+        self.lock().push(topic, key, value.to_string().into_bytes());
+        self.changed.notify_waiters();
+    }
+
+    /// Drops a key.
+    pub fn drop_key(&self, topic: &str, key: &str) {
+        self.lock().push(topic, key, Vec::new());
+        self.changed.notify_waiters();
+    }
+
+    /// The newest value of a key.
+    pub fn newest(&self, topic: &str, key: &str) -> Option<Value> {
+        let state = self.lock();
+        let (_, value) = state.newest.get(&(topic.to_owned(), key.to_owned()))?;
+        serde_json::from_slice(value).ok()
+    }
+
+    /// Sets the faults.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        self.lock().faults = faults;
+    }
+
+    /// Forgets the history of a topic; the newest of each key stays.
+    pub fn compact(&self, topic: &str) {
+        if let Some(row) = self.lock().topics.get_mut(topic) {
+            row.first = row.end();
+            row.records.clear();
+        }
+    }
+
+    /// Calls so far from `ip` to paths that end in `call`.
+    pub fn calls(&self, ip: IpAddr, call: &str) -> u64 {
+        let state = self.lock();
+        let rows =
+            state.calls.iter().filter(|((from, path), _)| *from == ip && path.ends_with(call));
+        rows.map(|(_, count)| count).sum()
+    }
+
+    async fn serve(&self, stream: TcpStream, from: IpAddr) {
+        let mut stream = BufReader::new(stream);
+        while let Ok(Some(request)) = read_request(&mut stream).await {
+            let faults = self.note_call(from, &request);
+            let hit = faults.only.is_empty() || faults.only.contains(&from);
+            match faults.outage {
+                StoreOutage::Busy if hit => {
+                    let answer = whole_answer(503, &[], b"");
+                    if stream.write_all(&answer).await.is_err() {
+                        return;
+                    }
+                    continue;
+                }
+                // A connection that has lost an answer says nothing more.
+                StoreOutage::Silent if hit => return std::future::pending().await,
+                StoreOutage::Reset if hit => return,
+                _ => {}
+            }
+            tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
+            let answer = self.answer(&request).await;
+            let append = request.path().ends_with("log-append");
+            if append && self.loses_answer() {
+                return std::future::pending().await;
+            }
+            if stream.write_all(&answer).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn note_call(&self, from: IpAddr, request: &WireRequest) -> StoreFaults {
+        let mut state = self.lock();
+        *state.calls.entry((from, request.path().to_owned())).or_default() += 1;
+        state.faults.clone()
+    }
+
+    fn loses_answer(&self) -> bool {
+        let mut state = self.lock();
+        let lost = state.faults.lose_answers > 0;
+        state.faults.lose_answers -= u32::from(lost);
+        lost
+    }
+
+    async fn answer(&self, request: &WireRequest) -> Vec<u8> {
+        let topic = request.query("topic").unwrap_or_default().to_owned();
+        match request.path() {
+            "/-/log-append" => self.append(&topic, request),
+            "/-/log-read" => self.read(&topic, request).await,
+            "/-/log-newest" => self.list(&topic),
+            _ => whole_answer(404, &[], b""),
+        }
+    }
+
+    fn append(&self, topic: &str, request: &WireRequest) -> Vec<u8> {
+        let mut state = self.lock();
+        let end = state.topics.get(topic).map_or(0, StoredTopic::end);
+        let at: Option<u64> = request.query("at").and_then(|text| text.parse().ok());
+        if at.is_some_and(|at| at != end) {
+            return whole_answer(412, &[], json!({ "end": end }).to_string().as_bytes());
+        }
+        // A record: four bytes of length, a byte of the key's length, the key, the value.
+        let body = &request.body[4..];
+        let (key, value) = body[1..].split_at(usize::from(body[0]));
+        let offset = state.push(topic, &String::from_utf8_lossy(key), value.to_vec());
+        drop(state);
+        self.changed.notify_waiters();
+        let answer = json!({ "offset": offset, "end": offset + 1 });
+        whole_answer(200, &[], answer.to_string().as_bytes())
+    }
+
+    async fn read(&self, topic: &str, request: &WireRequest) -> Vec<u8> {
+        let number = |name| request.query(name).and_then(|text| text.parse::<u64>().ok());
+        let from = number("from").unwrap_or(0);
+        let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            let found = self.found(topic, from);
+            let timed_out = tokio::time::Instant::now() >= until;
+            match found {
+                Ok((answer, true)) => return answer,
+                Ok((answer, false)) if timed_out => return answer,
+                Ok(_) => {}
+                Err(first) => {
+                    let gone = json!({ "first": first }).to_string();
+                    return whole_answer(410, &[], gone.as_bytes());
+                }
+            }
+            // Either a record came or the wait is over; both are looked at above.
+            let _ = tokio::time::timeout_at(until, changed).await;
+        }
+    }
+
+    /// The answer to a read, and whether it has records; the first offset if those asked for are gone.
+    fn found(&self, topic: &str, from: u64) -> Result<(Vec<u8>, bool), u64> {
+        let state = self.lock();
+        let empty = StoredTopic::default();
+        let row = state.topics.get(topic).unwrap_or(&empty);
+        if from < row.first {
+            return Err(row.first);
+        }
+        let mut body = row.end().to_be_bytes().to_vec();
+        body.extend(row.first.to_be_bytes());
+        let records = row.records.iter().skip((from - row.first) as usize);
+        let mut any = false;
+        for record in records {
+            any = true;
+            let length = 1 + record.key.len() + record.value.len();
+            body.extend((length as u32).to_be_bytes());
+            body.push(record.key.len() as u8);
+            body.extend(record.key.as_bytes());
+            body.extend(&record.value);
+        }
+        Ok((whole_answer(200, &[], &body), any))
+    }
+
+    fn list(&self, topic: &str) -> Vec<u8> {
+        let state = self.lock();
+        let rows = state.newest.iter().filter(|((name, _), _)| name == topic);
+        let engine = base64::engine::general_purpose::STANDARD;
+        let items: Vec<Value> = rows
+            .map(|((_, key), (offset, value))| {
+                json!({ "key": key, "value": engine.encode(value), "offset": offset })
+            })
+            .collect();
+        let end = state.topics.get(topic).map_or(0, StoredTopic::end);
+        let answer = json!({ "items": items, "more": false, "end": end });
+        whole_answer(200, &[], answer.to_string().as_bytes())
+    }
+}
