Few boxes read the store, the others ask them

Change: three readers, or one for 24 boxes, wait at the store; others ask one of them, and what it says counts from the asker's clock. News of replicas go by datagram, and of two the one with the later offset counts. Ruled out: freshness on a note's arrival, which a frozen box would take for new.

--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -8,7 +8,7 @@
 use ravenspoke_core::route::event::{
     RefusalReason, RouteEffect, RouteEvent, RouteRefusal, SendOrder,
 };
-use ravenspoke_core::route::peers::PeerNote;
+use ravenspoke_core::route::peers::{PeerAsk, PeerNote};
 use ravenspoke_core::route::trial::TrialVerdict;
 use ravenspoke_core::route::RouteState;
 use ravenspoke_core::time::{BoxTime, WallTime};
@@ -39,10 +39,18 @@
     pub id: String,
 }
 
+/// A datagram for other boxes.
+pub enum PeerDatagram {
+    /// A note, for each of these addresses.
+    Note(Vec<String>, Box<PeerNote>),
+    /// An ask, for this address.
+    Ask(String, PeerAsk),
+}
+
 /// Channels that effects are handed to.
 pub struct GatewaySinks {
-    /// Notes for other boxes.
-    pub notes: UnboundedSender<(Vec<String>, Box<PeerNote>)>,
+    /// Datagrams for other boxes.
+    pub notes: UnboundedSender<PeerDatagram>,
     /// Verdicts for the store.
     pub verdicts: UnboundedSender<TrialVerdict>,
 }
@@ -128,7 +136,12 @@
         observe::note_effect(&effect);
         match effect {
             // The receivers live as long as the process.
-            RouteEffect::SendNotes(to, note) => drop(self.sinks.notes.send((to, note))),
+            RouteEffect::SendNotes(to, note) => {
+                drop(self.sinks.notes.send(PeerDatagram::Note(to, note)));
+            }
+            RouteEffect::SendAsk(to, ask) => {
+                drop(self.sinks.notes.send(PeerDatagram::Ask(to, ask)))
+            }
             RouteEffect::WriteVerdict(verdict) => drop(self.sinks.verdicts.send(verdict)),
             RouteEffect::ReadPlan => self.read_plan.notify_one(),
             _ => {}
--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -17,20 +17,23 @@
 use super::driver::GatewayDriver;
 use super::observe;
 
-/// A read of the operator's topic waits this long for a record, in milliseconds: the price of a call
-/// against the age of what is known.
-pub const OPERATOR_WAIT_MS: u64 = 2_000;
+/// A reader's read waits this long for a record, in milliseconds: the price of a call against the age
+/// of what is known.
+pub const READER_WAIT_MS: u64 = 2_000;
 
-/// Replicas' entries are read this often, in milliseconds: a leaving one must be known everywhere
-/// within two seconds of the store's word.
-pub const BACKEND_EVERY_MS: u64 = 900;
+/// Boxes that are no readers read the entries this often, in milliseconds: readers tell them of
+/// changes, and this mends what they missed.
+pub const BACKEND_MEND_MS: u64 = 6_000;
+
+/// A box looks this often whether it must read itself, in milliseconds.
+pub const TURN_LOOK_MS: u64 = 200;
 
 /// Verdicts are read this often, in milliseconds, while a trial is under way.
 pub const VERDICT_EVERY_MS: u64 = 2_000;
 
 /// Other boxes' records are read this often, in milliseconds; notes are quicker, this mends what they
 /// can't.
-pub const BOX_EVERY_MS: u64 = 10_000;
+pub const BOX_EVERY_MS: u64 = 20_000;
 
 /// A failed call is tried again after this, in milliseconds.
 pub const RETRY_MS: u64 = 250;
@@ -82,7 +85,7 @@
                     // A topic that ends before what was read has lost its history.
                     *next = (read.end >= from).then_some(read.next);
                     if next.is_some() {
-                        return Some(TopicNews { whole: false, records: read.records });
+                        return Some(TopicNews { whole_to: None, records: read.records });
                     }
                 }
             }
@@ -90,14 +93,14 @@
         let result = self.store.newest(self.topic).await;
         let listing = self.check(result)?;
         *next = Some(listing.end);
-        Some(TopicNews { whole: true, records: listing.records })
+        Some(TopicNews { whole_to: Some(listing.end), records: listing.records })
     }
 }
 
 /// What a read showed.
 struct TopicNews {
-    /// Whether these are all keys of the topic.
-    whole: bool,
+    /// Where the topic ended, if these are all its keys.
+    whole_to: Option<u64>,
     records: Vec<KeyedRecord>,
 }
 
@@ -106,11 +109,15 @@
     let mut follower = TopicFollower::new(driver.clone(), store, OPERATOR_TOPIC);
     let mut next = None;
     loop {
+        wait_for_turn(&driver).await;
         let asked_at = driver.now();
-        match follower.read(&mut next, OPERATOR_WAIT_MS).await {
+        // Who is no reader reads only what there is: it has heard of more, or nobody told it anything.
+        let reader = driver.state().is_reader(asked_at);
+        let wait_ms = if reader { READER_WAIT_MS } else { 0 };
+        match follower.read(&mut next, wait_ms).await {
             Some(news) => {
-                let asked_at = shown_at(&driver, asked_at, &news);
-                if !take_operator(&driver, asked_at, news.records) {
+                let asked_at = shown_at(&driver, asked_at, wait_ms, &news);
+                if !take_operator(&driver, asked_at, next.unwrap_or(0), news.records) {
                     // What can't be decoded may be a newer plan: nothing is renewed, all is read anew.
                     next = None;
                     tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
@@ -127,18 +134,34 @@
     }
 }
 
+/// Waits until this box has to read the operator's records itself.
+async fn wait_for_turn(driver: &GatewayDriver) {
+    while !driver.state().must_read(driver.now()) {
+        let pause = tokio::time::sleep(Duration::from_millis(TURN_LOOK_MS));
+        tokio::select! {
+            () = pause => {}
+            () = driver.read_plan.notified() => return,
+        }
+    }
+}
+
 /// As of when a read that began at `asked_at` shows the topic. One that found nothing was held for
 /// the whole wait before it was answered; any other may have been answered at once.
-fn shown_at(driver: &GatewayDriver, asked_at: BoxTime, news: &TopicNews) -> BoxTime {
-    let held = driver.now().millis_since(asked_at) >= OPERATOR_WAIT_MS;
-    if held && !news.whole && news.records.is_empty() {
-        return asked_at.plus_millis(OPERATOR_WAIT_MS);
+fn shown_at(driver: &GatewayDriver, asked_at: BoxTime, wait_ms: u64, news: &TopicNews) -> BoxTime {
+    let held = driver.now().millis_since(asked_at) >= wait_ms;
+    if held && news.whole_to.is_none() && news.records.is_empty() {
+        return asked_at.plus_millis(wait_ms);
     }
     asked_at
 }
 
 /// Takes the operator's records. Returns false if one can't be decoded.
-fn take_operator(driver: &GatewayDriver, asked_at: BoxTime, records: Vec<KeyedRecord>) -> bool {
+fn take_operator(
+    driver: &GatewayDriver,
+    asked_at: BoxTime,
+    read_to: u64,
+    records: Vec<KeyedRecord>,
+) -> bool {
     let mut orders = Vec::new();
     let mut plan = None;
     let mut sound = true;
@@ -154,12 +177,12 @@
             }
         }
     }
-    if sound || plan.is_some() {
-        driver.feed(RouteEvent::PlanRead { asked_at, plan });
-    }
     if !orders.is_empty() {
         driver.feed(RouteEvent::OrdersRead(orders));
     }
+    if sound {
+        driver.feed(RouteEvent::PlanRead { asked_at, read_to, plan });
+    }
     sound
 }
 
@@ -168,38 +191,44 @@
     let mut follower = TopicFollower::new(driver.clone(), store, BACKEND_TOPIC);
     let mut next = None;
     loop {
-        let pause = match follower.read(&mut next, 0).await {
-            Some(news) => {
-                take_backends(&driver, news);
-                BACKEND_EVERY_MS
-            }
-            None => RETRY_MS,
-        };
-        tokio::time::sleep(Duration::from_millis(pause)).await;
+        let reader = driver.state().is_reader(driver.now());
+        match follower.read(&mut next, if reader { READER_WAIT_MS } else { 0 }).await {
+            Some(news) => take_backends(&driver, news),
+            None => tokio::time::sleep(Duration::from_millis(RETRY_MS)).await,
+        }
+        if !reader {
+            wait_to_mend(&driver).await;
+        }
+    }
+}
+
+/// Waits for the next read of a box that is no reader; one that becomes a reader begins at once.
+async fn wait_to_mend(driver: &GatewayDriver) {
+    let until = tokio::time::Instant::now() + Duration::from_millis(BACKEND_MEND_MS);
+    while tokio::time::Instant::now() < until && !driver.state().is_reader(driver.now()) {
+        tokio::time::sleep(Duration::from_millis(TURN_LOOK_MS)).await;
     }
 }
 
 fn take_backends(driver: &GatewayDriver, news: TopicNews) {
     let mut changes = Vec::new();
     for record in news.records {
-        let Some(value) = record.value else {
-            changes.push(BackendChange::Gone(record.key));
-            continue;
+        let entry = match &record.value {
+            Some(value) => match read_backend(&record.key, value) {
+                Ok(entry) => Some(entry),
+                Err(error) => {
+                    observe::note_bad_record(&error);
+                    continue;
+                }
+            },
+            None => None,
         };
-        match read_backend(&record.key, &value) {
-            Ok(entry) => changes.push(BackendChange::Put(entry)),
-            Err(error) => observe::note_bad_record(&error),
-        }
-    }
-    if !news.whole {
-        driver.feed(RouteEvent::BackendsChanged(changes));
-        return;
+        changes.push(BackendChange { id: record.key, at: record.offset, entry });
     }
-    let entries = changes.into_iter().filter_map(|change| match change {
-        BackendChange::Put(entry) => Some(entry),
-        BackendChange::Gone(_) => None,
+    driver.feed(match news.whole_to {
+        Some(end) => RouteEvent::BackendsListed { end, listed: changes },
+        None => RouteEvent::BackendsChanged(changes),
     });
-    driver.feed(RouteEvent::BackendsListed(entries.collect()));
 }
 
 /// Reads verdicts while a trial is under way.
@@ -207,11 +236,13 @@
     let mut follower = TopicFollower::new(driver.clone(), store, VERDICT_TOPIC);
     let mut next = None;
     loop {
-        if driver.state().on_trial() {
+        let on_trial = driver.state().on_trial();
+        // Readers tell the others of verdicts.
+        if on_trial && driver.state().is_reader(driver.now()) {
             if let Some(news) = follower.read(&mut next, 0).await {
                 take_verdicts(&driver, &news.records);
             }
-        } else {
+        } else if !on_trial {
             // A trial may begin for which the store has a verdict already: read all of them then.
             next = None;
         }
@@ -248,7 +279,7 @@
                 break;
             }
             let (key, value) = write_verdict(&verdict);
-            let record = KeyedRecord { key, value: Some(value) };
+            let record = KeyedRecord::new(key, Some(value));
             let appended = store.append(VERDICT_TOPIC, Some(listing.end), &record).await;
             match follower.check(appended) {
                 Some(AppendOutcome::Taken) => {
@@ -277,7 +308,7 @@
     address: String,
 ) {
     let mut follower = TopicFollower::new(driver.clone(), store.clone(), BOX_TOPIC);
-    let own = KeyedRecord { key: name, value: Some(address.into_bytes()) };
+    let own = KeyedRecord::new(name, Some(address.into_bytes()));
     let mut told = false;
     let mut next = None;
     loop {
@@ -297,7 +328,7 @@
 
 /// Takes this box's record out of the store, at the planned stop.
 pub async fn forget_box(store: &StoreClient, name: &str) {
-    let record = KeyedRecord { key: name.to_owned(), value: None };
+    let record = KeyedRecord::new(name.to_owned(), None);
     if let Err(error) = store.append(BOX_TOPIC, None, &record).await {
         observe::note_store_lost(BOX_TOPIC, &error);
     }
--- a/crates/box/src/gateway/notes.rs
+++ b/crates/box/src/gateway/notes.rs
@@ -4,13 +4,15 @@
 use std::sync::Arc;
 
 use prost::Message;
+use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
 use ravenspoke_core::route::event::RouteEvent;
-use ravenspoke_core::route::peers::{PeerNote, TrialNote};
+use ravenspoke_core::route::peers::{PeerAsk, PeerNote, TrialNote};
 use ravenspoke_core::route::trial::{TrialState, TrialTally, TrialVerdict, VersionTally};
+use ravenspoke_core::time::BoxTime;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedReceiver;
 
-use super::driver::GatewayDriver;
+use super::driver::{GatewayDriver, PeerDatagram};
 use super::observe;
 
 /// Largest datagram, in bytes.
@@ -36,15 +38,68 @@
     #[prost(bool, tag = "7")]
     open: bool,
     #[prost(uint64, tag = "8")]
-    plan_version: u64,
-    #[prost(string, repeated, tag = "9")]
-    leaving: Vec<String>,
+    read_to: u64,
+    #[prost(message, repeated, tag = "9")]
+    changes: Vec<WireChange>,
     #[prost(message, repeated, tag = "10")]
     trials: Vec<WireTrial>,
     #[prost(message, repeated, tag = "11")]
     verdicts: Vec<WireVerdict>,
     #[prost(string, repeated, tag = "12")]
     others: Vec<String>,
+    #[prost(uint64, optional, tag = "13")]
+    read_age_ms: Option<u64>,
+    #[prost(message, optional, tag = "14")]
+    echo: Option<WireAsk>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireAsk {
+    #[prost(string, tag = "1")]
+    note_address: String,
+    #[prost(fixed64, tag = "2")]
+    incarnation: u64,
+    /// The asker's clock, in microseconds.
+    #[prost(uint64, tag = "3")]
+    asked_at: u64,
+}
+
+/// A datagram is one of these.
+#[derive(Clone, PartialEq, Message)]
+struct WireDatagram {
+    #[prost(message, optional, tag = "1")]
+    note: Option<WireNote>,
+    #[prost(message, optional, tag = "2")]
+    ask: Option<WireAsk>,
+}
+
+/// A change to a replica's entry; without one, it is gone.
+#[derive(Clone, PartialEq, Message)]
+struct WireChange {
+    #[prost(string, tag = "1")]
+    id: String,
+    #[prost(uint64, tag = "2")]
+    at: u64,
+    #[prost(message, optional, tag = "3")]
+    entry: Option<WireEntry>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireEntry {
+    #[prost(string, tag = "1")]
+    address: String,
+    #[prost(string, tag = "2")]
+    service: String,
+    #[prost(string, tag = "3")]
+    zone: String,
+    #[prost(string, tag = "4")]
+    version: String,
+    #[prost(uint32, tag = "5")]
+    slots: u32,
+    #[prost(bool, tag = "6")]
+    leaving: bool,
+    #[prost(uint64, tag = "7")]
+    cold_ms: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -160,9 +215,53 @@
     TrialVerdict { service: verdict.service, version: verdict.version, state }
 }
 
-/// Encodes a note.
+fn write_change(change: &BackendChange) -> WireChange {
+    let entry = change.entry.as_ref().map(|entry| WireEntry {
+        address: entry.address.clone(),
+        service: entry.service.clone(),
+        zone: entry.zone.clone(),
+        version: entry.version.clone(),
+        slots: entry.slots,
+        leaving: entry.leaving,
+        cold_ms: entry.cold_ms,
+    });
+    WireChange { id: change.id.clone(), at: change.at, entry }
+}
+
+fn read_change(change: WireChange) -> BackendChange {
+    let id = change.id.clone();
+    let entry = change.entry.map(|entry| BackendEntry {
+        id,
+        address: entry.address,
+        service: entry.service,
+        zone: entry.zone,
+        version: entry.version,
+        slots: entry.slots,
+        leaving: entry.leaving,
+        cold_ms: entry.cold_ms,
+    });
+    BackendChange { id: change.id, at: change.at, entry }
+}
+
+fn write_ask(ask: &PeerAsk) -> WireAsk {
+    WireAsk {
+        note_address: ask.note_address.clone(),
+        incarnation: ask.incarnation,
+        asked_at: ask.asked_at.0,
+    }
+}
+
+fn read_ask(ask: WireAsk) -> PeerAsk {
+    PeerAsk {
+        note_address: ask.note_address,
+        incarnation: ask.incarnation,
+        asked_at: BoxTime(ask.asked_at),
+    }
+}
+
+/// Encodes a note as a datagram.
 pub fn encode_note(note: &PeerNote) -> Vec<u8> {
-    let wire = WireNote {
+    let note = WireNote {
         name: note.name.clone(),
         incarnation: note.incarnation,
         number: note.number,
@@ -170,22 +269,36 @@
         entry_address: note.entry_address.clone(),
         zone: note.zone.clone(),
         open: note.open,
-        plan_version: note.plan_version,
-        leaving: note.leaving.clone(),
+        read_to: note.read_to,
+        changes: note.changes.iter().map(write_change).collect(),
         trials: note.trials.iter().map(write_trial).collect(),
         verdicts: note.verdicts.iter().map(write_verdict).collect(),
         others: note.others.iter().take(OTHERS_LIMIT).cloned().collect(),
+        read_age_ms: note.read_age_ms,
+        echo: note.echo.as_ref().map(write_ask),
     };
-    wire.encode_to_vec()
+    WireDatagram { note: Some(note), ask: None }.encode_to_vec()
+}
+
+/// Encodes an ask as a datagram.
+pub fn encode_ask(ask: &PeerAsk) -> Vec<u8> {
+    WireDatagram { note: None, ask: Some(write_ask(ask)) }.encode_to_vec()
 }
 
-/// Decodes a note.
+/// Decodes a datagram into the event that it is; `None` for an empty one.
 ///
 /// # Errors
-/// The codec's, if the bytes are no note.
-pub fn decode_note(bytes: &[u8]) -> Result<PeerNote, prost::DecodeError> {
-    let wire = WireNote::decode(bytes)?;
-    Ok(PeerNote {
+/// The codec's, if the bytes are no datagram of a box.
+pub fn decode_datagram(bytes: &[u8]) -> Result<Option<RouteEvent>, prost::DecodeError> {
+    let wire = WireDatagram::decode(bytes)?;
+    if let Some(ask) = wire.ask {
+        return Ok(Some(RouteEvent::PeerAsked(read_ask(ask))));
+    }
+    Ok(wire.note.map(|note| RouteEvent::PeerHeard(read_note(note))))
+}
+
+fn read_note(wire: WireNote) -> PeerNote {
+    PeerNote {
         name: wire.name,
         incarnation: wire.incarnation,
         number: wire.number,
@@ -193,12 +306,14 @@
         entry_address: wire.entry_address,
         zone: wire.zone,
         open: wire.open,
-        plan_version: wire.plan_version,
-        leaving: wire.leaving,
+        read_to: wire.read_to,
+        read_age_ms: wire.read_age_ms,
+        echo: wire.echo.map(read_ask),
+        changes: wire.changes.into_iter().map(read_change).collect(),
         trials: wire.trials.into_iter().map(read_trial).collect(),
         verdicts: wire.verdicts.into_iter().map(read_verdict).collect(),
         others: wire.others,
-    })
+    }
 }
 
 /// Hears other boxes' notes.
@@ -206,8 +321,9 @@
     let mut buffer = vec![0; NOTE_LIMIT];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length, _)) => match decode_note(&buffer[..length]) {
-                Ok(note) => driver.feed(RouteEvent::PeerHeard(note)),
+            Ok((length, _)) => match decode_datagram(&buffer[..length]) {
+                Ok(Some(event)) => driver.feed(event),
+                Ok(None) => observe::note_bad_note("it is empty"),
                 Err(error) => observe::note_bad_note(&error.to_string()),
             },
             // A box that is gone answers a note with an error on this socket.
@@ -216,13 +332,13 @@
     }
 }
 
-/// Sends notes to other boxes.
-pub async fn send_notes(
-    socket: Arc<UdpSocket>,
-    mut notes: UnboundedReceiver<(Vec<String>, Box<PeerNote>)>,
-) {
-    while let Some((targets, note)) = notes.recv().await {
-        let bytes = encode_note(&note);
+/// Sends notes and asks to other boxes.
+pub async fn send_notes(socket: Arc<UdpSocket>, mut datagrams: UnboundedReceiver<PeerDatagram>) {
+    while let Some(datagram) = datagrams.recv().await {
+        let (targets, bytes) = match datagram {
+            PeerDatagram::Note(targets, note) => (targets, encode_note(&note)),
+            PeerDatagram::Ask(target, ask) => (vec![target], encode_ask(&ask)),
+        };
         metrics::counter!("ravenspoke_note_bytes_total")
             .increment((bytes.len() * targets.len()) as u64);
         for target in targets.iter().filter_map(|target| target.parse::<SocketAddr>().ok()) {
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -58,15 +58,21 @@
     pub cold_ms: u64,
 }
 
-/// A change to the entries.
+/// A change to a replica's entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum BackendChange {
-    /// Written.
-    Put(BackendEntry),
-    /// Gone, by id.
-    Gone(String),
+pub struct BackendChange {
+    /// Id of the replica.
+    pub id: String,
+    /// Offset of the change in the store: of two changes the later one counts, whichever way and
+    /// however late they came.
+    pub at: u64,
+    /// The entry; `None` if it is gone.
+    pub entry: Option<BackendEntry>,
 }
 
+/// Ids of replicas that are gone, with the offset of that, are kept until there are this many.
+pub const GONE_LIMIT: usize = 4_096;
+
 /// Load that came with an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct BackendLoad {
@@ -78,6 +84,17 @@
     pub slots: u32,
 }
 
+/// What of a change is news.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackendNews {
+    /// Nothing.
+    None,
+    /// There is a replica, or an address or version, that was not known.
+    Changed,
+    /// A replica leaves or is gone.
+    Leaving,
+}
+
 /// What is known of a replica.
 #[derive(Clone, Debug, Serialize)]
 pub struct BackendState {
@@ -85,6 +102,8 @@
     pub entry: BackendEntry,
     #[serde(skip)]
     id_hash: u64,
+    /// Offset of its last change in the store.
+    pub at: u64,
     /// Reported running and waiting requests.
     pub reported: u32,
     /// When they were reported.
@@ -179,6 +198,8 @@
     rows: SlotMap<ReplicaKey, BackendState>,
     ids: HashMap<String, ReplicaKey>,
     by_service: HashMap<String, Vec<ReplicaKey>>,
+    /// Ids that are gone, with the offset of that.
+    gone: HashMap<String, u64>,
 }
 
 impl BackendTable {
@@ -193,98 +214,120 @@
     }
 
     /// Takes one change. `unsound` says that the store was lately down: then a vanished entry may
-    /// come back. Gives the id if the replica is newly known to leave.
-    pub fn take(&mut self, change: BackendChange, now: BoxTime, unsound: bool) -> Option<String> {
-        match change {
-            BackendChange::Put(entry) => self.put(entry, now),
-            BackendChange::Gone(id) => self.gone(&id, now, unsound),
+    /// come back. Gives what of it is news.
+    pub fn take(&mut self, change: &BackendChange, now: BoxTime, unsound: bool) -> BackendNews {
+        let known = self.ids.get(&change.id).map(|key| self.rows[*key].at);
+        let known = known.or_else(|| self.gone.get(&change.id).copied());
+        if known.is_some_and(|at| at >= change.at) {
+            return BackendNews::None;
+        }
+        match &change.entry {
+            Some(entry) => self.put(entry.clone(), change.at, now),
+            None => self.take_gone(&change.id, change.at, now, unsound),
         }
     }
 
-    /// Takes a whole listing: what is not in it is gone. Gives the ids of replicas that are newly
-    /// known to leave.
+    /// Takes a whole listing that was made when the store's entries ended at `end`: what is not in it
+    /// is gone. Gives the changes that are news.
     pub fn take_all(
         &mut self,
-        entries: Vec<BackendEntry>,
+        end: u64,
+        listed: Vec<BackendChange>,
         now: BoxTime,
         unsound: bool,
-    ) -> Vec<String> {
-        let missing: Vec<String> = self
-            .ids
-            .keys()
-            .filter(|id| !entries.iter().any(|entry| entry.id == **id))
-            .cloned()
-            .collect();
-        let gone = missing.into_iter().map(BackendChange::Gone);
-        let changes = gone.chain(entries.into_iter().map(BackendChange::Put));
-        changes.filter_map(|change| self.take(change, now, unsound)).collect()
+    ) -> Vec<(BackendChange, BackendNews)> {
+        let missing = self.ids.keys().filter(|id| !listed.iter().any(|row| row.id == **id));
+        let gone = |id: &String| BackendChange { id: id.clone(), at: end, entry: None };
+        let missing: Vec<BackendChange> = missing.map(gone).collect();
+        let changes = missing.into_iter().chain(listed);
+        changes.map(|change| (change.clone(), self.take(&change, now, unsound))).collect()
     }
 
-    fn put(&mut self, entry: BackendEntry, now: BoxTime) -> Option<String> {
+    fn put(&mut self, entry: BackendEntry, at: u64, now: BoxTime) -> BackendNews {
         let Some(key) = self.ids.get(&entry.id).copied() else {
-            let key = self.rows.insert(BackendState {
-                id_hash: xxh3_64(entry.id.as_bytes()),
-                cold_until: now.plus_millis(entry.cold_ms),
-                reported: 0,
-                reported_at: now,
-                since_report: 0,
-                outstanding: 0,
-                failures: 0,
-                passes: 0,
-                passed_until: BoxTime::default(),
-                lapses_at: None,
-                entry: entry.clone(),
-            });
-            self.ids.insert(entry.id.clone(), key);
-            self.by_service.entry(entry.service.clone()).or_default().push(key);
-            return entry.leaving.then_some(entry.id);
+            self.gone.remove(&entry.id);
+            let leaving = entry.leaving;
+            self.insert(entry, at, now);
+            return if leaving { BackendNews::Leaving } else { BackendNews::Changed };
         };
         let row = &mut self.rows[key];
-        let news = entry.leaving && !row.entry.leaving;
+        row.at = at;
         row.lapses_at = None;
+        let news = entry.leaving && !row.entry.leaving;
+        let changed = row.entry.address != entry.address || row.entry.version != entry.version;
         // A leaving mark is never taken back within one life of a replica.
         let leaving = row.entry.leaving || entry.leaving;
-        let id = entry.id.clone();
         row.entry = BackendEntry { leaving, ..entry };
-        news.then_some(id)
+        match (news, changed) {
+            (true, _) => BackendNews::Leaving,
+            (false, true) => BackendNews::Changed,
+            (false, false) => BackendNews::None,
+        }
     }
 
-    fn gone(&mut self, id: &str, now: BoxTime, unsound: bool) -> Option<String> {
-        let key = self.ids.get(id).copied()?;
+    fn insert(&mut self, entry: BackendEntry, at: u64, now: BoxTime) {
+        let (id, service) = (entry.id.clone(), entry.service.clone());
+        let key = self.rows.insert(BackendState {
+            id_hash: xxh3_64(id.as_bytes()),
+            cold_until: now.plus_millis(entry.cold_ms),
+            at,
+            reported: 0,
+            reported_at: now,
+            since_report: 0,
+            outstanding: 0,
+            failures: 0,
+            passes: 0,
+            passed_until: BoxTime::default(),
+            lapses_at: None,
+            entry,
+        });
+        self.ids.insert(id, key);
+        self.by_service.entry(service).or_default().push(key);
+    }
+
+    fn take_gone(&mut self, id: &str, at: u64, now: BoxTime, unsound: bool) -> BackendNews {
+        let Some(key) = self.ids.get(id).copied() else {
+            self.note_gone(id, at);
+            return BackendNews::None;
+        };
         let row = &mut self.rows[key];
+        row.at = at;
         if unsound && !row.entry.leaving {
             row.lapses_at.get_or_insert(now.plus_millis(LAPSE_GRACE_MS));
-            return None;
+            return BackendNews::None;
         }
         self.remove(key);
-        Some(id.to_owned())
+        BackendNews::Leaving
+    }
+
+    fn note_gone(&mut self, id: &str, at: u64) {
+        if self.gone.len() >= GONE_LIMIT {
+            self.gone.clear();
+        }
+        self.gone.insert(id.to_owned(), at);
     }
 
     fn remove(&mut self, key: ReplicaKey) {
         let Some(row) = self.rows.remove(key) else { return };
+        self.note_gone(&row.entry.id, row.at);
         self.ids.remove(&row.entry.id);
         if let Some(keys) = self.by_service.get_mut(&row.entry.service) {
             keys.retain(|other| *other != key);
         }
     }
 
-    /// Drops entries whose grace is over.
-    pub fn forget_lapsed(&mut self, now: BoxTime) {
-        let lapsed: Vec<ReplicaKey> = self
-            .rows
-            .iter()
-            .filter(|(_, row)| row.lapses_at.is_some_and(|at| at <= now))
-            .map(|(key, _)| key)
-            .collect();
+    /// Drops entries whose grace is over, and gives that as changes.
+    pub fn drop_lapsed(&mut self, now: BoxTime) -> Vec<BackendChange> {
+        let over = |row: &BackendState| row.lapses_at.is_some_and(|at| at <= now);
+        let lapsed: Vec<ReplicaKey> =
+            self.rows.iter().filter(|(_, row)| over(row)).map(|(key, _)| key).collect();
+        let mut changes = Vec::with_capacity(lapsed.len());
         for key in lapsed {
+            let row = &self.rows[key];
+            changes.push(BackendChange { id: row.entry.id.clone(), at: row.at, entry: None });
             self.remove(key);
         }
-    }
-
-    /// Marks a replica as leaving, by its id. Returns whether that is news.
-    pub fn mark_leaving(&mut self, id: &str) -> bool {
-        let Some(key) = self.ids.get(id) else { return false };
-        !std::mem::replace(&mut self.rows[*key].entry.leaving, true)
+        changes
     }
 
     /// Picks a replica; `None` if there is none that may be used.
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -1,7 +1,7 @@
 //! What can happen to a routing box, and what it can be told to do, as data.
 
-use super::backend::{BackendChange, BackendEntry, BackendLoad};
-use super::peers::PeerNote;
+use super::backend::{BackendChange, BackendLoad};
+use super::peers::{PeerAsk, PeerNote};
 use super::plan::{RouteKind, RoutePlan};
 use super::trial::{TrialOrder, TrialState, TrialVerdict};
 use crate::event::RequestTicket;
@@ -64,8 +64,10 @@
     Tick,
     /// The plan was read from the store; `None` if it is as it was.
     PlanRead {
-        /// When the read began.
+        /// The records read are all that there was then.
         asked_at: BoxTime,
+        /// Offset behind the last record that was read.
+        read_to: u64,
         /// The plan.
         plan: Option<RoutePlan>,
     },
@@ -76,11 +78,18 @@
     /// Changes to the replicas' entries were read.
     BackendsChanged(Vec<BackendChange>),
     /// All entries of the replicas were read.
-    BackendsListed(Vec<BackendEntry>),
+    BackendsListed {
+        /// Where the store's entries ended when the listing was made.
+        end: u64,
+        /// The entries.
+        listed: Vec<BackendChange>,
+    },
     /// A call to the store failed.
     StoreFailed,
     /// Another box's note came.
     PeerHeard(PeerNote),
+    /// Another box asks how fresh this one's knowledge is.
+    PeerAsked(PeerAsk),
     /// Addresses where other boxes may be.
     PeersNamed(Vec<String>),
     /// A caller's request arrived.
@@ -212,9 +221,11 @@
     BreakOff(RequestTicket, RefusalReason),
     /// Tell other boxes.
     SendNotes(Vec<String>, Box<PeerNote>),
+    /// Ask a reader.
+    SendAsk(String, PeerAsk),
     /// Write a verdict to the store, unless it has one.
     WriteVerdict(TrialVerdict),
-    /// Read the plan at once: another box has a newer one.
+    /// Read the operator's records at once: another box has read further.
     ReadPlan,
     /// A plan came into force.
     PlanInForce {
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -25,28 +25,35 @@
 use crate::event::{EventStamp, RequestTicket};
 use crate::time::BoxTime;
 
-use backend::{BackendChange, BackendTable};
+use backend::{BackendChange, BackendNews, BackendTable};
 use budget::{BudgetBounds, SendBudget};
 use event::{RouteEffect, RouteEvent};
 use fresh::{FreshBounds, PlanFreshness};
-use peers::{PeerNote, PeerTable, TrialNote};
+use peers::{PeerAsk, PeerNote, PeerTable, TrialNote};
 use plan::{RoutePlan, RouteTable};
 use request::RouteRequest;
 use trial::VersionTrial;
 
 pub use dump::RouteDump;
 
-/// A leaving replica is told to other boxes for this long, in milliseconds: past the two seconds
-/// within which all must know.
-pub const TELL_LEAVING_MS: u64 = 3_000;
+/// News of a replica is told to other boxes for this long, in milliseconds: past the two seconds
+/// within which all must know that it leaves.
+pub const TELL_MS: u64 = 3_000;
+
+/// News of replicas in one note, at most, the newest first; what a box misses it reads itself later.
+pub const NEWS_LIMIT: usize = 24;
 
 /// The store counts as unsound for this long after a failed call, in milliseconds: entries that
 /// lapsed meanwhile are written again within two seconds of its return.
 pub const UNSOUND_MS: u64 = 8_000;
 
-/// A box whose plan is older than this is not named to callers, in milliseconds, unless all are: two
-/// polls of the store.
-pub const NAMED_AGE_MS: u64 = 2_500;
+/// A box whose plan is older than this is not named to callers, in milliseconds, unless all are:
+/// past [`OWN_READ_MS`] and a call to the store.
+pub const NAMED_AGE_MS: u64 = 3_600;
+
+/// A box that no reader has told for this long that its knowledge is fresh reads the store itself, in
+/// milliseconds: two asks, and what a reader's own knowledge may be old.
+pub const OWN_READ_MS: u64 = 3_000;
 
 /// New requests are still taken for this long after the planned stop began, in milliseconds: callers
 /// keep an address for a while. One taken later might not end before the process is killed.
@@ -85,7 +92,11 @@
     budgets: HashMap<String, SendBudget>,
     requests: HashMap<RequestTicket, RouteRequest>,
     store_failed_at: Option<BoxTime>,
-    leaving: VecDeque<(BoxTime, String)>,
+    /// Offset up to which the operator's records were read.
+    read_to: u64,
+    /// News of replicas, with when it was learnt.
+    changes: VecDeque<(BoxTime, BackendChange)>,
+    next_ask: BoxTime,
     note_number: u64,
     next_note: BoxTime,
     stopping_since: Option<BoxTime>,
@@ -105,7 +116,9 @@
             budgets: HashMap::new(),
             requests: HashMap::new(),
             store_failed_at: None,
-            leaving: VecDeque::new(),
+            read_to: 0,
+            changes: VecDeque::new(),
+            next_ask: BoxTime::default(),
             note_number: 0,
             next_note: BoxTime::default(),
             stopping_since: None,
@@ -118,7 +131,9 @@
         let out = &mut effects;
         match event {
             RouteEvent::Tick => self.on_tick(stamp, out),
-            RouteEvent::PlanRead { asked_at, plan } => self.on_plan_read(asked_at, plan, out),
+            RouteEvent::PlanRead { asked_at, read_to, plan } => {
+                self.on_plan_read(asked_at, read_to, plan, out);
+            }
             RouteEvent::OrdersRead(orders) => self.on_orders(stamp, orders, out),
             RouteEvent::VerdictsRead(verdicts) => {
                 for verdict in verdicts {
@@ -126,14 +141,21 @@
                 }
             }
             RouteEvent::BackendsChanged(changes) => self.on_backends(stamp, changes, out),
-            RouteEvent::BackendsListed(entries) => {
+            RouteEvent::BackendsListed { end, listed } => {
                 let unsound = self.store_unsound(stamp.now);
-                for id in self.backends.take_all(entries, stamp.now, unsound) {
-                    self.tell_leaving(stamp, id, out);
+                let all = self.backends.take_all(end, listed, stamp.now, unsound);
+                // Who lists learns late what others know already, but for what leaves.
+                for (change, news) in all.into_iter().filter(|row| row.1 == BackendNews::Leaving) {
+                    self.tell(stamp, change, news, out);
                 }
             }
             RouteEvent::StoreFailed => self.store_failed_at = Some(stamp.now),
             RouteEvent::PeerHeard(note) => self.on_note(stamp, &note, out),
+            RouteEvent::PeerAsked(ask) => {
+                let to = vec![ask.note_address.clone()];
+                let note = PeerNote { echo: Some(ask), ..self.note(stamp) };
+                out.push(RouteEffect::SendNotes(to, Box::new(note)));
+            }
             RouteEvent::PeersNamed(addresses) => {
                 self.peers.hear_of(&addresses, &self.settings.note_address, stamp.now);
             }
@@ -157,24 +179,47 @@
     }
 
     fn on_tick(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
-        self.backends.forget_lapsed(stamp.now);
+        for change in self.backends.drop_lapsed(stamp.now) {
+            self.tell(stamp, change, BackendNews::Leaving, out);
+        }
         self.judge_trials(stamp, out);
+        self.ask_reader(stamp, out);
         if stamp.now < self.next_note {
             return;
         }
         self.next_note = stamp.now.plus_millis(peers::NOTE_EVERY_MS);
         self.peers.forget(stamp.now);
-        let told = |at: BoxTime| stamp.now.millis_since(at) < TELL_LEAVING_MS;
-        self.leaving.retain(|(at, _)| told(*at));
+        let told = |at: BoxTime| stamp.now.millis_since(at) < TELL_MS;
+        self.changes.retain(|(at, _)| told(*at));
         let targets = self.peers.note_targets(stamp.dice);
         if !targets.is_empty() {
             out.push(RouteEffect::SendNotes(targets, Box::new(self.note(stamp))));
         }
     }
 
+    /// Asks a reader how fresh this box's knowledge is, unless it reads often itself.
+    fn ask_reader(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
+        if stamp.now < self.next_ask {
+            return;
+        }
+        self.next_ask = stamp.now.plus_millis(peers::ASK_EVERY_MS);
+        let (own, readers) = self.peers.readers(&self.settings.name, stamp.now);
+        if own || readers.is_empty() {
+            return;
+        }
+        let reader = readers[(stamp.dice % readers.len() as u64) as usize].clone();
+        let ask = PeerAsk {
+            note_address: self.settings.note_address.clone(),
+            incarnation: self.settings.incarnation,
+            asked_at: stamp.now,
+        };
+        out.push(RouteEffect::SendAsk(reader, ask));
+    }
+
     fn on_plan_read(
         &mut self,
         asked_at: BoxTime,
+        read_to: u64,
         plan: Option<RoutePlan>,
         out: &mut Vec<RouteEffect>,
     ) {
@@ -182,6 +227,7 @@
             // "As it was" says nothing to a box that has no plan yet.
             if self.has_plan() {
                 self.fresh.renew(asked_at);
+                self.read_to = self.read_to.max(read_to);
             }
             return;
         };
@@ -190,11 +236,13 @@
             return;
         }
         self.fresh.renew(asked_at);
+        self.read_to = self.read_to.max(read_to);
         if self.has_plan() && plan.version == self.table.plan().version {
             return;
         }
         let (version, routes) = (plan.version, plan.routes.len());
         self.table = RouteTable::build(plan);
+        self.next_note = BoxTime::default();
         out.push(RouteEffect::PlanInForce { version, routes });
     }
 
@@ -206,15 +254,28 @@
     ) {
         let unsound = self.store_unsound(stamp.now);
         for change in changes {
-            if let Some(id) = self.backends.take(change, stamp.now, unsound) {
-                self.tell_leaving(stamp, id, out);
-            }
+            let news = self.backends.take(&change, stamp.now, unsound);
+            self.tell(stamp, change, news, out);
         }
     }
 
-    fn tell_leaving(&mut self, stamp: EventStamp, id: String, out: &mut Vec<RouteEffect>) {
-        self.leaving.push_back((stamp.now, id.clone()));
-        out.push(RouteEffect::BackendLeaving(id));
+    /// Tells news of a replica to other boxes, at once and for a while.
+    fn tell(
+        &mut self,
+        stamp: EventStamp,
+        change: BackendChange,
+        news: BackendNews,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        if news == BackendNews::None {
+            return;
+        }
+        if news == BackendNews::Leaving {
+            out.push(RouteEffect::BackendLeaving(change.id.clone()));
+        }
+        self.changes.retain(|(_, other)| other.id != change.id);
+        self.changes.push_back((stamp.now, change));
+        self.next_note = BoxTime::default();
     }
 
     fn on_note(&mut self, stamp: EventStamp, note: &PeerNote, out: &mut Vec<RouteEffect>) {
@@ -222,14 +283,22 @@
             return;
         }
         self.peers.hear_of(&note.others, &self.settings.note_address, stamp.now);
-        for id in &note.leaving {
-            if self.backends.mark_leaving(id) {
-                out.push(RouteEffect::BackendLeaving(id.clone()));
-            }
-        }
+        self.on_backends(stamp, note.changes.clone(), out);
         self.hear_trials(stamp, note, out);
-        if note.plan_version > self.table.plan().version {
+        self.hear_freshness(stamp, note, out);
+    }
+
+    /// Relies on what another box read, as of when it says, if this box has read as far.
+    fn hear_freshness(&mut self, stamp: EventStamp, note: &PeerNote, out: &mut Vec<RouteEffect>) {
+        if note.read_to > self.read_to {
             out.push(RouteEffect::ReadPlan);
+            return;
+        }
+        let (Some(ask), Some(age_ms)) = (&note.echo, note.read_age_ms) else { return };
+        let own = ask.incarnation == self.settings.incarnation && ask.asked_at <= stamp.now;
+        let early = stamp.now.millis_since(ask.asked_at) < peers::ECHO_LIMIT_MS;
+        if own && early && note.read_to == self.read_to && self.has_plan() {
+            self.fresh.renew(ask.asked_at.minus_millis(age_ms));
         }
     }
 
@@ -249,8 +318,10 @@
             entry_address: self.settings.entry_address.clone(),
             zone: self.settings.zone.clone(),
             open: self.open(stamp.now),
-            plan_version: self.table.plan().version,
-            leaving: self.leaving.iter().map(|(_, id)| id.clone()).collect(),
+            read_to: self.read_to,
+            read_age_ms: self.fresh.age_ms(stamp.now),
+            echo: None,
+            changes: self.changes.iter().rev().take(NEWS_LIMIT).map(|row| row.1.clone()).collect(),
             trials: trials.collect(),
             verdicts: self.verdicts(),
             others: self.peers.rows().map(|(_, row)| row.note_address.clone()).collect(),
@@ -281,6 +352,18 @@
         self.stopping_since.is_some()
     }
 
+    /// Whether this box must read the operator's records itself: it is a reader, or no reader has
+    /// told it lately that what it knows is fresh.
+    pub fn must_read(&self, now: BoxTime) -> bool {
+        let old = self.fresh.age_ms(now).is_none_or(|age| age >= OWN_READ_MS);
+        old || self.is_reader(now)
+    }
+
+    /// Whether this box is one of those that read the store often.
+    pub fn is_reader(&self, now: BoxTime) -> bool {
+        self.peers.readers(&self.settings.name, now).0
+    }
+
     /// Requests in hand.
     pub fn in_hand(&self) -> usize {
         self.requests.len()
--- a/crates/core/src/route/peers.rs
+++ b/crates/core/src/route/peers.rs
@@ -1,12 +1,19 @@
 //! The other boxes: who lives, what they know, and which of them callers are sent to.
 //!
 //! Boxes tell each other by datagrams. A note carries what its sender is and has seen; a box that is
-//! silent for [`SILENT_MS`] is no longer named to callers.
+//! silent for [`SILENT_MS`] is no longer named to callers. News is told on at once by who hears it, to
+//! a few others each: it is everywhere after a few steps, whatever the size of the fleet.
+//!
+//! Few boxes read the store often, the *readers*; the others ask one of them. An answer says as of when
+//! the reader knew what it knows, and counts from the *asker's* clock: a datagram that was under way for
+//! long, or an asker that was frozen, makes the answer older, never newer.
 
 use std::collections::BTreeMap;
 
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
 
+use super::backend::BackendChange;
 use super::trial::{RouteTallies, TrialVerdict};
 use crate::time::BoxTime;
 
@@ -23,6 +30,18 @@
 /// Boxes that a note is sent to each time; at most this many, chosen anew.
 pub const NOTE_FANOUT: usize = 12;
 
+/// Boxes that read the store often, at least: any two may be gone at once.
+pub const READERS_MIN: usize = 3;
+
+/// Boxes that ask one reader, at most, with one ask a second each.
+pub const ASKERS_LIMIT: usize = 24;
+
+/// Time between two asks, in milliseconds.
+pub const ASK_EVERY_MS: u64 = 800;
+
+/// An answer to an ask that was sent longer ago says nothing, in milliseconds.
+pub const ECHO_LIMIT_MS: u64 = 3_000;
+
 /// Addresses in an answer to a caller, at most; the platform's limit.
 pub const NAMED_LIMIT: usize = 64;
 
@@ -56,10 +75,14 @@
     pub zone: String,
     /// Whether callers may be sent to it.
     pub open: bool,
-    /// Version of its plan.
-    pub plan_version: u64,
-    /// Ids of replicas that it lately learnt to be leaving.
-    pub leaving: Vec<String>,
+    /// Offset up to which it has read the operator's records.
+    pub read_to: u64,
+    /// How long ago that was all there was, in milliseconds; `None` if it has read nothing yet.
+    pub read_age_ms: Option<u64>,
+    /// The ask that this note answers.
+    pub echo: Option<PeerAsk>,
+    /// Changes to the replicas' entries that it lately learnt.
+    pub changes: Vec<BackendChange>,
     /// Trials under way.
     pub trials: Vec<TrialNote>,
     /// Verdicts known.
@@ -68,6 +91,17 @@
     pub others: Vec<String>,
 }
 
+/// A box's question to a reader.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PeerAsk {
+    /// Where the answer goes.
+    pub note_address: String,
+    /// Random number of this life of the asker's process.
+    pub incarnation: u64,
+    /// The asker's clock when it asked.
+    pub asked_at: BoxTime,
+}
+
 /// What is known of another box.
 #[derive(Clone, Debug, Serialize)]
 pub struct PeerState {
@@ -83,8 +117,6 @@
     pub zone: String,
     /// Whether callers may be sent to it.
     pub open: bool,
-    /// Version of its plan.
-    pub plan_version: u64,
     /// When it was heard last.
     pub heard_at: BoxTime,
 }
@@ -122,7 +154,6 @@
                 entry_address: note.entry_address.clone(),
                 zone: note.zone.clone(),
                 open: note.open,
-                plan_version: note.plan_version,
                 heard_at: now,
             },
         );
@@ -163,12 +194,26 @@
         all.into_iter().cloned().collect()
     }
 
+    /// Whether this box is one of the readers, and where the others of them hear notes. Readers are
+    /// chosen by a hash of their names, so that they lie in different availability zones.
+    pub fn readers(&self, me: &str, now: BoxTime) -> (bool, Vec<String>) {
+        let live = self.rows.iter().filter(|(_, row)| now.millis_since(row.heard_at) < SILENT_MS);
+        let mut all: Vec<(u64, Option<&String>)> = live
+            .map(|(name, row)| (xxh3_64(name.as_bytes()), Some(&row.note_address)))
+            .chain([(xxh3_64(me.as_bytes()), None)])
+            .collect();
+        all.sort();
+        all.truncate(READERS_MIN.max(all.len().div_ceil(ASKERS_LIMIT)));
+        let own = all.iter().any(|(_, address)| address.is_none());
+        (own, all.into_iter().filter_map(|(_, address)| address.cloned()).collect())
+    }
+
     /// Live boxes that callers may be sent to.
     pub fn open_rows(&self, now: BoxTime) -> impl Iterator<Item = &PeerState> {
         self.rows.values().filter(move |row| row.open && now.millis_since(row.heard_at) < SILENT_MS)
     }
 
-    /// Whether this box is the first, by name, of those that live.
+    /// How many live boxes come before this one by name.
     pub fn rank(&self, me: &str, now: BoxTime) -> usize {
         let live = self.rows.iter().filter(|(_, row)| now.millis_since(row.heard_at) < SILENT_MS);
         live.filter(|(name, _)| name.as_str() < me).count()
