--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -23,7 +23,7 @@
 
 /// Boxes that are no readers read the entries this often, in milliseconds: readers tell them of
 /// changes, and this mends what they missed.
-pub const BACKEND_MEND_MS: u64 = 6_000;
+pub const BACKEND_MEND_MS: u64 = 12_000;
 
 /// A box looks this often whether it must read itself, in milliseconds.
 pub const TURN_LOOK_MS: u64 = 200;
@@ -33,11 +33,18 @@
 
 /// Other boxes' records are read this often, in milliseconds; notes are quicker, this mends what they
 /// can't.
-pub const BOX_EVERY_MS: u64 = 20_000;
+pub const BOX_EVERY_MS: u64 = 60_000;
 
-/// A failed call is tried again after this, in milliseconds.
+/// A failed call is tried again after this, in milliseconds; twice as long each further time.
 pub const RETRY_MS: u64 = 250;
 
+/// Longest pause between two tries of a reader, in milliseconds: all must know of a leaving replica
+/// two seconds after the store's word.
+pub const RETRY_READER_LIMIT_MS: u64 = 500;
+
+/// Longest pause between two tries of the other boxes, in milliseconds.
+pub const RETRY_LIMIT_MS: u64 = 2_000;
+
 /// Times that a verdict is tried when the topic grows meanwhile.
 pub const VERDICT_TRIES: usize = 4;
 
@@ -47,17 +54,20 @@
     store: StoreClient,
     topic: &'static str,
     lost_at: Option<Instant>,
+    /// Pause before the next try, while the store is lost, in milliseconds.
+    retry_ms: u64,
 }
 
 impl TopicFollower {
     fn new(driver: Arc<GatewayDriver>, store: StoreClient, topic: &'static str) -> Self {
-        Self { driver, store, topic, lost_at: None }
+        Self { driver, store, topic, lost_at: None, retry_ms: RETRY_MS }
     }
 
     /// Notes how a call went, and gives what it read.
     fn check<T>(&mut self, result: Result<T, StoreError>) -> Option<T> {
         match result {
             Ok(found) => {
+                self.retry_ms = RETRY_MS;
                 if let Some(at) = self.lost_at.take() {
                     observe::note_store_regained(self.topic, at.elapsed());
                 }
@@ -74,6 +84,15 @@
         }
     }
 
+    /// Waits before the next try, longer each time: refused calls are priced too.
+    async fn wait_to_retry(&mut self) {
+        let jitter = rand::random::<u64>() % (self.retry_ms / 4);
+        tokio::time::sleep(Duration::from_millis(self.retry_ms + jitter)).await;
+        let reader = self.driver.state().is_reader(self.driver.now());
+        let limit = if reader { RETRY_READER_LIMIT_MS } else { RETRY_LIMIT_MS };
+        self.retry_ms = (self.retry_ms * 2).min(limit);
+    }
+
     /// Records from `next` on, or all of them without it; `None` if the call failed.
     async fn read(&mut self, next: &mut Option<u64>, wait_ms: u64) -> Option<TopicNews> {
         metrics::counter!("ravenspoke_store_calls_total", "topic" => self.topic).increment(1);
@@ -112,8 +131,8 @@
         wait_for_turn(&driver).await;
         let asked_at = driver.now();
         // Who is no reader reads only what there is: it has heard of more, or nobody told it anything.
-        let reader = driver.state().is_reader(asked_at);
-        let wait_ms = if reader { READER_WAIT_MS } else { 0 };
+        let waits = driver.state().waits_for_plan(asked_at);
+        let wait_ms = if waits { READER_WAIT_MS } else { 0 };
         match follower.read(&mut next, wait_ms).await {
             Some(news) => {
                 let asked_at = shown_at(&driver, asked_at, wait_ms, &news);
@@ -123,13 +142,7 @@
                     tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
                 }
             }
-            None => {
-                let pause = tokio::time::sleep(Duration::from_millis(RETRY_MS));
-                tokio::select! {
-                    () = pause => {}
-                    () = driver.read_plan.notified() => {}
-                }
-            }
+            None => follower.wait_to_retry().await,
         }
     }
 }
@@ -194,7 +207,10 @@
         let reader = driver.state().is_reader(driver.now());
         match follower.read(&mut next, if reader { READER_WAIT_MS } else { 0 }).await {
             Some(news) => take_backends(&driver, news),
-            None => tokio::time::sleep(Duration::from_millis(RETRY_MS)).await,
+            None => {
+                follower.wait_to_retry().await;
+                continue;
+            }
         }
         if !reader {
             wait_to_mend(&driver).await;
@@ -317,12 +333,16 @@
             told = follower.check(appended).is_some();
         }
         let news = if told { follower.read(&mut next, 0).await } else { None };
-        let pause = if news.is_some() { BOX_EVERY_MS } else { RETRY_MS };
+        let found = news.is_some();
         let values = news.into_iter().flat_map(|news| news.records).filter_map(|row| row.value);
         let addresses: Vec<String> =
             values.map(|value| String::from_utf8_lossy(&value).into_owned()).collect();
         driver.feed(RouteEvent::PeersNamed(addresses));
-        tokio::time::sleep(Duration::from_millis(pause)).await;
+        if found {
+            tokio::time::sleep(Duration::from_millis(BOX_EVERY_MS)).await;
+        } else {
+            follower.wait_to_retry().await;
+        }
     }
 }
 
--- a/crates/box/src/gateway/notes.rs
+++ b/crates/box/src/gateway/notes.rs
@@ -18,9 +18,6 @@
 /// Largest datagram, in bytes.
 pub const NOTE_LIMIT: usize = 60_000;
 
-/// Addresses of other boxes in one note, at most.
-pub const OTHERS_LIMIT: usize = 32;
-
 #[derive(Clone, PartialEq, Message)]
 struct WireNote {
     #[prost(string, tag = "1")]
@@ -273,7 +270,7 @@
         changes: note.changes.iter().map(write_change).collect(),
         trials: note.trials.iter().map(write_trial).collect(),
         verdicts: note.verdicts.iter().map(write_verdict).collect(),
-        others: note.others.iter().take(OTHERS_LIMIT).cloned().collect(),
+        others: note.others.clone(),
         read_age_ms: note.read_age_ms,
         echo: note.echo.as_ref().map(write_ask),
     };
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -41,7 +41,7 @@
 pub const TELL_MS: u64 = 3_000;
 
 /// News of replicas in one note, at most, the newest first; what a box misses it reads itself later.
-pub const NEWS_LIMIT: usize = 24;
+pub const NEWS_LIMIT: usize = 40;
 
 /// The store counts as unsound for this long after a failed call, in milliseconds: entries that
 /// lapsed meanwhile are written again within two seconds of its return.
@@ -324,7 +324,7 @@
             changes: self.changes.iter().rev().take(NEWS_LIMIT).map(|row| row.1.clone()).collect(),
             trials: trials.collect(),
             verdicts: self.verdicts(),
-            others: self.peers.rows().map(|(_, row)| row.note_address.clone()).collect(),
+            others: self.peers.some_addresses(stamp.dice),
         }
     }
 
@@ -359,6 +359,12 @@
         old || self.is_reader(now)
     }
 
+    /// Whether a read of the operator's records is to wait for one: by a reader, and by a box that has
+    /// no plan yet.
+    pub fn waits_for_plan(&self, now: BoxTime) -> bool {
+        !self.has_plan() || self.is_reader(now)
+    }
+
     /// Whether this box is one of those that read the store often.
     pub fn is_reader(&self, now: BoxTime) -> bool {
         self.peers.readers(&self.settings.name, now).0
--- a/crates/core/src/route/peers.rs
+++ b/crates/core/src/route/peers.rs
@@ -42,6 +42,9 @@
 /// An answer to an ask that was sent longer ago says nothing, in milliseconds.
 pub const ECHO_LIMIT_MS: u64 = 3_000;
 
+/// Addresses of other boxes that a note tells of.
+pub const TOLD_OF: usize = 6;
+
 /// Addresses in an answer to a caller, at most; the platform's limit.
 pub const NAMED_LIMIT: usize = 64;
 
@@ -208,6 +211,14 @@
         (own, all.into_iter().filter_map(|(_, address)| address.cloned()).collect())
     }
 
+    /// Addresses of a few other boxes, by chance.
+    pub fn some_addresses(&self, dice: u64) -> Vec<String> {
+        let first = (dice % self.rows.len().max(1) as u64) as usize;
+        let rows = self.rows.values().chain(self.rows.values()).skip(first);
+        let some = rows.take(TOLD_OF.min(self.rows.len()));
+        some.map(|row| row.note_address.clone()).collect()
+    }
+
     /// Live boxes that callers may be sent to.
     pub fn open_rows(&self, now: BoxTime) -> impl Iterator<Item = &PeerState> {
         self.rows.values().filter(move |row| row.open && now.millis_since(row.heard_at) < SILENT_MS)
