--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -28,7 +28,7 @@
 
 /// Load, as a share of slots over the lightest replica's, up to which a replica that holds the
 /// prompt's shared parts is preferred. Reading the parts again costs less than a fuller batch beyond.
-pub const AFFINITY_MARGIN: f64 = 0.18;
+pub const AFFINITY_MARGIN: f64 = 0.25;
 
 /// Share of slots that another availability zone's replica must be lighter to be worth its bytes.
 pub const ZONE_MARGIN: f64 = 0.25;
@@ -390,7 +390,7 @@
     /// Takes the load that came with an answer.
     pub fn reported(&mut self, key: ReplicaKey, load: BackendLoad, now: BoxTime) {
         if let Some(row) = self.rows.get_mut(key) {
-            row.reported = load.running + load.waiting;
+            row.reported = load.running + 4 * load.waiting;
             row.reported_at = now;
             row.since_report = 0;
         }
