A started box knows the site and its verdicts before it serves

Ruled out: a slow store. Change: verdicts of a trial that a box hears of are read at once; callers' connections are taken when plan, replicas and verdicts are known, 0.8 s after the start at the latest; where no old replica is left the version on trial serves, unless it is bad.

--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -31,6 +31,9 @@
 /// Verdicts are read this often, in milliseconds, while a trial is under way.
 pub const VERDICT_EVERY_MS: u64 = 2_000;
 
+/// A box looks this often whether verdicts have to be read, in milliseconds.
+pub const VERDICT_LOOK_MS: u64 = 50;
+
 /// Other boxes' records are read this often, in milliseconds; notes are quicker, this mends what they
 /// can't.
 pub const BOX_EVERY_MS: u64 = 60_000;
@@ -251,18 +254,23 @@
 pub async fn follow_verdicts(driver: Arc<GatewayDriver>, store: StoreClient) {
     let mut follower = TopicFollower::new(driver.clone(), store, VERDICT_TOPIC);
     let mut next = None;
+    let mut read_at = Instant::now();
     loop {
-        let on_trial = driver.state().on_trial();
-        // Readers tell the others of verdicts.
-        if on_trial && driver.state().is_reader(driver.now()) {
-            if let Some(news) = follower.read(&mut next, 0).await {
-                take_verdicts(&driver, &news.records);
-            }
-        } else if !on_trial {
-            // A trial may begin for which the store has a verdict already: read all of them then.
+        let unread = driver.state().verdicts_unread();
+        if unread {
+            // The store may have a verdict from before this box was started: read all of them.
             next = None;
         }
-        tokio::time::sleep(Duration::from_millis(VERDICT_EVERY_MS)).await;
+        // Readers tell the others of later ones.
+        let reads = driver.state().on_trial() && driver.state().is_reader(driver.now());
+        if unread || (reads && read_at.elapsed() >= Duration::from_millis(VERDICT_EVERY_MS)) {
+            read_at = Instant::now();
+            match follower.read(&mut next, 0).await {
+                Some(news) => drop(take_verdicts(&driver, &news.records)),
+                None => follower.wait_to_retry().await,
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(VERDICT_LOOK_MS)).await;
     }
 }
 
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -35,6 +35,13 @@
 /// Idle connections are looked at this often, in milliseconds.
 pub const SWEEP_EVERY_MS: u64 = 1_000;
 
+/// A box that has started waits this long at most until it knows the site, in milliseconds: less than
+/// callers wait for a connection.
+pub const KNOW_WITHIN_MS: u64 = 800;
+
+/// While it waits, it looks this often, in milliseconds.
+pub const KNOW_LOOK_MS: u64 = 5;
+
 /// Kept back from the time between the signal to stop and the kill, in milliseconds.
 pub const GRACE_MARGIN_MS: u64 = 500;
 
@@ -88,8 +95,13 @@
     let callers = Arc::new(CallerCount::default());
     let limit = (settings.descriptors as f64 * CALLER_PART) as usize;
     let (stop_sender, stop) = watch::channel(false);
-    let accepting =
-        tokio::spawn(accept_callers(listener, tools.clone(), callers.clone(), limit, stop));
+    let accepting = tokio::spawn({
+        let (driver, tools, callers) = (driver.clone(), tools.clone(), callers.clone());
+        async move {
+            wait_to_know(&driver).await;
+            accept_callers(listener, tools, callers, limit, stop).await;
+        }
+    });
 
     launch(settings.ready, "ready", ready_routes(&driver)).await?;
     launch(settings.directory, "directory", resolve_routes(&driver, settings.keep_ms)).await?;
@@ -153,6 +165,15 @@
     }
 }
 
+/// Waits until the box knows the site. Callers that connect meanwhile wait for some milliseconds in
+/// place of being refused; where there is nothing to know, they are not kept for long.
+async fn wait_to_know(driver: &GatewayDriver) {
+    let until = Instant::now() + Duration::from_millis(KNOW_WITHIN_MS);
+    while !driver.state().knows_site() && Instant::now() < until {
+        tokio::time::sleep(Duration::from_millis(KNOW_LOOK_MS)).await;
+    }
+}
+
 async fn run_ticks(driver: Arc<GatewayDriver>, pool: Arc<ReplicaPool>) {
     let mut swept = Instant::now();
     loop {
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -139,6 +139,7 @@
                 for verdict in verdicts {
                     self.take_verdict(verdict, out);
                 }
+                self.trials.values_mut().for_each(|trial| trial.looked = true);
             }
             RouteEvent::BackendsChanged(changes) => self.on_backends(stamp, changes, out),
             RouteEvent::BackendsListed { end, listed } => {
@@ -380,6 +381,17 @@
         self.trials.values().any(|trial| trial.state == trial::TrialState::Running)
     }
 
+    /// Whether the store was not yet asked for its word of some trial: it may have ended before this
+    /// box was started.
+    pub fn verdicts_unread(&self) -> bool {
+        self.trials.values().any(|trial| !trial.looked)
+    }
+
+    /// Whether the box knows enough to serve: a plan, and replicas.
+    pub fn knows_site(&self) -> bool {
+        self.has_plan() && !self.verdicts_unread() && self.backends.rows().next().is_some()
+    }
+
     /// The plan in force.
     pub fn plan(&self) -> &RoutePlan {
         self.table.plan()
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -174,7 +174,7 @@
             dice: stamp.dice,
             now: stamp.now,
         };
-        // A wish that nobody fits gives way, but never to a version that was rolled back.
+        // A wish that nobody fits gives way, but never to a version that is bad.
         let fallback = self.fallback_wish(&request.service);
         self.backends.pick(&ask).map(|pick| (pick, on_trial)).or_else(|| {
             let ask = BackendAsk { version: fallback, ..ask };
@@ -242,9 +242,10 @@
 
     fn fallback_wish(&self, service: &str) -> VersionWish<'_> {
         match self.trials.get(service) {
-            Some(trial) if trial.state == TrialState::Done => VersionWish::Any,
-            Some(trial) => VersionWish::Not(&trial.order.version),
-            None => VersionWish::Any,
+            Some(trial) if trial.state == TrialState::RolledBack || trial.is_bad() => {
+                VersionWish::Not(&trial.order.version)
+            }
+            _ => VersionWish::Any,
         }
     }
 
--- a/crates/core/src/route/trial.rs
+++ b/crates/core/src/route/trial.rs
@@ -182,6 +182,8 @@
     pub state: TrialState,
     /// Whether the store has any word of this trial.
     pub written: bool,
+    /// Whether the store was asked for one.
+    pub looked: bool,
     /// What this box saw.
     pub own: RouteTallies,
     /// What the others saw, by box name.
@@ -196,6 +198,7 @@
             began,
             state: TrialState::Running,
             written: false,
+            looked: false,
             own: RouteTallies::new(),
             peers: BTreeMap::new(),
         }
--- a/crates/core/tests/route/trials.rs
+++ b/crates/core/tests/route/trials.rs
@@ -108,6 +108,24 @@
     assert_eq!(due(&pass(&mut subject, 9_500)), None);
 }
 
+#[test]
+fn while_no_old_replica_is_left_the_version_on_trial_serves() {
+    let mut subject = box_on_trial();
+    subject.drop_entry("a");
+    subject.drop_entry("b");
+    assert_eq!(serve(&mut subject, session(1), 200), "v2");
+}
+
+#[test]
+fn a_box_that_has_just_started_asks_for_verdicts_before_it_serves() {
+    let mut subject = ready_box();
+    assert!(subject.state.knows_site());
+    subject.feed(RouteEvent::OrdersRead(vec![order()]));
+    assert!(subject.state.verdicts_unread() && !subject.state.knows_site());
+    subject.feed(RouteEvent::VerdictsRead(Vec::new()));
+    assert!(subject.state.knows_site());
+}
+
 #[test]
 fn a_verdict_is_never_taken_back() {
     let mut subject = box_on_trial();
