Boxes tell each other what the operator wrote

Change: a box that hears that another has read further asks it for the records, and reads the store only where none come within 0.5 s.

--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -13,9 +13,9 @@
 use ravenspoke_core::route::RouteState;
 use ravenspoke_core::time::{BoxTime, WallTime};
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::Notify;
 
 use super::observe;
+use super::told::OperatorRecords;
 
 /// What the reducer tells the task of one request.
 #[derive(Debug)]
@@ -61,8 +61,8 @@
     sinks: GatewaySinks,
     started: Instant,
     next_ticket: AtomicU64,
-    /// Wakes the reader of the plan.
-    pub read_plan: Notify,
+    /// The operator's records, for boxes that ask for them.
+    pub operator: Mutex<OperatorRecords>,
 }
 
 impl GatewayDriver {
@@ -73,7 +73,7 @@
             sinks,
             started: Instant::now(),
             next_ticket: AtomicU64::new(1),
-            read_plan: Notify::new(),
+            operator: Mutex::default(),
         }
     }
 
@@ -143,7 +143,6 @@
                 drop(self.sinks.notes.send(PeerDatagram::Ask(to, ask)))
             }
             RouteEffect::WriteVerdict(verdict) => drop(self.sinks.verdicts.send(verdict)),
-            RouteEffect::ReadPlan => self.read_plan.notify_one(),
             _ => {}
         }
     }
--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use ravenspoke_adapter::records::{
-    read_backend, read_operator, read_verdict, write_verdict, OperatorRecord, BACKEND_TOPIC,
-    BOX_TOPIC, OPERATOR_TOPIC, VERDICT_TOPIC,
+    read_backend, read_verdict, write_verdict, BACKEND_TOPIC, BOX_TOPIC, OPERATOR_TOPIC,
+    VERDICT_TOPIC,
 };
 use ravenspoke_adapter::store::{AppendOutcome, KeyedRecord, StoreClient, StoreError};
 use ravenspoke_core::route::backend::BackendChange;
@@ -16,6 +16,7 @@
 
 use super::driver::GatewayDriver;
 use super::observe;
+use super::told::take_operator;
 
 /// A reader's read waits this long for a record, in milliseconds: the price of a call against the age
 /// of what is known.
@@ -132,6 +133,8 @@
     let mut next = None;
     loop {
         wait_for_turn(&driver).await;
+        // Other boxes may have told more than this one has read.
+        next = next.map(|next: u64| next.max(driver.state().read_to()));
         let asked_at = driver.now();
         // Who is no reader reads only what there is: it has heard of more, or nobody told it anything.
         let waits = driver.state().waits_for_plan(asked_at);
@@ -139,7 +142,7 @@
         match follower.read(&mut next, wait_ms).await {
             Some(news) => {
                 let asked_at = shown_at(&driver, asked_at, wait_ms, &news);
-                if !take_operator(&driver, asked_at, next.unwrap_or(0), news.records) {
+                if !take_operator(&driver, asked_at, next.unwrap_or(0), &news.records) {
                     // What can't be decoded may be a newer plan: nothing is renewed, all is read anew.
                     next = None;
                     tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
@@ -153,11 +156,7 @@
 /// Waits until this box has to read the operator's records itself.
 async fn wait_for_turn(driver: &GatewayDriver) {
     while !driver.state().must_read(driver.now()) {
-        let pause = tokio::time::sleep(Duration::from_millis(TURN_LOOK_MS));
-        tokio::select! {
-            () = pause => {}
-            () = driver.read_plan.notified() => return,
-        }
+        tokio::time::sleep(Duration::from_millis(TURN_LOOK_MS)).await;
     }
 }
 
@@ -171,37 +170,6 @@
     asked_at
 }
 
-/// Takes the operator's records. Returns false if one can't be decoded.
-fn take_operator(
-    driver: &GatewayDriver,
-    asked_at: BoxTime,
-    read_to: u64,
-    records: Vec<KeyedRecord>,
-) -> bool {
-    let mut orders = Vec::new();
-    let mut plan = None;
-    let mut sound = true;
-    for record in records {
-        let Some(value) = &record.value else { continue };
-        match read_operator(&record.key, value) {
-            Ok(OperatorRecord::Plan(newest)) => plan = Some(*newest),
-            Ok(OperatorRecord::Order(order)) => orders.push(order),
-            Ok(OperatorRecord::Other) => {}
-            Err(error) => {
-                observe::note_bad_record(&error);
-                sound = false;
-            }
-        }
-    }
-    if !orders.is_empty() {
-        driver.feed(RouteEvent::OrdersRead(orders));
-    }
-    if sound {
-        driver.feed(RouteEvent::PlanRead { asked_at, read_to, plan });
-    }
-    sound
-}
-
 /// Follows the replicas' entries.
 pub async fn follow_backends(driver: Arc<GatewayDriver>, store: StoreClient) {
     let mut follower = TopicFollower::new(driver.clone(), store, BACKEND_TOPIC);
--- a/crates/box/src/gateway/mod.rs
+++ b/crates/box/src/gateway/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! [`driver`] holds the reducer's state. [`entry`] takes callers' connections, [`exchange`] serves one
 //! request, [`relay`] passes a stream on and takes it up elsewhere when it breaks, [`pool`] keeps
-//! connections to replicas. [`follow`] reads the platform's store, [`notes`] talks to other boxes,
-//! [`directory`] answers who asks for addresses, readiness, state and metrics. [`observe`] logs.
+//! connections to replicas. [`follow`] reads the platform's store, [`notes`] talks to other boxes and [`told`]
+//! tells them what the operator wrote, [`directory`] answers who asks for addresses, readiness, state and metrics. [`observe`] logs.
 
 pub mod directory;
 pub mod driver;
@@ -16,3 +16,4 @@
 pub mod pool;
 pub mod process;
 pub mod relay;
+pub mod told;
--- a/crates/box/src/gateway/notes.rs
+++ b/crates/box/src/gateway/notes.rs
@@ -1,9 +1,10 @@
 //! Notes between boxes: datagrams of protobuf.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 
 use prost::Message;
+use ravenspoke_adapter::store::KeyedRecord;
 use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
 use ravenspoke_core::route::event::RouteEvent;
 use ravenspoke_core::route::peers::{PeerAsk, PeerNote, TrialNote};
@@ -14,6 +15,7 @@
 
 use super::driver::{GatewayDriver, PeerDatagram};
 use super::observe;
+use super::told::take_told;
 
 /// Largest datagram, in bytes.
 pub const NOTE_LIMIT: usize = 60_000;
@@ -59,6 +61,19 @@
     /// The asker's clock, in microseconds.
     #[prost(uint64, tag = "3")]
     asked_at: u64,
+    #[prost(uint64, tag = "4")]
+    read_to: u64,
+}
+
+/// A record of the operator; without a value, its key was dropped.
+#[derive(Clone, PartialEq, Message)]
+struct WireRecord {
+    #[prost(string, tag = "1")]
+    key: String,
+    #[prost(uint64, tag = "2")]
+    offset: u64,
+    #[prost(bytes = "vec", tag = "3")]
+    value: Vec<u8>,
 }
 
 /// A datagram is one of these.
@@ -68,6 +83,9 @@
     note: Option<WireNote>,
     #[prost(message, optional, tag = "2")]
     ask: Option<WireAsk>,
+    /// What the answered ask wants.
+    #[prost(message, repeated, tag = "3")]
+    records: Vec<WireRecord>,
 }
 
 /// A change to a replica's entry; without one, it is gone.
@@ -245,6 +263,7 @@
         note_address: ask.note_address.clone(),
         incarnation: ask.incarnation,
         asked_at: ask.asked_at.0,
+        read_to: ask.read_to,
     }
 }
 
@@ -253,11 +272,25 @@
         note_address: ask.note_address,
         incarnation: ask.incarnation,
         asked_at: BoxTime(ask.asked_at),
+        read_to: ask.read_to,
+    }
+}
+
+fn write_record(record: &KeyedRecord) -> WireRecord {
+    WireRecord {
+        key: record.key.clone(),
+        offset: record.offset,
+        value: record.value.clone().unwrap_or_default(),
     }
 }
 
-/// Encodes a note as a datagram.
-pub fn encode_note(note: &PeerNote) -> Vec<u8> {
+fn read_record(record: WireRecord) -> KeyedRecord {
+    let value = (!record.value.is_empty()).then_some(record.value);
+    KeyedRecord { offset: record.offset, key: record.key, value }
+}
+
+/// Encodes a note as a datagram, with the records that the ask it answers wants.
+pub fn encode_note(note: &PeerNote, records: &[KeyedRecord]) -> Vec<u8> {
     let note = WireNote {
         name: note.name.clone(),
         incarnation: note.incarnation,
@@ -274,24 +307,40 @@
         read_age_ms: note.read_age_ms,
         echo: note.echo.as_ref().map(write_ask),
     };
-    WireDatagram { note: Some(note), ask: None }.encode_to_vec()
+    let records = records.iter().map(write_record).collect();
+    WireDatagram { note: Some(note), ask: None, records }.encode_to_vec()
 }
 
 /// Encodes an ask as a datagram.
 pub fn encode_ask(ask: &PeerAsk) -> Vec<u8> {
-    WireDatagram { note: None, ask: Some(write_ask(ask)) }.encode_to_vec()
+    let ask = Some(write_ask(ask));
+    WireDatagram { note: None, ask, records: Vec::new() }.encode_to_vec()
 }
 
-/// Decodes a datagram into the event that it is; `None` for an empty one.
+/// What a datagram says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum HeardDatagram {
+    /// A note, with the records that this box asked for.
+    Note(Box<PeerNote>, Vec<KeyedRecord>),
+    /// An ask.
+    Ask(PeerAsk),
+    /// Nothing.
+    Empty,
+}
+
+/// Decodes a datagram.
 ///
 /// # Errors
 /// The codec's, if the bytes are no datagram of a box.
-pub fn decode_datagram(bytes: &[u8]) -> Result<Option<RouteEvent>, prost::DecodeError> {
+pub fn decode_datagram(bytes: &[u8]) -> Result<HeardDatagram, prost::DecodeError> {
     let wire = WireDatagram::decode(bytes)?;
     if let Some(ask) = wire.ask {
-        return Ok(Some(RouteEvent::PeerAsked(read_ask(ask))));
+        return Ok(HeardDatagram::Ask(read_ask(ask)));
     }
-    Ok(wire.note.map(|note| RouteEvent::PeerHeard(read_note(note))))
+    let records = wire.records.into_iter().map(read_record).collect();
+    Ok(wire.note.map_or(HeardDatagram::Empty, |note| {
+        HeardDatagram::Note(Box::new(read_note(note)), records)
+    }))
 }
 
 fn read_note(wire: WireNote) -> PeerNote {
@@ -319,8 +368,14 @@
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, _)) => match decode_datagram(&buffer[..length]) {
-                Ok(Some(event)) => driver.feed(event),
-                Ok(None) => observe::note_bad_note("it is empty"),
+                Ok(HeardDatagram::Ask(ask)) => driver.feed(RouteEvent::PeerAsked(ask)),
+                Ok(HeardDatagram::Note(note, records)) => {
+                    if !records.is_empty() {
+                        take_told(&driver, &note, &records);
+                    }
+                    driver.feed(RouteEvent::PeerHeard(*note));
+                }
+                Ok(HeardDatagram::Empty) => observe::note_bad_note("it is empty"),
                 Err(error) => observe::note_bad_note(&error.to_string()),
             },
             // A box that is gone answers a note with an error on this socket.
@@ -330,10 +385,17 @@
 }
 
 /// Sends notes and asks to other boxes.
-pub async fn send_notes(socket: Arc<UdpSocket>, mut datagrams: UnboundedReceiver<PeerDatagram>) {
+pub async fn send_notes(
+    driver: Arc<GatewayDriver>,
+    socket: Arc<UdpSocket>,
+    mut datagrams: UnboundedReceiver<PeerDatagram>,
+) {
     while let Some(datagram) = datagrams.recv().await {
         let (targets, bytes) = match datagram {
-            PeerDatagram::Note(targets, note) => (targets, encode_note(&note)),
+            PeerDatagram::Note(targets, note) => {
+                let records = wanted_records(&driver, &note);
+                (targets, encode_note(&note, &records))
+            }
             PeerDatagram::Ask(target, ask) => (vec![target], encode_ask(&ask)),
         };
         metrics::counter!("ravenspoke_note_bytes_total")
@@ -345,3 +407,13 @@
         }
     }
 }
+
+/// Records that the ask wants which a note answers.
+fn wanted_records(driver: &GatewayDriver, note: &PeerNote) -> Vec<KeyedRecord> {
+    match &note.echo {
+        Some(ask) if ask.read_to < note.read_to => {
+            driver.operator.lock().unwrap_or_else(PoisonError::into_inner).since(ask.read_to)
+        }
+        _ => Vec::new(),
+    }
+}
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -73,7 +73,7 @@
     let listener = listener.map_err(|error| listen_error(settings.entry, "entry", &error))?;
 
     tokio::spawn(notes::hear_notes(driver.clone(), socket.clone()));
-    tokio::spawn(notes::send_notes(socket, note_receiver));
+    tokio::spawn(notes::send_notes(driver.clone(), socket, note_receiver));
     tokio::spawn(follow::follow_operator(driver.clone(), store.clone()));
     tokio::spawn(follow::follow_backends(driver.clone(), store.clone()));
     tokio::spawn(follow::follow_verdicts(driver.clone(), store.clone()));
--- /dev/null
+++ b/crates/box/src/gateway/told.rs
@@ -0,0 +1,92 @@
+//! The operator's records as this box knows them, told to boxes that ask: few boxes read the store.
+
+use std::collections::BTreeMap;
+
+use ravenspoke_adapter::records::{read_operator, OperatorRecord};
+use ravenspoke_adapter::store::KeyedRecord;
+use ravenspoke_core::route::event::RouteEvent;
+use ravenspoke_core::route::peers::PeerNote;
+use ravenspoke_core::time::BoxTime;
+
+use super::driver::GatewayDriver;
+use super::observe;
+
+/// Bytes of records told in one datagram, at most; who asks for more reads the store.
+pub const TOLD_BYTES: usize = 40_000;
+
+/// The newest record of each key.
+#[derive(Debug, Default)]
+pub struct OperatorRecords {
+    newest: BTreeMap<String, KeyedRecord>,
+}
+
+impl OperatorRecords {
+    /// Takes records that were read or told.
+    pub fn take(&mut self, records: &[KeyedRecord]) {
+        for record in records {
+            let known = self.newest.get(&record.key);
+            if known.is_none_or(|known| known.offset < record.offset) {
+                self.newest.insert(record.key.clone(), record.clone());
+            }
+        }
+    }
+
+    /// All newest records from `read_to` on; none if they are too many for a datagram.
+    pub fn since(&self, read_to: u64) -> Vec<KeyedRecord> {
+        let records: Vec<KeyedRecord> =
+            self.newest.values().filter(|record| record.offset >= read_to).cloned().collect();
+        let size =
+            |record: &KeyedRecord| record.key.len() + record.value.as_ref().map_or(0, Vec::len);
+        if records.iter().map(size).sum::<usize>() > TOLD_BYTES {
+            return Vec::new();
+        }
+        records
+    }
+}
+
+/// Takes the operator's records, which are all that there was at `asked_at` up to `read_to`. Returns
+/// false if one can't be decoded: it may be a newer plan, so nothing is renewed.
+pub fn take_operator(
+    driver: &GatewayDriver,
+    asked_at: BoxTime,
+    read_to: u64,
+    records: &[KeyedRecord],
+) -> bool {
+    let mut orders = Vec::new();
+    let mut plan = None;
+    let mut sound = true;
+    for record in records {
+        let Some(value) = &record.value else { continue };
+        match read_operator(&record.key, value) {
+            Ok(OperatorRecord::Plan(newest)) => plan = Some(*newest),
+            Ok(OperatorRecord::Order(order)) => orders.push(order),
+            Ok(OperatorRecord::Other) => {}
+            Err(error) => {
+                observe::note_bad_record(&error);
+                sound = false;
+            }
+        }
+    }
+    if !sound {
+        return false;
+    }
+    driver.operator.lock().unwrap_or_else(std::sync::PoisonError::into_inner).take(records);
+    if !orders.is_empty() {
+        driver.feed(RouteEvent::OrdersRead(orders));
+    }
+    driver.feed(RouteEvent::PlanRead { asked_at, read_to, plan });
+    true
+}
+
+/// Takes records that another box told in answer to an ask.
+pub fn take_told(driver: &GatewayDriver, note: &PeerNote, records: &[KeyedRecord]) {
+    let (as_of, read_to) = {
+        let state = driver.state();
+        (state.word_as_of(note, driver.now()), state.read_to())
+    };
+    let asked_from = note.echo.as_ref().map_or(u64::MAX, |ask| ask.read_to);
+    // What it told begins where this box had read to when it asked: nothing is left out.
+    if let Some(as_of) = as_of.filter(|_| asked_from <= read_to && note.read_to > read_to) {
+        take_operator(driver, as_of, note.read_to, records);
+    }
+}
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -225,8 +225,6 @@
     SendAsk(String, PeerAsk),
     /// Write a verdict to the store, unless it has one.
     WriteVerdict(TrialVerdict),
-    /// Read the operator's records at once: another box has read further.
-    ReadPlan,
     /// A plan came into force.
     PlanInForce {
         /// Its version.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -97,6 +97,9 @@
     /// News of replicas, with when it was learnt.
     changes: VecDeque<(BoxTime, BackendChange)>,
     next_ask: BoxTime,
+    /// Since when it is known that another box has read further.
+    behind_since: Option<BoxTime>,
+    next_behind_ask: BoxTime,
     note_number: u64,
     next_note: BoxTime,
     stopping_since: Option<BoxTime>,
@@ -119,6 +122,8 @@
             read_to: 0,
             changes: VecDeque::new(),
             next_ask: BoxTime::default(),
+            behind_since: None,
+            next_behind_ask: BoxTime::default(),
             note_number: 0,
             next_note: BoxTime::default(),
             stopping_since: None,
@@ -209,12 +214,16 @@
             return;
         }
         let reader = readers[(stamp.dice % readers.len() as u64) as usize].clone();
-        let ask = PeerAsk {
+        out.push(RouteEffect::SendAsk(reader, self.ask(stamp)));
+    }
+
+    fn ask(&self, stamp: EventStamp) -> PeerAsk {
+        PeerAsk {
             note_address: self.settings.note_address.clone(),
             incarnation: self.settings.incarnation,
             asked_at: stamp.now,
-        };
-        out.push(RouteEffect::SendAsk(reader, ask));
+            read_to: self.read_to,
+        }
     }
 
     fn on_plan_read(
@@ -228,7 +237,7 @@
             // "As it was" says nothing to a box that has no plan yet.
             if self.has_plan() {
                 self.fresh.renew(asked_at);
-                self.read_to = self.read_to.max(read_to);
+                self.note_read(read_to);
             }
             return;
         };
@@ -237,7 +246,7 @@
             return;
         }
         self.fresh.renew(asked_at);
-        self.read_to = self.read_to.max(read_to);
+        self.note_read(read_to);
         if self.has_plan() && plan.version == self.table.plan().version {
             return;
         }
@@ -292,14 +301,33 @@
     /// Relies on what another box read, as of when it says, if this box has read as far.
     fn hear_freshness(&mut self, stamp: EventStamp, note: &PeerNote, out: &mut Vec<RouteEffect>) {
         if note.read_to > self.read_to {
-            out.push(RouteEffect::ReadPlan);
+            self.behind_since.get_or_insert(stamp.now);
+            if stamp.now >= self.next_behind_ask {
+                self.next_behind_ask = stamp.now.plus_millis(peers::ASK_AGAIN_MS);
+                out.push(RouteEffect::SendAsk(note.note_address.clone(), self.ask(stamp)));
+            }
             return;
         }
-        let (Some(ask), Some(age_ms)) = (&note.echo, note.read_age_ms) else { return };
-        let own = ask.incarnation == self.settings.incarnation && ask.asked_at <= stamp.now;
-        let early = stamp.now.millis_since(ask.asked_at) < peers::ECHO_LIMIT_MS;
-        if own && early && note.read_to == self.read_to && self.has_plan() {
-            self.fresh.renew(ask.asked_at.minus_millis(age_ms));
+        let as_of = self.word_as_of(note, stamp.now);
+        if let Some(as_of) = as_of.filter(|_| note.read_to == self.read_to && self.has_plan()) {
+            self.fresh.renew(as_of);
+        }
+    }
+
+    /// As of when, on this box's clock, another one knew what its note says; `None` if the note
+    /// answers no ask of this life of the process, or one that is too old.
+    pub fn word_as_of(&self, note: &PeerNote, now: BoxTime) -> Option<BoxTime> {
+        let (ask, age_ms) = (note.echo.as_ref()?, note.read_age_ms?);
+        let own = ask.incarnation == self.settings.incarnation && ask.asked_at <= now;
+        let early = now.millis_since(ask.asked_at) < peers::ECHO_LIMIT_MS;
+        (own && early).then(|| ask.asked_at.minus_millis(age_ms))
+    }
+
+    /// Notes how far the operator's records were read, or told by another box.
+    fn note_read(&mut self, read_to: u64) {
+        if read_to >= self.read_to {
+            self.read_to = read_to;
+            self.behind_since = None;
         }
     }
 
@@ -353,11 +381,12 @@
         self.stopping_since.is_some()
     }
 
-    /// Whether this box must read the operator's records itself: it is a reader, or no reader has
-    /// told it lately that what it knows is fresh.
+    /// Whether this box must read the operator's records itself: it is a reader, or no other box has
+    /// told it lately that what it knows is fresh, or has told it what is new.
     pub fn must_read(&self, now: BoxTime) -> bool {
         let old = self.fresh.age_ms(now).is_none_or(|age| age >= OWN_READ_MS);
-        old || self.is_reader(now)
+        let behind = self.behind_since.is_some_and(|at| now.millis_since(at) >= peers::BEHIND_MS);
+        old || behind || self.is_reader(now)
     }
 
     /// Whether a read of the operator's records is to wait for one: by a reader, and by a box that has
@@ -392,6 +421,11 @@
         self.has_plan() && !self.verdicts_unread() && self.backends.rows().next().is_some()
     }
 
+    /// Offset up to which the operator's records were read.
+    pub fn read_to(&self) -> u64 {
+        self.read_to
+    }
+
     /// The plan in force.
     pub fn plan(&self) -> &RoutePlan {
         self.table.plan()
--- a/crates/core/src/route/peers.rs
+++ b/crates/core/src/route/peers.rs
@@ -39,6 +39,13 @@
 /// Time between two asks, in milliseconds.
 pub const ASK_EVERY_MS: u64 = 800;
 
+/// A box that hears that another has read further asks that one for the records, and reads the store
+/// itself after this, in milliseconds: an ask and its answer, once lost and repeated.
+pub const BEHIND_MS: u64 = 500;
+
+/// Such a box asks again after this, in milliseconds.
+pub const ASK_AGAIN_MS: u64 = 150;
+
 /// An answer to an ask that was sent longer ago says nothing, in milliseconds.
 pub const ECHO_LIMIT_MS: u64 = 3_000;
 
@@ -103,6 +110,8 @@
     pub incarnation: u64,
     /// The asker's clock when it asked.
     pub asked_at: BoxTime,
+    /// Offset up to which it has read the operator's records: it wants what is behind.
+    pub read_to: u64,
 }
 
 /// What is known of another box.
