Readers of entries pause between reads; news is told for a shorter time

Ruled out: reads of the plan (472), starts (96 each). Change: a reader pauses 350 ms; news of replicas is told for 1.5 s in place of 3. Tried and reverted: naming boxes of the caller's own zone; 0.19 GB between zones before and after.

--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -22,6 +22,10 @@
 /// of what is known.
 pub const READER_WAIT_MS: u64 = 2_000;
 
+/// A reader of the entries pauses this long between two reads, in milliseconds: replicas come and go in
+/// crowds, and each would cost a call.
+pub const READER_PAUSE_MS: u64 = 350;
+
 /// Boxes that are no readers read the entries this often, in milliseconds: readers tell them of
 /// changes, and this mends what they missed.
 pub const BACKEND_MEND_MS: u64 = 12_000;
@@ -183,7 +187,10 @@
                 continue;
             }
         }
-        if !reader {
+        if reader {
+            // What comes meanwhile is read in one call.
+            tokio::time::sleep(Duration::from_millis(READER_PAUSE_MS)).await;
+        } else {
             wait_to_mend(&driver).await;
         }
     }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -36,9 +36,9 @@
 
 pub use dump::RouteDump;
 
-/// News of a replica is told to other boxes for this long, in milliseconds: past the two seconds
-/// within which all must know that it leaves.
-pub const TELL_MS: u64 = 3_000;
+/// News of a replica is told to other boxes for this long, in milliseconds: three notes. Who hears it
+/// tells it on.
+pub const TELL_MS: u64 = 1_500;
 
 /// News of replicas in one note, at most, the newest first; what a box misses it reads itself later.
 pub const NEWS_LIMIT: usize = 40;
@@ -447,7 +447,7 @@
         self.settings.budget = budget;
     }
 
-    /// Addresses for a caller: open boxes; where none is open, those that live and don't stop.
+    /// Addresses for a caller: open boxes; where none is open, this one, if it serves.
     pub fn named(&self, now: BoxTime) -> Vec<String> {
         let mut named: Vec<String> =
             self.peers.open_rows(now).map(|row| row.entry_address.clone()).collect();
