How sure a model must be follows the lag of answers; single calls take fresh connections

Ruled out: the mean load as the sign of it, of which a box of a large fleet sees too little (median 0.03). Change: 50 while answers begin early, 28 where they are late, by their share of the target. And, for replicas that forget idle connections, a call that may run once goes out on none that was idle for 250 ms (test on processes).

--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -195,7 +195,7 @@
     let broken = |why: String| (AttemptFailure::Broken, why);
     let address: SocketAddr =
         order.address.parse().map_err(|_| never("the entry has no address".to_owned()))?;
-    let mut link = match tools.pool.take(address) {
+    let mut link = match tools.pool.take(address, order.kind.repeatable()) {
         Some(link) => link,
         None => open(tools, order, address).await?,
     };
--- a/crates/box/src/gateway/pool.rs
+++ b/crates/box/src/gateway/pool.rs
@@ -20,6 +20,10 @@
 /// An idle connection is used this long, in milliseconds, where the replica doesn't say.
 pub const IDLE_MS: u64 = 4_000;
 
+/// A request that may run only once goes out on a connection that was idle for this long at most, in
+/// milliseconds: a replica may forget an idle one without a word, and then nobody knows whether it ran.
+pub const SINGLE_IDLE_MS: u64 = 250;
+
 /// Kept back from the time for which the replica says it keeps an idle connection, in milliseconds:
 /// its clock began when it sent its answer.
 pub const IDLE_MARGIN_MS: u64 = 900;
@@ -57,6 +61,7 @@
 
 struct IdleLink {
     link: ReplicaLink,
+    since: Instant,
     until: Instant,
 }
 
@@ -67,11 +72,17 @@
 }
 
 impl ReplicaPool {
-    /// An idle connection to `address`, if there is a sound one.
-    pub fn take(&self, address: SocketAddr) -> Option<ReplicaLink> {
+    /// An idle connection to `address`, if there is a sound one, for a request that may be
+    /// `repeatable`.
+    pub fn take(&self, address: SocketAddr, repeatable: bool) -> Option<ReplicaLink> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let links = idle.get_mut(&address)?;
         let now = Instant::now();
+        let single = Duration::from_millis(SINGLE_IDLE_MS);
+        // The last one in is the one that was idle for the shortest time.
+        if !repeatable && links.last().is_some_and(|row| now.duration_since(row.since) > single) {
+            return None;
+        }
         while let Some(row) = links.pop() {
             if row.until > now && row.link.sender.is_ready() {
                 return Some(row.link);
@@ -109,11 +120,12 @@
             return;
         }
         link.used = true;
-        let until = Instant::now() + Duration::from_millis(kept_ms.min(IDLE_MS));
+        let since = Instant::now();
+        let until = since + Duration::from_millis(kept_ms.min(IDLE_MS));
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let links = idle.entry(link.address).or_default();
         if links.len() < IDLE_LIMIT {
-            links.push(IdleLink { link, until });
+            links.push(IdleLink { link, since, until });
         }
     }
 
--- a/crates/box/tests/platform.rs
+++ b/crates/box/tests/platform.rs
@@ -273,6 +273,22 @@
     assert_eq!(replica.connections(), 1);
 }
 
+#[tokio::test]
+async fn a_call_that_may_run_once_goes_out_on_no_connection_that_was_idle_for_long() {
+    let mut site = site().await;
+    let replica = site.start_replica("i-1", 3, 1).await;
+    let subject = site.start_ready("box-1").await;
+    wait_replicas(&subject, 1).await;
+    assert_eq!(statuses(&site, &subject, "/read/x", &["a"]).await, [200]);
+    let idle = Instant::now();
+    wait_for("the connection was idle", || {
+        std::future::ready((idle.elapsed() > Duration::from_millis(400)).then_some(()))
+    })
+    .await;
+    assert_eq!(statuses(&site, &subject, "/file/x", &["b"]).await, [200]);
+    assert_eq!(replica.connections(), 2);
+}
+
 #[tokio::test]
 async fn a_leaving_replica_gets_nothing_and_a_compacted_store_is_read_anew() {
     let mut site = site().await;
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -32,6 +32,7 @@
 use peers::{PeerAsk, PeerNote, PeerTable, TrialNote};
 use plan::{RoutePlan, RouteTable};
 use request::RouteRequest;
+use sizes::ServiceLag;
 use trial::VersionTrial;
 
 pub use dump::RouteDump;
@@ -90,6 +91,7 @@
     /// When a verdict became due or was last sent to the store, by service.
     verdict_at: BTreeMap<String, BoxTime>,
     budgets: HashMap<String, SendBudget>,
+    lags: HashMap<String, ServiceLag>,
     requests: HashMap<RequestTicket, RouteRequest>,
     store_failed_at: Option<BoxTime>,
     /// Offset up to which the operator's records were read.
@@ -117,6 +119,7 @@
             trials: BTreeMap::new(),
             verdict_at: BTreeMap::new(),
             budgets: HashMap::new(),
+            lags: HashMap::new(),
             requests: HashMap::new(),
             store_failed_at: None,
             read_to: 0,
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -271,6 +271,10 @@
         request.may_have_run = true;
         let failed = head.status >= 500 || !head.proven;
         let took = stamp.now.millis_since(attempt.began) as f64;
+        if request.route.kind.is_stream() {
+            let lag = self.lags.entry(request.service.clone()).or_default();
+            lag.add(took, request.route.target_ms);
+        }
         self.tally(ticket, failed, (!failed).then_some(took));
         let Some(request) = self.requests.get(&ticket) else { return };
         let (kind, relayed) = (request.route.kind, request.relayed);
@@ -303,7 +307,8 @@
     ) -> bool {
         let Some(request) = self.requests.get_mut(&ticket) else { return false };
         let Some(size) = request.size.filter(|_| !request.relayed) else { return false };
-        let next = sizes::next_size(&request.route.sizes, size, head.confidence);
+        let lag = self.lags.get(&request.service).copied().unwrap_or_default();
+        let next = sizes::next_size(&request.route.sizes, size, head.confidence, lag);
         let Some(next) = next else { return false };
         request.size = Some(next);
         // The replica did nothing wrong, and it holds the prompt's shared parts.
--- a/crates/core/tests/route/requests.rs
+++ b/crates/core/tests/route/requests.rs
@@ -280,6 +280,30 @@
     assert_eq!(subject.feed(RouteEvent::HeadCame(ticket, sure)), [RouteEffect::Relay(ticket)]);
 }
 
+#[test]
+fn a_less_sure_answer_is_kept_where_answers_are_slow_to_begin() {
+    let mut subject = new_box("box-1");
+    let mut spec = plan(1);
+    spec.routes[2].sizes = ["small", "large"].map(str::to_owned).to_vec();
+    subject.read_plan(Some(spec));
+    subject.put(entry("a", "v1"));
+    let any = RouteAsk { any_model: true, ..ask("/chat/x") };
+    let half_sure = AnswerHead { confidence: Some(40), ..head(200) };
+    let (ticket, _) = subject.sent(any.clone());
+    assert!(order_in(&subject.feed(RouteEvent::HeadCame(ticket, half_sure))).is_some());
+    subject.feed(RouteEvent::CallerLeft(ticket));
+    for _ in 0..60 {
+        let (ticket, _) = subject.sent(any.clone());
+        subject.now += 900;
+        subject.read_plan(None);
+        subject
+            .feed(RouteEvent::HeadCame(ticket, AnswerHead { confidence: Some(90), ..head(200) }));
+        subject.feed(RouteEvent::Finished(ticket));
+    }
+    let (ticket, _) = subject.sent(any);
+    assert_eq!(subject.feed(RouteEvent::HeadCame(ticket, half_sure)), [RouteEffect::Relay(ticket)]);
+}
+
 #[test]
 fn a_model_that_the_caller_names_is_never_changed() {
     let mut subject = new_box("box-1");
