Tests of log lines wait for the line

Cause: a_stream_that_nobody_can_go_on_with_never_looks_complete failed once: lines are written by a thread behind a bounded buffer, and the test read the file before it. Ruled out: a break that is not logged; the line was there after the run. The tests wait for the line now and count as before.

--- a/crates/box/tests/platform.rs
+++ b/crates/box/tests/platform.rs
@@ -128,7 +128,8 @@
         (second.resolve().await? == [second.entry_address()]).then_some(())
     })
     .await;
-    assert!(!first.events("store_lost").is_empty());
+    let lost = || std::future::ready(first.events("store_lost").pop());
+    wait_for("the log says so", lost).await;
 
     site.store.set_faults(StoreFaults::default());
     wait_for("it knows the new plan", || async {
@@ -216,6 +217,9 @@
     replica.set_mode(ReplicaMode::CutAt(4));
     let answer = site.chat(&subject, "r1").send().await.expect("a head");
     assert!(answer.text().await.is_err(), "the caller's connection is cut");
+    // Lines are written behind the answer.
+    let logged = || std::future::ready(subject.events("answer_broken_off").pop());
+    wait_for("the log says so", logged).await;
     assert_eq!(subject.events("answer_broken_off").len(), 1);
 }
 
