--- a/crates/box/src/entry.rs
+++ b/crates/box/src/entry.rs
@@ -18,6 +18,7 @@
 
 use crate::answer::{AnswerBody, HeadAnswer};
 use crate::exchange::{ExchangeTools, RequestExchange, UpstreamCall};
+use crate::messages::check_messages;
 
 /// Bytes of a prompt that make its prefix: enough for a system prompt to differ.
 const PREFIX_BYTES: usize = 512;
@@ -96,6 +97,10 @@
     let Ok(body) = serde_json::from_slice::<Value>(&body) else {
         return HeadAnswer::malformed("the body is not JSON");
     };
+    let checked = body["messages"].as_array().map_or(Ok(()), |rows| check_messages(rows));
+    if let Err(words) = checked {
+        return HeadAnswer::malformed(&words);
+    }
     let Some(target) = chat_target(&headers, &body) else {
         let words = "the body needs `model`, a string, and `messages`, a list that is not empty";
         return HeadAnswer::malformed(words);
--- a/crates/box/src/lib.rs
+++ b/crates/box/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod follow;
 pub mod gateway;
 pub mod links;
+pub mod messages;
 pub mod observe;
 pub mod operator;
 pub mod process;
