The retry budget counts a window; failures have a part of their own, silence a small one

Ruled out: no replica left, no time left. Change: requests and further sends are counted in slots of a tenth of the window; a quarter is kept for failures; silence alone may send again a twentieth of the requests.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -1,4 +1,4 @@
-//! Settings of a box. `docs/OPERATING.md` describes the file.
+//! Settings of a box. `docs/OPERATIONS.md` describes the file.
 
 use std::net::SocketAddr;
 
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -4,6 +4,7 @@
 //! is decided whether "has not run" may be said.
 
 use super::backend::{BackendAsk, BackendDeed, BackendPick, VersionWish};
+use super::budget::SendCause;
 use super::event::{
     AnswerHead, AttemptFailure, DecisionInputs, RefusalReason, RouteAsk, RouteEffect, RouteRefusal,
     SendOrder,
@@ -91,9 +92,8 @@
                 return;
             }
         };
-        let boxes = self.peers.live_count(stamp.now);
         let budget = self.budgets.entry(request.service.clone()).or_default();
-        budget.earn(self.settings.budget, boxes, stamp.now);
+        budget.earn(self.settings.budget, stamp.now);
         self.requests.insert(ticket, request);
         self.send(stamp, ticket, RefusalReason::NoReplica, out);
     }
@@ -278,7 +278,7 @@
         self.tally(ticket, failed, (!failed).then_some(took));
         let Some(request) = self.requests.get(&ticket) else { return };
         let (kind, relayed) = (request.route.kind, request.relayed);
-        if failed && kind.repeatable() && self.go_elsewhere(stamp, ticket, BackendDeed::Failed, out)
+        if failed && kind.repeatable() && self.go_elsewhere(stamp, ticket, SendCause::Failure, out)
         {
             return;
         }
@@ -313,7 +313,7 @@
         request.size = Some(next);
         // The replica did nothing wrong, and it holds the prompt's shared parts.
         let tried = request.tried.pop();
-        if self.go_elsewhere(stamp, ticket, BackendDeed::Served, out) {
+        if self.go_elsewhere(stamp, ticket, SendCause::LargerModel, out) {
             return true;
         }
         if let Some(request) = self.requests.get_mut(&ticket) {
@@ -339,7 +339,7 @@
             return;
         }
         self.tally(ticket, true, None);
-        if self.go_elsewhere(stamp, ticket, BackendDeed::Failed, out) {
+        if self.go_elsewhere(stamp, ticket, SendCause::Silence, out) {
             if let Some(request) = self.requests.get_mut(&ticket) {
                 request.may_have_run = true;
             }
@@ -352,13 +352,17 @@
         &mut self,
         stamp: EventStamp,
         ticket: RequestTicket,
-        deed: BackendDeed,
+        cause: SendCause,
         out: &mut Vec<RouteEffect>,
     ) -> bool {
         let Some((pick, on_trial)) = self.choose(stamp, ticket) else { return false };
-        if !self.may_send_again(stamp, ticket) {
+        if !self.may_send_again(stamp, ticket, cause) {
             return false;
         }
+        let deed = match cause {
+            SendCause::LargerModel => BackendDeed::Served,
+            SendCause::Failure | SendCause::Silence => BackendDeed::Failed,
+        };
         self.end_attempt(stamp, ticket, deed);
         self.assign(stamp, ticket, pick, on_trial, out);
         true
@@ -385,7 +389,8 @@
         self.tally(ticket, true, None);
         self.end_attempt(stamp, ticket, BackendDeed::Failed);
         let Some(request) = self.requests.get(&ticket) else { return };
-        if request.route.kind.repeatable() && self.may_send_again(stamp, ticket) {
+        if request.route.kind.repeatable() && self.may_send_again(stamp, ticket, SendCause::Failure)
+        {
             self.send(stamp, ticket, RefusalReason::Failed, out);
         } else {
             self.give_up(stamp, ticket, RefusalReason::Failed, out);
@@ -400,7 +405,7 @@
         otherwise: RefusalReason,
         out: &mut Vec<RouteEffect>,
     ) {
-        if self.may_send_again(stamp, ticket) {
+        if self.may_send_again(stamp, ticket, SendCause::Failure) {
             self.send(stamp, ticket, otherwise, out);
         } else {
             self.give_up(stamp, ticket, otherwise, out);
@@ -408,14 +413,19 @@
     }
 
     /// Whether attempts, time and the fleet's budget allow another send; takes it from the budget.
-    fn may_send_again(&mut self, stamp: EventStamp, ticket: RequestTicket) -> bool {
+    fn may_send_again(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        cause: SendCause,
+    ) -> bool {
         let Some(request) = self.requests.get(&ticket) else { return false };
         if request.sends >= request.route.attempts || request.deadline <= stamp.now {
             return false;
         }
         let boxes = self.peers.live_count(stamp.now);
         let budget = self.budgets.entry(request.service.clone()).or_default();
-        budget.spend(self.settings.budget, boxes, stamp.now)
+        budget.spend(self.settings.budget, boxes, cause, stamp.now)
     }
 
     fn end_attempt(&mut self, stamp: EventStamp, ticket: RequestTicket, deed: BackendDeed) {
