ravenspoke-platform is ravenspoke-services: its name was taken for the adapter's

The package in crates/ holds the clients of the product's own log, box list, rating and load services; the users' platform is met by the adapter in platform/.

--- a/crates/box/src/exchange.rs
+++ b/crates/box/src/exchange.rs
@@ -16,7 +16,7 @@
 use ravenspoke_core::ids::RequestKey;
 use ravenspoke_core::message::OutcomeRecord;
 use ravenspoke_core::reason::ReasonCode;
-use ravenspoke_platform::RatingClient;
+use ravenspoke_services::RatingClient;
 use reqwest::header::HeaderMap;
 use rocket::http::Method;
 use serde_json::{json, Value};
--- a/crates/box/src/follow.rs
+++ b/crates/box/src/follow.rs
@@ -8,7 +8,7 @@
 use ravenspoke_core::event::BoxEvent;
 use ravenspoke_core::lease::ORDER_FLIGHT_MS;
 use ravenspoke_core::message::LogRecord;
-use ravenspoke_platform::{read_load, ListClient, LogClient};
+use ravenspoke_services::{read_load, ListClient, LogClient};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{sleep, MissedTickBehavior};
 
--- a/crates/box/src/process.rs
+++ b/crates/box/src/process.rs
@@ -8,7 +8,7 @@
 use ravenspoke_core::appender::LogStream;
 use ravenspoke_core::event::BoxEvent;
 use ravenspoke_core::state::{BoxSettings, BoxState};
-use ravenspoke_platform::{ListClient, LogClient, RatingClient};
+use ravenspoke_services::{ListClient, LogClient, RatingClient};
 use rocket::config::{Config, Shutdown, Sig};
 use rocket::{Build, Rocket};
 use tokio::net::TcpListener;
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -62,8 +62,8 @@
     }
 }
 
-impl From<ravenspoke_platform::PlatformError> for CommandError {
-    fn from(error: ravenspoke_platform::PlatformError) -> Self {
+impl From<ravenspoke_services::PlatformError> for CommandError {
+    fn from(error: ravenspoke_services::PlatformError) -> Self {
         Self::Unreachable(error.to_string())
     }
 }
