--- /dev/null
+++ b/crates/core/src/route/attempt.rs
@@ -0,0 +1,208 @@
+//! The attempts of a request: which replica gets it, for how long it is waited for, and whether there
+//! may be another attempt.
+
+use super::backend::{BackendAsk, BackendDeed, BackendPick, VersionWish};
+use super::event::{DecisionInputs, RefusalReason, RouteEffect, SendOrder};
+use super::plan::{RouteKind, RouteSpec};
+use super::trial::TrialState;
+use super::RouteState;
+use crate::event::{EventStamp, RequestTicket};
+use crate::ids::ReplicaKey;
+use crate::time::BoxTime;
+
+/// A head that comes later than this many times the target is not waited for, where another replica
+/// may be asked.
+pub const HEAD_TARGETS: f64 = 1.0;
+
+/// For an answer that is no stream: its work takes a fraction of the target.
+pub const PLAIN_HEAD_TARGETS: f64 = 2.0;
+
+/// A pause between events is not waited out beyond this part of the longest that counts in full.
+pub const PAUSE_PART: f64 = 0.8;
+
+/// An attempt under way.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RunningAttempt {
+    pub(super) replica: ReplicaKey,
+    pub(super) began: BoxTime,
+    /// Whether it runs on a version on trial.
+    pub(super) on_trial: bool,
+    /// Pauses so far.
+    pub(super) pauses: u32,
+}
+
+impl RouteState {
+    /// Sends a request to a replica, or gives it up for `otherwise` if there is none.
+    pub(super) fn send(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        otherwise: RefusalReason,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let Some((pick, on_trial)) = self.choose(stamp, ticket) else {
+            self.give_up(stamp, ticket, otherwise, out);
+            return;
+        };
+        self.assign(stamp, ticket, pick, on_trial, out);
+    }
+
+    /// The replica for a request's next attempt, and whether it runs a version on trial.
+    fn choose(&self, stamp: EventStamp, ticket: RequestTicket) -> Option<(BackendPick, bool)> {
+        let request = self.requests.get(&ticket)?;
+        let (version, on_trial) = self.version_wish(stamp, &request.service, request.session);
+        let ask = BackendAsk {
+            service: &request.service,
+            version,
+            affinity: request.affinity,
+            zone: &self.settings.zone,
+            tried: &request.tried,
+            dice: stamp.dice,
+            now: stamp.now,
+        };
+        // A wish that nobody fits gives way, but never to a version that is bad.
+        let fallback = self.fallback_wish(&request.service);
+        self.backends.pick(&ask).map(|pick| (pick, on_trial)).or_else(|| {
+            let ask = BackendAsk { version: fallback, ..ask };
+            self.backends.pick(&ask).map(|pick| (pick, false))
+        })
+    }
+
+    /// Gives a request to a replica.
+    fn assign(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        pick: BackendPick,
+        on_trial: bool,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let inputs = DecisionInputs {
+            candidates: pick.candidates,
+            load: pick.load,
+            affine: pick.affine,
+            ..self.inputs(stamp)
+        };
+        self.backends.sent(pick.key);
+        let Some(row) = self.backends.get(pick.key) else { return };
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let began = stamp.now;
+        request.attempt = Some(RunningAttempt { replica: pick.key, began, on_trial, pauses: 0 });
+        request.tried.push(pick.key);
+        request.sends += 1;
+        let spare = request.route.kind.repeatable() && request.sends < request.route.attempts;
+        let left = request.deadline.millis_since(stamp.now);
+        let order = SendOrder {
+            number: request.sends,
+            replica: pick.key,
+            replica_id: row.entry.id.clone(),
+            address: row.entry.address.clone(),
+            version: row.entry.version.clone(),
+            route: request.route.name.clone(),
+            kind: request.route.kind,
+            model: request.size.map(|size| request.route.sizes[size].clone()),
+            account: request.account.clone(),
+            deadline: request.deadline,
+            head_ms: if spare { head_ms(&request.route).min(left) } else { left },
+            pause_ms: if spare { pause_ms(&request.route).min(left) } else { left },
+            inputs,
+        };
+        out.push(RouteEffect::Send(ticket, order));
+    }
+
+    /// Which versions a new attempt may go to, and whether that is one on trial.
+    fn version_wish(
+        &self,
+        stamp: EventStamp,
+        service: &str,
+        session: u64,
+    ) -> (VersionWish<'_>, bool) {
+        let Some(trial) = self.trials.get(service) else { return (VersionWish::Any, false) };
+        let version = trial.order.version.as_str();
+        if trial.takes(session, stamp.dice, stamp.now) {
+            (VersionWish::Only(version), trial.state == TrialState::Running)
+        } else {
+            (VersionWish::Not(version), false)
+        }
+    }
+
+    fn fallback_wish(&self, service: &str) -> VersionWish<'_> {
+        match self.trials.get(service) {
+            Some(trial) if trial.state == TrialState::RolledBack || trial.is_bad() => {
+                VersionWish::Not(&trial.order.version)
+            }
+            _ => VersionWish::Any,
+        }
+    }
+
+    /// Ends the attempt under way and gives the request to another replica, if there is one and
+    /// attempts, time and budget allow it. Else nothing changes.
+    pub(super) fn go_elsewhere(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        deed: BackendDeed,
+        out: &mut Vec<RouteEffect>,
+    ) -> bool {
+        let Some((pick, on_trial)) = self.choose(stamp, ticket) else { return false };
+        if !self.may_send_again(stamp, ticket) {
+            return false;
+        }
+        self.end_attempt(stamp, ticket, deed);
+        self.assign(stamp, ticket, pick, on_trial, out);
+        true
+    }
+
+    /// Sends a request again that may be sent again, or gives it up for `otherwise` if attempts, time or
+    /// budget forbid it.
+    pub(super) fn try_again(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        otherwise: RefusalReason,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        if self.may_send_again(stamp, ticket) {
+            self.send(stamp, ticket, otherwise, out);
+        } else {
+            self.give_up(stamp, ticket, otherwise, out);
+        }
+    }
+
+    /// Whether attempts, time and the fleet's budget allow another send; takes it from the budget.
+    fn may_send_again(&mut self, stamp: EventStamp, ticket: RequestTicket) -> bool {
+        let Some(request) = self.requests.get(&ticket) else { return false };
+        if request.sends >= request.route.attempts || request.deadline <= stamp.now {
+            return false;
+        }
+        let boxes = self.peers.live_count(stamp.now);
+        let budget = self.budgets.entry(request.service.clone()).or_default();
+        budget.spend(self.settings.budget, boxes, stamp.now)
+    }
+
+    pub(super) fn end_attempt(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        deed: BackendDeed,
+    ) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        if let Some(attempt) = request.attempt.take() {
+            self.backends.ended(attempt.replica, deed, stamp.now);
+        }
+    }
+}
+
+fn head_ms(route: &RouteSpec) -> u64 {
+    let targets = if route.kind.is_stream() { HEAD_TARGETS } else { PLAIN_HEAD_TARGETS };
+    (route.target_ms as f64 * targets) as u64
+}
+
+fn pause_ms(route: &RouteSpec) -> u64 {
+    match route.kind {
+        RouteKind::Stream { .. } if route.pause_ms > 0 => {
+            (route.pause_ms as f64 * PAUSE_PART) as u64
+        }
+        _ => route.timeout_ms,
+    }
+}
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -2,12 +2,13 @@
 //!
 //! [`RouteState`] is the reducer of a box on such a platform, beside [`crate::state::BoxState`] for
 //! signed bundles. Claims, bills and witnesses have no place in it: a caller's retry is a new request
-//! there, and nobody reads bills. The flow of a request is in `request`; trials of new versions are in
-//! `verdict`; `dump` describes the state.
+//! there, and nobody reads bills. The flow of a request is in `request`, its attempts are in `attempt`;
+//! trials of new versions are in `verdict`; `dump` describes the state.
 //!
 //! [`plan`] what is routed where · [`fresh`] how long that may be relied on · [`backend`] replicas ·
 //! [`peers`] the other boxes · [`trial`] new versions · [`budget`] further sends · [`sizes`] models.
 
+mod attempt;
 pub mod backend;
 pub mod budget;
 mod dump;
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -1,14 +1,15 @@
-//! The life of a request: found a route, given a replica, tried again, or refused.
+//! The life of a request: found a route, answered, failed, or refused. Its attempts are in
+//! [`super::attempt`].
 //!
 //! One place ends a request without a replica's answer ([`RouteState::give_up`]), and there alone it
 //! is decided whether "has not run" may be said.
 
-use super::backend::{BackendAsk, BackendDeed, BackendPick, VersionWish};
+use super::attempt::RunningAttempt;
+use super::backend::BackendDeed;
 use super::event::{
     AnswerHead, AttemptFailure, DecisionInputs, RefusalReason, RouteAsk, RouteEffect, RouteRefusal,
-    SendOrder,
 };
-use super::plan::{RouteKind, RouteSpec};
+use super::plan::{KeyHolder, RouteSpec};
 use super::sizes;
 use super::trial::TrialState;
 use super::{RouteState, STOP_TAKE_MS};
@@ -20,16 +21,6 @@
 /// Connections that did not come about and cost a request none of its attempts, at most.
 pub const FREE_CONNECTS: u32 = 3;
 
-/// A head that comes later than this many times the target is not waited for, where another replica
-/// may be asked.
-pub const HEAD_TARGETS: f64 = 1.0;
-
-/// For an answer that is no stream: its work takes a fraction of the target.
-pub const PLAIN_HEAD_TARGETS: f64 = 2.0;
-
-/// A pause between events is not waited out beyond this part of the longest that counts in full.
-pub const PAUSE_PART: f64 = 0.8;
-
 /// A stream of which the caller has a part is given to the last replica that may be asked only after
 /// this many pauses in a row: should that one fail, the answer is lost, and the first may only be slow.
 pub const LAST_PAUSES: u32 = 3;
@@ -42,38 +33,27 @@
 /// they have another address.
 pub const ELSEWHERE_RETRY_MS: u64 = 100;
 
-/// An attempt under way.
-#[derive(Clone, Copy, Debug)]
-struct RunningAttempt {
-    replica: ReplicaKey,
-    began: BoxTime,
-    /// Whether it runs on a version on trial.
-    on_trial: bool,
-    /// Pauses so far.
-    pauses: u32,
-}
-
 /// A request in hand.
 #[derive(Clone, Debug)]
 pub(super) struct RouteRequest {
-    route: RouteSpec,
-    service: String,
-    account: Option<String>,
-    affinity: u64,
-    session: u64,
+    pub(super) route: RouteSpec,
+    pub(super) service: String,
+    pub(super) account: Option<String>,
+    pub(super) affinity: u64,
+    pub(super) session: u64,
     /// Row of `route.sizes` that answers, where the router chooses.
-    size: Option<usize>,
-    deadline: BoxTime,
-    tried: Vec<ReplicaKey>,
-    sends: u32,
-    free_connects: u32,
+    pub(super) size: Option<usize>,
+    pub(super) deadline: BoxTime,
+    pub(super) tried: Vec<ReplicaKey>,
+    pub(super) sends: u32,
+    pub(super) free_connects: u32,
     /// Whether any replica may have begun to work on it.
-    may_have_run: bool,
+    pub(super) may_have_run: bool,
     /// Whether the caller has the head of an answer.
-    relayed: bool,
+    pub(super) relayed: bool,
     /// How well the replica whose answer was relayed did.
-    deed: BackendDeed,
-    attempt: Option<RunningAttempt>,
+    pub(super) deed: BackendDeed,
+    pub(super) attempt: Option<RunningAttempt>,
 }
 
 impl RouteState {
@@ -106,25 +86,7 @@
         if !self.has_plan() {
             return Err(RefusalReason::NoPlan);
         }
-        let bounds = self.settings.fresh;
-        let deny = |reason| {
-            let sure = self.fresh.may_deny(stamp.now, bounds);
-            if sure {
-                reason
-            } else {
-                RefusalReason::Stale
-            }
-        };
-        let route = self.table.find(&ask.host, &ask.path);
-        let route = route.ok_or_else(|| deny(RefusalReason::NoRoute))?;
-        let keyed = self.table.asks_for_keys() && !route.anonymous;
-        if keyed && !self.fresh.honours_keys(stamp.now, bounds) {
-            return Err(RefusalReason::Stale);
-        }
-        let holder = ask.key.as_deref().and_then(|key| self.table.holder(key));
-        if keyed && holder.is_none() {
-            return Err(deny(RefusalReason::UnknownKey));
-        }
+        let (route, holder) = self.find_route(stamp, ask)?;
         let allowed = ask.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
         let service = pick_target(route, stamp.dice).ok_or(RefusalReason::NoReplica)?;
         let chooses = ask.any_model && !route.sizes.is_empty();
@@ -146,109 +108,35 @@
         })
     }
 
-    /// Sends a request to a replica, or gives it up for `otherwise` if there is none.
-    fn send(
-        &mut self,
-        stamp: EventStamp,
-        ticket: RequestTicket,
-        otherwise: RefusalReason,
-        out: &mut Vec<RouteEffect>,
-    ) {
-        let Some((pick, on_trial)) = self.choose(stamp, ticket) else {
-            self.give_up(stamp, ticket, otherwise, out);
-            return;
-        };
-        self.assign(stamp, ticket, pick, on_trial, out);
-    }
-
-    /// The replica for a request's next attempt, and whether it runs a version on trial.
-    fn choose(&self, stamp: EventStamp, ticket: RequestTicket) -> Option<(BackendPick, bool)> {
-        let request = self.requests.get(&ticket)?;
-        let (version, on_trial) = self.version_wish(stamp, &request.service, request.session);
-        let ask = BackendAsk {
-            service: &request.service,
-            version,
-            affinity: request.affinity,
-            zone: &self.settings.zone,
-            tried: &request.tried,
-            dice: stamp.dice,
-            now: stamp.now,
-        };
-        // A wish that nobody fits gives way, but never to a version that is bad.
-        let fallback = self.fallback_wish(&request.service);
-        self.backends.pick(&ask).map(|pick| (pick, on_trial)).or_else(|| {
-            let ask = BackendAsk { version: fallback, ..ask };
-            self.backends.pick(&ask).map(|pick| (pick, false))
-        })
-    }
-
-    /// Gives a request to a replica.
-    fn assign(
-        &mut self,
-        stamp: EventStamp,
-        ticket: RequestTicket,
-        pick: BackendPick,
-        on_trial: bool,
-        out: &mut Vec<RouteEffect>,
-    ) {
-        let inputs = DecisionInputs {
-            candidates: pick.candidates,
-            load: pick.load,
-            affine: pick.affine,
-            ..self.inputs(stamp)
-        };
-        self.backends.sent(pick.key);
-        let Some(row) = self.backends.get(pick.key) else { return };
-        let Some(request) = self.requests.get_mut(&ticket) else { return };
-        let began = stamp.now;
-        request.attempt = Some(RunningAttempt { replica: pick.key, began, on_trial, pauses: 0 });
-        request.tried.push(pick.key);
-        request.sends += 1;
-        let spare = request.route.kind.repeatable() && request.sends < request.route.attempts;
-        let left = request.deadline.millis_since(stamp.now);
-        let order = SendOrder {
-            number: request.sends,
-            replica: pick.key,
-            replica_id: row.entry.id.clone(),
-            address: row.entry.address.clone(),
-            version: row.entry.version.clone(),
-            route: request.route.name.clone(),
-            kind: request.route.kind,
-            model: request.size.map(|size| request.route.sizes[size].clone()),
-            account: request.account.clone(),
-            deadline: request.deadline,
-            head_ms: if spare { head_ms(&request.route).min(left) } else { left },
-            pause_ms: if spare { pause_ms(&request.route).min(left) } else { left },
-            inputs,
-        };
-        out.push(RouteEffect::Send(ticket, order));
-    }
-
-    /// Which versions a new attempt may go to, and whether that is one on trial.
-    fn version_wish(
+    /// The route that takes a request, and the holder of its key if it shows one that is known.
+    fn find_route(
         &self,
         stamp: EventStamp,
-        service: &str,
-        session: u64,
-    ) -> (VersionWish<'_>, bool) {
-        let Some(trial) = self.trials.get(service) else { return (VersionWish::Any, false) };
-        let version = trial.order.version.as_str();
-        if trial.takes(session, stamp.dice, stamp.now) {
-            (VersionWish::Only(version), trial.state == TrialState::Running)
-        } else {
-            (VersionWish::Not(version), false)
-        }
-    }
-
-    fn fallback_wish(&self, service: &str) -> VersionWish<'_> {
-        match self.trials.get(service) {
-            Some(trial) if trial.state == TrialState::RolledBack || trial.is_bad() => {
-                VersionWish::Not(&trial.order.version)
+        ask: &RouteAsk,
+    ) -> Result<(&RouteSpec, Option<&KeyHolder>), RefusalReason> {
+        let bounds = self.settings.fresh;
+        let deny = |reason| {
+            let sure = self.fresh.may_deny(stamp.now, bounds);
+            if sure {
+                reason
+            } else {
+                RefusalReason::Stale
             }
-            _ => VersionWish::Any,
+        };
+        let route = self.table.find(&ask.host, &ask.path);
+        let route = route.ok_or_else(|| deny(RefusalReason::NoRoute))?;
+        let keyed = self.table.asks_for_keys() && !route.anonymous;
+        if keyed && !self.fresh.honours_keys(stamp.now, bounds) {
+            return Err(RefusalReason::Stale);
+        }
+        let holder = ask.key.as_deref().and_then(|key| self.table.holder(key));
+        if keyed && holder.is_none() {
+            return Err(deny(RefusalReason::UnknownKey));
         }
+        Ok((route, holder))
     }
 
+    /// Decides on the head of an answer: passed on, asked of another replica or model, or refused.
     pub(super) fn on_head(
         &mut self,
         stamp: EventStamp,
@@ -270,12 +158,9 @@
         }
         request.may_have_run = true;
         let failed = head.status >= 500 || !head.proven;
-        let took = stamp.now.millis_since(attempt.began) as f64;
-        if request.route.kind.is_stream() {
-            let lag = self.lags.entry(request.service.clone()).or_default();
-            lag.add(took, request.route.target_ms);
-        }
-        self.tally(ticket, failed, (!failed).then_some(took));
+        let took_ms = stamp.now.millis_since(attempt.began) as f64;
+        self.note_lag(ticket, took_ms);
+        self.tally(ticket, failed, (!failed).then_some(took_ms));
         let Some(request) = self.requests.get(&ticket) else { return };
         let (kind, relayed) = (request.route.kind, request.relayed);
         if failed && kind.repeatable() && self.go_elsewhere(stamp, ticket, BackendDeed::Failed, out)
@@ -346,24 +231,6 @@
         }
     }
 
-    /// Ends the attempt under way and gives the request to another replica, if there is one and
-    /// attempts, time and budget allow it. Else nothing changes.
-    fn go_elsewhere(
-        &mut self,
-        stamp: EventStamp,
-        ticket: RequestTicket,
-        deed: BackendDeed,
-        out: &mut Vec<RouteEffect>,
-    ) -> bool {
-        let Some((pick, on_trial)) = self.choose(stamp, ticket) else { return false };
-        if !self.may_send_again(stamp, ticket) {
-            return false;
-        }
-        self.end_attempt(stamp, ticket, deed);
-        self.assign(stamp, ticket, pick, on_trial, out);
-        true
-    }
-
     pub(super) fn on_failed(
         &mut self,
         stamp: EventStamp,
@@ -385,43 +252,19 @@
         self.tally(ticket, true, None);
         self.end_attempt(stamp, ticket, BackendDeed::Failed);
         let Some(request) = self.requests.get(&ticket) else { return };
-        if request.route.kind.repeatable() && self.may_send_again(stamp, ticket) {
-            self.send(stamp, ticket, RefusalReason::Failed, out);
+        if request.route.kind.repeatable() {
+            self.try_again(stamp, ticket, RefusalReason::Failed, out);
         } else {
             self.give_up(stamp, ticket, RefusalReason::Failed, out);
         }
     }
 
-    /// Sends a request again that this attempt certainly did not run.
-    fn try_again(
-        &mut self,
-        stamp: EventStamp,
-        ticket: RequestTicket,
-        otherwise: RefusalReason,
-        out: &mut Vec<RouteEffect>,
-    ) {
-        if self.may_send_again(stamp, ticket) {
-            self.send(stamp, ticket, otherwise, out);
-        } else {
-            self.give_up(stamp, ticket, otherwise, out);
-        }
-    }
-
-    /// Whether attempts, time and the fleet's budget allow another send; takes it from the budget.
-    fn may_send_again(&mut self, stamp: EventStamp, ticket: RequestTicket) -> bool {
-        let Some(request) = self.requests.get(&ticket) else { return false };
-        if request.sends >= request.route.attempts || request.deadline <= stamp.now {
-            return false;
-        }
-        let boxes = self.peers.live_count(stamp.now);
-        let budget = self.budgets.entry(request.service.clone()).or_default();
-        budget.spend(self.settings.budget, boxes, stamp.now)
-    }
-
-    fn end_attempt(&mut self, stamp: EventStamp, ticket: RequestTicket, deed: BackendDeed) {
-        let Some(request) = self.requests.get_mut(&ticket) else { return };
-        if let Some(attempt) = request.attempt.take() {
-            self.backends.ended(attempt.replica, deed, stamp.now);
+    /// Adds an answer that began after `took_ms` to its service's lag, if it is a stream's.
+    fn note_lag(&mut self, ticket: RequestTicket, took_ms: f64) {
+        let Some(request) = self.requests.get(&ticket) else { return };
+        if request.route.kind.is_stream() {
+            let lag = self.lags.entry(request.service.clone()).or_default();
+            lag.add(took_ms, request.route.target_ms);
         }
     }
 
@@ -463,7 +306,7 @@
     }
 
     /// Ends a request without a replica's answer. The only place that decides what may be said.
-    fn give_up(
+    pub(super) fn give_up(
         &mut self,
         stamp: EventStamp,
         ticket: RequestTicket,
@@ -479,7 +322,8 @@
         out.push(RouteEffect::Refuse(ticket, refusal, self.inputs(stamp)));
     }
 
-    fn inputs(&self, stamp: EventStamp) -> DecisionInputs {
+    /// What a decision rests on, but for the replica.
+    pub(super) fn inputs(&self, stamp: EventStamp) -> DecisionInputs {
         DecisionInputs {
             plan_version: self.table.plan().version,
             plan_age_ms: self.fresh.age_ms(stamp.now).unwrap_or(0),
@@ -502,20 +346,6 @@
     None
 }
 
-fn head_ms(route: &RouteSpec) -> u64 {
-    let targets = if route.kind.is_stream() { HEAD_TARGETS } else { PLAIN_HEAD_TARGETS };
-    (route.target_ms as f64 * targets) as u64
-}
-
-fn pause_ms(route: &RouteSpec) -> u64 {
-    match route.kind {
-        RouteKind::Stream { .. } if route.pause_ms > 0 => {
-            (route.pause_ms as f64 * PAUSE_PART) as u64
-        }
-        _ => route.timeout_ms,
-    }
-}
-
 fn refusal(reason: RefusalReason, may_have_run: bool) -> RouteRefusal {
     let (status, retry_after_ms) = match reason {
         RefusalReason::NoRoute => (404, None),
