--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -1,8 +1,9 @@
 //! The attempts of a request: which replica gets it, for how long it is waited for, and whether there
 //! may be another attempt.
 
-use super::backend::{BackendAsk, BackendDeed, BackendPick, VersionWish};
+use super::backend::BackendDeed;
 use super::event::{DecisionInputs, RefusalReason, RouteEffect, SendOrder};
+use super::pick::{BackendAsk, BackendPick, VersionWish};
 use super::plan::{RouteKind, RouteSpec};
 use super::trial::TrialState;
 use super::RouteState;
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -1,4 +1,4 @@
-//! Replicas of backend servers on the platform: what is known of each, and which answers a request.
+//! Replicas of backend servers on the platform: what is known of each; [`super::pick`] chooses.
 //!
 //! A replica is known by its entry in the store. Its load comes with its answers; between two reports
 //! a box adds what it sent itself. What a replica *does* counts: one that refuses connections, breaks
@@ -11,7 +11,6 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::ReplicaKey;
-use crate::replica::mix;
 use crate::time::BoxTime;
 
 /// Failures in a row after which a replica is passed over. Two: one may be the request's own fault.
@@ -26,17 +25,13 @@
 /// A load report fades with this half-life, in milliseconds: streams last seconds.
 pub const REPORT_HALF_LIFE_MS: f64 = 1_500.0;
 
-/// Load, as a share of slots over the lightest replica's, up to which a replica that holds the
-/// prompt's shared parts is preferred. Reading the parts again costs less than a fuller batch beyond.
-pub const AFFINITY_MARGIN: f64 = 0.25;
-
-/// Share of slots that another availability zone's replica must be lighter to be worth its bytes.
-pub const ZONE_MARGIN: f64 = 0.25;
-
 /// How long an entry that vanished while the store was unsound is still used, in milliseconds: below
 /// the two seconds within which a replica that lives writes it again.
 pub const LAPSE_GRACE_MS: u64 = 1_200;
 
+/// Ids of replicas that are gone, with the offset of that, are kept until there are this many.
+pub const GONE_LIMIT: usize = 4_096;
+
 /// A replica as its entry in the store gives it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct BackendEntry {
@@ -70,9 +65,6 @@
     pub entry: Option<BackendEntry>,
 }
 
-/// Ids of replicas that are gone, with the offset of that, are kept until there are this many.
-pub const GONE_LIMIT: usize = 4_096;
-
 /// Load that came with an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct BackendLoad {
@@ -84,6 +76,19 @@
     pub slots: u32,
 }
 
+/// How well a replica did on a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackendDeed {
+    /// It answered.
+    Served,
+    /// It failed, or broke off.
+    Failed,
+    /// No connection came about.
+    Unreachable,
+    /// The end says nothing of it: the caller left, or it said that it is full.
+    Neither,
+}
+
 /// What of a change is news.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BackendNews {
@@ -101,7 +106,7 @@
     /// Its entry.
     pub entry: BackendEntry,
     #[serde(skip)]
-    id_hash: u64,
+    pub(super) id_hash: u64,
     /// Offset of its last change in the store.
     pub at: u64,
     /// Reported running and waiting requests.
@@ -134,70 +139,18 @@
         estimate * cold / f64::from(self.entry.slots.max(1))
     }
 
-    fn usable(&self, now: BoxTime) -> bool {
+    /// Whether it may be chosen at all.
+    pub(super) fn usable(&self, now: BoxTime) -> bool {
         !self.entry.leaving && self.lapses_at.is_none_or(|at| now < at)
     }
 }
 
-/// Which replicas a pick may take.
-#[derive(Clone, Copy, Debug)]
-pub struct BackendAsk<'a> {
-    /// Service.
-    pub service: &'a str,
-    /// Version wanted, if one is.
-    pub version: VersionWish<'a>,
-    /// Hash of the prompt's shared parts; 0 for none.
-    pub affinity: u64,
-    /// Availability zone of the box.
-    pub zone: &'a str,
-    /// Replicas that this request has been sent to.
-    pub tried: &'a [ReplicaKey],
-    /// A random number.
-    pub dice: u64,
-    /// The time.
-    pub now: BoxTime,
-}
-
-/// Versions that a pick may take.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum VersionWish<'a> {
-    /// Any.
-    Any,
-    /// This one alone.
-    Only(&'a str),
-    /// Any but this one.
-    Not(&'a str),
-}
-
-impl VersionWish<'_> {
-    fn takes(self, version: &str) -> bool {
-        match self {
-            VersionWish::Any => true,
-            VersionWish::Only(wanted) => version == wanted,
-            VersionWish::Not(unwanted) => version != unwanted,
-        }
-    }
-}
-
-/// A pick, with what decided it.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct BackendPick {
-    /// The replica.
-    pub key: ReplicaKey,
-    /// Its estimated load.
-    pub load: f64,
-    /// Replicas that could have been taken.
-    pub candidates: usize,
-    /// Whether it was taken for the prompt's shared parts.
-    pub affine: bool,
-}
-
 /// Replicas by key.
 #[derive(Debug, Default)]
 pub struct BackendTable {
-    rows: SlotMap<ReplicaKey, BackendState>,
+    pub(super) rows: SlotMap<ReplicaKey, BackendState>,
     ids: HashMap<String, ReplicaKey>,
-    by_service: HashMap<String, Vec<ReplicaKey>>,
+    pub(super) by_service: HashMap<String, Vec<ReplicaKey>>,
     /// Ids that are gone, with the offset of that.
     gone: HashMap<String, u64>,
 }
@@ -330,55 +283,6 @@
         changes
     }
 
-    /// Picks a replica; `None` if there is none that may be used.
-    pub fn pick(&self, ask: &BackendAsk) -> Option<BackendPick> {
-        let keys = self.by_service.get(ask.service)?;
-        let fits = |key: &&ReplicaKey| {
-            let row = &self.rows[**key];
-            row.usable(ask.now)
-                && ask.version.takes(&row.entry.version)
-                && !ask.tried.contains(*key)
-        };
-        let usable: Vec<ReplicaKey> = keys.iter().filter(fits).copied().collect();
-        let well: Vec<ReplicaKey> =
-            usable.iter().copied().filter(|key| self.rows[*key].passed_until <= ask.now).collect();
-        // With more than half passed over the cause is not the replicas.
-        let pool = if well.len() * 2 < usable.len() { usable } else { well };
-        let lightest = self.lightest(&pool, ask)?;
-        let least = self.rows[lightest].load(ask.now);
-        let key = self.affine(&pool, ask, least).unwrap_or(lightest);
-        Some(BackendPick {
-            key,
-            load: self.rows[key].load(ask.now),
-            candidates: pool.len(),
-            affine: key != lightest,
-        })
-    }
-
-    /// The lightest replica; ties go by chance, and the box's own zone counts for something.
-    fn lightest(&self, pool: &[ReplicaKey], ask: &BackendAsk) -> Option<ReplicaKey> {
-        let weigh = |key: &ReplicaKey| {
-            let row = &self.rows[*key];
-            let far = if row.entry.zone == ask.zone { 0.0 } else { ZONE_MARGIN };
-            row.load(ask.now) + far
-        };
-        let order = |key: &ReplicaKey| mix(self.rows[*key].id_hash ^ ask.dice);
-        pool.iter()
-            .copied()
-            .min_by(|a, b| weigh(a).total_cmp(&weigh(b)).then_with(|| order(a).cmp(&order(b))))
-    }
-
-    /// The replica that holds the prompt's shared parts: the same from every box, by id and parts
-    /// only, among those that are not much fuller than the lightest.
-    fn affine(&self, pool: &[ReplicaKey], ask: &BackendAsk, least: f64) -> Option<ReplicaKey> {
-        if ask.affinity == 0 {
-            return None;
-        }
-        let near = |key: &ReplicaKey| self.rows[*key].load(ask.now) <= least + AFFINITY_MARGIN;
-        let weight = |key: &ReplicaKey| mix(self.rows[*key].id_hash ^ ask.affinity);
-        pool.iter().copied().filter(near).min_by_key(weight)
-    }
-
     /// Notes that a request was given to a replica.
     pub fn sent(&mut self, key: ReplicaKey) {
         if let Some(row) = self.rows.get_mut(key) {
@@ -418,16 +322,3 @@
         }
     }
 }
-
-/// How well a replica did on a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BackendDeed {
-    /// It answered.
-    Served,
-    /// It failed, or broke off.
-    Failed,
-    /// No connection came about.
-    Unreachable,
-    /// The end says nothing of it: the caller left, or it said that it is full.
-    Neither,
-}
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -6,7 +6,8 @@
 //! trials of new versions are in `verdict`; `dump` describes the state.
 //!
 //! [`plan`] what is routed where · [`fresh`] how long that may be relied on · [`backend`] replicas ·
-//! [`peers`] the other boxes · [`trial`] new versions · [`budget`] further sends · [`sizes`] models.
+//! [`pick`] which of them answers · [`peers`] the other boxes · [`trial`] new versions · [`budget`]
+//! further sends · [`sizes`] models.
 
 mod attempt;
 pub mod backend;
@@ -15,6 +16,7 @@
 pub mod event;
 pub mod fresh;
 pub mod peers;
+pub mod pick;
 pub mod plan;
 mod request;
 pub mod sizes;
