--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -3,7 +3,8 @@
 //! [`RouteState`] is the reducer of a box on such a platform, beside [`crate::state::BoxState`] for
 //! signed bundles. Claims, bills and witnesses have no place in it: a caller's retry is a new request
 //! there, and nobody reads bills. The flow of a request is in `request`, its attempts are in `attempt`;
-//! trials of new versions are in `verdict`; `dump` describes the state.
+//! trials of new versions are in `verdict`; what boxes tell each other is in `news`; `dump` describes the
+//! state.
 //!
 //! [`plan`] what is routed where · [`fresh`] how long that may be relied on · [`backend`] replicas ·
 //! [`pick`] which of them answers · [`peers`] the other boxes · [`trial`] new versions · [`budget`]
@@ -15,6 +16,7 @@
 mod dump;
 pub mod event;
 pub mod fresh;
+mod news;
 pub mod peers;
 pub mod pick;
 pub mod plan;
@@ -32,7 +34,7 @@
 use budget::{BudgetBounds, SendBudget};
 use event::{RouteEffect, RouteEvent};
 use fresh::{FreshBounds, PlanFreshness};
-use peers::{PeerAsk, PeerNote, PeerTable, TrialNote};
+use peers::PeerTable;
 use plan::{RoutePlan, RouteTable};
 use request::RouteRequest;
 use sizes::ServiceLag;
@@ -40,13 +42,6 @@
 
 pub use dump::RouteDump;
 
-/// News of a replica is told to other boxes for this long, in milliseconds: three notes. Who hears it
-/// tells it on.
-pub const TELL_MS: u64 = 1_500;
-
-/// News of replicas in one note, at most, the newest first; what a box misses it reads itself later.
-pub const NEWS_LIMIT: usize = 40;
-
 /// The store counts as unsound for this long after a failed call, in milliseconds: entries that
 /// lapsed meanwhile are written again within two seconds of its return.
 pub const UNSOUND_MS: u64 = 8_000;
@@ -146,28 +141,12 @@
                 self.on_plan_read(asked_at, read_to, plan, out);
             }
             RouteEvent::OrdersRead(orders) => self.on_orders(stamp, orders, out),
-            RouteEvent::VerdictsRead(verdicts) => {
-                for verdict in verdicts {
-                    self.take_verdict(verdict, out);
-                }
-                self.trials.values_mut().for_each(|trial| trial.looked = true);
-            }
+            RouteEvent::VerdictsRead(verdicts) => self.on_verdicts(verdicts, out),
             RouteEvent::BackendsChanged(changes) => self.on_backends(stamp, changes, out),
-            RouteEvent::BackendsListed { end, listed } => {
-                let unsound = self.store_unsound(stamp.now);
-                let all = self.backends.take_all(end, listed, stamp.now, unsound);
-                // Who lists learns late what others know already, but for what leaves.
-                for (change, news) in all.into_iter().filter(|row| row.1 == BackendNews::Leaving) {
-                    self.tell(stamp, change, news, out);
-                }
-            }
+            RouteEvent::BackendsListed { end, listed } => self.on_listed(stamp, end, listed, out),
             RouteEvent::StoreFailed => self.store_failed_at = Some(stamp.now),
             RouteEvent::PeerHeard(note) => self.on_note(stamp, &note, out),
-            RouteEvent::PeerAsked(ask) => {
-                let to = vec![ask.note_address.clone()];
-                let note = PeerNote { echo: Some(ask), ..self.note(stamp) };
-                out.push(RouteEffect::SendNotes(to, Box::new(note)));
-            }
+            RouteEvent::PeerAsked(ask) => self.on_ask(stamp, ask, out),
             RouteEvent::PeersNamed(addresses) => {
                 self.peers.hear_of(&addresses, &self.settings.note_address, stamp.now);
             }
@@ -196,40 +175,7 @@
         }
         self.judge_trials(stamp, out);
         self.ask_reader(stamp, out);
-        if stamp.now < self.next_note {
-            return;
-        }
-        self.next_note = stamp.now.plus_millis(peers::NOTE_EVERY_MS);
-        self.peers.forget(stamp.now);
-        let told = |at: BoxTime| stamp.now.millis_since(at) < TELL_MS;
-        self.changes.retain(|(at, _)| told(*at));
-        let targets = self.peers.note_targets(stamp.dice);
-        if !targets.is_empty() {
-            out.push(RouteEffect::SendNotes(targets, Box::new(self.note(stamp))));
-        }
-    }
-
-    /// Asks a reader how fresh this box's knowledge is, unless it reads often itself.
-    fn ask_reader(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
-        if stamp.now < self.next_ask {
-            return;
-        }
-        self.next_ask = stamp.now.plus_millis(peers::ASK_EVERY_MS);
-        let (own, readers) = self.peers.readers(&self.settings.name, stamp.now);
-        if own || readers.is_empty() {
-            return;
-        }
-        let reader = readers[(stamp.dice % readers.len() as u64) as usize].clone();
-        out.push(RouteEffect::SendAsk(reader, self.ask(stamp)));
-    }
-
-    fn ask(&self, stamp: EventStamp) -> PeerAsk {
-        PeerAsk {
-            note_address: self.settings.note_address.clone(),
-            incarnation: self.settings.incarnation,
-            asked_at: stamp.now,
-            read_to: self.read_to,
-        }
+        self.send_notes(stamp, out);
     }
 
     fn on_plan_read(
@@ -275,60 +221,21 @@
         }
     }
 
-    /// Tells news of a replica to other boxes, at once and for a while.
-    fn tell(
+    fn on_listed(
         &mut self,
         stamp: EventStamp,
-        change: BackendChange,
-        news: BackendNews,
+        end: u64,
+        listed: Vec<BackendChange>,
         out: &mut Vec<RouteEffect>,
     ) {
-        if news == BackendNews::None {
-            return;
-        }
-        if news == BackendNews::Leaving {
-            out.push(RouteEffect::BackendLeaving(change.id.clone()));
-        }
-        self.changes.retain(|(_, other)| other.id != change.id);
-        self.changes.push_back((stamp.now, change));
-        self.next_note = BoxTime::default();
-    }
-
-    fn on_note(&mut self, stamp: EventStamp, note: &PeerNote, out: &mut Vec<RouteEffect>) {
-        if note.name == self.settings.name || !self.peers.hear(note, stamp.now) {
-            return;
-        }
-        self.peers.hear_of(&note.others, &self.settings.note_address, stamp.now);
-        self.on_backends(stamp, note.changes.clone(), out);
-        self.hear_trials(stamp, note, out);
-        self.hear_freshness(stamp, note, out);
-    }
-
-    /// Relies on what another box read, as of when it says, if this box has read as far.
-    fn hear_freshness(&mut self, stamp: EventStamp, note: &PeerNote, out: &mut Vec<RouteEffect>) {
-        if note.read_to > self.read_to {
-            self.behind_since.get_or_insert(stamp.now);
-            if stamp.now >= self.next_behind_ask {
-                self.next_behind_ask = stamp.now.plus_millis(peers::ASK_AGAIN_MS);
-                out.push(RouteEffect::SendAsk(note.note_address.clone(), self.ask(stamp)));
-            }
-            return;
-        }
-        let as_of = self.word_as_of(note, stamp.now);
-        if let Some(as_of) = as_of.filter(|_| note.read_to == self.read_to && self.has_plan()) {
-            self.fresh.renew(as_of);
+        let unsound = self.store_unsound(stamp.now);
+        let all = self.backends.take_all(end, listed, stamp.now, unsound);
+        // Who lists learns late what others know already, but for what leaves.
+        for (change, news) in all.into_iter().filter(|row| row.1 == BackendNews::Leaving) {
+            self.tell(stamp, change, news, out);
         }
     }
 
-    /// As of when, on this box's clock, another one knew what its note says; `None` if the note
-    /// answers no ask of this life of the process, or one that is too old.
-    pub fn word_as_of(&self, note: &PeerNote, now: BoxTime) -> Option<BoxTime> {
-        let (ask, age_ms) = (note.echo.as_ref()?, note.read_age_ms?);
-        let own = ask.incarnation == self.settings.incarnation && ask.asked_at <= now;
-        let early = now.millis_since(ask.asked_at) < peers::ECHO_LIMIT_MS;
-        (own && early).then(|| ask.asked_at.minus_millis(age_ms))
-    }
-
     /// Notes how far the operator's records were read, or told by another box.
     fn note_read(&mut self, read_to: u64) {
         if read_to >= self.read_to {
@@ -337,32 +244,6 @@
         }
     }
 
-    fn note(&mut self, stamp: EventStamp) -> PeerNote {
-        self.note_number += 1;
-        let trials = self.trials.values().map(|trial| TrialNote {
-            service: trial.order.service.clone(),
-            version: trial.order.version.clone(),
-            age_ms: stamp.now.millis_since(trial.began),
-            tallies: trial.own.clone(),
-        });
-        PeerNote {
-            name: self.settings.name.clone(),
-            incarnation: self.settings.incarnation,
-            number: self.note_number,
-            note_address: self.settings.note_address.clone(),
-            entry_address: self.settings.entry_address.clone(),
-            zone: self.settings.zone.clone(),
-            open: self.open(stamp.now),
-            read_to: self.read_to,
-            read_age_ms: self.fresh.age_ms(stamp.now),
-            echo: None,
-            changes: self.changes.iter().rev().take(NEWS_LIMIT).map(|row| row.1.clone()).collect(),
-            trials: trials.collect(),
-            verdicts: self.verdicts(),
-            others: self.peers.some_addresses(stamp.dice),
-        }
-    }
-
     fn has_plan(&self) -> bool {
         self.table.plan().version > 0
     }
--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -32,6 +32,14 @@
         }
     }
 
+    /// Takes the store's word of all trials.
+    pub(super) fn on_verdicts(&mut self, verdicts: Vec<TrialVerdict>, out: &mut Vec<RouteEffect>) {
+        for verdict in verdicts {
+            self.take_verdict(verdict, out);
+        }
+        self.trials.values_mut().for_each(|trial| trial.looked = true);
+    }
+
     /// Takes a verdict that stands in the store. A trial that ended never begins anew.
     pub(super) fn take_verdict(&mut self, verdict: TrialVerdict, out: &mut Vec<RouteEffect>) {
         let Some(trial) = self.trials.get_mut(&verdict.service) else { return };
