--- a/crates/box/src/gateway/mod.rs
+++ b/crates/box/src/gateway/mod.rs
@@ -1,9 +1,11 @@
 //! A box that routes by host and prefix on the users' platform.
 //!
 //! [`driver`] holds the reducer's state. [`entry`] takes callers' connections, [`exchange`] serves one
-//! request, [`relay`] passes a stream on and takes it up elsewhere when it breaks, [`pool`] keeps
-//! connections to replicas. [`follow`] reads the platform's store, [`notes`] talks to other boxes and [`told`]
-//! tells them what the operator wrote, [`directory`] answers who asks for addresses, readiness, state and metrics. [`observe`] logs.
+//! request, [`relay`] passes a stream on and takes it up elsewhere when it breaks, [`event_cut`] cuts it
+//! into whole events, [`pool`] keeps connections to replicas. [`follow`] reads the platform's store,
+//! [`notes`] talks to other boxes in the datagrams of [`note_wire`], and [`told`] tells them what the
+//! operator wrote. [`directory`] answers who asks for addresses, readiness, state and metrics.
+//! [`observe`] logs. [`process`] puts them together.
 
 pub mod directory;
 pub mod driver;
@@ -11,6 +13,7 @@
 pub mod event_cut;
 pub mod exchange;
 pub mod follow;
+pub mod note_wire;
 pub mod notes;
 pub mod observe;
 pub mod pool;
