Entries that lapsed with the store are used until they must be back

Ruled out: replicas that were gone; they answered a second later. Change: a vanished entry is used until 2.2 s after the store's return; one that vanishes later is gone at once.

--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -78,6 +78,7 @@
                 self.retry_ms = RETRY_MS;
                 if let Some(at) = self.lost_at.take() {
                     observe::note_store_regained(self.topic, at.elapsed());
+                    self.driver.feed(RouteEvent::StoreBack);
                 }
                 Some(found)
             }
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -25,10 +25,6 @@
 /// A load report fades with this half-life, in milliseconds: streams last seconds.
 pub const REPORT_HALF_LIFE_MS: f64 = 1_500.0;
 
-/// How long an entry that vanished while the store was unsound is still used, in milliseconds: below
-/// the two seconds within which a replica that lives writes it again.
-pub const LAPSE_GRACE_MS: u64 = 1_200;
-
 /// Ids of replicas that are gone, with the offset of that, are kept until there are this many.
 pub const GONE_LIMIT: usize = 4_096;
 
@@ -166,9 +162,14 @@
         self.rows.get(key)
     }
 
-    /// Takes one change. `unsound` says that the store was lately down: then a vanished entry may
-    /// come back. Gives what of it is news.
-    pub fn take(&mut self, change: &BackendChange, now: BoxTime, unsound: bool) -> BackendNews {
+    /// Takes one change. Where the store was away, an entry that vanished is used until `lapse_at`: it
+    /// may come back. Gives what of it is news.
+    pub fn take(
+        &mut self,
+        change: &BackendChange,
+        now: BoxTime,
+        lapse_at: Option<BoxTime>,
+    ) -> BackendNews {
         let known = self.ids.get(&change.id).map(|key| self.rows[*key].at);
         let known = known.or_else(|| self.gone.get(&change.id).copied());
         if known.is_some_and(|at| at >= change.at) {
@@ -176,7 +177,7 @@
         }
         match &change.entry {
             Some(entry) => self.put(entry.clone(), change.at, now),
-            None => self.take_gone(&change.id, change.at, now, unsound),
+            None => self.take_gone(&change.id, change.at, lapse_at),
         }
     }
 
@@ -187,13 +188,13 @@
         end: u64,
         listed: Vec<BackendChange>,
         now: BoxTime,
-        unsound: bool,
+        lapse_at: Option<BoxTime>,
     ) -> Vec<(BackendChange, BackendNews)> {
         let missing = self.ids.keys().filter(|id| !listed.iter().any(|row| row.id == **id));
         let gone = |id: &String| BackendChange { id: id.clone(), at: end, entry: None };
         let missing: Vec<BackendChange> = missing.map(gone).collect();
         let changes = missing.into_iter().chain(listed);
-        changes.map(|change| (change.clone(), self.take(&change, now, unsound))).collect()
+        changes.map(|change| (change.clone(), self.take(&change, now, lapse_at))).collect()
     }
 
     fn put(&mut self, entry: BackendEntry, at: u64, now: BoxTime) -> BackendNews {
@@ -238,15 +239,15 @@
         self.by_service.entry(service).or_default().push(key);
     }
 
-    fn take_gone(&mut self, id: &str, at: u64, now: BoxTime, unsound: bool) -> BackendNews {
+    fn take_gone(&mut self, id: &str, at: u64, lapse_at: Option<BoxTime>) -> BackendNews {
         let Some(key) = self.ids.get(id).copied() else {
             self.note_gone(id, at);
             return BackendNews::None;
         };
         let row = &mut self.rows[key];
         row.at = at;
-        if unsound && !row.entry.leaving {
-            row.lapses_at.get_or_insert(now.plus_millis(LAPSE_GRACE_MS));
+        if let Some(lapse_at) = lapse_at.filter(|_| !row.entry.leaving) {
+            row.lapses_at.get_or_insert(lapse_at);
             return BackendNews::None;
         }
         self.remove(key);
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -86,6 +86,8 @@
     },
     /// A call to the store failed.
     StoreFailed,
+    /// The store answers again.
+    StoreBack,
     /// Another box's note came.
     PeerHeard(PeerNote),
     /// Another box asks how fresh this one's knowledge is.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -42,9 +42,9 @@
 
 pub use dump::RouteDump;
 
-/// The store counts as unsound for this long after a failed call, in milliseconds: entries that
-/// lapsed meanwhile are written again within two seconds of its return.
-pub const UNSOUND_MS: u64 = 8_000;
+/// An entry that vanished while the store was away is used until this long after its return, in
+/// milliseconds: a replica that lives has written it again by then, which takes about two seconds.
+pub const LAPSE_MS: u64 = 2_200;
 
 /// A box whose plan is older than this is not named to callers, in milliseconds, unless all are:
 /// past [`OWN_READ_MS`] and a call to the store.
@@ -91,7 +91,8 @@
     budgets: HashMap<String, SendBudget>,
     lags: HashMap<String, ServiceLag>,
     requests: HashMap<RequestTicket, RouteRequest>,
-    store_failed_at: Option<BoxTime>,
+    /// Until then entries that vanish may come back: the store was away.
+    lapse_at: Option<BoxTime>,
     /// Offset up to which the operator's records were read.
     read_to: u64,
     /// News of replicas, with when it was learnt.
@@ -119,7 +120,7 @@
             budgets: HashMap::new(),
             lags: HashMap::new(),
             requests: HashMap::new(),
-            store_failed_at: None,
+            lapse_at: None,
             read_to: 0,
             changes: VecDeque::new(),
             next_ask: BoxTime::default(),
@@ -144,7 +145,9 @@
             RouteEvent::VerdictsRead(verdicts) => self.on_verdicts(verdicts, out),
             RouteEvent::BackendsChanged(changes) => self.on_backends(stamp, changes, out),
             RouteEvent::BackendsListed { end, listed } => self.on_listed(stamp, end, listed, out),
-            RouteEvent::StoreFailed => self.store_failed_at = Some(stamp.now),
+            RouteEvent::StoreFailed | RouteEvent::StoreBack => {
+                self.lapse_at = Some(stamp.now.plus_millis(LAPSE_MS));
+            }
             RouteEvent::PeerHeard(note) => self.on_note(stamp, &note, out),
             RouteEvent::PeerAsked(ask) => self.on_ask(stamp, ask, out),
             RouteEvent::PeersNamed(addresses) => {
@@ -214,9 +217,9 @@
         changes: Vec<BackendChange>,
         out: &mut Vec<RouteEffect>,
     ) {
-        let unsound = self.store_unsound(stamp.now);
+        let lapse_at = self.lapse_at.filter(|at| *at > stamp.now);
         for change in changes {
-            let news = self.backends.take(&change, stamp.now, unsound);
+            let news = self.backends.take(&change, stamp.now, lapse_at);
             self.tell(stamp, change, news, out);
         }
     }
@@ -228,8 +231,8 @@
         listed: Vec<BackendChange>,
         out: &mut Vec<RouteEffect>,
     ) {
-        let unsound = self.store_unsound(stamp.now);
-        let all = self.backends.take_all(end, listed, stamp.now, unsound);
+        let lapse_at = self.lapse_at.filter(|at| *at > stamp.now);
+        let all = self.backends.take_all(end, listed, stamp.now, lapse_at);
         // Who lists learns late what others know already, but for what leaves.
         for (change, news) in all.into_iter().filter(|row| row.1 == BackendNews::Leaving) {
             self.tell(stamp, change, news, out);
@@ -248,10 +251,6 @@
         self.table.plan().version > 0
     }
 
-    fn store_unsound(&self, now: BoxTime) -> bool {
-        self.store_failed_at.is_some_and(|at| now.millis_since(at) < UNSOUND_MS)
-    }
-
     /// Whether callers may be sent here.
     pub fn open(&self, now: BoxTime) -> bool {
         let fresh = self.fresh.age_ms(now).is_some_and(|age| age < NAMED_AGE_MS);
