--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -6,20 +6,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use metrics_exporter_prometheus::PrometheusHandle;
 use ravenspoke_adapter::settings::read_settings;
 use ravenspoke_adapter::store::StoreClient;
 use ravenspoke_config::gateway::GatewaySettings;
 use ravenspoke_core::route::event::RouteEvent;
+use ravenspoke_core::route::trial::TrialVerdict;
 use ravenspoke_core::route::{RouteSettings, RouteState, STOP_TAKE_MS};
 use rocket::Route;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use super::directory::{metrics_routes, ready_routes, resolve_routes};
-use super::driver::{GatewayDriver, GatewaySinks};
+use super::driver::{GatewayDriver, GatewaySinks, PeerDatagram};
 use super::entry::{accept_callers, CallerCount, CALLER_PART};
 use super::exchange::GatewayTools;
 use super::pool::ReplicaPool;
@@ -57,76 +60,139 @@
     file: PathBuf,
     metrics_port: Option<u16>,
 ) -> Result<(), ProcessError> {
-    let handle = metrics_exporter_prometheus::PrometheusBuilder::new()
+    let metrics = metrics_exporter_prometheus::PrometheusBuilder::new()
         .install_recorder()
         .map_err(|error| ProcessError::Metrics(error.to_string()))?;
     let (note_sender, note_receiver) = unbounded_channel();
     let (verdict_sender, verdict_receiver) = unbounded_channel();
     let sinks = GatewaySinks { notes: note_sender, verdicts: verdict_sender };
+    let receivers = GatewayReceivers { notes: note_receiver, verdicts: verdict_receiver };
     let state = RouteState::new(route_settings(&settings));
     let driver = Arc::new(GatewayDriver::new(state, sinks));
     let store = StoreClient::new(&settings.store, settings.entry.ip())?;
 
     let socket = UdpSocket::bind(settings.notes).await;
-    let socket = Arc::new(socket.map_err(|error| listen_error(settings.notes, "notes", &error))?);
+    let socket = socket.map_err(|error| listen_error(settings.notes, "notes", &error))?;
     let listener = TcpListener::bind(settings.entry).await;
     let listener = listener.map_err(|error| listen_error(settings.entry, "entry", &error))?;
 
+    follow_site(&settings, &driver, &store, socket, receivers);
+    let entry = OpenEntry::start(&settings, &driver, listener);
+    launch_answers(&settings, &driver, metrics, metrics_port).await?;
+    observe::note_started(&settings.name, settings.entry);
+    tokio::spawn(follow_settings(driver.clone(), file));
+
+    wait_for_stop().await;
+    stop(&settings, &driver, &store, entry).await;
+    Ok(())
+}
+
+/// Receivers of the sinks that effects are handed to.
+struct GatewayReceivers {
+    notes: UnboundedReceiver<PeerDatagram>,
+    verdicts: UnboundedReceiver<TrialVerdict>,
+}
+
+/// Starts the tasks that read the store and talk to other boxes.
+fn follow_site(
+    settings: &GatewaySettings,
+    driver: &Arc<GatewayDriver>,
+    store: &StoreClient,
+    socket: UdpSocket,
+    receivers: GatewayReceivers,
+) {
+    let socket = Arc::new(socket);
     tokio::spawn(notes::hear_notes(driver.clone(), socket.clone()));
-    tokio::spawn(notes::send_notes(driver.clone(), socket, note_receiver));
+    tokio::spawn(notes::send_notes(driver.clone(), socket, receivers.notes));
     tokio::spawn(follow::follow_operator(driver.clone(), store.clone()));
     tokio::spawn(follow::follow_backends(driver.clone(), store.clone()));
     tokio::spawn(follow::follow_verdicts(driver.clone(), store.clone()));
-    tokio::spawn(follow::write_verdicts(driver.clone(), store.clone(), verdict_receiver));
-    let note_address = settings.notes.to_string();
+    tokio::spawn(follow::write_verdicts(driver.clone(), store.clone(), receivers.verdicts));
     tokio::spawn(follow::follow_boxes(
         driver.clone(),
         store.clone(),
         settings.name.clone(),
-        note_address,
+        settings.notes.to_string(),
     ));
     let seeds = settings.seeds.iter().map(SocketAddr::to_string).collect();
     driver.feed(RouteEvent::PeersNamed(seeds));
+}
 
-    let pool = Arc::new(ReplicaPool::default());
-    tokio::spawn(run_ticks(driver.clone(), pool.clone()));
-    let stopping = AtomicBool::new(false);
-    let tools = Arc::new(GatewayTools { driver: driver.clone(), pool, stopping });
-    let callers = Arc::new(CallerCount::default());
-    let limit = (settings.descriptors as f64 * CALLER_PART) as usize;
-    let (stop_sender, stop) = watch::channel(false);
-    let accepting = tokio::spawn({
-        let (driver, tools, callers) = (driver.clone(), tools.clone(), callers.clone());
-        async move {
-            wait_to_know(&driver).await;
-            accept_callers(listener, tools, callers, limit, stop).await;
-        }
-    });
+/// The entry that callers connect to, open from the start of the box until its planned stop.
+struct OpenEntry {
+    tools: Arc<GatewayTools>,
+    callers: Arc<CallerCount>,
+    accepting: JoinHandle<()>,
+    stop: watch::Sender<bool>,
+}
+
+impl OpenEntry {
+    /// Takes callers from when the box knows the site.
+    fn start(
+        settings: &GatewaySettings,
+        driver: &Arc<GatewayDriver>,
+        listener: TcpListener,
+    ) -> Self {
+        let pool = Arc::new(ReplicaPool::default());
+        tokio::spawn(run_ticks(driver.clone(), pool.clone()));
+        let stopping = AtomicBool::new(false);
+        let tools = Arc::new(GatewayTools { driver: driver.clone(), pool, stopping });
+        let callers = Arc::new(CallerCount::default());
+        let limit = (settings.descriptors as f64 * CALLER_PART) as usize;
+        let (stop, stopped) = watch::channel(false);
+        let accepting = tokio::spawn({
+            let (tools, callers) = (tools.clone(), callers.clone());
+            async move {
+                wait_to_know(&tools.driver).await;
+                accept_callers(listener, tools, callers, limit, stopped).await;
+            }
+        });
+        Self { tools, callers, accepting, stop }
+    }
 
-    launch(settings.ready, "ready", ready_routes(&driver)).await?;
-    launch(settings.directory, "directory", resolve_routes(&driver, settings.keep_ms)).await?;
+    /// Ends connections where no request is in hand, and takes new ones for [`STOP_TAKE_MS`] more.
+    fn stop(&self) {
+        self.tools.stopping.store(true, Ordering::Relaxed);
+        // The receivers live as long as the accept loop.
+        let _ = self.stop.send(true);
+        let accepting = self.accepting.abort_handle();
+        tokio::spawn(async move {
+            // A caller that is refused a connection tries another address at once.
+            tokio::time::sleep(Duration::from_millis(STOP_TAKE_MS)).await;
+            accepting.abort();
+        });
+    }
+}
+
+/// Serves the directory, readiness, and metrics where a port is given for them.
+async fn launch_answers(
+    settings: &GatewaySettings,
+    driver: &Arc<GatewayDriver>,
+    metrics: PrometheusHandle,
+    metrics_port: Option<u16>,
+) -> Result<(), ProcessError> {
+    launch(settings.ready, "ready", ready_routes(driver)).await?;
+    launch(settings.directory, "directory", resolve_routes(driver, settings.keep_ms)).await?;
     if let Some(port) = metrics_port {
         let address = SocketAddr::new(settings.entry.ip(), port);
-        launch(address, "metrics", metrics_routes(&driver, handle)).await?;
+        launch(address, "metrics", metrics_routes(driver, metrics)).await?;
     }
-    observe::note_started(&settings.name, settings.entry);
-    tokio::spawn(follow_settings(driver.clone(), file));
+    Ok(())
+}
 
-    wait_for_stop().await;
+/// The planned stop: leaves the entry list, serves on, and returns when nothing is left to do.
+async fn stop(
+    settings: &GatewaySettings,
+    driver: &GatewayDriver,
+    store: &StoreClient,
+    entry: OpenEntry,
+) {
     let began = Instant::now();
     driver.feed(RouteEvent::StopAsked);
-    tools.stopping.store(true, Ordering::Relaxed);
-    // The receivers live as long as the accept loop.
-    let _ = stop_sender.send(true);
-    tokio::spawn(async move {
-        // A caller that is refused a connection tries another address at once.
-        tokio::time::sleep(Duration::from_millis(STOP_TAKE_MS)).await;
-        accepting.abort();
-    });
-    follow::forget_box(&store, &settings.name).await;
-    wait_until_empty(&settings, &driver, &callers, began).await;
-    observe::note_exit(callers.open(), driver.state().in_hand());
-    Ok(())
+    entry.stop();
+    follow::forget_box(store, &settings.name).await;
+    wait_until_empty(settings, driver, &entry.callers, began).await;
+    observe::note_exit(entry.callers.open(), driver.state().in_hand());
 }
 
 fn listen_error(
