--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -25,6 +25,13 @@
 /// A load report fades with this half-life, in milliseconds: streams last seconds.
 pub const REPORT_HALF_LIFE_MS: f64 = 1_500.0;
 
+/// A waiting request weighs as much as this many running ones in a replica's load. From the bench: late
+/// first events came from replicas with a queue.
+pub const WAITING_WEIGHT: u32 = 4;
+
+/// A replica that is still slow from its start counts with this many times its load.
+pub const COLD_WEIGHT: f64 = 2.0;
+
 /// How long an entry that vanished while the store was unsound is still used, in milliseconds: below
 /// the two seconds within which a replica that lives writes it again.
 pub const LAPSE_GRACE_MS: u64 = 1_200;
@@ -109,7 +116,7 @@
     pub(super) id_hash: u64,
     /// Offset of its last change in the store.
     pub at: u64,
-    /// Reported running and waiting requests.
+    /// Reported running requests, and waiting ones by [`WAITING_WEIGHT`].
     pub reported: u32,
     /// When they were reported.
     pub reported_at: BoxTime,
@@ -135,7 +142,7 @@
         let age = now.millis_since(self.reported_at) as f64;
         let faded = f64::from(self.reported) * 0.5_f64.powf(age / REPORT_HALF_LIFE_MS);
         let estimate = (faded + f64::from(self.since_report)).max(f64::from(self.outstanding));
-        let cold = if self.cold_until > now { 2.0 } else { 1.0 };
+        let cold = if self.cold_until > now { COLD_WEIGHT } else { 1.0 };
         estimate * cold / f64::from(self.entry.slots.max(1))
     }
 
@@ -294,18 +301,18 @@
     /// Takes the load that came with an answer.
     pub fn reported(&mut self, key: ReplicaKey, load: BackendLoad, now: BoxTime) {
         if let Some(row) = self.rows.get_mut(key) {
-            row.reported = load.running + 4 * load.waiting;
+            row.reported = load.running + WAITING_WEIGHT * load.waiting;
             row.reported_at = now;
             row.since_report = 0;
         }
     }
 
     /// Notes that a request has ended, and how well the replica did.
-    pub fn ended(&mut self, key: ReplicaKey, did: BackendDeed, now: BoxTime) {
+    pub fn ended(&mut self, key: ReplicaKey, deed: BackendDeed, now: BoxTime) {
         let Some(row) = self.rows.get_mut(key) else { return };
         row.outstanding = row.outstanding.saturating_sub(1);
         row.reported = row.reported.saturating_sub(1);
-        match did {
+        match deed {
             BackendDeed::Served => {
                 row.failures = 0;
                 row.passes = 0;
