--- a/crates/core/src/route/peers.rs
+++ b/crates/core/src/route/peers.rs
@@ -11,7 +11,7 @@
 use std::collections::BTreeMap;
 
 use serde::Serialize;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::backend::BackendChange;
 use super::trial::{RouteTallies, TrialVerdict};
@@ -133,6 +133,13 @@
     pub heard_at: BoxTime,
 }
 
+impl PeerState {
+    /// Whether it was heard lately.
+    fn lives(&self, now: BoxTime) -> bool {
+        now.millis_since(self.heard_at) < SILENT_MS
+    }
+}
+
 /// The other boxes, by name.
 #[derive(Debug, Default)]
 pub struct PeerTable {
@@ -155,7 +162,7 @@
             }
         }
         self.hearsay.remove(&note.note_address);
-        // An address has one box; a machine that took it over has another name.
+        // An address has one box; a box that took it over has another name.
         self.rows.retain(|name, row| *name == note.name || row.note_address != note.note_address);
         self.rows.insert(
             note.name.clone(),
@@ -190,7 +197,7 @@
 
     /// Boxes that live, this one included.
     pub fn live_count(&self, now: BoxTime) -> usize {
-        1 + self.rows.values().filter(|row| now.millis_since(row.heard_at) < SILENT_MS).count()
+        1 + self.rows.values().filter(|row| row.lives(now)).count()
     }
 
     /// Addresses for the next round of notes: all if they are few, else some by chance.
@@ -198,8 +205,7 @@
         let known = self.rows.values().map(|row| &row.note_address);
         let mut all: Vec<&String> = known.chain(self.hearsay.keys()).collect();
         if all.len() > NOTE_FANOUT {
-            let order =
-                |address: &&String| xxhash_rust::xxh3::xxh3_64_with_seed(address.as_bytes(), dice);
+            let order = |address: &&String| xxh3_64_with_seed(address.as_bytes(), dice);
             all.sort_by_cached_key(order);
             all.truncate(NOTE_FANOUT);
         }
@@ -209,7 +215,7 @@
     /// Whether this box is one of the readers, and where the others of them hear notes. Readers are
     /// chosen by a hash of their names, so that they lie in different availability zones.
     pub fn readers(&self, me: &str, now: BoxTime) -> (bool, Vec<String>) {
-        let live = self.rows.iter().filter(|(_, row)| now.millis_since(row.heard_at) < SILENT_MS);
+        let live = self.rows.iter().filter(|(_, row)| row.lives(now));
         let mut all: Vec<(u64, Option<&String>)> = live
             .map(|(name, row)| (xxh3_64(name.as_bytes()), Some(&row.note_address)))
             .chain([(xxh3_64(me.as_bytes()), None)])
@@ -230,12 +236,12 @@
 
     /// Live boxes that callers may be sent to.
     pub fn open_rows(&self, now: BoxTime) -> impl Iterator<Item = &PeerState> {
-        self.rows.values().filter(move |row| row.open && now.millis_since(row.heard_at) < SILENT_MS)
+        self.rows.values().filter(move |row| row.open && row.lives(now))
     }
 
     /// How many live boxes come before this one by name.
     pub fn rank(&self, me: &str, now: BoxTime) -> usize {
-        let live = self.rows.iter().filter(|(_, row)| now.millis_since(row.heard_at) < SILENT_MS);
+        let live = self.rows.iter().filter(|(_, row)| row.lives(now));
         live.filter(|(name, _)| name.as_str() < me).count()
     }
 }
