--- a/crates/box/src/main.rs
+++ b/crates/box/src/main.rs
@@ -11,6 +11,9 @@
 use ravenspoke_config::gateway::GatewaySettings;
 use ravenspoke_config::settings::{read_settings, ProcessSettings};
 
+/// Lines that may wait to be written; more are dropped and counted.
+const LOG_LINES: usize = 8_192;
+
 const HELP: &str = "\
 Run an entry box of ravenspoke.
 
@@ -40,7 +43,7 @@
     Printed,
     /// A box of signed bundles.
     Bundles(Box<ProcessSettings>),
-    /// A box on the users' platform.
+    /// A box on the users' platform: its settings, their file, and the port of its metrics.
     Platform(Box<GatewaySettings>, PathBuf, Option<u16>),
 }
 
@@ -85,52 +88,66 @@
     }
 }
 
+/// Arguments of the command line.
+#[derive(Default)]
+struct CommandArgs {
+    settings: Option<PathBuf>,
+    platform: bool,
+    metrics_port: Option<u16>,
+}
+
 /// Reads the command line and the settings.
 fn load() -> miette::Result<CommandLine> {
-    let mut path: Option<PathBuf> = None;
-    let mut platform = false;
-    let mut metrics_port = None;
+    let Some(args) = read_args()? else { return Ok(CommandLine::Printed) };
+    if args.platform {
+        return load_platform(args);
+    }
+    if args.metrics_port.is_some() {
+        return Err(miette::miette!(help = "see --help", "--metrics goes with --platform"));
+    }
+    let path = args
+        .settings
+        .ok_or_else(|| miette::miette!(help = "see --help", "--settings FILE is needed"))?;
+    let text = read_text(&path)?;
+    let settings =
+        read_settings(&path.display().to_string(), &text).map_err(|findings| *findings)?;
+    Ok(CommandLine::Bundles(Box::new(settings)))
+}
+
+/// Reads the command line; `None` if help or version was asked for and printed.
+fn read_args() -> miette::Result<Option<CommandArgs>> {
+    let mut args = CommandArgs::default();
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next().into_diagnostic()? {
         match arg {
             Short('s') | Long("settings") => {
-                path = Some(parser.value().into_diagnostic()?.into());
+                args.settings = Some(parser.value().into_diagnostic()?.into());
             }
-            Long("platform") => platform = true,
+            Long("platform") => args.platform = true,
             Long("metrics") => {
                 let value = parser.value().into_diagnostic()?;
-                metrics_port = Some(value.parse().into_diagnostic()?);
+                args.metrics_port = Some(value.parse().into_diagnostic()?);
             }
             Short('h') | Long("help") => {
                 println!("{HELP}");
-                return Ok(CommandLine::Printed);
+                return Ok(None);
             }
             Short('V') | Long("version") => {
                 println!("ravenspoked {}", env!("CARGO_PKG_VERSION"));
-                return Ok(CommandLine::Printed);
+                return Ok(None);
             }
             other => return Err(other.unexpected()).into_diagnostic(),
         }
     }
-    if platform {
-        let path = path.unwrap_or_else(platform_path);
-        let text = read_text(&path)?;
-        let settings = adapter_settings::read_settings(&path.display().to_string(), &text);
-        return Ok(CommandLine::Platform(
-            Box::new(settings.map_err(|findings| *findings)?),
-            path,
-            metrics_port,
-        ));
-    }
-    if metrics_port.is_some() {
-        return Err(miette::miette!(help = "see --help", "--metrics goes with --platform"));
-    }
-    let path =
-        path.ok_or_else(|| miette::miette!(help = "see --help", "--settings FILE is needed"))?;
+    Ok(Some(args))
+}
+
+fn load_platform(args: CommandArgs) -> miette::Result<CommandLine> {
+    let path = args.settings.unwrap_or_else(platform_path);
     let text = read_text(&path)?;
-    let settings =
-        read_settings(&path.display().to_string(), &text).map_err(|findings| *findings)?;
-    Ok(CommandLine::Bundles(Box::new(settings)))
+    let settings = adapter_settings::read_settings(&path.display().to_string(), &text)
+        .map_err(|findings| *findings)?;
+    Ok(CommandLine::Platform(Box::new(settings), path, args.metrics_port))
 }
 
 fn platform_path() -> PathBuf {
@@ -144,9 +161,6 @@
         .wrap_err_with(|| format!("can't read the settings {}", path.display()))
 }
 
-/// Lines that may wait to be written; more are dropped and counted.
-const LOG_LINES: usize = 8_192;
-
 /// Starts the logs of a box on the platform: JSON lines on standard output, through a bounded buffer
 /// that never blocks.
 fn start_platform_logs() -> tracing_appender::non_blocking::WorkerGuard {
