A box that was started while the store is away learns the replicas from others

Change: a box that knows no replica asks for them, and is not named to callers before it knows one. Fixtures of the second box in four tests of membership have a replica now, since a box without one is not named; what they assert is the same.

--- a/crates/box/src/gateway/note_wire.rs
+++ b/crates/box/src/gateway/note_wire.rs
@@ -50,6 +50,8 @@
     asked_at: u64,
     #[prost(uint64, tag = "4")]
     read_to: u64,
+    #[prost(bool, tag = "5")]
+    wants_replicas: bool,
 }
 
 /// A record of the operator; without a value, its key was dropped.
@@ -251,6 +253,7 @@
         incarnation: ask.incarnation,
         asked_at: ask.asked_at.0,
         read_to: ask.read_to,
+        wants_replicas: ask.wants_replicas,
     }
 }
 
@@ -260,6 +263,7 @@
         incarnation: ask.incarnation,
         asked_at: BoxTime(ask.asked_at),
         read_to: ask.read_to,
+        wants_replicas: ask.wants_replicas,
     }
 }
 
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -169,6 +169,17 @@
         self.rows.get(key)
     }
 
+    /// All replicas that are used, as changes.
+    pub fn all_changes(&self) -> Vec<BackendChange> {
+        let used = self.rows.values().filter(|row| row.lapses_at.is_none());
+        let change = |row: &BackendState| BackendChange {
+            id: row.entry.id.clone(),
+            at: row.at,
+            entry: Some(row.entry.clone()),
+        };
+        used.map(change).collect()
+    }
+
     /// Takes one change. Where the store was away, an entry that vanished is used until `lapse_at`: it
     /// may come back. Gives what of it is news.
     pub fn take(
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -254,7 +254,7 @@
     /// Whether callers may be sent here.
     pub fn open(&self, now: BoxTime) -> bool {
         let fresh = self.fresh.age_ms(now).is_some_and(|age| age < NAMED_AGE_MS);
-        self.ready(now) && fresh
+        self.ready(now) && fresh && self.knows_replicas()
     }
 
     /// Whether the box can serve at all.
@@ -304,7 +304,12 @@
 
     /// Whether the box knows enough to serve: a plan, and replicas.
     pub fn knows_site(&self) -> bool {
-        self.has_plan() && !self.verdicts_unread() && self.backends.rows().next().is_some()
+        self.has_plan() && !self.verdicts_unread() && self.knows_replicas()
+    }
+
+    /// Whether any replica is known.
+    fn knows_replicas(&self) -> bool {
+        self.backends.rows().next().is_some()
     }
 
     /// Offset up to which the operator's records were read.
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -3,7 +3,7 @@
 
 use super::backend::{BackendChange, BackendNews};
 use super::event::RouteEffect;
-use super::peers::{self, PeerAsk, PeerNote, TrialNote};
+use super::peers::{self, PeerAsk, PeerNote, TrialNote, REPLICAS_TOLD};
 use super::RouteState;
 use crate::event::EventStamp;
 use crate::time::BoxTime;
@@ -83,7 +83,8 @@
         }
         self.next_ask = stamp.now.plus_millis(peers::ASK_EVERY_MS);
         let (own, readers) = self.peers.readers(&self.settings.name, stamp.now);
-        if own || readers.is_empty() {
+        // A box that was started while the store is away knows no replica, reader or not.
+        if (own && self.knows_replicas()) || readers.is_empty() {
             return;
         }
         let reader = readers[(stamp.dice % readers.len() as u64) as usize].clone();
@@ -96,13 +97,19 @@
             incarnation: self.settings.incarnation,
             asked_at: stamp.now,
             read_to: self.read_to,
+            wants_replicas: !self.knows_replicas(),
         }
     }
 
     /// Answers another box's ask.
     pub(super) fn on_ask(&mut self, stamp: EventStamp, ask: PeerAsk, out: &mut Vec<RouteEffect>) {
         let to = vec![ask.note_address.clone()];
-        let note = PeerNote { echo: Some(ask), ..self.note(stamp) };
+        let mut note = self.note(stamp);
+        if ask.wants_replicas {
+            note.changes = self.backends.all_changes();
+            note.changes.truncate(REPLICAS_TOLD);
+        }
+        note.echo = Some(ask);
         out.push(RouteEffect::SendNotes(to, Box::new(note)));
     }
 
@@ -116,7 +123,15 @@
             return;
         }
         self.peers.hear_of(&note.others, &self.settings.note_address, stamp.now);
-        self.on_backends(stamp, note.changes.clone(), out);
+        if note.echo.as_ref().is_some_and(|ask| ask.wants_replicas) {
+            // What this box asked for is no news to the others.
+            let lapse_at = self.lapse_at.filter(|at| *at > stamp.now);
+            for change in &note.changes {
+                self.backends.take(change, stamp.now, lapse_at);
+            }
+        } else {
+            self.on_backends(stamp, note.changes.clone(), out);
+        }
         self.hear_trials(stamp, note, out);
         self.hear_freshness(stamp, note, out);
     }
--- a/crates/core/src/route/peers.rs
+++ b/crates/core/src/route/peers.rs
@@ -49,6 +49,9 @@
 /// An answer to an ask that was sent longer ago says nothing, in milliseconds.
 pub const ECHO_LIMIT_MS: u64 = 3_000;
 
+/// Replicas told to a box that knows none, at most: what a datagram holds.
+pub const REPLICAS_TOLD: usize = 300;
+
 /// Addresses of other boxes that a note tells of.
 pub const TOLD_OF: usize = 6;
 
@@ -112,6 +115,8 @@
     pub asked_at: BoxTime,
     /// Offset up to which it has read the operator's records: it wants what is behind.
     pub read_to: u64,
+    /// Whether it knows no replica, and wants all.
+    pub wants_replicas: bool,
 }
 
 /// What is known of another box.
--- a/crates/core/tests/route/membership.rs
+++ b/crates/core/tests/route/membership.rs
@@ -17,13 +17,20 @@
     to.feed(RouteEvent::PeerHeard(note))
 }
 
+/// Another box that knows a replica and no plan.
+fn second_box() -> TestBox {
+    let mut subject = new_box("box-2");
+    subject.put(entry("a", "v1"));
+    subject
+}
+
 fn named(subject: &TestBox) -> Vec<String> {
     subject.state.named(BoxTime::from_millis(subject.now))
 }
 
 #[test]
 fn callers_are_sent_to_boxes_that_live() {
-    let (mut first, mut second) = (ready_box(), new_box("box-2"));
+    let (mut first, mut second) = (ready_box(), second_box());
     second.read_plan(Some(plan(1)));
     tell(&mut second, &mut first);
     assert_eq!(named(&first), ["box-2:80", "box-1:80"]);
@@ -33,7 +40,7 @@
 
 #[test]
 fn a_stopping_box_is_no_longer_named_at_once() {
-    let (mut first, mut second) = (ready_box(), new_box("box-2"));
+    let (mut first, mut second) = (ready_box(), second_box());
     second.read_plan(Some(plan(1)));
     tell(&mut second, &mut first);
     let note = note_in(&second.feed(RouteEvent::StopAsked)).expect("it tells at once");
@@ -43,7 +50,7 @@
 
 #[test]
 fn a_box_that_can_not_read_the_plan_is_named_only_if_none_can() {
-    let (mut first, mut second) = (ready_box(), new_box("box-2"));
+    let (mut first, mut second) = (ready_box(), second_box());
     second.read_plan(Some(plan(1)));
     first.now += NAMED_AGE_MS;
     second.now = first.now;
@@ -68,7 +75,7 @@
 
 #[test]
 fn an_old_note_changes_nothing() {
-    let (mut first, mut second) = (ready_box(), new_box("box-2"));
+    let (mut first, mut second) = (ready_box(), second_box());
     second.read_plan(Some(plan(1)));
     second.feed(RouteEvent::PeersNamed(vec!["box-1:90".to_owned()]));
     second.now += 500;
@@ -116,6 +123,7 @@
         incarnation: 1,
         asked_at: BoxTime::from_millis(asker.now),
         read_to: asker.state.read_to(),
+        wants_replicas: asker.state.backends().rows().next().is_none(),
     };
     note_in(&reader.feed(RouteEvent::PeerAsked(ask))).expect("an answer")
 }
@@ -238,3 +246,16 @@
         first.state.backends().rows().map(|(_, row)| row.entry.id.clone()).collect();
     assert_eq!(known, ["b"], "a word from before does not bring it back");
 }
+
+#[test]
+fn a_box_that_was_started_while_the_store_is_away_learns_the_replicas_from_others() {
+    let mut reader = ready_box();
+    let mut started = new_box("box-2");
+    started.read_plan(Some(plan(1)));
+    assert!(!started.state.open(BoxTime::from_millis(started.now)), "it could serve nobody");
+    let note = answer(&mut reader, &started);
+    let effects = started.feed(RouteEvent::PeerHeard(note));
+    assert_eq!(effects, [], "what it asked for is no news to others");
+    assert!(started.state.open(BoxTime::from_millis(started.now)));
+    started.sent(ask("/read/x"));
+}
