--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -18,7 +18,7 @@
 use super::driver::{GatewayDriver, RequestName, RequestStep};
 use super::observe;
 use super::pool::{ReplicaLink, ReplicaPool};
-use super::relay::relay_stream;
+use super::relay::{relay_stream, StreamSource};
 
 /// Largest answer that is no stream, in bytes; it is read whole before any of it is passed on.
 pub const ANSWER_LIMIT: usize = 4 << 20;
@@ -185,24 +185,53 @@
 /// A failure with what is known of its cause.
 type FailedAttempt = (AttemptFailure, String);
 
+fn never(why: String) -> FailedAttempt {
+    (AttemptFailure::NeverSent, why)
+}
+
+fn broken(why: String) -> FailedAttempt {
+    (AttemptFailure::Broken, why)
+}
+
+/// Sends the request to the order's replica, and reads the answer: whole, or a stream's head.
 async fn ask_replica(
     tools: &GatewayTools,
     caller: &CallerRequest,
     order: &SendOrder,
     resume_after: Option<&str>,
 ) -> Result<ReplicaAnswer, FailedAttempt> {
-    let never = |why: String| (AttemptFailure::NeverSent, why);
-    let broken = |why: String| (AttemptFailure::Broken, why);
     let address: SocketAddr =
         order.address.parse().map_err(|_| never("the entry has no address".to_owned()))?;
+    let request = || replica_request(tools, caller, order, resume_after);
+    let (response, link) = send_request(tools, order, address, request).await?;
+    let (head, body) = response.into_parts();
+    if !headers::answers_request(&caller.headers, &head.headers) {
+        return Err(broken("the answer is another request's".to_owned()));
+    }
+    let decoded = headers::read_answer(&head);
+    if order.kind.is_stream() && head.status.is_success() {
+        return Ok(ReplicaAnswer { head, decoded, body: AnswerBody::Stream(body, link) });
+    }
+    let whole = Limited::new(body, ANSWER_LIMIT).collect().await;
+    let whole = whole.map_err(|error| broken(error.to_string()))?.to_bytes();
+    give_back(tools, link, &head.headers);
+    Ok(ReplicaAnswer { head, decoded, body: AnswerBody::Whole(whole) })
+}
+
+/// Sends `request` on an idle connection, or a new one where none is left that takes it.
+async fn send_request(
+    tools: &GatewayTools,
+    order: &SendOrder,
+    address: SocketAddr,
+    request: impl Fn() -> Request<Full<Bytes>>,
+) -> Result<(Response<Incoming>, ReplicaLink), FailedAttempt> {
     let mut link = match tools.pool.take(address, order.kind.repeatable()) {
         Some(link) => link,
         None => open(tools, order, address).await?,
     };
-    let response = loop {
-        let request = replica_request(tools, caller, order, resume_after);
-        let error = match link.sender.try_send_request(request).await {
-            Ok(response) => break response,
+    loop {
+        let error = match link.sender.try_send_request(request()).await {
+            Ok(response) => return Ok((response, link)),
             Err(error) => error,
         };
         // Given back means that none of it was written; a connection kept idle may end so.
@@ -213,19 +242,7 @@
             return Err(never(error.into_error().to_string()));
         }
         link = open(tools, order, address).await?;
-    };
-    let (head, body) = response.into_parts();
-    if !headers::answers_request(&caller.headers, &head.headers) {
-        return Err(broken("the answer is another request's".to_owned()));
     }
-    let decoded = headers::read_answer(&head);
-    if order.kind.is_stream() && head.status.is_success() {
-        return Ok(ReplicaAnswer { head, decoded, body: AnswerBody::Stream(body, link) });
-    }
-    let whole = Limited::new(body, ANSWER_LIMIT).collect().await;
-    let whole = whole.map_err(|error| broken(error.to_string()))?.to_bytes();
-    give_back(tools, link, &head.headers);
-    Ok(ReplicaAnswer { head, decoded, body: AnswerBody::Whole(whole) })
 }
 
 async fn open(
@@ -235,7 +252,7 @@
 ) -> Result<ReplicaLink, FailedAttempt> {
     let limit = tools.driver.until(order.deadline);
     let opened = tools.pool.open(address, limit).await;
-    opened.map_err(|error| (AttemptFailure::NeverSent, error.to_string()))
+    opened.map_err(|error| never(error.to_string()))
 }
 
 /// Gives a connection back in a task of its own: the caller's answer doesn't wait for the proof.
@@ -276,7 +293,8 @@
             whole_body(bytes)
         }
         AnswerBody::Stream(body, link) => {
-            relay_stream(tools, caller, guard, order, answer.head.headers, body, link)
+            let source = StreamSource { body, link, headers: answer.head.headers };
+            relay_stream(tools, caller, guard, order, source)
         }
     };
     let mut response = Response::new(body);
--- a/crates/box/src/gateway/relay.rs
+++ b/crates/box/src/gateway/relay.rs
@@ -30,10 +30,11 @@
 }
 
 /// The replica's side of a stream.
-struct StreamSource {
-    body: Incoming,
-    link: ReplicaLink,
-    headers: HeaderMap,
+pub(super) struct StreamSource {
+    pub(super) body: Incoming,
+    pub(super) link: ReplicaLink,
+    /// Headers of the replica's answer.
+    pub(super) headers: HeaderMap,
 }
 
 /// What came next of a stream.
@@ -51,12 +52,10 @@
     caller: CallerRequest,
     guard: RequestGuard,
     order: Box<SendOrder>,
-    headers: HeaderMap,
-    body: Incoming,
-    link: ReplicaLink,
+    source: StreamSource,
 ) -> CallerBody {
-    let source = Some(StreamSource { body, link, headers });
-    let relay = StreamRelay { tools, caller, guard, order, cutter: EventCutter::default(), source };
+    let (cutter, source) = (EventCutter::default(), Some(source));
+    let relay = StreamRelay { tools, caller, guard, order, cutter, source };
     let pieces = stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
         match relay.next_events().await {
