--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -62,7 +62,7 @@
     started: Instant,
     next_ticket: AtomicU64,
     /// The operator's records, for boxes that ask for them.
-    pub operator: Mutex<OperatorRecords>,
+    operator: Mutex<OperatorRecords>,
 }
 
 impl GatewayDriver {
@@ -92,6 +92,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The operator's records as this box knows them.
+    pub fn operator(&self) -> MutexGuard<'_, OperatorRecords> {
+        self.operator.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// A number for a new request.
     pub fn next_ticket(&self) -> RequestTicket {
         RequestTicket(self.next_ticket.fetch_add(1, Ordering::Relaxed))
--- a/crates/box/src/gateway/notes.rs
+++ b/crates/box/src/gateway/notes.rs
@@ -1,7 +1,7 @@
 //! Hears and sends datagrams between boxes: notes, asks, and the operator's records that an ask wants.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, PoisonError};
+use std::sync::Arc;
 
 use ravenspoke_adapter::store::KeyedRecord;
 use ravenspoke_core::route::event::RouteEvent;
@@ -66,9 +66,7 @@
 /// Records that the ask wants which a note answers.
 fn wanted_records(driver: &GatewayDriver, note: &PeerNote) -> Vec<KeyedRecord> {
     match &note.echo {
-        Some(ask) if ask.read_to < note.read_to => {
-            driver.operator.lock().unwrap_or_else(PoisonError::into_inner).since(ask.read_to)
-        }
+        Some(ask) if ask.read_to < note.read_to => driver.operator().since(ask.read_to),
         _ => Vec::new(),
     }
 }
--- a/crates/box/src/gateway/told.rs
+++ b/crates/box/src/gateway/told.rs
@@ -70,7 +70,7 @@
     if !sound {
         return false;
     }
-    driver.operator.lock().unwrap_or_else(std::sync::PoisonError::into_inner).take(records);
+    driver.operator().take(records);
     if !orders.is_empty() {
         driver.feed(RouteEvent::OrdersRead(orders));
     }
