--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -8,7 +8,7 @@
 use metrics::{counter, gauge, histogram};
 use ravenspoke_adapter::records::RecordError;
 use ravenspoke_adapter::store::StoreError;
-use ravenspoke_core::route::event::{AnswerHead, AttemptFailure, RouteEffect};
+use ravenspoke_core::route::event::{AnswerHead, AttemptFailure, RouteEffect, SendOrder};
 use tracing::{error, info, warn};
 
 use super::driver::RequestName;
@@ -17,26 +17,7 @@
 pub fn note_request(name: &RequestName, effect: &RouteEffect) {
     let id = name.id.as_str();
     match effect {
-        RouteEffect::Send(_, order) => {
-            counter!("ravenspoke_sends_total", "attempt" => order.number.to_string()).increment(1);
-            info!(
-                event = 701,
-                name = "request_sent",
-                id,
-                attempt = order.number,
-                route = order.route,
-                replica = order.replica_id,
-                address = order.address,
-                version = order.version,
-                model = order.model,
-                plan = order.inputs.plan_version,
-                plan_age_ms = order.inputs.plan_age_ms,
-                candidates = order.inputs.candidates,
-                load = order.inputs.load,
-                affine = order.inputs.affine,
-                head_ms = order.head_ms,
-            );
-        }
+        RouteEffect::Send(_, order) => note_send(id, order),
         RouteEffect::Refuse(_, refusal, inputs) => {
             let reason = refusal.reason.slug();
             counter!("ravenspoke_route_refused_total", "reason" => reason).increment(1);
@@ -59,6 +40,27 @@
     }
 }
 
+fn note_send(id: &str, order: &SendOrder) {
+    counter!("ravenspoke_sends_total", "attempt" => order.number.to_string()).increment(1);
+    info!(
+        event = 701,
+        name = "request_sent",
+        id,
+        attempt = order.number,
+        route = order.route,
+        replica = order.replica_id,
+        address = order.address,
+        version = order.version,
+        model = order.model,
+        plan = order.inputs.plan_version,
+        plan_age_ms = order.inputs.plan_age_ms,
+        candidates = order.inputs.candidates,
+        load = order.inputs.load,
+        affine = order.inputs.affine,
+        head_ms = order.head_ms,
+    );
+}
+
 /// Logs that a replica's answer was no answer, or none came.
 pub fn note_attempt_failed(
     name: &RequestName,
