--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -118,12 +118,6 @@
         self.changed.notify_waiters();
     }
 
-    /// Drops a key.
-    pub fn drop_key(&self, topic: &str, key: &str) {
-        self.lock().push(topic, key, Vec::new());
-        self.changed.notify_waiters();
-    }
-
     /// The newest value of a key.
     pub fn newest(&self, topic: &str, key: &str) -> Option<Value> {
         let state = self.lock();
