--- a/crates/core/src/route/trial.rs
+++ b/crates/core/src/route/trial.rs
@@ -47,6 +47,14 @@
 /// Logarithm of how many times slower counts as bad: 1.7 times.
 pub const SLOW_LOG: f64 = 0.53;
 
+/// Answers and failures that the other versions are taken to have had before the first one is seen: one
+/// in twenty.
+const SUPPOSED_RUNS: f64 = 20.0;
+const SUPPOSED_BAD: f64 = 1.0;
+
+/// Least variance of the logarithms of times, so that a few equal ones prove nothing.
+const VARIANCE_FLOOR: f64 = 0.04;
+
 /// Counts of the answers of one version on one route.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct VersionTally {
@@ -94,7 +102,7 @@
 
     fn log_variance(&self) -> f64 {
         let mean = self.log_mean();
-        (self.log_square / self.timed.max(1.0) - mean * mean).max(0.04)
+        (self.log_square / self.timed.max(1.0) - mean * mean).max(VARIANCE_FLOOR)
     }
 }
 
@@ -118,7 +126,7 @@
         if fresh.runs < BAD_RUNS {
             return false;
         }
-        let usual = (base.bad + 1.0) / (base.runs + 20.0);
+        let usual = (base.bad + SUPPOSED_BAD) / (base.runs + SUPPOSED_RUNS);
         let error = (usual * (1.0 - usual) / fresh.runs).sqrt();
         let excess = fresh.bad_share() - usual;
         excess > BAD_SHARE && excess > BAD_ERRORS * error
