--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -127,19 +127,19 @@
             _ => return Err(BrokenAnswer("the reducer gave no step")),
         };
         match attempt(&tools, &caller, &mut guard, &order, None).await {
-            Attempted::Answer(answer) => {
+            AttemptOutcome::Answer(answer) => {
                 step = guard.feed(RouteEvent::HeadCame(guard.name.ticket, answer.decoded));
                 if matches!(step, Some(RequestStep::Relay)) {
                     return Ok(pass_on(tools, caller, guard, order, *answer));
                 }
             }
-            Attempted::Ended(next) => step = next,
+            AttemptOutcome::Ended(next) => step = next,
         }
     }
 }
 
 /// What an attempt led to.
-pub enum Attempted {
+pub enum AttemptOutcome {
     /// An answer to this request.
     Answer(Box<ReplicaAnswer>),
     /// None; the reducer's next step.
@@ -153,7 +153,7 @@
     guard: &mut RequestGuard,
     order: &SendOrder,
     resume_after: Option<&str>,
-) -> Attempted {
+) -> AttemptOutcome {
     let began = Instant::now();
     let asked = ask_replica(tools, caller, order, resume_after);
     tokio::pin!(asked);
@@ -163,11 +163,11 @@
         match tokio::time::timeout(left.min(patience), asked.as_mut()).await {
             Ok(Ok(answer)) => {
                 observe::note_head(&guard.name, &answer.decoded, began.elapsed());
-                return Attempted::Answer(Box::new(answer));
+                return AttemptOutcome::Answer(Box::new(answer));
             }
             Ok(Err(failed)) => break failed,
             Err(_) if left <= patience => {
-                return Attempted::Ended(guard.feed(RouteEvent::TimeUp(guard.name.ticket)));
+                return AttemptOutcome::Ended(guard.feed(RouteEvent::TimeUp(guard.name.ticket)));
             }
             Err(_) => {}
         }
@@ -175,11 +175,11 @@
         if let Some(step) = guard.feed(RouteEvent::Paused(guard.name.ticket)) {
             let why = "no head in time";
             observe::note_attempt_failed(&guard.name, AttemptFailure::Silent, why, began.elapsed());
-            return Attempted::Ended(Some(step));
+            return AttemptOutcome::Ended(Some(step));
         }
     };
     observe::note_attempt_failed(&guard.name, failure, &why, began.elapsed());
-    Attempted::Ended(guard.feed(RouteEvent::AttemptFailed(guard.name.ticket, failure)))
+    AttemptOutcome::Ended(guard.feed(RouteEvent::AttemptFailed(guard.name.ticket, failure)))
 }
 
 /// A failure with what is known of its cause.
--- a/crates/box/src/gateway/relay.rs
+++ b/crates/box/src/gateway/relay.rs
@@ -13,7 +13,7 @@
 use super::driver::RequestStep;
 use super::event_cut::EventCutter;
 use super::exchange::{
-    attempt, give_back, AnswerBody, Attempted, BrokenAnswer, CallerBody, CallerRequest,
+    attempt, give_back, AnswerBody, AttemptOutcome, BrokenAnswer, CallerBody, CallerRequest,
     GatewayTools, RequestGuard,
 };
 use super::observe;
@@ -137,10 +137,10 @@
             };
             self.order = order;
             let last = self.cutter.last_id().map(str::to_owned);
-            let attempted =
+            let outcome =
                 attempt(&self.tools, &self.caller, &mut self.guard, &self.order, last.as_deref());
-            match attempted.await {
-                Attempted::Answer(answer) => {
+            match outcome.await {
+                AttemptOutcome::Answer(answer) => {
                     step = self.guard.feed(RouteEvent::HeadCame(ticket, answer.decoded));
                     if !matches!(step, Some(RequestStep::Relay)) {
                         continue;
@@ -151,7 +151,7 @@
                     self.source = Some(StreamSource { body, link, headers: answer.head.headers });
                     return Ok(());
                 }
-                Attempted::Ended(next) => step = next,
+                AttemptOutcome::Ended(next) => step = next,
             }
         }
     }
