--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -32,6 +32,13 @@
     pub(super) pauses: u32,
 }
 
+/// A replica chosen for an attempt.
+struct AttemptChoice {
+    pick: BackendPick,
+    /// Whether it is taken for the version on trial.
+    on_trial: bool,
+}
+
 impl RouteState {
     /// Sends a request to a replica, or gives it up for `otherwise` if there is none.
     pub(super) fn send(
@@ -41,15 +48,15 @@
         otherwise: RefusalReason,
         out: &mut Vec<RouteEffect>,
     ) {
-        let Some((pick, on_trial)) = self.choose(stamp, ticket) else {
+        let Some(choice) = self.choose(stamp, ticket) else {
             self.give_up(stamp, ticket, otherwise, out);
             return;
         };
-        self.assign(stamp, ticket, pick, on_trial, out);
+        self.assign(stamp, ticket, choice, out);
     }
 
-    /// The replica for a request's next attempt, and whether it runs a version on trial.
-    fn choose(&self, stamp: EventStamp, ticket: RequestTicket) -> Option<(BackendPick, bool)> {
+    /// The replica for a request's next attempt.
+    fn choose(&self, stamp: EventStamp, ticket: RequestTicket) -> Option<AttemptChoice> {
         let request = self.requests.get(&ticket)?;
         let (version, on_trial) = self.version_wish(stamp, &request.service, request.session);
         let ask = BackendAsk {
@@ -63,9 +70,9 @@
         };
         // A wish that nobody fits gives way, but never to a version that is bad.
         let fallback = self.fallback_wish(&request.service);
-        self.backends.pick(&ask).map(|pick| (pick, on_trial)).or_else(|| {
+        self.backends.pick(&ask).map(|pick| AttemptChoice { pick, on_trial }).or_else(|| {
             let ask = BackendAsk { version: fallback, ..ask };
-            self.backends.pick(&ask).map(|pick| (pick, false))
+            self.backends.pick(&ask).map(|pick| AttemptChoice { pick, on_trial: false })
         })
     }
 
@@ -74,10 +81,10 @@
         &mut self,
         stamp: EventStamp,
         ticket: RequestTicket,
-        pick: BackendPick,
-        on_trial: bool,
+        choice: AttemptChoice,
         out: &mut Vec<RouteEffect>,
     ) {
+        let AttemptChoice { pick, on_trial } = choice;
         let inputs = DecisionInputs {
             candidates: pick.candidates,
             load: pick.load,
@@ -145,12 +152,12 @@
         deed: BackendDeed,
         out: &mut Vec<RouteEffect>,
     ) -> bool {
-        let Some((pick, on_trial)) = self.choose(stamp, ticket) else { return false };
+        let Some(choice) = self.choose(stamp, ticket) else { return false };
         if !self.may_send_again(stamp, ticket) {
             return false;
         }
         self.end_attempt(stamp, ticket, deed);
-        self.assign(stamp, ticket, pick, on_trial, out);
+        self.assign(stamp, ticket, choice, out);
         true
     }
 
