Readers wait one second; a listing shows what is before its end

Likely, not shown: a reader that waits two seconds at a store that drops its history. Change: reads wait one second, and follow each other at once where they were empty. Found by reading: an entry written right behind a listing that lacked it was passed over (test seen to fail first).

--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -19,8 +19,9 @@
 use super::told::take_operator;
 
 /// A reader's read waits this long for a record, in milliseconds: the price of a call against the age
-/// of what is known.
-pub const READER_WAIT_MS: u64 = 2_000;
+/// of what is known. A store that drops its history may answer nothing for a second and then cut who
+/// waits; a leaving replica must be known within two.
+pub const READER_WAIT_MS: u64 = 1_000;
 
 /// A reader of the entries pauses this long between two reads, in milliseconds: replicas come and go in
 /// crowds, and each would cost a call.
@@ -181,13 +182,20 @@
     let mut next = None;
     loop {
         let reader = driver.state().is_reader(driver.now());
+        let empty;
         match follower.read(&mut next, if reader { READER_WAIT_MS } else { 0 }).await {
-            Some(news) => take_backends(&driver, news),
+            Some(news) => {
+                empty = news.records.is_empty();
+                take_backends(&driver, news);
+            }
             None => {
                 follower.wait_to_retry().await;
                 continue;
             }
         }
+        if reader && empty {
+            continue;
+        }
         if reader {
             // What comes meanwhile is read in one call.
             tokio::time::sleep(Duration::from_millis(READER_PAUSE_MS)).await;
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -209,7 +209,9 @@
         lapse_at: Option<BoxTime>,
     ) -> Vec<(BackendChange, BackendNews)> {
         let missing = self.ids.keys().filter(|id| !listed.iter().any(|row| row.id == **id));
-        let gone = |id: &String| BackendChange { id: id.clone(), at: end, entry: None };
+        // The listing shows all changes before `end`; one at `end` is later.
+        let last = end.saturating_sub(1);
+        let gone = |id: &String| BackendChange { id: id.clone(), at: last, entry: None };
         let missing: Vec<BackendChange> = missing.map(gone).collect();
         let changes = missing.into_iter().chain(listed);
         changes.map(|change| (change.clone(), self.take(&change, now, lapse_at))).collect()
--- a/crates/core/tests/route/requests.rs
+++ b/crates/core/tests/route/requests.rs
@@ -411,3 +411,15 @@
     let sent_again = fail_once(&mut subject, 10);
     assert_eq!(sent_again, 10, "the slack is whole again");
 }
+
+#[test]
+fn a_replica_that_a_listing_lacked_is_used_again_from_the_very_next_record_on() {
+    let mut subject = ready_box();
+    let end = subject.offset + 5;
+    subject.feed(RouteEvent::BackendsListed { end, listed: Vec::new() });
+    let refusal = subject.refused(ask("/read/x"));
+    assert!(is_refused(refusal, 503, RefusalReason::NoReplica));
+    subject.offset = end - 1;
+    subject.put(entry("a", "v1"));
+    subject.sent(ask("/read/x"));
+}
