--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -28,6 +28,9 @@
 const NOTES_PORT: u16 = 18_340;
 const METRICS_PORT: u16 = 18_464;
 
+/// Port under which settings name seeds; boxes hear notes at [`NOTES_PORT`] all the same.
+const SEED_PORT: u16 = 18_229;
+
 /// A loopback address that nothing else of this process, or of another that lives, uses.
 pub fn own_address() -> IpAddr {
     static NEXT: AtomicU8 = AtomicU8::new(1);
@@ -199,14 +202,15 @@
 
     fn settings(&self, name: &str, ip: IpAddr) -> String {
         let seeds: Vec<String> =
-            self.seeds.iter().rev().take(3).map(|seed| format!("\"{seed}:18229\"")).collect();
+            self.seeds.iter().rev().take(3).map(|seed| format!("\"{seed}:{SEED_PORT}\"")).collect();
         format!(
             "node = \"{name}\"\nrole = \"gateway\"\nip = \"{ip}\"\nzone = \"east\"\n\
              ephemeral_ports = [{NOTES_PORT}, {}]\nseeds = [{}]\nfield_of_tomorrow = true\n\
              [listen]\nfront = \"{ip}:{ENTRY_PORT}\"\nready = \"{ip}:{READY_PORT}\"\n\
              directory = \"{ip}:{DIRECTORY_PORT}\"\n\
              [bounds]\nstrict_revoke = true\nrevoke_ms = 5000\nconfig_apply_ms = 2000\n\
-             grace_s = 8\nretry_budget_ratio = 0.9\nretry_slack = 60\n[limits]\nmax_fds = 4100\n[platform]\naddress = \"{}\"\n",
+             grace_s = 8\nretry_budget_ratio = 0.9\nretry_slack = 60\n\
+             [limits]\nmax_fds = 4100\n[platform]\naddress = \"{}\"\n",
             NOTES_PORT + 15,
             seeds.join(", "),
             self.store.address,
