route: nine small faults found by reading, each with a test

Cause (docs/FINDINGS.md, open list): an answer of the version on trial counted as the old one's where no old replica was left; each pause of one attempt counted against its version and a request whose time was up counted nothing; a listing of verdicts asked for before an order was read marked that order's trial as looked up; `affine` was false where the holder of the parts was the lightest too; 721 was logged behind 722; callers beyond the limit were closed without a line or a count; a seed that is no address vanished; no port for notes was port 0; the plan's bound on heads was not used.

Ruled out: a failing start for a bad seed: the other seeds serve.

--- a/crates/box/src/gateway/entry.rs
+++ b/crates/box/src/gateway/entry.rs
@@ -14,8 +14,12 @@
 use super::exchange::{serve_request, GatewayTools};
 use super::observe;
 
-/// Read buffer of a connection, at most, in bytes: a head of the largest size that plans allow, twice.
-pub const BUFFER_LIMIT: usize = 64 << 10;
+/// Read buffer of a connection, in bytes, where the plan does not allow larger heads.
+pub const BUFFER_BYTES: usize = 64 << 10;
+
+/// Heads of the largest size allowed that a read buffer holds: a head that is a little too large is
+/// read whole, and answered.
+pub const BUFFER_HEADS: usize = 2;
 
 /// A connection that rests longer than the plan allows is closed after this much more, in
 /// milliseconds.
@@ -58,6 +62,7 @@
     limit: usize,
     stop: watch::Receiver<bool>,
 ) {
+    let mut full = false;
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -68,7 +73,12 @@
                 continue;
             }
         };
-        if count.open() >= limit {
+        let was_full = std::mem::replace(&mut full, count.open() >= limit);
+        if full {
+            observe::note_caller_turned_away();
+            if !was_full {
+                observe::note_callers_full(limit);
+            }
             continue;
         }
         let counted = CountedCaller::new(&count);
@@ -88,7 +98,9 @@
     if let Err(error) = stream.set_nodelay(true) {
         observe::note_socket_failed("entry", &error);
     }
-    let idle_ms = tools.driver.state().plan().limits.idle_ms + IDLE_SLACK_MS;
+    let limits = tools.driver.state().plan().limits;
+    let idle_ms = limits.idle_ms + IDLE_SLACK_MS;
+    let buffer = BUFFER_BYTES.max(BUFFER_HEADS * limits.header_bytes);
     let service = service_fn(move |request| {
         let tools = tools.clone();
         async move {
@@ -102,7 +114,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(idle_ms))
-        .max_buf_size(BUFFER_LIMIT)
+        .max_buf_size(buffer)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let stopped = tokio::select! {
--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -106,8 +106,14 @@
     request: Request<Incoming>,
 ) -> Result<Response<CallerBody>, BrokenAnswer> {
     let (head, body) = request.into_parts();
-    let limit = tools.driver.state().plan().limits.body_bytes;
-    let body = match Limited::new(body, limit).collect().await {
+    let limits = tools.driver.state().plan().limits;
+    if head_bytes(&head) > limits.header_bytes {
+        return Ok(plain_answer(
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "the head is too large",
+        ));
+    }
+    let body = match Limited::new(body, limits.body_bytes).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) if error.is::<LengthLimitError>() => {
             return Ok(plain_answer(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
@@ -138,6 +144,13 @@
     }
 }
 
+/// Bytes of a request's head, about as they came: without blanks and its first line's constant part.
+fn head_bytes(head: &http::request::Parts) -> usize {
+    let target = head.uri.path_and_query().map_or(0, |target| target.as_str().len());
+    let rows = head.headers.iter();
+    target + rows.map(|(name, value)| name.as_str().len() + value.len()).sum::<usize>()
+}
+
 /// What an attempt led to.
 pub enum AttemptOutcome {
     /// An answer to this request.
--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -249,8 +249,9 @@
         let reads = driver.state().on_trial() && driver.state().is_reader(driver.now());
         if unread || (reads && read_at.elapsed() >= Duration::from_millis(VERDICT_EVERY_MS)) {
             read_at = Instant::now();
+            let asked_at = driver.now();
             match follower.read(&mut next, 0).await {
-                Some(news) => drop(take_verdicts(&driver, &news.records)),
+                Some(news) => drop(take_verdicts(&driver, asked_at, &news.records)),
                 None => follower.wait_to_retry().await,
             }
         }
@@ -258,7 +259,11 @@
     }
 }
 
-fn take_verdicts(driver: &GatewayDriver, records: &[KeyedRecord]) -> Vec<TrialVerdict> {
+fn take_verdicts(
+    driver: &GatewayDriver,
+    asked_at: BoxTime,
+    records: &[KeyedRecord],
+) -> Vec<TrialVerdict> {
     let mut verdicts = Vec::new();
     for record in records {
         let Some(value) = &record.value else { continue };
@@ -267,7 +272,7 @@
             Err(error) => observe::note_bad_record(&error),
         }
     }
-    driver.feed(RouteEvent::VerdictsRead(verdicts.clone()));
+    driver.feed(RouteEvent::VerdictsRead { asked_at, verdicts: verdicts.clone() });
     verdicts
 }
 
@@ -280,9 +285,10 @@
     let mut follower = TopicFollower::new(driver.clone(), store.clone(), VERDICT_TOPIC);
     while let Some(verdict) = due.recv().await {
         for _ in 0..VERDICT_TRIES {
+            let asked_at = driver.now();
             let listed = store.newest(VERDICT_TOPIC).await;
             let Some(listing) = follower.check(listed) else { break };
-            let standing = take_verdicts(&driver, &listing.records);
+            let standing = take_verdicts(&driver, asked_at, &listing.records);
             if standing.iter().any(|other| goes_before(other, &verdict)) {
                 break;
             }
@@ -291,7 +297,7 @@
             let appended = store.append(VERDICT_TOPIC, Some(listing.end), &record).await;
             match follower.check(appended) {
                 Some(AppendOutcome::Taken) => {
-                    driver.feed(RouteEvent::VerdictsRead(vec![verdict]));
+                    driver.feed(RouteEvent::VerdictTaken(verdict));
                     break;
                 }
                 Some(AppendOutcome::Moved(_)) => {}
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -144,6 +144,21 @@
     warn!(event = 722, name = "settings_unreadable", why);
 }
 
+/// Logs seeds of the settings that are no addresses.
+pub fn note_unread_seeds(seeds: &[String]) {
+    warn!(event = 724, name = "seeds_unreadable", ?seeds);
+}
+
+/// Counts a connection of a caller that is closed because too many are open.
+pub fn note_caller_turned_away() {
+    counter!("ravenspoke_callers_turned_away_total").increment(1);
+}
+
+/// Logs that callers' connections are closed from now on: too many are open.
+pub fn note_callers_full(limit: usize) {
+    warn!(event = 725, name = "callers_full", limit);
+}
+
 /// Logs that the process ends.
 pub fn note_exit(open_connections: usize, in_hand: usize) {
     info!(event = 723, name = "gateway_exits", open_connections, in_hand);
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -80,6 +80,9 @@
     let entry = OpenEntry::start(&settings, &driver, listener);
     launch_answers(&settings, &driver, metrics, metrics_port).await?;
     observe::note_started(&settings.name, settings.entry);
+    if !settings.unread_seeds.is_empty() {
+        observe::note_unread_seeds(&settings.unread_seeds);
+    }
     tokio::spawn(follow_settings(driver.clone(), file));
 
     wait_for_stop().await;
@@ -272,15 +275,18 @@
             }
         };
         let changed = text != last;
-        if changed {
-            match read_settings(&file.display().to_string(), &text) {
-                Ok(settings) => driver.state().set_bounds(settings.fresh, settings.budget),
-                Err(findings) => observe::note_reload_failed(&findings.lines().join("; ")),
+        let read = read_settings(&file.display().to_string(), &text);
+        last = text;
+        match read {
+            Ok(settings) if changed => {
+                driver.state().set_bounds(settings.fresh, settings.budget);
+                observe::note_reloaded(changed);
             }
-            last = text;
-        }
-        if asked || changed {
-            observe::note_reloaded(changed);
+            Ok(_) if asked => observe::note_reloaded(changed),
+            Err(findings) if asked || changed => {
+                observe::note_reload_failed(&findings.lines().join("; "));
+            }
+            Ok(_) | Err(_) => {}
         }
     }
 }
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -41,6 +41,8 @@
     (721, "settings_read"),
     (722, "settings_unreadable"),
     (723, "gateway_exits"),
+    (724, "seeds_unreadable"),
+    (725, "callers_full"),
     (730, "store_lost"),
     (731, "store_regained"),
     (732, "record_unreadable"),
--- a/crates/box/tests/platform.rs
+++ b/crates/box/tests/platform.rs
@@ -344,6 +344,37 @@
     })
     .await;
     assert!(subject.ready().await);
+    assert!(subject.events("settings_read").is_empty(), "bad settings were not taken");
+}
+
+#[tokio::test]
+async fn a_connection_beyond_the_limit_is_closed_counted_and_logged_once() {
+    let mut site = site().await;
+    site.descriptors = 20;
+    let subject = site.start_ready("box-1").await;
+    let mut open = Vec::new();
+    for _ in 0..20 {
+        open.push(TcpStream::connect(subject.entry_address()).await.expect("a connection"));
+    }
+    let last = open.last_mut().expect("a connection");
+    assert!(!matches!(last.read(&mut [0]).await, Ok(1..)), "it is closed");
+    wait_for("the log says so", || async {
+        (!subject.events("callers_full").is_empty()).then_some(())
+    })
+    .await;
+    assert_eq!(subject.events("callers_full").len(), 1);
+    let metrics = subject.metrics().await.expect("metrics");
+    assert!(metrics.contains("ravenspoke_callers_turned_away_total 8"), "{metrics}");
+}
+
+#[tokio::test]
+async fn a_seed_that_is_no_address_is_logged_and_the_box_serves() {
+    let mut site = site().await;
+    site.bad_seed = Some("\"somewhere\"".to_owned());
+    let subject = site.start_ready("box-1").await;
+    let logged = || std::future::ready(subject.events("seeds_unreadable").pop());
+    let line = wait_for("the log says so", logged).await;
+    assert!(line["seeds"].to_string().contains("somewhere"), "{line}");
 }
 
 #[tokio::test]
@@ -376,6 +407,9 @@
     let sent = site.request(&subject, "POST", "/file/x", "r1").body(large).send().await;
     // The connection may be closed before all of it was sent.
     assert!(sent.map_or(true, |answer| answer.status() == 413));
+    let request = site.request(&subject, "POST", "/file/x", "r2");
+    let sent = request.header("X-Large", "x".repeat(8_200)).send().await.expect("an answer");
+    assert_eq!(sent.status(), 431);
     let mut stream = TcpStream::connect(subject.entry_address()).await.expect("a connection");
     stream.write_all(b"nonsense\r\n\r\n").await.expect("it is taken");
     let mut answer = String::new();
--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -22,6 +22,8 @@
     pub notes: SocketAddr,
     /// Where other boxes may hear notes; some may be gone.
     pub seeds: Vec<SocketAddr>,
+    /// Seeds that are no addresses, as they are written.
+    pub unread_seeds: Vec<String>,
     /// Address of the platform's store, `IP:port`.
     pub store: String,
     /// How long a plan may be relied on.
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -31,13 +31,8 @@
     pub(super) on_trial: bool,
     /// Pauses so far.
     pub(super) pauses: u32,
-}
-
-/// A replica chosen for an attempt.
-struct AttemptChoice {
-    pick: BackendPick,
-    /// Whether it is taken for the version on trial.
-    on_trial: bool,
+    /// Whether it was held against its version: that happens once, however often it fails.
+    pub(super) blamed: bool,
 }
 
 impl RouteState {
@@ -49,17 +44,17 @@
         otherwise: RefusalReason,
         out: &mut Vec<RouteEffect>,
     ) {
-        let Some(choice) = self.choose(stamp, ticket) else {
+        let Some(pick) = self.choose(stamp, ticket) else {
             self.give_up(stamp, ticket, otherwise, out);
             return;
         };
-        self.assign(stamp, ticket, choice, out);
+        self.assign(stamp, ticket, pick, out);
     }
 
     /// The replica for a request's next attempt.
-    fn choose(&self, stamp: EventStamp, ticket: RequestTicket) -> Option<AttemptChoice> {
+    fn choose(&self, stamp: EventStamp, ticket: RequestTicket) -> Option<BackendPick> {
         let request = self.requests.get(&ticket)?;
-        let (version, on_trial) = self.version_wish(stamp, &request.service, request.session);
+        let version = self.version_wish(stamp, &request.service, request.session);
         let ask = BackendAsk {
             service: &request.service,
             version,
@@ -71,10 +66,9 @@
         };
         // A wish that nobody fits gives way, but never to a version that is bad.
         let fallback = self.fallback_wish(&request.service);
-        self.backends.pick(&ask).map(|pick| AttemptChoice { pick, on_trial }).or_else(|| {
-            let ask = BackendAsk { version: fallback, ..ask };
-            self.backends.pick(&ask).map(|pick| AttemptChoice { pick, on_trial: false })
-        })
+        self.backends
+            .pick(&ask)
+            .or_else(|| self.backends.pick(&BackendAsk { version: fallback, ..ask }))
     }
 
     /// Gives a request to a replica.
@@ -82,10 +76,9 @@
         &mut self,
         stamp: EventStamp,
         ticket: RequestTicket,
-        choice: AttemptChoice,
+        pick: BackendPick,
         out: &mut Vec<RouteEffect>,
     ) {
-        let AttemptChoice { pick, on_trial } = choice;
         let inputs = DecisionInputs {
             candidates: pick.candidates,
             load: pick.load,
@@ -95,8 +88,16 @@
         self.backends.sent(pick.key);
         let Some(row) = self.backends.get(pick.key) else { return };
         let Some(request) = self.requests.get_mut(&ticket) else { return };
-        let began = stamp.now;
-        request.attempt = Some(RunningAttempt { replica: pick.key, began, on_trial, pauses: 0 });
+        // What runs is told by the replica, also where no replica of the version wished for was left.
+        let trial = self.trials.get(&request.service);
+        let on_trial = trial.is_some_and(|trial| trial.tries(&row.entry.version));
+        request.attempt = Some(RunningAttempt {
+            replica: pick.key,
+            began: stamp.now,
+            on_trial,
+            pauses: 0,
+            blamed: false,
+        });
         request.tried.push(pick.key);
         request.sends += 1;
         let spare = request.route.kind.repeatable() && request.sends < request.route.attempts;
@@ -119,19 +120,14 @@
         out.push(RouteEffect::Send(ticket, order));
     }
 
-    /// Which versions a new attempt may go to, and whether that is one on trial.
-    fn version_wish(
-        &self,
-        stamp: EventStamp,
-        service: &str,
-        session: u64,
-    ) -> (VersionWish<'_>, bool) {
-        let Some(trial) = self.trials.get(service) else { return (VersionWish::Any, false) };
+    /// Which versions a new attempt is to go to.
+    fn version_wish(&self, stamp: EventStamp, service: &str, session: u64) -> VersionWish<'_> {
+        let Some(trial) = self.trials.get(service) else { return VersionWish::Any };
         let version = trial.order.version.as_str();
         if trial.takes(session, stamp.dice, stamp.now) {
-            (VersionWish::Only(version), trial.state == TrialState::Running)
+            VersionWish::Only(version)
         } else {
-            (VersionWish::Not(version), false)
+            VersionWish::Not(version)
         }
     }
 
@@ -153,7 +149,7 @@
         cause: SendCause,
         out: &mut Vec<RouteEffect>,
     ) -> bool {
-        let Some(choice) = self.choose(stamp, ticket) else { return false };
+        let Some(pick) = self.choose(stamp, ticket) else { return false };
         if !self.may_send_again(stamp, ticket, cause) {
             return false;
         }
@@ -162,7 +158,7 @@
             SendCause::Failure | SendCause::Silence => BackendDeed::Failed,
         };
         self.end_attempt(stamp, ticket, deed);
-        self.assign(stamp, ticket, choice, out);
+        self.assign(stamp, ticket, pick, out);
         true
     }
 
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -73,8 +73,15 @@
     },
     /// Orders to bring versions in were read.
     OrdersRead(Vec<TrialOrder>),
-    /// Verdicts were read.
-    VerdictsRead(Vec<TrialVerdict>),
+    /// All verdicts were read.
+    VerdictsRead {
+        /// When the store was asked for them.
+        asked_at: BoxTime,
+        /// The verdicts.
+        verdicts: Vec<TrialVerdict>,
+    },
+    /// A verdict of this box was taken by the store.
+    VerdictTaken(TrialVerdict),
     /// Changes to the replicas' entries were read.
     BackendsChanged(Vec<BackendChange>),
     /// All entries of the replicas were read.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -142,7 +142,10 @@
                 self.on_plan_read(asked_at, read_to, plan, out);
             }
             RouteEvent::OrdersRead(orders) => self.on_orders(stamp, orders, out),
-            RouteEvent::VerdictsRead(verdicts) => self.on_verdicts(verdicts, out),
+            RouteEvent::VerdictsRead { asked_at, verdicts } => {
+                self.on_verdicts(asked_at, verdicts, out);
+            }
+            RouteEvent::VerdictTaken(verdict) => self.take_verdict(verdict, out),
             RouteEvent::BackendsChanged(changes) => self.on_backends(stamp, changes, out),
             RouteEvent::BackendsListed { end, listed } => self.on_listed(stamp, end, listed, out),
             RouteEvent::StoreFailed | RouteEvent::StoreBack => {
--- a/crates/core/src/route/pick.rs
+++ b/crates/core/src/route/pick.rs
@@ -82,12 +82,13 @@
         let pool = if well.len() * 2 < usable.len() { usable } else { well };
         let lightest = self.lightest(&pool, ask)?;
         let least = self.rows[lightest].load(ask.now);
-        let key = self.affine(&pool, ask, least).unwrap_or(lightest);
+        let holder = self.affine(&pool, ask, least);
+        let key = holder.unwrap_or(lightest);
         Some(BackendPick {
             key,
             load: self.rows[key].load(ask.now),
             candidates: pool.len(),
-            affine: key != lightest,
+            affine: holder.is_some(),
         })
     }
 
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -270,12 +270,13 @@
 
     /// Adds the attempt's answer to its service's trial, if there is one.
     fn tally(&mut self, ticket: RequestTicket, bad: bool, took_ms: Option<f64>) {
-        let Some(request) = self.requests.get(&ticket) else { return };
-        let Some(attempt) = request.attempt else { return };
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let Some(attempt) = &mut request.attempt else { return };
         let Some(trial) = self.trials.get_mut(&request.service) else { return };
-        if trial.state != TrialState::Running {
+        if trial.state != TrialState::Running || attempt.blamed {
             return;
         }
+        attempt.blamed = bad;
         let row = trial.own.entry(request.route.name.clone()).or_default();
         let side = if attempt.on_trial { &mut row.fresh } else { &mut row.base };
         side.add(bad, took_ms);
@@ -298,8 +299,10 @@
         ticket: RequestTicket,
         out: &mut Vec<RouteEffect>,
     ) {
-        if let Some(request) = self.requests.get_mut(&ticket) {
-            request.may_have_run |= request.attempt.is_some();
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        request.may_have_run |= request.attempt.is_some();
+        if !request.relayed {
+            self.tally(ticket, true, None);
         }
         self.end_attempt(stamp, ticket, BackendDeed::Neither);
         self.give_up(stamp, ticket, RefusalReason::TimeUp, out);
--- a/crates/core/src/route/trial.rs
+++ b/crates/core/src/route/trial.rs
@@ -186,6 +186,8 @@
     pub order: TrialOrder,
     /// When it was given, as far as this box or its peers know.
     pub began: BoxTime,
+    /// When this box heard of it.
+    pub heard_at: BoxTime,
     /// What stands in the store, or was learnt from a peer that read it.
     pub state: TrialState,
     /// Whether the store has any word of this trial.
@@ -200,10 +202,11 @@
 
 impl VersionTrial {
     /// A trial that this box has just heard of.
-    pub fn new(order: TrialOrder, began: BoxTime) -> Self {
+    pub fn new(order: TrialOrder, heard_at: BoxTime) -> Self {
         Self {
             order,
-            began,
+            began: heard_at,
+            heard_at,
             state: TrialState::Running,
             written: false,
             looked: false,
@@ -261,6 +264,11 @@
         place < self.share(now)
     }
 
+    /// Whether `version` is under way to be judged here.
+    pub fn tries(&self, version: &str) -> bool {
+        self.state == TrialState::Running && self.order.version == version
+    }
+
     fn proven(&self) -> bool {
         let runs: f64 = self.evidence().values().map(|tally| tally.fresh.runs).sum();
         runs >= DONE_RUNS
--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -32,12 +32,19 @@
         }
     }
 
-    /// Takes the store's word of all trials.
-    pub(super) fn on_verdicts(&mut self, verdicts: Vec<TrialVerdict>, out: &mut Vec<RouteEffect>) {
+    /// Takes the store's word of all trials, as of `asked_at`.
+    pub(super) fn on_verdicts(
+        &mut self,
+        asked_at: BoxTime,
+        verdicts: Vec<TrialVerdict>,
+        out: &mut Vec<RouteEffect>,
+    ) {
         for verdict in verdicts {
             self.take_verdict(verdict, out);
         }
-        self.trials.values_mut().for_each(|trial| trial.looked = true);
+        // An order that was read later may be of a trial that the listing did not show yet.
+        let asked_after = self.trials.values_mut().filter(|trial| trial.heard_at <= asked_at);
+        asked_after.for_each(|trial| trial.looked = true);
     }
 
     /// Takes a verdict that stands in the store. A trial that ended never begins anew.
--- a/crates/core/tests/route/requests.rs
+++ b/crates/core/tests/route/requests.rs
@@ -423,3 +423,14 @@
     subject.put(entry("a", "v1"));
     subject.sent(ask("/read/x"));
 }
+
+#[test]
+fn a_replica_taken_for_the_prompts_parts_is_called_so_also_where_it_is_the_lightest() {
+    let mut subject = new_box("box-1");
+    subject.read_plan(Some(plan(1)));
+    subject.put(entry("a", "v1"));
+    let (_, order) = subject.sent(RouteAsk { affinity: 9, ..ask("/chat/x") });
+    assert!(order.inputs.affine);
+    let (_, order) = subject.sent(ask("/chat/x"));
+    assert!(!order.inputs.affine);
+}
--- a/crates/core/tests/route/trials.rs
+++ b/crates/core/tests/route/trials.rs
@@ -1,7 +1,10 @@
 //! New versions: whose sessions they get, the verdict, and who writes it.
 
-use ravenspoke_core::route::event::{RouteAsk, RouteEffect, RouteEvent};
-use ravenspoke_core::route::trial::{TrialOrder, TrialState, TrialVerdict, TRIAL_SHARE};
+use ravenspoke_core::route::event::{AttemptFailure, RouteAsk, RouteEffect, RouteEvent};
+use ravenspoke_core::route::trial::{
+    TrialOrder, TrialState, TrialTally, TrialVerdict, VersionTally, TRIAL_SHARE,
+};
+use ravenspoke_core::time::BoxTime;
 
 use crate::fixture::{ask, entry, head, ready_box, TestBox};
 
@@ -19,7 +22,8 @@
     subject.put(entry("c", "v2"));
     subject.put(entry("d", "v2"));
     subject.feed(RouteEvent::OrdersRead(vec![order()]));
-    subject.feed(RouteEvent::VerdictsRead(vec![verdict(TrialState::Running)]));
+    let read = verdicts_read(&subject, vec![verdict(TrialState::Running)]);
+    subject.feed(read);
     subject
 }
 
@@ -40,6 +44,11 @@
     order.version
 }
 
+/// A listing of the store's verdicts that was asked for now.
+fn verdicts_read(subject: &TestBox, verdicts: Vec<TrialVerdict>) -> RouteEvent {
+    RouteEvent::VerdictsRead { asked_at: BoxTime::from_millis(subject.now), verdicts }
+}
+
 fn session(number: u64) -> u64 {
     number.wrapping_mul(0x9e37_79b9_7f4a_7c15)
 }
@@ -85,7 +94,8 @@
     }
     assert!(exposed < 30, "{exposed} of 399 met the bad version");
     assert_eq!(due(&pass(&mut subject, 200)), Some(TrialState::RolledBack));
-    subject.feed(RouteEvent::VerdictsRead(vec![verdict(TrialState::RolledBack)]));
+    let read = verdicts_read(&subject, vec![verdict(TrialState::RolledBack)]);
+    subject.feed(read);
     assert_eq!(serve(&mut subject, session(2), 200), "v1");
 }
 
@@ -122,15 +132,18 @@
     assert!(subject.state.knows_site());
     subject.feed(RouteEvent::OrdersRead(vec![order()]));
     assert!(subject.state.verdicts_unread() && !subject.state.knows_site());
-    subject.feed(RouteEvent::VerdictsRead(Vec::new()));
+    let read = verdicts_read(&subject, Vec::new());
+    subject.feed(read);
     assert!(subject.state.knows_site());
 }
 
 #[test]
 fn a_verdict_is_never_taken_back() {
     let mut subject = box_on_trial();
-    subject.feed(RouteEvent::VerdictsRead(vec![verdict(TrialState::RolledBack)]));
-    subject.feed(RouteEvent::VerdictsRead(vec![verdict(TrialState::Done)]));
+    let read = verdicts_read(&subject, vec![verdict(TrialState::RolledBack)]);
+    subject.feed(read);
+    let read = verdicts_read(&subject, vec![verdict(TrialState::Done)]);
+    subject.feed(read);
     pass(&mut subject, 6_000);
     for number in 1..100 {
         assert_eq!(serve(&mut subject, session(number), 200), "v1");
@@ -175,3 +188,59 @@
     }));
     assert_eq!(due(&other.feed(RouteEvent::Tick)), Some(TrialState::RolledBack));
 }
+
+/// Runs and failures of the version on trial and of the others, as this box saw them.
+fn tallied(subject: &TestBox) -> [(f64, f64); 2] {
+    let dump = subject.state.dump(Default::default());
+    let sum = |side: fn(&TrialTally) -> &VersionTally| {
+        let rows = dump.trials[0].own.values().map(side);
+        rows.fold((0.0, 0.0), |sum, row| (sum.0 + row.runs, sum.1 + row.bad))
+    };
+    [sum(|row| &row.fresh), sum(|row| &row.base)]
+}
+
+#[test]
+fn an_answer_of_the_version_on_trial_counts_as_its_own_also_where_no_other_was_left() {
+    let mut subject = box_on_trial();
+    subject.drop_entry("a");
+    subject.drop_entry("b");
+    assert_eq!(serve(&mut subject, session(1), 500), "v2");
+    assert_eq!(tallied(&subject), [(1.0, 1.0), (0.0, 0.0)]);
+}
+
+#[test]
+fn an_attempt_that_pauses_often_counts_once_against_its_version() {
+    let mut subject = box_on_trial();
+    let (ticket, _) = subject.sent(ask("/chat/x"));
+    subject.drop_entry("b");
+    subject.drop_entry("a");
+    subject.drop_entry("c");
+    subject.drop_entry("d");
+    for _ in 0..4 {
+        assert_eq!(subject.feed(RouteEvent::Paused(ticket)), []);
+    }
+    subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken));
+    assert_eq!(tallied(&subject), [(0.0, 0.0), (1.0, 1.0)]);
+}
+
+#[test]
+fn an_attempt_whose_time_is_up_before_a_head_counts_against_its_version() {
+    let mut subject = box_on_trial();
+    let (ticket, _) = subject.sent(ask("/file/x"));
+    subject.feed(RouteEvent::TimeUp(ticket));
+    assert_eq!(tallied(&subject), [(0.0, 0.0), (1.0, 1.0)]);
+}
+
+#[test]
+fn a_listing_of_verdicts_asked_for_before_an_order_was_read_says_nothing_of_it() {
+    let mut subject = ready_box();
+    let asked_at = BoxTime::from_millis(subject.now);
+    subject.now += 20;
+    subject.feed(RouteEvent::OrdersRead(vec![order()]));
+    subject.now += 20;
+    subject.feed(RouteEvent::VerdictsRead { asked_at, verdicts: Vec::new() });
+    assert!(subject.state.verdicts_unread());
+    let read = verdicts_read(&subject, Vec::new());
+    subject.feed(read);
+    assert!(!subject.state.verdicts_unread());
+}
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -31,6 +31,9 @@
 /// Port under which settings name seeds; boxes hear notes at [`NOTES_PORT`] all the same.
 const SEED_PORT: u16 = 18_229;
 
+/// Descriptors of a box, as small installations give them.
+const DESCRIPTORS: u32 = 4_100;
+
 /// A loopback address that nothing else of this process, or of another that lives, uses.
 pub fn own_address() -> IpAddr {
     static NEXT: AtomicU8 = AtomicU8::new(1);
@@ -123,6 +126,10 @@
     pub store: StoreStandin,
     /// Client of callers.
     pub http: reqwest::Client,
+    /// Descriptors that the settings of boxes started from now on allow.
+    pub descriptors: u32,
+    /// A seed that is no address, for boxes started from now on, as TOML.
+    pub bad_seed: Option<String>,
     binary: PathBuf,
     folder: PathBuf,
     seeds: Vec<IpAddr>,
@@ -137,6 +144,8 @@
         Self {
             store: StoreStandin::start(ip).await,
             http: reqwest::Client::new(),
+            descriptors: DESCRIPTORS,
+            bad_seed: None,
             binary: binary.to_owned(),
             folder,
             seeds: Vec::new(),
@@ -163,7 +172,7 @@
             ],
             "services": [{ "name": SITE_SERVICE, "max_connections": 100, "unknown_field": 1 }],
             "tenants": [{ "name": "alpha", "api_keys": keys }],
-            "limits": { "max_body_bytes": 100_000 },
+            "limits": { "max_body_bytes": 100_000, "max_header_bytes": 8_192 },
         });
         self.store.put("keyed.op", "config", &plan);
     }
@@ -201,8 +210,8 @@
     }
 
     fn settings(&self, name: &str, ip: IpAddr) -> String {
-        let seeds: Vec<String> =
-            self.seeds.iter().rev().take(3).map(|seed| format!("\"{seed}:{SEED_PORT}\"")).collect();
+        let seeds = self.seeds.iter().rev().take(3).map(|seed| format!("\"{seed}:{SEED_PORT}\""));
+        let seeds: Vec<String> = seeds.chain(self.bad_seed.clone()).collect();
         format!(
             "node = \"{name}\"\nrole = \"gateway\"\nip = \"{ip}\"\nzone = \"east\"\n\
              ephemeral_ports = [{NOTES_PORT}, {}]\nseeds = [{}]\nfield_of_tomorrow = true\n\
@@ -210,9 +219,10 @@
              directory = \"{ip}:{DIRECTORY_PORT}\"\n\
              [bounds]\nstrict_revoke = true\nrevoke_ms = 5000\nconfig_apply_ms = 2000\n\
              grace_s = 8\nretry_budget_ratio = 0.9\nretry_slack = 60\n\
-             [limits]\nmax_fds = 4100\n[platform]\naddress = \"{}\"\n",
+             [limits]\nmax_fds = {}\n[platform]\naddress = \"{}\"\n",
             NOTES_PORT + 15,
             seeds.join(", "),
+            self.descriptors,
             self.store.address,
         )
     }
