route: boxes tell each other the loads of busy replicas

Change: notes carry loads from 0.4 of the slots on, with their age; of two reports the later counts.

--- a/crates/box/src/gateway/note_wire.rs
+++ b/crates/box/src/gateway/note_wire.rs
@@ -2,7 +2,7 @@
 
 use prost::Message;
 use ravenspoke_adapter::store::KeyedRecord;
-use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
+use ravenspoke_core::route::backend::{BackendChange, BackendEntry, LoadNote};
 use ravenspoke_core::route::peers::{PeerAsk, PeerNote, TrialNote};
 use ravenspoke_core::route::trial::{TrialState, TrialTally, TrialVerdict, VersionTally};
 use ravenspoke_core::time::BoxTime;
@@ -37,6 +37,18 @@
     read_age_ms: Option<u64>,
     #[prost(message, optional, tag = "14")]
     echo: Option<WireAsk>,
+    #[prost(message, repeated, tag = "15")]
+    loads: Vec<WireLoad>,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+struct WireLoad {
+    #[prost(fixed64, tag = "1")]
+    replica: u64,
+    #[prost(uint32, tag = "2")]
+    load: u32,
+    #[prost(uint64, tag = "3")]
+    age_ms: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -247,6 +259,14 @@
     BackendChange { id: change.id, at: change.at, entry }
 }
 
+fn write_load(told: &LoadNote) -> WireLoad {
+    WireLoad { replica: told.replica, load: told.load, age_ms: told.age_ms }
+}
+
+fn read_load(told: WireLoad) -> LoadNote {
+    LoadNote { replica: told.replica, load: told.load, age_ms: told.age_ms }
+}
+
 fn write_ask(ask: &PeerAsk) -> WireAsk {
     WireAsk {
         note_address: ask.note_address.clone(),
@@ -297,6 +317,7 @@
         others: note.others.clone(),
         read_age_ms: note.read_age_ms,
         echo: note.echo.as_ref().map(write_ask),
+        loads: note.loads.iter().map(write_load).collect(),
     };
     let records = records.iter().map(write_record).collect();
     WireDatagram { note: Some(note), ask: None, records }.encode_to_vec()
@@ -350,5 +371,6 @@
         trials: wire.trials.into_iter().map(read_trial).collect(),
         verdicts: wire.verdicts.into_iter().map(read_verdict).collect(),
         others: wire.others,
+        loads: wire.loads.into_iter().map(read_load).collect(),
     }
 }
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -32,6 +32,15 @@
 /// A replica that is still slow from its start counts with this many times its load.
 pub const COLD_WEIGHT: f64 = 2.0;
 
+/// A replica's load is told to other boxes from this share of its slots on: below it nothing waits.
+pub const TOLD_SHARE: f64 = 0.4;
+
+/// A load is told for this long after its report, in milliseconds: two notes pass it on to all.
+pub const TOLD_MS: u64 = 1_200;
+
+/// Loads in one note, at most, the highest first: what keeps a note within a datagram.
+pub const LOADS_TOLD: usize = 24;
+
 /// Ids of replicas that are gone, with the offset of that, are kept until there are this many.
 pub const GONE_LIMIT: usize = 4_096;
 
@@ -79,6 +88,23 @@
     pub slots: u32,
 }
 
+/// A busy replica's load, as one box tells it to another: a replica serves many boxes, and each of
+/// them hears from it but now and then.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadNote {
+    /// The replica, by [`backend_hash`] of its id.
+    pub replica: u64,
+    /// Running requests, and waiting ones by [`WAITING_WEIGHT`].
+    pub load: u32,
+    /// How long ago the replica reported it, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// What stands for a replica's id in notes.
+pub fn backend_hash(id: &str) -> u64 {
+    xxh3_64(id.as_bytes())
+}
+
 /// How well a replica did on a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BackendDeed {
@@ -153,6 +179,8 @@
 pub struct BackendTable {
     pub(super) rows: SlotMap<ReplicaKey, BackendState>,
     ids: HashMap<String, ReplicaKey>,
+    hashes: HashMap<u64, ReplicaKey>,
+    /// In the order of the hashes of their ids, which is the same on every box.
     pub(super) by_service: HashMap<String, Vec<ReplicaKey>>,
     /// Ids that are gone, with the offset of that.
     gone: HashMap<String, u64>,
@@ -242,11 +270,11 @@
     fn insert(&mut self, entry: BackendEntry, at: u64, now: BoxTime) {
         let (id, service) = (entry.id.clone(), entry.service.clone());
         let key = self.rows.insert(BackendState {
-            id_hash: xxh3_64(id.as_bytes()),
+            id_hash: backend_hash(&id),
             cold_until: now.plus_millis(entry.cold_ms),
             at,
             reported: 0,
-            reported_at: now,
+            reported_at: BoxTime::default(),
             since_report: 0,
             outstanding: 0,
             failures: 0,
@@ -255,8 +283,11 @@
             lapses_at: None,
             entry,
         });
+        self.hashes.insert(backend_hash(&id), key);
         self.ids.insert(id, key);
-        self.by_service.entry(service).or_default().push(key);
+        let keys = self.by_service.entry(service).or_default();
+        let before = |other: &ReplicaKey| self.rows[*other].id_hash < self.rows[key].id_hash;
+        keys.insert(keys.partition_point(before), key);
     }
 
     fn take_gone(&mut self, id: &str, at: u64, lapse_at: Option<BoxTime>) -> BackendNews {
@@ -285,6 +316,7 @@
         let Some(row) = self.rows.remove(key) else { return };
         self.note_gone(&row.entry.id, row.at);
         self.ids.remove(&row.entry.id);
+        self.hashes.remove(&row.id_hash);
         if let Some(keys) = self.by_service.get_mut(&row.entry.service) {
             keys.retain(|other| *other != key);
         }
@@ -321,6 +353,36 @@
         }
     }
 
+    /// Takes the load that another box heard of, unless this one knows a later report.
+    pub fn hear_load(&mut self, told: &LoadNote, now: BoxTime) {
+        let Some(key) = self.hashes.get(&told.replica) else { return };
+        let row = &mut self.rows[*key];
+        let at = now.minus_millis(told.age_ms);
+        if at > row.reported_at {
+            row.reported = told.load;
+            row.reported_at = at;
+            row.since_report = 0;
+        }
+    }
+
+    /// Loads that other boxes should know of.
+    pub fn loads_to_tell(&self, now: BoxTime) -> Vec<LoadNote> {
+        let share =
+            |row: &BackendState| f64::from(row.reported) / f64::from(row.entry.slots.max(1));
+        let tells = |row: &&BackendState| {
+            now.millis_since(row.reported_at) < TOLD_MS && share(row) >= TOLD_SHARE
+        };
+        let mut rows: Vec<&BackendState> = self.rows.values().filter(tells).collect();
+        rows.sort_by(|a, b| share(b).total_cmp(&share(a)));
+        rows.truncate(LOADS_TOLD);
+        let note = |row: &BackendState| LoadNote {
+            replica: row.id_hash,
+            load: row.reported,
+            age_ms: now.millis_since(row.reported_at),
+        };
+        rows.into_iter().map(note).collect()
+    }
+
     /// Notes that a request has ended, and how well the replica did.
     pub fn ended(&mut self, key: ReplicaKey, deed: BackendDeed, now: BoxTime) {
         let Some(row) = self.rows.get_mut(key) else { return };
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -70,6 +70,7 @@
             read_age_ms: self.fresh.age_ms(stamp.now),
             echo: None,
             changes: self.changes.iter().rev().take(NEWS_LIMIT).map(|row| row.1.clone()).collect(),
+            loads: self.backends.loads_to_tell(stamp.now),
             trials: trials.collect(),
             verdicts: self.verdicts(),
             others: self.peers.some_addresses(stamp.dice),
@@ -132,6 +133,9 @@
         } else {
             self.on_backends(stamp, note.changes.clone(), out);
         }
+        for told in &note.loads {
+            self.backends.hear_load(told, stamp.now);
+        }
         self.hear_trials(stamp, note, out);
         self.hear_freshness(stamp, note, out);
     }
--- a/crates/core/src/route/peers.rs
+++ b/crates/core/src/route/peers.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::backend::BackendChange;
+use super::backend::{BackendChange, LoadNote};
 use super::trial::{RouteTallies, TrialVerdict};
 use crate::time::BoxTime;
 
@@ -96,6 +96,8 @@
     pub echo: Option<PeerAsk>,
     /// Changes to the replicas' entries that it lately learnt.
     pub changes: Vec<BackendChange>,
+    /// Loads of busy replicas.
+    pub loads: Vec<LoadNote>,
     /// Trials under way.
     pub trials: Vec<TrialNote>,
     /// Verdicts known.
--- /dev/null
+++ b/crates/core/tests/route/loads.rs
@@ -0,0 +1,67 @@
+//! What boxes tell each other of replicas' loads.
+
+use ravenspoke_core::route::backend::{backend_hash, BackendLoad, LoadNote};
+use ravenspoke_core::route::event::{AnswerHead, RouteAsk, RouteEvent};
+use ravenspoke_core::route::peers::PeerNote;
+
+use crate::fixture::{ask, head, note_in, ready_box, TestBox};
+
+/// The replica that holds the parts of `affinity`, as this box sends a first request for them.
+fn holder(subject: &mut TestBox, affinity: u64) -> String {
+    let (ticket, order) = subject.sent(RouteAsk { affinity, ..ask("/chat/x") });
+    subject.feed(RouteEvent::CallerLeft(ticket));
+    subject.now += 60_000;
+    subject.read_plan(None);
+    order.replica_id
+}
+
+fn note_of_loads(loads: Vec<LoadNote>) -> RouteEvent {
+    RouteEvent::PeerHeard(PeerNote {
+        name: "box-9".to_owned(),
+        number: 1,
+        loads,
+        ..PeerNote::default()
+    })
+}
+
+#[test]
+fn a_replica_that_another_box_found_full_is_passed_over_for_its_parts() {
+    let mut subject = ready_box();
+    let full = holder(&mut subject, 9);
+    let load = LoadNote { replica: backend_hash(&full), load: 40, age_ms: 100 };
+    subject.feed(note_of_loads(vec![load]));
+    let (_, order) = subject.sent(RouteAsk { affinity: 9, ..ask("/chat/x") });
+    assert_ne!(order.replica_id, full);
+}
+
+#[test]
+fn an_older_word_on_a_load_changes_nothing() {
+    let mut subject = ready_box();
+    let full = holder(&mut subject, 9);
+    let (ticket, _) = subject.sent(RouteAsk { affinity: 9, ..ask("/chat/x") });
+    let idle = BackendLoad { running: 0, waiting: 0, slots: 4 };
+    subject.feed(RouteEvent::HeadCame(ticket, AnswerHead { load: Some(idle), ..head(200) }));
+    subject.feed(RouteEvent::Finished(ticket));
+    subject.now += 100;
+    let load = LoadNote { replica: backend_hash(&full), load: 40, age_ms: 200 };
+    subject.feed(note_of_loads(vec![load]));
+    let (_, order) = subject.sent(RouteAsk { affinity: 9, ..ask("/chat/x") });
+    assert_eq!(order.replica_id, full);
+}
+
+#[test]
+fn a_busy_replicas_load_is_told_and_told_on_with_its_age_and_an_idle_ones_is_not() {
+    let mut subject = ready_box();
+    let load = LoadNote { replica: backend_hash("a"), load: 30, age_ms: 300 };
+    subject.feed(note_of_loads(vec![load]));
+    let (ticket, order) = subject.sent(ask("/chat/x"));
+    assert_eq!(order.replica_id, "b");
+    let idle = BackendLoad { running: 1, waiting: 0, slots: 4 };
+    subject.feed(RouteEvent::HeadCame(ticket, AnswerHead { load: Some(idle), ..head(200) }));
+    subject.now += 500;
+    let note = note_in(&subject.feed(RouteEvent::Tick)).expect("a note");
+    assert_eq!(note.loads, [LoadNote { age_ms: 800, ..load }]);
+    subject.now += 500;
+    let note = note_in(&subject.feed(RouteEvent::Tick)).expect("a note");
+    assert_eq!(note.loads, [], "it is too old to help");
+}
