route: a route's models run on replicas of their own

Change: the smallest model runs on a part of the replicas, the larger ones on the rest, parted as their work is; a part that is much fuller gives way.

--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -4,8 +4,9 @@
 use super::backend::BackendDeed;
 use super::budget::SendCause;
 use super::event::{DecisionInputs, RefusalReason, RouteEffect, SendOrder};
-use super::pick::{BackendAsk, BackendPick, VersionWish};
+use super::pick::{BackendAsk, BackendPick, ModelPart, VersionWish};
 use super::plan::{RouteKind, RouteSpec};
+use super::request::RouteRequest;
 use super::trial::TrialState;
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
@@ -58,6 +59,7 @@
         let ask = BackendAsk {
             service: &request.service,
             version,
+            part: self.model_part(request),
             affinity: request.affinity,
             zone: &self.settings.zone,
             tried: &request.tried,
@@ -71,6 +73,11 @@
             .or_else(|| self.backends.pick(&BackendAsk { version: fallback, ..ask }))
     }
 
+    /// The part of the replicas for the request's model.
+    fn model_part(&self, request: &RouteRequest) -> ModelPart {
+        self.work.get(&request.service).copied().unwrap_or_default().part(request.size)
+    }
+
     /// Gives a request to a replica.
     fn assign(
         &mut self,
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -37,7 +37,7 @@
 use peers::PeerTable;
 use plan::{RoutePlan, RouteTable};
 use request::RouteRequest;
-use sizes::ServiceLag;
+use sizes::{ModelWork, ServiceLag};
 use trial::VersionTrial;
 
 pub use dump::RouteDump;
@@ -90,6 +90,8 @@
     verdict_at: BTreeMap<String, BoxTime>,
     budgets: HashMap<String, SendBudget>,
     lags: HashMap<String, ServiceLag>,
+    /// Work of the models, by service.
+    work: HashMap<String, ModelWork>,
     requests: HashMap<RequestTicket, RouteRequest>,
     /// Until then entries that vanish may come back: the store was away.
     lapse_at: Option<BoxTime>,
@@ -119,6 +121,7 @@
             verdict_at: BTreeMap::new(),
             budgets: HashMap::new(),
             lags: HashMap::new(),
+            work: HashMap::new(),
             requests: HashMap::new(),
             lapse_at: None,
             read_to: 0,
--- a/crates/core/src/route/pick.rs
+++ b/crates/core/src/route/pick.rs
@@ -12,6 +12,40 @@
 /// Share of slots that another availability zone's replica must be lighter to be worth its bytes.
 pub const ZONE_MARGIN: f64 = 0.25;
 
+/// Load, as a share of slots over the lightest replica's, up to which a request stays in its model's
+/// part of the replicas. Twice [`AFFINITY_MARGIN`]: beyond, the other part has room that this one lacks.
+pub const PART_MARGIN: f64 = 0.5;
+
+/// Replicas of a service from which on its models are kept apart: fewer leave a part without choice.
+pub const PARTED_FROM: usize = 6;
+
+/// The part of a service's replicas that a request's model runs on. A long prompt that a large model
+/// reads holds up all that waits behind it, and a large model slows each step of its batch.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ModelPart {
+    /// Any replica.
+    Whole,
+    /// This share of the replicas, the first of them by the hash of their ids.
+    First(f64),
+    /// What [`ModelPart::First`] with this share leaves.
+    Rest(f64),
+}
+
+impl ModelPart {
+    /// Its replicas, of `pool` in the order of the hashes of their ids.
+    fn of(self, pool: &[ReplicaKey]) -> &[ReplicaKey] {
+        if pool.len() < PARTED_FROM {
+            return pool;
+        }
+        let cut = |share: f64| (pool.len() as f64 * share).round() as usize;
+        match self {
+            ModelPart::Whole => pool,
+            ModelPart::First(share) => &pool[..cut(share).clamp(1, pool.len())],
+            ModelPart::Rest(share) => &pool[cut(share).min(pool.len() - 1)..],
+        }
+    }
+}
+
 /// Which replicas a pick may take.
 #[derive(Clone, Copy, Debug)]
 pub struct BackendAsk<'a> {
@@ -19,6 +53,8 @@
     pub service: &'a str,
     /// Version wanted, if one is.
     pub version: VersionWish<'a>,
+    /// Part of the replicas for the request's model.
+    pub part: ModelPart,
     /// Hash of the prompt's shared parts; 0 for none.
     pub affinity: u64,
     /// Availability zone of the box.
@@ -80,9 +116,10 @@
             usable.iter().copied().filter(|key| self.rows[*key].passed_until <= ask.now).collect();
         // With more than half passed over the cause is not the replicas.
         let pool = if well.len() * 2 < usable.len() { usable } else { well };
-        let lightest = self.lightest(&pool, ask)?;
+        let part = self.part_with_room(&pool, ask);
+        let lightest = self.lightest(part, ask)?;
         let least = self.rows[lightest].load(ask.now);
-        let holder = self.affine(&pool, ask, least);
+        let holder = self.affine(part, ask, least);
         let key = holder.unwrap_or(lightest);
         Some(BackendPick {
             key,
@@ -92,6 +129,19 @@
         })
     }
 
+    /// The replicas for the request's model; all of them where that part is much fuller.
+    fn part_with_room<'a>(&self, pool: &'a [ReplicaKey], ask: &BackendAsk) -> &'a [ReplicaKey] {
+        let least = |keys: &[ReplicaKey]| {
+            let loads = keys.iter().map(|key| self.rows[*key].load(ask.now));
+            loads.fold(f64::INFINITY, f64::min)
+        };
+        let part = ask.part.of(pool);
+        if part.len() == pool.len() || least(part) > least(pool) + PART_MARGIN {
+            return pool;
+        }
+        part
+    }
+
     /// The lightest replica; ties go by chance, and the box's own zone counts for something.
     fn lightest(&self, pool: &[ReplicaKey], ask: &BackendAsk) -> Option<ReplicaKey> {
         let weigh = |key: &ReplicaKey| {
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -259,13 +259,17 @@
         }
     }
 
-    /// Adds an answer that began after `took_ms` to its service's lag, if it is a stream's.
+    /// Adds an answer that began after `took_ms` to its service's lag, if it is a stream's, and to the
+    /// work of its model, if the router chose one.
     fn note_lag(&mut self, ticket: RequestTicket, took_ms: f64) {
         let Some(request) = self.requests.get(&ticket) else { return };
         if request.route.kind.is_stream() {
             let lag = self.lags.entry(request.service.clone()).or_default();
             lag.add(took_ms, request.route.target_ms);
         }
+        if let Some(size) = request.size {
+            self.work.entry(request.service.clone()).or_default().add(size, took_ms);
+        }
     }
 
     /// Adds the attempt's answer to its service's trial, if there is one.
--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -3,6 +3,7 @@
 mod fixture;
 mod loads;
 mod membership;
+mod models;
 mod plan;
 mod requests;
 mod trials;
