soak: random faults on real boxes, promises checked from outside

Change: three boxes as processes, four replicas and more that come and go, ten callers that ask for addresses, keep them and their connections. From a seed: boxes killed, stopped, paused, told of settings; the store failing for all or one, slow, losing answers, forgetting history; ways to the store and to replicas delayed, reset, cut one way, silent; replicas failing in nine ways and leaving; keys and plans changed. Checked: at most once, truth of refusals, whole answers, no request cut, time, revocation, leaving, recovery. Not played: clocks and disks, which the boxes do not use.

--- /dev/null
+++ b/crates/box/tests/soak.rs
@@ -0,0 +1,28 @@
+//! A short run of the fault soak, with the same seeds each time, and all seeds that ever failed.
+
+use std::path::Path;
+
+use ravenspoke_standins::soak::play::play;
+
+/// Seeds that every run of CI plays.
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+/// Seeds that failed, from `soak-seeds.txt`: a seed and its cause on each line.
+fn failed_seeds() -> Vec<u64> {
+    let lines = include_str!("soak-seeds.txt").lines().filter(|line| !line.starts_with('#'));
+    let first = |line: &str| line.split_whitespace().next().and_then(|word| word.parse().ok());
+    lines.filter(|line| !line.is_empty()).map(|line| first(line).expect("a seed")).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_under_faults() {
+    let binary = Path::new(env!("CARGO_BIN_EXE_ravenspoked"));
+    let seeds = SEEDS.into_iter().chain(failed_seeds());
+    let runs: Vec<_> = seeds.map(|seed| (seed, tokio::spawn(play(binary, seed)))).collect();
+    for (seed, run) in runs {
+        let report = run.await.expect("the run ends");
+        let found = report.broken.join("\n");
+        assert!(report.broken.is_empty(), "seed {seed}, {:#?}\n{found}", report.faults);
+        assert!(report.served > report.asks / 4, "seed {seed}: {} served", report.served);
+    }
+}
--- /dev/null
+++ b/crates/standins/examples/soak.rs
@@ -0,0 +1,37 @@
+//! The fault soak by hand: `scripts/soak` builds everything and runs this.
+//!
+//! Usage: `soak RAVENSPOKED SEED...`. One line a seed; exits with 1 if a promise was broken.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use ravenspoke_standins::soak::play::play;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let mut args = std::env::args().skip(1);
+    let Some(binary) = args.next().map(PathBuf::from) else {
+        eprintln!("usage: soak RAVENSPOKED SEED...");
+        return ExitCode::from(2);
+    };
+    let mut whole = true;
+    for text in args {
+        let Ok(seed) = text.parse() else {
+            eprintln!("`{text}` is no seed: give whole numbers");
+            return ExitCode::from(2);
+        };
+        let report = play(&binary, seed).await;
+        let (asks, served, broken) = (report.asks, report.served, report.broken.len());
+        println!("seed {seed}: {asks} requests, {served} served, {broken} findings");
+        if broken > 0 {
+            whole = false;
+            report.faults.iter().for_each(|fault| println!("  fault {fault}"));
+            report.broken.iter().take(12).for_each(|line| println!("  broken {line}"));
+        }
+    }
+    if whole {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod rating;
 pub mod serve;
 pub mod service;
+pub mod soak;
--- a/crates/standins/src/platform/replica.rs
+++ b/crates/standins/src/platform/replica.rs
@@ -2,7 +2,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
@@ -47,6 +47,8 @@
     pub body: Vec<u8>,
     /// Headers, names in lower case.
     pub headers: Vec<(String, String)>,
+    /// When it began.
+    pub at: Instant,
     /// Whether the caller left before the end.
     pub left: bool,
 }
@@ -109,6 +111,11 @@
         self.lock().connections
     }
 
+    /// The same replica, as it is reached at the address of a proxy before it.
+    pub fn behind(&self, address: SocketAddr) -> Self {
+        Self { address, ..self.clone() }
+    }
+
     /// Its entry in the store.
     pub fn entry(&self, service: &str, version: &str, state: &str) -> Value {
         json!({
@@ -164,6 +171,7 @@
             target: request.target.clone(),
             body: request.body.clone(),
             headers: request.headers.clone(),
+            at: Instant::now(),
             left: false,
         });
         record.runs.len() - 1
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -1,10 +1,11 @@
 //! A site: the store, and routing boxes as processes, each on a loopback address of its own.
 
 use std::fs::File;
-use std::net::{IpAddr, Ipv4Addr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
 
 use serde_json::{json, Value};
 
@@ -44,6 +45,19 @@
     Ipv4Addr::new(127, high as u8, low as u8, last).into()
 }
 
+/// A box's answer about addresses comes within this, or another box is asked.
+pub const DIRECTORY_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Where the box at `ip` takes callers.
+pub fn entry_address(ip: IpAddr) -> String {
+    format!("{ip}:{ENTRY_PORT}")
+}
+
+/// Where the box at `ip` answers which addresses to use.
+pub fn directory_url(ip: IpAddr) -> String {
+    format!("http://{ip}:{DIRECTORY_PORT}/-/resolve?name={SITE_HOST}")
+}
+
 /// A box as a process.
 pub struct SiteBox {
     /// Its address.
@@ -52,6 +66,19 @@
     pub settings: PathBuf,
     log: PathBuf,
     child: Child,
+    binary: PathBuf,
+}
+
+/// Starts the process of a box; its lines are added to the log.
+fn spawn(binary: &Path, settings: &Path, log: &Path) -> Child {
+    let output = File::options().create(true).append(true).open(log).expect("a log can be written");
+    Command::new(binary)
+        .args(["--platform", "--metrics", &METRICS_PORT.to_string()])
+        .env("RAVENSPOKE_SETTINGS", settings)
+        .stdout(output)
+        .stderr(Stdio::inherit())
+        .spawn()
+        .expect("the box starts")
 }
 
 impl SiteBox {
@@ -62,7 +89,7 @@
 
     /// Where callers connect.
     pub fn entry_address(&self) -> String {
-        format!("{}:{ENTRY_PORT}", self.ip)
+        entry_address(self.ip)
     }
 
     /// Sends a signal, by the name that `kill` knows.
@@ -72,6 +99,18 @@
         assert!(sent.is_ok_and(|status| status.success()), "the signal {name} was sent");
     }
 
+    /// Kills its process, if it runs.
+    pub fn kill(&mut self) {
+        // Already ended is as good.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts its process again, once the last one has ended.
+    pub fn restart(&mut self) {
+        self.child = spawn(&self.binary, &self.settings, &self.log);
+    }
+
     /// Its exit code, if it has exited.
     pub fn exit_code(&mut self) -> Option<i32> {
         self.child.try_wait().ok().flatten().map(|status| status.code().unwrap_or(-1))
@@ -87,8 +126,7 @@
 
     /// What the directory answers.
     pub async fn resolve(&self) -> Option<Vec<String>> {
-        let url = format!("http://{}:{DIRECTORY_PORT}/-/resolve?name={SITE_HOST}", self.ip);
-        let answer: Value = reqwest::get(url).await.ok()?.json().await.ok()?;
+        let answer: Value = reqwest::get(directory_url(self.ip)).await.ok()?.json().await.ok()?;
         let addresses = answer["addresses"].as_array()?;
         Some(addresses.iter().filter_map(|row| Some(row.as_str()?.to_owned())).collect())
     }
@@ -114,9 +152,7 @@
 
 impl Drop for SiteBox {
     fn drop(&mut self) {
-        // Already ended is as good.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
@@ -128,11 +164,14 @@
     pub http: reqwest::Client,
     /// Descriptors that the settings of boxes started from now on allow.
     pub descriptors: u32,
+    /// Where boxes started from now on reach the store, if not directly.
+    pub store_path: Option<SocketAddr>,
     /// A seed that is no address, for boxes started from now on, as TOML.
     pub bad_seed: Option<String>,
     binary: PathBuf,
     folder: PathBuf,
     seeds: Vec<IpAddr>,
+    keep: bool,
 }
 
 impl RunningSite {
@@ -145,10 +184,12 @@
             store: StoreStandin::start(ip).await,
             http: reqwest::Client::new(),
             descriptors: DESCRIPTORS,
+            store_path: None,
             bad_seed: None,
             binary: binary.to_owned(),
             folder,
             seeds: Vec::new(),
+            keep: false,
         }
     }
 
@@ -177,6 +218,12 @@
         self.store.put("keyed.op", "config", &plan);
     }
 
+    /// Keeps the folder of settings and logs beyond the site's end, and gives it.
+    pub fn keep_folder(&mut self) -> &Path {
+        self.keep = true;
+        &self.folder
+    }
+
     /// Starts a replica and writes its entry.
     pub async fn start_replica(&self, id: &str, events: u32, gap_ms: u64) -> ReplicaStandin {
         let replica = ReplicaStandin::start(own_address(), id, events, gap_ms).await;
@@ -190,16 +237,11 @@
         let settings = self.folder.join(format!("{name}.toml"));
         std::fs::write(&settings, self.settings(name, ip)).expect("settings can be written");
         let log = self.folder.join(format!("{name}.log"));
-        let output = File::create(&log).expect("a log can be written");
-        let child = Command::new(&self.binary)
-            .args(["--platform", "--metrics", &METRICS_PORT.to_string()])
-            .env("RAVENSPOKE_SETTINGS", &settings)
-            .stdout(output)
-            .stderr(Stdio::inherit())
-            .spawn()
-            .expect("the box starts");
+        // A log of an earlier site at this address is not this box's.
+        drop(std::fs::remove_file(&log));
+        let child = spawn(&self.binary, &settings, &log);
         self.seeds.push(ip);
-        SiteBox { ip, settings, log, child }
+        SiteBox { ip, settings, log, child, binary: self.binary.clone() }
     }
 
     /// Starts a box and waits until it is ready.
@@ -223,7 +265,7 @@
             NOTES_PORT + 15,
             seeds.join(", "),
             self.descriptors,
-            self.store.address,
+            self.store_path.unwrap_or(self.store.address),
         )
     }
 
@@ -253,7 +295,7 @@
 impl Drop for RunningSite {
     fn drop(&mut self) {
         // Logs are kept while a test fails.
-        if !std::thread::panicking() {
+        if !self.keep && !std::thread::panicking() {
             let _ = std::fs::remove_dir_all(&self.folder);
         }
     }
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -66,6 +66,7 @@
     newest: BTreeMap<(String, String), (u64, Vec<u8>)>,
     faults: StoreFaults,
     calls: HashMap<(IpAddr, String), u64>,
+    topic_calls: HashMap<(IpAddr, String), u64>,
 }
 
 impl StoreState {
@@ -118,6 +119,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Drops a key, as the platform does with the entry of a replica that has left.
+    pub fn drop_key(&self, topic: &str, key: &str) {
+        self.lock().push(topic, key, Vec::new());
+        self.changed.notify_waiters();
+    }
+
     /// The newest value of a key.
     pub fn newest(&self, topic: &str, key: &str) -> Option<Value> {
         let state = self.lock();
@@ -146,6 +153,11 @@
         rows.map(|(_, count)| count).sum()
     }
 
+    /// Calls so far from `ip` to a topic.
+    pub fn topic_calls(&self, ip: IpAddr, topic: &str) -> u64 {
+        self.lock().topic_calls.get(&(ip, topic.to_owned())).copied().unwrap_or_default()
+    }
+
     async fn serve(&self, stream: TcpStream, from: IpAddr) {
         let mut stream = BufReader::new(stream);
         while let Ok(Some(request)) = read_request(&mut stream).await {
@@ -179,6 +191,8 @@
     fn note_call(&self, from: IpAddr, request: &WireRequest) -> StoreFaults {
         let mut state = self.lock();
         *state.calls.entry((from, request.path().to_owned())).or_default() += 1;
+        let topic = request.query("topic").unwrap_or_default().to_owned();
+        *state.topic_calls.entry((from, topic)).or_default() += 1;
         state.faults.clone()
     }
 
--- /dev/null
+++ b/crates/standins/src/soak/callers.rs
@@ -0,0 +1,136 @@
+//! Callers: they ask boxes which addresses to use, keep the answer for a while, and keep connections open
+//! until the process behind them is gone.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use reqwest::Client;
+use serde_json::Value;
+use tokio::sync::watch;
+
+use super::witness::{AskEnd, AskKind, AskRecord, SoakWitness};
+use crate::platform::site::{directory_url, entry_address, DIRECTORY_WAIT, SITE_HOST, SITE_KEY};
+
+/// Key that a fault may take away.
+pub const SECOND_KEY: &str = "second-key";
+
+/// Callers at work.
+pub const CALLERS: usize = 10;
+
+/// Callers keep an answer about addresses for this long: the platform's usual two seconds.
+const KEEP_FOR: Duration = Duration::from_millis(2_000);
+
+/// Longest pause of a caller between two requests.
+const PAUSE_MS: u64 = 25;
+
+/// How long a caller waits, in milliseconds.
+pub const DEADLINE_MS: u64 = 3_500;
+
+/// A caller ends a request that is not answered this long after its time.
+const GIVE_UP: Duration = Duration::from_millis(DEADLINE_MS + 2_000);
+
+/// One caller.
+pub struct SoakCaller {
+    number: usize,
+    dice: StdRng,
+    http: Client,
+    boxes: Vec<IpAddr>,
+    named: Vec<IpAddr>,
+    asked_at: Option<Instant>,
+    witness: Arc<SoakWitness>,
+}
+
+impl SoakCaller {
+    /// A caller that knows the boxes it may ask for addresses.
+    pub fn new(seed: u64, number: usize, boxes: Vec<IpAddr>, witness: Arc<SoakWitness>) -> Self {
+        let dice = StdRng::seed_from_u64(seed ^ (number as u64 + 1) << 32);
+        let http = Client::builder().timeout(GIVE_UP).no_proxy().build().expect("a client");
+        Self { number, dice, http, boxes, named: Vec::new(), asked_at: None, witness }
+    }
+
+    /// Asks until told to stop.
+    pub async fn run(mut self, mut stop: watch::Receiver<bool>) {
+        let mut count = 0;
+        while !*stop.borrow_and_update() {
+            count += 1;
+            self.look_up().await;
+            self.ask(count).await;
+            let pause = Duration::from_millis(self.dice.gen_range(1..PAUSE_MS));
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Asks a box for addresses, if the last answer is too old.
+    async fn look_up(&mut self) {
+        if self.asked_at.is_some_and(|at| at.elapsed() < KEEP_FOR) && !self.named.is_empty() {
+            return;
+        }
+        let asked = self.boxes[self.dice.gen_range(0..self.boxes.len())];
+        if let Some(named) = resolve(&self.http, asked).await {
+            self.named = named;
+            self.asked_at = Some(Instant::now());
+        }
+    }
+
+    /// Sends a request to one of the addresses and notes how it ended.
+    async fn ask(&mut self, count: u64) {
+        if self.named.is_empty() {
+            return;
+        }
+        let place = self.dice.gen_range(0..self.named.len());
+        let to = self.named[place];
+        let kind = match self.dice.gen_range(0..10) {
+            0..=3 => AskKind::File,
+            4..=6 => AskKind::Read,
+            _ => AskKind::Chat,
+        };
+        let second_key = self.dice.gen_bool(0.3);
+        let id = format!("c{}-{count}", self.number);
+        let sent_at = Instant::now();
+        let end = send(&self.http, to, kind, &id, second_key).await;
+        let failed = !matches!(end, AskEnd::Answered { .. });
+        let ended_at = Instant::now();
+        self.witness.note_ask(AskRecord { id, kind, second_key, to, sent_at, ended_at, end });
+        if failed && self.named.len() > 1 {
+            self.named.remove(place);
+        }
+    }
+}
+
+/// Addresses that a box names.
+pub async fn resolve(http: &Client, asked: IpAddr) -> Option<Vec<IpAddr>> {
+    let answer = http.get(directory_url(asked)).timeout(DIRECTORY_WAIT).send().await.ok()?;
+    let answer: Value = answer.json().await.ok()?;
+    let rows = answer["addresses"].as_array()?.iter();
+    Some(rows.filter_map(|row| row.as_str()?.split(':').next()?.parse().ok()).collect())
+}
+
+/// Sends one request.
+pub async fn send(http: &Client, to: IpAddr, kind: AskKind, id: &str, second_key: bool) -> AskEnd {
+    let key = if second_key { SECOND_KEY } else { SITE_KEY };
+    let url = format!("http://{}{}", entry_address(to), kind.path());
+    let mut request = http
+        .post(url)
+        .header("Host", SITE_HOST)
+        .header("X-Ravenspoke-Request-Id", id)
+        .header("X-Ravenspoke-Deadline-Ms", DEADLINE_MS.to_string())
+        .header("Authorization", format!("Bearer {key}"))
+        .body("body");
+    if kind == AskKind::Chat {
+        request = request.header("Accept", "text/event-stream");
+    }
+    let answer = match request.send().await {
+        Ok(answer) => answer,
+        Err(error) if error.is_connect() => return AskEnd::NotSent,
+        Err(error) => return AskEnd::Broken(format!("{error:?}")),
+    };
+    let status = answer.status().as_u16();
+    let retry_after = answer.headers().contains_key("retry-after");
+    match answer.text().await {
+        Ok(body) => AskEnd::Answered { status, body, retry_after },
+        Err(error) => AskEnd::Broken(format!("{error:?}")),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/soak/judge.rs
@@ -0,0 +1,187 @@
+//! The promises, checked from the records of callers and replicas.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use super::callers::DEADLINE_MS;
+use super::schedule::SoakFault;
+use super::witness::{AskEnd, AskKind, AskRecord, PlayedFault, SoakWitness};
+use crate::platform::replica::{ReplicaRun, ReplicaStandin};
+
+/// A key that was taken away runs nothing this long after the store's word: the platform's bound.
+const REVOKE: Duration = Duration::from_millis(5_000);
+
+/// A leaving replica gets nothing this long after the store's word: the platform's bound.
+const DRAIN: Duration = Duration::from_millis(2_000);
+
+/// A box that was disturbed counts as in touch again after this: the platform's bound.
+const CONTACT: Duration = Duration::from_millis(3_000);
+
+/// Allowed beyond a bound: the machine has other work, and records are made a little late.
+const SLACK: Duration = Duration::from_millis(400);
+
+/// A request is answered this long after its time at the latest.
+const LATE: Duration = Duration::from_millis(1_000);
+
+/// A replica that left, with the store's word of it.
+pub struct LeftReplica {
+    /// The replica.
+    pub replica: ReplicaStandin,
+    /// When the store had its mark.
+    pub marked_at: Instant,
+}
+
+/// Everything that a run is judged by.
+pub struct SoakRecord<'a> {
+    /// Callers' records and faults.
+    pub witness: &'a SoakWitness,
+    /// Replicas that stayed.
+    pub replicas: &'a [ReplicaStandin],
+    /// Replicas that left.
+    pub left: &'a [LeftReplica],
+    /// Address of each box.
+    pub boxes: &'a [std::net::IpAddr],
+}
+
+/// A promise that was broken, in words.
+pub type BrokenPromise = String;
+
+/// Checks all promises.
+pub fn judge(record: &SoakRecord) -> Vec<BrokenPromise> {
+    let asks = record.witness.asks();
+    let faults = record.witness.faults();
+    let runs = runs_by_id(record);
+    let mut broken = Vec::new();
+    for ask in &asks {
+        let ran = runs.get(ask.id.as_str()).map_or(0, Vec::len);
+        broken.extend(check_ask(ask, ran).map(|what| format!("{what}: {ask:?}, {ran} runs")));
+        broken.extend(check_lost(record, &faults, ask, ran));
+        broken.extend(check_time(record, &faults, ask));
+    }
+    broken.extend(check_key(record, &asks, &runs));
+    broken.extend(check_leaving(record, &faults));
+    broken
+}
+
+fn runs_by_id(record: &SoakRecord) -> HashMap<String, Vec<ReplicaRun>> {
+    let left = record.left.iter().map(|left| &left.replica);
+    let mut runs: HashMap<String, Vec<ReplicaRun>> = HashMap::new();
+    for run in record.replicas.iter().chain(left).flat_map(ReplicaStandin::runs) {
+        runs.entry(run.id.clone()).or_default().push(run);
+    }
+    runs
+}
+
+/// What a single request shows.
+fn check_ask(ask: &AskRecord, ran: usize) -> Option<&'static str> {
+    if ask.kind == AskKind::File && ran > 1 {
+        return Some("a call that may run once ran more than once");
+    }
+    let AskEnd::Answered { status, body, retry_after } = &ask.end else { return None };
+    match status {
+        408 | 421 | 429 | 503 if ask.kind == AskKind::File && ran > 0 => {
+            Some("a refusal said that a call has not run, and it ran")
+        }
+        503 if !retry_after => Some("a refusal says not when to come back"),
+        401 if !ask.second_key => Some("a key that is held was denied"),
+        403 | 404 => Some("a route that is there was denied"),
+        200 if !whole(ask, body) => Some("an answer was not the whole answer to its request"),
+        _ => None,
+    }
+}
+
+/// Whether a body is the whole answer of a stand-in to this request.
+fn whole(ask: &AskRecord, body: &str) -> bool {
+    if ask.kind == AskKind::Chat {
+        return body == super::play::whole_stream();
+    }
+    body.ends_with(&format!(" answers {}", ask.id)) && body.matches(" answers ").count() == 1
+}
+
+/// A request that a box took ends with an answer, whatever is planned there.
+fn check_lost(
+    record: &SoakRecord,
+    faults: &[PlayedFault],
+    ask: &AskRecord,
+    ran: usize,
+) -> Option<BrokenPromise> {
+    let AskEnd::Broken(why) = &ask.end else { return None };
+    let excused = faults.iter().any(|row| {
+        let here = |number: usize| record.boxes[number] == ask.to;
+        let excuses = match row.fault {
+            SoakFault::BoxKilled(number) | SoakFault::BoxPaused(number) => here(number),
+            SoakFault::Replica(..) | SoakFault::ReplicaPath(..) => true,
+            _ => false,
+        };
+        excuses && row.meets(ask.sent_at, ask.ended_at, SLACK)
+    });
+    // One that crosses a close and was passed on to nobody was not taken.
+    let crossed = ran == 0 && ask.ended_at - ask.sent_at < SLACK;
+    (!excused && !crossed).then(|| format!("a request was cut ({why}): {ask:?}, {ran} runs"))
+}
+
+/// A request is answered in its time.
+fn check_time(
+    record: &SoakRecord,
+    faults: &[PlayedFault],
+    ask: &AskRecord,
+) -> Option<BrokenPromise> {
+    let took = ask.ended_at - ask.sent_at;
+    let paused = faults.iter().any(|row| {
+        matches!(row.fault, SoakFault::BoxPaused(number) if record.boxes[number] == ask.to)
+            && row.meets(ask.sent_at, ask.ended_at, SLACK)
+    });
+    let late = took > Duration::from_millis(DEADLINE_MS) + LATE && !paused;
+    late.then(|| format!("a request was held for {took:?}: {ask:?}"))
+}
+
+fn check_key(
+    record: &SoakRecord,
+    asks: &[AskRecord],
+    runs: &HashMap<String, Vec<ReplicaRun>>,
+) -> Vec<BrokenPromise> {
+    let Some(taken_at) = record.witness.key_taken_at() else { return Vec::new() };
+    let late = |ask: &&AskRecord| {
+        ask.second_key && ask.sent_at > taken_at + REVOKE && runs.contains_key(&ask.id)
+    };
+    let told = |ask: &AskRecord| format!("a key that was taken away ran a request: {ask:?}");
+    asks.iter().filter(late).map(told).collect()
+}
+
+/// A leaving replica gets nothing from boxes in touch after the bound.
+fn check_leaving(record: &SoakRecord, faults: &[PlayedFault]) -> Vec<BrokenPromise> {
+    let mut broken = Vec::new();
+    for left in record.left {
+        for run in left.replica.runs() {
+            let late = run.at > left.marked_at + DRAIN + SLACK;
+            let disturbed = faults
+                .iter()
+                .any(|row| disturbs_touch(row.fault) && row.meets(left.marked_at, run.at, CONTACT));
+            if late && !disturbed {
+                let after = run.at - left.marked_at;
+                broken.push(format!("{} ran {} {after:?} after it left", left.replica.id, run.id));
+            }
+        }
+    }
+    broken
+}
+
+/// Whether a fault takes a box or the store out of touch.
+fn disturbs_touch(fault: SoakFault) -> bool {
+    match fault {
+        SoakFault::BoxTold(_)
+        | SoakFault::Replica(..)
+        | SoakFault::ReplicaPath(..)
+        | SoakFault::ReplicaLeaves
+        | SoakFault::KeyTaken
+        | SoakFault::PlanChanged => false,
+        SoakFault::BoxKilled(_)
+        | SoakFault::BoxStopped(_)
+        | SoakFault::BoxPaused(_)
+        | SoakFault::Store(..)
+        | SoakFault::StoreSlow
+        | SoakFault::StoreLoses
+        | SoakFault::StoreCompacts
+        | SoakFault::StorePath(..) => true,
+    }
+}
--- /dev/null
+++ b/crates/standins/src/soak/proxy.rs
@@ -0,0 +1,116 @@
+//! A loopback proxy that disturbs the connections through it.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// How connections are disturbed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ProxyFault {
+    /// Not at all.
+    #[default]
+    None,
+    /// Each piece comes later by this.
+    Delayed(Duration),
+    /// Connections are reset, new ones as well.
+    Reset,
+    /// Nothing gets through to the server.
+    CutThere,
+    /// Nothing comes back from the server.
+    CutBack,
+    /// Nothing gets through either way.
+    Silent,
+}
+
+/// Which way bytes go.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    There,
+    Back,
+}
+
+impl ProxyFault {
+    fn holds(self, way: Way) -> bool {
+        match self {
+            ProxyFault::CutThere => way == Way::There,
+            ProxyFault::CutBack => way == Way::Back,
+            ProxyFault::Silent => true,
+            ProxyFault::None | ProxyFault::Delayed(_) | ProxyFault::Reset => false,
+        }
+    }
+}
+
+/// A running proxy before one server.
+pub struct FaultProxy {
+    /// Where it listens.
+    pub address: SocketAddr,
+    fault: watch::Sender<ProxyFault>,
+}
+
+impl FaultProxy {
+    /// Starts a proxy on `ip` before `server`.
+    pub async fn start(ip: IpAddr, server: SocketAddr) -> Self {
+        let listener = TcpListener::bind((ip, 0)).await.expect("a free port");
+        let address = listener.local_addr().expect("it listens");
+        let (fault, state) = watch::channel(ProxyFault::None);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(carry(stream, server, state.clone()));
+            }
+        });
+        Self { address, fault }
+    }
+
+    /// Disturbs the connections from now on.
+    pub fn set(&self, fault: ProxyFault) {
+        self.fault.send_replace(fault);
+    }
+}
+
+/// Carries one connection until either side ends it.
+async fn carry(client: TcpStream, server: SocketAddr, mut state: watch::Receiver<ProxyFault>) {
+    // Small answers must not wait for more.
+    drop(client.set_nodelay(true));
+    if *state.borrow() == ProxyFault::Reset {
+        return reset(client);
+    }
+    let Ok(upstream) = TcpStream::connect(server).await else { return reset(client) };
+    drop(upstream.set_nodelay(true));
+    let (client_read, client_write) = client.into_split();
+    let (server_read, server_write) = upstream.into_split();
+    tokio::select! {
+        () = copy(client_read, server_write, Way::There, state.clone()) => {}
+        () = copy(server_read, client_write, Way::Back, state.clone()) => {}
+        // An error says that the proxy is gone, which ends its connections too.
+        _ = state.wait_for(|fault| *fault == ProxyFault::Reset) => {}
+    }
+}
+
+/// Closes with a reset.
+fn reset(client: TcpStream) {
+    drop(client.set_zero_linger());
+}
+
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    way: Way,
+    mut state: watch::Receiver<ProxyFault>,
+) {
+    let mut buffer = vec![0; 16 << 10];
+    while let Ok(count @ 1..) = from.read(&mut buffer).await {
+        let fault = *state.borrow();
+        if let ProxyFault::Delayed(by) = fault {
+            tokio::time::sleep(by).await;
+        }
+        // What a cut holds up comes when it is over.
+        let passed = state.wait_for(|fault| !fault.holds(way)).await.is_ok();
+        if !passed || to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/soak/schedule.rs
@@ -0,0 +1,158 @@
+//! Faults drawn from a seed: in series, overlapping, each with its beginning and length.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::proxy::ProxyFault;
+use crate::platform::replica::ReplicaMode;
+use crate::platform::store::StoreOutage;
+
+/// Faults begin within this time.
+pub const FAULTS_FOR: Duration = Duration::from_millis(8_000);
+
+/// After the faults the site is left alone for this long: what lapsed is back two seconds after the
+/// store, and a box that waits to try again does so within two.
+pub const CALM_FOR: Duration = Duration::from_millis(4_500);
+
+/// Boxes of a site.
+pub const BOXES: usize = 3;
+
+/// Replicas of a site that stay; others come and go.
+pub const REPLICAS: usize = 4;
+
+/// Least and most faults of a run.
+const FAULTS: (usize, usize) = (4, 9);
+
+/// Longest fault, in milliseconds.
+const LONGEST_MS: u64 = 2_500;
+
+/// Longest fault of the store, in milliseconds: past the time for which keys are honoured without it.
+const LONGEST_STORE_MS: u64 = 7_000;
+
+/// What is done to the site.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SoakFault {
+    /// A box is killed and started again after the fault's length.
+    BoxKilled(usize),
+    /// A box is asked to stop, and started again when it has ended.
+    BoxStopped(usize),
+    /// A box stands still.
+    BoxPaused(usize),
+    /// A box is told that its settings changed.
+    BoxTold(usize),
+    /// The store fails for all, or for one box.
+    Store(StoreOutage, Option<usize>),
+    /// The store is slow.
+    StoreSlow,
+    /// Appends are done and not answered.
+    StoreLoses,
+    /// The store forgets its history.
+    StoreCompacts,
+    /// A box's way to the store is disturbed.
+    StorePath(usize, ProxyFault),
+    /// A replica misbehaves.
+    Replica(usize, ReplicaMode),
+    /// The way to a replica is disturbed.
+    ReplicaPath(usize, ProxyFault),
+    /// A replica is added that says that it leaves, and does when the fault is over.
+    ReplicaLeaves,
+    /// A key is taken away for good.
+    KeyTaken,
+    /// The plan changes.
+    PlanChanged,
+}
+
+/// A fault with its time.
+#[derive(Clone, Copy, Debug)]
+pub struct TimedFault {
+    /// When it begins, from the start of traffic.
+    pub at: Duration,
+    /// How long it lasts.
+    pub length: Duration,
+    /// What it is.
+    pub fault: SoakFault,
+}
+
+/// The faults of a seed, in the order of their beginnings.
+pub fn draw_faults(seed: u64) -> Vec<TimedFault> {
+    let mut dice = StdRng::seed_from_u64(seed);
+    let count = dice.gen_range(FAULTS.0..=FAULTS.1);
+    let mut faults: Vec<TimedFault> = (0..count).map(|_| draw(&mut dice)).collect();
+    // A box at a time is down, or paused: callers have two others.
+    let mut down_until = Duration::ZERO;
+    faults.sort_by_key(|row| row.at);
+    faults.retain(|row| {
+        let takes_box = matches!(
+            row.fault,
+            SoakFault::BoxKilled(_) | SoakFault::BoxStopped(_) | SoakFault::BoxPaused(_)
+        );
+        let free = !takes_box || row.at >= down_until;
+        if takes_box && free {
+            down_until = row.at + row.length + Duration::from_millis(500);
+        }
+        free
+    });
+    faults
+}
+
+fn draw(dice: &mut StdRng) -> TimedFault {
+    let at = Duration::from_millis(dice.gen_range(200..FAULTS_FOR.as_millis() as u64));
+    let fault = draw_fault(dice);
+    let store = matches!(fault, SoakFault::Store(..) | SoakFault::StorePath(..));
+    let longest = if store { LONGEST_STORE_MS } else { LONGEST_MS };
+    TimedFault { at, length: Duration::from_millis(dice.gen_range(150..longest)), fault }
+}
+
+fn draw_fault(dice: &mut StdRng) -> SoakFault {
+    let (subject, replica) = (dice.gen_range(0..BOXES), dice.gen_range(0..REPLICAS));
+    match dice.gen_range(0..16) {
+        0 => SoakFault::BoxKilled(subject),
+        1 | 2 => SoakFault::BoxStopped(subject),
+        3 => SoakFault::BoxPaused(subject),
+        4 => SoakFault::BoxTold(subject),
+        5 => SoakFault::Store(draw_outage(dice), None),
+        6 => SoakFault::Store(draw_outage(dice), Some(subject)),
+        7 => SoakFault::StoreSlow,
+        8 => SoakFault::StoreLoses,
+        9 => SoakFault::StoreCompacts,
+        10 => SoakFault::StorePath(subject, draw_path(dice)),
+        11 => SoakFault::ReplicaPath(replica, draw_path(dice)),
+        12 => SoakFault::ReplicaLeaves,
+        13 => SoakFault::KeyTaken,
+        14 => SoakFault::PlanChanged,
+        _ => SoakFault::Replica(replica, draw_mode(dice)),
+    }
+}
+
+fn draw_outage(dice: &mut StdRng) -> StoreOutage {
+    let outages = [StoreOutage::Busy, StoreOutage::Silent, StoreOutage::Reset];
+    outages[dice.gen_range(0..outages.len())]
+}
+
+fn draw_path(dice: &mut StdRng) -> ProxyFault {
+    let faults = [
+        ProxyFault::Delayed(Duration::from_millis(80)),
+        ProxyFault::Reset,
+        ProxyFault::CutThere,
+        ProxyFault::CutBack,
+        ProxyFault::Silent,
+    ];
+    faults[dice.gen_range(0..faults.len())]
+}
+
+fn draw_mode(dice: &mut StdRng) -> ReplicaMode {
+    let modes = [
+        ReplicaMode::Full,
+        ReplicaMode::Failing,
+        ReplicaMode::Closing,
+        ReplicaMode::Silent,
+        ReplicaMode::Surplus,
+        ReplicaMode::WrongId,
+        ReplicaMode::Unproven,
+        ReplicaMode::CutAt(3),
+        ReplicaMode::PauseAt(3),
+    ];
+    modes[dice.gen_range(0..modes.len())]
+}
