stand-in: a stream says why it ended, and its usage where that is asked for

Ruled out: that the box drops them; it passes every event on but the marker.

Change: the stand-in sends both; a test shows them at the caller.

--- a/crates/box/tests/failures.rs
+++ b/crates/box/tests/failures.rs
@@ -196,6 +196,28 @@
     assert!(resumed >= 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_says_why_it_ended_and_its_usage_where_that_is_asked_for() {
+    let fleet = fleet().await;
+    let message = json!([{ "role": "user", "content": "text" }]);
+    for asked in [false, true] {
+        let body = json!({
+            "model": "small", "stream": true, "max_tokens": 3, "messages": message,
+            "stream_options": { "include_usage": asked },
+        });
+        let answer = fleet.chat(0, KEY, "small", true).json(&body).send().await.expect("an answer");
+        let text = answer.text().await.expect("a whole stream");
+        let data = text.lines().filter_map(|line| line.strip_prefix("data: "));
+        let events: Vec<Value> = data.filter_map(|data| serde_json::from_str(data).ok()).collect();
+        let reasons = events.iter().filter(|event| event["choices"][0]["finish_reason"] == "stop");
+        assert_eq!(reasons.count(), 1, "{text}");
+        let usage: Vec<&Value> = events.iter().filter(|event| event["usage"].is_object()).collect();
+        assert_eq!(usage.len(), usize::from(asked), "{text}");
+        assert!(usage.iter().all(|event| event["usage"]["completion_tokens"] == 3), "{text}");
+        assert!(text.ends_with("data: [DONE]\n\n"));
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn log_outage_refuses_truthfully_serves_chat_and_loses_no_bill() {
     let fleet = fleet().await;
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -139,8 +139,10 @@
     }
     drop(permit);
     let resume = headers.get("x-ravenspoke-resume").and_then(|n| n.parse().ok()).unwrap_or(0);
+    let usage = body["stream_options"]["include_usage"].as_bool().unwrap_or(false);
     let (sender, pieces) = mpsc::channel(64);
-    tokio::spawn(stream(state.inner().clone(), version, tokens, resume, sender));
+    let answer = StreamAnswer { version, tokens, resume, usage };
+    tokio::spawn(stream(state.inner().clone(), answer, sender));
     PieceAnswer {
         status: 200,
         content_type: ContentType::new("text", "event-stream"),
@@ -156,19 +158,54 @@
     }
 }
 
-async fn stream(
-    state: Arc<EngineState>,
+/// A stream to be sent.
+struct StreamAnswer {
     version: String,
     tokens: Vec<String>,
+    /// Tokens that the caller has.
     resume: usize,
+    /// Whether the caller asked for the usage behind the answer.
+    usage: bool,
+}
+
+impl StreamAnswer {
+    fn event(&self, choices: Value, usage: Value) -> Bytes {
+        let mut event = json!({
+            "id": "stand-in", "object": "chat.completion.chunk", "model": self.version,
+            "choices": choices,
+        });
+        if self.usage {
+            event["usage"] = usage;
+        }
+        format!("data: {event}\n\n").into()
+    }
+
+    /// What comes behind the tokens: why it ended, the usage if that was asked for, the end marker.
+    fn end(&self) -> Vec<Bytes> {
+        let last = json!([{ "index": 0, "delta": {}, "finish_reason": "stop" }]);
+        let count = self.tokens.len();
+        let usage =
+            json!({ "prompt_tokens": 1, "completion_tokens": count, "total_tokens": count + 1 });
+        let mut events = vec![self.event(last, Value::Null)];
+        if self.usage {
+            events.push(self.event(json!([]), usage));
+        }
+        events.push(Bytes::from_static(b"data: [DONE]\n\n"));
+        events
+    }
+}
+
+async fn stream(
+    state: Arc<EngineState>,
+    answer: StreamAnswer,
     sender: mpsc::Sender<io::Result<Bytes>>,
 ) {
     let Ok(_permit) = state.slots.acquire().await else { return };
     let token_ms = state.faults().token_ms;
     let cut = state.spend(|faults| &mut faults.cut);
     let no_marker = !cut && state.spend(|faults| &mut faults.no_marker);
-    let half = tokens.len() / 2;
-    for (index, token) in tokens.iter().enumerate().skip(resume) {
+    let half = answer.tokens.len() / 2;
+    for (index, token) in answer.tokens.iter().enumerate().skip(answer.resume) {
         if cut && index == half {
             let _ = sender.send(Err(io::ErrorKind::ConnectionAborted.into())).await;
             return;
@@ -176,16 +213,17 @@
         if no_marker && index == half {
             return;
         }
-        let event = json!({
-            "id": "stand-in", "object": "chat.completion.chunk", "model": version,
-            "choices": [{ "index": 0, "delta": { "content": token } }],
-        });
-        if sender.send(Ok(format!("data: {event}\n\n").into())).await.is_err() {
+        let piece = json!([{ "index": 0, "delta": { "content": token }, "finish_reason": null }]);
+        if sender.send(Ok(answer.event(piece, Value::Null))).await.is_err() {
             return;
         }
         pause(token_ms).await;
     }
-    let _ = sender.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await;
+    for event in answer.end() {
+        if sender.send(Ok(event)).await.is_err() {
+            return;
+        }
+    }
 }
 
 #[post("/orders", data = "<order>")]
