--- a/crates/standins/examples/quickstart-platform.rs
+++ b/crates/standins/examples/quickstart-platform.rs
@@ -70,8 +70,8 @@
     assert_eq!(answer.status(), 502, "it may have run");
     replicas.iter().for_each(|replica| replica.set_mode(ReplicaMode::Well));
     let of_id = || {
-        let lines = subject.events("request_given_up").into_iter();
-        std::future::ready(lines.filter(|line| line["id"] == "lost").next_back())
+        let mut lines = subject.events("request_given_up").into_iter();
+        std::future::ready(lines.rfind(|line| line["id"] == "lost"))
     };
     let line = wait_for("the log has the end of the request", of_id).await;
     let runs =
