gateway: signals are listened for before the settings are read

Change: signals are listened for before anything else; the soak tells a box once it listens, since before its own code runs nothing can be done.

--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -15,7 +15,7 @@
 use ravenspoke_core::route::{RouteSettings, RouteState, STOP_TAKE_MS};
 use rocket::Route;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -59,6 +59,7 @@
     settings: GatewaySettings,
     file: PathBuf,
     metrics_port: Option<u16>,
+    signals: BoxSignals,
 ) -> Result<(), ProcessError> {
     let metrics = metrics_exporter_prometheus::PrometheusBuilder::new()
         .install_recorder()
@@ -83,13 +84,34 @@
     if !settings.unread_seeds.is_empty() {
         observe::note_unread_seeds(&settings.unread_seeds);
     }
-    tokio::spawn(follow_settings(driver.clone(), file));
+    tokio::spawn(follow_settings(driver.clone(), file, signals.hangup));
 
-    wait_for_stop().await;
+    wait_for_stop(signals.terminate, signals.interrupt).await;
     stop(&settings, &driver, &store, entry).await;
     Ok(())
 }
 
+/// Signals that the box listens for.
+pub struct BoxSignals {
+    hangup: Signal,
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl BoxSignals {
+    /// Listens from now on, within a runtime; what comes before it is asked for waits.
+    ///
+    /// # Errors
+    /// What the system says.
+    pub fn listen() -> std::io::Result<Self> {
+        Ok(Self {
+            hangup: signal(SignalKind::hangup())?,
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+}
+
 /// Receivers of the sinks that effects are handed to.
 struct GatewayReceivers {
     notes: UnboundedReceiver<PeerDatagram>,
@@ -256,11 +278,7 @@
 }
 
 /// Takes changes of the settings' bounds, at a signal or when the file is found changed.
-async fn follow_settings(driver: Arc<GatewayDriver>, file: PathBuf) {
-    let mut hangup = match signal(SignalKind::hangup()) {
-        Ok(hangup) => hangup,
-        Err(error) => return observe::note_socket_failed("signal", &error),
-    };
+async fn follow_settings(driver: Arc<GatewayDriver>, file: PathBuf, mut hangup: Signal) {
     let mut last = std::fs::read_to_string(&file).unwrap_or_default();
     loop {
         let asked = tokio::select! {
@@ -291,12 +309,7 @@
     }
 }
 
-async fn wait_for_stop() {
-    let (Ok(mut terminate), Ok(mut interrupt)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
-        return std::future::pending().await;
-    };
+async fn wait_for_stop(mut terminate: Signal, mut interrupt: Signal) {
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
--- a/crates/box/src/main.rs
+++ b/crates/box/src/main.rs
@@ -6,7 +6,7 @@
 use lexopt::prelude::*;
 use miette::{IntoDiagnostic, WrapErr};
 use ravenspoke_adapter::settings as adapter_settings;
-use ravenspoke_box::gateway::process::run_gateway;
+use ravenspoke_box::gateway::process::{run_gateway, BoxSignals};
 use ravenspoke_box::process::ProcessError;
 use ravenspoke_config::gateway::GatewaySettings;
 use ravenspoke_config::settings::{read_settings, ProcessSettings};
@@ -43,8 +43,8 @@
     Printed,
     /// A box of signed bundles.
     Bundles(Box<ProcessSettings>),
-    /// A box on the users' platform: its settings, their file, and the port of its metrics.
-    Platform(Box<GatewaySettings>, PathBuf, Option<u16>),
+    /// A box on the users' platform: the settings' file, and the port of its metrics.
+    Platform(PathBuf, Option<u16>),
 }
 
 fn main() -> ExitCode {
@@ -55,12 +55,7 @@
             let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
             run(runtime, ravenspoke_box::process::run_box(*settings))
         }
-        Ok(CommandLine::Platform(settings, path, port)) => {
-            let _writer = start_platform_logs();
-            // A box has a part of one core there: more threads would only take turns.
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-            run(runtime, run_gateway(*settings, path, port))
-        }
+        Ok(CommandLine::Platform(path, port)) => run_platform(path, port),
         Err(report) => {
             eprintln!("{report:?}");
             ExitCode::from(2)
@@ -68,6 +63,36 @@
     }
 }
 
+/// Runs a box on the users' platform.
+fn run_platform(path: PathBuf, metrics_port: Option<u16>) -> ExitCode {
+    // A box has a part of one core there: more threads would only take turns.
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("the runtime can't start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    // Before anything else: a signal that nobody listens for ends the process.
+    let signals = {
+        let _inside = runtime.enter();
+        BoxSignals::listen()
+    };
+    let settings = match load_platform(&path) {
+        Ok(settings) => settings,
+        Err(report) => {
+            eprintln!("{report:?}");
+            return ExitCode::from(2);
+        }
+    };
+    let _writer = start_platform_logs();
+    run(Ok(runtime), async move {
+        let signals = signals.map_err(ProcessError::Signals)?;
+        run_gateway(settings, path, metrics_port, signals).await
+    })
+}
+
 fn run(
     runtime: std::io::Result<tokio::runtime::Runtime>,
     work: impl std::future::Future<Output = Result<(), ProcessError>>,
@@ -100,7 +125,8 @@
 fn load() -> miette::Result<CommandLine> {
     let Some(args) = read_args()? else { return Ok(CommandLine::Printed) };
     if args.platform {
-        return load_platform(args);
+        let path = args.settings.unwrap_or_else(platform_path);
+        return Ok(CommandLine::Platform(path, args.metrics_port));
     }
     if args.metrics_port.is_some() {
         return Err(miette::miette!(help = "see --help", "--metrics goes with --platform"));
@@ -142,12 +168,11 @@
     Ok(Some(args))
 }
 
-fn load_platform(args: CommandArgs) -> miette::Result<CommandLine> {
-    let path = args.settings.unwrap_or_else(platform_path);
-    let text = read_text(&path)?;
+fn load_platform(path: &Path) -> miette::Result<GatewaySettings> {
+    let text = read_text(path)?;
     let settings = adapter_settings::read_settings(&path.display().to_string(), &text)
         .map_err(|findings| *findings)?;
-    Ok(CommandLine::Platform(Box::new(settings), path, args.metrics_port))
+    Ok(settings)
 }
 
 fn platform_path() -> PathBuf {
--- a/crates/box/src/process.rs
+++ b/crates/box/src/process.rs
@@ -38,6 +38,9 @@
     /// The metrics recorder could not be installed.
     #[error("metrics can't be recorded: {0}")]
     Metrics(String),
+    /// Signals could not be listened for.
+    #[error("signals can't be listened for: {0}")]
+    Signals(std::io::Error),
     /// The HTTP client could not be built.
     #[error("the HTTP client can't be built: {0}")]
     Client(#[from] reqwest::Error),
--- a/crates/box/tests/platform.rs
+++ b/crates/box/tests/platform.rs
@@ -29,6 +29,16 @@
     .await;
 }
 
+/// Waits until callers can connect, without a pause between two tries: what comes next must meet the box
+/// while it starts.
+async fn wait_until_it_listens(subject: &SiteBox) {
+    let until = Instant::now() + Duration::from_secs(10);
+    while TcpStream::connect(subject.entry_address()).await.is_err() {
+        assert!(Instant::now() < until, "the box does not listen");
+        tokio::task::yield_now().await;
+    }
+}
+
 /// Asks once for each id and gives the statuses.
 async fn statuses(site: &RunningSite, subject: &SiteBox, path: &str, ids: &[&str]) -> Vec<u16> {
     let mut statuses = Vec::new();
@@ -347,6 +357,18 @@
     assert!(subject.events("settings_read").is_empty(), "bad settings were not taken");
 }
 
+#[tokio::test]
+async fn a_box_that_is_told_of_its_settings_while_it_starts_lives_on() {
+    let mut site = site().await;
+    for number in 0..4 {
+        let mut subject = site.start_box(&format!("box-{number}"));
+        wait_until_it_listens(&subject).await;
+        subject.signal("HUP");
+        wait_for("it is ready", || async { subject.ready().await.then_some(()) }).await;
+        assert_eq!(subject.exit_code(), None);
+    }
+}
+
 #[tokio::test]
 async fn a_connection_beyond_the_limit_is_closed_counted_and_logged_once() {
     let mut site = site().await;
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -32,6 +32,9 @@
 /// Port under which settings name seeds; boxes hear notes at [`NOTES_PORT`] all the same.
 const SEED_PORT: u16 = 18_229;
 
+/// Bit of the signal that tells of changed settings, in the masks that the system shows.
+const HANGUP_BIT: u64 = 1;
+
 /// Descriptors of a box, as small installations give them.
 const DESCRIPTORS: u32 = 4_100;
 
@@ -99,6 +102,20 @@
         assert!(sent.is_ok_and(|status| status.success()), "the signal {name} was sent");
     }
 
+    /// Tells it that its settings changed, once its process has come so far that it listens for that:
+    /// before its own code runs, the signal ends any process.
+    pub async fn tell(&self) {
+        let status = format!("/proc/{}/status", self.child.id());
+        wait_for("the box listens for signals", || {
+            let text = std::fs::read_to_string(&status).unwrap_or_default();
+            let row = text.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+            let caught = row.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+            std::future::ready(caught.filter(|mask| mask & HANGUP_BIT != 0))
+        })
+        .await;
+        self.signal("HUP");
+    }
+
     /// Kills its process, if it runs.
     pub fn kill(&mut self) {
         // Already ended is as good.
--- a/crates/standins/src/soak/play.rs
+++ b/crates/standins/src/soak/play.rs
@@ -174,7 +174,7 @@
             tokio::time::sleep(row.length).await;
             subject.signal("CONT");
         }
-        SoakFault::BoxTold(number) => site.boxes[number].lock().await.signal("HUP"),
+        SoakFault::BoxTold(number) => site.boxes[number].lock().await.tell().await,
         SoakFault::Store(outage, only) => {
             let only = only.map(|number| site.store_paths[number].address.ip());
             site.disturb_store(row.length, |faults, on| {
