--- a/crates/box/src/main.rs
+++ b/crates/box/src/main.rs
@@ -31,6 +31,7 @@
 Signals:
   SIGTERM, SIGINT      Planned stop: leave the entry list, serve on while callers
                        may keep the answer, hand over bills, exit
+  SIGHUP               With --platform: read the settings anew
 
 Exit codes:
   0  the planned stop is over
