route: the last attempt goes to the smallest model

Change: the last attempt that is allowed, of a request of which the caller has nothing, goes to the smallest model; its answer is passed on.

--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -73,6 +73,16 @@
             .or_else(|| self.backends.pick(&BackendAsk { version: fallback, ..ask }))
     }
 
+    /// The model for a request's next attempt. The last one that is allowed goes to the smallest: where a
+    /// larger one failed or kept silent, an answer that may do is worth more than none.
+    fn settle_size(&mut self, ticket: RequestTicket) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let last = request.sends + 1 >= request.route.attempts;
+        if last && !request.relayed {
+            request.size = request.size.map(|_| 0);
+        }
+    }
+
     /// The part of the replicas for the request's model.
     fn model_part(&self, request: &RouteRequest) -> ModelPart {
         self.work.get(&request.service).copied().unwrap_or_default().part(request.size)
@@ -156,10 +166,17 @@
         cause: SendCause,
         out: &mut Vec<RouteEffect>,
     ) -> bool {
-        let Some(pick) = self.choose(stamp, ticket) else { return false };
-        if !self.may_send_again(stamp, ticket, cause) {
-            return false;
+        let size = self.requests.get(&ticket).and_then(|request| request.size);
+        if cause != SendCause::LargerModel {
+            self.settle_size(ticket);
         }
+        let pick = self.choose(stamp, ticket);
+        let Some(pick) = pick.filter(|_| self.may_send_again(stamp, ticket, cause)) else {
+            if let Some(request) = self.requests.get_mut(&ticket) {
+                request.size = size;
+            }
+            return false;
+        };
         let deed = match cause {
             SendCause::LargerModel => BackendDeed::Served,
             SendCause::Failure | SendCause::Silence => BackendDeed::Failed,
@@ -179,6 +196,7 @@
         out: &mut Vec<RouteEffect>,
     ) {
         if self.may_send_again(stamp, ticket, SendCause::Failure) {
+            self.settle_size(ticket);
             self.send(stamp, ticket, otherwise, out);
         } else {
             self.give_up(stamp, ticket, otherwise, out);
