--- a/crates/box/src/gateway/note_wire.rs
+++ b/crates/box/src/gateway/note_wire.rs
@@ -2,7 +2,8 @@
 
 use prost::Message;
 use ravenspoke_adapter::store::KeyedRecord;
-use ravenspoke_core::route::backend::{BackendChange, BackendEntry, LoadNote};
+use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
+use ravenspoke_core::route::loads::LoadNote;
 use ravenspoke_core::route::peers::{PeerAsk, PeerNote, TrialNote};
 use ravenspoke_core::route::trial::{TrialState, TrialTally, TrialVerdict, VersionTally};
 use ravenspoke_core::time::BoxTime;
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -1,8 +1,8 @@
 //! Replicas of backend servers on the platform: what is known of each; [`super::pick`] chooses.
 //!
-//! A replica is known by its entry in the store. Its load comes with its answers; between two reports
-//! a box adds what it sent itself. What a replica *does* counts: one that refuses connections, breaks
-//! answers or fails them is passed over for a while, at most half of a service at a time.
+//! A replica is known by its entry in the store; [`super::loads`] says how busy it is. What a replica
+//! *does* counts: one that refuses connections, breaks answers or fails them is passed over for a
+//! while, at most half of a service at a time.
 
 use std::collections::HashMap;
 
@@ -22,25 +22,6 @@
 /// Longest span for which a replica is passed over, in milliseconds.
 pub const PASS_OVER_LIMIT_MS: u64 = 5_000;
 
-/// A load report fades with this half-life, in milliseconds: streams last seconds.
-pub const REPORT_HALF_LIFE_MS: f64 = 1_500.0;
-
-/// A waiting request weighs as much as this many running ones in a replica's load. From the bench: late
-/// first events came from replicas with a queue.
-pub const WAITING_WEIGHT: u32 = 4;
-
-/// A replica that is still slow from its start counts with this many times its load.
-pub const COLD_WEIGHT: f64 = 2.0;
-
-/// A replica's load is told to other boxes from this share of its slots on: below it nothing waits.
-pub const TOLD_SHARE: f64 = 0.4;
-
-/// A load is told for this long after its report, in milliseconds: two notes pass it on to all.
-pub const TOLD_MS: u64 = 1_200;
-
-/// Loads in one note, at most, the highest first: what keeps a note within a datagram.
-pub const LOADS_TOLD: usize = 24;
-
 /// Ids of replicas that are gone, with the offset of that, are kept until there are this many.
 pub const GONE_LIMIT: usize = 4_096;
 
@@ -77,29 +58,6 @@
     pub entry: Option<BackendEntry>,
 }
 
-/// Load that came with an answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct BackendLoad {
-    /// Requests running.
-    pub running: u32,
-    /// Requests waiting.
-    pub waiting: u32,
-    /// Slots.
-    pub slots: u32,
-}
-
-/// A busy replica's load, as one box tells it to another: a replica serves many boxes, and each of
-/// them hears from it but now and then.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct LoadNote {
-    /// The replica, by [`backend_hash`] of its id.
-    pub replica: u64,
-    /// Running requests, and waiting ones by [`WAITING_WEIGHT`].
-    pub load: u32,
-    /// How long ago the replica reported it, in milliseconds.
-    pub age_ms: u64,
-}
-
 /// What stands for a replica's id in notes.
 pub fn backend_hash(id: &str) -> u64 {
     xxh3_64(id.as_bytes())
@@ -138,7 +96,7 @@
     pub(super) id_hash: u64,
     /// Offset of its last change in the store.
     pub at: u64,
-    /// Reported running requests, and waiting ones by [`WAITING_WEIGHT`].
+    /// Reported running requests, and waiting ones by [`super::loads::WAITING_WEIGHT`].
     pub reported: u32,
     /// When they were reported.
     pub reported_at: BoxTime,
@@ -159,15 +117,6 @@
 }
 
 impl BackendState {
-    /// Estimated load as a share of its slots.
-    pub fn load(&self, now: BoxTime) -> f64 {
-        let age = now.millis_since(self.reported_at) as f64;
-        let faded = f64::from(self.reported) * 0.5_f64.powf(age / REPORT_HALF_LIFE_MS);
-        let estimate = (faded + f64::from(self.since_report)).max(f64::from(self.outstanding));
-        let cold = if self.cold_until > now { COLD_WEIGHT } else { 1.0 };
-        estimate * cold / f64::from(self.entry.slots.max(1))
-    }
-
     /// Whether it may be chosen at all.
     pub(super) fn usable(&self, now: BoxTime) -> bool {
         !self.entry.leaving && self.lapses_at.is_none_or(|at| now < at)
@@ -179,7 +128,8 @@
 pub struct BackendTable {
     pub(super) rows: SlotMap<ReplicaKey, BackendState>,
     ids: HashMap<String, ReplicaKey>,
-    hashes: HashMap<u64, ReplicaKey>,
+    /// By [`backend_hash`] of their ids.
+    pub(super) hashes: HashMap<u64, ReplicaKey>,
     /// In the order of the hashes of their ids, which is the same on every box.
     pub(super) by_service: HashMap<String, Vec<ReplicaKey>>,
     /// Ids that are gone, with the offset of that.
@@ -336,53 +286,6 @@
         changes
     }
 
-    /// Notes that a request was given to a replica.
-    pub fn sent(&mut self, key: ReplicaKey) {
-        if let Some(row) = self.rows.get_mut(key) {
-            row.outstanding += 1;
-            row.since_report += 1;
-        }
-    }
-
-    /// Takes the load that came with an answer.
-    pub fn reported(&mut self, key: ReplicaKey, load: BackendLoad, now: BoxTime) {
-        if let Some(row) = self.rows.get_mut(key) {
-            row.reported = load.running + WAITING_WEIGHT * load.waiting;
-            row.reported_at = now;
-            row.since_report = 0;
-        }
-    }
-
-    /// Takes the load that another box heard of, unless this one knows a later report.
-    pub fn hear_load(&mut self, told: &LoadNote, now: BoxTime) {
-        let Some(key) = self.hashes.get(&told.replica) else { return };
-        let row = &mut self.rows[*key];
-        let at = now.minus_millis(told.age_ms);
-        if at > row.reported_at {
-            row.reported = told.load;
-            row.reported_at = at;
-            row.since_report = 0;
-        }
-    }
-
-    /// Loads that other boxes should know of.
-    pub fn loads_to_tell(&self, now: BoxTime) -> Vec<LoadNote> {
-        let share =
-            |row: &BackendState| f64::from(row.reported) / f64::from(row.entry.slots.max(1));
-        let tells = |row: &&BackendState| {
-            now.millis_since(row.reported_at) < TOLD_MS && share(row) >= TOLD_SHARE
-        };
-        let mut rows: Vec<&BackendState> = self.rows.values().filter(tells).collect();
-        rows.sort_by(|a, b| share(b).total_cmp(&share(a)));
-        rows.truncate(LOADS_TOLD);
-        let note = |row: &BackendState| LoadNote {
-            replica: row.id_hash,
-            load: row.reported,
-            age_ms: now.millis_since(row.reported_at),
-        };
-        rows.into_iter().map(note).collect()
-    }
-
     /// Notes that a request has ended, and how well the replica did.
     pub fn ended(&mut self, key: ReplicaKey, deed: BackendDeed, now: BoxTime) {
         let Some(row) = self.rows.get_mut(key) else { return };
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -1,6 +1,7 @@
 //! What can happen to a routing box, and what it can be told to do, as data.
 
-use super::backend::{BackendChange, BackendLoad};
+use super::backend::BackendChange;
+use super::loads::BackendLoad;
 use super::peers::{PeerAsk, PeerNote};
 use super::plan::{RouteKind, RoutePlan};
 use super::trial::{TrialOrder, TrialState, TrialVerdict};
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -7,8 +7,8 @@
 //! state.
 //!
 //! [`plan`] what is routed where · [`fresh`] how long that may be relied on · [`backend`] replicas ·
-//! [`pick`] which of them answers · [`peers`] the other boxes · [`trial`] new versions · [`budget`]
-//! further sends · [`sizes`] models.
+//! [`loads`] how busy they are · [`pick`] which of them answers · [`peers`] the other boxes · [`trial`]
+//! new versions · [`budget`] further sends · [`sizes`] models.
 
 mod attempt;
 pub mod backend;
@@ -16,6 +16,7 @@
 mod dump;
 pub mod event;
 pub mod fresh;
+pub mod loads;
 mod news;
 pub mod peers;
 pub mod pick;
--- a/crates/core/src/route/peers.rs
+++ b/crates/core/src/route/peers.rs
@@ -13,7 +13,8 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::backend::{BackendChange, LoadNote};
+use super::backend::BackendChange;
+use super::loads::LoadNote;
 use super::trial::{RouteTallies, TrialVerdict};
 use crate::time::BoxTime;
 
--- a/crates/core/tests/route/loads.rs
+++ b/crates/core/tests/route/loads.rs
@@ -1,7 +1,8 @@
 //! What boxes tell each other of replicas' loads.
 
-use ravenspoke_core::route::backend::{backend_hash, BackendLoad, LoadNote};
+use ravenspoke_core::route::backend::backend_hash;
 use ravenspoke_core::route::event::{AnswerHead, RouteAsk, RouteEvent};
+use ravenspoke_core::route::loads::{BackendLoad, LoadNote};
 use ravenspoke_core::route::peers::PeerNote;
 
 use crate::fixture::{ask, head, note_in, ready_box, TestBox};
--- a/crates/core/tests/route/models.rs
+++ b/crates/core/tests/route/models.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeSet;
 
-use ravenspoke_core::route::backend::BackendLoad;
 use ravenspoke_core::route::event::{AnswerHead, RouteAsk, RouteEvent};
+use ravenspoke_core::route::loads::BackendLoad;
 use ravenspoke_core::route::sizes::{ModelWork, FIRST_SHARE, SHARE_BOUNDS};
 
 use crate::fixture::{ask, entry, head, new_box, order_in, plan, TestBox};
--- a/crates/core/tests/route/requests.rs
+++ b/crates/core/tests/route/requests.rs
@@ -1,9 +1,9 @@
 //! Attempts, what may be repeated, and what a refusal may say.
 
-use ravenspoke_core::route::backend::BackendLoad;
 use ravenspoke_core::route::event::{
     AnswerHead, AttemptFailure, RefusalReason, RouteAsk, RouteEffect, RouteEvent,
 };
+use ravenspoke_core::route::loads::BackendLoad;
 use ravenspoke_core::route::plan::RouteKind;
 use ravenspoke_core::route::STOP_TAKE_MS;
 
