--- /dev/null
+++ b/crates/box/src/gateway/note_wire/mod.rs
@@ -0,0 +1,140 @@
+//! Datagrams between boxes, in protobuf.
+//!
+//! A datagram is a note or an ask. `replica`, `trial` and `ask` hold the messages of its parts.
+
+mod ask;
+mod replica;
+mod trial;
+
+use prost::Message;
+use ravenspoke_adapter::store::KeyedRecord;
+use ravenspoke_core::route::peers::{PeerAsk, PeerNote};
+
+use ask::{read_ask, read_record, write_ask, write_record, WireAsk, WireRecord};
+use replica::{read_change, read_load, write_change, write_load, WireChange, WireLoad};
+use trial::{read_trial, read_verdict, write_trial, write_verdict, WireTrial, WireVerdict};
+
+#[derive(Clone, PartialEq, Message)]
+struct WireNote {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(fixed64, tag = "2")]
+    incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    number: u64,
+    #[prost(string, tag = "4")]
+    note_address: String,
+    #[prost(string, tag = "5")]
+    entry_address: String,
+    #[prost(string, tag = "6")]
+    zone: String,
+    #[prost(bool, tag = "7")]
+    open: bool,
+    #[prost(uint64, tag = "8")]
+    read_to: u64,
+    #[prost(message, repeated, tag = "9")]
+    changes: Vec<WireChange>,
+    #[prost(message, repeated, tag = "10")]
+    trials: Vec<WireTrial>,
+    #[prost(message, repeated, tag = "11")]
+    verdicts: Vec<WireVerdict>,
+    #[prost(string, repeated, tag = "12")]
+    others: Vec<String>,
+    #[prost(uint64, optional, tag = "13")]
+    read_age_ms: Option<u64>,
+    #[prost(message, optional, tag = "14")]
+    echo: Option<WireAsk>,
+    #[prost(message, repeated, tag = "15")]
+    loads: Vec<WireLoad>,
+}
+
+/// A datagram is one of these.
+#[derive(Clone, PartialEq, Message)]
+struct WireDatagram {
+    #[prost(message, optional, tag = "1")]
+    note: Option<WireNote>,
+    #[prost(message, optional, tag = "2")]
+    ask: Option<WireAsk>,
+    /// What the answered ask wants.
+    #[prost(message, repeated, tag = "3")]
+    records: Vec<WireRecord>,
+}
+
+/// Encodes a note as a datagram, with the records that the ask it answers wants.
+pub fn encode_note(note: &PeerNote, records: &[KeyedRecord]) -> Vec<u8> {
+    let note = Some(write_note(note));
+    let records = records.iter().map(write_record).collect();
+    WireDatagram { note, ask: None, records }.encode_to_vec()
+}
+
+/// Encodes an ask as a datagram.
+pub fn encode_ask(ask: &PeerAsk) -> Vec<u8> {
+    let ask = Some(write_ask(ask));
+    WireDatagram { note: None, ask, records: Vec::new() }.encode_to_vec()
+}
+
+/// What a datagram says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum HeardDatagram {
+    /// A note, with the records that this box asked for.
+    Note(Box<PeerNote>, Vec<KeyedRecord>),
+    /// An ask.
+    Ask(PeerAsk),
+    /// Nothing.
+    Empty,
+}
+
+/// Decodes a datagram.
+///
+/// # Errors
+/// The codec's, if the bytes are no datagram of a box.
+pub fn decode_datagram(bytes: &[u8]) -> Result<HeardDatagram, prost::DecodeError> {
+    let wire = WireDatagram::decode(bytes)?;
+    if let Some(ask) = wire.ask {
+        return Ok(HeardDatagram::Ask(read_ask(ask)));
+    }
+    let records = wire.records.into_iter().map(read_record).collect();
+    Ok(wire.note.map_or(HeardDatagram::Empty, |note| {
+        HeardDatagram::Note(Box::new(read_note(note)), records)
+    }))
+}
+
+fn write_note(note: &PeerNote) -> WireNote {
+    WireNote {
+        name: note.name.clone(),
+        incarnation: note.incarnation,
+        number: note.number,
+        note_address: note.note_address.clone(),
+        entry_address: note.entry_address.clone(),
+        zone: note.zone.clone(),
+        open: note.open,
+        read_to: note.read_to,
+        changes: note.changes.iter().map(write_change).collect(),
+        trials: note.trials.iter().map(write_trial).collect(),
+        verdicts: note.verdicts.iter().map(write_verdict).collect(),
+        others: note.others.clone(),
+        read_age_ms: note.read_age_ms,
+        echo: note.echo.as_ref().map(write_ask),
+        loads: note.loads.iter().map(write_load).collect(),
+    }
+}
+
+fn read_note(wire: WireNote) -> PeerNote {
+    PeerNote {
+        name: wire.name,
+        incarnation: wire.incarnation,
+        number: wire.number,
+        note_address: wire.note_address,
+        entry_address: wire.entry_address,
+        zone: wire.zone,
+        open: wire.open,
+        read_to: wire.read_to,
+        read_age_ms: wire.read_age_ms,
+        echo: wire.echo.map(read_ask),
+        changes: wire.changes.into_iter().map(read_change).collect(),
+        trials: wire.trials.into_iter().map(read_trial).collect(),
+        verdicts: wire.verdicts.into_iter().map(read_verdict).collect(),
+        others: wire.others,
+        loads: wire.loads.into_iter().map(read_load).collect(),
+    }
+}
--- /dev/null
+++ b/crates/box/src/gateway/note_wire/replica.rs
@@ -0,0 +1,80 @@
+//! News of replicas and their loads, as notes carry them.
+
+use prost::Message;
+use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
+use ravenspoke_core::route::loads::LoadNote;
+
+/// A change to a replica's entry; without one, it is gone.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireChange {
+    #[prost(string, tag = "1")]
+    id: String,
+    #[prost(uint64, tag = "2")]
+    at: u64,
+    #[prost(message, optional, tag = "3")]
+    entry: Option<WireEntry>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireEntry {
+    #[prost(string, tag = "1")]
+    address: String,
+    #[prost(string, tag = "2")]
+    service: String,
+    #[prost(string, tag = "3")]
+    zone: String,
+    #[prost(string, tag = "4")]
+    version: String,
+    #[prost(uint32, tag = "5")]
+    slots: u32,
+    #[prost(bool, tag = "6")]
+    leaving: bool,
+    #[prost(uint64, tag = "7")]
+    cold_ms: u64,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(super) struct WireLoad {
+    #[prost(fixed64, tag = "1")]
+    replica: u64,
+    #[prost(uint32, tag = "2")]
+    load: u32,
+    #[prost(uint64, tag = "3")]
+    age_ms: u64,
+}
+
+pub(super) fn write_change(change: &BackendChange) -> WireChange {
+    let entry = change.entry.as_ref().map(|entry| WireEntry {
+        address: entry.address.clone(),
+        service: entry.service.clone(),
+        zone: entry.zone.clone(),
+        version: entry.version.clone(),
+        slots: entry.slots,
+        leaving: entry.leaving,
+        cold_ms: entry.cold_ms,
+    });
+    WireChange { id: change.id.clone(), at: change.at, entry }
+}
+
+pub(super) fn read_change(change: WireChange) -> BackendChange {
+    let id = change.id.clone();
+    let entry = change.entry.map(|entry| BackendEntry {
+        id,
+        address: entry.address,
+        service: entry.service,
+        zone: entry.zone,
+        version: entry.version,
+        slots: entry.slots,
+        leaving: entry.leaving,
+        cold_ms: entry.cold_ms,
+    });
+    BackendChange { id: change.id, at: change.at, entry }
+}
+
+pub(super) fn write_load(told: &LoadNote) -> WireLoad {
+    WireLoad { replica: told.replica, load: told.load, age_ms: told.age_ms }
+}
+
+pub(super) fn read_load(told: WireLoad) -> LoadNote {
+    LoadNote { replica: told.replica, load: told.load, age_ms: told.age_ms }
+}
--- /dev/null
+++ b/crates/box/src/gateway/note_wire/trial.rs
@@ -0,0 +1,118 @@
+//! Trials of new versions and their verdicts, as notes carry them.
+
+use prost::Message;
+use ravenspoke_core::route::peers::TrialNote;
+use ravenspoke_core::route::trial::{TrialState, TrialTally, TrialVerdict, VersionTally};
+
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireTrial {
+    #[prost(string, tag = "1")]
+    service: String,
+    #[prost(string, tag = "2")]
+    version: String,
+    #[prost(uint64, tag = "3")]
+    age_ms: u64,
+    #[prost(message, repeated, tag = "4")]
+    routes: Vec<WireRoute>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireRoute {
+    #[prost(string, tag = "1")]
+    route: String,
+    #[prost(message, optional, tag = "2")]
+    fresh: Option<WireTally>,
+    #[prost(message, optional, tag = "3")]
+    base: Option<WireTally>,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+struct WireTally {
+    #[prost(float, tag = "1")]
+    runs: f32,
+    #[prost(float, tag = "2")]
+    bad: f32,
+    #[prost(float, tag = "3")]
+    timed: f32,
+    #[prost(float, tag = "4")]
+    log_sum: f32,
+    #[prost(float, tag = "5")]
+    log_square: f32,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireVerdict {
+    #[prost(string, tag = "1")]
+    service: String,
+    #[prost(string, tag = "2")]
+    version: String,
+    /// 0 running, 1 done, 2 rolled back.
+    #[prost(uint32, tag = "3")]
+    state: u32,
+}
+
+fn write_tally(tally: &VersionTally) -> WireTally {
+    WireTally {
+        runs: tally.runs as f32,
+        bad: tally.bad as f32,
+        timed: tally.timed as f32,
+        log_sum: tally.log_sum as f32,
+        log_square: tally.log_square as f32,
+    }
+}
+
+fn read_tally(tally: Option<WireTally>) -> VersionTally {
+    let tally = tally.unwrap_or_default();
+    VersionTally {
+        runs: f64::from(tally.runs),
+        bad: f64::from(tally.bad),
+        timed: f64::from(tally.timed),
+        log_sum: f64::from(tally.log_sum),
+        log_square: f64::from(tally.log_square),
+    }
+}
+
+pub(super) fn write_trial(trial: &TrialNote) -> WireTrial {
+    let route = |(route, tally): (&String, &TrialTally)| WireRoute {
+        route: route.clone(),
+        fresh: Some(write_tally(&tally.fresh)),
+        base: Some(write_tally(&tally.base)),
+    };
+    WireTrial {
+        service: trial.service.clone(),
+        version: trial.version.clone(),
+        age_ms: trial.age_ms,
+        routes: trial.tallies.iter().map(route).collect(),
+    }
+}
+
+pub(super) fn read_trial(trial: WireTrial) -> TrialNote {
+    let route = |row: WireRoute| {
+        let tally = TrialTally { fresh: read_tally(row.fresh), base: read_tally(row.base) };
+        (row.route, tally)
+    };
+    TrialNote {
+        service: trial.service,
+        version: trial.version,
+        age_ms: trial.age_ms,
+        tallies: trial.routes.into_iter().map(route).collect(),
+    }
+}
+
+pub(super) fn write_verdict(verdict: &TrialVerdict) -> WireVerdict {
+    let state = match verdict.state {
+        TrialState::Running => 0,
+        TrialState::Done => 1,
+        TrialState::RolledBack => 2,
+    };
+    WireVerdict { service: verdict.service.clone(), version: verdict.version.clone(), state }
+}
+
+pub(super) fn read_verdict(verdict: WireVerdict) -> TrialVerdict {
+    let state = match verdict.state {
+        1 => TrialState::Done,
+        2 => TrialState::RolledBack,
+        _ => TrialState::Running,
+    };
+    TrialVerdict { service: verdict.service, version: verdict.version, state }
+}
