soak: the site and the playing of faults are modules of their own

`play` did three things; each fault is now a short function, and the times that stood in code have names. The way to a replica that left is kept, not forgotten.

--- /dev/null
+++ b/crates/standins/src/soak/inflict.rs
@@ -0,0 +1,153 @@
+//! Faults, each played on the site from its beginning to its end.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::time::sleep;
+
+use super::judge::LeftReplica;
+use super::proxy::{FaultProxy, ProxyFault};
+use super::schedule::{SoakFault, TimedFault};
+use super::site::{start_replica, SoakSite};
+use super::witness::PlayedFault;
+use crate::platform::replica::ReplicaMode;
+use crate::platform::site::SITE_SERVICE;
+use crate::platform::store::{StoreFaults, StoreOutage};
+
+/// Time that a slow store takes, in milliseconds. A choice.
+const SLOW_MS: u64 = 300;
+
+/// A box that was asked to stop is gone after this: the time that the platform gives it.
+const GRACE: Duration = Duration::from_millis(8_000);
+
+/// A box that was asked to stop is looked at this often. A choice.
+const EXIT_LOOK: Duration = Duration::from_millis(20);
+
+/// The entry of a replica that leaves stands for this long after its mark: a little over the two
+/// seconds in which boxes must have seen it.
+const MARK_STANDS: Duration = Duration::from_millis(2_500);
+
+/// Plays one fault and notes it.
+pub(super) async fn play_fault(site: Arc<SoakSite>, row: TimedFault) {
+    sleep(row.at).await;
+    let from = Instant::now();
+    match row.fault {
+        SoakFault::BoxKilled(number) => site.kill_box(number, row.length).await,
+        SoakFault::BoxStopped(number) => site.stop_box(number).await,
+        SoakFault::BoxPaused(number) => site.pause_box(number, row.length).await,
+        SoakFault::BoxTold(number) => site.boxes[number].lock().await.tell().await,
+        SoakFault::Store(outage, only) => site.take_store_away(outage, only, row.length).await,
+        SoakFault::StoreSlow => site.slow_store(row.length).await,
+        SoakFault::StoreLoses => site.lose_answers(row.length).await,
+        SoakFault::StoreCompacts => site.compact_store().await,
+        SoakFault::StorePath(number, fault) => disturb(&site.store_paths[number], fault, row).await,
+        SoakFault::ReplicaPath(number, fault) => {
+            disturb(&site.replica_paths[number], fault, row).await;
+        }
+        SoakFault::Replica(number, mode) => site.disturb_replica(number, mode, row.length).await,
+        SoakFault::ReplicaLeaves => site.let_replica_leave(row).await,
+        SoakFault::KeyTaken => {
+            site.witness.note_key_taken();
+            site.write_plan().await;
+        }
+        SoakFault::PlanChanged => site.write_plan().await,
+    }
+    site.witness.note_fault(PlayedFault { fault: row.fault, from, until: Instant::now() });
+}
+
+async fn disturb(path: &FaultProxy, fault: ProxyFault, row: TimedFault) {
+    path.set(fault);
+    sleep(row.length).await;
+    path.set(ProxyFault::None);
+}
+
+impl SoakSite {
+    /// Kills a box and starts it again later.
+    async fn kill_box(&self, number: usize, length: Duration) {
+        let mut subject = self.boxes[number].lock().await;
+        subject.kill();
+        sleep(length).await;
+        subject.restart();
+    }
+
+    /// Asks a box to stop, waits until it has ended, and starts it again.
+    async fn stop_box(&self, number: usize) {
+        let mut subject = self.boxes[number].lock().await;
+        subject.signal("TERM");
+        let until = Instant::now() + GRACE;
+        while subject.exit_code().is_none() && Instant::now() < until {
+            sleep(EXIT_LOOK).await;
+        }
+        subject.kill();
+        subject.restart();
+    }
+
+    /// Lets a box stand still for a while.
+    async fn pause_box(&self, number: usize, length: Duration) {
+        let subject = self.boxes[number].lock().await;
+        subject.signal("STOP");
+        sleep(length).await;
+        subject.signal("CONT");
+    }
+
+    /// The store fails for all, or for the box `only`.
+    async fn take_store_away(&self, outage: StoreOutage, only: Option<usize>, length: Duration) {
+        let only = only.map(|number| self.store_paths[number].address.ip());
+        self.disturb_store(length, |faults, on| {
+            faults.outage = if on { outage } else { StoreOutage::None };
+            faults.only = only.filter(|_| on).into_iter().collect();
+        })
+        .await;
+    }
+
+    async fn slow_store(&self, length: Duration) {
+        self.disturb_store(length, |faults, on| {
+            faults.slow_ms = if on { SLOW_MS } else { 0 };
+        })
+        .await;
+    }
+
+    /// Appends are done and not answered.
+    async fn lose_answers(&self, length: Duration) {
+        self.disturb_store(length, |faults, on| faults.lose_answers = u32::from(on)).await;
+    }
+
+    /// Applies a change to the store's faults, and takes it back when the fault is over.
+    async fn disturb_store(&self, length: Duration, change: impl Fn(&mut StoreFaults, bool)) {
+        self.change_store(|faults| change(faults, true)).await;
+        sleep(length).await;
+        self.change_store(|faults| change(faults, false)).await;
+    }
+
+    async fn change_store(&self, change: impl FnOnce(&mut StoreFaults)) {
+        let mut faults = self.store_faults.lock().await;
+        change(&mut faults);
+        self.site.lock().await.store.set_faults(faults.clone());
+    }
+
+    async fn compact_store(&self) {
+        let site = self.site.lock().await;
+        site.store.compact("keyed.op");
+        site.store.compact("keyed.servers");
+    }
+
+    async fn disturb_replica(&self, number: usize, mode: ReplicaMode, length: Duration) {
+        self.replicas[number].set_mode(mode);
+        sleep(length).await;
+        self.replicas[number].set_mode(ReplicaMode::Well);
+    }
+
+    /// A replica comes, says that it leaves after the fault's length, and then its entry is gone. It
+    /// lives on to the end of the run.
+    async fn let_replica_leave(&self, row: TimedFault) {
+        let id = format!("i-{}", row.at.as_micros());
+        let (replica, path) = start_replica(&*self.site.lock().await, &id).await;
+        sleep(row.length).await;
+        let entry = replica.behind(path.address).entry(SITE_SERVICE, "v1", "draining");
+        self.site.lock().await.store.put("keyed.servers", &id, &entry);
+        self.left.lock().await.push(LeftReplica { replica, marked_at: Instant::now() });
+        self.left_paths.lock().await.push(path);
+        sleep(MARK_STANDS).await;
+        self.site.lock().await.store.drop_key("keyed.servers", &id);
+    }
+}
--- a/crates/standins/src/soak/judge.rs
+++ b/crates/standins/src/soak/judge.rs
@@ -93,7 +93,7 @@
 /// Whether a body is the whole answer of a stand-in to this request.
 fn whole(ask: &AskRecord, body: &str) -> bool {
     if ask.kind == AskKind::Chat {
-        return body == super::play::whole_stream();
+        return body == super::site::whole_stream();
     }
     body.ends_with(&format!(" answers {}", ask.id)) && body.matches(" answers ").count() == 1
 }
--- a/crates/standins/src/soak/mod.rs
+++ b/crates/standins/src/soak/mod.rs
@@ -1,13 +1,16 @@
 //! The fault soak: real boxes as processes, a schedule of faults drawn from a seed, and the promises of
 //! the platform checked from what callers and replicas saw.
 //!
-//! [`schedule`] draws the faults, [`proxy`] brings about those of the network, [`callers`] ask and keep a
-//! record, [`witness`] holds the records, [`judge`] checks the promises, and [`play`] puts a run together.
-//! Boxes use the steady clock only and no disk, so no clock and no storage is misled.
+//! [`schedule`] draws the faults, `site` is what they are played on, `inflict` plays them, and [`proxy`]
+//! brings about those of the network. [`callers`] ask and keep a record, [`witness`] holds the records,
+//! [`judge`] checks the promises, and [`play`] puts a run together. Boxes use the steady clock only and
+//! no disk, so no clock and no storage is misled.
 
 pub mod callers;
+mod inflict;
 pub mod judge;
 pub mod play;
 pub mod proxy;
 pub mod schedule;
+mod site;
 pub mod witness;
--- /dev/null
+++ b/crates/standins/src/soak/site.rs
@@ -0,0 +1,125 @@
+//! The site under faults: boxes as processes, the store and replicas, each behind a proxy of its own.
+
+use std::net::IpAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+
+use tokio::sync::Mutex;
+
+use super::callers::{resolve, SECOND_KEY};
+use super::judge::LeftReplica;
+use super::proxy::FaultProxy;
+use super::schedule::{BOXES, REPLICAS};
+use super::witness::SoakWitness;
+use crate::fleet::wait_for;
+use crate::platform::replica::ReplicaStandin;
+use crate::platform::site::{own_address, RunningSite, SiteBox, SITE_KEY, SITE_SERVICE};
+use crate::platform::store::StoreFaults;
+
+/// Events of a stream. A choice: some before and some behind the one at which a replica breaks off.
+const EVENTS: u32 = 6;
+
+/// Time between two events of a stream, in milliseconds. A choice.
+const GAP_MS: u64 = 15;
+
+/// Numbers between two plans' versions: versions need not follow each other.
+const VERSION_STEP: u64 = 7;
+
+/// The whole stream of a replica.
+pub fn whole_stream() -> String {
+    (1..=EVENTS).map(|number| format!("id: {number}\ndata: piece {number}\n\n")).collect()
+}
+
+/// A site under faults.
+pub(super) struct SoakSite {
+    /// The store, and what boxes are started with.
+    pub(super) site: Mutex<RunningSite>,
+    /// The boxes, each held by the fault that takes it.
+    pub(super) boxes: Vec<Mutex<SiteBox>>,
+    /// Addresses of the boxes.
+    pub(super) addresses: Vec<IpAddr>,
+    /// Replicas that stay.
+    pub(super) replicas: Vec<ReplicaStandin>,
+    /// The way of each box to the store.
+    pub(super) store_paths: Vec<FaultProxy>,
+    /// The way to each replica that stays.
+    pub(super) replica_paths: Vec<FaultProxy>,
+    /// Replicas that left.
+    pub(super) left: Mutex<Vec<LeftReplica>>,
+    /// The ways to them: what still comes would be seen.
+    pub(super) left_paths: Mutex<Vec<FaultProxy>>,
+    /// What the store does wrong now.
+    pub(super) store_faults: Mutex<StoreFaults>,
+    plan_version: AtomicU64,
+    /// Records of callers and faults.
+    pub(super) witness: Arc<SoakWitness>,
+}
+
+impl SoakSite {
+    /// Starts a site and waits until every box names all.
+    pub(super) async fn start(binary: &Path) -> Self {
+        let mut site = RunningSite::start(binary).await;
+        site.write_plan(1, &[SITE_KEY, SECOND_KEY]);
+        let (replicas, replica_paths) = start_replicas(&site).await;
+        let (boxes, store_paths) = start_boxes(&mut site).await;
+        let addresses: Vec<IpAddr> = boxes.iter().map(|subject| subject.ip).collect();
+        wait_for("every box names all", || async {
+            let named = resolve(&site.http, addresses[0]).await?;
+            (named.len() == BOXES).then_some(())
+        })
+        .await;
+        Self {
+            boxes: boxes.into_iter().map(Mutex::new).collect(),
+            site: Mutex::new(site),
+            addresses,
+            replicas,
+            store_paths,
+            replica_paths,
+            left: Mutex::default(),
+            left_paths: Mutex::default(),
+            store_faults: Mutex::default(),
+            plan_version: AtomicU64::new(1),
+            witness: Arc::default(),
+        }
+    }
+
+    /// Writes a newer plan, without the second key once that was taken away.
+    pub(super) async fn write_plan(&self) {
+        let last = self.plan_version.fetch_add(VERSION_STEP, Ordering::Relaxed);
+        let taken = self.witness.key_taken_at().is_some();
+        let keys: &[&str] = if taken { &[SITE_KEY] } else { &[SITE_KEY, SECOND_KEY] };
+        self.site.lock().await.write_plan(last + VERSION_STEP, keys);
+    }
+}
+
+async fn start_replicas(site: &RunningSite) -> (Vec<ReplicaStandin>, Vec<FaultProxy>) {
+    let (mut replicas, mut paths) = (Vec::new(), Vec::new());
+    for number in 0..REPLICAS {
+        let (replica, path) = start_replica(site, &format!("i-{number}")).await;
+        replicas.push(replica);
+        paths.push(path);
+    }
+    (replicas, paths)
+}
+
+async fn start_boxes(site: &mut RunningSite) -> (Vec<SiteBox>, Vec<FaultProxy>) {
+    let (mut boxes, mut paths) = (Vec::new(), Vec::new());
+    for number in 0..BOXES {
+        // Each box has a proxy of its own, at an address by which the store knows the box.
+        let path = FaultProxy::start(own_address(), site.store.address).await;
+        site.store_path = Some(path.address);
+        boxes.push(site.start_ready(&format!("box-{number}")).await);
+        paths.push(path);
+    }
+    (boxes, paths)
+}
+
+/// Starts a replica whose entry names a proxy before it.
+pub(super) async fn start_replica(site: &RunningSite, id: &str) -> (ReplicaStandin, FaultProxy) {
+    let replica = ReplicaStandin::start(own_address(), id, EVENTS, GAP_MS).await;
+    let path = FaultProxy::start(replica.address.ip(), replica.address).await;
+    let reached = replica.behind(path.address);
+    site.store.put("keyed.servers", id, &reached.entry(SITE_SERVICE, "v1", "ready"));
+    (replica, path)
+}
