--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -31,6 +31,21 @@
 /// Longest fault of the store, in milliseconds: past the time for which keys are honoured without it.
 const LONGEST_STORE_MS: u64 = 7_000;
 
+/// Shortest fault, in milliseconds. A choice: many times the pause of a caller.
+const SHORTEST_MS: u64 = 150;
+
+/// The first fault begins after this, in milliseconds. A choice: callers are at work by then.
+const FIRST_AT_MS: u64 = 200;
+
+/// Between two boxes that are taken away, at the least. A choice: time to start the first again.
+const BACK_AFTER: Duration = Duration::from_millis(500);
+
+/// By this each piece comes later on a disturbed way. A choice.
+const PATH_DELAY: Duration = Duration::from_millis(80);
+
+/// Event of a stream at which a replica breaks off or pauses: neither the first nor the last.
+const MIDDLE_EVENT: u32 = 3;
+
 /// What is done to the site.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SoakFault {
@@ -64,6 +79,13 @@
     PlanChanged,
 }
 
+impl SoakFault {
+    /// Whether a box is away while it lasts.
+    fn takes_box(self) -> bool {
+        matches!(self, SoakFault::BoxKilled(_) | SoakFault::BoxStopped(_) | SoakFault::BoxPaused(_))
+    }
+}
+
 /// A fault with its time.
 #[derive(Clone, Copy, Debug)]
 pub struct TimedFault {
@@ -84,13 +106,10 @@
     let mut down_until = Duration::ZERO;
     faults.sort_by_key(|row| row.at);
     faults.retain(|row| {
-        let takes_box = matches!(
-            row.fault,
-            SoakFault::BoxKilled(_) | SoakFault::BoxStopped(_) | SoakFault::BoxPaused(_)
-        );
+        let takes_box = row.fault.takes_box();
         let free = !takes_box || row.at >= down_until;
         if takes_box && free {
-            down_until = row.at + row.length + Duration::from_millis(500);
+            down_until = row.at + row.length + BACK_AFTER;
         }
         free
     });
@@ -98,11 +117,11 @@
 }
 
 fn draw(dice: &mut StdRng) -> TimedFault {
-    let at = Duration::from_millis(dice.gen_range(200..FAULTS_FOR.as_millis() as u64));
+    let at = Duration::from_millis(dice.gen_range(FIRST_AT_MS..FAULTS_FOR.as_millis() as u64));
     let fault = draw_fault(dice);
     let store = matches!(fault, SoakFault::Store(..) | SoakFault::StorePath(..));
     let longest = if store { LONGEST_STORE_MS } else { LONGEST_MS };
-    TimedFault { at, length: Duration::from_millis(dice.gen_range(150..longest)), fault }
+    TimedFault { at, length: Duration::from_millis(dice.gen_range(SHORTEST_MS..longest)), fault }
 }
 
 fn draw_fault(dice: &mut StdRng) -> SoakFault {
@@ -133,7 +152,7 @@
 
 fn draw_path(dice: &mut StdRng) -> ProxyFault {
     let faults = [
-        ProxyFault::Delayed(Duration::from_millis(80)),
+        ProxyFault::Delayed(PATH_DELAY),
         ProxyFault::Reset,
         ProxyFault::CutThere,
         ProxyFault::CutBack,
@@ -151,8 +170,8 @@
         ReplicaMode::Surplus,
         ReplicaMode::WrongId,
         ReplicaMode::Unproven,
-        ReplicaMode::CutAt(3),
-        ReplicaMode::PauseAt(3),
+        ReplicaMode::CutAt(MIDDLE_EVENT),
+        ReplicaMode::PauseAt(MIDDLE_EVENT),
     ];
     modes[dice.gen_range(0..modes.len())]
 }
