--- a/crates/standins/src/soak/proxy.rs
+++ b/crates/standins/src/soak/proxy.rs
@@ -8,6 +8,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+/// Largest piece that is passed on at once, in bytes. A choice.
+const PIECE_BYTES: usize = 16 << 10;
+
 /// How connections are disturbed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ProxyFault {
@@ -18,9 +21,9 @@
     Delayed(Duration),
     /// Connections are reset, new ones as well.
     Reset,
-    /// Nothing gets through to the server.
+    /// Nothing gets through to the target.
     CutThere,
-    /// Nothing comes back from the server.
+    /// Nothing comes back from the target.
     CutBack,
     /// Nothing gets through either way.
     Silent,
@@ -44,7 +47,7 @@
     }
 }
 
-/// A running proxy before one server.
+/// A running proxy before its target: the store, or a replica.
 pub struct FaultProxy {
     /// Where it listens.
     pub address: SocketAddr,
@@ -52,14 +55,14 @@
 }
 
 impl FaultProxy {
-    /// Starts a proxy on `ip` before `server`.
-    pub async fn start(ip: IpAddr, server: SocketAddr) -> Self {
+    /// Starts a proxy on `ip` before `target`.
+    pub async fn start(ip: IpAddr, target: SocketAddr) -> Self {
         let listener = TcpListener::bind((ip, 0)).await.expect("a free port");
         let address = listener.local_addr().expect("it listens");
         let (fault, state) = watch::channel(ProxyFault::None);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(carry(stream, server, state.clone()));
+                tokio::spawn(carry(stream, target, state.clone()));
             }
         });
         Self { address, fault }
@@ -72,19 +75,19 @@
 }
 
 /// Carries one connection until either side ends it.
-async fn carry(client: TcpStream, server: SocketAddr, mut state: watch::Receiver<ProxyFault>) {
+async fn carry(client: TcpStream, target: SocketAddr, mut state: watch::Receiver<ProxyFault>) {
     // Small answers must not wait for more.
     drop(client.set_nodelay(true));
     if *state.borrow() == ProxyFault::Reset {
         return reset(client);
     }
-    let Ok(upstream) = TcpStream::connect(server).await else { return reset(client) };
-    drop(upstream.set_nodelay(true));
+    let Ok(reached) = TcpStream::connect(target).await else { return reset(client) };
+    drop(reached.set_nodelay(true));
     let (client_read, client_write) = client.into_split();
-    let (server_read, server_write) = upstream.into_split();
+    let (target_read, target_write) = reached.into_split();
     tokio::select! {
-        () = copy(client_read, server_write, Way::There, state.clone()) => {}
-        () = copy(server_read, client_write, Way::Back, state.clone()) => {}
+        () = copy(client_read, target_write, Way::There, state.clone()) => {}
+        () = copy(target_read, client_write, Way::Back, state.clone()) => {}
         // An error says that the proxy is gone, which ends its connections too.
         _ = state.wait_for(|fault| *fault == ProxyFault::Reset) => {}
     }
@@ -101,7 +104,7 @@
     way: Way,
     mut state: watch::Receiver<ProxyFault>,
 ) {
-    let mut buffer = vec![0; 16 << 10];
+    let mut buffer = vec![0; PIECE_BYTES];
     while let Ok(count @ 1..) = from.read(&mut buffer).await {
         let fault = *state.borrow();
         if let ProxyFault::Delayed(by) = fault {
