--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -10,6 +10,7 @@
 use slotmap::SlotMap;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::gone::GoneReplicas;
 use crate::ids::ReplicaKey;
 use crate::time::BoxTime;
 
@@ -22,9 +23,6 @@
 /// Longest span for which a replica is passed over, in milliseconds.
 pub const PASS_OVER_LIMIT_MS: u64 = 5_000;
 
-/// Ids of replicas that are gone, with the offset of that, are kept until there are this many.
-pub const GONE_LIMIT: usize = 4_096;
-
 /// A replica as its entry in the store gives it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct BackendEntry {
@@ -132,8 +130,7 @@
     pub(super) hashes: HashMap<u64, ReplicaKey>,
     /// In the order of the hashes of their ids, which is the same on every box.
     pub(super) by_service: HashMap<String, Vec<ReplicaKey>>,
-    /// Ids that are gone, with the offset of that.
-    gone: HashMap<String, u64>,
+    gone: GoneReplicas,
 }
 
 impl BackendTable {
@@ -167,7 +164,7 @@
         lapse_at: Option<BoxTime>,
     ) -> BackendNews {
         let known = self.ids.get(&change.id).map(|key| self.rows[*key].at);
-        let known = known.or_else(|| self.gone.get(&change.id).copied());
+        let known = known.or_else(|| self.gone.offset(&change.id));
         if known.is_some_and(|at| at >= change.at) {
             return BackendNews::None;
         }
@@ -197,7 +194,7 @@
 
     fn put(&mut self, entry: BackendEntry, at: u64, now: BoxTime) -> BackendNews {
         let Some(key) = self.ids.get(&entry.id).copied() else {
-            self.gone.remove(&entry.id);
+            self.gone.forget(&entry.id);
             let leaving = entry.leaving;
             self.insert(entry, at, now);
             return if leaving { BackendNews::Leaving } else { BackendNews::Changed };
@@ -242,7 +239,7 @@
 
     fn take_gone(&mut self, id: &str, at: u64, lapse_at: Option<BoxTime>) -> BackendNews {
         let Some(key) = self.ids.get(id).copied() else {
-            self.note_gone(id, at);
+            self.gone.note(id, at);
             return BackendNews::None;
         };
         let row = &mut self.rows[key];
@@ -255,16 +252,9 @@
         BackendNews::Leaving
     }
 
-    fn note_gone(&mut self, id: &str, at: u64) {
-        if self.gone.len() >= GONE_LIMIT {
-            self.gone.clear();
-        }
-        self.gone.insert(id.to_owned(), at);
-    }
-
     fn remove(&mut self, key: ReplicaKey) {
         let Some(row) = self.rows.remove(key) else { return };
-        self.note_gone(&row.entry.id, row.at);
+        self.gone.note(&row.entry.id, row.at);
         self.ids.remove(&row.entry.id);
         self.hashes.remove(&row.id_hash);
         if let Some(keys) = self.by_service.get_mut(&row.entry.service) {
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -16,6 +16,7 @@
 mod dump;
 pub mod event;
 pub mod fresh;
+mod gone;
 pub mod loads;
 mod news;
 pub mod peers;
