--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -4,7 +4,8 @@
 use super::backend::BackendDeed;
 use super::budget::SendCause;
 use super::event::{DecisionInputs, RefusalReason, RouteEffect, SendOrder};
-use super::pick::{BackendAsk, BackendPick, ModelPart, VersionWish};
+use super::parts::ModelPart;
+use super::pick::{BackendAsk, BackendPick, VersionWish};
 use super::plan::{RouteKind, RouteSpec};
 use super::request::RouteRequest;
 use super::trial::TrialState;
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -8,7 +8,7 @@
 //!
 //! [`plan`] what is routed where · [`fresh`] how long that may be relied on · [`backend`] replicas ·
 //! [`loads`] how busy they are · [`pick`] which of them answers · [`peers`] the other boxes · [`trial`]
-//! new versions · [`budget`] further sends · [`sizes`] models.
+//! new versions · [`budget`] further sends · [`sizes`] which model answers · [`parts`] on which replicas.
 
 mod attempt;
 pub mod backend;
@@ -19,6 +19,7 @@
 mod gone;
 pub mod loads;
 mod news;
+pub mod parts;
 pub mod peers;
 pub mod pick;
 pub mod plan;
@@ -36,10 +37,11 @@
 use budget::{BudgetBounds, SendBudget};
 use event::{RouteEffect, RouteEvent};
 use fresh::{FreshBounds, PlanFreshness};
+use parts::ModelWork;
 use peers::PeerTable;
 use plan::{RoutePlan, RouteTable};
 use request::RouteRequest;
-use sizes::{ModelWork, ServiceLag};
+use sizes::ServiceLag;
 use trial::VersionTrial;
 
 pub use dump::RouteDump;
--- a/crates/core/src/route/pick.rs
+++ b/crates/core/src/route/pick.rs
@@ -1,6 +1,7 @@
 //! Which replica answers a request: the lightest, or one that holds the prompt's shared parts already.
 
 use super::backend::BackendTable;
+use super::parts::ModelPart;
 use crate::ids::ReplicaKey;
 use crate::replica::mix;
 use crate::time::BoxTime;
@@ -16,36 +17,6 @@
 /// part of the replicas. Twice [`AFFINITY_MARGIN`]: beyond, the other part has room that this one lacks.
 pub const PART_MARGIN: f64 = 0.5;
 
-/// Replicas of a service from which on its models are kept apart: fewer leave a part without choice.
-pub const PARTED_FROM: usize = 6;
-
-/// The part of a service's replicas that a request's model runs on. A long prompt that a large model
-/// reads holds up all that waits behind it, and a large model slows each step of its batch.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum ModelPart {
-    /// Any replica.
-    Whole,
-    /// This share of the replicas, the first of them by the hash of their ids.
-    First(f64),
-    /// What [`ModelPart::First`] with this share leaves.
-    Rest(f64),
-}
-
-impl ModelPart {
-    /// Its replicas, of `pool` in the order of the hashes of their ids.
-    fn of(self, pool: &[ReplicaKey]) -> &[ReplicaKey] {
-        if pool.len() < PARTED_FROM {
-            return pool;
-        }
-        let cut = |share: f64| (pool.len() as f64 * share).round() as usize;
-        match self {
-            ModelPart::Whole => pool,
-            ModelPart::First(share) => &pool[..cut(share).clamp(1, pool.len())],
-            ModelPart::Rest(share) => &pool[cut(share).min(pool.len() - 1)..],
-        }
-    }
-}
-
 /// Which replicas a pick may take.
 #[derive(Clone, Copy, Debug)]
 pub struct BackendAsk<'a> {
--- a/crates/core/src/route/sizes.rs
+++ b/crates/core/src/route/sizes.rs
@@ -4,8 +4,6 @@
 //! dropped before the caller has any of it, and a larger model is asked. Weighed in docs/POLICY.md
 //! against always the largest and always the smallest.
 
-use super::pick::ModelPart;
-
 /// An answer whose model is less sure than this is asked of a larger one while replicas are idle, 0 to
 /// 100. From the bench: docs/POLICY.md.
 pub const SURE_IDLE: f64 = 50.0;
@@ -42,55 +40,6 @@
     }
 }
 
-/// Part of a service's replicas for its smallest model before anything is known of the work, from the
-/// bench: 0.2 and 0.45 gave more late answers.
-pub const FIRST_SHARE: f64 = 0.3;
-
-/// Least and largest such part.
-pub const SHARE_BOUNDS: (f64, f64) = (0.15, 0.6);
-
-/// Weight of one answer in the work of the models.
-const WORK_WEIGHT: f64 = 0.004;
-
-/// How the time that replicas take to begin their answers is parted between the smallest model and the
-/// larger ones: what one request adds to it is what those behind it wait for. A mean that fades.
-#[derive(Clone, Copy, Debug)]
-pub struct ModelWork {
-    first_ms: f64,
-    rest_ms: f64,
-}
-
-impl Default for ModelWork {
-    /// The parts before anything is known, as the work of answers of 100 ms.
-    fn default() -> Self {
-        Self { first_ms: 100.0 * FIRST_SHARE, rest_ms: 100.0 * (1.0 - FIRST_SHARE) }
-    }
-}
-
-impl ModelWork {
-    /// Adds an answer of the model in row `size` that began after `took_ms`.
-    pub fn add(&mut self, size: usize, took_ms: f64) {
-        let (first, rest) = if size == 0 { (took_ms, 0.0) } else { (0.0, took_ms) };
-        self.first_ms += (first - self.first_ms) * WORK_WEIGHT;
-        self.rest_ms += (rest - self.rest_ms) * WORK_WEIGHT;
-    }
-
-    /// The smallest model's part.
-    pub fn first_share(self) -> f64 {
-        let (least, most) = SHARE_BOUNDS;
-        (self.first_ms / (self.first_ms + self.rest_ms)).clamp(least, most)
-    }
-
-    /// The part of the replicas for the model in row `size`.
-    pub fn part(self, size: Option<usize>) -> ModelPart {
-        match size {
-            None => ModelPart::Whole,
-            Some(0) => ModelPart::First(self.first_share()),
-            Some(_) => ModelPart::Rest(self.first_share()),
-        }
-    }
-}
-
 /// The model to begin with.
 pub fn first_size(sizes: &[String]) -> Option<usize> {
     (!sizes.is_empty()).then_some(0)
--- a/crates/core/tests/route/models.rs
+++ b/crates/core/tests/route/models.rs
@@ -4,7 +4,7 @@
 
 use ravenspoke_core::route::event::{AnswerHead, RouteAsk, RouteEvent};
 use ravenspoke_core::route::loads::BackendLoad;
-use ravenspoke_core::route::sizes::{ModelWork, FIRST_SHARE, SHARE_BOUNDS};
+use ravenspoke_core::route::parts::{ModelWork, FIRST_SHARE, SHARE_BOUNDS};
 
 use crate::fixture::{ask, entry, head, new_box, order_in, plan, TestBox};
 
