route: what answers teach is a module of its own

`request` decides; the lag, the work of models and a trial's evidence are taken beside it. The name `note_lag` was no longer true: it takes the work as well. A head that says "not run" is told apart before the others are judged.

--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! [`RouteState`] is the reducer of a box on such a platform, beside [`crate::state::BoxState`] for
 //! signed bundles. Claims, bills and witnesses have no place in it: a caller's retry is a new request
-//! there, and nobody reads bills. The flow of a request is in `request`, its attempts are in `attempt`;
-//! trials of new versions are in `verdict`; what boxes tell each other is in `news`; `dump` describes the
-//! state.
+//! there, and nobody reads bills. The flow of a request is in `request`, its attempts are in `attempt`,
+//! what they teach is in `learn`; trials of new versions are in `verdict`; what boxes tell each other is
+//! in `news`; `dump` describes the state.
 //!
 //! [`plan`] what is routed where · [`fresh`] how long that may be relied on · [`backend`] replicas ·
 //! [`loads`] how busy they are · [`pick`] which of them answers · [`peers`] the other boxes · [`trial`]
@@ -17,6 +17,7 @@
 pub mod event;
 pub mod fresh;
 mod gone;
+mod learn;
 pub mod loads;
 mod news;
 pub mod parts;
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -1,5 +1,5 @@
 //! The life of a request: found a route, answered, failed, or refused. Its attempts are in
-//! [`super::attempt`].
+//! [`super::attempt`], and what they teach is in [`super::learn`].
 //!
 //! One place ends a request without a replica's answer ([`RouteState::give_up`]), and there alone it
 //! is decided whether "has not run" may be said.
@@ -12,7 +12,6 @@
 };
 use super::plan::{KeyHolder, RouteSpec};
 use super::sizes;
-use super::trial::TrialState;
 use super::{RouteState, STOP_TAKE_MS};
 use crate::event::{EventStamp, RequestTicket};
 use crate::ids::ReplicaKey;
@@ -144,7 +143,7 @@
         head: AnswerHead,
         out: &mut Vec<RouteEffect>,
     ) {
-        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let Some(request) = self.requests.get(&ticket) else { return };
         let Some(attempt) = request.attempt else { return };
         if let Some(load) = head.load {
             self.backends.reported(attempt.replica, load, stamp.now);
@@ -156,10 +155,23 @@
             self.try_again(stamp, ticket, RefusalReason::Full, out);
             return;
         }
+        let took_ms = stamp.now.millis_since(attempt.began) as f64;
+        self.judge_head(stamp, ticket, head, took_ms, out);
+    }
+
+    /// Decides on the head of an answer that began after `took_ms`, of a replica that ran the request.
+    fn judge_head(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        head: AnswerHead,
+        took_ms: f64,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
         request.may_have_run = true;
         let failed = head.status >= 500 || !head.proven;
-        let took_ms = stamp.now.millis_since(attempt.began) as f64;
-        self.note_lag(ticket, took_ms);
+        self.learn_pace(ticket, took_ms);
         self.tally(ticket, failed, (!failed).then_some(took_ms));
         let Some(request) = self.requests.get(&ticket) else { return };
         let (kind, relayed) = (request.route.kind, request.relayed);
@@ -259,33 +271,6 @@
         }
     }
 
-    /// Adds an answer that began after `took_ms` to its service's lag, if it is a stream's, and to the
-    /// work of its model, if the router chose one.
-    fn note_lag(&mut self, ticket: RequestTicket, took_ms: f64) {
-        let Some(request) = self.requests.get(&ticket) else { return };
-        if request.route.kind.is_stream() {
-            let lag = self.lags.entry(request.service.clone()).or_default();
-            lag.add(took_ms, request.route.target_ms);
-        }
-        if let Some(size) = request.size {
-            self.work.entry(request.service.clone()).or_default().add(size, took_ms);
-        }
-    }
-
-    /// Adds the attempt's answer to its service's trial, if there is one.
-    fn tally(&mut self, ticket: RequestTicket, bad: bool, took_ms: Option<f64>) {
-        let Some(request) = self.requests.get_mut(&ticket) else { return };
-        let Some(attempt) = &mut request.attempt else { return };
-        let Some(trial) = self.trials.get_mut(&request.service) else { return };
-        if trial.state != TrialState::Running || attempt.blamed {
-            return;
-        }
-        attempt.blamed = bad;
-        let row = trial.own.entry(request.route.name.clone()).or_default();
-        let side = if attempt.on_trial { &mut row.fresh } else { &mut row.base };
-        side.add(bad, took_ms);
-    }
-
     pub(super) fn on_finished(&mut self, stamp: EventStamp, ticket: RequestTicket) {
         let deed = self.requests.get(&ticket).map_or(BackendDeed::Neither, |request| request.deed);
         self.end_attempt(stamp, ticket, deed);
