--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -61,6 +61,12 @@
     format!("http://{ip}:{DIRECTORY_PORT}/-/resolve?name={SITE_HOST}")
 }
 
+/// Addresses that a directory's answer names.
+pub fn named_in(answer: &Value) -> Option<Vec<String>> {
+    let rows = answer["addresses"].as_array()?;
+    Some(rows.iter().filter_map(|row| Some(row.as_str()?.to_owned())).collect())
+}
+
 /// A box as a process.
 pub struct SiteBox {
     /// Its address.
@@ -144,8 +150,7 @@
     /// What the directory answers.
     pub async fn resolve(&self) -> Option<Vec<String>> {
         let answer: Value = reqwest::get(directory_url(self.ip)).await.ok()?.json().await.ok()?;
-        let addresses = answer["addresses"].as_array()?;
-        Some(addresses.iter().filter_map(|row| Some(row.as_str()?.to_owned())).collect())
+        named_in(&answer)
     }
 
     /// Whether it says that it is ready.
--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -12,7 +12,9 @@
 use tokio::sync::watch;
 
 use super::witness::{AskEnd, AskKind, AskRecord, SoakWitness};
-use crate::platform::site::{directory_url, entry_address, DIRECTORY_WAIT, SITE_HOST, SITE_KEY};
+use crate::platform::site::{
+    directory_url, entry_address, named_in, DIRECTORY_WAIT, SITE_HOST, SITE_KEY,
+};
 
 /// Key that a fault may take away.
 pub const SECOND_KEY: &str = "second-key";
@@ -104,8 +106,8 @@
 pub async fn resolve(http: &Client, asked: IpAddr) -> Option<Vec<IpAddr>> {
     let answer = http.get(directory_url(asked)).timeout(DIRECTORY_WAIT).send().await.ok()?;
     let answer: Value = answer.json().await.ok()?;
-    let rows = answer["addresses"].as_array()?.iter();
-    Some(rows.filter_map(|row| row.as_str()?.split(':').next()?.parse().ok()).collect())
+    let named = named_in(&answer)?;
+    Some(named.iter().filter_map(|address| address.split(':').next()?.parse().ok()).collect())
 }
 
 /// Sends one request.
