--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -5,7 +5,6 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::time::Duration;
 
 use serde_json::{json, Value};
 
@@ -22,6 +21,12 @@
 /// Service that the site's routes name.
 pub const SITE_SERVICE: &str = "pool";
 
+/// Topic of the operator's records.
+pub const OPERATOR_TOPIC: &str = "keyed.op";
+
+/// Topic of the replicas' entries.
+pub const REPLICA_TOPIC: &str = "keyed.servers";
+
 /// Ports of each box; the boxes of a site differ in their addresses.
 const ENTRY_PORT: u16 = 18_227;
 const READY_PORT: u16 = 18_220;
@@ -48,9 +53,6 @@
     Ipv4Addr::new(127, high as u8, low as u8, last).into()
 }
 
-/// A box's answer about addresses comes within this, or another box is asked.
-pub const DIRECTORY_WAIT: Duration = Duration::from_millis(1_000);
-
 /// Where the box at `ip` takes callers.
 pub fn entry_address(ip: IpAddr) -> String {
     format!("{ip}:{ENTRY_PORT}")
@@ -237,7 +239,7 @@
             "tenants": [{ "name": "alpha", "api_keys": keys }],
             "limits": { "max_body_bytes": 100_000, "max_header_bytes": 8_192 },
         });
-        self.store.put("keyed.op", "config", &plan);
+        self.store.put(OPERATOR_TOPIC, "config", &plan);
     }
 
     /// Keeps the folder of settings and logs beyond the site's end, and gives it.
@@ -249,7 +251,7 @@
     /// Starts a replica and writes its entry.
     pub async fn start_replica(&self, id: &str, events: u32, gap_ms: u64) -> ReplicaStandin {
         let replica = ReplicaStandin::start(own_address(), id, events, gap_ms).await;
-        self.store.put("keyed.servers", id, &replica.entry(SITE_SERVICE, "v1", "ready"));
+        self.store.put(REPLICA_TOPIC, id, &replica.entry(SITE_SERVICE, "v1", "ready"));
         replica
     }
 
--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -12,9 +12,7 @@
 use tokio::sync::watch;
 
 use super::witness::{AskEnd, AskKind, AskRecord, SoakWitness};
-use crate::platform::site::{
-    directory_url, entry_address, named_in, DIRECTORY_WAIT, SITE_HOST, SITE_KEY,
-};
+use crate::platform::site::{directory_url, entry_address, named_in, SITE_HOST, SITE_KEY};
 
 /// Key that a fault may take away.
 pub const SECOND_KEY: &str = "second-key";
@@ -25,7 +23,10 @@
 /// Callers keep an answer about addresses for this long: the platform's usual two seconds.
 const KEEP_FOR: Duration = Duration::from_millis(2_000);
 
-/// Longest pause of a caller between two requests.
+/// A box's answer about addresses comes within this, or another box is asked.
+const DIRECTORY_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Longest pause of a caller between two requests, in milliseconds.
 const PAUSE_MS: u64 = 25;
 
 /// How long a caller waits, in milliseconds.
--- a/crates/standins/src/soak/inflict.rs
+++ b/crates/standins/src/soak/inflict.rs
@@ -11,7 +11,7 @@
 use super::site::{start_replica, SoakSite};
 use super::witness::PlayedFault;
 use crate::platform::replica::ReplicaMode;
-use crate::platform::site::SITE_SERVICE;
+use crate::platform::site::{OPERATOR_TOPIC, REPLICA_TOPIC, SITE_SERVICE};
 use crate::platform::store::{StoreFaults, StoreOutage};
 
 /// Time that a slow store takes, in milliseconds. A choice.
@@ -127,8 +127,8 @@
 
     async fn compact_store(&self) {
         let site = self.site.lock().await;
-        site.store.compact("keyed.op");
-        site.store.compact("keyed.servers");
+        site.store.compact(OPERATOR_TOPIC);
+        site.store.compact(REPLICA_TOPIC);
     }
 
     async fn disturb_replica(&self, number: usize, mode: ReplicaMode, length: Duration) {
@@ -144,10 +144,10 @@
         let (replica, path) = start_replica(&*self.site.lock().await, &id).await;
         sleep(row.length).await;
         let entry = replica.behind(path.address).entry(SITE_SERVICE, "v1", "draining");
-        self.site.lock().await.store.put("keyed.servers", &id, &entry);
+        self.site.lock().await.store.put(REPLICA_TOPIC, &id, &entry);
         self.left.lock().await.push(LeftReplica { replica, marked_at: Instant::now() });
         self.left_paths.lock().await.push(path);
         sleep(MARK_STANDS).await;
-        self.site.lock().await.store.drop_key("keyed.servers", &id);
+        self.site.lock().await.store.drop_key(REPLICA_TOPIC, &id);
     }
 }
--- a/crates/standins/src/soak/site.rs
+++ b/crates/standins/src/soak/site.rs
@@ -14,7 +14,9 @@
 use super::witness::SoakWitness;
 use crate::fleet::wait_for;
 use crate::platform::replica::ReplicaStandin;
-use crate::platform::site::{own_address, RunningSite, SiteBox, SITE_KEY, SITE_SERVICE};
+use crate::platform::site::{
+    own_address, RunningSite, SiteBox, REPLICA_TOPIC, SITE_KEY, SITE_SERVICE,
+};
 use crate::platform::store::StoreFaults;
 
 /// Events of a stream. A choice: some before and some behind the one at which a replica breaks off.
@@ -120,6 +122,6 @@
     let replica = ReplicaStandin::start(own_address(), id, EVENTS, GAP_MS).await;
     let path = FaultProxy::start(replica.address.ip(), replica.address).await;
     let reached = replica.behind(path.address);
-    site.store.put("keyed.servers", id, &reached.entry(SITE_SERVICE, "v1", "ready"));
+    site.store.put(REPLICA_TOPIC, id, &reached.entry(SITE_SERVICE, "v1", "ready"));
     (replica, path)
 }
