--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -1,18 +1,14 @@
-//! Reads the platform's store, and writes verdicts and this box's own record to it.
+//! Reads the platform's store, and writes this box's own record to it. Verdicts are in
+//! [`super::verdicts`].
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use ravenspoke_adapter::records::{
-    read_backend, read_verdict, write_verdict, BACKEND_TOPIC, BOX_TOPIC, OPERATOR_TOPIC,
-    VERDICT_TOPIC,
-};
-use ravenspoke_adapter::store::{AppendOutcome, KeyedRecord, StoreClient, StoreError};
+use ravenspoke_adapter::records::{read_backend, BACKEND_TOPIC, BOX_TOPIC, OPERATOR_TOPIC};
+use ravenspoke_adapter::store::{KeyedRecord, StoreClient, StoreError};
 use ravenspoke_core::route::backend::BackendChange;
 use ravenspoke_core::route::event::RouteEvent;
-use ravenspoke_core::route::trial::{TrialState, TrialVerdict};
 use ravenspoke_core::time::BoxTime;
-use tokio::sync::mpsc::UnboundedReceiver;
 
 use super::driver::GatewayDriver;
 use super::observe;
@@ -34,12 +30,6 @@
 /// A box looks this often whether it must read itself, in milliseconds.
 pub const TURN_LOOK_MS: u64 = 200;
 
-/// Verdicts are read this often, in milliseconds, while a trial is under way.
-pub const VERDICT_EVERY_MS: u64 = 2_000;
-
-/// A box looks this often whether verdicts have to be read, in milliseconds.
-pub const VERDICT_LOOK_MS: u64 = 50;
-
 /// Other boxes' records are read this often, in milliseconds; notes are quicker, this mends what they
 /// can't.
 pub const BOX_EVERY_MS: u64 = 60_000;
@@ -54,11 +44,8 @@
 /// Longest pause between two tries of the other boxes, in milliseconds.
 pub const RETRY_LIMIT_MS: u64 = 2_000;
 
-/// Times that a verdict is tried when the topic grows meanwhile.
-pub const VERDICT_TRIES: usize = 4;
-
 /// Reads the store for one topic, and knows whether it can be reached.
-struct TopicFollower {
+pub(super) struct TopicFollower {
     driver: Arc<GatewayDriver>,
     store: StoreClient,
     topic: &'static str,
@@ -68,12 +55,12 @@
 }
 
 impl TopicFollower {
-    fn new(driver: Arc<GatewayDriver>, store: StoreClient, topic: &'static str) -> Self {
+    pub(super) fn new(driver: Arc<GatewayDriver>, store: StoreClient, topic: &'static str) -> Self {
         Self { driver, store, topic, lost_at: None, retry_ms: RETRY_MS }
     }
 
     /// Notes how a call went, and gives what it read.
-    fn check<T>(&mut self, result: Result<T, StoreError>) -> Option<T> {
+    pub(super) fn check<T>(&mut self, result: Result<T, StoreError>) -> Option<T> {
         match result {
             Ok(found) => {
                 self.retry_ms = RETRY_MS;
@@ -95,7 +82,7 @@
     }
 
     /// Waits before the next try, longer each time: refused calls are priced too.
-    async fn wait_to_retry(&mut self) {
+    pub(super) async fn wait_to_retry(&mut self) {
         let jitter = rand::random::<u64>() % (self.retry_ms / 4);
         tokio::time::sleep(Duration::from_millis(self.retry_ms + jitter)).await;
         let reader = self.driver.state().is_reader(self.driver.now());
@@ -104,7 +91,7 @@
     }
 
     /// Records from `next` on, or all of them without it; `None` if the call failed.
-    async fn read(&mut self, next: &mut Option<u64>, wait_ms: u64) -> Option<TopicNews> {
+    pub(super) async fn read(&mut self, next: &mut Option<u64>, wait_ms: u64) -> Option<TopicNews> {
         metrics::counter!("ravenspoke_store_calls_total", "topic" => self.topic).increment(1);
         if let Some(from) = *next {
             match self.store.read(self.topic, from, wait_ms).await {
@@ -127,10 +114,10 @@
 }
 
 /// What a read showed.
-struct TopicNews {
+pub(super) struct TopicNews {
     /// Where the topic ended, if these are all its keys.
     whole_to: Option<u64>,
-    records: Vec<KeyedRecord>,
+    pub(super) records: Vec<KeyedRecord>,
 }
 
 /// Follows the operator's plan and orders.
@@ -234,86 +221,6 @@
     });
 }
 
-/// Reads verdicts while a trial is under way.
-pub async fn follow_verdicts(driver: Arc<GatewayDriver>, store: StoreClient) {
-    let mut follower = TopicFollower::new(driver.clone(), store, VERDICT_TOPIC);
-    let mut next = None;
-    let mut read_at = Instant::now();
-    loop {
-        let unread = driver.state().verdicts_unread();
-        if unread {
-            // The store may have a verdict from before this box was started: read all of them.
-            next = None;
-        }
-        // Readers tell the others of later ones.
-        let reads = driver.state().on_trial() && driver.state().is_reader(driver.now());
-        if unread || (reads && read_at.elapsed() >= Duration::from_millis(VERDICT_EVERY_MS)) {
-            read_at = Instant::now();
-            let asked_at = driver.now();
-            match follower.read(&mut next, 0).await {
-                Some(news) => drop(take_verdicts(&driver, asked_at, &news.records)),
-                None => follower.wait_to_retry().await,
-            }
-        }
-        tokio::time::sleep(Duration::from_millis(VERDICT_LOOK_MS)).await;
-    }
-}
-
-fn take_verdicts(
-    driver: &GatewayDriver,
-    asked_at: BoxTime,
-    records: &[KeyedRecord],
-) -> Vec<TrialVerdict> {
-    let mut verdicts = Vec::new();
-    for record in records {
-        let Some(value) = &record.value else { continue };
-        match read_verdict(&record.key, value) {
-            Ok(verdict) => verdicts.extend(verdict),
-            Err(error) => observe::note_bad_record(&error),
-        }
-    }
-    driver.feed(RouteEvent::VerdictsRead { asked_at, verdicts: verdicts.clone() });
-    verdicts
-}
-
-/// Writes verdicts that are due, each only if the store has none that goes before it.
-pub async fn write_verdicts(
-    driver: Arc<GatewayDriver>,
-    store: StoreClient,
-    mut due: UnboundedReceiver<TrialVerdict>,
-) {
-    let mut follower = TopicFollower::new(driver.clone(), store.clone(), VERDICT_TOPIC);
-    while let Some(verdict) = due.recv().await {
-        for _ in 0..VERDICT_TRIES {
-            let asked_at = driver.now();
-            let listed = store.newest(VERDICT_TOPIC).await;
-            let Some(listing) = follower.check(listed) else { break };
-            let standing = take_verdicts(&driver, asked_at, &listing.records);
-            if standing.iter().any(|other| goes_before(other, &verdict)) {
-                break;
-            }
-            let (key, value) = write_verdict(&verdict);
-            let record = KeyedRecord::new(key, Some(value));
-            let appended = store.append(VERDICT_TOPIC, Some(listing.end), &record).await;
-            match follower.check(appended) {
-                Some(AppendOutcome::Taken) => {
-                    driver.feed(RouteEvent::VerdictTaken(verdict));
-                    break;
-                }
-                Some(AppendOutcome::Moved(_)) => {}
-                // In doubt: the reducer asks again if the store shows no verdict.
-                None => break,
-            }
-        }
-    }
-}
-
-/// Whether a verdict that stands leaves nothing to write.
-fn goes_before(standing: &TrialVerdict, wanted: &TrialVerdict) -> bool {
-    let same = standing.service == wanted.service && standing.version == wanted.version;
-    same && (standing.state != TrialState::Running || wanted.state == TrialState::Running)
-}
-
 /// Tells the store where this box hears notes, and learns where others do.
 pub async fn follow_boxes(
     driver: Arc<GatewayDriver>,
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -26,7 +26,7 @@
 use super::entry::{accept_callers, CallerCount, CALLER_PART};
 use super::exchange::GatewayTools;
 use super::pool::ReplicaPool;
-use super::{follow, notes, observe};
+use super::{follow, notes, observe, verdicts};
 use crate::process::{ignite, server, ProcessError};
 
 /// Time passes for the reducer this often, in milliseconds.
@@ -131,8 +131,8 @@
     tokio::spawn(notes::send_notes(driver.clone(), socket, receivers.notes));
     tokio::spawn(follow::follow_operator(driver.clone(), store.clone()));
     tokio::spawn(follow::follow_backends(driver.clone(), store.clone()));
-    tokio::spawn(follow::follow_verdicts(driver.clone(), store.clone()));
-    tokio::spawn(follow::write_verdicts(driver.clone(), store.clone(), receivers.verdicts));
+    tokio::spawn(verdicts::follow_verdicts(driver.clone(), store.clone()));
+    tokio::spawn(verdicts::write_verdicts(driver.clone(), store.clone(), receivers.verdicts));
     tokio::spawn(follow::follow_boxes(
         driver.clone(),
         store.clone(),
--- /dev/null
+++ b/crates/box/src/gateway/verdicts.rs
@@ -0,0 +1,104 @@
+//! Reads the verdicts that stand in the store, and writes those of this box that are due.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ravenspoke_adapter::records::{read_verdict, write_verdict, VERDICT_TOPIC};
+use ravenspoke_adapter::store::{AppendOutcome, KeyedRecord, StoreClient};
+use ravenspoke_core::route::event::RouteEvent;
+use ravenspoke_core::route::trial::{TrialState, TrialVerdict};
+use ravenspoke_core::time::BoxTime;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use super::driver::GatewayDriver;
+use super::follow::TopicFollower;
+use super::observe;
+
+/// Verdicts are read this often, in milliseconds, while a trial is under way.
+pub const VERDICT_EVERY_MS: u64 = 2_000;
+
+/// A box looks this often whether verdicts have to be read, in milliseconds.
+pub const VERDICT_LOOK_MS: u64 = 50;
+
+/// Times that a verdict is tried when the topic grows meanwhile.
+pub const VERDICT_TRIES: usize = 4;
+
+/// Reads verdicts while a trial is under way.
+pub async fn follow_verdicts(driver: Arc<GatewayDriver>, store: StoreClient) {
+    let mut follower = TopicFollower::new(driver.clone(), store, VERDICT_TOPIC);
+    let mut next = None;
+    let mut read_at = Instant::now();
+    loop {
+        let unread = driver.state().verdicts_unread();
+        if unread {
+            // The store may have a verdict from before this box was started: read all of them.
+            next = None;
+        }
+        // Readers tell the others of later ones.
+        let reads = driver.state().on_trial() && driver.state().is_reader(driver.now());
+        if unread || (reads && read_at.elapsed() >= Duration::from_millis(VERDICT_EVERY_MS)) {
+            read_at = Instant::now();
+            let asked_at = driver.now();
+            match follower.read(&mut next, 0).await {
+                Some(news) => drop(take_verdicts(&driver, asked_at, &news.records)),
+                None => follower.wait_to_retry().await,
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(VERDICT_LOOK_MS)).await;
+    }
+}
+
+fn take_verdicts(
+    driver: &GatewayDriver,
+    asked_at: BoxTime,
+    records: &[KeyedRecord],
+) -> Vec<TrialVerdict> {
+    let mut verdicts = Vec::new();
+    for record in records {
+        let Some(value) = &record.value else { continue };
+        match read_verdict(&record.key, value) {
+            Ok(verdict) => verdicts.extend(verdict),
+            Err(error) => observe::note_bad_record(&error),
+        }
+    }
+    driver.feed(RouteEvent::VerdictsRead { asked_at, verdicts: verdicts.clone() });
+    verdicts
+}
+
+/// Writes verdicts that are due, each only if the store has none that goes before it.
+pub async fn write_verdicts(
+    driver: Arc<GatewayDriver>,
+    store: StoreClient,
+    mut due: UnboundedReceiver<TrialVerdict>,
+) {
+    let mut follower = TopicFollower::new(driver.clone(), store.clone(), VERDICT_TOPIC);
+    while let Some(verdict) = due.recv().await {
+        for _ in 0..VERDICT_TRIES {
+            let asked_at = driver.now();
+            let listed = store.newest(VERDICT_TOPIC).await;
+            let Some(listing) = follower.check(listed) else { break };
+            let standing = take_verdicts(&driver, asked_at, &listing.records);
+            if standing.iter().any(|other| goes_before(other, &verdict)) {
+                break;
+            }
+            let (key, value) = write_verdict(&verdict);
+            let record = KeyedRecord::new(key, Some(value));
+            let appended = store.append(VERDICT_TOPIC, Some(listing.end), &record).await;
+            match follower.check(appended) {
+                Some(AppendOutcome::Taken) => {
+                    driver.feed(RouteEvent::VerdictTaken(verdict));
+                    break;
+                }
+                Some(AppendOutcome::Moved(_)) => {}
+                // In doubt: the reducer asks again if the store shows no verdict.
+                None => break,
+            }
+        }
+    }
+}
+
+/// Whether a verdict that stands leaves nothing to write.
+fn goes_before(standing: &TrialVerdict, wanted: &TrialVerdict) -> bool {
+    let same = standing.service == wanted.service && standing.version == wanted.version;
+    same && (standing.state != TrialState::Running || wanted.state == TrialState::Running)
+}
