box: changes of the settings are taken in a module of their own

`process` puts the box together. Four arms of a match said what one condition does: the text is decoded only where it changed or the signal came.

--- a/crates/box/src/gateway/mod.rs
+++ b/crates/box/src/gateway/mod.rs
@@ -5,7 +5,8 @@
 //! it into whole events, [`pool`] keeps connections to replicas. [`follow`] reads the platform's
 //! store, [`verdicts`] the verdicts in it, [`notes`] talks to other boxes in the datagrams of
 //! [`note_wire`], and [`told`] tells them what the operator wrote. [`directory`] answers who asks for
-//! addresses, readiness, state and metrics. [`observe`] logs. [`process`] puts them together.
+//! addresses, readiness, state and metrics. [`observe`] logs. [`reload`] takes changes of the
+//! settings. [`process`] puts them together.
 
 pub mod directory;
 pub mod driver;
@@ -19,5 +20,6 @@
 pub mod pool;
 pub mod process;
 pub mod relay;
+pub mod reload;
 pub mod told;
 pub mod verdicts;
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use metrics_exporter_prometheus::PrometheusHandle;
-use ravenspoke_adapter::settings::read_settings;
 use ravenspoke_adapter::store::StoreClient;
 use ravenspoke_config::gateway::GatewaySettings;
 use ravenspoke_core::route::event::RouteEvent;
@@ -26,15 +25,13 @@
 use super::entry::{accept_callers, CallerCount, CALLER_PART};
 use super::exchange::GatewayTools;
 use super::pool::ReplicaPool;
+use super::reload::follow_settings;
 use super::{follow, notes, observe, verdicts};
 use crate::process::{ignite, server, ProcessError};
 
 /// Time passes for the reducer this often, in milliseconds.
 pub const TICK_MS: u64 = 200;
 
-/// The settings file is looked at this often, in milliseconds; it may change without a signal.
-pub const SETTINGS_EVERY_MS: u64 = 3_000;
-
 /// Idle connections are looked at this often, in milliseconds.
 pub const SWEEP_EVERY_MS: u64 = 1_000;
 
@@ -277,38 +274,6 @@
     }
 }
 
-/// Takes changes of the settings' bounds, at a signal or when the file is found changed.
-async fn follow_settings(driver: Arc<GatewayDriver>, file: PathBuf, mut hangup: Signal) {
-    let mut last = std::fs::read_to_string(&file).unwrap_or_default();
-    loop {
-        let asked = tokio::select! {
-            _ = hangup.recv() => true,
-            () = tokio::time::sleep(Duration::from_millis(SETTINGS_EVERY_MS)) => false,
-        };
-        let text = match std::fs::read_to_string(&file) {
-            Ok(text) => text,
-            Err(error) => {
-                observe::note_reload_failed(&error.to_string());
-                continue;
-            }
-        };
-        let changed = text != last;
-        let read = read_settings(&file.display().to_string(), &text);
-        last = text;
-        match read {
-            Ok(settings) if changed => {
-                driver.state().set_bounds(settings.fresh, settings.budget);
-                observe::note_reloaded(changed);
-            }
-            Ok(_) if asked => observe::note_reloaded(changed),
-            Err(findings) if asked || changed => {
-                observe::note_reload_failed(&findings.lines().join("; "));
-            }
-            Ok(_) | Err(_) => {}
-        }
-    }
-}
-
 async fn wait_for_stop(mut terminate: Signal, mut interrupt: Signal) {
     tokio::select! {
         _ = terminate.recv() => {}
--- /dev/null
+++ b/crates/box/src/gateway/reload.rs
@@ -0,0 +1,50 @@
+//! Takes changes of the settings while the box runs.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use ravenspoke_adapter::settings::read_settings;
+use tokio::signal::unix::Signal;
+
+use super::driver::GatewayDriver;
+use super::observe;
+
+/// The settings file is looked at this often, in milliseconds; it may change without a signal.
+pub const SETTINGS_EVERY_MS: u64 = 3_000;
+
+/// Takes changes of the settings' bounds, at a signal or when the file is found changed.
+pub async fn follow_settings(driver: Arc<GatewayDriver>, file: PathBuf, mut hangup: Signal) {
+    let mut last = std::fs::read_to_string(&file).unwrap_or_default();
+    loop {
+        let asked = tokio::select! {
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(Duration::from_millis(SETTINGS_EVERY_MS)) => false,
+        };
+        let text = match std::fs::read_to_string(&file) {
+            Ok(text) => text,
+            Err(error) => {
+                observe::note_reload_failed(&error.to_string());
+                continue;
+            }
+        };
+        let changed = text != last;
+        if asked || changed {
+            take_settings(&driver, &file, &text, changed);
+        }
+        last = text;
+    }
+}
+
+/// Takes the bounds of settings that are sound, if the file has changed, and logs how that went.
+fn take_settings(driver: &GatewayDriver, file: &Path, text: &str, changed: bool) {
+    match read_settings(&file.display().to_string(), text) {
+        Ok(settings) => {
+            if changed {
+                driver.state().set_bounds(settings.fresh, settings.budget);
+            }
+            observe::note_reloaded(changed);
+        }
+        Err(findings) => observe::note_reload_failed(&findings.lines().join("; ")),
+    }
+}
