--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -1,8 +1,8 @@
 //! The attempts of a request: which replica gets it, for how long it is waited for, and whether there
 //! may be another attempt.
 
-use super::backend::BackendDeed;
 use super::budget::SendCause;
+use super::deeds::BackendDeed;
 use super::event::{DecisionInputs, RefusalReason, RouteEffect, SendOrder};
 use super::parts::ModelPart;
 use super::pick::{BackendAsk, BackendPick, VersionWish};
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -1,8 +1,7 @@
 //! Replicas of backend servers on the platform: what is known of each; [`super::pick`] chooses.
 //!
 //! A replica is known by its entry in the store; [`super::loads`] says how busy it is. What a replica
-//! *does* counts: one that refuses connections, breaks answers or fails them is passed over for a
-//! while, at most half of a service at a time.
+//! *does* counts as well: see [`super::deeds`].
 
 use std::collections::HashMap;
 
@@ -14,15 +13,6 @@
 use crate::ids::ReplicaKey;
 use crate::time::BoxTime;
 
-/// Failures in a row after which a replica is passed over. Two: one may be the request's own fault.
-pub const PASS_OVER_FAILURES: u32 = 2;
-
-/// First span for which a replica is passed over, in milliseconds; doubled by each further one.
-pub const PASS_OVER_FIRST_MS: u64 = 700;
-
-/// Longest span for which a replica is passed over, in milliseconds.
-pub const PASS_OVER_LIMIT_MS: u64 = 5_000;
-
 /// A replica as its entry in the store gives it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct BackendEntry {
@@ -61,19 +51,6 @@
     xxh3_64(id.as_bytes())
 }
 
-/// How well a replica did on a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BackendDeed {
-    /// It answered.
-    Served,
-    /// It failed, or broke off.
-    Failed,
-    /// No connection came about.
-    Unreachable,
-    /// The end says nothing of it: the caller left, or it said that it is full.
-    Neither,
-}
-
 /// What of a change is news.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BackendNews {
@@ -275,26 +252,4 @@
         }
         changes
     }
-
-    /// Notes that a request has ended, and how well the replica did.
-    pub fn ended(&mut self, key: ReplicaKey, deed: BackendDeed, now: BoxTime) {
-        let Some(row) = self.rows.get_mut(key) else { return };
-        row.outstanding = row.outstanding.saturating_sub(1);
-        row.reported = row.reported.saturating_sub(1);
-        match deed {
-            BackendDeed::Served => {
-                row.failures = 0;
-                row.passes = 0;
-            }
-            BackendDeed::Failed => row.failures += 1,
-            BackendDeed::Unreachable => row.failures += PASS_OVER_FAILURES,
-            BackendDeed::Neither => {}
-        }
-        if row.failures >= PASS_OVER_FAILURES {
-            let span = (PASS_OVER_FIRST_MS << row.passes.min(8)).min(PASS_OVER_LIMIT_MS);
-            row.passed_until = now.plus_millis(span);
-            row.passes += 1;
-            row.failures = 0;
-        }
-    }
 }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -7,12 +7,14 @@
 //! in `news`; `dump` describes the state.
 //!
 //! [`plan`] what is routed where · [`fresh`] how long that may be relied on · [`backend`] replicas ·
-//! [`loads`] how busy they are · [`pick`] which of them answers · [`peers`] the other boxes · [`trial`]
-//! new versions · [`budget`] further sends · [`sizes`] which model answers · [`parts`] on which replicas.
+//! [`loads`] how busy they are · [`deeds`] how well they do · [`pick`] which of them answers ·
+//! [`peers`] the other boxes · [`trial`] new versions · [`budget`] further sends · [`sizes`] which model
+//! answers · [`parts`] on which replicas.
 
 mod attempt;
 pub mod backend;
 pub mod budget;
+pub mod deeds;
 mod dump;
 pub mod event;
 pub mod fresh;
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -5,8 +5,8 @@
 //! is decided whether "has not run" may be said.
 
 use super::attempt::RunningAttempt;
-use super::backend::BackendDeed;
 use super::budget::SendCause;
+use super::deeds::BackendDeed;
 use super::event::{
     AnswerHead, AttemptFailure, DecisionInputs, RefusalReason, RouteAsk, RouteEffect, RouteRefusal,
 };
