--- /dev/null
+++ b/crates/box/src/gateway/answers.rs
@@ -0,0 +1,40 @@
+//! Answers to callers: bodies, refusals, and how one breaks off.
+
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use ravenspoke_core::route::event::RouteRefusal;
+
+/// Why an answer breaks off: its connection is closed.
+#[derive(Debug, thiserror::Error)]
+#[error("the answer was broken off: {0}")]
+pub struct BrokenAnswer(pub &'static str);
+
+/// Body of an answer to a caller.
+pub type CallerBody = UnsyncBoxBody<Bytes, BrokenAnswer>;
+
+/// A body that is there whole.
+pub(super) fn whole_body(bytes: Bytes) -> CallerBody {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// An answer of a few words.
+pub(super) fn plain_answer(status: StatusCode, text: &'static str) -> Response<CallerBody> {
+    let mut response = Response::new(whole_body(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
+
+/// The answer that a refusal is.
+pub(super) fn refuse(refusal: RouteRefusal) -> Response<CallerBody> {
+    let status = StatusCode::from_u16(refusal.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = plain_answer(status, refusal.reason.slug());
+    if let Some(retry_after_ms) = refusal.retry_after_ms {
+        let seconds = format!("{:.3}", retry_after_ms as f64 / 1_000.0);
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(http::header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -6,15 +6,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
-use http_body_util::combinators::UnsyncBoxBody;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use ravenspoke_adapter::headers;
-use ravenspoke_core::route::event::{
-    AnswerHead, AttemptFailure, RouteEvent, RouteRefusal, SendOrder,
-};
+use ravenspoke_core::route::event::{AnswerHead, AttemptFailure, RouteEvent, SendOrder};
 
+use super::answers::{plain_answer, refuse, whole_body, BrokenAnswer, CallerBody};
 use super::driver::{GatewayDriver, RequestName, RequestStep};
 use super::observe;
 use super::pool::{ReplicaLink, ReplicaPool};
@@ -23,14 +21,6 @@
 /// Largest answer that is no stream, in bytes; it is read whole before any of it is passed on.
 pub const ANSWER_LIMIT: usize = 4 << 20;
 
-/// Why an answer breaks off: its connection is closed.
-#[derive(Debug, thiserror::Error)]
-#[error("the answer was broken off: {0}")]
-pub struct BrokenAnswer(pub &'static str);
-
-/// Body of an answer to a caller.
-pub type CallerBody = UnsyncBoxBody<Bytes, BrokenAnswer>;
-
 /// What requests are served with.
 pub struct GatewayTools {
     /// Decides.
@@ -97,6 +87,38 @@
     Stream(Incoming, ReplicaLink),
 }
 
+/// Why a caller's request was not read whole.
+enum UnreadRequest {
+    /// It is too large: the status and the words of the answer.
+    TooLarge(StatusCode, &'static str),
+    /// It did not come whole.
+    Broken(BrokenAnswer),
+}
+
+/// Reads a caller's request, within the plan's limits.
+async fn read_whole(
+    tools: &GatewayTools,
+    request: Request<Incoming>,
+) -> Result<(http::request::Parts, Bytes), UnreadRequest> {
+    let (head, body) = request.into_parts();
+    let limits = tools.driver.state().plan().limits;
+    if head_bytes(&head) > limits.header_bytes {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err(UnreadRequest::TooLarge(status, "the head is too large"));
+    }
+    match Limited::new(body, limits.body_bytes).collect().await {
+        Ok(body) => Ok((head, body.to_bytes())),
+        Err(error) if error.is::<LengthLimitError>() => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            Err(UnreadRequest::TooLarge(status, "the body is too large"))
+        }
+        Err(_) => {
+            let broken = BrokenAnswer("the request's body did not come whole");
+            Err(UnreadRequest::Broken(broken))
+        }
+    }
+}
+
 /// Serves a request.
 ///
 /// # Errors
@@ -105,20 +127,10 @@
     tools: Arc<GatewayTools>,
     request: Request<Incoming>,
 ) -> Result<Response<CallerBody>, BrokenAnswer> {
-    let (head, body) = request.into_parts();
-    let limits = tools.driver.state().plan().limits;
-    if head_bytes(&head) > limits.header_bytes {
-        return Ok(plain_answer(
-            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-            "the head is too large",
-        ));
-    }
-    let body = match Limited::new(body, limits.body_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => {
-            return Ok(plain_answer(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
-        }
-        Err(_) => return Err(BrokenAnswer("the request's body did not come whole")),
+    let (head, body) = match read_whole(&tools, request).await {
+        Ok(read) => read,
+        Err(UnreadRequest::TooLarge(status, text)) => return Ok(plain_answer(status, text)),
+        Err(UnreadRequest::Broken(broken)) => return Err(broken),
     };
     let ask = headers::read_request(&head);
     let driver = tools.driver.clone();
@@ -315,25 +327,3 @@
     *response.headers_mut() = caller_headers;
     response
 }
-
-fn whole_body(bytes: Bytes) -> CallerBody {
-    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
-}
-
-fn plain_answer(status: StatusCode, text: &'static str) -> Response<CallerBody> {
-    let mut response = Response::new(whole_body(Bytes::from_static(text.as_bytes())));
-    *response.status_mut() = status;
-    response
-}
-
-fn refuse(refusal: RouteRefusal) -> Response<CallerBody> {
-    let status = StatusCode::from_u16(refusal.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut response = plain_answer(status, refusal.reason.slug());
-    if let Some(retry_after_ms) = refusal.retry_after_ms {
-        let seconds = format!("{:.3}", retry_after_ms as f64 / 1_000.0);
-        if let Ok(value) = HeaderValue::from_str(&seconds) {
-            response.headers_mut().insert(http::header::RETRY_AFTER, value);
-        }
-    }
-    response
-}
--- a/crates/box/src/gateway/mod.rs
+++ b/crates/box/src/gateway/mod.rs
@@ -1,13 +1,14 @@
 //! A box that routes by host and prefix on the users' platform.
 //!
 //! [`driver`] holds the reducer's state. [`entry`] takes callers' connections, [`exchange`] serves one
-//! request, [`relay`] passes a stream on and takes it up elsewhere when it breaks, [`event_cut`] cuts
-//! it into whole events, [`pool`] keeps connections to replicas. [`follow`] reads the platform's
-//! store, [`verdicts`] the verdicts in it, [`notes`] talks to other boxes in the datagrams of
-//! [`note_wire`], and [`told`] tells them what the operator wrote. [`directory`] answers who asks for
-//! addresses, readiness, state and metrics. [`observe`] logs. [`reload`] takes changes of the
-//! settings. [`process`] puts them together.
+//! request, [`answers`] makes what its caller gets, [`relay`] passes a stream on and takes it up
+//! elsewhere when it breaks, [`event_cut`] cuts it into whole events, [`pool`] keeps connections to
+//! replicas. [`follow`] reads the platform's store, [`verdicts`] the verdicts in it, [`notes`] talks
+//! to other boxes in the datagrams of [`note_wire`], and [`told`] tells them what the operator wrote.
+//! [`directory`] answers who asks for addresses, readiness, state and metrics. [`observe`] logs.
+//! [`reload`] takes changes of the settings. [`process`] puts them together.
 
+pub mod answers;
 pub mod directory;
 pub mod driver;
 pub mod entry;
--- a/crates/box/src/gateway/relay.rs
+++ b/crates/box/src/gateway/relay.rs
@@ -10,11 +10,11 @@
 use hyper::body::{Frame, Incoming};
 use ravenspoke_core::route::event::{AttemptFailure, RouteEvent, SendOrder};
 
+use super::answers::{BrokenAnswer, CallerBody};
 use super::driver::RequestStep;
 use super::event_cut::EventCutter;
 use super::exchange::{
-    attempt, give_back, AnswerBody, AttemptOutcome, BrokenAnswer, CallerBody, CallerRequest,
-    GatewayTools, RequestGuard,
+    attempt, give_back, AnswerBody, AttemptOutcome, CallerRequest, GatewayTools, RequestGuard,
 };
 use super::observe;
 use super::pool::ReplicaLink;
