--- a/crates/box/tests/platform.rs
+++ b/crates/box/tests/platform.rs
@@ -7,7 +7,8 @@
 
 use ravenspoke_standins::fleet::wait_for;
 use ravenspoke_standins::platform::replica::ReplicaMode;
-use ravenspoke_standins::platform::site::{RunningSite, SiteBox, SITE_KEY};
+use ravenspoke_standins::platform::site::{RunningSite, SITE_KEY};
+use ravenspoke_standins::platform::site_box::SiteBox;
 use ravenspoke_standins::platform::store::{StoreFaults, StoreOutage};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/standins/examples/quickstart-platform.rs
+++ b/crates/standins/examples/quickstart-platform.rs
@@ -6,7 +6,8 @@
 
 use ravenspoke_standins::fleet::wait_for;
 use ravenspoke_standins::platform::replica::{ReplicaMode, ReplicaStandin};
-use ravenspoke_standins::platform::site::{RunningSite, SiteBox, SITE_KEY};
+use ravenspoke_standins::platform::site::{RunningSite, SITE_KEY};
+use ravenspoke_standins::platform::site_box::SiteBox;
 
 /// Events of a replica's streams, and the time between two, in milliseconds.
 const EVENTS: u32 = 20;
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -6,5 +6,6 @@
 
 pub mod replica;
 pub mod site;
+pub mod site_box;
 pub mod store;
 mod wire;
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -1,23 +1,19 @@
-//! A site: the store, and routing boxes as processes, each on a loopback address of its own.
+//! A site: the store, and routing boxes ([`super::site_box`]), each on a loopback address of its own.
 
-use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 
-use serde_json::{json, Value};
+use serde_json::json;
 
 use super::replica::ReplicaStandin;
+use super::site_box::{SiteBox, DIRECTORY_PORT, ENTRY_PORT, NOTES_PORT, READY_PORT, SITE_HOST};
 use super::store::StoreStandin;
 use crate::fleet::wait_for;
 
 /// Key that the site's plan knows.
 pub const SITE_KEY: &str = "site-key";
 
-/// Host that the site's routes name.
-pub const SITE_HOST: &str = "api.example";
-
 /// Service that the site's routes name.
 pub const SITE_SERVICE: &str = "pool";
 
@@ -27,19 +23,9 @@
 /// Topic of the replicas' entries.
 pub const REPLICA_TOPIC: &str = "keyed.servers";
 
-/// Ports of each box; the boxes of a site differ in their addresses.
-const ENTRY_PORT: u16 = 18_227;
-const READY_PORT: u16 = 18_220;
-const DIRECTORY_PORT: u16 = 18_224;
-const NOTES_PORT: u16 = 18_340;
-const METRICS_PORT: u16 = 18_464;
-
 /// Port under which settings name seeds; boxes hear notes at [`NOTES_PORT`] all the same.
 const SEED_PORT: u16 = 18_229;
 
-/// Bit of the signal that tells of changed settings, in the masks that the system shows.
-const HANGUP_BIT: u64 = 1;
-
 /// Descriptors of a box, as small installations give them.
 const DESCRIPTORS: u32 = 4_100;
 
@@ -53,133 +39,6 @@
     Ipv4Addr::new(127, high as u8, low as u8, last).into()
 }
 
-/// Where the box at `ip` takes callers.
-pub fn entry_address(ip: IpAddr) -> String {
-    format!("{ip}:{ENTRY_PORT}")
-}
-
-/// Where the box at `ip` answers which addresses to use.
-pub fn directory_url(ip: IpAddr) -> String {
-    format!("http://{ip}:{DIRECTORY_PORT}/-/resolve?name={SITE_HOST}")
-}
-
-/// Addresses that a directory's answer names.
-pub fn named_in(answer: &Value) -> Option<Vec<String>> {
-    let rows = answer["addresses"].as_array()?;
-    Some(rows.iter().filter_map(|row| Some(row.as_str()?.to_owned())).collect())
-}
-
-/// A box as a process.
-pub struct SiteBox {
-    /// Its address.
-    pub ip: IpAddr,
-    /// Its settings file.
-    pub settings: PathBuf,
-    log: PathBuf,
-    child: Child,
-    binary: PathBuf,
-}
-
-/// Starts the process of a box; its lines are added to the log.
-fn spawn(binary: &Path, settings: &Path, log: &Path) -> Child {
-    let output = File::options().create(true).append(true).open(log).expect("a log can be written");
-    Command::new(binary)
-        .args(["--platform", "--metrics", &METRICS_PORT.to_string()])
-        .env("RAVENSPOKE_SETTINGS", settings)
-        .stdout(output)
-        .stderr(Stdio::inherit())
-        .spawn()
-        .expect("the box starts")
-}
-
-impl SiteBox {
-    /// URL of a path where callers connect.
-    pub fn entry(&self, path: &str) -> String {
-        format!("http://{}{path}", self.entry_address())
-    }
-
-    /// Where callers connect.
-    pub fn entry_address(&self) -> String {
-        entry_address(self.ip)
-    }
-
-    /// Sends a signal, by the name that `kill` knows.
-    pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let sent = Command::new("kill").args([&format!("-{name}"), &id]).status();
-        assert!(sent.is_ok_and(|status| status.success()), "the signal {name} was sent");
-    }
-
-    /// Tells it that its settings changed, once its process has come so far that it listens for that:
-    /// before its own code runs, the signal ends any process.
-    pub async fn tell(&self) {
-        let status = format!("/proc/{}/status", self.child.id());
-        wait_for("the box listens for signals", || {
-            let text = std::fs::read_to_string(&status).unwrap_or_default();
-            let row = text.lines().find_map(|line| line.strip_prefix("SigCgt:"));
-            let caught = row.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
-            std::future::ready(caught.filter(|mask| mask & HANGUP_BIT != 0))
-        })
-        .await;
-        self.signal("HUP");
-    }
-
-    /// Kills its process, if it runs.
-    pub fn kill(&mut self) {
-        // Already ended is as good.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
-    /// Starts its process again, once the last one has ended.
-    pub fn restart(&mut self) {
-        self.child = spawn(&self.binary, &self.settings, &self.log);
-    }
-
-    /// Its exit code, if it has exited.
-    pub fn exit_code(&mut self) -> Option<i32> {
-        self.child.try_wait().ok().flatten().map(|status| status.code().unwrap_or(-1))
-    }
-
-    /// Lines of its log with one event's name: their fields.
-    pub fn events(&self, name: &str) -> Vec<Value> {
-        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
-        let lines = text.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
-        let fields = lines.map(|line| line["fields"].clone());
-        fields.filter(|fields| fields["name"] == name).collect()
-    }
-
-    /// What the directory answers.
-    pub async fn resolve(&self) -> Option<Vec<String>> {
-        let answer: Value = reqwest::get(directory_url(self.ip)).await.ok()?.json().await.ok()?;
-        named_in(&answer)
-    }
-
-    /// Whether it says that it is ready.
-    pub async fn ready(&self) -> bool {
-        let url = format!("http://{}:{READY_PORT}/-/ready", self.ip);
-        reqwest::get(url).await.is_ok_and(|answer| answer.status().is_success())
-    }
-
-    /// Its metrics, as text.
-    pub async fn metrics(&self) -> Option<String> {
-        let url = format!("http://{}:{METRICS_PORT}/metrics", self.ip);
-        reqwest::get(url).await.ok()?.text().await.ok()
-    }
-
-    /// Its state dump.
-    pub async fn state(&self) -> Option<Value> {
-        let url = format!("http://{}:{METRICS_PORT}/state", self.ip);
-        reqwest::get(url).await.ok()?.json().await.ok()
-    }
-}
-
-impl Drop for SiteBox {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
 /// The store, and what a box needs to be started before it.
 pub struct RunningSite {
     /// The store.
@@ -261,11 +120,8 @@
         let settings = self.folder.join(format!("{name}.toml"));
         std::fs::write(&settings, self.settings(name, ip)).expect("settings can be written");
         let log = self.folder.join(format!("{name}.log"));
-        // A log of an earlier site at this address is not this box's.
-        drop(std::fs::remove_file(&log));
-        let child = spawn(&self.binary, &settings, &log);
         self.seeds.push(ip);
-        SiteBox { ip, settings, log, child, binary: self.binary.clone() }
+        SiteBox::start(&self.binary, ip, settings, log)
     }
 
     /// Starts a box and waits until it is ready.
--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -12,7 +12,8 @@
 use tokio::sync::watch;
 
 use super::witness::{AskEnd, AskKind, AskRecord, SoakWitness};
-use crate::platform::site::{directory_url, entry_address, named_in, SITE_HOST, SITE_KEY};
+use crate::platform::site::SITE_KEY;
+use crate::platform::site_box::{directory_url, entry_address, named_in, SITE_HOST};
 
 /// Key that a fault may take away.
 pub const SECOND_KEY: &str = "second-key";
--- a/crates/standins/src/soak/site.rs
+++ b/crates/standins/src/soak/site.rs
@@ -14,9 +14,8 @@
 use super::witness::SoakWitness;
 use crate::fleet::wait_for;
 use crate::platform::replica::ReplicaStandin;
-use crate::platform::site::{
-    own_address, RunningSite, SiteBox, REPLICA_TOPIC, SITE_KEY, SITE_SERVICE,
-};
+use crate::platform::site::{own_address, RunningSite, REPLICA_TOPIC, SITE_KEY, SITE_SERVICE};
+use crate::platform::site_box::SiteBox;
 use crate::platform::store::StoreFaults;
 
 /// Events of a stream. A choice: some before and some behind the one at which a replica breaks off.
