--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -1,10 +1,11 @@
 //! The attempts of a request: which replica gets it, for how long it is waited for, and whether there
 //! may be another attempt.
 
-use super::backend::BackendDeed;
 use super::budget::SendCause;
+use super::deeds::BackendDeed;
 use super::event::{DecisionInputs, RefusalReason, RouteEffect, SendOrder};
-use super::pick::{BackendAsk, BackendPick, ModelPart, VersionWish};
+use super::parts::ModelPart;
+use super::pick::{BackendAsk, BackendPick, VersionWish};
 use super::plan::{RouteKind, RouteSpec};
 use super::request::RouteRequest;
 use super::trial::TrialState;
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -2,21 +2,27 @@
 //!
 //! [`RouteState`] is the reducer of a box on such a platform, beside [`crate::state::BoxState`] for
 //! signed bundles. Claims, bills and witnesses have no place in it: a caller's retry is a new request
-//! there, and nobody reads bills. The flow of a request is in `request`, its attempts are in `attempt`;
-//! trials of new versions are in `verdict`; what boxes tell each other is in `news`; `dump` describes the
-//! state.
+//! there, and nobody reads bills. The flow of a request is in `request`, its attempts are in `attempt`,
+//! what they teach is in `learn`; trials of new versions are in `verdict`; what boxes tell each other is
+//! in `news`; `dump` describes the state.
 //!
 //! [`plan`] what is routed where · [`fresh`] how long that may be relied on · [`backend`] replicas ·
-//! [`pick`] which of them answers · [`peers`] the other boxes · [`trial`] new versions · [`budget`]
-//! further sends · [`sizes`] models.
+//! [`loads`] how busy they are · [`deeds`] how well they do · [`pick`] which of them answers ·
+//! [`peers`] the other boxes · [`trial`] new versions · [`budget`] further sends · [`sizes`] which model
+//! answers · [`parts`] on which replicas.
 
 mod attempt;
 pub mod backend;
 pub mod budget;
+pub mod deeds;
 mod dump;
 pub mod event;
 pub mod fresh;
+mod gone;
+mod learn;
+pub mod loads;
 mod news;
+pub mod parts;
 pub mod peers;
 pub mod pick;
 pub mod plan;
@@ -34,10 +40,11 @@
 use budget::{BudgetBounds, SendBudget};
 use event::{RouteEffect, RouteEvent};
 use fresh::{FreshBounds, PlanFreshness};
+use parts::ModelWork;
 use peers::PeerTable;
 use plan::{RoutePlan, RouteTable};
 use request::RouteRequest;
-use sizes::{ModelWork, ServiceLag};
+use sizes::ServiceLag;
 use trial::VersionTrial;
 
 pub use dump::RouteDump;
--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -12,7 +12,8 @@
 use tokio::sync::watch;
 
 use super::witness::{AskEnd, AskKind, AskRecord, SoakWitness};
-use crate::platform::site::{directory_url, entry_address, DIRECTORY_WAIT, SITE_HOST, SITE_KEY};
+use crate::platform::site::SITE_KEY;
+use crate::platform::site_box::{directory_url, entry_address, named_in, SITE_HOST};
 
 /// Key that a fault may take away.
 pub const SECOND_KEY: &str = "second-key";
@@ -23,7 +24,10 @@
 /// Callers keep an answer about addresses for this long: the platform's usual two seconds.
 const KEEP_FOR: Duration = Duration::from_millis(2_000);
 
-/// Longest pause of a caller between two requests.
+/// A box's answer about addresses comes within this, or another box is asked.
+const DIRECTORY_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Longest pause of a caller between two requests, in milliseconds.
 const PAUSE_MS: u64 = 25;
 
 /// How long a caller waits, in milliseconds.
@@ -104,8 +108,8 @@
 pub async fn resolve(http: &Client, asked: IpAddr) -> Option<Vec<IpAddr>> {
     let answer = http.get(directory_url(asked)).timeout(DIRECTORY_WAIT).send().await.ok()?;
     let answer: Value = answer.json().await.ok()?;
-    let rows = answer["addresses"].as_array()?.iter();
-    Some(rows.filter_map(|row| row.as_str()?.split(':').next()?.parse().ok()).collect())
+    let named = named_in(&answer)?;
+    Some(named.iter().filter_map(|address| address.split(':').next()?.parse().ok()).collect())
 }
 
 /// Sends one request.
