--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -46,6 +46,9 @@
 /// Event of a stream at which a replica breaks off or pauses: neither the first nor the last.
 const MIDDLE_EVENT: u32 = 3;
 
+/// Replicas that misbehave in every run: there are nine ways, and each must come often.
+const REPLICA_FAULTS: usize = 3;
+
 /// What is done to the site.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SoakFault {
@@ -102,6 +105,7 @@
     let mut dice = StdRng::seed_from_u64(seed);
     let count = dice.gen_range(FAULTS.0..=FAULTS.1);
     let mut faults: Vec<TimedFault> = (0..count).map(|_| draw(&mut dice)).collect();
+    faults.extend((0..REPLICA_FAULTS).map(|_| draw_replica_fault(&mut dice)));
     // A box at a time is down, or paused: callers have two others.
     let mut down_until = Duration::ZERO;
     faults.sort_by_key(|row| row.at);
@@ -124,6 +128,11 @@
     TimedFault { at, length: Duration::from_millis(dice.gen_range(SHORTEST_MS..longest)), fault }
 }
 
+fn draw_replica_fault(dice: &mut StdRng) -> TimedFault {
+    let fault = SoakFault::Replica(dice.gen_range(0..REPLICAS), draw_mode(dice));
+    TimedFault { fault, ..draw(dice) }
+}
+
 fn draw_fault(dice: &mut StdRng) -> SoakFault {
     let (subject, replica) = (dice.gen_range(0..BOXES), dice.gen_range(0..REPLICAS));
     match dice.gen_range(0..16) {
