log: order's age, share and session of a trial with each request; a line when the share moves

Cause of the change: an incident in which sessions were moved back to the old version; three hypotheses that the logs could not tell apart. request_sent (701) carries the session's hash, the order's age, the share and whether the wish gave way; trial_share_moved (716) and the gauge ravenspoke_trial_share show when a box changes the share, and on what.

--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -57,6 +57,10 @@
         candidates = order.inputs.candidates,
         load = order.inputs.load,
         affine = order.inputs.affine,
+        session = order.inputs.trial.map(|_| format!("{:016x}", order.session)),
+        trial_age_ms = order.inputs.trial.map(|trial| trial.age_ms),
+        trial_share = order.inputs.trial.map(|trial| trial.share),
+        trial_gave_way = order.inputs.trial.map(|trial| trial.gave_way),
         head_ms = order.head_ms,
     );
 }
@@ -120,6 +124,19 @@
         RouteEffect::TrialMoved { service, version, state, runs, bad } => {
             info!(event = 713, name = "trial_moved", service, version, ?state, runs, bad);
         }
+        RouteEffect::TrialShareMoved { service, version, share, age_ms, runs, bad } => {
+            gauge!("ravenspoke_trial_share", "service" => service.clone()).set(*share);
+            info!(
+                event = 716,
+                name = "trial_share_moved",
+                service,
+                version,
+                share,
+                age_ms,
+                runs,
+                bad,
+            );
+        }
         RouteEffect::WriteVerdict(verdict) => {
             let (service, version, state) = (&verdict.service, &verdict.version, verdict.state);
             info!(event = 714, name = "verdict_due", service, version, ?state);
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -37,6 +37,7 @@
     (713, "trial_moved"),
     (714, "verdict_due"),
     (715, "stop_begun"),
+    (716, "trial_share_moved"),
     (720, "gateway_started"),
     (721, "settings_read"),
     (722, "settings_unreadable"),
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -3,12 +3,12 @@
 
 use super::budget::SendCause;
 use super::deeds::BackendDeed;
-use super::event::{DecisionInputs, RefusalReason, RouteEffect, SendOrder};
+use super::event::{DecisionInputs, RefusalReason, RouteEffect, SendOrder, TrialInputs};
 use super::parts::ModelPart;
 use super::pick::{BackendAsk, BackendPick, VersionWish};
 use super::plan::{RouteKind, RouteSpec};
 use super::request::RouteRequest;
-use super::trial::TrialState;
+use super::trial::{TrialState, VersionTrial};
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
 use crate::ids::ReplicaKey;
@@ -24,6 +24,13 @@
 /// A pause between events is not waited out beyond this part of the longest that counts in full.
 pub const PAUSE_PART: f64 = 0.8;
 
+/// A replica for an attempt, with what a trial of its service had to do with it.
+#[derive(Clone, Copy, Debug)]
+struct AttemptChoice {
+    pick: BackendPick,
+    trial: Option<TrialInputs>,
+}
+
 /// An attempt under way.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RunningAttempt {
@@ -46,17 +53,19 @@
         otherwise: RefusalReason,
         out: &mut Vec<RouteEffect>,
     ) {
-        let Some(pick) = self.choose(stamp, ticket) else {
+        let Some(choice) = self.choose(stamp, ticket) else {
             self.give_up(stamp, ticket, otherwise, out);
             return;
         };
-        self.assign(stamp, ticket, pick, out);
+        self.assign(stamp, ticket, choice, out);
     }
 
     /// The replica for a request's next attempt.
-    fn choose(&self, stamp: EventStamp, ticket: RequestTicket) -> Option<BackendPick> {
+    fn choose(&self, stamp: EventStamp, ticket: RequestTicket) -> Option<AttemptChoice> {
         let request = self.requests.get(&ticket)?;
-        let version = self.version_wish(stamp, &request.service, request.session);
+        let trial = self.trials.get(&request.service);
+        let share = trial.map_or(0.0, |trial| trial.share(stamp.now));
+        let version = version_wish(trial, share, request.session, stamp.dice);
         let ask = BackendAsk {
             service: &request.service,
             version,
@@ -67,11 +76,16 @@
             dice: stamp.dice,
             now: stamp.now,
         };
+        let wished = self.backends.pick(&ask);
         // A wish that nobody fits gives way, but never to a version that is bad.
-        let fallback = self.fallback_wish(&request.service);
-        self.backends
-            .pick(&ask)
-            .or_else(|| self.backends.pick(&BackendAsk { version: fallback, ..ask }))
+        let fallback = || self.backends.pick(&BackendAsk { version: fallback_wish(trial), ..ask });
+        let pick = wished.or_else(fallback)?;
+        let trial = trial.map(|trial| TrialInputs {
+            age_ms: trial.age_ms(stamp.now),
+            share,
+            gave_way: wished.is_none(),
+        });
+        Some(AttemptChoice { pick, trial })
     }
 
     /// The model for a request's next attempt. The last one that is allowed goes to the smallest: where a
@@ -94,13 +108,15 @@
         &mut self,
         stamp: EventStamp,
         ticket: RequestTicket,
-        pick: BackendPick,
+        choice: AttemptChoice,
         out: &mut Vec<RouteEffect>,
     ) {
+        let pick = choice.pick;
         let inputs = DecisionInputs {
             candidates: pick.candidates,
             load: pick.load,
             affine: pick.affine,
+            trial: choice.trial,
             ..self.inputs(stamp)
         };
         self.backends.sent(pick.key);
@@ -130,6 +146,7 @@
             kind: request.route.kind,
             model: request.size.map(|size| request.route.sizes[size].clone()),
             account: request.account.clone(),
+            session: request.session,
             deadline: request.deadline,
             head_ms: if spare { head_ms(&request.route).min(left) } else { left },
             pause_ms: if spare { pause_ms(&request.route).min(left) } else { left },
@@ -138,26 +155,6 @@
         out.push(RouteEffect::Send(ticket, order));
     }
 
-    /// Which versions a new attempt is to go to.
-    fn version_wish(&self, stamp: EventStamp, service: &str, session: u64) -> VersionWish<'_> {
-        let Some(trial) = self.trials.get(service) else { return VersionWish::Any };
-        let version = trial.order.version.as_str();
-        if trial.takes(session, stamp.dice, stamp.now) {
-            VersionWish::Only(version)
-        } else {
-            VersionWish::Not(version)
-        }
-    }
-
-    fn fallback_wish(&self, service: &str) -> VersionWish<'_> {
-        match self.trials.get(service) {
-            Some(trial) if trial.state == TrialState::RolledBack || trial.is_bad() => {
-                VersionWish::Not(&trial.order.version)
-            }
-            _ => VersionWish::Any,
-        }
-    }
-
     /// Ends the attempt under way and gives the request to another replica, if there is one and
     /// attempts, time and budget allow it. Else nothing changes.
     pub(super) fn go_elsewhere(
@@ -171,8 +168,8 @@
         if cause != SendCause::LargerModel {
             self.settle_size(ticket);
         }
-        let pick = self.choose(stamp, ticket);
-        let Some(pick) = pick.filter(|_| self.may_send_again(stamp, ticket, cause)) else {
+        let choice = self.choose(stamp, ticket);
+        let Some(choice) = choice.filter(|_| self.may_send_again(stamp, ticket, cause)) else {
             if let Some(request) = self.requests.get_mut(&ticket) {
                 request.size = size;
             }
@@ -183,7 +180,7 @@
             SendCause::Failure | SendCause::Silence => BackendDeed::Failed,
         };
         self.end_attempt(stamp, ticket, deed);
-        self.assign(stamp, ticket, pick, out);
+        self.assign(stamp, ticket, choice, out);
         true
     }
 
@@ -233,6 +230,31 @@
     }
 }
 
+/// Which versions a new attempt is to go to, where the version on trial gets `share` of the sessions.
+fn version_wish(
+    trial: Option<&VersionTrial>,
+    share: f64,
+    session: u64,
+    dice: u64,
+) -> VersionWish<'_> {
+    let Some(trial) = trial else { return VersionWish::Any };
+    let version = trial.order.version.as_str();
+    if trial.lot(session, dice) < share {
+        VersionWish::Only(version)
+    } else {
+        VersionWish::Not(version)
+    }
+}
+
+fn fallback_wish(trial: Option<&VersionTrial>) -> VersionWish<'_> {
+    match trial {
+        Some(trial) if trial.state == TrialState::RolledBack || trial.is_bad() => {
+            VersionWish::Not(&trial.order.version)
+        }
+        _ => VersionWish::Any,
+    }
+}
+
 fn head_ms(route: &RouteSpec) -> u64 {
     let targets = if route.kind.is_stream() { HEAD_TARGETS } else { PLAIN_HEAD_TARGETS };
     (route.target_ms as f64 * targets) as u64
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -172,6 +172,17 @@
     pub retry_after_ms: Option<u64>,
 }
 
+/// What a trial of the service had to do with a decision, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TrialInputs {
+    /// How long ago the order was given, as far as the box knew, in milliseconds.
+    pub age_ms: u64,
+    /// Share of the sessions that the version on trial got.
+    pub share: f64,
+    /// Whether no replica of the version wished for could be taken.
+    pub gave_way: bool,
+}
+
 /// What a decision rested on, for the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct DecisionInputs {
@@ -185,6 +196,8 @@
     pub load: f64,
     /// Whether it was taken for the prompt's shared parts.
     pub affine: bool,
+    /// The trial of the service, if there is one.
+    pub trial: Option<TrialInputs>,
 }
 
 /// A replica for an attempt.
@@ -208,6 +221,8 @@
     pub model: Option<String>,
     /// Client account, where keys are asked for.
     pub account: Option<String>,
+    /// Hash of the caller's session; 0 for none.
+    pub session: u64,
     /// The request's time is up then.
     pub deadline: BoxTime,
     /// Ask whether to go elsewhere when no head came for this long, in milliseconds.
@@ -262,6 +277,21 @@
         /// Failures among them.
         bad: f64,
     },
+    /// The share of the sessions that a version on trial gets here has changed.
+    TrialShareMoved {
+        /// Service.
+        service: String,
+        /// Version on trial.
+        version: String,
+        /// The share, from 0 to 1.
+        share: f64,
+        /// How long ago the order was given, as far as this box knows, in milliseconds.
+        age_ms: u64,
+        /// Answers of the version so far, on all boxes.
+        runs: f64,
+        /// Failures among them.
+        bad: f64,
+    },
     /// The planned stop has begun.
     StopBegun,
 }
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -55,7 +55,7 @@
         let trials = self.trials.values().map(|trial| TrialNote {
             service: trial.order.service.clone(),
             version: trial.order.version.clone(),
-            age_ms: stamp.now.millis_since(trial.began),
+            age_ms: trial.age_ms(stamp.now),
             tallies: trial.own.clone(),
         });
         PeerNote {
--- a/crates/core/src/route/trial.rs
+++ b/crates/core/src/route/trial.rs
@@ -198,6 +198,8 @@
     pub own: RouteTallies,
     /// What the others saw, by box name.
     pub peers: BTreeMap<String, RouteTallies>,
+    /// The share that was logged last.
+    pub logged_share: f64,
 }
 
 impl VersionTrial {
@@ -212,12 +214,18 @@
             looked: false,
             own: RouteTallies::new(),
             peers: BTreeMap::new(),
+            logged_share: 0.0,
         }
     }
 
+    /// How long ago the order was given, in milliseconds, as far as this box knows.
+    pub fn age_ms(&self, now: BoxTime) -> u64 {
+        now.millis_since(self.began)
+    }
+
     /// Part of the order's time that has passed.
     pub fn elapsed(&self, now: BoxTime) -> f64 {
-        now.millis_since(self.began) as f64 / self.order.duration_ms.max(1) as f64
+        self.age_ms(now) as f64 / self.order.duration_ms.max(1) as f64
     }
 
     /// The evidence of all boxes, by route.
@@ -231,6 +239,14 @@
         all
     }
 
+    /// Answers of the version so far, on all boxes, and failures among them.
+    pub fn answers(&self) -> (f64, f64) {
+        let add = |sum: (f64, f64), tally: &TrialTally| {
+            (sum.0 + tally.fresh.runs, sum.1 + tally.fresh.bad)
+        };
+        self.evidence().values().fold((0.0, 0.0), add)
+    }
+
     /// Whether the evidence speaks against the version, on any route or on all together.
     pub fn is_bad(&self) -> bool {
         let evidence = self.evidence();
@@ -256,12 +272,12 @@
         }
     }
 
-    /// Whether a request goes to the version: by its session, or by chance if it has none.
-    pub fn takes(&self, session: u64, dice: u64, now: BoxTime) -> bool {
+    /// Place of a request among all, from 0 to 1: by its session, or by chance if it has none. Those
+    /// below the share go to the version on trial.
+    pub fn lot(&self, session: u64, dice: u64) -> f64 {
         let lot = if session == 0 { dice } else { session };
         let seed = xxh3_64(self.order.version.as_bytes());
-        let place = (mix(lot ^ seed) >> 11) as f64 / (1_u64 << 53) as f64;
-        place < self.share(now)
+        (mix(lot ^ seed) >> 11) as f64 / (1_u64 << 53) as f64
     }
 
     /// Whether `version` is under way to be judged here.
@@ -270,8 +286,7 @@
     }
 
     fn proven(&self) -> bool {
-        let runs: f64 = self.evidence().values().map(|tally| tally.fresh.runs).sum();
-        runs >= DONE_RUNS
+        self.answers().0 >= DONE_RUNS
     }
 
     /// The verdict that the evidence gives now, if it is time for one.
--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -118,15 +118,35 @@
             }));
         }
     }
+
+    /// Tells the log where the share of a version on trial has changed on this box.
+    pub(super) fn note_shares(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
+        for trial in self.trials.values_mut() {
+            let share = trial.share(stamp.now);
+            if share == trial.logged_share {
+                continue;
+            }
+            trial.logged_share = share;
+            let (runs, bad) = trial.answers();
+            out.push(RouteEffect::TrialShareMoved {
+                service: trial.order.service.clone(),
+                version: trial.order.version.clone(),
+                share,
+                age_ms: trial.age_ms(stamp.now),
+                runs,
+                bad,
+            });
+        }
+    }
 }
 
 fn moved(trial: &VersionTrial) -> RouteEffect {
-    let evidence = trial.evidence();
+    let (runs, bad) = trial.answers();
     RouteEffect::TrialMoved {
         service: trial.order.service.clone(),
         version: trial.order.version.clone(),
         state: trial.state,
-        runs: evidence.values().map(|tally| tally.fresh.runs).sum(),
-        bad: evidence.values().map(|tally| tally.fresh.bad).sum(),
+        runs,
+        bad,
     }
 }
