--- a/crates/core/tests/route/fixture.rs
+++ b/crates/core/tests/route/fixture.rs
@@ -102,6 +102,11 @@
     }
 }
 
+/// Hash of a caller's session.
+pub fn session(number: u64) -> u64 {
+    number.wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
 /// A box that knows nothing.
 pub fn new_box(name: &str) -> TestBox {
     TestBox { state: RouteState::new(settings(name)), now: 1_000, dice: 7, tickets: 0, offset: 0 }
--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -6,4 +6,5 @@
 mod models;
 mod plan;
 mod requests;
+mod restarts;
 mod trials;
--- /dev/null
+++ b/crates/core/tests/route/restarts.rs
@@ -0,0 +1,127 @@
+//! Boxes that start in the middle of something: what began before their own start keeps its age.
+//!
+//! **Symptom.** Four requests ran on the old version although the request before them in their session
+//! had run on the new one; the new version was good, and its roll-out in its last quarter.
+//!
+//! **Sequence.** A roll-out of 24 s. Shortly before its second half six of seven boxes were killed and
+//! started again. The one that ran through gave a share of the sessions to the new version, and later
+//! all; the six gave it none. Sessions whose requests went now to the one, now to the others, were
+//! moved to and fro. The verdict came 1.7 s late, from the one box that knew that it was due.
+//!
+//! **Cause.** Boxes tell each other how long ago the order was given. A box's clock counted from its own
+//! start and knew nothing before it, so what lay further back was rounded to the start, and a box that
+//! had started took the order for as old as itself. The same rounding made another box's old knowledge
+//! of keys young again.
+//!
+//! **What settled it.** At one and the same moment, 22 s after the order, of the box that ran through and
+//! of one that had started 9.3 s before; evidence and replicas were the same on both:
+//!
+//! ```text
+//! 701 request_sent version=v2 trial_share=1.0 trial_age_ms=22004 trial_gave_way=false
+//! 701 request_sent version=v1 trial_share=0.0 trial_age_ms=9319  trial_gave_way=false
+//! ```
+
+use ravenspoke_core::route::event::{RefusalReason, RouteAsk, RouteEvent};
+use ravenspoke_core::route::peers::{PeerAsk, PeerNote};
+use ravenspoke_core::route::trial::{TrialOrder, TrialState, TrialVerdict};
+use ravenspoke_core::time::BoxTime;
+
+use crate::fixture::{ask, entry, head, is_refused, new_box, note_in, plan, session, TestBox};
+
+/// How long the order of these tests gives, in milliseconds.
+const ORDER_MS: u64 = 10_000;
+
+/// When its share of the sessions is given, and when all, in milliseconds after the order.
+const SHARED_AT_MS: u64 = 7_000;
+const CARRIED_AT_MS: u64 = 8_300;
+
+/// A box that has just started and has read the store: a plan, two replicas of each version, the order,
+/// and that its trial runs.
+fn started_box(name: &str) -> TestBox {
+    let mut subject = new_box(name);
+    subject.read_plan(Some(plan(1)));
+    for (id, version) in [("a", "v1"), ("b", "v1"), ("c", "v2"), ("d", "v2")] {
+        subject.put(entry(id, version));
+    }
+    let (service, version) = ("pool".to_owned(), "v2".to_owned());
+    subject.feed(RouteEvent::OrdersRead(vec![TrialOrder {
+        service: service.clone(),
+        version: version.clone(),
+        duration_ms: ORDER_MS,
+    }]));
+    let running = TrialVerdict { service, version, state: TrialState::Running };
+    let asked_at = BoxTime::from_millis(subject.now);
+    subject.feed(RouteEvent::VerdictsRead { asked_at, verdicts: vec![running] });
+    subject
+}
+
+/// A box that has served from the order until `age_ms` after it.
+fn box_that_ran_through(age_ms: u64) -> TestBox {
+    let mut subject = started_box("box-1");
+    subject.now += age_ms;
+    subject.read_plan(None);
+    for number in 1..200 {
+        version_of(&mut subject, session(number));
+    }
+    subject
+}
+
+/// The note that a box sends next.
+fn told_by(subject: &mut TestBox) -> PeerNote {
+    subject.feed(RouteEvent::PeersNamed(vec!["box-2:90".to_owned()]));
+    subject.now += 500;
+    note_in(&subject.feed(RouteEvent::Tick)).expect("it tells the others")
+}
+
+/// Version that a session's request is answered by.
+fn version_of(subject: &mut TestBox, session: u64) -> String {
+    let (ticket, order) = subject.sent(RouteAsk { session, ..ask("/file/x") });
+    subject.feed(RouteEvent::HeadCame(ticket, head(200)));
+    subject.feed(RouteEvent::Finished(ticket));
+    order.version
+}
+
+/// Sessions that a box of each kind gives to different versions, `age_ms` after the order.
+fn parted_sessions(age_ms: u64) -> Vec<u64> {
+    let mut veteran = box_that_ran_through(age_ms);
+    let mut starter = started_box("box-2");
+    starter.feed(RouteEvent::PeerHeard(told_by(&mut veteran)));
+    veteran.read_plan(None);
+    let parted = |number: &u64| {
+        let key = session(*number);
+        version_of(&mut veteran, key) != version_of(&mut starter, key)
+    };
+    (1..200).filter(parted).collect()
+}
+
+#[test]
+fn a_box_started_in_a_trial_gives_sessions_to_the_versions_that_the_others_give_them_to() {
+    assert_eq!(parted_sessions(SHARED_AT_MS), [0; 0], "while a share is given");
+    assert_eq!(parted_sessions(CARRIED_AT_MS), [0; 0], "while all are given");
+}
+
+#[test]
+fn what_another_box_knew_before_this_one_started_is_as_old_as_it_was() {
+    let mut reader = new_box("box-1");
+    reader.read_plan(Some(plan(1)));
+    reader.now += 4_500;
+    let mut starter = new_box("box-2");
+    starter.now = 200;
+    let ask_of_starter = PeerAsk {
+        note_address: "box-2:90".to_owned(),
+        incarnation: 1,
+        asked_at: BoxTime::from_millis(starter.now),
+        ..PeerAsk::default()
+    };
+    let told = note_in(&reader.feed(RouteEvent::PeerAsked(ask_of_starter))).expect("an answer");
+
+    let as_of = starter.state.word_as_of(&told, BoxTime::from_millis(starter.now));
+    let asked_at = as_of.expect("it answers this box's ask");
+    starter.feed(RouteEvent::PlanRead { asked_at, read_to: told.read_to, plan: Some(plan(1)) });
+    starter.put(entry("a", "v1"));
+    starter.now += 200;
+
+    // 4.7 s old: a key that the plan holds may have been taken away by now.
+    let refusal = starter.refused(ask("/file/x"));
+    assert!(is_refused(refusal, 503, RefusalReason::Stale), "{refusal:?}");
+}
--- a/crates/core/tests/route/trials.rs
+++ b/crates/core/tests/route/trials.rs
@@ -6,7 +6,7 @@
 };
 use ravenspoke_core::time::BoxTime;
 
-use crate::fixture::{ask, entry, head, ready_box, TestBox};
+use crate::fixture::{ask, entry, head, ready_box, session, TestBox};
 
 fn order() -> TrialOrder {
     TrialOrder { service: "pool".to_owned(), version: "v2".to_owned(), duration_ms: 10_000 }
@@ -49,10 +49,6 @@
     RouteEvent::VerdictsRead { asked_at: BoxTime::from_millis(subject.now), verdicts }
 }
 
-fn session(number: u64) -> u64 {
-    number.wrapping_mul(0x9e37_79b9_7f4a_7c15)
-}
-
 fn due(effects: &[RouteEffect]) -> Option<TrialState> {
     effects.iter().find_map(|effect| match effect {
         RouteEffect::WriteVerdict(verdict) => Some(verdict.state),
