time: the box clock reaches before the box's own start

Cause: times on the box clock could not lie before the process's start and were rounded to it. A box that started in a roll-out heard from the others how old the order was and took it for as old as itself, so it gave the old version all sessions while the others gave the new one a share, then all; for the same reason old knowledge of keys from another box counted as young. Ruled out by the log: evidence that differs between boxes (159 to 168 answers, 2 failures on all seven), a wish that gave way (0 times).

Change: BoxTime is signed, its number is private, and spans are asked of it; no user of it changes its meaning.

--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -69,7 +69,7 @@
 /// The stamp of request `number`.
 pub fn stamp(number: u64) -> EventStamp {
     // Ten microseconds a request: the reducer is never asked to catch up with idle time.
-    let now = BoxTime(5_000_000 + number * 10);
+    let now = BoxTime::from_micros(5_000_000 + number * 10);
     EventStamp { now, wall: WallTime(1), dice: number.wrapping_mul(0x9E37_79B9_7F4A_7C15) }
 }
 
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -198,7 +198,7 @@
 
     /// Time on the clock of a box.
     pub fn box_time(&self, index: usize) -> BoxTime {
-        BoxTime(self.now_us - self.boxes[index].started_us)
+        BoxTime::from_micros(self.now_us - self.boxes[index].started_us)
     }
 
     /// Hands an event to a box; a paused box gets it when it goes on, a dead one never.
@@ -298,7 +298,7 @@
         let records = rows.iter().enumerate().skip(skip);
         let records = records.map(|(i, row)| (*first + i as u64, row.clone())).collect();
         let (first, tail) = (*first, *first + rows.len() as u64);
-        let asked_at = BoxTime(asked_us.saturating_sub(self.boxes[index].started_us));
+        let asked_at = BoxTime::from_micros(asked_us.saturating_sub(self.boxes[index].started_us));
         let event = BoxEvent::LogRead { stream, asked_at, first, tail, age_ms: 0, records };
         self.feed(index, event);
     }
--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -436,7 +436,10 @@
             };
             for home in 0..fleet.boxes.len() {
                 let (replica, report) = (format!("engine-{engine}"), report.clone());
-                fleet.feed(home, BoxEvent::LoadReported { replica, at: BoxTime(at_us), report });
+                fleet.feed(
+                    home,
+                    BoxEvent::LoadReported { replica, at: BoxTime::from_micros(at_us), report },
+                );
             }
         }
     }
--- a/crates/box/src/driver.rs
+++ b/crates/box/src/driver.rs
@@ -80,7 +80,7 @@
 
     /// The box's monotonic clock.
     pub fn now(&self) -> BoxTime {
-        BoxTime(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
+        BoxTime::from_micros(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
     }
 
     fn stamp(&self) -> EventStamp {
--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -79,12 +79,12 @@
 
     /// The box's steady clock.
     pub fn now(&self) -> BoxTime {
-        BoxTime(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
+        BoxTime::from_micros(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
     }
 
     /// How long it is until `time`.
     pub fn until(&self, time: BoxTime) -> Duration {
-        Duration::from_micros(time.0.saturating_sub(self.now().0))
+        Duration::from_micros(time.micros_since(self.now()))
     }
 
     /// Looks at the state.
--- a/crates/box/src/gateway/note_wire/ask.rs
+++ b/crates/box/src/gateway/note_wire/ask.rs
@@ -35,7 +35,7 @@
     WireAsk {
         note_address: ask.note_address.clone(),
         incarnation: ask.incarnation,
-        asked_at: ask.asked_at.0,
+        asked_at: ask.asked_at.as_micros(),
         read_to: ask.read_to,
         wants_replicas: ask.wants_replicas,
     }
@@ -45,7 +45,7 @@
     PeerAsk {
         note_address: ask.note_address,
         incarnation: ask.incarnation,
-        asked_at: BoxTime(ask.asked_at),
+        asked_at: BoxTime::from_micros(ask.asked_at),
         read_to: ask.read_to,
         wants_replicas: ask.wants_replicas,
     }
--- a/crates/core/src/fair_queue.rs
+++ b/crates/core/src/fair_queue.rs
@@ -129,7 +129,7 @@
 
     fn note_left(&mut self, now: BoxTime) {
         if let Some(last) = self.last_left {
-            let gap = (now.0 - last.0.min(now.0)) as f64 / 1_000.0;
+            let gap = now.micros_since(last) as f64 / 1_000.0;
             let before = self.gap_ms.unwrap_or(gap);
             self.gap_ms = Some(before + (gap - before) * DRAIN_WEIGHT);
         }
--- a/crates/core/src/state/orders.rs
+++ b/crates/core/src/state/orders.rs
@@ -36,7 +36,7 @@
             self.lease_next = offset + 1;
             let Some(RecordBody::Lease(lease)) = record.body else { continue };
             let mine = record.incarnation == self.settings.incarnation;
-            let from = if mine { BoxTime(lease.asked_us) } else { stamp.now };
+            let from = if mine { BoxTime::from_micros(lease.asked_us) } else { stamp.now };
             if mine {
                 self.lease_asked.remove(&lease.pool);
             }
@@ -80,8 +80,11 @@
             return;
         }
         self.lease_asked.insert(pool.to_owned(), stamp.now);
-        let lease =
-            LeaseRecord { pool: pool.to_owned(), term_ms: LEASE_TERM_MS, asked_us: stamp.now.0 };
+        let lease = LeaseRecord {
+            pool: pool.to_owned(),
+            term_ms: LEASE_TERM_MS,
+            asked_us: stamp.now.as_micros(),
+        };
         self.push_record(LogStream::Leases, RecordBody::Lease(lease));
         self.append_due(stamp, out);
     }
--- a/crates/core/src/state/peers.rs
+++ b/crates/core/src/state/peers.rs
@@ -112,7 +112,7 @@
         let halted =
             self.rollouts.iter().filter(|(name, row)| row.halted && named.contains_key(*name));
         let beat = PeerBeat {
-            stamp: stamp.now.0,
+            stamp: stamp.now.as_micros(),
             sequence: self.fold.sequence(),
             leaving: self.stopping_since.is_some(),
             leaving_replicas: marks.map(|(_, name)| name.clone()).collect(),
@@ -237,7 +237,7 @@
         reply: &BeatReply,
         out: &mut Vec<BoxEffect>,
     ) {
-        let asked_at = BoxTime(reply.echo);
+        let asked_at = BoxTime::from_micros(reply.echo);
         let direct = PeerSummary {
             name: from.to_owned(),
             incarnation,
--- a/crates/core/src/state/stop.rs
+++ b/crates/core/src/state/stop.rs
@@ -23,7 +23,12 @@
         let me = self.settings.name.clone();
         self.members.mark_leaving(&me);
         let sequence = self.fold.sequence();
-        let beat = PeerBeat { stamp: stamp.now.0, sequence, leaving: true, ..PeerBeat::default() };
+        let beat = PeerBeat {
+            stamp: stamp.now.as_micros(),
+            sequence,
+            leaving: true,
+            ..PeerBeat::default()
+        };
         for row in self.members.peers().take(TOLD_DIRECTLY) {
             out.push(BoxEffect::SendPeer(row.listed.name.clone(), PeerBody::Beat(beat.clone())));
         }
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -5,34 +5,61 @@
 
 use serde::Serialize;
 
-/// A point on the box's monotonic clock, in microseconds since the box started.
+/// A point on the box's monotonic clock, in microseconds since the box started; below zero before that.
+///
+/// Other boxes tell how long ago something was. What lies before this box's own start must keep its age:
+/// rounded to the start, an old order or an old word on keys would be taken for a young one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
-pub struct BoxTime(pub u64);
+pub struct BoxTime(i64);
 
 impl BoxTime {
     /// Builds a time from whole milliseconds since the box started.
     pub const fn from_millis(millis: u64) -> Self {
-        Self(millis * 1_000)
+        Self::from_micros(millis.saturating_mul(1_000))
     }
 
-    /// Milliseconds since the box started, rounded down.
+    /// Builds a time from whole microseconds since the box started.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(if micros > i64::MAX as u64 { i64::MAX } else { micros as i64 })
+    }
+
+    /// Whole milliseconds since the box started; zero before.
     pub const fn as_millis(self) -> u64 {
-        self.0 / 1_000
+        self.as_micros() / 1_000
+    }
+
+    /// Whole microseconds since the box started; zero before.
+    pub const fn as_micros(self) -> u64 {
+        if self.0 > 0 {
+            self.0 as u64
+        } else {
+            0
+        }
     }
 
     /// This time moved later by `millis` milliseconds.
     pub const fn plus_millis(self, millis: u64) -> Self {
-        Self(self.0.saturating_add(millis * 1_000))
+        Self(self.0.saturating_add(Self::from_millis(millis).0))
     }
 
-    /// This time moved earlier by `millis` milliseconds; zero at the earliest.
+    /// This time moved earlier by `millis` milliseconds, also to before the box started.
     pub const fn minus_millis(self, millis: u64) -> Self {
-        Self(self.0.saturating_sub(millis * 1_000))
+        Self(self.0.saturating_sub(Self::from_millis(millis).0))
     }
 
-    /// Milliseconds from `earlier` to this time; zero if `earlier` is later.
+    /// Whole milliseconds from `earlier` to this time; zero if `earlier` is later.
     pub const fn millis_since(self, earlier: BoxTime) -> u64 {
-        self.0.saturating_sub(earlier.0) / 1_000
+        self.micros_since(earlier) / 1_000
+    }
+
+    /// Microseconds from `earlier` to this time; zero if `earlier` is later.
+    pub const fn micros_since(self, earlier: BoxTime) -> u64 {
+        let micros = self.0.saturating_sub(earlier.0);
+        if micros > 0 {
+            micros as u64
+        } else {
+            0
+        }
     }
 }
 
--- a/crates/core/tests/decision.rs
+++ b/crates/core/tests/decision.rs
@@ -25,13 +25,13 @@
     let (keys, mut queue) = (requests(24), FairQueue::default());
     let late = BoxTime::from_millis(60_000);
     for key in &keys[..20] {
-        queue.push(account(0), 1, *key, late, BoxTime(0)).expect("room");
+        queue.push(account(0), 1, *key, late, BoxTime::from_micros(0)).expect("room");
     }
     for key in &keys[20..] {
-        queue.push(account(1), 1, *key, late, BoxTime(0)).expect("room");
+        queue.push(account(1), 1, *key, late, BoxTime::from_micros(0)).expect("room");
     }
 
-    let left: Vec<_> = (0..8).filter_map(|_| queue.pop(BoxTime(0))).collect();
+    let left: Vec<_> = (0..8).filter_map(|_| queue.pop(BoxTime::from_micros(0))).collect();
 
     let of_small = left.iter().filter(|key| keys[20..].contains(key)).count();
     assert_eq!(of_small, 4, "the small account's requests leave in turn with the large one's");
@@ -43,10 +43,10 @@
     let late = BoxTime::from_millis(60_000);
     for (index, key) in keys.iter().enumerate() {
         let (who, weight) = if index % 2 == 0 { (0, 3) } else { (1, 1) };
-        queue.push(account(who), weight, *key, late, BoxTime(0)).expect("room");
+        queue.push(account(who), weight, *key, late, BoxTime::from_micros(0)).expect("room");
     }
 
-    let left: Vec<_> = (0..16).filter_map(|_| queue.pop(BoxTime(0))).collect();
+    let left: Vec<_> = (0..16).filter_map(|_| queue.pop(BoxTime::from_micros(0))).collect();
 
     let heavy = left.iter().filter(|key| keys.iter().position(|k| k == *key).unwrap() % 2 == 0);
     assert_eq!(heavy.count(), 12);
@@ -57,7 +57,7 @@
     let (keys, mut queue) = (requests(ACCOUNT_QUEUE_LIMIT + 1), FairQueue::default());
     let far = BoxTime::from_millis(3_600_000);
     for key in &keys[..20] {
-        queue.push(account(0), 1, *key, far, BoxTime(0)).expect("room");
+        queue.push(account(0), 1, *key, far, BoxTime::from_micros(0)).expect("room");
     }
     for second in 0..5 {
         queue.pop(BoxTime::from_millis(second * 1_000));
@@ -77,10 +77,10 @@
     let (keys, mut queue) = (requests(ACCOUNT_QUEUE_LIMIT + 1), FairQueue::default());
     let far = BoxTime::from_millis(60_000);
     for key in &keys[..ACCOUNT_QUEUE_LIMIT] {
-        queue.push(account(0), 1, *key, far, BoxTime(0)).expect("room");
+        queue.push(account(0), 1, *key, far, BoxTime::from_micros(0)).expect("room");
     }
 
-    let over = queue.push(account(0), 1, keys[ACCOUNT_QUEUE_LIMIT], far, BoxTime(0));
+    let over = queue.push(account(0), 1, keys[ACCOUNT_QUEUE_LIMIT], far, BoxTime::from_micros(0));
 
     assert_eq!(over, Err(QueueRefusal::Full));
 }
@@ -103,7 +103,7 @@
     for index in 0..count {
         let key = table.find(&format!("r{index}")).expect("listed");
         let report = LoadReport { slots: 8, ..LoadReport::default() };
-        table.take_report(key, &report, vec![version], BoxTime(1));
+        table.take_report(key, &report, vec![version], BoxTime::from_micros(1));
     }
     (table, version)
 }
