test, red: a roll-out's progress must not go back with the evidence of a moment

Looked for elsewhere, the incident's class is a fact of the fleet that is worked out anew for each request from what a process happens to know.

--- a/crates/core/tests/route/restarts.rs
+++ b/crates/core/tests/route/restarts.rs
@@ -22,8 +22,10 @@
 //! ```
 
 use ravenspoke_core::route::event::{RefusalReason, RouteAsk, RouteEvent};
-use ravenspoke_core::route::peers::{PeerAsk, PeerNote};
-use ravenspoke_core::route::trial::{TrialOrder, TrialState, TrialVerdict};
+use ravenspoke_core::route::peers::{PeerAsk, PeerNote, TrialNote};
+use ravenspoke_core::route::trial::{
+    TrialOrder, TrialState, TrialTally, TrialVerdict, VersionTally,
+};
 use ravenspoke_core::time::BoxTime;
 
 use crate::fixture::{ask, entry, head, is_refused, new_box, note_in, plan, session, TestBox};
@@ -100,6 +102,45 @@
     assert_eq!(parted_sessions(CARRIED_AT_MS), [0; 0], "while all are given");
 }
 
+/// Answers that a box tells of, none of them failed.
+fn told_answers(name: &str, incarnation: u64, runs: f64) -> PeerNote {
+    let fresh = VersionTally { runs, ..VersionTally::default() };
+    let tally = TrialTally { fresh, ..TrialTally::default() };
+    let trial = TrialNote {
+        service: "pool".to_owned(),
+        version: "v2".to_owned(),
+        tallies: [("file".to_owned(), tally)].into(),
+        ..TrialNote::default()
+    };
+    PeerNote {
+        name: name.to_owned(),
+        incarnation,
+        number: 1,
+        note_address: format!("{name}:90"),
+        trials: vec![trial],
+        ..PeerNote::default()
+    }
+}
+
+#[test]
+fn a_version_that_carries_all_goes_on_when_the_evidence_for_it_is_lost_with_a_box() {
+    let mut subject = started_box("box-1");
+    subject.now += CARRIED_AT_MS;
+    subject.read_plan(None);
+    subject.feed(RouteEvent::PeerHeard(told_answers("box-2", 1, 30.0)));
+    subject.feed(RouteEvent::Tick);
+    let carried = |subject: &mut TestBox| {
+        let moved = |number: &u64| version_of(subject, session(*number)) == "v2";
+        (1..15).filter(moved).count()
+    };
+    assert_eq!(carried(&mut subject), 14, "it is proven by what the other box saw");
+
+    subject.feed(RouteEvent::PeerHeard(told_answers("box-2", 2, 0.0)));
+    subject.feed(RouteEvent::Tick);
+
+    assert_eq!(carried(&mut subject), 14, "no session is moved back");
+}
+
 #[test]
 fn what_another_box_knew_before_this_one_started_is_as_old_as_it_was() {
     let mut reader = new_box("box-1");
--- a/crates/core/tests/route/trials.rs
+++ b/crates/core/tests/route/trials.rs
@@ -95,6 +95,34 @@
     assert_eq!(serve(&mut subject, session(2), 200), "v1");
 }
 
+#[test]
+fn a_version_that_was_passed_over_as_bad_is_rolled_back_whatever_comes_after() {
+    let mut subject = box_on_trial();
+    pass(&mut subject, 5_500);
+    let is_bad = |subject: &TestBox| subject.state.dump(BoxTime::default()).trials[0].is_bad();
+    let mut number = 0;
+    while !is_bad(&subject) {
+        number += 1;
+        serve(&mut subject, session(number), if number % 2 == 0 { 500 } else { 200 });
+    }
+    pass(&mut subject, 0);
+    // The old version fails as well from now on, so that the new one is no worse.
+    let mut after = 0;
+    while is_bad(&subject) || after < 200 {
+        after += 1;
+        let session = session(1_000 + after);
+        let (ticket, order) = subject.sent(RouteAsk { session, ..ask("/file/x") });
+        assert_eq!(order.version, "v1");
+        subject.feed(RouteEvent::HeadCame(ticket, head(500)));
+        subject.feed(RouteEvent::Finished(ticket));
+    }
+
+    let effects = pass(&mut subject, 1_200);
+
+    assert!((1..200).all(|number| serve(&mut subject, session(number), 200) == "v1"));
+    assert_eq!(due(&effects), Some(TrialState::RolledBack));
+}
+
 #[test]
 fn a_good_version_is_taken_over_before_its_time_is_up() {
     let mut subject = box_on_trial();
