trial: a roll-out's progress only goes forward

Cause: the share of a version on trial was worked out anew for each request from the evidence known at that moment. A box that was started anew tells an empty tally, so 'proven' turned false and sessions went back; a version found bad for a moment was passed over without a verdict, and got sessions again later.

Change: a trial has a phase (held, shared, carried, condemned) that never goes back; share, verdict and the rule for where nothing else is left all follow from it. Ruled out: telling the share between boxes instead, which would part boxes by a note's way.

--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -8,7 +8,7 @@
 use super::pick::{BackendAsk, BackendPick, VersionWish};
 use super::plan::{RouteKind, RouteSpec};
 use super::request::RouteRequest;
-use super::trial::{TrialState, VersionTrial};
+use super::trial::VersionTrial;
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
 use crate::ids::ReplicaKey;
@@ -53,6 +53,7 @@
         otherwise: RefusalReason,
         out: &mut Vec<RouteEffect>,
     ) {
+        self.advance_trial(stamp, ticket);
         let Some(choice) = self.choose(stamp, ticket) else {
             self.give_up(stamp, ticket, otherwise, out);
             return;
@@ -60,11 +61,19 @@
         self.assign(stamp, ticket, choice, out);
     }
 
+    /// Takes what is known by now into the trial of a request's service.
+    fn advance_trial(&mut self, stamp: EventStamp, ticket: RequestTicket) {
+        let Some(request) = self.requests.get(&ticket) else { return };
+        if let Some(trial) = self.trials.get_mut(&request.service) {
+            trial.advance(stamp.now);
+        }
+    }
+
     /// The replica for a request's next attempt.
     fn choose(&self, stamp: EventStamp, ticket: RequestTicket) -> Option<AttemptChoice> {
         let request = self.requests.get(&ticket)?;
         let trial = self.trials.get(&request.service);
-        let share = trial.map_or(0.0, |trial| trial.share(stamp.now));
+        let share = trial.map_or(0.0, VersionTrial::share);
         let version = version_wish(trial, share, request.session, stamp.dice);
         let ask = BackendAsk {
             service: &request.service,
@@ -168,6 +177,7 @@
         if cause != SendCause::LargerModel {
             self.settle_size(ticket);
         }
+        self.advance_trial(stamp, ticket);
         let choice = self.choose(stamp, ticket);
         let Some(choice) = choice.filter(|_| self.may_send_again(stamp, ticket, cause)) else {
             if let Some(request) = self.requests.get_mut(&ticket) {
@@ -248,9 +258,7 @@
 
 fn fallback_wish(trial: Option<&VersionTrial>) -> VersionWish<'_> {
     match trial {
-        Some(trial) if trial.state == TrialState::RolledBack || trial.is_bad() => {
-            VersionWish::Not(&trial.order.version)
-        }
+        Some(trial) if trial.barred() => VersionWish::Not(&trial.order.version),
         _ => VersionWish::Any,
     }
 }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -189,7 +189,7 @@
         for change in self.backends.drop_lapsed(stamp.now) {
             self.tell(stamp, change, BackendNews::Leaving, out);
         }
-        self.note_shares(stamp, out);
+        self.advance_trials(stamp, out);
         self.judge_trials(stamp, out);
         self.ask_reader(stamp, out);
         self.send_notes(stamp, out);
--- a/crates/core/src/route/trial.rs
+++ b/crates/core/src/route/trial.rs
@@ -157,6 +157,31 @@
     RolledBack,
 }
 
+/// How far a trial under way has come. It never goes back: a share worked out anew from the evidence of
+/// each moment would move sessions to and fro, since boxes and their tallies come and go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub enum TrialPhase {
+    /// Sessions stay on the old versions.
+    Held,
+    /// The version gets [`TRIAL_SHARE`] of the sessions.
+    Shared,
+    /// It carries all.
+    Carried,
+    /// It was found bad: it gets nothing, and is to be rolled back.
+    Condemned,
+}
+
+impl TrialPhase {
+    /// Share of the sessions that the version gets.
+    fn share(self) -> f64 {
+        match self {
+            TrialPhase::Held | TrialPhase::Condemned => 0.0,
+            TrialPhase::Shared => TRIAL_SHARE,
+            TrialPhase::Carried => 1.0,
+        }
+    }
+}
+
 /// The operator's order to bring a version in.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct TrialOrder {
@@ -190,6 +215,8 @@
     pub heard_at: BoxTime,
     /// What stands in the store, or was learnt from a peer that read it.
     pub state: TrialState,
+    /// How far it has come, while it runs.
+    pub phase: TrialPhase,
     /// Whether the store has any word of this trial.
     pub written: bool,
     /// Whether the store was asked for one.
@@ -210,6 +237,7 @@
             began: heard_at,
             heard_at,
             state: TrialState::Running,
+            phase: TrialPhase::Held,
             written: false,
             looked: false,
             own: RouteTallies::new(),
@@ -261,17 +289,36 @@
         all.is_bad() || evidence.values().any(TrialTally::is_bad)
     }
 
-    /// Share of requests that the version gets now.
-    pub fn share(&self, now: BoxTime) -> f64 {
+    /// Goes on to the phase that the time and the evidence allow now.
+    pub fn advance(&mut self, now: BoxTime) {
+        let elapsed = self.elapsed(now);
+        let allowed = if self.is_bad() {
+            TrialPhase::Condemned
+        } else if elapsed >= RAMP_AT && self.proven() {
+            TrialPhase::Carried
+        } else if elapsed >= TRIAL_AT {
+            TrialPhase::Shared
+        } else {
+            TrialPhase::Held
+        };
+        self.phase = self.phase.max(allowed);
+    }
+
+    /// Share of the sessions that the version gets.
+    pub fn share(&self) -> f64 {
         match self.state {
             TrialState::Done => 1.0,
             TrialState::RolledBack => 0.0,
-            TrialState::Running if self.elapsed(now) < TRIAL_AT || self.is_bad() => 0.0,
-            TrialState::Running if self.elapsed(now) >= RAMP_AT && self.proven() => 1.0,
-            TrialState::Running => TRIAL_SHARE,
+            TrialState::Running => self.phase.share(),
         }
     }
 
+    /// Whether the version gets nothing, also where no other is left.
+    pub fn barred(&self) -> bool {
+        let condemned = self.state == TrialState::Running && self.phase == TrialPhase::Condemned;
+        condemned || self.state == TrialState::RolledBack
+    }
+
     /// Place of a request among all, from 0 to 1: by its session, or by chance if it has none. Those
     /// below the share go to the version on trial.
     pub fn lot(&self, session: u64, dice: u64) -> f64 {
@@ -289,14 +336,14 @@
         self.answers().0 >= DONE_RUNS
     }
 
-    /// The verdict that the evidence gives now, if it is time for one.
+    /// The verdict that is due now, if it is time for one.
     pub fn due(&self, now: BoxTime) -> Option<TrialState> {
-        if self.state != TrialState::Running {
-            return None;
-        }
-        if self.is_bad() {
-            return Some(TrialState::RolledBack);
+        match (self.state, self.phase) {
+            (TrialState::Running, TrialPhase::Condemned) => Some(TrialState::RolledBack),
+            (TrialState::Running, TrialPhase::Carried) if self.elapsed(now) >= DONE_AT => {
+                Some(TrialState::Done)
+            }
+            _ => None,
         }
-        (self.elapsed(now) >= DONE_AT && self.proven()).then_some(TrialState::Done)
     }
 }
--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -119,10 +119,11 @@
         }
     }
 
-    /// Tells the log where the share of a version on trial has changed on this box.
-    pub(super) fn note_shares(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
+    /// Takes trials on to where they may be by now, and tells the log where that changes a share.
+    pub(super) fn advance_trials(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
         for trial in self.trials.values_mut() {
-            let share = trial.share(stamp.now);
+            trial.advance(stamp.now);
+            let share = trial.share();
             if share == trial.logged_share {
                 continue;
             }
