trial: how far a roll-out has come stands in the store, and is read before a box serves

Cause: the order's age and the phase of its roll-out were known to processes alone. Ruled out: the time of day in the record (it jumps by seconds on single boxes); a field of ours in the operator's status record (it is the operator's); waiting for a note (there may be none).

Change: an own topic with a mark for each service, phase and age, written at each phase and after each eighth of the order's time, by the first box and the next in its place as verdicts are; read by a box that finds a roll-out under way, before it takes callers. Notes carry phase and mark. Each is a lower bound, so the larger one counts.

--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -9,7 +9,7 @@
     RefusalReason, RouteEffect, RouteEvent, RouteRefusal, SendOrder,
 };
 use ravenspoke_core::route::peers::{PeerAsk, PeerNote};
-use ravenspoke_core::route::trial::TrialVerdict;
+use ravenspoke_core::route::trial::{TrialMark, TrialVerdict};
 use ravenspoke_core::route::RouteState;
 use ravenspoke_core::time::{BoxTime, WallTime};
 use tokio::sync::mpsc::UnboundedSender;
@@ -53,6 +53,8 @@
     pub notes: UnboundedSender<PeerDatagram>,
     /// Verdicts for the store.
     pub verdicts: UnboundedSender<TrialVerdict>,
+    /// Marks of trials for the store.
+    pub marks: UnboundedSender<TrialMark>,
 }
 
 /// The reducer's state, its clocks and its sinks.
@@ -148,6 +150,7 @@
                 drop(self.sinks.notes.send(PeerDatagram::Ask(to, ask)))
             }
             RouteEffect::WriteVerdict(verdict) => drop(self.sinks.verdicts.send(verdict)),
+            RouteEffect::WriteMark(mark) => drop(self.sinks.marks.send(mark)),
             _ => {}
         }
     }
--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -59,6 +59,11 @@
         Self { driver, store, topic, lost_at: None, retry_ms: RETRY_MS }
     }
 
+    /// The topic.
+    pub(super) fn topic(&self) -> &'static str {
+        self.topic
+    }
+
     /// Notes how a call went, and gives what it read.
     pub(super) fn check<T>(&mut self, result: Result<T, StoreError>) -> Option<T> {
         match result {
--- /dev/null
+++ b/crates/box/src/gateway/marks.rs
@@ -0,0 +1,85 @@
+//! Reads and writes the store's marks of trials under way: how far they have come outlives every box.
+
+use std::sync::Arc;
+
+use ravenspoke_adapter::records::{read_mark, write_mark, MARK_TOPIC};
+use ravenspoke_adapter::store::{KeyedRecord, StoreClient};
+use ravenspoke_core::route::event::RouteEvent;
+use ravenspoke_core::route::trial::TrialMark;
+use ravenspoke_core::time::BoxTime;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use super::driver::GatewayDriver;
+use super::follow::TopicFollower;
+use super::observe;
+use super::verdicts::append_unless;
+
+/// Reads marks when this box has heard of a trial that was under way before.
+pub(super) struct MarkReader {
+    driver: Arc<GatewayDriver>,
+    follower: TopicFollower,
+}
+
+impl MarkReader {
+    pub(super) fn new(driver: Arc<GatewayDriver>, store: StoreClient) -> Self {
+        Self { follower: TopicFollower::new(driver.clone(), store, MARK_TOPIC), driver }
+    }
+
+    /// Reads all marks, if any is unread.
+    pub(super) async fn read_if_due(&mut self) {
+        if !self.driver.state().marks_unread() {
+            return;
+        }
+        let asked_at = self.driver.now();
+        match self.follower.read(&mut None, 0).await {
+            Some(news) => drop(take_marks(&self.driver, asked_at, &news.records)),
+            None => self.follower.wait_to_retry().await,
+        }
+    }
+}
+
+/// Writes marks that are due, each only if the store knows of no more.
+pub async fn write_marks(
+    driver: Arc<GatewayDriver>,
+    store: StoreClient,
+    mut due: UnboundedReceiver<TrialMark>,
+) {
+    let mut follower = TopicFollower::new(driver.clone(), store.clone(), MARK_TOPIC);
+    while let Some(mark) = due.recv().await {
+        let (key, value) = write_mark(&mark);
+        let record = KeyedRecord::new(key, Some(value));
+        let taken = append_unless(&driver, &mut follower, &store, &record, |asked_at, standing| {
+            let standing = take_marks(&driver, asked_at, standing);
+            standing.iter().any(|other| tells_more(other, &mark))
+        });
+        if taken.await {
+            driver.feed(RouteEvent::MarkTaken(mark));
+        }
+    }
+}
+
+fn take_marks(
+    driver: &GatewayDriver,
+    asked_at: BoxTime,
+    records: &[KeyedRecord],
+) -> Vec<TrialMark> {
+    let mut marks = Vec::new();
+    for record in records {
+        let Some(value) = &record.value else { continue };
+        match read_mark(&record.key, value) {
+            Ok(mark) => marks.push(mark),
+            Err(error) => observe::note_bad_record(&error),
+        }
+    }
+    driver.feed(RouteEvent::MarksRead { asked_at, marks: marks.clone() });
+    marks
+}
+
+/// Whether a mark that stands leaves nothing to write.
+fn tells_more(standing: &TrialMark, wanted: &TrialMark) -> bool {
+    let same = standing.service == wanted.service && standing.version == wanted.version;
+    let (phase, age) = (standing.progress.phase, standing.progress.age_ms);
+    let later = phase > wanted.progress.phase;
+    let equal = phase == wanted.progress.phase && age >= wanted.progress.age_ms;
+    same && (later || equal)
+}
--- a/crates/box/src/gateway/note_wire/trial.rs
+++ b/crates/box/src/gateway/note_wire/trial.rs
@@ -1,8 +1,10 @@
 //! Trials of new versions and their verdicts, as notes carry them.
 
-use prost::Message;
+use prost::{Enumeration, Message};
 use ravenspoke_core::route::peers::TrialNote;
-use ravenspoke_core::route::trial::{TrialState, TrialTally, TrialVerdict, VersionTally};
+use ravenspoke_core::route::trial::{
+    TrialPhase, TrialProgress, TrialState, TrialTally, TrialVerdict, VersionTally,
+};
 
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct WireTrial {
@@ -14,6 +16,46 @@
     age_ms: u64,
     #[prost(message, repeated, tag = "4")]
     routes: Vec<WireRoute>,
+    #[prost(enumeration = "WirePhase", tag = "5")]
+    phase: i32,
+    #[prost(message, optional, tag = "6")]
+    marked: Option<WireProgress>,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+struct WireProgress {
+    #[prost(enumeration = "WirePhase", tag = "1")]
+    phase: i32,
+    #[prost(uint64, tag = "2")]
+    age_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Enumeration)]
+#[repr(i32)]
+enum WirePhase {
+    Held = 0,
+    Shared = 1,
+    Carried = 2,
+}
+
+impl From<TrialPhase> for WirePhase {
+    fn from(phase: TrialPhase) -> Self {
+        match phase {
+            TrialPhase::Held => WirePhase::Held,
+            TrialPhase::Shared => WirePhase::Shared,
+            TrialPhase::Carried => WirePhase::Carried,
+        }
+    }
+}
+
+impl From<WirePhase> for TrialPhase {
+    fn from(phase: WirePhase) -> Self {
+        match phase {
+            WirePhase::Held => TrialPhase::Held,
+            WirePhase::Shared => TrialPhase::Shared,
+            WirePhase::Carried => TrialPhase::Carried,
+        }
+    }
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -81,12 +123,22 @@
     WireTrial {
         service: trial.service.clone(),
         version: trial.version.clone(),
-        age_ms: trial.age_ms,
+        age_ms: trial.progress.age_ms,
+        phase: WirePhase::from(trial.progress.phase) as i32,
+        marked: Some(write_progress(trial.marked)),
         routes: trial.tallies.iter().map(route).collect(),
     }
 }
 
+fn write_progress(progress: TrialProgress) -> WireProgress {
+    let phase = WirePhase::from(progress.phase) as i32;
+    WireProgress { phase, age_ms: progress.age_ms }
+}
+
 pub(super) fn read_trial(trial: WireTrial) -> TrialNote {
+    let progress = TrialProgress { phase: trial.phase().into(), age_ms: trial.age_ms };
+    let marked = trial.marked.unwrap_or_default();
+    let marked = TrialProgress { phase: marked.phase().into(), age_ms: marked.age_ms };
     let route = |row: WireRoute| {
         let tally = TrialTally { fresh: read_tally(row.fresh), base: read_tally(row.base) };
         (row.route, tally)
@@ -94,7 +146,8 @@
     TrialNote {
         service: trial.service,
         version: trial.version,
-        age_ms: trial.age_ms,
+        progress,
+        marked,
         tallies: trial.routes.into_iter().map(route).collect(),
     }
 }
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -141,6 +141,11 @@
             let (service, version, state) = (&verdict.service, &verdict.version, verdict.state);
             info!(event = 714, name = "verdict_due", service, version, ?state);
         }
+        RouteEffect::WriteMark(mark) => {
+            let (service, version) = (&mark.service, &mark.version);
+            let (phase, age_ms) = (mark.progress.phase, mark.progress.age_ms);
+            info!(event = 717, name = "mark_due", service, version, ?phase, age_ms);
+        }
         RouteEffect::StopBegun => info!(event = 715, name = "stop_begun"),
         _ => {}
     }
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -10,7 +10,7 @@
 use ravenspoke_adapter::store::StoreClient;
 use ravenspoke_config::gateway::GatewaySettings;
 use ravenspoke_core::route::event::RouteEvent;
-use ravenspoke_core::route::trial::TrialVerdict;
+use ravenspoke_core::route::trial::{TrialMark, TrialVerdict};
 use ravenspoke_core::route::{RouteSettings, RouteState, STOP_TAKE_MS};
 use rocket::Route;
 use tokio::net::{TcpListener, UdpSocket};
@@ -26,7 +26,7 @@
 use super::exchange::GatewayTools;
 use super::pool::ReplicaPool;
 use super::reload::follow_settings;
-use super::{follow, notes, observe, verdicts};
+use super::{follow, marks, notes, observe, verdicts};
 use crate::process::{ignite, server, ProcessError};
 
 /// Time passes for the reducer this often, in milliseconds.
@@ -63,8 +63,10 @@
         .map_err(|error| ProcessError::Metrics(error.to_string()))?;
     let (note_sender, note_receiver) = unbounded_channel();
     let (verdict_sender, verdict_receiver) = unbounded_channel();
-    let sinks = GatewaySinks { notes: note_sender, verdicts: verdict_sender };
-    let receivers = GatewayReceivers { notes: note_receiver, verdicts: verdict_receiver };
+    let (mark_sender, mark_receiver) = unbounded_channel();
+    let sinks = GatewaySinks { notes: note_sender, verdicts: verdict_sender, marks: mark_sender };
+    let receivers =
+        GatewayReceivers { notes: note_receiver, verdicts: verdict_receiver, marks: mark_receiver };
     let state = RouteState::new(route_settings(&settings));
     let driver = Arc::new(GatewayDriver::new(state, sinks));
     let store = StoreClient::new(&settings.store, settings.entry.ip())?;
@@ -113,6 +115,7 @@
 struct GatewayReceivers {
     notes: UnboundedReceiver<PeerDatagram>,
     verdicts: UnboundedReceiver<TrialVerdict>,
+    marks: UnboundedReceiver<TrialMark>,
 }
 
 /// Starts the tasks that read the store and talk to other boxes.
@@ -130,6 +133,7 @@
     tokio::spawn(follow::follow_backends(driver.clone(), store.clone()));
     tokio::spawn(verdicts::follow_verdicts(driver.clone(), store.clone()));
     tokio::spawn(verdicts::write_verdicts(driver.clone(), store.clone(), receivers.verdicts));
+    tokio::spawn(marks::write_marks(driver.clone(), store.clone(), receivers.marks));
     tokio::spawn(follow::follow_boxes(
         driver.clone(),
         store.clone(),
--- a/crates/box/src/gateway/verdicts.rs
+++ b/crates/box/src/gateway/verdicts.rs
@@ -12,6 +12,7 @@
 
 use super::driver::GatewayDriver;
 use super::follow::TopicFollower;
+use super::marks::MarkReader;
 use super::observe;
 
 /// Verdicts are read this often, in milliseconds, while a trial is under way.
@@ -20,11 +21,12 @@
 /// A box looks this often whether verdicts have to be read, in milliseconds.
 pub const VERDICT_LOOK_MS: u64 = 50;
 
-/// Times that a verdict is tried when the topic grows meanwhile.
-pub const VERDICT_TRIES: usize = 4;
+/// Times that an append is tried when the topic grows meanwhile.
+pub const APPEND_TRIES: usize = 4;
 
 /// Reads verdicts while a trial is under way.
 pub async fn follow_verdicts(driver: Arc<GatewayDriver>, store: StoreClient) {
+    let mut marks = MarkReader::new(driver.clone(), store.clone());
     let mut follower = TopicFollower::new(driver.clone(), store, VERDICT_TOPIC);
     let mut next = None;
     let mut read_at = Instant::now();
@@ -44,6 +46,8 @@
                 None => follower.wait_to_retry().await,
             }
         }
+        // Only a verdict tells whether the trial was under way before.
+        marks.read_if_due().await;
         tokio::time::sleep(Duration::from_millis(VERDICT_LOOK_MS)).await;
     }
 }
@@ -73,28 +77,42 @@
 ) {
     let mut follower = TopicFollower::new(driver.clone(), store.clone(), VERDICT_TOPIC);
     while let Some(verdict) = due.recv().await {
-        for _ in 0..VERDICT_TRIES {
-            let asked_at = driver.now();
-            let listed = store.newest(VERDICT_TOPIC).await;
-            let Some(listing) = follower.check(listed) else { break };
-            let standing = take_verdicts(&driver, asked_at, &listing.records);
-            if standing.iter().any(|other| goes_before(other, &verdict)) {
-                break;
-            }
-            let (key, value) = write_verdict(&verdict);
-            let record = KeyedRecord::new(key, Some(value));
-            let appended = store.append(VERDICT_TOPIC, Some(listing.end), &record).await;
-            match follower.check(appended) {
-                Some(AppendOutcome::Taken) => {
-                    driver.feed(RouteEvent::VerdictTaken(verdict));
-                    break;
-                }
-                Some(AppendOutcome::Moved(_)) => {}
-                // In doubt: the reducer asks again if the store shows no verdict.
-                None => break,
-            }
+        let (key, value) = write_verdict(&verdict);
+        let record = KeyedRecord::new(key, Some(value));
+        let taken = append_unless(&driver, &mut follower, &store, &record, |asked_at, standing| {
+            let standing = take_verdicts(&driver, asked_at, standing);
+            standing.iter().any(|other| goes_before(other, &verdict))
+        });
+        if taken.await {
+            driver.feed(RouteEvent::VerdictTaken(verdict));
+        }
+    }
+}
+
+/// Appends a record, unless the topic has one that leaves nothing to write. Returns whether the store took
+/// it; in doubt not: the reducer asks again if the store does not show it.
+pub(super) async fn append_unless(
+    driver: &GatewayDriver,
+    follower: &mut TopicFollower,
+    store: &StoreClient,
+    record: &KeyedRecord,
+    stands: impl Fn(BoxTime, &[KeyedRecord]) -> bool,
+) -> bool {
+    for _ in 0..APPEND_TRIES {
+        let asked_at = driver.now();
+        let listed = store.newest(follower.topic()).await;
+        let Some(listing) = follower.check(listed) else { return false };
+        if stands(asked_at, &listing.records) {
+            return false;
+        }
+        let appended = store.append(follower.topic(), Some(listing.end), record).await;
+        match follower.check(appended) {
+            Some(AppendOutcome::Taken) => return true,
+            Some(AppendOutcome::Moved(_)) => {}
+            None => return false,
         }
     }
+    false
 }
 
 /// Whether a verdict that stands leaves nothing to write.
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -38,6 +38,7 @@
     (714, "verdict_due"),
     (715, "stop_begun"),
     (716, "trial_share_moved"),
+    (717, "mark_due"),
     (720, "gateway_started"),
     (721, "settings_read"),
     (722, "settings_unreadable"),
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -258,7 +258,7 @@
 
 fn fallback_wish(trial: Option<&VersionTrial>) -> VersionWish<'_> {
     match trial {
-        Some(trial) if trial.barred() => VersionWish::Not(&trial.order.version),
+        Some(trial) if trial.passed_over() => VersionWish::Not(&trial.order.version),
         _ => VersionWish::Any,
     }
 }
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -4,7 +4,7 @@
 use super::loads::BackendLoad;
 use super::peers::{PeerAsk, PeerNote};
 use super::plan::{RouteKind, RoutePlan};
-use super::trial::{TrialOrder, TrialState, TrialVerdict};
+use super::trial::{TrialMark, TrialOrder, TrialState, TrialVerdict};
 use crate::event::RequestTicket;
 use crate::ids::ReplicaKey;
 use crate::time::BoxTime;
@@ -83,6 +83,15 @@
     },
     /// A verdict of this box was taken by the store.
     VerdictTaken(TrialVerdict),
+    /// All marks of trials under way were read.
+    MarksRead {
+        /// When the store was asked for them.
+        asked_at: BoxTime,
+        /// The marks.
+        marks: Vec<TrialMark>,
+    },
+    /// A mark of this box was taken by the store.
+    MarkTaken(TrialMark),
     /// Changes to the replicas' entries were read.
     BackendsChanged(Vec<BackendChange>),
     /// All entries of the replicas were read.
@@ -250,6 +259,8 @@
     SendAsk(String, PeerAsk),
     /// Write a verdict to the store, unless it has one.
     WriteVerdict(TrialVerdict),
+    /// Mark in the store how far a trial has come, unless it knows of more.
+    WriteMark(TrialMark),
     /// A plan came into force.
     PlanInForce {
         /// Its version.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -95,6 +95,8 @@
     trials: BTreeMap<String, VersionTrial>,
     /// When a verdict became due or was last sent to the store, by service.
     verdict_at: BTreeMap<String, BoxTime>,
+    /// The same of marks.
+    mark_at: BTreeMap<String, BoxTime>,
     budgets: HashMap<String, SendBudget>,
     lags: HashMap<String, ServiceLag>,
     /// Work of the models, by service.
@@ -126,6 +128,7 @@
             peers: PeerTable::default(),
             trials: BTreeMap::new(),
             verdict_at: BTreeMap::new(),
+            mark_at: BTreeMap::new(),
             budgets: HashMap::new(),
             lags: HashMap::new(),
             work: HashMap::new(),
@@ -156,6 +159,11 @@
                 self.on_verdicts(asked_at, verdicts, out);
             }
             RouteEvent::VerdictTaken(verdict) => self.take_verdict(verdict, out),
+            RouteEvent::MarksRead { asked_at, marks } => self.on_marks(stamp, asked_at, marks),
+            RouteEvent::MarkTaken(mark) => {
+                self.take_mark(stamp, &mark);
+                self.next_note = BoxTime::default();
+            }
             RouteEvent::BackendsChanged(changes) => self.on_backends(stamp, changes, out),
             RouteEvent::BackendsListed { end, listed } => self.on_listed(stamp, end, listed, out),
             RouteEvent::StoreFailed | RouteEvent::StoreBack => {
@@ -191,6 +199,7 @@
         }
         self.advance_trials(stamp, out);
         self.judge_trials(stamp, out);
+        self.mark_trials(stamp, out);
         self.ask_reader(stamp, out);
         self.send_notes(stamp, out);
     }
@@ -316,9 +325,16 @@
         self.trials.values().any(|trial| !trial.looked)
     }
 
-    /// Whether the box knows enough to serve: a plan, and replicas.
+    /// Whether the store's mark of some trial is still to be read: it was under way before this box heard
+    /// of it, and sessions may have been moved.
+    pub fn marks_unread(&self) -> bool {
+        self.trials.values().any(|trial| trial.mark_unread)
+    }
+
+    /// Whether the box knows enough to serve: a plan, how far trials have come, and replicas.
     pub fn knows_site(&self) -> bool {
-        self.has_plan() && !self.verdicts_unread() && self.knows_replicas()
+        let trials_known = !self.verdicts_unread() && !self.marks_unread();
+        self.has_plan() && trials_known && self.knows_replicas()
     }
 
     /// Whether any replica is known.
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -55,7 +55,8 @@
         let trials = self.trials.values().map(|trial| TrialNote {
             service: trial.order.service.clone(),
             version: trial.order.version.clone(),
-            age_ms: trial.age_ms(stamp.now),
+            progress: trial.progress(stamp.now),
+            marked: trial.marked,
             tallies: trial.own.clone(),
         });
         PeerNote {
--- a/crates/core/src/route/peers.rs
+++ b/crates/core/src/route/peers.rs
@@ -15,7 +15,7 @@
 
 use super::backend::BackendChange;
 use super::loads::LoadNote;
-use super::trial::{RouteTallies, TrialVerdict};
+use super::trial::{RouteTallies, TrialProgress, TrialVerdict};
 use crate::time::BoxTime;
 
 /// Time between two notes to the same box, in milliseconds.
@@ -66,8 +66,10 @@
     pub service: String,
     /// Version on trial.
     pub version: String,
-    /// How long ago the order was given, in milliseconds.
-    pub age_ms: u64,
+    /// How far it has come.
+    pub progress: TrialProgress,
+    /// The last mark in the store that the sender knows of.
+    pub marked: TrialProgress,
     /// What the sender saw.
     pub tallies: RouteTallies,
 }
--- a/crates/core/src/route/trial.rs
+++ b/crates/core/src/route/trial.rs
@@ -32,6 +32,10 @@
 /// Part of the order's time after which it is taken over.
 pub const DONE_AT: f64 = 0.88;
 
+/// Part of the order's time after which progress is marked in the store again: what a loss of all boxes
+/// sets a roll-out back by, at the most, for a call to the store.
+pub const MARK_PART: f64 = 0.125;
+
 /// Answers of the version on trial without which it is never taken over.
 pub const DONE_RUNS: f64 = 20.0;
 
@@ -159,29 +163,48 @@
 
 /// How far a trial under way has come. It never goes back: a share worked out anew from the evidence of
 /// each moment would move sessions to and fro, since boxes and their tallies come and go.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 pub enum TrialPhase {
     /// Sessions stay on the old versions.
+    #[default]
     Held,
     /// The version gets [`TRIAL_SHARE`] of the sessions.
     Shared,
     /// It carries all.
     Carried,
-    /// It was found bad: it gets nothing, and is to be rolled back.
-    Condemned,
 }
 
 impl TrialPhase {
     /// Share of the sessions that the version gets.
     fn share(self) -> f64 {
         match self {
-            TrialPhase::Held | TrialPhase::Condemned => 0.0,
+            TrialPhase::Held => 0.0,
             TrialPhase::Shared => TRIAL_SHARE,
             TrialPhase::Carried => 1.0,
         }
     }
 }
 
+/// How far a trial has come, as boxes tell each other and as the store keeps it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct TrialProgress {
+    /// Its phase.
+    pub phase: TrialPhase,
+    /// How long ago the order was given, at the least, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// Progress of a trial as it stands in the store, where it outlives every process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct TrialMark {
+    /// Service.
+    pub service: String,
+    /// Version on trial.
+    pub version: String,
+    /// How far it had come.
+    pub progress: TrialProgress,
+}
+
 /// The operator's order to bring a version in.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct TrialOrder {
@@ -217,10 +240,16 @@
     pub state: TrialState,
     /// How far it has come, while it runs.
     pub phase: TrialPhase,
+    /// When this box found it bad.
+    pub condemned_at: Option<BoxTime>,
     /// Whether the store has any word of this trial.
     pub written: bool,
     /// Whether the store was asked for one.
     pub looked: bool,
+    /// Whether it was under way before this box heard of it, and the store's mark is not read yet.
+    pub mark_unread: bool,
+    /// The last mark in the store that this box knows of.
+    pub marked: TrialProgress,
     /// What this box saw.
     pub own: RouteTallies,
     /// What the others saw, by box name.
@@ -238,8 +267,11 @@
             heard_at,
             state: TrialState::Running,
             phase: TrialPhase::Held,
+            condemned_at: None,
             written: false,
             looked: false,
+            mark_unread: false,
+            marked: TrialProgress::default(),
             own: RouteTallies::new(),
             peers: BTreeMap::new(),
             logged_share: 0.0,
@@ -289,12 +321,48 @@
         all.is_bad() || evidence.values().any(TrialTally::is_bad)
     }
 
+    /// How far it has come.
+    pub fn progress(&self, now: BoxTime) -> TrialProgress {
+        TrialProgress { phase: self.phase, age_ms: self.age_ms(now) }
+    }
+
+    /// Takes over how far it has come as another box or the store knows it: each knows a lower bound.
+    pub fn learn(&mut self, known: TrialProgress, now: BoxTime) {
+        self.began = self.began.min(now.minus_millis(known.age_ms));
+        self.phase = self.phase.max(known.phase);
+    }
+
+    /// Notes that the store has a mark.
+    pub fn note_marked(&mut self, mark: TrialProgress) {
+        if self.marked.phase < mark.phase || self.marked.age_ms < mark.age_ms {
+            self.marked = mark;
+        }
+    }
+
+    /// The mark that is due now. A version that was found bad needs none: its verdict is due.
+    pub fn mark_due(&self, now: BoxTime) -> Option<TrialMark> {
+        let progress = self.progress(now);
+        let step = (self.order.duration_ms as f64 * MARK_PART) as u64;
+        let further = progress.phase > self.marked.phase
+            || progress.age_ms >= self.marked.age_ms.saturating_add(step);
+        let under_way = self.state == TrialState::Running && self.condemned_at.is_none();
+        (under_way && further).then(|| TrialMark {
+            service: self.order.service.clone(),
+            version: self.order.version.clone(),
+            progress,
+        })
+    }
+
     /// Goes on to the phase that the time and the evidence allow now.
     pub fn advance(&mut self, now: BoxTime) {
+        if self.condemned_at.is_none() && self.is_bad() {
+            self.condemned_at = Some(now);
+        }
+        if self.condemned_at.is_some() {
+            return;
+        }
         let elapsed = self.elapsed(now);
-        let allowed = if self.is_bad() {
-            TrialPhase::Condemned
-        } else if elapsed >= RAMP_AT && self.proven() {
+        let allowed = if elapsed >= RAMP_AT && self.proven() {
             TrialPhase::Carried
         } else if elapsed >= TRIAL_AT {
             TrialPhase::Shared
@@ -304,21 +372,24 @@
         self.phase = self.phase.max(allowed);
     }
 
+    /// Whether the version is passed over: it was rolled back, or this box found it bad.
+    pub fn passed_over(&self) -> bool {
+        match self.state {
+            TrialState::Done => false,
+            TrialState::RolledBack => true,
+            TrialState::Running => self.condemned_at.is_some(),
+        }
+    }
+
     /// Share of the sessions that the version gets.
     pub fn share(&self) -> f64 {
         match self.state {
+            _ if self.passed_over() => 0.0,
             TrialState::Done => 1.0,
-            TrialState::RolledBack => 0.0,
-            TrialState::Running => self.phase.share(),
+            TrialState::RolledBack | TrialState::Running => self.phase.share(),
         }
     }
 
-    /// Whether the version gets nothing, also where no other is left.
-    pub fn barred(&self) -> bool {
-        let condemned = self.state == TrialState::Running && self.phase == TrialPhase::Condemned;
-        condemned || self.state == TrialState::RolledBack
-    }
-
     /// Place of a request among all, from 0 to 1: by its session, or by chance if it has none. Those
     /// below the share go to the version on trial.
     pub fn lot(&self, session: u64, dice: u64) -> f64 {
@@ -338,11 +409,10 @@
 
     /// The verdict that is due now, if it is time for one.
     pub fn due(&self, now: BoxTime) -> Option<TrialState> {
-        match (self.state, self.phase) {
-            (TrialState::Running, TrialPhase::Condemned) => Some(TrialState::RolledBack),
-            (TrialState::Running, TrialPhase::Carried) if self.elapsed(now) >= DONE_AT => {
-                Some(TrialState::Done)
-            }
+        let over = self.phase == TrialPhase::Carried && self.elapsed(now) >= DONE_AT;
+        match self.state {
+            TrialState::Running if self.condemned_at.is_some() => Some(TrialState::RolledBack),
+            TrialState::Running if over => Some(TrialState::Done),
             _ => None,
         }
     }
--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -1,8 +1,10 @@
 //! Trials of new versions: orders, evidence of other boxes, verdicts.
 
+use std::collections::BTreeMap;
+
 use super::event::RouteEffect;
 use super::peers::PeerNote;
-use super::trial::{TrialOrder, TrialState, TrialVerdict, VersionTrial};
+use super::trial::{TrialMark, TrialOrder, TrialState, TrialVerdict, VersionTrial};
 use super::RouteState;
 use crate::event::EventStamp;
 use crate::time::BoxTime;
@@ -43,8 +45,31 @@
             self.take_verdict(verdict, out);
         }
         // An order that was read later may be of a trial that the listing did not show yet.
+        for trial in self.trials.values_mut().filter(|trial| trial.heard_at <= asked_at) {
+            let first = !trial.looked;
+            trial.looked = true;
+            // The store has word of it already: it came some way before this box heard of it.
+            let under_way = trial.written && trial.state == TrialState::Running;
+            trial.mark_unread |= first && under_way;
+        }
+    }
+
+    /// Takes the store's marks of all trials, as of `asked_at`.
+    pub(super) fn on_marks(&mut self, stamp: EventStamp, asked_at: BoxTime, marks: Vec<TrialMark>) {
+        for mark in marks {
+            self.take_mark(stamp, &mark);
+        }
         let asked_after = self.trials.values_mut().filter(|trial| trial.heard_at <= asked_at);
-        asked_after.for_each(|trial| trial.looked = true);
+        asked_after.for_each(|trial| trial.mark_unread = false);
+    }
+
+    /// Takes a mark that stands in the store.
+    pub(super) fn take_mark(&mut self, stamp: EventStamp, mark: &TrialMark) {
+        let Some(trial) = self.trials.get_mut(&mark.service) else { return };
+        if trial.order.version == mark.version {
+            trial.learn(mark.progress, stamp.now);
+            trial.note_marked(mark.progress);
+        }
     }
 
     /// Takes a verdict that stands in the store. A trial that ended never begins anew.
@@ -83,8 +108,8 @@
             if trial.order.version != heard.version {
                 continue;
             }
-            // Who heard of the order first knows best when it was given.
-            trial.began = trial.began.min(stamp.now.minus_millis(heard.age_ms));
+            trial.learn(heard.progress, stamp.now);
+            trial.note_marked(heard.marked);
             trial.peers.insert(note.name.clone(), heard.tallies.clone());
         }
         for verdict in &note.verdicts {
@@ -105,17 +130,27 @@
                     continue;
                 }
             };
-            let first = stamp.now.plus_millis(rank * VERDICT_TURN_MS);
-            let at: &mut BoxTime = self.verdict_at.entry(service.clone()).or_insert(first);
-            if stamp.now < *at {
-                continue;
+            if takes_turn(&mut self.verdict_at, service, rank, stamp.now) {
+                out.push(RouteEffect::WriteVerdict(TrialVerdict {
+                    service: service.clone(),
+                    version: trial.order.version.clone(),
+                    state,
+                }));
+            }
+        }
+    }
+
+    /// Marks in the store how far trials have come, box by box as verdicts are written.
+    pub(super) fn mark_trials(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
+        let rank = self.peers.rank(&self.settings.name, stamp.now) as u64;
+        for (service, trial) in &self.trials {
+            match trial.mark_due(stamp.now) {
+                None => drop(self.mark_at.remove(service)),
+                Some(mark) if takes_turn(&mut self.mark_at, service, rank, stamp.now) => {
+                    out.push(RouteEffect::WriteMark(mark));
+                }
+                Some(_) => {}
             }
-            *at = stamp.now.plus_millis(2 * VERDICT_TURN_MS);
-            out.push(RouteEffect::WriteVerdict(TrialVerdict {
-                service: service.clone(),
-                version: trial.order.version.clone(),
-                state,
-            }));
         }
     }
 
@@ -141,6 +176,22 @@
     }
 }
 
+/// Whether it is this box's turn to write what is due of a service; its next turn comes later.
+fn takes_turn(
+    turns: &mut BTreeMap<String, BoxTime>,
+    service: &str,
+    rank: u64,
+    now: BoxTime,
+) -> bool {
+    let first = now.plus_millis(rank * VERDICT_TURN_MS);
+    let at = turns.entry(service.to_owned()).or_insert(first);
+    if now < *at {
+        return false;
+    }
+    *at = now.plus_millis(2 * VERDICT_TURN_MS);
+    true
+}
+
 fn moved(trial: &VersionTrial) -> RouteEffect {
     let (runs, bad) = trial.answers();
     RouteEffect::TrialMoved {
--- a/crates/core/tests/route/restarts.rs
+++ b/crates/core/tests/route/restarts.rs
@@ -21,14 +21,17 @@
 //! 701 request_sent version=v1 trial_share=0.0 trial_age_ms=9319  trial_gave_way=false
 //! ```
 
-use ravenspoke_core::route::event::{RefusalReason, RouteAsk, RouteEvent};
+use ravenspoke_core::route::event::{RefusalReason, RouteAsk, RouteEffect, RouteEvent};
 use ravenspoke_core::route::peers::{PeerAsk, PeerNote, TrialNote};
 use ravenspoke_core::route::trial::{
-    TrialOrder, TrialState, TrialTally, TrialVerdict, VersionTally,
+    TrialMark, TrialOrder, TrialPhase, TrialProgress, TrialState, TrialTally, TrialVerdict,
+    VersionTally,
 };
 use ravenspoke_core::time::BoxTime;
 
-use crate::fixture::{ask, entry, head, is_refused, new_box, note_in, plan, session, TestBox};
+use crate::fixture::{
+    ask, entry, head, is_refused, new_box, note_in, plan, ready_box, session, TestBox,
+};
 
 /// How long the order of these tests gives, in milliseconds.
 const ORDER_MS: u64 = 10_000;
@@ -37,6 +40,11 @@
 const SHARED_AT_MS: u64 = 7_000;
 const CARRIED_AT_MS: u64 = 8_300;
 
+fn order() -> TrialOrder {
+    let (service, version) = ("pool".to_owned(), "v2".to_owned());
+    TrialOrder { service, version, duration_ms: ORDER_MS }
+}
+
 /// A box that has just started and has read the store: a plan, two replicas of each version, the order,
 /// and that its trial runs.
 fn started_box(name: &str) -> TestBox {
@@ -45,12 +53,8 @@
     for (id, version) in [("a", "v1"), ("b", "v1"), ("c", "v2"), ("d", "v2")] {
         subject.put(entry(id, version));
     }
-    let (service, version) = ("pool".to_owned(), "v2".to_owned());
-    subject.feed(RouteEvent::OrdersRead(vec![TrialOrder {
-        service: service.clone(),
-        version: version.clone(),
-        duration_ms: ORDER_MS,
-    }]));
+    subject.feed(RouteEvent::OrdersRead(vec![order()]));
+    let TrialOrder { service, version, .. } = order();
     let running = TrialVerdict { service, version, state: TrialState::Running };
     let asked_at = BoxTime::from_millis(subject.now);
     subject.feed(RouteEvent::VerdictsRead { asked_at, verdicts: vec![running] });
@@ -102,6 +106,67 @@
     assert_eq!(parted_sessions(CARRIED_AT_MS), [0; 0], "while all are given");
 }
 
+/// What the store would be given of a trial's progress.
+fn mark_in(effects: &[RouteEffect]) -> Option<TrialProgress> {
+    effects.iter().find_map(|effect| match effect {
+        RouteEffect::WriteMark(mark) => Some(mark.progress),
+        _ => None,
+    })
+}
+
+/// A mark of the trial of these tests.
+fn mark(phase: TrialPhase, age_ms: u64) -> TrialMark {
+    let progress = TrialProgress { phase, age_ms };
+    TrialMark { service: "pool".to_owned(), version: "v2".to_owned(), progress }
+}
+
+#[test]
+fn progress_is_marked_after_each_eighth_of_the_time_and_at_each_phase() {
+    let mut subject = started_box("box-1");
+    let mut marks = Vec::new();
+    for _ in 0..30 {
+        subject.now += 200;
+        subject.read_plan(None);
+        if let Some(progress) = mark_in(&subject.feed(RouteEvent::Tick)) {
+            subject.feed(RouteEvent::MarkTaken(mark(progress.phase, progress.age_ms)));
+            marks.push((progress.phase, progress.age_ms));
+        }
+    }
+    let (held, shared) = (TrialPhase::Held, TrialPhase::Shared);
+    assert_eq!(
+        marks,
+        [(held, 1_400), (held, 2_800), (held, 4_200), (shared, 5_200)],
+        "an eighth is 1,250 ms, and the share is given from 5,150 ms on"
+    );
+}
+
+#[test]
+fn a_box_that_starts_in_a_trial_reads_how_far_it_has_come_before_it_serves() {
+    let mut subject = started_box("box-2");
+    assert!(subject.state.marks_unread() && !subject.state.knows_site());
+
+    let asked_at = BoxTime::from_millis(subject.now);
+    let marks = vec![mark(TrialPhase::Shared, SHARED_AT_MS)];
+    subject.feed(RouteEvent::MarksRead { asked_at, marks });
+
+    assert!(subject.state.knows_site());
+    let mut veteran = box_that_ran_through(SHARED_AT_MS);
+    let parted = |number: &u64| {
+        let key = session(*number);
+        version_of(&mut veteran, key) != version_of(&mut subject, key)
+    };
+    assert_eq!((1..200).filter(parted).count(), 0);
+}
+
+#[test]
+fn a_trial_that_a_box_heard_of_when_it_began_has_no_mark_to_read() {
+    let mut subject = ready_box();
+    subject.feed(RouteEvent::OrdersRead(vec![order()]));
+    let asked_at = BoxTime::from_millis(subject.now);
+    subject.feed(RouteEvent::VerdictsRead { asked_at, verdicts: Vec::new() });
+    assert!(!subject.state.marks_unread() && subject.state.knows_site());
+}
+
 /// Answers that a box tells of, none of them failed.
 fn told_answers(name: &str, incarnation: u64, runs: f64) -> PeerNote {
     let fresh = VersionTally { runs, ..VersionTally::default() };
--- a/crates/core/tests/route/trials.rs
+++ b/crates/core/tests/route/trials.rs
@@ -2,7 +2,8 @@
 
 use ravenspoke_core::route::event::{AttemptFailure, RouteAsk, RouteEffect, RouteEvent};
 use ravenspoke_core::route::trial::{
-    TrialOrder, TrialState, TrialTally, TrialVerdict, VersionTally, TRIAL_SHARE,
+    TrialOrder, TrialPhase, TrialProgress, TrialState, TrialTally, TrialVerdict, VersionTally,
+    TRIAL_SHARE,
 };
 use ravenspoke_core::time::BoxTime;
 
@@ -205,7 +206,8 @@
         trials: vec![ravenspoke_core::route::peers::TrialNote {
             service: "pool".to_owned(),
             version: "v2".to_owned(),
-            age_ms: 5_500,
+            progress: TrialProgress { phase: TrialPhase::Shared, age_ms: 5_500 },
+            marked: TrialProgress::default(),
             tallies,
         }],
         ..Default::default()
