trial: a version is passed over when its verdict stands, not when one box finds it bad

Cause: a box that found a version bad gave it nothing from that moment on, before the fleet had a verdict. Evidence differs between boxes by what a started one lacks, so sessions went to and fro until a verdict stood, or for good where none came.

Change: an opinion asks for the verdict, with the request that settles it and not with the next tick; shares follow what stands. Turns to write are bounded by two seconds. A box that can't have it written passes the version over after three. A verdict is told on with the next tick.

--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -8,7 +8,7 @@
 use super::pick::{BackendAsk, BackendPick, VersionWish};
 use super::plan::{RouteKind, RouteSpec};
 use super::request::RouteRequest;
-use super::trial::VersionTrial;
+use super::trial::{TrialState, VersionTrial};
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
 use crate::ids::ReplicaKey;
@@ -53,7 +53,7 @@
         otherwise: RefusalReason,
         out: &mut Vec<RouteEffect>,
     ) {
-        self.advance_trial(stamp, ticket);
+        self.advance_trial(stamp, ticket, out);
         let Some(choice) = self.choose(stamp, ticket) else {
             self.give_up(stamp, ticket, otherwise, out);
             return;
@@ -61,11 +61,19 @@
         self.assign(stamp, ticket, choice, out);
     }
 
-    /// Takes what is known by now into the trial of a request's service.
-    fn advance_trial(&mut self, stamp: EventStamp, ticket: RequestTicket) {
+    /// Takes what is known by now into the trial of a request's service. A bad version's verdict doesn't
+    /// wait for the next tick: each request until it stands may meet the version.
+    fn advance_trial(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        out: &mut Vec<RouteEffect>,
+    ) {
         let Some(request) = self.requests.get(&ticket) else { return };
-        if let Some(trial) = self.trials.get_mut(&request.service) {
-            trial.advance(stamp.now);
+        let Some(trial) = self.trials.get_mut(&request.service) else { return };
+        trial.advance(stamp.now);
+        if trial.due(stamp.now) == Some(TrialState::RolledBack) {
+            self.judge_trials(stamp, out);
         }
     }
 
@@ -73,7 +81,7 @@
     fn choose(&self, stamp: EventStamp, ticket: RequestTicket) -> Option<AttemptChoice> {
         let request = self.requests.get(&ticket)?;
         let trial = self.trials.get(&request.service);
-        let share = trial.map_or(0.0, VersionTrial::share);
+        let share = trial.map_or(0.0, |trial| trial.share(stamp.now));
         let version = version_wish(trial, share, request.session, stamp.dice);
         let ask = BackendAsk {
             service: &request.service,
@@ -87,7 +95,8 @@
         };
         let wished = self.backends.pick(&ask);
         // A wish that nobody fits gives way, but never to a version that is bad.
-        let fallback = || self.backends.pick(&BackendAsk { version: fallback_wish(trial), ..ask });
+        let fallback =
+            || self.backends.pick(&BackendAsk { version: fallback_wish(trial, stamp.now), ..ask });
         let pick = wished.or_else(fallback)?;
         let trial = trial.map(|trial| TrialInputs {
             age_ms: trial.age_ms(stamp.now),
@@ -177,7 +186,7 @@
         if cause != SendCause::LargerModel {
             self.settle_size(ticket);
         }
-        self.advance_trial(stamp, ticket);
+        self.advance_trial(stamp, ticket, out);
         let choice = self.choose(stamp, ticket);
         let Some(choice) = choice.filter(|_| self.may_send_again(stamp, ticket, cause)) else {
             if let Some(request) = self.requests.get_mut(&ticket) {
@@ -256,9 +265,9 @@
     }
 }
 
-fn fallback_wish(trial: Option<&VersionTrial>) -> VersionWish<'_> {
+fn fallback_wish(trial: Option<&VersionTrial>, now: BoxTime) -> VersionWish<'_> {
     match trial {
-        Some(trial) if trial.passed_over() => VersionWish::Not(&trial.order.version),
+        Some(trial) if trial.passed_over(now) => VersionWish::Not(&trial.order.version),
         _ => VersionWish::Any,
     }
 }
--- a/crates/core/src/route/trial.rs
+++ b/crates/core/src/route/trial.rs
@@ -36,6 +36,10 @@
 /// sets a roll-out back by, at the most, for a call to the store.
 pub const MARK_PART: f64 = 0.125;
 
+/// A box that found a version bad passes it over alone after this, in milliseconds, where no verdict
+/// stands by then: its own turn to write one comes within two seconds, so the store is away.
+pub const ALONE_AFTER_MS: u64 = 3_000;
+
 /// Answers of the version on trial without which it is never taken over.
 pub const DONE_RUNS: f64 = 20.0;
 
@@ -372,19 +376,21 @@
         self.phase = self.phase.max(allowed);
     }
 
-    /// Whether the version is passed over: it was rolled back, or this box found it bad.
-    pub fn passed_over(&self) -> bool {
+    /// Whether the version is passed over: it was rolled back, or this box found it bad and can't have
+    /// that written. Until then all boxes go on alike: one that acts on its own opinion parts sessions.
+    pub fn passed_over(&self, now: BoxTime) -> bool {
+        let alone = |at: BoxTime| now.millis_since(at) >= ALONE_AFTER_MS;
         match self.state {
             TrialState::Done => false,
             TrialState::RolledBack => true,
-            TrialState::Running => self.condemned_at.is_some(),
+            TrialState::Running => self.condemned_at.is_some_and(alone),
         }
     }
 
-    /// Share of the sessions that the version gets.
-    pub fn share(&self) -> f64 {
+    /// Share of the sessions that the version gets now.
+    pub fn share(&self, now: BoxTime) -> f64 {
         match self.state {
-            _ if self.passed_over() => 0.0,
+            _ if self.passed_over(now) => 0.0,
             TrialState::Done => 1.0,
             TrialState::RolledBack | TrialState::Running => self.phase.share(),
         }
--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -14,6 +14,9 @@
 /// back.
 pub const VERDICT_TURN_MS: u64 = 500;
 
+/// Boxes that wait for each other in this way, at most; the others come with the last of them.
+pub const TURNS: u64 = 4;
+
 impl RouteState {
     pub(super) fn on_orders(
         &mut self,
@@ -82,6 +85,8 @@
         if trial.state == TrialState::Running && verdict.state != TrialState::Running {
             trial.state = verdict.state;
             out.push(moved(trial));
+            // Told with the next tick: until they know, other boxes give sessions to other versions.
+            self.next_note = BoxTime::default();
         }
     }
 
@@ -158,7 +163,7 @@
     pub(super) fn advance_trials(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
         for trial in self.trials.values_mut() {
             trial.advance(stamp.now);
-            let share = trial.share();
+            let share = trial.share(stamp.now);
             if share == trial.logged_share {
                 continue;
             }
@@ -183,7 +188,7 @@
     rank: u64,
     now: BoxTime,
 ) -> bool {
-    let first = now.plus_millis(rank * VERDICT_TURN_MS);
+    let first = now.plus_millis(rank.min(TURNS) * VERDICT_TURN_MS);
     let at = turns.entry(service.to_owned()).or_insert(first);
     if now < *at {
         return false;
--- a/crates/core/tests/route/trials.rs
+++ b/crates/core/tests/route/trials.rs
@@ -144,6 +144,7 @@
     let mut subject = box_on_trial();
     pass(&mut subject, 5_500);
     serve_until_bad(&mut subject);
+    pass(&mut subject, 0);
     pass(&mut subject, 3_000);
     assert!((1..200).all(|number| serve(&mut subject, session(number), 200) == "v1"));
 }
