trial: answers lost with a replica are not held against its version

Cause: each answer that broke off or did not come counted at once against the version of its replica. A crash breaks many at the same moment, so a few crashes in the first seconds of a trial condemned a good version, and the verdict moved all its sessions back. Ruled out: counting one break a replica and box, which six boxes still add up.

Change: such an answer is kept with its replica and counts when the replica answers again, or after five seconds with its entry still there; where the entry goes, so does the suspicion. An answer that is a failure counts at once, as before.

--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -9,6 +9,7 @@
 use slotmap::SlotMap;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::deeds::LostAnswer;
 use super::gone::GoneReplicas;
 use crate::ids::ReplicaKey;
 use crate::time::BoxTime;
@@ -89,6 +90,9 @@
     pub lapses_at: Option<BoxTime>,
     /// Slow until this, from its start.
     pub cold_until: BoxTime,
+    /// Answers that it left out lately, the oldest first.
+    #[serde(skip)]
+    pub lost: Vec<LostAnswer>,
 }
 
 impl BackendState {
@@ -205,6 +209,7 @@
             passes: 0,
             passed_until: BoxTime::default(),
             lapses_at: None,
+            lost: Vec::new(),
             entry,
         });
         self.hashes.insert(backend_hash(&id), key);
--- a/crates/core/src/route/deeds.rs
+++ b/crates/core/src/route/deeds.rs
@@ -16,6 +16,25 @@
 /// Longest span for which a replica is passed over, in milliseconds.
 pub const PASS_OVER_LIMIT_MS: u64 = 5_000;
 
+/// Answers that a replica left out are held against its version after this, in milliseconds, where it has
+/// not answered since: the entry of one that crashed is gone by then, after three heartbeats of silence.
+pub const LOST_COUNT_MS: u64 = 5_000;
+
+/// Answers left out that are kept for each replica, at most: a version is found bad by fewer.
+const LOST_LIMIT: usize = 64;
+
+/// An answer that a replica left out: it broke off, or said nothing in time. Whether the replica is lost or
+/// its version bad shows later.
+#[derive(Clone, Debug)]
+pub struct LostAnswer {
+    /// Route of the request.
+    pub route: String,
+    /// Whether the replica's version was on trial.
+    pub on_trial: bool,
+    /// When it was given up.
+    pub at: BoxTime,
+}
+
 /// How well a replica did on a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BackendDeed {
@@ -58,4 +77,25 @@
             row.pass_over(now);
         }
     }
+
+    /// Keeps an answer that a replica left out until it shows what that means.
+    pub(super) fn note_lost(&mut self, key: ReplicaKey, lost: LostAnswer) {
+        let Some(row) = self.rows.get_mut(key) else { return };
+        if row.lost.len() < LOST_LIMIT {
+            row.lost.push(lost);
+        }
+    }
+
+    /// Answers left out by a replica that answers again.
+    pub(super) fn take_lost(&mut self, key: ReplicaKey) -> Vec<LostAnswer> {
+        self.rows.get_mut(key).map(|row| std::mem::take(&mut row.lost)).unwrap_or_default()
+    }
+
+    /// Replicas whose entry still stands [`LOST_COUNT_MS`] after they left out an answer.
+    pub(super) fn silent_since(&self, now: BoxTime) -> Vec<ReplicaKey> {
+        let first = |lost: &[LostAnswer]| lost.first().map(|lost| lost.at);
+        let over = |at: BoxTime| now.millis_since(at) >= LOST_COUNT_MS;
+        let silent = self.rows.iter().filter(|(_, row)| first(&row.lost).is_some_and(over));
+        silent.map(|(key, _)| key).collect()
+    }
 }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -197,6 +197,7 @@
         for change in self.backends.drop_lapsed(stamp.now) {
             self.tell(stamp, change, BackendNews::Leaving, out);
         }
+        self.tally_silent(stamp);
         self.advance_trials(stamp, out);
         self.judge_trials(stamp, out);
         self.mark_trials(stamp, out);
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -172,7 +172,7 @@
         request.may_have_run = true;
         let failed = head.status >= 500 || !head.proven;
         self.learn_pace(ticket, took_ms);
-        self.tally(ticket, failed, (!failed).then_some(took_ms));
+        self.tally(ticket, failed, took_ms);
         let Some(request) = self.requests.get(&ticket) else { return };
         let (kind, relayed) = (request.route.kind, request.relayed);
         if failed && kind.repeatable() && self.go_elsewhere(stamp, ticket, SendCause::Failure, out)
@@ -235,7 +235,7 @@
         if !request.route.kind.repeatable() || too_early {
             return;
         }
-        self.tally(ticket, true, None);
+        self.tally_lost(stamp, ticket);
         if self.go_elsewhere(stamp, ticket, SendCause::Silence, out) {
             if let Some(request) = self.requests.get_mut(&ticket) {
                 request.may_have_run = true;
@@ -261,7 +261,7 @@
             return;
         }
         request.may_have_run = true;
-        self.tally(ticket, true, None);
+        self.tally_lost(stamp, ticket);
         self.end_attempt(stamp, ticket, BackendDeed::Failed);
         let Some(request) = self.requests.get(&ticket) else { return };
         if request.route.kind.repeatable() {
@@ -291,7 +291,7 @@
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         request.may_have_run |= request.attempt.is_some();
         if !request.relayed {
-            self.tally(ticket, true, None);
+            self.tally_lost(stamp, ticket);
         }
         self.end_attempt(stamp, ticket, BackendDeed::Neither);
         self.give_up(stamp, ticket, RefusalReason::TimeUp, out);
