--- a/crates/core/tests/route/membership.rs
+++ b/crates/core/tests/route/membership.rs
@@ -259,3 +259,43 @@
     assert!(started.state.open(BoxTime::from_millis(started.now)));
     started.sent(ask("/read/x"));
 }
+
+/// A box that has had the store back for 150 ms, and another that never lost it and knows the same.
+fn box_cut_off_and_another() -> (TestBox, TestBox) {
+    let (mut cut, mut other) = (ready_box(), new_box("box-2"));
+    other.read_plan(Some(plan(1)));
+    other.put(entry("a", "v1"));
+    other.put(entry("b", "v1"));
+    cut.feed(RouteEvent::StoreFailed);
+    cut.now += 5_000;
+    cut.feed(RouteEvent::StoreBack);
+    cut.now += 150;
+    other.now = cut.now;
+    cut.read_plan(None);
+    (cut, other)
+}
+
+/// Whether the box still uses a replica.
+fn uses(subject: &TestBox, id: &str) -> bool {
+    let now = BoxTime::from_millis(subject.now);
+    let mut rows = subject.state.backends().rows();
+    rows.any(|(_, row)| row.entry.id == id && row.lapses_at.is_none_or(|at| now < at))
+}
+
+#[test]
+fn a_box_that_was_cut_off_takes_the_others_word_on_what_is_gone() {
+    let (mut cut, mut other) = box_cut_off_and_another();
+    other.drop_entry("a");
+    tell(&mut other, &mut cut);
+    assert!(!uses(&cut, "a") && uses(&cut, "b"));
+}
+
+#[test]
+fn what_a_box_that_was_cut_off_read_as_gone_is_gone_when_the_others_say_so() {
+    let (mut cut, mut other) = box_cut_off_and_another();
+    cut.drop_entry("a");
+    assert!(uses(&cut, "a"), "it may come back: the store may have been away for all");
+    other.drop_entry("a");
+    tell(&mut other, &mut cut);
+    assert!(!uses(&cut, "a") && uses(&cut, "b"));
+}
