news: a box that lost the store takes the others' word on which replicas are gone

Cause: an entry that vanishes while a box has lost the store, or within 2,200 ms of its return, is used on, since it may come back. That was meant for an outage of the store; a box cut off alone applied it to what others told it, who had had the store all the time. Ruled out: notes that did not arrive (the same box heard of another replica by note while it was cut off, with the others).

Change: what is told is taken at once, also where the box has read the same change itself and kept the replica; its own reading stays as careful as it was. Boxes tell only what is gone for good.

--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -146,7 +146,9 @@
     ) -> BackendNews {
         let known = self.ids.get(&change.id).map(|key| self.rows[*key].at);
         let known = known.or_else(|| self.gone.offset(&change.id));
-        if known.is_some_and(|at| at >= change.at) {
+        // What may come back is settled by the same change, from a box that takes it for gone.
+        let settled = lapse_at.is_none() && change.entry.is_none() && self.lapses(&change.id);
+        if known.is_some_and(|at| at > change.at || (at == change.at && !settled)) {
             return BackendNews::None;
         }
         match &change.entry {
@@ -155,6 +157,11 @@
         }
     }
 
+    /// Whether a replica is used only until its entry must be back.
+    fn lapses(&self, id: &str) -> bool {
+        self.ids.get(id).is_some_and(|key| self.rows[*key].lapses_at.is_some())
+    }
+
     /// Takes a whole listing that was made when the store's entries ended at `end`: what is not in it
     /// is gone. Gives the changes that are news.
     pub fn take_all(
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -242,6 +242,17 @@
         out: &mut Vec<RouteEffect>,
     ) {
         let lapse_at = self.lapse_at.filter(|at| *at > stamp.now);
+        self.take_backends(stamp, changes, lapse_at, out);
+    }
+
+    /// Takes changes, and tells what of them is news. Entries that vanished are used until `lapse_at`.
+    fn take_backends(
+        &mut self,
+        stamp: EventStamp,
+        changes: Vec<BackendChange>,
+        lapse_at: Option<BoxTime>,
+        out: &mut Vec<RouteEffect>,
+    ) {
         for change in changes {
             let news = self.backends.take(&change, stamp.now, lapse_at);
             self.tell(stamp, change, news, out);
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -127,12 +127,13 @@
         self.peers.hear_of(&note.others, &self.settings.note_address, stamp.now);
         if note.echo.as_ref().is_some_and(|ask| ask.wants_replicas) {
             // What this box asked for is no news to the others.
-            let lapse_at = self.lapse_at.filter(|at| *at > stamp.now);
             for change in &note.changes {
-                self.backends.take(change, stamp.now, lapse_at);
+                self.backends.take(change, stamp.now, None);
             }
         } else {
-            self.on_backends(stamp, note.changes.clone(), out);
+            // Only what is gone for good is told: that this box lost the store says nothing against it, and a
+            // replica must get nothing two seconds after the store's word.
+            self.take_backends(stamp, note.changes.clone(), None, out);
         }
         for told in &note.loads {
             self.backends.hear_load(told, stamp.now);
