--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -9,7 +9,8 @@
     RefusalReason, RouteEffect, RouteEvent, RouteRefusal, SendOrder,
 };
 use ravenspoke_core::route::peers::{PeerAsk, PeerNote};
-use ravenspoke_core::route::trial::{TrialMark, TrialVerdict};
+use ravenspoke_core::route::progress::TrialMark;
+use ravenspoke_core::route::trial::TrialVerdict;
 use ravenspoke_core::route::RouteState;
 use ravenspoke_core::time::{BoxTime, WallTime};
 use tokio::sync::mpsc::UnboundedSender;
--- a/crates/box/src/gateway/note_wire/trial.rs
+++ b/crates/box/src/gateway/note_wire/trial.rs
@@ -2,9 +2,9 @@
 
 use prost::{Enumeration, Message};
 use ravenspoke_core::route::peers::TrialNote;
-use ravenspoke_core::route::trial::{
-    TrialPhase, TrialProgress, TrialState, TrialTally, TrialVerdict, VersionTally,
-};
+use ravenspoke_core::route::progress::{TrialPhase, TrialProgress};
+use ravenspoke_core::route::tally::{TrialTally, VersionTally};
+use ravenspoke_core::route::trial::{TrialState, TrialVerdict};
 
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct WireTrial {
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -8,8 +8,9 @@
 //!
 //! [`plan`] what is routed where · [`fresh`] how long that may be relied on · [`backend`] replicas ·
 //! [`loads`] how busy they are · [`deeds`] how well they do · [`pick`] which of them answers ·
-//! [`peers`] the other boxes · [`trial`] new versions · [`budget`] further sends · [`sizes`] which model
-//! answers · [`parts`] on which replicas.
+//! [`peers`] the other boxes · [`trial`] new versions · [`tally`] what speaks against them ·
+//! [`progress`] how far they have come · [`budget`] further sends · [`sizes`] which model answers ·
+//! [`parts`] on which replicas.
 
 mod attempt;
 pub mod backend;
@@ -26,8 +27,10 @@
 pub mod peers;
 pub mod pick;
 pub mod plan;
+pub mod progress;
 mod request;
 pub mod sizes;
+pub mod tally;
 pub mod trial;
 mod verdict;
 
--- a/crates/core/src/route/peers.rs
+++ b/crates/core/src/route/peers.rs
@@ -15,7 +15,9 @@
 
 use super::backend::BackendChange;
 use super::loads::LoadNote;
-use super::trial::{RouteTallies, TrialProgress, TrialVerdict};
+use super::progress::TrialProgress;
+use super::tally::RouteTallies;
+use super::trial::TrialVerdict;
 use crate::time::BoxTime;
 
 /// Time between two notes to the same box, in milliseconds.
--- /dev/null
+++ b/crates/core/src/route/tally.rs
@@ -0,0 +1,116 @@
+//! What speaks against a version on trial: answers and their times, beside those of the other versions.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+/// Answers on trial below which nothing is held against it.
+pub const BAD_RUNS: f64 = 8.0;
+
+/// Standard errors that the trial's failures must exceed the other versions' by.
+pub const BAD_ERRORS: f64 = 3.0;
+
+/// Failures beyond the other versions' share that count at the least.
+pub const BAD_SHARE: f64 = 0.08;
+
+/// Logarithm of how many times slower counts as bad: 1.7 times.
+pub const SLOW_LOG: f64 = 0.53;
+
+/// Answers and failures that the other versions are taken to have had before the first one is seen: one
+/// in twenty.
+const SUPPOSED_RUNS: f64 = 20.0;
+const SUPPOSED_BAD: f64 = 1.0;
+
+/// Least variance of the logarithms of times, so that a few equal ones prove nothing.
+const VARIANCE_FLOOR: f64 = 0.04;
+
+/// Counts of the answers of one version on one route.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct VersionTally {
+    /// Answers, failed ones included.
+    pub runs: f64,
+    /// Failures.
+    pub bad: f64,
+    /// Answers whose time was taken.
+    pub timed: f64,
+    /// Sum of the logarithms of their times.
+    pub log_sum: f64,
+    /// Sum of the squares of those logarithms.
+    pub log_square: f64,
+}
+
+impl VersionTally {
+    /// Adds an answer: whether it failed, and how long it took if that says something.
+    pub fn add(&mut self, bad: bool, took_ms: Option<f64>) {
+        self.runs += 1.0;
+        self.bad += f64::from(u8::from(bad));
+        if let Some(took) = took_ms {
+            let log = took.max(1.0).ln();
+            self.timed += 1.0;
+            self.log_sum += log;
+            self.log_square += log * log;
+        }
+    }
+
+    /// Adds another tally.
+    pub fn join(&mut self, other: &VersionTally) {
+        self.runs += other.runs;
+        self.bad += other.bad;
+        self.timed += other.timed;
+        self.log_sum += other.log_sum;
+        self.log_square += other.log_square;
+    }
+
+    fn bad_share(&self) -> f64 {
+        self.bad / self.runs.max(1.0)
+    }
+
+    fn log_mean(&self) -> f64 {
+        self.log_sum / self.timed.max(1.0)
+    }
+
+    fn log_variance(&self) -> f64 {
+        let mean = self.log_mean();
+        (self.log_square / self.timed.max(1.0) - mean * mean).max(VARIANCE_FLOOR)
+    }
+}
+
+/// Tallies of one route: the version on trial beside the others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct TrialTally {
+    /// The version on trial.
+    pub fresh: VersionTally,
+    /// The others.
+    pub base: VersionTally,
+}
+
+impl TrialTally {
+    /// Whether the version on trial does worse than chance explains.
+    pub fn is_bad(&self) -> bool {
+        self.fails_more() || self.is_slower()
+    }
+
+    fn fails_more(&self) -> bool {
+        let (fresh, base) = (&self.fresh, &self.base);
+        if fresh.runs < BAD_RUNS {
+            return false;
+        }
+        let usual = (base.bad + SUPPOSED_BAD) / (base.runs + SUPPOSED_RUNS);
+        let error = (usual * (1.0 - usual) / fresh.runs).sqrt();
+        let excess = fresh.bad_share() - usual;
+        excess > BAD_SHARE && excess > BAD_ERRORS * error
+    }
+
+    fn is_slower(&self) -> bool {
+        let (fresh, base) = (&self.fresh, &self.base);
+        if fresh.timed < BAD_RUNS || base.timed < BAD_RUNS {
+            return false;
+        }
+        let excess = fresh.log_mean() - base.log_mean();
+        let error = (base.log_variance() / fresh.timed + base.log_variance() / base.timed).sqrt();
+        excess > SLOW_LOG && excess > BAD_ERRORS * error
+    }
+}
+
+/// Tallies by route name.
+pub type RouteTallies = BTreeMap<String, TrialTally>;
--- a/crates/core/src/route/trial.rs
+++ b/crates/core/src/route/trial.rs
@@ -8,12 +8,18 @@
 //! fleet. A bad version is rolled back as soon as the evidence holds; a good one is taken over shortly
 //! before the time is up, after a short span in which it carries all, since some versions turn bad
 //! only under load.
+//!
+//! What decides whose sessions move must be the same on all boxes, whenever they were started: the order's
+//! age and the phase ([`super::progress`]) are told between boxes and marked in the store, only go
+//! forward, and an opinion of one box counts for nothing until it stands there as a verdict.
 
 use std::collections::BTreeMap;
 
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::progress::{TrialMark, TrialPhase, TrialProgress};
+use super::tally::{RouteTallies, TrialTally};
 use crate::replica::mix;
 use crate::time::BoxTime;
 
@@ -43,117 +49,6 @@
 /// Answers of the version on trial without which it is never taken over.
 pub const DONE_RUNS: f64 = 20.0;
 
-/// Answers on trial below which nothing is held against it.
-pub const BAD_RUNS: f64 = 8.0;
-
-/// Standard errors that the trial's failures must exceed the other versions' by.
-pub const BAD_ERRORS: f64 = 3.0;
-
-/// Failures beyond the other versions' share that count at the least.
-pub const BAD_SHARE: f64 = 0.08;
-
-/// Logarithm of how many times slower counts as bad: 1.7 times.
-pub const SLOW_LOG: f64 = 0.53;
-
-/// Answers and failures that the other versions are taken to have had before the first one is seen: one
-/// in twenty.
-const SUPPOSED_RUNS: f64 = 20.0;
-const SUPPOSED_BAD: f64 = 1.0;
-
-/// Least variance of the logarithms of times, so that a few equal ones prove nothing.
-const VARIANCE_FLOOR: f64 = 0.04;
-
-/// Counts of the answers of one version on one route.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
-pub struct VersionTally {
-    /// Answers, failed ones included.
-    pub runs: f64,
-    /// Failures.
-    pub bad: f64,
-    /// Answers whose time was taken.
-    pub timed: f64,
-    /// Sum of the logarithms of their times.
-    pub log_sum: f64,
-    /// Sum of the squares of those logarithms.
-    pub log_square: f64,
-}
-
-impl VersionTally {
-    /// Adds an answer: whether it failed, and how long it took if that says something.
-    pub fn add(&mut self, bad: bool, took_ms: Option<f64>) {
-        self.runs += 1.0;
-        self.bad += f64::from(u8::from(bad));
-        if let Some(took) = took_ms {
-            let log = took.max(1.0).ln();
-            self.timed += 1.0;
-            self.log_sum += log;
-            self.log_square += log * log;
-        }
-    }
-
-    /// Adds another tally.
-    pub fn join(&mut self, other: &VersionTally) {
-        self.runs += other.runs;
-        self.bad += other.bad;
-        self.timed += other.timed;
-        self.log_sum += other.log_sum;
-        self.log_square += other.log_square;
-    }
-
-    fn bad_share(&self) -> f64 {
-        self.bad / self.runs.max(1.0)
-    }
-
-    fn log_mean(&self) -> f64 {
-        self.log_sum / self.timed.max(1.0)
-    }
-
-    fn log_variance(&self) -> f64 {
-        let mean = self.log_mean();
-        (self.log_square / self.timed.max(1.0) - mean * mean).max(VARIANCE_FLOOR)
-    }
-}
-
-/// Tallies of one route: the version on trial beside the others.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
-pub struct TrialTally {
-    /// The version on trial.
-    pub fresh: VersionTally,
-    /// The others.
-    pub base: VersionTally,
-}
-
-impl TrialTally {
-    /// Whether the version on trial does worse than chance explains.
-    pub fn is_bad(&self) -> bool {
-        self.fails_more() || self.is_slower()
-    }
-
-    fn fails_more(&self) -> bool {
-        let (fresh, base) = (&self.fresh, &self.base);
-        if fresh.runs < BAD_RUNS {
-            return false;
-        }
-        let usual = (base.bad + SUPPOSED_BAD) / (base.runs + SUPPOSED_RUNS);
-        let error = (usual * (1.0 - usual) / fresh.runs).sqrt();
-        let excess = fresh.bad_share() - usual;
-        excess > BAD_SHARE && excess > BAD_ERRORS * error
-    }
-
-    fn is_slower(&self) -> bool {
-        let (fresh, base) = (&self.fresh, &self.base);
-        if fresh.timed < BAD_RUNS || base.timed < BAD_RUNS {
-            return false;
-        }
-        let excess = fresh.log_mean() - base.log_mean();
-        let error = (base.log_variance() / fresh.timed + base.log_variance() / base.timed).sqrt();
-        excess > SLOW_LOG && excess > BAD_ERRORS * error
-    }
-}
-
-/// Tallies by route name.
-pub type RouteTallies = BTreeMap<String, TrialTally>;
-
 /// What is to be done with a version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum TrialState {
@@ -165,50 +60,6 @@
     RolledBack,
 }
 
-/// How far a trial under way has come. It never goes back: a share worked out anew from the evidence of
-/// each moment would move sessions to and fro, since boxes and their tallies come and go.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize)]
-pub enum TrialPhase {
-    /// Sessions stay on the old versions.
-    #[default]
-    Held,
-    /// The version gets [`TRIAL_SHARE`] of the sessions.
-    Shared,
-    /// It carries all.
-    Carried,
-}
-
-impl TrialPhase {
-    /// Share of the sessions that the version gets.
-    fn share(self) -> f64 {
-        match self {
-            TrialPhase::Held => 0.0,
-            TrialPhase::Shared => TRIAL_SHARE,
-            TrialPhase::Carried => 1.0,
-        }
-    }
-}
-
-/// How far a trial has come, as boxes tell each other and as the store keeps it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct TrialProgress {
-    /// Its phase.
-    pub phase: TrialPhase,
-    /// How long ago the order was given, at the least, in milliseconds.
-    pub age_ms: u64,
-}
-
-/// Progress of a trial as it stands in the store, where it outlives every process.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct TrialMark {
-    /// Service.
-    pub service: String,
-    /// Version on trial.
-    pub version: String,
-    /// How far it had come.
-    pub progress: TrialProgress,
-}
-
 /// The operator's order to bring a version in.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct TrialOrder {
--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -4,7 +4,8 @@
 
 use super::event::RouteEffect;
 use super::peers::PeerNote;
-use super::trial::{TrialMark, TrialOrder, TrialState, TrialVerdict, VersionTrial};
+use super::progress::TrialMark;
+use super::trial::{TrialOrder, TrialState, TrialVerdict, VersionTrial};
 use super::RouteState;
 use crate::event::EventStamp;
 use crate::time::BoxTime;
--- a/crates/core/tests/route/restarts.rs
+++ b/crates/core/tests/route/restarts.rs
@@ -23,10 +23,9 @@
 
 use ravenspoke_core::route::event::{RefusalReason, RouteAsk, RouteEffect, RouteEvent};
 use ravenspoke_core::route::peers::{PeerAsk, PeerNote, TrialNote};
-use ravenspoke_core::route::trial::{
-    TrialMark, TrialOrder, TrialPhase, TrialProgress, TrialState, TrialTally, TrialVerdict,
-    VersionTally,
-};
+use ravenspoke_core::route::progress::{TrialMark, TrialPhase, TrialProgress};
+use ravenspoke_core::route::tally::{TrialTally, VersionTally};
+use ravenspoke_core::route::trial::{TrialOrder, TrialState, TrialVerdict};
 use ravenspoke_core::time::BoxTime;
 
 use crate::fixture::{
--- a/crates/core/tests/route/trials.rs
+++ b/crates/core/tests/route/trials.rs
@@ -1,10 +1,9 @@
 //! New versions: whose sessions they get, the verdict, and who writes it.
 
 use ravenspoke_core::route::event::{AttemptFailure, RouteAsk, RouteEffect, RouteEvent};
-use ravenspoke_core::route::trial::{
-    TrialOrder, TrialPhase, TrialProgress, TrialState, TrialTally, TrialVerdict, VersionTally,
-    TRIAL_SHARE,
-};
+use ravenspoke_core::route::progress::{TrialPhase, TrialProgress};
+use ravenspoke_core::route::tally::{TrialTally, VersionTally};
+use ravenspoke_core::route::trial::{TrialOrder, TrialState, TrialVerdict, TRIAL_SHARE};
 use ravenspoke_core::time::BoxTime;
 
 use crate::fixture::{ask, entry, head, ready_box, session, TestBox};
