soak: a roll-out runs through every seed, sessions are shared by callers, all boxes may be killed at once

The soak never brought a version in and its requests had no sessions, so it could not find the incident. The faults that a seed drew before stay the same.

--- a/crates/box/tests/rollouts.rs
+++ b/crates/box/tests/rollouts.rs
@@ -16,7 +16,8 @@
 use ravenspoke_standins::fleet::wait_for;
 use ravenspoke_standins::platform::replica::ReplicaStandin;
 use ravenspoke_standins::platform::site::{
-    own_address, RunningSite, OPERATOR_TOPIC, REPLICA_TOPIC, SITE_KEY, SITE_SERVICE,
+    own_address, RunningSite, OPERATOR_TOPIC, REPLICA_TOPIC, ROLLOUT_KEY, SITE_KEY, SITE_SERVICE,
+    STATUS_TOPIC,
 };
 use ravenspoke_standins::platform::site_box::SiteBox;
 use serde_json::json;
@@ -35,7 +36,7 @@
     let new = start_replica(&site, "new", "v2").await;
     let boxes = [site.start_ready("box-1").await, site.start_ready("box-2").await];
     let order = json!({ "service": SITE_SERVICE, "target_version": "v2", "duration_s": ORDER_S });
-    site.store.put(OPERATOR_TOPIC, "rollout/pool", &order);
+    site.store.put(OPERATOR_TOPIC, ROLLOUT_KEY, &order);
     for subject in &boxes {
         wait_for("the box knows the order", || async {
             (subject.state().await?["trials"][0]["looked"] == true).then_some(())
@@ -112,7 +113,7 @@
     let after = moved_sessions(&site, &second).await;
     assert_eq!(moved_back(&before, &after), [0; 0]);
     wait_for("the version is taken over in its time", || async {
-        let status = site.store.newest("keyed.status", "rollout/pool")?;
+        let status = site.store.newest(STATUS_TOPIC, ROLLOUT_KEY)?;
         moved_sessions(&site, &second).await;
         (status["state"] == "done").then_some(())
     })
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -20,6 +20,12 @@
 /// Topic of the operator's records.
 pub const OPERATOR_TOPIC: &str = "keyed.op";
 
+/// Topic of what the boxes report to the operator.
+pub const STATUS_TOPIC: &str = "keyed.status";
+
+/// Key of the order to bring a version of the site's service in, and of its status.
+pub const ROLLOUT_KEY: &str = "rollout/pool";
+
 /// Topic of the replicas' entries.
 pub const REPLICA_TOPIC: &str = "keyed.servers";
 
--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -27,6 +27,9 @@
 /// A box's answer about addresses comes within this, or another box is asked.
 const DIRECTORY_WAIT: Duration = Duration::from_millis(1_000);
 
+/// Sessions that callers share: each has a request every few hundredths of a second, by way of any box.
+const SESSIONS: u32 = 12;
+
 /// Longest pause of a caller between two requests, in milliseconds.
 const PAUSE_MS: u64 = 25;
 
@@ -92,12 +95,22 @@
             _ => AskKind::Chat,
         };
         let second_key = self.dice.gen_bool(0.3);
+        let session = self.dice.gen_range(0..SESSIONS);
         let id = format!("c{}-{count}", self.number);
         let sent_at = Instant::now();
-        let end = send(&self.http, to, kind, &id, second_key).await;
+        let end = send(&self.http, to, kind, &id, second_key, session).await;
         let failed = !matches!(end, AskEnd::Answered { .. });
         let ended_at = Instant::now();
-        self.witness.note_ask(AskRecord { id, kind, second_key, to, sent_at, ended_at, end });
+        self.witness.note_ask(AskRecord {
+            id,
+            kind,
+            second_key,
+            session,
+            to,
+            sent_at,
+            ended_at,
+            end,
+        });
         if failed && self.named.len() > 1 {
             self.named.remove(place);
         }
@@ -113,7 +126,14 @@
 }
 
 /// Sends one request.
-pub async fn send(http: &Client, to: IpAddr, kind: AskKind, id: &str, second_key: bool) -> AskEnd {
+pub async fn send(
+    http: &Client,
+    to: IpAddr,
+    kind: AskKind,
+    id: &str,
+    second_key: bool,
+    session: u32,
+) -> AskEnd {
     let key = if second_key { SECOND_KEY } else { SITE_KEY };
     let url = format!("http://{}{}", entry_address(to), kind.path());
     let mut request = http
@@ -122,6 +142,7 @@
         .header("X-Ravenspoke-Request-Id", id)
         .header("X-Ravenspoke-Deadline-Ms", DEADLINE_MS.to_string())
         .header("Authorization", format!("Bearer {key}"))
+        .header("Session", format!("session-{session}"))
         .body("body");
     if kind == AskKind::Chat {
         request = request.header("Accept", "text/event-stream");
--- a/crates/standins/src/soak/inflict.rs
+++ b/crates/standins/src/soak/inflict.rs
@@ -8,6 +8,7 @@
 use super::judge::LeftReplica;
 use super::proxy::{FaultProxy, ProxyFault};
 use super::schedule::{SoakFault, TimedFault};
+use super::sessions::OLD_VERSION;
 use super::site::{start_replica, SoakSite};
 use super::witness::PlayedFault;
 use crate::platform::replica::ReplicaMode;
@@ -33,6 +34,7 @@
     let from = Instant::now();
     match row.fault {
         SoakFault::BoxKilled(number) => site.kill_box(number, row.length).await,
+        SoakFault::BoxesKilled => site.kill_boxes(row.length).await,
         SoakFault::BoxStopped(number) => site.stop_box(number).await,
         SoakFault::BoxPaused(number) => site.pause_box(number, row.length).await,
         SoakFault::BoxTold(number) => site.boxes[number].lock().await.tell().await,
@@ -70,6 +72,17 @@
         subject.restart();
     }
 
+    /// Kills all boxes and starts them again later.
+    async fn kill_boxes(&self, length: Duration) {
+        let mut boxes = Vec::new();
+        for subject in &self.boxes {
+            boxes.push(subject.lock().await);
+        }
+        boxes.iter_mut().for_each(|subject| subject.kill());
+        sleep(length).await;
+        boxes.iter_mut().for_each(|subject| subject.restart());
+    }
+
     /// Asks a box to stop, waits until it has ended, and starts it again.
     async fn stop_box(&self, number: usize) {
         let mut subject = self.boxes[number].lock().await;
@@ -141,9 +154,9 @@
     /// lives on to the end of the run.
     async fn let_replica_leave(&self, row: TimedFault) {
         let id = format!("i-{}", row.at.as_micros());
-        let (replica, path) = start_replica(&*self.site.lock().await, &id).await;
+        let (replica, path) = start_replica(&*self.site.lock().await, &id, OLD_VERSION).await;
         sleep(row.length).await;
-        let entry = replica.behind(path.address).entry(SITE_SERVICE, "v1", "draining");
+        let entry = replica.behind(path.address).entry(SITE_SERVICE, OLD_VERSION, "draining");
         self.site.lock().await.store.put(REPLICA_TOPIC, &id, &entry);
         self.left.lock().await.push(LeftReplica { replica, marked_at: Instant::now() });
         self.left_paths.lock().await.push(path);
--- a/crates/standins/src/soak/judge.rs
+++ b/crates/standins/src/soak/judge.rs
@@ -5,6 +5,7 @@
 
 use super::callers::DEADLINE_MS;
 use super::schedule::SoakFault;
+use super::sessions::{check_sessions, PlayedRollout};
 use super::witness::{AskEnd, AskKind, AskRecord, PlayedFault, SoakWitness};
 use crate::platform::replica::{ReplicaRun, ReplicaStandin};
 
@@ -15,7 +16,7 @@
 const DRAIN: Duration = Duration::from_millis(2_000);
 
 /// A box that was disturbed counts as in touch again after this: the platform's bound.
-const CONTACT: Duration = Duration::from_millis(3_000);
+pub(super) const CONTACT: Duration = Duration::from_millis(3_000);
 
 /// Allowed beyond a bound: the machine has other work, and records are made a little late.
 const SLACK: Duration = Duration::from_millis(400);
@@ -37,6 +38,10 @@
     pub witness: &'a SoakWitness,
     /// Replicas that stayed.
     pub replicas: &'a [ReplicaStandin],
+    /// Replicas of the version that is brought in.
+    pub new_replicas: &'a [ReplicaStandin],
+    /// The order to bring it in.
+    pub rollout: &'a PlayedRollout,
     /// Replicas that left.
     pub left: &'a [LeftReplica],
     /// Address of each box.
@@ -60,13 +65,15 @@
     }
     broken.extend(check_key(record, &asks, &runs));
     broken.extend(check_leaving(record, &faults));
+    broken.extend(check_sessions(record, &asks, &faults));
     broken
 }
 
 fn runs_by_id(record: &SoakRecord) -> HashMap<String, Vec<ReplicaRun>> {
     let left = record.left.iter().map(|left| &left.replica);
     let mut runs: HashMap<String, Vec<ReplicaRun>> = HashMap::new();
-    for run in record.replicas.iter().chain(left).flat_map(ReplicaStandin::runs) {
+    let all = record.replicas.iter().chain(record.new_replicas).chain(left);
+    for run in all.flat_map(ReplicaStandin::runs) {
         runs.entry(run.id.clone()).or_default().push(run);
     }
     runs
@@ -110,6 +117,7 @@
         let here = |number: usize| record.boxes[number] == ask.to;
         let excuses = match row.fault {
             SoakFault::BoxKilled(number) | SoakFault::BoxPaused(number) => here(number),
+            SoakFault::BoxesKilled => true,
             SoakFault::Replica(..) | SoakFault::ReplicaPath(..) => true,
             _ => false,
         };
@@ -176,6 +184,7 @@
         | SoakFault::KeyTaken
         | SoakFault::PlanChanged => false,
         SoakFault::BoxKilled(_)
+        | SoakFault::BoxesKilled
         | SoakFault::BoxStopped(_)
         | SoakFault::BoxPaused(_)
         | SoakFault::Store(..)
--- a/crates/standins/src/soak/mod.rs
+++ b/crates/standins/src/soak/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! [`schedule`] draws the faults, `site` is what they are played on, `inflict` plays them, and [`proxy`]
 //! brings about those of the network. [`callers`] ask and keep a record, [`witness`] holds the records,
-//! [`judge`] checks the promises, and [`play`] puts a run together. Boxes use the steady clock only and
+//! [`judge`] checks the promises, [`sessions`] those of the roll-out that runs through every seed, and
+//! [`play`] puts a run together. Boxes use the steady clock only and
 //! no disk, so no clock and no storage is misled.
 
 pub mod callers;
@@ -12,5 +13,6 @@
 pub mod play;
 pub mod proxy;
 pub mod schedule;
+pub mod sessions;
 mod site;
 pub mod witness;
--- a/crates/standins/src/soak/play.rs
+++ b/crates/standins/src/soak/play.rs
@@ -66,8 +66,10 @@
     broken.extend(judge(&SoakRecord {
         witness: &site.witness,
         replicas: &site.replicas,
+        new_replicas: &site.new_replicas,
         left: &left,
         boxes: &site.addresses,
+        rollout: &site.rollout().await,
     }));
     if !broken.is_empty() {
         broken.push(format!("logs: {}", site.site.lock().await.keep_folder().display()));
@@ -92,7 +94,8 @@
             broken.push(format!("{to} names {named:?} when the faults are over"));
         }
         for number in 0..LAST_ASKS {
-            let end = send(&http, *to, AskKind::Read, &format!("last-{to}-{number}"), false).await;
+            let end =
+                send(&http, *to, AskKind::Read, &format!("last-{to}-{number}"), false, 0).await;
             if !matches!(end, AskEnd::Answered { status: 200, .. }) {
                 broken.push(format!("{to} does not serve when the faults are over: {end:?}"));
             }
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -49,11 +49,16 @@
 /// Replicas that misbehave in every run: there are nine ways, and each must come often.
 const REPLICA_FAULTS: usize = 3;
 
+/// Part of the runs in which all boxes are killed at once. A choice: often enough among fifty seeds.
+const ALL_KILLED_PART: f64 = 0.25;
+
 /// What is done to the site.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SoakFault {
     /// A box is killed and started again after the fault's length.
     BoxKilled(usize),
+    /// All boxes are killed at once and started again.
+    BoxesKilled,
     /// A box is asked to stop, and started again when it has ended.
     BoxStopped(usize),
     /// A box stands still.
@@ -85,7 +90,13 @@
 impl SoakFault {
     /// Whether a box is away while it lasts.
     fn takes_box(self) -> bool {
-        matches!(self, SoakFault::BoxKilled(_) | SoakFault::BoxStopped(_) | SoakFault::BoxPaused(_))
+        matches!(
+            self,
+            SoakFault::BoxKilled(_)
+                | SoakFault::BoxesKilled
+                | SoakFault::BoxStopped(_)
+                | SoakFault::BoxPaused(_)
+        )
     }
 }
 
@@ -106,6 +117,10 @@
     let count = dice.gen_range(FAULTS.0..=FAULTS.1);
     let mut faults: Vec<TimedFault> = (0..count).map(|_| draw(&mut dice)).collect();
     faults.extend((0..REPLICA_FAULTS).map(|_| draw_replica_fault(&mut dice)));
+    // Drawn last: what a seed that once failed draws before it stays the same.
+    if dice.gen_bool(ALL_KILLED_PART) {
+        faults.push(TimedFault { fault: SoakFault::BoxesKilled, ..draw(&mut dice) });
+    }
     // A box at a time is down, or paused: callers have two others.
     let mut down_until = Duration::ZERO;
     faults.sort_by_key(|row| row.at);
--- a/crates/standins/src/soak/site.rs
+++ b/crates/standins/src/soak/site.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
+use std::time::Instant;
 
 use tokio::sync::Mutex;
 
@@ -11,10 +12,14 @@
 use super::judge::LeftReplica;
 use super::proxy::FaultProxy;
 use super::schedule::{BOXES, REPLICAS};
+use super::sessions::{order, PlayedRollout, NEW_REPLICAS, NEW_VERSION, OLD_VERSION};
 use super::witness::SoakWitness;
 use crate::fleet::wait_for;
 use crate::platform::replica::ReplicaStandin;
-use crate::platform::site::{own_address, RunningSite, REPLICA_TOPIC, SITE_KEY, SITE_SERVICE};
+use crate::platform::site::{
+    own_address, RunningSite, OPERATOR_TOPIC, REPLICA_TOPIC, ROLLOUT_KEY, SITE_KEY, SITE_SERVICE,
+    STATUS_TOPIC,
+};
 use crate::platform::site_box::SiteBox;
 use crate::platform::store::StoreFaults;
 
@@ -42,6 +47,12 @@
     pub(super) addresses: Vec<IpAddr>,
     /// Replicas that stay.
     pub(super) replicas: Vec<ReplicaStandin>,
+    /// Replicas of the version that is brought in.
+    pub(super) new_replicas: Vec<ReplicaStandin>,
+    /// The ways to them.
+    _new_paths: Vec<FaultProxy>,
+    /// When the order to bring it in was given.
+    ordered_at: Instant,
     /// The way of each box to the store.
     pub(super) store_paths: Vec<FaultProxy>,
     /// The way to each replica that stays.
@@ -62,7 +73,7 @@
     pub(super) async fn start(binary: &Path) -> Self {
         let mut site = RunningSite::start(binary).await;
         site.write_plan(1, &[SITE_KEY, SECOND_KEY]);
-        let (replicas, replica_paths) = start_replicas(&site).await;
+        let (replicas, replica_paths) = start_replicas(&site, "i", OLD_VERSION, REPLICAS).await;
         let (boxes, store_paths) = start_boxes(&mut site).await;
         let addresses: Vec<IpAddr> = boxes.iter().map(|subject| subject.ip).collect();
         wait_for("every box names all", || async {
@@ -70,7 +81,14 @@
             (named.len() == BOXES).then_some(())
         })
         .await;
+        // The version's replicas come when it is ordered, as the platform does it.
+        site.store.put(OPERATOR_TOPIC, ROLLOUT_KEY, &order());
+        let ordered_at = Instant::now();
+        let (new_replicas, new_paths) = start_replicas(&site, "n", NEW_VERSION, NEW_REPLICAS).await;
         Self {
+            new_replicas,
+            _new_paths: new_paths,
+            ordered_at,
             boxes: boxes.into_iter().map(Mutex::new).collect(),
             site: Mutex::new(site),
             addresses,
@@ -85,6 +103,13 @@
         }
     }
 
+    /// How the order to bring the new version in went.
+    pub(super) async fn rollout(&self) -> PlayedRollout {
+        let status = self.site.lock().await.store.newest(STATUS_TOPIC, ROLLOUT_KEY);
+        let rolled_back = status.is_some_and(|status| status["state"] == "rolled_back");
+        PlayedRollout { ordered_at: self.ordered_at, rolled_back }
+    }
+
     /// Writes a newer plan, without the second key once that was taken away.
     pub(super) async fn write_plan(&self) {
         let last = self.plan_version.fetch_add(VERSION_STEP, Ordering::Relaxed);
@@ -94,10 +119,15 @@
     }
 }
 
-async fn start_replicas(site: &RunningSite) -> (Vec<ReplicaStandin>, Vec<FaultProxy>) {
+async fn start_replicas(
+    site: &RunningSite,
+    prefix: &str,
+    version: &str,
+    count: usize,
+) -> (Vec<ReplicaStandin>, Vec<FaultProxy>) {
     let (mut replicas, mut paths) = (Vec::new(), Vec::new());
-    for number in 0..REPLICAS {
-        let (replica, path) = start_replica(site, &format!("i-{number}")).await;
+    for number in 0..count {
+        let (replica, path) = start_replica(site, &format!("{prefix}-{number}"), version).await;
         replicas.push(replica);
         paths.push(path);
     }
@@ -117,10 +147,14 @@
 }
 
 /// Starts a replica whose entry names a proxy before it.
-pub(super) async fn start_replica(site: &RunningSite, id: &str) -> (ReplicaStandin, FaultProxy) {
+pub(super) async fn start_replica(
+    site: &RunningSite,
+    id: &str,
+    version: &str,
+) -> (ReplicaStandin, FaultProxy) {
     let replica = ReplicaStandin::start(own_address(), id, EVENTS, GAP_MS).await;
     let path = FaultProxy::start(replica.address.ip(), replica.address).await;
     let reached = replica.behind(path.address);
-    site.store.put(REPLICA_TOPIC, id, &reached.entry(SITE_SERVICE, "v1", "ready"));
+    site.store.put(REPLICA_TOPIC, id, &reached.entry(SITE_SERVICE, version, "ready"));
     (replica, path)
 }
--- a/crates/standins/src/soak/witness.rs
+++ b/crates/standins/src/soak/witness.rs
@@ -55,6 +55,8 @@
     pub kind: AskKind,
     /// Whether it showed the key that may be taken away.
     pub second_key: bool,
+    /// Session that it belongs to, by number.
+    pub session: u32,
     /// Box that it was sent to.
     pub to: IpAddr,
     /// When.
