log: why a box found a version on trial bad

A verdict showed all answers and failures, not which route, failures or time, nor how many answers of the others it was measured against. version_condemned (718) tells; so a good version that is rolled back can be explained.

--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -141,6 +141,22 @@
             let (service, version, state) = (&verdict.service, &verdict.version, verdict.state);
             info!(event = 714, name = "verdict_due", service, version, ?state);
         }
+        RouteEffect::VersionCondemned { service, version, finding } => {
+            let (route, tally) = (finding.route.as_deref().unwrap_or("all"), &finding.tally);
+            warn!(
+                event = 718,
+                name = "version_condemned",
+                service,
+                version,
+                route,
+                fault = ?finding.fault,
+                runs = tally.fresh.runs,
+                bad = tally.fresh.bad,
+                other_runs = tally.base.runs,
+                other_bad = tally.base.bad,
+                times_slower = tally.times_slower(),
+            );
+        }
         RouteEffect::WriteMark(mark) => {
             let (service, version) = (&mark.service, &mark.version);
             let (phase, age_ms) = (mark.progress.phase, mark.progress.age_ms);
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -39,6 +39,7 @@
     (715, "stop_begun"),
     (716, "trial_share_moved"),
     (717, "mark_due"),
+    (718, "version_condemned"),
     (720, "gateway_started"),
     (721, "settings_read"),
     (722, "settings_unreadable"),
--- a/crates/box/tests/soak.rs
+++ b/crates/box/tests/soak.rs
@@ -1,5 +1,6 @@
 //! A short run of the fault soak, with the same seeds each time, and all seeds that ever failed.
 
+use std::collections::BTreeSet;
 use std::path::Path;
 
 use ravenspoke_standins::soak::play::play;
@@ -17,8 +18,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn no_promise_is_broken_under_faults() {
     let binary = Path::new(env!("CARGO_BIN_EXE_ravenspoked"));
-    let seeds = SEEDS.into_iter().chain(failed_seeds());
-    let runs: Vec<_> = seeds.map(|seed| (seed, tokio::spawn(play(binary, seed)))).collect();
+    let seeds: BTreeSet<u64> = SEEDS.into_iter().chain(failed_seeds()).collect();
+    let runs: Vec<_> =
+        seeds.into_iter().map(|seed| (seed, tokio::spawn(play(binary, seed)))).collect();
     for (seed, run) in runs {
         let report = run.await.expect("the run ends");
         let found = report.broken.join("\n");
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -9,6 +9,7 @@
 use super::plan::{RouteKind, RouteSpec};
 use super::request::RouteRequest;
 use super::trial::{TrialState, VersionTrial};
+use super::verdict::advance;
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
 use crate::ids::ReplicaKey;
@@ -71,7 +72,7 @@
     ) {
         let Some(request) = self.requests.get(&ticket) else { return };
         let Some(trial) = self.trials.get_mut(&request.service) else { return };
-        trial.advance(stamp.now);
+        advance(trial, stamp.now, out);
         if trial.due(stamp.now) == Some(TrialState::RolledBack) {
             self.judge_trials(stamp, out);
         }
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -5,6 +5,7 @@
 use super::peers::{PeerAsk, PeerNote};
 use super::plan::{RouteKind, RoutePlan};
 use super::progress::TrialMark;
+use super::tally::TrialFinding;
 use super::trial::{TrialOrder, TrialState, TrialVerdict};
 use crate::event::RequestTicket;
 use crate::ids::ReplicaKey;
@@ -289,6 +290,15 @@
         /// Failures among them.
         bad: f64,
     },
+    /// This box found a version on trial bad; it gets a verdict.
+    VersionCondemned {
+        /// Service.
+        service: String,
+        /// Version on trial.
+        version: String,
+        /// What speaks against it.
+        finding: TrialFinding,
+    },
     /// The share of the sessions that a version on trial gets here has changed.
     TrialShareMoved {
         /// Service.
--- a/crates/core/src/route/tally.rs
+++ b/crates/core/src/route/tally.rs
@@ -84,10 +84,38 @@
     pub base: VersionTally,
 }
 
+/// How a version does worse than the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum TrialFault {
+    /// More of its answers are failures.
+    FailsMore,
+    /// Its answers take longer.
+    Slower,
+}
+
+/// What speaks against a version.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct TrialFinding {
+    /// Route that shows it; `None` for all together.
+    pub route: Option<String>,
+    /// What it does worse.
+    pub fault: TrialFault,
+    /// The answers that show it.
+    pub tally: TrialTally,
+}
+
 impl TrialTally {
-    /// Whether the version on trial does worse than chance explains.
-    pub fn is_bad(&self) -> bool {
-        self.fails_more() || self.is_slower()
+    /// What the version on trial does worse than chance explains, if anything.
+    pub fn fault(&self) -> Option<TrialFault> {
+        if self.fails_more() {
+            return Some(TrialFault::FailsMore);
+        }
+        self.is_slower().then_some(TrialFault::Slower)
+    }
+
+    /// How many times as long its answers take, by their logarithms' means.
+    pub fn times_slower(&self) -> f64 {
+        (self.fresh.log_mean() - self.base.log_mean()).exp()
     }
 
     fn fails_more(&self) -> bool {
--- a/crates/core/src/route/trial.rs
+++ b/crates/core/src/route/trial.rs
@@ -19,7 +19,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::progress::{TrialMark, TrialPhase, TrialProgress};
-use super::tally::{RouteTallies, TrialTally};
+use super::tally::{RouteTallies, TrialFinding, TrialTally};
 use crate::replica::mix;
 use crate::time::BoxTime;
 
@@ -162,8 +162,8 @@
         self.evidence().values().fold((0.0, 0.0), add)
     }
 
-    /// Whether the evidence speaks against the version, on any route or on all together.
-    pub fn is_bad(&self) -> bool {
+    /// What speaks against the version, on all routes together or on any.
+    pub fn finding(&self) -> Option<TrialFinding> {
         let evidence = self.evidence();
         let mut all = TrialTally::default();
         for tally in evidence.values() {
@@ -173,7 +173,14 @@
             all.base.runs += tally.base.runs;
             all.base.bad += tally.base.bad;
         }
-        all.is_bad() || evidence.values().any(TrialTally::is_bad)
+        let rows = evidence.into_iter().map(|(route, tally)| (Some(route), tally));
+        let mut rows = [(None, all)].into_iter().chain(rows);
+        rows.find_map(|(route, tally)| Some(TrialFinding { route, fault: tally.fault()?, tally }))
+    }
+
+    /// Whether the evidence speaks against the version.
+    pub fn is_bad(&self) -> bool {
+        self.finding().is_some()
     }
 
     /// How far it has come.
@@ -208,13 +215,15 @@
         })
     }
 
-    /// Goes on to the phase that the time and the evidence allow now.
-    pub fn advance(&mut self, now: BoxTime) {
-        if self.condemned_at.is_none() && self.is_bad() {
-            self.condemned_at = Some(now);
+    /// Goes on to the phase that the time and the evidence allow now. Gives what speaks against the
+    /// version when it is found bad, once.
+    pub fn advance(&mut self, now: BoxTime) -> Option<TrialFinding> {
+        if self.condemned_at.is_some() || self.state != TrialState::Running {
+            return None;
         }
-        if self.condemned_at.is_some() {
-            return;
+        if let Some(finding) = self.finding() {
+            self.condemned_at = Some(now);
+            return Some(finding);
         }
         let elapsed = self.elapsed(now);
         let allowed = if elapsed >= RAMP_AT && self.proven() {
@@ -225,6 +234,7 @@
             TrialPhase::Held
         };
         self.phase = self.phase.max(allowed);
+        None
     }
 
     /// Whether the version is passed over: it was rolled back, or this box found it bad and can't have
--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -163,7 +163,7 @@
     /// Takes trials on to where they may be by now, and tells the log where that changes a share.
     pub(super) fn advance_trials(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
         for trial in self.trials.values_mut() {
-            trial.advance(stamp.now);
+            advance(trial, stamp.now, out);
             let share = trial.share(stamp.now);
             if share == trial.logged_share {
                 continue;
@@ -182,6 +182,14 @@
     }
 }
 
+/// Takes a trial on to where it may be by now.
+pub(super) fn advance(trial: &mut VersionTrial, now: BoxTime, out: &mut Vec<RouteEffect>) {
+    if let Some(finding) = trial.advance(now) {
+        let (service, version) = (trial.order.service.clone(), trial.order.version.clone());
+        out.push(RouteEffect::VersionCondemned { service, version, finding });
+    }
+}
+
 /// Whether it is this box's turn to write what is due of a service; its next turn comes later.
 fn takes_turn(
     turns: &mut BTreeMap<String, BoxTime>,
