trial: an opinion of a version has no effect until its verdict stands; alone only without the store

Cause: since an opinion moves no session any more, there was no reason left to keep one that the evidence has dropped, and the bound on turns would have let all boxes beyond the fourth write at the same moment where the first ones could not (some 900 at the target's size).

Change: turns as before, one box each half second; an opinion lasts as long as the evidence; a box passes a version over alone after three seconds only while it has lost the store.

--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -8,7 +8,7 @@
 use super::pick::{BackendAsk, BackendPick, VersionWish};
 use super::plan::{RouteKind, RouteSpec};
 use super::request::RouteRequest;
-use super::trial::{TrialState, VersionTrial};
+use super::trial::VersionTrial;
 use super::verdict::advance;
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
@@ -73,7 +73,7 @@
         let Some(request) = self.requests.get(&ticket) else { return };
         let Some(trial) = self.trials.get_mut(&request.service) else { return };
         advance(trial, stamp.now, out);
-        if trial.due(stamp.now) == Some(TrialState::RolledBack) {
+        if trial.due_back() {
             self.judge_trials(stamp, out);
         }
     }
@@ -82,7 +82,8 @@
     fn choose(&self, stamp: EventStamp, ticket: RequestTicket) -> Option<AttemptChoice> {
         let request = self.requests.get(&ticket)?;
         let trial = self.trials.get(&request.service);
-        let share = trial.map_or(0.0, |trial| trial.share(stamp.now));
+        let store_away = self.store_away(stamp.now);
+        let share = trial.map_or(0.0, |trial| trial.share(stamp.now, store_away));
         let version = version_wish(trial, share, request.session, stamp.dice);
         let ask = BackendAsk {
             service: &request.service,
@@ -96,8 +97,7 @@
         };
         let wished = self.backends.pick(&ask);
         // A wish that nobody fits gives way, but never to a version that is bad.
-        let fallback =
-            || self.backends.pick(&BackendAsk { version: fallback_wish(trial, stamp.now), ..ask });
+        let fallback = || self.backends.pick(&BackendAsk { version: fallback_wish(trial), ..ask });
         let pick = wished.or_else(fallback)?;
         let trial = trial.map(|trial| TrialInputs {
             age_ms: trial.age_ms(stamp.now),
@@ -266,9 +266,9 @@
     }
 }
 
-fn fallback_wish(trial: Option<&VersionTrial>, now: BoxTime) -> VersionWish<'_> {
+fn fallback_wish(trial: Option<&VersionTrial>) -> VersionWish<'_> {
     match trial {
-        Some(trial) if trial.passed_over(now) => VersionWish::Not(&trial.order.version),
+        Some(trial) if trial.finds_bad() => VersionWish::Not(&trial.order.version),
         _ => VersionWish::Any,
     }
 }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -244,7 +244,7 @@
         changes: Vec<BackendChange>,
         out: &mut Vec<RouteEffect>,
     ) {
-        let lapse_at = self.lapse_at.filter(|at| *at > stamp.now);
+        let lapse_at = self.lapse_at(stamp.now);
         self.take_backends(stamp, changes, lapse_at, out);
     }
 
@@ -269,7 +269,7 @@
         listed: Vec<BackendChange>,
         out: &mut Vec<RouteEffect>,
     ) {
-        let lapse_at = self.lapse_at.filter(|at| *at > stamp.now);
+        let lapse_at = self.lapse_at(stamp.now);
         let all = self.backends.take_all(end, listed, stamp.now, lapse_at);
         // Who lists learns late what others know already, but for what leaves.
         for (change, news) in all.into_iter().filter(|row| row.1 == BackendNews::Leaving) {
@@ -277,6 +277,16 @@
         }
     }
 
+    /// Until when entries that vanish may come back, where the store was away lately.
+    fn lapse_at(&self, now: BoxTime) -> Option<BoxTime> {
+        self.lapse_at.filter(|at| *at > now)
+    }
+
+    /// Whether this box lost the store, or has had it back for less than [`LAPSE_MS`].
+    fn store_away(&self, now: BoxTime) -> bool {
+        self.lapse_at(now).is_some()
+    }
+
     /// Notes how far the operator's records were read, or told by another box.
     fn note_read(&mut self, read_to: u64) {
         if read_to >= self.read_to {
--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -15,9 +15,6 @@
 /// back.
 pub const VERDICT_TURN_MS: u64 = 500;
 
-/// Boxes that wait for each other in this way, at most; the others come with the last of them.
-pub const TURNS: u64 = 4;
-
 impl RouteState {
     pub(super) fn on_orders(
         &mut self,
@@ -162,9 +159,10 @@
 
     /// Takes trials on to where they may be by now, and tells the log where that changes a share.
     pub(super) fn advance_trials(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
+        let store_away = self.store_away(stamp.now);
         for trial in self.trials.values_mut() {
             advance(trial, stamp.now, out);
-            let share = trial.share(stamp.now);
+            let share = trial.share(stamp.now, store_away);
             if share == trial.logged_share {
                 continue;
             }
@@ -197,7 +195,7 @@
     rank: u64,
     now: BoxTime,
 ) -> bool {
-    let first = now.plus_millis(rank.min(TURNS) * VERDICT_TURN_MS);
+    let first = now.plus_millis(rank * VERDICT_TURN_MS);
     let at = turns.entry(service.to_owned()).or_insert(first);
     if now < *at {
         return false;
