test, red: a few slow answers of a version prove nothing

Red and listed: 5 of 14 answers six times as slow, against 52 equal ones of the others, condemn a version.

--- a/crates/core/tests/route/trials.rs
+++ b/crates/core/tests/route/trials.rs
@@ -2,7 +2,7 @@
 
 use ravenspoke_core::route::event::{AttemptFailure, RouteAsk, RouteEffect, RouteEvent};
 use ravenspoke_core::route::progress::{TrialPhase, TrialProgress};
-use ravenspoke_core::route::tally::{TrialTally, VersionTally};
+use ravenspoke_core::route::tally::{TrialFault, TrialTally, VersionTally};
 use ravenspoke_core::route::trial::{TrialOrder, TrialState, TrialVerdict, TRIAL_SHARE};
 use ravenspoke_core::time::BoxTime;
 
@@ -381,3 +381,18 @@
     subject.feed(read);
     assert!(!subject.state.verdicts_unread());
 }
+
+/// A tally of `quick` answers of 100 ms and `slow` ones that take six times as long.
+fn timed(quick: u32, slow: u32) -> VersionTally {
+    let mut tally = VersionTally::default();
+    (0..quick).for_each(|_| tally.add(false, Some(100.0)));
+    (0..slow).for_each(|_| tally.add(false, Some(600.0)));
+    tally
+}
+
+#[test]
+fn a_few_slow_answers_of_a_version_prove_nothing_and_many_do() {
+    let judged = |quick, slow| TrialTally { fresh: timed(quick, slow), base: timed(52, 0) }.fault();
+    assert_eq!(judged(9, 5), None, "five of fourteen: its caches may be cold");
+    assert_eq!(judged(27, 15), Some(TrialFault::Slower), "the same share of three times as many");
+}
