trial: the spread of a new version's own answers counts when it is found slow

Cause: times of the new version were measured against the spread of the others' alone. Ruled out: a higher factor, which would miss a version of which a third of the answers is slow.

Change: each side's own spread.

--- a/crates/core/src/route/tally.rs
+++ b/crates/core/src/route/tally.rs
@@ -135,7 +135,9 @@
             return false;
         }
         let excess = fresh.log_mean() - base.log_mean();
-        let error = (base.log_variance() / fresh.timed + base.log_variance() / base.timed).sqrt();
+        // A new version's times spread: its caches are cold at first. With the others' spread alone, 14 of its
+        // answers condemned a good version.
+        let error = (fresh.log_variance() / fresh.timed + base.log_variance() / base.timed).sqrt();
         excess > SLOW_LOG && excess > BAD_ERRORS * error
     }
 }
