--- a/crates/core/tests/route/trials.rs
+++ b/crates/core/tests/route/trials.rs
@@ -6,7 +6,7 @@
 use ravenspoke_core::route::trial::{TrialOrder, TrialState, TrialVerdict, TRIAL_SHARE};
 use ravenspoke_core::time::BoxTime;
 
-use crate::fixture::{ask, entry, head, ready_box, session, TestBox};
+use crate::fixture::{ask, entry, head, order_in, ready_box, session, TestBox};
 
 fn order() -> TrialOrder {
     TrialOrder { service: "pool".to_owned(), version: "v2".to_owned(), duration_ms: 10_000 }
@@ -180,6 +180,26 @@
     assert_eq!(versions(&mut subject), before);
 }
 
+#[test]
+fn an_answer_is_gone_on_with_by_the_version_that_began_it() {
+    for number in 1..40 {
+        let mut subject = box_on_trial();
+        pass(&mut subject, 4_900);
+        let request = RouteAsk { session: session(number), ..ask("/chat/x") };
+        let (ticket, first) = subject.sent(request);
+        assert_eq!(first.version, "v1");
+        assert_eq!(
+            subject.feed(RouteEvent::HeadCame(ticket, head(200))),
+            [RouteEffect::Relay(ticket)]
+        );
+        // The second half begins: a fifth of the sessions goes to the new version.
+        pass(&mut subject, 600);
+        let failed = RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken);
+        let next = order_in(&subject.feed(failed)).expect("another replica goes on");
+        assert_eq!(next.version, "v1", "session {number}");
+    }
+}
+
 #[test]
 fn a_good_version_is_taken_over_before_its_time_is_up() {
     let mut subject = box_on_trial();
