attempt: an answer is gone on with by the version that began it

Cause: the version for a further attempt was drawn anew from the session and the share of that moment, also where the caller had a part of the answer. As a roll-out's second half begins, a stream of the old version that paused was given to the version on trial, as its last attempt. Ruled out: the silence rule (three pauses had passed in a row).

Change: once the caller has a part, further attempts stay with the version of the attempt it came from, unless that one was rolled back meanwhile.

--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -84,7 +84,15 @@
         let trial = self.trials.get(&request.service);
         let store_away = self.store_away(stamp.now);
         let share = trial.map_or(0.0, |trial| trial.share(stamp.now, store_away));
-        let version = version_wish(trial, share, request.session, stamp.dice);
+        let version = trial.map_or(VersionWish::Any, |trial| {
+            // An answer of which the caller has a part goes on with the version that began it.
+            let on_trial = if request.relayed {
+                request.relayed_on_trial && !trial.passed_over(stamp.now, store_away)
+            } else {
+                trial.lot(request.session, stamp.dice) < share
+            };
+            version_wish(trial, on_trial)
+        });
         let ask = BackendAsk {
             service: &request.service,
             version,
@@ -250,16 +258,10 @@
     }
 }
 
-/// Which versions a new attempt is to go to, where the version on trial gets `share` of the sessions.
-fn version_wish(
-    trial: Option<&VersionTrial>,
-    share: f64,
-    session: u64,
-    dice: u64,
-) -> VersionWish<'_> {
-    let Some(trial) = trial else { return VersionWish::Any };
+/// Which versions a new attempt is to go to: the one on trial, or the others.
+fn version_wish(trial: &VersionTrial, on_trial: bool) -> VersionWish<'_> {
     let version = trial.order.version.as_str();
-    if trial.lot(session, dice) < share {
+    if on_trial {
         VersionWish::Only(version)
     } else {
         VersionWish::Not(version)
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -51,6 +51,8 @@
     pub(super) may_have_run: bool,
     /// Whether the caller has the head of an answer.
     pub(super) relayed: bool,
+    /// Whether that answer began on a version on trial.
+    pub(super) relayed_on_trial: bool,
     /// How well the replica whose answer was relayed did.
     pub(super) deed: BackendDeed,
     pub(super) attempt: Option<RunningAttempt>,
@@ -101,6 +103,7 @@
             free_connects: 0,
             may_have_run: false,
             relayed: false,
+            relayed_on_trial: false,
             deed: BackendDeed::Served,
             attempt: None,
             route: route.clone(),
@@ -188,6 +191,9 @@
             return;
         }
         if let Some(request) = self.requests.get_mut(&ticket) {
+            if !request.relayed {
+                request.relayed_on_trial = request.attempt.is_some_and(|attempt| attempt.on_trial);
+            }
             request.relayed = true;
             request.deed = if failed { BackendDeed::Failed } else { BackendDeed::Served };
         }
--- a/crates/core/tests/route/trials.rs
+++ b/crates/core/tests/route/trials.rs
@@ -200,6 +200,20 @@
     }
 }
 
+#[test]
+fn an_answer_that_a_version_began_before_it_was_rolled_back_is_gone_on_with_by_another() {
+    let mut subject = box_on_trial();
+    pass(&mut subject, 5_500);
+    let moved = (1..).map(session).find(|key| serve(&mut subject, *key, 200) == "v2");
+    let session = moved.expect("a session that is moved");
+    let (ticket, _) = subject.sent(RouteAsk { session, ..ask("/chat/x") });
+    subject.feed(RouteEvent::HeadCame(ticket, head(200)));
+    subject.feed(RouteEvent::VerdictTaken(verdict(TrialState::RolledBack)));
+    let failed = RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken);
+    let next = order_in(&subject.feed(failed)).expect("another replica goes on");
+    assert_eq!(next.version, "v1");
+}
+
 #[test]
 fn a_good_version_is_taken_over_before_its_time_is_up() {
     let mut subject = box_on_trial();
