test, red: an answer of a version that was taken over is gone on with by it

Found by reading the change before: an answer that began after the verdict counted as begun on the old version, so a broken one would have gone to an old replica that is about to end.

--- a/crates/core/tests/route/trials.rs
+++ b/crates/core/tests/route/trials.rs
@@ -214,6 +214,18 @@
     assert_eq!(next.version, "v1");
 }
 
+#[test]
+fn an_answer_of_a_version_that_was_taken_over_is_gone_on_with_by_it() {
+    let mut subject = box_on_trial();
+    subject.feed(RouteEvent::VerdictTaken(verdict(TrialState::Done)));
+    let (ticket, first) = subject.sent(ask("/chat/x"));
+    assert_eq!(first.version, "v2");
+    subject.feed(RouteEvent::HeadCame(ticket, head(200)));
+    let failed = RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken);
+    let next = order_in(&subject.feed(failed)).expect("another replica goes on");
+    assert_eq!(next.version, "v2", "the old replicas are about to end");
+}
+
 #[test]
 fn a_good_version_is_taken_over_before_its_time_is_up() {
     let mut subject = box_on_trial();
