attempt: only while a trial is open an answer stays with the version that began it

Cause: whether an answer began on the version on trial is known while the trial runs only; after the verdict it read as 'no'. Change: after a verdict the share decides, as for new requests.

--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -8,7 +8,7 @@
 use super::pick::{BackendAsk, BackendPick, VersionWish};
 use super::plan::{RouteKind, RouteSpec};
 use super::request::RouteRequest;
-use super::trial::VersionTrial;
+use super::trial::{TrialState, VersionTrial};
 use super::verdict::advance;
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
@@ -85,9 +85,11 @@
         let store_away = self.store_away(stamp.now);
         let share = trial.map_or(0.0, |trial| trial.share(stamp.now, store_away));
         let version = trial.map_or(VersionWish::Any, |trial| {
-            // An answer of which the caller has a part goes on with the version that began it.
-            let on_trial = if request.relayed {
-                request.relayed_on_trial && !trial.passed_over(stamp.now, store_away)
+            // While it is open which version stays, an answer goes on with the one that began it.
+            let open =
+                trial.state == TrialState::Running && !trial.passed_over(stamp.now, store_away);
+            let on_trial = if request.relayed && open {
+                request.relayed_on_trial
             } else {
                 trial.lot(request.session, stamp.dice) < share
             };
