placement: a prompt is read where it costs least time, models are no longer kept apart

Cause: a replica's load was a count of requests, so a prompt of three seconds on a large model weighed what one of thirty milliseconds does; boxes heard of each other's long prompts only when a replica had over 0.4 of its slots taken, which engines that read one prompt at a time never have. Late answers came from waits of one to five seconds beside free replicas. Change: work waits are estimated in milliseconds for each replica (backlog), from the pace of each model as answers show it (pace), from what was read where (held), and from word that boxes pass on at once when they place a long prompt; a placement costs its own delay, shared parts that are read again, and bytes between zones (placement). Models apart (parts) is removed with its four tests: what they guarded, a small model's prompt behind a large one's, is guarded by the tests of placement and by the urgency of the smallest model, which replicas are told.

--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -9,6 +9,7 @@
     RefusalReason, RouteEffect, RouteEvent, RouteRefusal, SendOrder,
 };
 use ravenspoke_core::route::peers::{PeerAsk, PeerNote};
+use ravenspoke_core::route::placement::PlacementNote;
 use ravenspoke_core::route::progress::TrialMark;
 use ravenspoke_core::route::trial::TrialVerdict;
 use ravenspoke_core::route::RouteState;
@@ -44,6 +45,8 @@
 pub enum PeerDatagram {
     /// A note, for each of these addresses.
     Note(Vec<String>, Box<PeerNote>),
+    /// Word of a placed prompt, for each of these addresses.
+    Placement(Vec<String>, PlacementNote),
     /// An ask, for this address.
     Ask(String, PeerAsk),
 }
@@ -147,6 +150,9 @@
             RouteEffect::SendNotes(to, note) => {
                 drop(self.sinks.notes.send(PeerDatagram::Note(to, note)));
             }
+            RouteEffect::TellPlacement(to, placement) => {
+                drop(self.sinks.notes.send(PeerDatagram::Placement(to, placement)));
+            }
             RouteEffect::SendAsk(to, ask) => {
                 drop(self.sinks.notes.send(PeerDatagram::Ask(to, ask)))
             }
--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use ravenspoke_adapter::headers;
-use ravenspoke_core::route::event::{AnswerHead, AttemptFailure, RouteEvent, SendOrder};
+use ravenspoke_core::route::event::{AnswerHead, AttemptFailure, RouteAsk, RouteEvent, SendOrder};
 
 use super::answers::{plain_answer, refuse, whole_body, BrokenAnswer, CallerBody};
 use super::driver::{GatewayDriver, RequestName, RequestStep};
@@ -132,7 +132,7 @@
         Err(UnreadRequest::TooLarge(status, text)) => return Ok(plain_answer(status, text)),
         Err(UnreadRequest::Broken(broken)) => return Err(broken),
     };
-    let ask = headers::read_request(&head);
+    let ask = RouteAsk { body_bytes: body.len(), ..headers::read_request(&head) };
     let driver = tools.driver.clone();
     let name = RequestName { ticket: driver.next_ticket(), id: ask.id.clone() };
     let mut guard = RequestGuard { driver, name, began: Instant::now(), ended: false };
--- a/crates/box/src/gateway/note_wire/mod.rs
+++ b/crates/box/src/gateway/note_wire/mod.rs
@@ -9,9 +9,13 @@
 use prost::Message;
 use ravenspoke_adapter::store::KeyedRecord;
 use ravenspoke_core::route::peers::{PeerAsk, PeerNote};
+use ravenspoke_core::route::placement::PlacementNote;
 
 use ask::{read_ask, read_record, write_ask, write_record, WireAsk, WireRecord};
-use replica::{read_change, read_load, write_change, write_load, WireChange, WireLoad};
+use replica::{
+    read_change, read_load, read_placement, write_change, write_load, write_placement, WireChange,
+    WireLoad, WirePlacement,
+};
 use trial::{read_trial, read_verdict, write_trial, write_verdict, WireTrial, WireVerdict};
 
 #[derive(Clone, PartialEq, Message)]
@@ -58,19 +62,27 @@
     /// What the answered ask wants.
     #[prost(message, repeated, tag = "3")]
     records: Vec<WireRecord>,
+    #[prost(message, optional, tag = "4")]
+    placement: Option<WirePlacement>,
 }
 
 /// Encodes a note as a datagram, with the records that the ask it answers wants.
 pub fn encode_note(note: &PeerNote, records: &[KeyedRecord]) -> Vec<u8> {
     let note = Some(write_note(note));
     let records = records.iter().map(write_record).collect();
-    WireDatagram { note, ask: None, records }.encode_to_vec()
+    WireDatagram { note, records, ..WireDatagram::default() }.encode_to_vec()
 }
 
 /// Encodes an ask as a datagram.
 pub fn encode_ask(ask: &PeerAsk) -> Vec<u8> {
     let ask = Some(write_ask(ask));
-    WireDatagram { note: None, ask, records: Vec::new() }.encode_to_vec()
+    WireDatagram { ask, ..WireDatagram::default() }.encode_to_vec()
+}
+
+/// Encodes word of a prompt that was placed as a datagram.
+pub fn encode_placement(placement: PlacementNote) -> Vec<u8> {
+    let placement = Some(write_placement(placement));
+    WireDatagram { placement, ..WireDatagram::default() }.encode_to_vec()
 }
 
 /// What a datagram says.
@@ -80,6 +92,8 @@
     Note(Box<PeerNote>, Vec<KeyedRecord>),
     /// An ask.
     Ask(PeerAsk),
+    /// A prompt that was placed.
+    Placement(PlacementNote),
     /// Nothing.
     Empty,
 }
@@ -93,6 +107,9 @@
     if let Some(ask) = wire.ask {
         return Ok(HeardDatagram::Ask(read_ask(ask)));
     }
+    if let Some(placement) = wire.placement {
+        return Ok(HeardDatagram::Placement(read_placement(placement)));
+    }
     let records = wire.records.into_iter().map(read_record).collect();
     Ok(wire.note.map_or(HeardDatagram::Empty, |note| {
         HeardDatagram::Note(Box::new(read_note(note)), records)
--- a/crates/box/src/gateway/note_wire/replica.rs
+++ b/crates/box/src/gateway/note_wire/replica.rs
@@ -3,6 +3,7 @@
 use prost::Message;
 use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
 use ravenspoke_core::route::loads::LoadNote;
+use ravenspoke_core::route::placement::PlacementNote;
 
 /// A change to a replica's entry; without one, it is gone.
 #[derive(Clone, PartialEq, Message)]
@@ -41,6 +42,18 @@
     load: u32,
     #[prost(uint64, tag = "3")]
     age_ms: u64,
+    #[prost(uint32, tag = "4")]
+    waiting: u32,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(super) struct WirePlacement {
+    #[prost(fixed64, tag = "1")]
+    replica: u64,
+    #[prost(fixed64, tag = "2")]
+    shared: u64,
+    #[prost(uint32, tag = "3")]
+    work_ms: u32,
 }
 
 pub(super) fn write_change(change: &BackendChange) -> WireChange {
@@ -72,9 +85,17 @@
 }
 
 pub(super) fn write_load(told: &LoadNote) -> WireLoad {
-    WireLoad { replica: told.replica, load: told.load, age_ms: told.age_ms }
+    WireLoad { replica: told.replica, load: told.load, waiting: told.waiting, age_ms: told.age_ms }
 }
 
 pub(super) fn read_load(told: WireLoad) -> LoadNote {
-    LoadNote { replica: told.replica, load: told.load, age_ms: told.age_ms }
+    LoadNote { replica: told.replica, load: told.load, waiting: told.waiting, age_ms: told.age_ms }
+}
+
+pub(super) fn write_placement(told: PlacementNote) -> WirePlacement {
+    WirePlacement { replica: told.replica, shared: told.shared, work_ms: told.work_ms }
+}
+
+pub(super) fn read_placement(told: WirePlacement) -> PlacementNote {
+    PlacementNote { replica: told.replica, shared: told.shared, work_ms: told.work_ms }
 }
--- a/crates/box/src/gateway/notes.rs
+++ b/crates/box/src/gateway/notes.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use super::driver::{GatewayDriver, PeerDatagram};
-use super::note_wire::{decode_datagram, encode_ask, encode_note, HeardDatagram};
+use super::note_wire::{decode_datagram, encode_ask, encode_note, encode_placement, HeardDatagram};
 use super::observe;
 use super::told::take_told;
 
@@ -24,6 +24,9 @@
         match socket.recv_from(&mut buffer).await {
             Ok((length, _)) => match decode_datagram(&buffer[..length]) {
                 Ok(HeardDatagram::Ask(ask)) => driver.feed(RouteEvent::PeerAsked(ask)),
+                Ok(HeardDatagram::Placement(placement)) => {
+                    driver.feed(RouteEvent::PlacementHeard(placement));
+                }
                 Ok(HeardDatagram::Note(note, records)) => {
                     if !records.is_empty() {
                         take_told(&driver, &note, &records);
@@ -51,6 +54,7 @@
                 let records = wanted_records(&driver, &note);
                 (targets, encode_note(&note, &records))
             }
+            PeerDatagram::Placement(targets, placement) => (targets, encode_placement(placement)),
             PeerDatagram::Ask(target, ask) => (vec![target], encode_ask(&ask)),
         };
         metrics::counter!("ravenspoke_note_bytes_total")
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -4,8 +4,9 @@
 use super::budget::SendCause;
 use super::deeds::BackendDeed;
 use super::event::{DecisionInputs, RefusalReason, RouteEffect, SendOrder, TrialInputs};
-use super::parts::ModelPart;
+use super::pace::ServicePace;
 use super::pick::{BackendAsk, BackendPick, VersionWish};
+use super::placement::PromptWork;
 use super::plan::{RouteKind, RouteSpec};
 use super::request::RouteRequest;
 use super::trial::{TrialState, VersionTrial};
@@ -13,6 +14,7 @@
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
 use crate::ids::ReplicaKey;
+use crate::replica::mix;
 use crate::time::BoxTime;
 
 /// A head that comes later than this many times the target is not waited for, where another replica
@@ -25,6 +27,9 @@
 /// A pause between events is not waited out beyond this part of the longest that counts in full.
 pub const PAUSE_PART: f64 = 0.8;
 
+/// Work up to which a replica counts as idle when its pace is learnt, in milliseconds: a few steps.
+const QUIET_MS: f64 = 20.0;
+
 /// A replica for an attempt, with what a trial of its service had to do with it.
 #[derive(Clone, Copy, Debug)]
 struct AttemptChoice {
@@ -43,6 +48,10 @@
     pub(super) pauses: u32,
     /// Whether it was held against its version: that happens once, however often it fails.
     pub(super) blamed: bool,
+    /// Whether the replica was taken to hold the prompt's shared parts.
+    pub(super) held: bool,
+    /// Whether nothing was known to wait there.
+    pub(super) quiet: bool,
 }
 
 impl RouteState {
@@ -98,8 +107,7 @@
         let ask = BackendAsk {
             service: &request.service,
             version,
-            part: self.model_part(request),
-            affinity: request.affinity,
+            work: self.prompt_work(request),
             zone: &self.settings.zone,
             tried: &request.tried,
             dice: stamp.dice,
@@ -127,9 +135,19 @@
         }
     }
 
-    /// The part of the replicas for the request's model.
-    fn model_part(&self, request: &RouteRequest) -> ModelPart {
-        self.work.get(&request.service).copied().unwrap_or_default().part(request.size)
+    /// What reading a request's prompt takes with its model, if it has one.
+    pub(super) fn prompt_work(&self, request: &RouteRequest) -> Option<PromptWork> {
+        let prompt = request.prompt?;
+        let unknown = ServicePace::default();
+        let pace = self.paces.get(&request.service).unwrap_or(&unknown);
+        let size = request.size.unwrap_or(0);
+        let shared = if request.affinity == 0 { 0 } else { mix(request.affinity ^ size as u64) };
+        Some(PromptWork {
+            shared,
+            shared_ms: pace.read_ms(size, f64::from(prompt.shared)),
+            own_ms: pace.read_ms(size, f64::from(prompt.own)),
+            kilobytes: request.body_bytes as f64 / 1_000.0,
+        })
     }
 
     /// Gives a request to a replica.
@@ -145,10 +163,14 @@
             candidates: pick.candidates,
             load: pick.load,
             affine: pick.affine,
+            expected_ms: pick.expected_ms,
+            wait_ms: pick.wait_ms,
+            work_ms: pick.work_ms,
             trial: choice.trial,
             ..self.inputs(stamp)
         };
         self.backends.sent(pick.key);
+        self.place(stamp, ticket, &pick, out);
         let Some(row) = self.backends.get(pick.key) else { return };
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         // What runs is told by the replica, also where no replica of the version wished for was left.
@@ -160,6 +182,8 @@
             on_trial,
             pauses: 0,
             blamed: false,
+            held: pick.holds,
+            quiet: pick.wait_ms <= QUIET_MS,
         });
         request.tried.push(pick.key);
         request.sends += 1;
@@ -176,6 +200,7 @@
             model: request.size.map(|size| request.route.sizes[size].clone()),
             account: request.account.clone(),
             session: request.session,
+            urgency: request.size.map(|size| if size == 0 { 0 } else { 5 }),
             deadline: request.deadline,
             head_ms: if spare { head_ms(&request.route).min(left) } else { left },
             pause_ms: if spare { pause_ms(&request.route).min(left) } else { left },
@@ -255,6 +280,7 @@
     ) {
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         if let Some(attempt) = request.attempt.take() {
+            self.backends.left(attempt.replica, attempt.began);
             self.backends.ended(attempt.replica, deed, stamp.now);
         }
     }
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -9,8 +9,10 @@
 use slotmap::SlotMap;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::backlog::ReplicaBacklog;
 use super::deeds::LostAnswer;
 use super::gone::GoneReplicas;
+use super::held::HeldParts;
 use crate::ids::ReplicaKey;
 use crate::time::BoxTime;
 
@@ -74,6 +76,8 @@
     pub at: u64,
     /// Reported running requests, and waiting ones by [`super::loads::WAITING_WEIGHT`].
     pub reported: u32,
+    /// Reported waiting requests alone.
+    pub reported_waiting: u32,
     /// When they were reported.
     pub reported_at: BoxTime,
     /// Sent by this box since the report.
@@ -90,6 +94,11 @@
     pub lapses_at: Option<BoxTime>,
     /// Slow until this, from its start.
     pub cold_until: BoxTime,
+    /// Prompts that wait there.
+    pub backlog: ReplicaBacklog,
+    /// Prompts' shared parts that it holds.
+    #[serde(skip)]
+    pub(super) held: HeldParts,
     /// Answers that it left out lately, the oldest first.
     #[serde(skip)]
     pub lost: Vec<LostAnswer>,
@@ -209,6 +218,7 @@
             cold_until: now.plus_millis(entry.cold_ms),
             at,
             reported: 0,
+            reported_waiting: 0,
             reported_at: BoxTime::default(),
             since_report: 0,
             outstanding: 0,
@@ -216,6 +226,8 @@
             passes: 0,
             passed_until: BoxTime::default(),
             lapses_at: None,
+            backlog: ReplicaBacklog::default(),
+            held: HeldParts::default(),
             lost: Vec::new(),
             entry,
         });
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -3,6 +3,7 @@
 use super::backend::BackendChange;
 use super::loads::BackendLoad;
 use super::peers::{PeerAsk, PeerNote};
+use super::placement::PlacementNote;
 use super::plan::{RouteKind, RoutePlan};
 use super::progress::TrialMark;
 use super::tally::TrialFinding;
@@ -28,10 +29,23 @@
     pub deadline_ms: Option<u64>,
     /// Hash of the prompt's shared parts; 0 for none.
     pub affinity: u64,
+    /// Tokens of the prompt.
+    pub prompt: PromptSize,
+    /// Bytes of the body.
+    pub body_bytes: usize,
     /// Whether the caller leaves the model to the router.
     pub any_model: bool,
 }
 
+/// Tokens of a prompt; both 0 where the caller doesn't tell.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PromptSize {
+    /// In parts that other requests share.
+    pub shared: u32,
+    /// In the rest.
+    pub own: u32,
+}
+
 /// The head of a replica's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnswerHead {
@@ -109,6 +123,8 @@
     StoreBack,
     /// Another box's note came.
     PeerHeard(PeerNote),
+    /// Another box has placed a long prompt.
+    PlacementHeard(PlacementNote),
     /// Another box asks how fresh this one's knowledge is.
     PeerAsked(PeerAsk),
     /// Addresses where other boxes may be.
@@ -207,6 +223,12 @@
     pub load: f64,
     /// Whether it was taken for the prompt's shared parts.
     pub affine: bool,
+    /// Until its answer is expected to begin, in milliseconds, where the prompt's size is known.
+    pub expected_ms: f64,
+    /// Work that was taken to wait there, in milliseconds.
+    pub wait_ms: f64,
+    /// Work of the request itself, in milliseconds.
+    pub work_ms: f64,
     /// The trial of the service, if there is one.
     pub trial: Option<TrialInputs>,
 }
@@ -234,6 +256,8 @@
     pub account: Option<String>,
     /// Hash of the caller's session; 0 for none.
     pub session: u64,
+    /// Urgency among the prompts that wait at the replica, 0 first; `None` where it has no say.
+    pub urgency: Option<u8>,
     /// The request's time is up then.
     pub deadline: BoxTime,
     /// Ask whether to go elsewhere when no head came for this long, in milliseconds.
@@ -257,6 +281,8 @@
     BreakOff(RequestTicket, RefusalReason),
     /// Tell other boxes.
     SendNotes(Vec<String>, Box<PeerNote>),
+    /// Tell other boxes of a long prompt that was placed.
+    TellPlacement(Vec<String>, PlacementNote),
     /// Ask a reader.
     SendAsk(String, PeerAsk),
     /// Write a verdict to the store, unless it has one.
--- a/crates/core/src/route/learn.rs
+++ b/crates/core/src/route/learn.rs
@@ -1,23 +1,69 @@
 //! What answers teach: the lag of a service, the work of its models, the evidence in a trial.
 
 use super::deeds::LostAnswer;
+use super::event::{AnswerHead, RouteEffect};
+use super::pick::BackendPick;
+use super::placement::{PlacementNote, TOLD_WORK_MS};
 use super::trial::{TrialState, VersionTrial};
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
 use crate::ids::ReplicaKey;
 
 impl RouteState {
-    /// Adds an answer that began after `took_ms` to its service's lag, if it is a stream's, and to the
-    /// work of its model, if the router chose one.
+    /// Notes what an attempt that is sent to `pick` adds to the replica's work.
+    pub(super) fn place(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        pick: &BackendPick,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let Some(request) = self.requests.get(&ticket) else { return };
+        let Some(work) = self.prompt_work(request) else { return };
+        let work_ms = pick.work_ms;
+        let pace = self.paces.entry(request.service.clone()).or_default();
+        pace.sent(work_ms);
+        let expected_ms = pick.expected_ms + pace.begin_ms(request.size.unwrap_or(0));
+        self.backends.placed(pick.key, &work, work_ms, expected_ms, stamp.now);
+        if work_ms >= TOLD_WORK_MS {
+            let Some(row) = self.backends.get(pick.key) else { return };
+            let replica = row.id_hash;
+            let note = PlacementNote { replica, shared: work.shared, work_ms: work_ms as u32 };
+            out.push(RouteEffect::TellPlacement(self.peers.note_targets(stamp.dice), note));
+        }
+    }
+
+    /// Learns from the head of an answer how slow its replica is and, where nothing else waited, how fast
+    /// its model reads.
+    pub(super) fn learn_placement(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        head: AnswerHead,
+    ) {
+        let Some(request) = self.requests.get(&ticket) else { return };
+        let (Some(attempt), Some(prompt)) = (request.attempt, request.prompt) else { return };
+        let quiet = head.load.is_some_and(|load| load.waiting == 0) && attempt.quiet;
+        if head.not_run || head.other_replica {
+            return;
+        }
+        self.backends.begun(attempt.replica, attempt.began, stamp.now);
+        if quiet && head.status < 300 {
+            let shared = if attempt.held { 0 } else { prompt.shared };
+            let tokens = f64::from(prompt.own) + f64::from(shared);
+            let took_ms = stamp.now.millis_since(attempt.began) as f64;
+            let pace = self.paces.entry(request.service.clone()).or_default();
+            pace.learn(request.size.unwrap_or(0), tokens, took_ms);
+        }
+    }
+
+    /// Adds an answer that began after `took_ms` to its service's lag, if it is a stream's.
     pub(super) fn learn_pace(&mut self, ticket: RequestTicket, took_ms: f64) {
         let Some(request) = self.requests.get(&ticket) else { return };
         if request.route.kind.is_stream() {
             let lag = self.lags.entry(request.service.clone()).or_default();
             lag.add(took_ms, request.route.target_ms);
         }
-        if let Some(size) = request.size {
-            self.work.entry(request.service.clone()).or_default().add(size, took_ms);
-        }
     }
 
     /// Adds the attempt's answer to its service's trial, if there is one, and with it what the replica left
--- a/crates/core/src/route/loads.rs
+++ b/crates/core/src/route/loads.rs
@@ -3,6 +3,7 @@
 //! A replica's load comes with its answers; between two reports a box adds what it sent itself.
 
 use super::backend::{BackendState, BackendTable};
+use super::placement::{PlacementNote, PromptWork, ReplicaView};
 use crate::ids::ReplicaKey;
 use crate::time::BoxTime;
 
@@ -44,11 +45,24 @@
     pub replica: u64,
     /// Running requests, and waiting ones by [`WAITING_WEIGHT`].
     pub load: u32,
+    /// Waiting requests alone.
+    pub waiting: u32,
     /// How long ago the replica reported it, in milliseconds.
     pub age_ms: u64,
 }
 
 impl BackendState {
+    /// The replica as a placement of any prompt sees it.
+    pub(super) fn view(&self, now: BoxTime) -> ReplicaView {
+        let cold = if self.cold_until > now { COLD_WEIGHT } else { 1.0 };
+        ReplicaView {
+            wait_ms: self.backlog.wait_ms(now),
+            slowness: self.backlog.slowness(now) * cold,
+            load: self.load(now),
+            ..ReplicaView::default()
+        }
+    }
+
     /// Estimated load as a share of its slots.
     pub fn load(&self, now: BoxTime) -> f64 {
         let age = now.millis_since(self.reported_at) as f64;
@@ -69,8 +83,9 @@
     }
 
     /// Takes a report of its load, as of `at`.
-    fn take_report(&mut self, load: u32, at: BoxTime) {
+    fn take_report(&mut self, load: u32, waiting: u32, at: BoxTime) {
         self.reported = load;
+        self.reported_waiting = waiting;
         self.reported_at = at;
         self.since_report = 0;
     }
@@ -80,12 +95,51 @@
         LoadNote {
             replica: self.id_hash,
             load: self.reported,
+            waiting: self.reported_waiting,
             age_ms: now.millis_since(self.reported_at),
         }
     }
 }
 
 impl BackendTable {
+    /// Notes a prompt that was given to a replica, which takes `work_ms` to read and is expected to begin to
+    /// be answered after `expected_ms`.
+    pub(super) fn placed(
+        &mut self,
+        key: ReplicaKey,
+        work: &PromptWork,
+        work_ms: f64,
+        expected_ms: f64,
+        now: BoxTime,
+    ) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.held.note(work.shared, now);
+            row.backlog.sent(work_ms, expected_ms, now);
+        }
+    }
+
+    /// Takes word of a prompt that another box placed.
+    pub(super) fn hear_placement(&mut self, told: &PlacementNote, now: BoxTime) {
+        let Some(key) = self.hashes.get(&told.replica) else { return };
+        let row = &mut self.rows[*key];
+        row.held.note(told.shared, now);
+        row.backlog.told(f64::from(told.work_ms), now);
+    }
+
+    /// Notes that a replica began to answer what was sent to it at `sent_at`.
+    pub(super) fn begun(&mut self, key: ReplicaKey, sent_at: BoxTime, now: BoxTime) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.backlog.began(sent_at, now);
+        }
+    }
+
+    /// Notes that what was sent to a replica at `sent_at` is no longer there.
+    pub(super) fn left(&mut self, key: ReplicaKey, sent_at: BoxTime) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.backlog.ended(sent_at);
+        }
+    }
+
     /// Notes that a request was given to a replica.
     pub fn sent(&mut self, key: ReplicaKey) {
         if let Some(row) = self.rows.get_mut(key) {
@@ -94,20 +148,22 @@
         }
     }
 
-    /// Takes the load that came with an answer.
-    pub fn reported(&mut self, key: ReplicaKey, load: BackendLoad, now: BoxTime) {
+    /// Takes the load that came with an answer; a request that waits has `mean_ms` of work.
+    pub fn reported(&mut self, key: ReplicaKey, load: BackendLoad, mean_ms: f64, now: BoxTime) {
         if let Some(row) = self.rows.get_mut(key) {
-            row.take_report(load.running + WAITING_WEIGHT * load.waiting, now);
+            row.take_report(load.running + WAITING_WEIGHT * load.waiting, load.waiting, now);
+            row.backlog.reported(load.waiting, mean_ms, now);
         }
     }
 
     /// Takes the load that another box heard of, unless this one knows a later report.
-    pub fn hear_load(&mut self, told: &LoadNote, now: BoxTime) {
+    pub fn hear_load(&mut self, told: &LoadNote, mean_ms: &dyn Fn(&str) -> f64, now: BoxTime) {
         let Some(key) = self.hashes.get(&told.replica) else { return };
         let row = &mut self.rows[*key];
         let at = now.minus_millis(told.age_ms);
         if at > row.reported_at {
-            row.take_report(told.load, at);
+            row.take_report(told.load, told.waiting, at);
+            row.backlog.reported(told.waiting, mean_ms(&row.entry.service), at);
         }
     }
 
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -10,22 +10,25 @@
 //! [`loads`] how busy they are · [`deeds`] how well they do · [`pick`] which of them answers ·
 //! [`peers`] the other boxes · [`trial`] new versions · [`tally`] what speaks against them ·
 //! [`progress`] how far they have come · [`budget`] further sends · [`sizes`] which model answers ·
-//! [`parts`] on which replicas.
+//! [`placement`] what it costs to have a prompt read where, from [`backlog`], [`pace`] and [`held`].
 
 mod attempt;
 pub mod backend;
+pub mod backlog;
 pub mod budget;
 pub mod deeds;
 mod dump;
 pub mod event;
 pub mod fresh;
 mod gone;
+pub mod held;
 mod learn;
 pub mod loads;
 mod news;
-pub mod parts;
+pub mod pace;
 pub mod peers;
 pub mod pick;
+pub mod placement;
 pub mod plan;
 pub mod progress;
 mod request;
@@ -43,7 +46,7 @@
 use budget::{BudgetBounds, SendBudget};
 use event::{RouteEffect, RouteEvent};
 use fresh::{FreshBounds, PlanFreshness};
-use parts::ModelWork;
+use pace::ServicePace;
 use peers::PeerTable;
 use plan::{RoutePlan, RouteTable};
 use request::RouteRequest;
@@ -102,8 +105,8 @@
     mark_at: BTreeMap<String, BoxTime>,
     budgets: HashMap<String, SendBudget>,
     lags: HashMap<String, ServiceLag>,
-    /// Work of the models, by service.
-    work: HashMap<String, ModelWork>,
+    /// Paces of the models, by service.
+    paces: HashMap<String, ServicePace>,
     requests: HashMap<RequestTicket, RouteRequest>,
     /// Until then entries that vanish may come back: the store was away.
     lapse_at: Option<BoxTime>,
@@ -134,7 +137,7 @@
             mark_at: BTreeMap::new(),
             budgets: HashMap::new(),
             lags: HashMap::new(),
-            work: HashMap::new(),
+            paces: HashMap::new(),
             requests: HashMap::new(),
             lapse_at: None,
             read_to: 0,
@@ -173,6 +176,7 @@
                 self.lapse_at = Some(stamp.now.plus_millis(LAPSE_MS));
             }
             RouteEvent::PeerHeard(note) => self.on_note(stamp, &note, out),
+            RouteEvent::PlacementHeard(told) => self.backends.hear_placement(&told, stamp.now),
             RouteEvent::PeerAsked(ask) => self.on_ask(stamp, ask, out),
             RouteEvent::PeersNamed(addresses) => {
                 self.peers.hear_of(&addresses, &self.settings.note_address, stamp.now);
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -3,6 +3,7 @@
 
 use super::backend::{BackendChange, BackendNews};
 use super::event::RouteEffect;
+use super::pace::ServicePace;
 use super::peers::{self, PeerAsk, PeerNote, TrialNote, REPLICAS_TOLD};
 use super::RouteState;
 use crate::event::EventStamp;
@@ -135,8 +136,10 @@
             // replica must get nothing two seconds after the store's word.
             self.take_backends(stamp, note.changes.clone(), None, out);
         }
+        let paces = &self.paces;
+        let mean_ms = |service: &str| paces.get(service).map_or(0.0, ServicePace::mean_ms);
         for told in &note.loads {
-            self.backends.hear_load(told, stamp.now);
+            self.backends.hear_load(told, &mean_ms, stamp.now);
         }
         self.hear_trials(stamp, note, out);
         self.hear_freshness(stamp, note, out);
--- a/crates/core/src/route/pick.rs
+++ b/crates/core/src/route/pick.rs
@@ -1,22 +1,15 @@
-//! Which replica answers a request: the lightest, or one that holds the prompt's shared parts already.
+//! Which replica answers a request: for a prompt the one where placing it costs least, by
+//! [`super::placement`], else the lightest.
 
 use super::backend::BackendTable;
-use super::parts::ModelPart;
+use super::placement::{PromptWork, ReplicaView};
 use crate::ids::ReplicaKey;
 use crate::replica::mix;
 use crate::time::BoxTime;
 
-/// Load, as a share of slots over the lightest replica's, up to which a replica that holds the
-/// prompt's shared parts is preferred. Reading the parts again costs less than a fuller batch beyond.
-pub const AFFINITY_MARGIN: f64 = 0.25;
-
 /// Share of slots that another availability zone's replica must be lighter to be worth its bytes.
 pub const ZONE_MARGIN: f64 = 0.25;
 
-/// Load, as a share of slots over the lightest replica's, up to which a request stays in its model's
-/// part of the replicas. Twice [`AFFINITY_MARGIN`]: beyond, the other part has room that this one lacks.
-pub const PART_MARGIN: f64 = 0.5;
-
 /// Which replicas a pick may take.
 #[derive(Clone, Copy, Debug)]
 pub struct BackendAsk<'a> {
@@ -24,10 +17,8 @@
     pub service: &'a str,
     /// Version wanted, if one is.
     pub version: VersionWish<'a>,
-    /// Part of the replicas for the request's model.
-    pub part: ModelPart,
-    /// Hash of the prompt's shared parts; 0 for none.
-    pub affinity: u64,
+    /// What reading its prompt takes, for a request with one.
+    pub work: Option<PromptWork>,
     /// Availability zone of the box.
     pub zone: &'a str,
     /// Replicas that this request has been sent to.
@@ -68,8 +59,17 @@
     pub load: f64,
     /// Replicas that could have been taken.
     pub candidates: usize,
-    /// Whether it was taken for the prompt's shared parts.
+    /// Whether it is known to hold the prompt's shared parts, or is to hold them for all.
     pub affine: bool,
+    /// Whether it is known to hold them.
+    pub holds: bool,
+    /// Until the answer is expected to begin, beside what an idle replica takes for an empty prompt, in
+    /// milliseconds; 0 without a prompt.
+    pub expected_ms: f64,
+    /// Work that waits there, in milliseconds.
+    pub wait_ms: f64,
+    /// Work of the prompt itself there, in milliseconds.
+    pub work_ms: f64,
 }
 
 impl BackendTable {
@@ -87,32 +87,24 @@
             usable.iter().copied().filter(|key| self.rows[*key].passed_until <= ask.now).collect();
         // With more than half passed over the cause is not the replicas.
         let pool = if well.len() * 2 < usable.len() { usable } else { well };
-        let part = self.part_with_room(&pool, ask);
-        let lightest = self.lightest(part, ask)?;
-        let least = self.rows[lightest].load(ask.now);
-        let holder = self.affine(part, ask, least);
-        let key = holder.unwrap_or(lightest);
+        let placed = ask.work.and_then(|work| self.cheapest(&pool, ask, &work));
+        let (key, view) = match placed {
+            Some((key, view)) => (key, Some(view)),
+            None => (self.lightest(&pool, ask)?, None),
+        };
+        let expected = view.zip(ask.work).map_or(0.0, |(view, work)| view.expected_ms(&work));
         Some(BackendPick {
             key,
             load: self.rows[key].load(ask.now),
             candidates: pool.len(),
-            affine: holder.is_some(),
+            affine: view.is_some_and(|view| view.holds || view.holder),
+            holds: view.is_some_and(|view| view.holds),
+            expected_ms: expected,
+            wait_ms: view.map_or(0.0, |view| view.wait_ms),
+            work_ms: view.zip(ask.work).map_or(0.0, |(view, work)| work.read_ms(view.holds)),
         })
     }
 
-    /// The replicas for the request's model; all of them where that part is much fuller.
-    fn part_with_room<'a>(&self, pool: &'a [ReplicaKey], ask: &BackendAsk) -> &'a [ReplicaKey] {
-        let least = |keys: &[ReplicaKey]| {
-            let loads = keys.iter().map(|key| self.rows[*key].load(ask.now));
-            loads.fold(f64::INFINITY, f64::min)
-        };
-        let part = ask.part.of(pool);
-        if part.len() == pool.len() || least(part) > least(pool) + PART_MARGIN {
-            return pool;
-        }
-        part
-    }
-
     /// The lightest replica; ties go by chance, and the box's own zone counts for something.
     fn lightest(&self, pool: &[ReplicaKey], ask: &BackendAsk) -> Option<ReplicaKey> {
         let weigh = |key: &ReplicaKey| {
@@ -126,14 +118,43 @@
             .min_by(|a, b| weigh(a).total_cmp(&weigh(b)).then_with(|| order(a).cmp(&order(b))))
     }
 
-    /// The replica that holds the prompt's shared parts: the same from every box, by id and parts
-    /// only, among those that are not much fuller than the lightest.
-    fn affine(&self, pool: &[ReplicaKey], ask: &BackendAsk, least: f64) -> Option<ReplicaKey> {
-        if ask.affinity == 0 {
+    /// The replica where placing a prompt costs least; ties go by chance.
+    fn cheapest(
+        &self,
+        pool: &[ReplicaKey],
+        ask: &BackendAsk,
+        work: &PromptWork,
+    ) -> Option<(ReplicaKey, ReplicaView)> {
+        let holder = self.holder(pool, ask, work);
+        let view = |key: &ReplicaKey| {
+            let row = &self.rows[*key];
+            let mut view = row.view(ask.now);
+            view.holds = row.held.holds(work.shared, ask.now);
+            view.holder = holder == Some(*key);
+            view.near = row.entry.zone == ask.zone;
+            (*key, view)
+        };
+        let cost = |(_, view): &(ReplicaKey, ReplicaView)| view.cost_ms(work);
+        let order = |(key, _): &(ReplicaKey, ReplicaView)| mix(self.rows[*key].id_hash ^ ask.dice);
+        pool.iter()
+            .map(view)
+            .min_by(|a, b| cost(a).total_cmp(&cost(b)).then_with(|| order(a).cmp(&order(b))))
+    }
+
+    /// The replica that is taken to hold a prompt's shared parts where this box knows of none: the same
+    /// from every box, or from every box of a zone, by the hashes of its id and the parts alone.
+    fn holder(
+        &self,
+        pool: &[ReplicaKey],
+        ask: &BackendAsk,
+        work: &PromptWork,
+    ) -> Option<ReplicaKey> {
+        if work.shared == 0 {
             return None;
         }
-        let near = |key: &ReplicaKey| self.rows[*key].load(ask.now) <= least + AFFINITY_MARGIN;
-        let weight = |key: &ReplicaKey| mix(self.rows[*key].id_hash ^ ask.affinity);
-        pool.iter().copied().filter(near).min_by_key(weight)
+        let weight = |key: &ReplicaKey| mix(self.rows[*key].id_hash ^ work.shared);
+        let near = |key: &ReplicaKey| self.rows[*key].entry.zone == ask.zone;
+        let own = pool.iter().copied().filter(near).min_by_key(weight);
+        own.filter(|_| work.held_by_zone()).or_else(|| pool.iter().copied().min_by_key(weight))
     }
 }
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -8,8 +8,10 @@
 use super::budget::SendCause;
 use super::deeds::BackendDeed;
 use super::event::{
-    AnswerHead, AttemptFailure, DecisionInputs, RefusalReason, RouteAsk, RouteEffect, RouteRefusal,
+    AnswerHead, AttemptFailure, DecisionInputs, PromptSize, RefusalReason, RouteAsk, RouteEffect,
+    RouteRefusal,
 };
+use super::pace::ServicePace;
 use super::plan::{KeyHolder, RouteSpec};
 use super::sizes;
 use super::{RouteState, STOP_TAKE_MS};
@@ -40,6 +42,9 @@
     pub(super) service: String,
     pub(super) account: Option<String>,
     pub(super) affinity: u64,
+    /// Tokens of its prompt, if it has one.
+    pub(super) prompt: Option<PromptSize>,
+    pub(super) body_bytes: usize,
     pub(super) session: u64,
     /// Row of `route.sizes` that answers, where the router chooses.
     pub(super) size: Option<usize>,
@@ -95,6 +100,8 @@
             service,
             account: holder.map(|holder| holder.name.clone()),
             affinity: ask.affinity,
+            prompt: prompt_size(ask),
+            body_bytes: ask.body_bytes,
             session: ask.session,
             size: if chooses { sizes::first_size(&route.sizes) } else { None },
             deadline: stamp.now.plus_millis(allowed),
@@ -146,10 +153,12 @@
         head: AnswerHead,
         out: &mut Vec<RouteEffect>,
     ) {
+        self.learn_placement(stamp, ticket, head);
         let Some(request) = self.requests.get(&ticket) else { return };
         let Some(attempt) = request.attempt else { return };
         if let Some(load) = head.load {
-            self.backends.reported(attempt.replica, load, stamp.now);
+            let mean_ms = self.paces.get(&request.service).map_or(0.0, ServicePace::mean_ms);
+            self.backends.reported(attempt.replica, load, mean_ms, stamp.now);
         }
         if head.not_run || head.other_replica {
             let deed =
@@ -330,6 +339,17 @@
     }
 }
 
+/// Tokens in the shared parts of a prompt whose size the caller doesn't tell.
+const UNTOLD_TOKENS: u32 = 1_000;
+
+/// The size of a request's prompt, if it has one.
+fn prompt_size(ask: &RouteAsk) -> Option<PromptSize> {
+    if ask.prompt != PromptSize::default() {
+        return Some(ask.prompt);
+    }
+    (ask.affinity != 0).then_some(PromptSize { shared: UNTOLD_TOKENS, own: 0 })
+}
+
 /// A service of the route, by the weights of its targets.
 fn pick_target(route: &RouteSpec, dice: u64) -> Option<String> {
     let total: u64 = route.targets.iter().map(|target| u64::from(target.weight)).sum();
--- a/crates/core/tests/route/loads.rs
+++ b/crates/core/tests/route/loads.rs
@@ -29,7 +29,7 @@
 fn a_replica_that_another_box_found_full_is_passed_over_for_its_parts() {
     let mut subject = ready_box();
     let full = holder(&mut subject, 9);
-    let load = LoadNote { replica: backend_hash(&full), load: 40, age_ms: 100 };
+    let load = LoadNote { replica: backend_hash(&full), load: 40, waiting: 9, age_ms: 100 };
     subject.feed(note_of_loads(vec![load]));
     let (_, order) = subject.sent(RouteAsk { affinity: 9, ..ask("/chat/x") });
     assert_ne!(order.replica_id, full);
@@ -44,7 +44,7 @@
     subject.feed(RouteEvent::HeadCame(ticket, AnswerHead { load: Some(idle), ..head(200) }));
     subject.feed(RouteEvent::Finished(ticket));
     subject.now += 100;
-    let load = LoadNote { replica: backend_hash(&full), load: 40, age_ms: 200 };
+    let load = LoadNote { replica: backend_hash(&full), load: 40, waiting: 9, age_ms: 200 };
     subject.feed(note_of_loads(vec![load]));
     let (_, order) = subject.sent(RouteAsk { affinity: 9, ..ask("/chat/x") });
     assert_eq!(order.replica_id, full);
@@ -53,7 +53,7 @@
 #[test]
 fn a_busy_replicas_load_is_told_and_told_on_with_its_age_and_an_idle_ones_is_not() {
     let mut subject = ready_box();
-    let load = LoadNote { replica: backend_hash("a"), load: 30, age_ms: 300 };
+    let load = LoadNote { replica: backend_hash("a"), load: 30, waiting: 5, age_ms: 300 };
     subject.feed(note_of_loads(vec![load]));
     let (ticket, order) = subject.sent(ask("/chat/x"));
     assert_eq!(order.replica_id, "b");
--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -4,6 +4,7 @@
 mod loads;
 mod membership;
 mod models;
+mod placement;
 mod plan;
 mod requests;
 mod restarts;
--- /dev/null
+++ b/crates/core/tests/route/placement.rs
@@ -0,0 +1,284 @@
+//! Where prompts are read: load patterns replayed on the reducer, and the estimates behind the choice.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ravenspoke_core::event::RequestTicket;
+use ravenspoke_core::route::backend::{backend_hash, BackendEntry};
+use ravenspoke_core::route::backlog::ReplicaBacklog;
+use ravenspoke_core::route::event::{
+    AnswerHead, PromptSize, RouteAsk, RouteEffect, RouteEvent, SendOrder,
+};
+use ravenspoke_core::route::held::{HeldParts, HELD_MS};
+use ravenspoke_core::route::loads::BackendLoad;
+use ravenspoke_core::route::pace::ServicePace;
+use ravenspoke_core::route::placement::{
+    PlacementNote, PromptWork, ReplicaView, TOLD_WORK_MS, ZONE_KB_MS,
+};
+use ravenspoke_core::time::BoxTime;
+
+use crate::fixture::{ask, entry, head, new_box, order_in, plan, TestBox};
+
+/// A box before `count` replicas of its own zone, and a route that leaves the model to the router.
+fn box_with_engines(count: usize) -> TestBox {
+    let mut subject = new_box("box-1");
+    let mut sized = plan(1);
+    sized.routes[2].sizes = vec!["small".to_owned(), "large".to_owned()];
+    subject.read_plan(Some(sized));
+    for number in 0..count {
+        subject.put(engine(&format!("i-{number}"), "east"));
+    }
+    subject
+}
+
+fn engine(id: &str, zone: &str) -> BackendEntry {
+    BackendEntry { zone: zone.to_owned(), slots: 64, ..entry(id, "v1") }
+}
+
+/// A request with `shared` and `own` tokens; the caller names the model.
+fn prompt(affinity: u64, shared: u32, own: u32) -> RouteAsk {
+    let size = PromptSize { shared, own };
+    RouteAsk { affinity, prompt: size, body_bytes: (shared + own) as usize, ..ask("/chat/x") }
+}
+
+fn told_in(effects: &[RouteEffect]) -> Option<PlacementNote> {
+    effects.iter().find_map(|effect| match effect {
+        RouteEffect::TellPlacement(_, told) => Some(*told),
+        _ => None,
+    })
+}
+
+fn quiet_head() -> AnswerHead {
+    let load = Some(BackendLoad { running: 1, waiting: 0, slots: 64 });
+    AnswerHead { load, confidence: Some(99), ..head(200) }
+}
+
+/// Answers a request `after_ms` later, and ends it.
+fn answer(subject: &mut TestBox, ticket: RequestTicket, after_ms: u64) {
+    subject.now += after_ms;
+    subject.feed(RouteEvent::HeadCame(ticket, quiet_head()));
+    subject.feed(RouteEvent::Finished(ticket));
+}
+
+/// A box that learnt that its engines read a token in `token_ms`.
+fn taught_box(count: usize, token_ms: f64) -> TestBox {
+    let mut subject = box_with_engines(count);
+    for number in 0..80 {
+        let (ticket, _) = subject.sent(prompt(1_000 + number, 0, 4_000));
+        answer(&mut subject, ticket, 20 + (4_000.0 * token_ms) as u64);
+        subject.now += 500;
+        subject.read_plan(None);
+    }
+    subject.now += 30_000;
+    subject.read_plan(None);
+    subject
+}
+
+#[test]
+fn long_prompts_in_a_burst_are_not_put_behind_each_other_while_a_replica_is_free() {
+    let mut subject = taught_box(6, 0.1);
+    let sent = (0..6).map(|number| subject.sent(prompt(50 + number, 0, 10_000)).1.replica_id);
+    let used: BTreeSet<String> = sent.collect();
+    assert_eq!(used.len(), 6, "{used:?}");
+}
+
+#[test]
+fn a_short_prompt_is_not_put_behind_a_long_one() {
+    let mut subject = taught_box(2, 0.1);
+    let (_, long) = subject.sent(prompt(7, 0, 20_000));
+    for affinity in 100..110 {
+        let (ticket, short) = subject.sent(prompt(affinity, 0, 500));
+        assert_ne!(short.replica_id, long.replica_id);
+        answer(&mut subject, ticket, 1);
+    }
+}
+
+#[test]
+fn the_holder_of_shared_parts_is_waited_for_as_long_as_they_take_to_read() {
+    let mut subject = taught_box(4, 0.1);
+    let (ticket, first) = subject.sent(prompt(9, 10_000, 500));
+    answer(&mut subject, ticket, 1_050);
+    // 300 ms of work there are less than the second that the parts take.
+    subject.feed(RouteEvent::PlacementHeard(told(&first.replica_id, 300)));
+    let (ticket, held) = subject.sent(prompt(9, 10_000, 500));
+    assert_eq!(held.replica_id, first.replica_id);
+    assert!(held.inputs.affine);
+    subject.feed(RouteEvent::CallerLeft(ticket));
+    // Four seconds of work are more.
+    subject.feed(RouteEvent::PlacementHeard(told(&first.replica_id, 4_000)));
+    let (_, spilled) = subject.sent(prompt(9, 10_000, 500));
+    assert_ne!(spilled.replica_id, first.replica_id);
+}
+
+fn told(replica: &str, work_ms: u32) -> PlacementNote {
+    PlacementNote { replica: backend_hash(replica), shared: 0, work_ms }
+}
+
+#[test]
+fn a_long_prompt_is_told_to_other_boxes_as_it_is_placed_and_a_short_one_is_not() {
+    let mut subject = taught_box(3, 0.1);
+    let (_, effects) = subject.arrive(prompt(9, 0, 10_000));
+    let order = order_in(&effects).expect("it is sent");
+    let told = told_in(&effects).expect("it is told");
+    assert_eq!(told.replica, backend_hash(&order.replica_id));
+    let near = |ms: u32| (800..1_200).contains(&ms);
+    assert!(near(told.work_ms), "{told:?}");
+    let short = (TOLD_WORK_MS / 0.1 / 2.0) as u32;
+    let (_, effects) = subject.arrive(prompt(10, 0, short));
+    assert_eq!(told_in(&effects), None);
+}
+
+#[test]
+fn what_another_box_had_read_is_taken_to_be_held_there() {
+    let mut subject = taught_box(8, 0.1);
+    let mut other = taught_box(8, 0.1);
+    let (_, effects) = other.arrive(prompt(9, 10_000, 500));
+    let placed = order_in(&effects).expect("it is sent").replica_id;
+    let told = told_in(&effects).expect("it is told");
+    subject.feed(RouteEvent::PlacementHeard(told));
+    subject.now += 2_000;
+    let (_, order) = subject.sent(prompt(9, 10_000, 500));
+    assert_eq!((order.replica_id, order.inputs.affine), (placed, true));
+}
+
+#[test]
+fn all_boxes_have_shared_parts_read_at_the_same_replica() {
+    let mut placed: BTreeMap<u64, BTreeSet<String>> = BTreeMap::new();
+    for _ in 0..3 {
+        let mut subject = taught_box(12, 0.1);
+        for affinity in 1..20 {
+            let (ticket, order) = subject.sent(prompt(affinity, 10_000, 500));
+            placed.entry(affinity).or_default().insert(order.replica_id);
+            answer(&mut subject, ticket, 1_050);
+            subject.now += 3_000;
+            subject.read_plan(None);
+        }
+    }
+    assert!(placed.values().all(|replicas| replicas.len() == 1), "{placed:?}");
+}
+
+#[test]
+fn a_replica_that_answers_late_without_a_word_is_given_less() {
+    let mut subject = taught_box(2, 0.1);
+    let (late, slow) = subject.sent(prompt(5, 0, 1_000));
+    subject.now += 1_500;
+    subject.read_plan(None);
+    // It should have begun after 120 ms: something waits there that nobody told of.
+    for affinity in 200..205 {
+        let (ticket, order) = subject.sent(prompt(affinity, 0, 3_000));
+        assert_ne!(order.replica_id, slow.replica_id);
+        answer(&mut subject, ticket, 320);
+    }
+    subject.feed(RouteEvent::CallerLeft(late));
+}
+
+/// Zone of the replica that a box of `east` sends a prompt to, with `waiting_ms` of work in its own zone.
+fn zone_chosen(waiting_ms: u32, prompt: RouteAsk) -> String {
+    let mut subject = taught_box(1, 0.1);
+    subject.put(engine("i-west", "west"));
+    subject.feed(RouteEvent::PlacementHeard(told("i-0", waiting_ms)));
+    subject.sent(prompt).1.replica_id
+}
+
+#[test]
+fn a_prompt_leaves_its_zone_where_that_saves_more_than_its_bytes_are_worth() {
+    let ask = prompt(0, 0, 10_000);
+    let worth_ms = (10.0 * ZONE_KB_MS) as u32;
+    assert_eq!(zone_chosen(worth_ms / 2, ask.clone()), "i-0");
+    assert_eq!(zone_chosen(worth_ms * 4, ask), "i-west");
+}
+
+#[test]
+fn cheap_shared_parts_are_held_in_each_zone_and_dear_ones_once() {
+    let work = PromptWork { shared: 1, shared_ms: 50.0, own_ms: 10.0, kilobytes: 10.0 };
+    assert!(work.held_by_zone());
+    assert!(!PromptWork { shared_ms: 2_000.0, ..work }.held_by_zone());
+}
+
+#[test]
+fn a_large_models_prompt_waits_behind_small_ones_at_a_replica() {
+    let mut subject = box_with_engines(2);
+    let (ticket, small) = subject.sent(RouteAsk { any_model: true, ..prompt(9, 100, 100) });
+    let unsure = AnswerHead { confidence: Some(3), ..quiet_head() };
+    let effects = subject.feed(RouteEvent::HeadCame(ticket, unsure));
+    let large: SendOrder = order_in(&effects).expect("a larger model is asked");
+    assert!(small.urgency < large.urgency, "{:?} {:?}", small.urgency, large.urgency);
+    let (_, plain) = subject.sent(ask("/read/x"));
+    assert_eq!(plain.urgency, None);
+}
+
+#[test]
+fn a_backlog_drains_but_not_below_what_has_not_begun() {
+    let at = BoxTime::from_millis;
+    let mut backlog = ReplicaBacklog::default();
+    backlog.told(400.0, at(1_000));
+    assert_eq!(backlog.wait_ms(at(1_100)), 300.0);
+    backlog.sent(200.0, 600.0, at(1_100));
+    assert_eq!(backlog.wait_ms(at(1_600)), 200.0, "its own request has not begun");
+    assert_eq!(backlog.wait_ms(at(1_900)), 400.0, "and is overdue");
+    backlog.began(at(1_100), at(1_900));
+    assert_eq!(backlog.wait_ms(at(1_900)), 0.0);
+}
+
+#[test]
+fn the_replicas_word_on_its_queue_goes_before_the_estimate() {
+    let at = BoxTime::from_millis;
+    let mut backlog = ReplicaBacklog::default();
+    backlog.told(5_000.0, at(1_000));
+    backlog.reported(0, 100.0, at(1_200));
+    assert_eq!(backlog.wait_ms(at(1_200)), 0.0);
+    backlog.reported(3, 100.0, at(1_300));
+    assert_eq!(backlog.wait_ms(at(1_300)), 300.0);
+}
+
+#[test]
+fn a_replica_that_takes_longer_than_expected_is_slow_for_a_while() {
+    let at = BoxTime::from_millis;
+    let mut backlog = ReplicaBacklog::default();
+    for round in 0..20 {
+        let sent_at = at(1_000 + round * 1_000);
+        backlog.sent(100.0, 100.0 * backlog.slowness(sent_at), sent_at);
+        backlog.began(sent_at, sent_at.plus_millis(500));
+    }
+    let known = backlog.slowness(at(20_500));
+    assert!((3.0..5.0).contains(&known), "{known}");
+    assert!(backlog.slowness(at(60_000)) < 1.1);
+}
+
+#[test]
+fn the_pace_of_each_model_is_learnt_whatever_a_few_answers_say() {
+    let mut pace = ServicePace::default();
+    for round in 0..200 {
+        // One answer in five was held up for two seconds.
+        let held_up = if round % 5 == 0 { 2_000.0 } else { 0.0 };
+        for (size, token_ms) in [(0, 0.008), (2, 0.08)] {
+            for tokens in [1_000.0, 4_000.0, 16_000.0] {
+                pace.learn(size, tokens, 20.0 + tokens * token_ms + held_up);
+            }
+        }
+    }
+    let small = pace.read_ms(0, 10_000.0);
+    let large = pace.read_ms(2, 10_000.0);
+    assert!((60.0..120.0).contains(&small), "{small}");
+    assert!((650.0..1_050.0).contains(&large), "{large}");
+}
+
+#[test]
+fn held_parts_are_forgotten_after_a_while() {
+    let mut held = HeldParts::default();
+    held.note(7, BoxTime::from_millis(1_000));
+    assert!(held.holds(7, BoxTime::from_millis(1_000 + HELD_MS - 1)));
+    assert!(!held.holds(7, BoxTime::from_millis(1_000 + HELD_MS)));
+    assert!(!held.holds(8, BoxTime::from_millis(1_000)));
+}
+
+#[test]
+fn a_view_costs_what_waits_what_is_read_and_what_crosses() {
+    let work = PromptWork { shared: 1, shared_ms: 100.0, own_ms: 20.0, kilobytes: 5.0 };
+    let view = ReplicaView { slowness: 1.0, near: true, holds: true, ..ReplicaView::default() };
+    assert_eq!(view.cost_ms(&work), 20.0);
+    assert_eq!(ReplicaView { wait_ms: 50.0, ..view }.cost_ms(&work), 70.0);
+    assert_eq!(ReplicaView { slowness: 3.0, ..view }.cost_ms(&work), 60.0);
+    assert_eq!(ReplicaView { near: false, ..view }.cost_ms(&work), 20.0 + 5.0 * ZONE_KB_MS);
+    let lacks = ReplicaView { holds: false, ..view };
+    assert!(lacks.cost_ms(&work) > ReplicaView { holder: true, ..lacks }.cost_ms(&work));
+}
