cascade: a larger model is asked as far as it begins within the target

Cause: after placement, late answers were still second answers: the threshold of sureness followed a mean lag of the service, which is known late and says nothing of the one request; a long prompt was asked of the largest model with seconds of work before it. Change: how sure an answer must be follows the time after which the larger one would begin on the replica where that is soonest: 50, the middle of the models' scale, up to a quarter of the target, and nothing at the target. Where the largest is further off, a model between is asked if it is expected to be sure enough; by how much it is surer is learnt from answers. The constants found by hand (50 and 28, lags 0.09 and 0.19) are gone with the lag.

--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -32,8 +32,8 @@
 
 /// A replica for an attempt, with what a trial of its service had to do with it.
 #[derive(Clone, Copy, Debug)]
-struct AttemptChoice {
-    pick: BackendPick,
+pub(super) struct AttemptChoice {
+    pub(super) pick: BackendPick,
     trial: Option<TrialInputs>,
 }
 
@@ -64,7 +64,8 @@
         out: &mut Vec<RouteEffect>,
     ) {
         self.advance_trial(stamp, ticket, out);
-        let Some(choice) = self.choose(stamp, ticket) else {
+        let size = self.requests.get(&ticket).and_then(|request| request.size);
+        let Some(choice) = self.choose(stamp, ticket, size) else {
             self.give_up(stamp, ticket, otherwise, out);
             return;
         };
@@ -87,8 +88,13 @@
         }
     }
 
-    /// The replica for a request's next attempt.
-    fn choose(&self, stamp: EventStamp, ticket: RequestTicket) -> Option<AttemptChoice> {
+    /// The replica for a request's next attempt, with the model in row `size`.
+    pub(super) fn choose(
+        &self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        size: Option<usize>,
+    ) -> Option<AttemptChoice> {
         let request = self.requests.get(&ticket)?;
         let trial = self.trials.get(&request.service);
         let store_away = self.store_away(stamp.now);
@@ -107,7 +113,7 @@
         let ask = BackendAsk {
             service: &request.service,
             version,
-            work: self.prompt_work(request),
+            work: self.prompt_work(request, size),
             zone: &self.settings.zone,
             tried: &request.tried,
             dice: stamp.dice,
@@ -136,11 +142,15 @@
     }
 
     /// What reading a request's prompt takes with its model, if it has one.
-    pub(super) fn prompt_work(&self, request: &RouteRequest) -> Option<PromptWork> {
+    pub(super) fn prompt_work(
+        &self,
+        request: &RouteRequest,
+        size: Option<usize>,
+    ) -> Option<PromptWork> {
         let prompt = request.prompt?;
         let unknown = ServicePace::default();
         let pace = self.paces.get(&request.service).unwrap_or(&unknown);
-        let size = request.size.unwrap_or(0);
+        let size = size.unwrap_or(0);
         let shared = if request.affinity == 0 { 0 } else { mix(request.affinity ^ size as u64) };
         Some(PromptWork {
             shared,
@@ -223,7 +233,8 @@
             self.settle_size(ticket);
         }
         self.advance_trial(stamp, ticket, out);
-        let choice = self.choose(stamp, ticket);
+        let next = self.requests.get(&ticket).and_then(|request| request.size);
+        let choice = self.choose(stamp, ticket, next);
         let Some(choice) = choice.filter(|_| self.may_send_again(stamp, ticket, cause)) else {
             if let Some(request) = self.requests.get_mut(&ticket) {
                 request.size = size;
--- a/crates/core/src/route/learn.rs
+++ b/crates/core/src/route/learn.rs
@@ -1,4 +1,4 @@
-//! What answers teach: the lag of a service, the work of its models, the evidence in a trial.
+//! What sends and answers teach: work that waits at replicas, the pace of models, the evidence in a trial.
 
 use super::deeds::LostAnswer;
 use super::event::{AnswerHead, RouteEffect};
@@ -19,7 +19,7 @@
         out: &mut Vec<RouteEffect>,
     ) {
         let Some(request) = self.requests.get(&ticket) else { return };
-        let Some(work) = self.prompt_work(request) else { return };
+        let Some(work) = self.prompt_work(request, request.size) else { return };
         let work_ms = pick.work_ms;
         let pace = self.paces.entry(request.service.clone()).or_default();
         pace.sent(work_ms);
@@ -43,7 +43,7 @@
     ) {
         let Some(request) = self.requests.get(&ticket) else { return };
         let (Some(attempt), Some(prompt)) = (request.attempt, request.prompt) else { return };
-        let quiet = head.load.is_some_and(|load| load.waiting == 0) && attempt.quiet;
+        let quiet = head.load.is_none_or(|load| load.waiting == 0) && attempt.quiet;
         if head.not_run || head.other_replica {
             return;
         }
@@ -57,15 +57,6 @@
         }
     }
 
-    /// Adds an answer that began after `took_ms` to its service's lag, if it is a stream's.
-    pub(super) fn learn_pace(&mut self, ticket: RequestTicket, took_ms: f64) {
-        let Some(request) = self.requests.get(&ticket) else { return };
-        if request.route.kind.is_stream() {
-            let lag = self.lags.entry(request.service.clone()).or_default();
-            lag.add(took_ms, request.route.target_ms);
-        }
-    }
-
     /// Adds the attempt's answer to its service's trial, if there is one, and with it what the replica left
     /// out before: it lives, so that was not for a crash.
     pub(super) fn tally(&mut self, ticket: RequestTicket, bad: bool, took_ms: f64) {
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -50,7 +50,7 @@
 use peers::PeerTable;
 use plan::{RoutePlan, RouteTable};
 use request::RouteRequest;
-use sizes::ServiceLag;
+use sizes::SizeLifts;
 use trial::VersionTrial;
 
 pub use dump::RouteDump;
@@ -104,7 +104,8 @@
     /// The same of marks.
     mark_at: BTreeMap<String, BoxTime>,
     budgets: HashMap<String, SendBudget>,
-    lags: HashMap<String, ServiceLag>,
+    /// How much surer larger models are, by service.
+    lifts: HashMap<String, SizeLifts>,
     /// Paces of the models, by service.
     paces: HashMap<String, ServicePace>,
     requests: HashMap<RequestTicket, RouteRequest>,
@@ -136,7 +137,7 @@
             verdict_at: BTreeMap::new(),
             mark_at: BTreeMap::new(),
             budgets: HashMap::new(),
-            lags: HashMap::new(),
+            lifts: HashMap::new(),
             paces: HashMap::new(),
             requests: HashMap::new(),
             lapse_at: None,
--- a/crates/core/src/route/pace.rs
+++ b/crates/core/src/route/pace.rs
@@ -92,8 +92,11 @@
         self.mean_ms
     }
 
+    /// The pace of a model; one that was not asked yet is taken for no faster than the one before it.
     fn model(&self, size: usize) -> ModelPace {
-        self.models.get(size).copied().unwrap_or_default()
+        let known = self.models.get(size).filter(|pace| pace.begin_ms.seen > 0.0);
+        let before = || self.models.iter().take(size).rfind(|pace| pace.begin_ms.seen > 0.0);
+        known.or_else(before).copied().unwrap_or_default()
     }
 
     /// Notes that a prompt that takes `work_ms` to read was sent.
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -13,7 +13,7 @@
 };
 use super::pace::ServicePace;
 use super::plan::{KeyHolder, RouteSpec};
-use super::sizes;
+use super::sizes::{self, SizeOpinion};
 use super::{RouteState, STOP_TAKE_MS};
 use crate::event::{EventStamp, RequestTicket};
 use crate::ids::ReplicaKey;
@@ -48,6 +48,9 @@
     pub(super) session: u64,
     /// Row of `route.sizes` that answers, where the router chooses.
     pub(super) size: Option<usize>,
+    /// What its model thought of the last answer that was dropped or kept.
+    pub(super) opinion: Option<SizeOpinion>,
+    pub(super) arrived: BoxTime,
     pub(super) deadline: BoxTime,
     pub(super) tried: Vec<ReplicaKey>,
     pub(super) sends: u32,
@@ -104,6 +107,8 @@
             body_bytes: ask.body_bytes,
             session: ask.session,
             size: if chooses { sizes::first_size(&route.sizes) } else { None },
+            opinion: None,
+            arrived: stamp.now,
             deadline: stamp.now.plus_millis(allowed),
             tried: Vec::new(),
             sends: 0,
@@ -183,7 +188,6 @@
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         request.may_have_run = true;
         let failed = head.status >= 500 || !head.proven;
-        self.learn_pace(ticket, took_ms);
         self.tally(ticket, failed, took_ms);
         let Some(request) = self.requests.get(&ticket) else { return };
         let (kind, relayed) = (request.route.kind, request.relayed);
@@ -219,12 +223,16 @@
     ) -> bool {
         let Some(request) = self.requests.get_mut(&ticket) else { return false };
         let Some(size) = request.size.filter(|_| !request.relayed) else { return false };
-        let lag = self.lags.get(&request.service).copied().unwrap_or_default();
-        let next = sizes::next_size(&request.route.sizes, size, head.confidence, lag);
-        let Some(next) = next else { return false };
-        request.size = Some(next);
-        // The replica did nothing wrong, and it holds the prompt's shared parts.
+        let Some(sure) = head.confidence else { return false };
+        // The replica did nothing wrong, and it may hold the prompt's shared parts.
         let tried = request.tried.pop();
+        let next = self.next_size(stamp, ticket, SizeOpinion { size, sure });
+        let Some(request) = self.requests.get_mut(&ticket) else { return false };
+        let Some(next) = next else {
+            request.tried.extend(tried);
+            return false;
+        };
+        request.size = Some(next);
         if self.go_elsewhere(stamp, ticket, SendCause::LargerModel, out) {
             return true;
         }
@@ -235,6 +243,29 @@
         false
     }
 
+    /// The model to ask next in place of an answer that its model thinks so of.
+    fn next_size(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        opinion: SizeOpinion,
+    ) -> Option<usize> {
+        let request = self.requests.get_mut(&ticket)?;
+        let lifts = self.lifts.entry(request.service.clone()).or_default();
+        if let Some(before) = request.opinion.replace(opinion) {
+            lifts.learn(before, opinion);
+        }
+        let request = self.requests.get(&ticket)?;
+        let lifts = self.lifts.get(&request.service)?;
+        let spent_ms = stamp.now.millis_since(request.arrived) as f64;
+        let target_ms = request.route.target_ms.max(1) as f64;
+        let part_of = |size: usize| {
+            let choice = self.choose(stamp, ticket, Some(size));
+            (spent_ms + choice.map_or(0.0, |choice| choice.pick.expected_ms)) / target_ms
+        };
+        sizes::next_size(request.route.sizes.len(), opinion, lifts, part_of)
+    }
+
     /// Goes elsewhere if there is where to go and the budget allows it; else the attempt goes on.
     pub(super) fn on_paused(
         &mut self,
@@ -339,7 +370,8 @@
     }
 }
 
-/// Tokens in the shared parts of a prompt whose size the caller doesn't tell.
+/// Tokens of a prompt whose size the caller doesn't tell: a short one, of which the pace learnt is a guess
+/// that serves others like it.
 const UNTOLD_TOKENS: u32 = 1_000;
 
 /// The size of a request's prompt, if it has one.
@@ -347,7 +379,12 @@
     if ask.prompt != PromptSize::default() {
         return Some(ask.prompt);
     }
-    (ask.affinity != 0).then_some(PromptSize { shared: UNTOLD_TOKENS, own: 0 })
+    let untold = if ask.affinity == 0 {
+        PromptSize { shared: 0, own: UNTOLD_TOKENS }
+    } else {
+        PromptSize { shared: UNTOLD_TOKENS, own: 0 }
+    };
+    (ask.affinity != 0 || ask.any_model).then_some(untold)
 }
 
 /// A service of the route, by the weights of its targets.
--- a/crates/core/src/route/sizes.rs
+++ b/crates/core/src/route/sizes.rs
@@ -1,43 +1,36 @@
-//! Which of a route's models answers: the smallest that can be trusted with it.
+//! Which of a route's models answers: the smallest that can be trusted with it, as far as time allows.
 //!
 //! A model's own opinion of its answer, 0 to 100, comes with the head. Where it is low, the answer is
-//! dropped before the caller has any of it, and a larger model is asked. Weighed in docs/POLICY.md
-//! against always the largest and always the smallest.
-
-/// An answer whose model is less sure than this is asked of a larger one while replicas are idle, 0 to
-/// 100. From the bench: docs/POLICY.md.
-pub const SURE_IDLE: f64 = 50.0;
-
-/// The same where replicas are busy: a larger model takes time that others wait for.
-pub const SURE_BUSY: f64 = 28.0;
+//! dropped before the caller has any of it, and a larger model is asked.
+//!
+//! The load pattern: a large model takes ten times a small one's time, and while replicas are down or a
+//! burst lasts, the second answers alone fill all of them. So what a larger model must be worth follows the
+//! time after which its answer would begin, on the replica where that is soonest: with a quarter of the
+//! target any unsure answer is asked again, and none that would be late for it. Where the largest is far off
+//! a model between is asked instead, if it is expected to be sure enough: how much surer each model is than
+//! the smaller ones is learnt from the answers themselves.
 
-/// Lag of a service up to which its replicas count as idle.
-pub const IDLE_LAG: f64 = 0.09;
+use serde::Serialize;
 
-/// Lag from which they count as busy.
-pub const BUSY_LAG: f64 = 0.19;
+/// A model that is less sure than this is more likely wrong than right: the middle of the scale on which
+/// models give their opinion.
+pub const NEUTRAL: f64 = 50.0;
 
-/// Weight of one answer in the lag.
-const LAG_WEIGHT: f64 = 0.03;
+/// Part of the target after which the largest model's answer may begin so that every unsure answer is
+/// asked of it. From a few deployments drawn at random and three sites: 0.12 gives up answers for time that
+/// nobody needs, 0.5 lets queues build up.
+pub const AT_ONCE: f64 = 0.25;
 
-/// How long a service's replicas take to begin their answers, as a share of the routes' targets: a
-/// mean that fades. Unlike a load, a box learns it from its own requests alone, however many boxes and
-/// replicas there are.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct ServiceLag(f64);
+/// How much surer a model is taken to be than a smaller one before it was asked.
+const FIRST_LIFT: f64 = 25.0;
 
-impl ServiceLag {
-    /// Adds an answer that began after `took_ms`.
-    pub fn add(&mut self, took_ms: f64, target_ms: u64) {
-        let share = (took_ms / target_ms.max(1) as f64).min(2.0);
-        self.0 += (share - self.0) * LAG_WEIGHT;
-    }
+/// Weight of one answer in a lift.
+const LIFT_WEIGHT: f64 = 0.05;
 
-    /// How sure a model must be for its answer to be kept.
-    pub fn sure_enough(self) -> f64 {
-        let busy = ((self.0 - IDLE_LAG) / (BUSY_LAG - IDLE_LAG)).clamp(0.0, 1.0);
-        SURE_IDLE + (SURE_BUSY - SURE_IDLE) * busy
-    }
+/// How sure an answer must be to be kept where the largest model's would begin after this part of the
+/// target.
+pub fn sure_enough(part: f64) -> f64 {
+    NEUTRAL * ((1.0 - part) / (1.0 - AT_ONCE)).clamp(0.0, 1.0)
 }
 
 /// The model to begin with.
@@ -45,14 +38,56 @@
     (!sizes.is_empty()).then_some(0)
 }
 
-/// The model to go on with after `size` answered with `confidence`, `None` to keep the answer.
+/// An opinion of the model in row `size` of its own answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SizeOpinion {
+    /// Row among the route's models.
+    pub size: usize,
+    /// How sure it is, 0 to 100.
+    pub sure: u8,
+}
+
+/// How much surer each model is than the smallest of its answers to the same requests.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct SizeLifts(Vec<f64>);
+
+impl SizeLifts {
+    /// Learns from two opinions of answers to one request. Opinions at the ends of the scale are cut off
+    /// there and say nothing of the distance.
+    pub fn learn(&mut self, smaller: SizeOpinion, larger: SizeOpinion) {
+        let cut = |opinion: SizeOpinion| opinion.sure == 0 || opinion.sure >= 100;
+        if smaller.size >= larger.size || cut(smaller) || cut(larger) {
+            return;
+        }
+        if self.0.len() <= larger.size {
+            self.0.resize(larger.size + 1, FIRST_LIFT);
+        }
+        let lift = &mut self.0[larger.size];
+        *lift += (f64::from(larger.sure) - f64::from(smaller.sure) - *lift) * LIFT_WEIGHT;
+    }
+
+    /// How sure the model in row `size` is expected to be, of 100, where a smaller one was `sure`.
+    pub fn expected(&self, size: usize, sure: u8) -> f64 {
+        f64::from(sure) + self.0.get(size).copied().unwrap_or(FIRST_LIFT)
+    }
+}
+
+/// The model to go on with of `count`, `None` to keep the answer. `part_of` gives the part of the target
+/// after which an answer of a model would begin.
 pub fn next_size(
-    sizes: &[String],
-    size: usize,
-    confidence: Option<u8>,
-    lag: ServiceLag,
+    count: usize,
+    opinion: SizeOpinion,
+    lifts: &SizeLifts,
+    part_of: impl Fn(usize) -> f64,
 ) -> Option<usize> {
-    let sure = confidence.is_none_or(|sure| f64::from(sure) >= lag.sure_enough());
-    let last = sizes.len().checked_sub(1)?;
-    (!sure && size < last).then_some(last)
+    let last = count.checked_sub(1).filter(|last| opinion.size < *last)?;
+    let sure = f64::from(opinion.sure);
+    if sure >= NEUTRAL {
+        return None;
+    }
+    let part = part_of(last);
+    let does = |size: &usize| lifts.expected(*size, opinion.sure) >= NEUTRAL;
+    let between = (opinion.size + 1..last).find(does).filter(|_| part > AT_ONCE);
+    let between = between.filter(|size| sure < sure_enough(part_of(*size)));
+    between.or_else(|| (sure < sure_enough(part)).then_some(last))
 }
--- a/crates/core/tests/route/models.rs
+++ b/crates/core/tests/route/models.rs
@@ -2,7 +2,11 @@
 
 use ravenspoke_core::event::RequestTicket;
 use ravenspoke_core::route::event::{
-    AnswerHead, AttemptFailure, RouteAsk, RouteEffect, RouteEvent,
+    AnswerHead, AttemptFailure, PromptSize, RouteAsk, RouteEffect, RouteEvent,
+};
+
+use ravenspoke_core::route::sizes::{
+    next_size, sure_enough, SizeLifts, SizeOpinion, AT_ONCE, NEUTRAL,
 };
 
 use crate::fixture::{ask, entry, head, new_box, order_in, plan, TestBox};
@@ -54,3 +58,80 @@
     let effects = subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken));
     assert_eq!(order_in(&effects).expect("a last attempt").model.as_deref(), Some("large"));
 }
+
+/// By then the large model's answer has begun in these tests.
+const LARGE_MODEL_MS: u64 = 180;
+
+/// Arrivals whose small model is unsure, one every `gap_ms` for a while, each with a long prompt of its own:
+/// how many of them were asked of the large model, and what came last.
+fn asked_again_in_a_burst(gap_ms: u64) -> (usize, usize) {
+    let mut subject = box_with_models(3);
+    let (mut asked, count) = (0, 40);
+    for number in 0..count {
+        let prompt = PromptSize { shared: 0, own: 6_000 };
+        let ask = RouteAsk { any_model: true, prompt, affinity: 100 + number, ..ask("/chat/x") };
+        let (ticket, _) = subject.sent(ask);
+        let unsure = AnswerHead { confidence: Some(3), ..head(200) };
+        let effects = subject.feed(RouteEvent::HeadCame(ticket, unsure));
+        asked += usize::from(order_in(&effects).is_some());
+        subject.now += gap_ms.min(LARGE_MODEL_MS);
+        if gap_ms > LARGE_MODEL_MS {
+            let sure = AnswerHead { confidence: Some(90), ..head(200) };
+            subject.feed(RouteEvent::HeadCame(ticket, sure));
+            subject.feed(RouteEvent::Finished(ticket));
+            subject.now += gap_ms - LARGE_MODEL_MS;
+        }
+        subject.read_plan(None);
+    }
+    (asked, count as usize)
+}
+
+#[test]
+fn in_a_burst_of_unsure_answers_only_those_are_asked_again_that_begin_within_the_target() {
+    let (asked, count) = asked_again_in_a_burst(10);
+    // Three replicas begin 23 of 180 ms each within the target of 1,000 ms and the 400 ms of the burst.
+    assert!((15..30).contains(&asked), "{asked} of {count}");
+    let (asked, count) = asked_again_in_a_burst(700);
+    assert_eq!(asked, count, "with time enough all are");
+}
+
+#[test]
+fn how_sure_an_answer_must_be_follows_the_time_of_the_larger_models() {
+    assert_eq!(sure_enough(0.0), NEUTRAL);
+    assert_eq!(sure_enough(AT_ONCE), NEUTRAL);
+    assert!((0.0..NEUTRAL).contains(&sure_enough(0.6)));
+    assert_eq!(sure_enough(1.0), 0.0);
+    assert_eq!(sure_enough(7.0), 0.0);
+}
+
+fn opinion(size: usize, sure: u8) -> SizeOpinion {
+    SizeOpinion { size, sure }
+}
+
+#[test]
+fn a_middle_model_is_asked_where_the_largest_is_far_off_and_it_is_expected_to_do() {
+    let mut lifts = SizeLifts::default();
+    for _ in 0..200 {
+        lifts.learn(opinion(0, 30), opinion(1, 45));
+    }
+    let next = |sure, part: f64| next_size(3, opinion(0, sure), &lifts, |_| part);
+    assert_eq!(next(45, 0.6), None, "the answer does well enough for that time");
+    let far = |sure| next_size(3, opinion(0, sure), &lifts, |size| [0.0, 0.2, 0.9][size]);
+    assert_eq!(far(45), Some(1));
+    assert_eq!(far(20), None, "the middle one would not do, and the largest would be late");
+    assert_eq!(next(45, 0.1), Some(2));
+    assert_eq!(next(51, 0.1), None);
+    assert_eq!(next_size(3, opinion(2, 3), &lifts, |_| 0.0), None, "there is none larger");
+}
+
+#[test]
+fn opinions_at_the_ends_of_the_scale_teach_nothing() {
+    let mut lifts = SizeLifts::default();
+    let before = lifts.expected(1, 10);
+    for _ in 0..100 {
+        lifts.learn(opinion(0, 0), opinion(1, 90));
+        lifts.learn(opinion(0, 40), opinion(1, 100));
+        lifts.learn(opinion(1, 40), opinion(1, 10));
+    }
+    assert_eq!(lifts.expected(1, 10), before);
+}
