--- a/crates/core/src/route/backlog.rs
+++ b/crates/core/src/route/backlog.rs
@@ -12,20 +12,6 @@
 
 use crate::time::BoxTime;
 
-/// Weight of one answer in a replica's slowness: five answers settle it.
-const SLOW_WEIGHT: f64 = 0.2;
-
-/// Half-life of a replica's slowness, in milliseconds: the longest time for which one that fails is passed
-/// over, so that one that was slow is tried again as soon.
-const SLOW_HALF_LIFE_MS: f64 = super::deeds::PASS_OVER_LIMIT_MS as f64;
-
-/// Least and largest observed time over the expected one that counts: an estimate that is off by more
-/// says that the estimate is wrong, not the replica.
-const SLOW_BOUNDS: (f64, f64) = (0.5, 8.0);
-
-/// Time below which an answer says nothing of a replica's slowness, in milliseconds: network and step.
-const SLOW_FROM_MS: f64 = 50.0;
-
 /// A request of this box that has not begun to be answered.
 #[derive(Clone, Copy, Debug, Serialize)]
 struct PendingWork {
@@ -35,27 +21,12 @@
 }
 
 /// Work that waits at one replica.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Default, Serialize)]
 pub struct ReplicaBacklog {
     /// Work that waited at `at`, in milliseconds of the replica's time.
     queued_ms: f64,
     at: BoxTime,
     pending: Vec<PendingWork>,
-    /// Observed times over expected ones, faded to 1 since `slow_at`.
-    slow: f64,
-    slow_at: BoxTime,
-}
-
-impl Default for ReplicaBacklog {
-    fn default() -> Self {
-        Self {
-            queued_ms: 0.0,
-            at: BoxTime::default(),
-            pending: Vec::new(),
-            slow: 1.0,
-            slow_at: BoxTime::default(),
-        }
-    }
 }
 
 impl ReplicaBacklog {
@@ -65,12 +36,6 @@
         drained.max(self.own_ms()) + self.overdue_ms(now)
     }
 
-    /// How many times longer than expected this replica takes.
-    pub fn slowness(&self, now: BoxTime) -> f64 {
-        let age = now.millis_since(self.slow_at) as f64;
-        1.0 + (self.slow - 1.0) * 0.5_f64.powf(age / SLOW_HALF_LIFE_MS)
-    }
-
     /// Work of this box's requests that have not begun, in milliseconds.
     fn own_ms(&self) -> f64 {
         self.pending.iter().map(|pending| pending.work_ms).sum()
@@ -97,30 +62,13 @@
         self.at = now;
     }
 
-    /// Notes that a request sent at `sent_at` began to be answered now, which tells how slow the replica is.
-    pub fn began(&mut self, sent_at: BoxTime, now: BoxTime) {
-        let Some(pending) = self.take_pending(sent_at) else { return };
-        let took_ms = now.millis_since(sent_at) as f64;
-        // What was expected holds the slowness known then.
-        let expected_ms = pending.expected_ms / self.slowness(sent_at).max(SLOW_BOUNDS.0);
-        if took_ms.max(expected_ms) >= SLOW_FROM_MS {
-            let ratio = took_ms / expected_ms.max(1.0);
-            let known = self.slowness(now);
-            self.slow = known + (ratio.clamp(SLOW_BOUNDS.0, SLOW_BOUNDS.1) - known) * SLOW_WEIGHT;
-            self.slow_at = now;
+    /// Notes that a request sent at `sent_at` began to be answered, or is no longer at the replica.
+    pub fn left(&mut self, sent_at: BoxTime) {
+        if let Some(row) = self.pending.iter().position(|pending| pending.sent_at == sent_at) {
+            self.pending.swap_remove(row);
         }
     }
 
-    /// Notes that a request sent at `sent_at` is no longer at the replica.
-    pub fn ended(&mut self, sent_at: BoxTime) {
-        self.take_pending(sent_at);
-    }
-
-    fn take_pending(&mut self, sent_at: BoxTime) -> Option<PendingWork> {
-        let row = self.pending.iter().position(|pending| pending.sent_at == sent_at)?;
-        Some(self.pending.swap_remove(row))
-    }
-
     /// Takes the replica's word as of `at` that `waiting` requests wait there; one of another box has
     /// `mean_ms` of work.
     pub fn reported(&mut self, waiting: u32, mean_ms: f64, at: BoxTime) {
--- a/crates/core/src/route/learn.rs
+++ b/crates/core/src/route/learn.rs
@@ -33,8 +33,7 @@
         }
     }
 
-    /// Learns from the head of an answer how slow its replica is and, where nothing else waited, how fast
-    /// its model reads.
+    /// Learns from the head of an answer, where nothing else waited, how fast its model reads.
     pub(super) fn learn_placement(
         &mut self,
         stamp: EventStamp,
@@ -47,7 +46,7 @@
         if head.not_run || head.other_replica {
             return;
         }
-        self.backends.begun(attempt.replica, attempt.began, stamp.now);
+        self.backends.left(attempt.replica, attempt.began);
         if quiet && head.status < 300 {
             let shared = if attempt.held { 0 } else { prompt.shared };
             let tokens = f64::from(prompt.own) + f64::from(shared);
--- a/crates/core/src/route/loads.rs
+++ b/crates/core/src/route/loads.rs
@@ -57,7 +57,7 @@
         let cold = if self.cold_until > now { COLD_WEIGHT } else { 1.0 };
         ReplicaView {
             wait_ms: self.backlog.wait_ms(now),
-            slowness: self.backlog.slowness(now) * cold,
+            slowness: cold,
             load: self.load(now),
             ..ReplicaView::default()
         }
@@ -126,17 +126,10 @@
         row.backlog.told(f64::from(told.work_ms), now);
     }
 
-    /// Notes that a replica began to answer what was sent to it at `sent_at`.
-    pub(super) fn begun(&mut self, key: ReplicaKey, sent_at: BoxTime, now: BoxTime) {
-        if let Some(row) = self.rows.get_mut(key) {
-            row.backlog.began(sent_at, now);
-        }
-    }
-
-    /// Notes that what was sent to a replica at `sent_at` is no longer there.
+    /// Notes that what was sent to a replica at `sent_at` has begun to be answered, or is no longer there.
     pub(super) fn left(&mut self, key: ReplicaKey, sent_at: BoxTime) {
         if let Some(row) = self.rows.get_mut(key) {
-            row.backlog.ended(sent_at);
+            row.backlog.left(sent_at);
         }
     }
 
--- a/crates/core/src/route/placement.rs
+++ b/crates/core/src/route/placement.rs
@@ -69,7 +69,7 @@
 pub struct ReplicaView {
     /// Work that waits there, in milliseconds.
     pub wait_ms: f64,
-    /// How many times longer than expected it takes.
+    /// How many times longer than others it takes, since it has just started.
     pub slowness: f64,
     /// Its load as a share of its slots: prompts are read between the tokens of what runs.
     pub load: f64,
--- a/crates/core/tests/route/placement.rs
+++ b/crates/core/tests/route/placement.rs
@@ -215,7 +215,7 @@
     backlog.sent(200.0, 600.0, at(1_100));
     assert_eq!(backlog.wait_ms(at(1_600)), 200.0, "its own request has not begun");
     assert_eq!(backlog.wait_ms(at(1_900)), 400.0, "and is overdue");
-    backlog.began(at(1_100), at(1_900));
+    backlog.left(at(1_100));
     assert_eq!(backlog.wait_ms(at(1_900)), 0.0);
 }
 
@@ -230,20 +230,6 @@
     assert_eq!(backlog.wait_ms(at(1_300)), 300.0);
 }
 
-#[test]
-fn a_replica_that_takes_longer_than_expected_is_slow_for_a_while() {
-    let at = BoxTime::from_millis;
-    let mut backlog = ReplicaBacklog::default();
-    for round in 0..20 {
-        let sent_at = at(1_000 + round * 1_000);
-        backlog.sent(100.0, 100.0 * backlog.slowness(sent_at), sent_at);
-        backlog.began(sent_at, sent_at.plus_millis(500));
-    }
-    let known = backlog.slowness(at(20_500));
-    assert!((3.0..5.0).contains(&known), "{known}");
-    assert!(backlog.slowness(at(60_000)) < 1.1);
-}
-
 #[test]
 fn the_pace_of_each_model_is_learnt_whatever_a_few_answers_say() {
     let mut pace = ServicePace::default();
