--- a/crates/bench/examples/bench-policy.rs
+++ b/crates/bench/examples/bench-policy.rs
@@ -8,12 +8,38 @@
 use ravenspoke_bench::plan::{scenarios, BadKind, ScenarioPlan};
 use ravenspoke_bench::plot::{draw_svg, PlotPanel, PlotPoint};
 use ravenspoke_bench::policy::BenchPolicy;
-use ravenspoke_bench::scenario::{run, RunMeasures};
+use ravenspoke_bench::prompts::{self, PromptPolicy, PromptTrouble};
+use ravenspoke_bench::scenario::{self, RunMeasures};
 use serde_json::json;
 
 /// Median over the seeds, by scenario, policy and measure.
 type Medians = BTreeMap<(String, String, &'static str), f64>;
 
+/// Shares of the time for which prompts would keep all engines busy, without trouble.
+const PROMPT_LOADS: [(&str, f64); 2] = [("half", 0.5), ("full", 0.9)];
+
+/// What a row plays.
+enum BenchPlay {
+    Calls(Box<ScenarioPlan>, BenchPolicy),
+    Prompts(PromptTrouble, PromptPolicy, f64),
+}
+
+impl BenchPlay {
+    fn run(&self, seed: u64) -> RunMeasures {
+        match self {
+            Self::Calls(plan, policy) => scenario::run(**plan, *policy, seed),
+            Self::Prompts(trouble, policy, load) => prompts::run(*trouble, *policy, *load, seed),
+        }
+    }
+}
+
+/// A scenario under a policy.
+struct BenchRow {
+    scenario: String,
+    policy: String,
+    play: BenchPlay,
+}
+
 struct Options {
     seeds: u64,
     only: Option<String>,
@@ -44,8 +70,33 @@
     }
 }
 
-/// Every run: scenario, policy, and the policy's name in results.
-fn runs(only: Option<&str>) -> Vec<(String, ScenarioPlan, BenchPolicy, String)> {
+/// Every row.
+fn runs(only: Option<&str>) -> Vec<BenchRow> {
+    let mut rows = call_rows();
+    rows.extend(prompt_rows());
+    rows.retain(|row| only.is_none_or(|only| row.scenario.contains(only)));
+    rows
+}
+
+/// Long prompts on deployments drawn at random, by the reducer of routing boxes.
+fn prompt_rows() -> Vec<BenchRow> {
+    let mut rows = Vec::new();
+    for (load_name, load) in PROMPT_LOADS {
+        for (trouble_name, trouble) in PromptTrouble::ALL {
+            for (policy_name, policy) in PromptPolicy::ALL {
+                rows.push(BenchRow {
+                    scenario: format!("prompts_{load_name}/{trouble_name}"),
+                    policy: policy_name.to_owned(),
+                    play: BenchPlay::Prompts(trouble, policy, load),
+                });
+            }
+        }
+    }
+    rows
+}
+
+/// Calls by signed bundles, by the reducer of boxes with a log.
+fn call_rows() -> Vec<BenchRow> {
     let mut rows = Vec::new();
     for (deployment, coteau) in [("coteau", true), ("agency", false)] {
         for plan in scenarios(coteau) {
@@ -69,11 +120,11 @@
                     BenchPolicy::Ravenspoke(boxes) => boxes,
                     BenchPolicy::Baseline(_) => plan.boxes,
                 };
-                rows.push((name.clone(), ScenarioPlan { boxes, ..plan }, policy, label));
+                let play = BenchPlay::Calls(Box::new(ScenarioPlan { boxes, ..plan }), policy);
+                rows.push(BenchRow { scenario: name.clone(), policy: label, play });
             }
         }
     }
-    rows.retain(|(name, ..)| only.is_none_or(|only| name.contains(only)));
     rows
 }
 
@@ -96,7 +147,7 @@
     }
 }
 
-fn run_all(rows: &[(String, ScenarioPlan, BenchPolicy, String)], seeds: u64) -> Medians {
+fn run_all(rows: &[BenchRow], seeds: u64) -> Medians {
     let tasks: Vec<(usize, u64)> =
         (0..rows.len()).flat_map(|row| (1..=seeds).map(move |seed| (row, seed))).collect();
     let next = std::sync::atomic::AtomicUsize::new(0);
@@ -109,7 +160,7 @@
             scope.spawn(move || loop {
                 let task = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
                 let Some((row, seed)) = tasks.get(task) else { return };
-                let measures = run(rows[*row].1, rows[*row].2, *seed);
+                let measures = rows[*row].play.run(*seed);
                 if sender.send((*row, *seed, measures)).is_err() {
                     return;
                 }
@@ -122,13 +173,10 @@
     })
 }
 
-fn medians(
-    rows: &[(String, ScenarioPlan, BenchPolicy, String)],
-    results: &[(usize, u64, RunMeasures)],
-) -> Medians {
+fn medians(rows: &[BenchRow], results: &[(usize, u64, RunMeasures)]) -> Medians {
     let mut values = BTreeMap::<(String, String, &'static str), Vec<f64>>::new();
     for (row, seed, measures) in results {
-        let (scenario, _, _, policy) = &rows[*row];
+        let BenchRow { scenario, policy, .. } = &rows[*row];
         for (measure, value) in &measures.0 {
             println!(
                 "{}",
@@ -145,7 +193,7 @@
     values.into_iter().map(|(key, values)| (key, median(values))).collect()
 }
 
-const COLUMNS: [&str; 11] = [
+const COLUMNS: [&str; 15] = [
     "cost_per_request",
     "quality_met",
     "ttft_p50",
@@ -157,14 +205,18 @@
     "late",
     "attempts_per_request",
     "prefix_hit",
+    "worth",
+    "poor",
+    "lost",
+    "crossed_kb",
 ];
 
-fn print_table(rows: &[(String, ScenarioPlan, BenchPolicy, String)], medians: &Medians) {
+fn print_table(rows: &[BenchRow], medians: &Medians) {
     eprintln!(
-        "{:<32}{:<22}cost   quality  p50    p95    p99    itl95  exposed refused late  attempts prefix",
+        "{:<32}{:<22}cost   quality  p50    p95    p99    itl95  exposed refused late  attempts prefix  worth  poor   lost   crossed",
         "scenario", "policy"
     );
-    for (scenario, _, _, policy) in rows {
+    for BenchRow { scenario, policy, .. } in rows {
         let cell = |measure| medians.get(&(scenario.clone(), policy.clone(), measure));
         let cells: Vec<String> = COLUMNS
             .iter()
@@ -191,14 +243,12 @@
     }
 }
 
-fn panels(
-    rows: &[(String, ScenarioPlan, BenchPolicy, String)],
-    medians: &Medians,
-) -> Vec<PlotPanel> {
+fn panels(rows: &[BenchRow], medians: &Medians) -> Vec<PlotPanel> {
     let panel = |scenario: &str, title: &str, x: &'static str, y: &'static str| {
-        let points = rows.iter().filter(|(name, ..)| name == scenario).filter_map(|row| {
-            let value = |m| medians.get(&(row.0.clone(), row.3.clone(), m)).copied();
-            Some(PlotPoint { label: row.3.clone(), x: value(x)?, y: value(y)? })
+        let points = rows.iter().filter(|row| row.scenario == scenario).filter_map(|row| {
+            let key = |m| (row.scenario.clone(), row.policy.clone(), m);
+            let value = |m| medians.get(&key(m)).copied();
+            Some(PlotPoint { label: row.policy.clone(), x: value(x)?, y: value(y)? })
         });
         PlotPanel { title: title.to_owned(), x_name: x, y_name: y, points: points.collect() }
     };
@@ -207,5 +257,7 @@
         panel("coteau/shift_start", "Coteau, shift start", "refused", "ttft_p99"),
         panel("agency/steady", "Agency, steady", "cost_per_request", "quality_met"),
         panel("agency/tender_deadline", "Agency, tender deadline", "refused", "ttft_p99"),
+        panel("prompts_full/dear_burst", "Prompts, dear burst", "late", "worth"),
+        panel("prompts_full/engines_down", "Prompts, engines down", "late", "worth"),
     ]
 }
--- /dev/null
+++ b/crates/bench/src/prompt_router.rs
@@ -0,0 +1,343 @@
+//! Who routes prompts in the bench: the boxes' reducer, least reported load, or an oracle.
+
+use std::collections::HashMap;
+
+use ravenspoke_core::event::{EventStamp, RequestTicket};
+use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
+use ravenspoke_core::route::budget::BudgetBounds;
+use ravenspoke_core::route::event::{
+    AnswerHead, AttemptFailure, PromptSize, RouteAsk, RouteEffect, RouteEvent,
+};
+use ravenspoke_core::route::fresh::FreshBounds;
+use ravenspoke_core::route::loads::BackendLoad;
+use ravenspoke_core::route::plan::{RouteKind, RoutePlan, RouteSpec, RouteTarget};
+use ravenspoke_core::route::{RouteSettings, RouteState};
+use ravenspoke_core::time::{BoxTime, WallTime};
+
+use crate::prompt_engine::{EngineState, PromptJob};
+use crate::prompts::{PromptPolicy, PromptRequest, PromptSite};
+
+/// Slots that engines tell: far more than prompts that run at once here.
+const SLOTS: u32 = 64;
+
+/// Sends of one request, at most.
+const ATTEMPTS: u32 = 3;
+
+/// Answers of which a model is less sure are asked of the largest by the baseline, of 100.
+const BASELINE_SURE: u8 = 50;
+
+const SERVICE: &str = "pool";
+const HOST: &str = "api.example";
+
+/// What there is when a router decides.
+#[derive(Clone, Copy, Debug)]
+pub struct PromptScene<'a> {
+    /// The deployment.
+    pub site: &'a PromptSite,
+    /// Its engines, which only the oracle sees.
+    pub engines: &'a [EngineState],
+    /// All requests.
+    pub requests: &'a [PromptRequest],
+    /// The time, in microseconds.
+    pub now_us: u64,
+}
+
+/// What a router does with a request next.
+#[derive(Clone, Copy, Debug)]
+pub enum RouterStep {
+    /// Sends it to an engine.
+    Send {
+        /// Row of the engine.
+        engine: usize,
+        /// Row of the model.
+        model: usize,
+        /// Urgency there.
+        urgency: u8,
+        /// Ask again after this time without an answer, in microseconds.
+        patience_us: Option<u64>,
+    },
+    /// Passes the answer on.
+    Relay,
+    /// Waits for the answer under way.
+    Wait,
+    /// Gives up.
+    Refuse,
+}
+
+/// A head that came: the engine, whether it is good, the model's opinion, waiting and running requests.
+pub type ComeHead = (usize, bool, u8, u32, u32);
+
+/// What a baseline remembers of a request.
+#[derive(Clone, Copy, Debug, Default)]
+struct BaselineRow {
+    model: usize,
+    sends: u32,
+}
+
+/// A router.
+pub struct PromptRouter {
+    policy: PromptPolicy,
+    boxes: Vec<RouteState>,
+    rows: HashMap<usize, BaselineRow>,
+    /// Last reports by engine.
+    reported: Vec<u32>,
+    dice: u64,
+}
+
+impl PromptRouter {
+    /// A router for a site whose replicas are all known.
+    pub fn new(policy: PromptPolicy, site: &PromptSite) -> Self {
+        let boxes = match policy {
+            PromptPolicy::Ravenspoke => {
+                (0..site.boxes.len()).map(|row| new_box(site, row)).collect()
+            }
+            _ => Vec::new(),
+        };
+        let reported = vec![0; site.engines.len()];
+        Self { policy, boxes, rows: HashMap::new(), reported, dice: 1 }
+    }
+
+    /// A request arrives.
+    pub fn arrive(&mut self, row: usize, scene: &PromptScene) -> RouterStep {
+        let request = &scene.requests[row];
+        if self.policy == PromptPolicy::Ravenspoke {
+            let ask = RouteAsk {
+                id: row.to_string(),
+                host: HOST.to_owned(),
+                path: format!("/{}/x", request.class),
+                affinity: request.subject,
+                prompt: PromptSize {
+                    shared: request.tokens.0 as u32,
+                    own: request.tokens.1 as u32,
+                },
+                body_bytes: (request.tokens.0 + request.tokens.1) as usize,
+                any_model: true,
+                ..RouteAsk::default()
+            };
+            let event = RouteEvent::Arrived(RequestTicket(row as u64), ask);
+            return self.feed(request.asked_box, row, event, scene.now_us);
+        }
+        let site = scene.site;
+        let able = |model: &usize| request.difficulty <= site.models[*model].1;
+        let model = match self.policy {
+            PromptPolicy::Oracle => (0..site.models.len()).find(able).unwrap_or(0),
+            _ => 0,
+        };
+        self.send(row, model, scene)
+    }
+
+    /// The head of an answer came.
+    pub fn head(
+        &mut self,
+        row: usize,
+        (engine, good, opinion, waiting, running): ComeHead,
+        scene: &PromptScene,
+    ) -> RouterStep {
+        let request = &scene.requests[row];
+        self.reported[engine] = waiting + running;
+        if self.policy == PromptPolicy::Ravenspoke {
+            let head = AnswerHead {
+                status: if good { 200 } else { 500 },
+                load: Some(BackendLoad { running, waiting, slots: SLOTS }),
+                confidence: good.then_some(opinion),
+                not_run: false,
+                other_replica: false,
+                proven: true,
+            };
+            let event = RouteEvent::HeadCame(RequestTicket(row as u64), head);
+            return self.feed(request.asked_box, row, event, scene.now_us);
+        }
+        let known = self.rows.get(&row).copied().unwrap_or_default();
+        if known.sends >= ATTEMPTS {
+            return if good { RouterStep::Relay } else { RouterStep::Refuse };
+        }
+        let last = scene.site.models.len() - 1;
+        let unsure = self.policy == PromptPolicy::LeastReportedLoad && opinion < BASELINE_SURE;
+        match (good, unsure && known.model < last) {
+            (false, _) => self.send(row, known.model, scene),
+            (true, true) => self.send(row, last, scene),
+            (true, false) => RouterStep::Relay,
+        }
+    }
+
+    /// A connection broke, or none came about.
+    pub fn broken(
+        &mut self,
+        row: usize,
+        (engine, sent): (usize, bool),
+        scene: &PromptScene,
+    ) -> RouterStep {
+        let request = &scene.requests[row];
+        if self.policy == PromptPolicy::Ravenspoke {
+            let failure = if sent { AttemptFailure::Broken } else { AttemptFailure::NeverSent };
+            let event = RouteEvent::AttemptFailed(RequestTicket(row as u64), failure);
+            return self.feed(request.asked_box, row, event, scene.now_us);
+        }
+        // It looks full until it answers again.
+        self.reported[engine] += SLOTS;
+        let known = self.rows.get(&row).copied().unwrap_or_default();
+        if known.sends >= ATTEMPTS {
+            return RouterStep::Refuse;
+        }
+        self.send(row, known.model, scene)
+    }
+
+    /// Nothing came for as long as the order said.
+    pub fn paused(&mut self, row: usize, asked_box: usize, now_us: u64) -> RouterStep {
+        match self.policy {
+            PromptPolicy::Ravenspoke => {
+                let event = RouteEvent::Paused(RequestTicket(row as u64));
+                self.feed(asked_box, row, event, now_us)
+            }
+            _ => RouterStep::Wait,
+        }
+    }
+
+    /// An answer is whole.
+    pub fn finished(&mut self, row: usize, asked_box: usize, now_us: u64) {
+        if self.policy == PromptPolicy::Ravenspoke {
+            let event = RouteEvent::Finished(RequestTicket(row as u64));
+            self.feed(asked_box, row, event, now_us);
+        }
+    }
+
+    /// Time passes for all boxes, which read that their plan stands.
+    pub fn tick(&mut self, now_us: u64) {
+        for number in 0..self.boxes.len() {
+            let asked_at = BoxTime::from_micros(now_us);
+            let event = RouteEvent::PlanRead { asked_at, read_to: 1, plan: None };
+            self.feed(number, usize::MAX, event, now_us);
+            self.feed(number, usize::MAX, RouteEvent::Tick, now_us);
+        }
+    }
+
+    /// Feeds a box, hands on what it tells others, and gives what is to be done with request `row`.
+    fn feed(&mut self, number: usize, row: usize, event: RouteEvent, now_us: u64) -> RouterStep {
+        self.dice = self.dice.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        let stamp = EventStamp {
+            now: BoxTime::from_micros(now_us),
+            wall: WallTime(0),
+            dice: self.dice ^ (self.dice >> 29),
+        };
+        let mut step = RouterStep::Wait;
+        for effect in self.boxes[number].apply(stamp, event) {
+            match effect {
+                RouteEffect::Send(ticket, order) if ticket.0 == row as u64 => {
+                    let model = order.model.as_deref().and_then(|model| model.parse().ok());
+                    step = RouterStep::Send {
+                        engine: order.replica_id.parse().expect("replicas are named by row"),
+                        model: model.unwrap_or(0),
+                        urgency: order.urgency.unwrap_or(5),
+                        patience_us: Some(order.head_ms * 1_000),
+                    };
+                }
+                RouteEffect::Relay(_) => step = RouterStep::Relay,
+                RouteEffect::Refuse(..) | RouteEffect::BreakOff(..) => step = RouterStep::Refuse,
+                RouteEffect::SendNotes(to, note) => {
+                    for target in self.heard_by(&to) {
+                        let event = RouteEvent::PeerHeard((*note).clone());
+                        drop(self.boxes[target].apply(stamp, event));
+                    }
+                }
+                RouteEffect::TellPlacement(to, told) => {
+                    for target in self.heard_by(&to) {
+                        drop(self.boxes[target].apply(stamp, RouteEvent::PlacementHeard(told)));
+                    }
+                }
+                _ => {}
+            }
+        }
+        step
+    }
+
+    fn heard_by(&self, addresses: &[String]) -> Vec<usize> {
+        let count = self.boxes.len();
+        let row = |address: &String| address.strip_suffix(":90")?.parse().ok();
+        addresses.iter().filter_map(row).filter(|row| *row < count).collect()
+    }
+
+    /// Sends by a baseline.
+    fn send(&mut self, row: usize, model: usize, scene: &PromptScene) -> RouterStep {
+        let (request, site, engines) = (&scene.requests[row], scene.site, scene.engines);
+        let known = self.rows.entry(row).or_default();
+        known.model = model;
+        known.sends += 1;
+        let job = PromptJob {
+            request: row,
+            attempt: 0,
+            model,
+            urgency: 5,
+            subject: request.subject * 8 + model as u64,
+            tokens: request.tokens,
+            token_us: site.token_us * site.models[model].0,
+        };
+        let cost = |engine: &usize| match self.policy {
+            PromptPolicy::Oracle if !engines[*engine].up => f64::INFINITY,
+            PromptPolicy::Oracle => {
+                let state = &engines[*engine];
+                state.queued_us() + 2.0 * state.work_us(&job) + state.grey * 1e7
+            }
+            _ => f64::from(self.reported[*engine]),
+        };
+        let shift = row % engines.len();
+        let rows = (0..engines.len()).map(|engine| (engine + shift) % engines.len());
+        let engine = rows.min_by(|a, b| cost(a).total_cmp(&cost(b))).unwrap_or(0);
+        // What was sent since the last report counts as in the boxes' own estimate.
+        self.reported[engine] += 1;
+        RouterStep::Send { engine, model, urgency: 5, patience_us: None }
+    }
+}
+
+fn new_box(site: &PromptSite, row: usize) -> RouteState {
+    let mut state = RouteState::new(RouteSettings {
+        name: row.to_string(),
+        zone: format!("zone-{}", site.boxes[row]),
+        incarnation: 1 + row as u64,
+        entry_address: format!("{row}:80"),
+        note_address: format!("{row}:90"),
+        fresh: FreshBounds { revoke_ms: None, apply_ms: 2_000 },
+        budget: BudgetBounds { ratio: 0.9, slack: 60.0, window_ms: 10_000 },
+    });
+    let now = BoxTime::default();
+    let stamp = EventStamp { now, wall: WallTime(0), dice: row as u64 };
+    let plan = Some(plan(site));
+    drop(state.apply(stamp, RouteEvent::PlanRead { asked_at: now, read_to: 1, plan }));
+    let change = |(number, zone): (usize, &usize)| BackendChange {
+        id: number.to_string(),
+        at: 1 + number as u64,
+        entry: Some(BackendEntry {
+            id: number.to_string(),
+            address: format!("{number}:70"),
+            service: SERVICE.to_owned(),
+            zone: format!("zone-{zone}"),
+            version: "v1".to_owned(),
+            slots: SLOTS,
+            leaving: false,
+            cold_ms: 0,
+        }),
+    };
+    let changes = site.engines.iter().enumerate().map(change).collect();
+    drop(state.apply(stamp, RouteEvent::BackendsChanged(changes)));
+    let others = (0..site.boxes.len()).map(|other| format!("{other}:90")).collect();
+    drop(state.apply(stamp, RouteEvent::PeersNamed(others)));
+    state
+}
+
+fn plan(site: &PromptSite) -> RoutePlan {
+    let route = |(row, class): (usize, &crate::prompts::PromptClass)| RouteSpec {
+        name: row.to_string(),
+        host: HOST.to_owned(),
+        prefix: format!("/{row}/"),
+        kind: RouteKind::Stream { resumable: true },
+        timeout_ms: 20_000,
+        target_ms: class.target_us / 1_000,
+        pause_ms: 1_000,
+        priority: row as u8,
+        attempts: ATTEMPTS,
+        anonymous: true,
+        sizes: (0..site.models.len()).map(|model| model.to_string()).collect(),
+        targets: vec![RouteTarget { service: SERVICE.to_owned(), weight: 1 }],
+    };
+    let routes = site.classes.iter().enumerate().map(route).collect();
+    RoutePlan { version: 1, routes, ..RoutePlan::default() }
+}
