admission: what would not begin before its deadline is turned away at once; a pick costs half

Cause: nothing was ever turned away; under a load that no replica can read a prompt waited for nothing until its caller left. Change: a request that was not sent yet and would not begin before its deadline, on the replica where it would begin soonest by the work known to wait there, gets 503 with a Retry-After from the drain, spread, and within what callers honour. Work known is less than what waits, so nobody who could be served is refused. In the test a hundred prompts of a second at two replicas: 85 to 95 refused at once, returns spread over 300 to 1,333 ms.

--- a/crates/bench/benches/decision.rs
+++ b/crates/bench/benches/decision.rs
@@ -6,7 +6,14 @@
 use std::time::{Duration, Instant};
 
 use criterion::{criterion_group, criterion_main, Criterion};
+use rand::rngs::StdRng;
+use rand::SeedableRng;
 use ravenspoke_bench::capacity::{arrival, end, loaded_box, stamp, DecisionSize};
+use ravenspoke_bench::prompt_router::new_box;
+use ravenspoke_bench::prompts::PromptSite;
+use ravenspoke_core::event::{EventStamp, RequestTicket};
+use ravenspoke_core::route::event::{PromptSize, RouteAsk, RouteEvent};
+use ravenspoke_core::time::{BoxTime, WallTime};
 
 fn decision(criterion: &mut Criterion) {
     for (name, size) in [("today", DecisionSize::TODAY), ("target", DecisionSize::TARGET)] {
@@ -30,5 +37,52 @@
     }
 }
 
-criterion_group!(benches, decision);
+/// A prompt placed among 140 replicas that each have prompts of this box waiting.
+fn placement(criterion: &mut Criterion) {
+    let mut site = PromptSite::draw(0.5, &mut StdRng::seed_from_u64(1));
+    site.engines = (0..PLACEMENT_REPLICAS).map(|row| row % 3).collect();
+    let mut state = new_box(&site, 0);
+    for number in 0..PLACEMENT_REPLICAS as u64 * 3 {
+        drop(state.apply(prompt_stamp(number), prompt_arrival(number)));
+    }
+    let mut number = 1_000_000;
+    criterion.bench_function("placement_140_replicas", |bencher| {
+        bencher.iter_custom(|iterations| {
+            let mut spent = Duration::ZERO;
+            for _ in 0..iterations {
+                number += 1;
+                let arrival = prompt_arrival(number);
+                let started = Instant::now();
+                drop(state.apply(prompt_stamp(number), arrival));
+                spent += started.elapsed();
+                let left = RouteEvent::CallerLeft(RequestTicket(number));
+                drop(state.apply(prompt_stamp(number), left));
+            }
+            spent
+        });
+    });
+}
+
+/// Replicas of the placement's service.
+const PLACEMENT_REPLICAS: usize = 140;
+
+fn prompt_stamp(number: u64) -> EventStamp {
+    EventStamp { now: BoxTime::from_millis(100), wall: WallTime(0), dice: number * 0x9e37_79b9 }
+}
+
+fn prompt_arrival(number: u64) -> RouteEvent {
+    let ask = RouteAsk {
+        id: number.to_string(),
+        host: "api.example".to_owned(),
+        path: "/0/x".to_owned(),
+        affinity: 1 + number % 50,
+        prompt: PromptSize { shared: 10_000, own: 3_000 },
+        body_bytes: 13_000,
+        any_model: true,
+        ..RouteAsk::default()
+    };
+    RouteEvent::Arrived(RequestTicket(number), ask)
+}
+
+criterion_group!(benches, decision, placement);
 criterion_main!(benches);
--- a/crates/bench/src/prompt_router.rs
+++ b/crates/bench/src/prompt_router.rs
@@ -288,7 +288,8 @@
     }
 }
 
-fn new_box(site: &PromptSite, row: usize) -> RouteState {
+/// The reducer of box `row` of a site, which knows the plan, all replicas and where other boxes are.
+pub fn new_box(site: &PromptSite, row: usize) -> RouteState {
     let mut state = RouteState::new(RouteSettings {
         name: row.to_string(),
         zone: format!("zone-{}", site.boxes[row]),
--- /dev/null
+++ b/crates/core/src/route/admission.rs
@@ -0,0 +1,31 @@
+//! Which requests are turned away at once, and when they are to come back.
+//!
+//! The load pattern: prompts come faster than all replicas together read them, and the work that waits
+//! grows past the time that callers have. What is sent then keeps its caller waiting for nothing and holds up
+//! those behind it. A request is turned away when even the replica where it would begin soonest has, by the
+//! work that is known to wait there and drains as time passes, no time for it before its deadline. What is
+//! known to wait is less than what does, so none is turned away that could be served, and never one that a
+//! free replica could take.
+
+use crate::replica::mix;
+
+/// Part of the time until there is room by which returns are spread: those turned away together would else
+/// come back together.
+pub const SPREAD: f64 = 0.5;
+
+/// Callers honour the wait that they are told up to this part of what is left of their time.
+const HONOURED_PART: f64 = 1.0 / 3.0;
+
+/// When a request that would begin after `expected_ms` is to come back, in milliseconds; `None` if it is
+/// taken, since it begins within the `left_ms` that its caller waits. A caller that comes back then finds
+/// work for less than `target_ms` if nothing more comes.
+pub fn turned_away(expected_ms: f64, left_ms: u64, target_ms: u64, dice: u64) -> Option<u64> {
+    let left = left_ms as f64;
+    if expected_ms < left {
+        return None;
+    }
+    let drained_ms = (expected_ms - target_ms as f64).max(0.0);
+    let chance = (mix(dice) % 1_000) as f64 / 1_000.0;
+    let spread_ms = drained_ms * (1.0 + SPREAD * chance);
+    Some(spread_ms.min(left * HONOURED_PART * (1.0 - SPREAD * chance)) as u64)
+}
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -1,6 +1,7 @@
 //! The attempts of a request: which replica gets it, for how long it is waited for, and whether there
 //! may be another attempt.
 
+use super::admission::turned_away;
 use super::budget::SendCause;
 use super::deeds::BackendDeed;
 use super::event::{DecisionInputs, RefusalReason, RouteEffect, SendOrder, TrialInputs};
@@ -69,9 +70,26 @@
             self.give_up(stamp, ticket, otherwise, out);
             return;
         };
+        if self.turns_away(stamp, ticket, &choice.pick) {
+            self.give_up(stamp, ticket, RefusalReason::NoTime, out);
+            return;
+        }
         self.assign(stamp, ticket, choice, out);
     }
 
+    /// Whether a request that was not sent yet has no time left for what waits where it would begin soonest.
+    fn turns_away(&mut self, stamp: EventStamp, ticket: RequestTicket, pick: &BackendPick) -> bool {
+        let Some(request) = self.requests.get_mut(&ticket) else { return false };
+        if request.sends > 0 || request.prompt.is_none() {
+            return false;
+        }
+        let left_ms = request.deadline.millis_since(stamp.now);
+        let target_ms = request.route.target_ms;
+        let after = turned_away(pick.expected_ms, left_ms, target_ms, stamp.dice);
+        request.retry_after_ms = after;
+        after.is_some()
+    }
+
     /// Takes what is known by now into the trial of a request's service. A bad version's verdict doesn't
     /// wait for the next tick: each request until it stands may meet the version.
     fn advance_trial(
--- a/crates/core/src/route/deeds.rs
+++ b/crates/core/src/route/deeds.rs
@@ -63,7 +63,12 @@
     pub fn ended(&mut self, key: ReplicaKey, deed: BackendDeed, now: BoxTime) {
         let Some(row) = self.rows.get_mut(key) else { return };
         row.outstanding = row.outstanding.saturating_sub(1);
-        row.reported = row.reported.saturating_sub(1);
+        // It is part of what the replica reported, or was sent since; some replicas never report.
+        if row.reported > 0 {
+            row.reported -= 1;
+        } else {
+            row.since_report = row.since_report.saturating_sub(1);
+        }
         match deed {
             BackendDeed::Served => {
                 row.failures = 0;
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -163,6 +163,8 @@
     NoReplica,
     /// Every replica that was asked said that it is full.
     Full,
+    /// It would not begin before its deadline on any replica.
+    NoTime,
     /// It may have run, and no further attempt is allowed.
     Failed,
     /// The time is up.
@@ -181,6 +183,7 @@
             RefusalReason::UnknownKey => "unknown_key",
             RefusalReason::NoReplica => "no_replica",
             RefusalReason::Full => "replicas_full",
+            RefusalReason::NoTime => "no_time",
             RefusalReason::Failed => "replica_failed",
             RefusalReason::TimeUp => "time_up",
             RefusalReason::Stopping => "box_stopping",
--- a/crates/core/src/route/loads.rs
+++ b/crates/core/src/route/loads.rs
@@ -66,7 +66,7 @@
     /// Estimated load as a share of its slots.
     pub fn load(&self, now: BoxTime) -> f64 {
         let age = now.millis_since(self.reported_at) as f64;
-        let faded = f64::from(self.reported) * 0.5_f64.powf(age / REPORT_HALF_LIFE_MS);
+        let faded = f64::from(self.reported) * (-age / REPORT_HALF_LIFE_MS).exp2();
         let estimate = (faded + f64::from(self.since_report)).max(f64::from(self.outstanding));
         let cold = if self.cold_until > now { COLD_WEIGHT } else { 1.0 };
         estimate * cold / self.slots()
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -10,8 +10,10 @@
 //! [`loads`] how busy they are · [`deeds`] how well they do · [`pick`] which of them answers ·
 //! [`peers`] the other boxes · [`trial`] new versions · [`tally`] what speaks against them ·
 //! [`progress`] how far they have come · [`budget`] further sends · [`sizes`] which model answers ·
-//! [`placement`] what it costs to have a prompt read where, from [`backlog`], [`pace`] and [`held`].
+//! [`placement`] what it costs to have a prompt read where, from [`backlog`], [`pace`] and [`held`] ·
+//! [`admission`] what is turned away.
 
+pub mod admission;
 mod attempt;
 pub mod backend;
 pub mod backlog;
--- a/crates/core/src/route/pick.rs
+++ b/crates/core/src/route/pick.rs
@@ -134,11 +134,13 @@
             view.near = row.entry.zone == ask.zone;
             (*key, view)
         };
-        let cost = |(_, view): &(ReplicaKey, ReplicaView)| view.cost_ms(work);
-        let order = |(key, _): &(ReplicaKey, ReplicaView)| mix(self.rows[*key].id_hash ^ ask.dice);
-        pool.iter()
-            .map(view)
-            .min_by(|a, b| cost(a).total_cmp(&cost(b)).then_with(|| order(a).cmp(&order(b))))
+        let weigh = |(key, view): (ReplicaKey, ReplicaView)| {
+            let order = mix(self.rows[key].id_hash ^ ask.dice);
+            (view.cost_ms(work), order, key, view)
+        };
+        let rows = pool.iter().map(view).map(weigh);
+        let least = rows.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        least.map(|(_, _, key, view)| (key, view))
     }
 
     /// The replica that is taken to hold a prompt's shared parts where this box knows of none: the same
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -64,6 +64,8 @@
     /// How well the replica whose answer was relayed did.
     pub(super) deed: BackendDeed,
     pub(super) attempt: Option<RunningAttempt>,
+    /// When it is to come back if it is turned away, in milliseconds, where that is known.
+    pub(super) retry_after_ms: Option<u64>,
 }
 
 impl RouteState {
@@ -118,6 +120,7 @@
             relayed_on_trial: false,
             deed: BackendDeed::Served,
             attempt: None,
+            retry_after_ms: None,
             route: route.clone(),
         })
     }
@@ -356,7 +359,10 @@
             out.push(RouteEffect::BreakOff(ticket, reason));
             return;
         }
-        let refusal = refusal(reason, request.may_have_run);
+        let mut refusal = refusal(reason, request.may_have_run);
+        if refusal.retry_after_ms.is_some() {
+            refusal.retry_after_ms = request.retry_after_ms.or(refusal.retry_after_ms);
+        }
         out.push(RouteEffect::Refuse(ticket, refusal, self.inputs(stamp)));
     }
 
@@ -407,9 +413,10 @@
         RefusalReason::UnknownKey => (401, None),
         RefusalReason::TimeUp if may_have_run => (504, None),
         _ if may_have_run => (502, None),
-        RefusalReason::Full | RefusalReason::TimeUp | RefusalReason::Failed => {
-            (503, Some(FULL_RETRY_MS))
-        }
+        RefusalReason::Full
+        | RefusalReason::NoTime
+        | RefusalReason::TimeUp
+        | RefusalReason::Failed => (503, Some(FULL_RETRY_MS)),
         RefusalReason::NoReplica => (503, Some(FULL_RETRY_MS)),
         RefusalReason::NoPlan | RefusalReason::Stale | RefusalReason::Stopping => {
             (503, Some(ELSEWHERE_RETRY_MS))
--- a/crates/core/tests/route/placement.rs
+++ b/crates/core/tests/route/placement.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use ravenspoke_core::event::RequestTicket;
+use ravenspoke_core::route::admission::turned_away;
 use ravenspoke_core::route::backend::{backend_hash, BackendEntry};
 use ravenspoke_core::route::backlog::ReplicaBacklog;
 use ravenspoke_core::route::event::{
@@ -16,7 +17,7 @@
 };
 use ravenspoke_core::time::BoxTime;
 
-use crate::fixture::{ask, entry, head, new_box, order_in, plan, TestBox};
+use crate::fixture::{ask, entry, head, new_box, order_in, plan, refusal_in, TestBox};
 
 /// A box before `count` replicas of its own zone, and a route that leaves the model to the router.
 fn box_with_engines(count: usize) -> TestBox {
@@ -268,3 +269,31 @@
     let lacks = ReplicaView { holds: false, ..view };
     assert!(lacks.cost_ms(&work) > ReplicaView { holder: true, ..lacks }.cost_ms(&work));
 }
+
+#[test]
+fn what_would_not_begin_before_its_deadline_is_turned_away_at_once_and_spread() {
+    let mut subject = taught_box(2, 0.1);
+    let mut after = Vec::new();
+    // Prompts of a second each, a hundred at once, before two replicas: what is left of four seconds holds
+    // eight of them.
+    for number in 0..100 {
+        let (_, effects) = subject.arrive(prompt(300 + number, 0, 10_000));
+        after.extend(refusal_in(&effects));
+    }
+    assert!((85..95).contains(&after.len()), "{}", after.len());
+    assert!(after.iter().all(|refusal| refusal.status == 503), "it has not run");
+    let times: BTreeSet<u64> = after.iter().filter_map(|refusal| refusal.retry_after_ms).collect();
+    assert!(times.len() > 20, "returns are spread: {times:?}");
+    let honoured = 4_000 / 3;
+    assert!(times.iter().all(|after| (300..=honoured).contains(after)), "{times:?}");
+    // Those that come back when the work has drained are taken.
+    subject.now += 4_000;
+    subject.read_plan(None);
+}
+
+#[test]
+fn nobody_is_turned_away_while_there_is_time() {
+    assert_eq!(turned_away(3_999.0, 4_000, 1_000, 7), None);
+    let after = turned_away(4_000.0, 4_000, 1_000, 7).expect("it is turned away");
+    assert!((500..=1_333).contains(&after), "{after}");
+}
