--- /dev/null
+++ b/crates/core/src/route/answer.rs
@@ -0,0 +1,127 @@
+//! The head of an answer came: it is passed on, or another replica or a larger model is asked.
+
+use super::budget::SendCause;
+use super::deeds::BackendDeed;
+use super::event::{AnswerHead, RefusalReason, RouteEffect};
+use super::pace::ServicePace;
+use super::sizes::{self, SizeOpinion};
+use super::RouteState;
+use crate::event::{EventStamp, RequestTicket};
+
+impl RouteState {
+    /// Decides on the head of an answer: passed on, asked of another replica or model, or refused.
+    pub(super) fn on_head(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        head: AnswerHead,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        self.learn_placement(stamp, ticket, head);
+        let Some(request) = self.requests.get(&ticket) else { return };
+        let Some(attempt) = request.attempt else { return };
+        if let Some(load) = head.load {
+            let mean_ms = self.paces.get(&request.service).map_or(0.0, ServicePace::mean_ms);
+            self.backends.reported(attempt.replica, load, mean_ms, stamp.now);
+        }
+        if head.not_run || head.other_replica {
+            let deed =
+                if head.other_replica { BackendDeed::Unreachable } else { BackendDeed::Neither };
+            self.end_attempt(stamp, ticket, deed);
+            self.try_again(stamp, ticket, RefusalReason::Full, out);
+            return;
+        }
+        let took_ms = stamp.now.millis_since(attempt.began) as f64;
+        self.judge_head(stamp, ticket, head, took_ms, out);
+    }
+
+    /// Decides on the head of an answer that began after `took_ms`, of a replica that ran the request.
+    fn judge_head(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        head: AnswerHead,
+        took_ms: f64,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        request.may_have_run = true;
+        let failed = head.status >= 500 || !head.proven;
+        self.tally(ticket, failed, took_ms);
+        let Some(request) = self.requests.get(&ticket) else { return };
+        let (kind, relayed) = (request.route.kind, request.relayed);
+        if failed && kind.repeatable() && self.go_elsewhere(stamp, ticket, SendCause::Failure, out)
+        {
+            return;
+        }
+        if !head.proven || (failed && relayed) {
+            self.end_attempt(stamp, ticket, BackendDeed::Failed);
+            self.give_up(stamp, ticket, RefusalReason::Failed, out);
+            return;
+        }
+        if !failed && self.ask_larger(stamp, ticket, head, out) {
+            return;
+        }
+        if let Some(request) = self.requests.get_mut(&ticket) {
+            if !request.relayed {
+                request.relayed_on_trial = request.attempt.is_some_and(|attempt| attempt.on_trial);
+            }
+            request.relayed = true;
+            request.deed = if failed { BackendDeed::Failed } else { BackendDeed::Served };
+        }
+        out.push(RouteEffect::Relay(ticket));
+    }
+
+    /// Asks a larger model in place of an unsure one, if one may be asked.
+    fn ask_larger(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        head: AnswerHead,
+        out: &mut Vec<RouteEffect>,
+    ) -> bool {
+        let Some(request) = self.requests.get_mut(&ticket) else { return false };
+        let Some(size) = request.size.filter(|_| !request.relayed) else { return false };
+        let Some(sure) = head.confidence else { return false };
+        // The replica did nothing wrong, and it may hold the prompt's shared parts.
+        let tried = request.tried.pop();
+        let next = self.next_size(stamp, ticket, SizeOpinion { size, sure });
+        let Some(request) = self.requests.get_mut(&ticket) else { return false };
+        let Some(next) = next else {
+            request.tried.extend(tried);
+            return false;
+        };
+        request.size = Some(next);
+        if self.go_elsewhere(stamp, ticket, SendCause::LargerModel, out) {
+            return true;
+        }
+        if let Some(request) = self.requests.get_mut(&ticket) {
+            request.size = Some(size);
+            request.tried.extend(tried);
+        }
+        false
+    }
+
+    /// The model to ask next in place of an answer that its model thinks so of.
+    fn next_size(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        opinion: SizeOpinion,
+    ) -> Option<usize> {
+        let request = self.requests.get_mut(&ticket)?;
+        let lifts = self.lifts.entry(request.service.clone()).or_default();
+        if let Some(before) = request.opinion.replace(opinion) {
+            lifts.learn(before, opinion);
+        }
+        let request = self.requests.get(&ticket)?;
+        let lifts = self.lifts.get(&request.service)?;
+        let spent_ms = stamp.now.millis_since(request.arrived) as f64;
+        let target_ms = request.route.target_ms.max(1) as f64;
+        let part_of = |size: usize| {
+            let choice = self.choose(stamp, ticket, Some(size));
+            (spent_ms + choice.map_or(0.0, |choice| choice.pick.expected_ms)) / target_ms
+        };
+        sizes::next_size(request.route.sizes.len(), opinion, lifts, part_of)
+    }
+}
--- /dev/null
+++ b/crates/core/src/route/arrival.rs
@@ -0,0 +1,128 @@
+//! A request arrives: the route that takes it, whether its key is known, and its first attempt.
+
+use super::deeds::BackendDeed;
+use super::event::{PromptSize, RefusalReason, RouteAsk, RouteEffect};
+use super::plan::{KeyHolder, RouteSpec};
+use super::refuse::refusal;
+use super::request::RouteRequest;
+use super::sizes;
+use super::{RouteState, STOP_TAKE_MS};
+use crate::event::{EventStamp, RequestTicket};
+use crate::replica::mix;
+
+impl RouteState {
+    pub(super) fn on_arrived(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        ask: RouteAsk,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let request = match self.admit(stamp, &ask) {
+            Ok(request) => request,
+            Err(reason) => {
+                out.push(RouteEffect::Refuse(ticket, refusal(reason, false), self.inputs(stamp)));
+                return;
+            }
+        };
+        let budget = self.budgets.entry(request.service.clone()).or_default();
+        budget.earn(self.settings.budget, stamp.now);
+        self.requests.insert(ticket, request);
+        self.send(stamp, ticket, RefusalReason::NoReplica, out);
+    }
+
+    fn admit(&self, stamp: EventStamp, ask: &RouteAsk) -> Result<RouteRequest, RefusalReason> {
+        let since = self.stopping_since;
+        if since.is_some_and(|since| stamp.now.millis_since(since) >= STOP_TAKE_MS) {
+            return Err(RefusalReason::Stopping);
+        }
+        if !self.has_plan() {
+            return Err(RefusalReason::NoPlan);
+        }
+        let (route, holder) = self.find_route(stamp, ask)?;
+        let allowed = ask.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+        let service = pick_target(route, stamp.dice).ok_or(RefusalReason::NoReplica)?;
+        let chooses = ask.any_model && !route.sizes.is_empty();
+        Ok(RouteRequest {
+            service,
+            account: holder.map(|holder| holder.name.clone()),
+            affinity: ask.affinity,
+            prompt: prompt_size(ask),
+            body_bytes: ask.body_bytes,
+            session: ask.session,
+            size: if chooses { sizes::first_size(&route.sizes) } else { None },
+            opinion: None,
+            arrived: stamp.now,
+            deadline: stamp.now.plus_millis(allowed),
+            tried: Vec::new(),
+            sends: 0,
+            free_connects: 0,
+            may_have_run: false,
+            relayed: false,
+            relayed_on_trial: false,
+            deed: BackendDeed::Served,
+            attempt: None,
+            retry_after_ms: None,
+            route: route.clone(),
+        })
+    }
+
+    /// The route that takes a request, and the holder of its key if it shows one that is known.
+    fn find_route(
+        &self,
+        stamp: EventStamp,
+        ask: &RouteAsk,
+    ) -> Result<(&RouteSpec, Option<&KeyHolder>), RefusalReason> {
+        let bounds = self.settings.fresh;
+        let deny = |reason| {
+            let sure = self.fresh.may_deny(stamp.now, bounds);
+            if sure {
+                reason
+            } else {
+                RefusalReason::Stale
+            }
+        };
+        let route = self.table.find(&ask.host, &ask.path);
+        let route = route.ok_or_else(|| deny(RefusalReason::NoRoute))?;
+        let keyed = self.table.asks_for_keys() && !route.anonymous;
+        if keyed && !self.fresh.honours_keys(stamp.now, bounds) {
+            return Err(RefusalReason::Stale);
+        }
+        let holder = ask.key.as_deref().and_then(|key| self.table.holder(key));
+        if keyed && holder.is_none() {
+            return Err(deny(RefusalReason::UnknownKey));
+        }
+        Ok((route, holder))
+    }
+}
+
+/// Tokens of a prompt whose size the caller doesn't tell: a short one, of which the pace learnt is a guess
+/// that serves others like it.
+const UNTOLD_TOKENS: u32 = 1_000;
+
+/// The size of a request's prompt, if it has one.
+fn prompt_size(ask: &RouteAsk) -> Option<PromptSize> {
+    if ask.prompt != PromptSize::default() {
+        return Some(ask.prompt);
+    }
+    let untold = if ask.affinity == 0 {
+        PromptSize { shared: 0, own: UNTOLD_TOKENS }
+    } else {
+        PromptSize { shared: UNTOLD_TOKENS, own: 0 }
+    };
+    (ask.affinity != 0 || ask.any_model).then_some(untold)
+}
+
+/// A service of the route, by the weights of its targets.
+fn pick_target(route: &RouteSpec, dice: u64) -> Option<String> {
+    let total: u64 = route.targets.iter().map(|target| u64::from(target.weight)).sum();
+    let mut left = mix(dice ^ 0x7370) % total.max(1);
+    for target in &route.targets {
+        let weight = u64::from(target.weight);
+        if left < weight {
+            return Some(target.service.clone());
+        }
+        left -= weight;
+    }
+    None
+}
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -1,22 +1,17 @@
-//! The attempts of a request: which replica gets it, for how long it is waited for, and whether there
-//! may be another attempt.
+//! The attempts of a request: a replica gets it, how long it is waited for, and whether there may be
+//! another attempt when one keeps silent, fails or ends.
 
 use super::admission::turned_away;
 use super::budget::SendCause;
+use super::choice::AttemptChoice;
 use super::deeds::BackendDeed;
-use super::event::{DecisionInputs, RefusalReason, RouteEffect, SendOrder, TrialInputs};
-use super::pace::ServicePace;
-use super::pick::{BackendAsk, BackendPick, VersionWish};
-use super::placement::PromptWork;
+use super::event::{AttemptFailure, DecisionInputs, RefusalReason, RouteEffect, SendOrder};
+use super::pick::BackendPick;
 use super::plan::{RouteKind, RouteSpec};
-use super::request::RouteRequest;
-use super::trial::{TrialState, VersionTrial};
+use super::request::RunningAttempt;
 use super::verdict::advance;
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
-use crate::ids::ReplicaKey;
-use crate::replica::mix;
-use crate::time::BoxTime;
 
 /// A head that comes later than this many times the target is not waited for, where another replica
 /// may be asked.
@@ -31,29 +26,12 @@
 /// Work up to which a replica counts as idle when its pace is learnt, in milliseconds: a few steps.
 const QUIET_MS: f64 = 20.0;
 
-/// A replica for an attempt, with what a trial of its service had to do with it.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct AttemptChoice {
-    pub(super) pick: BackendPick,
-    trial: Option<TrialInputs>,
-}
+/// Connections that did not come about and cost a request none of its attempts, at most.
+pub const FREE_CONNECTS: u32 = 3;
 
-/// An attempt under way.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct RunningAttempt {
-    pub(super) replica: ReplicaKey,
-    pub(super) began: BoxTime,
-    /// Whether it runs on a version on trial.
-    pub(super) on_trial: bool,
-    /// Pauses so far.
-    pub(super) pauses: u32,
-    /// Whether it was held against its version: that happens once, however often it fails.
-    pub(super) blamed: bool,
-    /// Whether the replica was taken to hold the prompt's shared parts.
-    pub(super) held: bool,
-    /// Whether nothing was known to wait there.
-    pub(super) quiet: bool,
-}
+/// A stream of which the caller has a part is given to the last replica that may be asked only after
+/// this many pauses in a row: should that one fail, the answer is lost, and the first may only be slow.
+pub const LAST_PAUSES: u32 = 3;
 
 impl RouteState {
     /// Sends a request to a replica, or gives it up for `otherwise` if there is none.
@@ -106,49 +84,6 @@
         }
     }
 
-    /// The replica for a request's next attempt, with the model in row `size`.
-    pub(super) fn choose(
-        &self,
-        stamp: EventStamp,
-        ticket: RequestTicket,
-        size: Option<usize>,
-    ) -> Option<AttemptChoice> {
-        let request = self.requests.get(&ticket)?;
-        let trial = self.trials.get(&request.service);
-        let store_away = self.store_away(stamp.now);
-        let share = trial.map_or(0.0, |trial| trial.share(stamp.now, store_away));
-        let version = trial.map_or(VersionWish::Any, |trial| {
-            // While it is open which version stays, an answer goes on with the one that began it.
-            let open =
-                trial.state == TrialState::Running && !trial.passed_over(stamp.now, store_away);
-            let on_trial = if request.relayed && open {
-                request.relayed_on_trial
-            } else {
-                trial.lot(request.session, stamp.dice) < share
-            };
-            version_wish(trial, on_trial)
-        });
-        let ask = BackendAsk {
-            service: &request.service,
-            version,
-            work: self.prompt_work(request, size),
-            zone: &self.settings.zone,
-            tried: &request.tried,
-            dice: stamp.dice,
-            now: stamp.now,
-        };
-        let wished = self.backends.pick(&ask);
-        // A wish that nobody fits gives way, but never to a version that is bad.
-        let fallback = || self.backends.pick(&BackendAsk { version: fallback_wish(trial), ..ask });
-        let pick = wished.or_else(fallback)?;
-        let trial = trial.map(|trial| TrialInputs {
-            age_ms: trial.age_ms(stamp.now),
-            share,
-            gave_way: wished.is_none(),
-        });
-        Some(AttemptChoice { pick, trial })
-    }
-
     /// The model for a request's next attempt. The last one that is allowed goes to the smallest: where a
     /// larger one failed or kept silent, an answer that may do is worth more than none.
     fn settle_size(&mut self, ticket: RequestTicket) {
@@ -159,25 +94,6 @@
         }
     }
 
-    /// What reading a request's prompt takes with its model, if it has one.
-    pub(super) fn prompt_work(
-        &self,
-        request: &RouteRequest,
-        size: Option<usize>,
-    ) -> Option<PromptWork> {
-        let prompt = request.prompt?;
-        let unknown = ServicePace::default();
-        let pace = self.paces.get(&request.service).unwrap_or(&unknown);
-        let size = size.unwrap_or(0);
-        let shared = if request.affinity == 0 { 0 } else { mix(request.affinity ^ size as u64) };
-        Some(PromptWork {
-            shared,
-            shared_ms: pace.read_ms(size, f64::from(prompt.shared)),
-            own_ms: pace.read_ms(size, f64::from(prompt.own)),
-            kilobytes: request.body_bytes as f64 / 1_000.0,
-        })
-    }
-
     /// Gives a request to a replica.
     fn assign(
         &mut self,
@@ -313,30 +229,92 @@
             self.backends.ended(attempt.replica, deed, stamp.now);
         }
     }
-}
 
-/// Which versions a new attempt is to go to: the one on trial, or the others.
-fn version_wish(trial: &VersionTrial, on_trial: bool) -> VersionWish<'_> {
-    let version = trial.order.version.as_str();
-    if on_trial {
-        VersionWish::Only(version)
-    } else {
-        VersionWish::Not(version)
+    /// Goes elsewhere if there is where to go and the budget allows it; else the attempt goes on.
+    pub(super) fn on_paused(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let Some(attempt) = &mut request.attempt else { return };
+        attempt.pauses += 1;
+        let last = request.sends + 1 >= request.route.attempts;
+        let too_early = request.relayed && last && attempt.pauses < LAST_PAUSES;
+        if !request.route.kind.repeatable() || too_early {
+            return;
+        }
+        self.tally_lost(stamp, ticket);
+        if self.go_elsewhere(stamp, ticket, SendCause::Silence, out) {
+            if let Some(request) = self.requests.get_mut(&ticket) {
+                request.may_have_run = true;
+            }
+        }
     }
-}
 
-fn fallback_wish(trial: Option<&VersionTrial>) -> VersionWish<'_> {
-    match trial {
-        Some(trial) if trial.finds_bad() => VersionWish::Not(&trial.order.version),
-        _ => VersionWish::Any,
+    pub(super) fn on_failed(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        failure: AttemptFailure,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        if failure == AttemptFailure::NeverSent {
+            request.free_connects += 1;
+            if request.free_connects <= FREE_CONNECTS {
+                request.sends -= 1;
+            }
+            self.end_attempt(stamp, ticket, BackendDeed::Unreachable);
+            self.try_again(stamp, ticket, RefusalReason::NoReplica, out);
+            return;
+        }
+        request.may_have_run = true;
+        self.tally_lost(stamp, ticket);
+        self.end_attempt(stamp, ticket, BackendDeed::Failed);
+        let Some(request) = self.requests.get(&ticket) else { return };
+        if request.route.kind.repeatable() {
+            self.try_again(stamp, ticket, RefusalReason::Failed, out);
+        } else {
+            self.give_up(stamp, ticket, RefusalReason::Failed, out);
+        }
+    }
+
+    pub(super) fn on_finished(&mut self, stamp: EventStamp, ticket: RequestTicket) {
+        let deed = self.requests.get(&ticket).map_or(BackendDeed::Neither, |request| request.deed);
+        self.end_attempt(stamp, ticket, deed);
+        self.requests.remove(&ticket);
+    }
+
+    pub(super) fn on_caller_left(&mut self, stamp: EventStamp, ticket: RequestTicket) {
+        self.end_attempt(stamp, ticket, BackendDeed::Neither);
+        self.requests.remove(&ticket);
+    }
+
+    pub(super) fn on_time_up(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        request.may_have_run |= request.attempt.is_some();
+        if !request.relayed {
+            self.tally_lost(stamp, ticket);
+        }
+        self.end_attempt(stamp, ticket, BackendDeed::Neither);
+        self.give_up(stamp, ticket, RefusalReason::TimeUp, out);
     }
 }
 
+/// How long a head is waited for where another replica may be asked, in milliseconds.
 fn head_ms(route: &RouteSpec) -> u64 {
     let targets = if route.kind.is_stream() { HEAD_TARGETS } else { PLAIN_HEAD_TARGETS };
     (route.target_ms as f64 * targets) as u64
 }
 
+/// How long an event is waited for there, in milliseconds.
 fn pause_ms(route: &RouteSpec) -> u64 {
     match route.kind {
         RouteKind::Stream { .. } if route.pause_ms > 0 => {
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! [`RouteState`] is the reducer of a box on such a platform, beside [`crate::state::BoxState`] for
 //! signed bundles. Claims, bills and witnesses have no place in it: a caller's retry is a new request
-//! there, and nobody reads bills. The flow of a request is in `request`, its attempts are in `attempt`,
-//! what they teach is in `learn`; trials of new versions are in `verdict`; what boxes tell each other is
+//! there, and nobody reads bills. A request comes in by `arrival`; `choice` says which replica would get it,
+//! `attempt` sends it, `answer` decides on the head that comes back, `refuse` ends it without one; what sends
+//! and answers teach is in `learn`; trials of new versions are in `verdict`; what boxes tell each other is
 //! in `news`; `dump` describes the state.
 //!
 //! [`plan`] what is routed where · [`fresh`] how long that may be relied on · [`backend`] replicas ·
@@ -14,10 +15,13 @@
 //! [`admission`] what is turned away.
 
 pub mod admission;
+mod answer;
+mod arrival;
 mod attempt;
 pub mod backend;
 pub mod backlog;
 pub mod budget;
+mod choice;
 pub mod deeds;
 mod dump;
 pub mod event;
@@ -33,6 +37,7 @@
 pub mod placement;
 pub mod plan;
 pub mod progress;
+mod refuse;
 mod request;
 pub mod sizes;
 pub mod tally;
