--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -7,6 +7,7 @@
 use super::deeds::BackendDeed;
 use super::event::{AttemptFailure, DecisionInputs, RefusalReason, RouteEffect, SendOrder};
 use super::pick::BackendPick;
+use super::placement::urgency;
 use super::plan::{RouteKind, RouteSpec};
 use super::request::RunningAttempt;
 use super::verdict::advance;
@@ -144,7 +145,7 @@
             model: request.size.map(|size| request.route.sizes[size].clone()),
             account: request.account.clone(),
             session: request.session,
-            urgency: request.size.map(|size| if size == 0 { 0 } else { 5 }),
+            urgency: request.size.map(urgency),
             deadline: request.deadline,
             head_ms: if spare { head_ms(&request.route).min(left) } else { left },
             pause_ms: if spare { pause_ms(&request.route).min(left) } else { left },
--- a/crates/core/src/route/placement.rs
+++ b/crates/core/src/route/placement.rs
@@ -34,6 +34,22 @@
     pub work_ms: u32,
 }
 
+/// Urgency at a replica of a prompt for the smallest model: it takes a tenth of the time of a large one's,
+/// and most answers are its. Late answers 0.088 to 0.073 of all, on 20 days with trouble.
+const SMALL_URGENCY: u8 = 0;
+
+/// Urgency of any other prompt: what replicas take one without a word for.
+const USUAL_URGENCY: u8 = 5;
+
+/// Urgency at a replica of a prompt for the model in row `size`.
+pub fn urgency(size: usize) -> u8 {
+    if size == 0 {
+        SMALL_URGENCY
+    } else {
+        USUAL_URGENCY
+    }
+}
+
 /// What reading a request's prompt takes, at the pace of its model.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct PromptWork {
--- a/crates/core/src/route/sizes.rs
+++ b/crates/core/src/route/sizes.rs
@@ -17,8 +17,8 @@
 pub const NEUTRAL: f64 = 50.0;
 
 /// Part of the target after which the largest model's answer may begin so that every unsure answer is
-/// asked of it. From a few deployments drawn at random and three sites: 0.12 gives up answers for time that
-/// nobody needs, 0.5 lets queues build up.
+/// asked of it. On ten deployments drawn at random, payoff earned of that owed, means over five kinds of
+/// trouble at half and full load: 0.925 and 0.879 at 0.12, 0.937 and 0.864 at 0.25, 0.945 and 0.811 at 0.5.
 pub const AT_ONCE: f64 = 0.25;
 
 /// How much surer a model is taken to be than a smaller one before it was asked.
