--- a/crates/core/src/route/admission.rs
+++ b/crates/core/src/route/admission.rs
@@ -2,10 +2,11 @@
 //!
 //! The load pattern: prompts come faster than all replicas together read them, and the work that waits
 //! grows past the time that callers have. What is sent then keeps its caller waiting for nothing and holds up
-//! those behind it. A request is turned away when even the replica where it would begin soonest has, by the
-//! work that is known to wait there and drains as time passes, no time for it before its deadline. What is
-//! known to wait is less than what does, so none is turned away that could be served, and never one that a
-//! free replica could take.
+//! those behind it. A request is turned away when the replica where placing it costs least has, by the work that
+//! is known to wait there and drains as time passes, no time for it before its deadline. What is known is
+//! mostly less than what waits; but where 1.6 to 3.2 s were expected, one answer in ten began within 0.7 s, so
+//! one that could just be served may be turned away. Only the replicas that the choice allows count: while
+//! a trial's lot names a version, another version's free replica is not looked at.
 
 use crate::replica::mix;
 
--- a/crates/core/src/route/placement.rs
+++ b/crates/core/src/route/placement.rs
@@ -12,6 +12,8 @@
 
 /// Time that keeping a kilobyte within its availability zone is worth, in milliseconds: operators pay for
 /// bytes between zones, and nothing on the wire tells how much.
+/// Where bytes are dear, mean payoff less prices of 20 days with trouble 0.636 at 2 ms, 0.648 at 8, 0.647 at 30;
+/// where they are cheap 0 gains 0.007 and 0.014 on 15 days each.
 pub const ZONE_KB_MS: f64 = 8.0;
 
 /// Shared parts are held once in each zone where reading them takes at most this many times what sending a
