store: calls are counted by topic and kind, and told in a bounded log line

Change: every call passes one place that counts it; event 735 tells the sums each ten seconds where they grew.

--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -17,6 +17,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::observe;
+use super::store_calls::StoreCalls;
 use super::told::OperatorRecords;
 
 /// What the reducer tells the task of one request.
@@ -69,6 +70,8 @@
     next_ticket: AtomicU64,
     /// The operator's records, for boxes that ask for them.
     operator: Mutex<OperatorRecords>,
+    /// Calls to the platform's store.
+    pub store_calls: StoreCalls,
 }
 
 impl GatewayDriver {
@@ -80,6 +83,7 @@
             started: Instant::now(),
             next_ticket: AtomicU64::new(1),
             operator: Mutex::default(),
+            store_calls: StoreCalls::default(),
         }
     }
 
--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -5,13 +5,16 @@
 use std::time::{Duration, Instant};
 
 use ravenspoke_adapter::records::{read_backend, BACKEND_TOPIC, BOX_TOPIC, OPERATOR_TOPIC};
-use ravenspoke_adapter::store::{KeyedRecord, StoreClient, StoreError};
+use ravenspoke_adapter::store::{
+    AppendOutcome, KeyedRecord, StoreClient, StoreError, TopicListing,
+};
 use ravenspoke_core::route::backend::BackendChange;
 use ravenspoke_core::route::event::RouteEvent;
 use ravenspoke_core::time::BoxTime;
 
 use super::driver::GatewayDriver;
 use super::observe;
+use super::store_calls::StoreCall;
 use super::told::take_operator;
 
 /// A reader's read waits this long for a record, in milliseconds: the price of a call against the age
@@ -59,13 +62,30 @@
         Self { driver, store, topic, lost_at: None, retry_ms: RETRY_MS }
     }
 
-    /// The topic.
-    pub(super) fn topic(&self) -> &'static str {
-        self.topic
+    /// Lists the newest record of each key; `None` if the call failed.
+    pub(super) async fn list(&mut self) -> Option<TopicListing> {
+        let result = self.store.newest(self.topic).await;
+        let pages = result.as_ref().map_or(1, |listing| listing.pages);
+        for _ in 0..pages {
+            self.driver.store_calls.count(self.topic, StoreCall::List);
+        }
+        self.check(result)
+    }
+
+    /// Appends a record; with `at`, only if the topic ends there. `None` if the call failed: the record may
+    /// be there all the same.
+    pub(super) async fn append(
+        &mut self,
+        at: Option<u64>,
+        record: &KeyedRecord,
+    ) -> Option<AppendOutcome> {
+        self.driver.store_calls.count(self.topic, StoreCall::Append);
+        let result = self.store.append(self.topic, at, record).await;
+        self.check(result)
     }
 
     /// Notes how a call went, and gives what it read.
-    pub(super) fn check<T>(&mut self, result: Result<T, StoreError>) -> Option<T> {
+    fn check<T>(&mut self, result: Result<T, StoreError>) -> Option<T> {
         match result {
             Ok(found) => {
                 self.retry_ms = RETRY_MS;
@@ -97,8 +117,8 @@
 
     /// Records from `next` on, or all of them without it; `None` if the call failed.
     pub(super) async fn read(&mut self, next: &mut Option<u64>, wait_ms: u64) -> Option<TopicNews> {
-        metrics::counter!("ravenspoke_store_calls_total", "topic" => self.topic).increment(1);
         if let Some(from) = *next {
+            self.driver.store_calls.count(self.topic, StoreCall::Read);
             match self.store.read(self.topic, from, wait_ms).await {
                 Err(StoreError::Gone) => *next = None,
                 result => {
@@ -111,8 +131,7 @@
                 }
             }
         }
-        let result = self.store.newest(self.topic).await;
-        let listing = self.check(result)?;
+        let listing = self.list().await?;
         *next = Some(listing.end);
         Some(TopicNews { whole_to: Some(listing.end), records: listing.records })
     }
@@ -233,14 +252,13 @@
     name: String,
     address: String,
 ) {
-    let mut follower = TopicFollower::new(driver.clone(), store.clone(), BOX_TOPIC);
+    let mut follower = TopicFollower::new(driver.clone(), store, BOX_TOPIC);
     let own = KeyedRecord::new(name, Some(address.into_bytes()));
     let mut told = false;
     let mut next = None;
     loop {
         if !told {
-            let appended = store.append(BOX_TOPIC, None, &own).await;
-            told = follower.check(appended).is_some();
+            told = follower.append(None, &own).await.is_some();
         }
         let news = if told { follower.read(&mut next, 0).await } else { None };
         let found = news.is_some();
@@ -257,9 +275,8 @@
 }
 
 /// Takes this box's record out of the store, at the planned stop.
-pub async fn forget_box(store: &StoreClient, name: &str) {
+pub async fn forget_box(driver: Arc<GatewayDriver>, store: StoreClient, name: &str) {
     let record = KeyedRecord::new(name.to_owned(), None);
-    if let Err(error) = store.append(BOX_TOPIC, None, &record).await {
-        observe::note_store_lost(BOX_TOPIC, &error);
-    }
+    // A call that fails is logged; a box that starts and asks here in vain asks another.
+    let _ = TopicFollower::new(driver, store, BOX_TOPIC).append(None, &record).await;
 }
--- a/crates/box/src/gateway/marks.rs
+++ b/crates/box/src/gateway/marks.rs
@@ -44,11 +44,11 @@
     store: StoreClient,
     mut due: UnboundedReceiver<TrialMark>,
 ) {
-    let mut follower = TopicFollower::new(driver.clone(), store.clone(), MARK_TOPIC);
+    let mut follower = TopicFollower::new(driver.clone(), store, MARK_TOPIC);
     while let Some(mark) = due.recv().await {
         let (key, value) = write_mark(&mark);
         let record = KeyedRecord::new(key, Some(value));
-        let taken = append_unless(&driver, &mut follower, &store, &record, |asked_at, standing| {
+        let taken = append_unless(&driver, &mut follower, &record, |asked_at, standing| {
             let standing = take_marks(&driver, asked_at, standing);
             standing.iter().any(|other| tells_more(other, &mark))
         });
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -218,6 +218,11 @@
     info!(event = 731, name = "store_regained", topic, after_ms);
 }
 
+/// Logs how often the store was called so far, by topic and kind of call.
+pub fn note_store_calls(calls: &str) {
+    info!(event = 735, name = "store_calls", calls);
+}
+
 /// Logs a record that can't be decoded.
 pub fn note_bad_record(error: &RecordError) {
     error!(event = 732, name = "record_unreadable", why = %error);
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -27,7 +27,7 @@
 use super::exchange::GatewayTools;
 use super::pool::ReplicaPool;
 use super::reload::follow_settings;
-use super::{follow, marks, notes, observe, verdicts};
+use super::{follow, marks, notes, observe, store_calls, verdicts};
 use crate::process::{ignite, server, ProcessError};
 
 /// Time passes for the reducer this often, in milliseconds.
@@ -87,7 +87,7 @@
     tokio::spawn(follow_settings(driver.clone(), file, signals.hangup));
 
     wait_for_stop(signals.terminate, signals.interrupt).await;
-    stop(&settings, &driver, &store, entry).await;
+    stop(&settings, &driver, store, entry).await;
     Ok(())
 }
 
@@ -210,14 +210,14 @@
 /// The planned stop: leaves the entry list, serves on, and returns when nothing is left to do.
 async fn stop(
     settings: &GatewaySettings,
-    driver: &GatewayDriver,
-    store: &StoreClient,
+    driver: &Arc<GatewayDriver>,
+    store: StoreClient,
     entry: OpenEntry,
 ) {
     let began = Instant::now();
     driver.feed(RouteEvent::StopAsked);
     entry.stop();
-    follow::forget_box(store, &settings.name).await;
+    follow::forget_box(driver.clone(), store, &settings.name).await;
     wait_until_empty(settings, driver, &entry.callers, began).await;
     observe::note_exit(entry.callers.open(), driver.state().in_hand());
 }
@@ -269,12 +269,20 @@
 
 async fn run_ticks(driver: Arc<GatewayDriver>, pool: Arc<ReplicaPool>) {
     let mut swept = Instant::now();
+    let mut told = (Instant::now(), String::new());
     loop {
         driver.feed(RouteEvent::Tick);
         if swept.elapsed() >= Duration::from_millis(SWEEP_EVERY_MS) {
             swept = Instant::now();
             pool.sweep();
         }
+        if told.0.elapsed() >= Duration::from_millis(store_calls::TELL_EVERY_MS) {
+            let summary = driver.store_calls.summary();
+            if summary != told.1 {
+                observe::note_store_calls(&summary);
+            }
+            told = (Instant::now(), summary);
+        }
         tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
     }
 }
--- a/crates/box/src/gateway/verdicts.rs
+++ b/crates/box/src/gateway/verdicts.rs
@@ -75,11 +75,11 @@
     store: StoreClient,
     mut due: UnboundedReceiver<TrialVerdict>,
 ) {
-    let mut follower = TopicFollower::new(driver.clone(), store.clone(), VERDICT_TOPIC);
+    let mut follower = TopicFollower::new(driver.clone(), store, VERDICT_TOPIC);
     while let Some(verdict) = due.recv().await {
         let (key, value) = write_verdict(&verdict);
         let record = KeyedRecord::new(key, Some(value));
-        let taken = append_unless(&driver, &mut follower, &store, &record, |asked_at, standing| {
+        let taken = append_unless(&driver, &mut follower, &record, |asked_at, standing| {
             let standing = take_verdicts(&driver, asked_at, standing);
             standing.iter().any(|other| goes_before(other, &verdict))
         });
@@ -94,19 +94,16 @@
 pub(super) async fn append_unless(
     driver: &GatewayDriver,
     follower: &mut TopicFollower,
-    store: &StoreClient,
     record: &KeyedRecord,
     stands: impl Fn(BoxTime, &[KeyedRecord]) -> bool,
 ) -> bool {
     for _ in 0..APPEND_TRIES {
         let asked_at = driver.now();
-        let listed = store.newest(follower.topic()).await;
-        let Some(listing) = follower.check(listed) else { return false };
+        let Some(listing) = follower.list().await else { return false };
         if stands(asked_at, &listing.records) {
             return false;
         }
-        let appended = store.append(follower.topic(), Some(listing.end), record).await;
-        match follower.check(appended) {
+        match follower.append(Some(listing.end), record).await {
             Some(AppendOutcome::Taken) => return true,
             Some(AppendOutcome::Moved(_)) => {}
             None => return false,
