--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -1,6 +1,6 @@
 //! The driver: one lock around the reducer's state, one place that applies events.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -70,6 +70,8 @@
     next_ticket: AtomicU64,
     /// The operator's records, for boxes that ask for them.
     operator: Mutex<OperatorRecords>,
+    /// Whether the store may have this box's record of where it hears notes.
+    pub listed: AtomicBool,
     /// Calls to the platform's store.
     pub store_calls: StoreCalls,
 }
@@ -83,6 +85,7 @@
             started: Instant::now(),
             next_ticket: AtomicU64::new(1),
             operator: Mutex::default(),
+            listed: AtomicBool::new(false),
             store_calls: StoreCalls::default(),
         }
     }
--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -1,6 +1,7 @@
 //! Reads the platform's store, and writes this box's own record to it. Verdicts are in
 //! [`super::verdicts`].
 
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -10,6 +11,7 @@
 };
 use ravenspoke_core::route::backend::BackendChange;
 use ravenspoke_core::route::event::RouteEvent;
+use ravenspoke_core::route::RouteState;
 use ravenspoke_core::time::BoxTime;
 
 use super::driver::GatewayDriver;
@@ -26,13 +28,12 @@
 /// crowds, and each would cost a call.
 pub const READER_PAUSE_MS: u64 = 350;
 
-/// Boxes that are no readers read the entries this often, in milliseconds: readers tell them of
-/// changes, and this mends what they missed.
-pub const BACKEND_MEND_MS: u64 = 12_000;
-
 /// A box looks this often whether it must read itself, in milliseconds.
 pub const TURN_LOOK_MS: u64 = 200;
 
+/// While it starts and knows nothing, it looks this often, in milliseconds: callers wait.
+pub const START_LOOK_MS: u64 = 20;
+
 /// Other boxes' records are read this often, in milliseconds; notes are quicker, this mends what they
 /// can't.
 pub const BOX_EVERY_MS: u64 = 60_000;
@@ -148,10 +149,12 @@
 pub async fn follow_operator(driver: Arc<GatewayDriver>, store: StoreClient) {
     let mut follower = TopicFollower::new(driver.clone(), store, OPERATOR_TOPIC);
     let mut next = None;
+    let mut unread = false;
     loop {
-        wait_for_turn(&driver).await;
+        wait_for_turn(&driver, RouteState::must_read).await;
         // Other boxes may have told more than this one has read.
-        next = next.map(|next: u64| next.max(driver.state().read_to()));
+        let told = driver.state().read_to();
+        next = if unread { None } else { next.max((told > 0).then_some(told)) };
         let asked_at = driver.now();
         // Who is no reader reads only what there is: it has heard of more, or nobody told it anything.
         let waits = driver.state().waits_for_plan(asked_at);
@@ -159,9 +162,9 @@
         match follower.read(&mut next, wait_ms).await {
             Some(news) => {
                 let asked_at = shown_at(&driver, asked_at, wait_ms, &news);
-                if !take_operator(&driver, asked_at, next.unwrap_or(0), &news.records) {
-                    // What can't be decoded may be a newer plan: nothing is renewed, all is read anew.
-                    next = None;
+                // What can't be decoded may be a newer plan: nothing is renewed, all is read anew.
+                unread = !take_operator(&driver, asked_at, next.unwrap_or(0), &news.records);
+                if unread {
                     tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
                 }
             }
@@ -170,10 +173,12 @@
     }
 }
 
-/// Waits until this box has to read the operator's records itself.
-async fn wait_for_turn(driver: &GatewayDriver) {
-    while !driver.state().must_read(driver.now()) {
-        tokio::time::sleep(Duration::from_millis(TURN_LOOK_MS)).await;
+/// Waits until this box has to read itself.
+async fn wait_for_turn(driver: &GatewayDriver, due: fn(&RouteState, BoxTime) -> bool) {
+    while !due(&driver.state(), driver.now()) {
+        let starts = !driver.state().knows_site();
+        let look_ms = if starts { START_LOOK_MS } else { TURN_LOOK_MS };
+        tokio::time::sleep(Duration::from_millis(look_ms)).await;
     }
 }
 
@@ -192,38 +197,29 @@
     let mut follower = TopicFollower::new(driver.clone(), store, BACKEND_TOPIC);
     let mut next = None;
     loop {
-        let reader = driver.state().is_reader(driver.now());
-        let empty;
-        match follower.read(&mut next, if reader { READER_WAIT_MS } else { 0 }).await {
-            Some(news) => {
-                empty = news.records.is_empty();
-                take_backends(&driver, news);
-            }
-            None => {
-                follower.wait_to_retry().await;
-                continue;
-            }
-        }
-        if reader && empty {
+        wait_for_turn(&driver, RouteState::must_read_entries).await;
+        let asked_at = driver.now();
+        let reader = driver.state().is_reader(asked_at);
+        // Other boxes may have told more than this one has read.
+        next = next.max(driver.state().entries_to());
+        let wait_ms = if reader { READER_WAIT_MS } else { 0 };
+        let Some(news) = follower.read(&mut next, wait_ms).await else {
+            follower.wait_to_retry().await;
             continue;
+        };
+        let as_of = shown_at(&driver, asked_at, wait_ms, &news);
+        let empty = news.records.is_empty();
+        take_backends(&driver, news);
+        if let Some(to) = next {
+            driver.feed(RouteEvent::EntriesRead { as_of, to });
         }
-        if reader {
+        if !empty {
             // What comes meanwhile is read in one call.
             tokio::time::sleep(Duration::from_millis(READER_PAUSE_MS)).await;
-        } else {
-            wait_to_mend(&driver).await;
         }
     }
 }
 
-/// Waits for the next read of a box that is no reader; one that becomes a reader begins at once.
-async fn wait_to_mend(driver: &GatewayDriver) {
-    let until = tokio::time::Instant::now() + Duration::from_millis(BACKEND_MEND_MS);
-    while tokio::time::Instant::now() < until && !driver.state().is_reader(driver.now()) {
-        tokio::time::sleep(Duration::from_millis(TURN_LOOK_MS)).await;
-    }
-}
-
 fn take_backends(driver: &GatewayDriver, news: TopicNews) {
     let mut changes = Vec::new();
     for record in news.records {
@@ -245,7 +241,8 @@
     });
 }
 
-/// Tells the store where this box hears notes, and learns where others do.
+/// Tells the store where this box hears notes, and learns where others do. Readers do, for boxes that start
+/// and reach none of those they were told of; and boxes that hear nobody.
 pub async fn follow_boxes(
     driver: Arc<GatewayDriver>,
     store: StoreClient,
@@ -257,20 +254,25 @@
     let mut told = false;
     let mut next = None;
     loop {
+        wait_for_turn(&driver, RouteState::wants_boxes).await;
         if !told {
+            // Whether or not an answer comes, the record may be there.
+            driver.listed.store(true, Ordering::Relaxed);
             told = follower.append(None, &own).await.is_some();
         }
-        let news = if told { follower.read(&mut next, 0).await } else { None };
-        let found = news.is_some();
-        let values = news.into_iter().flat_map(|news| news.records).filter_map(|row| row.value);
+        if !told {
+            follower.wait_to_retry().await;
+            continue;
+        }
+        let Some(news) = follower.read(&mut next, 0).await else {
+            follower.wait_to_retry().await;
+            continue;
+        };
+        let values = news.records.into_iter().filter_map(|row| row.value);
         let addresses: Vec<String> =
             values.map(|value| String::from_utf8_lossy(&value).into_owned()).collect();
         driver.feed(RouteEvent::PeersNamed(addresses));
-        if found {
-            tokio::time::sleep(Duration::from_millis(BOX_EVERY_MS)).await;
-        } else {
-            follower.wait_to_retry().await;
-        }
+        tokio::time::sleep(Duration::from_millis(BOX_EVERY_MS)).await;
     }
 }
 
--- a/crates/box/src/gateway/note_wire/ask.rs
+++ b/crates/box/src/gateway/note_wire/ask.rs
@@ -2,7 +2,8 @@
 
 use prost::Message;
 use ravenspoke_adapter::store::KeyedRecord;
-use ravenspoke_core::route::peers::PeerAsk;
+use ravenspoke_core::route::entries::{EntryWish, ListingPage};
+use ravenspoke_core::route::peers::{EntryWord, PeerAsk};
 use ravenspoke_core::time::BoxTime;
 
 #[derive(Clone, PartialEq, Message)]
@@ -16,8 +17,26 @@
     asked_at: u64,
     #[prost(uint64, tag = "4")]
     read_to: u64,
-    #[prost(bool, tag = "5")]
-    wants_replicas: bool,
+    #[prost(uint64, optional, tag = "6")]
+    entries_to: Option<u64>,
+    #[prost(uint64, tag = "7")]
+    page_from: u64,
+    #[prost(bool, tag = "8")]
+    has_rows: bool,
+}
+
+/// How far an answer shows the replicas' entries.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(super) struct WireEntryWord {
+    #[prost(uint64, optional, tag = "1")]
+    known_to: Option<u64>,
+    #[prost(uint64, optional, tag = "2")]
+    age_ms: Option<u64>,
+    /// Set on the page of a listing, with where the next one begins.
+    #[prost(uint64, optional, tag = "3")]
+    page_end: Option<u64>,
+    #[prost(uint64, optional, tag = "4")]
+    page_next: Option<u64>,
 }
 
 /// A record of the operator; without a value, its key was dropped.
@@ -37,7 +56,9 @@
         incarnation: ask.incarnation,
         asked_at: ask.asked_at.as_micros(),
         read_to: ask.read_to,
-        wants_replicas: ask.wants_replicas,
+        entries_to: ask.entries.known_to,
+        page_from: ask.entries.page_from,
+        has_rows: ask.entries.has_rows,
     }
 }
 
@@ -47,10 +68,28 @@
         incarnation: ask.incarnation,
         asked_at: BoxTime::from_micros(ask.asked_at),
         read_to: ask.read_to,
-        wants_replicas: ask.wants_replicas,
+        entries: EntryWish {
+            known_to: ask.entries_to,
+            page_from: ask.page_from,
+            has_rows: ask.has_rows,
+        },
     }
 }
 
+pub(super) fn write_word(word: EntryWord) -> WireEntryWord {
+    WireEntryWord {
+        known_to: word.known_to,
+        age_ms: word.age_ms,
+        page_end: word.page.map(|page| page.end),
+        page_next: word.page.and_then(|page| page.next),
+    }
+}
+
+pub(super) fn read_word(word: WireEntryWord) -> EntryWord {
+    let page = word.page_end.map(|end| ListingPage { end, next: word.page_next });
+    EntryWord { known_to: word.known_to, age_ms: word.age_ms, page }
+}
+
 pub(super) fn write_record(record: &KeyedRecord) -> WireRecord {
     WireRecord {
         key: record.key.clone(),
--- a/crates/box/src/gateway/note_wire/mod.rs
+++ b/crates/box/src/gateway/note_wire/mod.rs
@@ -1,8 +1,9 @@
 //! Datagrams between boxes, in protobuf.
 //!
-//! A datagram is a note or an ask. `replica`, `trial` and `ask` hold the messages of its parts.
+//! A datagram is a note or an ask. `replica`, `trial`, `peer` and `ask` hold the messages of its parts.
 
 mod ask;
+mod peer;
 mod replica;
 mod trial;
 
@@ -11,7 +12,11 @@
 use ravenspoke_core::route::peers::{PeerAsk, PeerNote};
 use ravenspoke_core::route::placement::PlacementNote;
 
-use ask::{read_ask, read_record, write_ask, write_record, WireAsk, WireRecord};
+use ask::{
+    read_ask, read_record, read_word, write_ask, write_record, write_word, WireAsk, WireEntryWord,
+    WireRecord,
+};
+use peer::{read_summary, write_summary, WireSummary};
 use replica::{
     read_change, read_load, read_placement, write_change, write_load, write_placement, WireChange,
     WireLoad, WirePlacement,
@@ -50,6 +55,10 @@
     echo: Option<WireAsk>,
     #[prost(message, repeated, tag = "15")]
     loads: Vec<WireLoad>,
+    #[prost(message, repeated, tag = "16")]
+    leads: Vec<WireSummary>,
+    #[prost(message, optional, tag = "17")]
+    entries: Option<WireEntryWord>,
 }
 
 /// A datagram is one of these.
@@ -133,6 +142,8 @@
         read_age_ms: note.read_age_ms,
         echo: note.echo.as_ref().map(write_ask),
         loads: note.loads.iter().map(write_load).collect(),
+        leads: note.leads.iter().map(write_summary).collect(),
+        entries: note.echo.as_ref().map(|_| write_word(note.entries)),
     }
 }
 
@@ -153,5 +164,7 @@
         verdicts: wire.verdicts.into_iter().map(read_verdict).collect(),
         others: wire.others,
         loads: wire.loads.into_iter().map(read_load).collect(),
+        leads: wire.leads.into_iter().map(read_summary).collect(),
+        entries: wire.entries.map(read_word).unwrap_or_default(),
     }
 }
--- a/crates/box/src/gateway/notes.rs
+++ b/crates/box/src/gateway/notes.rs
@@ -31,7 +31,7 @@
                     if !records.is_empty() {
                         take_told(&driver, &note, &records);
                     }
-                    driver.feed(RouteEvent::PeerHeard(*note));
+                    driver.feed(RouteEvent::PeerHeard(note));
                 }
                 Ok(HeardDatagram::Empty) => observe::note_bad_note("it is empty"),
                 Err(error) => observe::note_bad_note(&error.to_string()),
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -33,6 +33,9 @@
 /// Time passes for the reducer this often, in milliseconds.
 pub const TICK_MS: u64 = 200;
 
+/// The same while the box starts and asks others for what it must know, in milliseconds: callers wait.
+pub const START_TICK_MS: u64 = 40;
+
 /// Idle connections are looked at this often, in milliseconds.
 pub const SWEEP_EVERY_MS: u64 = 1_000;
 
@@ -217,7 +220,9 @@
     let began = Instant::now();
     driver.feed(RouteEvent::StopAsked);
     entry.stop();
-    follow::forget_box(driver.clone(), store, &settings.name).await;
+    if driver.listed.load(Ordering::Relaxed) {
+        follow::forget_box(driver.clone(), store, &settings.name).await;
+    }
     wait_until_empty(settings, driver, &entry.callers, began).await;
     observe::note_exit(entry.callers.open(), driver.state().in_hand());
 }
@@ -283,7 +288,9 @@
             }
             told = (Instant::now(), summary);
         }
-        tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
+        let starts = !driver.state().knows_site();
+        let tick_ms = if starts { START_TICK_MS } else { TICK_MS };
+        tokio::time::sleep(Duration::from_millis(tick_ms)).await;
     }
 }
 
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -51,6 +51,7 @@
     (732, "record_unreadable"),
     (733, "note_unreadable"),
     (734, "socket_failed"),
+    (735, "store_calls"),
 ];
 
 /// Logs and counts an effect, where it is worth it.
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -213,7 +213,7 @@
         if request.sends >= request.route.attempts || request.deadline <= stamp.now {
             return false;
         }
-        let boxes = self.peers.live_count(stamp.now);
+        let boxes = self.peers.fleet_count(stamp.now);
         let budget = self.budgets.entry(request.service.clone()).or_default();
         budget.spend(self.settings.budget, boxes, cause, stamp.now)
     }
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -134,15 +134,34 @@
         self.rows.get(key)
     }
 
-    /// All replicas that are used, as changes.
-    pub fn all_changes(&self) -> Vec<BackendChange> {
-        let used = self.rows.values().filter(|row| row.lapses_at.is_none());
-        let change = |row: &BackendState| BackendChange {
-            id: row.entry.id.clone(),
-            at: row.at,
-            entry: Some(row.entry.clone()),
-        };
-        used.map(change).collect()
+    /// Changes of the store from an offset on, in its order: replicas that are used, and with `gone` those
+    /// that are gone.
+    pub fn changes_from(&self, from: u64, gone: bool) -> Vec<BackendChange> {
+        let used = self.rows.values().filter(|row| row.lapses_at.is_none() && row.at >= from);
+        let mut changes: Vec<BackendChange> = used
+            .map(|row| BackendChange {
+                id: row.entry.id.clone(),
+                at: row.at,
+                entry: Some(row.entry.clone()),
+            })
+            .collect();
+        if gone {
+            let gone = self.gone.since(from);
+            changes.extend(gone.map(|(id, at)| BackendChange { id: id.clone(), at, entry: None }));
+        }
+        changes.sort_by_key(|change| change.at);
+        changes
+    }
+
+    /// Offset of the first change that may yet be undone: an entry vanished while the store was away.
+    pub fn first_lapsing(&self) -> Option<u64> {
+        let lapsing = self.rows.values().filter(|row| row.lapses_at.is_some());
+        lapsing.map(|row| row.at).min()
+    }
+
+    /// Offset from which on it is known which replicas are gone.
+    pub fn gone_from(&self) -> u64 {
+        self.gone.kept_from()
     }
 
     /// Takes one change. Where the store was away, an entry that vanished is used until `lapse_at`: it
--- /dev/null
+++ b/crates/core/src/route/entries.rs
@@ -0,0 +1,170 @@
+//! How far a box knows the replicas' entries in the store, and what it tells a box that asks.
+//!
+//! Few boxes read the entries; the others ask them, each naming the offset up to which it knows all. The
+//! answer holds what differs, each change once and in the order of the store, so that a box is complete
+//! after one answer, whatever datagrams were lost before, and bytes follow the changes, not the number of
+//! replicas. A box that knows nothing yet, or less than the other remembers of replicas that are gone, gets
+//! a listing in pages.
+
+use super::backend::{BackendChange, BackendTable};
+use crate::time::BoxTime;
+
+/// Changes in one datagram, at most: some 100 bytes each, in a datagram of at most 60,000.
+pub const CHANGES_TOLD: usize = 300;
+
+/// A page of a listing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ListingPage {
+    /// Offset up to which the listing shows all.
+    pub end: u64,
+    /// Offset from which the next page goes on; `None` on the last.
+    pub next: Option<u64>,
+}
+
+/// What a box wants to know of the entries.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EntryWish {
+    /// All changes before this offset are known; `None` if nothing is.
+    pub known_to: Option<u64>,
+    /// Where the next page of a listing begins, if one is under way.
+    pub page_from: u64,
+    /// Whether replicas are known that a listing may have to remove.
+    pub has_rows: bool,
+}
+
+/// What a box tells of the entries.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EntryAnswer {
+    /// The changes.
+    pub changes: Vec<BackendChange>,
+    /// All changes before this offset are known with them; `None` if nothing was known.
+    pub known_to: Option<u64>,
+    /// How long ago that was all there was, in milliseconds; `None` if it wasn't.
+    pub age_ms: Option<u64>,
+    /// The page of a listing, if the changes are one.
+    pub page: Option<ListingPage>,
+}
+
+/// A listing of which not all pages have come.
+#[derive(Debug)]
+struct OpenListing {
+    end: u64,
+    as_of: Option<BoxTime>,
+    next: u64,
+    rows: Vec<BackendChange>,
+}
+
+/// How far the entries are known.
+#[derive(Debug, Default)]
+pub struct EntryPosition {
+    /// All changes before this offset are known.
+    known_to: Option<u64>,
+    /// As of when that was all there was.
+    as_of: Option<BoxTime>,
+    /// From here on it is known which replicas are gone.
+    gone_from: u64,
+    listing: Option<OpenListing>,
+}
+
+impl EntryPosition {
+    /// All changes before this offset are known; `None` before the first listing.
+    pub fn known_to(&self) -> Option<u64> {
+        self.known_to
+    }
+
+    /// Age of what is known, in milliseconds; `None` before the first listing.
+    pub fn age_ms(&self, now: BoxTime) -> Option<u64> {
+        self.as_of.map(|at| now.millis_since(at))
+    }
+
+    /// Notes a listing of all entries before `end`.
+    pub fn note_listed(&mut self, end: u64) {
+        self.known_to = Some(end);
+        self.gone_from = end;
+        self.listing = None;
+    }
+
+    /// Notes that all changes before `to` are known, and that there were no others at `as_of`.
+    pub fn note_read(&mut self, to: u64, as_of: Option<BoxTime>) {
+        self.known_to = self.known_to.max(Some(to));
+        if self.known_to == Some(to) {
+            self.as_of = self.as_of.max(as_of);
+        }
+    }
+
+    /// What this box wants to know.
+    pub fn wish(&self, has_rows: bool) -> EntryWish {
+        let page_from = self.listing.as_ref().map_or(0, |listing| listing.next);
+        EntryWish { known_to: self.known_to, page_from, has_rows }
+    }
+
+    /// What is told to a box with this wish.
+    pub fn answer(&self, wish: EntryWish, table: &BackendTable, now: BoxTime) -> EntryAnswer {
+        let Some(known_to) = self.known_to else { return EntryAnswer::default() };
+        // A replica that may come back is neither told nor passed over.
+        let first_lapsing = table.first_lapsing();
+        let settled_to = first_lapsing.map_or(known_to, |at| at.min(known_to));
+        let gone_from = self.gone_from.max(table.gone_from());
+        let whole = wish.known_to.is_none_or(|to| to < gone_from);
+        if whole && first_lapsing.is_some() && wish.has_rows {
+            return EntryAnswer::default();
+        }
+        let from = if whole { wish.page_from } else { wish.known_to.unwrap_or(0) };
+        let mut changes = table.changes_from(from, !whole);
+        let more = changes.len() > CHANGES_TOLD;
+        let next = changes.get(CHANGES_TOLD).map(|change| change.at);
+        changes.truncate(CHANGES_TOLD);
+        let all = !more && settled_to == known_to;
+        let age_ms = self.age_ms(now).filter(|_| all || whole);
+        let told_to = next.map_or(settled_to, |at| at.min(settled_to));
+        let page = whole.then_some(ListingPage { end: settled_to, next });
+        let known_to = if whole { settled_to } else { told_to };
+        EntryAnswer { changes, known_to: Some(known_to), age_ms, page }
+    }
+
+    /// Takes what another box told of changes, in answer to a wish. Nothing is left out only if that wish
+    /// named no more than is known now.
+    pub fn take_changes(&mut self, wish: EntryWish, told_to: Option<u64>, as_of: Option<BoxTime>) {
+        let (Some(to), Some(wished), Some(known)) = (told_to, wish.known_to, self.known_to) else {
+            return;
+        };
+        if wished > known {
+            return;
+        }
+        if to >= known {
+            self.note_read(to, as_of);
+        } else {
+            // The other knows less, and nothing was there then that this box does not know.
+            self.as_of = self.as_of.max(as_of);
+        }
+    }
+
+    /// Takes a page of a listing. Gives the whole of it, with its end, when the last one has come.
+    pub fn take_page(
+        &mut self,
+        wish: EntryWish,
+        page: ListingPage,
+        changes: &[BackendChange],
+        as_of: Option<BoxTime>,
+    ) -> Option<(u64, Vec<BackendChange>)> {
+        if self.known_to.is_some_and(|to| to > page.end) {
+            return None;
+        }
+        if wish.page_from == 0 {
+            self.listing = Some(OpenListing { end: page.end, as_of, next: 0, rows: Vec::new() });
+        }
+        let listing = self.listing.as_mut()?;
+        if listing.next != wish.page_from || page.end < listing.end {
+            return None;
+        }
+        listing.rows.extend(changes.iter().cloned());
+        if let Some(next) = page.next {
+            listing.next = next;
+            return None;
+        }
+        let listing = self.listing.take()?;
+        self.note_listed(listing.end);
+        self.note_read(listing.end, listing.as_of);
+        Some((listing.end, listing.rows))
+    }
+}
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -117,12 +117,19 @@
         /// The entries.
         listed: Vec<BackendChange>,
     },
+    /// All changes to the replicas' entries before an offset were read.
+    EntriesRead {
+        /// There were no others then.
+        as_of: BoxTime,
+        /// The offset.
+        to: u64,
+    },
     /// A call to the store failed.
     StoreFailed,
     /// The store answers again.
     StoreBack,
     /// Another box's note came.
-    PeerHeard(PeerNote),
+    PeerHeard(Box<PeerNote>),
     /// Another box has placed a long prompt.
     PlacementHeard(PlacementNote),
     /// Another box asks how fresh this one's knowledge is.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -9,7 +9,7 @@
 //!
 //! [`plan`] what is routed where · [`fresh`] how long that may be relied on · [`backend`] replicas ·
 //! [`loads`] how busy they are · [`deeds`] how well they do · [`pick`] which of them answers ·
-//! [`peers`] the other boxes · [`trial`] new versions · [`tally`] what speaks against them ·
+//! [`peers`] the other boxes · [`entries`] how far the replicas' entries are known · [`trial`] new versions · [`tally`] what speaks against them ·
 //! [`progress`] how far they have come · [`budget`] further sends · [`sizes`] which model answers ·
 //! [`placement`] what it costs to have a prompt read where, from [`backlog`], [`pace`] and [`held`] ·
 //! [`admission`] what is turned away.
@@ -24,6 +24,7 @@
 mod choice;
 pub mod deeds;
 mod dump;
+pub mod entries;
 pub mod event;
 pub mod fresh;
 mod gone;
@@ -51,6 +52,7 @@
 
 use backend::{BackendChange, BackendNews, BackendTable};
 use budget::{BudgetBounds, SendBudget};
+use entries::EntryPosition;
 use event::{RouteEffect, RouteEvent};
 use fresh::{FreshBounds, PlanFreshness};
 use pace::ServicePace;
@@ -74,6 +76,10 @@
 /// milliseconds: two asks, and what a reader's own knowledge may be old.
 pub const OWN_READ_MS: u64 = 3_000;
 
+/// A box that nobody has told for this long what differs in the replicas' entries reads them itself, in
+/// milliseconds: what a reader's own knowledge may be old, and two asks.
+pub const OWN_ENTRIES_MS: u64 = 4_000;
+
 /// New requests are still taken for this long after the planned stop began, in milliseconds: callers
 /// keep an address for a while. One taken later might not end before the process is killed.
 pub const STOP_TAKE_MS: u64 = 2_500;
@@ -97,6 +103,15 @@
     pub budget: BudgetBounds,
 }
 
+/// Where changes to replicas' entries came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BackendSource {
+    /// This box read them.
+    Store,
+    /// Another box told them.
+    Told,
+}
+
 /// All state of a routing box.
 #[derive(Debug)]
 pub struct RouteState {
@@ -120,9 +135,17 @@
     lapse_at: Option<BoxTime>,
     /// Offset up to which the operator's records were read.
     read_to: u64,
+    /// How far the replicas' entries are known.
+    entries: EntryPosition,
     /// News of replicas, with when it was learnt.
     changes: VecDeque<(BoxTime, BackendChange)>,
+    /// When this box was started, and by when it reads the store itself if no other has told it anything.
+    began: Option<(BoxTime, BoxTime)>,
+    /// Since when it is one of the readers.
+    reader_since: Option<BoxTime>,
     next_ask: BoxTime,
+    /// When the last ask was sent, if no answer has come.
+    unanswered_at: Option<BoxTime>,
     /// Since when it is known that another box has read further.
     behind_since: Option<BoxTime>,
     next_behind_ask: BoxTime,
@@ -150,7 +173,11 @@
             lapse_at: None,
             read_to: 0,
             changes: VecDeque::new(),
+            entries: EntryPosition::default(),
+            began: None,
+            reader_since: None,
             next_ask: BoxTime::default(),
+            unanswered_at: None,
             behind_since: None,
             next_behind_ask: BoxTime::default(),
             note_number: 0,
@@ -163,10 +190,13 @@
     pub fn apply(&mut self, stamp: EventStamp, event: RouteEvent) -> Vec<RouteEffect> {
         let mut effects = Vec::new();
         let out = &mut effects;
+        let read_at =
+            stamp.now.plus_millis(peers::START_ASK_MS + stamp.dice % peers::START_SPREAD_MS);
+        self.began.get_or_insert((stamp.now, read_at));
         match event {
             RouteEvent::Tick => self.on_tick(stamp, out),
             RouteEvent::PlanRead { asked_at, read_to, plan } => {
-                self.on_plan_read(asked_at, read_to, plan, out);
+                self.on_plan_read(stamp, asked_at, read_to, plan, out);
             }
             RouteEvent::OrdersRead(orders) => self.on_orders(stamp, orders, out),
             RouteEvent::VerdictsRead { asked_at, verdicts } => {
@@ -179,7 +209,11 @@
                 self.next_note = BoxTime::default();
             }
             RouteEvent::BackendsChanged(changes) => self.on_backends(stamp, changes, out),
-            RouteEvent::BackendsListed { end, listed } => self.on_listed(stamp, end, listed, out),
+            RouteEvent::BackendsListed { end, listed } => {
+                self.entries.note_listed(end);
+                self.on_listed(stamp, end, listed, self.lapse_at(stamp.now), out);
+            }
+            RouteEvent::EntriesRead { as_of, to } => self.entries.note_read(to, Some(as_of)),
             RouteEvent::StoreFailed | RouteEvent::StoreBack => {
                 self.lapse_at = Some(stamp.now.plus_millis(LAPSE_MS));
             }
@@ -212,6 +246,7 @@
         for change in self.backends.drop_lapsed(stamp.now) {
             self.tell(stamp, change, BackendNews::Leaving, out);
         }
+        self.settle_reader(stamp.now);
         self.tally_silent(stamp);
         self.advance_trials(stamp, out);
         self.judge_trials(stamp, out);
@@ -222,17 +257,16 @@
 
     fn on_plan_read(
         &mut self,
+        stamp: EventStamp,
         asked_at: BoxTime,
         read_to: u64,
         plan: Option<RoutePlan>,
         out: &mut Vec<RouteEffect>,
     ) {
         let Some(plan) = plan else {
-            // "As it was" says nothing to a box that has no plan yet.
-            if self.has_plan() {
-                self.fresh.renew(asked_at);
-                self.note_read(read_to);
-            }
+            // Without a plan nothing is served or denied; that there was none then is known all the same.
+            self.fresh.renew(asked_at);
+            self.note_read(read_to);
             return;
         };
         if self.has_plan() && plan.version < self.table.plan().version {
@@ -246,8 +280,10 @@
         }
         let (version, routes) = (plan.version, plan.routes.len());
         self.table = RouteTable::build(plan);
-        self.next_note = BoxTime::default();
         out.push(RouteEffect::PlanInForce { version, routes });
+        // Others ask for it at once: it is everywhere after a few steps, and few boxes read the store.
+        self.next_note = BoxTime::default();
+        self.send_notes(stamp, out);
     }
 
     fn on_backends(
@@ -257,20 +293,24 @@
         out: &mut Vec<RouteEffect>,
     ) {
         let lapse_at = self.lapse_at(stamp.now);
-        self.take_backends(stamp, changes, lapse_at, out);
+        self.take_backends(stamp, changes, BackendSource::Store, lapse_at, out);
     }
 
-    /// Takes changes, and tells what of them is news. Entries that vanished are used until `lapse_at`.
+    /// Takes changes, and tells what of them is news: what leaves by all who learn of it, the rest by who
+    /// read it, since others ask for it. Entries that vanished are used until `lapse_at`.
     fn take_backends(
         &mut self,
         stamp: EventStamp,
         changes: Vec<BackendChange>,
+        source: BackendSource,
         lapse_at: Option<BoxTime>,
         out: &mut Vec<RouteEffect>,
     ) {
         for change in changes {
             let news = self.backends.take(&change, stamp.now, lapse_at);
-            self.tell(stamp, change, news, out);
+            if news == BackendNews::Leaving || source == BackendSource::Store {
+                self.tell(stamp, change, news, out);
+            }
         }
     }
 
@@ -279,9 +319,9 @@
         stamp: EventStamp,
         end: u64,
         listed: Vec<BackendChange>,
+        lapse_at: Option<BoxTime>,
         out: &mut Vec<RouteEffect>,
     ) {
-        let lapse_at = self.lapse_at(stamp.now);
         let all = self.backends.take_all(end, listed, stamp.now, lapse_at);
         // Who lists learns late what others know already, but for what leaves.
         for (change, news) in all.into_iter().filter(|row| row.1 == BackendNews::Leaving) {
@@ -330,20 +370,60 @@
     /// Whether this box must read the operator's records itself: it is a reader, or no other box has
     /// told it lately that what it knows is fresh, or has told it what is new.
     pub fn must_read(&self, now: BoxTime) -> bool {
-        let old = self.fresh.age_ms(now).is_none_or(|age| age >= OWN_READ_MS);
         let behind = self.behind_since.is_some_and(|at| now.millis_since(at) >= peers::BEHIND_MS);
-        old || behind || self.is_reader(now)
+        behind || self.is_reader(now) || self.is_untold(self.fresh.age_ms(now), OWN_READ_MS, now)
     }
 
-    /// Whether a read of the operator's records is to wait for one: by a reader, and by a box that has
-    /// no plan yet.
+    /// Whether this box must read the replicas' entries itself: it is a reader, or no other box has told it
+    /// lately what differs.
+    pub fn must_read_entries(&self, now: BoxTime) -> bool {
+        self.is_reader(now) || self.is_untold(self.entries.age_ms(now), OWN_ENTRIES_MS, now)
+    }
+
+    /// Whether others have told this box too little: what it knows is older than `limit_ms`, or it still knows
+    /// nothing some time after its start.
+    fn is_untold(&self, age_ms: Option<u64>, limit_ms: u64, now: BoxTime) -> bool {
+        match age_ms {
+            Some(age) => age >= limit_ms,
+            None => self.began.is_none_or(|(_, read_at)| now >= read_at),
+        }
+    }
+
+    /// Whether this box tells the store where it hears notes, and reads where others do: readers, so that a
+    /// box that starts finds one, and a box that hears nobody.
+    pub fn wants_boxes(&self, now: BoxTime) -> bool {
+        let alone = self.peers.live_count(now) == 1;
+        let late = self.began.is_none_or(|(at, _)| now.millis_since(at) >= peers::READER_SETTLE_MS);
+        self.is_reader(now) || (alone && late)
+    }
+
+    /// Whether a read of the operator's records is to wait for one.
     pub fn waits_for_plan(&self, now: BoxTime) -> bool {
-        !self.has_plan() || self.is_reader(now)
+        self.is_reader(now)
     }
 
     /// Whether this box is one of those that read the store often.
     pub fn is_reader(&self, now: BoxTime) -> bool {
-        self.peers.readers(&self.settings.name, now).0
+        self.reader_since.is_some_and(|at| now.millis_since(at) >= peers::READER_SETTLE_MS)
+    }
+
+    /// Notes since when this box is one of the readers.
+    fn settle_reader(&mut self, now: BoxTime) {
+        if self.peers.readers(&self.settings.name, self.open(now), now).0 {
+            self.reader_since.get_or_insert(now);
+        } else {
+            self.reader_since = None;
+        }
+    }
+
+    /// All changes to the replicas' entries before this offset are known.
+    pub fn entries_to(&self) -> Option<u64> {
+        self.entries.known_to()
+    }
+
+    /// Whether the box has learnt neither plan nor replicas yet.
+    fn starts(&self) -> bool {
+        !self.has_plan() || self.entries.known_to().is_none()
     }
 
     /// Requests in hand.
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -2,10 +2,11 @@
 //! its knowledge is.
 
 use super::backend::{BackendChange, BackendNews};
+use super::entries::EntryAnswer;
 use super::event::RouteEffect;
 use super::pace::ServicePace;
-use super::peers::{self, PeerAsk, PeerNote, TrialNote, REPLICAS_TOLD};
-use super::RouteState;
+use super::peers::{self, EntryWord, PeerAsk, PeerNote, TrialNote};
+use super::{BackendSource, RouteState};
 use crate::event::EventStamp;
 use crate::time::BoxTime;
 
@@ -71,26 +72,39 @@
             read_to: self.read_to,
             read_age_ms: self.fresh.age_ms(stamp.now),
             echo: None,
+            entries: EntryWord::default(),
             changes: self.changes.iter().rev().take(NEWS_LIMIT).map(|row| row.1.clone()).collect(),
             loads: self.backends.loads_to_tell(stamp.now),
             trials: trials.collect(),
             verdicts: self.verdicts(),
             others: self.peers.some_addresses(stamp.dice),
+            leads: self.peers.leads(&self.settings.name, self.open(stamp.now), stamp.now),
         }
     }
 
-    /// Asks a reader how fresh this box's knowledge is, unless it reads often itself.
+    /// Asks a reader how fresh this box's knowledge is, unless it reads often itself; one that knows nothing
+    /// yet asks anybody, again and again.
     pub(super) fn ask_reader(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
-        if stamp.now < self.next_ask {
+        let starts = self.starts();
+        let again = self.unanswered_at.is_some_and(|at| {
+            stamp.now.millis_since(at)
+                >= if starts { peers::START_ASK_MS } else { peers::ASK_AGAIN_MS }
+        });
+        if stamp.now < self.next_ask && !again {
             return;
         }
-        self.next_ask = stamp.now.plus_millis(peers::ASK_EVERY_MS);
-        let (own, readers) = self.peers.readers(&self.settings.name, stamp.now);
+        let (own, readers) =
+            self.peers.readers(&self.settings.name, self.open(stamp.now), stamp.now);
         // A box that was started while the store is away knows no replica, reader or not.
-        if (own && self.knows_replicas()) || readers.is_empty() {
+        if own && self.knows_replicas() {
+            self.unanswered_at = None;
             return;
         }
-        let reader = readers[(stamp.dice % readers.len() as u64) as usize].clone();
+        let first = stamp.dice.checked_rem(readers.len() as u64).unwrap_or(0) as usize;
+        let reader = readers.get(first).filter(|_| !starts).cloned();
+        let Some(reader) = reader.or_else(|| self.peers.any_address(stamp.dice)) else { return };
+        self.next_ask = stamp.now.plus_millis(peers::ASK_EVERY_MS);
+        self.unanswered_at = Some(stamp.now);
         out.push(RouteEffect::SendAsk(reader, self.ask(stamp)));
     }
 
@@ -100,18 +114,19 @@
             incarnation: self.settings.incarnation,
             asked_at: stamp.now,
             read_to: self.read_to,
-            wants_replicas: !self.knows_replicas(),
+            entries: self.entries.wish(self.knows_replicas()),
         }
     }
 
     /// Answers another box's ask.
     pub(super) fn on_ask(&mut self, stamp: EventStamp, ask: PeerAsk, out: &mut Vec<RouteEffect>) {
         let to = vec![ask.note_address.clone()];
+        self.peers.hear_of(&to, &self.settings.note_address, stamp.now);
         let mut note = self.note(stamp);
-        if ask.wants_replicas {
-            note.changes = self.backends.all_changes();
-            note.changes.truncate(REPLICAS_TOLD);
-        }
+        let EntryAnswer { changes, known_to, age_ms, page } =
+            self.entries.answer(ask.entries, &self.backends, stamp.now);
+        note.changes = changes;
+        note.entries = EntryWord { known_to, age_ms, page };
         note.echo = Some(ask);
         out.push(RouteEffect::SendNotes(to, Box::new(note)));
     }
@@ -126,16 +141,8 @@
             return;
         }
         self.peers.hear_of(&note.others, &self.settings.note_address, stamp.now);
-        if note.echo.as_ref().is_some_and(|ask| ask.wants_replicas) {
-            // What this box asked for is no news to the others.
-            for change in &note.changes {
-                self.backends.take(change, stamp.now, None);
-            }
-        } else {
-            // Only what is gone for good is told: that this box lost the store says nothing against it, and a
-            // replica must get nothing two seconds after the store's word.
-            self.take_backends(stamp, note.changes.clone(), None, out);
-        }
+        self.peers.hear_leads(&note.leads, &self.settings.name, stamp.now);
+        self.hear_entries(stamp, note, out);
         let paces = &self.paces;
         let mean_ms = |service: &str| paces.get(service).map_or(0.0, ServicePace::mean_ms);
         for told in &note.loads {
@@ -145,6 +152,33 @@
         self.hear_freshness(stamp, note, out);
     }
 
+    /// Takes what another box says of replicas: news, or the answer to an ask.
+    fn hear_entries(&mut self, stamp: EventStamp, note: &PeerNote, out: &mut Vec<RouteEffect>) {
+        let changes = note.changes.clone();
+        let Some(asked) = own_ask(note, self.settings.incarnation, stamp.now) else {
+            // Only what is gone for good is told: that this box lost the store says nothing against it, and a
+            // replica must get nothing two seconds after the store's word.
+            return self.take_backends(stamp, changes, BackendSource::Told, None, out);
+        };
+        self.unanswered_at = None;
+        if self.starts() {
+            self.next_ask = stamp.now.plus_millis(peers::START_ASK_MS);
+        }
+        let EntryWord { known_to, age_ms, page } = note.entries;
+        let as_of = age_ms.map(|age| asked.asked_at.minus_millis(age));
+        let Some(page) = page else {
+            self.take_backends(stamp, changes, BackendSource::Told, None, out);
+            return self.entries.take_changes(asked.entries, known_to, as_of);
+        };
+        match self.entries.take_page(asked.entries, page, &changes, as_of) {
+            Some((end, listed)) => self.on_listed(stamp, end, listed, None, out),
+            None if page.next.is_some() => {
+                out.push(RouteEffect::SendAsk(note.note_address.clone(), self.ask(stamp)));
+            }
+            None => {}
+        }
+    }
+
     /// Relies on what another box read, as of when it says, if this box has read as far.
     fn hear_freshness(&mut self, stamp: EventStamp, note: &PeerNote, out: &mut Vec<RouteEffect>) {
         if note.read_to > self.read_to {
@@ -156,7 +190,7 @@
             return;
         }
         let as_of = self.word_as_of(note, stamp.now);
-        if let Some(as_of) = as_of.filter(|_| note.read_to == self.read_to && self.has_plan()) {
+        if let Some(as_of) = as_of.filter(|_| note.read_to == self.read_to) {
             self.fresh.renew(as_of);
         }
     }
@@ -164,9 +198,14 @@
     /// As of when, on this box's clock, another one knew what its note says; `None` if the note
     /// answers no ask of this life of the process, or one that is too old.
     pub fn word_as_of(&self, note: &PeerNote, now: BoxTime) -> Option<BoxTime> {
-        let (ask, age_ms) = (note.echo.as_ref()?, note.read_age_ms?);
-        let own = ask.incarnation == self.settings.incarnation && ask.asked_at <= now;
-        let early = now.millis_since(ask.asked_at) < peers::ECHO_LIMIT_MS;
-        (own && early).then(|| ask.asked_at.minus_millis(age_ms))
+        let asked = own_ask(note, self.settings.incarnation, now)?;
+        Some(asked.asked_at.minus_millis(note.read_age_ms?))
     }
 }
+
+/// The ask that a note answers, if it was made in this life of the process and not too long ago.
+fn own_ask(note: &PeerNote, incarnation: u64, now: BoxTime) -> Option<&PeerAsk> {
+    let asked = note.echo.as_ref().filter(|ask| ask.incarnation == incarnation)?;
+    let early = now.millis_since(asked.asked_at) < peers::ECHO_LIMIT_MS;
+    (asked.asked_at <= now && early).then_some(asked)
+}
--- a/crates/core/src/route/peers.rs
+++ b/crates/core/src/route/peers.rs
@@ -14,6 +14,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::backend::BackendChange;
+use super::entries::{EntryWish, ListingPage};
 use super::loads::LoadNote;
 use super::progress::TrialProgress;
 use super::tally::RouteTallies;
@@ -36,8 +37,25 @@
 /// Boxes that read the store often, at least: any two may be gone at once.
 pub const READERS_MIN: usize = 3;
 
-/// Boxes that ask one reader, at most, with one ask a second each.
-pub const ASKERS_LIMIT: usize = 24;
+/// A box that was heard of through others is taken for living for this long after it spoke, in
+/// milliseconds: where notes go to a few of many boxes, word of one takes up to three rounds.
+pub const TOLD_SILENT_MS: u64 = 3_000;
+
+/// Boxes that ask one reader, at most, with an ask each [`ASK_EVERY_MS`]: some 80 answers a second, a
+/// hundredth of a core.
+pub const ASKERS_LIMIT: usize = 64;
+
+/// Who finds itself a reader acts on it after this, in milliseconds: while boxes start, each knows few others
+/// and would take itself for one.
+pub const READER_SETTLE_MS: u64 = 1_000;
+
+/// A box that has started asks others for what it must know, and reads the store itself only after
+/// this, in milliseconds: some answers' way between zones.
+pub const START_ASK_MS: u64 = 40;
+
+/// Beyond [`START_ASK_MS`], by chance, in milliseconds: of boxes that start at the same moment few read the
+/// store, and tell the others.
+pub const START_SPREAD_MS: u64 = 260;
 
 /// Time between two asks, in milliseconds.
 pub const ASK_EVERY_MS: u64 = 800;
@@ -46,14 +64,14 @@
 /// itself after this, in milliseconds: an ask and its answer, once lost and repeated.
 pub const BEHIND_MS: u64 = 500;
 
-/// Such a box asks again after this, in milliseconds.
+/// Who got no answer asks another box after this, in milliseconds: answers take a few.
 pub const ASK_AGAIN_MS: u64 = 150;
 
 /// An answer to an ask that was sent longer ago says nothing, in milliseconds.
 pub const ECHO_LIMIT_MS: u64 = 3_000;
 
-/// Replicas told to a box that knows none, at most: what a datagram holds.
-pub const REPLICAS_TOLD: usize = 300;
+/// Boxes told of beyond those with duties: who follows when one dies is known by then.
+pub const LEADS_SPARE: usize = 2;
 
 /// Addresses of other boxes that a note tells of.
 pub const TOLD_OF: usize = 6;
@@ -99,8 +117,10 @@
     pub read_age_ms: Option<u64>,
     /// The ask that this note answers.
     pub echo: Option<PeerAsk>,
-    /// Changes to the replicas' entries that it lately learnt.
+    /// Changes to the replicas' entries: in an answer what the ask wants, else what is news.
     pub changes: Vec<BackendChange>,
+    /// How far an answer shows the replicas' entries.
+    pub entries: EntryWord,
     /// Loads of busy replicas.
     pub loads: Vec<LoadNote>,
     /// Trials under way.
@@ -109,6 +129,40 @@
     pub verdicts: Vec<TrialVerdict>,
     /// Where other boxes hear notes.
     pub others: Vec<String>,
+    /// Boxes with duties for the others, where a note does not reach all.
+    pub leads: Vec<PeerSummary>,
+}
+
+/// How far an answer shows the replicas' entries; see [`super::entries::EntryAnswer`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EntryWord {
+    /// All changes before this offset are known with it.
+    pub known_to: Option<u64>,
+    /// How long ago that was all there was, in milliseconds.
+    pub age_ms: Option<u64>,
+    /// The page of a listing, if it is one.
+    pub page: Option<ListingPage>,
+}
+
+/// What a box tells of another.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PeerSummary {
+    /// Name.
+    pub name: String,
+    /// Random number of this life of its process.
+    pub incarnation: u64,
+    /// Number of its last note that was heard.
+    pub number: u64,
+    /// Where it hears notes.
+    pub note_address: String,
+    /// Where it takes callers.
+    pub entry_address: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Whether callers may be sent to it.
+    pub open: bool,
+    /// How long ago it spoke, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// A box's question to a reader.
@@ -122,8 +176,8 @@
     pub asked_at: BoxTime,
     /// Offset up to which it has read the operator's records: it wants what is behind.
     pub read_to: u64,
-    /// Whether it knows no replica, and wants all.
-    pub wants_replicas: bool,
+    /// What it wants to know of the replicas' entries.
+    pub entries: EntryWish,
 }
 
 /// What is known of another box.
@@ -150,6 +204,11 @@
     fn lives(&self, now: BoxTime) -> bool {
         now.millis_since(self.heard_at) < SILENT_MS
     }
+
+    /// Whether it was heard lately, or others have lately heard it.
+    fn leads(&self, now: BoxTime) -> bool {
+        now.millis_since(self.heard_at) < TOLD_SILENT_MS
+    }
 }
 
 /// The other boxes, by name.
@@ -224,18 +283,104 @@
         all.into_iter().cloned().collect()
     }
 
-    /// Whether this box is one of the readers, and where the others of them hear notes. Readers are
-    /// chosen by a hash of their names, so that they lie in different availability zones.
-    pub fn readers(&self, me: &str, now: BoxTime) -> (bool, Vec<String>) {
-        let live = self.rows.iter().filter(|(_, row)| row.lives(now));
-        let mut all: Vec<(u64, Option<&String>)> = live
-            .map(|(name, row)| (xxh3_64(name.as_bytes()), Some(&row.note_address)))
-            .chain([(xxh3_64(me.as_bytes()), None)])
+    /// Boxes of the fleet, this one included: where notes reach all, those that live; else all that were
+    /// heard or heard of within [`FORGET_MS`], since each box hears the others but now and then.
+    pub fn fleet_count(&self, now: BoxTime) -> usize {
+        let live = self.live_count(now);
+        let known = 1 + self.rows.len() + self.hearsay.len();
+        if known <= 1 + NOTE_FANOUT {
+            return live;
+        }
+        known
+    }
+
+    /// Boxes that may have duties, this one included: those that serve first, then by a hash of their names,
+    /// so that they lie in different availability zones. `open` says whether this one serves.
+    fn candidates(&self, me: &str, open: bool, now: BoxTime) -> Vec<(bool, u64, Option<&str>)> {
+        // Where notes reach all, who did not speak is silent; else word of it may be under way.
+        let few = self.rows.len() <= NOTE_FANOUT;
+        let live = |row: &PeerState| if few { row.lives(now) } else { row.leads(now) };
+        let others = self.rows.iter().filter(|(_, row)| live(row));
+        let mut all: Vec<(bool, u64, Option<&str>)> = others
+            .map(|(name, row)| (!row.open, xxh3_64(name.as_bytes()), Some(name.as_str())))
+            .chain([(!open, xxh3_64(me.as_bytes()), None)])
             .collect();
         all.sort();
-        all.truncate(READERS_MIN.max(all.len().div_ceil(ASKERS_LIMIT)));
-        let own = all.iter().any(|(_, address)| address.is_none());
-        (own, all.into_iter().filter_map(|(_, address)| address.cloned()).collect())
+        all
+    }
+
+    /// How many boxes read the store for the others.
+    fn reader_count(&self, now: BoxTime) -> usize {
+        READERS_MIN.max(self.fleet_count(now).div_ceil(ASKERS_LIMIT))
+    }
+
+    /// Whether this box is one of the readers, and where the others of them hear notes.
+    pub fn readers(&self, me: &str, open: bool, now: BoxTime) -> (bool, Vec<String>) {
+        let mut all = self.candidates(me, open, now);
+        all.truncate(self.reader_count(now));
+        let own = all.iter().any(|(_, _, name)| name.is_none());
+        let others = all.into_iter().filter_map(|(_, _, name)| self.rows.get(name?));
+        (own, others.map(|row| row.note_address.clone()).collect())
+    }
+
+    /// What to tell of the boxes with duties, and of those next in their place; nothing where notes reach all.
+    pub fn leads(&self, me: &str, open: bool, now: BoxTime) -> Vec<PeerSummary> {
+        if self.rows.len() <= NOTE_FANOUT {
+            return Vec::new();
+        }
+        let mut all = self.candidates(me, open, now);
+        all.truncate(self.reader_count(now) + LEADS_SPARE);
+        let rows = all.into_iter().filter_map(|(_, _, name)| self.rows.get_key_value(name?));
+        rows.map(|(name, row)| PeerSummary {
+            name: name.clone(),
+            incarnation: row.incarnation,
+            number: row.number,
+            note_address: row.note_address.clone(),
+            entry_address: row.entry_address.clone(),
+            zone: row.zone.clone(),
+            open: row.open,
+            age_ms: now.millis_since(row.heard_at),
+        })
+        .collect()
+    }
+
+    /// Takes what another box told of boxes with duties.
+    pub fn hear_leads(&mut self, leads: &[PeerSummary], me: &str, now: BoxTime) {
+        for lead in leads.iter().filter(|lead| lead.name != me && lead.age_ms < TOLD_SILENT_MS) {
+            let heard_at = now.minus_millis(lead.age_ms);
+            let same = |row: &PeerState| row.note_address == lead.note_address;
+            let later = |row: &PeerState| row.heard_at >= heard_at;
+            if self.rows.get(&lead.name).is_some_and(later) {
+                continue;
+            }
+            // An address has one box, and who was heard there last is it.
+            if self.rows.iter().any(|(name, row)| *name != lead.name && same(row) && later(row)) {
+                continue;
+            }
+            let known = self.rows.get(&lead.name);
+            let known = known.filter(|row| row.incarnation == lead.incarnation);
+            let newer = known.filter(|row| row.number > lead.number);
+            let state = PeerState {
+                incarnation: lead.incarnation,
+                number: newer.map_or(lead.number, |row| row.number),
+                note_address: lead.note_address.clone(),
+                entry_address: lead.entry_address.clone(),
+                zone: lead.zone.clone(),
+                open: newer.map_or(lead.open, |row| row.open),
+                heard_at,
+            };
+            self.hearsay.remove(&lead.note_address);
+            self.rows.retain(|name, row| *name == lead.name || !same(row));
+            self.rows.insert(lead.name.clone(), state);
+        }
+    }
+
+    /// An address that may have a box, by chance: what a box asks that knows nobody yet.
+    pub fn any_address(&self, dice: u64) -> Option<String> {
+        let known = self.rows.values().map(|row| &row.note_address);
+        let all: Vec<&String> = known.chain(self.hearsay.keys()).collect();
+        let index = dice.checked_rem(all.len() as u64)?;
+        all.get(index as usize).map(|address| (*address).clone())
     }
 
     /// Addresses of a few other boxes, by chance.
@@ -251,9 +396,9 @@
         self.rows.values().filter(move |row| row.open && row.lives(now))
     }
 
-    /// How many live boxes come before this one by name.
-    pub fn rank(&self, me: &str, now: BoxTime) -> usize {
-        let live = self.rows.iter().filter(|(_, row)| row.lives(now));
-        live.filter(|(name, _)| name.as_str() < me).count()
+    /// How many boxes come before this one in a duty that one box has.
+    pub fn rank(&self, me: &str, open: bool, now: BoxTime) -> usize {
+        let all = self.candidates(me, open, now);
+        all.iter().position(|(_, _, name)| name.is_none()).unwrap_or(0)
     }
 }
--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -120,10 +120,15 @@
         }
     }
 
-    /// Writes what is due: the first live box by name at once, the others in their place if the
+    /// How many boxes come before this one in writing what is due.
+    fn duty_rank(&self, now: BoxTime) -> u64 {
+        self.peers.rank(&self.settings.name, self.open(now), now) as u64
+    }
+
+    /// Writes what is due: the first box with duties at once, the others in their place if the
     /// store has no word of it by then.
     pub(super) fn judge_trials(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
-        let rank = self.peers.rank(&self.settings.name, stamp.now) as u64;
+        let rank = self.duty_rank(stamp.now);
         for (service, trial) in &self.trials {
             let state = match trial.due(stamp.now) {
                 Some(state) => state,
@@ -145,7 +150,7 @@
 
     /// Marks in the store how far trials have come, box by box as verdicts are written.
     pub(super) fn mark_trials(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
-        let rank = self.peers.rank(&self.settings.name, stamp.now) as u64;
+        let rank = self.duty_rank(stamp.now);
         for (service, trial) in &self.trials {
             match trial.mark_due(stamp.now) {
                 None => drop(self.mark_at.remove(service)),
--- a/crates/core/tests/route/fixture.rs
+++ b/crates/core/tests/route/fixture.rs
@@ -138,11 +138,21 @@
     pub fn put(&mut self, entry: BackendEntry) {
         let change = self.change(&entry.id.clone(), Some(entry));
         self.feed(RouteEvent::BackendsChanged(vec![change]));
+        self.note_entries_read();
     }
 
     pub fn drop_entry(&mut self, id: &str) {
         let change = self.change(id, None);
         self.feed(RouteEvent::BackendsChanged(vec![change]));
+        self.note_entries_read();
+    }
+
+    /// All changes so far were read now.
+    pub fn note_entries_read(&mut self) {
+        let now = BoxTime::from_millis(self.now);
+        let event = RouteEvent::EntriesRead { as_of: now, to: self.offset + 1 };
+        // It takes no random number: what is drawn afterwards stays the same.
+        self.state.apply(EventStamp { now, wall: WallTime(0), dice: self.dice }, event);
     }
 
     /// A change at the store's next offset.
