start: who read the store at its start reads on at once

In the first second after a start of all boxes nobody was a reader yet, so an order that was given just then was known after a second, and replicas of the version it brings in were used before. Ruled out: load (the plays that passed ran beside the same) and the trial's phases (no trial was known to the box). Change: a box that read the store since nobody told it anything goes on as a reader at once. Tests of asks, answers, pages and what may come back.

--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -213,7 +213,10 @@
                 self.entries.note_listed(end);
                 self.on_listed(stamp, end, listed, self.lapse_at(stamp.now), out);
             }
-            RouteEvent::EntriesRead { as_of, to } => self.entries.note_read(to, Some(as_of)),
+            RouteEvent::EntriesRead { as_of, to } => {
+                self.entries.note_read(to, Some(as_of));
+                self.read_on(stamp.now);
+            }
             RouteEvent::StoreFailed | RouteEvent::StoreBack => {
                 self.lapse_at = Some(stamp.now.plus_millis(LAPSE_MS));
             }
@@ -407,6 +410,16 @@
         self.reader_since.is_some_and(|at| now.millis_since(at) >= peers::READER_SETTLE_MS)
     }
 
+    /// Who has started and read the store since nobody told it anything reads on at once, if it finds itself a
+    /// reader: boxes that started with it learn from it what comes next, such as an order to bring a version in.
+    fn read_on(&mut self, now: BoxTime) {
+        let starting =
+            self.began.is_some_and(|(at, _)| now.millis_since(at) < peers::READER_SETTLE_MS);
+        if starting && self.peers.readers(&self.settings.name, self.open(now), now).0 {
+            self.reader_since = Some(now.minus_millis(peers::READER_SETTLE_MS));
+        }
+    }
+
     /// Notes since when this box is one of the readers.
     fn settle_reader(&mut self, now: BoxTime) {
         if self.peers.readers(&self.settings.name, self.open(now), now).0 {
--- a/crates/core/tests/route/membership.rs
+++ b/crates/core/tests/route/membership.rs
@@ -1,9 +1,12 @@
 //! Which boxes callers are sent to, and what boxes tell each other.
 
-use ravenspoke_core::route::entries::EntryWish;
+use ravenspoke_core::route::backend::BackendChange;
+use ravenspoke_core::route::entries::{EntryWish, CHANGES_TOLD};
 use ravenspoke_core::route::event::{RouteEffect, RouteEvent};
-use ravenspoke_core::route::peers::{PeerAsk, PeerNote, READER_SETTLE_MS};
-use ravenspoke_core::route::NAMED_AGE_MS;
+use ravenspoke_core::route::peers::{
+    PeerAsk, PeerNote, READER_SETTLE_MS, START_ASK_MS, START_SPREAD_MS,
+};
+use ravenspoke_core::route::{LAPSE_MS, NAMED_AGE_MS};
 use ravenspoke_core::time::BoxTime;
 
 use crate::fixture::{ask, entry, new_box, note_in, plan, ready_box, TestBox};
@@ -25,6 +28,15 @@
     subject
 }
 
+/// Another box that knows what [`ready_box`] knows.
+fn second_ready_box() -> TestBox {
+    let mut subject = new_box("box-2");
+    subject.read_plan(Some(plan(1)));
+    subject.put(entry("a", "v1"));
+    subject.put(entry("b", "v1"));
+    subject
+}
+
 fn named(subject: &TestBox) -> Vec<String> {
     subject.state.named(BoxTime::from_millis(subject.now))
 }
@@ -310,3 +322,143 @@
     tell(&mut other, &mut cut);
     assert!(!uses(&cut, "a") && uses(&cut, "b"));
 }
+
+/// A box that has just started, and when it reads the store at the latest if nobody tells it anything.
+fn started_box() -> (TestBox, u64) {
+    let mut started = new_box("box-2");
+    started.feed(RouteEvent::PeersNamed(vec!["box-1:90".to_owned()]));
+    let latest = started.now + START_ASK_MS + START_SPREAD_MS;
+    (started, latest)
+}
+
+fn clock(subject: &TestBox) -> BoxTime {
+    BoxTime::from_millis(subject.now)
+}
+
+fn ask_in(effects: &[RouteEffect]) -> Option<PeerAsk> {
+    effects.iter().find_map(|effect| match effect {
+        RouteEffect::SendAsk(_, ask) => Some(ask.clone()),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_box_that_starts_asks_others_and_reads_the_store_only_if_nobody_knows() {
+    let (mut started, latest) = started_box();
+    let effects = started.feed(RouteEvent::Tick);
+    assert!(ask_in(&effects).is_some(), "it asks at once");
+    assert!(!started.state.must_read(clock(&started)));
+    assert!(!started.state.must_read_entries(clock(&started)));
+    started.now = latest;
+    assert!(started.state.must_read(clock(&started)));
+    assert!(started.state.must_read_entries(clock(&started)));
+}
+
+#[test]
+fn a_box_that_was_told_everything_when_it_started_calls_the_store_for_nothing() {
+    let (mut reader, (mut started, latest)) = (ready_box(), started_box());
+    let ask = ask_in(&started.feed(RouteEvent::Tick)).expect("it asks");
+    let note = note_in(&reader.feed(RouteEvent::PeerAsked(ask))).expect("an answer");
+    let as_of = started.state.word_as_of(&note, clock(&started)).expect("a word");
+    started.feed(RouteEvent::PlanRead {
+        asked_at: as_of,
+        read_to: note.read_to,
+        plan: Some(plan(1)),
+    });
+    started.feed(RouteEvent::PeerHeard(Box::new(note)));
+    started.now = latest;
+    started.feed(RouteEvent::Tick);
+    assert!(!started.state.must_read(clock(&started)));
+    assert!(!started.state.must_read_entries(clock(&started)));
+    assert!(!started.state.wants_boxes(clock(&started)));
+    assert!(started.state.open(clock(&started)));
+}
+
+#[test]
+fn who_read_the_store_at_its_start_reads_on_at_once() {
+    let (mut started, latest) = started_box();
+    started.now = latest;
+    started.read_plan(Some(plan(1)));
+    started.put(entry("a", "v1"));
+    assert!(started.state.is_reader(clock(&started)), "what comes next is seen by somebody");
+}
+
+#[test]
+fn an_answer_holds_what_differs_and_nothing_else() {
+    let (mut reader, mut asker) = (ready_box(), new_box("box-3"));
+    asker.feed(RouteEvent::PeerHeard(Box::new(answer(&mut reader, &asker))));
+    assert!(uses(&asker, "a") && uses(&asker, "b"), "the first answer is a listing");
+    reader.drop_entry("a");
+    reader.put(entry("c", "v1"));
+    let note = answer(&mut reader, &asker);
+    let told: Vec<&str> = note.changes.iter().map(|change| change.id.as_str()).collect();
+    assert_eq!(told, ["a", "c"]);
+    asker.feed(RouteEvent::PeerHeard(Box::new(note)));
+    assert!(!uses(&asker, "a") && uses(&asker, "b") && uses(&asker, "c"));
+    assert!(answer(&mut reader, &asker).changes.is_empty());
+}
+
+#[test]
+fn a_lost_answer_is_made_good_by_the_next() {
+    let (mut reader, mut asker) = (ready_box(), new_box("box-3"));
+    asker.feed(RouteEvent::PeerHeard(Box::new(answer(&mut reader, &asker))));
+    reader.drop_entry("a");
+    let lost = answer(&mut reader, &asker);
+    reader.put(entry("c", "v1"));
+    asker.feed(RouteEvent::PeerHeard(Box::new(answer(&mut reader, &asker))));
+    assert!(!uses(&asker, "a") && uses(&asker, "c"));
+    asker.feed(RouteEvent::PeerHeard(Box::new(lost)));
+    assert!(uses(&asker, "c"), "one that comes late takes nothing back");
+}
+
+#[test]
+fn more_replicas_than_a_datagram_holds_are_told_in_pages() {
+    let (mut reader, mut asker) = (new_box("box-1"), new_box("box-3"));
+    reader.read_plan(Some(plan(1)));
+    for number in 0..2 * CHANGES_TOLD + 7 {
+        reader.put(entry(&format!("r{number}"), "v1"));
+    }
+    let mut effects = asker.feed(RouteEvent::PeerHeard(Box::new(answer(&mut reader, &asker))));
+    let mut pages = 1;
+    while let Some(ask) = ask_in(&effects) {
+        assert_eq!(asker.state.entries_to(), None, "what is not whole is not relied on");
+        let note = note_in(&reader.feed(RouteEvent::PeerAsked(ask))).expect("an answer");
+        assert!(note.changes.len() <= CHANGES_TOLD);
+        effects = asker.feed(RouteEvent::PeerHeard(Box::new(note)));
+        pages += 1;
+    }
+    assert_eq!(pages, 3);
+    assert_eq!(asker.state.backends().rows().count(), 2 * CHANGES_TOLD + 7);
+    assert_eq!(asker.state.entries_to(), reader.state.entries_to());
+}
+
+#[test]
+fn a_listing_takes_away_what_is_not_in_it() {
+    let (mut reader, mut asker) = (new_box("box-2"), ready_box());
+    reader.read_plan(Some(plan(1)));
+    let end = 50;
+    let kept = BackendChange { id: "b".to_owned(), at: 2, entry: Some(entry("b", "v1")) };
+    reader.feed(RouteEvent::BackendsListed { end, listed: vec![kept] });
+    reader.feed(RouteEvent::EntriesRead { as_of: clock(&reader), to: end });
+    let note = answer(&mut reader, &asker);
+    assert!(note.entries.page.is_some(), "it does not know what went before it listed");
+    asker.feed(RouteEvent::PeerHeard(Box::new(note)));
+    assert!(!uses(&asker, "a") && uses(&asker, "b"));
+    assert_eq!(asker.state.entries_to(), Some(end));
+}
+
+#[test]
+fn what_may_come_back_is_not_told_as_gone_and_told_when_it_is() {
+    let (mut reader, mut asker) = (second_ready_box(), ready_box());
+    reader.feed(RouteEvent::StoreFailed);
+    reader.drop_entry("a");
+    let note = answer(&mut reader, &asker);
+    assert_eq!(note.entries.age_ms, None, "not all is settled");
+    asker.feed(RouteEvent::PeerHeard(Box::new(note)));
+    assert!(uses(&asker, "a"));
+    reader.now += LAPSE_MS;
+    asker.now = reader.now;
+    reader.feed(RouteEvent::Tick);
+    asker.feed(RouteEvent::PeerHeard(Box::new(answer(&mut reader, &asker))));
+    assert!(!uses(&asker, "a") && uses(&asker, "b"));
+}
