trial: an order that has just been given needs no look at the store

Change: a box that knew all the operator's records a quarter of the trial's half before, and not this order, needs not ask: nobody has been given the version yet. A box that has just started still asks before it serves. Two tests set up their box in the order of the store: orders come with the plan.

--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -29,7 +29,10 @@
             }
             self.verdict_at.remove(&order.service);
             let service = order.service.clone();
-            let trial = VersionTrial::new(order, stamp.now);
+            let mut trial = VersionTrial::new(order, stamp.now);
+            // All records of some moments ago are known, and this was not among them: the store can have no
+            // verdict or mark of it yet, and each box that would ask is a call.
+            trial.looked = self.fresh.age_ms(stamp.now).is_some_and(|age| trial.is_new(age));
             out.push(moved(&trial));
             self.trials.insert(service, trial);
         }
--- a/crates/core/tests/route/restarts.rs
+++ b/crates/core/tests/route/restarts.rs
@@ -48,11 +48,12 @@
 /// and that its trial runs.
 fn started_box(name: &str) -> TestBox {
     let mut subject = new_box(name);
+    // The orders come with the plan: what a box knew before it read them would date them.
+    subject.feed(RouteEvent::OrdersRead(vec![order()]));
     subject.read_plan(Some(plan(1)));
     for (id, version) in [("a", "v1"), ("b", "v1"), ("c", "v2"), ("d", "v2")] {
         subject.put(entry(id, version));
     }
-    subject.feed(RouteEvent::OrdersRead(vec![order()]));
     let TrialOrder { service, version, .. } = order();
     let running = TrialVerdict { service, version, state: TrialState::Running };
     let asked_at = BoxTime::from_millis(subject.now);
--- a/crates/core/tests/route/trials.rs
+++ b/crates/core/tests/route/trials.rs
@@ -6,7 +6,7 @@
 use ravenspoke_core::route::trial::{TrialOrder, TrialState, TrialVerdict, TRIAL_SHARE};
 use ravenspoke_core::time::BoxTime;
 
-use crate::fixture::{ask, entry, head, order_in, ready_box, session, TestBox};
+use crate::fixture::{ask, entry, head, new_box, order_in, plan, ready_box, session, TestBox};
 
 fn order() -> TrialOrder {
     TrialOrder { service: "pool".to_owned(), version: "v2".to_owned(), duration_ms: 10_000 }
@@ -255,15 +255,32 @@
 
 #[test]
 fn a_box_that_has_just_started_asks_for_verdicts_before_it_serves() {
-    let mut subject = ready_box();
-    assert!(subject.state.knows_site());
+    let mut subject = new_box("box-1");
     subject.feed(RouteEvent::OrdersRead(vec![order()]));
+    subject.read_plan(Some(plan(1)));
+    subject.put(entry("a", "v1"));
     assert!(subject.state.verdicts_unread() && !subject.state.knows_site());
     let read = verdicts_read(&subject, Vec::new());
     subject.feed(read);
     assert!(subject.state.knows_site());
 }
 
+#[test]
+fn an_order_that_has_just_been_given_needs_no_call_for_its_verdict() {
+    let mut subject = ready_box();
+    subject.feed(RouteEvent::OrdersRead(vec![order()]));
+    assert!(!subject.state.verdicts_unread() && !subject.state.marks_unread());
+    assert!(subject.state.knows_site());
+}
+
+#[test]
+fn an_order_that_may_have_been_given_long_ago_is_looked_up() {
+    let mut subject = ready_box();
+    subject.now += order().duration_ms / 4;
+    subject.feed(RouteEvent::OrdersRead(vec![order()]));
+    assert!(subject.state.verdicts_unread() && !subject.state.knows_site());
+}
+
 #[test]
 fn a_verdict_is_never_taken_back() {
     let mut subject = box_on_trial();
@@ -417,7 +434,7 @@
 
 #[test]
 fn a_listing_of_verdicts_asked_for_before_an_order_was_read_says_nothing_of_it() {
-    let mut subject = ready_box();
+    let mut subject = new_box("box-1");
     let asked_at = BoxTime::from_millis(subject.now);
     subject.now += 20;
     subject.feed(RouteEvent::OrdersRead(vec![order()]));
