start, readers: boxes that start together ask less and wait for each other; who can't reach the store goes behind

Ruled out: readers' long polls, 100 in ten seconds. Change: a box asks again after 40, 80, 160 ms and so on; answers of boxes that know nothing either lengthen its wait (0.54 s at the most); registration waits until the fleet has settled; boxes that are no readers try again after 1 to 8 s, and for the entries only while the store answers; a box whose calls fail says so, and the next one by rank reads in its place.

--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -45,8 +45,12 @@
 /// two seconds after the store's word.
 pub const RETRY_READER_LIMIT_MS: u64 = 500;
 
+/// Shortest pause between two tries of the other boxes, in milliseconds: where many lost the store at once,
+/// readers find out when it is back.
+pub const RETRY_OTHERS_MS: u64 = 1_000;
+
 /// Longest pause between two tries of the other boxes, in milliseconds.
-pub const RETRY_LIMIT_MS: u64 = 2_000;
+pub const RETRY_LIMIT_MS: u64 = 8_000;
 
 /// Reads the store for one topic, and knows whether it can be reached.
 pub(super) struct TopicFollower {
@@ -109,11 +113,16 @@
 
     /// Waits before the next try, longer each time: refused calls are priced too.
     pub(super) async fn wait_to_retry(&mut self) {
-        let jitter = rand::random::<u64>() % (self.retry_ms / 4);
-        tokio::time::sleep(Duration::from_millis(self.retry_ms + jitter)).await;
         let reader = self.driver.state().is_reader(self.driver.now());
-        let limit = if reader { RETRY_READER_LIMIT_MS } else { RETRY_LIMIT_MS };
-        self.retry_ms = (self.retry_ms * 2).min(limit);
+        let (least, most) = if reader {
+            (RETRY_MS, RETRY_READER_LIMIT_MS)
+        } else {
+            (RETRY_OTHERS_MS, RETRY_LIMIT_MS)
+        };
+        let pause_ms = self.retry_ms.clamp(least, most);
+        let jitter = rand::random::<u64>() % (pause_ms / 4);
+        tokio::time::sleep(Duration::from_millis(pause_ms + jitter)).await;
+        self.retry_ms = pause_ms * 2;
     }
 
     /// Records from `next` on, or all of them without it; `None` if the call failed.
--- a/crates/box/src/gateway/note_wire/mod.rs
+++ b/crates/box/src/gateway/note_wire/mod.rs
@@ -59,6 +59,8 @@
     leads: Vec<WireSummary>,
     #[prost(message, optional, tag = "17")]
     entries: Option<WireEntryWord>,
+    #[prost(bool, tag = "18")]
+    cut: bool,
 }
 
 /// A datagram is one of these.
@@ -134,6 +136,7 @@
         entry_address: note.entry_address.clone(),
         zone: note.zone.clone(),
         open: note.open,
+        cut: note.cut,
         read_to: note.read_to,
         changes: note.changes.iter().map(write_change).collect(),
         trials: note.trials.iter().map(write_trial).collect(),
@@ -156,6 +159,7 @@
         entry_address: wire.entry_address,
         zone: wire.zone,
         open: wire.open,
+        cut: wire.cut,
         read_to: wire.read_to,
         read_age_ms: wire.read_age_ms,
         echo: wire.echo.map(read_ask),
--- a/crates/box/src/gateway/note_wire/peer.rs
+++ b/crates/box/src/gateway/note_wire/peer.rs
@@ -21,6 +21,8 @@
     open: bool,
     #[prost(uint64, tag = "8")]
     age_ms: u64,
+    #[prost(bool, tag = "9")]
+    cut: bool,
 }
 
 pub(super) fn write_summary(summary: &PeerSummary) -> WireSummary {
@@ -32,6 +34,7 @@
         entry_address: summary.entry_address.clone(),
         zone: summary.zone.clone(),
         open: summary.open,
+        cut: summary.cut,
         age_ms: summary.age_ms,
     }
 }
@@ -45,6 +48,7 @@
         entry_address: summary.entry_address,
         zone: summary.zone,
         open: summary.open,
+        cut: summary.cut,
         age_ms: summary.age_ms,
     }
 }
--- a/crates/core/src/route/fresh.rs
+++ b/crates/core/src/route/fresh.rs
@@ -33,6 +33,11 @@
         self.asked_at = self.asked_at.max(Some(asked_at));
     }
 
+    /// Whether nothing was read yet.
+    pub fn is_unknown(&self) -> bool {
+        self.asked_at.is_none()
+    }
+
     /// Age of what the box knows, in milliseconds; `None` before the first read.
     pub fn age_ms(&self, now: BoxTime) -> Option<u64> {
         self.asked_at.map(|at| now.millis_since(at))
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -41,6 +41,7 @@
 mod refuse;
 mod request;
 pub mod sizes;
+mod start;
 pub mod tally;
 pub mod trial;
 mod verdict;
@@ -56,10 +57,11 @@
 use event::{RouteEffect, RouteEvent};
 use fresh::{FreshBounds, PlanFreshness};
 use pace::ServicePace;
-use peers::PeerTable;
+use peers::{OwnStanding, PeerTable};
 use plan::{RoutePlan, RouteTable};
 use request::RouteRequest;
 use sizes::SizeLifts;
+use start::BoxStart;
 use trial::VersionTrial;
 
 pub use dump::RouteDump;
@@ -139,8 +141,10 @@
     entries: EntryPosition,
     /// News of replicas, with when it was learnt.
     changes: VecDeque<(BoxTime, BackendChange)>,
-    /// When this box was started, and by when it reads the store itself if no other has told it anything.
-    began: Option<(BoxTime, BoxTime)>,
+    /// How this box was started; `None` before the first event.
+    start: Option<BoxStart>,
+    /// When a call to the store last failed, if none succeeded since.
+    cut_at: Option<BoxTime>,
     /// Since when it is one of the readers.
     reader_since: Option<BoxTime>,
     next_ask: BoxTime,
@@ -174,7 +178,8 @@
             read_to: 0,
             changes: VecDeque::new(),
             entries: EntryPosition::default(),
-            began: None,
+            start: None,
+            cut_at: None,
             reader_since: None,
             next_ask: BoxTime::default(),
             unanswered_at: None,
@@ -190,9 +195,7 @@
     pub fn apply(&mut self, stamp: EventStamp, event: RouteEvent) -> Vec<RouteEffect> {
         let mut effects = Vec::new();
         let out = &mut effects;
-        let read_at =
-            stamp.now.plus_millis(peers::START_ASK_MS + stamp.dice % peers::START_SPREAD_MS);
-        self.began.get_or_insert((stamp.now, read_at));
+        self.start.get_or_insert_with(|| BoxStart::new(stamp));
         match event {
             RouteEvent::Tick => self.on_tick(stamp, out),
             RouteEvent::PlanRead { asked_at, read_to, plan } => {
@@ -218,6 +221,8 @@
                 self.read_on(stamp.now);
             }
             RouteEvent::StoreFailed | RouteEvent::StoreBack => {
+                let failed = matches!(event, RouteEvent::StoreFailed);
+                self.cut_at = failed.then_some(stamp.now);
                 self.lapse_at = Some(stamp.now.plus_millis(LAPSE_MS));
             }
             RouteEvent::PeerHeard(note) => self.on_note(stamp, &note, out),
@@ -380,7 +385,9 @@
     /// Whether this box must read the replicas' entries itself: it is a reader, or no other box has told it
     /// lately what differs.
     pub fn must_read_entries(&self, now: BoxTime) -> bool {
-        self.is_reader(now) || self.is_untold(self.entries.age_ms(now), OWN_ENTRIES_MS, now)
+        let untold = self.is_untold(self.entries.age_ms(now), OWN_ENTRIES_MS, now);
+        // While the store is away, reads of the plan find out when it is back.
+        self.is_reader(now) || (untold && !(self.store_away(now) && self.is_cut(now)))
     }
 
     /// Whether others have told this box too little: what it knows is older than `limit_ms`, or it still knows
@@ -388,7 +395,7 @@
     fn is_untold(&self, age_ms: Option<u64>, limit_ms: u64, now: BoxTime) -> bool {
         match age_ms {
             Some(age) => age >= limit_ms,
-            None => self.began.is_none_or(|(_, read_at)| now >= read_at),
+            None => self.start.is_none_or(|start| now >= start.read_at),
         }
     }
 
@@ -396,8 +403,7 @@
     /// box that starts finds one, and a box that hears nobody.
     pub fn wants_boxes(&self, now: BoxTime) -> bool {
         let alone = self.peers.live_count(now) == 1;
-        let late = self.began.is_none_or(|(at, _)| now.millis_since(at) >= peers::READER_SETTLE_MS);
-        self.is_reader(now) || (alone && late)
+        !self.settling(now) && (self.is_reader(now) || alone)
     }
 
     /// Whether a read of the operator's records is to wait for one.
@@ -413,16 +419,14 @@
     /// Who has started and read the store since nobody told it anything reads on at once, if it finds itself a
     /// reader: boxes that started with it learn from it what comes next, such as an order to bring a version in.
     fn read_on(&mut self, now: BoxTime) {
-        let starting =
-            self.began.is_some_and(|(at, _)| now.millis_since(at) < peers::READER_SETTLE_MS);
-        if starting && self.peers.readers(&self.settings.name, self.open(now), now).0 {
+        if self.settling(now) && self.peers.readers(&self.standing(now), now).0 {
             self.reader_since = Some(now.minus_millis(peers::READER_SETTLE_MS));
         }
     }
 
     /// Notes since when this box is one of the readers.
     fn settle_reader(&mut self, now: BoxTime) {
-        if self.peers.readers(&self.settings.name, self.open(now), now).0 {
+        if self.peers.readers(&self.standing(now), now).0 {
             self.reader_since.get_or_insert(now);
         } else {
             self.reader_since = None;
@@ -434,9 +438,24 @@
         self.entries.known_to()
     }
 
-    /// Whether the box has learnt neither plan nor replicas yet.
+    /// Whether the box has not learnt yet how the store stands.
     fn starts(&self) -> bool {
-        !self.has_plan() || self.entries.known_to().is_none()
+        self.fresh.is_unknown() || self.entries.known_to().is_none()
+    }
+
+    /// Whether it was started so lately that it knows few others.
+    fn settling(&self, now: BoxTime) -> bool {
+        self.start.is_some_and(|start| now.millis_since(start.at) < peers::READER_SETTLE_MS)
+    }
+
+    /// Whether this box can't reach the store.
+    fn is_cut(&self, now: BoxTime) -> bool {
+        self.cut_at.is_some_and(|at| now.millis_since(at) < peers::CUT_MS)
+    }
+
+    /// This box among the candidates for a duty.
+    fn standing(&self, now: BoxTime) -> OwnStanding<'_> {
+        OwnStanding { name: &self.settings.name, open: self.open(now), cut: self.is_cut(now) }
     }
 
     /// Requests in hand.
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -6,6 +6,7 @@
 use super::event::RouteEffect;
 use super::pace::ServicePace;
 use super::peers::{self, EntryWord, PeerAsk, PeerNote, TrialNote};
+use super::start::BoxStart;
 use super::{BackendSource, RouteState};
 use crate::event::EventStamp;
 use crate::time::BoxTime;
@@ -69,6 +70,7 @@
             entry_address: self.settings.entry_address.clone(),
             zone: self.settings.zone.clone(),
             open: self.open(stamp.now),
+            cut: self.is_cut(stamp.now),
             read_to: self.read_to,
             read_age_ms: self.fresh.age_ms(stamp.now),
             echo: None,
@@ -78,36 +80,40 @@
             trials: trials.collect(),
             verdicts: self.verdicts(),
             others: self.peers.some_addresses(stamp.dice),
-            leads: self.peers.leads(&self.settings.name, self.open(stamp.now), stamp.now),
+            leads: self.peers.leads(&self.standing(stamp.now), stamp.now),
         }
     }
 
     /// Asks a reader how fresh this box's knowledge is, unless it reads often itself; one that knows nothing
     /// yet asks anybody, again and again.
     pub(super) fn ask_reader(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
-        let starts = self.starts();
-        let again = self.unanswered_at.is_some_and(|at| {
-            stamp.now.millis_since(at)
-                >= if starts { peers::START_ASK_MS } else { peers::ASK_AGAIN_MS }
-        });
+        let unanswered = |at: BoxTime| stamp.now.millis_since(at) >= peers::ASK_AGAIN_MS;
+        let again = !self.starts() && self.unanswered_at.is_some_and(unanswered);
         if stamp.now < self.next_ask && !again {
             return;
         }
-        let (own, readers) =
-            self.peers.readers(&self.settings.name, self.open(stamp.now), stamp.now);
+        let (own, readers) = self.peers.readers(&self.standing(stamp.now), stamp.now);
         // A box that was started while the store is away knows no replica, reader or not.
         if own && self.knows_replicas() {
             self.unanswered_at = None;
             return;
         }
         let first = stamp.dice.checked_rem(readers.len() as u64).unwrap_or(0) as usize;
-        let reader = readers.get(first).filter(|_| !starts).cloned();
+        let reader = readers.get(first).filter(|_| !self.starts()).cloned();
         let Some(reader) = reader.or_else(|| self.peers.any_address(stamp.dice)) else { return };
-        self.next_ask = stamp.now.plus_millis(peers::ASK_EVERY_MS);
+        let pause_ms = self.ask_pause_ms();
+        self.next_ask = stamp.now.plus_millis(pause_ms);
         self.unanswered_at = Some(stamp.now);
         out.push(RouteEffect::SendAsk(reader, self.ask(stamp)));
     }
 
+    /// Time until the next ask, in milliseconds.
+    fn ask_pause_ms(&mut self) -> u64 {
+        let starts = self.starts();
+        let start = self.start.as_mut().filter(|_| starts);
+        start.map_or(peers::ASK_EVERY_MS, BoxStart::note_ask)
+    }
+
     fn ask(&self, stamp: EventStamp) -> PeerAsk {
         PeerAsk {
             note_address: self.settings.note_address.clone(),
@@ -161,8 +167,10 @@
             return self.take_backends(stamp, changes, BackendSource::Told, None, out);
         };
         self.unanswered_at = None;
-        if self.starts() {
-            self.next_ask = stamp.now.plus_millis(peers::START_ASK_MS);
+        if note.read_age_ms.is_none() {
+            if let Some(start) = &mut self.start {
+                start.note_company();
+            }
         }
         let EntryWord { known_to, age_ms, page } = note.entries;
         let as_of = age_ms.map(|age| asked.asked_at.minus_millis(age));
--- a/crates/core/src/route/peers.rs
+++ b/crates/core/src/route/peers.rs
@@ -50,13 +50,25 @@
 pub const READER_SETTLE_MS: u64 = 1_000;
 
 /// A box that has started asks others for what it must know, and reads the store itself only after
-/// this, in milliseconds: some answers' way between zones.
+/// this, in milliseconds: some answers' way between zones. It asks again after as long, then after twice as
+/// long each time: where all start at once, the few that all know of must not be asked more than they can
+/// answer.
 pub const START_ASK_MS: u64 = 40;
 
+/// Times that the pause between a starting box's asks is doubled, at most: then it asks as often as any other.
+pub const START_ASK_DOUBLINGS: u32 = 4;
+
 /// Beyond [`START_ASK_MS`], by chance, in milliseconds: of boxes that start at the same moment few read the
 /// store, and tell the others.
 pub const START_SPREAD_MS: u64 = 260;
 
+/// The same where other boxes answer and know nothing either: all start at once, so that fewer may read.
+pub const START_SPREAD_TOGETHER_MS: u64 = 500;
+
+/// A box that could not reach the store goes behind the others in reading it for this long, in milliseconds,
+/// unless a call succeeds.
+pub const CUT_MS: u64 = 20_000;
+
 /// Time between two asks, in milliseconds.
 pub const ASK_EVERY_MS: u64 = 800;
 
@@ -111,6 +123,8 @@
     pub zone: String,
     /// Whether callers may be sent to it.
     pub open: bool,
+    /// Whether it can't reach the store.
+    pub cut: bool,
     /// Offset up to which it has read the operator's records.
     pub read_to: u64,
     /// How long ago that was all there was, in milliseconds; `None` if it has read nothing yet.
@@ -161,6 +175,8 @@
     pub zone: String,
     /// Whether callers may be sent to it.
     pub open: bool,
+    /// Whether it can't reach the store.
+    pub cut: bool,
     /// How long ago it spoke, in milliseconds.
     pub age_ms: u64,
 }
@@ -195,6 +211,8 @@
     pub zone: String,
     /// Whether callers may be sent to it.
     pub open: bool,
+    /// Whether it can't reach the store.
+    pub cut: bool,
     /// When it was heard last.
     pub heard_at: BoxTime,
 }
@@ -211,6 +229,17 @@
     }
 }
 
+/// This box among the candidates for a duty.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnStanding<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Whether callers may be sent to it.
+    pub open: bool,
+    /// Whether it can't reach the store.
+    pub cut: bool,
+}
+
 /// The other boxes, by name.
 #[derive(Debug, Default)]
 pub struct PeerTable {
@@ -244,6 +273,7 @@
                 entry_address: note.entry_address.clone(),
                 zone: note.zone.clone(),
                 open: note.open,
+                cut: note.cut,
                 heard_at: now,
             },
         );
@@ -294,16 +324,17 @@
         known
     }
 
-    /// Boxes that may have duties, this one included: those that serve first, then by a hash of their names,
-    /// so that they lie in different availability zones. `open` says whether this one serves.
-    fn candidates(&self, me: &str, open: bool, now: BoxTime) -> Vec<(bool, u64, Option<&str>)> {
+    /// Boxes that may have duties, this one included: those that reach the store first, of these those that
+    /// serve, then by a hash of their names, so that they lie in different availability zones.
+    fn candidates(&self, me: &OwnStanding, now: BoxTime) -> Vec<(bool, bool, u64, Option<&str>)> {
         // Where notes reach all, who did not speak is silent; else word of it may be under way.
         let few = self.rows.len() <= NOTE_FANOUT;
         let live = |row: &PeerState| if few { row.lives(now) } else { row.leads(now) };
         let others = self.rows.iter().filter(|(_, row)| live(row));
-        let mut all: Vec<(bool, u64, Option<&str>)> = others
-            .map(|(name, row)| (!row.open, xxh3_64(name.as_bytes()), Some(name.as_str())))
-            .chain([(!open, xxh3_64(me.as_bytes()), None)])
+        let hash = |name: &str| xxh3_64(name.as_bytes());
+        let mut all: Vec<(bool, bool, u64, Option<&str>)> = others
+            .map(|(name, row)| (row.cut, !row.open, hash(name), Some(name.as_str())))
+            .chain([(me.cut, !me.open, hash(me.name), None)])
             .collect();
         all.sort();
         all
@@ -315,22 +346,22 @@
     }
 
     /// Whether this box is one of the readers, and where the others of them hear notes.
-    pub fn readers(&self, me: &str, open: bool, now: BoxTime) -> (bool, Vec<String>) {
-        let mut all = self.candidates(me, open, now);
+    pub fn readers(&self, me: &OwnStanding, now: BoxTime) -> (bool, Vec<String>) {
+        let mut all = self.candidates(me, now);
         all.truncate(self.reader_count(now));
-        let own = all.iter().any(|(_, _, name)| name.is_none());
-        let others = all.into_iter().filter_map(|(_, _, name)| self.rows.get(name?));
+        let own = all.iter().any(|(_, _, _, name)| name.is_none());
+        let others = all.into_iter().filter_map(|(_, _, _, name)| self.rows.get(name?));
         (own, others.map(|row| row.note_address.clone()).collect())
     }
 
     /// What to tell of the boxes with duties, and of those next in their place; nothing where notes reach all.
-    pub fn leads(&self, me: &str, open: bool, now: BoxTime) -> Vec<PeerSummary> {
+    pub fn leads(&self, me: &OwnStanding, now: BoxTime) -> Vec<PeerSummary> {
         if self.rows.len() <= NOTE_FANOUT {
             return Vec::new();
         }
-        let mut all = self.candidates(me, open, now);
+        let mut all = self.candidates(me, now);
         all.truncate(self.reader_count(now) + LEADS_SPARE);
-        let rows = all.into_iter().filter_map(|(_, _, name)| self.rows.get_key_value(name?));
+        let rows = all.into_iter().filter_map(|(_, _, _, name)| self.rows.get_key_value(name?));
         rows.map(|(name, row)| PeerSummary {
             name: name.clone(),
             incarnation: row.incarnation,
@@ -339,6 +370,7 @@
             entry_address: row.entry_address.clone(),
             zone: row.zone.clone(),
             open: row.open,
+            cut: row.cut,
             age_ms: now.millis_since(row.heard_at),
         })
         .collect()
@@ -367,6 +399,7 @@
                 entry_address: lead.entry_address.clone(),
                 zone: lead.zone.clone(),
                 open: newer.map_or(lead.open, |row| row.open),
+                cut: newer.map_or(lead.cut, |row| row.cut),
                 heard_at,
             };
             self.hearsay.remove(&lead.note_address);
@@ -397,8 +430,8 @@
     }
 
     /// How many boxes come before this one in a duty that one box has.
-    pub fn rank(&self, me: &str, open: bool, now: BoxTime) -> usize {
-        let all = self.candidates(me, open, now);
-        all.iter().position(|(_, _, name)| name.is_none()).unwrap_or(0)
+    pub fn rank(&self, me: &OwnStanding, now: BoxTime) -> usize {
+        let all = self.candidates(me, now);
+        all.iter().position(|(_, _, _, name)| name.is_none()).unwrap_or(0)
     }
 }
