start: boxes that others are told to ask read first, the rest wait for them

Cause: 186 of 295 boxes still listed plans and replicas at the start of the fleet: processes on an eighth of a core answer after some 0.4 s, longer than 300 ms. Ruled out: that seeds differ: all boxes are told the same three. Change: a box that finds itself among its seeds reads the store within 40 ms, any other 250 ms to 1 s after its start. Event 720 shows the seeds.

--- a/crates/bench/src/prompt_router.rs
+++ b/crates/bench/src/prompt_router.rs
@@ -296,6 +296,7 @@
         incarnation: 1 + row as u64,
         entry_address: format!("{row}:80"),
         note_address: format!("{row}:90"),
+        is_seed: false,
         fresh: FreshBounds { revoke_ms: None, apply_ms: 2_000 },
         budget: BudgetBounds { ratio: 0.9, slack: 60.0, window_ms: 10_000 },
     });
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -3,6 +3,7 @@
 //! A line for each decision that touches a request or changes what the box believes, with its inputs
 //! and their age. Lines go to a bounded buffer and never block; what it drops is counted.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use metrics::{counter, gauge, histogram};
@@ -172,8 +173,8 @@
 }
 
 /// Logs that the process runs.
-pub fn note_started(name: &str, address: std::net::SocketAddr) {
-    info!(event = 720, name = "gateway_started", box_name = name, %address);
+pub fn note_started(name: &str, address: SocketAddr, seeds: &[SocketAddr]) {
+    info!(event = 720, name = "gateway_started", box_name = name, %address, ?seeds);
 }
 
 /// Logs that the settings were read anew.
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -83,7 +83,7 @@
     follow_site(&settings, &driver, &store, socket, receivers);
     let entry = OpenEntry::start(&settings, &driver, listener);
     launch_answers(&settings, &driver, metrics, metrics_port).await?;
-    observe::note_started(&settings.name, settings.entry);
+    observe::note_started(&settings.name, settings.entry, &settings.seeds);
     if !settings.unread_seeds.is_empty() {
         observe::note_unread_seeds(&settings.unread_seeds);
     }
@@ -258,6 +258,7 @@
         incarnation: rand::random(),
         entry_address: settings.entry.to_string(),
         note_address: settings.notes.to_string(),
+        is_seed: settings.seeds.contains(&settings.notes),
         fresh: settings.fresh,
         budget: settings.budget,
     }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -99,6 +99,8 @@
     pub entry_address: String,
     /// Where it hears other boxes' notes.
     pub note_address: String,
+    /// Whether boxes that start are told to ask this one.
+    pub is_seed: bool,
     /// Bounds of freshness.
     pub fresh: FreshBounds,
     /// Bounds of further sends.
@@ -195,7 +197,7 @@
     pub fn apply(&mut self, stamp: EventStamp, event: RouteEvent) -> Vec<RouteEffect> {
         let mut effects = Vec::new();
         let out = &mut effects;
-        self.start.get_or_insert_with(|| BoxStart::new(stamp));
+        self.start.get_or_insert_with(|| BoxStart::new(stamp, self.settings.is_seed));
         match event {
             RouteEvent::Tick => self.on_tick(stamp, out),
             RouteEvent::PlanRead { asked_at, read_to, plan } => {
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -167,11 +167,6 @@
             return self.take_backends(stamp, changes, BackendSource::Told, None, out);
         };
         self.unanswered_at = None;
-        if note.read_age_ms.is_none() {
-            if let Some(start) = &mut self.start {
-                start.note_company();
-            }
-        }
         let EntryWord { known_to, age_ms, page } = note.entries;
         let as_of = age_ms.map(|age| asked.asked_at.minus_millis(age));
         let Some(page) = page else {
--- a/crates/core/src/route/peers.rs
+++ b/crates/core/src/route/peers.rs
@@ -58,12 +58,17 @@
 /// Times that the pause between a starting box's asks is doubled, at most: then it asks as often as any other.
 pub const START_ASK_DOUBLINGS: u32 = 4;
 
-/// Beyond [`START_ASK_MS`], by chance, in milliseconds: of boxes that start at the same moment few read the
-/// store, and tell the others.
-pub const START_SPREAD_MS: u64 = 260;
+/// A box that others are told to ask first reads the store this long after its start at the latest, by chance,
+/// if nobody knew, in milliseconds: the others wait for it.
+pub const START_SEED_MS: u64 = 40;
+
+/// Any other box reads the store itself so long after its start, in milliseconds: where all start at once,
+/// processes are slow to answer, and a second of each call's worth passes before callers give up a connection.
+pub const START_WAIT_MS: u64 = 250;
 
-/// The same where other boxes answer and know nothing either: all start at once, so that fewer may read.
-pub const START_SPREAD_TOGETHER_MS: u64 = 500;
+/// Beyond [`START_WAIT_MS`], by chance, in milliseconds: of boxes that start at the same moment few read the
+/// store, and tell the others.
+pub const START_SPREAD_MS: u64 = 750;
 
 /// A box that could not reach the store goes behind the others in reading it for this long, in milliseconds,
 /// unless a call succeeds.
--- a/crates/core/src/route/start.rs
+++ b/crates/core/src/route/start.rs
@@ -1,6 +1,8 @@
 //! A box's start: it asks others for what it must know, and reads the store itself if nobody tells it.
 
-use super::peers::{START_ASK_DOUBLINGS, START_ASK_MS, START_SPREAD_MS, START_SPREAD_TOGETHER_MS};
+use super::peers::{
+    START_ASK_DOUBLINGS, START_ASK_MS, START_SEED_MS, START_SPREAD_MS, START_WAIT_MS,
+};
 use crate::event::EventStamp;
 use crate::time::BoxTime;
 
@@ -11,28 +13,18 @@
     pub(super) at: BoxTime,
     /// From when on it reads the store itself.
     pub(super) read_at: BoxTime,
-    /// Its place among boxes that start at the same moment, from 0 to 1.
-    place: f64,
     asks: u32,
 }
 
 impl BoxStart {
-    /// A start now.
-    pub(super) fn new(stamp: EventStamp) -> Self {
-        let place = (stamp.dice >> 11) as f64 / (1_u64 << 53) as f64;
-        let mut start = Self { at: stamp.now, read_at: stamp.now, place, asks: 0 };
-        start.read_within(START_SPREAD_MS);
-        start
-    }
-
-    fn read_within(&mut self, spread_ms: u64) {
-        let spread = (spread_ms as f64 * self.place) as u64;
-        self.read_at = self.at.plus_millis(START_ASK_MS + spread);
-    }
-
-    /// Another box answers, which knows nothing either.
-    pub(super) fn note_company(&mut self) {
-        self.read_within(START_SPREAD_TOGETHER_MS);
+    /// A start now of a box that the others are told to ask, or of any other.
+    pub(super) fn new(stamp: EventStamp, is_seed: bool) -> Self {
+        let wait_ms = if is_seed {
+            stamp.dice % START_SEED_MS
+        } else {
+            START_WAIT_MS + stamp.dice % START_SPREAD_MS
+        };
+        Self { at: stamp.now, read_at: stamp.now.plus_millis(wait_ms), asks: 0 }
     }
 
     /// Counts an ask. Gives when to ask again, in milliseconds.
--- a/crates/core/tests/route/fixture.rs
+++ b/crates/core/tests/route/fixture.rs
@@ -31,6 +31,7 @@
         incarnation: 1,
         entry_address: format!("{name}:80"),
         note_address: format!("{name}:90"),
+        is_seed: false,
         fresh: FreshBounds { revoke_ms: Some(5_000), apply_ms: 2_000 },
         budget: BudgetBounds { ratio: 0.9, slack: 60.0, window_ms: 10_000 },
     }
