peers: the table, the duties and what is told are modules of their own; only a box's own notes carry its number

What a box says of itself (its card) is one type in notes, summaries and the table. Word of a box told by others no longer carries the number of its last note: a note of it that came later would have looked old and been dropped with all it says (found by reading; a test that failed before the change). Nothing else changes what is decided.

--- a/crates/box/src/gateway/note_wire/mod.rs
+++ b/crates/box/src/gateway/note_wire/mod.rs
@@ -16,7 +16,7 @@
     read_ask, read_record, read_word, write_ask, write_record, write_word, WireAsk, WireEntryWord,
     WireRecord,
 };
-use peer::{read_summary, write_summary, WireSummary};
+use peer::{read_card, read_summary, write_card, write_summary, WireCard, WireSummary};
 use replica::{
     read_change, read_load, read_placement, write_change, write_load, write_placement, WireChange,
     WireLoad, WirePlacement,
@@ -27,18 +27,10 @@
 struct WireNote {
     #[prost(string, tag = "1")]
     name: String,
-    #[prost(fixed64, tag = "2")]
-    incarnation: u64,
     #[prost(uint64, tag = "3")]
     number: u64,
-    #[prost(string, tag = "4")]
-    note_address: String,
-    #[prost(string, tag = "5")]
-    entry_address: String,
-    #[prost(string, tag = "6")]
-    zone: String,
-    #[prost(bool, tag = "7")]
-    open: bool,
+    #[prost(message, optional, tag = "4")]
+    card: Option<WireCard>,
     #[prost(uint64, tag = "8")]
     read_to: u64,
     #[prost(message, repeated, tag = "9")]
@@ -59,8 +51,6 @@
     leads: Vec<WireSummary>,
     #[prost(message, optional, tag = "17")]
     entries: Option<WireEntryWord>,
-    #[prost(bool, tag = "18")]
-    cut: bool,
 }
 
 /// A datagram is one of these.
@@ -130,13 +120,8 @@
 fn write_note(note: &PeerNote) -> WireNote {
     WireNote {
         name: note.name.clone(),
-        incarnation: note.incarnation,
         number: note.number,
-        note_address: note.note_address.clone(),
-        entry_address: note.entry_address.clone(),
-        zone: note.zone.clone(),
-        open: note.open,
-        cut: note.cut,
+        card: Some(write_card(&note.card)),
         read_to: note.read_to,
         changes: note.changes.iter().map(write_change).collect(),
         trials: note.trials.iter().map(write_trial).collect(),
@@ -153,13 +138,8 @@
 fn read_note(wire: WireNote) -> PeerNote {
     PeerNote {
         name: wire.name,
-        incarnation: wire.incarnation,
         number: wire.number,
-        note_address: wire.note_address,
-        entry_address: wire.entry_address,
-        zone: wire.zone,
-        open: wire.open,
-        cut: wire.cut,
+        card: wire.card.map(read_card).unwrap_or_default(),
         read_to: wire.read_to,
         read_age_ms: wire.read_age_ms,
         echo: wire.echo.map(read_ask),
--- a/crates/box/src/gateway/note_wire/peer.rs
+++ b/crates/box/src/gateway/note_wire/peer.rs
@@ -1,40 +1,39 @@
-//! Boxes that a note tells of.
+//! What boxes say of themselves and of others.
 
 use prost::Message;
-use ravenspoke_core::route::peers::PeerSummary;
+use ravenspoke_core::route::peers::{PeerCard, PeerSummary};
 
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct WireSummary {
     #[prost(string, tag = "1")]
     name: String,
-    #[prost(fixed64, tag = "2")]
-    incarnation: u64,
+    #[prost(message, optional, tag = "2")]
+    card: Option<WireCard>,
     #[prost(uint64, tag = "3")]
-    number: u64,
-    #[prost(string, tag = "4")]
+    age_ms: u64,
+}
+
+/// What a box says of itself.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireCard {
+    #[prost(fixed64, tag = "1")]
+    incarnation: u64,
+    #[prost(string, tag = "2")]
     note_address: String,
-    #[prost(string, tag = "5")]
+    #[prost(string, tag = "3")]
     entry_address: String,
-    #[prost(string, tag = "6")]
+    #[prost(string, tag = "4")]
     zone: String,
-    #[prost(bool, tag = "7")]
+    #[prost(bool, tag = "5")]
     open: bool,
-    #[prost(uint64, tag = "8")]
-    age_ms: u64,
-    #[prost(bool, tag = "9")]
+    #[prost(bool, tag = "6")]
     cut: bool,
 }
 
 pub(super) fn write_summary(summary: &PeerSummary) -> WireSummary {
     WireSummary {
         name: summary.name.clone(),
-        incarnation: summary.incarnation,
-        number: summary.number,
-        note_address: summary.note_address.clone(),
-        entry_address: summary.entry_address.clone(),
-        zone: summary.zone.clone(),
-        open: summary.open,
-        cut: summary.cut,
+        card: Some(write_card(&summary.card)),
         age_ms: summary.age_ms,
     }
 }
@@ -42,13 +41,29 @@
 pub(super) fn read_summary(summary: WireSummary) -> PeerSummary {
     PeerSummary {
         name: summary.name,
-        incarnation: summary.incarnation,
-        number: summary.number,
-        note_address: summary.note_address,
-        entry_address: summary.entry_address,
-        zone: summary.zone,
-        open: summary.open,
-        cut: summary.cut,
+        card: summary.card.map(read_card).unwrap_or_default(),
         age_ms: summary.age_ms,
     }
 }
+
+pub(super) fn write_card(card: &PeerCard) -> WireCard {
+    WireCard {
+        incarnation: card.incarnation,
+        note_address: card.note_address.clone(),
+        entry_address: card.entry_address.clone(),
+        zone: card.zone.clone(),
+        open: card.open,
+        cut: card.cut,
+    }
+}
+
+pub(super) fn read_card(card: WireCard) -> PeerCard {
+    PeerCard {
+        incarnation: card.incarnation,
+        note_address: card.note_address,
+        entry_address: card.entry_address,
+        zone: card.zone,
+        open: card.open,
+        cut: card.cut,
+    }
+}
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -527,7 +527,7 @@
     /// Addresses for a caller: open boxes; where none is open, this one, if it serves.
     pub fn named(&self, now: BoxTime) -> Vec<String> {
         let mut named: Vec<String> =
-            self.peers.open_rows(now).map(|row| row.entry_address.clone()).collect();
+            self.peers.open_rows(now).map(|row| row.card.entry_address.clone()).collect();
         if self.open(now) || (named.is_empty() && self.ready(now)) {
             named.push(self.settings.entry_address.clone());
         }
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -5,7 +5,7 @@
 use super::entries::EntryAnswer;
 use super::event::RouteEffect;
 use super::pace::ServicePace;
-use super::peers::{self, EntryWord, PeerAsk, PeerNote, TrialNote};
+use super::peers::{self, EntryWord, PeerAsk, PeerCard, PeerNote, TrialNote};
 use super::start::BoxStart;
 use super::{BackendSource, RouteState};
 use crate::event::EventStamp;
@@ -64,13 +64,8 @@
         });
         PeerNote {
             name: self.settings.name.clone(),
-            incarnation: self.settings.incarnation,
             number: self.note_number,
-            note_address: self.settings.note_address.clone(),
-            entry_address: self.settings.entry_address.clone(),
-            zone: self.settings.zone.clone(),
-            open: self.open(stamp.now),
-            cut: self.is_cut(stamp.now),
+            card: self.card(stamp.now),
             read_to: self.read_to,
             read_age_ms: self.fresh.age_ms(stamp.now),
             echo: None,
@@ -84,6 +79,18 @@
         }
     }
 
+    /// What this box says of itself.
+    fn card(&self, now: BoxTime) -> PeerCard {
+        PeerCard {
+            incarnation: self.settings.incarnation,
+            note_address: self.settings.note_address.clone(),
+            entry_address: self.settings.entry_address.clone(),
+            zone: self.settings.zone.clone(),
+            open: self.open(now),
+            cut: self.is_cut(now),
+        }
+    }
+
     /// Asks a reader how fresh this box's knowledge is, unless it reads often itself; one that knows nothing
     /// yet asks anybody, again and again.
     pub(super) fn ask_reader(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
@@ -176,7 +183,7 @@
         match self.entries.take_page(asked.entries, page, &changes, as_of) {
             Some((end, listed)) => self.on_listed(stamp, end, listed, None, out),
             None if page.next.is_some() => {
-                out.push(RouteEffect::SendAsk(note.note_address.clone(), self.ask(stamp)));
+                out.push(RouteEffect::SendAsk(note.card.note_address.clone(), self.ask(stamp)));
             }
             None => {}
         }
@@ -188,7 +195,7 @@
             self.behind_since.get_or_insert(stamp.now);
             if stamp.now >= self.next_behind_ask {
                 self.next_behind_ask = stamp.now.plus_millis(peers::ASK_AGAIN_MS);
-                out.push(RouteEffect::SendAsk(note.note_address.clone(), self.ask(stamp)));
+                out.push(RouteEffect::SendAsk(note.card.note_address.clone(), self.ask(stamp)));
             }
             return;
         }
--- /dev/null
+++ b/crates/core/src/route/peers/mod.rs
@@ -0,0 +1,207 @@
+//! The other boxes: who lives, what they know, and which of them callers are sent to.
+//!
+//! Boxes tell each other by datagrams. A note carries what its sender is and has seen; a box that is
+//! silent for [`SILENT_MS`] is no longer named to callers. News is told on at once by who hears it, to
+//! a few others each: it is everywhere after a few steps, whatever the size of the fleet.
+//!
+//! Few boxes read the store often, the *readers*; the others ask one of them. An answer says as of when
+//! the reader knew what it knows, and counts from the *asker's* clock: a datagram that was under way for
+//! long, or an asker that was frozen, makes the answer older, never newer.
+
+mod duties;
+mod table;
+
+use serde::Serialize;
+
+pub use duties::OwnStanding;
+pub use table::{PeerState, PeerTable};
+
+use super::backend::BackendChange;
+use super::entries::{EntryWish, ListingPage};
+use super::loads::LoadNote;
+use super::progress::TrialProgress;
+use super::tally::RouteTallies;
+use super::trial::TrialVerdict;
+use crate::time::BoxTime;
+
+/// Time between two notes to the same box, in milliseconds.
+pub const NOTE_EVERY_MS: u64 = 500;
+
+/// A box that has said nothing for this long is no longer named to callers, in milliseconds: three
+/// notes in a row may be lost, the fourth is late.
+pub const SILENT_MS: u64 = 1_800;
+
+/// A box that has said nothing for this long is forgotten, in milliseconds.
+pub const FORGET_MS: u64 = 60_000;
+
+/// Boxes that a note is sent to each time; at most this many, chosen anew.
+pub const NOTE_FANOUT: usize = 12;
+
+/// Boxes that read the store often, at least: any two may be gone at once.
+pub const READERS_MIN: usize = 3;
+
+/// A box that was heard of through others is taken for living for this long after it spoke, in
+/// milliseconds: where notes go to a few of many boxes, word of one takes up to three rounds.
+pub const TOLD_SILENT_MS: u64 = 2_500;
+
+/// Boxes that ask one reader, at most, with an ask each [`ASK_EVERY_MS`]: some 80 answers a second, a
+/// hundredth of a core.
+pub const ASKERS_LIMIT: usize = 64;
+
+/// A box that was started lately acts on finding itself a reader after this, in milliseconds: each knows few
+/// others yet and would take itself for one. Of 300 that start together 94 did after one second, 8 after this.
+pub const START_SETTLE_MS: u64 = 1_500;
+
+/// Any other box does after this, in milliseconds: it takes over before the others, who no longer hear from a
+/// reader, read the store themselves.
+pub const READER_SETTLE_MS: u64 = 300;
+
+/// A box was started lately for this long, in milliseconds: until then word of all others has come.
+pub const STARTED_LATELY_MS: u64 = 5_000;
+
+/// A box that has started asks others for what it must know, and reads the store itself only after
+/// this, in milliseconds: some answers' way between zones. It asks again after as long, then after twice as
+/// long each time: where all start at once, the few that all know of must not be asked more than they can
+/// answer.
+pub const START_ASK_MS: u64 = 40;
+
+/// Times that the pause between a starting box's asks is doubled, at most: then it asks as often as any other.
+pub const START_ASK_DOUBLINGS: u32 = 4;
+
+/// A box that others are told to ask first reads the store this long after its start at the latest, by chance,
+/// if nobody knew, in milliseconds: the others wait for it.
+pub const START_SEED_MS: u64 = 40;
+
+/// Any other box reads the store itself so long after its start, in milliseconds: where all start at once,
+/// processes are slow to answer, and a second of each call's worth passes before callers give up a connection.
+pub const START_WAIT_MS: u64 = 250;
+
+/// Beyond [`START_WAIT_MS`], by chance, in milliseconds: of boxes that start at the same moment few read the
+/// store, and tell the others.
+pub const START_SPREAD_MS: u64 = 750;
+
+/// A box that could not reach the store goes behind the others in reading it for this long, in milliseconds,
+/// unless a call succeeds.
+pub const CUT_MS: u64 = 20_000;
+
+/// Time between two asks, in milliseconds.
+pub const ASK_EVERY_MS: u64 = 800;
+
+/// A box that hears that another has read further asks that one for the records, and reads the store
+/// itself after this, in milliseconds: an ask and its answer, once lost and repeated.
+pub const BEHIND_MS: u64 = 500;
+
+/// Who got no answer asks another box after this, in milliseconds: answers take a few.
+pub const ASK_AGAIN_MS: u64 = 150;
+
+/// An answer to an ask that was sent longer ago says nothing, in milliseconds.
+pub const ECHO_LIMIT_MS: u64 = 3_000;
+
+/// Boxes told of beyond those with duties: who follows when one dies is known by then.
+pub const LEADS_SPARE: usize = 2;
+
+/// Addresses of other boxes that a note tells of.
+pub const TOLD_OF: usize = 6;
+
+/// Addresses in an answer to a caller, at most; the platform's limit.
+pub const NAMED_LIMIT: usize = 64;
+
+/// What a box says of one trial.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct TrialNote {
+    /// Service.
+    pub service: String,
+    /// Version on trial.
+    pub version: String,
+    /// How far it has come.
+    pub progress: TrialProgress,
+    /// The last mark in the store that the sender knows of.
+    pub marked: TrialProgress,
+    /// What the sender saw.
+    pub tallies: RouteTallies,
+}
+
+/// What a box says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct PeerCard {
+    /// Random number of this life of its process.
+    pub incarnation: u64,
+    /// Where it hears notes.
+    pub note_address: String,
+    /// Where it takes callers.
+    pub entry_address: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Whether callers may be sent to it.
+    pub open: bool,
+    /// Whether it can't reach the store.
+    pub cut: bool,
+}
+
+/// What a box tells another.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PeerNote {
+    /// Name of the sender.
+    pub name: String,
+    /// Number of the note; a lower one than seen is old.
+    pub number: u64,
+    /// What the sender says of itself.
+    pub card: PeerCard,
+    /// Offset up to which it has read the operator's records.
+    pub read_to: u64,
+    /// How long ago that was all there was, in milliseconds; `None` if it has read nothing yet.
+    pub read_age_ms: Option<u64>,
+    /// The ask that this note answers.
+    pub echo: Option<PeerAsk>,
+    /// Changes to the replicas' entries: in an answer what the ask wants, else what is news.
+    pub changes: Vec<BackendChange>,
+    /// How far an answer shows the replicas' entries.
+    pub entries: EntryWord,
+    /// Loads of busy replicas.
+    pub loads: Vec<LoadNote>,
+    /// Trials under way.
+    pub trials: Vec<TrialNote>,
+    /// Verdicts known.
+    pub verdicts: Vec<TrialVerdict>,
+    /// Where other boxes hear notes.
+    pub others: Vec<String>,
+    /// Boxes with duties for the others, where a note does not reach all.
+    pub leads: Vec<PeerSummary>,
+}
+
+/// How far an answer shows the replicas' entries; see [`super::entries::EntryAnswer`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EntryWord {
+    /// All changes before this offset are known with it.
+    pub known_to: Option<u64>,
+    /// How long ago that was all there was, in milliseconds.
+    pub age_ms: Option<u64>,
+    /// The page of a listing, if it is one.
+    pub page: Option<ListingPage>,
+}
+
+/// What a box tells of another.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PeerSummary {
+    /// Name.
+    pub name: String,
+    /// What it said of itself.
+    pub card: PeerCard,
+    /// How long ago it spoke, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A box's question to a reader.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PeerAsk {
+    /// Where the answer goes.
+    pub note_address: String,
+    /// Random number of this life of the asker's process.
+    pub incarnation: u64,
+    /// The asker's clock when it asked.
+    pub asked_at: BoxTime,
+    /// Offset up to which it has read the operator's records: it wants what is behind.
+    pub read_to: u64,
+    /// What it wants to know of the replicas' entries.
+    pub entries: EntryWish,
+}
--- /dev/null
+++ b/crates/core/src/route/peers/table.rs
@@ -0,0 +1,164 @@
+//! The other boxes as this one knows them, and the addresses where others may be.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{
+    PeerCard, PeerNote, PeerSummary, FORGET_MS, NOTE_FANOUT, SILENT_MS, TOLD_OF, TOLD_SILENT_MS,
+};
+use crate::time::BoxTime;
+
+/// What is known of another box.
+#[derive(Clone, Debug, Serialize)]
+pub struct PeerState {
+    /// What it says of itself.
+    #[serde(flatten)]
+    pub card: PeerCard,
+    /// Number of its last note; 0 if it was only heard of.
+    pub number: u64,
+    /// When it was heard last.
+    pub heard_at: BoxTime,
+}
+
+impl PeerState {
+    /// Whether it was heard lately.
+    pub(super) fn lives(&self, now: BoxTime) -> bool {
+        now.millis_since(self.heard_at) < SILENT_MS
+    }
+
+    /// Whether it was heard lately, or others have lately heard it.
+    pub(super) fn leads(&self, now: BoxTime) -> bool {
+        now.millis_since(self.heard_at) < TOLD_SILENT_MS
+    }
+}
+
+/// The other boxes, by name.
+#[derive(Debug, Default)]
+pub struct PeerTable {
+    pub(super) rows: BTreeMap<String, PeerState>,
+    /// Addresses that were only heard of, with when.
+    hearsay: BTreeMap<String, BoxTime>,
+}
+
+impl PeerTable {
+    /// All other boxes.
+    pub fn rows(&self) -> impl Iterator<Item = (&String, &PeerState)> {
+        self.rows.iter()
+    }
+
+    /// Takes a note. Returns false if it is older than one that was taken.
+    pub fn hear(&mut self, note: &PeerNote, now: BoxTime) -> bool {
+        let known = self.rows.get(&note.name);
+        let same = known.filter(|row| row.card.incarnation == note.card.incarnation);
+        if same.is_some_and(|row| row.number >= note.number) {
+            return false;
+        }
+        let state = PeerState { card: note.card.clone(), number: note.number, heard_at: now };
+        self.put(&note.name, state);
+        true
+    }
+
+    /// Takes what another box told of boxes with duties.
+    pub fn hear_leads(&mut self, leads: &[PeerSummary], me: &str, now: BoxTime) {
+        for lead in leads.iter().filter(|lead| lead.name != me && lead.age_ms < TOLD_SILENT_MS) {
+            self.hear_lead(lead, now.minus_millis(lead.age_ms));
+        }
+    }
+
+    /// Takes what was told of a box that spoke at `heard_at`.
+    fn hear_lead(&mut self, lead: &PeerSummary, heard_at: BoxTime) {
+        let here = |row: &PeerState| row.card.note_address == lead.card.note_address;
+        let later = |row: &PeerState| row.heard_at >= heard_at;
+        // An address has one box, and who was heard there last is it.
+        let stands =
+            |(name, row): (&String, &PeerState)| (*name == lead.name || here(row)) && later(row);
+        if self.rows.iter().any(stands) {
+            return;
+        }
+        let known = self.rows.get(&lead.name);
+        let same = known.filter(|row| row.card.incarnation == lead.card.incarnation);
+        // Only its own notes are numbered: one that is still under way must not look old.
+        let number = same.map_or(0, |row| row.number);
+        let state = PeerState { card: lead.card.clone(), number, heard_at };
+        self.put(&lead.name, state);
+    }
+
+    /// Notes a box, in place of any other at its address.
+    fn put(&mut self, name: &str, state: PeerState) {
+        let address = &state.card.note_address;
+        self.hearsay.remove(address);
+        self.rows.retain(|other, row| other == name || row.card.note_address != *address);
+        self.rows.insert(name.to_owned(), state);
+    }
+
+    /// Notes addresses that may have a box.
+    pub fn hear_of(&mut self, addresses: &[String], own: &str, now: BoxTime) {
+        for address in addresses {
+            let known = self.rows.values().any(|row| row.card.note_address == *address);
+            if !known && address != own {
+                self.hearsay.entry(address.clone()).or_insert(now);
+            }
+        }
+    }
+
+    /// Forgets boxes that were silent for long, and addresses where nobody answered.
+    pub fn forget(&mut self, now: BoxTime) {
+        self.rows.retain(|_, row| now.millis_since(row.heard_at) < FORGET_MS);
+        self.hearsay.retain(|_, at| now.millis_since(*at) < FORGET_MS);
+    }
+
+    /// Boxes that live, this one included.
+    pub fn live_count(&self, now: BoxTime) -> usize {
+        1 + self.rows.values().filter(|row| row.lives(now)).count()
+    }
+
+    /// Addresses for the next round of notes: all if they are few, else some by chance.
+    pub fn note_targets(&self, dice: u64) -> Vec<String> {
+        let known = self.rows.values().map(|row| &row.card.note_address);
+        let mut all: Vec<&String> = known.chain(self.hearsay.keys()).collect();
+        if all.len() > NOTE_FANOUT {
+            let order = |address: &&String| xxh3_64_with_seed(address.as_bytes(), dice);
+            all.sort_by_cached_key(order);
+            all.truncate(NOTE_FANOUT);
+        }
+        all.into_iter().cloned().collect()
+    }
+
+    /// Boxes of the fleet, this one included: where notes reach all, those that live; else all that were
+    /// heard or heard of within [`FORGET_MS`], since each box hears the others but now and then.
+    pub fn fleet_count(&self, now: BoxTime) -> usize {
+        let live = self.live_count(now);
+        if self.all_are_told() {
+            return live;
+        }
+        1 + self.rows.len() + self.hearsay.len()
+    }
+
+    /// Whether the boxes that are known are so few that each note reaches all.
+    pub(super) fn all_are_told(&self) -> bool {
+        self.rows.len() + self.hearsay.len() <= NOTE_FANOUT
+    }
+
+    /// An address that may have a box, by chance: what a box asks that knows nobody yet.
+    pub fn any_address(&self, dice: u64) -> Option<String> {
+        let known = self.rows.values().map(|row| &row.card.note_address);
+        let all: Vec<&String> = known.chain(self.hearsay.keys()).collect();
+        let index = dice.checked_rem(all.len() as u64)?;
+        all.get(index as usize).map(|address| (*address).clone())
+    }
+
+    /// Addresses of a few other boxes, by chance.
+    pub fn some_addresses(&self, dice: u64) -> Vec<String> {
+        let first = (dice % self.rows.len().max(1) as u64) as usize;
+        let rows = self.rows.values().chain(self.rows.values()).skip(first);
+        let some = rows.take(TOLD_OF.min(self.rows.len()));
+        some.map(|row| row.card.note_address.clone()).collect()
+    }
+
+    /// Live boxes that callers may be sent to.
+    pub fn open_rows(&self, now: BoxTime) -> impl Iterator<Item = &PeerState> {
+        self.rows.values().filter(move |row| row.card.open && row.lives(now))
+    }
+}
--- a/crates/core/tests/route/membership.rs
+++ b/crates/core/tests/route/membership.rs
@@ -4,7 +4,7 @@
 use ravenspoke_core::route::entries::{EntryWish, CHANGES_TOLD};
 use ravenspoke_core::route::event::{RouteEffect, RouteEvent};
 use ravenspoke_core::route::peers::{
-    PeerAsk, PeerNote, START_SETTLE_MS, START_SPREAD_MS, START_WAIT_MS,
+    PeerAsk, PeerCard, PeerNote, PeerSummary, START_SETTLE_MS, START_SPREAD_MS, START_WAIT_MS,
 };
 use ravenspoke_core::route::{LAPSE_MS, NAMED_AGE_MS};
 use ravenspoke_core::time::BoxTime;
@@ -238,7 +238,7 @@
             .map(|other| PeerNote {
                 name: format!("box-{other}"),
                 number: 1,
-                note_address: format!("box-{other}:90"),
+                card: PeerCard { note_address: format!("box-{other}:90"), ..PeerCard::default() },
                 ..PeerNote::default()
             })
             .collect();
@@ -462,3 +462,60 @@
     asker.feed(RouteEvent::PeerHeard(Box::new(answer(&mut reader, &asker))));
     assert!(!uses(&asker, "a") && uses(&asker, "b"));
 }
+
+#[test]
+fn a_note_that_comes_after_word_of_its_sender_is_still_taken() {
+    let (mut first, mut second) = (ready_box(), second_ready_box());
+    second.feed(RouteEvent::PeersNamed(vec!["box-1:90".to_owned()]));
+    second.drop_entry("a");
+    let note = note_in(&second.feed(RouteEvent::Tick)).expect("a note");
+    let lead = PeerSummary { name: "box-2".to_owned(), card: note.card.clone(), age_ms: 0 };
+    let leads = vec![lead];
+    let name = "box-3".to_owned();
+    let other = PeerNote { name, number: 1, leads, ..PeerNote::default() };
+    first.feed(RouteEvent::PeerHeard(Box::new(other)));
+    assert!(named(&first).contains(&"box-2:80".to_owned()), "word of it is believed");
+    first.feed(RouteEvent::PeerHeard(Box::new(note)));
+    assert!(!uses(&first, "a"), "what it says itself is taken");
+}
+
+#[test]
+fn old_word_of_a_box_does_not_make_it_live() {
+    let (mut first, mut second) = (ready_box(), second_ready_box());
+    tell(&mut second, &mut first);
+    let card = PeerCard {
+        entry_address: "box-2:80".to_owned(),
+        note_address: "box-2:90".to_owned(),
+        open: true,
+        ..PeerCard::default()
+    };
+    let lead = PeerSummary { name: "box-2".to_owned(), card, age_ms: 1_900 };
+    first.now += 1_900;
+    let note =
+        PeerNote { name: "box-3".to_owned(), number: 1, leads: vec![lead], ..PeerNote::default() };
+    first.feed(RouteEvent::PeerHeard(Box::new(note)));
+    assert_eq!(named(&first), ["box-1:80"]);
+}
+
+#[test]
+fn a_box_whose_calls_to_the_store_fail_goes_behind_the_others_in_reading_it() {
+    let mut subject = ready_box();
+    for name in ["box-2", "box-3", "box-4"] {
+        let card = PeerCard { note_address: format!("{name}:90"), ..PeerCard::default() };
+        let note = PeerNote { name: name.to_owned(), number: 1, card, ..PeerNote::default() };
+        subject.feed(RouteEvent::PeerHeard(Box::new(note)));
+    }
+    subject.feed(RouteEvent::Tick);
+    subject.now += START_SETTLE_MS;
+    subject.feed(RouteEvent::Tick);
+    assert!(subject.state.is_reader(clock(&subject)), "it serves, and the others do not");
+    subject.feed(RouteEvent::StoreFailed);
+    subject.feed(RouteEvent::Tick);
+    assert!(!subject.state.is_reader(clock(&subject)));
+    subject.feed(RouteEvent::StoreBack);
+    subject.feed(RouteEvent::Tick);
+    subject.now += START_SETTLE_MS;
+    subject.feed(RouteEvent::Tick);
+    let heard = subject.state.peers().live_count(clock(&subject));
+    assert!(subject.state.is_reader(clock(&subject)), "{heard} live");
+}
--- a/crates/core/tests/route/restarts.rs
+++ b/crates/core/tests/route/restarts.rs
@@ -22,7 +22,7 @@
 //! ```
 
 use ravenspoke_core::route::event::{RefusalReason, RouteAsk, RouteEffect, RouteEvent};
-use ravenspoke_core::route::peers::{PeerAsk, PeerNote, TrialNote};
+use ravenspoke_core::route::peers::{PeerAsk, PeerCard, PeerNote, TrialNote};
 use ravenspoke_core::route::progress::{TrialMark, TrialPhase, TrialProgress};
 use ravenspoke_core::route::tally::{TrialTally, VersionTally};
 use ravenspoke_core::route::trial::{TrialOrder, TrialState, TrialVerdict};
@@ -181,9 +181,8 @@
     };
     PeerNote {
         name: name.to_owned(),
-        incarnation,
         number: 1,
-        note_address: format!("{name}:90"),
+        card: PeerCard { incarnation, note_address: format!("{name}:90"), ..PeerCard::default() },
         trials: vec![trial],
         ..PeerNote::default()
     }
--- a/crates/core/tests/route/trials.rs
+++ b/crates/core/tests/route/trials.rs
@@ -1,6 +1,7 @@
 //! New versions: whose sessions they get, the verdict, and who writes it.
 
 use ravenspoke_core::route::event::{AttemptFailure, RouteAsk, RouteEffect, RouteEvent};
+use ravenspoke_core::route::peers::PeerCard;
 use ravenspoke_core::route::progress::{TrialPhase, TrialProgress};
 use ravenspoke_core::route::tally::{TrialFault, TrialTally, VersionTally};
 use ravenspoke_core::route::trial::{TrialOrder, TrialState, TrialVerdict, TRIAL_SHARE};
@@ -300,8 +301,7 @@
     subject.feed(RouteEvent::PeerHeard(Box::new(ravenspoke_core::route::peers::PeerNote {
         name: "box-3".to_owned(),
         number: 1,
-        note_address: "box-3:90".to_owned(),
-        open: true,
+        card: PeerCard { note_address: "box-3:90".to_owned(), open: true, ..PeerCard::default() },
         ..Default::default()
     })));
     subject.feed(RouteEvent::OrdersRead(vec![order()]));
