--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -17,7 +17,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::observe;
-use super::store_calls::StoreCalls;
+use super::tally::ControlTally;
 use super::told::OperatorRecords;
 
 /// What the reducer tells the task of one request.
@@ -72,8 +72,8 @@
     operator: Mutex<OperatorRecords>,
     /// Whether the store may have this box's record of where it hears notes.
     pub listed: AtomicBool,
-    /// Calls to the platform's store.
-    pub store_calls: StoreCalls,
+    /// What control has cost so far.
+    pub tally: ControlTally,
 }
 
 impl GatewayDriver {
@@ -86,7 +86,7 @@
             next_ticket: AtomicU64::new(1),
             operator: Mutex::default(),
             listed: AtomicBool::new(false),
-            store_calls: StoreCalls::default(),
+            tally: ControlTally::default(),
         }
     }
 
--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -16,7 +16,7 @@
 
 use super::driver::GatewayDriver;
 use super::observe;
-use super::store_calls::StoreCall;
+use super::tally::StoreCall;
 use super::told::take_operator;
 
 /// A reader's read waits this long for a record, in milliseconds: the price of a call against the age
@@ -72,7 +72,7 @@
         let result = self.store.newest(self.topic).await;
         let pages = result.as_ref().map_or(1, |listing| listing.pages);
         for _ in 0..pages {
-            self.driver.store_calls.count(self.topic, StoreCall::List);
+            self.driver.tally.count_call(self.topic, StoreCall::List);
         }
         self.check(result)
     }
@@ -84,7 +84,7 @@
         at: Option<u64>,
         record: &KeyedRecord,
     ) -> Option<AppendOutcome> {
-        self.driver.store_calls.count(self.topic, StoreCall::Append);
+        self.driver.tally.count_call(self.topic, StoreCall::Append);
         let result = self.store.append(self.topic, at, record).await;
         self.check(result)
     }
@@ -128,7 +128,7 @@
     /// Records from `next` on, or all of them without it; `None` if the call failed.
     pub(super) async fn read(&mut self, next: &mut Option<u64>, wait_ms: u64) -> Option<TopicNews> {
         if let Some(from) = *next {
-            self.driver.store_calls.count(self.topic, StoreCall::Read);
+            self.driver.tally.count_call(self.topic, StoreCall::Read);
             match self.store.read(self.topic, from, wait_ms).await {
                 Err(StoreError::Gone) => *next = None,
                 result => {
--- a/crates/box/src/gateway/mod.rs
+++ b/crates/box/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //! [`driver`] holds the reducer's state. [`entry`] takes callers' connections, [`exchange`] serves one
 //! request, [`answers`] makes what its caller gets, [`relay`] passes a stream on and takes it up
 //! elsewhere when it breaks, [`event_cut`] cuts it into whole events, [`pool`] keeps connections to
-//! replicas. [`follow`] reads the platform's store, [`store_calls`] counts what that takes, [`verdicts`] the verdicts in it, [`marks`] how far trials have come, [`notes`] talks
+//! replicas. [`follow`] reads the platform's store, [`tally`] counts what that and datagrams cost, [`verdicts`] the verdicts in it, [`marks`] how far trials have come, [`notes`] talks
 //! to other boxes in the datagrams of [`note_wire`], and [`told`] tells them what the operator wrote.
 //! [`directory`] answers who asks for addresses, readiness, state and metrics. [`observe`] logs.
 //! [`reload`] takes changes of the settings. [`process`] puts them together.
@@ -23,6 +23,6 @@
 pub mod process;
 pub mod relay;
 pub mod reload;
-pub mod store_calls;
+pub mod tally;
 pub mod told;
 pub mod verdicts;
--- a/crates/box/src/gateway/notes.rs
+++ b/crates/box/src/gateway/notes.rs
@@ -12,6 +12,7 @@
 use super::driver::{GatewayDriver, PeerDatagram};
 use super::note_wire::{decode_datagram, encode_ask, encode_note, encode_placement, HeardDatagram};
 use super::observe;
+use super::tally::DatagramKind;
 use super::told::take_told;
 
 /// Largest datagram, in bytes.
@@ -49,16 +50,22 @@
     mut datagrams: UnboundedReceiver<PeerDatagram>,
 ) {
     while let Some(datagram) = datagrams.recv().await {
-        let (targets, bytes) = match datagram {
+        let (kind, targets, bytes) = match datagram {
             PeerDatagram::Note(targets, note) => {
                 let records = wanted_records(&driver, &note);
-                (targets, encode_note(&note, &records))
+                let answers = note.echo.is_some();
+                let kind = if answers { DatagramKind::Answer } else { DatagramKind::Note };
+                (kind, targets, encode_note(&note, &records))
             }
-            PeerDatagram::Placement(targets, placement) => (targets, encode_placement(placement)),
-            PeerDatagram::Ask(target, ask) => (vec![target], encode_ask(&ask)),
+            PeerDatagram::Placement(targets, placement) => {
+                (DatagramKind::Placement, targets, encode_placement(placement))
+            }
+            PeerDatagram::Ask(target, ask) => (DatagramKind::Ask, vec![target], encode_ask(&ask)),
         };
-        metrics::counter!("ravenspoke_note_bytes_total")
-            .increment((bytes.len() * targets.len()) as u64);
+        for target in &targets {
+            let same_zone = driver.state().is_near(target);
+            driver.tally.count_datagram(kind, same_zone, bytes.len());
+        }
         for target in targets.iter().filter_map(|target| target.parse::<SocketAddr>().ok()) {
             if let Err(error) = socket.send_to(&bytes, target).await {
                 observe::note_socket_failed("notes", &error);
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -13,6 +13,7 @@
 use tracing::{error, info, warn};
 
 use super::driver::RequestName;
+use super::tally::ControlTally;
 
 /// Logs what was decided of a request.
 pub fn note_request(name: &RequestName, effect: &RouteEffect) {
@@ -219,9 +220,26 @@
     info!(event = 731, name = "store_regained", topic, after_ms);
 }
 
-/// Logs how often the store was called so far, by topic and kind of call.
-pub fn note_store_calls(calls: &str) {
-    info!(event = 735, name = "store_calls", calls);
+/// What was last logged of the costs of control.
+#[derive(Debug, Default)]
+pub struct ToldCosts {
+    calls: String,
+    bytes: String,
+}
+
+impl ToldCosts {
+    /// Logs the calls to the store and the bytes of datagrams so far, where they have grown.
+    pub fn note(&mut self, tally: &ControlTally) {
+        let (calls, bytes) = (tally.calls(), tally.bytes());
+        if calls != self.calls {
+            info!(event = 735, name = "store_calls", calls);
+            self.calls = calls;
+        }
+        if bytes != self.bytes {
+            info!(event = 736, name = "datagram_bytes", bytes);
+            self.bytes = bytes;
+        }
+    }
 }
 
 /// Logs a record that can't be decoded.
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -27,7 +27,7 @@
 use super::exchange::GatewayTools;
 use super::pool::ReplicaPool;
 use super::reload::follow_settings;
-use super::{follow, marks, notes, observe, store_calls, verdicts};
+use super::{follow, marks, notes, observe, tally, verdicts};
 use crate::process::{ignite, server, ProcessError};
 
 /// Time passes for the reducer this often, in milliseconds.
@@ -275,19 +275,16 @@
 
 async fn run_ticks(driver: Arc<GatewayDriver>, pool: Arc<ReplicaPool>) {
     let mut swept = Instant::now();
-    let mut told = (Instant::now(), String::new());
+    let mut told = (Instant::now(), observe::ToldCosts::default());
     loop {
         driver.feed(RouteEvent::Tick);
         if swept.elapsed() >= Duration::from_millis(SWEEP_EVERY_MS) {
             swept = Instant::now();
             pool.sweep();
         }
-        if told.0.elapsed() >= Duration::from_millis(store_calls::TELL_EVERY_MS) {
-            let summary = driver.store_calls.summary();
-            if summary != told.1 {
-                observe::note_store_calls(&summary);
-            }
-            told = (Instant::now(), summary);
+        if told.0.elapsed() >= Duration::from_millis(tally::TELL_EVERY_MS) {
+            told.0 = Instant::now();
+            told.1.note(&driver.tally);
         }
         let starts = !driver.state().knows_site();
         let tick_ms = if starts { START_TICK_MS } else { TICK_MS };
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -52,6 +52,7 @@
     (733, "note_unreadable"),
     (734, "socket_failed"),
     (735, "store_calls"),
+    (736, "datagram_bytes"),
 ];
 
 /// Logs and counts an effect, where it is worth it.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -513,6 +513,12 @@
         &self.peers
     }
 
+    /// Whether the box that hears notes at this address is known to be in this one's availability zone.
+    pub fn is_near(&self, note_address: &str) -> bool {
+        let mut rows = self.peers.rows().map(|(_, row)| &row.card);
+        rows.any(|card| card.note_address == note_address && card.zone == self.settings.zone)
+    }
+
     /// Replicas.
     pub fn backends(&self) -> &BackendTable {
         &self.backends
