--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -55,6 +55,13 @@
 
     fn note(&mut self, stamp: EventStamp) -> PeerNote {
         self.note_number += 1;
+        let number = self.note_number;
+        let (others, leads) = if tells_of_others(number) {
+            let leads = self.peers.leads(&self.standing(stamp.now), stamp.now);
+            (self.peers.some_addresses(stamp.dice), leads)
+        } else {
+            Default::default()
+        };
         let trials = self.trials.values().map(|trial| TrialNote {
             service: trial.order.service.clone(),
             version: trial.order.version.clone(),
@@ -64,7 +71,7 @@
         });
         PeerNote {
             name: self.settings.name.clone(),
-            number: self.note_number,
+            number,
             card: self.card(stamp.now),
             read_to: self.read_to,
             read_age_ms: self.fresh.age_ms(stamp.now),
@@ -74,8 +81,8 @@
             loads: self.backends.loads_to_tell(stamp.now),
             trials: trials.collect(),
             verdicts: self.verdicts(),
-            others: self.peers.some_addresses(stamp.dice),
-            leads: self.peers.leads(&self.standing(stamp.now), stamp.now),
+            others,
+            leads,
         }
     }
 
@@ -213,6 +220,11 @@
     }
 }
 
+/// Whether the note of this number tells of other boxes.
+fn tells_of_others(number: u64) -> bool {
+    number <= peers::OTHERS_FIRST || number.is_multiple_of(peers::OTHERS_EVERY)
+}
+
 /// The ask that a note answers, if it was made in this life of the process and not too long ago.
 fn own_ask(note: &PeerNote, incarnation: u64, now: BoxTime) -> Option<&PeerAsk> {
     let asked = note.echo.as_ref().filter(|ask| ask.incarnation == incarnation)?;
