--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -434,9 +434,8 @@
             self.reader_at = None;
             return;
         }
-        let age_ms = self.start.map_or(0, |start| now.millis_since(start.at));
-        let lately = age_ms < peers::STARTED_LATELY_MS;
-        let settle_ms = if lately { peers::START_SETTLE_MS } else { peers::READER_SETTLE_MS };
+        let settle_ms =
+            if self.started_lately(now) { peers::START_SETTLE_MS } else { peers::READER_SETTLE_MS };
         self.reader_at.get_or_insert(now.plus_millis(settle_ms));
     }
 
@@ -450,6 +449,11 @@
         self.fresh.is_unknown() || self.entries.known_to().is_none()
     }
 
+    /// Whether it was started so lately that word of all others has not come yet.
+    fn started_lately(&self, now: BoxTime) -> bool {
+        self.start.is_none_or(|start| now.millis_since(start.at) < peers::STARTED_LATELY_MS)
+    }
+
     /// Whether it was started so lately that it knows few others.
     fn settling(&self, now: BoxTime) -> bool {
         self.start.is_some_and(|start| now.millis_since(start.at) < peers::START_SETTLE_MS)
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -56,7 +56,7 @@
     fn note(&mut self, stamp: EventStamp) -> PeerNote {
         self.note_number += 1;
         let number = self.note_number;
-        let (others, leads) = if tells_of_others(number) {
+        let (others, leads) = if self.tells_of_others(number, stamp.now) {
             let leads = self.peers.leads(&self.standing(stamp.now), stamp.now);
             (self.peers.some_addresses(stamp.dice), leads)
         } else {
@@ -86,6 +86,12 @@
         }
     }
 
+    /// Whether the note of this number tells of other boxes. Boxes that start together all do: they have to find
+    /// each other.
+    fn tells_of_others(&self, number: u64, now: BoxTime) -> bool {
+        self.started_lately(now) || number % peers::OTHERS_EVERY == 0
+    }
+
     /// What this box says of itself.
     fn card(&self, now: BoxTime) -> PeerCard {
         PeerCard {
@@ -220,11 +226,6 @@
     }
 }
 
-/// Whether the note of this number tells of other boxes.
-fn tells_of_others(number: u64) -> bool {
-    number <= peers::OTHERS_FIRST || number.is_multiple_of(peers::OTHERS_EVERY)
-}
-
 /// The ask that a note answers, if it was made in this life of the process and not too long ago.
 fn own_ask(note: &PeerNote, incarnation: u64, now: BoxTime) -> Option<&PeerAsk> {
     let asked = note.echo.as_ref().filter(|ask| ask.incarnation == incarnation)?;
--- a/crates/core/src/route/peers/mod.rs
+++ b/crates/core/src/route/peers/mod.rs
@@ -100,13 +100,10 @@
 /// Boxes told of beyond those with duties: who follows when one dies is known by then.
 pub const LEADS_SPARE: usize = 2;
 
-/// Of this many notes of a box one tells of others: each box hears two dozen notes a second where not all
-/// reach all, and word of others was half of their bytes.
+/// Of this many notes of a box that was not started lately one tells of others: each box hears two dozen notes
+/// a second where not all reach all, and word of others was half of their bytes.
 pub const OTHERS_EVERY: u64 = 4;
 
-/// The first notes of a box that all tell of others: boxes that start together find each other.
-pub const OTHERS_FIRST: u64 = 8;
-
 /// Addresses of other boxes that a note tells of.
 pub const TOLD_OF: usize = 6;
 
