test: a box writes its record before the test counts appends

The test failed in two of nine plays: a box now writes where it hears notes 1.5 s after its start, as a reader, and the test counted appends before that (1 in place of 2), or let the store lose the answer to that record in place of the verdict's. It waits for the record first; the count stays.

--- a/crates/box/tests/platform.rs
+++ b/crates/box/tests/platform.rs
@@ -328,6 +328,10 @@
     let mut site = site().await;
     let _replica = site.start_replica("i-1", 3, 1).await;
     let subject = site.start_ready("box-1").await;
+    wait_for("the box has written where it hears notes", || async {
+        (site.store.calls(subject.ip, "log-append") == 1).then_some(())
+    })
+    .await;
     site.store.set_faults(StoreFaults { lose_answers: 1, ..Default::default() });
     let order = json!({ "service": "pool", "target_version": "v2", "duration_s": 30 });
     site.store.put("keyed.op", "rollout/pool", &order);
