--- a/crates/core/tests/route/requests.rs
+++ b/crates/core/tests/route/requests.rs
@@ -1,14 +1,15 @@
 //! Attempts, what may be repeated, and what a refusal may say.
 
+use ravenspoke_core::route::budget::BudgetBounds;
 use ravenspoke_core::route::event::{
     AnswerHead, AttemptFailure, RefusalReason, RouteAsk, RouteEffect, RouteEvent,
 };
 use ravenspoke_core::route::loads::BackendLoad;
 use ravenspoke_core::route::plan::RouteKind;
-use ravenspoke_core::route::STOP_TAKE_MS;
+use ravenspoke_core::route::{RouteSettings, RouteState, STOP_TAKE_MS};
 
 use crate::fixture::{
-    ask, entry, head, is_refused, new_box, order_in, plan, ready_box, refusal_in, route,
+    ask, entry, head, is_refused, new_box, order_in, plan, ready_box, refusal_in, route, settings,
 };
 
 #[test]
@@ -434,3 +435,31 @@
     let (_, order) = subject.sent(ask("/chat/x"));
     assert!(!order.inputs.affine);
 }
+
+/// Further sends that a box makes for sixty failures within its part of a slack of 60, where it was told of
+/// `others` other boxes and has heard none of them yet.
+fn sends_again(others: usize) -> usize {
+    let budget = BudgetBounds { ratio: 0.0, slack: 60.0, window_ms: 10_000 };
+    let mut subject = new_box("box-1");
+    subject.state = RouteState::new(RouteSettings { budget, ..settings("box-1") });
+    subject.read_plan(Some(plan(1)));
+    for id in ["a", "b", "c", "d"] {
+        subject.put(entry(id, "v1"));
+    }
+    let addresses = (0..others).map(|number| format!("other-{number}:90")).collect();
+    subject.feed(RouteEvent::PeersNamed(addresses));
+    let fails = |_: &usize| {
+        let (ticket, _) = subject.sent(ask("/read/x"));
+        let effects = subject.feed(RouteEvent::HeadCame(ticket, head(500)));
+        subject.feed(RouteEvent::CallerLeft(ticket));
+        order_in(&effects).is_some()
+    };
+    (0..60).filter(fails).count()
+}
+
+#[test]
+fn a_box_takes_its_part_of_the_fleets_budget_also_where_it_hears_few_of_the_boxes() {
+    let (alone, of_twenty) = (sends_again(0), sends_again(19));
+    assert!(alone >= 20, "{alone} further sends");
+    assert!(of_twenty <= 2, "{of_twenty} further sends of each of twenty boxes");
+}
