--- a/crates/core/tests/route/membership.rs
+++ b/crates/core/tests/route/membership.rs
@@ -519,3 +519,15 @@
     let heard = subject.state.peers().live_count(clock(&subject));
     assert!(subject.state.is_reader(clock(&subject)), "{heard} live");
 }
+
+#[test]
+fn a_reader_whose_plan_is_old_reads_without_waiting_for_news() {
+    let mut subject = ready_box();
+    subject.feed(RouteEvent::Tick);
+    subject.now += START_SETTLE_MS;
+    subject.feed(RouteEvent::Tick);
+    assert!(subject.state.is_reader(clock(&subject)));
+    assert!(!subject.state.waits_for_plan(clock(&subject)), "it has not read since its start");
+    subject.read_plan(None);
+    assert!(subject.state.waits_for_plan(clock(&subject)));
+}
