--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -9,8 +9,9 @@
 //!
 //! [`plan`] what is routed where · [`fresh`] how long that may be relied on · [`backend`] replicas ·
 //! [`loads`] how busy they are · [`deeds`] how well they do · [`pick`] which of them answers ·
-//! [`peers`] the other boxes · [`entries`] how far the replicas' entries are known · [`trial`] new versions · [`tally`] what speaks against them ·
-//! [`progress`] how far they have come · [`budget`] further sends · [`sizes`] which model answers ·
+//! [`peers`] the other boxes · [`entries`] how far the replicas' entries are known ·
+//! [`trial`] new versions · [`tally`] what speaks against them · [`progress`] how far they have come ·
+//! [`budget`] further sends · [`sizes`] which model answers · `start` a box's start ·
 //! [`placement`] what it costs to have a prompt read where, from [`backlog`], [`pace`] and [`held`] ·
 //! [`admission`] what is turned away.
 
--- a/crates/core/src/route/peers/mod.rs
+++ b/crates/core/src/route/peers/mod.rs
@@ -7,6 +7,8 @@
 //! Few boxes read the store often, the *readers*; the others ask one of them. An answer says as of when
 //! the reader knew what it knows, and counts from the *asker's* clock: a datagram that was under way for
 //! long, or an asker that was frozen, makes the answer older, never newer.
+//!
+//! `table` keeps what is known of each box, `duties` says who does what for all.
 
 mod duties;
 mod table;
@@ -72,8 +74,8 @@
 /// if nobody knew, in milliseconds: the others wait for it.
 pub const START_SEED_MS: u64 = 40;
 
-/// Any other box reads the store itself so long after its start, in milliseconds: where all start at once,
-/// processes are slow to answer, and a second of each call's worth passes before callers give up a connection.
+/// Any other box reads the store itself this long after its start at the earliest, in milliseconds: where all
+/// start at once, one on an eighth of a core answers after some 400, and callers give a connection a second.
 pub const START_WAIT_MS: u64 = 250;
 
 /// Beyond [`START_WAIT_MS`], by chance, in milliseconds: of boxes that start at the same moment few read the
--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -10,7 +10,7 @@
 use crate::event::EventStamp;
 use crate::time::BoxTime;
 
-/// A box waits this long for each box before it by name, in milliseconds, before it writes a verdict
+/// A box waits this long for each box before it by rank, in milliseconds, before it writes a verdict
 /// in their place, and this long before it writes it again: a call to the store and its record's way
 /// back.
 pub const VERDICT_TURN_MS: u64 = 500;
