--- a/crates/core/src/route/peers/mod.rs
+++ b/crates/core/src/route/peers/mod.rs
@@ -74,8 +74,8 @@
 /// if nobody knew, in milliseconds: the others wait for it.
 pub const START_SEED_MS: u64 = 40;
 
-/// Any other box reads the store itself this long after its start at the earliest, in milliseconds: where all
-/// start at once, one on an eighth of a core answers after some 400, and callers give a connection a second.
+/// Any other box reads the store itself this long after its start at the earliest, in milliseconds: three asks
+/// of those that read first, and less than the second that callers give a connection.
 pub const START_WAIT_MS: u64 = 250;
 
 /// Beyond [`START_WAIT_MS`], by chance, in milliseconds: of boxes that start at the same moment few read the
