start: callers are taken when the site is known, counted from the plan

Cause: a box opened its entry 0.8 s after its start at the latest, while its turn to read the store comes up to 1.0 s after it. One whose turn came at 0.75 s knew a plan 60 ms old and no replica when it opened: callers got 503 (no_replica), and sessions could have been parted. Change: the reducer decides (route::start): the site is known, or 0.8 s after the plan, or 0.3 s after its own read began where nobody tells a plan.

--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -39,11 +39,7 @@
 /// Idle connections are looked at this often, in milliseconds.
 pub const SWEEP_EVERY_MS: u64 = 1_000;
 
-/// A box that has started waits this long at most until it knows the site, in milliseconds: less than
-/// callers wait for a connection.
-pub const KNOW_WITHIN_MS: u64 = 800;
-
-/// While it waits, it looks this often, in milliseconds.
+/// While a box that has started waits to know the site, it looks this often, in milliseconds.
 pub const KNOW_LOOK_MS: u64 = 5;
 
 /// Kept back from the time between the signal to stop and the kill, in milliseconds.
@@ -267,8 +263,7 @@
 /// Waits until the box knows the site. Callers that connect meanwhile wait for some milliseconds in
 /// place of being refused; where there is nothing to know, they are not kept for long.
 async fn wait_to_know(driver: &GatewayDriver) {
-    let until = Instant::now() + Duration::from_millis(KNOW_WITHIN_MS);
-    while !driver.state().knows_site() && Instant::now() < until {
+    while !driver.state().takes_callers(driver.now()) {
         tokio::time::sleep(Duration::from_millis(KNOW_LOOK_MS)).await;
     }
 }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -11,7 +11,7 @@
 //! [`loads`] how busy they are · [`deeds`] how well they do · [`pick`] which of them answers ·
 //! [`peers`] the other boxes · [`entries`] how far the replicas' entries are known ·
 //! [`trial`] new versions · [`tally`] what speaks against them · [`progress`] how far they have come ·
-//! [`budget`] further sends · [`sizes`] which model answers · `start` a box's start ·
+//! [`budget`] further sends · [`sizes`] which model answers · [`start`] a box's start ·
 //! [`placement`] what it costs to have a prompt read where, from [`backlog`], [`pace`] and [`held`] ·
 //! [`admission`] what is turned away.
 
@@ -42,7 +42,7 @@
 mod refuse;
 mod request;
 pub mod sizes;
-mod start;
+pub mod start;
 pub mod tally;
 pub mod trial;
 mod verdict;
@@ -291,6 +291,9 @@
         }
         let (version, routes) = (plan.version, plan.routes.len());
         self.table = RouteTable::build(plan);
+        if let Some(start) = &mut self.start {
+            start.note_plan(stamp.now);
+        }
         out.push(RouteEffect::PlanInForce { version, routes });
         // Others ask for it at once: it is everywhere after a few steps, and few boxes read the store.
         self.next_note = BoxTime::default();
@@ -498,6 +501,12 @@
         self.has_plan() && trials_known && self.knows_replicas()
     }
 
+    /// Whether a box that has started may take callers: it knows the site, or there is no more to wait for.
+    pub fn takes_callers(&self, now: BoxTime) -> bool {
+        let due = self.start.is_some_and(|start| now >= start.callers_at());
+        due || self.knows_site()
+    }
+
     /// Whether any replica is known.
     fn knows_replicas(&self) -> bool {
         self.backends.rows().next().is_some()
--- a/crates/core/src/route/start.rs
+++ b/crates/core/src/route/start.rs
@@ -6,6 +6,15 @@
 use crate::event::EventStamp;
 use crate::time::BoxTime;
 
+/// A box that knows the plan takes callers this long after it learnt it at the latest, in milliseconds, even if
+/// it does not know the rest: a listing of replicas and two of trials, each tried twice. It then serves by
+/// what other boxes tell, since callers are better off than without it.
+pub const KNOW_REST_MS: u64 = 800;
+
+/// A box that nobody told the plan takes callers this long after it began to read the store at the latest, in
+/// milliseconds: it can only refuse them, and they find another box sooner.
+pub const KNOW_PLAN_MS: u64 = 300;
+
 /// How a box was started.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct BoxStart {
@@ -13,6 +22,8 @@
     pub(super) at: BoxTime,
     /// From when on it reads the store itself.
     pub(super) read_at: BoxTime,
+    /// When it learnt the plan.
+    plan_at: Option<BoxTime>,
     asks: u32,
 }
 
@@ -24,7 +35,22 @@
         } else {
             START_WAIT_MS + stamp.dice % START_SPREAD_MS
         };
-        Self { at: stamp.now, read_at: stamp.now.plus_millis(wait_ms), asks: 0 }
+        Self { at: stamp.now, read_at: stamp.now.plus_millis(wait_ms), plan_at: None, asks: 0 }
+    }
+
+    /// Notes that the plan is known.
+    pub(super) fn note_plan(&mut self, now: BoxTime) {
+        self.plan_at.get_or_insert(now);
+    }
+
+    /// From when on callers are taken, whatever else is known by then. Counted from the plan, not from the
+    /// start: a box whose turn to read comes late would else refuse callers, or part sessions, since it knows
+    /// no replica and not how far a trial has come.
+    pub(super) fn callers_at(&self) -> BoxTime {
+        match self.plan_at {
+            Some(at) => at.plus_millis(KNOW_REST_MS),
+            None => self.read_at.plus_millis(KNOW_PLAN_MS),
+        }
     }
 
     /// Counts an ask. Gives when to ask again, in milliseconds.
--- a/crates/core/tests/route/restarts.rs
+++ b/crates/core/tests/route/restarts.rs
@@ -22,8 +22,11 @@
 //! ```
 
 use ravenspoke_core::route::event::{RefusalReason, RouteAsk, RouteEffect, RouteEvent};
-use ravenspoke_core::route::peers::{PeerAsk, PeerCard, PeerNote, TrialNote};
+use ravenspoke_core::route::peers::{
+    PeerAsk, PeerCard, PeerNote, TrialNote, START_SPREAD_MS, START_WAIT_MS,
+};
 use ravenspoke_core::route::progress::{TrialMark, TrialPhase, TrialProgress};
+use ravenspoke_core::route::start::{KNOW_PLAN_MS, KNOW_REST_MS};
 use ravenspoke_core::route::tally::{TrialTally, VersionTally};
 use ravenspoke_core::route::trial::{TrialOrder, TrialState, TrialVerdict};
 use ravenspoke_core::time::BoxTime;
@@ -160,6 +163,49 @@
     assert_eq!((1..200).filter(parted).count(), 0);
 }
 
+/// A box whose turn to read the store comes as late as it may: it knows an order and a plan, nothing else.
+fn box_that_read_late() -> TestBox {
+    let mut subject = new_box("box-2");
+    subject.feed(RouteEvent::Tick);
+    subject.now += START_WAIT_MS + START_SPREAD_MS;
+    subject.feed(RouteEvent::OrdersRead(vec![order()]));
+    subject.read_plan(Some(plan(1)));
+    subject
+}
+
+#[test]
+fn a_box_that_read_the_plan_late_waits_with_callers_for_the_rest() {
+    let mut subject = box_that_read_late();
+    let takes = |subject: &TestBox| subject.state.takes_callers(BoxTime::from_millis(subject.now));
+    assert!(!takes(&subject), "it knows no replica, and not how far the trial has come");
+
+    subject.now += 60;
+    subject.put(entry("a", "v1"));
+    let asked_at = BoxTime::from_millis(subject.now);
+    subject.feed(RouteEvent::VerdictsRead { asked_at, verdicts: Vec::new() });
+
+    assert!(takes(&subject), "it knows all there is");
+}
+
+#[test]
+fn a_box_that_is_told_no_more_takes_callers_some_time_after_it_learnt_the_plan() {
+    let mut subject = box_that_read_late();
+
+    subject.now += KNOW_REST_MS;
+
+    assert!(subject.state.takes_callers(BoxTime::from_millis(subject.now)));
+}
+
+#[test]
+fn a_box_that_nobody_tells_a_plan_keeps_callers_waiting_no_longer_than_its_own_read_may_take() {
+    let mut subject = new_box("box-2");
+    subject.feed(RouteEvent::Tick);
+
+    subject.now += START_WAIT_MS + START_SPREAD_MS + KNOW_PLAN_MS;
+
+    assert!(subject.state.takes_callers(BoxTime::from_millis(subject.now)));
+}
+
 #[test]
 fn a_trial_that_a_box_heard_of_when_it_began_has_no_mark_to_read() {
     let mut subject = ready_box();
