told: the operator's records go between boxes deflated

Cause: a plan of more than 40,000 bytes was told to nobody, so each box that heard of it read the store, half a second late. Ruled out: lost datagrams (no loss at that time), readers that were behind (all six had it). Change: records are packed (flate2), once for all who ask for the same; 1,000 routes fit beside a page of 300 replicas. What would not fit beside that page comes with the next ask. 8 MB at most are inflated.

--- a/crates/box/src/gateway/note_wire/ask.rs
+++ b/crates/box/src/gateway/note_wire/ask.rs
@@ -1,7 +1,6 @@
-//! What a box asks of another, and the operator's records that answer it.
+//! What a box asks of another, and how far the answer shows the replicas' entries.
 
 use prost::Message;
-use ravenspoke_adapter::store::KeyedRecord;
 use ravenspoke_core::route::entries::{EntryWish, ListingPage};
 use ravenspoke_core::route::peers::{EntryWord, PeerAsk};
 use ravenspoke_core::time::BoxTime;
@@ -39,17 +38,6 @@
     page_next: Option<u64>,
 }
 
-/// A record of the operator; without a value, its key was dropped.
-#[derive(Clone, PartialEq, Message)]
-pub(super) struct WireRecord {
-    #[prost(string, tag = "1")]
-    key: String,
-    #[prost(uint64, tag = "2")]
-    offset: u64,
-    #[prost(bytes = "vec", tag = "3")]
-    value: Vec<u8>,
-}
-
 pub(super) fn write_ask(ask: &PeerAsk) -> WireAsk {
     WireAsk {
         note_address: ask.note_address.clone(),
@@ -89,16 +77,3 @@
     let page = word.page_end.map(|end| ListingPage { end, next: word.page_next });
     EntryWord { known_to: word.known_to, age_ms: word.age_ms, page }
 }
-
-pub(super) fn write_record(record: &KeyedRecord) -> WireRecord {
-    WireRecord {
-        key: record.key.clone(),
-        offset: record.offset,
-        value: record.value.clone().unwrap_or_default(),
-    }
-}
-
-pub(super) fn read_record(record: WireRecord) -> KeyedRecord {
-    let value = (!record.value.is_empty()).then_some(record.value);
-    KeyedRecord { offset: record.offset, key: record.key, value }
-}
--- a/crates/box/src/gateway/note_wire/mod.rs
+++ b/crates/box/src/gateway/note_wire/mod.rs
@@ -1,9 +1,10 @@
 //! Datagrams between boxes, in protobuf.
 //!
-//! A datagram is a note or an ask. `replica`, `trial`, `peer` and `ask` hold the messages of its parts.
+//! A datagram is a note or an ask. `replica`, `trial`, `peer`, `ask` and [`records`] hold the messages of its parts.
 
 mod ask;
 mod peer;
+pub mod records;
 mod replica;
 mod trial;
 
@@ -12,11 +13,9 @@
 use ravenspoke_core::route::peers::{PeerAsk, PeerNote};
 use ravenspoke_core::route::placement::PlacementNote;
 
-use ask::{
-    read_ask, read_record, read_word, write_ask, write_record, write_word, WireAsk, WireEntryWord,
-    WireRecord,
-};
+use ask::{read_ask, read_word, write_ask, write_word, WireAsk, WireEntryWord};
 use peer::{read_card, read_summary, write_card, write_summary, WireCard, WireSummary};
+use records::{PackedError, PackedRecords};
 use replica::{
     read_change, read_load, read_placement, write_change, write_load, write_placement, WireChange,
     WireLoad, WirePlacement,
@@ -60,17 +59,17 @@
     note: Option<WireNote>,
     #[prost(message, optional, tag = "2")]
     ask: Option<WireAsk>,
-    /// What the answered ask wants.
-    #[prost(message, repeated, tag = "3")]
-    records: Vec<WireRecord>,
+    /// The operator's records that the answered ask wants, packed.
+    #[prost(bytes = "vec", tag = "5")]
+    records: Vec<u8>,
     #[prost(message, optional, tag = "4")]
     placement: Option<WirePlacement>,
 }
 
 /// Encodes a note as a datagram, with the records that the ask it answers wants.
-pub fn encode_note(note: &PeerNote, records: &[KeyedRecord]) -> Vec<u8> {
+pub fn encode_note(note: &PeerNote, records: &PackedRecords) -> Vec<u8> {
     let note = Some(write_note(note));
-    let records = records.iter().map(write_record).collect();
+    let records = records.as_bytes().to_vec();
     WireDatagram { note, records, ..WireDatagram::default() }.encode_to_vec()
 }
 
@@ -102,8 +101,8 @@
 /// Decodes a datagram.
 ///
 /// # Errors
-/// The codec's, if the bytes are no datagram of a box.
-pub fn decode_datagram(bytes: &[u8]) -> Result<HeardDatagram, prost::DecodeError> {
+/// [`PackedError`], if the bytes are no datagram of a box.
+pub fn decode_datagram(bytes: &[u8]) -> Result<HeardDatagram, PackedError> {
     let wire = WireDatagram::decode(bytes)?;
     if let Some(ask) = wire.ask {
         return Ok(HeardDatagram::Ask(read_ask(ask)));
@@ -111,7 +110,7 @@
     if let Some(placement) = wire.placement {
         return Ok(HeardDatagram::Placement(read_placement(placement)));
     }
-    let records = wire.records.into_iter().map(read_record).collect();
+    let records = PackedRecords::from_bytes(wire.records).unpack()?;
     Ok(wire.note.map_or(HeardDatagram::Empty, |note| {
         HeardDatagram::Note(Box::new(read_note(note)), records)
     }))
--- a/crates/box/src/gateway/notes.rs
+++ b/crates/box/src/gateway/notes.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use ravenspoke_adapter::store::KeyedRecord;
 use ravenspoke_core::route::event::RouteEvent;
 use ravenspoke_core::route::peers::PeerNote;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use super::driver::{GatewayDriver, PeerDatagram};
+use super::note_wire::records::PackedRecords;
 use super::note_wire::{decode_datagram, encode_ask, encode_note, encode_placement, HeardDatagram};
 use super::observe;
 use super::tally::DatagramKind;
@@ -18,6 +18,9 @@
 /// Largest datagram, in bytes.
 pub const NOTE_LIMIT: usize = 60_000;
 
+/// Bytes around the records in a datagram, at most: their tag and length.
+const RECORDS_FRAME: usize = 8;
+
 /// Hears other boxes' notes.
 pub async fn hear_notes(driver: Arc<GatewayDriver>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; NOTE_LIMIT];
@@ -52,10 +55,9 @@
     while let Some(datagram) = datagrams.recv().await {
         let (kind, targets, bytes) = match datagram {
             PeerDatagram::Note(targets, note) => {
-                let records = wanted_records(&driver, &note);
                 let answers = note.echo.is_some();
                 let kind = if answers { DatagramKind::Answer } else { DatagramKind::Note };
-                (kind, targets, encode_note(&note, &records))
+                (kind, targets, encode_with_records(&driver, &note))
             }
             PeerDatagram::Placement(targets, placement) => {
                 (DatagramKind::Placement, targets, encode_placement(placement))
@@ -74,10 +76,17 @@
     }
 }
 
-/// Records that the ask wants which a note answers.
-fn wanted_records(driver: &GatewayDriver, note: &PeerNote) -> Vec<KeyedRecord> {
-    match &note.echo {
-        Some(ask) if ask.read_to < note.read_to => driver.operator().since(ask.read_to),
-        _ => Vec::new(),
+/// Encodes a note with the records that the ask wants which it answers, if all fits into a datagram. Who gets
+/// its replicas' entries without them asks again, and who needs more than a datagram reads the store.
+fn encode_with_records(driver: &GatewayDriver, note: &PeerNote) -> Vec<u8> {
+    let bare = encode_note(note, &PackedRecords::default());
+    let Some(ask) = note.echo.as_ref().filter(|ask| ask.read_to < note.read_to) else {
+        return bare;
+    };
+    let mut operator = driver.operator();
+    let records = operator.since(ask.read_to);
+    if bare.len() + records.as_bytes().len() + RECORDS_FRAME > NOTE_LIMIT {
+        return bare;
     }
+    encode_note(note, records)
 }
--- a/crates/box/src/gateway/told.rs
+++ b/crates/box/src/gateway/told.rs
@@ -9,15 +9,15 @@
 use ravenspoke_core::time::BoxTime;
 
 use super::driver::GatewayDriver;
+use super::note_wire::records::PackedRecords;
 use super::observe;
 
-/// Bytes of records told in one datagram, at most; who asks for more reads the store.
-pub const TOLD_BYTES: usize = 40_000;
-
 /// The newest record of each key.
 #[derive(Debug, Default)]
 pub struct OperatorRecords {
     newest: BTreeMap<String, KeyedRecord>,
+    /// What was told last, with the offsets of its records: hundreds of boxes ask for the same.
+    packed: (Vec<u64>, PackedRecords),
 }
 
 impl OperatorRecords {
@@ -31,16 +31,15 @@
         }
     }
 
-    /// All newest records from `read_to` on; none if they are too many for a datagram.
-    pub fn since(&self, read_to: u64) -> Vec<KeyedRecord> {
-        let records: Vec<KeyedRecord> =
-            self.newest.values().filter(|record| record.offset >= read_to).cloned().collect();
-        let size =
-            |record: &KeyedRecord| record.key.len() + record.value.as_ref().map_or(0, Vec::len);
-        if records.iter().map(size).sum::<usize>() > TOLD_BYTES {
-            return Vec::new();
+    /// All newest records from `read_to` on, as a datagram holds them.
+    pub fn since(&mut self, read_to: u64) -> &PackedRecords {
+        let wanted = || self.newest.values().filter(|record| record.offset >= read_to);
+        let offsets: Vec<u64> = wanted().map(|record| record.offset).collect();
+        if offsets != self.packed.0 {
+            let records: Vec<KeyedRecord> = wanted().cloned().collect();
+            self.packed = (offsets, PackedRecords::pack(&records));
         }
-        records
+        &self.packed.1
     }
 }
 
--- a/crates/box/tests/notes.rs
+++ b/crates/box/tests/notes.rs
@@ -1,6 +1,8 @@
 //! Datagrams between boxes: what is written is read again, and any bytes are borne.
 
 use proptest::prelude::*;
+use ravenspoke_adapter::store::KeyedRecord;
+use ravenspoke_box::gateway::note_wire::records::{PackedError, PackedRecords, INFLATED_LIMIT};
 use ravenspoke_box::gateway::note_wire::{decode_datagram, encode_ask, encode_note, HeardDatagram};
 use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
 use ravenspoke_core::route::entries::{EntryWish, ListingPage, CHANGES_TOLD};
@@ -69,14 +71,16 @@
 #[test]
 fn an_answer_is_read_as_it_was_written() {
     let note = answer();
-    let heard = decode_datagram(&encode_note(&note, &[])).expect("a datagram");
+    let heard =
+        decode_datagram(&encode_note(&note, &PackedRecords::default())).expect("a datagram");
     assert_eq!(heard, HeardDatagram::Note(Box::new(note), Vec::new()));
 }
 
 #[test]
 fn a_note_that_answers_nothing_has_no_word_of_entries() {
     let note = PeerNote { echo: None, entries: EntryWord::default(), ..answer() };
-    let heard = decode_datagram(&encode_note(&note, &[])).expect("a datagram");
+    let heard =
+        decode_datagram(&encode_note(&note, &PackedRecords::default())).expect("a datagram");
     assert_eq!(heard, HeardDatagram::Note(Box::new(note), Vec::new()));
 }
 
@@ -94,7 +98,7 @@
 fn a_page_of_a_listing_fits_into_a_datagram() {
     let changes = (0..CHANGES_TOLD).map(change).collect();
     let note = PeerNote { changes, ..answer() };
-    assert!(encode_note(&note, &[]).len() < NOTE_LIMIT);
+    assert!(encode_note(&note, &PackedRecords::default()).len() < NOTE_LIMIT);
 }
 
 proptest! {
@@ -106,7 +110,53 @@
 
     #[test]
     fn a_cut_datagram_is_borne(length in 0_usize..300) {
-        let bytes = encode_note(&answer(), &[]);
+        let bytes = encode_note(&answer(), &PackedRecords::default());
         drop(decode_datagram(&bytes[..length.min(bytes.len())]));
     }
 }
+
+/// A plan of many routes, as the operator writes it.
+fn plan_of_many_routes() -> KeyedRecord {
+    let route = |number: u64| {
+        let mixed = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let (name, path) = (mixed >> 40, mixed & 0xff_ffff);
+        serde_json::json!({
+            "name": format!("r-{name:06x}"), "host": "api.example", "kind": "idempotent",
+            "path_prefix": format!("/{path:06x}/{name:05x}/"), "timeout_ms": 4000,
+            "target_latency_ms": 500, "priority": 1, "service": "pool", "max_attempts": 3,
+            "allow_anonymous": false, "traffic_split": [{ "service": "pool", "weight": 1 }],
+        })
+    };
+    let routes: Vec<serde_json::Value> = (0..1_000).map(route).collect();
+    let plan = serde_json::json!({ "version": 9, "routes": routes });
+    KeyedRecord { offset: 40, key: "config".to_owned(), value: Some(plan.to_string().into_bytes()) }
+}
+
+#[test]
+fn a_plan_of_a_thousand_routes_fits_into_an_answer_beside_a_page_of_replicas() {
+    let record = plan_of_many_routes();
+    let note = PeerNote { changes: (0..CHANGES_TOLD).map(change).collect(), ..answer() };
+
+    let packed = PackedRecords::pack(std::slice::from_ref(&record));
+    let datagram = encode_note(&note, &packed);
+
+    assert!(record.value.as_ref().is_some_and(|value| value.len() > 3 * NOTE_LIMIT));
+    assert!(datagram.len() < NOTE_LIMIT, "{} bytes", datagram.len());
+    let heard = decode_datagram(&datagram).expect("a datagram");
+    assert_eq!(heard, HeardDatagram::Note(Box::new(note), vec![record]));
+}
+
+#[test]
+fn a_key_that_was_dropped_is_told_without_a_value() {
+    let record = KeyedRecord { offset: 7, key: "rollout/pool".to_owned(), value: None };
+    let told = PackedRecords::pack(std::slice::from_ref(&record)).unpack().expect("records");
+    assert_eq!(told, [record]);
+}
+
+#[test]
+fn records_that_would_fill_the_memory_of_a_box_are_not_inflated() {
+    let value = Some(vec![0; INFLATED_LIMIT]);
+    let record = KeyedRecord { offset: 7, key: "config".to_owned(), value };
+    let told = PackedRecords::pack(std::slice::from_ref(&record)).unpack();
+    assert!(matches!(told, Err(PackedError::TooLong)));
+}
