start: a box takes callers when it knows all replicas, not the first of them

Cause: news of a replica that leaves reached a box that had just started before any listing, and counted as knowing the replicas: callers of other services got 503 (no_replica), and the box was named to callers. Ruled out: the bound on waiting (callers came 20 to 300 ms after the start, the bound is 800 ms after the plan). Change: the replicas are known when a listing is. The test fails without the change (run).

--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -507,8 +507,14 @@
         due || self.knows_site()
     }
 
-    /// Whether any replica is known.
+    /// Whether the replicas are known: all that there are as of some time, and at least one. News of a few that
+    /// came before is no answer to a caller whose replicas are among the others.
     fn knows_replicas(&self) -> bool {
+        self.entries.known_to().is_some() && self.has_rows()
+    }
+
+    /// Whether any replica is known.
+    fn has_rows(&self) -> bool {
         self.backends.rows().next().is_some()
     }
 
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -140,7 +140,7 @@
             incarnation: self.settings.incarnation,
             asked_at: stamp.now,
             read_to: self.read_to,
-            entries: self.entries.wish(self.knows_replicas()),
+            entries: self.entries.wish(self.has_rows()),
         }
     }
 
--- a/crates/core/tests/route/restarts.rs
+++ b/crates/core/tests/route/restarts.rs
@@ -21,6 +21,7 @@
 //! 701 request_sent version=v1 trial_share=0.0 trial_age_ms=9319  trial_gave_way=false
 //! ```
 
+use ravenspoke_core::route::backend::BackendChange;
 use ravenspoke_core::route::event::{RefusalReason, RouteAsk, RouteEffect, RouteEvent};
 use ravenspoke_core::route::peers::{
     PeerAsk, PeerCard, PeerNote, TrialNote, START_SPREAD_MS, START_WAIT_MS,
@@ -215,6 +216,29 @@
     assert!(!subject.state.marks_unread() && subject.state.knows_site());
 }
 
+#[test]
+fn a_box_that_has_only_heard_news_of_one_replica_waits_with_callers_for_all_of_them() {
+    let mut subject = new_box("box-2");
+    subject.read_plan(Some(plan(1)));
+    let change = BackendChange { id: "a".to_owned(), at: 9, entry: Some(entry("a", "v1")) };
+    let card = PeerCard { note_address: "box-1:90".to_owned(), ..PeerCard::default() };
+    let news = PeerNote {
+        name: "box-1".to_owned(),
+        number: 1,
+        card,
+        changes: vec![change.clone()],
+        ..PeerNote::default()
+    };
+
+    subject.feed(RouteEvent::PeerHeard(Box::new(news)));
+
+    let now = BoxTime::from_millis(subject.now);
+    assert!(!subject.state.takes_callers(now) && !subject.state.open(now), "others may be there");
+    let other = BackendChange { id: "b".to_owned(), at: 4, entry: Some(entry("b", "v1")) };
+    subject.feed(RouteEvent::BackendsListed { end: 10, listed: vec![other, change] });
+    assert!(subject.state.takes_callers(now) && subject.state.open(now));
+}
+
 /// Answers that a box tells of, none of them failed.
 fn told_answers(name: &str, incarnation: u64, runs: f64) -> PeerNote {
     let fresh = VersionTally { runs, ..VersionTally::default() };
