readers: a box that lost the store leaves it to readers that answer it to try again

Change: a box whose own call failed and whose last ask was answered within 1.7 s does not try again. Its first try stays: it may reach the store where the readers do not. Who hears nobody tries as before.

--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -153,6 +153,8 @@
     next_ask: BoxTime,
     /// When the last ask was sent, if no answer has come.
     unanswered_at: Option<BoxTime>,
+    /// When another box last answered an ask.
+    answered_at: Option<BoxTime>,
     /// Since when it is known that another box has read further.
     behind_since: Option<BoxTime>,
     next_behind_ask: BoxTime,
@@ -186,6 +188,7 @@
             reader_at: None,
             next_ask: BoxTime::default(),
             unanswered_at: None,
+            answered_at: None,
             behind_since: None,
             next_behind_ask: BoxTime::default(),
             note_number: 0,
@@ -385,7 +388,14 @@
     /// told it lately that what it knows is fresh, or has told it what is new.
     pub fn must_read(&self, now: BoxTime) -> bool {
         let behind = self.behind_since.is_some_and(|at| now.millis_since(at) >= peers::BEHIND_MS);
-        behind || self.is_reader(now) || self.is_untold(self.fresh.age_ms(now), OWN_READ_MS, now)
+        let untold = self.is_untold(self.fresh.age_ms(now), OWN_READ_MS, now);
+        self.is_reader(now) || ((behind || untold) && !self.leaves_tries_to_others(now))
+    }
+
+    /// Whether this box lost the store and others, who answer it, find out when it is back.
+    fn leaves_tries_to_others(&self, now: BoxTime) -> bool {
+        let answered = self.answered_at.is_some_and(|at| now.millis_since(at) < peers::ANSWERED_MS);
+        self.is_cut(now) && answered
     }
 
     /// Whether this box must read the replicas' entries itself: it is a reader, or no other box has told it
@@ -393,7 +403,8 @@
     pub fn must_read_entries(&self, now: BoxTime) -> bool {
         let untold = self.is_untold(self.entries.age_ms(now), OWN_ENTRIES_MS, now);
         // While the store is away, reads of the plan find out when it is back.
-        self.is_reader(now) || (untold && !(self.store_away(now) && self.is_cut(now)))
+        let away = self.store_away(now) && self.is_cut(now);
+        self.is_reader(now) || (untold && !away && !self.leaves_tries_to_others(now))
     }
 
     /// Whether others have told this box too little: what it knows is older than `limit_ms`, or it still knows
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -187,6 +187,7 @@
             return self.take_backends(stamp, changes, BackendSource::Told, None, out);
         };
         self.unanswered_at = None;
+        self.answered_at = Some(stamp.now);
         let EntryWord { known_to, age_ms, page } = note.entries;
         let as_of = age_ms.map(|age| asked.asked_at.minus_millis(age));
         let Some(page) = page else {
--- a/crates/core/tests/route/fleet.rs
+++ b/crates/core/tests/route/fleet.rs
@@ -24,6 +24,10 @@
 /// Boxes that all others are told to ask first.
 const SEEDS: usize = 3;
 
+/// Pauses between two tries of a store that is away, in milliseconds: the least and the most of a reader, then of
+/// any other box.
+const RETRIES_MS: [(u64, u64); 2] = [(250, 500), (1_000, 8_000)];
+
 /// Datagrams lost of 100.
 const LOST: u64 = 3;
 
@@ -73,6 +77,8 @@
     life: u32,
     dead: bool,
     calls: u32,
+    /// Pause before its next try of the store, while that is away, in milliseconds.
+    retry_ms: u64,
 }
 
 /// A fleet before a store.
@@ -86,6 +92,8 @@
     /// Entries of replicas and when the store took them; the offset is the index.
     entries: Vec<(u64, BackendChange)>,
     listed: Vec<String>,
+    /// Until when the store refuses all calls.
+    away_until: u64,
 }
 
 impl Fleet {
@@ -99,10 +107,11 @@
             plans: vec![0],
             entries: Vec::new(),
             listed: Vec::new(),
+            away_until: 0,
         };
         for number in 0..count {
             let state = RouteState::new(fleet.settings(number, 0));
-            fleet.boxes.push(FleetBox { state, life: 0, dead: false, calls: 0 });
+            fleet.boxes.push(FleetBox { state, life: 0, dead: false, calls: 0, retry_ms: 0 });
         }
         for number in 0..count {
             let at = fleet.draw(100);
@@ -214,6 +223,10 @@
                 self.feed(to, RouteEvent::Tick);
                 self.push(next, to, Step::Tick);
             }
+            Step::LookForPlan if state.must_read(now) && self.is_away() => self.fail(to, step),
+            Step::LookForEntries if state.must_read_entries(now) && self.is_away() => {
+                self.fail(to, step);
+            }
             Step::LookForPlan if state.must_read(now) => {
                 let waits = state.waits_for_plan(now);
                 let known = state.read_to() as usize;
@@ -241,7 +254,11 @@
             Step::LookForPlan | Step::LookForEntries | Step::LookForBoxes => {
                 self.push(look, to, step);
             }
+            // A read that waits is cut when the store goes away.
+            Step::PlanRead { .. } if self.is_away() => self.fail(to, Step::LookForPlan),
+            Step::EntriesRead { .. } if self.is_away() => self.fail(to, Step::LookForEntries),
             Step::PlanRead { asked_at, shown_at } => {
+                self.regain(to);
                 self.read_plan(to, if shown_at > asked_at { shown_at } else { asked_at });
                 self.push(self.now + 1, to, Step::LookForPlan);
             }
@@ -262,6 +279,29 @@
         }
     }
 
+    fn is_away(&self) -> bool {
+        self.now < self.away_until
+    }
+
+    /// A call that the store refused; it is tried again after a pause.
+    fn fail(&mut self, to: usize, step: Step) {
+        self.feed(to, RouteEvent::StoreFailed);
+        let reader = self.boxes[to].state.is_reader(BoxTime::from_millis(self.now));
+        let (least, most) = RETRIES_MS[usize::from(!reader)];
+        let subject = &mut self.boxes[to];
+        subject.calls += 1;
+        let pause = subject.retry_ms.clamp(least, most);
+        subject.retry_ms = pause * 2;
+        let jitter = self.draw(pause / 4);
+        self.push(self.now + pause + jitter, to, step);
+    }
+
+    fn regain(&mut self, to: usize) {
+        if std::mem::take(&mut self.boxes[to].retry_ms) > 0 {
+            self.feed(to, RouteEvent::StoreBack);
+        }
+    }
+
     /// The newest plan that the store had at `at`, with the offset behind it.
     fn plan_at(&self, at: u64) -> (u64, u64) {
         let count = self.plans.iter().filter(|written| **written <= at).count() as u64;
@@ -428,3 +468,25 @@
         assert!(took.is_some_and(|ms| ms <= 2_000), "{count} boxes: the plan after {took:?} ms");
     }
 }
+
+#[test]
+fn while_the_store_is_away_few_boxes_try_it_and_all_are_back_soon_after_it() {
+    for count in [9, 100, 300] {
+        let mut fleet = site(count);
+        fleet.run_until(6_000);
+        fleet.calls();
+
+        fleet.away_until = fleet.now + 8_000;
+        fleet.run_until(fleet.away_until);
+
+        // Readers try three times a second, any other box once.
+        let readers = 3 * 2 * 8 * (wanted(count) as u32 + 1);
+        let calls = fleet.calls();
+        assert!(calls <= readers + count as u32, "{count} boxes: {calls} calls");
+        fleet.plans.push(fleet.now);
+        let took = fleet.until_all(5_000, |state| state.plan().version == 2);
+        assert!(took.is_some_and(|ms| ms <= 2_500), "{count} boxes: the plan after {took:?} ms");
+        fleet.run_until(fleet.now + 1_500);
+        assert_eq!(fleet.open(), count, "callers are sent to all again");
+    }
+}
