notes: most of them stay within the availability zone

Change: of 12 notes 8 stay in the zone where it has as many boxes; word goes between zones with the rest.

--- a/crates/core/src/route/learn.rs
+++ b/crates/core/src/route/learn.rs
@@ -29,7 +29,10 @@
             let Some(row) = self.backends.get(pick.key) else { return };
             let replica = row.id_hash;
             let note = PlacementNote { replica, shared: work.shared, work_ms: work_ms as u32 };
-            out.push(RouteEffect::TellPlacement(self.peers.note_targets(stamp.dice), note));
+            out.push(RouteEffect::TellPlacement(
+                self.peers.note_targets(&self.settings.zone, stamp.dice),
+                note,
+            ));
         }
     }
 
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -47,7 +47,7 @@
         self.peers.forget(stamp.now);
         let told = |at: BoxTime| stamp.now.millis_since(at) < TELL_MS;
         self.changes.retain(|(at, _)| told(*at));
-        let targets = self.peers.note_targets(stamp.dice);
+        let targets = self.peers.note_targets(&self.settings.zone, stamp.dice);
         if !targets.is_empty() {
             out.push(RouteEffect::SendNotes(targets, Box::new(self.note(stamp))));
         }
--- a/crates/core/src/route/peers/mod.rs
+++ b/crates/core/src/route/peers/mod.rs
@@ -39,6 +39,11 @@
 /// Boxes that a note is sent to each time; at most this many, chosen anew.
 pub const NOTE_FANOUT: usize = 12;
 
+/// Of these, boxes of the sender's own availability zone at most: bytes between zones are paid for, and boxes of one
+/// zone mostly choose among the same replicas. The rest keeps word going between zones: each hears eight notes a
+/// second from the others.
+pub const NOTE_NEAR: usize = 8;
+
 /// Boxes that read the store often, at least: any two may be gone at once.
 pub const READERS_MIN: usize = 3;
 
--- a/crates/core/src/route/peers/table.rs
+++ b/crates/core/src/route/peers/table.rs
@@ -6,7 +6,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
-    PeerCard, PeerNote, PeerSummary, FORGET_MS, NOTE_FANOUT, SILENT_MS, TOLD_OF, TOLD_SILENT_MS,
+    PeerCard, PeerNote, PeerSummary, FORGET_MS, NOTE_FANOUT, NOTE_NEAR, SILENT_MS, TOLD_OF,
+    TOLD_SILENT_MS,
 };
 use crate::time::BoxTime;
 
@@ -114,16 +115,23 @@
         1 + self.rows.values().filter(|row| row.lives(now)).count()
     }
 
-    /// Addresses for the next round of notes: all if they are few, else some by chance.
-    pub fn note_targets(&self, dice: u64) -> Vec<String> {
-        let known = self.rows.values().map(|row| &row.card.note_address);
-        let mut all: Vec<&String> = known.chain(self.hearsay.keys()).collect();
-        if all.len() > NOTE_FANOUT {
-            let order = |address: &&String| xxh3_64_with_seed(address.as_bytes(), dice);
-            all.sort_by_cached_key(order);
-            all.truncate(NOTE_FANOUT);
+    /// Addresses for the next round of notes of a box in `zone`: all if they are few, else some by chance, of
+    /// these most in the same availability zone. Who was only heard of may be anywhere.
+    pub fn note_targets(&self, zone: &str, dice: u64) -> Vec<String> {
+        let near = |row: &&PeerState| row.card.zone == zone;
+        let known = |row: &PeerState| row.card.note_address.clone();
+        let mut targets: Vec<String> = self.rows.values().filter(near).map(known).collect();
+        let far = self.rows.values().filter(|row| !near(row)).map(known);
+        let mut others: Vec<String> = far.chain(self.hearsay.keys().cloned()).collect();
+        if targets.len() + others.len() > NOTE_FANOUT {
+            let order = |address: &String| xxh3_64_with_seed(address.as_bytes(), dice);
+            targets.sort_by_cached_key(order);
+            others.sort_by_cached_key(order);
+            targets.truncate(NOTE_NEAR.max(NOTE_FANOUT.saturating_sub(others.len())));
+            others.truncate(NOTE_FANOUT - targets.len());
         }
-        all.into_iter().cloned().collect()
+        targets.append(&mut others);
+        targets
     }
 
     /// Boxes of the fleet, this one included: where notes reach all, those that live; else all that were
--- a/crates/core/tests/route/fleet.rs
+++ b/crates/core/tests/route/fleet.rs
@@ -24,6 +24,9 @@
 /// Boxes that all others are told to ask first.
 const SEEDS: usize = 3;
 
+/// Availability zones that the boxes lie in.
+const ZONES: usize = 6;
+
 /// Pauses between two tries of a store that is away, in milliseconds: the least and the most of a reader, then of
 /// any other box.
 const RETRIES_MS: [(u64, u64); 2] = [(250, 500), (1_000, 8_000)];
@@ -94,6 +97,8 @@
     listed: Vec<String>,
     /// Until when the store refuses all calls.
     away_until: u64,
+    /// Notes that were sent within an availability zone, and to another.
+    notes: [u64; 2],
 }
 
 impl Fleet {
@@ -108,6 +113,7 @@
             entries: Vec::new(),
             listed: Vec::new(),
             away_until: 0,
+            notes: [0; 2],
         };
         for number in 0..count {
             let state = RouteState::new(fleet.settings(number, 0));
@@ -124,6 +130,7 @@
         RouteSettings {
             incarnation: u64::from(life) + 1,
             is_seed: number < SEEDS,
+            zone: format!("zone-{}", number % ZONES),
             ..settings(&format!("box-{number}"))
         }
     }
@@ -193,6 +200,8 @@
             match effect {
                 RouteEffect::SendNotes(targets, note) => {
                     for target in targets {
+                        let far = number_of(&target) % ZONES != to % ZONES;
+                        self.notes[usize::from(far)] += u64::from(note.echo.is_none());
                         self.send(&target, RouteEvent::PeerHeard(note.clone()));
                     }
                 }
@@ -205,8 +214,7 @@
     }
 
     fn send(&mut self, target: &str, event: RouteEvent) {
-        let number = target.strip_prefix("box-").and_then(|rest| rest.strip_suffix(":90"));
-        let number: usize = number.and_then(|number| number.parse().ok()).expect("an address");
+        let number = number_of(target);
         let lost = self.draw(100) < LOST;
         if !lost {
             self.push(self.now + WAY_MS, number, Step::Hear(Box::new(event)));
@@ -378,6 +386,12 @@
     }
 }
 
+/// Number of the box that hears notes at an address.
+fn number_of(address: &str) -> usize {
+    let number = address.strip_prefix("box-").and_then(|rest| rest.strip_suffix(":90"));
+    number.and_then(|number| number.parse().ok()).expect("an address")
+}
+
 /// Readers that a fleet of this size should have.
 fn wanted(count: usize) -> usize {
     READERS_MIN.max(count.div_ceil(ASKERS_LIMIT))
@@ -451,6 +465,19 @@
     }
 }
 
+#[test]
+fn most_notes_of_a_large_fleet_stay_within_an_availability_zone() {
+    let mut fleet = site(100);
+    fleet.run_until(5_000);
+    fleet.notes = [0; 2];
+
+    fleet.run_until(10_000);
+
+    let [near, far] = fleet.notes;
+    let share = far as f64 / (near + far) as f64;
+    assert!(share <= 0.35, "{share} of {} notes go to another zone", near + far);
+}
+
 #[test]
 fn where_the_readers_die_others_read_in_their_place() {
     for count in [9, 100] {
