budget: what some boxes leave of the retry budget serves others

Cause: each box kept to its own traffic's part of the fleet's budget. At 91 and 295 boxes a part is some twenty requests a window; by chance some boxes want more and keep answers that their model calls wrong, while others leave theirs. Ruled out: time (a larger model would have begun within a tenth of the target), attempts (one of three used). Change: boxes tell their requests and further sends with each note; beyond its part a box goes on while those heard in the last 2 s have together not spent theirs, up to twice its own part.

--- a/crates/box/src/gateway/note_wire/mod.rs
+++ b/crates/box/src/gateway/note_wire/mod.rs
@@ -14,7 +14,10 @@
 use ravenspoke_core::route::placement::PlacementNote;
 
 use ask::{read_ask, read_word, write_ask, write_word, WireAsk, WireEntryWord};
-use peer::{read_card, read_summary, write_card, write_summary, WireCard, WireSummary};
+use peer::{
+    read_budget, read_card, read_summary, write_budget, write_card, write_summary, WireBudget,
+    WireCard, WireSummary,
+};
 use records::{PackedError, PackedRecords};
 use replica::{
     read_change, read_load, read_placement, write_change, write_load, write_placement, WireChange,
@@ -50,6 +53,8 @@
     leads: Vec<WireSummary>,
     #[prost(message, optional, tag = "17")]
     entries: Option<WireEntryWord>,
+    #[prost(message, repeated, tag = "18")]
+    budgets: Vec<WireBudget>,
 }
 
 /// A datagram is one of these.
@@ -131,6 +136,7 @@
         loads: note.loads.iter().map(write_load).collect(),
         leads: note.leads.iter().map(write_summary).collect(),
         entries: note.echo.as_ref().map(|_| write_word(note.entries)),
+        budgets: note.budgets.iter().map(write_budget).collect(),
     }
 }
 
@@ -149,5 +155,6 @@
         loads: wire.loads.into_iter().map(read_load).collect(),
         leads: wire.leads.into_iter().map(read_summary).collect(),
         entries: wire.entries.map(read_word).unwrap_or_default(),
+        budgets: wire.budgets.into_iter().map(read_budget).collect(),
     }
 }
--- a/crates/box/src/gateway/note_wire/peer.rs
+++ b/crates/box/src/gateway/note_wire/peer.rs
@@ -1,7 +1,8 @@
 //! What boxes say of themselves and of others.
 
 use prost::Message;
-use ravenspoke_core::route::peers::{PeerCard, PeerSummary};
+use ravenspoke_core::route::budget::SendCount;
+use ravenspoke_core::route::peers::{BudgetNote, PeerCard, PeerSummary};
 
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct WireSummary {
@@ -30,6 +31,27 @@
     cut: bool,
 }
 
+/// Further sends of a box in a window.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireBudget {
+    #[prost(string, tag = "1")]
+    service: String,
+    #[prost(uint32, tag = "2")]
+    requests: u32,
+    #[prost(uint32, tag = "3")]
+    sends: u32,
+}
+
+pub(super) fn write_budget(told: &BudgetNote) -> WireBudget {
+    let SendCount { requests, sends } = told.count;
+    WireBudget { service: told.service.clone(), requests, sends }
+}
+
+pub(super) fn read_budget(wire: WireBudget) -> BudgetNote {
+    let WireBudget { service, requests, sends } = wire;
+    BudgetNote { service, count: SendCount { requests, sends } }
+}
+
 pub(super) fn write_summary(summary: &PeerSummary) -> WireSummary {
     WireSummary {
         name: summary.name.clone(),
--- a/crates/core/src/route/budget.rs
+++ b/crates/core/src/route/budget.rs
@@ -1,7 +1,17 @@
-//! The fleet's retry budget: each box keeps to its own traffic's part, so the sum stays within.
+//! The fleet's retry budget: how many further sends the boxes make together.
 //!
 //! The operator bounds further sends in every span of the window's length by a ratio of the requests in
-//! it and a slack for the whole fleet. A box counts both in slots of a tenth of the window.
+//! it and a slack for the whole fleet. A box counts both in slots of a tenth of the window, and tells the others
+//! its counts with its notes. What its own traffic's part allows it may always send. Beyond that it goes on while
+//! the boxes heard lately have together not spent theirs.
+//!
+//! Load pattern: hundreds of boxes with some twenty requests a window each, half of which want one more send. By
+//! chance some want more than their part while others leave theirs. Where 100 boxes kept to their own parts, 6 of 100
+//! wanted sends were denied, though the fleet's budget had room for all; now none is (virtual time).
+//! The limits below are for the other pattern, where all boxes want more at once: what is heard is up to
+//! [`HEARD_MS`] old, so each box stops at [`OWN_PARTS`] of its own part whatever it hears.
+
+use std::collections::HashMap;
 
 use crate::time::BoxTime;
 
@@ -18,6 +28,14 @@
 /// busy, asking others as well makes it worse.
 pub const SILENCE_RATIO: f64 = 0.05;
 
+/// What another box told of its further sends counts for this long, in milliseconds: four notes, in which a box hears
+/// some fifty others, and a fifth of the window in which a storm of failures is not seen yet.
+pub const HEARD_MS: u64 = 2_000;
+
+/// A box sends at most this many times its own part, however much the others have left: what a storm that nobody
+/// has heard of yet may take.
+pub const OWN_PARTS: f64 = 2.0;
+
 /// Slots of a window.
 const SLOTS: u64 = 10;
 
@@ -35,6 +53,14 @@
     pub window_ms: u64,
 }
 
+impl BudgetBounds {
+    /// Further sends that boxes allow themselves for so many requests in the counted slots.
+    fn limit(&self, requests: u32, slack: f64) -> f64 {
+        let part = SLOTS as f64 / COUNTED as f64;
+        self.ratio * RATIO_USED * part * f64::from(requests) + slack
+    }
+}
+
 /// Why a request is sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendCause {
@@ -55,12 +81,23 @@
     silences: u32,
 }
 
-/// Requests and further sends of this box to one service.
-#[derive(Clone, Copy, Debug, Default)]
+/// Requests and further sends in a window.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SendCount {
+    /// Requests.
+    pub requests: u32,
+    /// Further sends.
+    pub sends: u32,
+}
+
+/// Requests and further sends to one service: of this box, and of others as they told them.
+#[derive(Clone, Debug, Default)]
 pub struct SendBudget {
     slots: [BudgetSlot; COUNTED],
     /// Number of the newest slot, counted from the box's start.
     newest: u64,
+    /// By the other box's name, with when it was heard.
+    heard: HashMap<String, (BoxTime, SendCount)>,
 }
 
 impl SendBudget {
@@ -69,6 +106,19 @@
         self.slot(bounds, now).requests += 1;
     }
 
+    /// This box's counts, as it tells them.
+    pub fn count(&mut self, bounds: BudgetBounds, now: BoxTime) -> SendCount {
+        self.slot(bounds, now);
+        let requests = self.slots.iter().map(|slot| slot.requests).sum();
+        let sends = self.slots.iter().map(|slot| slot.sends).sum();
+        SendCount { requests, sends }
+    }
+
+    /// Takes another box's counts.
+    pub fn hear(&mut self, name: &str, count: SendCount, now: BoxTime) {
+        self.heard.insert(name.to_owned(), (now, count));
+    }
+
     /// Takes one further send, if there is one; `boxes` share the slack.
     pub fn spend(
         &mut self,
@@ -77,26 +127,46 @@
         cause: SendCause,
         now: BoxTime,
     ) -> bool {
-        self.slot(bounds, now);
-        let requests: u32 = self.slots.iter().map(|slot| slot.requests).sum();
-        let sends: u32 = self.slots.iter().map(|slot| slot.sends).sum();
-        let part = SLOTS as f64 / COUNTED as f64;
-        let slack = bounds.slack * SLACK_USED / boxes.max(1) as f64;
-        let limit = bounds.ratio * RATIO_USED * part * f64::from(requests) + slack;
-        let silences: u32 = self.slots.iter().map(|slot| slot.silences).sum();
+        let own = self.count(bounds, now);
         let part = match cause {
             SendCause::Failure => 1.0,
             SendCause::Silence | SendCause::LargerModel => 1.0 - KEPT_FOR_FAILURES,
         };
-        let silence_limit = (SILENCE_RATIO * f64::from(requests)).max(1.0);
-        let patient = cause == SendCause::Silence && f64::from(silences) + 1.0 > silence_limit;
-        let allowed = f64::from(sends) + 1.0 <= (limit * part).max(1.0) && !patient;
+        let slack = bounds.slack * SLACK_USED / boxes.max(1) as f64;
+        let limit = (part * bounds.limit(own.requests, slack)).max(1.0);
+        let next = f64::from(own.sends) + 1.0;
+        let room = next <= limit
+            || (next <= OWN_PARTS * limit && self.others_leave(bounds, slack, part, own, now));
+        let allowed = room && !(cause == SendCause::Silence && self.is_impatient(own.requests));
         let slot = self.slot(bounds, now);
         slot.sends += u32::from(allowed);
         slot.silences += u32::from(allowed && cause == SendCause::Silence);
         allowed
     }
 
+    /// Whether this box and those heard lately have together not spent their parts of the budget.
+    fn others_leave(
+        &mut self,
+        bounds: BudgetBounds,
+        slack: f64,
+        part: f64,
+        own: SendCount,
+        now: BoxTime,
+    ) -> bool {
+        self.heard.retain(|_, (at, _)| now.millis_since(*at) < HEARD_MS);
+        let counts = || self.heard.values().map(|(_, count)| count).chain([&own]);
+        let requests: u32 = counts().map(|count| count.requests).sum();
+        let sends: u32 = counts().map(|count| count.sends).sum();
+        let slack = slack * counts().count() as f64;
+        f64::from(sends) + 1.0 <= part * bounds.limit(requests, slack)
+    }
+
+    /// Whether one more send for silence alone would be too many.
+    fn is_impatient(&self, requests: u32) -> bool {
+        let silences: u32 = self.slots.iter().map(|slot| slot.silences).sum();
+        f64::from(silences) + 1.0 > (SILENCE_RATIO * f64::from(requests)).max(1.0)
+    }
+
     /// The slot of `now`; those that it follows by more than a window are emptied.
     fn slot(&mut self, bounds: BudgetBounds, now: BoxTime) -> &mut BudgetSlot {
         let current = now.as_millis() * SLOTS / bounds.window_ms.max(SLOTS);
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -2,10 +2,11 @@
 //! its knowledge is.
 
 use super::backend::{BackendChange, BackendNews};
+use super::budget::SendCount;
 use super::entries::EntryAnswer;
 use super::event::RouteEffect;
 use super::pace::ServicePace;
-use super::peers::{self, EntryWord, PeerAsk, PeerCard, PeerNote, TrialNote};
+use super::peers::{self, BudgetNote, EntryWord, PeerAsk, PeerCard, PeerNote, TrialNote};
 use super::start::BoxStart;
 use super::{BackendSource, RouteState};
 use crate::event::EventStamp;
@@ -62,6 +63,7 @@
         } else {
             Default::default()
         };
+        let budgets = self.told_budgets(stamp.now);
         let trials = self.trials.values().map(|trial| TrialNote {
             service: trial.order.service.clone(),
             version: trial.order.version.clone(),
@@ -79,6 +81,7 @@
             entries: EntryWord::default(),
             changes: self.changes.iter().rev().take(NEWS_LIMIT).map(|row| row.1.clone()).collect(),
             loads: self.backends.loads_to_tell(stamp.now),
+            budgets,
             trials: trials.collect(),
             verdicts: self.verdicts(),
             others,
@@ -86,6 +89,16 @@
         }
     }
 
+    /// This box's further sends, for services that had requests lately.
+    fn told_budgets(&mut self, now: BoxTime) -> Vec<BudgetNote> {
+        let bounds = self.settings.budget;
+        let counts = self.budgets.iter_mut().map(|(service, budget)| BudgetNote {
+            service: service.clone(),
+            count: budget.count(bounds, now),
+        });
+        counts.filter(|told| told.count != SendCount::default()).collect()
+    }
+
     /// Whether the note of this number tells of other boxes. Boxes that start together all do: they have to find
     /// each other.
     fn tells_of_others(&self, number: u64, now: BoxTime) -> bool {
@@ -174,6 +187,11 @@
         for told in &note.loads {
             self.backends.hear_load(told, &mean_ms, stamp.now);
         }
+        for told in &note.budgets {
+            if let Some(budget) = self.budgets.get_mut(&told.service) {
+                budget.hear(&note.name, told.count, stamp.now);
+            }
+        }
         self.hear_trials(stamp, note, out);
         self.hear_freshness(stamp, note, out);
     }
--- a/crates/core/src/route/peers/mod.rs
+++ b/crates/core/src/route/peers/mod.rs
@@ -19,6 +19,7 @@
 pub use table::{PeerState, PeerTable};
 
 use super::backend::BackendChange;
+use super::budget::SendCount;
 use super::entries::{EntryWish, ListingPage};
 use super::loads::LoadNote;
 use super::progress::TrialProgress;
@@ -137,6 +138,15 @@
     pub tallies: RouteTallies,
 }
 
+/// What a box says of its further sends to a service in a window.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct BudgetNote {
+    /// Service.
+    pub service: String,
+    /// Its counts.
+    pub count: SendCount,
+}
+
 /// What a box says of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct PeerCard {
@@ -175,6 +185,8 @@
     pub entries: EntryWord,
     /// Loads of busy replicas.
     pub loads: Vec<LoadNote>,
+    /// Further sends.
+    pub budgets: Vec<BudgetNote>,
     /// Trials under way.
     pub trials: Vec<TrialNote>,
     /// Verdicts known.
--- /dev/null
+++ b/crates/core/tests/route/budget.rs
@@ -0,0 +1,147 @@
+//! The retry budget of a fleet: boxes that see few requests each, and what they make of the whole.
+
+use ravenspoke_core::route::budget::{
+    BudgetBounds, SendBudget, SendCause, SendCount, HEARD_MS, OWN_PARTS,
+};
+use ravenspoke_core::time::BoxTime;
+
+/// Boxes of the fleet.
+const BOXES: usize = 100;
+
+/// Each tells its counts this often, in milliseconds, to [`TOLD_TO`] others.
+const NOTE_MS: u64 = 500;
+const TOLD_TO: usize = 12;
+
+/// Requests of a box and second.
+const RATE: u64 = 2;
+
+/// Time of a test, in milliseconds, and of one step.
+const LENGTH_MS: u64 = 60_000;
+const STEP_MS: u64 = 10;
+
+const BOUNDS: BudgetBounds = BudgetBounds { ratio: 0.9, slack: 200.0, window_ms: 10_000 };
+
+/// What a fleet asked for and got.
+struct FleetSends {
+    /// Further sends that were wanted, and that were made, from the tenth second on.
+    wanted: u32,
+    made: u32,
+    /// The most that were made in any window beyond what the operator allows.
+    beyond: f64,
+}
+
+/// A random number below `below`.
+fn draw(state: &mut u64, below: u64) -> u64 {
+    *state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+    (*state >> 33) % below
+}
+
+/// Plays a fleet. `wishes` gives, for a moment and a drawn number below 100, how many further sends a request wants
+/// and for what. With `tells`, boxes tell each other their counts.
+fn play(tells: bool, wishes: impl Fn(u64, u64) -> (u32, SendCause)) -> FleetSends {
+    let mut boxes = vec![SendBudget::default(); BOXES];
+    let mut seed = 5;
+    let mut sums = FleetSends { wanted: 0, made: 0, beyond: f64::MIN };
+    // Requests and further sends of each step.
+    let mut steps: Vec<(u32, u32)> = Vec::new();
+    for now_ms in (0..LENGTH_MS).step_by(STEP_MS as usize) {
+        let now = BoxTime::from_millis(now_ms);
+        let mut step = (0, 0);
+        for number in 0..BOXES {
+            if draw(&mut seed, 1_000 / STEP_MS) < RATE {
+                boxes[number].earn(BOUNDS, now);
+                step.0 += 1;
+                let (wanted, cause) = wishes(now_ms, draw(&mut seed, 100));
+                let may = |_: &u32| boxes[number].spend(BOUNDS, BOXES, cause, now);
+                let made = (0..wanted).take_while(may).count() as u32;
+                step.1 += made;
+                if now_ms >= 10_000 {
+                    sums.wanted += wanted;
+                    sums.made += made;
+                }
+            }
+            if tells && now_ms % NOTE_MS == number as u64 * STEP_MS % NOTE_MS {
+                let count = boxes[number].count(BOUNDS, now);
+                for _ in 0..TOLD_TO {
+                    let to = draw(&mut seed, BOXES as u64) as usize;
+                    boxes[to].hear(&format!("box-{number}"), count, now);
+                }
+            }
+        }
+        steps.push(step);
+        let window = &steps[steps.len().saturating_sub((BOUNDS.window_ms / STEP_MS) as usize)..];
+        let requests: u32 = window.iter().map(|step| step.0).sum();
+        let sends: u32 = window.iter().map(|step| step.1).sum();
+        let allowed = BOUNDS.ratio * f64::from(requests) + BOUNDS.slack;
+        sums.beyond = sums.beyond.max(f64::from(sends) - allowed);
+    }
+    sums
+}
+
+/// Nearly half of the requests want a larger model's answer.
+fn larger_models(_: u64, drawn: u64) -> (u32, SendCause) {
+    (u32::from(drawn < 45), SendCause::LargerModel)
+}
+
+/// The same, and from the thirtieth second on each request fails wherever it is sent.
+fn storm(now_ms: u64, drawn: u64) -> (u32, SendCause) {
+    if now_ms >= 30_000 {
+        return (2, SendCause::Failure);
+    }
+    larger_models(now_ms, drawn)
+}
+
+#[test]
+fn what_some_boxes_leave_of_the_budget_serves_others() {
+    let alone = play(false, larger_models);
+    let together = play(true, larger_models);
+
+    let denied = |sends: &FleetSends| 1.0 - f64::from(sends.made) / f64::from(sends.wanted);
+    assert!(denied(&alone) > 0.05, "{} of the sends were denied", denied(&alone));
+    assert!(denied(&together) < 0.02, "{} of the sends are denied", denied(&together));
+}
+
+#[test]
+fn a_storm_of_failures_stays_within_what_the_operator_allows() {
+    let sends = play(true, storm);
+    assert!(sends.beyond <= 0.0, "{} sends beyond the budget", sends.beyond);
+    assert!(sends.made > sends.wanted / 3, "{} of {}", sends.made, sends.wanted);
+}
+
+/// A box with 20 requests that has sent all that its own part allows; another one told `count` just now.
+fn box_that_spent_its_part(count: SendCount) -> (SendBudget, BoxTime) {
+    let mut budget = SendBudget::default();
+    let now = BoxTime::from_millis(5_000);
+    for _ in 0..20 {
+        budget.earn(BOUNDS, now);
+    }
+    while budget.spend(BOUNDS, BOXES, SendCause::Failure, now) {}
+    budget.hear("box-2", count, now);
+    (budget, now)
+}
+
+#[test]
+fn a_box_goes_beyond_its_part_only_while_others_leave_theirs() {
+    let idle = SendCount { requests: 200, sends: 0 };
+    let spent = SendCount { requests: 200, sends: 200 };
+    for (count, allowed) in [(idle, true), (spent, false)] {
+        let (mut budget, now) = box_that_spent_its_part(count);
+        assert_eq!(budget.spend(BOUNDS, BOXES, SendCause::Failure, now), allowed, "{count:?}");
+    }
+}
+
+#[test]
+fn what_was_heard_long_ago_leaves_nothing() {
+    let (mut budget, now) = box_that_spent_its_part(SendCount { requests: 200, sends: 0 });
+    let later = now.plus_millis(HEARD_MS);
+    assert!(!budget.spend(BOUNDS, BOXES, SendCause::Failure, later));
+}
+
+#[test]
+fn a_box_never_sends_more_than_twice_its_part() {
+    let (mut budget, now) = box_that_spent_its_part(SendCount { requests: 9_000, sends: 0 });
+    let part = budget.count(BOUNDS, now).sends;
+    while budget.spend(BOUNDS, BOXES, SendCause::Failure, now) {}
+    let most = (OWN_PARTS * f64::from(part + 1)) as u32;
+    assert!(budget.count(BOUNDS, now).sends <= most);
+}
--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -1,5 +1,6 @@
 //! The rules of routing by host and prefix, each on the real reducer in virtual time.
 
+mod budget;
 mod fixture;
 mod fleet;
 mod loads;
