notes: long ones are deflated, and too many that wait are dropped

Boxes that start ask three others for ten pages of 30 KB; each answer waited as some 100 KB of entries in a queue without a limit (read; the queue itself was not measured). Change: notes from 256 bytes on are deflated, so that a page holds 1,000 replicas; answers wait in a queue of 32 of their own behind the rest, other datagrams in one of 256; what finds no place is dropped and counted. Bytes of a note of 300 entries 26,597 to 4,714, of one with word of seven boxes 769 to 385 (test fixtures).

--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -14,10 +14,10 @@
 use ravenspoke_core::route::trial::TrialVerdict;
 use ravenspoke_core::route::RouteState;
 use ravenspoke_core::time::{BoxTime, WallTime};
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::{Sender, UnboundedSender};
 
 use super::observe;
-use super::tally::ControlTally;
+use super::tally::{ControlTally, DatagramKind};
 use super::told::OperatorRecords;
 
 /// What the reducer tells the task of one request.
@@ -52,10 +52,32 @@
     Ask(String, PeerAsk),
 }
 
+impl PeerDatagram {
+    /// What it is.
+    pub fn kind(&self) -> DatagramKind {
+        match self {
+            Self::Note(_, note) if note.echo.is_some() => DatagramKind::Answer,
+            Self::Note(..) => DatagramKind::Note,
+            Self::Placement(..) => DatagramKind::Placement,
+            Self::Ask(..) => DatagramKind::Ask,
+        }
+    }
+}
+
+/// Answers that wait to be sent, at most: some 100 kilobytes each where all replicas are told. Where hundreds of
+/// boxes start at once those that all ask would else fill up; who gets no answer asks another box, or reads the store.
+pub const ANSWERS_QUEUED: usize = 32;
+
+/// Other datagrams that wait to be sent, at most: what ten seconds of calm bring. On a link that is full the newest
+/// are dropped; notes repeat what they say.
+pub const NOTES_QUEUED: usize = 256;
+
 /// Channels that effects are handed to.
 pub struct GatewaySinks {
-    /// Datagrams for other boxes.
-    pub notes: UnboundedSender<PeerDatagram>,
+    /// Datagrams for other boxes that nobody asked for, and asks.
+    pub notes: Sender<PeerDatagram>,
+    /// Answers to other boxes' asks; they wait for the rest.
+    pub answers: Sender<PeerDatagram>,
     /// Verdicts for the store.
     pub verdicts: UnboundedSender<TrialVerdict>,
     /// Marks of trials for the store.
@@ -150,19 +172,25 @@
         step
     }
 
+    /// Queues a datagram; where too many wait it is dropped and counted.
+    fn queue(&self, datagram: PeerDatagram) {
+        let kind = datagram.kind();
+        let answers = kind == DatagramKind::Answer;
+        let queue = if answers { &self.sinks.answers } else { &self.sinks.notes };
+        if queue.try_send(datagram).is_err() {
+            self.tally.count_dropped(kind);
+        }
+    }
+
     fn hand_on(&self, effect: RouteEffect) {
         observe::note_effect(&effect);
         match effect {
             // The receivers live as long as the process.
-            RouteEffect::SendNotes(to, note) => {
-                drop(self.sinks.notes.send(PeerDatagram::Note(to, note)));
-            }
+            RouteEffect::SendNotes(to, note) => self.queue(PeerDatagram::Note(to, note)),
             RouteEffect::TellPlacement(to, placement) => {
-                drop(self.sinks.notes.send(PeerDatagram::Placement(to, placement)));
-            }
-            RouteEffect::SendAsk(to, ask) => {
-                drop(self.sinks.notes.send(PeerDatagram::Ask(to, ask)))
+                self.queue(PeerDatagram::Placement(to, placement));
             }
+            RouteEffect::SendAsk(to, ask) => self.queue(PeerDatagram::Ask(to, ask)),
             RouteEffect::WriteVerdict(verdict) => drop(self.sinks.verdicts.send(verdict)),
             RouteEffect::WriteMark(mark) => drop(self.sinks.marks.send(mark)),
             _ => {}
--- a/crates/box/src/gateway/note_wire/mod.rs
+++ b/crates/box/src/gateway/note_wire/mod.rs
@@ -1,8 +1,9 @@
 //! Datagrams between boxes, in protobuf.
 //!
-//! A datagram is a note or an ask. `replica`, `trial`, `peer`, `ask` and [`records`] hold the messages of its parts.
+//! A datagram is a note or an ask; a long note is [`packed`]. `replica`, `trial`, `peer`, `ask` and [`records`] hold the messages of its parts.
 
 mod ask;
+pub mod packed;
 mod peer;
 pub mod records;
 mod replica;
@@ -14,17 +15,22 @@
 use ravenspoke_core::route::placement::PlacementNote;
 
 use ask::{read_ask, read_word, write_ask, write_word, WireAsk, WireEntryWord};
+use packed::{deflate, inflate, PackedError};
 use peer::{
     read_budget, read_card, read_summary, write_budget, write_card, write_summary, WireBudget,
     WireCard, WireSummary,
 };
-use records::{PackedError, PackedRecords};
+use records::PackedRecords;
 use replica::{
     read_change, read_load, read_placement, write_change, write_load, write_placement, WireChange,
     WireLoad, WirePlacement,
 };
 use trial::{read_trial, read_verdict, write_trial, write_verdict, WireTrial, WireVerdict};
 
+/// A note from this length on is deflated, in bytes: 300 replicas' entries come from 26,597 to 4,714 bytes, word of
+/// seven other boxes from 769 to 385. What is shorter names too few.
+const PACK_FROM: usize = 256;
+
 #[derive(Clone, PartialEq, Message)]
 struct WireNote {
     #[prost(string, tag = "1")]
@@ -69,13 +75,22 @@
     records: Vec<u8>,
     #[prost(message, optional, tag = "4")]
     placement: Option<WirePlacement>,
+    /// The note, deflated, in place of `note`.
+    #[prost(bytes = "vec", tag = "6")]
+    packed_note: Vec<u8>,
 }
 
 /// Encodes a note as a datagram, with the records that the ask it answers wants.
 pub fn encode_note(note: &PeerNote, records: &PackedRecords) -> Vec<u8> {
-    let note = Some(write_note(note));
+    let note = write_note(note);
     let records = records.as_bytes().to_vec();
-    WireDatagram { note, records, ..WireDatagram::default() }.encode_to_vec()
+    let bytes = note.encode_to_vec();
+    if bytes.len() < PACK_FROM {
+        return WireDatagram { note: Some(note), records, ..WireDatagram::default() }
+            .encode_to_vec();
+    }
+    WireDatagram { packed_note: deflate(&bytes), records, ..WireDatagram::default() }
+        .encode_to_vec()
 }
 
 /// Encodes an ask as a datagram.
@@ -116,7 +131,13 @@
         return Ok(HeardDatagram::Placement(read_placement(placement)));
     }
     let records = PackedRecords::from_bytes(wire.records).unpack()?;
-    Ok(wire.note.map_or(HeardDatagram::Empty, |note| {
+    let note = match wire.note {
+        None if !wire.packed_note.is_empty() => {
+            Some(WireNote::decode(inflate(&wire.packed_note)?.as_slice())?)
+        }
+        note => note,
+    };
+    Ok(note.map_or(HeardDatagram::Empty, |note| {
         HeardDatagram::Note(Box::new(read_note(note)), records)
     }))
 }
--- a/crates/box/src/gateway/notes.rs
+++ b/crates/box/src/gateway/notes.rs
@@ -6,13 +6,12 @@
 use ravenspoke_core::route::event::RouteEvent;
 use ravenspoke_core::route::peers::PeerNote;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::Receiver;
 
 use super::driver::{GatewayDriver, PeerDatagram};
 use super::note_wire::records::PackedRecords;
 use super::note_wire::{decode_datagram, encode_ask, encode_note, encode_placement, HeardDatagram};
 use super::observe;
-use super::tally::DatagramKind;
 use super::told::take_told;
 
 /// Largest datagram, in bytes.
@@ -46,32 +45,39 @@
     }
 }
 
-/// Sends notes and asks to other boxes.
+/// Sends notes and asks to other boxes, and answers where nothing else waits.
 pub async fn send_notes(
     driver: Arc<GatewayDriver>,
     socket: Arc<UdpSocket>,
-    mut datagrams: UnboundedReceiver<PeerDatagram>,
+    mut notes: Receiver<PeerDatagram>,
+    mut answers: Receiver<PeerDatagram>,
 ) {
-    while let Some(datagram) = datagrams.recv().await {
-        let (kind, targets, bytes) = match datagram {
-            PeerDatagram::Note(targets, note) => {
-                let answers = note.echo.is_some();
-                let kind = if answers { DatagramKind::Answer } else { DatagramKind::Note };
-                (kind, targets, encode_with_records(&driver, &note))
-            }
-            PeerDatagram::Placement(targets, placement) => {
-                (DatagramKind::Placement, targets, encode_placement(placement))
-            }
-            PeerDatagram::Ask(target, ask) => (DatagramKind::Ask, vec![target], encode_ask(&ask)),
+    loop {
+        let datagram = tokio::select! {
+            biased;
+            datagram = notes.recv() => datagram,
+            datagram = answers.recv() => datagram,
         };
-        for target in &targets {
-            let same_zone = driver.state().is_near(target);
-            driver.tally.count_datagram(kind, same_zone, bytes.len());
-        }
-        for target in targets.iter().filter_map(|target| target.parse::<SocketAddr>().ok()) {
-            if let Err(error) = socket.send_to(&bytes, target).await {
-                observe::note_socket_failed("notes", &error);
-            }
+        // The senders live as long as the process.
+        let Some(datagram) = datagram else { return };
+        send_datagram(&driver, &socket, datagram).await;
+    }
+}
+
+async fn send_datagram(driver: &GatewayDriver, socket: &UdpSocket, datagram: PeerDatagram) {
+    let kind = datagram.kind();
+    let (targets, bytes) = match datagram {
+        PeerDatagram::Note(targets, note) => (targets, encode_with_records(driver, &note)),
+        PeerDatagram::Placement(targets, placement) => (targets, encode_placement(placement)),
+        PeerDatagram::Ask(target, ask) => (vec![target], encode_ask(&ask)),
+    };
+    for target in &targets {
+        let same_zone = driver.state().is_near(target);
+        driver.tally.count_datagram(kind, same_zone, bytes.len());
+    }
+    for target in targets.iter().filter_map(|target| target.parse::<SocketAddr>().ok()) {
+        if let Err(error) = socket.send_to(&bytes, target).await {
+            observe::note_socket_failed("notes", &error);
         }
     }
 }
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -16,13 +16,13 @@
 use rocket::Route;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
+use tokio::sync::mpsc::{channel, unbounded_channel, Receiver, UnboundedReceiver};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use super::directory::{metrics_routes, ready_routes, resolve_routes};
-use super::driver::{GatewayDriver, GatewaySinks, PeerDatagram};
+use super::driver::{GatewayDriver, GatewaySinks, PeerDatagram, ANSWERS_QUEUED, NOTES_QUEUED};
 use super::entry::{accept_callers, CallerCount, CALLER_PART};
 use super::exchange::GatewayTools;
 use super::pool::ReplicaPool;
@@ -61,12 +61,22 @@
     let metrics = metrics_exporter_prometheus::PrometheusBuilder::new()
         .install_recorder()
         .map_err(|error| ProcessError::Metrics(error.to_string()))?;
-    let (note_sender, note_receiver) = unbounded_channel();
+    let (note_sender, note_receiver) = channel(NOTES_QUEUED);
+    let (answer_sender, answer_receiver) = channel(ANSWERS_QUEUED);
     let (verdict_sender, verdict_receiver) = unbounded_channel();
     let (mark_sender, mark_receiver) = unbounded_channel();
-    let sinks = GatewaySinks { notes: note_sender, verdicts: verdict_sender, marks: mark_sender };
-    let receivers =
-        GatewayReceivers { notes: note_receiver, verdicts: verdict_receiver, marks: mark_receiver };
+    let sinks = GatewaySinks {
+        notes: note_sender,
+        answers: answer_sender,
+        verdicts: verdict_sender,
+        marks: mark_sender,
+    };
+    let receivers = GatewayReceivers {
+        notes: note_receiver,
+        answers: answer_receiver,
+        verdicts: verdict_receiver,
+        marks: mark_receiver,
+    };
     let state = RouteState::new(route_settings(&settings));
     let driver = Arc::new(GatewayDriver::new(state, sinks));
     let store = StoreClient::new(&settings.store, settings.entry.ip())?;
@@ -113,7 +123,8 @@
 
 /// Receivers of the sinks that effects are handed to.
 struct GatewayReceivers {
-    notes: UnboundedReceiver<PeerDatagram>,
+    notes: Receiver<PeerDatagram>,
+    answers: Receiver<PeerDatagram>,
     verdicts: UnboundedReceiver<TrialVerdict>,
     marks: UnboundedReceiver<TrialMark>,
 }
@@ -128,7 +139,7 @@
 ) {
     let socket = Arc::new(socket);
     tokio::spawn(notes::hear_notes(driver.clone(), socket.clone()));
-    tokio::spawn(notes::send_notes(driver.clone(), socket, receivers.notes));
+    tokio::spawn(notes::send_notes(driver.clone(), socket, receivers.notes, receivers.answers));
     tokio::spawn(follow::follow_operator(driver.clone(), store.clone()));
     tokio::spawn(follow::follow_backends(driver.clone(), store.clone()));
     tokio::spawn(verdicts::follow_verdicts(driver.clone(), store.clone()));
--- a/crates/box/src/gateway/tally.rs
+++ b/crates/box/src/gateway/tally.rs
@@ -97,12 +97,18 @@
         self.bytes.add((kind.label(), zone), bytes as u64);
     }
 
+    /// Counts a datagram that was dropped, since too many waited to be sent.
+    pub fn count_dropped(&self, kind: DatagramKind) {
+        counter!("ravenspoke_notes_dropped_total", "kind" => kind.label()).increment(1);
+        self.bytes.add((kind.label(), "dropped"), 1);
+    }
+
     /// Calls to the store so far, by topic and kind, as one line.
     pub fn calls(&self) -> String {
         self.calls.summary()
     }
 
-    /// Bytes of datagrams so far, by kind and zone, as one line.
+    /// Bytes of datagrams so far, by kind and zone, and how many were dropped, as one line.
     pub fn bytes(&self) -> String {
         self.bytes.summary()
     }
--- a/crates/box/tests/notes.rs
+++ b/crates/box/tests/notes.rs
@@ -2,7 +2,8 @@
 
 use proptest::prelude::*;
 use ravenspoke_adapter::store::KeyedRecord;
-use ravenspoke_box::gateway::note_wire::records::{PackedError, PackedRecords, INFLATED_LIMIT};
+use ravenspoke_box::gateway::note_wire::packed::{PackedError, INFLATED_LIMIT};
+use ravenspoke_box::gateway::note_wire::records::PackedRecords;
 use ravenspoke_box::gateway::note_wire::{decode_datagram, encode_ask, encode_note, HeardDatagram};
 use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
 use ravenspoke_core::route::entries::{EntryWish, ListingPage, CHANGES_TOLD};
@@ -34,10 +35,11 @@
 }
 
 fn change(number: usize) -> BackendChange {
-    let id = format!("i-{number:010x}");
+    let mixed = (number as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let id = format!("i-{:010x}", mixed >> 24);
     let entry = BackendEntry {
         id: id.clone(),
-        address: "10.1.64.200:8566".to_owned(),
+        address: format!("10.{}.{}.{}:8566", number % 7, 64 + number / 250, number % 250),
         service: "model-replica-pool".to_owned(),
         zone: "some-zone-hall".to_owned(),
         version: "version-12".to_owned(),
--- a/crates/core/src/route/entries.rs
+++ b/crates/core/src/route/entries.rs
@@ -9,8 +9,9 @@
 use super::backend::{BackendChange, BackendTable};
 use crate::time::BoxTime;
 
-/// Changes in one datagram, at most: some 100 bytes each, in a datagram of at most 60,000.
-pub const CHANGES_TOLD: usize = 300;
+/// Changes in one datagram, at most: packed some 20 bytes each, in a datagram of at most 60,000 that may hold a plan
+/// of a thousand routes beside them.
+pub const CHANGES_TOLD: usize = 1_000;
 
 /// A page of a listing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
