entries: a box that is told all replicas page by page does not list them in the store as well

Cause: where hundreds of boxes start before thousands of replicas, each that is being told also asked the store for all of them once its turn came (read; at 3,000 replicas a listing is over a megabyte a box, worked out). Change: for 0.5 s after a page the store is not asked. A listing of up to 1,000 replicas is one page, so nothing changes there.

--- a/crates/core/src/route/entries.rs
+++ b/crates/core/src/route/entries.rs
@@ -13,6 +13,10 @@
 /// of a thousand routes beside them.
 pub const CHANGES_TOLD: usize = 1_000;
 
+/// A listing is under way for this long after a page of it, in milliseconds: an ask and its answer, once lost and
+/// repeated. Meanwhile the store is not asked for all replicas as well.
+pub const LISTING_MS: u64 = 500;
+
 /// A page of a listing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ListingPage {
@@ -53,6 +57,8 @@
     as_of: Option<BoxTime>,
     next: u64,
     rows: Vec<BackendChange>,
+    /// When its last page came.
+    heard_at: BoxTime,
 }
 
 /// How far the entries are known.
@@ -78,6 +84,12 @@
         self.as_of.map(|at| now.millis_since(at))
     }
 
+    /// Whether the pages of a listing come in.
+    pub fn is_listing(&self, now: BoxTime) -> bool {
+        let listing = self.listing.as_ref();
+        listing.is_some_and(|listing| now.millis_since(listing.heard_at) < LISTING_MS)
+    }
+
     /// Notes a listing of all entries before `end`.
     pub fn note_listed(&mut self, end: u64) {
         self.known_to = Some(end);
@@ -147,18 +159,21 @@
         page: ListingPage,
         changes: &[BackendChange],
         as_of: Option<BoxTime>,
+        now: BoxTime,
     ) -> Option<(u64, Vec<BackendChange>)> {
         if self.known_to.is_some_and(|to| to > page.end) {
             return None;
         }
         if wish.page_from == 0 {
-            self.listing = Some(OpenListing { end: page.end, as_of, next: 0, rows: Vec::new() });
+            let (end, rows) = (page.end, Vec::new());
+            self.listing = Some(OpenListing { end, as_of, next: 0, rows, heard_at: now });
         }
         let listing = self.listing.as_mut()?;
         if listing.next != wish.page_from || page.end < listing.end {
             return None;
         }
         listing.rows.extend(changes.iter().cloned());
+        listing.heard_at = now;
         if let Some(next) = page.next {
             listing.next = next;
             return None;
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -404,7 +404,8 @@
         let untold = self.is_untold(self.entries.age_ms(now), OWN_ENTRIES_MS, now);
         // While the store is away, reads of the plan find out when it is back.
         let away = self.store_away(now) && self.is_cut(now);
-        self.is_reader(now) || (untold && !away && !self.leaves_tries_to_others(now))
+        let told = self.entries.is_listing(now) || self.leaves_tries_to_others(now);
+        self.is_reader(now) || (untold && !away && !told)
     }
 
     /// Whether others have told this box too little: what it knows is older than `limit_ms`, or it still knows
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -212,7 +212,7 @@
             self.take_backends(stamp, changes, BackendSource::Told, None, out);
             return self.entries.take_changes(asked.entries, known_to, as_of);
         };
-        match self.entries.take_page(asked.entries, page, &changes, as_of) {
+        match self.entries.take_page(asked.entries, page, &changes, as_of, stamp.now) {
             Some((end, listed)) => self.on_listed(stamp, end, listed, None, out),
             None if page.next.is_some() => {
                 out.push(RouteEffect::SendAsk(note.card.note_address.clone(), self.ask(stamp)));
--- a/crates/core/tests/route/membership.rs
+++ b/crates/core/tests/route/membership.rs
@@ -1,7 +1,7 @@
 //! Which boxes callers are sent to, and what boxes tell each other.
 
 use ravenspoke_core::route::backend::BackendChange;
-use ravenspoke_core::route::entries::{EntryWish, CHANGES_TOLD};
+use ravenspoke_core::route::entries::{EntryWish, CHANGES_TOLD, LISTING_MS};
 use ravenspoke_core::route::event::{RouteEffect, RouteEvent};
 use ravenspoke_core::route::peers::{
     PeerAsk, PeerCard, PeerNote, PeerSummary, START_SETTLE_MS, START_SPREAD_MS, START_WAIT_MS,
@@ -432,6 +432,25 @@
     assert_eq!(asker.state.entries_to(), reader.state.entries_to());
 }
 
+#[test]
+fn a_box_that_is_told_all_replicas_page_by_page_does_not_list_them_in_the_store_as_well() {
+    let (mut reader, mut asker) = (new_box("box-1"), new_box("box-3"));
+    reader.read_plan(Some(plan(1)));
+    for number in 0..2 * CHANGES_TOLD {
+        reader.put(entry(&format!("r{number}"), "v1"));
+    }
+    asker.feed(RouteEvent::Tick);
+    asker.now += START_WAIT_MS + START_SPREAD_MS;
+    let lists = |asker: &TestBox| asker.state.must_read_entries(BoxTime::from_millis(asker.now));
+    assert!(lists(&asker), "nobody has told it anything");
+
+    asker.feed(RouteEvent::PeerHeard(Box::new(answer(&mut reader, &asker))));
+
+    assert!(!lists(&asker), "the first page came, and the second is asked for");
+    asker.now += LISTING_MS;
+    assert!(lists(&asker), "no more came");
+}
+
 #[test]
 fn a_listing_takes_away_what_is_not_in_it() {
     let (mut reader, mut asker) = (new_box("box-2"), ready_box());
