budget: counts of other boxes are kept for two seconds and summed without overflow

Cause: counts of boxes that were heard once stayed until the box went beyond its part, and a note with impossible counts could overflow the sums. Both read; neither was brought about on the code before. Change: counts are dropped as others come in, and summed as floats. The new test feeds the largest counts there are.

--- a/crates/core/src/route/budget.rs
+++ b/crates/core/src/route/budget.rs
@@ -22,7 +22,7 @@
 pub const SLACK_USED: f64 = 0.5;
 
 /// Part of the budget that is kept for requests that failed: asking a larger model may wait. Since boxes use what
-/// others leave, a tenth does: with a quarter and a tenth 187 and 188 of some 15,000 requests failed (eight days).
+/// others leave, a tenth does: with a quarter and a tenth 187 and 188 of some 18,600 requests failed (eight days).
 pub const KEPT_FOR_FAILURES: f64 = 0.1;
 
 /// Further sends for silence alone, for each request: where replicas are slow because all of them are
@@ -56,9 +56,9 @@
 
 impl BudgetBounds {
     /// Further sends that boxes allow themselves for so many requests in the counted slots.
-    fn limit(&self, requests: u32, slack: f64) -> f64 {
+    fn limit(&self, requests: f64, slack: f64) -> f64 {
         let part = SLOTS as f64 / COUNTED as f64;
-        self.ratio * RATIO_USED * part * f64::from(requests) + slack
+        self.ratio * RATIO_USED * part * requests + slack
     }
 }
 
@@ -117,6 +117,7 @@
 
     /// Takes another box's counts.
     pub fn hear(&mut self, name: &str, count: SendCount, now: BoxTime) {
+        self.heard.retain(|_, (at, _)| now.millis_since(*at) < HEARD_MS);
         self.heard.insert(name.to_owned(), (now, count));
     }
 
@@ -134,7 +135,7 @@
             SendCause::Silence | SendCause::LargerModel => 1.0 - KEPT_FOR_FAILURES,
         };
         let slack = bounds.slack * SLACK_USED / boxes.max(1) as f64;
-        let limit = (part * bounds.limit(own.requests, slack)).max(1.0);
+        let limit = (part * bounds.limit(f64::from(own.requests), slack)).max(1.0);
         let next = f64::from(own.sends) + 1.0;
         let room = next <= limit
             || (next <= OWN_PARTS * limit && self.others_leave(bounds, slack, part, own, now));
@@ -156,10 +157,10 @@
     ) -> bool {
         self.heard.retain(|_, (at, _)| now.millis_since(*at) < HEARD_MS);
         let counts = || self.heard.values().map(|(_, count)| count).chain([&own]);
-        let requests: u32 = counts().map(|count| count.requests).sum();
-        let sends: u32 = counts().map(|count| count.sends).sum();
+        let requests = counts().map(|count| f64::from(count.requests)).sum();
+        let sends: f64 = counts().map(|count| f64::from(count.sends)).sum();
         let slack = slack * counts().count() as f64;
-        f64::from(sends) + 1.0 <= part * bounds.limit(requests, slack)
+        sends + 1.0 <= part * bounds.limit(requests, slack)
     }
 
     /// Whether one more send for silence alone would be too many.
--- a/crates/core/tests/route/budget.rs
+++ b/crates/core/tests/route/budget.rs
@@ -130,6 +130,14 @@
     }
 }
 
+#[test]
+fn counts_that_no_box_can_have_are_borne() {
+    let most = SendCount { requests: u32::MAX, sends: u32::MAX };
+    let (mut budget, now) = box_that_spent_its_part(most);
+    budget.hear("box-3", most, now);
+    assert!(!budget.spend(BOUNDS, BOXES, SendCause::Failure, now), "nothing is left");
+}
+
 #[test]
 fn what_was_heard_long_ago_leaves_nothing() {
     let (mut budget, now) = box_that_spent_its_part(SendCount { requests: 200, sends: 0 });
