--- a/crates/core/src/route/start.rs
+++ b/crates/core/src/route/start.rs
@@ -11,9 +11,9 @@
 /// what other boxes tell, since callers are better off than without it.
 pub const KNOW_REST_MS: u64 = 800;
 
-/// A box that nobody told the plan takes callers this long after it began to read the store at the latest, in
-/// milliseconds: it can only refuse them, and they find another box sooner.
-pub const KNOW_PLAN_MS: u64 = 300;
+/// It takes none before this after its own turn to read the store, in milliseconds: some tens of calls. Until then it
+/// could only refuse them; from then on, if it knows nothing, they find another box sooner.
+pub const KNOW_OWN_MS: u64 = 300;
 
 /// How a box was started.
 #[derive(Clone, Copy, Debug)]
@@ -43,14 +43,12 @@
         self.plan_at.get_or_insert(now);
     }
 
-    /// From when on callers are taken, whatever else is known by then. Counted from the plan, not from the
-    /// start: a box whose turn to read comes late would else refuse callers, or part sessions, since it knows
-    /// no replica and not how far a trial has come.
+    /// From when on callers are taken, whatever else is known by then. Counted from the plan and from the box's own
+    /// turn to read, not from the start: where that turn comes late it would else refuse callers, or part sessions,
+    /// since it knows no replica and not how far a trial has come.
     pub(super) fn callers_at(&self) -> BoxTime {
-        match self.plan_at {
-            Some(at) => at.plus_millis(KNOW_REST_MS),
-            None => self.read_at.plus_millis(KNOW_PLAN_MS),
-        }
+        let own_read = self.read_at.plus_millis(KNOW_OWN_MS);
+        self.plan_at.map_or(own_read, |at| own_read.max(at.plus_millis(KNOW_REST_MS)))
     }
 
     /// Counts an ask. Gives when to ask again, in milliseconds.
--- a/crates/core/tests/route/restarts.rs
+++ b/crates/core/tests/route/restarts.rs
@@ -27,7 +27,7 @@
     PeerAsk, PeerCard, PeerNote, TrialNote, START_SPREAD_MS, START_WAIT_MS,
 };
 use ravenspoke_core::route::progress::{TrialMark, TrialPhase, TrialProgress};
-use ravenspoke_core::route::start::{KNOW_PLAN_MS, KNOW_REST_MS};
+use ravenspoke_core::route::start::{KNOW_OWN_MS, KNOW_REST_MS};
 use ravenspoke_core::route::tally::{TrialTally, VersionTally};
 use ravenspoke_core::route::trial::{TrialOrder, TrialState, TrialVerdict};
 use ravenspoke_core::time::BoxTime;
@@ -197,12 +197,31 @@
     assert!(subject.state.takes_callers(BoxTime::from_millis(subject.now)));
 }
 
+#[test]
+fn a_box_that_was_told_the_plan_alone_waits_with_callers_for_its_own_listing_of_replicas() {
+    let mut subject = new_box("box-2");
+    subject.feed(RouteEvent::Tick);
+    subject.read_plan(Some(plan(1)));
+    let lists =
+        |subject: &TestBox| subject.state.must_read_entries(BoxTime::from_millis(subject.now));
+    let takes = |subject: &TestBox| subject.state.takes_callers(BoxTime::from_millis(subject.now));
+
+    while !lists(&subject) {
+        assert!(!takes(&subject), "{} ms after the start it knows no replica", subject.now);
+        subject.now += 1;
+    }
+
+    assert!(!takes(&subject), "the listing is under way");
+    subject.now += KNOW_REST_MS;
+    assert!(takes(&subject));
+}
+
 #[test]
 fn a_box_that_nobody_tells_a_plan_keeps_callers_waiting_no_longer_than_its_own_read_may_take() {
     let mut subject = new_box("box-2");
     subject.feed(RouteEvent::Tick);
 
-    subject.now += START_WAIT_MS + START_SPREAD_MS + KNOW_PLAN_MS;
+    subject.now += START_WAIT_MS + START_SPREAD_MS + KNOW_OWN_MS;
 
     assert!(subject.state.takes_callers(BoxTime::from_millis(subject.now)));
 }
