pace: boxes tell each other how fast models read

Cause: a box of 295 sees two prompts a second and the largest model's answer once in five; until it knows that model's pace it takes it for as fast as the smallest, asks it for whatever it is unsure of, and places its prompts badly. Change: each note that tells of other boxes also tells what was learnt of each model, and by how many answers; a box takes it in by that weight. Word that makes no sense is passed over.

--- a/crates/box/src/gateway/note_wire/mod.rs
+++ b/crates/box/src/gateway/note_wire/mod.rs
@@ -22,8 +22,8 @@
 };
 use records::PackedRecords;
 use replica::{
-    read_change, read_load, read_placement, write_change, write_load, write_placement, WireChange,
-    WireLoad, WirePlacement,
+    read_change, read_load, read_pace, read_placement, write_change, write_load, write_pace,
+    write_placement, WireChange, WireLoad, WirePace, WirePlacement,
 };
 use trial::{read_trial, read_verdict, write_trial, write_verdict, WireTrial, WireVerdict};
 
@@ -61,6 +61,8 @@
     entries: Option<WireEntryWord>,
     #[prost(message, repeated, tag = "18")]
     budgets: Vec<WireBudget>,
+    #[prost(message, repeated, tag = "19")]
+    paces: Vec<WirePace>,
 }
 
 /// A datagram is one of these.
@@ -158,6 +160,7 @@
         leads: note.leads.iter().map(write_summary).collect(),
         entries: note.echo.as_ref().map(|_| write_word(note.entries)),
         budgets: note.budgets.iter().map(write_budget).collect(),
+        paces: note.paces.iter().map(write_pace).collect(),
     }
 }
 
@@ -177,5 +180,6 @@
         leads: wire.leads.into_iter().map(read_summary).collect(),
         entries: wire.entries.map(read_word).unwrap_or_default(),
         budgets: wire.budgets.into_iter().map(read_budget).collect(),
+        paces: wire.paces.into_iter().map(read_pace).collect(),
     }
 }
--- a/crates/box/src/gateway/note_wire/replica.rs
+++ b/crates/box/src/gateway/note_wire/replica.rs
@@ -3,6 +3,7 @@
 use prost::Message;
 use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
 use ravenspoke_core::route::loads::LoadNote;
+use ravenspoke_core::route::pace::{LearntPace, LearntTime, PaceNote};
 use ravenspoke_core::route::placement::PlacementNote;
 
 /// A change to a replica's entry; without one, it is gone.
@@ -56,6 +57,46 @@
     work_ms: u32,
 }
 
+/// Paces of a service's models.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WirePace {
+    #[prost(string, tag = "1")]
+    service: String,
+    #[prost(message, repeated, tag = "2")]
+    models: Vec<WireModelPace>,
+}
+
+#[derive(Clone, Copy, PartialEq, Message)]
+struct WireModelPace {
+    #[prost(float, tag = "1")]
+    token_ms: f32,
+    #[prost(uint32, tag = "2")]
+    token_answers: u32,
+    #[prost(float, tag = "3")]
+    begin_ms: f32,
+    #[prost(uint32, tag = "4")]
+    begin_answers: u32,
+}
+
+pub(super) fn write_pace(note: &PaceNote) -> WirePace {
+    let models = note.models.iter().map(|pace| WireModelPace {
+        token_ms: pace.token.ms as f32,
+        token_answers: pace.token.answers as u32,
+        begin_ms: pace.begin.ms as f32,
+        begin_answers: pace.begin.answers as u32,
+    });
+    WirePace { service: note.service.clone(), models: models.collect() }
+}
+
+pub(super) fn read_pace(wire: WirePace) -> PaceNote {
+    let time = |ms, answers| LearntTime { ms: f64::from(ms), answers: f64::from(answers) };
+    let models = wire.models.into_iter().map(|pace| LearntPace {
+        token: time(pace.token_ms, pace.token_answers),
+        begin: time(pace.begin_ms, pace.begin_answers),
+    });
+    PaceNote { service: wire.service, models: models.collect() }
+}
+
 pub(super) fn write_change(change: &BackendChange) -> WireChange {
     let entry = change.entry.as_ref().map(|entry| WireEntry {
         address: entry.address.clone(),
--- a/crates/box/tests/notes.rs
+++ b/crates/box/tests/notes.rs
@@ -6,8 +6,12 @@
 use ravenspoke_box::gateway::note_wire::records::PackedRecords;
 use ravenspoke_box::gateway::note_wire::{decode_datagram, encode_ask, encode_note, HeardDatagram};
 use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
+use ravenspoke_core::route::budget::SendCount;
 use ravenspoke_core::route::entries::{EntryWish, ListingPage, CHANGES_TOLD};
-use ravenspoke_core::route::peers::{EntryWord, PeerAsk, PeerCard, PeerNote, PeerSummary};
+use ravenspoke_core::route::pace::{LearntPace, LearntTime, PaceNote};
+use ravenspoke_core::route::peers::{
+    BudgetNote, EntryWord, PeerAsk, PeerCard, PeerNote, PeerSummary,
+};
 use ravenspoke_core::time::BoxTime;
 
 /// Largest datagram, in bytes; one of the operator's records may come with a listing's page.
@@ -50,6 +54,11 @@
     BackendChange { id, at: number as u64, entry: Some(entry) }
 }
 
+fn pace(token_ms: f64) -> LearntPace {
+    let token = LearntTime { ms: token_ms, answers: 12.0 };
+    LearntPace { token, begin: LearntTime { ms: 32.0, answers: 30.0 } }
+}
+
 fn answer() -> PeerNote {
     PeerNote {
         name: "front-1".to_owned(),
@@ -65,6 +74,11 @@
             page: Some(ListingPage { end: 43, next: Some(0) }),
         },
         others: vec!["10.1.0.4:7680".to_owned()],
+        budgets: vec![BudgetNote {
+            service: "pool".to_owned(),
+            count: SendCount { requests: 21, sends: 9 },
+        }],
+        paces: vec![PaceNote { service: "pool".to_owned(), models: vec![pace(0.25), pace(1.5)] }],
         leads: vec![PeerSummary { name: "f-2".to_owned(), card: card("f-2"), age_ms: 900 }],
         ..PeerNote::default()
     }
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -129,6 +129,11 @@
         self.rows.iter()
     }
 
+    /// Whether any replica of a service is known, or was.
+    pub fn serves(&self, service: &str) -> bool {
+        self.by_service.contains_key(service)
+    }
+
     /// A replica.
     pub fn get(&self, key: ReplicaKey) -> Option<&BackendState> {
         self.rows.get(key)
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -5,7 +5,7 @@
 use super::budget::SendCount;
 use super::entries::EntryAnswer;
 use super::event::RouteEffect;
-use super::pace::ServicePace;
+use super::pace::{PaceNote, ServicePace};
 use super::peers::{self, BudgetNote, EntryWord, PeerAsk, PeerCard, PeerNote, TrialNote};
 use super::start::BoxStart;
 use super::{BackendSource, RouteState};
@@ -57,9 +57,9 @@
     fn note(&mut self, stamp: EventStamp) -> PeerNote {
         self.note_number += 1;
         let number = self.note_number;
-        let (others, leads) = if self.tells_of_others(number, stamp.now) {
+        let (others, leads, paces) = if self.tells_of_others(number, stamp.now) {
             let leads = self.peers.leads(&self.standing(stamp.now), stamp.now);
-            (self.peers.some_addresses(stamp.dice), leads)
+            (self.peers.some_addresses(stamp.dice), leads, self.told_paces())
         } else {
             Default::default()
         };
@@ -82,6 +82,7 @@
             changes: self.changes.iter().rev().take(NEWS_LIMIT).map(|row| row.1.clone()).collect(),
             loads: self.backends.loads_to_tell(stamp.now),
             budgets,
+            paces,
             trials: trials.collect(),
             verdicts: self.verdicts(),
             others,
@@ -99,6 +100,15 @@
         counts.filter(|told| told.count != SendCount::default()).collect()
     }
 
+    /// Paces of the models of services that have any.
+    fn told_paces(&self) -> Vec<PaceNote> {
+        let told = self
+            .paces
+            .iter()
+            .map(|(service, pace)| PaceNote { service: service.clone(), models: pace.told() });
+        told.filter(|note| !note.models.is_empty()).collect()
+    }
+
     /// Whether the note of this number tells of other boxes. Boxes that start together all do: they have to find
     /// each other.
     fn tells_of_others(&self, number: u64, now: BoxTime) -> bool {
@@ -187,6 +197,11 @@
         for told in &note.loads {
             self.backends.hear_load(told, &mean_ms, stamp.now);
         }
+        for told in &note.paces {
+            if self.backends.serves(&told.service) {
+                self.paces.entry(told.service.clone()).or_default().hear(&told.models);
+            }
+        }
         for told in &note.budgets {
             if let Some(budget) = self.budgets.get_mut(&told.service) {
                 budget.hear(&note.name, told.count, stamp.now);
--- a/crates/core/src/route/pace.rs
+++ b/crates/core/src/route/pace.rs
@@ -2,7 +2,9 @@
 //!
 //! The load pattern: models that differ in pace by ten times and prompts that differ in length by a
 //! hundred run on the same replicas. What a token of each model takes is not told anywhere, so it is learnt:
-//! a running median, which a wrong guess of what a replica holds or a full queue does not drag along.
+//! a running median, which a wrong guess of what a replica holds or a full queue does not drag along. Where hundreds of
+//! boxes see two requests a second each, one alone would need half a minute to know the pace of the largest model, and
+//! ask it for whatever it is unsure of until then: so boxes tell each other what they have learnt.
 
 use serde::Serialize;
 
@@ -31,6 +33,43 @@
 /// Weight of one send in the mean work.
 const MEAN_WEIGHT: f64 = 0.02;
 
+/// Answers after which a pace is known: what more were seen adds nothing to its weight.
+const KNOWN_ANSWERS: f64 = 30.0;
+
+/// Weight of another box's word against what this one has learnt, where it has seen nothing to speak of: boxes hear some
+/// words a second, and one that is far off is soon outweighed.
+const HEARD_WEIGHT: f64 = 0.5;
+
+/// Models of a service of which word is taken, at most: what a wrong note may cost in memory.
+const MODELS_HEARD: usize = 64;
+
+/// What a box tells of a quantile that it learnt.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LearntTime {
+    /// The time, in milliseconds.
+    pub ms: f64,
+    /// Answers behind it, up to those after which it is known.
+    pub answers: f64,
+}
+
+/// What a box tells of the pace of one model.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LearntPace {
+    /// Time to read a token.
+    pub token: LearntTime,
+    /// Time to begin an answer without its prompt.
+    pub begin: LearntTime,
+}
+
+/// What a box tells of the paces of a service's models.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PaceNote {
+    /// Service.
+    pub service: String,
+    /// By row among the route's models.
+    pub models: Vec<LearntPace>,
+}
+
 /// A running quantile, by steps towards each value.
 #[derive(Clone, Copy, Debug, Serialize)]
 struct RunningQuantile {
@@ -50,6 +89,26 @@
         let step = if sample > self.value { step * self.part } else { step * (self.part - 1.0) };
         self.value *= (2.0 * step).exp();
     }
+
+    fn told(&self) -> LearntTime {
+        LearntTime { ms: self.value, answers: self.seen.min(KNOWN_ANSWERS) }
+    }
+
+    /// Comes nearer to what another box has learnt, by how much each of them has seen.
+    fn hear(&mut self, other: LearntTime) {
+        let sound = other.ms.is_finite() && other.ms > 0.0 && other.answers.is_finite();
+        if !sound || other.answers < 1.0 {
+            return;
+        }
+        let answers = other.answers.min(KNOWN_ANSWERS);
+        if self.seen == 0.0 {
+            (self.value, self.seen) = (other.ms, answers);
+            return;
+        }
+        let part = HEARD_WEIGHT * answers / (answers + self.seen.min(KNOWN_ANSWERS));
+        self.value *= (other.ms / self.value).powf(part);
+        self.seen = self.seen.max(answers);
+    }
 }
 
 /// Pace of one model on a service's replicas.
@@ -99,6 +158,27 @@
         known.or_else(before).copied().unwrap_or_default()
     }
 
+    /// What is told to other boxes.
+    pub fn told(&self) -> Vec<LearntPace> {
+        let told = |pace: &ModelPace| LearntPace {
+            token: pace.token_ms.told(),
+            begin: pace.begin_ms.told(),
+        };
+        self.models.iter().map(told).collect()
+    }
+
+    /// Takes what another box has learnt of models that this one knows of.
+    pub fn hear(&mut self, models: &[LearntPace]) {
+        let count = models.len().min(MODELS_HEARD);
+        if self.models.len() < count {
+            self.models.resize(count, ModelPace::default());
+        }
+        for (own, other) in self.models.iter_mut().zip(models) {
+            own.token_ms.hear(other.token);
+            own.begin_ms.hear(other.begin);
+        }
+    }
+
     /// Notes that a prompt that takes `work_ms` to read was sent.
     pub fn sent(&mut self, work_ms: f64) {
         self.mean_ms += (work_ms - self.mean_ms) * MEAN_WEIGHT;
--- a/crates/core/src/route/peers/mod.rs
+++ b/crates/core/src/route/peers/mod.rs
@@ -22,6 +22,7 @@
 use super::budget::SendCount;
 use super::entries::{EntryWish, ListingPage};
 use super::loads::LoadNote;
+use super::pace::PaceNote;
 use super::progress::TrialProgress;
 use super::tally::RouteTallies;
 use super::trial::TrialVerdict;
@@ -187,6 +188,8 @@
     pub loads: Vec<LoadNote>,
     /// Further sends.
     pub budgets: Vec<BudgetNote>,
+    /// Paces of models.
+    pub paces: Vec<PaceNote>,
     /// Trials under way.
     pub trials: Vec<TrialNote>,
     /// Verdicts known.
--- a/crates/core/tests/route/placement.rs
+++ b/crates/core/tests/route/placement.rs
@@ -11,7 +11,7 @@
 };
 use ravenspoke_core::route::held::{HeldParts, HELD_MS};
 use ravenspoke_core::route::loads::BackendLoad;
-use ravenspoke_core::route::pace::ServicePace;
+use ravenspoke_core::route::pace::{LearntPace, LearntTime, ServicePace};
 use ravenspoke_core::route::placement::{
     PlacementNote, PromptWork, ReplicaView, TOLD_WORK_MS, ZONE_KB_MS,
 };
@@ -242,7 +242,7 @@
 #[test]
 fn the_pace_of_each_model_is_learnt_whatever_a_few_answers_say() {
     let mut pace = ServicePace::default();
-    for round in 0..200 {
+    for round in 0..400 {
         // One answer in five was held up for two seconds.
         let held_up = if round % 5 == 0 { 2_000.0 } else { 0.0 };
         for (size, token_ms) in [(0, 0.008), (2, 0.08)] {
@@ -305,3 +305,65 @@
     let after = turned_away(4_000.0, 4_000, 1_000, 7).expect("it is turned away");
     assert!((500..=1_333).contains(&after), "{after}");
 }
+
+/// A pace of which `answers` answers have told that a token takes `token_ms`.
+fn learnt(token_ms: f64, answers: usize) -> ServicePace {
+    let mut pace = ServicePace::default();
+    for _ in 0..answers {
+        pace.learn(0, 10_000.0, 20.0 + 10_000.0 * token_ms);
+    }
+    pace
+}
+
+#[test]
+fn a_box_that_has_seen_no_answer_takes_the_pace_that_others_have_learnt() {
+    let known = learnt(0.2, 100);
+    let mut started = ServicePace::default();
+
+    started.hear(&known.told());
+
+    let tokens = 10_000.0;
+    assert!((started.read_ms(0, tokens) - known.read_ms(0, tokens)).abs() < 1.0);
+}
+
+#[test]
+fn a_box_that_knows_the_pace_is_not_led_astray_by_one_that_has_seen_one_answer() {
+    let (mut known, other) = (learnt(0.2, 100), learnt(0.02, 1));
+    let before = known.read_ms(0, 10_000.0);
+
+    known.hear(&other.told());
+
+    let after = known.read_ms(0, 10_000.0);
+    assert!((after / before - 1.0).abs() < 0.1, "{before} ms before, {after} ms after");
+}
+
+#[test]
+fn boxes_that_hear_each_other_follow_a_model_that_turns_slow() {
+    let mut boxes = vec![learnt(0.02, 100); 10];
+    for round in 0..400 {
+        for number in 0..boxes.len() {
+            // Each sees an answer in ten rounds.
+            if round % 10 == number {
+                boxes[number].learn(0, 10_000.0, 20.0 + 10_000.0 * 0.06);
+            }
+            let word = boxes[number].told();
+            let other = (number + 1 + round) % boxes.len();
+            boxes[other].hear(&word);
+        }
+    }
+    for subject in &boxes {
+        let token_ms = subject.read_ms(0, 1.0);
+        assert!((0.04..0.09).contains(&token_ms), "{token_ms} ms a token");
+    }
+}
+
+#[test]
+fn word_of_a_pace_that_makes_no_sense_is_passed_over() {
+    let mut known = learnt(0.2, 100);
+    let before = known.read_ms(0, 10_000.0);
+    for ms in [0.0, -1.0, f64::NAN, f64::INFINITY] {
+        let time = LearntTime { ms, answers: 30.0 };
+        known.hear(&[LearntPace { token: time, begin: time }]);
+    }
+    assert_eq!(known.read_ms(0, 10_000.0), before);
+}
