--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -68,8 +68,8 @@
 /// boxes start at once those that all ask would else fill up; who gets no answer asks another box, or reads the store.
 pub const ANSWERS_QUEUED: usize = 32;
 
-/// Other datagrams that wait to be sent, at most: what ten seconds of calm bring. On a link that is full the newest
-/// are dropped; notes repeat what they say.
+/// Other datagrams that wait to be sent, at most: what a minute of calm brings. On a link that is full the newest are
+/// dropped; notes repeat what they say.
 pub const NOTES_QUEUED: usize = 256;
 
 /// Channels that effects are handed to.
--- a/crates/box/src/gateway/note_wire/mod.rs
+++ b/crates/box/src/gateway/note_wire/mod.rs
@@ -1,6 +1,7 @@
 //! Datagrams between boxes, in protobuf.
 //!
-//! A datagram is a note or an ask; a long note is [`packed`]. `replica`, `trial`, `peer`, `ask` and [`records`] hold the messages of its parts.
+//! A datagram is a note or an ask; a long note is [`packed`]. `replica`, `trial`, `peer`, `ask` and [`records`] hold
+//! the messages of its parts.
 
 mod ask;
 pub mod packed;
@@ -28,7 +29,7 @@
 use trial::{read_trial, read_verdict, write_trial, write_verdict, WireTrial, WireVerdict};
 
 /// A note from this length on is deflated, in bytes: 300 replicas' entries come from 26,597 to 4,714 bytes, word of
-/// seven other boxes from 769 to 385. What is shorter names too few.
+/// seven other boxes from 769 to 385. Shorter ones repeat too little to gain.
 const PACK_FROM: usize = 256;
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/core/src/route/budget.rs
+++ b/crates/core/src/route/budget.rs
@@ -8,8 +8,8 @@
 //! Load pattern: hundreds of boxes with some twenty requests a window each, half of which want one more send. By
 //! chance some want more than their part while others leave theirs. Where 100 boxes kept to their own parts, 5 of 100
 //! wanted sends were denied, though the fleet's budget had room for all; now none is (virtual time).
-//! The limits below are for the other pattern, where all boxes want more at once: what is heard is up to
-//! [`HEARD_MS`] old, so each box stops at [`OWN_PARTS`] of its own part whatever it hears.
+//! The limits below are for the other pattern, where all boxes want more at once, as when every request fails: what
+//! is heard lags behind, so it counts for [`HEARD_MS`] alone, and each box stops at [`OWN_PARTS`] of its own part.
 
 use std::collections::HashMap;
 
--- a/crates/core/src/route/start.rs
+++ b/crates/core/src/route/start.rs
@@ -6,13 +6,13 @@
 use crate::event::EventStamp;
 use crate::time::BoxTime;
 
-/// A box that knows the plan takes callers this long after it learnt it at the latest, in milliseconds, even if
-/// it does not know the rest: a listing of replicas and two of trials, each tried twice. It then serves by
-/// what other boxes tell, since callers are better off than without it.
+/// A box that learnt the plan so long ago, in milliseconds, takes callers even if it does not know the rest: a listing of
+/// replicas and two of trials, each tried twice. It then serves by what other boxes tell, which is better for callers
+/// than nothing.
 pub const KNOW_REST_MS: u64 = 800;
 
-/// It takes none before this after its own turn to read the store, in milliseconds: some tens of calls. Until then it
-/// could only refuse them; from then on, if it knows nothing, they find another box sooner.
+/// Such a box waits at least so long after its own turn to read the store, in milliseconds: a few calls. One that still
+/// knows nothing then takes callers to refuse them, so that they find another box.
 pub const KNOW_OWN_MS: u64 = 300;
 
 /// How a box was started.
--- a/crates/core/tests/route/membership.rs
+++ b/crates/core/tests/route/membership.rs
@@ -440,14 +440,17 @@
         reader.put(entry(&format!("r{number}"), "v1"));
     }
     asker.feed(RouteEvent::Tick);
-    asker.now += START_WAIT_MS + START_SPREAD_MS;
     let lists = |asker: &TestBox| asker.state.must_read_entries(BoxTime::from_millis(asker.now));
-    assert!(lists(&asker), "nobody has told it anything");
+    // Its turn to read comes; it is no reader for half a second more.
+    while !lists(&asker) {
+        asker.now += 1;
+    }
 
     asker.feed(RouteEvent::PeerHeard(Box::new(answer(&mut reader, &asker))));
 
     assert!(!lists(&asker), "the first page came, and the second is asked for");
     asker.now += LISTING_MS;
+    assert!(!asker.state.is_reader(BoxTime::from_millis(asker.now)));
     assert!(lists(&asker), "no more came");
 }
 
