--- a/crates/bench/benches/decision.rs
+++ b/crates/bench/benches/decision.rs
@@ -10,7 +10,7 @@
 use rand::SeedableRng;
 use ravenspoke_bench::capacity::{arrival, end, loaded_box, stamp, DecisionSize};
 use ravenspoke_bench::prompt_router::new_box;
-use ravenspoke_bench::prompts::PromptSite;
+use ravenspoke_bench::prompt_site::PromptSite;
 use ravenspoke_core::event::{EventStamp, RequestTicket};
 use ravenspoke_core::route::event::{PromptSize, RouteAsk, RouteEvent};
 use ravenspoke_core::time::{BoxTime, WallTime};
--- a/crates/bench/examples/bench-policy.rs
+++ b/crates/bench/examples/bench-policy.rs
@@ -8,7 +8,8 @@
 use ravenspoke_bench::plan::{scenarios, BadKind, ScenarioPlan};
 use ravenspoke_bench::plot::{draw_svg, PlotPanel, PlotPoint};
 use ravenspoke_bench::policy::BenchPolicy;
-use ravenspoke_bench::prompts::{self, PromptPolicy, PromptTrouble};
+use ravenspoke_bench::prompt_site::PromptTrouble;
+use ravenspoke_bench::prompts::{self, PromptPolicy};
 use ravenspoke_bench::scenario::{self, RunMeasures};
 use serde_json::json;
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod policy;
 pub mod prompt_engine;
 pub mod prompt_router;
+pub mod prompt_site;
 pub mod prompts;
 pub mod scenario;
 pub mod workload;
--- a/crates/bench/src/prompt_router.rs
+++ b/crates/bench/src/prompt_router.rs
@@ -15,7 +15,8 @@
 use ravenspoke_core::time::{BoxTime, WallTime};
 
 use crate::prompt_engine::{EngineState, PromptJob};
-use crate::prompts::{PromptPolicy, PromptRequest, PromptSite};
+use crate::prompt_site::{PromptClass, PromptRequest, PromptSite};
+use crate::prompts::PromptPolicy;
 
 /// Slots that engines tell: far more than prompts that run at once here.
 const SLOTS: u32 = 64;
@@ -326,7 +327,7 @@
 }
 
 fn plan(site: &PromptSite) -> RoutePlan {
-    let route = |(row, class): (usize, &crate::prompts::PromptClass)| RouteSpec {
+    let route = |(row, class): (usize, &PromptClass)| RouteSpec {
         name: row.to_string(),
         host: HOST.to_owned(),
         prefix: format!("/{row}/"),
--- a/crates/bench/src/prompts.rs
+++ b/crates/bench/src/prompts.rs
@@ -1,5 +1,5 @@
-//! Engines that read long prompts behind routing boxes, in virtual time: deployments drawn at random, a few
-//! kinds of trouble, and what callers got of it.
+//! Engines that read long prompts behind routing boxes, in virtual time: runs of the deployments and requests of
+//! [`crate::prompt_site`], and what callers got of them.
 //!
 //! One loop serves every policy. Engines read one prompt after another, the more urgent first, keep what
 //! they read while memory lasts, and begin an answer when its prompt is read. No bytes are sent.
@@ -12,14 +12,11 @@
 
 use crate::prompt_engine::{EngineState, PromptJob};
 use crate::prompt_router::{PromptRouter, PromptScene, RouterStep};
+use crate::prompt_site::{
+    draw_requests, in_trouble, PromptRequest, PromptSite, PromptTrouble, LENGTH_US,
+};
 use crate::scenario::RunMeasures;
 
-/// Length of a run, in microseconds.
-const LENGTH_US: u64 = 60_000_000;
-
-/// Time before the first arrival, in microseconds: boxes hear of each other.
-const WARM_US: u64 = 2_000_000;
-
 /// One way between any two processes, in microseconds.
 const NET_US: u64 = 1_000;
 
@@ -30,120 +27,6 @@
 /// Time between two steps of the boxes' clocks, in microseconds.
 const TICK_US: u64 = 100_000;
 
-/// A class of requests.
-#[derive(Clone, Copy, Debug)]
-pub struct PromptClass {
-    /// Share of the requests.
-    pub share: f64,
-    /// Payoff of an answer in time.
-    pub worth: f64,
-    /// Time within which an answer is to begin, in microseconds.
-    pub target_us: u64,
-    /// Mean tokens in shared parts and in the rest.
-    pub tokens: (f64, f64),
-    /// Shared prompts in use.
-    pub subjects: u64,
-}
-
-/// A deployment.
-#[derive(Clone, Debug)]
-pub struct PromptSite {
-    /// Boxes and engines by zone number.
-    pub boxes: Vec<usize>,
-    /// Zone of each engine.
-    pub engines: Vec<usize>,
-    /// How many times an engine's usual time each model takes, and the difficulty up to which it does well.
-    pub models: Vec<(f64, f64)>,
-    /// Time that an engine takes for a token, in microseconds.
-    pub token_us: f64,
-    /// Tokens that an engine keeps.
-    pub memory: f64,
-    /// Classes; the first is the dearest.
-    pub classes: Vec<PromptClass>,
-    /// Requests a second.
-    pub rate: f64,
-}
-
-impl PromptSite {
-    /// Draws a deployment whose engines would be busy `load` of the time with what needs the largest model.
-    pub fn draw(load: f64, rng: &mut StdRng) -> Self {
-        let zones = rng.gen_range(2..5);
-        let (boxes, engines) = (rng.gen_range(2..4), rng.gen_range(3..6));
-        let weak = rng.gen_range(0.4..0.65);
-        let models = vec![
-            (rng.gen_range(0.2..0.5), weak),
-            (rng.gen_range(0.6..1.0), weak + rng.gen_range(0.05..0.25)),
-            (rng.gen_range(2.0..4.0), 1.0),
-        ];
-        let mut class = |share, worth: f64, shared: f64| PromptClass {
-            share,
-            worth: worth * rng.gen_range(0.7..1.4),
-            target_us: rng.gen_range(1_500_000..4_000_000),
-            tokens: (shared * rng.gen_range(0.5..1.5), shared.sqrt() * rng.gen_range(20.0..40.0)),
-            subjects: rng.gen_range(20..100),
-        };
-        let classes =
-            vec![class(0.35, 3.0, 12_000.0), class(0.3, 2.0, 5_000.0), class(0.35, 0.4, 400.0)];
-        let mut site = Self {
-            boxes: (0..zones * boxes).map(|row| row % zones).collect(),
-            engines: (0..zones * engines).map(|row| row % zones).collect(),
-            models,
-            token_us: rng.gen_range(15.0..40.0),
-            memory: 500_000.0,
-            classes,
-            rate: 1.0,
-        };
-        site.rate = load * site.engines.len() as f64 / site.second_work();
-        site
-    }
-
-    /// Engine seconds a request takes on the mean, if half of its shared parts is held where it goes.
-    fn second_work(&self) -> f64 {
-        let (first, last) = (self.models[0], self.models[self.models.len() - 1]);
-        let paces = first.0 + last.0 * (1.0 - first.1);
-        let tokens = |class: &PromptClass| class.share * (class.tokens.0 / 2.0 + class.tokens.1);
-        self.classes.iter().map(tokens).sum::<f64>() * self.token_us * paces / 1e6
-    }
-}
-
-/// Trouble of a run; each comes in the middle third.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PromptTrouble {
-    /// None.
-    Calm,
-    /// A quarter of the engines goes down, and comes back empty after ten seconds.
-    EnginesDown,
-    /// The dearest class comes three times as often.
-    DearBurst,
-    /// A client account sends as much as all others, on one shared prompt.
-    HotAccount,
-    /// A quarter of the engines is five times slower; an eighth fails half of its answers.
-    SlowAndGrey,
-}
-
-impl PromptTrouble {
-    /// All, with their names in results.
-    pub const ALL: [(&'static str, Self); 5] = [
-        ("calm", Self::Calm),
-        ("engines_down", Self::EnginesDown),
-        ("dear_burst", Self::DearBurst),
-        ("hot_account", Self::HotAccount),
-        ("slow_and_grey", Self::SlowAndGrey),
-    ];
-
-    fn factor(self, now_us: u64, class: usize) -> f64 {
-        match self {
-            Self::DearBurst if in_trouble(now_us) && class == 0 => 3.0,
-            Self::HotAccount if in_trouble(now_us) => 2.0,
-            _ => 1.0,
-        }
-    }
-}
-
-fn in_trouble(now_us: u64) -> bool {
-    (LENGTH_US / 3..LENGTH_US * 2 / 3).contains(&now_us)
-}
-
 /// Who routes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PromptPolicy {
@@ -164,38 +47,6 @@
     ];
 }
 
-/// A request.
-#[derive(Clone, Copy, Debug)]
-pub struct PromptRequest {
-    /// Arrival, in microseconds.
-    pub at_us: u64,
-    /// Row of its class.
-    pub class: usize,
-    /// Row of the box that its caller asks.
-    pub asked_box: usize,
-    /// Its shared prompt; never 0.
-    pub subject: u64,
-    /// Tokens in shared parts and in the rest.
-    pub tokens: (f64, f64),
-    /// Difficulty, 0 to 1.
-    pub difficulty: f64,
-    /// What is added to each model's opinion of its answer.
-    pub noise: f64,
-}
-
-impl PromptRequest {
-    /// A model's opinion of its answer, 0 to 100.
-    pub fn opinion(&self, quality: f64) -> u8 {
-        (50.0 + 150.0 * (quality - self.difficulty) + self.noise).clamp(0.0, 100.0) as u8
-    }
-
-    /// How much larger it is than its class's mean, which its payoff follows.
-    fn size(&self, class: &PromptClass) -> f64 {
-        let mean = class.tokens.0 + class.tokens.1;
-        (0.3 + 0.7 * (self.tokens.0 + self.tokens.1) / mean).min(4.0)
-    }
-}
-
 /// Something that will happen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
@@ -263,46 +114,6 @@
     run.measure()
 }
 
-fn draw_requests(
-    site: &PromptSite,
-    trouble: PromptTrouble,
-    rng: &mut StdRng,
-) -> Vec<PromptRequest> {
-    let mut requests = Vec::new();
-    let mut at_us = WARM_US as f64;
-    // The fastest that any trouble makes; what is too much is passed over.
-    let top = 3.0;
-    while at_us < LENGTH_US as f64 {
-        at_us += -(1.0 - rng.gen::<f64>()).ln() / (site.rate * top) * 1e6;
-        let mut left = rng.gen::<f64>();
-        let class = site.classes.iter().position(|class| {
-            left -= class.share;
-            left < 0.0
-        });
-        let class = class.unwrap_or(site.classes.len() - 1);
-        let factor = trouble.factor(at_us as u64, class);
-        let kept = rng.gen::<f64>() * top < factor;
-        let hot = factor > 1.0 && trouble == PromptTrouble::HotAccount && rng.gen_bool(0.5);
-        let spec = &site.classes[class];
-        let subject = if hot { 0 } else { rng.gen_range(0..spec.subjects) };
-        let spread =
-            |mean: f64, rng: &mut StdRng| mean * (0.3 - (1.0 - rng.gen::<f64>()).ln() * 0.7);
-        let request = PromptRequest {
-            at_us: at_us as u64,
-            class,
-            asked_box: rng.gen_range(0..site.boxes.len()),
-            subject: 1 + subject + 1_000 * class as u64,
-            tokens: (spec.tokens.0, spread(spec.tokens.1, rng)),
-            difficulty: rng.gen_range(0.0..1.0),
-            noise: rng.gen_range(-15.0..15.0),
-        };
-        if kept {
-            requests.push(request);
-        }
-    }
-    requests
-}
-
 impl PromptRun<'_> {
     fn at(&mut self, at_us: u64, due: Due) {
         self.number += 1;
--- a/crates/bench/tests/prompts.rs
+++ b/crates/bench/tests/prompts.rs
@@ -1,6 +1,7 @@
 //! Long prompts on deployments drawn at random: what the boxes' reducer must reach beside the baseline.
 
-use ravenspoke_bench::prompts::{run, PromptPolicy, PromptTrouble};
+use ravenspoke_bench::prompt_site::PromptTrouble;
+use ravenspoke_bench::prompts::{run, PromptPolicy};
 
 /// Mean of a measure over a few deployments, at engines that prompts would keep busy `load` of the time.
 fn mean(trouble: PromptTrouble, policy: PromptPolicy, load: f64, measure: &str) -> f64 {
