observe: records that can't be told, who reads for others, and what a box does that lost the store are logged

Cause of the change: the record of a plan that was not in force could not tell three hypotheses apart; no line said that records were left out of an answer, which box holds itself for a reader, how long a call had taken when it was given up, or that its box leaves further tries to others. Change: events 737 and 738; 730 tells after how long, and the box's role; 710 the age of what is known with the plan. No decision changes.

--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -15,7 +15,7 @@
 use ravenspoke_core::time::BoxTime;
 
 use super::driver::GatewayDriver;
-use super::observe;
+use super::observe::{self, StoreRole};
 use super::tally::StoreCall;
 use super::told::take_operator;
 
@@ -69,12 +69,13 @@
 
     /// Lists the newest record of each key; `None` if the call failed.
     pub(super) async fn list(&mut self) -> Option<TopicListing> {
+        let began = Instant::now();
         let result = self.store.newest(self.topic).await;
         let pages = result.as_ref().map_or(1, |listing| listing.pages);
         for _ in 0..pages {
             self.driver.tally.count_call(self.topic, StoreCall::List);
         }
-        self.check(result)
+        self.check(began, result)
     }
 
     /// Appends a record; with `at`, only if the topic ends there. `None` if the call failed: the record may
@@ -85,12 +86,19 @@
         record: &KeyedRecord,
     ) -> Option<AppendOutcome> {
         self.driver.tally.count_call(self.topic, StoreCall::Append);
+        let began = Instant::now();
         let result = self.store.append(self.topic, at, record).await;
-        self.check(result)
+        self.check(began, result)
     }
 
-    /// Notes how a call went, and gives what it read.
-    fn check<T>(&mut self, result: Result<T, StoreError>) -> Option<T> {
+    /// What this box does about the store's loss.
+    fn role(&self) -> StoreRole {
+        let (state, now) = (self.driver.state(), self.driver.now());
+        StoreRole { reads: state.is_reader(now), tries: !state.leaves_tries_to_others(now) }
+    }
+
+    /// Notes how a call went that began at `began`, and gives what it read.
+    fn check<T>(&mut self, began: Instant, result: Result<T, StoreError>) -> Option<T> {
         match result {
             Ok(found) => {
                 self.retry_ms = RETRY_MS;
@@ -101,11 +109,12 @@
                 Some(found)
             }
             Err(error) => {
+                observe::note_store_error();
+                self.driver.feed(RouteEvent::StoreFailed);
                 if self.lost_at.is_none() {
-                    observe::note_store_lost(self.topic, &error);
+                    observe::note_store_lost(self.topic, &error, began.elapsed(), self.role());
                 }
                 self.lost_at.get_or_insert_with(Instant::now);
-                self.driver.feed(RouteEvent::StoreFailed);
                 None
             }
         }
@@ -129,10 +138,11 @@
     pub(super) async fn read(&mut self, next: &mut Option<u64>, wait_ms: u64) -> Option<TopicNews> {
         if let Some(from) = *next {
             self.driver.tally.count_call(self.topic, StoreCall::Read);
+            let began = Instant::now();
             match self.store.read(self.topic, from, wait_ms).await {
                 Err(StoreError::Gone) => *next = None,
                 result => {
-                    let read = self.check(result)?;
+                    let read = self.check(began, result)?;
                     // A topic that ends before what was read has lost its history.
                     *next = (read.end >= from).then_some(read.next);
                     if next.is_some() {
--- a/crates/box/src/gateway/notes.rs
+++ b/crates/box/src/gateway/notes.rs
@@ -92,6 +92,7 @@
     let mut operator = driver.operator();
     let records = operator.since(ask.read_to);
     if bare.len() + records.as_bytes().len() + RECORDS_FRAME > NOTE_LIMIT {
+        operator.note_untold(ask.read_to, NOTE_LIMIT);
         return bare;
     }
     encode_note(note, records)
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -117,9 +117,13 @@
 /// Logs a change of what the box believes.
 pub fn note_effect(effect: &RouteEffect) {
     match effect {
-        RouteEffect::PlanInForce { version, routes } => {
+        RouteEffect::PlanInForce { version, routes, age_ms } => {
             gauge!("ravenspoke_plan_version").set(*version as f64);
-            info!(event = 710, name = "plan_in_force", version, routes);
+            info!(event = 710, name = "plan_in_force", version, routes, age_ms);
+        }
+        RouteEffect::ReaderMoved { reads, cut, plan_age_ms } => {
+            gauge!("ravenspoke_reader").set(f64::from(u8::from(*reads)));
+            info!(event = 738, name = "reader_moved", reads, cut, plan_age_ms);
         }
         RouteEffect::PlanTooOld { version } => {
             warn!(event = 711, name = "plan_too_old", version);
@@ -208,10 +212,30 @@
     info!(event = 723, name = "gateway_exits", open_connections, in_hand);
 }
 
-/// Logs that a reader lost the store.
-pub fn note_store_lost(topic: &str, error: &StoreError) {
+/// Logs that a call to the store failed that took `after`, and whether this box reads for others and goes on trying.
+pub fn note_store_lost(topic: &str, error: &StoreError, after: Duration, role: StoreRole) {
+    let after_ms = after.as_millis() as u64;
+    let StoreRole { reads, tries } = role;
+    warn!(event = 730, name = "store_lost", topic, after_ms, reads, tries, why = %error);
+}
+
+/// What a box that lost the store does about it.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreRole {
+    /// Whether it reads for the other boxes.
+    pub reads: bool,
+    /// Whether it tries again itself, or leaves that to boxes that answer it.
+    pub tries: bool,
+}
+
+/// Counts a call to the store that failed.
+pub fn note_store_error() {
     counter!("ravenspoke_store_errors_total").increment(1);
-    warn!(event = 730, name = "store_lost", topic, why = %error);
+}
+
+/// Logs that other boxes must read the operator's records themselves: packed they don't fit into a datagram.
+pub fn note_records_untold(bytes: usize, limit: usize, from: u64) {
+    warn!(event = 737, name = "records_untold", bytes, limit, from);
 }
 
 /// Logs that a reader has the store again.
--- a/crates/box/src/gateway/told.rs
+++ b/crates/box/src/gateway/told.rs
@@ -18,6 +18,8 @@
     newest: BTreeMap<String, KeyedRecord>,
     /// What was told last, with the offsets of its records: hundreds of boxes ask for the same.
     packed: (Vec<u64>, PackedRecords),
+    /// Whether it was logged that these are too long to be told.
+    untold: bool,
 }
 
 impl OperatorRecords {
@@ -38,9 +40,17 @@
         if offsets != self.packed.0 {
             let records: Vec<KeyedRecord> = wanted().cloned().collect();
             self.packed = (offsets, PackedRecords::pack(&records));
+            self.untold = false;
         }
         &self.packed.1
     }
+
+    /// Logs, once, that what was packed last is too long to be told to boxes that have read to `read_to`.
+    pub fn note_untold(&mut self, read_to: u64, limit: usize) {
+        if !std::mem::replace(&mut self.untold, true) {
+            observe::note_records_untold(self.packed.1.as_bytes().len(), limit, read_to);
+        }
+    }
 }
 
 /// Takes the operator's records, which are all that there was at `asked_at` up to `read_to`. Returns
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -53,6 +53,8 @@
     (734, "socket_failed"),
     (735, "store_calls"),
     (736, "datagram_bytes"),
+    (737, "records_untold"),
+    (738, "reader_moved"),
 ];
 
 /// Logs and counts an effect, where it is worth it.
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -305,6 +305,17 @@
         version: u64,
         /// Routes in it.
         routes: usize,
+        /// How old what is known with it is, in milliseconds.
+        age_ms: u64,
+    },
+    /// This box has become one of the readers, or is none any more.
+    ReaderMoved {
+        /// Whether it reads for the others.
+        reads: bool,
+        /// Whether it can't reach the store.
+        cut: bool,
+        /// Age of its plan, in milliseconds, if it knows one.
+        plan_age_ms: Option<u64>,
     },
     /// A plan was older than the one in force and was dropped.
     PlanTooOld {
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -150,6 +150,8 @@
     cut_at: Option<BoxTime>,
     /// From when on it reads for the others, if it is one of the readers.
     reader_at: Option<BoxTime>,
+    /// Whether it was last told to be a reader.
+    told_reader: bool,
     next_ask: BoxTime,
     /// When the last ask was sent, if no answer has come.
     unanswered_at: Option<BoxTime>,
@@ -186,6 +188,7 @@
             start: None,
             cut_at: None,
             reader_at: None,
+            told_reader: false,
             next_ask: BoxTime::default(),
             unanswered_at: None,
             answered_at: None,
@@ -261,6 +264,7 @@
             self.tell(stamp, change, BackendNews::Leaving, out);
         }
         self.settle_reader(stamp.now);
+        self.note_reader(stamp.now, out);
         self.tally_silent(stamp);
         self.advance_trials(stamp, out);
         self.judge_trials(stamp, out);
@@ -297,7 +301,8 @@
         if let Some(start) = &mut self.start {
             start.note_plan(stamp.now);
         }
-        out.push(RouteEffect::PlanInForce { version, routes });
+        let age_ms = stamp.now.millis_since(asked_at);
+        out.push(RouteEffect::PlanInForce { version, routes, age_ms });
         // Others ask for it at once: it is everywhere after a few steps, and few boxes read the store.
         self.next_note = BoxTime::default();
         self.send_notes(stamp, out);
@@ -393,7 +398,7 @@
     }
 
     /// Whether this box lost the store and others, who answer it, find out when it is back.
-    fn leaves_tries_to_others(&self, now: BoxTime) -> bool {
+    pub fn leaves_tries_to_others(&self, now: BoxTime) -> bool {
         let answered = self.answered_at.is_some_and(|at| now.millis_since(at) < peers::ANSWERED_MS);
         self.is_cut(now) && answered
     }
@@ -455,6 +460,17 @@
         self.reader_at.get_or_insert(now.plus_millis(settle_ms));
     }
 
+    /// Tells when this box becomes a reader, or is none any more.
+    fn note_reader(&mut self, now: BoxTime, out: &mut Vec<RouteEffect>) {
+        let reads = self.is_reader(now);
+        if reads == self.told_reader {
+            return;
+        }
+        self.told_reader = reads;
+        let (cut, plan_age_ms) = (self.is_cut(now), self.fresh.age_ms(now));
+        out.push(RouteEffect::ReaderMoved { reads, cut, plan_age_ms });
+    }
+
     /// All changes to the replicas' entries before this offset are known.
     pub fn entries_to(&self) -> Option<u64> {
         self.entries.known_to()
