readers: a box that others could not tell what they read reads it itself, also after a failed call

Cause: a box whose call to the store failed leaves tries to the boxes that answer its asks, for 20 s. An answer without the plan, too long for a datagram, counted as one that stands for a read. Ruled out: a store that was away (it answered every call), readers that did not read, datagrams that were lost. Change: being behind for half a second goes before leaving tries to others; the pause before a next try is worked out anew while it lasts, since a box may hear that it is behind, or become a reader, in a pause of eight seconds.

--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -52,6 +52,13 @@
 /// Longest pause between two tries of the other boxes, in milliseconds.
 pub const RETRY_LIMIT_MS: u64 = 8_000;
 
+/// A box that waits for its next try looks this often whether it must try sooner, in milliseconds.
+pub const RETRY_LOOK_MS: u64 = 50;
+
+/// Pause between two tries of a box that others could not tell what they have read, in milliseconds: a confirmed plan
+/// must be in force within two or three seconds.
+pub const RETRY_BEHIND_MS: u64 = 500;
+
 /// Reads the store for one topic, and knows whether it can be reached.
 pub(super) struct TopicFollower {
     driver: Arc<GatewayDriver>,
@@ -120,18 +127,34 @@
         }
     }
 
-    /// Waits before the next try, longer each time: refused calls are priced too.
+    /// Waits before the next try, longer each time: refused calls are priced too. A box that meanwhile becomes a
+    /// reader, or hears that it is behind, waits no longer than such a box does.
     pub(super) async fn wait_to_retry(&mut self) {
-        let reader = self.driver.state().is_reader(self.driver.now());
-        let (least, most) = if reader {
+        let (began, jitter) = (Instant::now(), rand::random::<f64>());
+        let mut pause_ms = self.pause_ms();
+        while began.elapsed() < Duration::from_millis(pause_ms).mul_f64(1.0 + jitter / 4.0) {
+            tokio::time::sleep(Duration::from_millis(RETRY_LOOK_MS)).await;
+            pause_ms = self.pause_ms();
+        }
+        self.retry_ms = pause_ms * 2;
+    }
+
+    /// Pause before the next try as things stand, in milliseconds.
+    fn pause_ms(&self) -> u64 {
+        let (least, most) = self.retry_span();
+        self.retry_ms.clamp(least, most)
+    }
+
+    /// The shortest and the longest pause before the next try, in milliseconds.
+    fn retry_span(&self) -> (u64, u64) {
+        let (state, now) = (self.driver.state(), self.driver.now());
+        if state.is_reader(now) {
             (RETRY_MS, RETRY_READER_LIMIT_MS)
+        } else if state.is_behind(now) {
+            (RETRY_BEHIND_MS, RETRY_BEHIND_MS)
         } else {
             (RETRY_OTHERS_MS, RETRY_LIMIT_MS)
-        };
-        let pause_ms = self.retry_ms.clamp(least, most);
-        let jitter = rand::random::<u64>() % (pause_ms / 4);
-        tokio::time::sleep(Duration::from_millis(pause_ms + jitter)).await;
-        self.retry_ms = pause_ms * 2;
+        }
     }
 
     /// Records from `next` on, or all of them without it; `None` if the call failed.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -392,9 +392,16 @@
     /// Whether this box must read the operator's records itself: it is a reader, or no other box has
     /// told it lately that what it knows is fresh, or has told it what is new.
     pub fn must_read(&self, now: BoxTime) -> bool {
-        let behind = self.behind_since.is_some_and(|at| now.millis_since(at) >= peers::BEHIND_MS);
         let untold = self.is_untold(self.fresh.age_ms(now), OWN_READ_MS, now);
-        self.is_reader(now) || ((behind || untold) && !self.leaves_tries_to_others(now))
+        let left = self.leaves_tries_to_others(now);
+        self.is_reader(now) || self.is_behind(now) || (untold && !left)
+    }
+
+    /// Whether others have read further and have not told this box what: it may be too long to be told, so that no
+    /// answer of theirs stands for a read. Where this did not count after a failed call, 40 of 91 boxes had a confirmed
+    /// plan of 890 KB 20 s late (one day played).
+    pub fn is_behind(&self, now: BoxTime) -> bool {
+        self.behind_since.is_some_and(|at| now.millis_since(at) >= peers::BEHIND_MS)
     }
 
     /// Whether this box lost the store and others, who answer it, find out when it is back.
