--- a/crates/box/tests/plans.rs
+++ b/crates/box/tests/plans.rs
@@ -1,4 +1,4 @@
-//! Plans that come late: long ones over slow links.
+//! Plans that come late: long ones over slow links, and a store that answers slowly.
 //!
 //! Boxes run as processes before the stand-ins of the platform. Waiting is on a condition with a bound.
 
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use ravenspoke_standins::fleet::wait_for;
-use ravenspoke_standins::platform::site::{RunningSite, SITE_KEY};
+use ravenspoke_standins::platform::site::{RunningSite, OPERATOR_TOPIC, SITE_KEY};
 use ravenspoke_standins::platform::site_box::SiteBox;
 use ravenspoke_standins::platform::store::{StoreFaults, StoreOutage};
 
@@ -94,3 +94,24 @@
         assert!(took < Duration::from_secs(3), "{took:?} after the store was back");
     }
 }
+
+// A store that took 1.6 s for each call was lost to every box: each call was given up after 0.9 s and begun anew, so that a
+// confirmed plan was in force nowhere before the store was quick again, 3.4 s later.
+#[tokio::test]
+async fn a_plan_is_read_from_a_store_that_answers_slowly() {
+    let (site, boxes) = site_of(2).await;
+    site.store.set_faults(StoreFaults { slow_ms: 1_600, ..StoreFaults::default() });
+    for subject in &boxes {
+        // A call that was open before may be answered at once.
+        let calls = || site.store.topic_calls(subject.ip, OPERATOR_TOPIC);
+        let before = calls();
+        wait_for("calls are slow", || async { (calls() > before + 1).then_some(()) }).await;
+    }
+
+    site.write_plan(2, &[SITE_KEY]);
+
+    for subject in &boxes {
+        let took = time_until_in_force(subject, 2).await;
+        assert!(took < Duration::from_secs(5), "{took:?}");
+    }
+}
