readers: a plan that is half a second old is read without waiting for a record

Cause: a reader whose plan was up to 1.5 s old let its read wait 1 s for a record; before a store that takes 2.5 s for a call it was then older than a key may be honoured (4.6 s), and requests were refused. Change: it waits only while its plan is younger than 0.5 s, as after a read.

--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -79,6 +79,10 @@
 /// milliseconds: two asks, and what a reader's own knowledge may be old.
 pub const OWN_READ_MS: u64 = 3_000;
 
+/// A reader whose plan is older than this, in milliseconds, reads it without waiting for a record: with the wait, and a
+/// store that takes 2.5 s for a call, it would else be older than a key may be honoured before it is read.
+pub const WAIT_AGE_MS: u64 = 500;
+
 /// A box that nobody has told for this long what differs in the replicas' entries reads them itself, in
 /// milliseconds: what a reader's own knowledge may be old, and two asks.
 pub const OWN_ENTRIES_MS: u64 = 4_000;
@@ -405,7 +409,7 @@
     }
 
     /// Whether this box lost the store and others, who answer it, find out when it is back.
-    pub fn leaves_tries_to_others(&self, now: BoxTime) -> bool {
+    fn leaves_tries_to_others(&self, now: BoxTime) -> bool {
         let answered = self.answered_at.is_some_and(|at| now.millis_since(at) < peers::ANSWERED_MS);
         self.is_cut(now) && answered
     }
@@ -439,7 +443,7 @@
     /// Whether a read of the operator's records is to wait for one. What is old is read anew at once: a reader
     /// that waited with it would no longer be named to callers.
     pub fn waits_for_plan(&self, now: BoxTime) -> bool {
-        let old = self.fresh.age_ms(now).is_none_or(|age| age >= OWN_READ_MS / 2);
+        let old = self.fresh.age_ms(now).is_none_or(|age| age >= WAIT_AGE_MS);
         self.is_reader(now) && !old
     }
 
--- a/crates/core/tests/route/membership.rs
+++ b/crates/core/tests/route/membership.rs
@@ -7,7 +7,7 @@
     PeerAsk, PeerCard, PeerNote, PeerSummary, BEHIND_MS, START_SETTLE_MS, START_SPREAD_MS,
     START_WAIT_MS,
 };
-use ravenspoke_core::route::{LAPSE_MS, NAMED_AGE_MS};
+use ravenspoke_core::route::{LAPSE_MS, NAMED_AGE_MS, WAIT_AGE_MS};
 use ravenspoke_core::time::BoxTime;
 
 use crate::fixture::{ask, entry, new_box, note_in, plan, ready_box, TestBox};
@@ -594,3 +594,17 @@
     hear_bare_answer(&mut subject);
     assert!(subject.state.must_read(clock(&subject)), "an answer without the plan changes nothing");
 }
+
+#[test]
+fn a_reader_whose_plan_is_half_a_second_old_reads_without_waiting_for_news() {
+    let mut subject = ready_box();
+    subject.feed(RouteEvent::Tick);
+    subject.now += START_SETTLE_MS;
+    subject.feed(RouteEvent::Tick);
+    subject.read_plan(None);
+
+    subject.now += WAIT_AGE_MS;
+
+    assert!(subject.state.is_reader(clock(&subject)));
+    assert!(!subject.state.waits_for_plan(clock(&subject)));
+}
