readers: a box whose ask was answered without what it asked for reads it at once

Cause: an answer that lacks the operator's records means that they are too long to be told. Who got one waited the rest of half a second for another, and asked again each 150 ms meanwhile, with the same answer. Ruled out by a try, reverted: telling long records in parts of 32,000 bytes (64,200 bytes packed, three parts). Change: such an answer, unless it holds a page of replicas beside which they may not have fitted, counts as being behind for long, and ends the asks.

--- a/crates/box/tests/plans.rs
+++ b/crates/box/tests/plans.rs
@@ -95,6 +95,19 @@
     }
 }
 
+#[tokio::test]
+async fn readers_on_slow_links_read_a_long_plan() {
+    let (site, boxes) = site_of(2).await;
+    site.store.set_faults(StoreFaults { rate: 500_000, ..StoreFaults::default() });
+
+    site.write_long_plan(2, &[SITE_KEY], MANY_ROUTES);
+
+    for subject in &boxes {
+        let took = time_until_in_force(subject, 2).await;
+        assert!(took < Duration::from_secs(6), "{took:?}, for 1.3 MB at 500 KB a second");
+    }
+}
+
 // A store that took 1.6 s for each call was lost to every box: each call was given up after 0.9 s and begun anew, so that a
 // confirmed plan was in force nowhere before the store was quick again, 3.4 s later.
 #[tokio::test]
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -163,6 +163,8 @@
     answered_at: Option<BoxTime>,
     /// Since when it is known that another box has read further.
     behind_since: Option<BoxTime>,
+    /// Whether an answer to its ask for that lacked it.
+    told_too_little: bool,
     next_behind_ask: BoxTime,
     note_number: u64,
     next_note: BoxTime,
@@ -197,6 +199,7 @@
             unanswered_at: None,
             answered_at: None,
             behind_since: None,
+            told_too_little: false,
             next_behind_ask: BoxTime::default(),
             note_number: 0,
             next_note: BoxTime::default(),
@@ -370,6 +373,7 @@
         if read_to >= self.read_to {
             self.read_to = read_to;
             self.behind_since = None;
+            self.told_too_little = false;
         }
     }
 
@@ -405,7 +409,8 @@
     /// answer of theirs stands for a read. Where this did not count after a failed call, 40 of 91 boxes had a confirmed
     /// plan of 890 KB 20 s late (one day played).
     pub fn is_behind(&self, now: BoxTime) -> bool {
-        self.behind_since.is_some_and(|at| now.millis_since(at) >= peers::BEHIND_MS)
+        let long = |at: BoxTime| now.millis_since(at) >= peers::BEHIND_MS;
+        self.told_too_little || self.behind_since.is_some_and(long)
     }
 
     /// Whether this box lost the store and others, who answer it, find out when it is back.
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -240,7 +240,12 @@
     fn hear_freshness(&mut self, stamp: EventStamp, note: &PeerNote, out: &mut Vec<RouteEffect>) {
         if note.read_to > self.read_to {
             self.behind_since.get_or_insert(stamp.now);
-            if stamp.now >= self.next_behind_ask {
+            // An answer holds what was asked for, unless that is too long, alone or beside a page of replicas. Without
+            // one, asking again gives the same.
+            let answers = own_ask(note, self.settings.incarnation, stamp.now)
+                .is_some_and(|ask| ask.read_to == self.read_to);
+            self.told_too_little |= answers && note.entries.page.is_none();
+            if stamp.now >= self.next_behind_ask && !self.told_too_little {
                 self.next_behind_ask = stamp.now.plus_millis(peers::ASK_AGAIN_MS);
                 out.push(RouteEffect::SendAsk(note.card.note_address.clone(), self.ask(stamp)));
             }
--- a/crates/core/tests/route/membership.rs
+++ b/crates/core/tests/route/membership.rs
@@ -557,6 +557,13 @@
 
 /// A box that lost the store, knows three that have it, and was answered by one that has read further.
 fn box_behind_without_the_store() -> TestBox {
+    let mut subject = box_without_the_store();
+    hear_bare_answer(&mut subject);
+    subject
+}
+
+/// A box that lost the store and knows three that have it.
+fn box_without_the_store() -> TestBox {
     let mut subject = ready_box();
     for name in ["box-2", "box-3", "box-4"] {
         let card =
@@ -566,7 +573,6 @@
     }
     subject.feed(RouteEvent::StoreFailed);
     subject.feed(RouteEvent::Tick);
-    hear_bare_answer(&mut subject);
     subject
 }
 
@@ -595,6 +601,27 @@
     assert!(subject.state.must_read(clock(&subject)), "an answer without the plan changes nothing");
 }
 
+// 88 of 91 boxes read a plan of 1.3 MB from the store that no answer could hold. Each waited half a second for an answer that
+// holds it, and asked again meanwhile.
+#[test]
+fn a_box_that_was_answered_without_what_it_asked_for_reads_it_at_once_and_asks_no_more() {
+    let mut subject = box_without_the_store();
+    let mut reader = new_box("box-3");
+    reader.now = subject.now;
+    reader.read_plan(Some(plan(2)));
+    tell(&mut reader, &mut subject);
+    assert!(!subject.state.must_read(clock(&subject)), "an answer may hold it");
+
+    hear_bare_answer(&mut subject);
+
+    assert!(subject.state.must_read(clock(&subject)));
+    let effects = tell(&mut reader, &mut subject);
+    let asks = |effect: &RouteEffect| matches!(effect, RouteEffect::SendAsk(..));
+    assert!(!effects.iter().any(asks));
+    subject.read_plan(Some(plan(2)));
+    assert!(!subject.state.must_read(clock(&subject)));
+}
+
 #[test]
 fn a_reader_whose_plan_is_half_a_second_old_reads_without_waiting_for_news() {
     let mut subject = ready_box();
