entries: a replica that starts again under its id is another one, and an entry of another writer names none

Cause: a replica may keep its id when it starts again, and holds and knows nothing of before; an entry may come from another writer. Today a new life went on with the work, failures, load, held parts and leaving mark of the former; what could not be read was passed over, so that what it had replaced was used on; a state that has no name counted as ready. Ruled out: the greater time of birth as the newer life; a clock may have been set back, and the store's order says which came later. Change: `born` is decoded in the adapter and told between boxes; another one under the same id gets a key of its own, so that all that is kept by the key stays with the former life; an entry without it goes on as the life that is known. No site plays `born` yet.

--- a/crates/bench/src/prompt_router.rs
+++ b/crates/bench/src/prompt_router.rs
@@ -317,6 +317,7 @@
             slots: SLOTS,
             leaving: false,
             cold_ms: 0,
+            born: None,
         }),
     };
     let changes = site.engines.iter().enumerate().map(change).collect();
--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -100,24 +100,24 @@
 }
 
 fn take_backends(driver: &GatewayDriver, news: TopicNews) {
-    let mut changes = Vec::new();
+    let (mut changes, mut spoilt) = (Vec::new(), Vec::new());
     for record in news.records {
-        let entry = match &record.value {
-            Some(value) => match read_backend(&record.key, value) {
-                Ok(entry) => Some(entry),
-                Err(error) => {
-                    observe::note_bad_record(&error);
-                    continue;
-                }
-            },
-            None => None,
-        };
-        changes.push(BackendChange { id: record.key, at: record.offset, entry });
+        let entry = record.value.as_ref().map(|value| read_backend(&record.key, value)).transpose();
+        let entry = entry.map_err(|error| observe::note_bad_record(&error));
+        let change = |entry| BackendChange { id: record.key, at: record.offset, entry };
+        match entry {
+            Ok(entry) => changes.push(change(entry)),
+            // Another writer's: it names no replica to use, and what it replaced is not used on.
+            Err(()) => spoilt.push(change(None)),
+        }
     }
     driver.feed(match news.whole_to {
         Some(end) => RouteEvent::BackendsListed { end, listed: changes },
         None => RouteEvent::BackendsChanged(changes),
     });
+    if !spoilt.is_empty() {
+        driver.feed(RouteEvent::BackendsSpoilt(spoilt));
+    }
 }
 
 /// Tells the store where this box hears notes, and learns where others do. Readers do, for boxes that start
--- a/crates/box/src/gateway/note_wire/replica.rs
+++ b/crates/box/src/gateway/note_wire/replica.rs
@@ -33,6 +33,8 @@
     leaving: bool,
     #[prost(uint64, tag = "7")]
     cold_ms: u64,
+    #[prost(uint64, optional, tag = "8")]
+    born: Option<u64>,
 }
 
 #[derive(Clone, Copy, PartialEq, Message)]
@@ -106,6 +108,7 @@
         slots: entry.slots,
         leaving: entry.leaving,
         cold_ms: entry.cold_ms,
+        born: entry.born,
     });
     WireChange { id: change.id.clone(), at: change.at, entry }
 }
@@ -121,6 +124,7 @@
         slots: entry.slots,
         leaving: entry.leaving,
         cold_ms: entry.cold_ms,
+        born: entry.born,
     });
     BackendChange { id: change.id, at: change.at, entry }
 }
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -267,6 +267,7 @@
 
 /// Logs a record that can't be decoded.
 pub fn note_bad_record(error: &RecordError) {
+    counter!("ravenspoke_bad_records_total").increment(1);
     error!(event = 732, name = "record_unreadable", why = %error);
 }
 
--- a/crates/box/tests/notes.rs
+++ b/crates/box/tests/notes.rs
@@ -50,6 +50,7 @@
         slots: 24,
         leaving: false,
         cold_ms: 0,
+        born: None,
     };
     BackendChange { id, at: number as u64, entry: Some(entry) }
 }
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -19,8 +19,11 @@
 /// A replica as its entry in the store gives it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct BackendEntry {
-    /// Id of this life of the replica.
+    /// Id; a replica that starts again may keep it.
     pub id: String,
+    /// What tells its lives apart: when this one started by its own clock, which may have been set back since, in Unix
+    /// milliseconds. `None` from a replica that does not say it.
+    pub born: Option<u64>,
     /// Address, `IP:port`.
     pub address: String,
     /// Service.
@@ -111,6 +114,12 @@
     }
 }
 
+/// Whether two entries under one id are of two lives of a replica. One that does not say when it started may be of either.
+fn is_other_life(known: &BackendEntry, told: &BackendEntry) -> bool {
+    let born = known.born.zip(told.born);
+    born.is_some_and(|(known, told)| known != told)
+}
+
 /// Replicas by key.
 #[derive(Debug, Default)]
 pub struct BackendTable {
@@ -220,14 +229,18 @@
             self.insert(entry, at, now);
             return if leaving { BackendNews::Leaving } else { BackendNews::Changed };
         };
+        if is_other_life(&self.rows[key].entry, &entry) {
+            return self.put_other_life(key, entry, at, now);
+        }
         let row = &mut self.rows[key];
         row.at = at;
         row.lapses_at = None;
+        let born = entry.born.or(row.entry.born);
         let news = entry.leaving && !row.entry.leaving;
         let changed = row.entry.address != entry.address || row.entry.version != entry.version;
         // A leaving mark is never taken back within one life of a replica.
         let leaving = row.entry.leaving || entry.leaving;
-        row.entry = BackendEntry { leaving, ..entry };
+        row.entry = BackendEntry { leaving, born, ..entry };
         match (news, changed) {
             (true, _) => BackendNews::Leaving,
             (false, true) => BackendNews::Changed,
@@ -235,6 +248,19 @@
         }
     }
 
+    /// Takes a life of a replica after another one, which the store's order tells. It holds and knows nothing of before,
+    /// so it gets a key of its own: work, failures, parts held and load of the former life stay with the former key.
+    fn put_other_life(
+        &mut self,
+        former: ReplicaKey,
+        entry: BackendEntry,
+        at: u64,
+        now: BoxTime,
+    ) -> BackendNews {
+        self.remove(former);
+        self.put(entry, at, now)
+    }
+
     fn insert(&mut self, entry: BackendEntry, at: u64, now: BoxTime) {
         let (id, service) = (entry.id.clone(), entry.service.clone());
         let key = self.rows.insert(BackendState {
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -217,6 +217,10 @@
                 self.next_note = BoxTime::default();
             }
             RouteEvent::BackendsChanged(changes) => self.on_backends(stamp, changes, out),
+            // Unlike an entry that vanished while the store was away, it does not come back by itself.
+            RouteEvent::BackendsSpoilt(changes) => {
+                self.take_backends(stamp, changes, BackendSource::Store, None, out);
+            }
             RouteEvent::BackendsListed { end, listed } => {
                 self.entries.note_listed(end);
                 self.on_listed(stamp, end, listed, self.lapse_at(stamp.now), out);
--- a/crates/core/tests/route/fixture.rs
+++ b/crates/core/tests/route/fixture.rs
@@ -78,6 +78,7 @@
         slots: 4,
         leaving: false,
         cold_ms: 0,
+        born: None,
     }
 }
 
--- /dev/null
+++ b/crates/core/tests/route/lives.rs
@@ -0,0 +1,102 @@
+//! Replicas that start again under the id that they had, and entries that name none.
+
+use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
+use ravenspoke_core::route::event::{AttemptFailure, RefusalReason, RouteEvent};
+
+use crate::fixture::{ask, entry, is_refused, new_box, plan, refusal_in, TestBox};
+
+/// The entry of a life of replica `a` that began at `born`.
+fn life(born: u64) -> BackendEntry {
+    BackendEntry { born: Some(born), ..entry("a", "v1") }
+}
+
+/// A box that knows one replica, in the life that began at 5,000.
+fn box_with_one_life() -> TestBox {
+    let mut subject = new_box("box-1");
+    subject.read_plan(Some(plan(1)));
+    subject.put(life(5_000));
+    subject
+}
+
+/// Whether replica `a` says that it leaves, by its newest life.
+fn leaves(subject: &TestBox) -> Option<bool> {
+    let mut rows = subject.state.backends().rows();
+    rows.find(|(_, row)| row.entry.id == "a").map(|(_, row)| row.entry.leaving)
+}
+
+#[test]
+fn a_new_life_of_a_replica_has_no_work_and_no_failures_of_the_former_one() {
+    // The clock of a replica may have been set back between two of its lives: the store's order tells which is the later.
+    for born in [9_000, 1_000] {
+        let mut subject = box_with_one_life();
+        let (_, order) = subject.sent(ask("/read/x"));
+
+        subject.put(life(born));
+
+        assert!(subject.state.backends().get(order.replica).is_none(), "the former life is gone");
+        let row = subject.state.backends().rows().next().expect("a replica").1.clone();
+        assert_eq!((row.entry.born, row.outstanding, row.since_report), (Some(born), 0, 0));
+    }
+}
+
+#[test]
+fn a_new_life_is_not_leaving_though_the_former_one_left() {
+    let mut subject = box_with_one_life();
+    subject.put(BackendEntry { leaving: true, ..life(5_000) });
+    subject.put(life(5_000));
+    assert_eq!(leaves(&subject), Some(true), "one life takes its leaving back never");
+
+    subject.put(life(6_000));
+
+    assert_eq!(leaves(&subject), Some(false));
+    subject.sent(ask("/read/x"));
+}
+
+#[test]
+fn old_news_of_a_former_life_changes_nothing() {
+    let mut subject = box_with_one_life();
+    let at = subject.offset;
+    subject.put(life(6_000));
+
+    let entry = Some(BackendEntry { leaving: true, ..life(5_000) });
+    let late = BackendChange { id: "a".to_owned(), at, entry };
+    subject.feed(RouteEvent::BackendsChanged(vec![late]));
+
+    assert_eq!(leaves(&subject), Some(false));
+}
+
+#[test]
+fn an_entry_that_does_not_say_when_its_life_began_goes_on_as_that_life() {
+    let mut subject = box_with_one_life();
+    let (_, order) = subject.sent(ask("/read/x"));
+
+    subject.put(entry("a", "v1"));
+
+    assert!(subject.state.backends().get(order.replica).is_some());
+    subject.put(life(6_000));
+    assert!(subject.state.backends().get(order.replica).is_none(), "its life was kept in mind");
+}
+
+#[test]
+fn a_run_of_a_former_life_is_not_said_not_to_have_run() {
+    let mut subject = box_with_one_life();
+    let (ticket, _) = subject.sent(ask("/file/x"));
+    subject.put(life(6_000));
+
+    let effects = subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken));
+
+    let refusal = refusal_in(&effects).expect("it may run once");
+    assert!(is_refused(refusal, 502, RefusalReason::Failed), "{refusal:?}");
+}
+
+#[test]
+fn an_entry_that_names_no_replica_ends_the_use_of_what_it_replaced_though_the_store_was_away() {
+    let mut subject = box_with_one_life();
+    subject.feed(RouteEvent::StoreFailed);
+    subject.feed(RouteEvent::StoreBack);
+
+    let spoilt = BackendChange { id: "a".to_owned(), at: subject.offset + 1, entry: None };
+    subject.feed(RouteEvent::BackendsSpoilt(vec![spoilt]));
+
+    assert_eq!(leaves(&subject), None);
+}
--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod fixture;
 mod fleet;
+mod lives;
 mod loads;
 mod membership;
 mod models;
