--- /dev/null
+++ b/crates/box/tests/entries.rs
@@ -0,0 +1,101 @@
+//! Replicas' entries as processes of the box read them: some that name no replica, and replicas that start again.
+//!
+//! Boxes run as processes before the stand-ins of the platform. Waiting is on a condition with a bound.
+
+use std::path::Path;
+
+use ravenspoke_standins::fleet::wait_for;
+use ravenspoke_standins::platform::replica::ReplicaStandin;
+use ravenspoke_standins::platform::site::{
+    own_address, RunningSite, REPLICA_TOPIC, SITE_KEY, SITE_SERVICE,
+};
+use ravenspoke_standins::platform::site_box::SiteBox;
+use serde_json::{json, Value};
+
+/// Entries of another writer: fields missing or of another type, a state and a time of birth that are none.
+fn spoilt_entries() -> Vec<Value> {
+    let entry = |born: Value, state: &str| {
+        json!({
+            "service": SITE_SERVICE, "address": "127.0.0.1:9", "zone": "east", "version": "v1", "slots": 8,
+            "state": state, "cold_remaining_ms": 0, "sequence": 1, "born": born,
+        })
+    };
+    vec![
+        json!(null),
+        json!([1, 2]),
+        json!({ "service": SITE_SERVICE, "state": "ready" }),
+        entry(json!(1.5), "ready"),
+        entry(json!(7), "resting"),
+    ]
+}
+
+/// A site whose store holds entries that name no replica, with a box that is ready.
+async fn site_with_spoilt_entries() -> (RunningSite, SiteBox) {
+    let mut site = RunningSite::start(Path::new(env!("CARGO_BIN_EXE_ravenspoked"))).await;
+    site.write_plan(1, &[SITE_KEY]);
+    for (number, entry) in spoilt_entries().iter().enumerate() {
+        site.store.put(REPLICA_TOPIC, &format!("spoilt-{number}"), entry);
+    }
+    let subject = site.start_box("box-1");
+    (site, subject)
+}
+
+/// A life of replica `id`, with its entry in the store.
+async fn start_life(site: &RunningSite, id: &str, born: u64) -> ReplicaStandin {
+    let replica = ReplicaStandin::start(own_address(), id, 3, 1).await;
+    let mut entry = replica.entry(SITE_SERVICE, "v1", "ready");
+    entry["born"] = json!(born);
+    site.store.put(REPLICA_TOPIC, id, &entry);
+    replica
+}
+
+/// Waits until the box uses replicas at these addresses and no others.
+async fn wait_for_addresses(subject: &SiteBox, wanted: &[&ReplicaStandin]) {
+    let mut wanted: Vec<String> =
+        wanted.iter().map(|replica| replica.address.to_string()).collect();
+    wanted.sort();
+    wait_for("the box knows these replicas", || async {
+        let state = subject.state().await?;
+        let rows = state["backends"].as_array()?.clone();
+        let address = |row: &Value| row["entry"]["address"].as_str().map(str::to_owned);
+        let mut known: Vec<String> = rows.iter().filter_map(address).collect();
+        known.sort();
+        (known == wanted).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn entries_of_another_writer_name_no_replica_and_the_others_hold() {
+    let (site, subject) = site_with_spoilt_entries().await;
+    let first = start_life(&site, "i-1", 1_000).await;
+    let second = start_life(&site, "i-2", 1_000).await;
+    wait_for_addresses(&subject, &[&first, &second]).await;
+
+    site.store.put(REPLICA_TOPIC, "i-2", &json!({ "state": 3 }));
+
+    wait_for_addresses(&subject, &[&first]).await;
+    for number in 0..5 {
+        let answer = site.request(&subject, "POST", "/read/x", &format!("r{number}")).body("b");
+        assert_eq!(answer.send().await.expect("an answer").status(), 200);
+    }
+    assert_eq!((first.runs().len(), second.runs().len()), (5, 0));
+}
+
+#[tokio::test]
+async fn a_replica_that_starts_again_under_its_id_gets_requests_at_its_new_address() {
+    let (site, subject) = site_with_spoilt_entries().await;
+    let former = start_life(&site, "i-1", 5_000).await;
+    wait_for_addresses(&subject, &[&former]).await;
+    let mut leaving = former.entry(SITE_SERVICE, "v1", "draining");
+    leaving["born"] = json!(5_000);
+    site.store.put(REPLICA_TOPIC, "i-1", &leaving);
+
+    // Its clock was set back meanwhile.
+    let new = start_life(&site, "i-1", 2_000).await;
+
+    wait_for_addresses(&subject, &[&new]).await;
+    let answer = site.request(&subject, "POST", "/file/x", "r1").body("b").send().await;
+    assert_eq!(answer.expect("an answer").status(), 200);
+    assert_eq!((former.runs().len(), new.runs().len()), (0, 1));
+}
