--- a/crates/core/tests/route/membership.rs
+++ b/crates/core/tests/route/membership.rs
@@ -1,13 +1,12 @@
 //! Which boxes callers are sent to, and what boxes tell each other.
 
 use ravenspoke_core::route::backend::BackendChange;
-use ravenspoke_core::route::entries::{EntryWish, CHANGES_TOLD, LISTING_MS};
+use ravenspoke_core::route::entries::{EntryWish, ListingPage, CHANGES_TOLD, LISTING_MS};
 use ravenspoke_core::route::event::{RouteEffect, RouteEvent};
 use ravenspoke_core::route::peers::{
     PeerAsk, PeerCard, PeerNote, PeerSummary, BEHIND_MS, START_SETTLE_MS, START_SPREAD_MS,
     START_WAIT_MS,
 };
-use ravenspoke_core::route::readers::WAIT_AGE_MS;
 use ravenspoke_core::route::{LAPSE_MS, NAMED_AGE_MS};
 use ravenspoke_core::time::BoxTime;
 
@@ -623,6 +622,21 @@
     assert!(!subject.state.must_read(clock(&subject)));
 }
 
+#[test]
+fn an_answer_whose_page_of_replicas_left_no_room_for_the_plan_is_asked_for_again() {
+    let mut subject = box_without_the_store();
+    let mut reader = new_box("box-2");
+    reader.now = subject.now;
+    reader.read_plan(Some(plan(2)));
+    let mut note = answer(&mut reader, &subject);
+    note.entries.page = Some(ListingPage { end: 9, next: None });
+
+    let effects = subject.feed(RouteEvent::PeerHeard(Box::new(note)));
+
+    assert!(!subject.state.must_read(clock(&subject)), "the next answer may hold it");
+    assert!(ask_in(&effects).is_some());
+}
+
 #[test]
 fn a_reader_whose_plan_is_half_a_second_old_reads_without_waiting_for_news() {
     let mut subject = ready_box();
@@ -631,7 +645,7 @@
     subject.feed(RouteEvent::Tick);
     subject.read_plan(None);
 
-    subject.now += WAIT_AGE_MS;
+    subject.now += 500;
 
     assert!(subject.state.is_reader(clock(&subject)));
     assert!(!subject.state.waits_for_plan(clock(&subject)));
