--- a/crates/box/src/gateway/topic_follower.rs
+++ b/crates/box/src/gateway/topic_follower.rs
@@ -43,7 +43,7 @@
 /// must be in force within two or three seconds.
 pub const RETRY_BEHIND_MS: u64 = 500;
 
-/// Whether calls for a topic are due.
+/// Whether a box with this state has to call the store for a topic now.
 type TurnCheck = fn(&RouteState, BoxTime) -> bool;
 
 /// Reads the store for one topic, and knows whether it can be reached.
@@ -51,10 +51,11 @@
     driver: Arc<GatewayDriver>,
     store: StoreClient,
     topic: &'static str,
-    /// Whether another call may begin beside one that is late.
+    /// Whether calls are due, the first ones and those beside a late one.
     due: TurnCheck,
     /// Reads that are open, each with the offset that it began at.
     reads: OpenCalls<(u64, TopicRead)>,
+    /// When the store was lost, if it is.
     lost_at: Option<Instant>,
     /// When a call last failed or was found late, with chance for the pause after it.
     failed_at: Instant,
@@ -218,6 +219,7 @@
         tries
     }
 
+    /// Whether a pause of so long, and a part of it by chance, has passed since the last failure.
     fn pause_is_over(&self, pause_ms: u64) -> bool {
         let pause = Duration::from_millis(pause_ms).mul_f64(1.0 + self.jitter / 4.0);
         self.failed_at.elapsed() >= pause
