--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -9,6 +9,7 @@
 mod models;
 mod placement;
 mod plan;
+mod readers;
 mod requests;
 mod restarts;
 mod trials;
--- /dev/null
+++ b/crates/core/tests/route/readers.rs
@@ -0,0 +1,139 @@
+//! When a box reads the store itself: duties, what others could not tell it, and how old its plan is.
+
+use ravenspoke_core::route::entries::ListingPage;
+use ravenspoke_core::route::event::{RouteEffect, RouteEvent};
+use ravenspoke_core::route::peers::{PeerCard, PeerNote, BEHIND_MS, START_SETTLE_MS};
+
+use crate::fixture::{new_box, plan, ready_box, TestBox};
+use crate::membership::{answer, ask_in, clock, tell};
+
+/// Three other boxes speak, which callers may be sent to or not.
+fn hear_three_others(subject: &mut TestBox, open: bool) {
+    for name in ["box-2", "box-3", "box-4"] {
+        let card = PeerCard { note_address: format!("{name}:90"), open, ..PeerCard::default() };
+        let note = PeerNote { name: name.to_owned(), number: 1, card, ..PeerNote::default() };
+        subject.feed(RouteEvent::PeerHeard(Box::new(note)));
+    }
+}
+
+#[test]
+fn a_box_whose_calls_to_the_store_fail_goes_behind_the_others_in_reading_it() {
+    let mut subject = ready_box();
+    hear_three_others(&mut subject, false);
+    subject.feed(RouteEvent::Tick);
+    subject.now += START_SETTLE_MS;
+    subject.feed(RouteEvent::Tick);
+    assert!(subject.state.is_reader(clock(&subject)), "it serves, and the others do not");
+    subject.feed(RouteEvent::StoreFailed);
+    subject.feed(RouteEvent::Tick);
+    assert!(!subject.state.is_reader(clock(&subject)));
+    subject.feed(RouteEvent::StoreBack);
+    subject.feed(RouteEvent::Tick);
+    subject.now += START_SETTLE_MS;
+    subject.feed(RouteEvent::Tick);
+    let heard = subject.state.peers().live_count(clock(&subject));
+    assert!(subject.state.is_reader(clock(&subject)), "{heard} live");
+}
+
+#[test]
+fn a_reader_whose_plan_is_old_reads_without_waiting_for_news() {
+    let mut subject = ready_box();
+    subject.feed(RouteEvent::Tick);
+    subject.now += START_SETTLE_MS;
+    subject.feed(RouteEvent::Tick);
+    assert!(subject.state.is_reader(clock(&subject)));
+    assert!(!subject.state.waits_for_plan(clock(&subject)), "it has not read since its start");
+    subject.read_plan(None);
+    assert!(subject.state.waits_for_plan(clock(&subject)));
+}
+
+/// A box that lost the store, knows three that have it, and was answered by one that has read further.
+fn box_behind_without_the_store() -> TestBox {
+    let mut subject = box_without_the_store();
+    hear_bare_answer(&mut subject);
+    subject
+}
+
+/// A box that lost the store and knows three that have it.
+fn box_without_the_store() -> TestBox {
+    let mut subject = ready_box();
+    hear_three_others(&mut subject, true);
+    subject.feed(RouteEvent::StoreFailed);
+    subject.feed(RouteEvent::Tick);
+    subject
+}
+
+/// Another box answers an ask, and its answer lacks the operator's records.
+fn hear_bare_answer(subject: &mut TestBox) {
+    let mut reader = new_box("box-2");
+    reader.now = subject.now;
+    reader.read_plan(Some(plan(2)));
+    let note = answer(&mut reader, subject);
+    subject.feed(RouteEvent::PeerHeard(Box::new(note)));
+}
+
+// In a fleet of 91 boxes 40 ran requests by a plan that had been replaced, and refused others, for 20 s. The new plan was
+// too long for a datagram, so that answers of other boxes came without it and each box read it from the store. On those
+// 40 that one read failed; from then on they left the store to the boxes that answered them, which could not tell them
+// the plan: "store_lost keyed.op" at 66.5 s, "plan=14 plan_age_ms=10932" at 74.5 s, no call to the store before 86 s.
+#[test]
+fn a_box_that_is_not_told_what_others_know_reads_it_though_it_lost_the_store() {
+    let mut subject = box_behind_without_the_store();
+    assert!(!subject.state.is_reader(clock(&subject)));
+
+    subject.now += BEHIND_MS;
+
+    assert!(subject.state.must_read(clock(&subject)));
+    hear_bare_answer(&mut subject);
+    assert!(subject.state.must_read(clock(&subject)), "an answer without the plan changes nothing");
+}
+
+// 88 of 91 boxes read a plan of 1.3 MB from the store that no answer could hold. Each waited half a second for an answer that
+// holds it, and asked again meanwhile.
+#[test]
+fn a_box_that_was_answered_without_what_it_asked_for_reads_it_at_once_and_asks_no_more() {
+    let mut subject = box_without_the_store();
+    let mut reader = new_box("box-3");
+    reader.now = subject.now;
+    reader.read_plan(Some(plan(2)));
+    tell(&mut reader, &mut subject);
+    assert!(!subject.state.must_read(clock(&subject)), "an answer may hold it");
+
+    hear_bare_answer(&mut subject);
+
+    assert!(subject.state.must_read(clock(&subject)));
+    let effects = tell(&mut reader, &mut subject);
+    let asks = |effect: &RouteEffect| matches!(effect, RouteEffect::SendAsk(..));
+    assert!(!effects.iter().any(asks));
+    subject.read_plan(Some(plan(2)));
+    assert!(!subject.state.must_read(clock(&subject)));
+}
+
+#[test]
+fn an_answer_whose_page_of_replicas_left_no_room_for_the_plan_is_asked_for_again() {
+    let mut subject = box_without_the_store();
+    let mut reader = new_box("box-2");
+    reader.now = subject.now;
+    reader.read_plan(Some(plan(2)));
+    let mut note = answer(&mut reader, &subject);
+    note.entries.page = Some(ListingPage { end: 9, next: None });
+
+    let effects = subject.feed(RouteEvent::PeerHeard(Box::new(note)));
+
+    assert!(!subject.state.must_read(clock(&subject)), "the next answer may hold it");
+    assert!(ask_in(&effects).is_some());
+}
+
+#[test]
+fn a_reader_whose_plan_is_half_a_second_old_reads_without_waiting_for_news() {
+    let mut subject = ready_box();
+    subject.feed(RouteEvent::Tick);
+    subject.now += START_SETTLE_MS;
+    subject.feed(RouteEvent::Tick);
+    subject.read_plan(None);
+
+    subject.now += 500;
+
+    assert!(subject.state.is_reader(clock(&subject)));
+    assert!(!subject.state.waits_for_plan(clock(&subject)));
+}
