--- a/crates/box/tests/plans.rs
+++ b/crates/box/tests/plans.rs
@@ -66,7 +66,7 @@
 
     for subject in told {
         let took = time_until_in_force(subject, 2).await;
-        assert!(took < Duration::from_secs(6), "{took:?}, for 1.3 MB at 500 KB a second");
+        assert!(took < Duration::from_secs(6), "{took:?}, for 1.1 MB at 500 KB a second");
     }
 }
 
@@ -104,7 +104,7 @@
 
     for subject in &boxes {
         let took = time_until_in_force(subject, 2).await;
-        assert!(took < Duration::from_secs(6), "{took:?}, for 1.3 MB at 500 KB a second");
+        assert!(took < Duration::from_secs(6), "{took:?}, for 1.1 MB at 500 KB a second");
     }
 }
 
--- a/crates/core/tests/route/readers.rs
+++ b/crates/core/tests/route/readers.rs
@@ -88,7 +88,7 @@
     assert!(subject.state.must_read(clock(&subject)), "an answer without the plan changes nothing");
 }
 
-// 88 of 91 boxes read a plan of 1.3 MB from the store that no answer could hold. Each waited half a second for an answer that
+// 88 of 91 boxes read a plan of 890 KB from the store that no answer could hold. Each waited half a second for an answer that
 // holds it, and asked again meanwhile.
 #[test]
 fn a_box_that_was_answered_without_what_it_asked_for_reads_it_at_once_and_asks_no_more() {
