--- /dev/null
+++ b/crates/box/tests/evacuations.rs
@@ -0,0 +1,160 @@
+//! The operator empties availability zones: real boxes before the stand-ins of the platform.
+//!
+//! On a day on which zones were emptied, 6,222 requests of some 17,000 were sent to replicas of such zones
+//! more than five seconds after the store had confirmed the order: nobody read it.
+
+use std::path::Path;
+use std::time::Duration;
+
+use ravenspoke_standins::fleet::wait_for;
+use ravenspoke_standins::platform::replica::ReplicaStandin;
+use ravenspoke_standins::platform::site::{
+    own_address, RunningSite, OPERATOR_TOPIC, REPLICA_TOPIC, SITE_KEY, SITE_SERVICE,
+};
+use ravenspoke_standins::platform::site_box::SiteBox;
+use ravenspoke_standins::platform::store::{StoreFaults, StoreOutage};
+use serde_json::json;
+
+/// Requests that show where a box sends them: with two replicas of equal load, chance hides one of them in 2^-20.
+const ASKS: usize = 20;
+
+/// The operator's order reaches every box in touch within this: the least bound that the platform's pages give.
+const EVACUATE_WITHIN: Duration = Duration::from_millis(5_000);
+
+/// A store with a plan, and a replica in each of two zones.
+async fn two_zones() -> (RunningSite, ReplicaStandin, ReplicaStandin) {
+    let site = RunningSite::start(Path::new(env!("CARGO_BIN_EXE_ravenspoked"))).await;
+    site.write_plan(1, &[SITE_KEY]);
+    let east = start_in(&site, "i-east", "east").await;
+    let west = start_in(&site, "i-west", "west").await;
+    (site, east, west)
+}
+
+async fn start_in(site: &RunningSite, id: &str, zone: &str) -> ReplicaStandin {
+    let replica = ReplicaStandin::start(own_address(), id, 3, 1).await;
+    let mut entry = replica.entry(SITE_SERVICE, "v1", "ready");
+    entry["zone"] = json!(zone);
+    site.store.put(REPLICA_TOPIC, id, &entry);
+    replica
+}
+
+fn evacuate(site: &RunningSite, zone: &str) {
+    site.store.put(OPERATOR_TOPIC, &format!("evacuate/{zone}"), &json!({}));
+}
+
+fn withdraw(site: &RunningSite, zone: &str) {
+    site.store.drop_key(OPERATOR_TOPIC, &format!("evacuate/{zone}"));
+}
+
+/// Zones that a box takes for evacuated.
+async fn evacuated(subject: &SiteBox) -> Option<Vec<String>> {
+    let state = subject.state().await?;
+    let zones = state["evacuated"].as_array()?;
+    Some(zones.iter().filter_map(|zone| zone.as_str().map(str::to_owned)).collect())
+}
+
+async fn wait_evacuated(subject: &SiteBox, zones: &[&str]) {
+    let known = wait_for("the box knows the zones under evacuation", || async {
+        (evacuated(subject).await? == zones).then_some(())
+    });
+    tokio::time::timeout(EVACUATE_WITHIN, known).await.expect("it knows them in time");
+}
+
+async fn wait_replicas(subject: &SiteBox, count: usize) {
+    wait_for("the box knows the replicas", || async {
+        let state = subject.state().await?;
+        (state["backends"].as_array()?.len() == count).then_some(())
+    })
+    .await;
+}
+
+/// Asks often, and gives the statuses.
+async fn ask_often(site: &RunningSite, subject: &SiteBox, label: &str) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    for number in 0..ASKS {
+        let request = site.request(subject, "POST", "/read/x", &format!("{label}-{number}"));
+        let answer = request.body("b").send().await;
+        statuses.push(answer.map_or(0, |answer| answer.status().as_u16()));
+    }
+    statuses
+}
+
+#[tokio::test]
+async fn an_emptied_zone_gets_nothing_more_until_it_is_given_back() {
+    let (mut site, east, west) = two_zones().await;
+    let subject = site.start_ready("box-1").await;
+    wait_replicas(&subject, 2).await;
+
+    evacuate(&site, "east");
+    wait_evacuated(&subject, &["east"]).await;
+    let before = east.runs().len();
+    assert_eq!(ask_often(&site, &subject, "emptied").await, [200; ASKS]);
+    assert_eq!((east.runs().len() - before, west.runs().len()), (0, ASKS));
+
+    withdraw(&site, "east");
+    wait_evacuated(&subject, &[]).await;
+    assert_eq!(ask_often(&site, &subject, "back").await, [200; ASKS]);
+    assert!(east.runs().len() > before, "a zone that is given back is used");
+}
+
+#[tokio::test]
+async fn with_all_zones_emptied_callers_are_told_at_once_when_to_come_back() {
+    let (mut site, east, west) = two_zones().await;
+    let subject = site.start_ready("box-1").await;
+    wait_replicas(&subject, 2).await;
+
+    evacuate(&site, "east");
+    evacuate(&site, "west");
+    wait_evacuated(&subject, &["east", "west"]).await;
+    let asked = site.request(&subject, "POST", "/file/x", "none").body("b").send();
+    let answer = tokio::time::timeout(Duration::from_millis(500), asked).await;
+
+    let answer = answer.expect("at once").expect("an answer");
+    assert_eq!(answer.status(), 503);
+    assert!(answer.headers().contains_key("retry-after"));
+    assert_eq!((east.runs().len(), west.runs().len()), (0, 0));
+}
+
+#[tokio::test]
+async fn a_box_that_starts_and_one_without_the_store_know_what_others_read() {
+    let (mut site, east, _west) = two_zones().await;
+    let (reader, cut) = (site.start_ready("box-1").await, site.start_ready("box-2").await);
+    wait_replicas(&cut, 2).await;
+    let outage = StoreFaults {
+        outage: StoreOutage::Reset,
+        only: [cut.ip].into_iter().collect(),
+        ..StoreFaults::default()
+    };
+    site.store.set_faults(outage);
+
+    evacuate(&site, "east");
+    wait_evacuated(&reader, &["east"]).await;
+    wait_evacuated(&cut, &["east"]).await;
+    let started = site.start_ready("box-3").await;
+    wait_replicas(&started, 2).await;
+    assert_eq!(evacuated(&started).await, Some(vec!["east".to_owned()]));
+    for (label, subject) in [("cut", &cut), ("started", &started)] {
+        assert_eq!(ask_often(&site, subject, label).await, [200; ASKS]);
+    }
+    assert_eq!(east.runs().len(), 0);
+
+    withdraw(&site, "east");
+    wait_evacuated(&cut, &[]).await;
+    wait_evacuated(&started, &[]).await;
+}
+
+#[tokio::test]
+async fn an_order_outlives_the_history_of_the_store() {
+    let (mut site, east, _west) = two_zones().await;
+    let subject = site.start_ready("box-1").await;
+    wait_replicas(&subject, 2).await;
+    evacuate(&site, "east");
+    wait_evacuated(&subject, &["east"]).await;
+
+    withdraw(&site, "east");
+    evacuate(&site, "west");
+    site.store.compact(OPERATOR_TOPIC);
+    wait_evacuated(&subject, &["west"]).await;
+    assert_eq!(ask_often(&site, &subject, "compacted").await, [200; ASKS]);
+    assert_eq!(east.runs().len(), ASKS);
+}
