evacuation: nothing further is sent to the replicas of a zone that the operator empties

Change: the zones are one value, versioned by the offset up to which the operator's records were read, taken with each read, told in each note (a few bytes), and right from whoever has read further, so that a withdrawal is known without its record. Choices leave the zones out; once more as the last thing before the write, where a leaving replica is found as well. All zones of a service: 503 at once. Event 739, gauge, dump. Ways weighed for its age: word that expires against word that stands until other word comes (kept).

--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use ravenspoke_adapter::headers;
+use ravenspoke_core::event::RequestTicket;
 use ravenspoke_core::route::event::{AnswerHead, AttemptFailure, RouteAsk, RouteEvent, SendOrder};
 
 use super::answers::{plain_answer, refuse, whole_body, BrokenAnswer, CallerBody};
@@ -180,7 +181,7 @@
     resume_after: Option<&str>,
 ) -> AttemptOutcome {
     let began = Instant::now();
-    let asked = ask_replica(tools, caller, order, resume_after);
+    let asked = ask_replica(tools, caller, guard.name.ticket, order, resume_after);
     tokio::pin!(asked);
     let patience = Duration::from_millis(order.head_ms);
     let (failure, why) = loop {
@@ -222,13 +223,14 @@
 async fn ask_replica(
     tools: &GatewayTools,
     caller: &CallerRequest,
+    ticket: RequestTicket,
     order: &SendOrder,
     resume_after: Option<&str>,
 ) -> Result<ReplicaAnswer, FailedAttempt> {
     let address: SocketAddr =
         order.address.parse().map_err(|_| never("the entry has no address".to_owned()))?;
     let request = || replica_request(tools, caller, order, resume_after);
-    let (response, link) = send_request(tools, order, address, request).await?;
+    let (response, link) = send_request(tools, order, address, ticket, request).await?;
     let (head, body) = response.into_parts();
     if !headers::answers_request(&caller.headers, &head.headers) {
         return Err(broken("the answer is another request's".to_owned()));
@@ -248,6 +250,7 @@
     tools: &GatewayTools,
     order: &SendOrder,
     address: SocketAddr,
+    ticket: RequestTicket,
     request: impl Fn() -> Request<Full<Bytes>>,
 ) -> Result<(Response<Incoming>, ReplicaLink), FailedAttempt> {
     let mut link = match tools.pool.take(address, order.kind.repeatable()) {
@@ -255,6 +258,11 @@
         None => open(tools, order, address).await?,
     };
     loop {
+        // Last thing before the write: opening a connection may have taken a while.
+        if !tools.driver.state().may_write(ticket, tools.driver.now()) {
+            let why = "the replica may get nothing more since it was chosen";
+            return Err((AttemptFailure::Withdrawn, why.to_owned()));
+        }
         let error = match link.sender.try_send_request(request()).await {
             Ok(response) => return Ok((response, link)),
             Err(error) => error,
--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -15,7 +15,7 @@
 
 use super::driver::GatewayDriver;
 use super::observe;
-use super::told::take_operator;
+use super::told::take_read;
 use super::topic_follower::{TopicFollower, TopicNews, RETRY_MS};
 
 /// A reader's read waits this long for a record, in milliseconds: the price of a call against the age
@@ -45,13 +45,16 @@
         // Who is no reader reads only what there is: it has heard of more, or nobody told it anything.
         let waits = driver.state().waits_for_plan(driver.now());
         let wait_ms = if waits { READER_WAIT_MS } else { 0 };
+        let began_at = next;
         match follower.read(&mut next, wait_ms).await {
             // It was under way while another box told more.
             Some(_) if next.is_some_and(|next| next < driver.state().read_to()) => {}
             Some(news) => {
                 let asked_at = shown_at(&driver, &news);
                 // What can't be decoded may be a newer plan: nothing is renewed, all is read anew.
-                unread = !take_operator(&driver, asked_at, next.unwrap_or(0), &news.records);
+                let from = began_at.filter(|_| news.whole_to.is_none());
+                let to = next.unwrap_or(0);
+                unread = !take_read(&driver, asked_at, from, to, &news.records);
                 if unread {
                     tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
                 }
--- a/crates/box/src/gateway/note_wire/mod.rs
+++ b/crates/box/src/gateway/note_wire/mod.rs
@@ -18,8 +18,8 @@
 use ask::{read_ask, read_word, write_ask, write_word, WireAsk, WireEntryWord};
 use packed::{deflate, inflate, PackedError};
 use peer::{
-    read_budget, read_card, read_summary, write_budget, write_card, write_summary, WireBudget,
-    WireCard, WireSummary,
+    read_budget, read_card, read_evacuation, read_summary, write_budget, write_card,
+    write_evacuation, write_summary, WireBudget, WireCard, WireEvacuation, WireSummary,
 };
 use records::PackedRecords;
 use replica::{
@@ -64,6 +64,8 @@
     budgets: Vec<WireBudget>,
     #[prost(message, repeated, tag = "19")]
     paces: Vec<WirePace>,
+    #[prost(message, optional, tag = "20")]
+    evacuation: Option<WireEvacuation>,
 }
 
 /// A datagram is one of these.
@@ -156,6 +158,7 @@
         verdicts: note.verdicts.iter().map(write_verdict).collect(),
         others: note.others.clone(),
         read_age_ms: note.read_age_ms,
+        evacuation: Some(write_evacuation(&note.evacuation)),
         echo: note.echo.as_ref().map(write_ask),
         loads: note.loads.iter().map(write_load).collect(),
         leads: note.leads.iter().map(write_summary).collect(),
@@ -172,6 +175,7 @@
         card: wire.card.map(read_card).unwrap_or_default(),
         read_to: wire.read_to,
         read_age_ms: wire.read_age_ms,
+        evacuation: wire.evacuation.map(read_evacuation).unwrap_or_default(),
         echo: wire.echo.map(read_ask),
         changes: wire.changes.into_iter().map(read_change).collect(),
         trials: wire.trials.into_iter().map(read_trial).collect(),
--- a/crates/box/src/gateway/note_wire/peer.rs
+++ b/crates/box/src/gateway/note_wire/peer.rs
@@ -2,6 +2,7 @@
 
 use prost::Message;
 use ravenspoke_core::route::budget::SendCount;
+use ravenspoke_core::route::evacuation::EvacuationWord;
 use ravenspoke_core::route::peers::{BudgetNote, PeerCard, PeerSummary};
 
 #[derive(Clone, PartialEq, Message)]
@@ -42,6 +43,23 @@
     sends: u32,
 }
 
+/// Availability zones under evacuation.
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireEvacuation {
+    #[prost(uint64, tag = "1")]
+    known_to: u64,
+    #[prost(string, repeated, tag = "2")]
+    zones: Vec<String>,
+}
+
+pub(super) fn write_evacuation(word: &EvacuationWord) -> WireEvacuation {
+    WireEvacuation { known_to: word.known_to, zones: word.zones.clone() }
+}
+
+pub(super) fn read_evacuation(wire: WireEvacuation) -> EvacuationWord {
+    EvacuationWord { known_to: wire.known_to, zones: wire.zones }
+}
+
 pub(super) fn write_budget(told: &BudgetNote) -> WireBudget {
     let SendCount { requests, sends } = told.count;
     WireBudget { service: told.service.clone(), requests, sends }
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -130,6 +130,13 @@
         RouteEffect::BackendLeaving(replica) => {
             info!(event = 712, name = "backend_leaving", replica);
         }
+        RouteEffect::EvacuationMoved { order, known_to, in_hand } => {
+            let zone = order.zone.clone();
+            let evacuated = order.evacuated;
+            gauge!("ravenspoke_zone_evacuated", "zone" => zone.clone())
+                .set(f64::from(u8::from(evacuated)));
+            info!(event = 739, name = "evacuation_moved", zone, evacuated, known_to, in_hand);
+        }
         RouteEffect::TrialMoved { service, version, state, runs, bad } => {
             info!(event = 713, name = "trial_moved", service, version, ?state, runs, bad);
         }
--- a/crates/box/src/gateway/told.rs
+++ b/crates/box/src/gateway/told.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use ravenspoke_adapter::records::{read_operator, OperatorRecord};
+use ravenspoke_adapter::records::{evacuation_zone, read_operator, OperatorRecord};
 use ravenspoke_adapter::store::KeyedRecord;
+use ravenspoke_core::route::evacuation::{EvacuationRead, ZoneOrder};
 use ravenspoke_core::route::event::RouteEvent;
 use ravenspoke_core::route::peers::PeerNote;
 use ravenspoke_core::time::BoxTime;
@@ -53,9 +54,33 @@
     }
 }
 
+/// The orders to evacuate zones among records of the operator.
+pub fn zone_orders(records: &[KeyedRecord]) -> Vec<ZoneOrder> {
+    let order = |record: &KeyedRecord| {
+        let zone = evacuation_zone(&record.key)?.to_owned();
+        Some(ZoneOrder { zone, evacuated: record.value.is_some() })
+    };
+    records.iter().filter_map(order).collect()
+}
+
+/// Takes what this box read of the operator's records from `from` on, or all newest ones without it, as
+/// [`take_operator`] does.
+pub fn take_read(
+    driver: &GatewayDriver,
+    asked_at: BoxTime,
+    from: Option<u64>,
+    read_to: u64,
+    records: &[KeyedRecord],
+) -> bool {
+    let orders = zone_orders(records);
+    // Before the plan: whoever has the plan of an offset must know the zones as of it.
+    driver.feed(RouteEvent::EvacuationsRead(EvacuationRead { from, to: read_to, orders }));
+    take_operator(driver, asked_at, read_to, records)
+}
+
 /// Takes the operator's records, which are all that there was at `asked_at` up to `read_to`. Returns
 /// false if one can't be decoded: it may be a newer plan, so nothing is renewed.
-pub fn take_operator(
+fn take_operator(
     driver: &GatewayDriver,
     asked_at: BoxTime,
     read_to: u64,
@@ -96,6 +121,8 @@
     let asked_from = note.echo.as_ref().map_or(u64::MAX, |ask| ask.read_to);
     // What it told begins where this box had read to when it asked: nothing is left out.
     if let Some(as_of) = as_of.filter(|_| asked_from <= read_to && note.read_to > read_to) {
+        // The records may lack the end of an order that the teller never had; its word of the zones is whole.
+        driver.feed(RouteEvent::EvacuationsTold(note.evacuation.clone()));
         take_operator(driver, as_of, note.read_to, records);
     }
 }
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -55,6 +55,7 @@
     (736, "datagram_bytes"),
     (737, "records_untold"),
     (738, "reader_moved"),
+    (739, "evacuation_moved"),
 ];
 
 /// Logs and counts an effect, where it is worth it.
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -46,7 +46,8 @@
         self.advance_trial(stamp, ticket, out);
         let size = self.requests.get(&ticket).and_then(|request| request.size);
         let Some(choice) = self.choose(stamp, ticket, size) else {
-            self.give_up(stamp, ticket, otherwise, out);
+            let reason = self.why_none(stamp, ticket).unwrap_or(otherwise);
+            self.give_up(stamp, ticket, reason, out);
             return;
         };
         if self.turns_away(stamp, ticket, &choice.pick) {
@@ -56,6 +57,13 @@
         self.assign(stamp, ticket, choice, out);
     }
 
+    /// Why no replica may get a request, where that is known.
+    fn why_none(&self, stamp: EventStamp, ticket: RequestTicket) -> Option<RefusalReason> {
+        let service = &self.requests.get(&ticket)?.service;
+        let evacuated = self.backends.all_evacuated(service, &self.evacuated, stamp.now);
+        evacuated.then_some(RefusalReason::Evacuated)
+    }
+
     /// Whether a request that was not sent yet has no time left for what waits where it would begin soonest.
     fn turns_away(&mut self, stamp: EventStamp, ticket: RequestTicket, pick: &BackendPick) -> bool {
         let Some(request) = self.requests.get_mut(&ticket) else { return false };
@@ -262,12 +270,17 @@
         out: &mut Vec<RouteEffect>,
     ) {
         let Some(request) = self.requests.get_mut(&ticket) else { return };
-        if failure == AttemptFailure::NeverSent {
+        let unwritten = match failure {
+            AttemptFailure::NeverSent => Some(BackendDeed::Unreachable),
+            AttemptFailure::Withdrawn => Some(BackendDeed::Neither),
+            AttemptFailure::Broken | AttemptFailure::Silent => None,
+        };
+        if let Some(deed) = unwritten {
             request.free_connects += 1;
             if request.free_connects <= FREE_CONNECTS {
                 request.sends -= 1;
             }
-            self.end_attempt(stamp, ticket, BackendDeed::Unreachable);
+            self.end_attempt(stamp, ticket, deed);
             self.try_again(stamp, ticket, RefusalReason::NoReplica, out);
             return;
         }
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -45,6 +45,7 @@
             version,
             work: self.prompt_work(request, size),
             zone: &self.settings.zone,
+            evacuated: &self.evacuated,
             tried: &request.tried,
             dice: stamp.dice,
             now: stamp.now,
--- a/crates/core/src/route/dump.rs
+++ b/crates/core/src/route/dump.rs
@@ -24,6 +24,8 @@
     pub plan: &'a RoutePlan,
     /// Replicas.
     pub backends: Vec<&'a BackendState>,
+    /// Availability zones under evacuation.
+    pub evacuated: &'a [String],
     /// Other boxes, by name.
     pub peers: Vec<(&'a String, &'a PeerState)>,
     /// Trials.
@@ -42,6 +44,7 @@
             plan_age_ms: self.fresh.age_ms(now),
             plan: self.table.plan(),
             backends: self.backends.rows().map(|(_, row)| row).collect(),
+            evacuated: self.evacuated.zones(),
             peers: self.peers.rows().collect(),
             trials: self.trials.values().collect(),
             in_hand: self.requests.len(),
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -1,6 +1,7 @@
 //! What can happen to a routing box, and what it can be told to do, as data.
 
 use super::backend::BackendChange;
+use super::evacuation::{EvacuationRead, EvacuationWord, ZoneOrder};
 use super::loads::BackendLoad;
 use super::peers::{PeerAsk, PeerNote};
 use super::placement::PlacementNote;
@@ -72,6 +73,8 @@
     Broken,
     /// Nothing came for too long, and another replica is asked.
     Silent,
+    /// The replica may get nothing more since it was chosen: nothing was written.
+    Withdrawn,
 }
 
 /// An event.
@@ -88,6 +91,10 @@
         /// The plan.
         plan: Option<RoutePlan>,
     },
+    /// Orders to evacuate availability zones were read, or that there are no others.
+    EvacuationsRead(EvacuationRead),
+    /// Another box told, beside the plan, which zones are under evacuation.
+    EvacuationsTold(EvacuationWord),
     /// Orders to bring versions in were read.
     OrdersRead(Vec<TrialOrder>),
     /// All verdicts were read.
@@ -170,6 +177,8 @@
     UnknownKey,
     /// No replica may be used.
     NoReplica,
+    /// All replicas are in availability zones under evacuation.
+    Evacuated,
     /// Every replica that was asked said that it is full.
     Full,
     /// It would not begin before its deadline on any replica.
@@ -191,6 +200,7 @@
             RefusalReason::NoRoute => "no_route",
             RefusalReason::UnknownKey => "unknown_key",
             RefusalReason::NoReplica => "no_replica",
+            RefusalReason::Evacuated => "zones_evacuated",
             RefusalReason::Full => "replicas_full",
             RefusalReason::NoTime => "no_time",
             RefusalReason::Failed => "replica_failed",
@@ -326,6 +336,15 @@
     },
     /// A replica leaves or is gone.
     BackendLeaving(String),
+    /// An availability zone is under evacuation from now on, or no longer.
+    EvacuationMoved {
+        /// The order.
+        order: ZoneOrder,
+        /// Offset up to which the operator's records show it.
+        known_to: u64,
+        /// Requests in hand at replicas of the zone, which run on.
+        in_hand: usize,
+    },
     /// A trial changed its state.
     TrialMoved {
         /// Service.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -11,7 +11,7 @@
 //! [`loads`] how busy they are · [`deeds`] how well they do · [`pick`] which of them answers ·
 //! [`peers`] the other boxes · [`entries`] how far the replicas' entries are known ·
 //! [`trial`] new versions · [`tally`] what speaks against them · [`progress`] how far they have come ·
-//! [`budget`] further sends · [`sizes`] which model answers · [`start`] a box's start ·
+//! [`evacuation`] zones that get nothing · [`budget`] further sends · [`sizes`] which model answers · [`start`] a box's start ·
 //! [`placement`] what it costs to have a prompt read where, from [`backlog`], [`pace`] and [`held`] ·
 //! [`admission`] what is turned away.
 
@@ -26,6 +26,7 @@
 pub mod deeds;
 mod dump;
 pub mod entries;
+pub mod evacuation;
 pub mod event;
 pub mod fresh;
 mod gone;
@@ -56,6 +57,7 @@
 use backend::{BackendChange, BackendNews, BackendTable};
 use budget::{BudgetBounds, SendBudget};
 use entries::EntryPosition;
+use evacuation::{EvacuatedZones, ZoneOrder};
 use event::{RouteEffect, RouteEvent};
 use fresh::{FreshBounds, PlanFreshness};
 use pace::ServicePace;
@@ -117,6 +119,8 @@
     table: RouteTable,
     fresh: PlanFreshness,
     backends: BackendTable,
+    /// Availability zones whose replicas get nothing.
+    evacuated: EvacuatedZones,
     peers: PeerTable,
     trials: BTreeMap<String, VersionTrial>,
     /// When a verdict became due or was last sent to the store, by service.
@@ -168,6 +172,7 @@
             table: RouteTable::default(),
             fresh: PlanFreshness::default(),
             backends: BackendTable::default(),
+            evacuated: EvacuatedZones::default(),
             peers: PeerTable::default(),
             trials: BTreeMap::new(),
             verdict_at: BTreeMap::new(),
@@ -206,6 +211,14 @@
             RouteEvent::PlanRead { asked_at, read_to, plan } => {
                 self.on_plan_read(stamp, asked_at, read_to, plan, out);
             }
+            RouteEvent::EvacuationsRead(read) => {
+                let news = self.evacuated.take_read(read);
+                self.move_evacuations(news, out);
+            }
+            RouteEvent::EvacuationsTold(word) => {
+                let news = self.evacuated.hear(&word);
+                self.move_evacuations(news, out);
+            }
             RouteEvent::OrdersRead(orders) => self.on_orders(stamp, orders, out),
             RouteEvent::VerdictsRead { asked_at, verdicts } => {
                 self.on_verdicts(asked_at, verdicts, out);
@@ -308,6 +321,24 @@
         self.send_notes(stamp, out);
     }
 
+    /// Tells of zones that are under evacuation from now on, or no longer.
+    fn move_evacuations(&mut self, news: Vec<ZoneOrder>, out: &mut Vec<RouteEffect>) {
+        let known_to = self.evacuated.word().known_to;
+        for order in news {
+            let in_hand = self.in_hand_at(&order.zone);
+            out.push(RouteEffect::EvacuationMoved { order, known_to, in_hand });
+            // Told with the next tick: until they know, other boxes send there.
+            self.next_note = BoxTime::default();
+        }
+    }
+
+    /// Requests in hand at replicas of an availability zone.
+    fn in_hand_at(&self, zone: &str) -> usize {
+        let attempts = self.requests.values().filter_map(|request| request.attempt);
+        let rows = attempts.filter_map(|attempt| self.backends.get(attempt.replica));
+        rows.filter(|row| row.entry.zone == zone).count()
+    }
+
     fn on_backends(
         &mut self,
         stamp: EventStamp,
@@ -470,6 +501,14 @@
         self.read_to
     }
 
+    /// Whether a request may still be written to the replica that it was given to. Opening a connection takes a while; a
+    /// zone's evacuation, or a leaving mark, may have come meanwhile.
+    pub fn may_write(&self, ticket: RequestTicket, now: BoxTime) -> bool {
+        let attempt = self.requests.get(&ticket).and_then(|request| request.attempt);
+        let row = attempt.and_then(|attempt| self.backends.get(attempt.replica));
+        row.is_some_and(|row| row.usable(now) && !self.evacuated.contains(&row.entry.zone))
+    }
+
     /// The plan in force.
     pub fn plan(&self) -> &RoutePlan {
         self.table.plan()
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -77,6 +77,7 @@
             card: self.card(stamp.now),
             read_to: self.read_to,
             read_age_ms: self.fresh.age_ms(stamp.now),
+            evacuation: self.evacuated.word(),
             echo: None,
             entries: EntryWord::default(),
             changes: self.changes.iter().rev().take(NEWS_LIMIT).map(|row| row.1.clone()).collect(),
@@ -191,6 +192,8 @@
         }
         self.peers.hear_of(&note.others, &self.settings.note_address, stamp.now);
         self.peers.hear_leads(&note.leads, &self.settings.name, stamp.now);
+        let evacuations = self.evacuated.hear(&note.evacuation);
+        self.move_evacuations(evacuations, out);
         self.hear_entries(stamp, note, out);
         let paces = &self.paces;
         let mean_ms = |service: &str| paces.get(service).map_or(0.0, ServicePace::mean_ms);
--- a/crates/core/src/route/peers/mod.rs
+++ b/crates/core/src/route/peers/mod.rs
@@ -21,6 +21,7 @@
 use super::backend::BackendChange;
 use super::budget::SendCount;
 use super::entries::{EntryWish, ListingPage};
+use super::evacuation::EvacuationWord;
 use super::loads::LoadNote;
 use super::pace::PaceNote;
 use super::progress::TrialProgress;
@@ -178,6 +179,8 @@
     pub read_to: u64,
     /// How long ago that was all there was, in milliseconds; `None` if it has read nothing yet.
     pub read_age_ms: Option<u64>,
+    /// Availability zones under evacuation, as far as the sender knows.
+    pub evacuation: EvacuationWord,
     /// The ask that this note answers.
     pub echo: Option<PeerAsk>,
     /// Changes to the replicas' entries: in an answer what the ask wants, else what is news.
--- a/crates/core/src/route/pick.rs
+++ b/crates/core/src/route/pick.rs
@@ -2,6 +2,7 @@
 //! [`super::placement`], else the lightest.
 
 use super::backend::BackendTable;
+use super::evacuation::EvacuatedZones;
 use super::placement::{PromptWork, ReplicaView};
 use crate::ids::ReplicaKey;
 use crate::replica::mix;
@@ -21,6 +22,8 @@
     pub work: Option<PromptWork>,
     /// Availability zone of the box.
     pub zone: &'a str,
+    /// Availability zones whose replicas get nothing.
+    pub evacuated: &'a EvacuatedZones,
     /// Replicas that this request has been sent to.
     pub tried: &'a [ReplicaKey],
     /// A random number.
@@ -79,6 +82,7 @@
         let fits = |key: &&ReplicaKey| {
             let row = &self.rows[**key];
             row.usable(ask.now)
+                && !ask.evacuated.contains(&row.entry.zone)
                 && ask.version.takes(&row.entry.version)
                 && !ask.tried.contains(*key)
         };
@@ -105,6 +109,18 @@
         })
     }
 
+    /// Whether a service has replicas, and all of them are in zones under evacuation.
+    pub(super) fn all_evacuated(
+        &self,
+        service: &str,
+        evacuated: &EvacuatedZones,
+        now: BoxTime,
+    ) -> bool {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        let mut usable = keys.map(|key| &self.rows[*key]).filter(|row| row.usable(now)).peekable();
+        usable.peek().is_some() && usable.all(|row| evacuated.contains(&row.entry.zone))
+    }
+
     /// The lightest replica; ties go by chance, and the box's own zone counts for something.
     fn lightest(&self, pool: &[ReplicaKey], ask: &BackendAsk) -> Option<ReplicaKey> {
         let weigh = |key: &ReplicaKey| {
--- /dev/null
+++ b/crates/core/tests/route/evacuations.rs
@@ -0,0 +1,161 @@
+//! Zones that the operator empties: their replicas get nothing, by whichever way a request would come there.
+
+use ravenspoke_core::route::backend::BackendEntry;
+use ravenspoke_core::route::evacuation::{EvacuationRead, EvacuationWord, ZoneOrder};
+use ravenspoke_core::route::event::{AttemptFailure, RefusalReason, RouteEffect, RouteEvent};
+use ravenspoke_core::time::BoxTime;
+
+use crate::fixture::{
+    ask, entry, head, is_refused, new_box, note_in, order_in, plan, ready_box, refusal_in, TestBox,
+};
+
+/// A box with a replica in each of three zones.
+fn zoned_box() -> TestBox {
+    let mut subject = new_box("box-1");
+    subject.read_plan(Some(plan(1)));
+    for zone in ["east", "north", "west"] {
+        let id = format!("r-{zone}");
+        subject.put(BackendEntry { zone: zone.to_owned(), ..entry(&id, "v1") });
+    }
+    subject
+}
+
+/// The store shows these orders, as a read from `from` up to `to`.
+fn read_orders(
+    subject: &mut TestBox,
+    from: Option<u64>,
+    to: u64,
+    orders: &[(&str, bool)],
+) -> Vec<RouteEffect> {
+    let order = |(zone, evacuated): &(&str, bool)| ZoneOrder {
+        zone: (*zone).to_owned(),
+        evacuated: *evacuated,
+    };
+    let orders = orders.iter().map(order).collect();
+    subject.feed(RouteEvent::EvacuationsRead(EvacuationRead { from, to, orders }))
+}
+
+fn zones(subject: &TestBox) -> Vec<String> {
+    subject.state.dump(BoxTime::from_millis(subject.now)).evacuated.to_vec()
+}
+
+#[test]
+fn further_sends_restarts_and_resumed_streams_leave_an_emptied_zone_out() {
+    let mut subject = zoned_box();
+    let (ticket, first) = subject.sent(ask("/chat/x"));
+    let lost = first.replica_id.trim_start_matches("r-").to_owned();
+    let emptied = if lost == "east" { "north" } else { "east" };
+    read_orders(&mut subject, None, 2, &[(emptied, true)]);
+
+    subject.feed(RouteEvent::HeadCame(ticket, head(200)));
+    let resumed = subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken));
+    let next = order_in(&resumed).expect("it is resumed").replica_id;
+    assert!(next != format!("r-{emptied}") && next != first.replica_id, "{next}");
+
+    let again = subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken));
+    assert_eq!(order_in(&again), None, "the only replica left is in the emptied zone");
+}
+
+#[test]
+fn what_runs_in_an_emptied_zone_runs_on() {
+    let mut subject = zoned_box();
+    let (ticket, order) = subject.sent(ask("/file/x"));
+    let zone = order.replica_id.trim_start_matches("r-").to_owned();
+
+    let effects = read_orders(&mut subject, None, 2, &[(&zone, true)]);
+    let answered = subject.feed(RouteEvent::HeadCame(ticket, head(200)));
+
+    let moved = effects.iter().any(|effect| {
+        matches!(effect, RouteEffect::EvacuationMoved { order, in_hand: 1, .. } if order.evacuated)
+    });
+    assert!(moved, "{effects:?}");
+    assert!(matches!(answered[..], [RouteEffect::Relay(_)]), "{answered:?}");
+}
+
+#[test]
+fn a_zone_emptied_between_the_choice_and_the_write_gets_nothing_and_costs_no_attempt() {
+    for path in ["/file/x", "/read/x", "/chat/x"] {
+        let mut subject = zoned_box();
+        let (ticket, order) = subject.sent(ask(path));
+        let now = BoxTime::from_millis(subject.now);
+        assert!(subject.state.may_write(ticket, now));
+        let zone = order.replica_id.trim_start_matches("r-").to_owned();
+
+        read_orders(&mut subject, None, 2, &[(&zone, true)]);
+        assert!(!subject.state.may_write(ticket, now));
+        let effects = subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Withdrawn));
+
+        let next = order_in(&effects).expect("another replica gets it");
+        assert_ne!(next.replica_id, order.replica_id);
+        assert_eq!(next.number, 1, "nothing was written: it is still the first attempt");
+        read_orders(&mut subject, Some(2), 3, &[(&zone, false)]);
+        let rows = subject.state.backends().rows();
+        assert!(rows.into_iter().all(|(_, row)| row.failures == 0 && row.passes == 0));
+    }
+}
+
+#[test]
+fn a_replica_that_leaves_between_the_choice_and_the_write_gets_nothing() {
+    let mut subject = ready_box();
+    let (ticket, order) = subject.sent(ask("/file/x"));
+    subject.put(BackendEntry { leaving: true, ..entry(&order.replica_id, "v1") });
+    assert!(!subject.state.may_write(ticket, BoxTime::from_millis(subject.now)));
+}
+
+#[test]
+fn with_all_zones_of_a_service_emptied_a_request_ends_at_once() {
+    let mut subject = zoned_box();
+    let all = [("east", true), ("north", true), ("west", true)];
+    read_orders(&mut subject, None, 4, &all);
+    let refusal = subject.refused(ask("/file/x"));
+    assert!(is_refused(refusal, 503, RefusalReason::Evacuated), "{refusal:?}");
+    assert!(refusal.retry_after_ms.is_some());
+
+    read_orders(&mut subject, Some(4), 5, &[("north", false)]);
+    let (_, order) = subject.sent(ask("/file/x"));
+    assert_eq!(order.replica_id, "r-north");
+}
+
+#[test]
+fn what_was_sent_and_may_have_run_is_not_called_not_run() {
+    let mut subject = zoned_box();
+    let (ticket, _) = subject.sent(ask("/file/x"));
+    read_orders(&mut subject, None, 4, &[("east", true), ("north", true), ("west", true)]);
+    let effects = subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken));
+    assert_eq!(refusal_in(&effects).expect("it ends").status, 502);
+}
+
+#[test]
+fn who_has_read_further_is_right_about_all_zones() {
+    let mut subject = zoned_box();
+    read_orders(&mut subject, None, 4, &[("east", true)]);
+    let told = |known_to, zones: &[&str]| {
+        let zones = zones.iter().map(|zone| (*zone).to_owned()).collect();
+        RouteEvent::EvacuationsTold(EvacuationWord { known_to, zones })
+    };
+
+    subject.feed(told(3, &[]));
+    assert_eq!(zones(&subject), ["east"], "older word");
+    subject.feed(told(9, &["west"]));
+    assert_eq!(zones(&subject), ["west"], "east was given back meanwhile");
+    read_orders(&mut subject, Some(12), 14, &[("west", false)]);
+    assert_eq!(zones(&subject), ["west"], "records between 9 and 12 were not seen");
+    read_orders(&mut subject, Some(9), 14, &[("west", false), ("north", true)]);
+    assert_eq!(zones(&subject), ["north"]);
+    read_orders(&mut subject, None, 20, &[]);
+    assert!(zones(&subject).is_empty(), "a listing without an order withdraws it");
+}
+
+#[test]
+fn each_note_carries_the_zones_and_a_box_that_hears_it_acts_on_them() {
+    let mut teller = zoned_box();
+    let mut subject = zoned_box();
+    read_orders(&mut teller, None, 7, &[("east", true), ("north", true)]);
+    teller.feed(RouteEvent::PeersNamed(vec!["box-2:90".to_owned()]));
+    let note = note_in(&teller.feed(RouteEvent::Tick)).expect("a note");
+
+    let note = ravenspoke_core::route::peers::PeerNote { name: "box-2".to_owned(), ..note };
+    subject.feed(RouteEvent::PeerHeard(Box::new(note)));
+    let (_, order) = subject.sent(ask("/file/x"));
+    assert_eq!(order.replica_id, "r-west");
+}
--- a/crates/core/tests/route/fleet.rs
+++ b/crates/core/tests/route/fleet.rs
@@ -5,6 +5,7 @@
 
 use ravenspoke_core::event::EventStamp;
 use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
+use ravenspoke_core::route::evacuation::{EvacuationRead, ZoneOrder};
 use ravenspoke_core::route::event::{RouteEffect, RouteEvent};
 use ravenspoke_core::route::peers::{PeerNote, ASKERS_LIMIT, READERS_MIN};
 use ravenspoke_core::route::{RouteSettings, RouteState};
@@ -517,3 +518,24 @@
         assert_eq!(fleet.open(), count, "callers are sent to all again");
     }
 }
+
+/// Word of emptied zones comes to all with notes alone, each some bytes: 300 boxes, half of which can't reach the store,
+/// 3 of 100 datagrams lost.
+#[test]
+fn all_boxes_know_an_emptied_zone_and_that_it_is_back_within_two_seconds() {
+    let mut fleet = Fleet::start(300);
+    fleet.run_until(8_000);
+    for (known_to, evacuated) in [(50, true), (51, false)] {
+        let order = ZoneOrder { zone: "zone-1".to_owned(), evacuated };
+        let read = EvacuationRead { from: None, to: known_to, orders: vec![order] };
+        fleet.feed(0, RouteEvent::EvacuationsRead(read));
+        let ordered_at = fleet.now;
+        fleet.run_until(ordered_at + 2_000);
+        let now = BoxTime::from_millis(fleet.now);
+        let knows = |subject: &FleetBox| {
+            subject.state.dump(now).evacuated.iter().any(|zone| zone == "zone-1") == evacuated
+        };
+        let known = fleet.boxes.iter().filter(|subject| knows(subject)).count();
+        assert_eq!(known, 300, "evacuated {evacuated}");
+    }
+}
