warm_up: a cold replica gets from all boxes together no more than it bears

Cause: the bound `cold_per_s` was not read; a replica was cold only from where it was first inserted, by a guessed weight. Change: a box's part of the bound by the number of boxes, saved up from a level that differs by box; a replica may turn cold at any moment; a zone that is given back counts as cold until its replicas say otherwise.

--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -122,7 +122,9 @@
             trial: choice.trial,
             ..self.inputs(stamp)
         };
-        self.backends.sent(pick.key);
+        let service = self.requests.get(&ticket).map(|request| request.service.as_str());
+        let warm_up_per_s = service.and_then(|service| self.warm_up_per_s(service, stamp.now));
+        self.backends.sent(pick.key, warm_up_per_s, stamp.now);
         self.place(stamp, ticket, &pick, out);
         let Some(row) = self.backends.get(pick.key) else { return };
         let Some(request) = self.requests.get_mut(&ticket) else { return };
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -13,6 +13,7 @@
 use super::deeds::LostAnswer;
 use super::gone::GoneReplicas;
 use super::held::HeldParts;
+use super::warm_up::{ColdNeed, WarmUpPart, WarmUpPlan};
 use crate::ids::ReplicaKey;
 use crate::time::BoxTime;
 
@@ -95,8 +96,10 @@
     pub passed_until: BoxTime,
     /// Not chosen from this on: its entry vanished while the store was unsound.
     pub lapses_at: Option<BoxTime>,
-    /// Slow until this, from its start.
+    /// Cold until this.
     pub cold_until: BoxTime,
+    /// This box's part of what it bears until then.
+    pub(super) warm_up: WarmUpPart,
     /// Prompts that wait there.
     pub backlog: ReplicaBacklog,
     /// Prompts' shared parts that it holds.
@@ -108,6 +111,20 @@
 }
 
 impl BackendState {
+    /// Takes it for cold for `ms` from now on; with 0 it is warm.
+    fn cool(&mut self, ms: u64, own: u64, now: BoxTime) {
+        if self.cold_until <= now && ms > 0 {
+            self.warm_up = WarmUpPart::begin(&self.entry.id, own, now);
+        }
+        self.cold_until = now.plus_millis(ms);
+    }
+
+    /// Whether it is cold and this box has no request left for it, at `per_s` a second.
+    pub(super) fn too_cold(&self, per_s: Option<f64>, need: ColdNeed, now: BoxTime) -> bool {
+        let cold = self.cold_until > now;
+        cold && per_s.is_some_and(|per_s| !self.warm_up.allows(per_s, need, now))
+    }
+
     /// Whether it may be chosen at all.
     pub(super) fn usable(&self, now: BoxTime) -> bool {
         !self.entry.leaving && self.lapses_at.is_none_or(|at| now < at)
@@ -130,9 +147,30 @@
     /// In the order of the hashes of their ids, which is the same on every box.
     pub(super) by_service: HashMap<String, Vec<ReplicaKey>>,
     gone: GoneReplicas,
+    /// Number that tells this box apart from others.
+    own: u64,
 }
 
 impl BackendTable {
+    /// The table of a box that is told apart from others by the number `own`.
+    pub fn new(own: u64) -> Self {
+        Self { own, ..Self::default() }
+    }
+
+    /// Takes the replicas of a zone for cold, as long as the operator says of their services.
+    pub(super) fn take_for_cold(
+        &mut self,
+        zone: &str,
+        warm_up: &dyn Fn(&str) -> Option<WarmUpPlan>,
+        now: BoxTime,
+    ) {
+        for row in self.rows.values_mut().filter(|row| row.entry.zone == zone) {
+            if let Some(plan) = warm_up(&row.entry.service) {
+                row.cool(plan.lasts_ms, self.own, now);
+            }
+        }
+    }
+
     /// All replicas.
     pub fn rows(&self) -> impl Iterator<Item = (ReplicaKey, &BackendState)> {
         self.rows.iter()
@@ -240,6 +278,7 @@
         let changed = row.entry.address != entry.address || row.entry.version != entry.version;
         // A leaving mark is never taken back within one life of a replica.
         let leaving = row.entry.leaving || entry.leaving;
+        row.cool(entry.cold_ms, self.own, now);
         row.entry = BackendEntry { leaving, born, ..entry };
         match (news, changed) {
             (true, _) => BackendNews::Leaving,
@@ -266,6 +305,7 @@
         let key = self.rows.insert(BackendState {
             id_hash: backend_hash(&id),
             cold_until: now.plus_millis(entry.cold_ms),
+            warm_up: WarmUpPart::begin(&id, self.own, now),
             at,
             reported: 0,
             reported_waiting: 0,
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -11,7 +11,8 @@
 //! [`loads`] how busy they are · [`deeds`] how well they do · [`pick`] which of them answers ·
 //! [`peers`] the other boxes · [`entries`] how far the replicas' entries are known ·
 //! [`trial`] new versions · [`tally`] what speaks against them · [`progress`] how far they have come ·
-//! [`evacuation`] zones that get nothing · [`budget`] further sends · [`sizes`] which model answers · [`start`] a box's start ·
+//! [`evacuation`] zones that get nothing · [`warm_up`] replicas that are cold ·
+//! [`budget`] further sends · [`sizes`] which model answers · [`start`] a box's start ·
 //! [`placement`] what it costs to have a prompt read where, from [`backlog`], [`pace`] and [`held`] ·
 //! [`admission`] what is turned away.
 
@@ -48,6 +49,7 @@
 pub mod tally;
 pub mod trial;
 mod verdict;
+pub mod warm_up;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
@@ -168,10 +170,10 @@
     /// State of a box that has just started and knows nothing.
     pub fn new(settings: RouteSettings) -> Self {
         Self {
+            backends: BackendTable::new(settings.incarnation),
             settings,
             table: RouteTable::default(),
             fresh: PlanFreshness::default(),
-            backends: BackendTable::default(),
             evacuated: EvacuatedZones::default(),
             peers: PeerTable::default(),
             trials: BTreeMap::new(),
@@ -213,11 +215,11 @@
             }
             RouteEvent::EvacuationsRead(read) => {
                 let news = self.evacuated.take_read(read);
-                self.move_evacuations(news, out);
+                self.move_evacuations(stamp, news, out);
             }
             RouteEvent::EvacuationsTold(word) => {
                 let news = self.evacuated.hear(&word);
-                self.move_evacuations(news, out);
+                self.move_evacuations(stamp, news, out);
             }
             RouteEvent::OrdersRead(orders) => self.on_orders(stamp, orders, out),
             RouteEvent::VerdictsRead { asked_at, verdicts } => {
@@ -322,16 +324,38 @@
     }
 
     /// Tells of zones that are under evacuation from now on, or no longer.
-    fn move_evacuations(&mut self, news: Vec<ZoneOrder>, out: &mut Vec<RouteEffect>) {
+    fn move_evacuations(
+        &mut self,
+        stamp: EventStamp,
+        news: Vec<ZoneOrder>,
+        out: &mut Vec<RouteEffect>,
+    ) {
         let known_to = self.evacuated.word().known_to;
         for order in news {
             let in_hand = self.in_hand_at(&order.zone);
+            if !order.evacuated {
+                self.take_for_cold(stamp.now, &order.zone);
+            }
             out.push(RouteEffect::EvacuationMoved { order, known_to, in_hand });
             // Told with the next tick: until they know, other boxes send there.
             self.next_note = BoxTime::default();
         }
     }
 
+    /// Takes a zone's replicas for cold: what empties a zone often starts them anew, and their own word of it comes
+    /// seconds after the withdrawal.
+    fn take_for_cold(&mut self, now: BoxTime, zone: &str) {
+        let services = &self.table.plan().services;
+        let warm_up = |service: &str| services.get(service).and_then(|plan| plan.warm_up);
+        self.backends.take_for_cold(zone, &warm_up, now);
+    }
+
+    /// Requests a second that this box may send to one cold replica of a service; `None` where the operator gives no bound.
+    pub(super) fn warm_up_per_s(&self, service: &str, now: BoxTime) -> Option<f64> {
+        let warm_up = self.table.plan().services.get(service)?.warm_up?;
+        Some(warm_up.per_s / self.peers.fleet_count(now) as f64)
+    }
+
     /// Requests in hand at replicas of an availability zone.
     fn in_hand_at(&self, zone: &str) -> usize {
         let attempts = self.requests.values().filter_map(|request| request.attempt);
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -193,7 +193,7 @@
         self.peers.hear_of(&note.others, &self.settings.note_address, stamp.now);
         self.peers.hear_leads(&note.leads, &self.settings.name, stamp.now);
         let evacuations = self.evacuated.hear(&note.evacuation);
-        self.move_evacuations(evacuations, out);
+        self.move_evacuations(stamp, evacuations, out);
         self.hear_entries(stamp, note, out);
         let paces = &self.paces;
         let mean_ms = |service: &str| paces.get(service).map_or(0.0, ServicePace::mean_ms);
--- a/crates/core/src/route/pick.rs
+++ b/crates/core/src/route/pick.rs
@@ -4,6 +4,7 @@
 use super::backend::BackendTable;
 use super::evacuation::EvacuatedZones;
 use super::placement::{PromptWork, ReplicaView};
+use super::warm_up::ColdNeed;
 use crate::ids::ReplicaKey;
 use crate::replica::mix;
 use crate::time::BoxTime;
@@ -24,6 +25,8 @@
     pub zone: &'a str,
     /// Availability zones whose replicas get nothing.
     pub evacuated: &'a EvacuatedZones,
+    /// Requests a second that this box may send to one cold replica, where there is a bound.
+    pub warm_up_per_s: Option<f64>,
     /// Replicas that this request has been sent to.
     pub tried: &'a [ReplicaKey],
     /// A random number.
@@ -86,7 +89,8 @@
                 && ask.version.takes(&row.entry.version)
                 && !ask.tried.contains(*key)
         };
-        let usable: Vec<ReplicaKey> = keys.iter().filter(fits).copied().collect();
+        let fitting: Vec<ReplicaKey> = keys.iter().filter(fits).copied().collect();
+        let usable = self.without_too_cold(fitting, ask);
         let well: Vec<ReplicaKey> =
             usable.iter().copied().filter(|key| self.rows[*key].passed_until <= ask.now).collect();
         // With more than half passed over the cause is not the replicas.
@@ -109,6 +113,18 @@
         })
     }
 
+    /// Of these replicas those that are warm or may get a request all the same.
+    fn without_too_cold(&self, fitting: Vec<ReplicaKey>, ask: &BackendAsk) -> Vec<ReplicaKey> {
+        let bears =
+            |key: &ReplicaKey, need| !self.rows[*key].too_cold(ask.warm_up_per_s, need, ask.now);
+        let bearing = |need| fitting.iter().copied().filter(move |key| bears(key, need));
+        let usable: Vec<ReplicaKey> = bearing(ColdNeed::Others).collect();
+        if usable.is_empty() {
+            return bearing(ColdNeed::NoOthers).collect();
+        }
+        usable
+    }
+
     /// Whether a service has replicas, and all of them are in zones under evacuation.
     pub(super) fn all_evacuated(
         &self,
--- a/crates/core/src/route/plan.rs
+++ b/crates/core/src/route/plan.rs
@@ -7,6 +7,8 @@
 
 use serde::Serialize;
 
+use super::warm_up::WarmUpPlan;
+
 /// What may be done with a request of a route more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum RouteKind {
@@ -87,6 +89,8 @@
     pub connections: usize,
     /// Models, for a service of engines.
     pub models: Vec<ModelPlan>,
+    /// How little its replicas bear while they are cold, if that is told.
+    pub warm_up: Option<WarmUpPlan>,
 }
 
 /// A client account and its keys.
