deeds: word of a replica that could not be reached is told to other boxes

Cause: a crash takes many replicas away at once; they look idle, so each box gives each of them a request to find out. Change: a box that could not connect tells it with its next note, after 50 ms at the latest; others pass the replica over as after their own try, unless it has told its load since.

--- a/crates/box/src/gateway/note_wire/mod.rs
+++ b/crates/box/src/gateway/note_wire/mod.rs
@@ -23,8 +23,9 @@
 };
 use records::PackedRecords;
 use replica::{
-    read_change, read_load, read_pace, read_placement, write_change, write_load, write_pace,
-    write_placement, WireChange, WireLoad, WirePace, WirePlacement,
+    read_change, read_down, read_load, read_pace, read_placement, write_change, write_down,
+    write_load, write_pace, write_placement, WireChange, WireDown, WireLoad, WirePace,
+    WirePlacement,
 };
 use trial::{read_trial, read_verdict, write_trial, write_verdict, WireTrial, WireVerdict};
 
@@ -66,6 +67,8 @@
     paces: Vec<WirePace>,
     #[prost(message, optional, tag = "20")]
     evacuation: Option<WireEvacuation>,
+    #[prost(message, repeated, tag = "21")]
+    down: Vec<WireDown>,
 }
 
 /// A datagram is one of these.
@@ -163,6 +166,7 @@
         loads: note.loads.iter().map(write_load).collect(),
         leads: note.leads.iter().map(write_summary).collect(),
         entries: note.echo.as_ref().map(|_| write_word(note.entries)),
+        down: note.down.iter().map(write_down).collect(),
         budgets: note.budgets.iter().map(write_budget).collect(),
         paces: note.paces.iter().map(write_pace).collect(),
     }
@@ -184,6 +188,7 @@
         loads: wire.loads.into_iter().map(read_load).collect(),
         leads: wire.leads.into_iter().map(read_summary).collect(),
         entries: wire.entries.map(read_word).unwrap_or_default(),
+        down: wire.down.into_iter().map(read_down).collect(),
         budgets: wire.budgets.into_iter().map(read_budget).collect(),
         paces: wire.paces.into_iter().map(read_pace).collect(),
     }
--- a/crates/box/src/gateway/note_wire/replica.rs
+++ b/crates/box/src/gateway/note_wire/replica.rs
@@ -2,6 +2,7 @@
 
 use prost::Message;
 use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
+use ravenspoke_core::route::deeds::DownNote;
 use ravenspoke_core::route::loads::LoadNote;
 use ravenspoke_core::route::pace::{LearntPace, LearntTime, PaceNote};
 use ravenspoke_core::route::placement::PlacementNote;
@@ -137,6 +138,23 @@
     LoadNote { replica: told.replica, load: told.load, waiting: told.waiting, age_ms: told.age_ms }
 }
 
+/// A replica that could not be reached.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(super) struct WireDown {
+    #[prost(fixed64, tag = "1")]
+    replica: u64,
+    #[prost(uint64, tag = "2")]
+    age_ms: u64,
+}
+
+pub(super) fn write_down(told: &DownNote) -> WireDown {
+    WireDown { replica: told.replica, age_ms: told.age_ms }
+}
+
+pub(super) fn read_down(wire: WireDown) -> DownNote {
+    DownNote { replica: wire.replica, age_ms: wire.age_ms }
+}
+
 pub(super) fn write_placement(told: PlacementNote) -> WirePlacement {
     WirePlacement { replica: told.replica, shared: told.shared, work_ms: told.work_ms }
 }
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -4,7 +4,7 @@
 use super::admission::turned_away;
 use super::budget::SendCause;
 use super::choice::AttemptChoice;
-use super::deeds::BackendDeed;
+use super::deeds::{BackendDeed, DOWN_TELL_MS};
 use super::event::{AttemptFailure, DecisionInputs, RefusalReason, RouteEffect, SendOrder};
 use super::pick::BackendPick;
 use super::placement::urgency;
@@ -256,6 +256,9 @@
         if let Some(attempt) = request.attempt.take() {
             self.backends.left(attempt.replica, attempt.began);
             self.backends.ended(attempt.replica, deed, stamp.now);
+            if deed == BackendDeed::Unreachable {
+                self.next_note = self.next_note.min(stamp.now.plus_millis(DOWN_TELL_MS));
+            }
         }
     }
 
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -94,6 +94,8 @@
     pub passes: u32,
     /// Not chosen before this.
     pub passed_until: BoxTime,
+    /// When a connection to it last did not come about, here or at another box.
+    pub down_at: Option<BoxTime>,
     /// Not chosen from this on: its entry vanished while the store was unsound.
     pub lapses_at: Option<BoxTime>,
     /// Cold until this.
@@ -315,6 +317,7 @@
             failures: 0,
             passes: 0,
             passed_until: BoxTime::default(),
+            down_at: None,
             lapses_at: None,
             backlog: ReplicaBacklog::default(),
             held: HeldParts::default(),
--- a/crates/core/src/route/deeds.rs
+++ b/crates/core/src/route/deeds.rs
@@ -23,6 +23,25 @@
 /// Answers left out that are kept for each replica, at most: a version is found bad by fewer.
 const LOST_LIMIT: usize = 64;
 
+/// Word that a replica could not be reached is told to other boxes for this long, in milliseconds: two notes.
+pub const DOWN_TOLD_MS: u64 = 1_200;
+
+/// Such words in one note, at most, the newest first: some 600 bytes.
+const DOWN_TOLD: usize = 48;
+
+/// A box that could not reach a replica tells others after this at the latest, in milliseconds: each request until then may
+/// be given to it.
+pub const DOWN_TELL_MS: u64 = 50;
+
+/// Word of a replica to which no connection came about.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DownNote {
+    /// The replica, by [`super::backend::backend_hash`] of its id.
+    pub replica: u64,
+    /// How long ago that was, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// An answer that a replica left out: it broke off, or said nothing in time. Whether the replica is lost or
 /// its version bad shows later.
 #[derive(Clone, Debug)]
@@ -75,7 +94,10 @@
                 row.passes = 0;
             }
             BackendDeed::Failed => row.failures += 1,
-            BackendDeed::Unreachable => row.failures += PASS_OVER_FAILURES,
+            BackendDeed::Unreachable => {
+                row.down_at = Some(now);
+                row.failures += PASS_OVER_FAILURES;
+            }
             BackendDeed::Neither => {}
         }
         if row.failures >= PASS_OVER_FAILURES {
@@ -83,6 +105,30 @@
         }
     }
 
+    /// Takes word of another box that could not reach a replica, unless it has told its load since. A crash takes many
+    /// replicas away at once, which then look idle; each box would find each of them out by a request of its own.
+    pub(super) fn hear_down(&mut self, told: &DownNote, now: BoxTime) {
+        let Some(key) = self.hashes.get(&told.replica) else { return };
+        let row = &mut self.rows[*key];
+        let at = now.minus_millis(told.age_ms);
+        if told.age_ms < DOWN_TOLD_MS && at > row.reported_at {
+            row.down_at = row.down_at.max(Some(at));
+            row.passed_until = row.passed_until.max(at.plus_millis(PASS_OVER_FIRST_MS));
+        }
+    }
+
+    /// Replicas that could not be reached lately, as other boxes are told of them.
+    pub(super) fn down_to_tell(&self, now: BoxTime) -> Vec<DownNote> {
+        let note = |row: &BackendState| {
+            let age_ms = now.millis_since(row.down_at?);
+            (age_ms < DOWN_TOLD_MS).then_some(DownNote { replica: row.id_hash, age_ms })
+        };
+        let mut notes: Vec<DownNote> = self.rows.values().filter_map(note).collect();
+        notes.sort_by_key(|note| note.age_ms);
+        notes.truncate(DOWN_TOLD);
+        notes
+    }
+
     /// Keeps an answer that a replica left out until it shows what that means.
     pub(super) fn note_lost(&mut self, key: ReplicaKey, lost: LostAnswer) {
         let Some(row) = self.rows.get_mut(key) else { return };
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -82,6 +82,7 @@
             entries: EntryWord::default(),
             changes: self.changes.iter().rev().take(NEWS_LIMIT).map(|row| row.1.clone()).collect(),
             loads: self.backends.loads_to_tell(stamp.now),
+            down: self.backends.down_to_tell(stamp.now),
             budgets,
             paces,
             trials: trials.collect(),
@@ -200,6 +201,9 @@
         for told in &note.loads {
             self.backends.hear_load(told, &mean_ms, stamp.now);
         }
+        for told in &note.down {
+            self.backends.hear_down(told, stamp.now);
+        }
         for told in &note.paces {
             if self.backends.serves(&told.service) {
                 self.paces.entry(told.service.clone()).or_default().hear(&told.models);
--- a/crates/core/src/route/peers/mod.rs
+++ b/crates/core/src/route/peers/mod.rs
@@ -20,6 +20,7 @@
 
 use super::backend::BackendChange;
 use super::budget::SendCount;
+use super::deeds::DownNote;
 use super::entries::{EntryWish, ListingPage};
 use super::evacuation::EvacuationWord;
 use super::loads::LoadNote;
@@ -189,6 +190,8 @@
     pub entries: EntryWord,
     /// Loads of busy replicas.
     pub loads: Vec<LoadNote>,
+    /// Replicas that could not be reached.
+    pub down: Vec<DownNote>,
     /// Further sends.
     pub budgets: Vec<BudgetNote>,
     /// Paces of models.
--- a/crates/core/tests/route/loads.rs
+++ b/crates/core/tests/route/loads.rs
@@ -1,9 +1,11 @@
 //! What boxes tell each other of replicas' loads.
 
 use ravenspoke_core::route::backend::backend_hash;
-use ravenspoke_core::route::event::{AnswerHead, RouteAsk, RouteEvent};
+use ravenspoke_core::route::deeds::DOWN_TELL_MS;
+use ravenspoke_core::route::event::{AnswerHead, AttemptFailure, RouteAsk, RouteEvent};
 use ravenspoke_core::route::loads::{BackendLoad, LoadNote};
 use ravenspoke_core::route::peers::PeerNote;
+use ravenspoke_core::time::BoxTime;
 
 use crate::fixture::{ask, head, note_in, ready_box, TestBox};
 
@@ -66,3 +68,42 @@
     let note = note_in(&subject.feed(RouteEvent::Tick)).expect("a note");
     assert_eq!(note.loads, [], "it is too old to help");
 }
+
+/// A crash takes many replicas away at the same moment. They look idle, so each box would give each of them a request.
+#[test]
+fn a_replica_that_one_box_can_not_reach_is_passed_over_by_others_unless_it_has_answered_since() {
+    let mut teller = ready_box();
+    teller.feed(RouteEvent::PeersNamed(vec!["box-2:90".to_owned()]));
+    let (ticket, order) = teller.sent(ask("/read/x"));
+    teller.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::NeverSent));
+    teller.now += DOWN_TELL_MS;
+    let note = note_in(&teller.feed(RouteEvent::Tick)).expect("a note, before the next is due");
+    let note = PeerNote { name: "box-9".to_owned(), ..note };
+
+    let chosen = |subject: &mut TestBox| -> Vec<String> {
+        let mut one = || {
+            let (ticket, order) = subject.sent(ask("/read/x"));
+            subject.feed(RouteEvent::CallerLeft(ticket));
+            order.replica_id
+        };
+        (0..12).map(|_| one()).collect()
+    };
+    let mut subject = ready_box();
+    subject.feed(RouteEvent::PeerHeard(Box::new(note.clone())));
+    assert!(!chosen(&mut subject).contains(&order.replica_id));
+
+    let mut witness = ready_box();
+    while witness
+        .state
+        .backends()
+        .rows()
+        .any(|(_, row)| row.entry.id == order.replica_id && row.reported_at == BoxTime::default())
+    {
+        let (ticket, _) = witness.sent(ask("/read/x"));
+        let load = BackendLoad { running: 1, waiting: 0, slots: 4 };
+        witness.feed(RouteEvent::HeadCame(ticket, AnswerHead { load: Some(load), ..head(200) }));
+        witness.feed(RouteEvent::Finished(ticket));
+    }
+    witness.feed(RouteEvent::PeerHeard(Box::new(note)));
+    assert!(chosen(&mut witness).contains(&order.replica_id), "it has told its load since");
+}
