--- /dev/null
+++ b/crates/core/tests/route/calls.rs
@@ -0,0 +1,297 @@
+//! Plain calls before a few replicas: many boxes, each of which hears from any replica but now and then.
+//!
+//! The load pattern: 84 boxes share six replicas of six slots, an answer takes 60 ms of work, and a zone with two of the
+//! replicas is lost, or half of them. What is left would serve all calls at two thirds of its slots, but boxes that each choose the
+//! replica of which they heard the lowest load choose the same one, until others' answers say otherwise.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+
+use ravenspoke_core::event::{EventStamp, RequestTicket};
+use ravenspoke_core::ids::ReplicaKey;
+use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
+use ravenspoke_core::route::event::{AnswerHead, RouteEffect, RouteEvent};
+use ravenspoke_core::route::loads::BackendLoad;
+use ravenspoke_core::route::{RouteSettings, RouteState};
+use ravenspoke_core::time::{BoxTime, WallTime};
+
+use crate::fixture::{ask, entry, head, plan, session, settings};
+
+/// Zones of the replicas, in the order of their numbers.
+const REPLICA_ZONES: [usize; 6] = [0, 0, 1, 1, 2, 3];
+
+/// Availability zones.
+const ZONES: usize = 4;
+
+/// Calls that a replica works on at once, and that wait there at most.
+const SLOTS: usize = 6;
+const QUEUE: usize = 24;
+
+/// Mean work of a call, in milliseconds.
+const WORK_MS: f64 = 60.0;
+
+/// Calls a second.
+const RATE: f64 = 200.0;
+
+/// An answer is late after this, in milliseconds.
+const TARGET_MS: u64 = 300;
+
+/// One way between a box and a replica, or another box, in milliseconds.
+const WAY_MS: u64 = 1;
+
+/// A moment, in milliseconds.
+type Moment = u64;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Tick(usize),
+    Hear(usize, Box<RouteEvent>),
+    Arrive,
+    Reach(CallPlace),
+    Done(CallPlace),
+    Head(CallPlace, AnswerHead),
+}
+
+/// A call, and where it went.
+#[derive(Clone, Copy, Debug)]
+struct CallPlace {
+    number: usize,
+    ticket: u64,
+    replica: usize,
+    began: Moment,
+}
+
+#[derive(Default)]
+struct CallReplica {
+    running: usize,
+    waiting: VecDeque<CallPlace>,
+}
+
+/// How calls ended.
+#[derive(Clone, Copy, Debug, Default)]
+struct CallCount {
+    asked: usize,
+    late: usize,
+    refused: usize,
+}
+
+struct CallFleet {
+    boxes: Vec<RouteState>,
+    replicas: Vec<CallReplica>,
+    keys: HashMap<(usize, ReplicaKey), usize>,
+    steps: BinaryHeap<Reverse<(Moment, u64, usize)>>,
+    planned: Vec<Option<Step>>,
+    now: Moment,
+    random: u64,
+    next_arrival: f64,
+    count: CallCount,
+}
+
+impl CallFleet {
+    fn start(boxes: usize) -> Self {
+        let state = |number: usize| {
+            let zone = format!("zone-{}", number % ZONES);
+            let incarnation = session(number as u64 + 1);
+            let name = format!("box-{number}");
+            RouteState::new(RouteSettings { zone, incarnation, ..settings(&name) })
+        };
+        let mut fleet = Self {
+            boxes: (0..boxes).map(state).collect(),
+            replicas: REPLICA_ZONES.iter().map(|_| CallReplica::default()).collect(),
+            keys: HashMap::new(),
+            steps: BinaryHeap::new(),
+            planned: Vec::new(),
+            now: 1_000,
+            random: 3,
+            next_arrival: 1_000.0,
+            count: CallCount::default(),
+        };
+        let addresses: Vec<String> = (0..boxes).map(|number| format!("box-{number}:90")).collect();
+        for number in 0..boxes {
+            fleet.feed(number, RouteEvent::PeersNamed(addresses.clone()));
+            fleet.put(number);
+            let first = fleet.now + fleet.below(200);
+            fleet.plan_step(first, Step::Tick(number));
+        }
+        fleet.plan_step(1_000, Step::Arrive);
+        fleet
+    }
+
+    /// A box knows the plan and the replicas.
+    fn put(&mut self, number: usize) {
+        let asked_at = BoxTime::from_millis(self.now);
+        let mut calls = plan(1);
+        calls.routes[1].attempts = 1;
+        calls.routes[1].target_ms = TARGET_MS;
+        self.feed(number, RouteEvent::PlanRead { asked_at, read_to: 1, plan: Some(calls) });
+        for (replica, zone) in REPLICA_ZONES.iter().enumerate() {
+            let id = format!("c{replica}");
+            let zone = format!("zone-{zone}");
+            let entry = BackendEntry { zone, slots: SLOTS as u32, ..entry(&id, "v1") };
+            let change = BackendChange { id, at: 1 + replica as u64, entry: Some(entry) };
+            self.feed(number, RouteEvent::BackendsChanged(vec![change]));
+        }
+        let rows = self.boxes[number].backends().rows();
+        let numbered = rows.map(|(key, row)| (key, row.entry.id[1..].parse().expect("a number")));
+        let keys: Vec<(ReplicaKey, usize)> = numbered.collect();
+        self.keys.extend(keys.into_iter().map(|(key, replica)| ((number, key), replica)));
+    }
+
+    /// A replica is gone, and all boxes know it.
+    fn lose(&mut self, replica: usize) {
+        for number in 0..self.boxes.len() {
+            let id = format!("c{replica}");
+            let change = BackendChange { id, at: 100 + replica as u64, entry: None };
+            self.feed(number, RouteEvent::BackendsChanged(vec![change]));
+        }
+    }
+
+    fn draw(&mut self) -> f64 {
+        self.random = self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        ((self.random >> 33) as f64 + 0.5) / (1u64 << 31) as f64
+    }
+
+    fn below(&mut self, limit: u64) -> u64 {
+        (self.draw() * limit as f64) as u64
+    }
+
+    fn plan_step(&mut self, at: Moment, step: Step) {
+        self.planned.push(Some(step));
+        let row = self.planned.len() - 1;
+        self.steps.push(Reverse((at, row as u64, row)));
+    }
+
+    fn feed(&mut self, number: usize, event: RouteEvent) {
+        let dice = (self.draw() * (1u64 << 62) as f64) as u64;
+        let now = BoxTime::from_millis(self.now);
+        let stamp = EventStamp { now, wall: WallTime(0), dice };
+        for effect in self.boxes[number].apply(stamp, event) {
+            self.act(number, effect);
+        }
+    }
+
+    fn act(&mut self, number: usize, effect: RouteEffect) {
+        let later = self.now + WAY_MS;
+        match effect {
+            RouteEffect::SendNotes(targets, note) => {
+                for target in targets {
+                    let name = target.trim_end_matches(":90").trim_start_matches("box-");
+                    let to = name.parse().expect("a number");
+                    self.plan_step(
+                        later,
+                        Step::Hear(to, Box::new(RouteEvent::PeerHeard(note.clone()))),
+                    );
+                }
+            }
+            RouteEffect::Send(ticket, order) => {
+                let replica = self.keys[&(number, order.replica)];
+                let began = self.now;
+                let place = CallPlace { number, ticket: ticket.0, replica, began };
+                self.plan_step(later, Step::Reach(place));
+            }
+            RouteEffect::Refuse(..) => self.count.refused += 1,
+            _ => {}
+        }
+    }
+
+    fn run(&mut self, length: Moment) -> CallCount {
+        self.count = CallCount::default();
+        let until = self.now + length;
+        while self.steps.peek().is_some_and(|row| row.0 .0 < until) {
+            let Reverse((at, _, row)) = self.steps.pop().expect("a step");
+            self.now = at;
+            let step = self.planned[row].take().expect("each step is taken once");
+            self.take(step);
+        }
+        self.now = until;
+        self.count
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Tick(number) => {
+                let asked_at = BoxTime::from_millis(self.now);
+                let same = RouteEvent::PlanRead { asked_at, read_to: 1, plan: None };
+                self.feed(number, same);
+                self.feed(number, RouteEvent::Tick);
+                self.plan_step(self.now + 200, Step::Tick(number));
+            }
+            Step::Hear(number, event) => self.feed(number, *event),
+            Step::Arrive => {
+                self.next_arrival += -self.draw().ln() / RATE * 1_000.0;
+                self.plan_step(self.next_arrival as u64, Step::Arrive);
+                self.count.asked += 1;
+                let number = self.below(self.boxes.len() as u64) as usize;
+                let ticket = RequestTicket(self.planned.len() as u64);
+                self.feed(number, RouteEvent::Arrived(ticket, ask("/file/x")));
+            }
+            Step::Reach(place) => self.reach(place),
+            Step::Done(place) => {
+                self.replicas[place.replica].running -= 1;
+                self.answer(place, head(200));
+                if let Some(next) = self.replicas[place.replica].waiting.pop_front() {
+                    self.work(next);
+                }
+            }
+            Step::Head(place, answer) => {
+                let ticket = RequestTicket(place.ticket);
+                self.feed(place.number, RouteEvent::HeadCame(ticket, answer));
+                self.feed(place.number, RouteEvent::Finished(ticket));
+                let late = self.now - place.began > TARGET_MS;
+                self.count.late += usize::from(late && !answer.not_run);
+            }
+        }
+    }
+
+    fn reach(&mut self, place: CallPlace) {
+        let replica = &mut self.replicas[place.replica];
+        if replica.running < SLOTS {
+            self.work(place);
+        } else if replica.waiting.len() < QUEUE {
+            replica.waiting.push_back(place);
+        } else {
+            self.answer(place, AnswerHead { not_run: true, ..head(503) });
+        }
+    }
+
+    fn work(&mut self, place: CallPlace) {
+        self.replicas[place.replica].running += 1;
+        let work_ms = WORK_MS * (0.5 + self.draw());
+        self.plan_step(self.now + work_ms as u64, Step::Done(place));
+    }
+
+    fn answer(&mut self, place: CallPlace, answer: AnswerHead) {
+        let replica = &self.replicas[place.replica];
+        let (running, waiting) = (replica.running as u32, replica.waiting.len() as u32);
+        let load = Some(BackendLoad { running, waiting, slots: SLOTS as u32 });
+        self.plan_step(self.now + WAY_MS, Step::Head(place, AnswerHead { load, ..answer }));
+    }
+}
+
+/// Calls of a hundred that may be late or refused: slots are two thirds taken, so that hardly any need wait for as long as the
+/// target.
+const BAD_LIMIT: usize = 1;
+
+#[test]
+fn calls_spread_over_what_is_left_when_half_of_the_replicas_are_lost() {
+    for boxes in [9, 84, 300] {
+        let mut fleet = CallFleet::start(boxes);
+        fleet.run(4_000);
+        [0, 1, 5].into_iter().for_each(|replica| fleet.lose(replica));
+        let count = fleet.run(12_000);
+        println!("{boxes} boxes: {count:?}");
+        let bad = count.late + count.refused;
+        assert!(bad * 100 <= BAD_LIMIT * count.asked, "{boxes} boxes: {count:?}");
+    }
+}
+
+#[test]
+fn calls_are_in_time_while_all_replicas_are_there() {
+    for boxes in [9, 84, 300] {
+        let mut fleet = CallFleet::start(boxes);
+        fleet.run(2_000);
+        let count = fleet.run(12_000);
+        println!("{boxes} boxes, all there: {count:?}");
+        assert!((count.late + count.refused) * 1_000 <= count.asked, "{boxes} boxes: {count:?}");
+    }
+}
--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -1,6 +1,7 @@
 //! The rules of routing by host and prefix, each on the real reducer in virtual time.
 
 mod budget;
+mod calls;
 mod cold;
 mod evacuations;
 mod fixture;
