--- a/crates/core/tests/route/cold.rs
+++ b/crates/core/tests/route/cold.rs
@@ -6,7 +6,9 @@
 use ravenspoke_core::ids::ReplicaKey;
 use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
 use ravenspoke_core::route::evacuation::{EvacuationRead, ZoneOrder};
-use ravenspoke_core::route::event::{PromptSize, RouteAsk, RouteEffect, RouteEvent};
+use ravenspoke_core::route::event::{
+    AttemptFailure, PromptSize, RouteAsk, RouteEffect, RouteEvent,
+};
 use ravenspoke_core::route::loads::BackendLoad;
 use ravenspoke_core::route::peers::{PeerCard, PeerNote};
 use ravenspoke_core::route::plan::{RoutePlan, ServicePlan};
@@ -62,6 +64,8 @@
     random: u64,
     number: u64,
     refused: usize,
+    /// Replicas to which no connection comes about.
+    down: Vec<bool>,
     /// When the next request comes, in milliseconds.
     next_arrival: f64,
 }
@@ -80,6 +84,7 @@
             random: 5,
             number: 0,
             refused: 0,
+            down: vec![false; replicas],
             next_arrival: 0.0,
         };
         let services = [("pool".to_owned(), service())].into();
@@ -202,7 +207,13 @@
         let prompt = PromptSize { shared: 300, own: OWN_TOKENS };
         let request = RouteAsk { prompt, affinity: session(subject + 1), ..ask("/chat/x") };
         let effects = self.feed(number, RouteEvent::Arrived(RequestTicket(ticket), request));
-        let Some(order) = crate::fixture::order_in(&effects) else {
+        let mut order = crate::fixture::order_in(&effects);
+        while order.as_ref().is_some_and(|order| self.down[self.keys[number][&order.replica]]) {
+            let failed =
+                RouteEvent::AttemptFailed(RequestTicket(ticket), AttemptFailure::NeverSent);
+            order = crate::fixture::order_in(&self.feed(number, failed));
+        }
+        let Some(order) = order else {
             self.refused += 1;
             return;
         };
@@ -313,6 +324,26 @@
     }
 }
 
+/// On a day on which 62 of 140 replicas crashed and came back two seconds later, while the store answered with what was true
+/// six seconds before, a cold replica got 19 requests in a second where 18 are allowed: its entry did not say yet that it
+/// had started anew.
+#[test]
+fn replicas_that_come_back_from_a_crash_count_as_cold_before_their_entries_say_so() {
+    for (boxes, replicas) in SIZES {
+        let mut fleet = ColdFleet::start(boxes, replicas);
+        fleet.play(1.0, 2_000);
+        let crashed = |replica: usize| replica % 9 < 4;
+        (0..replicas).for_each(|replica| fleet.down[replica] = crashed(replica));
+        fleet.play(BURST, 2_000);
+        fleet.down.fill(false);
+        (0..replicas).for_each(|replica| fleet.cold_at[replica] = fleet.now);
+        fleet.play(BURST, WARM_UP.lasts_ms);
+        let fullest = fleet.fullest(crashed);
+        println!("{boxes} boxes, after a crash: {fullest}");
+        assert!(fullest <= COLD_BOUND, "{boxes} boxes: {fullest}");
+    }
+}
+
 #[test]
 fn a_replica_that_turns_cold_again_is_cold_and_one_that_says_it_is_warm_is_warm() {
     let mut subject = ready_box();
