pick: a plain call takes the lighter of two replicas, by loads that fade to the usual one

Cause: boxes that heard the same low load choose the same replica, and what was not heard of for long looks idle to all. The committed test, 200 calls a second, 300 boxes: 205 of 2,494 to 0 of 2,458.

--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -80,6 +80,8 @@
     pub at: u64,
     /// Reported running requests, and waiting ones by [`super::loads::WAITING_WEIGHT`].
     pub reported: u32,
+    /// What it usually reports, lately.
+    pub usual: f64,
     /// Reported waiting requests alone.
     pub reported_waiting: u32,
     /// When they were reported.
@@ -328,6 +330,7 @@
             warm_up: WarmUpPart::begin(&id, self.own, now),
             at,
             reported: 0,
+            usual: 0.0,
             reported_waiting: 0,
             reported_at: BoxTime::default(),
             since_report: 0,
--- a/crates/core/src/route/loads.rs
+++ b/crates/core/src/route/loads.rs
@@ -7,9 +7,16 @@
 use crate::ids::ReplicaKey;
 use crate::time::BoxTime;
 
-/// A load report fades with this half-life, in milliseconds: streams last seconds.
+/// A load report fades to the usual load with this half-life, in milliseconds: streams last seconds.
 pub const REPORT_HALF_LIFE_MS: f64 = 1_500.0;
 
+/// The usual load of a replica follows its reports with this half-life, in milliseconds: some answers of each box. What is
+/// known of a replica fades to it, not to nothing: one of which no box has heard for long would else look idle to all.
+pub const USUAL_HALF_LIFE_MS: f64 = 1_000.0;
+
+/// Part of the usual load that stays with a report, at most, however soon it follows the last one.
+const USUAL_KEPT: f64 = 0.9;
+
 /// A waiting request weighs as much as this many running ones in a replica's load. From the bench: late
 /// first events came from replicas with a queue.
 pub const WAITING_WEIGHT: u32 = 4;
@@ -66,7 +73,8 @@
     /// Estimated load as a share of its slots.
     pub fn load(&self, now: BoxTime) -> f64 {
         let age = now.millis_since(self.reported_at) as f64;
-        let faded = f64::from(self.reported) * (-age / REPORT_HALF_LIFE_MS).exp2();
+        let left = (-age / REPORT_HALF_LIFE_MS).exp2();
+        let faded = self.usual + (f64::from(self.reported) - self.usual) * left;
         let estimate = (faded + f64::from(self.since_report)).max(f64::from(self.outstanding));
         let cold = if self.cold_until > now { COLD_WEIGHT } else { 1.0 };
         estimate * cold / self.slots()
@@ -84,6 +92,9 @@
 
     /// Takes a report of its load, as of `at`.
     fn take_report(&mut self, load: u32, waiting: u32, at: BoxTime) {
+        let age_ms = at.millis_since(self.reported_at) as f64;
+        let left = (-age_ms / USUAL_HALF_LIFE_MS).exp2().min(USUAL_KEPT);
+        self.usual += (f64::from(load) - self.usual) * (1.0 - left);
         self.reported = load;
         self.reported_waiting = waiting;
         self.reported_at = at;
--- a/crates/core/src/route/pick.rs
+++ b/crates/core/src/route/pick.rs
@@ -12,6 +12,12 @@
 /// Share of slots that another availability zone's replica must be lighter to be worth its bytes.
 pub const ZONE_MARGIN: f64 = 0.25;
 
+/// Replicas of which a plain call takes the lightest. Each box hears of a replica's load now and then, and those that heard the
+/// same choose the same: where three of six replicas of six slots were left at a load of two thirds, 205 of 2,494 calls of
+/// 300 boxes were late or refused with the lightest of all; with two drawn, and loads that fade to the usual one, none of
+/// 2,458 (virtual time).
+const DRAWN: usize = 2;
+
 /// Which replicas a pick may take.
 #[derive(Clone, Copy, Debug)]
 pub struct BackendAsk<'a> {
@@ -137,7 +143,7 @@
         usable.peek().is_some() && usable.all(|row| evacuated.contains(&row.entry.zone))
     }
 
-    /// The lightest replica; ties go by chance, and the box's own zone counts for something.
+    /// The lightest of some replicas drawn by chance; the box's own zone counts for something.
     fn lightest(&self, pool: &[ReplicaKey], ask: &BackendAsk) -> Option<ReplicaKey> {
         let weigh = |key: &ReplicaKey| {
             let row = &self.rows[*key];
@@ -145,9 +151,10 @@
             row.load(ask.now) + far
         };
         let order = |key: &ReplicaKey| mix(self.rows[*key].id_hash ^ ask.dice);
-        pool.iter()
-            .copied()
-            .min_by(|a, b| weigh(a).total_cmp(&weigh(b)).then_with(|| order(a).cmp(&order(b))))
+        let mut drawn = pool.to_vec();
+        drawn.sort_by_key(order);
+        drawn.truncate(DRAWN);
+        drawn.into_iter().min_by(|a, b| weigh(a).total_cmp(&weigh(b)))
     }
 
     /// The replica where placing a prompt costs least; ties go by chance.
