--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -42,7 +42,7 @@
 pub mod plan;
 pub mod progress;
 pub mod readers;
-mod refuse;
+pub mod refuse;
 mod request;
 pub mod sizes;
 pub mod start;
