--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -1,7 +1,7 @@
 //! The attempts of a request: a replica gets it, how long it is waited for, and whether there may be
 //! another attempt when one keeps silent, fails or ends.
 
-use super::admission::turned_away;
+use super::admission::{latest_return, turned_away};
 use super::budget::SendCause;
 use super::choice::AttemptChoice;
 use super::deeds::{BackendDeed, DOWN_TELL_MS};
@@ -47,6 +47,9 @@
         let size = self.requests.get(&ticket).and_then(|request| request.size);
         let Some(choice) = self.choose(stamp, ticket, size) else {
             let reason = self.why_none(stamp, ticket).unwrap_or(otherwise);
+            if reason == RefusalReason::Evacuated {
+                self.return_late(stamp, ticket);
+            }
             self.give_up(stamp, ticket, reason, out);
             return;
         };
@@ -57,6 +60,13 @@
         self.assign(stamp, ticket, choice, out);
     }
 
+    /// A request's caller is to come back as late as it honours: sooner nothing will have changed.
+    fn return_late(&mut self, stamp: EventStamp, ticket: RequestTicket) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let left_ms = request.deadline.millis_since(stamp.now);
+        request.retry_after_ms = Some(latest_return(left_ms, stamp.dice));
+    }
+
     /// Why no replica may get a request, where that is known.
     fn why_none(&self, stamp: EventStamp, ticket: RequestTicket) -> Option<RefusalReason> {
         let service = &self.requests.get(&ticket)?.service;
--- a/crates/core/src/route/refuse.rs
+++ b/crates/core/src/route/refuse.rs
@@ -12,10 +12,6 @@
 /// they have another address.
 pub const ELSEWHERE_RETRY_MS: u64 = 100;
 
-/// Callers are told to come back after this, in milliseconds, when all replicas are in zones under evacuation: operators
-/// empty zones for seconds at least, and callers come back but once or twice. They honour it up to a third of their time.
-pub const EVACUATED_RETRY_MS: u64 = 2_000;
-
 impl RouteState {
     /// Ends a request without a replica's answer. The only place that decides what may be said.
     pub(super) fn give_up(
@@ -59,7 +55,8 @@
         | RefusalReason::TimeUp
         | RefusalReason::Failed => (503, Some(FULL_RETRY_MS)),
         RefusalReason::NoReplica => (503, Some(FULL_RETRY_MS)),
-        RefusalReason::Evacuated => (503, Some(EVACUATED_RETRY_MS)),
+        // Operators empty zones for seconds at least; the request's own time says how long its caller may wait.
+        RefusalReason::Evacuated => (503, Some(FULL_RETRY_MS)),
         RefusalReason::NoPlan | RefusalReason::Stale | RefusalReason::Stopping => {
             (503, Some(ELSEWHERE_RETRY_MS))
         }
