--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -268,7 +268,8 @@
             self.backends.ended(attempt.replica, deed, stamp.now);
             if deed == BackendDeed::Unreachable {
                 self.cool_unreached(attempt.replica);
-                self.next_note = self.next_note.min(stamp.now.plus_millis(DOWN_TELL_MS));
+                self.rounds.next_note =
+                    self.rounds.next_note.min(stamp.now.plus_millis(DOWN_TELL_MS));
             }
         }
     }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -19,6 +19,7 @@
 pub mod admission;
 mod answer;
 mod arrival;
+mod asks;
 mod attempt;
 pub mod backend;
 pub mod backlog;
@@ -51,21 +52,24 @@
 mod verdict;
 pub mod warm_up;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 
 use crate::event::{EventStamp, RequestTicket};
 use crate::ids::ReplicaKey;
 use crate::time::BoxTime;
 
+use asks::AskState;
 use backend::{BackendChange, BackendNews, BackendTable};
 use budget::{BudgetBounds, SendBudget};
 use entries::EntryPosition;
 use evacuation::{EvacuatedZones, ZoneOrder};
 use event::{RouteEffect, RouteEvent};
 use fresh::{FreshBounds, PlanFreshness};
+use news::NoteRounds;
 use pace::ServicePace;
 use peers::{OwnStanding, PeerTable};
 use plan::{RoutePlan, RouteTable};
+use readers::StoreReading;
 use request::RouteRequest;
 use sizes::SizeLifts;
 use start::BoxStart;
@@ -142,28 +146,15 @@
     read_to: u64,
     /// How far the replicas' entries are known.
     entries: EntryPosition,
-    /// News of replicas, with when it was learnt.
-    changes: VecDeque<(BoxTime, BackendChange)>,
     /// How this box was started; `None` before the first event.
     start: Option<BoxStart>,
-    /// When a call to the store last failed, if none succeeded since.
-    cut_at: Option<BoxTime>,
-    /// From when on it reads for the others, if it is one of the readers.
-    reader_at: Option<BoxTime>,
-    /// Whether it was last told to be a reader.
-    told_reader: bool,
-    next_ask: BoxTime,
-    /// When the last ask was sent, if no answer has come.
-    unanswered_at: Option<BoxTime>,
-    /// When another box last answered an ask.
-    answered_at: Option<BoxTime>,
-    /// Since when it is known that another box has read further.
-    behind_since: Option<BoxTime>,
-    /// Whether an answer to its ask for that lacked it.
-    told_too_little: bool,
-    next_behind_ask: BoxTime,
-    note_number: u64,
-    next_note: BoxTime,
+    /// Its part in reading the store for all.
+    reading: StoreReading,
+    /// What it asks of other boxes.
+    asks: AskState,
+    /// Its notes to other boxes.
+    rounds: NoteRounds,
+    /// Since when it stops.
     stopping_since: Option<BoxTime>,
 }
 
@@ -186,20 +177,11 @@
             requests: HashMap::new(),
             lapse_at: None,
             read_to: 0,
-            changes: VecDeque::new(),
             entries: EntryPosition::default(),
             start: None,
-            cut_at: None,
-            reader_at: None,
-            told_reader: false,
-            next_ask: BoxTime::default(),
-            unanswered_at: None,
-            answered_at: None,
-            behind_since: None,
-            told_too_little: false,
-            next_behind_ask: BoxTime::default(),
-            note_number: 0,
-            next_note: BoxTime::default(),
+            reading: StoreReading::default(),
+            asks: AskState::default(),
+            rounds: NoteRounds::default(),
             stopping_since: None,
         }
     }
@@ -230,7 +212,7 @@
             RouteEvent::MarksRead { asked_at, marks } => self.on_marks(stamp, asked_at, marks),
             RouteEvent::MarkTaken(mark) => {
                 self.take_mark(stamp, &mark);
-                self.next_note = BoxTime::default();
+                self.rounds.next_note = BoxTime::default();
             }
             RouteEvent::BackendsChanged(changes) => self.on_backends(stamp, changes, out),
             // Unlike an entry that vanished while the store was away, it does not come back by itself.
@@ -247,7 +229,7 @@
             }
             RouteEvent::StoreFailed | RouteEvent::StoreBack => {
                 let failed = matches!(event, RouteEvent::StoreFailed);
-                self.cut_at = failed.then_some(stamp.now);
+                self.reading.cut_at = failed.then_some(stamp.now);
                 self.lapse_at = Some(stamp.now.plus_millis(LAPSE_MS));
             }
             RouteEvent::PeerHeard(note) => self.on_note(stamp, &note, out),
@@ -267,7 +249,7 @@
             RouteEvent::CallerLeft(ticket) => self.on_caller_left(stamp, ticket),
             RouteEvent::StopAsked => {
                 self.stopping_since.get_or_insert(stamp.now);
-                self.next_note = BoxTime::default();
+                self.rounds.next_note = BoxTime::default();
                 out.push(RouteEffect::StopBegun);
                 self.on_tick(stamp, out);
             }
@@ -320,7 +302,7 @@
         let age_ms = stamp.now.millis_since(asked_at);
         out.push(RouteEffect::PlanInForce { version, routes, age_ms });
         // Others ask for it at once: it is everywhere after a few steps, and few boxes read the store.
-        self.next_note = BoxTime::default();
+        self.rounds.next_note = BoxTime::default();
         self.send_notes(stamp, out);
     }
 
@@ -339,7 +321,7 @@
             }
             out.push(RouteEffect::EvacuationMoved { order, known_to, in_hand });
             // Told with the next tick: until they know, other boxes send there.
-            self.next_note = BoxTime::default();
+            self.rounds.next_note = BoxTime::default();
         }
     }
 
@@ -430,8 +412,8 @@
     fn note_read(&mut self, read_to: u64) {
         if read_to >= self.read_to {
             self.read_to = read_to;
-            self.behind_since = None;
-            self.told_too_little = false;
+            self.asks.behind_since = None;
+            self.asks.told_too_little = false;
         }
     }
 
@@ -477,7 +459,7 @@
 
     /// Whether this box can't reach the store.
     fn is_cut(&self, now: BoxTime) -> bool {
-        self.cut_at.is_some_and(|at| now.millis_since(at) < peers::CUT_MS)
+        self.reading.cut_at.is_some_and(|at| now.millis_since(at) < peers::CUT_MS)
     }
 
     /// This box among the candidates for a duty.
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -1,6 +1,8 @@
 //! What this box tells the others, and what it takes from them: news of replicas, trials, and how fresh
 //! its knowledge is.
 
+use std::collections::VecDeque;
+
 use super::backend::{BackendChange, BackendNews};
 use super::budget::SendCount;
 use super::entries::EntryAnswer;
@@ -19,6 +21,17 @@
 /// News of replicas in one note, at most, the newest first; what a box misses it reads itself later.
 pub const NEWS_LIMIT: usize = 40;
 
+/// The notes of a box, and the news that they carry.
+#[derive(Debug, Default)]
+pub(super) struct NoteRounds {
+    /// Number of the last note.
+    pub(super) note_number: u64,
+    /// When the next round is due.
+    pub(super) next_note: BoxTime,
+    /// News of replicas, with when it was learnt.
+    pub(super) changes: VecDeque<(BoxTime, BackendChange)>,
+}
+
 impl RouteState {
     /// Tells news of a replica to other boxes, at once and for a while.
     pub(super) fn tell(
@@ -34,20 +47,20 @@
         if news == BackendNews::Leaving {
             out.push(RouteEffect::BackendLeaving(change.id.clone()));
         }
-        self.changes.retain(|(_, other)| other.id != change.id);
-        self.changes.push_back((stamp.now, change));
-        self.next_note = BoxTime::default();
+        self.rounds.changes.retain(|(_, other)| other.id != change.id);
+        self.rounds.changes.push_back((stamp.now, change));
+        self.rounds.next_note = BoxTime::default();
     }
 
     /// Sends a round of notes, if it is time for one.
     pub(super) fn send_notes(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
-        if stamp.now < self.next_note {
+        if stamp.now < self.rounds.next_note {
             return;
         }
-        self.next_note = stamp.now.plus_millis(peers::NOTE_EVERY_MS);
+        self.rounds.next_note = stamp.now.plus_millis(peers::NOTE_EVERY_MS);
         self.peers.forget(stamp.now);
         let told = |at: BoxTime| stamp.now.millis_since(at) < TELL_MS;
-        self.changes.retain(|(at, _)| told(*at));
+        self.rounds.changes.retain(|(at, _)| told(*at));
         let targets = self.peers.note_targets(&self.settings.zone, stamp.dice);
         if !targets.is_empty() {
             out.push(RouteEffect::SendNotes(targets, Box::new(self.note(stamp))));
@@ -55,8 +68,8 @@
     }
 
     fn note(&mut self, stamp: EventStamp) -> PeerNote {
-        self.note_number += 1;
-        let number = self.note_number;
+        self.rounds.note_number += 1;
+        let number = self.rounds.note_number;
         let (others, leads, paces) = if self.tells_of_others(number, stamp.now) {
             let leads = self.peers.leads(&self.standing(stamp.now), stamp.now);
             (self.peers.some_addresses(stamp.dice), leads, self.told_paces())
@@ -80,7 +93,14 @@
             evacuation: self.evacuated.word(),
             echo: None,
             entries: EntryWord::default(),
-            changes: self.changes.iter().rev().take(NEWS_LIMIT).map(|row| row.1.clone()).collect(),
+            changes: self
+                .rounds
+                .changes
+                .iter()
+                .rev()
+                .take(NEWS_LIMIT)
+                .map(|row| row.1.clone())
+                .collect(),
             loads: self.backends.loads_to_tell(stamp.now),
             down: self.backends.down_to_tell(stamp.now),
             budgets,
@@ -133,22 +153,22 @@
     /// yet asks anybody, again and again.
     pub(super) fn ask_reader(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
         let unanswered = |at: BoxTime| stamp.now.millis_since(at) >= peers::ASK_AGAIN_MS;
-        let again = !self.starts() && self.unanswered_at.is_some_and(unanswered);
-        if stamp.now < self.next_ask && !again {
+        let again = !self.starts() && self.asks.unanswered_at.is_some_and(unanswered);
+        if stamp.now < self.asks.next_ask && !again {
             return;
         }
         let (own, readers) = self.peers.readers(&self.standing(stamp.now), stamp.now);
         // A box that was started while the store is away knows no replica, reader or not.
         if own && self.knows_replicas() {
-            self.unanswered_at = None;
+            self.asks.unanswered_at = None;
             return;
         }
         let first = stamp.dice.checked_rem(readers.len() as u64).unwrap_or(0) as usize;
         let reader = readers.get(first).filter(|_| !self.starts()).cloned();
         let Some(reader) = reader.or_else(|| self.peers.any_address(stamp.dice)) else { return };
         let pause_ms = self.ask_pause_ms();
-        self.next_ask = stamp.now.plus_millis(pause_ms);
-        self.unanswered_at = Some(stamp.now);
+        self.asks.next_ask = stamp.now.plus_millis(pause_ms);
+        self.asks.unanswered_at = Some(stamp.now);
         out.push(RouteEffect::SendAsk(reader, self.ask(stamp)));
     }
 
@@ -228,8 +248,8 @@
             // replica must get nothing two seconds after the store's word.
             return self.take_backends(stamp, changes, BackendSource::Told, None, out);
         };
-        self.unanswered_at = None;
-        self.answered_at = Some(stamp.now);
+        self.asks.unanswered_at = None;
+        self.asks.answered_at = Some(stamp.now);
         let EntryWord { known_to, age_ms, page } = note.entries;
         let as_of = age_ms.map(|age| asked.asked_at.minus_millis(age));
         let Some(page) = page else {
@@ -248,14 +268,14 @@
     /// Relies on what another box read, as of when it says, if this box has read as far.
     fn hear_freshness(&mut self, stamp: EventStamp, note: &PeerNote, out: &mut Vec<RouteEffect>) {
         if note.read_to > self.read_to {
-            self.behind_since.get_or_insert(stamp.now);
+            self.asks.behind_since.get_or_insert(stamp.now);
             // An answer holds what was asked for, unless that is too long, alone or beside a page of replicas. Without
             // one, asking again gives the same.
             let answers = own_ask(note, self.settings.incarnation, stamp.now)
                 .is_some_and(|ask| ask.read_to == self.read_to);
-            self.told_too_little |= answers && note.entries.page.is_none();
-            if stamp.now >= self.next_behind_ask && !self.told_too_little {
-                self.next_behind_ask = stamp.now.plus_millis(peers::ASK_AGAIN_MS);
+            self.asks.told_too_little |= answers && note.entries.page.is_none();
+            if stamp.now >= self.asks.next_behind_ask && !self.asks.told_too_little {
+                self.asks.next_behind_ask = stamp.now.plus_millis(peers::ASK_AGAIN_MS);
                 out.push(RouteEffect::SendAsk(note.card.note_address.clone(), self.ask(stamp)));
             }
             return;
--- a/crates/core/src/route/readers.rs
+++ b/crates/core/src/route/readers.rs
@@ -19,6 +19,17 @@
 /// milliseconds: what a reader's own knowledge may be old, and two asks.
 pub const OWN_ENTRIES_MS: u64 = 4_000;
 
+/// A box's part in reading the store for all.
+#[derive(Debug, Default)]
+pub(super) struct StoreReading {
+    /// When a call to the store last failed, if none succeeded since.
+    pub(super) cut_at: Option<BoxTime>,
+    /// From when on it reads for the others, if it is one of the readers.
+    pub(super) reader_at: Option<BoxTime>,
+    /// Whether it was last told to be a reader.
+    pub(super) told_reader: bool,
+}
+
 impl RouteState {
     /// Whether this box must read the operator's records itself: it is a reader, or no other box has
     /// told it lately that what it knows is fresh, or has told it what is new.
@@ -33,12 +44,13 @@
     /// plan of 890 KB 20 s late (one day played).
     pub fn is_behind(&self, now: BoxTime) -> bool {
         let long = |at: BoxTime| now.millis_since(at) >= peers::BEHIND_MS;
-        self.told_too_little || self.behind_since.is_some_and(long)
+        self.asks.told_too_little || self.asks.behind_since.is_some_and(long)
     }
 
     /// Whether this box lost the store and others, who answer it, find out when it is back.
     pub(super) fn leaves_tries_to_others(&self, now: BoxTime) -> bool {
-        let answered = self.answered_at.is_some_and(|at| now.millis_since(at) < peers::ANSWERED_MS);
+        let answered =
+            self.asks.answered_at.is_some_and(|at| now.millis_since(at) < peers::ANSWERED_MS);
         self.is_cut(now) && answered
     }
 
@@ -77,35 +89,35 @@
 
     /// Whether this box is one of those that read the store often.
     pub fn is_reader(&self, now: BoxTime) -> bool {
-        self.reader_at.is_some_and(|at| now >= at)
+        self.reading.reader_at.is_some_and(|at| now >= at)
     }
 
     /// Who has started and read the store since nobody told it anything reads on at once, if it finds itself a
     /// reader: boxes that started with it learn from it what comes next, such as an order to bring a version in.
     pub(super) fn read_on(&mut self, now: BoxTime) {
         if self.settling(now) && self.peers.readers(&self.standing(now), now).0 {
-            self.reader_at = Some(now);
+            self.reading.reader_at = Some(now);
         }
     }
 
     /// Notes from when on this box is one of the readers.
     pub(super) fn settle_reader(&mut self, now: BoxTime) {
         if !self.peers.readers(&self.standing(now), now).0 {
-            self.reader_at = None;
+            self.reading.reader_at = None;
             return;
         }
         let settle_ms =
             if self.started_lately(now) { peers::START_SETTLE_MS } else { peers::READER_SETTLE_MS };
-        self.reader_at.get_or_insert(now.plus_millis(settle_ms));
+        self.reading.reader_at.get_or_insert(now.plus_millis(settle_ms));
     }
 
     /// Tells when this box becomes a reader, or is none any more.
     pub(super) fn note_reader(&mut self, now: BoxTime, out: &mut Vec<RouteEffect>) {
         let reads = self.is_reader(now);
-        if reads == self.told_reader {
+        if reads == self.reading.told_reader {
             return;
         }
-        self.told_reader = reads;
+        self.reading.told_reader = reads;
         let (cut, plan_age_ms) = (self.is_cut(now), self.fresh.age_ms(now));
         out.push(RouteEffect::ReaderMoved { reads, cut, plan_age_ms });
     }
--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -87,7 +87,7 @@
             trial.state = verdict.state;
             out.push(moved(trial));
             // Told with the next tick: until they know, other boxes give sessions to other versions.
-            self.next_note = BoxTime::default();
+            self.rounds.next_note = BoxTime::default();
         }
     }
 
