--- a/crates/box/tests/evacuations.rs
+++ b/crates/box/tests/evacuations.rs
@@ -9,7 +9,7 @@
 use ravenspoke_standins::fleet::wait_for;
 use ravenspoke_standins::platform::replica::ReplicaStandin;
 use ravenspoke_standins::platform::site::{
-    own_address, RunningSite, OPERATOR_TOPIC, REPLICA_TOPIC, SITE_KEY, SITE_SERVICE,
+    evacuation_key, own_address, RunningSite, OPERATOR_TOPIC, REPLICA_TOPIC, SITE_KEY, SITE_SERVICE,
 };
 use ravenspoke_standins::platform::site_box::SiteBox;
 use ravenspoke_standins::platform::store::{StoreFaults, StoreOutage};
@@ -39,11 +39,11 @@
 }
 
 fn evacuate(site: &RunningSite, zone: &str) {
-    site.store.put(OPERATOR_TOPIC, &format!("evacuate/{zone}"), &json!({}));
+    site.store.put(OPERATOR_TOPIC, &evacuation_key(zone), &json!({}));
 }
 
 fn withdraw(site: &RunningSite, zone: &str) {
-    site.store.drop_key(OPERATOR_TOPIC, &format!("evacuate/{zone}"));
+    site.store.drop_key(OPERATOR_TOPIC, &evacuation_key(zone));
 }
 
 /// Zones that a box takes for evacuated.
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -20,6 +20,11 @@
 /// Topic of the operator's records.
 pub const OPERATOR_TOPIC: &str = "keyed.op";
 
+/// Key of the order to empty a zone.
+pub fn evacuation_key(zone: &str) -> String {
+    format!("evacuate/{zone}")
+}
+
 /// Topic of what the boxes report to the operator.
 pub const STATUS_TOPIC: &str = "keyed.status";
 
@@ -57,6 +62,8 @@
     pub store_path: Option<SocketAddr>,
     /// A seed that is no address, for boxes started from now on, as TOML.
     pub bad_seed: Option<String>,
+    /// What the plan says of cold replicas: for how many seconds they are cold, and what they bear a second.
+    pub warm_up: Option<(f64, f64)>,
     binary: PathBuf,
     folder: PathBuf,
     seeds: Vec<IpAddr>,
@@ -75,6 +82,7 @@
             descriptors: DESCRIPTORS,
             store_path: None,
             bad_seed: None,
+            warm_up: None,
             binary: binary.to_owned(),
             folder,
             seeds: Vec::new(),
@@ -107,10 +115,14 @@
         routes.extend(
             (1..=more).map(|number| route(&format!("{:016x}", mixed(number)), "idempotent", 3)),
         );
+        let (cold_start_s, cold_per_s) = self.warm_up.unwrap_or_default();
         let plan = json!({
             "version": version,
             "routes": routes,
-            "services": [{ "name": SITE_SERVICE, "max_connections": 100, "unknown_field": 1 }],
+            "services": [{
+                "name": SITE_SERVICE, "max_connections": 100, "unknown_field": 1,
+                "cold_start_s": cold_start_s, "cold_per_s": cold_per_s,
+            }],
             "tenants": [{ "name": "alpha", "api_keys": keys }],
             "limits": { "max_body_bytes": 100_000, "max_header_bytes": 8_192 },
         });
--- a/crates/standins/src/soak/inflict.rs
+++ b/crates/standins/src/soak/inflict.rs
@@ -3,16 +3,17 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use serde_json::json;
 use tokio::time::sleep;
 
-use super::judge::LeftReplica;
+use super::judge::{EmptiedSpan, LeftReplica};
 use super::proxy::{FaultProxy, ProxyFault};
 use super::schedule::{SoakFault, TimedFault};
 use super::sessions::OLD_VERSION;
-use super::site::{start_replica, SoakSite};
+use super::site::{start_replica, ReplicaPlace, SoakSite, COLD_MS, FIRST_ZONE, OTHER_ZONE};
 use super::witness::PlayedFault;
 use crate::platform::replica::ReplicaMode;
-use crate::platform::site::{OPERATOR_TOPIC, REPLICA_TOPIC, SITE_SERVICE};
+use crate::platform::site::{evacuation_key, OPERATOR_TOPIC, REPLICA_TOPIC, SITE_SERVICE};
 use crate::platform::store::{StoreFaults, StoreOutage};
 
 /// Time that a slow store takes, in milliseconds. A choice.
@@ -47,7 +48,9 @@
             disturb(&site.replica_paths[number], fault, row).await;
         }
         SoakFault::Replica(number, mode) => site.disturb_replica(number, mode, row.length).await,
-        SoakFault::ReplicaLeaves => site.let_replica_leave(row).await,
+        SoakFault::ReplicaLeaves => site.let_replica_leave(row, 0).await,
+        SoakFault::ReplicaCold => site.let_replica_leave(row, COLD_MS).await,
+        SoakFault::ZoneEmptied => site.empty_zone(row.length).await,
         SoakFault::KeyTaken => {
             site.witness.note_key_taken();
             site.write_plan().await;
@@ -150,15 +153,34 @@
         self.replicas[number].set_mode(ReplicaMode::Well);
     }
 
+    /// The operator empties the first replica's zone, and gives it back.
+    async fn empty_zone(&self, length: Duration) {
+        let key = evacuation_key(FIRST_ZONE);
+        self.site.lock().await.store.put(OPERATOR_TOPIC, &key, &json!({}));
+        let ordered_at = Instant::now();
+        sleep(length).await;
+        let withdrawn_at = Instant::now();
+        self.site.lock().await.store.drop_key(OPERATOR_TOPIC, &key);
+        self.emptied.lock().await.push(EmptiedSpan { ordered_at, withdrawn_at });
+    }
+
     /// A replica comes, says that it leaves after the fault's length, and then its entry is gone. It
     /// lives on to the end of the run.
-    async fn let_replica_leave(&self, row: TimedFault) {
+    async fn let_replica_leave(&self, row: TimedFault, cold_ms: u64) {
         let id = format!("i-{}", row.at.as_micros());
-        let (replica, path) = start_replica(&*self.site.lock().await, &id, OLD_VERSION).await;
+        let came_at = Instant::now();
+        let place = ReplicaPlace { zone: OTHER_ZONE, cold_ms };
+        let (replica, path) =
+            start_replica(&*self.site.lock().await, &id, OLD_VERSION, place).await;
         sleep(row.length).await;
         let entry = replica.behind(path.address).entry(SITE_SERVICE, OLD_VERSION, "draining");
         self.site.lock().await.store.put(REPLICA_TOPIC, &id, &entry);
-        self.left.lock().await.push(LeftReplica { replica, marked_at: Instant::now() });
+        self.left.lock().await.push(LeftReplica {
+            replica,
+            came_at,
+            cold_ms,
+            marked_at: Instant::now(),
+        });
         self.left_paths.lock().await.push(path);
         sleep(MARK_STANDS).await;
         self.site.lock().await.store.drop_key(REPLICA_TOPIC, &id);
--- a/crates/standins/src/soak/judge.rs
+++ b/crates/standins/src/soak/judge.rs
@@ -6,6 +6,7 @@
 use super::callers::DEADLINE_MS;
 use super::schedule::SoakFault;
 use super::sessions::{check_sessions, PlayedRollout};
+use super::site::COLD_PER_S;
 use super::witness::{AskEnd, AskKind, AskRecord, PlayedFault, SoakWitness};
 use crate::platform::replica::{ReplicaRun, ReplicaStandin};
 
@@ -18,6 +19,13 @@
 /// A box that was disturbed counts as in touch again after this: the platform's bound.
 pub(super) const CONTACT: Duration = Duration::from_millis(3_000);
 
+/// An emptied zone gets nothing this long after the store's word: the platform's bound.
+const EVACUATE: Duration = Duration::from_millis(5_000);
+
+/// Beyond [`COLD_PER_S`] by these a cold replica falls over: the platform's bound.
+const COLD_OVER: f64 = 1.5;
+const COLD_SLACK: f64 = 5.0;
+
 /// Allowed beyond a bound: the machine has other work, and records are made a little late.
 const SLACK: Duration = Duration::from_millis(400);
 
@@ -28,10 +36,23 @@
 pub struct LeftReplica {
     /// The replica.
     pub replica: ReplicaStandin,
+    /// When it came.
+    pub came_at: Instant,
+    /// For how long it was cold then, in milliseconds.
+    pub cold_ms: u64,
     /// When the store had its mark.
     pub marked_at: Instant,
 }
 
+/// A span in which the first replica's zone was emptied.
+#[derive(Clone, Copy, Debug)]
+pub struct EmptiedSpan {
+    /// When the store had the order.
+    pub ordered_at: Instant,
+    /// When it was withdrawn.
+    pub withdrawn_at: Instant,
+}
+
 /// Everything that a run is judged by.
 pub struct SoakRecord<'a> {
     /// Callers' records and faults.
@@ -42,6 +63,8 @@
     pub new_replicas: &'a [ReplicaStandin],
     /// The order to bring it in.
     pub rollout: &'a PlayedRollout,
+    /// Spans in which the zone of the first of them was emptied.
+    pub emptied: &'a [EmptiedSpan],
     /// Replicas that left.
     pub left: &'a [LeftReplica],
     /// Address of each box.
@@ -65,6 +88,8 @@
     }
     broken.extend(check_key(record, &asks, &runs));
     broken.extend(check_leaving(record, &faults));
+    broken.extend(check_emptied(record, &faults));
+    broken.extend(check_cold(record));
     broken.extend(check_sessions(record, &asks, &faults));
     broken
 }
@@ -174,6 +199,45 @@
     broken
 }
 
+/// An emptied zone gets nothing from boxes in touch after the bound, until it is given back.
+fn check_emptied(record: &SoakRecord, faults: &[PlayedFault]) -> Vec<BrokenPromise> {
+    let mut broken = Vec::new();
+    for (span, run) in record.emptied.iter().flat_map(|span| {
+        let runs = record.replicas[0].runs();
+        runs.into_iter().map(move |run| (span, run))
+    }) {
+        let late = run.at > span.ordered_at + EVACUATE + SLACK && run.at < span.withdrawn_at;
+        let disturbed = faults
+            .iter()
+            .any(|row| disturbs_touch(row.fault) && row.meets(span.ordered_at, run.at, CONTACT));
+        if late && !disturbed {
+            let after = run.at - span.ordered_at;
+            broken.push(format!("a replica in an emptied zone ran {} after {after:?}", run.id));
+        }
+    }
+    broken
+}
+
+/// A cold replica gets from all boxes together no more than it bears.
+fn check_cold(record: &SoakRecord) -> Vec<BrokenPromise> {
+    let bound = (COLD_PER_S * COLD_OVER + COLD_SLACK) as usize;
+    let mut broken = Vec::new();
+    for left in record.left.iter().filter(|left| left.cold_ms > 0) {
+        let until = left.came_at + Duration::from_millis(left.cold_ms);
+        let times: Vec<Instant> = left.replica.runs().iter().map(|run| run.at).collect();
+        let cold = |at: &&Instant| **at < until;
+        let second = Duration::from_secs(1);
+        let within = |at: &Instant| {
+            times.iter().filter(cold).filter(|other| (*at..*at + second).contains(*other)).count()
+        };
+        let fullest = times.iter().map(within).max().unwrap_or(0);
+        if fullest > bound {
+            broken.push(format!("cold {} ran {fullest} requests in a second", left.replica.id));
+        }
+    }
+    broken
+}
+
 /// Whether a fault takes a box or the store out of touch.
 fn disturbs_touch(fault: SoakFault) -> bool {
     match fault {
@@ -181,6 +245,8 @@
         | SoakFault::Replica(..)
         | SoakFault::ReplicaPath(..)
         | SoakFault::ReplicaLeaves
+        | SoakFault::ReplicaCold
+        | SoakFault::ZoneEmptied
         | SoakFault::KeyTaken
         | SoakFault::PlanChanged => false,
         SoakFault::BoxKilled(_)
--- a/crates/standins/src/soak/play.rs
+++ b/crates/standins/src/soak/play.rs
@@ -63,11 +63,13 @@
 async fn report(site: &SoakSite, faults: &[TimedFault]) -> SoakReport {
     let mut broken = check_recovery(site).await;
     let left = site.left.lock().await;
+    let emptied = site.emptied.lock().await;
     broken.extend(judge(&SoakRecord {
         witness: &site.witness,
         replicas: &site.replicas,
         new_replicas: &site.new_replicas,
         left: &left,
+        emptied: &emptied,
         boxes: &site.addresses,
         rollout: &site.rollout().await,
     }));
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -52,6 +52,12 @@
 /// Part of the runs in which all boxes are killed at once. A choice: often enough among fifty seeds.
 const ALL_KILLED_PART: f64 = 0.25;
 
+/// Part of the runs in which a zone is emptied, and in which a cold replica comes. A choice.
+const ZONE_EMPTIED_PART: f64 = 0.4;
+
+/// A zone is emptied for this long, in milliseconds: longer than the platform allows until all boxes act on it.
+const ZONE_EMPTIED_MS: (u64, u64) = (5_500, 9_000);
+
 /// What is done to the site.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SoakFault {
@@ -81,6 +87,10 @@
     ReplicaPath(usize, ProxyFault),
     /// A replica is added that says that it leaves, and does when the fault is over.
     ReplicaLeaves,
+    /// The zone of the first replica is emptied, and given back when the fault is over.
+    ZoneEmptied,
+    /// A cold replica is added, which leaves when the fault is over.
+    ReplicaCold,
     /// A key is taken away for good.
     KeyTaken,
     /// The plan changes.
@@ -121,6 +131,13 @@
     if dice.gen_bool(ALL_KILLED_PART) {
         faults.push(TimedFault { fault: SoakFault::BoxesKilled, ..draw(&mut dice) });
     }
+    if dice.gen_bool(ZONE_EMPTIED_PART) {
+        let length = Duration::from_millis(dice.gen_range(ZONE_EMPTIED_MS.0..ZONE_EMPTIED_MS.1));
+        faults.push(TimedFault { fault: SoakFault::ZoneEmptied, length, ..draw(&mut dice) });
+    }
+    if dice.gen_bool(ZONE_EMPTIED_PART) {
+        faults.push(TimedFault { fault: SoakFault::ReplicaCold, ..draw(&mut dice) });
+    }
     // A box at a time is down, or paused: callers have two others.
     let mut down_until = Duration::ZERO;
     faults.sort_by_key(|row| row.at);
--- a/crates/standins/src/soak/sessions.rs
+++ b/crates/standins/src/soak/sessions.rs
@@ -124,6 +124,8 @@
         | SoakFault::Replica(..)
         | SoakFault::ReplicaPath(..)
         | SoakFault::ReplicaLeaves
+        | SoakFault::ReplicaCold
+        | SoakFault::ZoneEmptied
         | SoakFault::KeyTaken
         | SoakFault::PlanChanged => false,
     }
--- a/crates/standins/src/soak/site.rs
+++ b/crates/standins/src/soak/site.rs
@@ -6,10 +6,11 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use serde_json::json;
 use tokio::sync::Mutex;
 
 use super::callers::{resolve, SECOND_KEY};
-use super::judge::LeftReplica;
+use super::judge::{EmptiedSpan, LeftReplica};
 use super::proxy::FaultProxy;
 use super::schedule::{BOXES, REPLICAS};
 use super::sessions::{order, PlayedRollout, NEW_REPLICAS, NEW_VERSION, OLD_VERSION};
@@ -32,6 +33,25 @@
 /// Numbers between two plans' versions: versions need not follow each other.
 const VERSION_STEP: u64 = 7;
 
+/// Zone of the first replica, which a fault may empty.
+pub(super) const FIRST_ZONE: &str = "west";
+
+/// Zone of all others.
+pub(super) const OTHER_ZONE: &str = "east";
+
+/// Requests a second that a cold replica bears, as the plan says. A choice: a tenth of what callers send.
+pub(super) const COLD_PER_S: f64 = 20.0;
+
+/// A replica that comes cold is so for this long, in milliseconds.
+pub(super) const COLD_MS: u64 = 2_000;
+
+/// Where a replica is, and for how long it is cold, in milliseconds.
+#[derive(Clone, Copy)]
+pub(super) struct ReplicaPlace {
+    pub(super) zone: &'static str,
+    pub(super) cold_ms: u64,
+}
+
 /// The whole stream of a replica.
 pub fn whole_stream() -> String {
     (1..=EVENTS).map(|number| format!("id: {number}\ndata: piece {number}\n\n")).collect()
@@ -59,6 +79,8 @@
     pub(super) replica_paths: Vec<FaultProxy>,
     /// Replicas that left.
     pub(super) left: Mutex<Vec<LeftReplica>>,
+    /// Spans in which the first replica's zone was emptied.
+    pub(super) emptied: Mutex<Vec<EmptiedSpan>>,
     /// The ways to them: what still comes would be seen.
     pub(super) left_paths: Mutex<Vec<FaultProxy>>,
     /// What the store does wrong now.
@@ -72,6 +94,7 @@
     /// Starts a site and waits until every box names all.
     pub(super) async fn start(binary: &Path) -> Self {
         let mut site = RunningSite::start(binary).await;
+        site.warm_up = Some((COLD_MS as f64 / 1_000.0, COLD_PER_S));
         site.write_plan(1, &[SITE_KEY, SECOND_KEY]);
         let (replicas, replica_paths) = start_replicas(&site, "i", OLD_VERSION, REPLICAS).await;
         let (boxes, store_paths) = start_boxes(&mut site).await;
@@ -96,6 +119,7 @@
             store_paths,
             replica_paths,
             left: Mutex::default(),
+            emptied: Mutex::default(),
             left_paths: Mutex::default(),
             store_faults: Mutex::default(),
             plan_version: AtomicU64::new(1),
@@ -127,7 +151,11 @@
 ) -> (Vec<ReplicaStandin>, Vec<FaultProxy>) {
     let (mut replicas, mut paths) = (Vec::new(), Vec::new());
     for number in 0..count {
-        let (replica, path) = start_replica(site, &format!("{prefix}-{number}"), version).await;
+        let first = number == 0 && version == OLD_VERSION;
+        let zone = if first { FIRST_ZONE } else { OTHER_ZONE };
+        let place = ReplicaPlace { zone, cold_ms: 0 };
+        let id = format!("{prefix}-{number}");
+        let (replica, path) = start_replica(site, &id, version, place).await;
         replicas.push(replica);
         paths.push(path);
     }
@@ -151,10 +179,14 @@
     site: &RunningSite,
     id: &str,
     version: &str,
+    place: ReplicaPlace,
 ) -> (ReplicaStandin, FaultProxy) {
     let replica = ReplicaStandin::start(own_address(), id, EVENTS, GAP_MS).await;
     let path = FaultProxy::start(replica.address.ip(), replica.address).await;
     let reached = replica.behind(path.address);
-    site.store.put(REPLICA_TOPIC, id, &reached.entry(SITE_SERVICE, version, "ready"));
+    let mut entry = reached.entry(SITE_SERVICE, version, "ready");
+    entry["zone"] = json!(place.zone);
+    entry["cold_remaining_ms"] = json!(place.cold_ms);
+    site.store.put(REPLICA_TOPIC, id, &entry);
     (replica, path)
 }
