--- a/crates/core/src/route/arrival.rs
+++ b/crates/core/src/route/arrival.rs
@@ -1,10 +1,9 @@
 //! A request arrives: the route that takes it, whether its key is known, and its first attempt.
 
-use super::admission::latest_return;
 use super::deeds::BackendDeed;
 use super::event::{PromptSize, RefusalReason, RouteAsk, RouteEffect};
 use super::plan::{KeyHolder, RouteSpec};
-use super::refuse::{refusal, ELSEWHERE_RETRY_MS};
+use super::refuse::refusal;
 use super::request::RouteRequest;
 use super::sizes;
 use super::{RouteState, STOP_TAKE_MS};
@@ -22,11 +21,7 @@
         let request = match self.admit(stamp, &ask) {
             Ok(request) => request,
             Err(reason) => {
-                let mut refusal = refusal(reason, false);
-                if let Some(retry_ms) = self.return_after(stamp, reason, &ask) {
-                    refusal.retry_after_ms = Some(retry_ms);
-                }
-                out.push(RouteEffect::Refuse(ticket, refusal, self.inputs(stamp)));
+                out.push(RouteEffect::Refuse(ticket, refusal(reason, false), self.inputs(stamp)));
                 return;
             }
         };
@@ -36,21 +31,6 @@
         self.send(stamp, ticket, RefusalReason::NoReplica, out);
     }
 
-    /// When a caller that this box can't serve is to come back, in milliseconds, if that is not the usual time. Where no other
-    /// box serves either, the store is away: who has one retry spends it in vain on any of them before that ends. In an
-    /// outage of eight seconds nearly all requests with a key were refused for five, each told to come back after 100 ms.
-    fn return_after(
-        &self,
-        stamp: EventStamp,
-        reason: RefusalReason,
-        ask: &RouteAsk,
-    ) -> Option<u64> {
-        let knows_too_little = matches!(reason, RefusalReason::NoPlan | RefusalReason::Stale);
-        let others_serve = self.peers.open_rows(stamp.now).next().is_some();
-        let left_ms = ask.deadline_ms.filter(|_| knows_too_little && !others_serve)?;
-        Some(latest_return(left_ms, stamp.dice).max(ELSEWHERE_RETRY_MS))
-    }
-
     fn admit(&self, stamp: EventStamp, ask: &RouteAsk) -> Result<RouteRequest, RefusalReason> {
         let since = self.stopping_since;
         if since.is_some_and(|since| stamp.now.millis_since(since) >= STOP_TAKE_MS) {
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -43,7 +43,7 @@
 pub mod plan;
 pub mod progress;
 pub mod readers;
-pub mod refuse;
+mod refuse;
 mod request;
 pub mod sizes;
 pub mod start;
