observe: a header of replicas that a box does not know is logged once, event 740

Cause: nothing of ours tells that a replica asked for something that the adapter has no place for, so logs of the incident can't tell whether a named limit was read. No change of what is decided.

--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -18,6 +18,7 @@
 use super::observe;
 use super::pool::{ReplicaLink, ReplicaPool};
 use super::relay::{relay_stream, StreamSource};
+use super::strange::StrangeHeaders;
 
 /// Largest answer that is no stream, in bytes; it is read whole before any of it is passed on.
 pub const ANSWER_LIMIT: usize = 4 << 20;
@@ -30,6 +31,8 @@
     pub pool: Arc<ReplicaPool>,
     /// Set when the planned stop begins.
     pub stopping: AtomicBool,
+    /// Headers of replicas that this box does not know.
+    pub strange: StrangeHeaders,
 }
 
 /// A caller's request, read whole.
@@ -235,6 +238,7 @@
     if !headers::answers_request(&caller.headers, &head.headers) {
         return Err(broken("the answer is another request's".to_owned()));
     }
+    tools.strange.note(&order.replica_id, &head.headers);
     let decoded = headers::read_answer(&head);
     if order.kind.is_stream() && head.status.is_success() {
         return Ok(ReplicaAnswer { head, decoded, body: AnswerBody::Stream(body, link) });
--- a/crates/box/src/gateway/mod.rs
+++ b/crates/box/src/gateway/mod.rs
@@ -6,7 +6,8 @@
 //! replicas. [`follow`] follows the platform's store, `topic_follower` calls it for one topic, `store_calls`
 //! are its calls under way; [`verdicts`] are read and written there, and how far trials have come ([`marks`]).
 //! [`tally`] counts what that and datagrams cost. [`notes`] talks to other boxes in the datagrams of [`note_wire`], and [`told`] tells them what the operator wrote.
-//! [`directory`] answers who asks for addresses, readiness, state and metrics. [`observe`] logs.
+//! [`directory`] answers who asks for addresses, readiness, state and metrics. [`observe`] logs, and `strange` which headers
+//! of replicas are not known here.
 //! [`reload`] takes changes of the settings. [`process`] puts them together.
 
 pub mod answers;
@@ -25,6 +26,7 @@
 pub mod relay;
 pub mod reload;
 mod store_calls;
+mod strange;
 pub mod tally;
 pub mod told;
 mod topic_follower;
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -99,6 +99,12 @@
     );
 }
 
+/// Logs a header that the platform's adapter does not know, the first time that a replica sends it.
+pub fn note_strange_header(header: &str, value: &str, replica: &str) {
+    counter!("ravenspoke_strange_headers_total").increment(1);
+    warn!(event = 740, name = "header_unknown", header, value, replica);
+}
+
 /// Logs how a request ended whose answer was passed on.
 pub fn note_finished(name: &RequestName, status: u16, took: Duration) {
     histogram!("ravenspoke_answer_seconds").record(took.as_secs_f64());
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -27,6 +27,7 @@
 use super::exchange::GatewayTools;
 use super::pool::ReplicaPool;
 use super::reload::follow_settings;
+use super::strange::StrangeHeaders;
 use super::{follow, marks, notes, observe, tally, verdicts};
 use crate::process::{ignite, server, ProcessError};
 
@@ -173,7 +174,8 @@
         let pool = Arc::new(ReplicaPool::default());
         tokio::spawn(run_ticks(driver.clone(), pool.clone()));
         let stopping = AtomicBool::new(false);
-        let tools = Arc::new(GatewayTools { driver: driver.clone(), pool, stopping });
+        let strange = StrangeHeaders::default();
+        let tools = Arc::new(GatewayTools { driver: driver.clone(), pool, stopping, strange });
         let callers = Arc::new(CallerCount::default());
         let limit = (settings.descriptors as f64 * CALLER_PART) as usize;
         let (stop, stopped) = watch::channel(false);
--- /dev/null
+++ b/crates/box/src/gateway/strange.rs
@@ -0,0 +1,40 @@
+//! Headers of replicas' answers that this box does not know, each logged once.
+//!
+//! A replica may ask for something in a header that came with a newer version of the platform. Nothing else shows that the
+//! box does not heed it.
+
+use std::collections::BTreeSet;
+use std::sync::{Mutex, PoisonError};
+
+use http::HeaderMap;
+use ravenspoke_adapter::headers;
+
+use super::observe;
+
+/// Names that are remembered, at most; further ones are not logged.
+const NAME_LIMIT: usize = 32;
+
+/// Bytes of a value that are logged, at most.
+const VALUE_LIMIT: usize = 64;
+
+/// Names of unknown headers that were logged.
+#[derive(Debug, Default)]
+pub struct StrangeHeaders(Mutex<BTreeSet<String>>);
+
+impl StrangeHeaders {
+    /// Logs what an answer of `replica` carries and was not logged yet.
+    pub fn note(&self, replica: &str, answer: &HeaderMap) {
+        for (name, value) in headers::unknown_headers(answer) {
+            if self.is_new(name.as_str()) {
+                let value = String::from_utf8_lossy(value.as_bytes());
+                let short: String = value.chars().take(VALUE_LIMIT).collect();
+                observe::note_strange_header(name.as_str(), &short, replica);
+            }
+        }
+    }
+
+    fn is_new(&self, name: &str) -> bool {
+        let mut names = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        names.len() < NAME_LIMIT && names.insert(name.to_owned())
+    }
+}
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -56,6 +56,7 @@
     (737, "records_untold"),
     (738, "reader_moved"),
     (739, "evacuation_moved"),
+    (740, "header_unknown"),
 ];
 
 /// Logs and counts an effect, where it is worth it.
