test: replicas that name a limit get no more than it allows: fails

Twelve replicas before seven boxes, two of which named 1.8 and 2.2 requests a second, got 33 and 29 in four seconds.

--- a/crates/bench/src/prompt_router.rs
+++ b/crates/bench/src/prompt_router.rs
@@ -141,6 +141,7 @@
                 status: if good { 200 } else { 500 },
                 load: Some(BackendLoad { running, waiting, slots: SLOTS }),
                 confidence: good.then_some(opinion),
+                limit_per_s: None,
                 not_run: false,
                 other_replica: false,
                 proven: true,
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -95,6 +95,7 @@
         confidence = head.confidence,
         waiting = head.load.map(|load| load.waiting),
         running = head.load.map(|load| load.running),
+        limit_per_s = head.limit_per_s,
         after_ms,
     );
 }
--- /dev/null
+++ b/crates/box/tests/limits.rs
@@ -0,0 +1,64 @@
+//! Replicas that name a limit, before real boxes.
+//!
+//! Two of twelve replicas named 1.8 and 2.2 requests a second in their answers, and got 33 and 29 in four seconds.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use ravenspoke_standins::fleet::wait_for;
+use ravenspoke_standins::platform::site::{RunningSite, SITE_KEY};
+
+/// Requests a second that the replica in need names.
+const LIMIT_PER_S: f64 = 2.0;
+
+/// A limit binds this long after it was first named: the shortest of the platform's bounds.
+const TAKES: Duration = Duration::from_millis(3_000);
+
+/// The bound is on every span of this length.
+const SPAN: Duration = Duration::from_millis(4_000);
+
+/// Requests that the replica may get in a span: one and a half times what its limit allows, and five.
+const ALLOWED: usize = 17;
+
+/// Time between two requests of callers: ten times what the replica takes.
+const BETWEEN: Duration = Duration::from_millis(50);
+
+#[tokio::test]
+async fn a_replica_that_names_a_limit_gets_no_more_from_all_boxes_together() {
+    let mut site = RunningSite::start(Path::new(env!("CARGO_BIN_EXE_ravenspoked"))).await;
+    site.write_plan(1, &[SITE_KEY]);
+    let needy = site.start_replica("i-needy", 3, 1).await;
+    let well = site.start_replica("i-well", 3, 1).await;
+    let mut boxes = Vec::new();
+    for name in ["box-1", "box-2", "box-3"] {
+        boxes.push(site.start_ready(name).await);
+    }
+    for subject in &boxes {
+        wait_for("the box knows the replicas and the other boxes", || async {
+            let state = subject.state().await?;
+            let count = |field: &str| state[field].as_array().map_or(0, Vec::len);
+            (count("backends") == 2 && count("peers") == 2).then_some(())
+        })
+        .await;
+    }
+
+    needy.set_limit(Some(LIMIT_PER_S));
+    let named = Instant::now();
+    let mut beat = tokio::time::interval(BETWEEN);
+    let mut statuses = Vec::new();
+    while named.elapsed() < TAKES + 2 * SPAN {
+        beat.tick().await;
+        let number = statuses.len();
+        let subject = &boxes[number % boxes.len()];
+        let asked = site.request(subject, "POST", "/read/x", &format!("r-{number}")).body("b");
+        statuses.push(asked.send().await.map_or(0, |answer| answer.status().as_u16()));
+    }
+
+    let got: Vec<Instant> = needy.runs().iter().map(|run| run.at).collect();
+    let bound = got.iter().filter(|at| **at >= named + TAKES);
+    let within = |from: Instant| got.iter().filter(|at| (from..from + SPAN).contains(*at)).count();
+    let fullest = bound.map(|at| within(*at)).max().unwrap_or(0);
+    assert!(fullest <= ALLOWED, "{fullest} requests in the fullest span");
+    assert!(statuses.iter().all(|status| *status == 200), "the other replica takes the rest");
+    assert!(well.runs().len() > got.len());
+}
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -48,7 +48,7 @@
 }
 
 /// The head of a replica's answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AnswerHead {
     /// HTTP status.
     pub status: u16,
@@ -56,6 +56,8 @@
     pub load: Option<BackendLoad>,
     /// How sure the model is of its answer, 0 to 100.
     pub confidence: Option<u8>,
+    /// Requests a second that the replica takes from all boxes together, where it names a limit.
+    pub limit_per_s: Option<f64>,
     /// Whether the replica says that it did not run the request.
     pub not_run: bool,
     /// Whether another replica answers at this address now.
--- a/crates/core/tests/route/fixture.rs
+++ b/crates/core/tests/route/fixture.rs
@@ -87,6 +87,7 @@
         status,
         load: None,
         confidence: None,
+        limit_per_s: None,
         not_run: false,
         other_replica: false,
         proven: true,
--- /dev/null
+++ b/crates/core/tests/route/replica_fleet.rs
@@ -0,0 +1,293 @@
+//! Many boxes before the same replicas, in virtual time: what each replica gets, from all boxes together.
+
+use std::collections::{BTreeMap, BinaryHeap};
+
+use ravenspoke_core::event::{EventStamp, RequestTicket};
+use ravenspoke_core::ids::ReplicaKey;
+use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
+use ravenspoke_core::route::deeds::DownNote;
+use ravenspoke_core::route::event::{
+    AnswerHead, AttemptFailure, PromptSize, RouteAsk, RouteEffect, RouteEvent,
+};
+use ravenspoke_core::route::loads::BackendLoad;
+use ravenspoke_core::route::peers::{PeerCard, PeerNote};
+use ravenspoke_core::route::plan::{RoutePlan, ServicePlan};
+use ravenspoke_core::route::{RouteSettings, RouteState};
+use ravenspoke_core::time::{BoxTime, WallTime};
+
+use crate::fixture::{ask, entry, head, note_in, plan, session, settings};
+
+/// Boxes, and replicas before them, as deployments have them.
+pub const SIZES: [(usize, usize); 3] = [(9, 16), (84, 140), (300, 500)];
+
+/// Zones, each with a part of the replicas.
+pub const ZONES: usize = 4;
+
+/// Requests a second for each replica, before a burst.
+const RATE: f64 = 3.4;
+
+/// Times the usual rate in a burst: warm replicas have requests waiting.
+pub const BURST: f64 = 2.2;
+
+/// An answer begins, and ends, this long after its request was sent, in milliseconds.
+const ANSWER_MS: (u64, u64) = (100, 2_500);
+
+/// Tokens of a prompt that no other has: reading them takes long enough that a replica where others wait is avoided.
+const OWN_TOKENS: u32 = 20_000;
+
+/// Boxes hear of each other this often, in milliseconds.
+const NOTES_MS: u64 = 500;
+
+/// Requests that a replica works on at once.
+const SLOTS: u32 = 16;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    Arrive,
+    Head(usize, u64, usize),
+    End(usize, u64, usize),
+}
+
+/// Boxes before the same replicas. They tell each other which replicas they could not reach, and where `notes_go` all that
+/// their notes hold, to whom they choose.
+pub struct ReplicaFleet {
+    pub boxes: Vec<RouteState>,
+    keys: Vec<BTreeMap<ReplicaKey, usize>>,
+    replicas: usize,
+    in_hand: Vec<u32>,
+    /// When each replica was last put, in milliseconds.
+    pub cold_at: Vec<u64>,
+    /// When each replica got requests, in milliseconds.
+    pub got: Vec<Vec<u64>>,
+    steps: BinaryHeap<std::cmp::Reverse<(u64, u64, Step)>>,
+    pub now: u64,
+    random: u64,
+    number: u64,
+    pub refused: usize,
+    /// Replicas to which no connection comes about.
+    pub down: Vec<bool>,
+    /// When the next request comes, in milliseconds.
+    next_arrival: f64,
+    /// Requests a second that each replica names in its answers.
+    pub limits: Vec<Option<f64>>,
+    /// Whether whole notes go where boxes send them.
+    pub notes_go: bool,
+}
+
+impl ReplicaFleet {
+    pub fn start(boxes: usize, replicas: usize, service: ServicePlan) -> Self {
+        let mut fleet = Self {
+            boxes: (0..boxes).map(new_state).collect(),
+            keys: vec![BTreeMap::new(); boxes],
+            replicas,
+            in_hand: vec![0; replicas],
+            cold_at: vec![0; replicas],
+            got: vec![Vec::new(); replicas],
+            steps: BinaryHeap::new(),
+            now: 1_000,
+            random: 5,
+            number: 0,
+            refused: 0,
+            down: vec![false; replicas],
+            next_arrival: 0.0,
+            limits: vec![None; replicas],
+            notes_go: false,
+        };
+        let services = [("pool".to_owned(), service)].into();
+        let plan = RoutePlan { services, ..plan(1) };
+        for number in 0..boxes {
+            let asked_at = BoxTime::from_millis(fleet.now);
+            let plan = Some(plan.clone());
+            fleet.feed(number, RouteEvent::PlanRead { asked_at, read_to: 1, plan });
+        }
+        for replica in 0..replicas {
+            fleet.put(replica, 1 + replica as u64, 0);
+        }
+        fleet
+    }
+
+    /// Notes of a round go to whom their senders chose.
+    fn pass_notes(&mut self) {
+        for number in 0..self.boxes.len() {
+            for effect in self.feed(number, RouteEvent::Tick) {
+                let RouteEffect::SendNotes(targets, note) = effect else { continue };
+                for target in targets.iter().filter_map(|target| number_of(target)) {
+                    self.feed(target, RouteEvent::PeerHeard(note.clone()));
+                }
+            }
+        }
+    }
+
+    /// What each box tells of replicas that it could not reach.
+    fn told_down(&mut self) -> Vec<Vec<DownNote>> {
+        let mut told = Vec::new();
+        for number in 0..self.boxes.len() {
+            let note = note_in(&self.feed(number, RouteEvent::Tick));
+            told.push(note.map(|note| note.down).unwrap_or_default());
+        }
+        told
+    }
+
+    /// A box hears of all others.
+    pub fn meet(&mut self, number: usize, down: &[Vec<DownNote>]) {
+        for other in (0..self.boxes.len()).filter(|other| *other != number) {
+            let name = format!("box-{other}");
+            let note_address = format!("{name}:90");
+            let card = PeerCard { incarnation: 1, note_address, ..PeerCard::default() };
+            let down = down[other].clone();
+            let note = PeerNote { name, number: self.now, card, down, ..PeerNote::default() };
+            self.feed(number, RouteEvent::PeerHeard(Box::new(note)));
+        }
+    }
+
+    /// All boxes read a replica's entry.
+    pub fn put(&mut self, replica: usize, at: u64, cold_ms: u64) {
+        self.cold_at[replica] = self.now;
+        let id = format!("r{replica}");
+        let zone = format!("zone-{}", replica % ZONES);
+        let entry = BackendEntry { zone, slots: SLOTS, cold_ms, ..entry(&id, "v1") };
+        for number in 0..self.boxes.len() {
+            let change = BackendChange { id: id.clone(), at, entry: Some(entry.clone()) };
+            self.feed(number, RouteEvent::BackendsChanged(vec![change]));
+            let rows = self.boxes[number].backends().rows();
+            let key = rows.into_iter().find(|(_, row)| row.entry.id == id).expect("a row").0;
+            self.keys[number].insert(key, replica);
+        }
+    }
+
+    fn draw(&mut self) -> f64 {
+        self.random = self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        (self.random >> 33) as f64 / (1u64 << 31) as f64
+    }
+
+    pub fn feed(&mut self, number: usize, event: RouteEvent) -> Vec<RouteEffect> {
+        let dice = (self.draw() * (1u64 << 62) as f64) as u64;
+        let now = BoxTime::from_millis(self.now);
+        self.boxes[number].apply(EventStamp { now, wall: WallTime(0), dice }, event)
+    }
+
+    fn push(&mut self, at: u64, step: Step) {
+        self.number += 1;
+        self.steps.push(std::cmp::Reverse((at, self.number, step)));
+    }
+
+    /// Plays requests for a time, at `times` the usual rate.
+    pub fn play(&mut self, times: f64, length_ms: u64) {
+        let end = self.now + length_ms;
+        while self.now < end {
+            self.keep_up();
+            let until = end.min(self.now + NOTES_MS);
+            self.play_until(times, until);
+        }
+    }
+
+    /// All boxes hear of each other and of the plan, as they do all the time.
+    fn keep_up(&mut self) {
+        if self.notes_go {
+            self.pass_notes();
+        }
+        let down = if self.notes_go { Vec::new() } else { self.told_down() };
+        for number in 0..self.boxes.len() {
+            let asked_at = BoxTime::from_millis(self.now);
+            let same = RouteEvent::PlanRead { asked_at, read_to: 1, plan: None };
+            self.feed(number, same);
+            if !self.notes_go {
+                self.meet(number, &down);
+            }
+        }
+    }
+
+    fn play_until(&mut self, times: f64, until: u64) {
+        self.next_arrival = self.now as f64;
+        self.push(self.now, Step::Arrive);
+        while let Some(std::cmp::Reverse((at, _, step))) = self.steps.pop() {
+            if at >= until {
+                self.push(at, step);
+                break;
+            }
+            self.now = at;
+            self.take(step, times);
+        }
+        self.steps.retain(|row| row.0 .2 != Step::Arrive);
+        self.now = until;
+    }
+
+    fn take(&mut self, step: Step, times: f64) {
+        match step {
+            Step::Arrive => {
+                let gap = -self.draw().max(1e-9).ln() / (RATE * times * self.replicas as f64);
+                self.next_arrival += gap * 1_000.0;
+                self.push(self.next_arrival as u64, Step::Arrive);
+                self.arrive();
+            }
+            Step::Head(number, ticket, replica) => {
+                let running = self.in_hand[replica];
+                let waiting = running.saturating_sub(SLOTS);
+                let load = BackendLoad { running: running - waiting, waiting, slots: SLOTS };
+                let limit_per_s = self.limits[replica];
+                let answer = AnswerHead { load: Some(load), limit_per_s, ..head(200) };
+                self.feed(number, RouteEvent::HeadCame(RequestTicket(ticket), answer));
+            }
+            Step::End(number, ticket, replica) => {
+                self.in_hand[replica] -= 1;
+                self.feed(number, RouteEvent::Finished(RequestTicket(ticket)));
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        let number = (self.draw() * self.boxes.len() as f64) as usize;
+        let subject = (self.draw() * 800.0) as u64;
+        let ticket = self.number;
+        let prompt = PromptSize { shared: 300, own: OWN_TOKENS };
+        let request = RouteAsk { prompt, affinity: session(subject + 1), ..ask("/chat/x") };
+        let effects = self.feed(number, RouteEvent::Arrived(RequestTicket(ticket), request));
+        let mut order = crate::fixture::order_in(&effects);
+        while order.as_ref().is_some_and(|order| self.down[self.keys[number][&order.replica]]) {
+            let failed =
+                RouteEvent::AttemptFailed(RequestTicket(ticket), AttemptFailure::NeverSent);
+            order = crate::fixture::order_in(&self.feed(number, failed));
+        }
+        let Some(order) = order else {
+            self.refused += 1;
+            return;
+        };
+        let replica = self.keys[number][&order.replica];
+        self.got[replica].push(self.now);
+        self.in_hand[replica] += 1;
+        self.push(self.now + ANSWER_MS.0, Step::Head(number, ticket, replica));
+        self.push(self.now + ANSWER_MS.1, Step::End(number, ticket, replica));
+    }
+
+    /// Requests that the fullest of these replicas got in its fullest second since it was last put.
+    pub fn fullest(&self, cold: impl Fn(usize) -> bool) -> usize {
+        let fullest = |replica: usize, times: &Vec<u64>| {
+            let from = self.cold_at[replica];
+            let within =
+                |at: u64| times.iter().filter(move |other| (at..at + 1_000).contains(*other));
+            times.iter().filter(|at| **at >= from).map(|at| within(*at).count()).max().unwrap_or(0)
+        };
+        let rows = self.got.iter().enumerate().filter(|(replica, _)| cold(*replica));
+        rows.map(|(replica, times)| fullest(replica, times)).max().unwrap_or(0)
+    }
+
+    /// Requests that a replica got from `from` on in its fullest span of `span_ms`.
+    pub fn fullest_span(&self, replica: usize, from: u64, span_ms: u64) -> usize {
+        let times = &self.got[replica];
+        let within =
+            |at: u64| times.iter().filter(move |other| (at..at + span_ms).contains(*other));
+        times.iter().filter(|at| **at >= from).map(|at| within(*at).count()).max().unwrap_or(0)
+    }
+}
+
+/// The number in a box's address.
+fn number_of(address: &str) -> Option<usize> {
+    address.strip_prefix("box-")?.split(':').next()?.parse().ok()
+}
+
+fn new_state(number: usize) -> RouteState {
+    let name = format!("box-{number}");
+    let zone = format!("zone-{}", number % ZONES);
+    let incarnation = session(number as u64 + 1);
+    RouteState::new(RouteSettings { zone, incarnation, ..settings(&name) })
+}
--- a/crates/standins/src/platform/replica.rs
+++ b/crates/standins/src/platform/replica.rs
@@ -56,6 +56,8 @@
 #[derive(Default)]
 struct ReplicaRecord {
     mode: ReplicaMode,
+    /// Requests a second that it names as its limit.
+    limit_per_s: Option<f64>,
     runs: Vec<ReplicaRun>,
     connections: u32,
 }
@@ -101,6 +103,16 @@
         self.lock().mode = mode;
     }
 
+    /// Sets the requests a second that it takes from all boxes together, and says so in its answers from now on.
+    pub fn set_limit(&self, limit_per_s: Option<f64>) {
+        self.lock().limit_per_s = limit_per_s;
+    }
+
+    /// The limit that it names, as its answers have it.
+    fn limit_text(&self) -> Option<String> {
+        self.lock().limit_per_s.map(|limit| limit.to_string())
+    }
+
     /// What it ran.
     pub fn runs(&self) -> Vec<ReplicaRun> {
         self.lock().runs.clone()
@@ -190,6 +202,8 @@
         if mode != ReplicaMode::Unproven {
             headers.push(("X-Ravenspoke-Response-Stamp", "stamp"));
         }
+        let limit = self.limit_text();
+        headers.extend(limit.as_deref().map(|limit| ("Server-Limit", limit)));
         let status = if mode == ReplicaMode::Failing { 500 } else { 200 };
         let answer = whole_answer(status, &headers, body.as_bytes());
         match mode {
@@ -215,12 +229,14 @@
         }
         let after: u32 =
             request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
-        let headers = [
+        let mut headers = vec![
             ("X-Ravenspoke-Request-Id", id),
             ("X-Ravenspoke-Response-Stamp", "stamp"),
             ("Content-Type", "text/event-stream"),
             ("Transfer-Encoding", "chunked"),
         ];
+        let limit = self.limit_text();
+        headers.extend(limit.as_deref().map(|limit| ("Server-Limit", limit)));
         let mut head = answer_head(200, &headers);
         head.extend(b"\r\n");
         stream.write_all(&head).await?;
