--- a/crates/core/src/route/fatal.rs
+++ b/crates/core/src/route/fatal.rs
@@ -5,8 +5,9 @@
 //! *content*, by a hash. Whoever else ran there ended as well, and is sent on, often to the replica that ends next. What
 //! tells it apart: it is there at each end, under several requests, and is never answered.
 //!
-//! An attempt that breaks counts as an end once its replica can't be reached, or says nothing to anybody for a while; ends at about the same moment count once,
-//! since a loss of power takes many replicas; an answer clears a content. Boxes tell ends on, and forget them.
+//! An attempt that breaks counts as an end once its replica can't be reached, or says nothing to anybody for a while.
+//! Ends under different requests at about the same moment count once, since a loss of power takes many replicas, and an
+//! answer clears a content. Boxes tell ends on, and forget them.
 
 use std::collections::{BTreeSet, HashMap};
 
@@ -113,7 +114,7 @@
     }
 }
 
-/// Contents under which replicas ended lately.
+/// Contents under which replicas ended lately, by their hashes.
 #[derive(Debug, Default)]
 pub(super) struct FatalContents {
     rows: HashMap<u64, ContentRecord>,
