test: boxes that start again, or stood still, send on what crashes replicas: fail

Five tests in virtual time fail on the code as it stands and are listed: after 9 boxes knew of such a request, restarts in turn cost 6 more replicas, and boxes that stood still for 8 s cost 3; a replica that ended twice counted once; of two callers' requests at one end the first alone counted; a replica that answered others after a break, and was taken away later, counted as ended under it. The fleet in virtual time passes on asks and their answers, restarts boxes and lets some stand still.

--- a/crates/core/tests/route/fatal.rs
+++ b/crates/core/tests/route/fatal.rs
@@ -1,11 +1,11 @@
 //! Requests under which replicas end: who is sent on, and who no further.
 
 use ravenspoke_core::event::RequestTicket;
-use ravenspoke_core::route::backend::{backend_hash, BackendEntry};
+use ravenspoke_core::route::backend::{backend_hash, BackendChange, BackendEntry};
 use ravenspoke_core::route::event::{
     AttemptFailure, RefusalReason, RouteAsk, RouteEvent, SendOrder,
 };
-use ravenspoke_core::route::fatal::{EndNote, END_KEPT_MS, FATAL_ENDS, UNHEARD_MS};
+use ravenspoke_core::route::fatal::{EndNote, END_KEPT_MS, END_TOLD_MS, FATAL_ENDS, UNHEARD_MS};
 use ravenspoke_core::route::peers::{PeerCard, PeerNote};
 use ravenspoke_core::route::plan::{RoutePlan, ServicePlan};
 
@@ -41,6 +41,73 @@
     }
 }
 
+/// Boxes that know what crashes replicas, and have known it for longer than replicas' ends are told.
+fn fleet_that_knows(boxes: usize, replicas: usize) -> ReplicaFleet {
+    let mut fleet = ReplicaFleet::start(boxes, replicas, ServicePlan::default());
+    fleet.play(0.1, 1_000);
+    fleet.notes_go = true;
+    fleet.play(0.5, 2_000);
+    fleet.fatal_part = FATAL_PER_S / (0.5 * RATE * replicas as f64);
+    fleet.play(0.5, 3_000 + END_TOLD_MS);
+    fleet
+}
+
+/// Boxes that start again, at most: what is known lapses a minute after the last end.
+const RESTARTS: usize = 84;
+
+#[test]
+fn boxes_that_start_again_in_turn_send_on_nothing_that_the_others_know_to_crash_replicas() {
+    for (boxes, replicas) in SIZES {
+        let mut fleet = fleet_that_knows(boxes, replicas);
+        let known = fleet.crashes;
+        let step = boxes.div_ceil(RESTARTS);
+        for number in (0..boxes).step_by(step) {
+            fleet.restart(number);
+            fleet.play(0.5, 500);
+        }
+        let later = fleet.crashes - known;
+        println!("{boxes} boxes: {known} crashes, then {later}");
+        assert_eq!(later, 0, "{boxes} boxes: those that start learn it from the others");
+    }
+}
+
+#[test]
+fn boxes_that_stood_still_send_on_nothing_that_the_others_know_to_crash_replicas() {
+    for (boxes, replicas) in SIZES {
+        let mut fleet = ReplicaFleet::start(boxes, replicas, ServicePlan::default());
+        fleet.play(0.1, 1_000);
+        fleet.notes_go = true;
+        fleet.play(0.5, 2_000);
+        fleet.frozen = (0..boxes).step_by(3).collect();
+        fleet.fatal_part = FATAL_PER_S / (0.5 * RATE * replicas as f64);
+        fleet.play(0.5, 8_000);
+        fleet.fatal_part = 0.0;
+        fleet.frozen.clear();
+        fleet.play(0.5, 500);
+        let known = fleet.crashes;
+        fleet.fatal_part = FATAL_PER_S / (0.5 * RATE * replicas as f64);
+        fleet.play(0.5, 3_000);
+        let later = fleet.crashes - known;
+        println!("{boxes} boxes: {known} crashes, then {later}");
+        assert_eq!(later, 0, "{boxes} boxes: those that wake learn it within a round of notes");
+    }
+}
+
+#[test]
+fn a_fleet_that_starts_at_once_finds_it_out_anew_and_sends_it_no_further() {
+    for (boxes, replicas) in SIZES {
+        let mut fleet = fleet_that_knows(boxes, replicas);
+        (0..boxes).for_each(|number| fleet.restart(number));
+        let before = fleet.crashes;
+        fleet.play(0.5, 3_000);
+        let known = fleet.crashes;
+        fleet.play(0.5, 6_000);
+        let later = fleet.crashes - known;
+        println!("{boxes} boxes: {} crashes after the start, then {later}", known - before);
+        assert_eq!(later, 0, "{boxes} boxes: all know it after three seconds");
+    }
+}
+
 /// A box with six replicas.
 fn box_of_six() -> TestBox {
     let mut subject = ready_box();
@@ -194,3 +261,64 @@
     assert_eq!(ends.len(), 1);
     assert_eq!((ends[0].content, ends[0].replica), (CONTENT, backend_hash(&order.replica_id)));
 }
+
+#[test]
+fn an_end_under_requests_of_several_callers_counts_for_each_of_them() {
+    let mut subject = box_of_six();
+    end_under(&mut subject, "one");
+    let (first, order) = subject.sent(asking("one"));
+    let (second, _) = sent_to(&mut subject, "two", &order.replica_id);
+    for ticket in [first, second] {
+        break_off(&mut subject, ticket);
+        subject.feed(RouteEvent::CallerLeft(ticket));
+    }
+    subject.now += UNHEARD_MS;
+    subject.feed(RouteEvent::Tick);
+    assert!(is_refused(subject.refused(asking("three")), 502, RefusalReason::Fatal));
+}
+
+/// A request that is given to a certain replica; those before it stay in hand elsewhere.
+fn sent_to(subject: &mut TestBox, id: &str, replica: &str) -> (RequestTicket, SendOrder) {
+    let mut tries = (0..100).map(|number| {
+        let content = if number % 2 == 0 { CONTENT } else { 0 };
+        subject.sent(RouteAsk { content, ..asking(id) })
+    });
+    let hit = |(_, order): &(RequestTicket, SendOrder)| {
+        order.replica_id == replica && order.content == CONTENT
+    };
+    tries.find(hit).expect("the replica gets one")
+}
+
+#[test]
+fn a_replica_that_ends_twice_under_the_same_content_ended_twice() {
+    let mut subject = ready_box();
+    for id in ["one", "two"] {
+        let (ticket, _) = sent_to(&mut subject, id, "a");
+        break_off(&mut subject, ticket);
+        subject.feed(RouteEvent::CallerLeft(ticket));
+        subject.now += 3_000;
+        subject.feed(RouteEvent::Tick);
+    }
+    subject.read_plan(Some(RoutePlan { version: 2, ..plan(2) }));
+    assert!(is_refused(subject.refused(asking("three")), 502, RefusalReason::Fatal));
+}
+
+#[test]
+fn a_replica_that_answered_others_after_a_break_and_ends_later_did_not_end_under_it() {
+    let mut subject = box_of_six();
+    for id in ["one", "two", "three"] {
+        let (ticket, order) = subject.sent(asking(id));
+        break_off(&mut subject, ticket);
+        subject.feed(RouteEvent::CallerLeft(ticket));
+        subject.now += 10;
+        answer_elsewhere(&mut subject, &order);
+        subject.feed(RouteEvent::Tick);
+        subject.now += 1_000;
+        let gone = subject.offset + 1;
+        subject.offset = gone;
+        let change = BackendChange { id: order.replica_id, at: gone, entry: None };
+        subject.feed(RouteEvent::BackendsChanged(vec![change]));
+        subject.feed(RouteEvent::Tick);
+    }
+    subject.sent(asking("four"));
+}
--- a/crates/core/tests/route/replica_fleet.rs
+++ b/crates/core/tests/route/replica_fleet.rs
@@ -1,6 +1,6 @@
 //! Many boxes before the same replicas, in virtual time: what each replica gets, from all boxes together.
 
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use ravenspoke_core::event::{EventStamp, RequestTicket};
 use ravenspoke_core::ids::ReplicaKey;
@@ -93,12 +93,20 @@
     running: Vec<Vec<(usize, u64, bool)>>,
     /// Whether whole notes go where boxes send them.
     pub notes_go: bool,
+    /// Boxes that stand still: they get no callers, hear nothing and do nothing.
+    pub frozen: BTreeSet<usize>,
+    plan: RoutePlan,
+    /// Changes in the store, the oldest first.
+    entries: Vec<BackendChange>,
+    /// Boxes that started again so far.
+    restarts: u64,
 }
 
 impl ReplicaFleet {
     pub fn start(boxes: usize, replicas: usize, service: ServicePlan) -> Self {
+        let services = [("pool".to_owned(), service)].into();
         let mut fleet = Self {
-            boxes: (0..boxes).map(new_state).collect(),
+            boxes: (0..boxes).map(|number| new_state(number, 0)).collect(),
             keys: vec![BTreeMap::new(); boxes],
             replicas,
             in_hand: vec![0; replicas],
@@ -118,13 +126,13 @@
             crashes: 0,
             running: vec![Vec::new(); replicas],
             notes_go: false,
+            frozen: BTreeSet::new(),
+            plan: RoutePlan { services, ..plan(1) },
+            entries: Vec::new(),
+            restarts: 0,
         };
-        let services = [("pool".to_owned(), service)].into();
-        let plan = RoutePlan { services, ..plan(1) };
         for number in 0..boxes {
-            let asked_at = BoxTime::from_millis(fleet.now);
-            let plan = Some(plan.clone());
-            fleet.feed(number, RouteEvent::PlanRead { asked_at, read_to: 1, plan });
+            fleet.read_plan(number);
         }
         for replica in 0..replicas {
             fleet.put(replica, 1 + replica as u64, 0);
@@ -132,14 +140,60 @@
         fleet
     }
 
-    /// Notes of a round go to whom their senders chose.
+    fn read_plan(&mut self, number: usize) {
+        let asked_at = BoxTime::from_millis(self.now);
+        let plan = Some(self.plan.clone());
+        self.feed(number, RouteEvent::PlanRead { asked_at, read_to: 1, plan });
+    }
+
+    /// A box starts again, and knows nothing but the addresses of two others until one of them, if any lives, has answered
+    /// it. Then it reads the store.
+    pub fn restart(&mut self, number: usize) {
+        self.restarts += 1;
+        self.boxes[number] = new_state(number, self.restarts * 1_000);
+        self.keys[number].clear();
+        for rows in &mut self.running {
+            rows.retain(|row| row.0 != number);
+        }
+        let others = [1, 2].map(|step| format!("box-{}:90", (number + step) % self.boxes.len()));
+        self.feed(number, RouteEvent::PeersNamed(others.to_vec()));
+        self.pass_word(number);
+        self.read_plan(number);
+        for change in self.entries.clone() {
+            self.take_change(number, change);
+        }
+    }
+
+    /// Notes of a round, and asks, go to whom their senders chose.
     fn pass_notes(&mut self) {
         for number in 0..self.boxes.len() {
-            for effect in self.feed(number, RouteEvent::Tick) {
-                let RouteEffect::SendNotes(targets, note) = effect else { continue };
-                for target in targets.iter().filter_map(|target| number_of(target)) {
-                    self.feed(target, RouteEvent::PeerHeard(note.clone()));
-                }
+            if !self.frozen.contains(&number) {
+                self.pass_word(number);
+            }
+        }
+    }
+
+    /// What a box says now goes to whom it chose, and answers come back.
+    fn pass_word(&mut self, number: usize) {
+        for effect in self.feed(number, RouteEvent::Tick) {
+            let RouteEffect::SendAsk(target, ask) = effect else {
+                self.deliver(effect);
+                continue;
+            };
+            let asked = number_of(&target).filter(|asked| !self.frozen.contains(asked));
+            let answers = asked.map(|asked| self.feed(asked, RouteEvent::PeerAsked(ask)));
+            for answer in answers.unwrap_or_default() {
+                self.deliver(answer);
+            }
+        }
+    }
+
+    /// A note goes to its targets.
+    fn deliver(&mut self, effect: RouteEffect) {
+        let RouteEffect::SendNotes(targets, note) = effect else { return };
+        for target in targets.iter().filter_map(|target| number_of(target)) {
+            if !self.frozen.contains(&target) {
+                self.feed(target, RouteEvent::PeerHeard(note.clone()));
             }
         }
     }
@@ -172,15 +226,23 @@
         let id = format!("r{replica}");
         let zone = format!("zone-{}", replica % ZONES);
         let entry = BackendEntry { zone, slots: SLOTS, cold_ms, ..entry(&id, "v1") };
+        let change = BackendChange { id, at, entry: Some(entry) };
+        self.entries.push(change.clone());
         for number in 0..self.boxes.len() {
-            let change = BackendChange { id: id.clone(), at, entry: Some(entry.clone()) };
-            self.feed(number, RouteEvent::BackendsChanged(vec![change]));
-            let rows = self.boxes[number].backends().rows();
-            let key = rows.into_iter().find(|(_, row)| row.entry.id == id).expect("a row").0;
-            self.keys[number].insert(key, replica);
+            self.take_change(number, change.clone());
         }
     }
 
+    /// A box reads a replica's entry.
+    fn take_change(&mut self, number: usize, change: BackendChange) {
+        let id = change.id.clone();
+        self.feed(number, RouteEvent::BackendsChanged(vec![change]));
+        let mut rows = self.boxes[number].backends().rows();
+        let key = rows.find(|(_, row)| row.entry.id == id).expect("a row").0;
+        let replica = id[1..].parse().expect("a replica's number");
+        self.keys[number].insert(key, replica);
+    }
+
     fn draw(&mut self) -> f64 {
         self.random = self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
         (self.random >> 33) as f64 / (1u64 << 31) as f64
@@ -213,7 +275,9 @@
             self.pass_notes();
         }
         let down = if self.notes_go { Vec::new() } else { self.told_down() };
-        for number in 0..self.boxes.len() {
+        for number in
+            (0..self.boxes.len()).filter(|number| !self.frozen.contains(number)).collect::<Vec<_>>()
+        {
             let asked_at = BoxTime::from_millis(self.now);
             let same = RouteEvent::PlanRead { asked_at, read_to: 1, plan: None };
             self.feed(number, same);
@@ -269,7 +333,10 @@
     }
 
     fn arrive(&mut self) {
-        let number = (self.draw() * self.boxes.len() as f64) as usize;
+        let mut number = (self.draw() * self.boxes.len() as f64) as usize;
+        while self.frozen.contains(&number) {
+            number = (number + 1) % self.boxes.len();
+        }
         let subject = (self.draw() * 800.0) as u64;
         let ticket = self.number;
         let prompt = PromptSize { shared: 300, own: OWN_TOKENS };
@@ -361,9 +428,9 @@
     address.strip_prefix("box-")?.split(':').next()?.parse().ok()
 }
 
-fn new_state(number: usize) -> RouteState {
+fn new_state(number: usize, life: u64) -> RouteState {
     let name = format!("box-{number}");
     let zone = format!("zone-{}", number % ZONES);
-    let incarnation = session(number as u64 + 1);
+    let incarnation = session(life + number as u64 + 1);
     RouteState::new(RouteSettings { zone, incarnation, ..settings(&name) })
 }
