fatal: what crashes replicas is known to boxes that start, wake or come back, for as long as it is kept

Cause: knowledge was told for 3 s after an end and kept for 60 s by whoever happened to live then; a replica that ended twice counted once, and of several requests in hand at an end the first alone. Ruled out: that refusals were not kept to (no box that had logged 742 and lived sent the content, but for what it had sent before). Change: that a content crashes replicas is told by all for as long as it is kept, by turns (8 words of 17 bytes a note), and whole to a box that asks, which a box does at its start; a box on which it was answered says so, and all take it back. Ends of one replica a second apart are two; requests in hand at an end all count. A replica that tells its load 100 ms after a break has not ended, whatever becomes of it later (it counted as ended when it was taken away). After a minute without ends the content is tried again, by single attempts, and one more end makes it bind again; it is forgotten after ten minutes. The test on processes waits on the state dump's new field in place of 1.5 s.

--- a/crates/box/src/gateway/note_wire/mod.rs
+++ b/crates/box/src/gateway/note_wire/mod.rs
@@ -23,9 +23,10 @@
 };
 use records::PackedRecords;
 use replica::{
-    read_change, read_down, read_end, read_limit, read_load, read_pace, read_placement,
-    write_change, write_down, write_end, write_limit, write_load, write_pace, write_placement,
-    WireChange, WireDown, WireEnd, WireLimit, WireLoad, WirePace, WirePlacement,
+    read_change, read_content, read_down, read_end, read_limit, read_load, read_pace,
+    read_placement, write_change, write_content, write_down, write_end, write_limit, write_load,
+    write_pace, write_placement, WireChange, WireContent, WireDown, WireEnd, WireLimit, WireLoad,
+    WirePace, WirePlacement,
 };
 use trial::{read_trial, read_verdict, write_trial, write_verdict, WireTrial, WireVerdict};
 
@@ -73,6 +74,8 @@
     limits: Vec<WireLimit>,
     #[prost(message, repeated, tag = "23")]
     ends: Vec<WireEnd>,
+    #[prost(message, repeated, tag = "24")]
+    contents: Vec<WireContent>,
 }
 
 /// A datagram is one of these.
@@ -173,6 +176,7 @@
         down: note.down.iter().map(write_down).collect(),
         limits: note.limits.iter().map(write_limit).collect(),
         ends: note.ends.iter().map(write_end).collect(),
+        contents: note.contents.iter().map(write_content).collect(),
         budgets: note.budgets.iter().map(write_budget).collect(),
         paces: note.paces.iter().map(write_pace).collect(),
     }
@@ -197,6 +201,7 @@
         down: wire.down.into_iter().map(read_down).collect(),
         limits: wire.limits.into_iter().map(read_limit).collect(),
         ends: wire.ends.into_iter().map(read_end).collect(),
+        contents: wire.contents.into_iter().map(read_content).collect(),
         budgets: wire.budgets.into_iter().map(read_budget).collect(),
         paces: wire.paces.into_iter().map(read_pace).collect(),
     }
--- a/crates/box/src/gateway/note_wire/replica.rs
+++ b/crates/box/src/gateway/note_wire/replica.rs
@@ -3,7 +3,7 @@
 use prost::Message;
 use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
 use ravenspoke_core::route::deeds::DownNote;
-use ravenspoke_core::route::fatal::EndNote;
+use ravenspoke_core::route::fatal::{ContentWord, EndNote};
 use ravenspoke_core::route::limit::LimitNote;
 use ravenspoke_core::route::loads::LoadNote;
 use ravenspoke_core::route::pace::{LearntPace, LearntTime, PaceNote};
@@ -199,6 +199,26 @@
     EndNote { content, request, replica, age_ms }
 }
 
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireContent {
+    #[prost(fixed64, tag = "1")]
+    content: u64,
+    #[prost(uint64, tag = "2")]
+    age_ms: u64,
+    #[prost(bool, tag = "3")]
+    answered: bool,
+}
+
+pub(super) fn write_content(told: &ContentWord) -> WireContent {
+    let ContentWord { content, age_ms, answered } = *told;
+    WireContent { content, age_ms, answered }
+}
+
+pub(super) fn read_content(wire: WireContent) -> ContentWord {
+    let WireContent { content, age_ms, answered } = wire;
+    ContentWord { content, age_ms, answered }
+}
+
 pub(super) fn write_placement(told: PlacementNote) -> WirePlacement {
     WirePlacement { replica: told.replica, shared: told.shared, work_ms: told.work_ms }
 }
--- a/crates/box/tests/fatal.rs
+++ b/crates/box/tests/fatal.rs
@@ -5,7 +5,6 @@
 //! under more than six.
 
 use std::path::Path;
-use std::time::Duration;
 
 use ravenspoke_standins::fleet::wait_for;
 use ravenspoke_standins::platform::replica::ReplicaStandin;
@@ -15,9 +14,6 @@
 /// Replicas that may end under one request: those that its route lets it run on.
 const ENDS_ALLOWED: usize = 3;
 
-/// Word of what crashes replicas is everywhere within this: its replicas are unheard for a while, and two notes.
-const TOLD_WITHIN: Duration = Duration::from_millis(1_500);
-
 async fn status(site: &RunningSite, subject: &SiteBox, id: &str, body: &'static str) -> u16 {
     let asked = site.request(subject, "POST", "/read/x", id).body(body).send();
     asked.await.map_or(0, |answer| answer.status().as_u16())
@@ -50,7 +46,14 @@
 
     let tried = status(&site, &first, "first", "deadly").await;
     assert_eq!((tried, ended(&replicas)), (502, ENDS_ALLOWED));
-    tokio::time::sleep(TOLD_WITHIN).await;
+    for subject in [&first, &second] {
+        wait_for("the box knows what crashes replicas", || async {
+            let state = subject.state().await?;
+            let known = state["fatal"].as_array()?;
+            known.iter().any(|row| row["fatal_age_ms"].is_u64()).then_some(())
+        })
+        .await;
+    }
     for (number, subject) in [&first, &second].into_iter().enumerate() {
         let again = status(&site, subject, &format!("again-{number}"), "deadly").await;
         assert_eq!((again, ended(&replicas)), (502, ENDS_ALLOWED), "box {number}");
--- a/crates/core/src/route/dump.rs
+++ b/crates/core/src/route/dump.rs
@@ -3,6 +3,7 @@
 use serde::Serialize;
 
 use super::backend::BackendState;
+use super::fatal::FatalDump;
 use super::peers::PeerState;
 use super::plan::RoutePlan;
 use super::trial::VersionTrial;
@@ -30,6 +31,8 @@
     pub peers: Vec<(&'a String, &'a PeerState)>,
     /// Trials.
     pub trials: Vec<&'a VersionTrial>,
+    /// Contents under which replicas ended.
+    pub fatal: Vec<FatalDump>,
     /// Requests in hand.
     pub in_hand: usize,
 }
@@ -47,6 +50,7 @@
             evacuated: self.evacuated.zones(),
             peers: self.peers.rows().collect(),
             trials: self.trials.values().collect(),
+            fatal: self.fatal_dump(now),
             in_hand: self.requests.len(),
         }
     }
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -365,6 +365,8 @@
         account: Option<String>,
         /// Replicas that ended under it, as far as this box knows.
         ends: usize,
+        /// How long ago the last end was, in milliseconds.
+        age_ms: Option<u64>,
     },
     /// A replica named a limit, or names one no more.
     LimitMoved {
--- /dev/null
+++ b/crates/core/src/route/fatal/record.rs
@@ -0,0 +1,210 @@
+//! What is known of one content: the ends of replicas under it, and whether it crashes replicas.
+
+use std::collections::BTreeSet;
+
+use super::{
+    ContentWord, EndNote, END_KEPT_MS, END_SPREAD_MS, END_TOLD_MS, FATAL_ENDS, FATAL_ENDS_APART,
+    FATAL_KEPT_MS, REQUESTS_KEPT, SAME_MOMENT_MS,
+};
+use crate::ids::ReplicaKey;
+use crate::time::BoxTime;
+
+/// A replica's end while it worked on requests that ask for the same.
+#[derive(Clone, Debug)]
+pub(super) struct ReplicaEnd {
+    /// Hashes of the requests' ids.
+    pub(super) requests: Vec<u64>,
+    /// The replica, by a hash of its id.
+    pub(super) replica: u64,
+    /// Its row, while it is not known that the replica itself ended.
+    pub(super) unsure: Option<ReplicaKey>,
+    pub(super) at: BoxTime,
+}
+
+impl ReplicaEnd {
+    /// Whether two boxes, or two requests, saw this same end.
+    fn is_same(&self, other: &ReplicaEnd) -> bool {
+        let apart_ms = self.at.millis_since(other.at).max(other.at.millis_since(self.at));
+        self.replica == other.replica && apart_ms < END_SPREAD_MS
+    }
+
+    /// Takes what another sight of this end adds.
+    fn merge(&mut self, other: ReplicaEnd) {
+        for request in other.requests {
+            if !self.requests.contains(&request) && self.requests.len() < REQUESTS_KEPT {
+                self.requests.push(request);
+            }
+        }
+        self.unsure = self.unsure.and(other.unsure);
+    }
+
+    /// Whether this end and an earlier one are of one moment, under different requests. One request's ends follow
+    /// each other.
+    fn is_together(&self, first: &ReplicaEnd) -> bool {
+        let shared = self.requests.iter().any(|request| first.requests.contains(request));
+        !shared && self.at.millis_since(first.at) < SAME_MOMENT_MS
+    }
+}
+
+/// What became of a replica after an attempt broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EndFate {
+    /// It ended.
+    Ended,
+    /// It answered others afterwards.
+    Lived,
+    /// That is not known yet.
+    Open,
+}
+
+/// What is known of a content.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ContentRecord {
+    ends: Vec<ReplicaEnd>,
+    /// When it was last answered; ends before that say nothing.
+    answered_at: Option<BoxTime>,
+    /// The last end under it, once it is known to crash replicas.
+    fatal_at: Option<BoxTime>,
+    /// Whether it was logged that it is sent no further.
+    pub(super) logged: bool,
+}
+
+impl ContentRecord {
+    /// The last thing known of it.
+    pub(super) fn last_at(&self) -> BoxTime {
+        let last = self.ends.iter().map(|end| end.at).max();
+        last.max(self.answered_at).max(self.fatal_at).unwrap_or_default()
+    }
+
+    /// Whether it is kept.
+    pub(super) fn is_kept(&self, now: BoxTime) -> bool {
+        let kept_ms = if self.fatal_at.is_some() { FATAL_KEPT_MS } else { END_KEPT_MS };
+        now.millis_since(self.last_at()) < kept_ms
+    }
+
+    /// Takes note of an end.
+    pub(super) fn note(&mut self, end: ReplicaEnd, now: BoxTime) {
+        if self.answered_at.is_some_and(|at| at >= end.at) {
+            return;
+        }
+        match self.ends.iter_mut().find(|known| known.is_same(&end)) {
+            Some(known) => known.merge(end),
+            None => self.ends.push(end),
+        }
+        self.judge(now);
+    }
+
+    /// Takes note that it was answered whole at `at`. Returns whether that is news.
+    pub(super) fn clear(&mut self, at: BoxTime) -> bool {
+        if self.answered_at.is_some_and(|known| known >= at) {
+            return false;
+        }
+        self.answered_at = Some(at);
+        self.ends.retain(|end| end.at > at);
+        self.fatal_at = self.fatal_at.filter(|fatal| *fatal > at);
+        self.logged &= self.fatal_at.is_some();
+        true
+    }
+
+    /// Takes another box's word.
+    pub(super) fn hear(&mut self, word: &ContentWord, now: BoxTime) {
+        let at = now.minus_millis(word.age_ms);
+        if word.answered {
+            self.clear(at);
+        } else if self.answered_at.is_none_or(|answered| answered < at) {
+            self.fatal_at = self.fatal_at.max(Some(at));
+        }
+    }
+
+    /// Settles ends by what became of their replicas. Returns whether there were any.
+    pub(super) fn settle(
+        &mut self,
+        fate: &dyn Fn(ReplicaKey, BoxTime) -> EndFate,
+        now: BoxTime,
+    ) -> bool {
+        let mut settled = false;
+        self.ends.retain_mut(|end| match end.unsure.map(|key| fate(key, end.at)) {
+            Some(EndFate::Ended) => {
+                end.unsure = None;
+                settled = true;
+                true
+            }
+            Some(EndFate::Lived) => false,
+            Some(EndFate::Open) | None => true,
+        });
+        if settled {
+            self.judge(now);
+        }
+        settled
+    }
+
+    /// Finds out whether it crashes replicas. Once that is known, each further end shows that it still does.
+    fn judge(&mut self, now: BoxTime) {
+        let ends = self.counted(now);
+        let requests: BTreeSet<u64> = ends.iter().flat_map(|end| &end.requests).copied().collect();
+        let apart = requests.len() >= FATAL_ENDS_APART && ends.len() >= FATAL_ENDS_APART;
+        if self.fatal_at.is_some() || apart || ends.len() >= FATAL_ENDS {
+            self.fatal_at = self.fatal_at.max(ends.iter().map(|end| end.at).max());
+        }
+    }
+
+    /// Sure ends, without those at the moment of another request's.
+    fn counted(&self, now: BoxTime) -> Vec<&ReplicaEnd> {
+        let kept =
+            |end: &&ReplicaEnd| end.unsure.is_none() && now.millis_since(end.at) < END_KEPT_MS;
+        let mut ends: Vec<&ReplicaEnd> = self.ends.iter().filter(kept).collect();
+        ends.sort_by_key(|end| end.at);
+        let mut counted: Vec<&ReplicaEnd> = Vec::with_capacity(ends.len());
+        for end in ends {
+            if !counted.iter().any(|first| end.is_together(first)) {
+                counted.push(end);
+            }
+        }
+        counted
+    }
+
+    /// Ends known here.
+    pub(super) fn count(&self, now: BoxTime) -> usize {
+        self.counted(now).len()
+    }
+
+    /// How long ago the last end under it was, in milliseconds, if it is known to crash replicas.
+    pub(super) fn fatal_age_ms(&self, now: BoxTime) -> Option<u64> {
+        self.fatal_at.map(|at| now.millis_since(at))
+    }
+
+    /// Whether it is sent no further. A while after the last end it is tried again, by one attempt at a time: until it is
+    /// known what became of that one's replica there is no other.
+    pub(super) fn is_fatal(&self, now: BoxTime) -> bool {
+        let open = || self.ends.iter().any(|end| end.unsure.is_some());
+        self.fatal_age_ms(now).is_some_and(|age_ms| age_ms < END_KEPT_MS || open())
+    }
+
+    /// Ends that other boxes are told of, one note for each request.
+    pub(super) fn told_ends(
+        &self,
+        content: u64,
+        now: BoxTime,
+    ) -> impl Iterator<Item = EndNote> + '_ {
+        let sure = self.ends.iter().filter(|end| end.unsure.is_none());
+        let notes = sure.flat_map(move |end| {
+            let (replica, age_ms) = (end.replica, now.millis_since(end.at));
+            end.requests.iter().map(move |request| EndNote {
+                content,
+                request: *request,
+                replica,
+                age_ms,
+            })
+        });
+        notes.filter(|note| note.age_ms < END_TOLD_MS)
+    }
+
+    /// What other boxes are told of it for as long as it is kept; that it was answered, for as long as ends are told.
+    pub(super) fn word(&self, content: u64, now: BoxTime) -> Option<ContentWord> {
+        let fatal = self.fatal_age_ms(now);
+        let answered = self.answered_at.map(|at| now.millis_since(at));
+        let answered = answered.filter(|age_ms| *age_ms < END_TOLD_MS);
+        let word = |age_ms, answered| ContentWord { content, age_ms, answered };
+        fatal.map(|age_ms| word(age_ms, false)).or(answered.map(|age_ms| word(age_ms, true)))
+    }
+}
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -105,6 +105,7 @@
             down: self.backends.down_to_tell(stamp.now),
             limits: self.backends.limits_to_tell(stamp.now),
             ends: self.told_ends(stamp.now),
+            contents: self.told_contents(number, stamp.now),
             budgets,
             paces,
             trials: trials.collect(),
@@ -199,6 +200,7 @@
         let EntryAnswer { changes, known_to, age_ms, page } =
             self.entries.answer(ask.entries, &self.backends, stamp.now);
         note.changes = changes;
+        note.contents = self.answered_contents(note.number, stamp.now);
         note.entries = EntryWord { known_to, age_ms, page };
         note.echo = Some(ask);
         out.push(RouteEffect::SendNotes(to, Box::new(note)));
@@ -229,7 +231,7 @@
             }
         }
         self.hear_limits(stamp, &note.limits, out);
-        self.hear_ends(stamp, &note.ends);
+        self.hear_ends(stamp, &note.ends, &note.contents);
         for told in &note.paces {
             if self.backends.serves(&told.service) {
                 self.paces.entry(told.service.clone()).or_default().hear(&told.models);
--- a/crates/core/src/route/peers/mod.rs
+++ b/crates/core/src/route/peers/mod.rs
@@ -23,7 +23,7 @@
 use super::deeds::DownNote;
 use super::entries::{EntryWish, ListingPage};
 use super::evacuation::EvacuationWord;
-use super::fatal::EndNote;
+use super::fatal::{ContentWord, EndNote};
 use super::limit::LimitNote;
 use super::loads::LoadNote;
 use super::pace::PaceNote;
@@ -198,6 +198,8 @@
     pub limits: Vec<LimitNote>,
     /// Ends of replicas while they worked on requests.
     pub ends: Vec<EndNote>,
+    /// Contents that crash replicas, or turned out not to.
+    pub contents: Vec<ContentWord>,
     /// Further sends.
     pub budgets: Vec<BudgetNote>,
     /// Paces of models.
--- a/crates/core/tests/route/fatal.rs
+++ b/crates/core/tests/route/fatal.rs
@@ -5,7 +5,9 @@
 use ravenspoke_core::route::event::{
     AttemptFailure, RefusalReason, RouteAsk, RouteEvent, SendOrder,
 };
-use ravenspoke_core::route::fatal::{EndNote, END_KEPT_MS, END_TOLD_MS, FATAL_ENDS, UNHEARD_MS};
+use ravenspoke_core::route::fatal::{
+    ContentWord, EndNote, END_KEPT_MS, END_TOLD_MS, FATAL_ENDS, UNHEARD_MS,
+};
 use ravenspoke_core::route::peers::{PeerCard, PeerNote};
 use ravenspoke_core::route::plan::{RoutePlan, ServicePlan};
 
@@ -52,8 +54,8 @@
     fleet
 }
 
-/// Boxes that start again, at most: what is known lapses a minute after the last end.
-const RESTARTS: usize = 84;
+/// Boxes that start again, at most.
+const RESTARTS: usize = 30;
 
 #[test]
 fn boxes_that_start_again_in_turn_send_on_nothing_that_the_others_know_to_crash_replicas() {
@@ -97,8 +99,8 @@
 fn a_fleet_that_starts_at_once_finds_it_out_anew_and_sends_it_no_further() {
     for (boxes, replicas) in SIZES {
         let mut fleet = fleet_that_knows(boxes, replicas);
-        (0..boxes).for_each(|number| fleet.restart(number));
         let before = fleet.crashes;
+        fleet.restart_all();
         fleet.play(0.5, 3_000);
         let known = fleet.crashes;
         fleet.play(0.5, 6_000);
@@ -226,6 +228,55 @@
     }
 }
 
+/// Another box's word of [`CONTENT`].
+fn told_content(number: u64, word: ContentWord) -> RouteEvent {
+    let card = PeerCard { note_address: "box-2:90".to_owned(), ..PeerCard::default() };
+    let contents = vec![ContentWord { content: CONTENT, ..word }];
+    let note = PeerNote { name: "box-2".to_owned(), number, card, contents, ..PeerNote::default() };
+    RouteEvent::PeerHeard(Box::new(note))
+}
+
+#[test]
+fn what_another_box_knows_to_crash_replicas_is_sent_on_once_it_was_answered_there() {
+    let mut subject = box_of_six();
+    let fatal = ContentWord { age_ms: 30_000, ..ContentWord::default() };
+    subject.feed(told_content(1, fatal));
+    assert!(is_refused(subject.refused(asking("one")), 502, RefusalReason::Fatal));
+    let answered = ContentWord { age_ms: 100, answered: true, ..ContentWord::default() };
+    subject.feed(told_content(2, answered));
+    subject.sent(asking("two"));
+    subject.feed(told_content(3, fatal));
+    subject.sent(asking("three"));
+}
+
+#[test]
+fn a_box_tells_others_that_what_replicas_ended_under_was_answered() {
+    let mut subject = box_of_six();
+    end_under(&mut subject, "one");
+    let (ticket, _) = subject.sent(asking("two"));
+    subject.feed(RouteEvent::HeadCame(ticket, head(200)));
+    subject.feed(told(Vec::new()));
+    subject.feed(RouteEvent::Finished(ticket));
+    let note = note_in(&subject.feed(RouteEvent::Tick)).expect("a note at once");
+    let word = ContentWord { content: CONTENT, age_ms: 0, answered: true };
+    assert_eq!(note.contents, vec![word]);
+}
+
+#[test]
+fn what_crashed_replicas_is_tried_again_by_one_attempt_and_its_end_alone_counts() {
+    let mut subject = box_of_six();
+    end_under(&mut subject, "one");
+    end_under(&mut subject, "two");
+    subject.now += END_KEPT_MS;
+    subject.read_plan(Some(RoutePlan { version: 2, ..plan(2) }));
+    let (ticket, _) = subject.sent(asking("three"));
+    assert!(break_off(&mut subject, ticket).is_none(), "no second replica for it");
+    assert!(is_refused(subject.refused(asking("four")), 502, RefusalReason::Fatal));
+    subject.now += UNHEARD_MS;
+    subject.feed(RouteEvent::Tick);
+    assert!(is_refused(subject.refused(asking("five")), 502, RefusalReason::Fatal));
+}
+
 fn told(ends: Vec<EndNote>) -> RouteEvent {
     let card = PeerCard { note_address: "box-2:90".to_owned(), ..PeerCard::default() };
     let note = PeerNote { name: "box-2".to_owned(), number: 1, card, ends, ..PeerNote::default() };
@@ -310,7 +361,7 @@
         let (ticket, order) = subject.sent(asking(id));
         break_off(&mut subject, ticket);
         subject.feed(RouteEvent::CallerLeft(ticket));
-        subject.now += 10;
+        subject.now += 200;
         answer_elsewhere(&mut subject, &order);
         subject.feed(RouteEvent::Tick);
         subject.now += 1_000;
--- a/crates/core/tests/route/replica_fleet.rs
+++ b/crates/core/tests/route/replica_fleet.rs
@@ -146,15 +146,30 @@
         self.feed(number, RouteEvent::PlanRead { asked_at, read_to: 1, plan });
     }
 
-    /// A box starts again, and knows nothing but the addresses of two others until one of them, if any lives, has answered
-    /// it. Then it reads the store.
+    /// A box starts again, and knows nothing but the addresses of two others until one of them has answered it. Then it
+    /// reads the store.
     pub fn restart(&mut self, number: usize) {
+        self.lose(number);
+        self.begin(number);
+    }
+
+    /// All boxes start again at once.
+    pub fn restart_all(&mut self) {
+        (0..self.boxes.len()).for_each(|number| self.lose(number));
+        (0..self.boxes.len()).for_each(|number| self.begin(number));
+    }
+
+    /// A box loses all that it knew, and its requests.
+    fn lose(&mut self, number: usize) {
         self.restarts += 1;
         self.boxes[number] = new_state(number, self.restarts * 1_000);
         self.keys[number].clear();
         for rows in &mut self.running {
             rows.retain(|row| row.0 != number);
         }
+    }
+
+    fn begin(&mut self, number: usize) {
         let others = [1, 2].map(|step| format!("box-{}:90", (number + step) % self.boxes.len()));
         self.feed(number, RouteEvent::PeersNamed(others.to_vec()));
         self.pass_word(number);
