test: a replica that said that it leaves, or asked for rest, gets requests on: fail

Two tests on a process before stand-ins, listed: the replica's answers say Server-Leaving, or 503 with Retry-After: 3, and the box goes on sending there.

--- /dev/null
+++ b/crates/box/tests/own_word.rs
@@ -0,0 +1,83 @@
+//! What replicas say of themselves in answers, before a real box: that they leave, and that they rest.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use ravenspoke_standins::fleet::wait_for;
+use ravenspoke_standins::platform::replica::{ReplicaMode, ReplicaStandin};
+use ravenspoke_standins::platform::site::{RunningSite, SITE_KEY};
+use ravenspoke_standins::platform::site_box::SiteBox;
+
+/// Time between two requests of callers.
+const BETWEEN: Duration = Duration::from_millis(25);
+
+/// Rest that the replica asks for.
+const REST: Duration = Duration::from_secs(3);
+
+/// A request that reaches the replica so soon after its word was under way.
+const UNDER_WAY: Duration = Duration::from_millis(500);
+
+/// Requests that may reach a replica while it rests.
+const RESTING_ALLOWED: usize = 2;
+
+/// A box before two replicas, `i-first` and `i-second`.
+async fn site_of_two() -> (RunningSite, SiteBox, ReplicaStandin, ReplicaStandin) {
+    let mut site = RunningSite::start(Path::new(env!("CARGO_BIN_EXE_ravenspoked"))).await;
+    site.write_plan(1, &[SITE_KEY]);
+    let first = site.start_replica("i-first", 3, 1).await;
+    let second = site.start_replica("i-second", 3, 1).await;
+    let subject = site.start_ready("box-1").await;
+    wait_for("the box knows the replicas", || async {
+        let state = subject.state().await?;
+        (state["backends"].as_array()?.len() == 2).then_some(())
+    })
+    .await;
+    (site, subject, first, second)
+}
+
+/// Requests come for a while; gives their statuses.
+async fn ask_for(site: &RunningSite, subject: &SiteBox, length: Duration) -> Vec<u16> {
+    let began = Instant::now();
+    let mut beat = tokio::time::interval(BETWEEN);
+    let mut statuses = Vec::new();
+    while began.elapsed() < length {
+        beat.tick().await;
+        let id = format!("r-{:?}-{}", began, statuses.len());
+        let asked = site.request(subject, "POST", "/read/x", &id).body("b");
+        statuses.push(asked.send().await.map_or(0, |answer| answer.status().as_u16()));
+    }
+    statuses
+}
+
+#[tokio::test]
+async fn a_replica_gets_nothing_after_its_answer_said_that_it_leaves() {
+    let (site, subject, first, _second) = site_of_two().await;
+    first.say_leaving();
+    wait_for("an answer that says so", || async {
+        ask_for(&site, &subject, BETWEEN).await;
+        (!first.runs().is_empty()).then_some(())
+    })
+    .await;
+
+    let before = first.runs().len();
+    let statuses = ask_for(&site, &subject, Duration::from_secs(1)).await;
+
+    assert_eq!(first.runs().len(), before, "the store has not said so yet");
+    assert!(statuses.iter().all(|status| *status == 200), "the other replica takes all");
+}
+
+#[tokio::test]
+async fn a_replica_that_asked_for_rest_gets_it() {
+    let (site, subject, first, _second) = site_of_two().await;
+    first.set_mode(ReplicaMode::Full);
+    first.set_rest(Some(REST.as_secs_f64()));
+
+    let statuses = ask_for(&site, &subject, REST).await;
+
+    let turned_away = first.turned_away();
+    let word = *turned_away.first().expect("it got one");
+    let resting = word + UNDER_WAY..word + REST;
+    let got = turned_away.iter().filter(|at| resting.contains(*at)).count();
+    assert!(got <= RESTING_ALLOWED, "{got} requests while it rested");
+    assert!(statuses.iter().all(|status| *status == 200), "the other replica takes all");
+}
--- a/crates/standins/src/platform/replica.rs
+++ b/crates/standins/src/platform/replica.rs
@@ -59,6 +59,12 @@
     mode: ReplicaMode,
     /// Requests a second that it names as its limit.
     limit_per_s: Option<f64>,
+    /// Seconds of rest that it asks for as it turns requests away.
+    rest_s: Option<f64>,
+    /// Whether it says in its answers that it leaves.
+    leaving: bool,
+    /// When it turned requests away.
+    turned_away: Vec<Instant>,
     /// Bodies with which it ends, and all that runs there.
     deadly: Option<Vec<u8>>,
     runs: Vec<ReplicaRun>,
@@ -127,6 +133,21 @@
         self.lock().limit_per_s = limit_per_s;
     }
 
+    /// Sets the rest that it asks for as it turns requests away, in seconds.
+    pub fn set_rest(&self, rest_s: Option<f64>) {
+        self.lock().rest_s = rest_s;
+    }
+
+    /// It says in its answers from now on that it leaves.
+    pub fn say_leaving(&self) {
+        self.lock().leaving = true;
+    }
+
+    /// When it turned requests away.
+    pub fn turned_away(&self) -> Vec<Instant> {
+        self.lock().turned_away.clone()
+    }
+
     /// A request with this body ends its process.
     pub fn end_on(&self, body: &[u8]) {
         self.lock().deadly = Some(body.to_owned());
@@ -137,9 +158,23 @@
         *self.ended.borrow()
     }
 
-    /// The limit that it names, as its answers have it.
-    fn limit_text(&self) -> Option<String> {
-        self.lock().limit_per_s.map(|limit| limit.to_string())
+    /// What it says of itself in each answer.
+    fn own_word(&self) -> Vec<(&'static str, String)> {
+        let record = self.lock();
+        let limit = record.limit_per_s.map(|limit| ("Server-Limit", limit.to_string()));
+        let leaving = record.leaving.then(|| ("Server-Leaving", "1".to_owned()));
+        limit.into_iter().chain(leaving).collect()
+    }
+
+    /// The answer to a request that it does not run.
+    fn turn_away(&self, id: &str) -> Vec<u8> {
+        let mut word = self.own_word();
+        let mut record = self.lock();
+        record.turned_away.push(Instant::now());
+        word.extend(record.rest_s.map(|rest| ("Retry-After", rest.to_string())));
+        let mut headers = vec![("X-Ravenspoke-Request-Id", id), ("X-Ravenspoke-Not-Executed", "1")];
+        headers.extend(word.iter().map(|(name, value)| (*name, value.as_str())));
+        whole_answer(503, &headers, b"")
     }
 
     /// What it ran.
@@ -191,9 +226,7 @@
         }
         let mode = self.lock().mode;
         if mode == ReplicaMode::Full {
-            let headers =
-                [("X-Ravenspoke-Request-Id", id.as_str()), ("X-Ravenspoke-Not-Executed", "1")];
-            stream.write_all(&whole_answer(503, &headers, b"")).await?;
+            stream.write_all(&self.turn_away(&id)).await?;
             return Ok(true);
         }
         let row = self.note_run(&id, request);
@@ -235,8 +268,8 @@
         if mode != ReplicaMode::Unproven {
             headers.push(("X-Ravenspoke-Response-Stamp", "stamp"));
         }
-        let limit = self.limit_text();
-        headers.extend(limit.as_deref().map(|limit| ("Server-Limit", limit)));
+        let word = self.own_word();
+        headers.extend(word.iter().map(|(name, value)| (*name, value.as_str())));
         let status = if mode == ReplicaMode::Failing { 500 } else { 200 };
         let answer = whole_answer(status, &headers, body.as_bytes());
         match mode {
@@ -268,8 +301,8 @@
             ("Content-Type", "text/event-stream"),
             ("Transfer-Encoding", "chunked"),
         ];
-        let limit = self.limit_text();
-        headers.extend(limit.as_deref().map(|limit| ("Server-Limit", limit)));
+        let word = self.own_word();
+        headers.extend(word.iter().map(|(name, value)| (*name, value.as_str())));
         let mut head = answer_head(200, &headers);
         head.extend(b"\r\n");
         stream.write_all(&head).await?;
