leaving: a replica that says in an answer that it leaves gets nothing more, from any box that is told

Cause: nothing read the header; the store's word, which was relied on alone, came 13.4 s late, since the store was away. Class: what a replica says of itself in answers is not known to those that must heed it, as with limits. Evidence: event 740 of three boxes names the header. Change: the box that gets the answer marks the entry and tells all, as it does with the store's word (the same gossip, no message of its own); a mark counts within one life however old its entry is, so that a store that still shows the replica as active does not take it back. Event 743; head_came tells it.

--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -97,6 +97,7 @@
         waiting = head.load.map(|load| load.waiting),
         running = head.load.map(|load| load.running),
         limit_per_s = head.limit_per_s,
+        leaving = head.leaving,
         after_ms,
     );
 }
@@ -150,6 +151,10 @@
             let content = format!("{content:016x}");
             warn!(event = 742, name = "request_fatal", content, account, ends, age_ms);
         }
+        RouteEffect::LeavingSaid(replica) => {
+            counter!("ravenspoke_leaving_said_total").increment(1);
+            info!(event = 743, name = "leaving_said", replica);
+        }
         RouteEffect::LimitMoved { replica, per_s, own_per_s } => {
             counter!("ravenspoke_limits_moved_total").increment(1);
             info!(event = 741, name = "limit_moved", replica, per_s, own_per_s);
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -59,6 +59,7 @@
     (740, "header_unknown"),
     (741, "limit_moved"),
     (742, "request_fatal"),
+    (743, "leaving_said"),
 ];
 
 /// Logs and counts an effect, where it is worth it.
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -147,7 +147,7 @@
 #[derive(Debug, Default)]
 pub struct BackendTable {
     pub(super) rows: SlotMap<ReplicaKey, BackendState>,
-    ids: HashMap<String, ReplicaKey>,
+    pub(super) ids: HashMap<String, ReplicaKey>,
     /// By [`backend_hash`] of their ids.
     pub(super) hashes: HashMap<u64, ReplicaKey>,
     /// In the order of the hashes of their ids, which is the same on every box.
@@ -243,7 +243,7 @@
         // What may come back is settled by the same change, from a box that takes it for gone.
         let settled = lapse_at.is_none() && change.entry.is_none() && self.lapses(&change.id);
         if known.is_some_and(|at| at > change.at || (at == change.at && !settled)) {
-            return BackendNews::None;
+            return change.entry.as_ref().map_or(BackendNews::None, |entry| self.take_mark(entry));
         }
         match &change.entry {
             Some(entry) => self.put(entry.clone(), change.at, now),
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -60,6 +60,8 @@
     pub confidence: Option<u8>,
     /// Requests a second that the replica takes from all boxes together, where it names a limit.
     pub limit_per_s: Option<f64>,
+    /// Whether the replica says that it leaves.
+    pub leaving: bool,
     /// Whether the replica says that it did not run the request.
     pub not_run: bool,
     /// Whether another replica answers at this address now.
@@ -368,6 +370,8 @@
         /// How long ago the last end was, in milliseconds.
         age_ms: Option<u64>,
     },
+    /// The replica of this id said in an answer that it leaves.
+    LeavingSaid(String),
     /// A replica named a limit, or names one no more.
     LimitMoved {
         /// Its id.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -12,7 +12,7 @@
 //! [`peers`] the other boxes · [`entries`] how far the replicas' entries are known ·
 //! [`trial`] new versions · [`tally`] what speaks against them · [`progress`] how far they have come ·
 //! [`evacuation`] zones that get nothing · [`warm_up`] replicas that are cold ·
-//! [`limit`] replicas that take few requests · [`fatal`] requests that crash replicas ·
+//! `leaving` replicas that say that they leave · [`limit`] replicas that take few requests · [`fatal`] requests that crash replicas ·
 //! [`budget`] further sends · [`sizes`] which model answers · [`start`] a box's start ·
 //! [`placement`] what it costs to have a prompt read where, from [`backlog`], [`pace`] and [`held`] ·
 //! [`admission`] what is turned away.
@@ -36,6 +36,7 @@
 mod gone;
 pub mod held;
 mod learn;
+mod leaving;
 pub mod limit;
 pub mod loads;
 mod news;
--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -7,6 +7,7 @@
 mod fatal;
 mod fixture;
 mod fleet;
+mod leaving;
 mod limits;
 mod lives;
 mod loads;
