rest: a replica that turns a request away and asks for rest gets it

Cause: Retry-After of replicas was on a list of headers that say nothing that a decision needs. Class: as with Server-Leaving and Server-Limit, a replica's own word that nothing heeds. Ruled out: requests under way (the extra ones begin a second later). Change: the word of a 503, or of any answer that says that the request did not run, keeps this box from that replica until its time is over, also for a request that was chosen for it and is not written yet. Where all replicas rest or are limited callers hear 503 at once, with the time at which the first takes more. It is not told to other boxes, to which it was not said. head_came tells it.

--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -97,6 +97,7 @@
         waiting = head.load.map(|load| load.waiting),
         running = head.load.map(|load| load.running),
         limit_per_s = head.limit_per_s,
+        rest_ms = head.rest_ms,
         leaving = head.leaving,
         after_ms,
     );
--- a/crates/core/src/route/answer.rs
+++ b/crates/core/src/route/answer.rs
@@ -25,6 +25,7 @@
             self.backends.reported(attempt.replica, load, mean_ms, stamp.now);
         }
         self.learn_limit(stamp, attempt.replica, head, out);
+        self.learn_rest(stamp, attempt.replica, head);
         self.learn_leaving(stamp, attempt.replica, head, out);
         if head.not_run || head.other_replica {
             let deed =
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -52,7 +52,7 @@
             let reason = self.why_none(stamp, ticket).unwrap_or(otherwise);
             match reason {
                 RefusalReason::Evacuated => self.return_late(stamp, ticket),
-                RefusalReason::Limited => self.return_in_turn(stamp, ticket),
+                RefusalReason::HeldBack => self.return_in_turn(stamp, ticket),
                 _ => {}
             }
             self.give_up(stamp, ticket, reason, out);
@@ -72,12 +72,12 @@
         request.retry_after_ms = Some(latest_return(left_ms, stamp.dice));
     }
 
-    /// A request's caller is to come back when this box may send to a limited replica again, if it honours that.
+    /// A request's caller is to come back when this box may send to a replica again that rests or is limited, if it honours that.
     fn return_in_turn(&mut self, stamp: EventStamp, ticket: RequestTicket) {
         self.return_late(stamp, ticket);
         let Some(request) = self.requests.get_mut(&ticket) else { return };
-        let limited = self.backends.all_limited(&request.service, stamp.now);
-        let Some(next_at) = limited.and_then(|limited| limited.next_at) else { return };
+        let held_back = self.backends.all_held_back(&request.service, stamp.now);
+        let Some(next_at) = held_back.and_then(|service| service.next_at) else { return };
         let after_ms = next_at.millis_since(stamp.now);
         request.retry_after_ms = request.retry_after_ms.map(|late| late.min(after_ms));
     }
@@ -88,8 +88,8 @@
         if self.backends.all_evacuated(service, &self.evacuated, stamp.now) {
             return Some(RefusalReason::Evacuated);
         }
-        let limited = self.backends.all_limited(service, stamp.now);
-        limited.map(|_| RefusalReason::Limited)
+        let held_back = self.backends.all_held_back(service, stamp.now);
+        held_back.map(|_| RefusalReason::HeldBack)
     }
 
     /// Whether a request that was not sent yet has no time left for what waits where it would begin soonest.
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -105,6 +105,8 @@
     pub cold_until: BoxTime,
     /// This box's part of what it bears until then.
     pub(super) warm_up: WarmUpPart,
+    /// It wants nothing from this box before this.
+    pub rests_until: BoxTime,
     /// The limit that it names.
     pub limit: ReplicaLimit,
     /// Prompts that wait there.
@@ -320,6 +322,7 @@
             id_hash: backend_hash(&id),
             cold_until: now.plus_millis(entry.cold_ms),
             warm_up: WarmUpPart::default(),
+            rests_until: BoxTime::default(),
             limit: ReplicaLimit::default(),
             at,
             reported: 0,
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -60,6 +60,8 @@
     pub confidence: Option<u8>,
     /// Requests a second that the replica takes from all boxes together, where it names a limit.
     pub limit_per_s: Option<f64>,
+    /// How long the replica, which turned the request away, wants nothing from this box, in milliseconds, where it says so.
+    pub rest_ms: Option<u64>,
     /// Whether the replica says that it leaves.
     pub leaving: bool,
     /// Whether the replica says that it did not run the request.
@@ -185,8 +187,8 @@
     NoReplica,
     /// All replicas are in availability zones under evacuation.
     Evacuated,
-    /// All replicas name limits that leave no room for it on this box.
-    Limited,
+    /// All replicas rest, or name limits that leave no room for it on this box.
+    HeldBack,
     /// Every replica that was asked said that it is full.
     Full,
     /// It would not begin before its deadline on any replica.
@@ -211,7 +213,7 @@
             RefusalReason::UnknownKey => "unknown_key",
             RefusalReason::NoReplica => "no_replica",
             RefusalReason::Evacuated => "zones_evacuated",
-            RefusalReason::Limited => "replicas_limited",
+            RefusalReason::HeldBack => "replicas_limited",
             RefusalReason::Full => "replicas_full",
             RefusalReason::NoTime => "no_time",
             RefusalReason::Fatal => "crashes_replicas",
--- a/crates/core/src/route/limit.rs
+++ b/crates/core/src/route/limit.rs
@@ -90,7 +90,7 @@
     }
 
     /// From when on this box may send the next request; `None` if it is none of the senders.
-    fn next_at(&self) -> Option<BoxTime> {
+    pub(super) fn next_at(&self) -> Option<BoxTime> {
         if self.own_per_s <= 0.0 {
             return None;
         }
@@ -131,12 +131,6 @@
     }
 }
 
-/// Replicas of a service that may get nothing more for now, all for their limits.
-pub(super) struct LimitedService {
-    /// From when on this box may send to one of them; `None` if it is a sender of none.
-    pub(super) next_at: Option<BoxTime>,
-}
-
 impl BackendTable {
     /// Takes what a replica said of its limit. Returns whether that is news.
     fn take_limit(&mut self, key: ReplicaKey, per_s: Option<f64>, at: BoxTime) -> bool {
@@ -175,15 +169,6 @@
         notes.truncate(LIMITS_TOLD);
         notes
     }
-
-    /// Whether all replicas of a service that may be used at all are held back by their limits.
-    pub(super) fn all_limited(&self, service: &str, now: BoxTime) -> Option<LimitedService> {
-        let keys = self.by_service.get(service)?;
-        let rows = || keys.iter().map(|key| &self.rows[*key]).filter(|row| row.usable(now));
-        let limited = rows().count() > 0 && rows().all(|row| !row.limit.allows(now));
-        let next_at = rows().filter_map(|row| row.limit.next_at()).min();
-        limited.then_some(LimitedService { next_at })
-    }
 }
 
 /// The boxes that share limits, by hashes of their names.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -12,7 +12,7 @@
 //! [`peers`] the other boxes · [`entries`] how far the replicas' entries are known ·
 //! [`trial`] new versions · [`tally`] what speaks against them · [`progress`] how far they have come ·
 //! [`evacuation`] zones that get nothing · [`warm_up`] replicas that are cold ·
-//! `leaving` replicas that say that they leave · [`limit`] replicas that take few requests · [`fatal`] requests that crash replicas ·
+//! `leaving` replicas that say that they leave · [`limit`] replicas that take few requests · [`rest`] replicas that want none for a while · [`fatal`] requests that crash replicas ·
 //! [`budget`] further sends · [`sizes`] which model answers · [`start`] a box's start ·
 //! [`placement`] what it costs to have a prompt read where, from [`backlog`], [`pace`] and [`held`] ·
 //! [`admission`] what is turned away.
@@ -49,6 +49,7 @@
 pub mod readers;
 mod refuse;
 mod request;
+pub mod rest;
 pub mod sizes;
 pub mod start;
 pub mod tally;
@@ -528,11 +529,13 @@
     }
 
     /// Whether a request may still be written to the replica that it was given to. Opening a connection takes a while; a
-    /// zone's evacuation, or a leaving mark, may have come meanwhile.
+    /// zone's evacuation, a leaving mark, or a wish for rest, may have come meanwhile.
     pub fn may_write(&self, ticket: RequestTicket, now: BoxTime) -> bool {
         let attempt = self.requests.get(&ticket).and_then(|request| request.attempt);
         let row = attempt.and_then(|attempt| self.backends.get(attempt.replica));
-        row.is_some_and(|row| row.usable(now) && !self.evacuated.contains(&row.entry.zone))
+        row.is_some_and(|row| {
+            row.usable(now) && !row.rests(now) && !self.evacuated.contains(&row.entry.zone)
+        })
     }
 
     /// The plan in force.
--- a/crates/core/src/route/pick.rs
+++ b/crates/core/src/route/pick.rs
@@ -92,7 +92,7 @@
             row.usable(ask.now)
                 && !ask.evacuated.contains(&row.entry.zone)
                 && !row.too_cold(ask.warm_up_per_s, self.own, ask.now)
-                && row.limit.allows(ask.now)
+                && row.takes_more(ask.now)
                 && ask.version.takes(&row.entry.version)
                 && !ask.tried.contains(*key)
         };
--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -19,4 +19,5 @@
 mod replica_fleet;
 mod requests;
 mod restarts;
+mod rests;
 mod trials;
--- /dev/null
+++ b/crates/core/tests/route/rests.rs
@@ -0,0 +1,98 @@
+//! Replicas that turn requests away and ask for rest.
+
+use ravenspoke_core::route::event::{AnswerHead, AttemptFailure, RefusalReason, RouteEvent};
+use ravenspoke_core::route::rest::REST_LIMIT_MS;
+use ravenspoke_core::time::BoxTime;
+
+use crate::fixture::{
+    ask, entry, head, is_refused, new_box, order_in, plan, ready_box, refusal_in, TestBox,
+};
+
+/// Rest that a replica asks for, in milliseconds.
+const REST_MS: u64 = 3_000;
+
+/// Requests of which some would go to a replica of two, by chance.
+const REQUESTS: usize = 40;
+
+/// A box with the replicas of these ids.
+fn box_with(ids: &[&str]) -> TestBox {
+    let mut subject = new_box("box-1");
+    subject.read_plan(Some(plan(1)));
+    for id in ids {
+        subject.put(entry(id, "v1"));
+    }
+    subject
+}
+
+fn turning_away(rest_ms: u64) -> AnswerHead {
+    AnswerHead { rest_ms: Some(rest_ms), not_run: true, proven: false, ..head(503) }
+}
+
+/// Replica `a` turns a request away and asks for rest.
+fn let_a_rest(subject: &mut TestBox, rest_ms: u64) {
+    for _ in 0..REQUESTS {
+        let (ticket, order) = subject.sent(ask("/read/x"));
+        if order.replica_id == "a" {
+            subject.feed(RouteEvent::HeadCame(ticket, turning_away(rest_ms)));
+            return;
+        }
+    }
+    panic!("no request went to the replica");
+}
+
+/// Whether the box sends any of many requests to replica `a`.
+fn uses_a(subject: &mut TestBox) -> bool {
+    (0..REQUESTS).any(|_| subject.sent(ask("/read/x")).1.replica_id == "a")
+}
+
+#[test]
+fn a_replica_that_asked_for_rest_gets_nothing_until_it_is_over() {
+    let mut subject = ready_box();
+    let_a_rest(&mut subject, REST_MS);
+    subject.now += REST_MS - 1;
+    assert!(!uses_a(&mut subject));
+    subject.now += 1;
+    assert!(uses_a(&mut subject));
+}
+
+#[test]
+fn a_shorter_word_does_not_end_a_rest_and_none_lasts_for_good() {
+    let mut subject = ready_box();
+    let (ticket, _) = subject.sent(ask("/read/x"));
+    let (other, _) = subject.sent(ask("/read/x"));
+    for (ticket, rest_ms) in [(ticket, u64::MAX), (other, 1)] {
+        subject.feed(RouteEvent::HeadCame(ticket, turning_away(rest_ms)));
+    }
+    subject.now += REST_LIMIT_MS - 1;
+    subject.read_plan(Some(plan(1)));
+    let used = (0..REQUESTS).map(|_| subject.sent(ask("/read/x")).1.replica_id);
+    let used: std::collections::BTreeSet<String> = used.collect();
+    assert_eq!(used.len(), 1, "one rests: {used:?}");
+    subject.now += 1;
+    assert!(uses_a(&mut subject));
+}
+
+#[test]
+fn with_all_replicas_at_rest_callers_are_told_at_once_when_to_come_back() {
+    let mut subject = box_with(&["a"]);
+    let (ticket, _) = subject.sent(ask("/file/x"));
+    let effects = subject.feed(RouteEvent::HeadCame(ticket, turning_away(700)));
+    let first = refusal_in(&effects).expect("the request that was turned away is refused");
+    assert!(is_refused(first, 503, RefusalReason::HeldBack));
+    subject.now += 200;
+    let refusal = subject.refused(ask("/file/x"));
+    assert!(is_refused(refusal, 503, RefusalReason::HeldBack));
+    assert_eq!(refusal.retry_after_ms, Some(500));
+}
+
+#[test]
+fn a_request_whose_replica_asks_for_rest_before_it_is_written_goes_elsewhere() {
+    let mut subject = box_with(&["a"]);
+    let (first, _) = subject.sent(ask("/read/x"));
+    let (second, _) = subject.sent(ask("/read/x"));
+    subject.put(entry("b", "v1"));
+    subject.feed(RouteEvent::HeadCame(first, turning_away(REST_MS)));
+    assert!(!subject.state.may_write(second, BoxTime::from_millis(subject.now)));
+    let effects = subject.feed(RouteEvent::AttemptFailed(second, AttemptFailure::Withdrawn));
+    assert_eq!(order_in(&effects).expect("it goes elsewhere").replica_id, "b");
+}
