clock: ages count the time for which a box was suspended

Cause and class: a decision that rests on a clock that stands while the box does. Change: one clock (CLOCK_BOOTTIME through nix) is the reducer's only time, and what the pool, the planned stop, tries of the store and waits for answers go by; waits look at it each 250 ms. Event 744 and a counter tell of suspensions. A clock that can't be read ends the start with an error; it never goes backwards. Six tests on a clock that the test moves; the code before has no such seam, so they were not seen to fail on it.

--- /dev/null
+++ b/crates/box/src/clock.rs
@@ -0,0 +1,115 @@
+//! The box's clock: the time since its start, with that for which the box was suspended.
+//!
+//! What a box knows grows old while it is suspended, and its requests' time runs out; the system's monotonic clock, by which
+//! timers run, does not count that time. All ages are taken from here, and waits look here again and again.
+
+use std::future::Future;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use nix::errno::Errno;
+use nix::time::{clock_gettime, ClockId};
+use ravenspoke_core::time::BoxTime;
+
+/// A wait looks at the clock at least this often, in milliseconds: a timer that was set before a suspension is late by its
+/// length.
+pub const LOOK_MS: u64 = 250;
+
+/// Time that the monotonic clock lacks from which on the box counts as having been suspended, in milliseconds: below
+/// that the two clocks were only not read at the same moment.
+pub const SUSPENDED_MS: u64 = 100;
+
+/// The clock that counts suspensions can't be read.
+#[derive(Debug, thiserror::Error)]
+#[error("the clock that counts suspensions can't be read: {0}")]
+pub struct ClockError(#[from] Errno);
+
+/// The box's clock; it never goes backwards.
+#[derive(Debug)]
+pub struct BoxClock {
+    started: Duration,
+    /// The latest time that was given, in microseconds.
+    latest: AtomicU64,
+    /// Time by which a test moved it, in microseconds.
+    skipped: AtomicU64,
+}
+
+impl BoxClock {
+    /// A clock that starts now.
+    ///
+    /// # Errors
+    /// [`ClockError`], if the system has no such clock.
+    pub fn start() -> Result<Self, ClockError> {
+        let started = read(ClockId::CLOCK_BOOTTIME)?;
+        Ok(Self { started, latest: AtomicU64::new(0), skipped: AtomicU64::new(0) })
+    }
+
+    /// The time.
+    pub fn now(&self) -> BoxTime {
+        // It could be read at the start; should that ever fail, time stands for a moment.
+        let since = read(ClockId::CLOCK_BOOTTIME).unwrap_or_default().saturating_sub(self.started);
+        let micros = u64::try_from(since.as_micros()).unwrap_or(u64::MAX);
+        let micros = micros.saturating_add(self.skipped.load(Ordering::Relaxed));
+        let latest = self.latest.fetch_max(micros, Ordering::Relaxed);
+        BoxTime::from_micros(micros.max(latest))
+    }
+
+    /// How long it is until `time`.
+    pub fn until(&self, time: BoxTime) -> Duration {
+        Duration::from_micros(time.micros_since(self.now()))
+    }
+
+    /// Time since `earlier`.
+    pub fn since(&self, earlier: BoxTime) -> Duration {
+        Duration::from_micros(self.now().micros_since(earlier))
+    }
+
+    /// What `future` gives within `limit` of this clock; `None` if that is over first.
+    pub async fn within<F: Future>(&self, limit: Duration, future: F) -> Option<F::Output> {
+        let began = self.now();
+        tokio::pin!(future);
+        loop {
+            let left = limit.saturating_sub(self.since(began));
+            let look = left.min(Duration::from_millis(LOOK_MS));
+            if let Ok(output) = tokio::time::timeout(look, future.as_mut()).await {
+                return Some(output);
+            }
+            if left.is_zero() {
+                return None;
+            }
+        }
+    }
+
+    /// Moves it forward, as a suspension does.
+    pub fn skip(&self, length: Duration) {
+        let micros = u64::try_from(length.as_micros()).unwrap_or(u64::MAX);
+        self.skipped.fetch_add(micros, Ordering::Relaxed);
+    }
+}
+
+/// Finds out that the box was suspended.
+#[derive(Debug)]
+pub struct SuspensionWatch {
+    clock: BoxTime,
+    steady: tokio::time::Instant,
+}
+
+impl SuspensionWatch {
+    /// Watches from now on.
+    pub fn start(clock: &BoxClock) -> Self {
+        Self { clock: clock.now(), steady: tokio::time::Instant::now() }
+    }
+
+    /// How long the box was suspended since the last look, if it was.
+    pub fn look(&mut self, clock: &BoxClock) -> Option<Duration> {
+        let next = Self::start(clock);
+        let by_clock = Duration::from_micros(next.clock.micros_since(self.clock));
+        let suspended = by_clock.saturating_sub(next.steady.duration_since(self.steady));
+        *self = next;
+        (suspended >= Duration::from_millis(SUSPENDED_MS)).then_some(suspended)
+    }
+}
+
+fn read(id: ClockId) -> Result<Duration, Errno> {
+    clock_gettime(id).map(Duration::from)
+}
--- a/crates/box/src/driver.rs
+++ b/crates/box/src/driver.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use ravenspoke_core::appender::LogStream;
 use ravenspoke_core::attempt::RequestRefusal;
@@ -20,6 +20,7 @@
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::Notify;
 
+use crate::clock::BoxClock;
 use crate::observe;
 
 /// What the reducer tells the task of one request.
@@ -56,7 +57,7 @@
     state: Mutex<BoxState>,
     steps: Mutex<HashMap<RequestTicket, UnboundedSender<RequestStep>>>,
     sinks: EffectSinks,
-    started: Instant,
+    clock: BoxClock,
     next_ticket: AtomicU64,
     /// Wakes the reader of the bundles stream.
     pub read_bundles: Notify,
@@ -66,21 +67,21 @@
 
 impl BoxDriver {
     /// A driver of `state`.
-    pub fn new(state: BoxState, sinks: EffectSinks) -> Self {
+    pub fn new(state: BoxState, sinks: EffectSinks, clock: BoxClock) -> Self {
         Self {
             state: Mutex::new(state),
             steps: Mutex::default(),
             sinks,
-            started: Instant::now(),
+            clock,
             next_ticket: AtomicU64::new(1),
             read_bundles: Notify::new(),
             may_exit: Notify::new(),
         }
     }
 
-    /// The box's monotonic clock.
+    /// The time by the box's clock.
     pub fn now(&self) -> BoxTime {
-        BoxTime::from_micros(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
+        self.clock.now()
     }
 
     fn stamp(&self) -> EventStamp {
--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -1,8 +1,8 @@
 //! The driver: one lock around the reducer's state, one place that applies events.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use ravenspoke_core::event::{EventStamp, RequestTicket};
 use ravenspoke_core::route::event::{
@@ -19,6 +19,7 @@
 use super::observe;
 use super::tally::{ControlTally, DatagramKind};
 use super::told::OperatorRecords;
+use crate::clock::BoxClock;
 
 /// What the reducer tells the task of one request.
 #[derive(Debug)]
@@ -88,7 +89,7 @@
 pub struct GatewayDriver {
     state: Mutex<RouteState>,
     sinks: GatewaySinks,
-    started: Instant,
+    clock: Arc<BoxClock>,
     next_ticket: AtomicU64,
     /// The operator's records, for boxes that ask for them.
     operator: Mutex<OperatorRecords>,
@@ -100,11 +101,11 @@
 
 impl GatewayDriver {
     /// A driver of `state`.
-    pub fn new(state: RouteState, sinks: GatewaySinks) -> Self {
+    pub fn new(state: RouteState, sinks: GatewaySinks, clock: Arc<BoxClock>) -> Self {
         Self {
             state: Mutex::new(state),
             sinks,
-            started: Instant::now(),
+            clock,
             next_ticket: AtomicU64::new(1),
             operator: Mutex::default(),
             listed: AtomicBool::new(false),
@@ -112,14 +113,24 @@
         }
     }
 
-    /// The box's steady clock.
+    /// The box's clock.
+    pub fn clock(&self) -> &BoxClock {
+        &self.clock
+    }
+
+    /// The same clock, for what keeps it.
+    pub fn shared_clock(&self) -> Arc<BoxClock> {
+        self.clock.clone()
+    }
+
+    /// The time by it.
     pub fn now(&self) -> BoxTime {
-        BoxTime::from_micros(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
+        self.clock.now()
     }
 
     /// How long it is until `time`.
     pub fn until(&self, time: BoxTime) -> Duration {
-        Duration::from_micros(time.micros_since(self.now()))
+        self.clock.until(time)
     }
 
     /// Looks at the state.
--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -191,16 +191,16 @@
     let patience = Duration::from_millis(order.head_ms);
     let (failure, why) = loop {
         let left = tools.driver.until(order.deadline);
-        match tokio::time::timeout(left.min(patience), asked.as_mut()).await {
-            Ok(Ok(answer)) => {
+        match tools.driver.clock().within(left.min(patience), asked.as_mut()).await {
+            Some(Ok(answer)) => {
                 observe::note_head(&guard.name, &answer.decoded, began.elapsed());
                 return AttemptOutcome::Answer(Box::new(answer));
             }
-            Ok(Err(failed)) => break failed,
-            Err(_) if left <= patience => {
+            Some(Err(failed)) => break failed,
+            None if left <= patience => {
                 return AttemptOutcome::Ended(guard.feed(RouteEvent::TimeUp(guard.name.ticket)));
             }
-            Err(_) => {}
+            None => {}
         }
         // Silence alone ends nothing: the reducer names another replica, or the wait goes on.
         if let Some(step) = guard.feed(RouteEvent::Paused(guard.name.ticket)) {
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -103,6 +103,12 @@
     );
 }
 
+/// Logs that the box was suspended.
+pub fn note_woke(length: Duration) {
+    counter!("ravenspoke_suspensions_total").increment(1);
+    warn!(event = 744, name = "box_woke", suspended_ms = length.as_millis() as u64);
+}
+
 /// Logs a header that the platform's adapter does not know, the first time that a replica sends it.
 pub fn note_strange_header(header: &str, value: &str, replica: &str) {
     counter!("ravenspoke_strange_headers_total").increment(1);
--- a/crates/box/src/gateway/pool.rs
+++ b/crates/box/src/gateway/pool.rs
@@ -3,16 +3,19 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper_util::rt::TokioIo;
+use ravenspoke_core::time::BoxTime;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::clock::BoxClock;
+
 /// A connection must come up within this, in milliseconds: across availability zones it takes a few,
 /// and a lost opening packet is sent again only after a second.
 pub const CONNECT_MS: u64 = 250;
@@ -61,26 +64,32 @@
 
 struct IdleLink {
     link: ReplicaLink,
-    since: Instant,
-    until: Instant,
+    since: BoxTime,
+    until: BoxTime,
 }
 
 /// Idle connections by address.
-#[derive(Default)]
 pub struct ReplicaPool {
+    clock: Arc<BoxClock>,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleLink>>>,
 }
 
 impl ReplicaPool {
+    /// A pool without connections, whose ages are by `clock`.
+    pub fn new(clock: Arc<BoxClock>) -> Self {
+        Self { clock, idle: Mutex::default() }
+    }
+
     /// An idle connection to `address`, if there is a sound one, for a request that may be
     /// `repeatable`.
     pub fn take(&self, address: SocketAddr, repeatable: bool) -> Option<ReplicaLink> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let links = idle.get_mut(&address)?;
-        let now = Instant::now();
-        let single = Duration::from_millis(SINGLE_IDLE_MS);
+        let now = self.clock.now();
         // The last one in is the one that was idle for the shortest time.
-        if !repeatable && links.last().is_some_and(|row| now.duration_since(row.since) > single) {
+        if !repeatable
+            && links.last().is_some_and(|row| now.millis_since(row.since) > SINGLE_IDLE_MS)
+        {
             return None;
         }
         while let Some(row) = links.pop() {
@@ -120,8 +129,8 @@
             return;
         }
         link.used = true;
-        let since = Instant::now();
-        let until = since + Duration::from_millis(kept_ms.min(IDLE_MS));
+        let since = self.clock.now();
+        let until = since.plus_millis(kept_ms.min(IDLE_MS));
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let links = idle.entry(link.address).or_default();
         if links.len() < IDLE_LIMIT {
@@ -131,7 +140,7 @@
 
     /// Closes connections that were idle for too long.
     pub fn sweep(&self) {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         for links in idle.values_mut() {
             links.retain(|row| row.until > now && row.link.sender.is_ready());
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -13,6 +13,7 @@
 use ravenspoke_core::route::progress::TrialMark;
 use ravenspoke_core::route::trial::TrialVerdict;
 use ravenspoke_core::route::{RouteSettings, RouteState, STOP_TAKE_MS};
+use ravenspoke_core::time::BoxTime;
 use rocket::Route;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -29,6 +30,7 @@
 use super::reload::follow_settings;
 use super::strange::StrangeHeaders;
 use super::{follow, marks, notes, observe, tally, verdicts};
+use crate::clock::{BoxClock, SuspensionWatch};
 use crate::process::{ignite, server, ProcessError};
 
 /// Time passes for the reducer this often, in milliseconds.
@@ -79,7 +81,8 @@
         marks: mark_receiver,
     };
     let state = RouteState::new(route_settings(&settings));
-    let driver = Arc::new(GatewayDriver::new(state, sinks));
+    let clock = Arc::new(BoxClock::start()?);
+    let driver = Arc::new(GatewayDriver::new(state, sinks, clock));
     let store = StoreClient::new(&settings.store, settings.entry.ip())?;
 
     let socket = UdpSocket::bind(settings.notes).await;
@@ -171,7 +174,7 @@
         driver: &Arc<GatewayDriver>,
         listener: TcpListener,
     ) -> Self {
-        let pool = Arc::new(ReplicaPool::default());
+        let pool = Arc::new(ReplicaPool::new(driver.shared_clock()));
         tokio::spawn(run_ticks(driver.clone(), pool.clone()));
         let stopping = AtomicBool::new(false);
         let strange = StrangeHeaders::default();
@@ -226,7 +229,7 @@
     store: StoreClient,
     entry: OpenEntry,
 ) {
-    let began = Instant::now();
+    let began = driver.now();
     driver.feed(RouteEvent::StopAsked);
     entry.stop();
     if driver.listed.load(Ordering::Relaxed) {
@@ -284,7 +287,11 @@
 async fn run_ticks(driver: Arc<GatewayDriver>, pool: Arc<ReplicaPool>) {
     let mut swept = Instant::now();
     let mut told = (Instant::now(), observe::ToldCosts::default());
+    let mut watch = SuspensionWatch::start(driver.clock());
     loop {
+        if let Some(length) = watch.look(driver.clock()) {
+            observe::note_woke(length);
+        }
         driver.feed(RouteEvent::Tick);
         if swept.elapsed() >= Duration::from_millis(SWEEP_EVERY_MS) {
             swept = Instant::now();
@@ -312,14 +319,15 @@
     settings: &GatewaySettings,
     driver: &GatewayDriver,
     callers: &CallerCount,
-    began: Instant,
+    began: BoxTime,
 ) {
     let limit = Duration::from_millis(settings.grace_ms.saturating_sub(GRACE_MARGIN_MS));
     // Callers keep an answer for its time, some of them longer; then they look for another.
     let stay = Duration::from_millis(settings.keep_ms).min(limit);
     loop {
         let empty = callers.open() == 0 && driver.state().in_hand() == 0;
-        if (empty && began.elapsed() >= stay) || began.elapsed() >= limit {
+        let stopping = driver.clock().since(began);
+        if (empty && stopping >= stay) || stopping >= limit {
             return;
         }
         tokio::time::sleep(Duration::from_millis(STOP_LOOK_MS)).await;
--- a/crates/box/src/gateway/relay.rs
+++ b/crates/box/src/gateway/relay.rs
@@ -117,12 +117,12 @@
             return StreamPiece::Broken("no replica");
         };
         let left = self.tools.driver.until(self.order.deadline);
-        match tokio::time::timeout(left.min(patience), source.body.frame()).await {
-            Ok(Some(Ok(frame))) => StreamPiece::Bytes(frame.into_data().unwrap_or_default()),
-            Ok(Some(Err(_))) => StreamPiece::Broken("it broke off"),
-            Ok(None) => StreamPiece::End,
-            Err(_) if left <= patience => StreamPiece::TimeUp,
-            Err(_) => StreamPiece::Paused,
+        match self.tools.driver.clock().within(left.min(patience), source.body.frame()).await {
+            Some(Some(Ok(frame))) => StreamPiece::Bytes(frame.into_data().unwrap_or_default()),
+            Some(Some(Err(_))) => StreamPiece::Broken("it broke off"),
+            Some(None) => StreamPiece::End,
+            None if left <= patience => StreamPiece::TimeUp,
+            None => StreamPiece::Paused,
         }
     }
 
--- a/crates/box/src/gateway/topic_follower.rs
+++ b/crates/box/src/gateway/topic_follower.rs
@@ -2,7 +2,7 @@
 
 use std::future::Future;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use ravenspoke_adapter::store::{
     AppendOutcome, KeyedRecord, StoreClient, StoreError, TopicListing, TopicRead, CALL_MS,
@@ -56,9 +56,9 @@
     /// Reads that are open, each with the offset that it began at.
     reads: OpenCalls<(u64, TopicRead)>,
     /// When the store was lost, if it is.
-    lost_at: Option<Instant>,
+    lost_at: Option<BoxTime>,
     /// When a call last failed or was found late, with chance for the pause after it.
-    failed_at: Instant,
+    failed_at: BoxTime,
     jitter: f64,
     /// Pause before the next try, while the store is lost, in milliseconds.
     retry_ms: u64,
@@ -78,7 +78,7 @@
             due,
             reads: OpenCalls::default(),
             lost_at: None,
-            failed_at: Instant::now(),
+            failed_at: BoxTime::default(),
             jitter: 0.0,
             retry_ms: RETRY_MS,
         }
@@ -87,13 +87,13 @@
     /// Waits until calls are due. Reads that were left open are dropped after a longer wait: nobody listened, and how
     /// they ended says nothing of the store as it is now.
     pub(super) async fn wait_for_turn(&mut self) {
-        let began = Instant::now();
+        let began = self.driver.now();
         while !(self.due)(&self.driver.state(), self.driver.now()) {
             let starts = !self.driver.state().knows_site();
             let look_ms = if starts { START_LOOK_MS } else { TURN_LOOK_MS };
             tokio::time::sleep(Duration::from_millis(look_ms)).await;
         }
-        if began.elapsed() > Duration::from_millis(CALL_MS) {
+        if self.driver.clock().since(began) > Duration::from_millis(CALL_MS) {
             self.reads = OpenCalls::default();
         }
     }
@@ -222,14 +222,14 @@
     /// Whether a pause of so long, and a part of it by chance, has passed since the last failure.
     fn pause_is_over(&self, pause_ms: u64) -> bool {
         let pause = Duration::from_millis(pause_ms).mul_f64(1.0 + self.jitter / 4.0);
-        self.failed_at.elapsed() >= pause
+        self.driver.clock().since(self.failed_at) >= pause
     }
 
     /// Notes that the store answers.
     fn note_answered(&mut self) {
         self.retry_ms = RETRY_MS;
         if let Some(at) = self.lost_at.take() {
-            observe::note_store_regained(self.topic, at.elapsed());
+            observe::note_store_regained(self.topic, self.driver.clock().since(at));
             self.driver.feed(RouteEvent::StoreBack);
         }
     }
@@ -237,12 +237,12 @@
     /// Notes a call that failed, or is late, `after` it began.
     fn note_failed(&mut self, why: &dyn std::fmt::Display, after: Duration) {
         observe::note_store_error();
-        (self.failed_at, self.jitter) = (Instant::now(), rand::random());
+        (self.failed_at, self.jitter) = (self.driver.now(), rand::random());
         self.driver.feed(RouteEvent::StoreFailed);
         if self.lost_at.is_none() {
             observe::note_store_lost(self.topic, why, after, self.role());
         }
-        self.lost_at.get_or_insert_with(Instant::now);
+        self.lost_at.get_or_insert(self.failed_at);
     }
 
     /// What this box does about the store's loss.
--- a/crates/box/src/gateway/verdicts.rs
+++ b/crates/box/src/gateway/verdicts.rs
@@ -1,7 +1,7 @@
 //! Reads the verdicts that stand in the store, and writes those of this box that are due.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use ravenspoke_adapter::records::{read_verdict, write_verdict, VERDICT_TOPIC};
 use ravenspoke_adapter::store::{AppendOutcome, KeyedRecord, StoreClient};
@@ -29,7 +29,7 @@
     let mut marks = MarkReader::new(driver.clone(), store.clone());
     let mut follower = TopicFollower::new(driver.clone(), store, VERDICT_TOPIC, |_, _| true);
     let mut next = None;
-    let mut read_at = Instant::now();
+    let mut read_at = driver.now();
     loop {
         let unread = driver.state().verdicts_unread();
         if unread {
@@ -38,8 +38,10 @@
         }
         // Readers tell the others of later ones.
         let reads = driver.state().on_trial() && driver.state().is_reader(driver.now());
-        if unread || (reads && read_at.elapsed() >= Duration::from_millis(VERDICT_EVERY_MS)) {
-            read_at = Instant::now();
+        if unread
+            || (reads && driver.clock().since(read_at) >= Duration::from_millis(VERDICT_EVERY_MS))
+        {
+            read_at = driver.now();
             match follower.read(&mut next, 0).await {
                 Some(news) => drop(take_verdicts(&driver, news.asked_at, &news.records)),
                 None => follower.wait_to_retry().await,
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -60,6 +60,7 @@
     (741, "limit_moved"),
     (742, "request_fatal"),
     (743, "leaving_said"),
+    (744, "box_woke"),
 ];
 
 /// Logs and counts an effect, where it is worth it.
--- a/crates/box/src/process.rs
+++ b/crates/box/src/process.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::unbounded_channel;
 
+use crate::clock::{BoxClock, ClockError};
 use crate::driver::{BoxDriver, EffectSinks};
 use crate::entry::{entry_routes, EntryLimits};
 use crate::exchange::ExchangeTools;
@@ -41,6 +42,10 @@
     /// Signals could not be listened for.
     #[error("signals can't be listened for: {0}")]
     Signals(std::io::Error),
+    /// The box's clock can't be read.
+    #[error(transparent)]
+    #[diagnostic(help("run it on a system that has CLOCK_BOOTTIME"))]
+    Clock(#[from] ClockError),
     /// The HTTP client could not be built.
     #[error("the HTTP client can't be built: {0}")]
     Client(#[from] reqwest::Error),
@@ -60,7 +65,7 @@
     let (order_sender, orders) = unbounded_channel();
     let sinks = EffectSinks { appends: append_sender, peers: peer_sender, orders: order_sender };
     let state = BoxState::new(box_settings(&settings, incarnation));
-    let driver = Arc::new(BoxDriver::new(state, sinks));
+    let driver = Arc::new(BoxDriver::new(state, sinks, BoxClock::start()?));
     let identity = LinkIdentity {
         name: settings.name.clone(),
         incarnation,
--- /dev/null
+++ b/crates/box/tests/clock.rs
@@ -0,0 +1,125 @@
+//! The box's clock: it counts suspensions, and waits end by it.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ravenspoke_box::clock::{BoxClock, SuspensionWatch};
+use ravenspoke_box::gateway::driver::{GatewayDriver, GatewaySinks};
+use ravenspoke_core::route::budget::BudgetBounds;
+use ravenspoke_core::route::event::RouteEvent;
+use ravenspoke_core::route::fresh::FreshBounds;
+use ravenspoke_core::route::plan::RoutePlan;
+use ravenspoke_core::route::{RouteSettings, RouteState};
+use tokio::sync::mpsc::{channel, unbounded_channel};
+
+/// Longer than a test may take.
+const LONG: Duration = Duration::from_secs(60);
+
+fn clock() -> BoxClock {
+    BoxClock::start().expect("the system has the clock")
+}
+
+#[test]
+fn time_for_which_the_box_was_suspended_counts() {
+    let clock = clock();
+    let before = clock.now();
+    clock.skip(LONG);
+    assert!(clock.since(before) >= LONG);
+    assert_eq!(clock.until(before), Duration::ZERO);
+}
+
+#[tokio::test]
+async fn a_wait_that_began_before_a_suspension_ends_soon_after_it() {
+    let clock = clock();
+    let wait = clock.within(LONG, std::future::pending::<()>());
+    let wake = async {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        clock.skip(LONG);
+    };
+    let ended = tokio::time::timeout(LONG / 4, async { tokio::join!(wait, wake).0 }).await;
+    assert_eq!(ended, Ok(None));
+}
+
+#[tokio::test]
+async fn what_is_ready_is_given_though_its_time_was_over_in_a_suspension() {
+    let clock = clock();
+    assert_eq!(clock.within(Duration::ZERO, async { 1 }).await, Some(1));
+}
+
+#[test]
+fn a_suspension_is_found_out_once_and_its_length_told() {
+    let clock = clock();
+    let mut watch = SuspensionWatch::start(&clock);
+    assert_eq!(watch.look(&clock), None);
+    clock.skip(Duration::from_secs(5));
+    let length = watch.look(&clock).expect("it was suspended");
+    assert_eq!(length.as_secs_f64().round(), 5.0, "{length:?}");
+    assert_eq!(watch.look(&clock), None);
+}
+
+/// A driver whose box has a plan, read a moment ago, and may rely on it for [`LONG`] at most.
+fn driver_with_plan(clock: Arc<BoxClock>) -> GatewayDriver {
+    let settings = RouteSettings {
+        name: "box-1".to_owned(),
+        zone: "east".to_owned(),
+        incarnation: 1,
+        entry_address: "box-1:80".to_owned(),
+        note_address: "box-1:90".to_owned(),
+        is_seed: false,
+        fresh: FreshBounds { revoke_ms: Some(LONG.as_millis() as u64), apply_ms: 2_000 },
+        budget: BudgetBounds { ratio: 0.1, slack: 10.0, window_ms: 10_000 },
+    };
+    let sinks = GatewaySinks {
+        notes: channel(1).0,
+        answers: channel(1).0,
+        verdicts: unbounded_channel().0,
+        marks: unbounded_channel().0,
+    };
+    let driver = GatewayDriver::new(RouteState::new(settings), sinks, clock);
+    let plan = Some(RoutePlan { version: 1, ..RoutePlan::default() });
+    driver.feed(RouteEvent::PlanRead { asked_at: driver.now(), read_to: 1, plan });
+    driver
+}
+
+#[test]
+fn keys_that_were_read_before_a_suspension_are_as_old_as_it_was_long() {
+    let clock = Arc::new(clock());
+    let driver = driver_with_plan(clock.clone());
+    assert!(driver.state().ready(driver.now()));
+    clock.skip(LONG);
+    assert!(!driver.state().ready(driver.now()));
+}
+
+/// Sources that read the monotonic clock: for what is logged, how often something is done, and how long a call to the store
+/// under way has been.
+const STEADY: [&str; 5] = [
+    "clock.rs",
+    "gateway/exchange.rs",
+    "gateway/process.rs",
+    "gateway/relay.rs",
+    "gateway/store_calls.rs",
+];
+
+/// Sources of the box, by their paths below `src`.
+fn sources(directory: &Path, below: &str, found: &mut Vec<(String, String)>) {
+    for entry in std::fs::read_dir(directory).expect("sources") {
+        let path = entry.expect("an entry").path();
+        let name = format!("{below}{}", path.file_name().expect("a name").to_string_lossy());
+        if path.is_dir() {
+            sources(&path, &format!("{name}/"), found);
+        } else {
+            found.push((name, std::fs::read_to_string(&path).expect("a source")));
+        }
+    }
+}
+
+#[test]
+fn nothing_that_decides_takes_ages_from_a_clock_that_stands_while_the_box_does() {
+    let mut found = Vec::new();
+    sources(Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/src")), "", &mut found);
+    let steady = found.iter().filter(|(_, text)| text.contains("Instant::now"));
+    let others: Vec<&str> =
+        steady.map(|row| row.0.as_str()).filter(|name| !STEADY.contains(name)).collect();
+    assert_eq!(others, Vec::<&str>::new());
+}
