--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -47,6 +47,7 @@
             return;
         }
         self.advance_trial(stamp, ticket, out);
+        self.share_newly_cold(stamp.now);
         let size = self.requests.get(&ticket).and_then(|request| request.size);
         let Some(choice) = self.choose(stamp, ticket, size) else {
             let reason = self.why_none(stamp, ticket).unwrap_or(otherwise);
@@ -150,9 +151,7 @@
             trial: choice.trial,
             ..self.inputs(stamp)
         };
-        let service = self.requests.get(&ticket).map(|request| request.service.as_str());
-        let warm_up_per_s = service.and_then(|service| self.warm_up_per_s(service, stamp.now));
-        self.backends.sent(pick.key, warm_up_per_s, stamp.now);
+        self.backends.sent(pick.key, stamp.now);
         self.place(stamp, ticket, &pick, out);
         let Some(row) = self.backends.get(pick.key) else { return };
         let Some(request) = self.requests.get_mut(&ticket) else { return };
@@ -207,6 +206,7 @@
             self.settle_size(ticket);
         }
         self.advance_trial(stamp, ticket, out);
+        self.share_newly_cold(stamp.now);
         let next = self.requests.get(&ticket).and_then(|request| request.size);
         let choice = self.choose(stamp, ticket, next);
         let Some(choice) = choice.filter(|_| self.may_send_again(stamp, ticket, cause)) else {
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -14,7 +14,8 @@
 use super::gone::GoneReplicas;
 use super::held::HeldParts;
 use super::limit::ReplicaLimit;
-use super::warm_up::{WarmUpPart, WarmUpPlan, UNSEEN_MS};
+use super::sender::SenderPart;
+use super::warm_up::{WarmUpPlan, UNSEEN_MS};
 use crate::ids::ReplicaKey;
 use crate::time::BoxTime;
 
@@ -104,7 +105,7 @@
     /// Cold until this.
     pub cold_until: BoxTime,
     /// This box's part of what it bears until then.
-    pub(super) warm_up: WarmUpPart,
+    pub(super) warm_up: SenderPart,
     /// It wants nothing from this box before this.
     pub rests_until: BoxTime,
     /// The limit that it names.
@@ -126,11 +127,9 @@
         self.cold_until = self.cold_until.max(from.plus_millis(ms));
     }
 
-    /// Whether it is cold, and the box that is told apart from others by `own` may send it no more for now, where its part
-    /// is `per_s` a second.
-    pub(super) fn too_cold(&self, per_s: Option<f64>, own: u64, now: BoxTime) -> bool {
-        let allows = |per_s| self.warm_up.allows(per_s, self.id_hash, own, now);
-        self.cold_until > now && per_s.is_some_and(|per_s| !allows(per_s))
+    /// Whether it is cold, and this box may send it no more for now.
+    pub(super) fn too_cold(&self, now: BoxTime) -> bool {
+        self.cold_until > now && !self.warm_up.allows(now)
     }
 
     /// Whether it may be chosen at all.
@@ -155,21 +154,17 @@
     /// In the order of the hashes of their ids, which is the same on every box.
     pub(super) by_service: HashMap<String, Vec<ReplicaKey>>,
     gone: GoneReplicas,
-    /// Number that tells this box apart from others.
-    pub(super) own: u64,
+    /// Whether a replica is cold in which this box's part was not worked out yet.
+    pub(super) newly_cold: bool,
 }
 
 impl BackendTable {
-    /// The table of a box that is told apart from others by the number `own`.
-    pub fn new(own: u64) -> Self {
-        Self { own, ..Self::default() }
-    }
-
     /// Takes a replica that could not be reached for cold for `ms` from when it may be back: it has mostly started anew, and its
     /// entry says so seconds later.
     pub(super) fn cool_unreached(&mut self, key: ReplicaKey, ms: u64) {
         if let Some(row) = self.rows.get_mut(key) {
             row.cool(UNSEEN_MS + ms, row.passed_until);
+            self.newly_cold = true;
         }
     }
 
@@ -183,6 +178,7 @@
         for row in self.rows.values_mut().filter(|row| row.entry.zone == zone) {
             if let Some(plan) = warm_up(&row.entry.service) {
                 row.cool(plan.lasts_ms, now);
+                self.newly_cold = true;
             }
         }
     }
@@ -295,6 +291,7 @@
         // A leaving mark is never taken back within one life of a replica.
         let leaving = row.entry.leaving || entry.leaving;
         row.cool(entry.cold_ms, now);
+        self.newly_cold |= entry.cold_ms > 0;
         row.entry = BackendEntry { leaving, born, ..entry };
         match (news, changed) {
             (true, _) => BackendNews::Leaving,
@@ -318,10 +315,11 @@
 
     fn insert(&mut self, entry: BackendEntry, at: u64, now: BoxTime) {
         let (id, service) = (entry.id.clone(), entry.service.clone());
+        self.newly_cold |= entry.cold_ms > 0;
         let key = self.rows.insert(BackendState {
             id_hash: backend_hash(&id),
             cold_until: now.plus_millis(entry.cold_ms),
-            warm_up: WarmUpPart::default(),
+            warm_up: SenderPart::default(),
             rests_until: BoxTime::default(),
             limit: ReplicaLimit::default(),
             at,
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -46,7 +46,7 @@
             work: self.prompt_work(request, size),
             zone: &self.settings.zone,
             evacuated: &self.evacuated,
-            warm_up_per_s: self.warm_up_per_s(&request.service, stamp.now),
+            bounds_cold: self.bounds_cold(&request.service),
             tried: &request.tried,
             dice: stamp.dice,
             now: stamp.now,
--- a/crates/core/src/route/limit.rs
+++ b/crates/core/src/route/limit.rs
@@ -1,30 +1,20 @@
 //! Limits that replicas name: the requests a second that one in need takes from all boxes together.
 //!
 //! Load pattern: a replica in need has little in hand, so it looks idle, and each of hundreds of boxes has a request for it
-//! now and then. A box that kept to all of the limit alone would let the sum be many times that; equal parts of all boxes
-//! are far below a request a second, so that they can be drawn by chance only, and chance has no bound. So few boxes send
-//! to such a replica, its *senders*: the first by a hash of their names and the replica's, which is the same on every box.
-//! Each keeps even distances, so that in any span they send no more than their parts and one request each. Other boxes'
-//! requests go to other replicas.
+//! now and then. Few of them send there; see [`super::sender`].
 //!
 //! Word of a limit comes with answers, and boxes tell it on: most never ask that replica again. The latest word counts.
 
 use serde::Serialize;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::backend::{BackendState, BackendTable};
-use super::peers::PeerTable;
+use super::sender::{FleetNames, SenderPart};
 use super::RouteState;
 use crate::event::EventStamp;
 use crate::ids::ReplicaKey;
-use crate::replica::mix;
 use crate::route::event::{AnswerHead, RouteEffect};
 use crate::time::BoxTime;
 
-/// Senders to a limited replica beyond the requests a second that it takes. With as many more, some of them have a request
-/// for it at any time, and one stays when others are lost; what each may send at once stays small beside the bound.
-pub const SENDERS_BEYOND: usize = 3;
-
 /// Without word of a limit for this long, in milliseconds, a sender's next request goes to that replica, wherever else it
 /// would be read sooner: where hundreds of boxes share many replicas, the few senders may have no request that
 /// belongs there, and nobody would learn that it is in need no more.
@@ -62,10 +52,8 @@
     pub per_s: Option<f64>,
     /// When the replica said so.
     said_at: Option<BoxTime>,
-    /// Requests a second that this box may send; 0 if it is none of the senders.
-    own_per_s: f64,
-    /// When this box last sent a request there.
-    sent_at: Option<BoxTime>,
+    /// This box's part.
+    part: SenderPart,
 }
 
 impl ReplicaLimit {
@@ -91,31 +79,23 @@
 
     /// From when on this box may send the next request; `None` if it is none of the senders.
     pub(super) fn next_at(&self) -> Option<BoxTime> {
-        if self.own_per_s <= 0.0 {
-            return None;
-        }
-        let apart_ms = (1_000.0 / self.own_per_s).ceil() as u64;
-        Some(self.sent_at.map_or(BoxTime::default(), |at| at.plus_millis(apart_ms)))
+        self.part.next_at()
     }
 
     /// Whether this box may send a request now.
     pub(super) fn allows(&self, now: BoxTime) -> bool {
-        !self.binds(now) || self.next_at().is_some_and(|at| at <= now)
+        !self.binds(now) || self.part.allows(now)
     }
 
     /// Notes that this box sent a request.
     pub(super) fn note_sent(&mut self, now: BoxTime) {
-        self.sent_at = Some(now);
+        self.part.note_sent(now);
     }
 
     /// Takes this box's part in the limit of the replica of hash `replica`.
     fn share(&mut self, replica: u64, fleet: &FleetNames) {
         let per_s = self.per_s.unwrap_or(0.0).max(LEAST_PER_S);
-        let senders = (per_s as usize + SENDERS_BEYOND).min(fleet.others.len() + 1);
-        let weight = |name: u64| mix(name ^ replica);
-        let before = fleet.others.iter().filter(|other| weight(**other) < weight(fleet.own));
-        let sends = before.count() < senders;
-        self.own_per_s = if sends { per_s / senders as f64 } else { 0.0 };
+        self.part.share(per_s, replica, fleet);
     }
 
     /// Whether this box is to find out how the replica is.
@@ -171,19 +151,6 @@
     }
 }
 
-/// The boxes that share limits, by hashes of their names.
-struct FleetNames {
-    own: u64,
-    others: Vec<u64>,
-}
-
-impl FleetNames {
-    fn new(own: &str, peers: &PeerTable, now: BoxTime) -> Self {
-        let hash = |name: &str| xxh3_64(name.as_bytes());
-        Self { own: hash(own), others: peers.fleet_names(now).map(hash).collect() }
-    }
-}
-
 impl RouteState {
     /// Takes what the head of a replica's answer says of its limit. One that ran nothing may lack word of it.
     pub(super) fn learn_limit(
@@ -223,17 +190,17 @@
         if !self.backends.take_limit(key, per_s, at) {
             return;
         }
-        let fleet = FleetNames::new(&self.settings.name, &self.peers, stamp.now);
+        let fleet = self.fleet_names(stamp.now);
         self.backends.share_limit(key, &fleet);
         let Some(row) = self.backends.get(key) else { return };
-        let (replica, own_per_s) = (row.entry.id.clone(), row.limit.own_per_s);
+        let (replica, own_per_s) = (row.entry.id.clone(), row.limit.part.own_per_s());
         out.push(RouteEffect::LimitMoved { replica, per_s, own_per_s });
     }
 
     /// Works this box's parts in limits out anew.
     pub(super) fn share_limits(&mut self, now: BoxTime) {
         if self.backends.any_limit() {
-            let fleet = FleetNames::new(&self.settings.name, &self.peers, now);
+            let fleet = self.fleet_names(now);
             self.backends.share_limits(&fleet);
         }
     }
--- a/crates/core/src/route/loads.rs
+++ b/crates/core/src/route/loads.rs
@@ -144,12 +144,10 @@
         }
     }
 
-    /// Notes that a request was given to a replica, of which this box may send `warm_up_per_s` a second to a cold one.
-    pub fn sent(&mut self, key: ReplicaKey, warm_up_per_s: Option<f64>, now: BoxTime) {
+    /// Notes that a request was given to a replica.
+    pub fn sent(&mut self, key: ReplicaKey, now: BoxTime) {
         if let Some(row) = self.rows.get_mut(key) {
-            if let Some(per_s) = warm_up_per_s {
-                row.warm_up.note_sent(per_s, now);
-            }
+            row.warm_up.note_sent(now);
             row.limit.note_sent(now);
             row.outstanding += 1;
             row.since_report += 1;
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -12,7 +12,7 @@
 //! [`peers`] the other boxes · [`entries`] how far the replicas' entries are known ·
 //! [`trial`] new versions · [`tally`] what speaks against them · [`progress`] how far they have come ·
 //! [`evacuation`] zones that get nothing · [`warm_up`] replicas that are cold ·
-//! `leaving` replicas that say that they leave · [`limit`] replicas that take few requests · [`rest`] replicas that want none for a while · [`fatal`] requests that crash replicas ·
+//! `leaving` replicas that say that they leave · [`limit`] replicas that take few requests · [`rest`] replicas that want none for a while · `sender` who sends to which of these · [`fatal`] requests that crash replicas ·
 //! [`budget`] further sends · [`sizes`] which model answers · [`start`] a box's start ·
 //! [`placement`] what it costs to have a prompt read where, from [`backlog`], [`pace`] and [`held`] ·
 //! [`admission`] what is turned away.
@@ -50,6 +50,7 @@
 mod refuse;
 mod request;
 pub mod rest;
+mod sender;
 pub mod sizes;
 pub mod start;
 pub mod tally;
@@ -170,7 +171,7 @@
     /// State of a box that has just started and knows nothing.
     pub fn new(settings: RouteSettings) -> Self {
         Self {
-            backends: BackendTable::new(settings.incarnation),
+            backends: BackendTable::default(),
             settings,
             table: RouteTable::default(),
             fresh: PlanFreshness::default(),
@@ -271,6 +272,7 @@
             self.tell(stamp, change, BackendNews::Leaving, out);
         }
         self.share_limits(stamp.now);
+        self.share_cold(stamp.now);
         self.settle_ends(stamp.now);
         self.settle_reader(stamp.now);
         self.note_reader(stamp.now, out);
@@ -353,12 +355,6 @@
         }
     }
 
-    /// Requests a second that this box may send to one cold replica of a service; `None` where the operator gives no bound.
-    pub(super) fn warm_up_per_s(&self, service: &str, now: BoxTime) -> Option<f64> {
-        let warm_up = self.table.plan().services.get(service)?.warm_up?;
-        Some(warm_up.per_s / self.peers.fleet_count(now) as f64)
-    }
-
     /// Requests in hand at replicas of an availability zone.
     fn in_hand_at(&self, zone: &str) -> usize {
         let attempts = self.requests.values().filter_map(|request| request.attempt);
--- a/crates/core/src/route/pick.rs
+++ b/crates/core/src/route/pick.rs
@@ -30,8 +30,8 @@
     pub zone: &'a str,
     /// Availability zones whose replicas get nothing.
     pub evacuated: &'a EvacuatedZones,
-    /// Requests a second that this box may send to one cold replica, where there is a bound.
-    pub warm_up_per_s: Option<f64>,
+    /// Whether the operator bounds what cold replicas get.
+    pub bounds_cold: bool,
     /// Replicas that this request has been sent to.
     pub tried: &'a [ReplicaKey],
     /// A random number.
@@ -91,7 +91,7 @@
             let row = &self.rows[**key];
             row.usable(ask.now)
                 && !ask.evacuated.contains(&row.entry.zone)
-                && !row.too_cold(ask.warm_up_per_s, self.own, ask.now)
+                && !(ask.bounds_cold && row.too_cold(ask.now))
                 && row.takes_more(ask.now)
                 && ask.version.takes(&row.entry.version)
                 && !ask.tried.contains(*key)
