--- a/crates/box/src/lib.rs
+++ b/crates/box/src/lib.rs
@@ -4,7 +4,8 @@
 //! [`entry`] takes callers' requests, [`exchange`] carries one request's effects out against the
 //! replicas, [`links`] talks to other boxes, [`follow`] reads the platform, [`operator`] serves the
 //! operators, and [`observe`] turns effects into numbered log events and metrics. [`process`] puts
-//! them together, and [`clock`] is where all ages are taken from. [`gateway`] is the box that routes by host and prefix on the users' platform.
+//! them together, and [`clock`] is where all ages are taken from. [`gateway`] is the box that routes by host and
+//! prefix on the users' platform.
 
 pub mod answer;
 pub mod clock;
--- a/crates/core/src/route/fatal/mod.rs
+++ b/crates/core/src/route/fatal/mod.rs
@@ -150,8 +150,11 @@
 
     /// Settles ends by what became of their replicas. Returns whether there were any.
     fn settle(&mut self, fate: &dyn Fn(ReplicaKey, BoxTime) -> EndFate, now: BoxTime) -> bool {
-        let rows = self.rows.values_mut();
-        rows.filter_map(|row| row.settle(fate, now).then_some(())).count() > 0
+        let mut settled = false;
+        for row in self.rows.values_mut() {
+            settled |= row.settle(fate, now);
+        }
+        settled
     }
 
     fn forget(&mut self, now: BoxTime) {
