fatal: what crashes replicas is refused for five minutes after the last end

One minute was the time for which single ends are kept as evidence; it was used for both. What is refused wrongly is taken back by any answer, on all boxes, and after five minutes by single attempts.

--- a/crates/core/src/route/fatal/mod.rs
+++ b/crates/core/src/route/fatal/mod.rs
@@ -54,8 +54,11 @@
 /// An end is told on for this long, in milliseconds: several notes pass it on to all boxes of hundreds.
 pub const END_TOLD_MS: u64 = 3_000;
 
-/// That a content crashes replicas is kept for this long after the last end, in milliseconds. It binds for the shorter
-/// [`END_KEPT_MS`]; after that the next end alone makes it bind again.
+/// That a content crashes replicas binds for this long after the last end, in milliseconds: callers go on for minutes, and
+/// each try ends all that a replica has in hand.
+pub const FATAL_BINDS_MS: u64 = 300_000;
+
+/// It is kept for this long, in milliseconds: after [`FATAL_BINDS_MS`] the next end alone makes it bind again.
 pub const FATAL_KEPT_MS: u64 = 600_000;
 
 /// Words of contents in one note, at most, by turns: some 120 bytes.
--- a/crates/core/src/route/fatal/record.rs
+++ b/crates/core/src/route/fatal/record.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 
 use super::{
-    ContentWord, EndNote, END_KEPT_MS, END_SPREAD_MS, END_TOLD_MS, FATAL_ENDS, FATAL_ENDS_APART,
-    FATAL_KEPT_MS, REQUESTS_KEPT, SAME_MOMENT_MS,
+    ContentWord, EndNote, END_KEPT_MS, END_SPREAD_MS, END_TOLD_MS, FATAL_BINDS_MS, FATAL_ENDS,
+    FATAL_ENDS_APART, FATAL_KEPT_MS, REQUESTS_KEPT, SAME_MOMENT_MS,
 };
 use crate::ids::ReplicaKey;
 use crate::time::BoxTime;
@@ -177,7 +177,7 @@
     /// known what became of that one's replica there is no other.
     pub(super) fn is_fatal(&self, now: BoxTime) -> bool {
         let open = || self.ends.iter().any(|end| end.unsure.is_some());
-        self.fatal_age_ms(now).is_some_and(|age_ms| age_ms < END_KEPT_MS || open())
+        self.fatal_age_ms(now).is_some_and(|age_ms| age_ms < FATAL_BINDS_MS || open())
     }
 
     /// Ends that other boxes are told of, one note for each request.
--- a/crates/core/tests/route/fatal.rs
+++ b/crates/core/tests/route/fatal.rs
@@ -6,7 +6,7 @@
     AttemptFailure, RefusalReason, RouteAsk, RouteEvent, SendOrder,
 };
 use ravenspoke_core::route::fatal::{
-    ContentWord, EndNote, END_KEPT_MS, END_TOLD_MS, FATAL_ENDS, UNHEARD_MS,
+    ContentWord, EndNote, END_TOLD_MS, FATAL_BINDS_MS, FATAL_ENDS, UNHEARD_MS,
 };
 use ravenspoke_core::route::peers::{PeerCard, PeerNote};
 use ravenspoke_core::route::plan::{RoutePlan, ServicePlan};
@@ -267,7 +267,7 @@
     let mut subject = box_of_six();
     end_under(&mut subject, "one");
     end_under(&mut subject, "two");
-    subject.now += END_KEPT_MS;
+    subject.now += FATAL_BINDS_MS;
     subject.read_plan(Some(RoutePlan { version: 2, ..plan(2) }));
     let (ticket, _) = subject.sent(asking("three"));
     assert!(break_off(&mut subject, ticket).is_none(), "no second replica for it");
@@ -294,7 +294,7 @@
     };
     subject.feed(told((0..FATAL_ENDS as u64).map(end).collect()));
     assert!(is_refused(subject.refused(asking("one")), 502, RefusalReason::Fatal));
-    subject.now += END_KEPT_MS;
+    subject.now += FATAL_BINDS_MS;
     subject.read_plan(Some(RoutePlan { version: 2, ..plan(2) }));
     subject.sent(asking("two"));
 }
