--- a/crates/standins/src/soak/inflict.rs
+++ b/crates/standins/src/soak/inflict.rs
@@ -29,6 +29,9 @@
 /// seconds in which boxes must have seen it.
 const MARK_STANDS: Duration = Duration::from_millis(2_500);
 
+/// Rest that a replica asks for as it turns requests away, in seconds. A choice: several pauses of a caller.
+const REST_S: f64 = 0.4;
+
 /// Plays one fault and notes it.
 pub(super) async fn play_fault(site: Arc<SoakSite>, row: TimedFault) {
     sleep(row.at).await;
@@ -149,6 +152,7 @@
 
     async fn disturb_replica(&self, number: usize, mode: ReplicaMode, length: Duration) {
         self.replicas[number].set_mode(mode);
+        self.replicas[number].set_rest(Some(REST_S));
         sleep(length).await;
         self.replicas[number].set_mode(ReplicaMode::Well);
     }
@@ -173,6 +177,7 @@
         let (replica, path) =
             start_replica(&*self.site.lock().await, &id, OLD_VERSION, place).await;
         sleep(row.length).await;
+        replica.say_leaving();
         let entry = replica.behind(path.address).entry(SITE_SERVICE, OLD_VERSION, "draining");
         self.site.lock().await.store.put(REPLICA_TOPIC, &id, &entry);
         self.left.lock().await.push(LeftReplica {
