--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -312,10 +312,15 @@
     /// Waits until the box answers its callers.
     pub async fn wait_box(&self, index: usize) {
         let url = format!("{}/health", self.boxes[index].entry_url());
-        wait_for("the box answers", || async {
+        let answers = wait_for("the box answers", || async {
             self.http.get(&url).send().await.ok().filter(|answer| answer.status().is_success())
-        })
-        .await;
+        });
+        tokio::select! {
+            _ = answers => {}
+            () = tokio::time::sleep(WAIT_BOUND - Duration::from_secs(1)) => {
+                panic!("{url} does not answer; the box's log: {}", self.box_log(index));
+            }
+        }
     }
 
     /// Runs the operator's command with these arguments, beside what else the test does.
