--- a/crates/box/tests/clock.rs
+++ b/crates/box/tests/clock.rs
@@ -33,10 +33,8 @@
 async fn a_wait_that_began_before_a_suspension_ends_soon_after_it() {
     let clock = clock();
     let wait = clock.within(LONG, std::future::pending::<()>());
-    let wake = async {
-        tokio::time::sleep(Duration::from_millis(20)).await;
-        clock.skip(LONG);
-    };
+    // It is polled after the wait, which has begun by then.
+    let wake = async { clock.skip(LONG) };
     let ended = tokio::time::timeout(LONG / 4, async { tokio::join!(wait, wake).0 }).await;
     assert_eq!(ended, Ok(None));
 }
--- a/crates/box/tests/fatal.rs
+++ b/crates/box/tests/fatal.rs
@@ -1,8 +1,4 @@
 //! A request that crashes each replica that runs it, before real boxes.
-//!
-//! Callers asked the same thing of all boxes, and 38 replicas ended under it: each try of each caller was sent to three
-//! of them. The logs show one content (`content` of `request_sent`) under 40 broken attempts of 18 requests, and no other
-//! under more than six.
 
 use std::path::Path;
 
--- a/crates/box/tests/limits.rs
+++ b/crates/box/tests/limits.rs
@@ -1,7 +1,4 @@
 //! Replicas that name a limit, before real boxes.
-//!
-//! Two of twelve replicas named 1.8 and 2.2 requests a second in their answers, and got 33 and 29 in four seconds: no box
-//! read it.
 
 use std::path::Path;
 use std::time::{Duration, Instant};
--- a/crates/core/src/route/warm_up.rs
+++ b/crates/core/src/route/warm_up.rs
@@ -21,8 +21,7 @@
 }
 
 /// A replica that could not be reached is taken to be down for this long afterwards, in milliseconds, and for cold from then
-/// on: nobody may try it meanwhile, and its entry tells of its new start some two seconds after that. Where it counted as
-/// cold from the last try alone, one got 20 requests in a second at 84 boxes where 17 are allowed (virtual time).
+/// on: nobody may try it meanwhile, and its entry tells of its new start some two seconds after that.
 pub(super) const UNSEEN_MS: u64 = 4_000;
 
 impl BackendTable {
--- a/crates/core/tests/route/cold.rs
+++ b/crates/core/tests/route/cold.rs
@@ -99,9 +99,6 @@
     }
 }
 
-/// On a day on which 62 of 140 replicas crashed and came back two seconds later, while the store answered with what was true
-/// six seconds before, a cold replica got 19 requests in a second where 18 are allowed: its entry did not say yet that it
-/// had started anew.
 #[test]
 fn replicas_that_come_back_from_a_crash_count_as_cold_before_their_entries_say_so() {
     for (boxes, replicas) in SIZES {
@@ -155,8 +152,6 @@
     fullest
 }
 
-/// What boxes did not use is not saved up: a burst after a quiet time brings no more than any other. Where it was, a cold
-/// replica got 19 requests of 19 boxes in a second, each its first.
 #[test]
 fn a_burst_after_a_quiet_time_brings_a_cold_replica_no_more_than_any_other() {
     for (boxes, replicas) in SIZES {
@@ -165,7 +160,6 @@
     }
 }
 
-/// Parts drawn by chance have no bound: with other luck a cold replica got 19 requests in a second at 300 boxes.
 #[test]
 fn with_other_luck_a_burst_brings_a_cold_replica_no_more_than_any_other() {
     let (boxes, replicas) = SIZES[2];
--- a/crates/core/tests/route/fatal.rs
+++ b/crates/core/tests/route/fatal.rs
@@ -23,8 +23,6 @@
 /// What the requests of a test ask for.
 const CONTENT: u64 = 5;
 
-/// 38 replicas ended within 25 seconds under what callers of seven boxes asked for, three under each try of each
-/// caller, and 1,292 of 4,124 attempts broke: the same content each time, of which no box knew what another had seen.
 #[test]
 fn what_crashes_replicas_is_sent_no_further_once_boxes_know_it() {
     for (boxes, replicas) in SIZES {
@@ -132,11 +130,21 @@
 /// A request whose replica ends, after which nothing is heard of that for a while.
 fn end_under(subject: &mut TestBox, id: &str) -> SendOrder {
     let (ticket, order) = subject.sent(asking(id));
+    break_and_leave(subject, ticket);
+    hear_nothing(subject);
+    order
+}
+
+/// The attempt under way breaks, and its caller leaves.
+fn break_and_leave(subject: &mut TestBox, ticket: RequestTicket) {
     break_off(subject, ticket);
     subject.feed(RouteEvent::CallerLeft(ticket));
+}
+
+/// Nothing is heard of any replica for a while.
+fn hear_nothing(subject: &mut TestBox) {
     subject.now += UNHEARD_MS;
     subject.feed(RouteEvent::Tick);
-    order
 }
 
 #[test]
@@ -156,8 +164,7 @@
     let mut subject = box_of_six();
     let (ticket, _) = subject.sent(asking("one"));
     break_off(&mut subject, ticket).expect("sent on");
-    subject.now += UNHEARD_MS;
-    subject.feed(RouteEvent::Tick);
+    hear_nothing(&mut subject);
     assert!(break_off(&mut subject, ticket).is_some(), "it may be a bystander");
 }
 
@@ -176,12 +183,8 @@
 fn replicas_that_end_at_the_same_moment_count_once() {
     let mut subject = box_of_six();
     let tickets = ["one", "two", "three"].map(|id| subject.sent(asking(id)).0);
-    for ticket in tickets {
-        break_off(&mut subject, ticket);
-        subject.feed(RouteEvent::CallerLeft(ticket));
-    }
-    subject.now += UNHEARD_MS;
-    subject.feed(RouteEvent::Tick);
+    tickets.into_iter().for_each(|ticket| break_and_leave(&mut subject, ticket));
+    hear_nothing(&mut subject);
     subject.sent(asking("four"));
 }
 
@@ -191,10 +194,8 @@
     for id in ["one", "two", "three"] {
         let (ticket, order) = subject.sent(asking(id));
         subject.put(BackendEntry { leaving: true, ..entry(&order.replica_id, "v1") });
-        break_off(&mut subject, ticket);
-        subject.feed(RouteEvent::CallerLeft(ticket));
-        subject.now += UNHEARD_MS;
-        subject.feed(RouteEvent::Tick);
+        break_and_leave(&mut subject, ticket);
+        hear_nothing(&mut subject);
     }
     subject.sent(asking("four"));
 }
@@ -204,12 +205,10 @@
     let mut subject = box_of_six();
     for id in ["one", "two", "three"] {
         let (ticket, order) = subject.sent(asking(id));
-        break_off(&mut subject, ticket);
-        subject.feed(RouteEvent::CallerLeft(ticket));
+        break_and_leave(&mut subject, ticket);
         subject.now += 10;
         answer_elsewhere(&mut subject, &order);
-        subject.now += UNHEARD_MS;
-        subject.feed(RouteEvent::Tick);
+        hear_nothing(&mut subject);
     }
     subject.sent(asking("four"));
 }
@@ -272,8 +271,7 @@
     let (ticket, _) = subject.sent(asking("three"));
     assert!(break_off(&mut subject, ticket).is_none(), "no second replica for it");
     assert!(is_refused(subject.refused(asking("four")), 502, RefusalReason::Fatal));
-    subject.now += UNHEARD_MS;
-    subject.feed(RouteEvent::Tick);
+    hear_nothing(&mut subject);
     assert!(is_refused(subject.refused(asking("five")), 502, RefusalReason::Fatal));
 }
 
@@ -320,11 +318,9 @@
     let (first, order) = subject.sent(asking("one"));
     let (second, _) = sent_to(&mut subject, "two", &order.replica_id);
     for ticket in [first, second] {
-        break_off(&mut subject, ticket);
-        subject.feed(RouteEvent::CallerLeft(ticket));
+        break_and_leave(&mut subject, ticket);
     }
-    subject.now += UNHEARD_MS;
-    subject.feed(RouteEvent::Tick);
+    hear_nothing(&mut subject);
     assert!(is_refused(subject.refused(asking("three")), 502, RefusalReason::Fatal));
 }
 
@@ -345,8 +341,7 @@
     let mut subject = ready_box();
     for id in ["one", "two"] {
         let (ticket, _) = sent_to(&mut subject, id, "a");
-        break_off(&mut subject, ticket);
-        subject.feed(RouteEvent::CallerLeft(ticket));
+        break_and_leave(&mut subject, ticket);
         subject.now += 3_000;
         subject.feed(RouteEvent::Tick);
     }
@@ -359,8 +354,7 @@
     let mut subject = box_of_six();
     for id in ["one", "two", "three"] {
         let (ticket, order) = subject.sent(asking(id));
-        break_off(&mut subject, ticket);
-        subject.feed(RouteEvent::CallerLeft(ticket));
+        break_and_leave(&mut subject, ticket);
         subject.now += 200;
         answer_elsewhere(&mut subject, &order);
         subject.feed(RouteEvent::Tick);
--- a/crates/core/tests/route/limits.rs
+++ b/crates/core/tests/route/limits.rs
@@ -49,10 +49,6 @@
     fleet
 }
 
-/// Two of twelve replicas named 1.8 and 2.2 requests a second in their answers, and got 33 and 29 in four seconds. No box
-/// read the limit: the pace was that of before, two boxes alone sent 16 and 15 of 34 in the four seconds where 7.2 were
-/// named, and heads that came from these replicas told nothing of it (`head_came`). Nor would it have been enough that each
-/// box keeps to it: 9 boxes that do send 42 in the fullest span.
 #[test]
 fn replicas_that_name_a_limit_get_no_more_than_it_allows() {
     for (boxes, replicas) in SIZES {
@@ -96,7 +92,6 @@
     }
 }
 
-/// With other luck 1,724 of 2,592 were used at 300 boxes, four less than the aim.
 #[test]
 fn with_other_luck_limited_replicas_are_used_as_far() {
     let (boxes, replicas) = SIZES[2];
--- a/crates/standins/src/soak/inflict.rs
+++ b/crates/standins/src/soak/inflict.rs
@@ -29,7 +29,7 @@
 /// seconds in which boxes must have seen it.
 const MARK_STANDS: Duration = Duration::from_millis(2_500);
 
-/// Rest that a replica asks for as it turns requests away, in seconds. A choice: several pauses of a caller.
+/// Rest that a replica asks for as it turns requests away, in seconds: several pauses of a caller.
 const REST_S: f64 = 0.4;
 
 /// Plays one fault and notes it.
