observe: the store's era, and reads of the operator's records that are passed over

Cause unknown yet: the incident's logs can't tell a position of before from an older plan that the store showed. Answers' Store-Era is read now; 745 tells that it rose, 746 that it can't be read, 747 that a read ended before what this box had heard of. Nothing is decided by them.

--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -37,6 +37,7 @@
         TopicFollower::new(driver.clone(), store, OPERATOR_TOPIC, RouteState::must_read);
     let mut next = None;
     let mut unread = false;
+    let mut passed_over = None;
     loop {
         follower.wait_for_turn().await;
         // Other boxes may have told more than this one has read.
@@ -48,7 +49,13 @@
         let began_at = next;
         match follower.read(&mut next, wait_ms).await {
             // It was under way while another box told more.
-            Some(_) if next.is_some_and(|next| next < driver.state().read_to()) => {}
+            Some(_) if next.is_some_and(|next| next < driver.state().read_to()) => {
+                if passed_over != next {
+                    let read_to = driver.state().read_to();
+                    observe::note_read_passed_over(follower.era(), next.unwrap_or(0), read_to);
+                }
+                passed_over = next;
+            }
             Some(news) => {
                 let asked_at = shown_at(&driver, &news);
                 // What can't be decoded may be a newer plan: nothing is renewed, all is read anew.
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -273,6 +273,23 @@
     warn!(event = 737, name = "records_untold", bytes, limit, from);
 }
 
+/// Logs that the store came back from an older copy, as an answer for a topic shows.
+pub fn note_store_restored(topic: &str, era: u64, former: u64) {
+    gauge!("ravenspoke_store_era").set(era as f64);
+    warn!(event = 745, name = "store_restored", topic, era, former);
+}
+
+/// Logs that an answer of the store names no era, or one that can't be read.
+pub fn note_era_unread(value: &str) {
+    warn!(event = 746, name = "store_era_unreadable", value);
+}
+
+/// Logs that what was read of the operator's records ends before what this box has heard of, and is passed over.
+pub fn note_read_passed_over(era: u64, end: u64, read_to: u64) {
+    counter!("ravenspoke_reads_passed_over_total").increment(1);
+    warn!(event = 747, name = "read_passed_over", era, end, read_to);
+}
+
 /// Logs that a reader has the store again.
 pub fn note_store_regained(topic: &str, after: Duration) {
     let after_ms = after.as_millis() as u64;
--- a/crates/box/src/gateway/topic_follower.rs
+++ b/crates/box/src/gateway/topic_follower.rs
@@ -62,6 +62,8 @@
     jitter: f64,
     /// Pause before the next try, while the store is lost, in milliseconds.
     retry_ms: u64,
+    /// The store's era in the last answer, 0 before the first.
+    era: u64,
 }
 
 impl TopicFollower {
@@ -81,9 +83,15 @@
             failed_at: BoxTime::default(),
             jitter: 0.0,
             retry_ms: RETRY_MS,
+            era: 0,
         }
     }
 
+    /// The store's era, as its answers have named it.
+    pub(super) fn era(&self) -> u64 {
+        self.store.era().known()
+    }
+
     /// Waits until calls are due. Reads that were left open are dropped after a longer wait: nobody listened, and how
     /// they ended says nothing of the store as it is now.
     pub(super) async fn wait_for_turn(&mut self) {
@@ -228,12 +236,25 @@
     /// Notes that the store answers.
     fn note_answered(&mut self) {
         self.retry_ms = RETRY_MS;
+        self.note_era();
         if let Some(at) = self.lost_at.take() {
             observe::note_store_regained(self.topic, self.driver.clock().since(at));
             self.driver.feed(RouteEvent::StoreBack);
         }
     }
 
+    /// Notes the era that the store names.
+    fn note_era(&mut self) {
+        if let Some(value) = self.store.era().take_unread() {
+            observe::note_era_unread(&value);
+        }
+        let era = self.era();
+        let former = std::mem::replace(&mut self.era, era);
+        if former > 0 && self.era > former {
+            observe::note_store_restored(self.topic, self.era, former);
+        }
+    }
+
     /// Notes a call that failed, or is late, `after` it began.
     fn note_failed(&mut self, why: &dyn std::fmt::Display, after: Duration) {
         observe::note_store_error();
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -61,6 +61,9 @@
     (742, "request_fatal"),
     (743, "leaving_said"),
     (744, "box_woke"),
+    (745, "store_restored"),
+    (746, "store_era_unreadable"),
+    (747, "read_passed_over"),
 ];
 
 /// Logs and counts an effect, where it is worth it.
