--- /dev/null
+++ b/crates/box/tests/restores.rs
@@ -0,0 +1,115 @@
+//! The store comes back from an older copy of its data: real boxes before the stand-ins of the platform.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use ravenspoke_standins::fleet::wait_for;
+use ravenspoke_standins::platform::site::{RunningSite, SITE_KEY};
+use ravenspoke_standins::platform::site_box::SiteBox;
+use ravenspoke_standins::platform::store::{StoreCopy, StoreFaults, StoreOutage};
+
+/// A confirmed plan must be in force within this, after a store that was away is back.
+const APPLY_WITHIN: Duration = Duration::from_secs(3);
+
+/// Three boxes that know plan 5, before a store that was copied when plan 3 was the newest.
+async fn site_copied_at_plan_3() -> (RunningSite, Vec<SiteBox>, StoreCopy) {
+    let mut site = RunningSite::start(Path::new(env!("CARGO_BIN_EXE_ravenspoked"))).await;
+    for version in 1..=3 {
+        site.write_plan(version, &[SITE_KEY]);
+    }
+    let _ = site.start_replica("i-1", 3, 1).await;
+    let copy = site.store.copy();
+    for version in 4..=5 {
+        site.write_plan(version, &[SITE_KEY]);
+    }
+    let boxes: Vec<SiteBox> =
+        (0..3).map(|number| site.start_box(&format!("box-{number}"))).collect();
+    for subject in &boxes {
+        wait_for("the box is ready", || async { subject.ready().await.then_some(()) }).await;
+        wait_in_force(subject, 5).await;
+    }
+    (site, boxes, copy)
+}
+
+/// Lets the store be away until all boxes have lost it.
+async fn take_away(site: &RunningSite, boxes: &[SiteBox]) {
+    site.store.set_faults(StoreFaults { outage: StoreOutage::Reset, ..StoreFaults::default() });
+    wait_for("all boxes lost the store", || async {
+        boxes.iter().all(|subject| !subject.events("store_lost").is_empty()).then_some(())
+    })
+    .await;
+}
+
+async fn wait_in_force(subject: &SiteBox, version: u64) {
+    wait_for("the plan is in force", || async {
+        let mut plans = subject.events("plan_in_force").into_iter();
+        plans.any(|event| event["version"] == version).then_some(())
+    })
+    .await;
+}
+
+async fn assert_in_force(boxes: &[SiteBox], version: u64) {
+    let began = Instant::now();
+    for subject in boxes {
+        wait_in_force(subject, version).await;
+    }
+    assert!(began.elapsed() < APPLY_WITHIN, "{:?}", began.elapsed());
+}
+
+#[tokio::test]
+async fn a_plan_at_an_offset_that_was_given_out_again_comes_into_force() {
+    let (site, boxes, copy) = site_copied_at_plan_3().await;
+    take_away(&site, &boxes).await;
+    drop(site.store.restore(copy));
+
+    // The topic ends where it ended before, so that a read from there finds nothing.
+    site.write_plan(6, &[SITE_KEY]);
+    site.write_plan(7, &[SITE_KEY]);
+    site.store.set_faults(StoreFaults::default());
+
+    assert_in_force(&boxes, 7).await;
+}
+
+#[tokio::test]
+async fn a_plan_written_to_a_store_that_ends_lower_than_before_comes_into_force() {
+    let (site, boxes, copy) = site_copied_at_plan_3().await;
+    take_away(&site, &boxes).await;
+    let lost = site.store.restore(copy);
+    site.store.set_faults(StoreFaults::default());
+    site.store.write_again(lost);
+
+    site.write_plan(6, &[SITE_KEY]);
+
+    assert_in_force(&boxes, 6).await;
+}
+
+#[tokio::test]
+async fn boxes_serve_on_and_call_the_store_no_more_than_before_once_what_was_lost_is_written_again()
+{
+    let (site, boxes, copy) = site_copied_at_plan_3().await;
+    take_away(&site, &boxes).await;
+    let lost = site.store.restore(copy);
+    site.store.write_again(lost);
+    site.store.set_faults(StoreFaults::default());
+    for subject in &boxes {
+        wait_for("the box is ready", || async { subject.ready().await.then_some(()) }).await;
+    }
+    let calls = |subject: &SiteBox| site.store.calls(subject.ip, "log-newest");
+    let before: Vec<u64> = boxes.iter().map(calls).collect();
+
+    // Longer than a key may be honoured without a sound read.
+    let until = Instant::now() + Duration::from_secs(6);
+    let mut pace = tokio::time::interval(Duration::from_millis(100));
+    while Instant::now() < until {
+        pace.tick().await;
+        for subject in &boxes {
+            let answer = site.request(subject, "POST", "/read/x", "r1").body("b").send().await;
+            assert_eq!(answer.expect("an answer").status(), 200);
+        }
+    }
+
+    for (subject, before) in boxes.iter().zip(before) {
+        let listings = calls(subject) - before;
+        assert!(listings <= 10, "{listings} listings in six seconds");
+    }
+}
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -11,8 +11,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
+use super::site::{OPERATOR_TOPIC, REPLICA_TOPIC};
 use super::wire::{read_request, whole_answer, WireRequest};
 
+/// The era that a store begins with.
+const FIRST_ERA: u64 = 1;
+
 /// How the store fails.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreOutage {
@@ -49,7 +53,7 @@
 }
 
 /// A topic: records from `first` on.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct StoredTopic {
     first: u64,
     records: Vec<StoredRecord>,
@@ -69,9 +73,27 @@
     faults: StoreFaults,
     calls: HashMap<(IpAddr, String), u64>,
     topic_calls: HashMap<(IpAddr, String), u64>,
+    /// Rises each time that it comes back from a copy.
+    era: u64,
+}
+
+/// The store's data as they were at some time.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    topics: HashMap<String, StoredTopic>,
+    newest: BTreeMap<(String, String), (u64, Vec<u8>)>,
 }
 
+/// What the operator and the replicas wrote since a copy, and have not written again yet.
+#[derive(Debug)]
+pub struct LostWrites(Vec<(String, String, Vec<u8>)>);
+
 impl StoreState {
+    /// An answer, which names the era as all do.
+    fn answer(&self, status: u16, body: &[u8]) -> Vec<u8> {
+        whole_answer(status, &[("Store-Era", &(FIRST_ERA + self.era).to_string())], body)
+    }
+
     fn push(&mut self, topic: &str, key: &str, value: Vec<u8>) -> u64 {
         let row = self.topics.entry(topic.to_owned()).or_default();
         let offset = row.end();
@@ -147,6 +169,44 @@
         }
     }
 
+    /// Copies all that it holds.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.lock();
+        StoreCopy { topics: state.topics.clone(), newest: state.newest.clone() }
+    }
+
+    /// Comes back from a copy, in a new era: what was written since is gone, and offsets are given out again. Gives what
+    /// its writers but the boxes will write again: the newest of each key that is not as it was.
+    pub fn restore(&self, copy: StoreCopy) -> LostWrites {
+        let mut state = self.lock();
+        let former = std::mem::replace(&mut state.newest, copy.newest);
+        state.topics = copy.topics;
+        state.era += 1;
+        let mut lost = Vec::new();
+        for ((topic, key), (_, value)) in &former {
+            let standing = state.newest.get(&(topic.clone(), key.clone()));
+            let others = topic == OPERATOR_TOPIC || topic == REPLICA_TOPIC;
+            if others && standing.is_none_or(|(_, standing)| standing != value) {
+                lost.push((topic.clone(), key.clone(), value.clone()));
+            }
+        }
+        let dropped = state.newest.keys().filter(|place| !former.contains_key(*place));
+        lost.extend(dropped.map(|(topic, key)| (topic.clone(), key.clone(), Vec::new())));
+        drop(state);
+        self.changed.notify_waiters();
+        LostWrites(lost)
+    }
+
+    /// Writes again what was lost, as the operator and the replicas do.
+    pub fn write_again(&self, lost: LostWrites) {
+        let mut state = self.lock();
+        for (topic, key, value) in lost.0 {
+            state.push(&topic, &key, value);
+        }
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     /// Calls so far from `ip` to paths that end in `call`.
     pub fn calls(&self, ip: IpAddr, call: &str) -> u64 {
         let state = self.lock();
@@ -167,7 +227,7 @@
             let hit = faults.only.is_empty() || faults.only.contains(&from);
             match faults.outage {
                 StoreOutage::Busy if hit => {
-                    let answer = whole_answer(503, &[], b"");
+                    let answer = self.answer_with(503, b"");
                     if stream.write_all(&answer).await.is_err() {
                         return;
                     }
@@ -212,25 +272,28 @@
             "/-/log-append" => self.append(&topic, request),
             "/-/log-read" => self.read(&topic, request).await,
             "/-/log-newest" => self.list(&topic),
-            _ => whole_answer(404, &[], b""),
+            _ => self.answer_with(404, b""),
         }
     }
 
+    fn answer_with(&self, status: u16, body: &[u8]) -> Vec<u8> {
+        self.lock().answer(status, body)
+    }
+
     fn append(&self, topic: &str, request: &WireRequest) -> Vec<u8> {
         let mut state = self.lock();
         let end = state.topics.get(topic).map_or(0, StoredTopic::end);
         let at: Option<u64> = request.query("at").and_then(|text| text.parse().ok());
         if at.is_some_and(|at| at != end) {
-            return whole_answer(412, &[], json!({ "end": end }).to_string().as_bytes());
+            return state.answer(412, json!({ "end": end }).to_string().as_bytes());
         }
         // A record: four bytes of length, a byte of the key's length, the key, the value.
         let body = &request.body[4..];
         let (key, value) = body[1..].split_at(usize::from(body[0]));
         let offset = state.push(topic, &String::from_utf8_lossy(key), value.to_vec());
-        drop(state);
         self.changed.notify_waiters();
         let answer = json!({ "offset": offset, "end": offset + 1 });
-        whole_answer(200, &[], answer.to_string().as_bytes())
+        state.answer(200, answer.to_string().as_bytes())
     }
 
     async fn read(&self, topic: &str, request: &WireRequest) -> Vec<u8> {
@@ -248,23 +311,20 @@
                 Ok((answer, true)) => return answer,
                 Ok((answer, false)) if timed_out => return answer,
                 Ok(_) => {}
-                Err(first) => {
-                    let gone = json!({ "first": first }).to_string();
-                    return whole_answer(410, &[], gone.as_bytes());
-                }
+                Err(answer) => return answer,
             }
             // Either a record came or the wait is over; both are looked at above.
             let _ = tokio::time::timeout_at(until, changed).await;
         }
     }
 
-    /// The answer to a read, and whether it has records; the first offset if those asked for are gone.
-    fn found(&self, topic: &str, from: u64) -> Result<(Vec<u8>, bool), u64> {
+    /// The answer to a read, and whether it has records; another one if the topic does not have those asked for.
+    fn found(&self, topic: &str, from: u64) -> Result<(Vec<u8>, bool), Vec<u8>> {
         let state = self.lock();
         let empty = StoredTopic::default();
         let row = state.topics.get(topic).unwrap_or(&empty);
-        if from < row.first {
-            return Err(row.first);
+        if from < row.first || from > row.end() {
+            return Err(state.answer(410, json!({ "first": row.first }).to_string().as_bytes()));
         }
         let mut body = row.end().to_be_bytes().to_vec();
         body.extend(row.first.to_be_bytes());
@@ -278,7 +338,7 @@
             body.extend(record.key.as_bytes());
             body.extend(&record.value);
         }
-        Ok((whole_answer(200, &[], &body), any))
+        Ok((state.answer(200, &body), any))
     }
 
     fn list(&self, topic: &str) -> Vec<u8> {
@@ -292,7 +352,7 @@
             .collect();
         let end = state.topics.get(topic).map_or(0, StoredTopic::end);
         let answer = json!({ "items": items, "more": false, "end": end });
-        whole_answer(200, &[], answer.to_string().as_bytes())
+        state.answer(200, answer.to_string().as_bytes())
     }
 }
 
