--- a/crates/bench/src/prompt_router.rs
+++ b/crates/bench/src/prompt_router.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use ravenspoke_core::event::{EventStamp, RequestTicket};
+use ravenspoke_core::position::TopicPosition;
 use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
 use ravenspoke_core::route::budget::BudgetBounds;
 use ravenspoke_core::route::event::{
@@ -209,7 +210,8 @@
     pub fn tick(&mut self, now_us: u64) {
         for number in 0..self.boxes.len() {
             let asked_at = BoxTime::from_micros(now_us);
-            let event = RouteEvent::PlanRead { asked_at, read_to: 1, plan: None };
+            let event =
+                RouteEvent::PlanRead { asked_at, read_to: TopicPosition::new(1, 1), plan: None };
             self.feed(number, usize::MAX, event, now_us);
             self.feed(number, usize::MAX, RouteEvent::Tick, now_us);
         }
@@ -307,10 +309,13 @@
     let now = BoxTime::default();
     let stamp = EventStamp { now, wall: WallTime(0), dice: row as u64 };
     let plan = Some(plan(site));
-    drop(state.apply(stamp, RouteEvent::PlanRead { asked_at: now, read_to: 1, plan }));
+    drop(state.apply(
+        stamp,
+        RouteEvent::PlanRead { asked_at: now, read_to: TopicPosition::new(1, 1), plan },
+    ));
     let change = |(number, zone): (usize, &usize)| BackendChange {
         id: number.to_string(),
-        at: 1 + number as u64,
+        at: TopicPosition::new(1, 1 + number as u64),
         entry: Some(BackendEntry {
             id: number.to_string(),
             address: format!("{number}:70"),
--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -7,6 +7,7 @@
 
 use ravenspoke_adapter::records::{read_backend, BACKEND_TOPIC, BOX_TOPIC, OPERATOR_TOPIC};
 use ravenspoke_adapter::store::{KeyedRecord, StoreClient, CALL_MS};
+use ravenspoke_core::position::TopicPosition;
 use ravenspoke_core::route::backend::BackendChange;
 use ravenspoke_core::route::event::RouteEvent;
 use ravenspoke_core::route::RouteState;
@@ -42,7 +43,8 @@
         follower.wait_for_turn().await;
         // Other boxes may have told more than this one has read.
         let told = driver.state().read_to();
-        next = if unread { None } else { next.max((told > 0).then_some(told)) };
+        next =
+            if unread { None } else { next.max((told > TopicPosition::default()).then_some(told)) };
         // Who is no reader reads only what there is: it has heard of more, or nobody told it anything.
         let waits = driver.state().waits_for_plan(driver.now());
         let wait_ms = if waits { READER_WAIT_MS } else { 0 };
@@ -50,19 +52,21 @@
         match follower.read(&mut next, wait_ms).await {
             // It was under way while another box told more.
             Some(_) if next.is_some_and(|next| next < driver.state().read_to()) => {
-                if passed_over != next {
-                    let read_to = driver.state().read_to();
-                    observe::note_read_passed_over(follower.era(), next.unwrap_or(0), read_to);
+                let read_to = driver.state().read_to();
+                if std::mem::replace(&mut passed_over, next) == next {
+                    tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+                } else {
+                    observe::note_read_passed_over(next.unwrap_or_default(), read_to);
                 }
-                passed_over = next;
             }
             Some(news) => {
                 let asked_at = shown_at(&driver, &news);
                 // What can't be decoded may be a newer plan: nothing is renewed, all is read anew.
                 let from = began_at.filter(|_| news.whole_to.is_none());
-                let to = next.unwrap_or(0);
+                let to = next.unwrap_or_default();
                 unread = !take_read(&driver, asked_at, from, to, &news.records);
-                if unread {
+                // What it showed is not relied on: it can't be decoded, or the store has lost a plan.
+                if driver.state().plan_as_of() < Some(asked_at) {
                     tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
                 }
             }
@@ -114,7 +118,7 @@
     for record in news.records {
         let entry = record.value.as_ref().map(|value| read_backend(&record.key, value)).transpose();
         let entry = entry.map_err(|error| observe::note_bad_record(&error));
-        let change = |entry| BackendChange { id: record.key, at: record.offset, entry };
+        let change = |entry| BackendChange { id: record.key, at: record.at, entry };
         match entry {
             Ok(entry) => changes.push(change(entry)),
             // Another writer's: it names no replica to use, and what it replaced is not used on.
@@ -141,18 +145,19 @@
     let mut follower =
         TopicFollower::new(driver.clone(), store, BOX_TOPIC, RouteState::wants_boxes);
     let own = KeyedRecord::new(name, Some(address.into_bytes()));
-    let mut told = false;
+    // The era in which the store was told.
+    let mut told = None;
     let mut next = None;
     loop {
         follower.wait_for_turn().await;
-        if !told {
+        if told != Some(follower.era()) {
             // Whether or not an answer comes, the record may be there.
             driver.listed.store(true, Ordering::Relaxed);
-            told = follower.append(None, &own).await.is_some();
-        }
-        if !told {
-            follower.wait_to_retry().await;
-            continue;
+            if follower.append(None, &own).await.is_none() {
+                follower.wait_to_retry().await;
+                continue;
+            }
+            told = Some(follower.era());
         }
         let Some(news) = follower.read(&mut next, 0).await else {
             follower.wait_to_retry().await;
@@ -162,7 +167,7 @@
         let addresses: Vec<String> =
             values.map(|value| String::from_utf8_lossy(&value).into_owned()).collect();
         driver.feed(RouteEvent::PeersNamed(addresses));
-        tokio::time::sleep(Duration::from_millis(BOX_EVERY_MS)).await;
+        follower.wait_for_era(told, Duration::from_millis(BOX_EVERY_MS)).await;
     }
 }
 
--- a/crates/box/src/gateway/note_wire/ask.rs
+++ b/crates/box/src/gateway/note_wire/ask.rs
@@ -5,6 +5,8 @@
 use ravenspoke_core::route::peers::{EntryWord, PeerAsk};
 use ravenspoke_core::time::BoxTime;
 
+use super::position::{read_known, read_position, write_known, WireKnownPlan, WirePosition};
+
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct WireAsk {
     #[prost(string, tag = "1")]
@@ -14,12 +16,12 @@
     /// The asker's clock, in microseconds.
     #[prost(uint64, tag = "3")]
     asked_at: u64,
-    #[prost(uint64, tag = "4")]
-    read_to: u64,
-    #[prost(uint64, optional, tag = "6")]
-    entries_to: Option<u64>,
-    #[prost(uint64, tag = "7")]
-    page_from: u64,
+    #[prost(message, optional, tag = "9")]
+    known: Option<WireKnownPlan>,
+    #[prost(message, optional, tag = "10")]
+    entries_to: Option<WirePosition>,
+    #[prost(message, optional, tag = "11")]
+    page_from: Option<WirePosition>,
     #[prost(bool, tag = "8")]
     has_rows: bool,
 }
@@ -27,15 +29,15 @@
 /// How far an answer shows the replicas' entries.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub(super) struct WireEntryWord {
-    #[prost(uint64, optional, tag = "1")]
-    known_to: Option<u64>,
+    #[prost(message, optional, tag = "5")]
+    known_to: Option<WirePosition>,
     #[prost(uint64, optional, tag = "2")]
     age_ms: Option<u64>,
     /// Set on the page of a listing, with where the next one begins.
-    #[prost(uint64, optional, tag = "3")]
-    page_end: Option<u64>,
-    #[prost(uint64, optional, tag = "4")]
-    page_next: Option<u64>,
+    #[prost(message, optional, tag = "6")]
+    page_end: Option<WirePosition>,
+    #[prost(message, optional, tag = "7")]
+    page_next: Option<WirePosition>,
 }
 
 pub(super) fn write_ask(ask: &PeerAsk) -> WireAsk {
@@ -43,9 +45,9 @@
         note_address: ask.note_address.clone(),
         incarnation: ask.incarnation,
         asked_at: ask.asked_at.as_micros(),
-        read_to: ask.read_to,
-        entries_to: ask.entries.known_to,
-        page_from: ask.entries.page_from,
+        known: Some(write_known(ask.known)),
+        entries_to: ask.entries.known_to.map(Into::into),
+        page_from: Some(ask.entries.page_from.into()),
         has_rows: ask.entries.has_rows,
     }
 }
@@ -55,10 +57,10 @@
         note_address: ask.note_address,
         incarnation: ask.incarnation,
         asked_at: BoxTime::from_micros(ask.asked_at),
-        read_to: ask.read_to,
+        known: read_known(ask.known),
         entries: EntryWish {
-            known_to: ask.entries_to,
-            page_from: ask.page_from,
+            known_to: ask.entries_to.map(Into::into),
+            page_from: read_position(ask.page_from),
             has_rows: ask.has_rows,
         },
     }
@@ -66,14 +68,16 @@
 
 pub(super) fn write_word(word: EntryWord) -> WireEntryWord {
     WireEntryWord {
-        known_to: word.known_to,
+        known_to: word.known_to.map(Into::into),
         age_ms: word.age_ms,
-        page_end: word.page.map(|page| page.end),
-        page_next: word.page.and_then(|page| page.next),
+        page_end: word.page.map(|page| page.end.into()),
+        page_next: word.page.and_then(|page| page.next).map(Into::into),
     }
 }
 
 pub(super) fn read_word(word: WireEntryWord) -> EntryWord {
-    let page = word.page_end.map(|end| ListingPage { end, next: word.page_next });
-    EntryWord { known_to: word.known_to, age_ms: word.age_ms, page }
+    let next = word.page_next.map(Into::into);
+    let page = word.page_end.map(|end| ListingPage { end: end.into(), next });
+    let known_to = word.known_to.map(Into::into);
+    EntryWord { known_to, age_ms: word.age_ms, page }
 }
--- a/crates/box/src/gateway/note_wire/mod.rs
+++ b/crates/box/src/gateway/note_wire/mod.rs
@@ -1,11 +1,12 @@
 //! Datagrams between boxes, in protobuf.
 //!
-//! A datagram is a note or an ask; a long note is [`packed`]. `replica`, `trial`, `peer`, `ask` and [`records`] hold
+//! A datagram is a note or an ask; a long note is [`packed`]. `replica`, `trial`, `peer`, `ask`, `position` and [`records`] hold
 //! the messages of its parts.
 
 mod ask;
 pub mod packed;
 mod peer;
+mod position;
 pub mod records;
 mod replica;
 mod trial;
@@ -21,6 +22,7 @@
     read_budget, read_card, read_evacuation, read_summary, write_budget, write_card,
     write_evacuation, write_summary, WireBudget, WireCard, WireEvacuation, WireSummary,
 };
+use position::{read_known, write_known, WireKnownPlan};
 use records::PackedRecords;
 use replica::{
     read_change, read_content, read_down, read_end, read_limit, read_load, read_pace,
@@ -42,8 +44,10 @@
     number: u64,
     #[prost(message, optional, tag = "4")]
     card: Option<WireCard>,
-    #[prost(uint64, tag = "8")]
-    read_to: u64,
+    #[prost(message, optional, tag = "25")]
+    known: Option<WireKnownPlan>,
+    #[prost(uint64, tag = "26")]
+    era: u64,
     #[prost(message, repeated, tag = "9")]
     changes: Vec<WireChange>,
     #[prost(message, repeated, tag = "10")]
@@ -85,9 +89,9 @@
     note: Option<WireNote>,
     #[prost(message, optional, tag = "2")]
     ask: Option<WireAsk>,
-    /// The operator's records that the answered ask wants, packed.
-    #[prost(bytes = "vec", tag = "5")]
-    records: Vec<u8>,
+    /// The operator's records that the answered ask wants, packed; not set where they are left out.
+    #[prost(bytes = "vec", optional, tag = "5")]
+    records: Option<Vec<u8>>,
     #[prost(message, optional, tag = "4")]
     placement: Option<WirePlacement>,
     /// The note, deflated, in place of `note`.
@@ -95,10 +99,10 @@
     packed_note: Vec<u8>,
 }
 
-/// Encodes a note as a datagram, with the records that the ask it answers wants.
-pub fn encode_note(note: &PeerNote, records: &PackedRecords) -> Vec<u8> {
+/// Encodes a note as a datagram, with the records that the ask it answers wants, if they are not left out.
+pub fn encode_note(note: &PeerNote, records: Option<&PackedRecords>) -> Vec<u8> {
     let note = write_note(note);
-    let records = records.as_bytes().to_vec();
+    let records = records.map(|records| records.as_bytes().to_vec());
     let bytes = note.encode_to_vec();
     if bytes.len() < PACK_FROM {
         return WireDatagram { note: Some(note), records, ..WireDatagram::default() }
@@ -123,8 +127,8 @@
 /// What a datagram says.
 #[derive(Clone, Debug, PartialEq)]
 pub enum HeardDatagram {
-    /// A note, with the records that this box asked for.
-    Note(Box<PeerNote>, Vec<KeyedRecord>),
+    /// A note, with the records that this box asked for, if they are not left out.
+    Note(Box<PeerNote>, Option<Vec<KeyedRecord>>),
     /// An ask.
     Ask(PeerAsk),
     /// A prompt that was placed.
@@ -145,7 +149,8 @@
     if let Some(placement) = wire.placement {
         return Ok(HeardDatagram::Placement(read_placement(placement)));
     }
-    let records = PackedRecords::from_bytes(wire.records).unpack()?;
+    let records =
+        wire.records.map(|bytes| PackedRecords::from_bytes(bytes).unpack()).transpose()?;
     let note = match wire.note {
         None if !wire.packed_note.is_empty() => {
             Some(WireNote::decode(inflate(&wire.packed_note)?.as_slice())?)
@@ -162,7 +167,8 @@
         name: note.name.clone(),
         number: note.number,
         card: Some(write_card(&note.card)),
-        read_to: note.read_to,
+        known: Some(write_known(note.known)),
+        era: note.era,
         changes: note.changes.iter().map(write_change).collect(),
         trials: note.trials.iter().map(write_trial).collect(),
         verdicts: note.verdicts.iter().map(write_verdict).collect(),
@@ -187,7 +193,8 @@
         name: wire.name,
         number: wire.number,
         card: wire.card.map(read_card).unwrap_or_default(),
-        read_to: wire.read_to,
+        known: read_known(wire.known),
+        era: wire.era,
         read_age_ms: wire.read_age_ms,
         evacuation: wire.evacuation.map(read_evacuation).unwrap_or_default(),
         echo: wire.echo.map(read_ask),
--- a/crates/box/src/gateway/note_wire/peer.rs
+++ b/crates/box/src/gateway/note_wire/peer.rs
@@ -5,6 +5,8 @@
 use ravenspoke_core::route::evacuation::EvacuationWord;
 use ravenspoke_core::route::peers::{BudgetNote, PeerCard, PeerSummary};
 
+use super::position::{read_position, WirePosition};
+
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct WireSummary {
     #[prost(string, tag = "1")]
@@ -46,18 +48,18 @@
 /// Availability zones under evacuation.
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct WireEvacuation {
-    #[prost(uint64, tag = "1")]
-    known_to: u64,
+    #[prost(message, optional, tag = "3")]
+    known_to: Option<WirePosition>,
     #[prost(string, repeated, tag = "2")]
     zones: Vec<String>,
 }
 
 pub(super) fn write_evacuation(word: &EvacuationWord) -> WireEvacuation {
-    WireEvacuation { known_to: word.known_to, zones: word.zones.clone() }
+    WireEvacuation { known_to: Some(word.known_to.into()), zones: word.zones.clone() }
 }
 
 pub(super) fn read_evacuation(wire: WireEvacuation) -> EvacuationWord {
-    EvacuationWord { known_to: wire.known_to, zones: wire.zones }
+    EvacuationWord { known_to: read_position(wire.known_to), zones: wire.zones }
 }
 
 pub(super) fn write_budget(told: &BudgetNote) -> WireBudget {
--- a/crates/box/src/gateway/note_wire/records.rs
+++ b/crates/box/src/gateway/note_wire/records.rs
@@ -4,14 +4,15 @@
 use ravenspoke_adapter::store::KeyedRecord;
 
 use super::packed::{deflate, inflate, PackedError};
+use super::position::{read_position, WirePosition};
 
 /// A record of the operator; without a value, its key was dropped.
 #[derive(Clone, PartialEq, Message)]
 struct WireRecord {
     #[prost(string, tag = "1")]
     key: String,
-    #[prost(uint64, tag = "2")]
-    offset: u64,
+    #[prost(message, optional, tag = "4")]
+    at: Option<WirePosition>,
     #[prost(bytes = "vec", tag = "3")]
     value: Vec<u8>,
 }
@@ -63,12 +64,12 @@
 fn write_record(record: &KeyedRecord) -> WireRecord {
     WireRecord {
         key: record.key.clone(),
-        offset: record.offset,
+        at: Some(record.at.into()),
         value: record.value.clone().unwrap_or_default(),
     }
 }
 
 fn read_record(record: WireRecord) -> KeyedRecord {
     let value = (!record.value.is_empty()).then_some(record.value);
-    KeyedRecord { offset: record.offset, key: record.key, value }
+    KeyedRecord { at: read_position(record.at), key: record.key, value }
 }
--- a/crates/box/src/gateway/note_wire/replica.rs
+++ b/crates/box/src/gateway/note_wire/replica.rs
@@ -9,13 +9,15 @@
 use ravenspoke_core::route::pace::{LearntPace, LearntTime, PaceNote};
 use ravenspoke_core::route::placement::PlacementNote;
 
+use super::position::{read_position, WirePosition};
+
 /// A change to a replica's entry; without one, it is gone.
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct WireChange {
     #[prost(string, tag = "1")]
     id: String,
-    #[prost(uint64, tag = "2")]
-    at: u64,
+    #[prost(message, optional, tag = "4")]
+    at: Option<WirePosition>,
     #[prost(message, optional, tag = "3")]
     entry: Option<WireEntry>,
 }
@@ -113,7 +115,7 @@
         cold_ms: entry.cold_ms,
         born: entry.born,
     });
-    WireChange { id: change.id.clone(), at: change.at, entry }
+    WireChange { id: change.id.clone(), at: Some(change.at.into()), entry }
 }
 
 pub(super) fn read_change(change: WireChange) -> BackendChange {
@@ -129,7 +131,7 @@
         cold_ms: entry.cold_ms,
         born: entry.born,
     });
-    BackendChange { id: change.id, at: change.at, entry }
+    BackendChange { id: change.id, at: read_position(change.at), entry }
 }
 
 pub(super) fn write_load(told: &LoadNote) -> WireLoad {
--- a/crates/box/src/gateway/notes.rs
+++ b/crates/box/src/gateway/notes.rs
@@ -9,7 +9,6 @@
 use tokio::sync::mpsc::Receiver;
 
 use super::driver::{GatewayDriver, PeerDatagram};
-use super::note_wire::records::PackedRecords;
 use super::note_wire::{decode_datagram, encode_ask, encode_note, encode_placement, HeardDatagram};
 use super::observe;
 use super::told::take_told;
@@ -31,7 +30,7 @@
                     driver.feed(RouteEvent::PlacementHeard(placement));
                 }
                 Ok(HeardDatagram::Note(note, records)) => {
-                    if !records.is_empty() {
+                    if let Some(records) = records {
                         take_told(&driver, &note, &records);
                     }
                     driver.feed(RouteEvent::PeerHeard(note));
@@ -85,15 +84,15 @@
 /// Encodes a note with the records that the ask wants which it answers, if all fits into a datagram. Who gets
 /// its replicas' entries without them asks again, and who needs more than a datagram reads the store.
 fn encode_with_records(driver: &GatewayDriver, note: &PeerNote) -> Vec<u8> {
-    let bare = encode_note(note, &PackedRecords::default());
-    let Some(ask) = note.echo.as_ref().filter(|ask| ask.read_to < note.read_to) else {
+    let bare = encode_note(note, None);
+    let Some(ask) = note.echo.as_ref().filter(|ask| ask.known < note.known) else {
         return bare;
     };
     let mut operator = driver.operator();
-    let records = operator.since(ask.read_to);
+    let records = operator.since(ask.known);
     if bare.len() + records.as_bytes().len() + RECORDS_FRAME > NOTE_LIMIT {
-        operator.note_untold(ask.read_to, NOTE_LIMIT);
+        operator.note_untold(ask.known.read_to, NOTE_LIMIT);
         return bare;
     }
-    encode_note(note, records)
+    encode_note(note, Some(records))
 }
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -8,6 +8,7 @@
 
 use metrics::{counter, gauge, histogram};
 use ravenspoke_adapter::records::RecordError;
+use ravenspoke_core::position::TopicPosition;
 use ravenspoke_core::route::event::{AnswerHead, AttemptFailure, RouteEffect, SendOrder};
 use tracing::{error, info, warn};
 
@@ -151,7 +152,7 @@
             let evacuated = order.evacuated;
             gauge!("ravenspoke_zone_evacuated", "zone" => zone.clone())
                 .set(f64::from(u8::from(evacuated)));
-            info!(event = 739, name = "evacuation_moved", zone, evacuated, known_to, in_hand);
+            info!(event = 739, name = "evacuation_moved", zone, evacuated, %known_to, in_hand);
         }
         RouteEffect::FatalMet { content, account, ends, age_ms } => {
             counter!("ravenspoke_fatal_contents_total").increment(1);
@@ -269,8 +270,8 @@
 }
 
 /// Logs that other boxes must read the operator's records themselves: packed they don't fit into a datagram.
-pub fn note_records_untold(bytes: usize, limit: usize, from: u64) {
-    warn!(event = 737, name = "records_untold", bytes, limit, from);
+pub fn note_records_untold(bytes: usize, limit: usize, from: TopicPosition) {
+    warn!(event = 737, name = "records_untold", bytes, limit, %from);
 }
 
 /// Logs that the store came back from an older copy, as an answer for a topic shows.
@@ -285,9 +286,9 @@
 }
 
 /// Logs that what was read of the operator's records ends before what this box has heard of, and is passed over.
-pub fn note_read_passed_over(era: u64, end: u64, read_to: u64) {
+pub fn note_read_passed_over(end: TopicPosition, read_to: TopicPosition) {
     counter!("ravenspoke_reads_passed_over_total").increment(1);
-    warn!(event = 747, name = "read_passed_over", era, end, read_to);
+    warn!(event = 747, name = "read_passed_over", %end, %read_to);
 }
 
 /// Logs that a reader has the store again.
--- a/crates/box/src/gateway/told.rs
+++ b/crates/box/src/gateway/told.rs
@@ -2,11 +2,13 @@
 
 use std::collections::BTreeMap;
 
-use ravenspoke_adapter::records::{evacuation_zone, read_operator, OperatorRecord};
+use ravenspoke_adapter::records::{evacuation_zone, is_plan_key, read_operator, OperatorRecord};
 use ravenspoke_adapter::store::KeyedRecord;
+use ravenspoke_core::position::TopicPosition;
 use ravenspoke_core::route::evacuation::{EvacuationRead, ZoneOrder};
 use ravenspoke_core::route::event::RouteEvent;
-use ravenspoke_core::route::peers::PeerNote;
+use ravenspoke_core::route::peers::{KnownPlan, PeerNote};
+use ravenspoke_core::route::plan::RoutePlan;
 use ravenspoke_core::time::BoxTime;
 
 use super::driver::GatewayDriver;
@@ -17,37 +19,58 @@
 #[derive(Debug, Default)]
 pub struct OperatorRecords {
     newest: BTreeMap<String, KeyedRecord>,
-    /// What was told last, with the offsets of its records: hundreds of boxes ask for the same.
-    packed: (Vec<u64>, PackedRecords),
+    /// The newest plan, which a store that came back from a copy may have lost.
+    plan: Option<PlanRecord>,
+    /// What was told last, with the positions of its records: hundreds of boxes ask for the same.
+    packed: (Vec<TopicPosition>, PackedRecords),
     /// Whether it was logged that these are too long to be told.
     untold: bool,
 }
 
+/// A record that holds a plan.
+#[derive(Debug)]
+struct PlanRecord {
+    version: u64,
+    record: KeyedRecord,
+}
+
 impl OperatorRecords {
-    /// Takes records that were read or told.
-    pub fn take(&mut self, records: &[KeyedRecord]) {
+    /// Takes records that were read or told, with the version of the plan among them.
+    pub fn take(&mut self, records: &[KeyedRecord], plan_version: Option<u64>) {
         for record in records {
             let known = self.newest.get(&record.key);
-            if known.is_none_or(|known| known.offset < record.offset) {
+            if known.is_none_or(|known| known.at < record.at) {
                 self.newest.insert(record.key.clone(), record.clone());
             }
         }
+        let known = self.plan.as_ref().map_or(0, |plan| plan.version);
+        let plan = records.iter().rfind(|record| is_plan_key(&record.key));
+        if let Some((record, version)) = plan.cloned().zip(plan_version) {
+            if version >= known {
+                self.plan = Some(PlanRecord { version, record });
+            }
+        }
     }
 
-    /// All newest records from `read_to` on, as a datagram holds them.
-    pub fn since(&mut self, read_to: u64) -> &PackedRecords {
-        let wanted = || self.newest.values().filter(|record| record.offset >= read_to);
-        let offsets: Vec<u64> = wanted().map(|record| record.offset).collect();
-        if offsets != self.packed.0 {
-            let records: Vec<KeyedRecord> = wanted().cloned().collect();
-            self.packed = (offsets, PackedRecords::pack(&records));
+    /// What a box that knows so much lacks, as a datagram holds it: a newer plan, and all other newest records behind
+    /// its position.
+    pub fn since(&mut self, known: KnownPlan) -> &PackedRecords {
+        let plan = self.plan.as_ref().filter(|plan| plan.version > known.version);
+        let plan = plan.map(|plan| &plan.record);
+        let others = self.newest.values().filter(|record| !is_plan_key(&record.key));
+        let others = others.filter(|record| record.at >= known.read_to);
+        let wanted: Vec<&KeyedRecord> = others.chain(plan).collect();
+        let positions: Vec<TopicPosition> = wanted.iter().map(|record| record.at).collect();
+        if positions != self.packed.0 {
+            let records: Vec<KeyedRecord> = wanted.into_iter().cloned().collect();
+            self.packed = (positions, PackedRecords::pack(&records));
             self.untold = false;
         }
         &self.packed.1
     }
 
     /// Logs, once, that what was packed last is too long to be told to boxes that have read to `read_to`.
-    pub fn note_untold(&mut self, read_to: u64, limit: usize) {
+    pub fn note_untold(&mut self, read_to: TopicPosition, limit: usize) {
         if !std::mem::replace(&mut self.untold, true) {
             observe::note_records_untold(self.packed.1.as_bytes().len(), limit, read_to);
         }
@@ -63,29 +86,30 @@
     records.iter().filter_map(order).collect()
 }
 
-/// Takes what this box read of the operator's records from `from` on, or all newest ones without it, as
-/// [`take_operator`] does.
+/// Takes what this box read of the operator's records from `from` on, or all newest ones without it: all that there was
+/// at `asked_at` up to `read_to`. Returns false if one can't be decoded.
 pub fn take_read(
     driver: &GatewayDriver,
     asked_at: BoxTime,
-    from: Option<u64>,
-    read_to: u64,
+    from: Option<TopicPosition>,
+    read_to: TopicPosition,
     records: &[KeyedRecord],
 ) -> bool {
     let orders = zone_orders(records);
     // Before the plan: whoever has the plan of an offset must know the zones as of it.
     driver.feed(RouteEvent::EvacuationsRead(EvacuationRead { from, to: read_to, orders }));
-    take_operator(driver, asked_at, read_to, records)
+    let Some(plan) = take_operator(driver, read_to, records) else { return false };
+    driver.feed(RouteEvent::PlanRead { asked_at, read_to, plan });
+    true
 }
 
-/// Takes the operator's records, which are all that there was at `asked_at` up to `read_to`. Returns
-/// false if one can't be decoded: it may be a newer plan, so nothing is renewed.
+/// Takes the operator's records up to a position, but for the plan, which is given if there is one among them. Nothing
+/// is given if one can't be decoded: it may be a newer plan, so nothing is renewed.
 fn take_operator(
     driver: &GatewayDriver,
-    asked_at: BoxTime,
-    read_to: u64,
+    read_to: TopicPosition,
     records: &[KeyedRecord],
-) -> bool {
+) -> Option<Option<RoutePlan>> {
     let mut orders = Vec::new();
     let mut plan = None;
     let mut sound = true;
@@ -102,27 +126,29 @@
         }
     }
     if !sound {
-        return false;
+        return None;
     }
-    driver.operator().take(records);
+    driver.operator().take(records, plan.as_ref().map(|plan| plan.version));
     if !orders.is_empty() {
-        driver.feed(RouteEvent::OrdersRead(orders));
+        driver.feed(RouteEvent::OrdersRead { read_to, orders });
     }
-    driver.feed(RouteEvent::PlanRead { asked_at, read_to, plan });
-    true
+    Some(plan)
 }
 
 /// Takes records that another box told in answer to an ask.
 pub fn take_told(driver: &GatewayDriver, note: &PeerNote, records: &[KeyedRecord]) {
-    let (as_of, read_to) = {
+    let (as_of, known) = {
         let state = driver.state();
-        (state.word_as_of(note, driver.now()), state.read_to())
+        (state.word_as_of(note, driver.now()), state.known_plan())
     };
-    let asked_from = note.echo.as_ref().map_or(u64::MAX, |ask| ask.read_to);
+    let Some(as_of) = as_of else { return };
     // What it told begins where this box had read to when it asked: nothing is left out.
-    if let Some(as_of) = as_of.filter(|_| asked_from <= read_to && note.read_to > read_to) {
+    let follows = note.echo.as_ref().is_some_and(|ask| ask.known <= known);
+    if follows && note.known > known {
         // The records may lack the end of an order that the teller never had; its word of the zones is whole.
         driver.feed(RouteEvent::EvacuationsTold(note.evacuation.clone()));
-        take_operator(driver, as_of, note.read_to, records);
+        if let Some(plan) = take_operator(driver, note.known.read_to, records) {
+            driver.feed(RouteEvent::PlanTold { as_of, known: note.known, plan });
+        }
     }
 }
--- a/crates/box/src/gateway/topic_follower.rs
+++ b/crates/box/src/gateway/topic_follower.rs
@@ -7,6 +7,7 @@
 use ravenspoke_adapter::store::{
     AppendOutcome, KeyedRecord, StoreClient, StoreError, TopicListing, TopicRead, CALL_MS,
 };
+use ravenspoke_core::position::TopicPosition;
 use ravenspoke_core::route::event::RouteEvent;
 use ravenspoke_core::route::RouteState;
 use ravenspoke_core::time::BoxTime;
@@ -43,6 +44,9 @@
 /// must be in force within two or three seconds.
 pub const RETRY_BEHIND_MS: u64 = 500;
 
+/// A box looks this often whether the store has come back from a copy, in milliseconds, to write again what it wrote.
+pub const ERA_LOOK_MS: u64 = 1_000;
+
 /// Whether a box with this state has to call the store for a topic now.
 type TurnCheck = fn(&RouteState, BoxTime) -> bool;
 
@@ -53,8 +57,8 @@
     topic: &'static str,
     /// Whether calls are due, the first ones and those beside a late one.
     due: TurnCheck,
-    /// Reads that are open, each with the offset that it began at.
-    reads: OpenCalls<(u64, TopicRead)>,
+    /// Reads that are open, each with the position that it began at.
+    reads: OpenCalls<(TopicPosition, TopicRead)>,
     /// When the store was lost, if it is.
     lost_at: Option<BoxTime>,
     /// When a call last failed or was found late, with chance for the pause after it.
@@ -92,6 +96,14 @@
         self.store.era().known()
     }
 
+    /// Waits until the store is of another era than `known`, or for `limit`.
+    pub(super) async fn wait_for_era(&mut self, known: Option<u64>, limit: Duration) {
+        let until = self.driver.now().plus_millis(limit.as_millis() as u64);
+        while known == Some(self.era()) && self.driver.now() < until {
+            tokio::time::sleep(Duration::from_millis(ERA_LOOK_MS)).await;
+        }
+    }
+
     /// Waits until calls are due. Reads that were left open are dropped after a longer wait: nobody listened, and how
     /// they ended says nothing of the store as it is now.
     pub(super) async fn wait_for_turn(&mut self) {
@@ -122,7 +134,7 @@
     /// be there all the same.
     pub(super) async fn append(
         &mut self,
-        at: Option<u64>,
+        at: Option<TopicPosition>,
         record: &KeyedRecord,
     ) -> Option<AppendOutcome> {
         let topic = self.topic;
@@ -136,14 +148,20 @@
     }
 
     /// Records from `next` on, or all of them without it; `None` if the call failed.
-    pub(super) async fn read(&mut self, next: &mut Option<u64>, wait_ms: u64) -> Option<TopicNews> {
+    pub(super) async fn read(
+        &mut self,
+        next: &mut Option<TopicPosition>,
+        wait_ms: u64,
+    ) -> Option<TopicNews> {
+        // What was read in a former era, the store may have lost.
+        *next = next.filter(|next| next.era >= self.era());
         if let Some(from) = *next {
             match self.read_from(from, wait_ms).await {
                 Err(StoreError::Gone) => *next = None,
                 result => {
                     let AnsweredCall { asked_at, wait_ms, value: (from, read) } = result.ok()?;
                     // A topic that ends before what was read has lost its history.
-                    *next = (read.end >= from).then_some(read.next.max(next.unwrap_or(0)));
+                    *next = (read.end >= from).then_some(read.next.max(next.unwrap_or_default()));
                     if next.is_some() {
                         let records = read.records;
                         return Some(TopicNews { asked_at, wait_ms, whole_to: None, records });
@@ -161,9 +179,9 @@
     /// The next answer of the reads that are open and those that begin now, from `from` on.
     async fn read_from(
         &mut self,
-        from: u64,
+        from: TopicPosition,
         wait_ms: u64,
-    ) -> Result<AnsweredCall<(u64, TopicRead)>, StoreError> {
+    ) -> Result<AnsweredCall<(TopicPosition, TopicRead)>, StoreError> {
         let topic = self.topic;
         let mut reads = std::mem::take(&mut self.reads);
         let call = |store: StoreClient, wait_ms| async move {
@@ -252,6 +270,7 @@
         let former = std::mem::replace(&mut self.era, era);
         if former > 0 && self.era > former {
             observe::note_store_restored(self.topic, self.era, former);
+            self.driver.feed(RouteEvent::StoreRestored { era: self.era });
         }
     }
 
@@ -309,6 +328,6 @@
     /// How long the store was to wait for a record, in milliseconds.
     pub(super) wait_ms: u64,
     /// Where the topic ended, if these are all its keys.
-    pub(super) whole_to: Option<u64>,
+    pub(super) whole_to: Option<TopicPosition>,
     pub(super) records: Vec<KeyedRecord>,
 }
--- a/crates/box/tests/clock.rs
+++ b/crates/box/tests/clock.rs
@@ -6,6 +6,7 @@
 
 use ravenspoke_box::clock::{BoxClock, SuspensionWatch};
 use ravenspoke_box::gateway::driver::{GatewayDriver, GatewaySinks};
+use ravenspoke_core::position::TopicPosition;
 use ravenspoke_core::route::budget::BudgetBounds;
 use ravenspoke_core::route::event::RouteEvent;
 use ravenspoke_core::route::fresh::FreshBounds;
@@ -76,7 +77,11 @@
     };
     let driver = GatewayDriver::new(RouteState::new(settings), sinks, clock);
     let plan = Some(RoutePlan { version: 1, ..RoutePlan::default() });
-    driver.feed(RouteEvent::PlanRead { asked_at: driver.now(), read_to: 1, plan });
+    driver.feed(RouteEvent::PlanRead {
+        asked_at: driver.now(),
+        read_to: TopicPosition::new(1, 1),
+        plan,
+    });
     driver
 }
 
--- a/crates/box/tests/notes.rs
+++ b/crates/box/tests/notes.rs
@@ -5,18 +5,24 @@
 use ravenspoke_box::gateway::note_wire::packed::{PackedError, INFLATED_LIMIT};
 use ravenspoke_box::gateway::note_wire::records::PackedRecords;
 use ravenspoke_box::gateway::note_wire::{decode_datagram, encode_ask, encode_note, HeardDatagram};
+use ravenspoke_core::position::TopicPosition;
 use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
 use ravenspoke_core::route::budget::SendCount;
 use ravenspoke_core::route::entries::{EntryWish, ListingPage, CHANGES_TOLD};
 use ravenspoke_core::route::pace::{LearntPace, LearntTime, PaceNote};
 use ravenspoke_core::route::peers::{
-    BudgetNote, EntryWord, PeerAsk, PeerCard, PeerNote, PeerSummary,
+    BudgetNote, EntryWord, KnownPlan, PeerAsk, PeerCard, PeerNote, PeerSummary,
 };
 use ravenspoke_core::time::BoxTime;
 
 /// Largest datagram, in bytes; one of the operator's records may come with a listing's page.
 const NOTE_LIMIT: usize = ravenspoke_box::gateway::notes::NOTE_LIMIT;
 
+/// A position in the store's third era.
+fn at(offset: u64) -> TopicPosition {
+    TopicPosition::new(3, offset)
+}
+
 fn card(name: &str) -> PeerCard {
     PeerCard {
         incarnation: 17,
@@ -33,8 +39,8 @@
         note_address: "10.1.0.9:7680".to_owned(),
         incarnation: 3,
         asked_at: BoxTime::from_micros(77_001),
-        read_to: 12,
-        entries: EntryWish { known_to: Some(40), page_from: 7, has_rows: true },
+        known: KnownPlan { version: 5, read_to: at(12) },
+        entries: EntryWish { known_to: Some(at(40)), page_from: at(7), has_rows: true },
     }
 }
 
@@ -52,7 +58,7 @@
         cold_ms: 0,
         born: None,
     };
-    BackendChange { id, at: number as u64, entry: Some(entry) }
+    BackendChange { id, at: at(number as u64), entry: Some(entry) }
 }
 
 fn pace(token_ms: f64) -> LearntPace {
@@ -65,14 +71,15 @@
         name: "front-1".to_owned(),
         number: 5,
         card: card("front-1"),
-        read_to: 12,
+        era: 3,
+        known: KnownPlan { version: 6, read_to: at(12) },
         read_age_ms: Some(400),
         echo: Some(ask()),
-        changes: vec![change(41), BackendChange { id: "i-1".to_owned(), at: 42, entry: None }],
+        changes: vec![change(41), BackendChange { id: "i-1".to_owned(), at: at(42), entry: None }],
         entries: EntryWord {
-            known_to: Some(43),
+            known_to: Some(at(43)),
             age_ms: Some(0),
-            page: Some(ListingPage { end: 43, next: Some(0) }),
+            page: Some(ListingPage { end: at(43), next: Some(TopicPosition::default()) }),
         },
         others: vec!["10.1.0.4:7680".to_owned()],
         budgets: vec![BudgetNote {
@@ -88,22 +95,20 @@
 #[test]
 fn an_answer_is_read_as_it_was_written() {
     let note = answer();
-    let heard =
-        decode_datagram(&encode_note(&note, &PackedRecords::default())).expect("a datagram");
-    assert_eq!(heard, HeardDatagram::Note(Box::new(note), Vec::new()));
+    let heard = decode_datagram(&encode_note(&note, None)).expect("a datagram");
+    assert_eq!(heard, HeardDatagram::Note(Box::new(note), None));
 }
 
 #[test]
 fn a_note_that_answers_nothing_has_no_word_of_entries() {
     let note = PeerNote { echo: None, entries: EntryWord::default(), ..answer() };
-    let heard =
-        decode_datagram(&encode_note(&note, &PackedRecords::default())).expect("a datagram");
-    assert_eq!(heard, HeardDatagram::Note(Box::new(note), Vec::new()));
+    let heard = decode_datagram(&encode_note(&note, None)).expect("a datagram");
+    assert_eq!(heard, HeardDatagram::Note(Box::new(note), None));
 }
 
 #[test]
 fn an_ask_is_read_as_it_was_written() {
-    for known_to in [None, Some(0), Some(40)] {
+    for known_to in [None, Some(TopicPosition::default()), Some(at(40))] {
         let entries = EntryWish { known_to, ..ask().entries };
         let ask = PeerAsk { entries, ..ask() };
         let heard = decode_datagram(&encode_ask(&ask)).expect("a datagram");
@@ -115,7 +120,7 @@
 fn a_page_of_a_listing_fits_into_a_datagram() {
     let changes = (0..CHANGES_TOLD).map(change).collect();
     let note = PeerNote { changes, ..answer() };
-    assert!(encode_note(&note, &PackedRecords::default()).len() < NOTE_LIMIT);
+    assert!(encode_note(&note, None).len() < NOTE_LIMIT);
 }
 
 proptest! {
@@ -127,7 +132,7 @@
 
     #[test]
     fn a_cut_datagram_is_borne(length in 0_usize..300) {
-        let bytes = encode_note(&answer(), &PackedRecords::default());
+        let bytes = encode_note(&answer(), None);
         drop(decode_datagram(&bytes[..length.min(bytes.len())]));
     }
 }
@@ -146,7 +151,7 @@
     };
     let routes: Vec<serde_json::Value> = (0..1_000).map(route).collect();
     let plan = serde_json::json!({ "version": 9, "routes": routes });
-    KeyedRecord { offset: 40, key: "config".to_owned(), value: Some(plan.to_string().into_bytes()) }
+    KeyedRecord { at: at(40), key: "config".to_owned(), value: Some(plan.to_string().into_bytes()) }
 }
 
 #[test]
@@ -155,17 +160,17 @@
     let note = PeerNote { changes: (0..CHANGES_TOLD).map(change).collect(), ..answer() };
 
     let packed = PackedRecords::pack(std::slice::from_ref(&record));
-    let datagram = encode_note(&note, &packed);
+    let datagram = encode_note(&note, Some(&packed));
 
     assert!(record.value.as_ref().is_some_and(|value| value.len() > 3 * NOTE_LIMIT));
     assert!(datagram.len() < NOTE_LIMIT, "{} bytes", datagram.len());
     let heard = decode_datagram(&datagram).expect("a datagram");
-    assert_eq!(heard, HeardDatagram::Note(Box::new(note), vec![record]));
+    assert_eq!(heard, HeardDatagram::Note(Box::new(note), Some(vec![record])));
 }
 
 #[test]
 fn a_key_that_was_dropped_is_told_without_a_value() {
-    let record = KeyedRecord { offset: 7, key: "rollout/pool".to_owned(), value: None };
+    let record = KeyedRecord { at: at(7), key: "rollout/pool".to_owned(), value: None };
     let told = PackedRecords::pack(std::slice::from_ref(&record)).unpack().expect("records");
     assert_eq!(told, [record]);
 }
@@ -173,7 +178,7 @@
 #[test]
 fn records_that_would_fill_the_memory_of_a_box_are_not_inflated() {
     let value = Some(vec![0; INFLATED_LIMIT]);
-    let record = KeyedRecord { offset: 7, key: "config".to_owned(), value };
+    let record = KeyedRecord { at: at(7), key: "config".to_owned(), value };
     let told = PackedRecords::pack(std::slice::from_ref(&record)).unpack();
     assert!(matches!(told, Err(PackedError::TooLong)));
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod lease;
 pub mod membership;
 pub mod message;
+pub mod position;
 pub mod reason;
 pub mod replica;
 pub mod retry;
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -17,6 +17,7 @@
 use super::sender::SenderPart;
 use super::warm_up::{WarmUpPlan, UNSEEN_MS};
 use crate::ids::ReplicaKey;
+use crate::position::TopicPosition;
 use crate::time::BoxTime;
 
 /// A replica as its entry in the store gives it.
@@ -48,9 +49,9 @@
 pub struct BackendChange {
     /// Id of the replica.
     pub id: String,
-    /// Offset of the change in the store: of two changes the later one counts, whichever way and
+    /// Position of the change in the store: of two changes the later one counts, whichever way and
     /// however late they came.
-    pub at: u64,
+    pub at: TopicPosition,
     /// The entry; `None` if it is gone.
     pub entry: Option<BackendEntry>,
 }
@@ -78,8 +79,8 @@
     pub entry: BackendEntry,
     #[serde(skip)]
     pub(super) id_hash: u64,
-    /// Offset of its last change in the store.
-    pub at: u64,
+    /// Position of its last change in the store.
+    pub at: TopicPosition,
     /// Reported running requests, and waiting ones by [`super::loads::WAITING_WEIGHT`].
     pub reported: u32,
     /// What it usually reports, lately.
@@ -139,7 +140,7 @@
 }
 
 /// Whether two entries under one id are of two lives of a replica. One that does not say when it started may be of either.
-fn is_other_life(known: &BackendEntry, told: &BackendEntry) -> bool {
+pub(super) fn is_other_life(known: &BackendEntry, told: &BackendEntry) -> bool {
     let born = known.born.zip(told.born);
     born.is_some_and(|(known, told)| known != told)
 }
@@ -154,6 +155,8 @@
     /// In the order of the hashes of their ids, which is the same on every box.
     pub(super) by_service: HashMap<String, Vec<ReplicaKey>>,
     gone: GoneReplicas,
+    /// Position up to which the last whole listing showed all.
+    listed_to: TopicPosition,
     /// Whether a replica is cold in which this box's part was not worked out yet.
     pub(super) newly_cold: bool,
 }
@@ -198,9 +201,9 @@
         self.rows.get(key)
     }
 
-    /// Changes of the store from an offset on, in its order: replicas that are used, and with `gone` those
+    /// Changes of the store from a position on, in its order: replicas that are used, and with `gone` those
     /// that are gone.
-    pub fn changes_from(&self, from: u64, gone: bool) -> Vec<BackendChange> {
+    pub fn changes_from(&self, from: TopicPosition, gone: bool) -> Vec<BackendChange> {
         let used = self.rows.values().filter(|row| row.lapses_at.is_none() && row.at >= from);
         let mut changes: Vec<BackendChange> = used
             .map(|row| BackendChange {
@@ -217,14 +220,14 @@
         changes
     }
 
-    /// Offset of the first change that may yet be undone: an entry vanished while the store was away.
-    pub fn first_lapsing(&self) -> Option<u64> {
+    /// Position of the first change that may yet be undone: an entry vanished while the store was away.
+    pub fn first_lapsing(&self) -> Option<TopicPosition> {
         let lapsing = self.rows.values().filter(|row| row.lapses_at.is_some());
         lapsing.map(|row| row.at).min()
     }
 
-    /// Offset from which on it is known which replicas are gone.
-    pub fn gone_from(&self) -> u64 {
+    /// Position from which on it is known which replicas are gone.
+    pub fn gone_from(&self) -> TopicPosition {
         self.gone.kept_from()
     }
 
@@ -237,13 +240,16 @@
         lapse_at: Option<BoxTime>,
     ) -> BackendNews {
         let known = self.ids.get(&change.id).map(|key| self.rows[*key].at);
-        let known = known.or_else(|| self.gone.offset(&change.id));
+        let known = known.or_else(|| self.gone.position(&change.id));
+        // A listing did not show it, so that it was gone by then.
+        let known = known.or((change.at < self.listed_to).then_some(self.listed_to));
         // What may come back is settled by the same change, from a box that takes it for gone.
         let settled = lapse_at.is_none() && change.entry.is_none() && self.lapses(&change.id);
         if known.is_some_and(|at| at > change.at || (at == change.at && !settled)) {
             return change.entry.as_ref().map_or(BackendNews::None, |entry| self.take_mark(entry));
         }
         match &change.entry {
+            Some(entry) if self.gone.has_left(entry, change.at) => BackendNews::None,
             Some(entry) => self.put(entry.clone(), change.at, now),
             None => self.take_gone(&change.id, change.at, lapse_at),
         }
@@ -258,21 +264,23 @@
     /// is gone. Gives the changes that are news.
     pub fn take_all(
         &mut self,
-        end: u64,
+        end: TopicPosition,
         listed: Vec<BackendChange>,
         now: BoxTime,
         lapse_at: Option<BoxTime>,
     ) -> Vec<(BackendChange, BackendNews)> {
         let missing = self.ids.keys().filter(|id| !listed.iter().any(|row| row.id == **id));
         // The listing shows all changes before `end`; one at `end` is later.
-        let last = end.saturating_sub(1);
-        let gone = |id: &String| BackendChange { id: id.clone(), at: last, entry: None };
+        let gone = |id: &String| BackendChange { id: id.clone(), at: end.previous(), entry: None };
         let missing: Vec<BackendChange> = missing.map(gone).collect();
         let changes = missing.into_iter().chain(listed);
-        changes.map(|change| (change.clone(), self.take(&change, now, lapse_at))).collect()
+        let taken = changes.map(|change| (change.clone(), self.take(&change, now, lapse_at)));
+        let taken = taken.collect();
+        self.listed_to = self.listed_to.max(end);
+        taken
     }
 
-    fn put(&mut self, entry: BackendEntry, at: u64, now: BoxTime) -> BackendNews {
+    fn put(&mut self, entry: BackendEntry, at: TopicPosition, now: BoxTime) -> BackendNews {
         let Some(key) = self.ids.get(&entry.id).copied() else {
             self.gone.forget(&entry.id);
             let leaving = entry.leaving;
@@ -306,14 +314,14 @@
         &mut self,
         former: ReplicaKey,
         entry: BackendEntry,
-        at: u64,
+        at: TopicPosition,
         now: BoxTime,
     ) -> BackendNews {
         self.remove(former);
         self.put(entry, at, now)
     }
 
-    fn insert(&mut self, entry: BackendEntry, at: u64, now: BoxTime) {
+    fn insert(&mut self, entry: BackendEntry, at: TopicPosition, now: BoxTime) {
         let (id, service) = (entry.id.clone(), entry.service.clone());
         self.newly_cold |= entry.cold_ms > 0;
         let key = self.rows.insert(BackendState {
@@ -346,9 +354,9 @@
         keys.insert(keys.partition_point(before), key);
     }
 
-    fn take_gone(&mut self, id: &str, at: u64, lapse_at: Option<BoxTime>) -> BackendNews {
+    fn take_gone(&mut self, id: &str, at: TopicPosition, lapse_at: Option<BoxTime>) -> BackendNews {
         let Some(key) = self.ids.get(id).copied() else {
-            self.gone.note(id, at);
+            self.gone.note(id, at, None);
             return BackendNews::None;
         };
         let row = &mut self.rows[key];
@@ -363,12 +371,13 @@
 
     fn remove(&mut self, key: ReplicaKey) {
         let Some(row) = self.rows.remove(key) else { return };
-        self.gone.note(&row.entry.id, row.at);
         self.ids.remove(&row.entry.id);
         self.hashes.remove(&row.id_hash);
         if let Some(keys) = self.by_service.get_mut(&row.entry.service) {
             keys.retain(|other| *other != key);
         }
+        let id = row.entry.id.clone();
+        self.gone.note(&id, row.at, Some(row.entry).filter(|entry| entry.leaving));
     }
 
     /// Drops entries whose grace is over, and gives that as changes.
--- a/crates/core/src/route/dump.rs
+++ b/crates/core/src/route/dump.rs
@@ -8,6 +8,7 @@
 use super::plan::RoutePlan;
 use super::trial::VersionTrial;
 use super::RouteState;
+use crate::position::TopicPosition;
 use crate::time::BoxTime;
 
 /// State of a routing box. Keys of client accounts are left out.
@@ -19,6 +20,12 @@
     pub open: bool,
     /// Whether the planned stop has begun.
     pub stopping: bool,
+    /// The store's era; 0 where it names none.
+    pub store_era: u64,
+    /// Position up to which the operator's records were read.
+    pub read_to: TopicPosition,
+    /// Position up to which the replicas' entries are known.
+    pub entries_to: Option<TopicPosition>,
     /// Age of what is known of the plan, in milliseconds.
     pub plan_age_ms: Option<u64>,
     /// The plan.
@@ -26,7 +33,7 @@
     /// Replicas.
     pub backends: Vec<&'a BackendState>,
     /// Availability zones under evacuation.
-    pub evacuated: &'a [String],
+    pub evacuated: Vec<String>,
     /// Other boxes, by name.
     pub peers: Vec<(&'a String, &'a PeerState)>,
     /// Trials.
@@ -44,6 +51,9 @@
             name: &self.settings.name,
             open: self.open(now),
             stopping: self.stopping(),
+            store_era: self.era,
+            read_to: self.read_to,
+            entries_to: self.entries.known_to(),
             plan_age_ms: self.fresh.age_ms(now),
             plan: self.table.plan(),
             backends: self.backends.rows().map(|(_, row)| row).collect(),
--- a/crates/core/src/route/entries.rs
+++ b/crates/core/src/route/entries.rs
@@ -1,12 +1,13 @@
 //! How far a box knows the replicas' entries in the store, and what it tells a box that asks.
 //!
-//! Few boxes read the entries; the others ask them, each naming the offset up to which it knows all. The
+//! Few boxes read the entries; the others ask them, each naming the position up to which it knows all. The
 //! answer holds what differs, each change once and in the order of the store, so that a box is complete
 //! after one answer, whatever datagrams were lost before, and bytes follow the changes, not the number of
 //! replicas. A box that knows nothing yet, or less than the other remembers of replicas that are gone, gets
 //! a listing in pages.
 
 use super::backend::{BackendChange, BackendTable};
+use crate::position::TopicPosition;
 use crate::time::BoxTime;
 
 /// Changes in one datagram, at most: packed some 20 bytes each, in a datagram of at most 60,000 that may hold a plan
@@ -20,19 +21,19 @@
 /// A page of a listing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ListingPage {
-    /// Offset up to which the listing shows all.
-    pub end: u64,
-    /// Offset from which the next page goes on; `None` on the last.
-    pub next: Option<u64>,
+    /// Position up to which the listing shows all.
+    pub end: TopicPosition,
+    /// Position from which the next page goes on; `None` on the last.
+    pub next: Option<TopicPosition>,
 }
 
 /// What a box wants to know of the entries.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EntryWish {
-    /// All changes before this offset are known; `None` if nothing is.
-    pub known_to: Option<u64>,
-    /// Where the next page of a listing begins, if one is under way.
-    pub page_from: u64,
+    /// All changes before this position are known; `None` if nothing is.
+    pub known_to: Option<TopicPosition>,
+    /// Where the next page of a listing begins, if one is under way; else before all.
+    pub page_from: TopicPosition,
     /// Whether replicas are known that a listing may have to remove.
     pub has_rows: bool,
 }
@@ -42,8 +43,8 @@
 pub struct EntryAnswer {
     /// The changes.
     pub changes: Vec<BackendChange>,
-    /// All changes before this offset are known with them; `None` if nothing was known.
-    pub known_to: Option<u64>,
+    /// All changes before this position are known with them; `None` if nothing was known.
+    pub known_to: Option<TopicPosition>,
     /// How long ago that was all there was, in milliseconds; `None` if it wasn't.
     pub age_ms: Option<u64>,
     /// The page of a listing, if the changes are one.
@@ -53,9 +54,9 @@
 /// A listing of which not all pages have come.
 #[derive(Debug)]
 struct OpenListing {
-    end: u64,
+    end: TopicPosition,
     as_of: Option<BoxTime>,
-    next: u64,
+    next: TopicPosition,
     rows: Vec<BackendChange>,
     /// When its last page came.
     heard_at: BoxTime,
@@ -64,18 +65,18 @@
 /// How far the entries are known.
 #[derive(Debug, Default)]
 pub struct EntryPosition {
-    /// All changes before this offset are known.
-    known_to: Option<u64>,
+    /// All changes before this position are known.
+    known_to: Option<TopicPosition>,
     /// As of when that was all there was.
     as_of: Option<BoxTime>,
     /// From here on it is known which replicas are gone.
-    gone_from: u64,
+    gone_from: TopicPosition,
     listing: Option<OpenListing>,
 }
 
 impl EntryPosition {
-    /// All changes before this offset are known; `None` before the first listing.
-    pub fn known_to(&self) -> Option<u64> {
+    /// All changes before this position are known; `None` before the first listing.
+    pub fn known_to(&self) -> Option<TopicPosition> {
         self.known_to
     }
 
@@ -91,14 +92,14 @@
     }
 
     /// Notes a listing of all entries before `end`.
-    pub fn note_listed(&mut self, end: u64) {
+    pub fn note_listed(&mut self, end: TopicPosition) {
         self.known_to = Some(end);
         self.gone_from = end;
         self.listing = None;
     }
 
     /// Notes that all changes before `to` are known, and that there were no others at `as_of`.
-    pub fn note_read(&mut self, to: u64, as_of: Option<BoxTime>) {
+    pub fn note_read(&mut self, to: TopicPosition, as_of: Option<BoxTime>) {
         self.known_to = self.known_to.max(Some(to));
         if self.known_to == Some(to) {
             self.as_of = self.as_of.max(as_of);
@@ -107,7 +108,7 @@
 
     /// What this box wants to know.
     pub fn wish(&self, has_rows: bool) -> EntryWish {
-        let page_from = self.listing.as_ref().map_or(0, |listing| listing.next);
+        let page_from = self.listing.as_ref().map(|listing| listing.next).unwrap_or_default();
         EntryWish { known_to: self.known_to, page_from, has_rows }
     }
 
@@ -122,7 +123,7 @@
         if whole && first_lapsing.is_some() && wish.has_rows {
             return EntryAnswer::default();
         }
-        let from = if whole { wish.page_from } else { wish.known_to.unwrap_or(0) };
+        let from = if whole { wish.page_from } else { wish.known_to.unwrap_or_default() };
         let mut changes = table.changes_from(from, !whole);
         let more = changes.len() > CHANGES_TOLD;
         let next = changes.get(CHANGES_TOLD).map(|change| change.at);
@@ -137,7 +138,12 @@
 
     /// Takes what another box told of changes, in answer to a wish. Nothing is left out only if that wish
     /// named no more than is known now.
-    pub fn take_changes(&mut self, wish: EntryWish, told_to: Option<u64>, as_of: Option<BoxTime>) {
+    pub fn take_changes(
+        &mut self,
+        wish: EntryWish,
+        told_to: Option<TopicPosition>,
+        as_of: Option<BoxTime>,
+    ) {
         let (Some(to), Some(wished), Some(known)) = (told_to, wish.known_to, self.known_to) else {
             return;
         };
@@ -146,7 +152,7 @@
         }
         if to >= known {
             self.note_read(to, as_of);
-        } else {
+        } else if to.era == known.era {
             // The other knows less, and nothing was there then that this box does not know.
             self.as_of = self.as_of.max(as_of);
         }
@@ -160,13 +166,14 @@
         changes: &[BackendChange],
         as_of: Option<BoxTime>,
         now: BoxTime,
-    ) -> Option<(u64, Vec<BackendChange>)> {
+    ) -> Option<(TopicPosition, Vec<BackendChange>)> {
         if self.known_to.is_some_and(|to| to > page.end) {
             return None;
         }
-        if wish.page_from == 0 {
+        let first = TopicPosition::default();
+        if wish.page_from == first {
             let (end, rows) = (page.end, Vec::new());
-            self.listing = Some(OpenListing { end, as_of, next: 0, rows, heard_at: now });
+            self.listing = Some(OpenListing { end, as_of, next: first, rows, heard_at: now });
         }
         let listing = self.listing.as_mut()?;
         if listing.next != wish.page_from || page.end < listing.end {
--- a/crates/core/src/route/evacuation.rs
+++ b/crates/core/src/route/evacuation.rs
@@ -6,12 +6,22 @@
 //! all of them, an order that was withdrawn included. So each note carries the whole value, a few bytes, and a box that
 //! hears any other knows as much as that one, without an ask and whatever it missed before.
 //!
-//! What a box knows of them does not expire: one that hears from nobody keeps to the last word. Requests that need a
+//! A store that comes back from an older copy may lack orders for a while, and show some that were withdrawn. Those that
+//! it lacks are kept as they are known, until the operator has written them again.
+//!
+//! Else what a box knows of them does not expire: one that hears from nobody keeps to the last word. Requests that need a
 //! key end there after seconds, with the plan's age; for the others an old order costs a zone's replicas, and an
 //! order forgotten too early would be broken.
 
 use serde::Serialize;
 
+use crate::position::TopicPosition;
+use crate::time::BoxTime;
+
+/// An order that a store which came back from a copy does not show is kept for this long, in milliseconds: the operator
+/// writes again what was lost, within seconds.
+pub const UNSEEN_ORDER_MS: u64 = 10_000;
+
 /// One zone's order, given or withdrawn.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ZoneOrder {
@@ -24,11 +34,11 @@
 /// Orders as a read of the operator's records showed them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EvacuationRead {
-    /// Offset from which on the records were read; `None` if all newest records were, so that a zone without one has no
+    /// Position from which on the records were read; `None` if all newest records were, so that a zone without one has no
     /// order.
-    pub from: Option<u64>,
-    /// Offset up to which they were read.
-    pub to: u64,
+    pub from: Option<TopicPosition>,
+    /// Position up to which they were read.
+    pub to: TopicPosition,
     /// The orders among them, in the store's order.
     pub orders: Vec<ZoneOrder>,
 }
@@ -36,8 +46,8 @@
 /// The zones under evacuation, as one box tells them to another.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EvacuationWord {
-    /// Offset up to which the operator's records were read.
-    pub known_to: u64,
+    /// Position up to which the operator's records were read.
+    pub known_to: TopicPosition,
     /// All zones under evacuation then, sorted.
     pub zones: Vec<String>,
 }
@@ -46,19 +56,32 @@
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct EvacuatedZones {
     #[serde(skip)]
-    known_to: u64,
+    known_to: TopicPosition,
     zones: Vec<String>,
+    /// Zones whose orders were known when the store came back from a copy, and which it has not shown since, with
+    /// until when these are kept.
+    #[serde(skip)]
+    unseen: Vec<(String, BoxTime)>,
 }
 
 impl EvacuatedZones {
     /// Whether nothing may be sent to the replicas of a zone.
     pub fn contains(&self, zone: &str) -> bool {
-        self.zones.iter().any(|evacuated| evacuated == zone)
+        self.shows(zone) || self.unseen.iter().any(|(unseen, _)| unseen == zone)
     }
 
-    /// The zones, sorted.
-    pub fn zones(&self) -> &[String] {
-        &self.zones
+    /// Whether the store's records up to the known position show an order for a zone.
+    fn shows(&self, zone: &str) -> bool {
+        self.zones.iter().any(|shown| shown == zone)
+    }
+
+    /// All zones that get nothing, sorted.
+    pub fn zones(&self) -> Vec<String> {
+        let unseen = self.unseen.iter().map(|(zone, _)| zone);
+        let mut all: Vec<String> = self.zones.iter().chain(unseen).cloned().collect();
+        all.sort();
+        all.dedup();
+        all
     }
 
     /// What is told to other boxes.
@@ -67,43 +90,74 @@
     }
 
     /// Takes what was read. Gives what of it is news.
-    pub fn take_read(&mut self, read: EvacuationRead) -> Vec<ZoneOrder> {
+    pub fn take_read(&mut self, read: EvacuationRead, now: BoxTime) -> Vec<ZoneOrder> {
         let EvacuationRead { from, to, orders } = read;
         // Records between what is known and what was read may hold other orders; whoever told of them told the zones.
         if to < self.known_to || from.is_some_and(|from| from > self.known_to) {
             return Vec::new();
         }
+        let before = self.zones();
         let mut zones = if from.is_some() { self.zones.clone() } else { Vec::new() };
         for order in orders {
+            self.unseen.retain(|(zone, _)| *zone != order.zone);
             zones.retain(|zone| *zone != order.zone);
             if order.evacuated {
                 zones.push(order.zone);
             }
         }
-        self.replace(to, zones)
+        self.replace(to, zones, now);
+        self.moved_since(&before)
     }
 
     /// Takes another box's word. Gives what of it is news.
-    pub fn hear(&mut self, word: &EvacuationWord) -> Vec<ZoneOrder> {
-        if word.known_to <= self.known_to {
+    pub fn hear(&mut self, word: &EvacuationWord, now: BoxTime) -> Vec<ZoneOrder> {
+        let before = self.zones();
+        if word.known_to.era < self.known_to.era {
+            word.zones.iter().for_each(|zone| self.keep_unseen(zone, now));
+        } else if word.known_to > self.known_to {
+            self.replace(word.known_to, word.zones.clone(), now);
+        }
+        self.moved_since(&before)
+    }
+
+    /// Ends the keeping of orders that were not written again. Gives what of it is news.
+    pub fn drop_unseen(&mut self, now: BoxTime) -> Vec<ZoneOrder> {
+        if self.unseen.iter().all(|(_, until)| now < *until) {
             return Vec::new();
         }
-        self.replace(word.known_to, word.zones.clone())
+        let before = self.zones();
+        self.unseen.retain(|(_, until)| now < *until);
+        self.moved_since(&before)
     }
 
-    fn replace(&mut self, known_to: u64, mut zones: Vec<String>) -> Vec<ZoneOrder> {
+    fn replace(&mut self, known_to: TopicPosition, mut zones: Vec<String>, now: BoxTime) {
         zones.sort();
         zones.dedup();
-        let missing = |of: &[String], zone: &String| !of.contains(zone);
-        let given = zones.iter().filter(|zone| missing(&self.zones, zone));
-        let withdrawn = self.zones.iter().filter(|zone| missing(&zones, zone));
+        let restored = known_to.era > self.known_to.era;
+        let former = std::mem::replace(&mut self.zones, zones);
+        self.known_to = known_to;
+        if restored {
+            former.iter().for_each(|zone| self.keep_unseen(zone, now));
+        }
+    }
+
+    /// Keeps an order that the store does not show any more.
+    fn keep_unseen(&mut self, zone: &str, now: BoxTime) {
+        let kept = self.unseen.iter().any(|(unseen, _)| unseen == zone);
+        if !kept && !self.shows(zone) {
+            self.unseen.push((zone.to_owned(), now.plus_millis(UNSEEN_ORDER_MS)));
+        }
+    }
+
+    /// What of the zones is no longer as it was.
+    fn moved_since(&self, before: &[String]) -> Vec<ZoneOrder> {
+        let after = self.zones();
+        let given = after.iter().filter(|zone| !before.contains(zone));
+        let withdrawn = before.iter().filter(|zone| !after.contains(zone));
         let order = |zone: &String, evacuated| ZoneOrder { zone: zone.clone(), evacuated };
-        let news = given
+        given
             .map(|zone| order(zone, true))
             .chain(withdrawn.map(|zone| order(zone, false)))
-            .collect();
-        self.known_to = known_to;
-        self.zones = zones;
-        news
+            .collect()
     }
 }
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -3,7 +3,7 @@
 use super::backend::BackendChange;
 use super::evacuation::{EvacuationRead, EvacuationWord, ZoneOrder};
 use super::loads::BackendLoad;
-use super::peers::{PeerAsk, PeerNote};
+use super::peers::{KnownPlan, PeerAsk, PeerNote};
 use super::placement::PlacementNote;
 use super::plan::{RouteKind, RoutePlan};
 use super::progress::TrialMark;
@@ -11,6 +11,7 @@
 use super::trial::{TrialOrder, TrialState, TrialVerdict};
 use crate::event::RequestTicket;
 use crate::ids::ReplicaKey;
+use crate::position::TopicPosition;
 use crate::time::BoxTime;
 
 /// A caller's request, decoded.
@@ -94,8 +95,17 @@
     PlanRead {
         /// The records read are all that there was then.
         asked_at: BoxTime,
-        /// Offset behind the last record that was read.
-        read_to: u64,
+        /// Position behind the last record that was read.
+        read_to: TopicPosition,
+        /// The plan.
+        plan: Option<RoutePlan>,
+    },
+    /// Another box told the plan that it knows; `None` if it has no other.
+    PlanTold {
+        /// As of when that was all there was.
+        as_of: BoxTime,
+        /// How far that box knows the operator's records.
+        known: KnownPlan,
         /// The plan.
         plan: Option<RoutePlan>,
     },
@@ -104,7 +114,12 @@
     /// Another box told, beside the plan, which zones are under evacuation.
     EvacuationsTold(EvacuationWord),
     /// Orders to bring versions in were read.
-    OrdersRead(Vec<TrialOrder>),
+    OrdersRead {
+        /// Position behind the last record that was read.
+        read_to: TopicPosition,
+        /// The orders.
+        orders: Vec<TrialOrder>,
+    },
     /// All verdicts were read.
     VerdictsRead {
         /// When the store was asked for them.
@@ -130,7 +145,7 @@
     /// All entries of the replicas were read.
     BackendsListed {
         /// Where the store's entries ended when the listing was made.
-        end: u64,
+        end: TopicPosition,
         /// The entries.
         listed: Vec<BackendChange>,
     },
@@ -139,7 +154,12 @@
         /// There were no others then.
         as_of: BoxTime,
         /// The offset.
-        to: u64,
+        to: TopicPosition,
+    },
+    /// The store came back from an older copy of its data.
+    StoreRestored {
+        /// Its era now.
+        era: u64,
     },
     /// A call to the store failed.
     StoreFailed,
@@ -356,8 +376,8 @@
     EvacuationMoved {
         /// The order.
         order: ZoneOrder,
-        /// Offset up to which the operator's records show it.
-        known_to: u64,
+        /// Position up to which the operator's records show it.
+        known_to: TopicPosition,
         /// Requests in hand at replicas of the zone, which run on.
         in_hand: usize,
     },
--- a/crates/core/src/route/fresh.rs
+++ b/crates/core/src/route/fresh.rs
@@ -33,6 +33,11 @@
         self.asked_at = self.asked_at.max(Some(asked_at));
     }
 
+    /// When the last sound read began.
+    pub fn as_of(&self) -> Option<BoxTime> {
+        self.asked_at
+    }
+
     /// Whether nothing was read yet.
     pub fn is_unknown(&self) -> bool {
         self.asked_at.is_none()
--- a/crates/core/src/route/gone.rs
+++ b/crates/core/src/route/gone.rs
@@ -1,48 +1,71 @@
-//! Replicas that are gone: a change that comes late must not bring one back.
+//! Replicas that are gone: a change that comes late, or an older copy of the store, must not bring one back.
 
 use std::collections::HashMap;
 
+use super::backend::{is_other_life, BackendEntry};
+use crate::position::TopicPosition;
+
 /// Ids are kept until there are this many; then all are forgotten. Twice the replicas of the largest
 /// fleet aimed at, all replaced at once: some 1.5 MB.
 const GONE_LIMIT: usize = 16_384;
 
-/// Ids of replicas that are gone, with the offset of that in the store.
+/// A replica that is gone.
+#[derive(Debug)]
+struct GoneReplica {
+    /// Position of that in the store.
+    at: TopicPosition,
+    /// Its last entry, if it had said that it leaves.
+    left: Option<BackendEntry>,
+}
+
+/// Replicas that are gone, by id.
 #[derive(Debug, Default)]
 pub(super) struct GoneReplicas {
-    offsets: HashMap<String, u64>,
-    /// Offset from which on none was forgotten.
-    kept_from: u64,
+    rows: HashMap<String, GoneReplica>,
+    /// Position from which on none was forgotten.
+    kept_from: TopicPosition,
 }
 
 impl GoneReplicas {
-    /// The offset at which a replica was gone, if it is known to be.
-    pub(super) fn offset(&self, id: &str) -> Option<u64> {
-        self.offsets.get(id).copied()
+    /// The position at which a replica was gone, if it is known to be.
+    pub(super) fn position(&self, id: &str) -> Option<TopicPosition> {
+        self.rows.get(id).map(|row| row.at)
+    }
+
+    /// Whether an entry is of a life of a replica that had said that it leaves and was gone, before the store came back
+    /// from a copy that still has it.
+    pub(super) fn has_left(&self, entry: &BackendEntry, at: TopicPosition) -> bool {
+        let row = self.rows.get(&entry.id).filter(|row| row.at.era < at.era);
+        let left = row.and_then(|row| row.left.as_ref());
+        left.is_some_and(|left| !is_other_life(left, entry))
     }
 
-    /// Notes that a replica is gone as of `at`.
-    pub(super) fn note(&mut self, id: &str, at: u64) {
-        if self.offsets.len() >= GONE_LIMIT {
-            let last = self.offsets.values().copied().max().unwrap_or(0);
-            self.kept_from = self.kept_from.max(last + 1);
-            self.offsets.clear();
+    /// Notes that a replica is gone as of `at`, with its entry if it had said that it leaves.
+    pub(super) fn note(&mut self, id: &str, at: TopicPosition, left: Option<BackendEntry>) {
+        if self.rows.len() >= GONE_LIMIT {
+            let last = self.rows.values().map(|row| row.at).max().unwrap_or_default();
+            self.kept_from = self.kept_from.max(last.plus(1));
+            self.rows.clear();
         }
-        self.offsets.insert(id.to_owned(), at);
+        self.rows.insert(id.to_owned(), GoneReplica { at, left });
     }
 
     /// Forgets one that is there again.
     pub(super) fn forget(&mut self, id: &str) {
-        self.offsets.remove(id);
+        self.rows.remove(id);
     }
 
-    /// Offset from which on all that went is known.
-    pub(super) fn kept_from(&self) -> u64 {
+    /// Position from which on all that went is known.
+    pub(super) fn kept_from(&self) -> TopicPosition {
         self.kept_from
     }
 
-    /// Those that went from an offset on, with when.
-    pub(super) fn since(&self, from: u64) -> impl Iterator<Item = (&String, u64)> {
-        let rows = self.offsets.iter().map(|(id, at)| (id, *at));
+    /// Those that went from a position on, with when.
+    pub(super) fn since(
+        &self,
+        from: TopicPosition,
+    ) -> impl Iterator<Item = (&String, TopicPosition)> {
+        let rows = self.rows.iter().map(|(id, row)| (id, row.at));
         rows.filter(move |(_, at)| *at >= from)
     }
 }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -13,7 +13,7 @@
 //! [`trial`] new versions · [`tally`] what speaks against them · [`progress`] how far they have come ·
 //! [`evacuation`] zones that get nothing · [`warm_up`] replicas that are cold ·
 //! `leaving` replicas that say that they leave · [`limit`] replicas that take few requests · [`rest`] replicas that want none for a while · `sender` who sends to which of these · [`fatal`] requests that crash replicas ·
-//! [`budget`] further sends · [`sizes`] which model answers · [`start`] a box's start ·
+//! [`budget`] further sends · [`sizes`] which model answers · [`start`] a box's start · `era` a store that comes back from a copy ·
 //! [`placement`] what it costs to have a prompt read where, from [`backlog`], [`pace`] and [`held`] ·
 //! [`admission`] what is turned away.
 
@@ -29,6 +29,7 @@
 pub mod deeds;
 mod dump;
 pub mod entries;
+mod era;
 pub mod evacuation;
 pub mod event;
 pub mod fatal;
@@ -62,6 +63,7 @@
 
 use crate::event::{EventStamp, RequestTicket};
 use crate::ids::ReplicaKey;
+use crate::position::TopicPosition;
 use crate::time::BoxTime;
 
 use asks::AskState;
@@ -74,7 +76,7 @@
 use fresh::{FreshBounds, PlanFreshness};
 use news::NoteRounds;
 use pace::ServicePace;
-use peers::{OwnStanding, PeerTable};
+use peers::{KnownPlan, OwnStanding, PeerTable};
 use plan::{RoutePlan, RouteTable};
 use readers::StoreReading;
 use request::RouteRequest;
@@ -151,8 +153,12 @@
     requests: HashMap<RequestTicket, RouteRequest>,
     /// Until then entries that vanish may come back: the store was away.
     lapse_at: Option<BoxTime>,
-    /// Offset up to which the operator's records were read.
-    read_to: u64,
+    /// Position up to which the operator's records were read.
+    read_to: TopicPosition,
+    /// The store's era, as the store or another box named it; 0 where none did.
+    era: u64,
+    /// The era in which orders of roll-outs were read last.
+    orders_era: u64,
     /// How far the replicas' entries are known.
     entries: EntryPosition,
     /// How this box was started; `None` before the first event.
@@ -186,7 +192,9 @@
             paces: HashMap::new(),
             requests: HashMap::new(),
             lapse_at: None,
-            read_to: 0,
+            read_to: TopicPosition::default(),
+            era: 0,
+            orders_era: 0,
             entries: EntryPosition::default(),
             start: None,
             reading: StoreReading::default(),
@@ -206,19 +214,24 @@
             RouteEvent::PlanRead { asked_at, read_to, plan } => {
                 self.on_plan_read(stamp, asked_at, read_to, plan, out);
             }
+            RouteEvent::PlanTold { as_of, known, plan } => {
+                self.on_plan_told(stamp, as_of, known, plan, out);
+            }
             RouteEvent::EvacuationsRead(read) => {
-                let news = self.evacuated.take_read(read);
+                let news = self.evacuated.take_read(read, stamp.now);
                 self.move_evacuations(stamp, news, out);
             }
             RouteEvent::EvacuationsTold(word) => {
-                let news = self.evacuated.hear(&word);
+                let news = self.evacuated.hear(&word, stamp.now);
                 self.move_evacuations(stamp, news, out);
             }
-            RouteEvent::OrdersRead(orders) => self.on_orders(stamp, orders, out),
+            RouteEvent::OrdersRead { read_to, orders } => {
+                self.on_orders(stamp, read_to, orders, out);
+            }
             RouteEvent::VerdictsRead { asked_at, verdicts } => {
                 self.on_verdicts(asked_at, verdicts, out);
             }
-            RouteEvent::VerdictTaken(verdict) => self.take_verdict(verdict, out),
+            RouteEvent::VerdictTaken(verdict) => self.take_verdict(verdict, true, out),
             RouteEvent::MarksRead { asked_at, marks } => self.on_marks(stamp, asked_at, marks),
             RouteEvent::MarkTaken(mark) => {
                 self.take_mark(stamp, &mark);
@@ -237,6 +250,7 @@
                 self.entries.note_read(to, Some(as_of));
                 self.read_on(stamp.now);
             }
+            RouteEvent::StoreRestored { era } => self.note_era(era, stamp.now),
             RouteEvent::StoreFailed | RouteEvent::StoreBack => {
                 let failed = matches!(event, RouteEvent::StoreFailed);
                 self.reading.cut_at = failed.then_some(stamp.now);
@@ -271,6 +285,8 @@
         for change in self.backends.drop_lapsed(stamp.now) {
             self.tell(stamp, change, BackendNews::Leaving, out);
         }
+        let evacuations = self.evacuated.drop_unseen(stamp.now);
+        self.move_evacuations(stamp, evacuations, out);
         self.share_limits(stamp.now);
         self.share_cold(stamp.now);
         self.settle_ends(stamp.now);
@@ -288,23 +304,63 @@
         &mut self,
         stamp: EventStamp,
         asked_at: BoxTime,
-        read_to: u64,
+        read_to: TopicPosition,
         plan: Option<RoutePlan>,
         out: &mut Vec<RouteEffect>,
     ) {
-        let Some(plan) = plan else {
+        self.note_era(read_to.era, stamp.now);
+        match plan {
+            // A store that came back from a copy, and shows nothing new since, may lack what was confirmed.
+            None if self.has_plan() && read_to.era > self.read_to.era => {}
             // Without a plan nothing is served or denied; that there was none then is known all the same.
-            self.fresh.renew(asked_at);
-            self.note_read(read_to);
-            return;
-        };
-        if self.has_plan() && plan.version < self.table.plan().version {
-            out.push(RouteEffect::PlanTooOld { version: plan.version });
+            None => self.rely_on(asked_at, read_to),
+            Some(plan) if plan.version < self.table.plan().version => {
+                out.push(RouteEffect::PlanTooOld { version: plan.version });
+            }
+            Some(plan) => self.take_plan(stamp, asked_at, read_to, plan, out),
+        }
+    }
+
+    /// Takes the plan that another box knows, or its word that it is this box's, as of `as_of`.
+    fn on_plan_told(
+        &mut self,
+        stamp: EventStamp,
+        as_of: BoxTime,
+        known: KnownPlan,
+        plan: Option<RoutePlan>,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let own = self.known_plan();
+        if known <= own {
             return;
         }
-        self.fresh.renew(asked_at);
-        self.note_read(read_to);
-        if self.has_plan() && plan.version == self.table.plan().version {
+        match plan {
+            Some(plan) if plan.version == known.version => {
+                self.take_plan(stamp, as_of, known.read_to, plan, out);
+            }
+            _ if known.version == own.version => self.rely_on(as_of, known.read_to),
+            // The plan itself was too long to be told.
+            _ => {}
+        }
+    }
+
+    /// Takes a plan that is no older than the one in force.
+    fn take_plan(
+        &mut self,
+        stamp: EventStamp,
+        asked_at: BoxTime,
+        read_to: TopicPosition,
+        plan: RoutePlan,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let newer = plan.version > self.table.plan().version;
+        if newer && read_to < self.read_to {
+            // The store has lost this plan, so that its later word was not whole.
+            self.fresh = PlanFreshness::default();
+            self.read_to = read_to;
+        }
+        self.rely_on(asked_at, read_to);
+        if !newer {
             return;
         }
         let (version, routes) = (plan.version, plan.routes.len());
@@ -319,6 +375,12 @@
         self.send_notes(stamp, out);
     }
 
+    /// Relies on the plan as all that was confirmed before `asked_at`, up to a position.
+    fn rely_on(&mut self, asked_at: BoxTime, read_to: TopicPosition) {
+        self.fresh.renew(asked_at);
+        self.note_read(read_to);
+    }
+
     /// Tells of zones that are under evacuation from now on, or no longer.
     fn move_evacuations(
         &mut self,
@@ -393,7 +455,7 @@
     fn on_listed(
         &mut self,
         stamp: EventStamp,
-        end: u64,
+        end: TopicPosition,
         listed: Vec<BackendChange>,
         lapse_at: Option<BoxTime>,
         out: &mut Vec<RouteEffect>,
@@ -416,7 +478,7 @@
     }
 
     /// Notes how far the operator's records were read, or told by another box.
-    fn note_read(&mut self, read_to: u64) {
+    fn note_read(&mut self, read_to: TopicPosition) {
         if read_to >= self.read_to {
             self.read_to = read_to;
             self.asks.behind_since = None;
@@ -444,8 +506,8 @@
         self.stopping_since.is_some()
     }
 
-    /// All changes to the replicas' entries before this offset are known.
-    pub fn entries_to(&self) -> Option<u64> {
+    /// All changes to the replicas' entries before this position are known.
+    pub fn entries_to(&self) -> Option<TopicPosition> {
         self.entries.known_to()
     }
 
@@ -519,11 +581,16 @@
         self.backends.rows().next().is_some()
     }
 
-    /// Offset up to which the operator's records were read.
-    pub fn read_to(&self) -> u64 {
+    /// Position up to which the operator's records were read.
+    pub fn read_to(&self) -> TopicPosition {
         self.read_to
     }
 
+    /// As of when the plan is all that was confirmed; `None` before the first sound read.
+    pub fn plan_as_of(&self) -> Option<BoxTime> {
+        self.fresh.as_of()
+    }
+
     /// Whether a request may still be written to the replica that it was given to. Opening a connection takes a while; a
     /// zone's evacuation, a leaving mark, or a wish for rest, may have come meanwhile.
     pub fn may_write(&self, ticket: RequestTicket, now: BoxTime) -> bool {
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -8,7 +8,9 @@
 use super::entries::EntryAnswer;
 use super::event::RouteEffect;
 use super::pace::{PaceNote, ServicePace};
-use super::peers::{self, BudgetNote, EntryWord, PeerAsk, PeerCard, PeerNote, TrialNote};
+use super::peers::{
+    self, BudgetNote, EntryWord, KnownPlan, PeerAsk, PeerCard, PeerNote, TrialNote,
+};
 use super::start::BoxStart;
 use super::{BackendSource, RouteState};
 use crate::event::EventStamp;
@@ -88,7 +90,8 @@
             name: self.settings.name.clone(),
             number,
             card: self.card(stamp.now),
-            read_to: self.read_to,
+            era: self.era,
+            known: self.known_plan(),
             read_age_ms: self.fresh.age_ms(stamp.now),
             evacuation: self.evacuated.word(),
             echo: None,
@@ -187,7 +190,7 @@
             note_address: self.settings.note_address.clone(),
             incarnation: self.settings.incarnation,
             asked_at: stamp.now,
-            read_to: self.read_to,
+            known: self.known_plan(),
             entries: self.entries.wish(self.has_rows()),
         }
     }
@@ -217,7 +220,8 @@
         }
         self.peers.hear_of(&note.others, &self.settings.note_address, stamp.now);
         self.peers.hear_leads(&note.leads, &self.settings.name, stamp.now);
-        let evacuations = self.evacuated.hear(&note.evacuation);
+        self.note_era(note.era, stamp.now);
+        let evacuations = self.evacuated.hear(&note.evacuation, stamp.now);
         self.move_evacuations(stamp, evacuations, out);
         self.hear_entries(stamp, note, out);
         let paces = &self.paces;
@@ -271,14 +275,19 @@
         }
     }
 
+    /// How far this box knows the operator's records.
+    pub fn known_plan(&self) -> KnownPlan {
+        KnownPlan { version: self.table.plan().version, read_to: self.read_to }
+    }
+
     /// Relies on what another box read, as of when it says, if this box has read as far.
     fn hear_freshness(&mut self, stamp: EventStamp, note: &PeerNote, out: &mut Vec<RouteEffect>) {
-        if note.read_to > self.read_to {
+        if note.known > self.known_plan() {
             self.asks.behind_since.get_or_insert(stamp.now);
             // An answer holds what was asked for, unless that is too long, alone or beside a page of replicas. Without
             // one, asking again gives the same.
             let answers = own_ask(note, self.settings.incarnation, stamp.now)
-                .is_some_and(|ask| ask.read_to == self.read_to);
+                .is_some_and(|ask| ask.known == self.known_plan());
             self.asks.told_too_little |= answers && note.entries.page.is_none();
             if stamp.now >= self.asks.next_behind_ask && !self.asks.told_too_little {
                 self.asks.next_behind_ask = stamp.now.plus_millis(peers::ASK_AGAIN_MS);
@@ -287,7 +296,7 @@
             return;
         }
         let as_of = self.word_as_of(note, stamp.now);
-        if let Some(as_of) = as_of.filter(|_| note.read_to == self.read_to) {
+        if let Some(as_of) = as_of.filter(|_| note.known == self.known_plan()) {
             self.fresh.renew(as_of);
         }
     }
--- a/crates/core/src/route/peers/mod.rs
+++ b/crates/core/src/route/peers/mod.rs
@@ -30,6 +30,7 @@
 use super::progress::TrialProgress;
 use super::tally::RouteTallies;
 use super::trial::TrialVerdict;
+use crate::position::TopicPosition;
 use crate::time::BoxTime;
 
 /// Time between two notes to the same box, in milliseconds.
@@ -178,8 +179,10 @@
     pub number: u64,
     /// What the sender says of itself.
     pub card: PeerCard,
-    /// Offset up to which it has read the operator's records.
-    pub read_to: u64,
+    /// The store's era, as far as it knows.
+    pub era: u64,
+    /// How far it knows the operator's records.
+    pub known: KnownPlan,
     /// How long ago that was all there was, in milliseconds; `None` if it has read nothing yet.
     pub read_age_ms: Option<u64>,
     /// Availability zones under evacuation, as far as the sender knows.
@@ -214,11 +217,21 @@
     pub leads: Vec<PeerSummary>,
 }
 
+/// How far a box knows the operator's records. A newer plan goes before a later position: a store that came back from a
+/// copy may have lost that plan.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct KnownPlan {
+    /// Version of the plan; 0 without one.
+    pub version: u64,
+    /// Position up to which the records were read.
+    pub read_to: TopicPosition,
+}
+
 /// How far an answer shows the replicas' entries; see [`super::entries::EntryAnswer`].
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EntryWord {
-    /// All changes before this offset are known with it.
-    pub known_to: Option<u64>,
+    /// All changes before this position are known with it.
+    pub known_to: Option<TopicPosition>,
     /// How long ago that was all there was, in milliseconds.
     pub age_ms: Option<u64>,
     /// The page of a listing, if it is one.
@@ -245,8 +258,8 @@
     pub incarnation: u64,
     /// The asker's clock when it asked.
     pub asked_at: BoxTime,
-    /// Offset up to which it has read the operator's records: it wants what is behind.
-    pub read_to: u64,
+    /// How far it knows the operator's records: it wants what is behind.
+    pub known: KnownPlan,
     /// What it wants to know of the replicas' entries.
     pub entries: EntryWish,
 }
--- a/crates/core/src/route/readers.rs
+++ b/crates/core/src/route/readers.rs
@@ -47,11 +47,11 @@
         self.asks.told_too_little || self.asks.behind_since.is_some_and(long)
     }
 
-    /// Whether this box lost the store and others, who answer it, find out when it is back.
+    /// Whether this box lost the store, or the store lost its plan, and others, who answer it, find out when it is back.
     pub(super) fn leaves_tries_to_others(&self, now: BoxTime) -> bool {
         let answered =
             self.asks.answered_at.is_some_and(|at| now.millis_since(at) < peers::ANSWERED_MS);
-        self.is_cut(now) && answered
+        (self.is_cut(now) || self.awaits_plan()) && answered
     }
 
     /// Whether this box must read the replicas' entries itself: it is a reader, or no other box has told it
--- a/crates/core/src/route/trial.rs
+++ b/crates/core/src/route/trial.rs
@@ -109,6 +109,8 @@
     pub mark_unread: bool,
     /// The last mark in the store that this box knows of.
     pub marked: TrialProgress,
+    /// Versions whose orders this one's has replaced.
+    pub replaced: Vec<String>,
     /// What this box saw.
     pub own: RouteTallies,
     /// What the others saw, by box name.
@@ -131,12 +133,20 @@
             looked: false,
             mark_unread: false,
             marked: TrialProgress::default(),
+            replaced: Vec::new(),
             own: RouteTallies::new(),
             peers: BTreeMap::new(),
             logged_share: 0.0,
         }
     }
 
+    /// Versions whose orders are replaced once another order comes.
+    pub fn replaced_versions(&self) -> Vec<String> {
+        let mut versions = self.replaced.clone();
+        versions.push(self.order.version.clone());
+        versions
+    }
+
     /// Whether a trial whose order was given at most `age_ms` ago can't have reached anybody yet.
     pub fn is_new(&self, age_ms: u64) -> bool {
         (age_ms as f64) < NEW_PART * self.order.duration_ms as f64
--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -8,6 +8,7 @@
 use super::trial::{TrialOrder, TrialState, TrialVerdict, VersionTrial};
 use super::RouteState;
 use crate::event::EventStamp;
+use crate::position::TopicPosition;
 use crate::time::BoxTime;
 
 /// A box waits this long for each box before it by rank, in milliseconds, before it writes a verdict
@@ -19,17 +20,26 @@
     pub(super) fn on_orders(
         &mut self,
         stamp: EventStamp,
+        read_to: TopicPosition,
         orders: Vec<TrialOrder>,
         out: &mut Vec<RouteEffect>,
     ) {
+        let restored = self.orders_era > 0 && read_to.era > self.orders_era;
+        self.orders_era = self.orders_era.max(read_to.era);
         for order in orders {
             let known = self.trials.get(&order.service);
             if known.is_some_and(|trial| trial.order.version == order.version) {
                 continue;
             }
+            // A copy of the store may show an order that another one has replaced since.
+            if restored && known.is_some_and(|trial| trial.replaced.contains(&order.version)) {
+                continue;
+            }
+            let replaced = known.map(VersionTrial::replaced_versions).unwrap_or_default();
             self.verdict_at.remove(&order.service);
             let service = order.service.clone();
             let mut trial = VersionTrial::new(order, stamp.now);
+            trial.replaced = replaced;
             // All records of some moments ago are known, and this was not among them: the store can have no
             // verdict or mark of it yet, and each box that would ask is a call.
             trial.looked = self.fresh.age_ms(stamp.now).is_some_and(|age| trial.is_new(age));
@@ -46,7 +56,7 @@
         out: &mut Vec<RouteEffect>,
     ) {
         for verdict in verdicts {
-            self.take_verdict(verdict, out);
+            self.take_verdict(verdict, true, out);
         }
         // An order that was read later may be of a trial that the listing did not show yet.
         for trial in self.trials.values_mut().filter(|trial| trial.heard_at <= asked_at) {
@@ -76,14 +86,20 @@
         }
     }
 
-    /// Takes a verdict that stands in the store. A trial that ended never begins anew.
-    pub(super) fn take_verdict(&mut self, verdict: TrialVerdict, out: &mut Vec<RouteEffect>) {
+    /// Takes a verdict, which stands in the store or did in a former era. A trial that ended never begins anew.
+    pub(super) fn take_verdict(
+        &mut self,
+        verdict: TrialVerdict,
+        stands: bool,
+        out: &mut Vec<RouteEffect>,
+    ) {
         let Some(trial) = self.trials.get_mut(&verdict.service) else { return };
         if trial.order.version != verdict.version {
             return;
         }
-        trial.written = true;
-        if trial.state == TrialState::Running && verdict.state != TrialState::Running {
+        let ended = verdict.state != TrialState::Running;
+        trial.written |= stands && (ended || trial.state == TrialState::Running);
+        if trial.state == TrialState::Running && ended {
             trial.state = verdict.state;
             out.push(moved(trial));
             // Told with the next tick: until they know, other boxes give sessions to other versions.
@@ -109,17 +125,21 @@
         note: &PeerNote,
         out: &mut Vec<RouteEffect>,
     ) {
+        // What a box knows to stand in the store of a former era, the store may have lost.
+        let stands = note.era == self.era;
         for heard in &note.trials {
             let Some(trial) = self.trials.get_mut(&heard.service) else { continue };
             if trial.order.version != heard.version {
                 continue;
             }
             trial.learn(heard.progress, stamp.now);
-            trial.note_marked(heard.marked);
+            if stands {
+                trial.note_marked(heard.marked);
+            }
             trial.peers.insert(note.name.clone(), heard.tallies.clone());
         }
         for verdict in &note.verdicts {
-            self.take_verdict(verdict.clone(), out);
+            self.take_verdict(verdict.clone(), stands, out);
         }
     }
 
@@ -135,7 +155,7 @@
         for (service, trial) in &self.trials {
             let state = match trial.due(stamp.now) {
                 Some(state) => state,
-                None if !trial.written => TrialState::Running,
+                None if !trial.written => trial.state,
                 None => {
                     self.verdict_at.remove(service);
                     continue;
--- a/crates/core/tests/route/calls.rs
+++ b/crates/core/tests/route/calls.rs
@@ -15,7 +15,7 @@
 use ravenspoke_core::route::{RouteSettings, RouteState};
 use ravenspoke_core::time::{BoxTime, WallTime};
 
-use crate::fixture::{ask, entry, head, plan, session, settings};
+use crate::fixture::{ask, at, entry, head, plan, session, settings};
 
 /// Zones of the replicas, in the order of their numbers.
 const REPLICA_ZONES: [usize; 6] = [0, 0, 1, 1, 2, 3];
@@ -123,12 +123,12 @@
         let mut calls = plan(1);
         calls.routes[1].attempts = 1;
         calls.routes[1].target_ms = TARGET_MS;
-        self.feed(number, RouteEvent::PlanRead { asked_at, read_to: 1, plan: Some(calls) });
+        self.feed(number, RouteEvent::PlanRead { asked_at, read_to: at(1), plan: Some(calls) });
         for (replica, zone) in REPLICA_ZONES.iter().enumerate() {
             let id = format!("c{replica}");
             let zone = format!("zone-{zone}");
             let entry = BackendEntry { zone, slots: SLOTS as u32, ..entry(&id, "v1") };
-            let change = BackendChange { id, at: 1 + replica as u64, entry: Some(entry) };
+            let change = BackendChange { id, at: at(1 + replica as u64), entry: Some(entry) };
             self.feed(number, RouteEvent::BackendsChanged(vec![change]));
         }
         let rows = self.boxes[number].backends().rows();
@@ -141,7 +141,7 @@
     fn lose(&mut self, replica: usize) {
         for number in 0..self.boxes.len() {
             let id = format!("c{replica}");
-            let change = BackendChange { id, at: 100 + replica as u64, entry: None };
+            let change = BackendChange { id, at: at(100 + replica as u64), entry: None };
             self.feed(number, RouteEvent::BackendsChanged(vec![change]));
         }
     }
@@ -211,7 +211,7 @@
         match step {
             Step::Tick(number) => {
                 let asked_at = BoxTime::from_millis(self.now);
-                let same = RouteEvent::PlanRead { asked_at, read_to: 1, plan: None };
+                let same = RouteEvent::PlanRead { asked_at, read_to: at(1), plan: None };
                 self.feed(number, same);
                 self.feed(number, RouteEvent::Tick);
                 self.plan_step(self.now + 200, Step::Tick(number));
--- a/crates/core/tests/route/cold.rs
+++ b/crates/core/tests/route/cold.rs
@@ -7,7 +7,7 @@
 use ravenspoke_core::route::warm_up::WarmUpPlan;
 use ravenspoke_core::time::BoxTime;
 
-use crate::fixture::{entry, ready_box};
+use crate::fixture::{at, entry, ready_box};
 use crate::replica_fleet::{ReplicaFleet, BURST, SIZES, ZONES};
 
 /// Requests that a cold replica bears a second, and for how long it is cold, in milliseconds.
@@ -84,7 +84,8 @@
         let order = |evacuated| ZoneOrder { zone: "zone-1".to_owned(), evacuated };
         for (to, evacuated) in [(10, true), (11, false)] {
             for number in 0..boxes {
-                let read = EvacuationRead { from: None, to, orders: vec![order(evacuated)] };
+                let read =
+                    EvacuationRead { from: None, to: at(to), orders: vec![order(evacuated)] };
                 fleet.feed(number, RouteEvent::EvacuationsRead(read));
             }
             if evacuated {
--- a/crates/core/tests/route/evacuations.rs
+++ b/crates/core/tests/route/evacuations.rs
@@ -6,7 +6,8 @@
 use ravenspoke_core::time::BoxTime;
 
 use crate::fixture::{
-    ask, entry, head, is_refused, new_box, note_in, order_in, plan, ready_box, refusal_in, TestBox,
+    ask, at, entry, head, is_refused, new_box, note_in, order_in, plan, ready_box, refusal_in,
+    TestBox,
 };
 
 /// A box with a replica in each of three zones.
@@ -32,7 +33,11 @@
         evacuated: *evacuated,
     };
     let orders = orders.iter().map(order).collect();
-    subject.feed(RouteEvent::EvacuationsRead(EvacuationRead { from, to, orders }))
+    subject.feed(RouteEvent::EvacuationsRead(EvacuationRead {
+        from: from.map(at),
+        to: at(to),
+        orders,
+    }))
 }
 
 fn zones(subject: &TestBox) -> Vec<String> {
@@ -131,7 +136,7 @@
     read_orders(&mut subject, None, 4, &[("east", true)]);
     let told = |known_to, zones: &[&str]| {
         let zones = zones.iter().map(|zone| (*zone).to_owned()).collect();
-        RouteEvent::EvacuationsTold(EvacuationWord { known_to, zones })
+        RouteEvent::EvacuationsTold(EvacuationWord { known_to: at(known_to), zones })
     };
 
     subject.feed(told(3, &[]));
--- a/crates/core/tests/route/fatal.rs
+++ b/crates/core/tests/route/fatal.rs
@@ -11,7 +11,7 @@
 use ravenspoke_core::route::peers::{PeerCard, PeerNote};
 use ravenspoke_core::route::plan::{RoutePlan, ServicePlan};
 
-use crate::fixture::{ask, entry, head, is_refused, note_in, plan, ready_box, TestBox};
+use crate::fixture::{ask, at, entry, head, is_refused, note_in, plan, ready_box, TestBox};
 use crate::replica_fleet::{ReplicaFleet, RATE};
 
 /// Boxes, and replicas before them.
@@ -361,7 +361,7 @@
         subject.now += 1_000;
         let gone = subject.offset + 1;
         subject.offset = gone;
-        let change = BackendChange { id: order.replica_id, at: gone, entry: None };
+        let change = BackendChange { id: order.replica_id, at: at(gone), entry: None };
         subject.feed(RouteEvent::BackendsChanged(vec![change]));
         subject.feed(RouteEvent::Tick);
     }
--- a/crates/core/tests/route/fixture.rs
+++ b/crates/core/tests/route/fixture.rs
@@ -1,6 +1,7 @@
 //! A routing box with a plan and replicas, and what a test needs to drive it.
 
 use ravenspoke_core::event::{EventStamp, RequestTicket};
+use ravenspoke_core::position::TopicPosition;
 use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
 use ravenspoke_core::route::budget::BudgetBounds;
 use ravenspoke_core::route::event::{
@@ -9,12 +10,18 @@
 use ravenspoke_core::route::fresh::FreshBounds;
 use ravenspoke_core::route::peers::PeerNote;
 use ravenspoke_core::route::plan::{KeyHolder, RouteKind, RoutePlan, RouteSpec, RouteTarget};
+use ravenspoke_core::route::trial::TrialOrder;
 use ravenspoke_core::route::{RouteSettings, RouteState};
 use ravenspoke_core::time::{BoxTime, WallTime};
 
 pub const KEY: &str = "alpha-key";
 pub const HOST: &str = "api.example";
 
+/// A position in the store's first era.
+pub fn at(offset: u64) -> TopicPosition {
+    TopicPosition::new(1, offset)
+}
+
 /// A box under test with its clock.
 pub struct TestBox {
     pub state: RouteState,
@@ -133,10 +140,15 @@
         self.state.apply(EventStamp { now, wall: WallTime(0), dice: self.dice }, event)
     }
 
+    /// The operator's order to bring a version in.
+    pub fn give_order(&mut self, order: TrialOrder) -> Vec<RouteEffect> {
+        self.feed(RouteEvent::OrdersRead { read_to: at(1), orders: vec![order] })
+    }
+
     /// A read of the store that began now.
     pub fn read_plan(&mut self, plan: Option<RoutePlan>) -> Vec<RouteEffect> {
         let asked_at = BoxTime::from_millis(self.now);
-        let read_to = plan.as_ref().map_or(0, |plan| plan.version);
+        let read_to = at(plan.as_ref().map_or(0, |plan| plan.version));
         self.feed(RouteEvent::PlanRead { asked_at, read_to, plan })
     }
 
@@ -155,7 +167,7 @@
     /// All changes so far were read now.
     pub fn note_entries_read(&mut self) {
         let now = BoxTime::from_millis(self.now);
-        let event = RouteEvent::EntriesRead { as_of: now, to: self.offset + 1 };
+        let event = RouteEvent::EntriesRead { as_of: now, to: at(self.offset + 1) };
         // It takes no random number: what is drawn afterwards stays the same.
         self.state.apply(EventStamp { now, wall: WallTime(0), dice: self.dice }, event);
     }
@@ -163,7 +175,7 @@
     /// A change at the store's next offset.
     fn change(&mut self, id: &str, entry: Option<BackendEntry>) -> BackendChange {
         self.offset += 1;
-        BackendChange { id: id.to_owned(), at: self.offset, entry }
+        BackendChange { id: id.to_owned(), at: at(self.offset), entry }
     }
 
     pub fn arrive(&mut self, ask: RouteAsk) -> (RequestTicket, Vec<RouteEffect>) {
--- a/crates/core/tests/route/leaving.rs
+++ b/crates/core/tests/route/leaving.rs
@@ -4,7 +4,7 @@
 use ravenspoke_core::route::event::{AnswerHead, RouteEffect, RouteEvent};
 use ravenspoke_core::route::peers::{PeerCard, PeerNote};
 
-use crate::fixture::{ask, entry, head, note_in, ready_box, TestBox};
+use crate::fixture::{ask, at, entry, head, note_in, ready_box, TestBox};
 
 /// Requests of which some would go to a replica of two, by chance.
 const REQUESTS: usize = 40;
@@ -67,7 +67,7 @@
     subject.put(BackendEntry { born: Some(2), ..entry("a", "v1") });
     let mark = |born| {
         let entry = BackendEntry { born, leaving: true, ..entry("a", "v1") };
-        vec![BackendChange { id: "a".to_owned(), at: 1, entry: Some(entry) }]
+        vec![BackendChange { id: "a".to_owned(), at: at(1), entry: Some(entry) }]
     };
     subject.feed(note_of_other(1, mark(Some(1))));
     assert!(uses_a(&mut subject), "a former life left");
--- a/crates/core/tests/route/lives.rs
+++ b/crates/core/tests/route/lives.rs
@@ -3,7 +3,7 @@
 use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
 use ravenspoke_core::route::event::{AttemptFailure, RefusalReason, RouteEvent};
 
-use crate::fixture::{ask, entry, is_refused, new_box, plan, refusal_in, TestBox};
+use crate::fixture::{ask, at, entry, is_refused, new_box, plan, refusal_in, TestBox};
 
 /// The entry of a life of replica `a` that began at `born`.
 fn life(born: u64) -> BackendEntry {
@@ -55,11 +55,11 @@
 #[test]
 fn old_news_of_a_former_life_changes_nothing() {
     let mut subject = box_with_one_life();
-    let at = subject.offset;
+    let offset = subject.offset;
     subject.put(life(6_000));
 
     let entry = Some(BackendEntry { leaving: true, ..life(5_000) });
-    let late = BackendChange { id: "a".to_owned(), at, entry };
+    let late = BackendChange { id: "a".to_owned(), at: at(offset), entry };
     subject.feed(RouteEvent::BackendsChanged(vec![late]));
 
     assert_eq!(leaves(&subject), Some(false));
@@ -95,7 +95,7 @@
     subject.feed(RouteEvent::StoreFailed);
     subject.feed(RouteEvent::StoreBack);
 
-    let spoilt = BackendChange { id: "a".to_owned(), at: subject.offset + 1, entry: None };
+    let spoilt = BackendChange { id: "a".to_owned(), at: at(subject.offset + 1), entry: None };
     subject.feed(RouteEvent::BackendsSpoilt(vec![spoilt]));
 
     assert_eq!(leaves(&subject), None);
--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -15,6 +15,7 @@
 mod models;
 mod placement;
 mod plan;
+mod plan_fleet;
 mod readers;
 mod replica_fleet;
 mod requests;
--- a/crates/core/tests/route/membership.rs
+++ b/crates/core/tests/route/membership.rs
@@ -1,5 +1,6 @@
 //! Which boxes callers are sent to, and what boxes tell each other.
 
+use ravenspoke_core::position::TopicPosition;
 use ravenspoke_core::route::backend::BackendChange;
 use ravenspoke_core::route::entries::{EntryWish, CHANGES_TOLD, LISTING_MS};
 use ravenspoke_core::route::event::{RouteEffect, RouteEvent};
@@ -9,7 +10,7 @@
 use ravenspoke_core::route::{LAPSE_MS, NAMED_AGE_MS};
 use ravenspoke_core::time::BoxTime;
 
-use crate::fixture::{ask, entry, new_box, note_in, plan, ready_box, TestBox};
+use crate::fixture::{ask, at, entry, new_box, note_in, plan, ready_box, TestBox};
 
 /// Lets `from` tell `to` what it knows.
 pub fn tell(from: &mut TestBox, to: &mut TestBox) -> Vec<RouteEffect> {
@@ -135,10 +136,10 @@
         note_address: "box-1:90".to_owned(),
         incarnation: 1,
         asked_at: BoxTime::from_millis(asker.now),
-        read_to: asker.state.read_to(),
+        known: asker.state.known_plan(),
         entries: EntryWish {
             known_to: asker.state.entries_to(),
-            page_from: 0,
+            page_from: TopicPosition::default(),
             has_rows: asker.state.backends().rows().next().is_some(),
         },
     };
@@ -362,7 +363,7 @@
     let as_of = started.state.word_as_of(&note, clock(&started)).expect("a word");
     started.feed(RouteEvent::PlanRead {
         asked_at: as_of,
-        read_to: note.read_to,
+        read_to: note.known.read_to,
         plan: Some(plan(1)),
     });
     started.feed(RouteEvent::PeerHeard(Box::new(note)));
@@ -458,8 +459,8 @@
 fn a_listing_takes_away_what_is_not_in_it() {
     let (mut reader, mut asker) = (new_box("box-2"), ready_box());
     reader.read_plan(Some(plan(1)));
-    let end = 50;
-    let kept = BackendChange { id: "b".to_owned(), at: 2, entry: Some(entry("b", "v1")) };
+    let end = at(50);
+    let kept = BackendChange { id: "b".to_owned(), at: at(2), entry: Some(entry("b", "v1")) };
     reader.feed(RouteEvent::BackendsListed { end, listed: vec![kept] });
     reader.feed(RouteEvent::EntriesRead { as_of: clock(&reader), to: end });
     let note = answer(&mut reader, &asker);
--- a/crates/core/tests/route/readers.rs
+++ b/crates/core/tests/route/readers.rs
@@ -4,7 +4,7 @@
 use ravenspoke_core::route::event::{RouteEffect, RouteEvent};
 use ravenspoke_core::route::peers::{PeerCard, PeerNote, BEHIND_MS, START_SETTLE_MS};
 
-use crate::fixture::{new_box, plan, ready_box, TestBox};
+use crate::fixture::{at, new_box, plan, ready_box, TestBox};
 use crate::membership::{answer, ask_in, clock, tell};
 
 /// Three other boxes speak, which callers may be sent to or not.
@@ -116,7 +116,7 @@
     reader.now = subject.now;
     reader.read_plan(Some(plan(2)));
     let mut note = answer(&mut reader, &subject);
-    note.entries.page = Some(ListingPage { end: 9, next: None });
+    note.entries.page = Some(ListingPage { end: at(9), next: None });
 
     let effects = subject.feed(RouteEvent::PeerHeard(Box::new(note)));
 
--- a/crates/core/tests/route/replica_fleet.rs
+++ b/crates/core/tests/route/replica_fleet.rs
@@ -15,7 +15,7 @@
 use ravenspoke_core::route::{RouteSettings, RouteState};
 use ravenspoke_core::time::{BoxTime, WallTime};
 
-use crate::fixture::{ask, entry, head, note_in, plan, session, settings};
+use crate::fixture::{ask, at, entry, head, note_in, plan, session, settings};
 
 /// Boxes, and replicas before them, as deployments have them.
 pub const SIZES: [(usize, usize); 3] = [(9, 16), (84, 140), (300, 500)];
@@ -143,7 +143,7 @@
     fn read_plan(&mut self, number: usize) {
         let asked_at = BoxTime::from_millis(self.now);
         let plan = Some(self.plan.clone());
-        self.feed(number, RouteEvent::PlanRead { asked_at, read_to: 1, plan });
+        self.feed(number, RouteEvent::PlanRead { asked_at, read_to: at(1), plan });
     }
 
     /// A box starts again, and knows nothing but the addresses of two others until one of them has answered it. Then it
@@ -236,12 +236,12 @@
     }
 
     /// All boxes read a replica's entry.
-    pub fn put(&mut self, replica: usize, at: u64, cold_ms: u64) {
+    pub fn put(&mut self, replica: usize, offset: u64, cold_ms: u64) {
         self.cold_at[replica] = self.now;
         let id = format!("r{replica}");
         let zone = format!("zone-{}", replica % ZONES);
         let entry = BackendEntry { zone, slots: SLOTS, cold_ms, ..entry(&id, "v1") };
-        let change = BackendChange { id, at, entry: Some(entry) };
+        let change = BackendChange { id, at: at(offset), entry: Some(entry) };
         self.entries.push(change.clone());
         for number in 0..self.boxes.len() {
             self.take_change(number, change.clone());
@@ -294,7 +294,7 @@
             (0..self.boxes.len()).filter(|number| !self.frozen.contains(number)).collect::<Vec<_>>()
         {
             let asked_at = BoxTime::from_millis(self.now);
-            let same = RouteEvent::PlanRead { asked_at, read_to: 1, plan: None };
+            let same = RouteEvent::PlanRead { asked_at, read_to: at(1), plan: None };
             self.feed(number, same);
             if !self.notes_go {
                 self.meet(number, &down);
--- a/crates/core/tests/route/requests.rs
+++ b/crates/core/tests/route/requests.rs
@@ -10,7 +10,8 @@
 use ravenspoke_core::route::{RouteSettings, RouteState, STOP_TAKE_MS};
 
 use crate::fixture::{
-    ask, entry, head, is_refused, new_box, order_in, plan, ready_box, refusal_in, route, settings,
+    ask, at, entry, head, is_refused, new_box, order_in, plan, ready_box, refusal_in, route,
+    settings,
 };
 
 #[test]
@@ -444,7 +445,7 @@
 fn a_replica_that_a_listing_lacked_is_used_again_from_the_very_next_record_on() {
     let mut subject = ready_box();
     let end = subject.offset + 5;
-    subject.feed(RouteEvent::BackendsListed { end, listed: Vec::new() });
+    subject.feed(RouteEvent::BackendsListed { end: at(end), listed: Vec::new() });
     let refusal = subject.refused(ask("/read/x"));
     assert!(is_refused(refusal, 503, RefusalReason::NoReplica));
     subject.offset = end - 1;
--- a/crates/core/tests/route/restarts.rs
+++ b/crates/core/tests/route/restarts.rs
@@ -33,7 +33,7 @@
 use ravenspoke_core::time::BoxTime;
 
 use crate::fixture::{
-    ask, entry, head, is_refused, new_box, note_in, plan, ready_box, session, TestBox,
+    ask, at, entry, head, is_refused, new_box, note_in, plan, ready_box, session, TestBox,
 };
 
 /// How long the order of these tests gives, in milliseconds.
@@ -53,7 +53,7 @@
 fn started_box(name: &str) -> TestBox {
     let mut subject = new_box(name);
     // The orders come with the plan: what a box knew before it read them would date them.
-    subject.feed(RouteEvent::OrdersRead(vec![order()]));
+    subject.give_order(order());
     subject.read_plan(Some(plan(1)));
     for (id, version) in [("a", "v1"), ("b", "v1"), ("c", "v2"), ("d", "v2")] {
         subject.put(entry(id, version));
@@ -169,7 +169,7 @@
     let mut subject = new_box("box-2");
     subject.feed(RouteEvent::Tick);
     subject.now += START_WAIT_MS + START_SPREAD_MS;
-    subject.feed(RouteEvent::OrdersRead(vec![order()]));
+    subject.give_order(order());
     subject.read_plan(Some(plan(1)));
     subject
 }
@@ -229,7 +229,7 @@
 #[test]
 fn a_trial_that_a_box_heard_of_when_it_began_has_no_mark_to_read() {
     let mut subject = ready_box();
-    subject.feed(RouteEvent::OrdersRead(vec![order()]));
+    subject.give_order(order());
     let asked_at = BoxTime::from_millis(subject.now);
     subject.feed(RouteEvent::VerdictsRead { asked_at, verdicts: Vec::new() });
     assert!(!subject.state.marks_unread() && subject.state.knows_site());
@@ -239,7 +239,7 @@
 fn a_box_that_has_only_heard_news_of_one_replica_waits_with_callers_for_all_of_them() {
     let mut subject = new_box("box-2");
     subject.read_plan(Some(plan(1)));
-    let change = BackendChange { id: "a".to_owned(), at: 9, entry: Some(entry("a", "v1")) };
+    let change = BackendChange { id: "a".to_owned(), at: at(9), entry: Some(entry("a", "v1")) };
     let card = PeerCard { note_address: "box-1:90".to_owned(), ..PeerCard::default() };
     let news = PeerNote {
         name: "box-1".to_owned(),
@@ -253,8 +253,8 @@
 
     let now = BoxTime::from_millis(subject.now);
     assert!(!subject.state.takes_callers(now) && !subject.state.open(now), "others may be there");
-    let other = BackendChange { id: "b".to_owned(), at: 4, entry: Some(entry("b", "v1")) };
-    subject.feed(RouteEvent::BackendsListed { end: 10, listed: vec![other, change] });
+    let other = BackendChange { id: "b".to_owned(), at: at(4), entry: Some(entry("b", "v1")) };
+    subject.feed(RouteEvent::BackendsListed { end: at(10), listed: vec![other, change] });
     assert!(subject.state.takes_callers(now) && subject.state.open(now));
 }
 
@@ -313,7 +313,11 @@
 
     let as_of = starter.state.word_as_of(&told, BoxTime::from_millis(starter.now));
     let asked_at = as_of.expect("it answers this box's ask");
-    starter.feed(RouteEvent::PlanRead { asked_at, read_to: told.read_to, plan: Some(plan(1)) });
+    starter.feed(RouteEvent::PlanRead {
+        asked_at,
+        read_to: told.known.read_to,
+        plan: Some(plan(1)),
+    });
     starter.put(entry("a", "v1"));
     starter.now += 200;
 
--- a/crates/core/tests/route/trials.rs
+++ b/crates/core/tests/route/trials.rs
@@ -22,7 +22,7 @@
     let mut subject = ready_box();
     subject.put(entry("c", "v2"));
     subject.put(entry("d", "v2"));
-    subject.feed(RouteEvent::OrdersRead(vec![order()]));
+    subject.give_order(order());
     let read = verdicts_read(&subject, vec![verdict(TrialState::Running)]);
     subject.feed(read);
     subject
@@ -257,7 +257,7 @@
 #[test]
 fn a_box_that_has_just_started_asks_for_verdicts_before_it_serves() {
     let mut subject = new_box("box-1");
-    subject.feed(RouteEvent::OrdersRead(vec![order()]));
+    subject.give_order(order());
     subject.read_plan(Some(plan(1)));
     subject.put(entry("a", "v1"));
     assert!(subject.state.verdicts_unread() && !subject.state.knows_site());
@@ -269,7 +269,7 @@
 #[test]
 fn an_order_that_has_just_been_given_needs_no_call_for_its_verdict() {
     let mut subject = ready_box();
-    subject.feed(RouteEvent::OrdersRead(vec![order()]));
+    subject.give_order(order());
     assert!(!subject.state.verdicts_unread() && !subject.state.marks_unread());
     assert!(subject.state.knows_site());
 }
@@ -278,7 +278,7 @@
 fn an_order_that_may_have_been_given_long_ago_is_looked_up() {
     let mut subject = ready_box();
     subject.now += order().duration_ms / 4;
-    subject.feed(RouteEvent::OrdersRead(vec![order()]));
+    subject.give_order(order());
     assert!(subject.state.verdicts_unread() && !subject.state.knows_site());
 }
 
@@ -304,7 +304,7 @@
         card: PeerCard { note_address: "box-3:90".to_owned(), open: true, ..PeerCard::default() },
         ..Default::default()
     })));
-    subject.feed(RouteEvent::OrdersRead(vec![order()]));
+    subject.give_order(order());
     assert_eq!(due(&subject.feed(RouteEvent::Tick)), None, "box-3 goes first");
     subject.now += 600;
     assert_eq!(due(&subject.feed(RouteEvent::Tick)), Some(TrialState::Running));
@@ -437,7 +437,7 @@
     let mut subject = new_box("box-1");
     let asked_at = BoxTime::from_millis(subject.now);
     subject.now += 20;
-    subject.feed(RouteEvent::OrdersRead(vec![order()]));
+    subject.give_order(order());
     subject.now += 20;
     subject.feed(RouteEvent::VerdictsRead { asked_at, verdicts: Vec::new() });
     assert!(subject.state.verdicts_unread());
