readers: who reads goes on reading while the store lacks a plan; fleets before a store from a copy in virtual time

What callers saw: nothing yet; virtual time did. While the store showed an older plan for longer than 3.6 s, all boxes closed at once, each took others for open, and at 84 boxes nobody read for 2.6 s, so that a plan that was written again came into force 3 s late. Cause: whether a box is open decides who reads, and it turns on all boxes at once while word of it takes seconds. Change: a box that reads counts as one that serves, and says so in notes; a box that waits for a lost plan leaves that to who reads, for 4 s after the last answer of one, and pauses as after a failure. Tried: 1.7 s in place of 4 (91.5 calls a second at 300 boxes, 60 allowed; now below); any box's answer in place of a reader's (nobody reads).

Tests: 23 for a store from a copy, on one box and at 9, 84 and 300 boxes, for both ways of its end, two returns in a row, boxes that start meanwhile; the fleet's harness is a module of its own. Not run on this commit: the other 220 in virtual time.

--- a/crates/box/src/gateway/follow.rs
+++ b/crates/box/src/gateway/follow.rs
@@ -67,7 +67,7 @@
                 unread = !take_read(&driver, asked_at, from, to, &news.records);
                 // What it showed is not relied on: it can't be decoded, or the store has lost a plan.
                 if driver.state().plan_as_of() < Some(asked_at) {
-                    tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+                    follower.pause_unrenewed().await;
                 }
             }
             None => follower.wait_to_retry().await,
--- a/crates/box/src/gateway/note_wire/peer.rs
+++ b/crates/box/src/gateway/note_wire/peer.rs
@@ -32,6 +32,8 @@
     open: bool,
     #[prost(bool, tag = "6")]
     cut: bool,
+    #[prost(bool, tag = "7")]
+    reads: bool,
 }
 
 /// Further sends of a box in a window.
@@ -96,6 +98,7 @@
         zone: card.zone.clone(),
         open: card.open,
         cut: card.cut,
+        reads: card.reads,
     }
 }
 
@@ -107,5 +110,6 @@
         zone: card.zone,
         open: card.open,
         cut: card.cut,
+        reads: card.reads,
     }
 }
--- a/crates/box/src/gateway/topic_follower.rs
+++ b/crates/box/src/gateway/topic_follower.rs
@@ -302,6 +302,12 @@
         self.retry_ms = pause_ms * 2;
     }
 
+    /// Waits as after a failed call that was the first.
+    pub(super) async fn pause_unrenewed(&mut self) {
+        let (least_ms, _) = self.retry_span();
+        tokio::time::sleep(Duration::from_millis(least_ms)).await;
+    }
+
     /// Pause before the next try as things stand, in milliseconds.
     fn pause_ms(&self) -> u64 {
         let (least, most) = self.retry_span();
--- a/crates/core/src/route/asks.rs
+++ b/crates/core/src/route/asks.rs
@@ -11,6 +11,8 @@
     pub(super) unanswered_at: Option<BoxTime>,
     /// When another box last answered an ask.
     pub(super) answered_at: Option<BoxTime>,
+    /// When a box that reads the store for the others last did.
+    pub(super) reader_answered_at: Option<BoxTime>,
     /// Since when it is known that another box has read further.
     pub(super) behind_since: Option<BoxTime>,
     /// Whether an answer to its ask for that lacked it.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -533,7 +533,8 @@
 
     /// This box among the candidates for a duty.
     fn standing(&self, now: BoxTime) -> OwnStanding<'_> {
-        OwnStanding { name: &self.settings.name, open: self.open(now), cut: self.is_cut(now) }
+        let serves = self.open(now) || self.reads_for_others(now);
+        OwnStanding { name: &self.settings.name, serves, cut: self.is_cut(now) }
     }
 
     /// Requests in hand.
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -152,6 +152,7 @@
             zone: self.settings.zone.clone(),
             open: self.open(now),
             cut: self.is_cut(now),
+            reads: self.reads_for_others(now),
         }
     }
 
@@ -260,6 +261,9 @@
         };
         self.asks.unanswered_at = None;
         self.asks.answered_at = Some(stamp.now);
+        if note.card.reads {
+            self.asks.reader_answered_at = Some(stamp.now);
+        }
         let EntryWord { known_to, age_ms, page } = note.entries;
         let as_of = age_ms.map(|age| asked.asked_at.minus_millis(age));
         let Some(page) = page else {
--- a/crates/core/src/route/peers/duties.rs
+++ b/crates/core/src/route/peers/duties.rs
@@ -15,15 +15,15 @@
 pub struct OwnStanding<'a> {
     /// Its name.
     pub name: &'a str,
-    /// Whether callers may be sent to it.
-    pub open: bool,
+    /// Whether callers may be sent to it, or it reads the store for the others.
+    pub serves: bool,
     /// Whether it can't reach the store.
     pub cut: bool,
 }
 
 impl PeerTable {
     /// Boxes that may have duties, this one included: those that reach the store first, of these those that
-    /// serve, then by a hash of their names, so that they lie in different availability zones.
+    /// serve or read already (where none is open, as the plan grows old, the readers stay), then by a hash of their names, so that they lie in different availability zones.
     fn candidates(&self, me: &OwnStanding, now: BoxTime) -> Vec<(bool, bool, u64, Option<&str>)> {
         // Where notes reach all, who did not speak is silent; else word of it may be under way.
         let few = self.all_are_told();
@@ -31,8 +31,8 @@
         let others = self.rows.iter().filter(|(_, row)| live(row));
         let hash = |name: &str| xxh3_64(name.as_bytes());
         let mut all: Vec<(bool, bool, u64, Option<&str>)> = others
-            .map(|(name, row)| (row.card.cut, !row.card.open, hash(name), Some(name.as_str())))
-            .chain([(me.cut, !me.open, hash(me.name), None)])
+            .map(|(name, row)| (row.card.cut, !row.card.serves(), hash(name), Some(name.as_str())))
+            .chain([(me.cut, !me.serves, hash(me.name), None)])
             .collect();
         all.sort();
         all
--- a/crates/core/src/route/peers/mod.rs
+++ b/crates/core/src/route/peers/mod.rs
@@ -168,6 +168,15 @@
     pub open: bool,
     /// Whether it can't reach the store.
     pub cut: bool,
+    /// Whether it reads the store for the others.
+    pub reads: bool,
+}
+
+impl PeerCard {
+    /// Whether callers may be sent to it, or it reads the store for the others.
+    pub fn serves(&self) -> bool {
+        self.open || self.reads
+    }
 }
 
 /// What a box tells another.
--- a/crates/core/src/route/readers.rs
+++ b/crates/core/src/route/readers.rs
@@ -19,6 +19,10 @@
 /// milliseconds: what a reader's own knowledge may be old, and two asks.
 pub const OWN_ENTRIES_MS: u64 = 4_000;
 
+/// A box that waits for the store to show a lost plan again reads it itself where no reader has answered it for this long,
+/// in milliseconds: until boxes agree on other readers.
+pub const READER_GONE_MS: u64 = 4_000;
+
 /// A box's part in reading the store for all.
 #[derive(Debug, Default)]
 pub(super) struct StoreReading {
@@ -49,9 +53,13 @@
 
     /// Whether this box lost the store, or the store lost its plan, and others, who answer it, find out when it is back.
     pub(super) fn leaves_tries_to_others(&self, now: BoxTime) -> bool {
-        let answered =
-            self.asks.answered_at.is_some_and(|at| now.millis_since(at) < peers::ANSWERED_MS);
-        (self.is_cut(now) || self.awaits_plan()) && answered
+        let within = |limit_ms| move |at: BoxTime| now.millis_since(at) < limit_ms;
+        let answered_at = self.asks.answered_at;
+        let answered = self.is_cut(now) && answered_at.is_some_and(within(peers::ANSWERED_MS));
+        // Nobody can say that the plan is fresh, so that only word of one who reads stands for a read.
+        let read_at = self.asks.reader_answered_at;
+        let read = self.awaits_plan() && read_at.is_some_and(within(READER_GONE_MS));
+        answered || read
     }
 
     /// Whether this box must read the replicas' entries itself: it is a reader, or no other box has told it
@@ -92,6 +100,11 @@
         self.reading.reader_at.is_some_and(|at| now >= at)
     }
 
+    /// Whether it does, and goes on.
+    pub(super) fn reads_for_others(&self, now: BoxTime) -> bool {
+        self.is_reader(now) && !self.stopping()
+    }
+
     /// Who has started and read the store since nobody told it anything reads on at once, if it finds itself a
     /// reader: boxes that started with it learn from it what comes next, such as an order to bring a version in.
     pub(super) fn read_on(&mut self, now: BoxTime) {
--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -20,5 +20,6 @@
 mod replica_fleet;
 mod requests;
 mod restarts;
+mod restores;
 mod rests;
 mod trials;
--- a/crates/core/tests/route/plan_fleet.rs
+++ b/crates/core/tests/route/plan_fleet.rs
@@ -306,8 +306,14 @@
             Step::EntriesRead { .. } if self.is_away() => self.fail(to, Step::LookForEntries),
             Step::PlanRead { asked_at, shown_at } => {
                 self.regain(to);
-                self.read_plan(to, if shown_at > asked_at { shown_at } else { asked_at });
-                self.push(self.now + 1, to, Step::LookForPlan);
+                let shown_at = shown_at.max(asked_at);
+                self.read_plan(to, shown_at);
+                // A read that renews nothing is followed by a pause.
+                let as_of = self.boxes[to].state.plan_as_of();
+                let renewed = as_of >= Some(BoxTime::from_millis(shown_at));
+                let reader = self.boxes[to].state.is_reader(now);
+                let pause = if renewed { 1 } else { RETRIES_MS[usize::from(!reader)].0 };
+                self.push(self.now + pause, to, Step::LookForPlan);
             }
             Step::EntriesRead { asked_at, listing } => {
                 self.regain(to);
--- /dev/null
+++ b/crates/core/tests/route/restores.rs
@@ -0,0 +1,475 @@
+//! A store that comes back from an older copy of its data: what was confirmed goes on to bind, and what was lost is there
+//! again, on one box and in fleets.
+
+use ravenspoke_core::position::TopicPosition;
+use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
+use ravenspoke_core::route::evacuation::{
+    EvacuationRead, EvacuationWord, ZoneOrder, UNSEEN_ORDER_MS,
+};
+use ravenspoke_core::route::event::{RouteEffect, RouteEvent};
+use ravenspoke_core::route::peers::{KnownPlan, PeerNote};
+use ravenspoke_core::route::trial::{TrialOrder, TrialState, TrialVerdict};
+use ravenspoke_core::route::{RouteState, LAPSE_MS};
+use ravenspoke_core::time::BoxTime;
+
+use crate::fixture::{ask, at, entry, new_box, plan, ready_box, TestBox, KEY};
+use crate::plan_fleet::{site, Fleet};
+
+/// A confirmed plan is in force everywhere within this, in milliseconds.
+const APPLY_MS: u64 = 2_000;
+
+/// Readers' longest pause between two tries, and the notes' way, in milliseconds.
+const FIND_MS: u64 = 1_200;
+
+/// A position after the store came back from a copy.
+fn restored(offset: u64) -> TopicPosition {
+    TopicPosition::new(2, offset)
+}
+
+fn read_plan_at(subject: &mut TestBox, read_to: TopicPosition, version: Option<u64>) {
+    let asked_at = BoxTime::from_millis(subject.now);
+    subject.feed(RouteEvent::PlanRead { asked_at, read_to, plan: version.map(plan) });
+}
+
+fn plan_age_ms(subject: &TestBox) -> Option<u64> {
+    subject.state.dump(BoxTime::from_millis(subject.now)).plan_age_ms
+}
+
+fn zones(subject: &TestBox) -> Vec<String> {
+    subject.state.dump(BoxTime::from_millis(subject.now)).evacuated
+}
+
+fn read_zones(
+    subject: &mut TestBox,
+    from: Option<TopicPosition>,
+    to: TopicPosition,
+    orders: &[(&str, bool)],
+) {
+    let order = |row: &(&str, bool)| ZoneOrder { zone: row.0.to_owned(), evacuated: row.1 };
+    let orders = orders.iter().map(order).collect();
+    subject.feed(RouteEvent::EvacuationsRead(EvacuationRead { from, to, orders }));
+}
+
+fn replicas(subject: &TestBox) -> Vec<String> {
+    let mut ids: Vec<String> =
+        subject.state.backends().rows().map(|(_, row)| row.entry.id.clone()).collect();
+    ids.sort();
+    ids
+}
+
+/// A listing after the store came back from a copy.
+fn list_restored(subject: &mut TestBox, listed: &[BackendEntry]) {
+    subject.feed(RouteEvent::StoreRestored { era: 2 });
+    let end = restored(listed.len() as u64);
+    let rows = listed.iter().enumerate();
+    let listed = rows
+        .map(|(offset, entry)| BackendChange {
+            id: entry.id.clone(),
+            at: restored(offset as u64),
+            entry: Some(entry.clone()),
+        })
+        .collect();
+    subject.feed(RouteEvent::BackendsListed { end, listed });
+    let as_of = BoxTime::from_millis(subject.now);
+    subject.feed(RouteEvent::EntriesRead { as_of, to: end });
+}
+
+#[test]
+fn an_older_plan_in_a_restored_store_makes_nothing_fresh_until_what_was_lost_is_written_again() {
+    let mut subject = ready_box();
+    subject.read_plan(Some(plan(9)));
+    subject.now += 1_000;
+
+    read_plan_at(&mut subject, restored(4), Some(7));
+    subject.now += 100;
+    read_plan_at(&mut subject, restored(4), None);
+
+    assert_eq!(subject.state.plan().version, 9);
+    assert_eq!(plan_age_ms(&subject), Some(1_100), "a plan after 9 may be lost as well");
+
+    read_plan_at(&mut subject, restored(5), Some(9));
+
+    assert_eq!(plan_age_ms(&subject), Some(0));
+    assert_eq!(subject.state.read_to(), restored(5));
+}
+
+#[test]
+fn a_read_of_a_former_era_that_comes_late_changes_nothing() {
+    let mut subject = ready_box();
+    read_plan_at(&mut subject, restored(3), Some(9));
+
+    read_plan_at(&mut subject, at(20), Some(9));
+    read_plan_at(&mut subject, at(20), Some(8));
+
+    assert_eq!(subject.state.plan().version, 9);
+    assert_eq!(subject.state.read_to(), restored(3));
+}
+
+#[test]
+fn a_box_that_read_the_copy_takes_the_plan_that_the_store_lost_and_waits_for_it_to_be_written_again(
+) {
+    let mut subject = ready_box();
+    subject.now += 5_000;
+    read_plan_at(&mut subject, restored(4), Some(7));
+    subject.now += 300;
+    let as_of = BoxTime::from_millis(subject.now - 2_000);
+    let known = KnownPlan { version: 9, read_to: at(20) };
+
+    subject.feed(RouteEvent::PlanTold { as_of, known, plan: Some(plan(9)) });
+    read_plan_at(&mut subject, restored(4), None);
+
+    assert_eq!(subject.state.plan().version, 9);
+    assert_eq!(plan_age_ms(&subject), Some(2_000), "its own reads showed too little");
+}
+
+#[test]
+fn word_that_the_plan_is_the_same_in_a_new_era_is_taken_without_the_plan() {
+    let mut subject = ready_box();
+    subject.now += 1_000;
+    let as_of = BoxTime::from_millis(subject.now);
+    let known = KnownPlan { version: 1, read_to: restored(6) };
+
+    subject.feed(RouteEvent::PlanTold { as_of, known, plan: None });
+
+    assert_eq!(plan_age_ms(&subject), Some(0));
+    assert_eq!(subject.state.read_to(), restored(6));
+}
+
+#[test]
+fn word_of_a_newer_plan_that_was_too_long_to_be_told_is_not_taken_for_the_plan() {
+    let mut subject = ready_box();
+    let as_of = BoxTime::from_millis(subject.now);
+    let known = KnownPlan { version: 2, read_to: at(6) };
+
+    subject.feed(RouteEvent::PlanTold { as_of, known, plan: None });
+
+    assert_eq!(subject.state.plan().version, 1);
+    assert!(subject.state.read_to() < at(6));
+}
+
+#[test]
+fn an_order_to_empty_a_zone_that_the_store_lost_binds_until_it_is_written_again_or_ten_seconds() {
+    let mut subject = ready_box();
+    read_zones(&mut subject, None, at(8), &[("east", true), ("west", true)]);
+
+    read_zones(&mut subject, None, restored(5), &[("west", true)]);
+
+    assert_eq!(zones(&subject), ["east", "west"]);
+    read_zones(&mut subject, Some(restored(5)), restored(6), &[("east", true)]);
+    subject.now += UNSEEN_ORDER_MS;
+    subject.feed(RouteEvent::Tick);
+    assert_eq!(zones(&subject), ["east", "west"], "it was written again");
+}
+
+#[test]
+fn an_order_that_is_not_written_again_ends_after_ten_seconds_and_a_withdrawn_one_at_once() {
+    let mut subject = ready_box();
+    read_zones(&mut subject, None, at(8), &[("east", true), ("west", true)]);
+    read_zones(&mut subject, None, restored(5), &[]);
+
+    read_zones(&mut subject, Some(restored(5)), restored(6), &[("west", false)]);
+
+    assert_eq!(zones(&subject), ["east"]);
+    subject.now += UNSEEN_ORDER_MS;
+    subject.feed(RouteEvent::Tick);
+    assert!(zones(&subject).is_empty());
+}
+
+#[test]
+fn a_box_that_read_the_copy_hears_of_an_emptied_zone_from_one_of_a_former_era() {
+    let mut subject = ready_box();
+    read_zones(&mut subject, None, restored(5), &[]);
+    let word = EvacuationWord { known_to: at(8), zones: vec!["east".to_owned()] };
+
+    subject.feed(RouteEvent::EvacuationsTold(word));
+
+    assert_eq!(zones(&subject), ["east"]);
+}
+
+#[test]
+fn a_replica_that_had_left_is_not_used_again_because_a_copy_still_has_it() {
+    let mut subject = ready_box();
+    subject.put(BackendEntry { leaving: true, ..entry("a", "v1") });
+    subject.drop_entry("a");
+
+    list_restored(&mut subject, &[entry("a", "v1"), entry("b", "v1")]);
+
+    assert_eq!(replicas(&subject), ["b"]);
+}
+
+#[test]
+fn another_life_of_a_replica_that_had_left_is_used() {
+    let mut subject = ready_box();
+    let born = |ms| BackendEntry { born: Some(ms), ..entry("c", "v1") };
+    subject.put(BackendEntry { leaving: true, ..born(100) });
+    subject.drop_entry("c");
+
+    list_restored(&mut subject, &[entry("b", "v1"), born(200)]);
+
+    assert_eq!(replicas(&subject), ["a", "b", "c"], "a may be written again yet");
+}
+
+#[test]
+fn a_leaving_mark_that_the_store_lost_binds() {
+    let mut subject = ready_box();
+    subject.put(BackendEntry { leaving: true, ..entry("a", "v1") });
+
+    list_restored(&mut subject, &[entry("a", "v1"), entry("b", "v1")]);
+
+    let (_, order) = subject.sent(ask("/read/x"));
+    assert_eq!(order.replica_id, "b");
+}
+
+#[test]
+fn a_replica_that_came_after_the_copy_is_used_until_it_must_be_written_again() {
+    let mut subject = ready_box();
+
+    list_restored(&mut subject, &[entry("a", "v1")]);
+
+    assert_eq!(replicas(&subject), ["a", "b"]);
+    subject.now += LAPSE_MS;
+    subject.feed(RouteEvent::Tick);
+    assert_eq!(replicas(&subject), ["a"]);
+}
+
+#[test]
+fn news_of_a_former_era_does_not_bring_back_what_a_listing_did_not_show() {
+    let mut subject = new_box("box-1");
+    subject.read_plan(Some(plan(1)));
+    list_restored(&mut subject, &[entry("a", "v1")]);
+    let late = BackendChange { id: "b".to_owned(), at: at(900), entry: Some(entry("b", "v1")) };
+
+    subject.feed(RouteEvent::BackendsChanged(vec![late]));
+
+    assert_eq!(replicas(&subject), ["a"]);
+}
+
+fn order(version: &str) -> TrialOrder {
+    TrialOrder { service: "pool".to_owned(), version: version.to_owned(), duration_ms: 10_000 }
+}
+
+fn verdict(state: TrialState) -> TrialVerdict {
+    TrialVerdict { service: "pool".to_owned(), version: "v2".to_owned(), state }
+}
+
+fn written(effects: &[RouteEffect]) -> Option<TrialState> {
+    effects.iter().find_map(|effect| match effect {
+        RouteEffect::WriteVerdict(verdict) => Some(verdict.state),
+        _ => None,
+    })
+}
+
+fn state_of_trial(subject: &TestBox) -> TrialState {
+    subject.state.dump(BoxTime::from_millis(subject.now)).trials[0].state
+}
+
+#[test]
+fn a_verdict_that_the_store_lost_stands_and_is_written_again() {
+    let mut subject = ready_box();
+    subject.give_order(order("v2"));
+    subject.feed(RouteEvent::VerdictTaken(verdict(TrialState::Done)));
+    assert_eq!(written(&subject.feed(RouteEvent::Tick)), None);
+
+    subject.feed(RouteEvent::StoreRestored { era: 2 });
+    let asked_at = BoxTime::from_millis(subject.now);
+    let verdicts = vec![verdict(TrialState::Running)];
+    subject.feed(RouteEvent::VerdictsRead { asked_at, verdicts });
+
+    assert_eq!(state_of_trial(&subject), TrialState::Done);
+    assert_eq!(written(&subject.feed(RouteEvent::Tick)), Some(TrialState::Done));
+    subject.feed(RouteEvent::VerdictTaken(verdict(TrialState::Done)));
+    subject.now += 5_000;
+    assert_eq!(written(&subject.feed(RouteEvent::Tick)), None, "once is enough");
+}
+
+#[test]
+fn word_of_a_former_era_that_a_verdict_stands_does_not_keep_it_from_being_written_again() {
+    let mut subject = ready_box();
+    subject.give_order(order("v2"));
+    subject.feed(RouteEvent::VerdictTaken(verdict(TrialState::Done)));
+    subject.feed(RouteEvent::StoreRestored { era: 2 });
+    let verdicts = vec![verdict(TrialState::Done)];
+    let note =
+        PeerNote { name: "box-2".to_owned(), number: 1, era: 1, verdicts, ..PeerNote::default() };
+
+    subject.feed(RouteEvent::PeerHeard(Box::new(note)));
+
+    assert_eq!(written(&subject.feed(RouteEvent::Tick)), Some(TrialState::Done));
+}
+
+#[test]
+fn an_order_that_another_had_replaced_does_not_begin_anew_because_a_copy_still_shows_it() {
+    let mut subject = ready_box();
+    subject.give_order(order("v2"));
+    subject.give_order(order("v3"));
+
+    let read_to = restored(5);
+    subject.feed(RouteEvent::OrdersRead { read_to, orders: vec![order("v2")] });
+    let version = |subject: &TestBox| {
+        let now = BoxTime::from_millis(subject.now);
+        subject.state.dump(now).trials[0].order.version.clone()
+    };
+    assert_eq!(version(&subject), "v3");
+
+    let read_to = restored(6);
+    subject.feed(RouteEvent::OrdersRead { read_to, orders: vec![order("v2")] });
+    assert_eq!(version(&subject), "v2", "what is ordered later counts");
+}
+
+/// A fleet in calm, with plan 4 written at 6 s, 5 at 7.5 s and 6 at 8.5 s; it is 10 s.
+fn fleet_at_plan_6(count: usize) -> Fleet {
+    let mut fleet = site(count);
+    for (at, version) in [(6_000, 4), (7_500, 5), (8_500, 6)] {
+        fleet.run_until(at);
+        fleet.write_plan(version);
+    }
+    fleet.run_until(10_000);
+    assert!(fleet.boxes.iter().all(|subject| subject.state.plan().version == 6));
+    fleet
+}
+
+fn has_plan(version: u64) -> impl Fn(&RouteState) -> bool {
+    move |state| state.plan().version >= version
+}
+
+/// Whether a box knows the store's second era, and relies on what it shows.
+fn relies_on_second_era(state: &RouteState) -> bool {
+    state.read_to().era == 2
+}
+
+/// Whether no box has fallen back behind a plan.
+fn none_behind(fleet: &Fleet, version: u64) -> bool {
+    fleet.boxes.iter().all(|subject| subject.dead || subject.state.plan().version >= version)
+}
+
+/// A fleet whose store comes back from a copy with all that was lost written again: it is relied on soon, nobody falls
+/// back, and few call it for that.
+fn rely_on_restored_store(count: usize, away_ms: u64, copied_at: u64) {
+    let mut fleet = fleet_at_plan_6(count);
+    let lost = fleet.restore(away_ms, copied_at);
+    fleet.write_again(lost);
+    fleet.run_until(fleet.away_until);
+    fleet.calls();
+
+    let took = fleet.until_all(4_000, relies_on_second_era);
+
+    let label = format!("{count} boxes, away {away_ms} ms, copy of {copied_at}: {took:?}");
+    assert!(took.is_some_and(|ms| ms <= FIND_MS + APPLY_MS), "{label}");
+    assert!(none_behind(&fleet, 6), "{label}");
+    let calls = fleet.calls() as usize;
+    assert!(calls <= 60 + count / 2, "{label}: {calls} calls");
+    fleet.write_plan(7);
+    let took = fleet.until_all(4_000, has_plan(7));
+    assert!(took.is_some_and(|ms| ms <= APPLY_MS), "{label}: plan 7 after {took:?}");
+}
+
+#[test]
+fn fleets_rely_on_a_restored_store_soon_and_fall_back_nowhere() {
+    for count in [9, 84, 300] {
+        rely_on_restored_store(count, 0, 8_400);
+        rely_on_restored_store(count, 1_000, 7_000);
+    }
+    for count in [9, 84] {
+        rely_on_restored_store(count, 5_000, 0);
+    }
+}
+
+#[test]
+fn three_hundred_boxes_rely_on_a_store_that_was_away_for_five_seconds_without_storming_it() {
+    rely_on_restored_store(300, 5_000, 0);
+}
+
+#[test]
+fn fleets_serve_the_newest_plan_where_the_store_has_grown_past_its_former_end() {
+    for count in [9, 84, 300] {
+        let mut fleet = fleet_at_plan_6(count);
+        drop(fleet.restore(1_000, 7_000));
+        for version in [7, 8, 9] {
+            fleet.write_plan(version);
+        }
+        fleet.run_until(fleet.away_until);
+
+        let took = fleet.until_all(4_000, has_plan(9));
+
+        assert!(took.is_some_and(|ms| ms <= FIND_MS + APPLY_MS), "{count} boxes: {took:?}");
+    }
+}
+
+#[test]
+fn while_a_restored_store_lacks_the_plan_few_boxes_ask_it() {
+    for count in [9, 84, 300] {
+        let mut fleet = fleet_at_plan_6(count);
+        let lost = fleet.restore(1_000, 7_000);
+        fleet.run_until(fleet.away_until + 1_000);
+        fleet.calls();
+
+        fleet.run_until(fleet.now + 6_000);
+
+        let calls = f64::from(fleet.calls()) / 6.0;
+        assert!(none_behind(&fleet, 6));
+        assert!(calls <= 60.0, "{count} boxes: {calls} calls a second");
+        fleet.write_again(lost);
+        let took = fleet.until_all(4_000, relies_on_second_era);
+        assert!(took.is_some_and(|ms| ms <= APPLY_MS), "{count} boxes: {took:?}");
+    }
+}
+
+#[test]
+fn boxes_that_start_while_the_store_shows_an_older_plan_take_the_newer_one_before_they_serve() {
+    for count in [9, 84, 300] {
+        let mut fleet = fleet_at_plan_6(count);
+        let lost = fleet.restore(1_000, 7_000);
+        fleet.run_until(fleet.away_until + 500);
+
+        for number in (0..count).step_by(4) {
+            fleet.restart(number);
+        }
+        let until = fleet.now + 3_000;
+        while fleet.now < until {
+            fleet.run_until(fleet.now + 20);
+            let now = BoxTime::from_millis(fleet.now);
+            let behind = |state: &RouteState| state.open(now) && !has_plan(6)(state);
+            let behind = fleet.boxes.iter().filter(|subject| behind(&subject.state)).count();
+            assert_eq!(behind, 0, "{count} boxes: open with an older plan at {}", fleet.now);
+        }
+        fleet.write_again(lost);
+
+        let took = fleet.until_all(4_000, relies_on_second_era);
+        assert!(took.is_some_and(|ms| ms <= APPLY_MS), "{count} boxes: {took:?}");
+        assert!(none_behind(&fleet, 6));
+    }
+}
+
+#[test]
+fn a_second_return_from_a_copy_before_the_first_is_known_to_all_is_borne() {
+    for count in [9, 84, 300] {
+        let mut fleet = fleet_at_plan_6(count);
+        let lost = fleet.restore(1_000, 7_000);
+        fleet.write_again(lost);
+        fleet.run_until(fleet.away_until + 300);
+        fleet.write_plan(7);
+        fleet.run_until(fleet.now + 100);
+
+        let lost = fleet.restore(500, fleet.now - 200);
+        fleet.write_again(lost);
+        fleet.run_until(fleet.away_until);
+
+        let third = |state: &RouteState| state.read_to().era == 3 && state.plan().version == 7;
+        let took = fleet.until_all(6_000, third);
+        assert!(took.is_some_and(|ms| ms <= FIND_MS + APPLY_MS), "{count} boxes: {took:?}");
+    }
+}
+
+#[test]
+fn a_key_of_a_lost_plan_is_honoured_again_once_that_is_written_again() {
+    let mut subject = ready_box();
+    subject.read_plan(Some(plan(9)));
+    subject.now += 5_000;
+    read_plan_at(&mut subject, restored(4), Some(7));
+    assert_eq!(ask("/read/x").key.as_deref(), Some(KEY));
+    assert_eq!(subject.refused(ask("/read/x")).status, 503);
+
+    read_plan_at(&mut subject, restored(5), Some(9));
+
+    drop(subject.sent(ask("/read/x")));
+}
