era: each box says once that the store came back from a copy, and keeps what its first listing lacks

Cause: only a follower that had been answered before told the reducer of a new era, so that a box whose first listing came afterwards dropped entries at once that their replicas had yet to write again. Seen in logs of the failing tests: 745 on two of three boxes. Change: the reducer is told of each era that an answer names, and logs 745 itself, also when another box told it.

--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -144,6 +144,10 @@
         RouteEffect::PlanTooOld { version } => {
             warn!(event = 711, name = "plan_too_old", version);
         }
+        RouteEffect::StoreRestored { era, former } => {
+            gauge!("ravenspoke_store_era").set(*era as f64);
+            warn!(event = 745, name = "store_restored", era, former);
+        }
         RouteEffect::BackendLeaving(replica) => {
             info!(event = 712, name = "backend_leaving", replica);
         }
@@ -274,12 +278,6 @@
     warn!(event = 737, name = "records_untold", bytes, limit, %from);
 }
 
-/// Logs that the store came back from an older copy, as an answer for a topic shows.
-pub fn note_store_restored(topic: &str, era: u64, former: u64) {
-    gauge!("ravenspoke_store_era").set(era as f64);
-    warn!(event = 745, name = "store_restored", topic, era, former);
-}
-
 /// Logs that an answer of the store names no era, or one that can't be read.
 pub fn note_era_unread(value: &str) {
     warn!(event = 746, name = "store_era_unreadable", value);
--- a/crates/box/src/gateway/topic_follower.rs
+++ b/crates/box/src/gateway/topic_follower.rs
@@ -267,10 +267,8 @@
             observe::note_era_unread(&value);
         }
         let era = self.era();
-        let former = std::mem::replace(&mut self.era, era);
-        if former > 0 && self.era > former {
-            observe::note_store_restored(self.topic, self.era, former);
-            self.driver.feed(RouteEvent::StoreRestored { era: self.era });
+        if std::mem::replace(&mut self.era, era) != era {
+            self.driver.feed(RouteEvent::EraNamed(era));
         }
     }
 
--- a/crates/core/src/route/era.rs
+++ b/crates/core/src/route/era.rs
@@ -4,13 +4,14 @@
 //! shows a plan that is at least as new as the one in force, nothing that it shows is relied on as all that there is.
 //! What the boxes wrote they write again: verdicts and marks of trials, by turns as at first.
 
+use super::event::RouteEffect;
 use super::progress::TrialProgress;
 use super::{RouteState, LAPSE_MS};
 use crate::time::BoxTime;
 
 impl RouteState {
     /// Notes the store's era, as the store or another box names it.
-    pub(super) fn note_era(&mut self, era: u64, now: BoxTime) {
+    pub(super) fn note_era(&mut self, era: u64, now: BoxTime, out: &mut Vec<RouteEffect>) {
         if era <= self.era {
             return;
         }
@@ -18,6 +19,7 @@
         if former == 0 {
             return;
         }
+        out.push(RouteEffect::StoreRestored { era, former });
         // Entries written since the copy come back when their replicas write them again.
         self.lapse_at = Some(now.plus_millis(LAPSE_MS));
         for trial in self.trials.values_mut() {
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -153,14 +153,12 @@
     EntriesRead {
         /// There were no others then.
         as_of: BoxTime,
-        /// The offset.
+        /// The position.
         to: TopicPosition,
     },
-    /// The store came back from an older copy of its data.
-    StoreRestored {
-        /// Its era now.
-        era: u64,
-    },
+    /// The store named its era, another one than in the last answer. It rises each time that the store comes back from an
+    /// older copy of its data.
+    EraNamed(u64),
     /// A call to the store failed.
     StoreFailed,
     /// The store answers again.
@@ -372,6 +370,13 @@
     },
     /// A replica leaves or is gone.
     BackendLeaving(String),
+    /// The store came back from an older copy of its data.
+    StoreRestored {
+        /// Its era.
+        era: u64,
+        /// The era before.
+        former: u64,
+    },
     /// An availability zone is under evacuation from now on, or no longer.
     EvacuationMoved {
         /// The order.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -250,7 +250,7 @@
                 self.entries.note_read(to, Some(as_of));
                 self.read_on(stamp.now);
             }
-            RouteEvent::StoreRestored { era } => self.note_era(era, stamp.now),
+            RouteEvent::EraNamed(era) => self.note_era(era, stamp.now, out),
             RouteEvent::StoreFailed | RouteEvent::StoreBack => {
                 let failed = matches!(event, RouteEvent::StoreFailed);
                 self.reading.cut_at = failed.then_some(stamp.now);
@@ -308,7 +308,7 @@
         plan: Option<RoutePlan>,
         out: &mut Vec<RouteEffect>,
     ) {
-        self.note_era(read_to.era, stamp.now);
+        self.note_era(read_to.era, stamp.now, out);
         match plan {
             // A store that came back from a copy, and shows nothing new since, may lack what was confirmed.
             None if self.has_plan() && read_to.era > self.read_to.era => {}
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -221,7 +221,7 @@
         }
         self.peers.hear_of(&note.others, &self.settings.note_address, stamp.now);
         self.peers.hear_leads(&note.leads, &self.settings.name, stamp.now);
-        self.note_era(note.era, stamp.now);
+        self.note_era(note.era, stamp.now, out);
         let evacuations = self.evacuated.hear(&note.evacuation, stamp.now);
         self.move_evacuations(stamp, evacuations, out);
         self.hear_entries(stamp, note, out);
--- a/crates/standins/src/soak/inflict.rs
+++ b/crates/standins/src/soak/inflict.rs
@@ -29,6 +29,9 @@
 /// seconds in which boxes must have seen it.
 const MARK_STANDS: Duration = Duration::from_millis(2_500);
 
+/// The store is away for this long before it comes back from a copy.
+const RESTORE_AWAY: Duration = Duration::from_millis(600);
+
 /// Rest that a replica asks for as it turns requests away, in seconds: several pauses of a caller.
 const REST_S: f64 = 0.4;
 
@@ -46,6 +49,7 @@
         SoakFault::StoreSlow => site.slow_store(row.length).await,
         SoakFault::StoreLoses => site.lose_answers(row.length).await,
         SoakFault::StoreCompacts => site.compact_store().await,
+        SoakFault::StoreRestored => site.restore_store(row.length).await,
         SoakFault::StorePath(number, fault) => disturb(&site.store_paths[number], fault, row).await,
         SoakFault::ReplicaPath(number, fault) => {
             disturb(&site.replica_paths[number], fault, row).await;
@@ -150,6 +154,21 @@
         site.store.compact(REPLICA_TOPIC);
     }
 
+    /// The store is away for a moment and comes back from a copy of `age`; the operator and the replicas write again what
+    /// was lost.
+    async fn restore_store(&self, age: Duration) {
+        let copy = self.site.lock().await.store.copy();
+        sleep(age).await;
+        self.change_store(|faults| faults.outage = StoreOutage::Reset).await;
+        sleep(RESTORE_AWAY).await;
+        {
+            let site = self.site.lock().await;
+            let lost = site.store.restore(copy);
+            site.store.write_again(lost);
+        }
+        self.change_store(|faults| faults.outage = StoreOutage::None).await;
+    }
+
     async fn disturb_replica(&self, number: usize, mode: ReplicaMode, length: Duration) {
         self.replicas[number].set_mode(mode);
         self.replicas[number].set_rest(Some(REST_S));
--- a/crates/standins/src/soak/judge.rs
+++ b/crates/standins/src/soak/judge.rs
@@ -257,6 +257,7 @@
         | SoakFault::StoreSlow
         | SoakFault::StoreLoses
         | SoakFault::StoreCompacts
+        | SoakFault::StoreRestored
         | SoakFault::StorePath(..) => true,
     }
 }
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -55,6 +55,9 @@
 /// Part of the runs in which a zone is emptied, and in which a cold replica comes. A choice.
 const ZONE_EMPTIED_PART: f64 = 0.4;
 
+/// Part of the runs in which the store comes back from a copy. A choice.
+const RESTORED_PART: f64 = 0.4;
+
 /// A zone is emptied for this long, in milliseconds: longer than the platform allows until all boxes act on it.
 const ZONE_EMPTIED_MS: (u64, u64) = (5_500, 9_000);
 
@@ -79,6 +82,8 @@
     StoreLoses,
     /// The store forgets its history.
     StoreCompacts,
+    /// The store is away for a moment, and comes back from a copy that is as old as the fault is long.
+    StoreRestored,
     /// A box's way to the store is disturbed.
     StorePath(usize, ProxyFault),
     /// A replica misbehaves.
@@ -138,6 +143,9 @@
     if dice.gen_bool(ZONE_EMPTIED_PART) {
         faults.push(TimedFault { fault: SoakFault::ReplicaCold, ..draw(&mut dice) });
     }
+    if dice.gen_bool(RESTORED_PART) {
+        faults.push(TimedFault { fault: SoakFault::StoreRestored, ..draw(&mut dice) });
+    }
     // A box at a time is down, or paused: callers have two others.
     let mut down_until = Duration::ZERO;
     faults.sort_by_key(|row| row.at);
--- a/crates/standins/src/soak/sessions.rs
+++ b/crates/standins/src/soak/sessions.rs
@@ -121,6 +121,7 @@
         | SoakFault::BoxStopped(_)
         | SoakFault::BoxTold(_)
         | SoakFault::StoreCompacts
+        | SoakFault::StoreRestored
         | SoakFault::Replica(..)
         | SoakFault::ReplicaPath(..)
         | SoakFault::ReplicaLeaves
