--- a/crates/box/src/gateway/note_wire/mod.rs
+++ b/crates/box/src/gateway/note_wire/mod.rs
@@ -1,7 +1,7 @@
 //! Datagrams between boxes, in protobuf.
 //!
-//! A datagram is a note or an ask; a long note is [`packed`]. `replica`, `trial`, `peer`, `ask`, `position` and [`records`] hold
-//! the messages of its parts.
+//! A datagram is a note or an ask; a long note is [`packed`]. `replica`, `trial`, `peer`, `ask`, `position` and
+//! [`records`] hold the messages of its parts.
 
 mod ask;
 pub mod packed;
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -13,8 +13,8 @@
 //! [`trial`] new versions · [`tally`] what speaks against them · [`progress`] how far they have come ·
 //! [`evacuation`] zones that get nothing · [`warm_up`] replicas that are cold ·
 //! `leaving` replicas that say that they leave · [`limit`] replicas that take few requests · [`rest`] replicas that want none for a while · `sender` who sends to which of these · [`fatal`] requests that crash replicas ·
-//! [`budget`] further sends · [`sizes`] which model answers · [`start`] a box's start · `era` a store that comes back from a copy ·
-//! [`placement`] what it costs to have a prompt read where, from [`backlog`], [`pace`] and [`held`] ·
+//! [`budget`] further sends · [`sizes`] which model answers · [`start`] a box's start ·
+//! `era` a store that comes back from a copy · [`placement`] what it costs to have a prompt read where, from [`backlog`], [`pace`] and [`held`] ·
 //! [`admission`] what is turned away.
 
 pub mod admission;
--- a/crates/core/src/route/peers/duties.rs
+++ b/crates/core/src/route/peers/duties.rs
@@ -23,7 +23,8 @@
 
 impl PeerTable {
     /// Boxes that may have duties, this one included: those that reach the store first, of these those that
-    /// serve or read already (where none is open, as the plan grows old, the readers stay), then by a hash of their names, so that they lie in different availability zones.
+    /// serve or read already (where the plan grows old on all, the readers stay), then by a hash of their names, so
+    /// that they lie in different availability zones.
     fn candidates(&self, me: &OwnStanding, now: BoxTime) -> Vec<(bool, bool, u64, Option<&str>)> {
         // Where notes reach all, who did not speak is silent; else word of it may be under way.
         let few = self.all_are_told();
