--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -14,6 +14,7 @@
 //! [`evacuation`] zones that get nothing · [`warm_up`] replicas that are cold ·
 //! `leaving` replicas that say that they leave · [`limit`] replicas that take few requests · [`rest`] replicas that want none for a while · `sender` who sends to which of these · [`fatal`] requests that crash replicas ·
 //! [`budget`] further sends · [`sizes`] which model answers · [`start`] a box's start ·
+//! `known` how far the operator's records are known ·
 //! `era` a store that comes back from a copy · [`placement`] what it costs to have a prompt read where, from [`backlog`], [`pace`] and [`held`] ·
 //! [`admission`] what is turned away.
 
@@ -36,6 +37,7 @@
 pub mod fresh;
 mod gone;
 pub mod held;
+mod known;
 mod learn;
 mod leaving;
 pub mod limit;
@@ -76,7 +78,7 @@
 use fresh::{FreshBounds, PlanFreshness};
 use news::NoteRounds;
 use pace::ServicePace;
-use peers::{KnownPlan, OwnStanding, PeerTable};
+use peers::{OwnStanding, PeerTable};
 use plan::{RoutePlan, RouteTable};
 use readers::StoreReading;
 use request::RouteRequest;
@@ -300,87 +302,6 @@
         self.send_notes(stamp, out);
     }
 
-    fn on_plan_read(
-        &mut self,
-        stamp: EventStamp,
-        asked_at: BoxTime,
-        read_to: TopicPosition,
-        plan: Option<RoutePlan>,
-        out: &mut Vec<RouteEffect>,
-    ) {
-        self.note_era(read_to.era, stamp.now, out);
-        match plan {
-            // A store that came back from a copy, and shows nothing new since, may lack what was confirmed.
-            None if self.has_plan() && read_to.era > self.read_to.era => {}
-            // Without a plan nothing is served or denied; that there was none then is known all the same.
-            None => self.rely_on(asked_at, read_to),
-            Some(plan) if plan.version < self.table.plan().version => {
-                out.push(RouteEffect::PlanTooOld { version: plan.version });
-            }
-            Some(plan) => self.take_plan(stamp, asked_at, read_to, plan, out),
-        }
-    }
-
-    /// Takes the plan that another box knows, or its word that it is this box's, as of `as_of`.
-    fn on_plan_told(
-        &mut self,
-        stamp: EventStamp,
-        as_of: BoxTime,
-        known: KnownPlan,
-        plan: Option<RoutePlan>,
-        out: &mut Vec<RouteEffect>,
-    ) {
-        let own = self.known_plan();
-        if known <= own {
-            return;
-        }
-        match plan {
-            Some(plan) if plan.version == known.version => {
-                self.take_plan(stamp, as_of, known.read_to, plan, out);
-            }
-            _ if known.version == own.version => self.rely_on(as_of, known.read_to),
-            // The plan itself was too long to be told.
-            _ => {}
-        }
-    }
-
-    /// Takes a plan that is no older than the one in force.
-    fn take_plan(
-        &mut self,
-        stamp: EventStamp,
-        asked_at: BoxTime,
-        read_to: TopicPosition,
-        plan: RoutePlan,
-        out: &mut Vec<RouteEffect>,
-    ) {
-        let newer = plan.version > self.table.plan().version;
-        if newer && read_to < self.read_to {
-            // The store has lost this plan, so that its later word was not whole.
-            self.fresh = PlanFreshness::default();
-            self.read_to = read_to;
-        }
-        self.rely_on(asked_at, read_to);
-        if !newer {
-            return;
-        }
-        let (version, routes) = (plan.version, plan.routes.len());
-        self.table = RouteTable::build(plan);
-        if let Some(start) = &mut self.start {
-            start.note_plan(stamp.now);
-        }
-        let age_ms = stamp.now.millis_since(asked_at);
-        out.push(RouteEffect::PlanInForce { version, routes, age_ms });
-        // Others ask for it at once: it is everywhere after a few steps, and few boxes read the store.
-        self.rounds.next_note = BoxTime::default();
-        self.send_notes(stamp, out);
-    }
-
-    /// Relies on the plan as all that was confirmed before `asked_at`, up to a position.
-    fn rely_on(&mut self, asked_at: BoxTime, read_to: TopicPosition) {
-        self.fresh.renew(asked_at);
-        self.note_read(read_to);
-    }
-
     /// Tells of zones that are under evacuation from now on, or no longer.
     fn move_evacuations(
         &mut self,
@@ -477,15 +398,6 @@
         self.lapse_at(now).is_some()
     }
 
-    /// Notes how far the operator's records were read, or told by another box.
-    fn note_read(&mut self, read_to: TopicPosition) {
-        if read_to >= self.read_to {
-            self.read_to = read_to;
-            self.asks.behind_since = None;
-            self.asks.told_too_little = false;
-        }
-    }
-
     fn has_plan(&self) -> bool {
         self.table.plan().version > 0
     }
@@ -582,16 +494,6 @@
         self.backends.rows().next().is_some()
     }
 
-    /// Position up to which the operator's records were read.
-    pub fn read_to(&self) -> TopicPosition {
-        self.read_to
-    }
-
-    /// As of when the plan is all that was confirmed; `None` before the first sound read.
-    pub fn plan_as_of(&self) -> Option<BoxTime> {
-        self.fresh.as_of()
-    }
-
     /// Whether a request may still be written to the replica that it was given to. Opening a connection takes a while; a
     /// zone's evacuation, a leaving mark, or a wish for rest, may have come meanwhile.
     pub fn may_write(&self, ticket: RequestTicket, now: BoxTime) -> bool {
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -8,9 +8,7 @@
 use super::entries::EntryAnswer;
 use super::event::RouteEffect;
 use super::pace::{PaceNote, ServicePace};
-use super::peers::{
-    self, BudgetNote, EntryWord, KnownPlan, PeerAsk, PeerCard, PeerNote, TrialNote,
-};
+use super::peers::{self, BudgetNote, EntryWord, PeerAsk, PeerCard, PeerNote, TrialNote};
 use super::start::BoxStart;
 use super::{BackendSource, RouteState};
 use crate::event::EventStamp;
@@ -279,11 +277,6 @@
         }
     }
 
-    /// How far this box knows the operator's records.
-    pub fn known_plan(&self) -> KnownPlan {
-        KnownPlan { version: self.table.plan().version, read_to: self.read_to }
-    }
-
     /// Relies on what another box read, as of when it says, if this box has read as far.
     fn hear_freshness(&mut self, stamp: EventStamp, note: &PeerNote, out: &mut Vec<RouteEffect>) {
         if note.known > self.known_plan() {
