--- a/crates/box/src/gateway/told.rs
+++ b/crates/box/src/gateway/told.rs
@@ -98,18 +98,24 @@
     let orders = zone_orders(records);
     // Before the plan: whoever has the plan of an offset must know the zones as of it.
     driver.feed(RouteEvent::EvacuationsRead(EvacuationRead { from, to: read_to, orders }));
-    let Some(plan) = take_operator(driver, read_to, records) else { return false };
-    driver.feed(RouteEvent::PlanRead { asked_at, read_to, plan });
+    let Some(taken) = take_operator(driver, read_to, records) else { return false };
+    driver.feed(RouteEvent::PlanRead { asked_at, read_to, plan: taken.plan });
     true
 }
 
-/// Takes the operator's records up to a position, but for the plan, which is given if there is one among them. Nothing
-/// is given if one can't be decoded: it may be a newer plan, so nothing is renewed.
+/// Records of the operator that were taken, all but the plan.
+struct TakenRecords {
+    /// The plan, if one is among them.
+    plan: Option<RoutePlan>,
+}
+
+/// Takes the operator's records up to a position; `None` if one can't be decoded: it may be a newer plan, so nothing is
+/// renewed.
 fn take_operator(
     driver: &GatewayDriver,
     read_to: TopicPosition,
     records: &[KeyedRecord],
-) -> Option<Option<RoutePlan>> {
+) -> Option<TakenRecords> {
     let mut orders = Vec::new();
     let mut plan = None;
     let mut sound = true;
@@ -132,7 +138,7 @@
     if !orders.is_empty() {
         driver.feed(RouteEvent::OrdersRead { read_to, orders });
     }
-    Some(plan)
+    Some(TakenRecords { plan })
 }
 
 /// Takes records that another box told in answer to an ask.
@@ -147,8 +153,8 @@
     if follows && note.known > known {
         // The records may lack the end of an order that the teller never had; its word of the zones is whole.
         driver.feed(RouteEvent::EvacuationsTold(note.evacuation.clone()));
-        if let Some(plan) = take_operator(driver, note.known.read_to, records) {
-            driver.feed(RouteEvent::PlanTold { as_of, known: note.known, plan });
+        if let Some(taken) = take_operator(driver, note.known.read_to, records) {
+            driver.feed(RouteEvent::PlanTold { as_of, known: note.known, plan: taken.plan });
         }
     }
 }
--- a/crates/core/tests/route/plan_fleet.rs
+++ b/crates/core/tests/route/plan_fleet.rs
@@ -89,6 +89,20 @@
     retry_ms: u64,
 }
 
+impl FleetBox {
+    fn new(state: RouteState) -> Self {
+        Self {
+            state,
+            life: 0,
+            dead: false,
+            calls: 0,
+            next: TopicPosition::default(),
+            era: 0,
+            retry_ms: 0,
+        }
+    }
+}
+
 /// A version of the plan in the store.
 #[derive(Clone, Copy, Debug)]
 pub struct PlanRow {
@@ -139,15 +153,7 @@
         };
         for number in 0..count {
             let state = RouteState::new(fleet.settings(number, 0));
-            fleet.boxes.push(FleetBox {
-                state,
-                life: 0,
-                dead: false,
-                calls: 0,
-                next: TopicPosition::default(),
-                era: 0,
-                retry_ms: 0,
-            });
+            fleet.boxes.push(FleetBox::new(state));
         }
         for number in 0..count {
             let at = fleet.draw(100);
@@ -197,16 +203,13 @@
 
     /// Kills a box and starts it anew within 300 ms.
     pub fn restart(&mut self, number: usize) {
-        {
-            self.kill(number);
-            let life = self.boxes[number].life;
-            self.boxes[number].state = RouteState::new(self.settings(number, life));
-            self.boxes[number].dead = false;
-            self.boxes[number].next = TopicPosition::default();
-            self.boxes[number].era = 0;
-            let at = self.now + self.draw(300);
-            self.launch(number, at);
-        }
+        self.kill(number);
+        let life = self.boxes[number].life;
+        let state = RouteState::new(self.settings(number, life));
+        let subject = &mut self.boxes[number];
+        *subject = FleetBox { life, calls: subject.calls, ..FleetBox::new(state) };
+        let at = self.now + self.draw(300);
+        self.launch(number, at);
     }
 
     pub fn put(&mut self, id: &str, leaving: bool) {
