--- a/crates/bench/src/prompt_router.rs
+++ b/crates/bench/src/prompt_router.rs
@@ -1,6 +1,6 @@
 //! Who routes prompts in the bench: the boxes' reducer, least reported load, or an oracle.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use ravenspoke_core::event::{EventStamp, RequestTicket};
 use ravenspoke_core::position::TopicPosition;
@@ -305,6 +305,8 @@
         is_seed: false,
         fresh: FreshBounds { revoke_ms: None, apply_ms: 2_000 },
         budget: BudgetBounds { ratio: 0.9, slack: 60.0, window_ms: 10_000 },
+        leader: None,
+        regions: BTreeMap::new(),
     });
     let now = BoxTime::default();
     let stamp = EventStamp { now, wall: WallTime(0), dice: row as u64 };
@@ -326,6 +328,7 @@
             leaving: false,
             cold_ms: 0,
             born: None,
+            spot: false,
         }),
     };
     let changes = site.engines.iter().enumerate().map(change).collect();
@@ -348,6 +351,7 @@
         attempts: ATTEMPTS,
         anonymous: true,
         sizes: (0..site.models.len()).map(|model| model.to_string()).collect(),
+        regions: Vec::new(),
         targets: vec![RouteTarget { service: SERVICE.to_owned(), weight: 1 }],
     };
     let routes = site.classes.iter().enumerate().map(route).collect();
--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -8,6 +8,8 @@
 use ravenspoke_core::route::event::{
     RefusalReason, RouteEffect, RouteEvent, RouteRefusal, SendOrder,
 };
+use ravenspoke_core::route::leader::usage::{UsageAsk, UsageNote};
+use ravenspoke_core::route::leader::LeaderOrder;
 use ravenspoke_core::route::peers::{PeerAsk, PeerNote};
 use ravenspoke_core::route::placement::PlacementNote;
 use ravenspoke_core::route::progress::TrialMark;
@@ -51,6 +53,10 @@
     Placement(Vec<String>, PlacementNote),
     /// An ask, for this address.
     Ask(String, PeerAsk),
+    /// A question for counts of usage, for each of these addresses.
+    UsageAsk(Vec<String>, UsageAsk),
+    /// Counts of usage, for this address.
+    Usage(String, UsageNote),
 }
 
 impl PeerDatagram {
@@ -61,6 +67,7 @@
             Self::Note(..) => DatagramKind::Note,
             Self::Placement(..) => DatagramKind::Placement,
             Self::Ask(..) => DatagramKind::Ask,
+            Self::UsageAsk(..) | Self::Usage(..) => DatagramKind::Usage,
         }
     }
 }
@@ -83,6 +90,8 @@
     pub verdicts: UnboundedSender<TrialVerdict>,
     /// Marks of trials for the store.
     pub marks: UnboundedSender<TrialMark>,
+    /// What this box is to do for all.
+    pub lead: UnboundedSender<LeaderOrder>,
 }
 
 /// The reducer's state, its clocks and its sinks.
@@ -204,6 +213,9 @@
             RouteEffect::SendAsk(to, ask) => self.queue(PeerDatagram::Ask(to, ask)),
             RouteEffect::WriteVerdict(verdict) => drop(self.sinks.verdicts.send(verdict)),
             RouteEffect::WriteMark(mark) => drop(self.sinks.marks.send(mark)),
+            RouteEffect::Lead(order) => drop(self.sinks.lead.send(order)),
+            RouteEffect::AskUsage(to, ask) => self.queue(PeerDatagram::UsageAsk(to, ask)),
+            RouteEffect::TellUsage(to, note) => self.queue(PeerDatagram::Usage(to, note)),
             _ => {}
         }
     }
--- a/crates/box/src/gateway/mod.rs
+++ b/crates/box/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod event_cut;
 pub mod exchange;
 pub mod follow;
+pub mod leader;
 pub mod marks;
 pub mod note_wire;
 pub mod notes;
--- a/crates/box/src/gateway/note_wire/mod.rs
+++ b/crates/box/src/gateway/note_wire/mod.rs
@@ -10,9 +10,11 @@
 pub mod records;
 mod replica;
 mod trial;
+mod usage;
 
 use prost::Message;
 use ravenspoke_adapter::store::KeyedRecord;
+use ravenspoke_core::route::leader::usage::{UsageAsk, UsageNote};
 use ravenspoke_core::route::peers::{PeerAsk, PeerNote};
 use ravenspoke_core::route::placement::PlacementNote;
 
@@ -31,6 +33,7 @@
     WirePace, WirePlacement,
 };
 use trial::{read_trial, read_verdict, write_trial, write_verdict, WireTrial, WireVerdict};
+use usage::{read_usage, read_usage_ask, write_usage, write_usage_ask, WireUsage, WireUsageAsk};
 
 /// A note from this length on is deflated, in bytes: 300 replicas' entries come from 26,597 to 4,714 bytes, word of
 /// seven other boxes from 769 to 385. Shorter ones repeat too little to gain.
@@ -97,6 +100,10 @@
     /// The note, deflated, in place of `note`.
     #[prost(bytes = "vec", tag = "6")]
     packed_note: Vec<u8>,
+    #[prost(message, optional, tag = "7")]
+    usage_ask: Option<WireUsageAsk>,
+    #[prost(message, optional, tag = "8")]
+    usage: Option<WireUsage>,
 }
 
 /// Encodes a note as a datagram, with the records that the ask it answers wants, if they are not left out.
@@ -124,6 +131,18 @@
     WireDatagram { placement, ..WireDatagram::default() }.encode_to_vec()
 }
 
+/// Encodes a question for counts of usage as a datagram.
+pub fn encode_usage_ask(ask: &UsageAsk) -> Vec<u8> {
+    let usage_ask = Some(write_usage_ask(ask));
+    WireDatagram { usage_ask, ..WireDatagram::default() }.encode_to_vec()
+}
+
+/// Encodes counts of usage as a datagram.
+pub fn encode_usage(note: &UsageNote) -> Vec<u8> {
+    let usage = Some(write_usage(note));
+    WireDatagram { usage, ..WireDatagram::default() }.encode_to_vec()
+}
+
 /// What a datagram says.
 #[derive(Clone, Debug, PartialEq)]
 pub enum HeardDatagram {
@@ -133,6 +152,10 @@
     Ask(PeerAsk),
     /// A prompt that was placed.
     Placement(PlacementNote),
+    /// A question for counts of usage.
+    UsageAsk(UsageAsk),
+    /// Counts of usage.
+    Usage(UsageNote),
     /// Nothing.
     Empty,
 }
@@ -149,6 +172,12 @@
     if let Some(placement) = wire.placement {
         return Ok(HeardDatagram::Placement(read_placement(placement)));
     }
+    if let Some(ask) = wire.usage_ask {
+        return Ok(HeardDatagram::UsageAsk(read_usage_ask(ask)));
+    }
+    if let Some(usage) = wire.usage {
+        return Ok(HeardDatagram::Usage(read_usage(usage)));
+    }
     let records =
         wire.records.map(|bytes| PackedRecords::from_bytes(bytes).unpack()).transpose()?;
     let note = match wire.note {
--- a/crates/box/src/gateway/note_wire/replica.rs
+++ b/crates/box/src/gateway/note_wire/replica.rs
@@ -40,6 +40,8 @@
     cold_ms: u64,
     #[prost(uint64, optional, tag = "8")]
     born: Option<u64>,
+    #[prost(bool, tag = "9")]
+    spot: bool,
 }
 
 #[derive(Clone, Copy, PartialEq, Message)]
@@ -114,6 +116,7 @@
         leaving: entry.leaving,
         cold_ms: entry.cold_ms,
         born: entry.born,
+        spot: entry.spot,
     });
     WireChange { id: change.id.clone(), at: Some(change.at.into()), entry }
 }
@@ -130,6 +133,7 @@
         leaving: entry.leaving,
         cold_ms: entry.cold_ms,
         born: entry.born,
+        spot: entry.spot,
     });
     BackendChange { id: change.id, at: read_position(change.at), entry }
 }
--- /dev/null
+++ b/crates/box/src/gateway/note_wire/usage.rs
@@ -0,0 +1,40 @@
+//! Questions for counts of usage, and the counts.
+
+use prost::Message;
+use ravenspoke_core::route::leader::usage::{UsageAsk, UsageNote, UsageReport};
+
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireUsageAsk {
+    #[prost(uint64, tag = "1")]
+    window: u64,
+    #[prost(string, tag = "2")]
+    note_address: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(super) struct WireUsage {
+    #[prost(string, tag = "1")]
+    note_address: String,
+    #[prost(uint64, tag = "2")]
+    window: u64,
+    #[prost(btree_map = "string, uint64", tag = "3")]
+    counts: std::collections::BTreeMap<String, u64>,
+}
+
+pub(super) fn write_usage_ask(ask: &UsageAsk) -> WireUsageAsk {
+    WireUsageAsk { window: ask.window, note_address: ask.note_address.clone() }
+}
+
+pub(super) fn read_usage_ask(wire: WireUsageAsk) -> UsageAsk {
+    UsageAsk { window: wire.window, note_address: wire.note_address }
+}
+
+pub(super) fn write_usage(note: &UsageNote) -> WireUsage {
+    let UsageReport { window, counts } = note.usage.clone();
+    WireUsage { note_address: note.note_address.clone(), window, counts }
+}
+
+pub(super) fn read_usage(wire: WireUsage) -> UsageNote {
+    let usage = UsageReport { window: wire.window, counts: wire.counts };
+    UsageNote { note_address: wire.note_address, usage }
+}
--- a/crates/box/src/gateway/notes.rs
+++ b/crates/box/src/gateway/notes.rs
@@ -9,7 +9,10 @@
 use tokio::sync::mpsc::Receiver;
 
 use super::driver::{GatewayDriver, PeerDatagram};
-use super::note_wire::{decode_datagram, encode_ask, encode_note, encode_placement, HeardDatagram};
+use super::note_wire::{
+    decode_datagram, encode_ask, encode_note, encode_placement, encode_usage, encode_usage_ask,
+    HeardDatagram,
+};
 use super::observe;
 use super::told::take_told;
 
@@ -35,6 +38,8 @@
                     }
                     driver.feed(RouteEvent::PeerHeard(note));
                 }
+                Ok(HeardDatagram::UsageAsk(ask)) => driver.feed(RouteEvent::UsageAsked(ask)),
+                Ok(HeardDatagram::Usage(note)) => driver.feed(RouteEvent::UsageTold(note)),
                 Ok(HeardDatagram::Empty) => observe::note_bad_note("it is empty"),
                 Err(error) => observe::note_bad_note(&error.to_string()),
             },
@@ -69,6 +74,8 @@
         PeerDatagram::Note(targets, note) => (targets, encode_with_records(driver, &note)),
         PeerDatagram::Placement(targets, placement) => (targets, encode_placement(placement)),
         PeerDatagram::Ask(target, ask) => (vec![target], encode_ask(&ask)),
+        PeerDatagram::UsageAsk(targets, ask) => (targets, encode_usage_ask(&ask)),
+        PeerDatagram::Usage(target, note) => (vec![target], encode_usage(&note)),
     };
     for target in &targets {
         let same_zone = driver.state().is_near(target);
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -10,6 +10,8 @@
 use ravenspoke_adapter::records::RecordError;
 use ravenspoke_core::position::TopicPosition;
 use ravenspoke_core::route::event::{AnswerHead, AttemptFailure, RouteEffect, SendOrder};
+use ravenspoke_core::route::leader::scale::ScaleSubject;
+use ravenspoke_core::route::leader::{CallOutcome, LeaderCall};
 use tracing::{error, info, warn};
 
 use super::driver::RequestName;
@@ -212,6 +214,16 @@
             let (phase, age_ms) = (mark.progress.phase, mark.progress.age_ms);
             info!(event = 717, name = "mark_due", service, version, ?phase, age_ms);
         }
+        RouteEffect::LeaderMoved(part) => {
+            info!(event = 748, name = "leader_moved", ?part);
+        }
+        RouteEffect::ReplicasOrdered { subject, wanted } => {
+            let ScaleSubject { service, zone, spot } = subject;
+            info!(event = 749, name = "replicas_ordered", service, zone, spot, wanted);
+        }
+        RouteEffect::ScaleUnsound { service, min, max } => {
+            warn!(event = 753, name = "scale_unsound", service, min, max);
+        }
         RouteEffect::StopBegun => info!(event = 715, name = "stop_begun"),
         _ => {}
     }
@@ -289,6 +301,26 @@
     warn!(event = 747, name = "read_passed_over", %end, %read_to);
 }
 
+/// Logs how a call that one box makes for all ended.
+pub fn note_lead_called(call: &LeaderCall, token: u64, outcome: CallOutcome) {
+    let kind = match call {
+        LeaderCall::Report(_) => "report",
+        LeaderCall::Scale(..) => "scale",
+    };
+    counter!("ravenspoke_lead_calls_total", "call" => kind).increment(1);
+    info!(event = 750, name = "lead_called", token, ?outcome, ?call);
+}
+
+/// Logs that a step of the box that acts for all failed; it is taken again while the box has the lease.
+pub fn note_lead_failed(step: &'static str, why: &dyn std::fmt::Display) {
+    warn!(event = 751, name = "lead_failed", step, %why);
+}
+
+/// Logs that the store gave no answer to an ask for the lease of what one box does for all.
+pub fn note_lease_unanswered(why: &dyn std::fmt::Display) {
+    warn!(event = 752, name = "lease_unanswered", %why);
+}
+
 /// Logs that a reader has the store again.
 pub fn note_store_regained(topic: &str, after: Duration) {
     let after_ms = after.as_millis() as u64;
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -7,9 +7,11 @@
 use std::time::Duration;
 
 use metrics_exporter_prometheus::PrometheusHandle;
+use ravenspoke_adapter::cloud::CloudClient;
 use ravenspoke_adapter::store::StoreClient;
 use ravenspoke_config::gateway::GatewaySettings;
 use ravenspoke_core::route::event::RouteEvent;
+use ravenspoke_core::route::leader::LeaderOrder;
 use ravenspoke_core::route::progress::TrialMark;
 use ravenspoke_core::route::trial::TrialVerdict;
 use ravenspoke_core::route::{RouteSettings, RouteState, STOP_TAKE_MS};
@@ -29,7 +31,7 @@
 use super::pool::ReplicaPool;
 use super::reload::follow_settings;
 use super::strange::StrangeHeaders;
-use super::{follow, marks, notes, observe, tally, verdicts};
+use super::{follow, leader, marks, notes, observe, tally, verdicts};
 use crate::clock::{BoxClock, SuspensionWatch};
 use crate::process::{ignite, server, ProcessError};
 
@@ -68,18 +70,21 @@
     let (answer_sender, answer_receiver) = channel(ANSWERS_QUEUED);
     let (verdict_sender, verdict_receiver) = unbounded_channel();
     let (mark_sender, mark_receiver) = unbounded_channel();
+    let (lead_sender, lead_receiver) = unbounded_channel();
     let sinks = GatewaySinks {
         notes: note_sender,
         answers: answer_sender,
         verdicts: verdict_sender,
         marks: mark_sender,
+        lead: lead_sender,
     };
-    let receivers = GatewayReceivers {
+    let site = SiteReceivers {
         notes: note_receiver,
         answers: answer_receiver,
         verdicts: verdict_receiver,
         marks: mark_receiver,
     };
+    let receivers = GatewayReceivers { site, lead: lead_receiver };
     let state = RouteState::new(route_settings(&settings));
     let clock = Arc::new(BoxClock::start()?);
     let driver = Arc::new(GatewayDriver::new(state, sinks, clock));
@@ -90,7 +95,8 @@
     let listener = TcpListener::bind(settings.entry).await;
     let listener = listener.map_err(|error| listen_error(settings.entry, "entry", &error))?;
 
-    follow_site(&settings, &driver, &store, socket, receivers);
+    follow_leader(&settings, &driver, &store, receivers.lead)?;
+    follow_site(&settings, &driver, &store, socket, receivers.site);
     let entry = OpenEntry::start(&settings, &driver, listener);
     launch_answers(&settings, &driver, metrics, metrics_port).await?;
     observe::note_started(&settings.name, settings.entry, &settings.seeds);
@@ -127,19 +133,39 @@
 
 /// Receivers of the sinks that effects are handed to.
 struct GatewayReceivers {
+    site: SiteReceivers,
+    lead: UnboundedReceiver<LeaderOrder>,
+}
+
+/// Those of what is told to other boxes and to the store.
+struct SiteReceivers {
     notes: Receiver<PeerDatagram>,
     answers: Receiver<PeerDatagram>,
     verdicts: UnboundedReceiver<TrialVerdict>,
     marks: UnboundedReceiver<TrialMark>,
 }
 
+/// Starts the tasks of what one box does for all, where the platform has any of it.
+fn follow_leader(
+    settings: &GatewaySettings,
+    driver: &Arc<GatewayDriver>,
+    store: &StoreClient,
+    due: UnboundedReceiver<LeaderOrder>,
+) -> Result<(), ProcessError> {
+    let Some(leader) = &settings.leader else { return Ok(()) };
+    let cloud = CloudClient::new(&leader.cloud, &settings.name, settings.entry.ip())?;
+    tokio::spawn(leader::follow_lease(driver.clone(), store.clone(), settings.name.clone()));
+    tokio::spawn(leader::carry_out_steps(driver.clone(), store.clone(), cloud, due));
+    Ok(())
+}
+
 /// Starts the tasks that read the store and talk to other boxes.
 fn follow_site(
     settings: &GatewaySettings,
     driver: &Arc<GatewayDriver>,
     store: &StoreClient,
     socket: UdpSocket,
-    receivers: GatewayReceivers,
+    receivers: SiteReceivers,
 ) {
     let socket = Arc::new(socket);
     tokio::spawn(notes::hear_notes(driver.clone(), socket.clone()));
@@ -273,6 +299,8 @@
         is_seed: settings.seeds.contains(&settings.notes),
         fresh: settings.fresh,
         budget: settings.budget,
+        leader: settings.leader.as_ref().map(|leader| leader.bounds),
+        regions: settings.regions.clone(),
     }
 }
 
--- a/crates/box/src/gateway/tally.rs
+++ b/crates/box/src/gateway/tally.rs
@@ -19,6 +19,8 @@
     Read,
     /// A record is written.
     Append,
+    /// The lease of what one box does for all is asked for, or given back.
+    Join,
 }
 
 impl StoreCall {
@@ -27,6 +29,7 @@
             Self::List => "list",
             Self::Read => "read",
             Self::Append => "append",
+            Self::Join => "join",
         }
     }
 }
@@ -42,6 +45,8 @@
     Answer,
     /// Word of a placed prompt.
     Placement,
+    /// A question for counts of usage, or the counts.
+    Usage,
 }
 
 impl DatagramKind {
@@ -51,6 +56,7 @@
             Self::Ask => "ask",
             Self::Answer => "answer",
             Self::Placement => "placement",
+            Self::Usage => "usage",
         }
     }
 }
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -64,6 +64,12 @@
     (745, "store_restored"),
     (746, "store_era_unreadable"),
     (747, "read_passed_over"),
+    (748, "leader_moved"),
+    (749, "replicas_ordered"),
+    (750, "lead_called"),
+    (751, "lead_failed"),
+    (752, "lease_unanswered"),
+    (753, "scale_unsound"),
 ];
 
 /// Logs and counts an effect, where it is worth it.
--- a/crates/box/tests/clock.rs
+++ b/crates/box/tests/clock.rs
@@ -68,12 +68,15 @@
         is_seed: false,
         fresh: FreshBounds { revoke_ms: Some(LONG.as_millis() as u64), apply_ms: 2_000 },
         budget: BudgetBounds { ratio: 0.1, slack: 10.0, window_ms: 10_000 },
+        leader: None,
+        regions: std::collections::BTreeMap::new(),
     };
     let sinks = GatewaySinks {
         notes: channel(1).0,
         answers: channel(1).0,
         verdicts: unbounded_channel().0,
         marks: unbounded_channel().0,
+        lead: unbounded_channel().0,
     };
     let driver = GatewayDriver::new(RouteState::new(settings), sinks, clock);
     let plan = Some(RoutePlan { version: 1, ..RoutePlan::default() });
--- a/crates/box/tests/notes.rs
+++ b/crates/box/tests/notes.rs
@@ -58,6 +58,7 @@
         leaving: false,
         cold_ms: 0,
         born: None,
+        spot: false,
     };
     BackendChange { id, at: at(number as u64), entry: Some(entry) }
 }
--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -4,6 +4,8 @@
 
 use ravenspoke_core::route::budget::BudgetBounds;
 use ravenspoke_core::route::fresh::FreshBounds;
+use ravenspoke_core::route::leader::LeaderBounds;
+use ravenspoke_core::route::region::ZoneRegions;
 
 /// Checked settings.
 #[derive(Clone, Debug, PartialEq)]
@@ -36,4 +38,17 @@
     pub keep_ms: u64,
     /// Descriptors that the process may have open.
     pub descriptors: usize,
+    /// Region of each availability zone.
+    pub regions: ZoneRegions,
+    /// What one box does for all, if the platform has any of it.
+    pub leader: Option<LeaderSettings>,
+}
+
+/// What one box does for all.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaderSettings {
+    /// Address of the platform's API, `IP:port`.
+    pub cloud: String,
+    /// Bounds of what is done.
+    pub bounds: LeaderBounds,
 }
--- a/crates/core/src/route/answer.rs
+++ b/crates/core/src/route/answer.rs
@@ -47,6 +47,7 @@
         took_ms: f64,
         out: &mut Vec<RouteEffect>,
     ) {
+        self.count_usage(stamp.wall, ticket);
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         request.may_have_run = true;
         let failed = head.status >= 500 || !head.proven;
--- a/crates/core/src/route/arrival.rs
+++ b/crates/core/src/route/arrival.rs
@@ -6,6 +6,7 @@
 use super::event::{PromptSize, RefusalReason, RouteAsk, RouteEffect};
 use super::plan::{KeyHolder, RouteSpec};
 use super::refuse::refusal;
+use super::region::allowed_zones;
 use super::request::RouteRequest;
 use super::sizes;
 use super::{RouteState, STOP_TAKE_MS};
@@ -45,9 +46,12 @@
         let allowed = ask.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
         let service = pick_target(route, stamp.dice).ok_or(RefusalReason::NoReplica)?;
         let chooses = ask.any_model && !route.sizes.is_empty();
+        let of_account = holder.map_or(&[][..], |holder| &holder.regions);
+        let zones = allowed_zones(&self.settings.regions, &[&route.regions, of_account]);
         Ok(RouteRequest {
             service,
             account: holder.map(|holder| holder.name.clone()),
+            zones,
             affinity: ask.affinity,
             prompt: prompt_size(ask),
             body_bytes: ask.body_bytes,
@@ -61,6 +65,7 @@
             tried: Vec::new(),
             sends: 0,
             free_connects: 0,
+            counted: false,
             may_have_run: false,
             relayed: false,
             relayed_on_trial: false,
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -52,7 +52,9 @@
         let Some(choice) = self.choose(stamp, ticket, size) else {
             let reason = self.why_none(stamp, ticket).unwrap_or(otherwise);
             match reason {
-                RefusalReason::Evacuated => self.return_late(stamp, ticket),
+                RefusalReason::Evacuated | RefusalReason::NoRegion => {
+                    self.return_late(stamp, ticket);
+                }
                 RefusalReason::HeldBack => self.return_in_turn(stamp, ticket),
                 _ => {}
             }
@@ -85,7 +87,12 @@
 
     /// Why no replica may get a request, where that is known.
     fn why_none(&self, stamp: EventStamp, ticket: RequestTicket) -> Option<RefusalReason> {
-        let service = &self.requests.get(&ticket)?.service;
+        let request = self.requests.get(&ticket)?;
+        let service = &request.service;
+        let zones = request.zones.as_deref();
+        if zones.is_some_and(|zones| self.backends.none_in(service, zones, stamp.now)) {
+            return Some(RefusalReason::NoRegion);
+        }
         if self.backends.all_evacuated(service, &self.evacuated, stamp.now) {
             return Some(RefusalReason::Evacuated);
         }
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -3,7 +3,7 @@
 //! A replica is known by its entry in the store; [`super::loads`] says how busy it is. What a replica
 //! *does* counts as well: see [`super::deeds`].
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use serde::Serialize;
 use slotmap::SlotMap;
@@ -13,6 +13,7 @@
 use super::deeds::LostAnswer;
 use super::gone::GoneReplicas;
 use super::held::HeldParts;
+use super::leader::scale::ZoneStock;
 use super::limit::ReplicaLimit;
 use super::sender::SenderPart;
 use super::warm_up::{WarmUpPlan, UNSEEN_MS};
@@ -42,6 +43,8 @@
     pub leaving: bool,
     /// How much longer it is slow from its start, in milliseconds.
     pub cold_ms: u64,
+    /// Whether it is cheaper and may be taken away.
+    pub spot: bool,
 }
 
 /// A change to a replica's entry.
@@ -201,6 +204,21 @@
         self.rows.get(key)
     }
 
+    /// Replicas of a service by availability zone, those that leave left out.
+    pub(super) fn stocks(&self, service: &str, now: BoxTime) -> BTreeMap<String, ZoneStock> {
+        let mut stocks: BTreeMap<String, ZoneStock> = BTreeMap::new();
+        let keys = self.by_service.get(service).into_iter().flatten();
+        for row in keys.map(|key| &self.rows[*key]).filter(|row| row.usable(now)) {
+            let stock = stocks.entry(row.entry.zone.clone()).or_default();
+            if !row.entry.spot {
+                stock.usual += 1;
+            } else if row.cold_until <= now {
+                stock.spot += 1;
+            }
+        }
+        stocks
+    }
+
     /// Changes of the store from a position on, in its order: replicas that are used, and with `gone` those
     /// that are gone.
     pub fn changes_from(&self, from: TopicPosition, gone: bool) -> Vec<BackendChange> {
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -46,6 +46,7 @@
             work: self.prompt_work(request, size),
             zone: &self.settings.zone,
             evacuated: &self.evacuated,
+            zones: request.zones.as_deref(),
             bounds_cold: self.bounds_cold(&request.service),
             tried: &request.tried,
             dice: stamp.dice,
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -2,6 +2,10 @@
 
 use super::backend::BackendChange;
 use super::evacuation::{EvacuationRead, EvacuationWord, ZoneOrder};
+use super::leader::lease::{LeaderPart, LeaseWord};
+use super::leader::scale::ScaleSubject;
+use super::leader::usage::{UsageAsk, UsageNote};
+use super::leader::{CallOutcome, LeaderCall, LeaderOrder, LeaderRecord};
 use super::loads::BackendLoad;
 use super::peers::{KnownPlan, PeerAsk, PeerNote};
 use super::placement::PlacementNote;
@@ -169,6 +173,40 @@
     PlacementHeard(PlacementNote),
     /// Another box asks how fresh this one's knowledge is.
     PeerAsked(PeerAsk),
+    /// The store answered an ask for the lease of what one box does for all.
+    LeaseAnswered {
+        /// When it was asked.
+        asked_at: BoxTime,
+        /// What it answered.
+        word: LeaseWord,
+    },
+    /// What former holders of the lease left was read, and they can write no more.
+    LeadTaken {
+        /// This box's token.
+        token: u64,
+        /// Number of the next record under it.
+        next: u64,
+        /// What they left.
+        left: Vec<LeaderRecord>,
+    },
+    /// A record of this box for the next holder stands in the store.
+    RecordKept {
+        /// The token that it was written under.
+        token: u64,
+        /// Its number.
+        number: u64,
+    },
+    /// The store expects a record of another number under this token.
+    LeadUnsure {
+        /// The token.
+        token: u64,
+    },
+    /// A call of this box as the holder has ended.
+    LeaderCalled(LeaderCall, CallOutcome),
+    /// The holder asks for this box's counts of usage.
+    UsageAsked(UsageAsk),
+    /// Another box told its counts.
+    UsageTold(UsageNote),
     /// Addresses where other boxes may be.
     PeersNamed(Vec<String>),
     /// A caller's request arrived.
@@ -205,6 +243,8 @@
     NoReplica,
     /// All replicas are in availability zones under evacuation.
     Evacuated,
+    /// No replica is in a region in which the request may be served.
+    NoRegion,
     /// All replicas rest, or name limits that leave no room for it on this box.
     HeldBack,
     /// Every replica that was asked said that it is full.
@@ -231,6 +271,7 @@
             RefusalReason::UnknownKey => "unknown_key",
             RefusalReason::NoReplica => "no_replica",
             RefusalReason::Evacuated => "zones_evacuated",
+            RefusalReason::NoRegion => "no_replica_in_region",
             RefusalReason::HeldBack => "replicas_limited",
             RefusalReason::Full => "replicas_full",
             RefusalReason::NoTime => "no_time",
@@ -445,6 +486,30 @@
         /// Failures among them.
         bad: f64,
     },
+    /// This box's part in what one box does for all has changed.
+    LeaderMoved(LeaderPart),
+    /// Do this as the holder of the lease.
+    Lead(LeaderOrder),
+    /// Replicas are ordered.
+    ReplicasOrdered {
+        /// Of which service, where and of which kind.
+        subject: ScaleSubject,
+        /// How many there are to be.
+        wanted: u32,
+    },
+    /// The bounds of a service's replicas leave room for none: they are not ordered.
+    ScaleUnsound {
+        /// Service.
+        service: String,
+        /// At least so many in each zone.
+        min: u32,
+        /// At most so many.
+        max: u32,
+    },
+    /// Ask other boxes for their counts of usage.
+    AskUsage(Vec<String>, UsageAsk),
+    /// Tell the holder this box's counts.
+    TellUsage(String, UsageNote),
     /// The planned stop has begun.
     StopBegun,
 }
--- a/crates/core/src/route/known.rs
+++ b/crates/core/src/route/known.rs
@@ -78,6 +78,12 @@
             return;
         }
         let (version, routes) = (plan.version, plan.routes.len());
+        for (service, plan) in &plan.services {
+            if let Some(plan) = plan.scale.as_ref().filter(|plan| !plan.is_sound()) {
+                let (service, (min, max)) = (service.clone(), (plan.min, plan.max));
+                out.push(RouteEffect::ScaleUnsound { service, min, max });
+            }
+        }
         self.table = RouteTable::build(plan);
         if let Some(start) = &mut self.start {
             start.note_plan(stamp.now);
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -11,10 +11,10 @@
 //! [`loads`] how busy they are · [`deeds`] how well they do · [`pick`] which of them answers ·
 //! [`peers`] the other boxes · [`entries`] how far the replicas' entries are known ·
 //! [`trial`] new versions · [`tally`] what speaks against them · [`progress`] how far they have come ·
-//! [`evacuation`] zones that get nothing · [`warm_up`] replicas that are cold ·
+//! [`evacuation`] zones that get nothing · [`region`] where a request may be served · [`warm_up`] replicas that are cold ·
 //! `leaving` replicas that say that they leave · [`limit`] replicas that take few requests · [`rest`] replicas that want none for a while · `sender` who sends to which of these · [`fatal`] requests that crash replicas ·
 //! [`budget`] further sends · [`sizes`] which model answers · [`start`] a box's start ·
-//! `known` how far the operator's records are known ·
+//! `known` how far the operator's records are known · [`leader`] what one box does for all ·
 //! `era` a store that comes back from a copy · [`placement`] what it costs to have a prompt read where, from [`backlog`], [`pace`] and [`held`] ·
 //! [`admission`] what is turned away.
 
@@ -38,6 +38,7 @@
 mod gone;
 pub mod held;
 mod known;
+pub mod leader;
 mod learn;
 mod leaving;
 pub mod limit;
@@ -51,6 +52,7 @@
 pub mod progress;
 pub mod readers;
 mod refuse;
+pub mod region;
 mod request;
 pub mod rest;
 mod sender;
@@ -76,11 +78,13 @@
 use event::{RouteEffect, RouteEvent};
 use fatal::FatalContents;
 use fresh::{FreshBounds, PlanFreshness};
+use leader::{LeaderBounds, LeaderState};
 use news::NoteRounds;
 use pace::ServicePace;
 use peers::{OwnStanding, PeerTable};
 use plan::{RoutePlan, RouteTable};
 use readers::StoreReading;
+use region::ZoneRegions;
 use request::RouteRequest;
 use sizes::SizeLifts;
 use start::BoxStart;
@@ -119,6 +123,10 @@
     pub fresh: FreshBounds,
     /// Bounds of further sends.
     pub budget: BudgetBounds,
+    /// Bounds of what one box does for all, where the platform has any of it.
+    pub leader: Option<LeaderBounds>,
+    /// Region of each availability zone.
+    pub regions: ZoneRegions,
 }
 
 /// Where changes to replicas' entries came from.
@@ -171,6 +179,8 @@
     asks: AskState,
     /// Its notes to other boxes.
     rounds: NoteRounds,
+    /// Its part in what one box does for all.
+    leader: LeaderState,
     /// Since when it stops.
     stopping_since: Option<BoxTime>,
 }
@@ -202,6 +212,7 @@
             reading: StoreReading::default(),
             asks: AskState::default(),
             rounds: NoteRounds::default(),
+            leader: LeaderState::default(),
             stopping_since: None,
         }
     }
@@ -261,6 +272,15 @@
             RouteEvent::PeerHeard(note) => self.on_note(stamp, &note, out),
             RouteEvent::PlacementHeard(told) => self.backends.hear_placement(&told, stamp.now),
             RouteEvent::PeerAsked(ask) => self.on_ask(stamp, ask, out),
+            RouteEvent::LeaseAnswered { asked_at, word } => {
+                self.on_lease(stamp, asked_at, word, out);
+            }
+            RouteEvent::LeadTaken { token, next, left } => self.on_taken_over(token, next, left),
+            RouteEvent::RecordKept { token, number } => self.on_record_kept(token, number),
+            RouteEvent::LeadUnsure { token } => self.on_lead_unsure(token),
+            RouteEvent::LeaderCalled(call, outcome) => self.on_leader_call(stamp, &call, outcome),
+            RouteEvent::UsageAsked(ask) => self.on_usage_asked(&ask, out),
+            RouteEvent::UsageTold(note) => self.on_usage_told(&note),
             RouteEvent::PeersNamed(addresses) => {
                 self.peers.hear_of(&addresses, &self.settings.note_address, stamp.now);
             }
@@ -300,6 +320,7 @@
         self.mark_trials(stamp, out);
         self.ask_reader(stamp, out);
         self.send_notes(stamp, out);
+        self.lead(stamp, out);
     }
 
     /// Tells of zones that are under evacuation from now on, or no longer.
@@ -504,6 +525,11 @@
         })
     }
 
+    /// Random number of this life of the process.
+    pub fn incarnation(&self) -> u64 {
+        self.settings.incarnation
+    }
+
     /// The plan in force.
     pub fn plan(&self) -> &RoutePlan {
         self.table.plan()
--- a/crates/core/src/route/peers/table.rs
+++ b/crates/core/src/route/peers/table.rs
@@ -156,6 +156,12 @@
         self.rows.len() + self.hearsay.len() <= NOTE_FANOUT
     }
 
+    /// All addresses that have, or may have, another box.
+    pub fn addresses(&self) -> Vec<String> {
+        let known = self.rows.values().map(|row| &row.card.note_address);
+        known.chain(self.hearsay.keys()).cloned().collect()
+    }
+
     /// An address that may have a box, by chance: what a box asks that knows nobody yet.
     pub fn any_address(&self, dice: u64) -> Option<String> {
         let known = self.rows.values().map(|row| &row.card.note_address);
--- a/crates/core/src/route/pick.rs
+++ b/crates/core/src/route/pick.rs
@@ -30,6 +30,8 @@
     pub zone: &'a str,
     /// Availability zones whose replicas get nothing.
     pub evacuated: &'a EvacuatedZones,
+    /// Availability zones in which the request may be served; `None` for all.
+    pub zones: Option<&'a [String]>,
     /// Whether the operator bounds what cold replicas get.
     pub bounds_cold: bool,
     /// Replicas that this request has been sent to.
@@ -91,6 +93,7 @@
             let row = &self.rows[**key];
             row.usable(ask.now)
                 && !ask.evacuated.contains(&row.entry.zone)
+                && ask.zones.is_none_or(|zones| zones.contains(&row.entry.zone))
                 && !(ask.bounds_cold && row.too_cold(ask.now))
                 && row.takes_more(ask.now)
                 && ask.version.takes(&row.entry.version)
@@ -123,6 +126,13 @@
         })
     }
 
+    /// Whether a service has replicas, and none of them in these availability zones.
+    pub(super) fn none_in(&self, service: &str, zones: &[String], now: BoxTime) -> bool {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        let mut usable = keys.map(|key| &self.rows[*key]).filter(|row| row.usable(now)).peekable();
+        usable.peek().is_some() && usable.all(|row| !zones.contains(&row.entry.zone))
+    }
+
     /// Whether a service has replicas, and all of them are in zones under evacuation.
     pub(super) fn all_evacuated(
         &self,
--- a/crates/core/src/route/plan.rs
+++ b/crates/core/src/route/plan.rs
@@ -7,6 +7,7 @@
 
 use serde::Serialize;
 
+use super::leader::scale::ScalePlan;
 use super::warm_up::WarmUpPlan;
 
 /// What may be done with a request of a route more than once.
@@ -69,6 +70,8 @@
     pub anonymous: bool,
     /// Models that may answer, the smallest first; empty where the caller names its own.
     pub sizes: Vec<String>,
+    /// Regions in which it may be served; empty for all.
+    pub regions: Vec<String>,
     /// Services with their parts; never empty in a plan that was taken.
     pub targets: Vec<RouteTarget>,
 }
@@ -91,6 +94,8 @@
     pub models: Vec<ModelPlan>,
     /// How little its replicas bear while they are cold, if that is told.
     pub warm_up: Option<WarmUpPlan>,
+    /// How many replicas it may have, if that is the router's to order.
+    pub scale: Option<ScalePlan>,
 }
 
 /// A client account and its keys.
@@ -103,6 +108,8 @@
     pub keys: Vec<String>,
     /// Urgency that goes before the route's.
     pub priority: Option<u8>,
+    /// Regions in which its requests may be served; empty for all.
+    pub regions: Vec<String>,
 }
 
 /// Bounds on what callers may send.
--- a/crates/core/src/route/refuse.rs
+++ b/crates/core/src/route/refuse.rs
@@ -58,7 +58,9 @@
         | RefusalReason::Failed => (503, Some(FULL_RETRY_MS)),
         RefusalReason::NoReplica => (503, Some(FULL_RETRY_MS)),
         // These last for seconds at least; the request's own time says how long its caller may wait.
-        RefusalReason::Evacuated | RefusalReason::HeldBack => (503, Some(FULL_RETRY_MS)),
+        RefusalReason::Evacuated | RefusalReason::HeldBack | RefusalReason::NoRegion => {
+            (503, Some(FULL_RETRY_MS))
+        }
         RefusalReason::NoPlan | RefusalReason::Stale | RefusalReason::Stopping => {
             (503, Some(ELSEWHERE_RETRY_MS))
         }
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -13,6 +13,8 @@
     pub(super) route: RouteSpec,
     pub(super) service: String,
     pub(super) account: Option<String>,
+    /// Availability zones in which it may be served; `None` for all.
+    pub(super) zones: Option<Vec<String>>,
     pub(super) affinity: u64,
     /// Tokens of its prompt, if it has one.
     pub(super) prompt: Option<PromptSize>,
@@ -31,6 +33,8 @@
     pub(super) tried: Vec<ReplicaKey>,
     pub(super) sends: u32,
     pub(super) free_connects: u32,
+    /// Whether a replica is known to have begun to work on it.
+    pub(super) counted: bool,
     /// Whether any replica may have begun to work on it.
     pub(super) may_have_run: bool,
     /// Whether the caller has the head of an answer.
--- a/crates/core/tests/route/fixture.rs
+++ b/crates/core/tests/route/fixture.rs
@@ -1,5 +1,7 @@
 //! A routing box with a plan and replicas, and what a test needs to drive it.
 
+use std::collections::BTreeMap;
+
 use ravenspoke_core::event::{EventStamp, RequestTicket};
 use ravenspoke_core::position::TopicPosition;
 use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
@@ -41,6 +43,8 @@
         is_seed: false,
         fresh: FreshBounds { revoke_ms: Some(5_000), apply_ms: 2_000 },
         budget: BudgetBounds { ratio: 0.9, slack: 60.0, window_ms: 10_000 },
+        leader: None,
+        regions: BTreeMap::new(),
     }
 }
 
@@ -57,12 +61,18 @@
         attempts: 3,
         anonymous: false,
         sizes: Vec::new(),
+        regions: Vec::new(),
         targets: vec![RouteTarget { service: "pool".to_owned(), weight: 1 }],
     }
 }
 
 pub fn plan(version: u64) -> RoutePlan {
-    let holder = KeyHolder { name: "alpha".to_owned(), keys: vec![KEY.to_owned()], priority: None };
+    let holder = KeyHolder {
+        name: "alpha".to_owned(),
+        keys: vec![KEY.to_owned()],
+        priority: None,
+        regions: Vec::new(),
+    };
     RoutePlan {
         version,
         routes: vec![
@@ -86,6 +96,7 @@
         leaving: false,
         cold_ms: 0,
         born: None,
+        spot: false,
     }
 }
 
--- /dev/null
+++ b/crates/core/tests/route/leader.rs
@@ -0,0 +1,154 @@
+//! What one box does for all: never two at once, each window reported once, replicas ordered from what there is.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ravenspoke_core::route::leader::lease::{LeaderPart, LeaseWord};
+use ravenspoke_core::route::leader::scale::{wish, ScalePlan, ZoneStock, ZoneWish};
+use ravenspoke_core::time::BoxTime;
+
+use crate::leader_fleet::{LeaderFleet, LATE_MS, LEASE_MS, WINDOW_MS, ZONES, ZONE_SIZE};
+
+const PLAN: ScalePlan = ScalePlan { min: 1, max: 40, spot_price: Some(0.15) };
+
+fn millis(ms: u64) -> BoxTime {
+    BoxTime::from_millis(ms)
+}
+
+/// A part that was dealt the lease at 1 s, under token 5.
+fn dealt() -> LeaderPart {
+    let mut part = LeaderPart::default();
+    part.hear(LeaseWord { token: 5, dealt: true }, millis(1_000), millis(1_010), LEASE_MS);
+    part
+}
+
+#[test]
+fn a_lease_is_acted_on_only_after_whoever_had_it_no_longer_may() {
+    let mut part = dealt();
+    for at in [2_000, 3_000, 4_000] {
+        part.hear(LeaseWord { token: 7, dealt: true }, millis(at), millis(at + 5), LEASE_MS);
+        part.pass(millis(at + 5));
+        assert_eq!(part.acting(millis(at + 5)), None, "at {at}");
+    }
+    part.pass(millis(4_011));
+
+    let lease = part.acting(millis(4_011)).expect("it acts");
+    assert_eq!(lease.token(), 5, "a lease keeps the token that it began with");
+    assert!(part.acting(millis(6_900)).is_none(), "it was asked for last at 4 s");
+}
+
+#[test]
+fn a_lease_that_lapsed_while_the_box_was_frozen_begins_anew_under_another_token() {
+    let mut part = dealt();
+    part.pass(millis(9_000));
+    part.hear(LeaseWord { token: 9, dealt: true }, millis(9_000), millis(9_005), LEASE_MS);
+    part.pass(millis(9_005));
+
+    assert_eq!(part.acting(millis(9_005)), None);
+    for at in [10_000, 11_000, 12_000] {
+        part.hear(LeaseWord { token: 9, dealt: true }, millis(at), millis(at), LEASE_MS);
+    }
+    part.pass(millis(12_100));
+    assert_eq!(part.acting(millis(12_100)).map(|lease| lease.token()), Some(9));
+}
+
+#[test]
+fn cheap_replicas_replace_usual_ones_only_as_they_serve() {
+    let stock = |usual, spot| ZoneStock { usual, spot };
+    assert_eq!(wish(&PLAN, 20, stock(20, 0)), ZoneWish { usual: 20, spot: 17 });
+    assert_eq!(wish(&PLAN, 20, stock(20, 9)), ZoneWish { usual: 11, spot: 17 });
+    assert_eq!(wish(&PLAN, 20, stock(3, 17)), ZoneWish { usual: 3, spot: 17 });
+    assert_eq!(wish(&PLAN, 20, stock(3, 0)), ZoneWish { usual: 20, spot: 17 }, "taken away");
+}
+
+#[test]
+fn both_kinds_together_stay_within_the_limit() {
+    let tight = ScalePlan { max: 24, ..PLAN };
+    for usual in 0..=24 {
+        for spot in 0..=24 {
+            let wish = wish(&tight, 20, ZoneStock { usual, spot });
+            assert!(
+                wish.usual + wish.spot <= tight.max.max(usual + spot),
+                "{usual} {spot} {wish:?}"
+            );
+            assert!(wish.usual >= 1);
+        }
+    }
+}
+
+#[test]
+fn without_cheap_replicas_the_size_stays_as_it_was() {
+    let usual_only = ScalePlan { spot_price: None, ..PLAN };
+    let stock = ZoneStock { usual: 12, spot: 0 };
+    assert_eq!(wish(&usual_only, 20, stock), ZoneWish { usual: 20, spot: 0 });
+}
+
+#[test]
+fn each_window_is_reported_once_and_by_its_due_time() {
+    let mut fleet = LeaderFleet::new(5, 1, false);
+    fleet.run(60_000);
+
+    let reports = fleet.reports();
+    let last = fleet.window() - 1 - LATE_MS / WINDOW_MS;
+    for window in last - 6..=last {
+        let counts = reports.get(&window).unwrap_or_else(|| panic!("window {window} is missing"));
+        assert_eq!(counts.len(), 1, "window {window}");
+        let reported: u64 = counts.iter().flat_map(BTreeMap::values).sum();
+        assert_eq!(reported, fleet.truth[&window], "window {window} {:?}", fleet.truth);
+    }
+}
+
+#[test]
+fn one_box_at_a_time_acts_and_no_window_has_two_reports_whatever_strikes() {
+    for seed in (1..=8).chain([11, 45]) {
+        let mut fleet = LeaderFleet::new(4, seed, true);
+        fleet.faults = true;
+        fleet.run(120_000);
+        check(&fleet, seed);
+        fleet.faults = false;
+        fleet.run(60_000);
+        check(&fleet, seed);
+        let last = fleet.window() - 1 - LATE_MS / WINDOW_MS;
+        assert!(fleet.reports().contains_key(&last), "seed {seed}: nobody reports any more");
+    }
+}
+
+/// The platform's rules on what one box does for all.
+fn check(fleet: &LeaderFleet, seed: u64) {
+    for (window, counts) in fleet.reports() {
+        assert_eq!(counts.len(), 1, "seed {seed}: window {window} has two reports");
+    }
+    let mut holders: BTreeMap<u64, BTreeSet<usize>> = BTreeMap::new();
+    for done in &fleet.done {
+        holders.entry(done.token).or_default().insert(done.holder);
+    }
+    assert!(holders.values().all(|boxes| boxes.len() == 1), "seed {seed}: {holders:?}");
+    let mut turns: Vec<(u64, usize)> = Vec::new();
+    for done in &fleet.done {
+        if turns.last().is_none_or(|(_, holder)| *holder != done.holder) {
+            turns.push((done.at, done.holder));
+        }
+    }
+    for turn in turns.windows(3) {
+        let back = turn[0].1 == turn[2].1 && turn[2].0 - turn[1].0 < LEASE_MS;
+        assert!(!back, "seed {seed}: {turn:?}");
+    }
+}
+
+#[test]
+fn a_zone_that_loses_its_cheap_replicas_gets_usual_ones_at_once() {
+    let mut fleet = LeaderFleet::new(3, 1, true);
+    fleet.run(60_000);
+    for zone in ZONES {
+        assert_eq!((fleet.count(zone, false), fleet.count(zone, true)), (3, 17), "{zone}");
+    }
+
+    fleet.has_spot = false;
+    fleet.reclaim("east");
+    fleet.run(8_000);
+    assert_eq!(fleet.count("east", false), ZONE_SIZE as usize);
+    assert_eq!(fleet.count("north", true), 17, "the others stay as they are");
+
+    fleet.has_spot = true;
+    fleet.run(40_000);
+    assert_eq!((fleet.count("east", false), fleet.count("east", true)), (3, 17));
+}
--- /dev/null
+++ b/crates/core/tests/route/leader_fleet.rs
@@ -0,0 +1,564 @@
+//! Boxes that ask a store for the lease of what one does for all, and a platform that takes the holder's calls, in virtual
+//! time: boxes freeze, die, and lose the store or the platform's API; calls are carried out late.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ravenspoke_core::event::EventStamp;
+use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
+use ravenspoke_core::route::event::{RouteEffect, RouteEvent};
+use ravenspoke_core::route::leader::lease::{token, LeaseWord};
+use ravenspoke_core::route::leader::scale::{ScalePlan, ScaleSubject};
+use ravenspoke_core::route::leader::usage::{AccountCounts, UsageBounds};
+use ravenspoke_core::route::leader::{
+    CallOutcome, KeptRecord, LeaderBounds, LeaderCall, LeaderOrder, LeaderRecord, LeaderStep,
+};
+use ravenspoke_core::route::plan::ServicePlan;
+use ravenspoke_core::route::RouteState;
+use ravenspoke_core::time::{BoxTime, WallTime};
+
+use crate::fixture::{ask, at, entry, head, order_in, plan, settings};
+
+/// Length of the lease, in milliseconds.
+pub const LEASE_MS: u64 = 3_000;
+
+/// Length of a window, in milliseconds.
+pub const WINDOW_MS: u64 = 5_000;
+
+/// A report is due this long after its window's end, in milliseconds.
+pub const LATE_MS: u64 = 10_000;
+
+/// The wall clock at the start, in Unix milliseconds.
+const WALL_START_MS: u64 = 1_700_000_001_000;
+
+/// Boxes tick this often, in milliseconds.
+const TICK_MS: u64 = 200;
+
+/// A call that is slow is carried out this much later at most, in milliseconds.
+const SLOW_MS: u64 = 4_000;
+
+/// Zones of the service, and the replicas that each has at first.
+pub const ZONES: [&str; 3] = ["east", "north", "west"];
+pub const ZONE_SIZE: u32 = 20;
+
+/// A replica that was ordered serves after this, in milliseconds.
+const BOOT_MS: u64 = 4_000;
+
+/// What the platform has done, as it saw it.
+#[derive(Debug)]
+pub struct DoneCall {
+    pub at: u64,
+    pub holder: usize,
+    pub token: u64,
+    pub call: LeaderCall,
+}
+
+/// The store's group and topic.
+#[derive(Debug, Default)]
+struct LeaseStore {
+    generation: u64,
+    /// Members with when they were heard last.
+    members: BTreeMap<(usize, u32), u64>,
+    owner: Option<(usize, u32)>,
+    /// The owner is to let go first.
+    next_owner: Option<(usize, u32)>,
+    epoch: u64,
+    /// Number of the next record in the epoch.
+    next: u64,
+    records: BTreeMap<String, LeaderRecord>,
+}
+
+impl LeaseStore {
+    fn expire(&mut self, now: u64) {
+        let before = self.members.len();
+        self.members.retain(|_, heard| now - *heard < LEASE_MS);
+        if self.members.len() != before {
+            self.generation += 1;
+        }
+        if self.owner.is_some_and(|owner| !self.members.contains_key(&owner)) {
+            self.owner = None;
+        }
+        if self.next_owner.is_some_and(|owner| !self.members.contains_key(&owner)) {
+            self.next_owner = None;
+        }
+    }
+
+    fn join(&mut self, member: (usize, u32), known: u64, now: u64) -> (u64, bool) {
+        self.expire(now);
+        if self.members.insert(member, now).is_none() {
+            self.generation += 1;
+        }
+        if self.owner == Some(member) && self.next_owner.is_some() && known >= self.generation {
+            self.owner = self.next_owner.take();
+        }
+        if self.owner.is_none() {
+            self.owner = Some(self.next_owner.take().unwrap_or(member));
+            self.generation += 1;
+        }
+        (self.generation, self.owner == Some(member) && self.next_owner.is_none())
+    }
+
+    /// Deals the lease anew, unasked.
+    fn deal_anew(&mut self, draw: u64) {
+        let members: Vec<_> = self.members.keys().copied().collect();
+        if let Some(index) = draw.checked_rem(members.len() as u64) {
+            self.next_owner =
+                Some(members[index as usize]).filter(|next| self.owner != Some(*next));
+            self.generation += 1;
+        }
+    }
+}
+
+/// A box, its tasks, and what it suffers.
+struct FleetBox {
+    state: RouteState,
+    life: u32,
+    frozen_until: u64,
+    storeless_until: u64,
+    cloudless_until: u64,
+    next_tick: u64,
+    next_join: u64,
+    generation: u64,
+    tickets: u64,
+}
+
+/// Something under way.
+enum Parcel {
+    Event(usize, u32, RouteEvent),
+    Join(usize, u32, u64, u64),
+    Step(usize, u32, LeaderOrder),
+}
+
+/// The fleet.
+pub struct LeaderFleet {
+    pub now: u64,
+    random: u64,
+    boxes: Vec<FleetBox>,
+    store: LeaseStore,
+    parcels: BTreeMap<(u64, u64), Parcel>,
+    numbers: u64,
+    pub done: Vec<DoneCall>,
+    /// The highest token seen, by subject.
+    seen: BTreeMap<String, u64>,
+    /// Requests whose run began, by window.
+    pub truth: BTreeMap<u64, u64>,
+    /// Whether faults strike.
+    pub faults: bool,
+    /// Whether the platform has replicas that may be taken away to give.
+    pub has_spot: bool,
+    orders: BTreeMap<ScaleSubject, u32>,
+    offset: u64,
+    replicas: u64,
+    standing: BTreeMap<(String, bool), Vec<String>>,
+    /// Whether the plan lets the router order replicas.
+    scales: bool,
+    size: usize,
+}
+
+fn stamp(now: u64, dice: u64) -> EventStamp {
+    EventStamp { now: BoxTime::from_millis(now), wall: WallTime(WALL_START_MS + now), dice }
+}
+
+impl LeaderFleet {
+    pub fn new(boxes: usize, seed: u64, scales: bool) -> Self {
+        let mut fleet = Self {
+            now: 1_000,
+            random: seed.wrapping_mul(2).wrapping_add(1),
+            boxes: Vec::new(),
+            store: LeaseStore::default(),
+            parcels: BTreeMap::new(),
+            numbers: 0,
+            done: Vec::new(),
+            seen: BTreeMap::new(),
+            truth: BTreeMap::new(),
+            faults: false,
+            has_spot: true,
+            orders: BTreeMap::new(),
+            offset: 0,
+            replicas: 0,
+            standing: BTreeMap::new(),
+            scales,
+            size: boxes,
+        };
+        for number in 0..boxes {
+            let fresh = fleet.start(number, 0);
+            fleet.boxes.push(fresh);
+        }
+        for zone in ZONES {
+            for _ in 0..ZONE_SIZE {
+                fleet.add_replica(zone, false);
+            }
+        }
+        fleet
+    }
+
+    /// A box that starts, and knows the plan and the replicas.
+    fn start(&mut self, number: usize, life: u32) -> FleetBox {
+        let usage = Some(UsageBounds { window_ms: WINDOW_MS, late_ms: LATE_MS });
+        let leader = Some(LeaderBounds { lease_ms: LEASE_MS, usage, scales: self.scales });
+        let incarnation = 1 + u64::from(life);
+        let name = format!("box-{number}");
+        let mut state = RouteState::new(ravenspoke_core::route::RouteSettings {
+            leader,
+            incarnation,
+            ..settings(&name)
+        });
+        let mut plan = plan(1);
+        if self.scales {
+            let scale = Some(ScalePlan { min: 1, max: 40, spot_price: Some(0.15) });
+            plan.services
+                .insert("pool".to_owned(), ServicePlan { scale, ..ServicePlan::default() });
+        }
+        let asked_at = BoxTime::from_millis(self.now);
+        let read = RouteEvent::PlanRead { asked_at, read_to: at(1), plan: Some(plan) };
+        drop(state.apply(stamp(self.now, 1), read));
+        let tick = self.now + self.draw(TICK_MS);
+        let mut fresh = FleetBox {
+            state,
+            life,
+            frozen_until: 0,
+            storeless_until: 0,
+            cloudless_until: 0,
+            next_tick: tick,
+            next_join: tick,
+            generation: 0,
+            tickets: 0,
+        };
+        let others = (0..self.size).map(|other| format!("box-{other}:90")).collect();
+        drop(fresh.state.apply(stamp(self.now, 3), RouteEvent::PeersNamed(others)));
+        let listed = self.entries();
+        let end = at(self.offset + 1);
+        drop(fresh.state.apply(stamp(self.now, 2), RouteEvent::BackendsListed { end, listed }));
+        fresh
+    }
+
+    fn entries(&self) -> Vec<BackendChange> {
+        let mut rows = Vec::new();
+        for ((zone, spot), ids) in &self.standing {
+            for id in ids {
+                rows.push(BackendChange {
+                    id: id.clone(),
+                    at: at(1),
+                    entry: Some(row(id, zone, *spot)),
+                });
+            }
+        }
+        rows
+    }
+
+    pub fn draw(&mut self, below: u64) -> u64 {
+        self.random = self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695);
+        (self.random >> 33) % below.max(1)
+    }
+
+    fn post(&mut self, at: u64, parcel: Parcel) {
+        self.numbers += 1;
+        self.parcels.insert((at, self.numbers), parcel);
+    }
+
+    fn tell_all(&mut self, change: BackendChange) {
+        for number in 0..self.boxes.len() {
+            let life = self.boxes[number].life;
+            let event = RouteEvent::BackendsChanged(vec![change.clone()]);
+            self.post(self.now + 1, Parcel::Event(number, life, event));
+        }
+    }
+
+    fn add_replica(&mut self, zone: &str, spot: bool) {
+        self.replicas += 1;
+        self.offset += 1;
+        let id = format!("r-{}", self.replicas);
+        self.standing.entry((zone.to_owned(), spot)).or_default().push(id.clone());
+        let entry = Some(row(&id, zone, spot));
+        self.tell_all(BackendChange { id, at: at(self.offset), entry });
+    }
+
+    fn drop_replica(&mut self, zone: &str, spot: bool) {
+        let ids = self.standing.entry((zone.to_owned(), spot)).or_default();
+        let Some(id) = ids.pop() else { return };
+        self.offset += 1;
+        self.tell_all(BackendChange { id, at: at(self.offset), entry: None });
+    }
+
+    /// The platform takes all replicas of the cheap kind of a zone away.
+    pub fn reclaim(&mut self, zone: &str) {
+        while self.count(zone, true) > 0 {
+            self.drop_replica(zone, true);
+        }
+        self.orders.retain(|subject, _| subject.zone != zone || !subject.spot);
+    }
+
+    pub fn count(&self, zone: &str, spot: bool) -> usize {
+        self.standing.get(&(zone.to_owned(), spot)).map_or(0, Vec::len)
+    }
+
+    /// Lets so many milliseconds pass.
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now += 10;
+            self.strike();
+            self.deliver();
+            self.move_boxes();
+            self.boot();
+        }
+    }
+
+    fn strike(&mut self) {
+        if !self.faults || self.draw(50) != 0 {
+            return;
+        }
+        let number = self.draw(self.boxes.len() as u64) as usize;
+        let until = self.now + 300 + self.draw(8_000);
+        match self.draw(6) {
+            0 => self.boxes[number].frozen_until = until,
+            1 => self.boxes[number].storeless_until = until,
+            2 => self.boxes[number].cloudless_until = until,
+            3 => {
+                let life = self.boxes[number].life + 1;
+                self.boxes[number] = self.start(number, life);
+            }
+            4 => {
+                let draw = self.draw(1_000);
+                self.store.deal_anew(draw);
+            }
+            _ => {}
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.parcels.first_entry() {
+            if entry.key().0 > self.now {
+                return;
+            }
+            match entry.remove() {
+                Parcel::Event(number, life, event) => self.hear(number, life, event),
+                Parcel::Join(number, life, asked_at, known) => {
+                    self.join(number, life, asked_at, known);
+                }
+                Parcel::Step(number, life, order) => self.carry_out(number, life, order),
+            }
+        }
+    }
+
+    fn hear(&mut self, number: usize, life: u32, event: RouteEvent) {
+        let subject = &self.boxes[number];
+        if subject.life != life {
+            return;
+        }
+        if subject.frozen_until > self.now {
+            let until = subject.frozen_until;
+            return self.post(until, Parcel::Event(number, life, event));
+        }
+        let dice = self.draw(u64::MAX);
+        let effects = self.boxes[number].state.apply(stamp(self.now, dice), event);
+        self.take(number, effects);
+    }
+
+    fn join(&mut self, number: usize, life: u32, asked_at: u64, known: u64) {
+        let (generation, dealt) = self.store.join((number, life), known, self.now);
+        let subject = &mut self.boxes[number];
+        if subject.life == life {
+            subject.generation = generation;
+        }
+        let word = LeaseWord { token: token(0, generation), dealt };
+        let asked_at = BoxTime::from_millis(asked_at);
+        let way = 2 + self.draw(20);
+        self.post(
+            self.now + way,
+            Parcel::Event(number, life, RouteEvent::LeaseAnswered { asked_at, word }),
+        );
+    }
+
+    fn move_boxes(&mut self) {
+        for number in 0..self.boxes.len() {
+            if self.boxes[number].frozen_until > self.now || self.boxes[number].next_tick > self.now
+            {
+                continue;
+            }
+            self.boxes[number].next_tick = self.now + TICK_MS;
+            self.renew(number);
+            let life = self.boxes[number].life;
+            self.hear(number, life, RouteEvent::Tick);
+            self.serve(number);
+            self.ask_for_lease(number);
+        }
+    }
+
+    /// The box reads the store, which shows nothing new.
+    fn renew(&mut self, number: usize) {
+        let asked_at = BoxTime::from_millis(self.now);
+        let event = RouteEvent::PlanRead { asked_at, read_to: at(1), plan: None };
+        let life = self.boxes[number].life;
+        self.hear(number, life, event);
+    }
+
+    /// A request arrives, and is answered.
+    fn serve(&mut self, number: usize) {
+        self.boxes[number].tickets += 1;
+        let ticket = ravenspoke_core::event::RequestTicket(self.boxes[number].tickets);
+        let now = stamp(self.now, 11);
+        let state = &mut self.boxes[number].state;
+        let sent = state.apply(now, RouteEvent::Arrived(ticket, ask("/read/x")));
+        if order_in(&sent).is_some() {
+            drop(state.apply(now, RouteEvent::HeadCame(ticket, head(200))));
+            drop(state.apply(now, RouteEvent::Finished(ticket)));
+            *self.truth.entry(now.wall.0 / WINDOW_MS).or_default() += 1;
+        }
+    }
+
+    fn ask_for_lease(&mut self, number: usize) {
+        let subject = &self.boxes[number];
+        let now = BoxTime::from_millis(self.now);
+        if subject.next_join > self.now || !subject.state.wants_lease(now) {
+            return;
+        }
+        let (life, known, cut) =
+            (subject.life, subject.generation, subject.storeless_until > self.now);
+        self.boxes[number].next_join = self.now + LEASE_MS / 3;
+        if !cut {
+            let way = 2 + self.draw(60);
+            self.post(self.now + way, Parcel::Join(number, life, self.now, known));
+        }
+    }
+
+    fn take(&mut self, number: usize, effects: Vec<RouteEffect>) {
+        let life = self.boxes[number].life;
+        for effect in effects {
+            match effect {
+                RouteEffect::SendNotes(to, note) => {
+                    for target in to {
+                        self.send(&target, RouteEvent::PeerHeard(note.clone()));
+                    }
+                }
+                RouteEffect::AskUsage(to, ask) => {
+                    for target in to {
+                        self.send(&target, RouteEvent::UsageAsked(ask.clone()));
+                    }
+                }
+                RouteEffect::TellUsage(to, note) => self.send(&to, RouteEvent::UsageTold(note)),
+                RouteEffect::Lead(order) if BoxTime::from_millis(self.now) < order.until => {
+                    self.launch(number, life, order);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, target: &str, event: RouteEvent) {
+        let number = target.trim_start_matches("box-").trim_end_matches(":90").parse::<usize>();
+        let Some(number) = number.ok().filter(|number| *number < self.boxes.len()) else { return };
+        let life = self.boxes[number].life;
+        let way = 1 + self.draw(4);
+        self.post(self.now + way, Parcel::Event(number, life, event));
+    }
+
+    /// A step leaves the box; a call may be carried out seconds later.
+    fn launch(&mut self, number: usize, life: u32, order: LeaderOrder) {
+        let subject = &self.boxes[number];
+        let cloud = matches!(order.step, LeaderStep::Call(_));
+        let until = if cloud { subject.cloudless_until } else { subject.storeless_until };
+        if until > self.now {
+            return;
+        }
+        let slow = self.faults && self.draw(4) == 0;
+        let way = 2 + if slow { self.draw(SLOW_MS) } else { self.draw(20) };
+        self.post(self.now + way, Parcel::Step(number, life, order));
+    }
+
+    fn carry_out(&mut self, number: usize, life: u32, order: LeaderOrder) {
+        match order.step {
+            LeaderStep::TakeOver => {
+                if order.token < self.store.epoch {
+                    return;
+                }
+                if order.token > self.store.epoch {
+                    self.store.epoch = order.token;
+                    self.store.next = 0;
+                }
+                let left = self.store.records.values().cloned().collect();
+                let next = self.store.next;
+                let event = RouteEvent::LeadTaken { token: order.token, next, left };
+                self.post(self.now + 3, Parcel::Event(number, life, event));
+            }
+            LeaderStep::Keep(KeptRecord { number: count, record }) => {
+                if order.token != self.store.epoch || count > self.store.next {
+                    return;
+                }
+                let token = order.token;
+                let kept = RouteEvent::RecordKept { token, number: count };
+                self.post(self.now + 3, Parcel::Event(number, life, kept));
+                if count < self.store.next {
+                    return;
+                }
+                self.store.next += 1;
+                let key = match &record {
+                    LeaderRecord::Usage(_) => "usage".to_owned(),
+                    LeaderRecord::Size(size) => size.service.clone(),
+                };
+                self.store.records.insert(key, record);
+            }
+            LeaderStep::Call(call) => {
+                let outcome = self.platform_call(number, order.token, &call);
+                self.post(
+                    self.now + 3,
+                    Parcel::Event(number, life, RouteEvent::LeaderCalled(call, outcome)),
+                );
+            }
+        }
+    }
+
+    fn platform_call(&mut self, holder: usize, token: u64, call: &LeaderCall) -> CallOutcome {
+        let subject = match call {
+            LeaderCall::Report(_) => "usage".to_owned(),
+            LeaderCall::Scale(subject, _) => format!("{} {}", subject.service, subject.zone),
+        };
+        let seen = self.seen.entry(subject).or_default();
+        if token < *seen {
+            return CallOutcome::Refused;
+        }
+        *seen = token;
+        if let LeaderCall::Scale(subject, wanted) = call {
+            if subject.spot && !self.has_spot && *wanted > 0 {
+                return CallOutcome::Refused;
+            }
+            self.orders.insert(subject.clone(), *wanted);
+        }
+        self.done.push(DoneCall { at: self.now, holder, token, call: call.clone() });
+        CallOutcome::Done
+    }
+
+    /// Replicas that were ordered start, and those that are too many go.
+    fn boot(&mut self) {
+        if self.now % BOOT_MS != 0 {
+            return;
+        }
+        for (subject, wanted) in self.orders.clone() {
+            while self.count(&subject.zone, subject.spot) < wanted as usize {
+                self.add_replica(&subject.zone, subject.spot);
+            }
+            while self.count(&subject.zone, subject.spot) > wanted as usize {
+                self.drop_replica(&subject.zone, subject.spot);
+            }
+        }
+    }
+
+    /// Reports that the platform took, by window.
+    pub fn reports(&self) -> BTreeMap<u64, BTreeSet<AccountCounts>> {
+        let mut reports: BTreeMap<u64, BTreeSet<AccountCounts>> = BTreeMap::new();
+        for done in &self.done {
+            if let LeaderCall::Report(report) = &done.call {
+                reports.entry(report.window).or_default().insert(report.counts.clone());
+            }
+        }
+        reports
+    }
+
+    /// The window of a moment.
+    pub fn window(&self) -> u64 {
+        (WALL_START_MS + self.now) / WINDOW_MS
+    }
+}
+
+fn row(id: &str, zone: &str, spot: bool) -> BackendEntry {
+    BackendEntry { zone: zone.to_owned(), spot, ..entry(id, "v1") }
+}
--- /dev/null
+++ b/crates/core/tests/route/regions.rs
@@ -0,0 +1,79 @@
+//! Regions that a route or a client account allows, at every attempt of a request.
+
+use ravenspoke_core::route::backend::BackendEntry;
+use ravenspoke_core::route::event::{AttemptFailure, RefusalReason, RouteEvent};
+use ravenspoke_core::route::plan::RoutePlan;
+use ravenspoke_core::route::{RouteSettings, RouteState};
+
+use crate::fixture::{ask, entry, head, is_refused, new_box, order_in, plan, settings, TestBox};
+
+/// A plan whose routes, and whose client account, allow these regions.
+fn bound_plan(of_routes: &[&str], of_account: &[&str]) -> RoutePlan {
+    let names = |regions: &[&str]| regions.iter().map(|name| (*name).to_owned()).collect();
+    let mut plan = plan(1);
+    for route in &mut plan.routes {
+        route.regions = names(of_routes);
+    }
+    for holder in plan.holders.iter_mut().flatten() {
+        holder.regions = names(of_account);
+    }
+    plan
+}
+
+/// A box between two regions of two zones each, with a replica in each zone.
+fn subject(plan: RoutePlan) -> TestBox {
+    let mut subject = new_box("box-1");
+    let zones = [("east", "inland"), ("north", "inland"), ("south", "coast"), ("west", "coast")];
+    let regions = zones.map(|(zone, region)| (zone.to_owned(), region.to_owned())).into();
+    subject.state = RouteState::new(RouteSettings { regions, ..settings("box-1") });
+    subject.read_plan(Some(plan));
+    for (zone, _) in zones {
+        subject.put(BackendEntry { zone: zone.to_owned(), ..entry(&format!("r-{zone}"), "v1") });
+    }
+    subject
+}
+
+#[test]
+fn further_sends_and_resumed_streams_stay_in_the_allowed_region() {
+    let mut subject = subject(bound_plan(&["coast"], &[]));
+    for _ in 0..20 {
+        let (ticket, first) = subject.sent(ask("/chat/x"));
+        subject.feed(RouteEvent::HeadCame(ticket, head(200)));
+        let broken = subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken));
+        let next = order_in(&broken).expect("it is resumed");
+        let mut used = [first.replica_id, next.replica_id];
+        used.sort();
+        assert_eq!(used, ["r-south", "r-west"]);
+        let again = subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken));
+        assert_eq!(order_in(&again), None, "no replica of the region is left");
+        subject.now += 10_000;
+        subject.read_plan(None);
+    }
+}
+
+#[test]
+fn what_a_route_and_an_account_allow_holds_together() {
+    let mut subject = subject(bound_plan(&["coast"], &["inland"]));
+    let refusal = subject.refused(ask("/read/x"));
+    assert!(is_refused(refusal, 503, RefusalReason::NoRegion), "{refusal:?}");
+}
+
+#[test]
+fn a_region_that_is_not_there_is_refused_at_once_and_has_not_run() {
+    let mut subject = subject(bound_plan(&["moon"], &[]));
+    let refusal = subject.refused(ask("/file/x"));
+    assert!(is_refused(refusal, 503, RefusalReason::NoRegion), "{refusal:?}");
+    assert!(refusal.retry_after_ms.is_some());
+}
+
+#[test]
+fn a_plan_without_regions_uses_all() {
+    let mut subject = subject(bound_plan(&[], &[]));
+    let mut used = std::collections::BTreeSet::new();
+    for _ in 0..60 {
+        let (ticket, order) = subject.sent(ask("/read/x"));
+        used.insert(order.replica_id);
+        subject.feed(RouteEvent::Finished(ticket));
+    }
+    assert_eq!(used.len(), 4);
+}
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -4,6 +4,8 @@
 //! Each fault is a setting, and each keeps a record of what it was asked: a test's witness is the
 //! stand-in and not the router's word.
 
+pub mod cloud;
+mod group;
 pub mod replica;
 pub mod site;
 pub mod site_box;
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -40,6 +40,12 @@
 /// Descriptors of a box, as small installations give them.
 const DESCRIPTORS: u32 = 4_100;
 
+/// Length of the lease of what one box does for all, in milliseconds.
+pub const LEASE_MS: u64 = 1_000;
+
+/// Length of a window of usage, in seconds.
+pub const WINDOW_S: u64 = 2;
+
 /// A loopback address that nothing else of this process, or of another that lives, uses.
 pub fn own_address() -> IpAddr {
     static NEXT: AtomicU8 = AtomicU8::new(1);
@@ -64,6 +70,8 @@
     pub bad_seed: Option<String>,
     /// What the plan says of cold replicas: for how many seconds they are cold, and what they bear a second.
     pub warm_up: Option<(f64, f64)>,
+    /// Where boxes started from now on reach the platform's API, if it has any.
+    pub cloud: Option<SocketAddr>,
     binary: PathBuf,
     folder: PathBuf,
     seeds: Vec<IpAddr>,
@@ -83,6 +91,7 @@
             store_path: None,
             bad_seed: None,
             warm_up: None,
+            cloud: None,
             binary: binary.to_owned(),
             folder,
             seeds: Vec::new(),
@@ -162,6 +171,11 @@
     fn settings(&self, name: &str, ip: IpAddr) -> String {
         let seeds = self.seeds.iter().rev().take(3).map(|seed| format!("\"{seed}:{SEED_PORT}\""));
         let seeds: Vec<String> = seeds.chain(self.bad_seed.clone()).collect();
+        let cloud = self.cloud.map(|address| {
+            format!(
+                "[cloud]\naddress = \"{address}\"\nduties = [\"usage_report\", \"autoscale\"]\n"
+            )
+        });
         format!(
             "node = \"{name}\"\nrole = \"gateway\"\nip = \"{ip}\"\nzone = \"east\"\n\
              ephemeral_ports = [{NOTES_PORT}, {}]\nseeds = [{}]\nfield_of_tomorrow = true\n\
@@ -169,11 +183,14 @@
              directory = \"{ip}:{DIRECTORY_PORT}\"\n\
              [bounds]\nstrict_revoke = true\nrevoke_ms = 5000\nconfig_apply_ms = 2000\n\
              grace_s = 8\nretry_budget_ratio = 0.9\nretry_slack = 60\n\
-             [limits]\nmax_fds = {}\n[platform]\naddress = \"{}\"\n",
+             lease_ms = {LEASE_MS}\nusage_window_s = {WINDOW_S}\nusage_late_s = 4\n\
+             [zones]\neast = \"inland\"\nwest = \"coast\"\n\
+             [limits]\nmax_fds = {}\n[platform]\naddress = \"{}\"\n{}",
             NOTES_PORT + 15,
             seeds.join(", "),
             self.descriptors,
             self.store_path.unwrap_or(self.store.address),
+            cloud.unwrap_or_default(),
         )
     }
 
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -11,6 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
+use super::group::StoreGroup;
 use super::site::{OPERATOR_TOPIC, REPLICA_TOPIC};
 use super::wire::{read_request, whole_answer, WireRequest};
 
@@ -75,6 +76,9 @@
     topic_calls: HashMap<(IpAddr, String), u64>,
     /// Rises each time that it comes back from a copy.
     era: u64,
+    groups: HashMap<String, StoreGroup>,
+    /// Epoch of each topic's producer, and the sequence that is next.
+    epochs: HashMap<String, (u64, u64)>,
 }
 
 /// The store's data as they were at some time.
@@ -272,6 +276,8 @@
             "/-/log-append" => self.append(&topic, request),
             "/-/log-read" => self.read(&topic, request).await,
             "/-/log-newest" => self.list(&topic),
+            "/-/log-join" => self.join(request),
+            "/-/log-leave" => self.leave(request),
             _ => self.answer_with(404, b""),
         }
     }
@@ -287,6 +293,24 @@
         if at.is_some_and(|at| at != end) {
             return state.answer(412, json!({ "end": end }).to_string().as_bytes());
         }
+        let number = |name| request.query(name).and_then(|text| text.parse::<u64>().ok());
+        if let Some((epoch, sequence)) = number("epoch").zip(number("sequence")) {
+            let (known, next) = state.epochs.get(topic).copied().unwrap_or((0, 0));
+            if epoch < known {
+                return state.answer(409, json!({ "reason": "fenced" }).to_string().as_bytes());
+            }
+            if epoch == known && sequence + 1 == next {
+                return state.answer(200, json!({ "end": end }).to_string().as_bytes());
+            }
+            if epoch == known && sequence != next {
+                let refusal = json!({ "reason": "seq", "sequence": next });
+                return state.answer(409, refusal.to_string().as_bytes());
+            }
+            state.epochs.insert(topic.to_owned(), (epoch, sequence + 1));
+            if request.body.is_empty() {
+                return state.answer(200, json!({ "end": end }).to_string().as_bytes());
+            }
+        }
         // A record: four bytes of length, a byte of the key's length, the key, the value.
         let body = &request.body[4..];
         let (key, value) = body[1..].split_at(usize::from(body[0]));
@@ -296,6 +320,29 @@
         state.answer(200, answer.to_string().as_bytes())
     }
 
+    /// A member joins a group, whose topic has one partition to deal.
+    fn join(&self, request: &WireRequest) -> Vec<u8> {
+        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        let text = |name: &str| body[name].as_str().unwrap_or_default().to_owned();
+        let mut state = self.lock();
+        let group = state.groups.entry(text("group")).or_default();
+        let (generation, owns) =
+            group.join(&text("member"), body["ttl_ms"].as_u64().unwrap_or_default());
+        let parts = if owns { json!([[body["topics"][0], 0, 0]]) } else { json!([]) };
+        let answer = json!({ "generation": generation, "ttl_ms": body["ttl_ms"], "parts": parts });
+        state.answer(200, answer.to_string().as_bytes())
+    }
+
+    fn leave(&self, request: &WireRequest) -> Vec<u8> {
+        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        let text = |name: &str| body[name].as_str().unwrap_or_default().to_owned();
+        let mut state = self.lock();
+        if let Some(group) = state.groups.get_mut(&text("group")) {
+            group.leave(&text("member"));
+        }
+        state.answer(200, b"{}")
+    }
+
     async fn read(&self, topic: &str, request: &WireRequest) -> Vec<u8> {
         let number = |name| request.query(name).and_then(|text| text.parse::<u64>().ok());
         let from = number("from").unwrap_or(0);
