start: boxes that start together learn of the replicas from each other; answers keep to a part of the link

Cause: whoever knew nothing 250 to 1,000 ms after its start listed all replicas in the store. A cost of boxes times replicas.

Change: who hears of a box that reads, or knows all, waits to be told (10 s at most); else turns by rank; who comes to know tells so at once, and who hears that asks it. Open boxes of the own zone are asked first. Answers are paced to a quarter of the box's link and wait 250 ms at most; an ask that could not be answered by then is passed over before any work is done. A page is packed once for all that ask for it, and found by an index in place of a look at all replicas; a listing is compared by hash, not by pairs.

Failed: turns by rank alone (28 listings of 30 boxes: they know few others by then); notes each 200 ms at the start (no gain).

A test of a listing that stops halfway lets its box tick when its turn comes, as a box does: the turn is taken there.

--- /dev/null
+++ b/crates/box/src/gateway/answer_pace.rs
@@ -0,0 +1,83 @@
+//! How much of its link a box gives to answers to other boxes.
+//!
+//! Load pattern: hundreds of boxes start at once and ask the few that know all replicas, each for pages of them. An answer
+//! that waits for long comes too late: the box has asked another by then. So few wait, and a box that can't answer soon
+//! passes an ask over before any work is done for it.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use ravenspoke_core::route::peers::PeerNote;
+use ravenspoke_core::time::BoxTime;
+
+/// Part of a box's link that answers to other boxes take, at most: the rest is for callers and replicas.
+pub const ANSWER_SHARE: f64 = 0.25;
+
+/// An answer waits for no longer than this, in milliseconds.
+pub const ANSWER_WAIT_MS: u64 = 250;
+
+/// Bytes of an answer without replicas' entries.
+const BARE_BYTES: usize = 600;
+
+/// Bytes of an entry in an answer, deflated.
+const ENTRY_BYTES: usize = 16;
+
+/// What answers may take of a box's link, and how many bytes of them wait.
+#[derive(Debug)]
+pub struct AnswerPace {
+    bytes_per_s: f64,
+    waiting: AtomicUsize,
+}
+
+impl AnswerPace {
+    /// The pace for a link of so many megabits a second.
+    pub fn new(link_mbps: f64) -> Self {
+        let bytes_per_s = (link_mbps * 1e6 / 8.0 * ANSWER_SHARE).max(1.0);
+        Self { bytes_per_s, waiting: AtomicUsize::new(0) }
+    }
+
+    /// About how long an answer is, in bytes.
+    pub fn expected_bytes(note: &PeerNote) -> usize {
+        BARE_BYTES + ENTRY_BYTES * note.changes.len()
+    }
+
+    /// Whether another answer would be sent soon.
+    pub fn has_room(&self) -> bool {
+        let limit = self.bytes_per_s * ANSWER_WAIT_MS as f64 / 1_000.0;
+        (self.waiting.load(Ordering::Relaxed) as f64) < limit
+    }
+
+    /// Notes an answer that waits.
+    pub fn note_queued(&self, bytes: usize) {
+        self.waiting.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    /// Notes that it no longer waits.
+    pub fn note_taken(&self, bytes: usize) {
+        self.waiting.fetch_sub(bytes, Ordering::Relaxed);
+    }
+
+    /// How long an answer of so many bytes takes at this pace, in microseconds.
+    fn takes_us(&self, bytes: usize) -> u64 {
+        (bytes as f64 / self.bytes_per_s * 1e6) as u64
+    }
+}
+
+/// When the link is free for the next answer.
+#[derive(Debug, Default)]
+pub struct AnswerSlot {
+    free_at: BoxTime,
+}
+
+impl AnswerSlot {
+    /// Until it is free.
+    pub fn until_free(&self, now: BoxTime) -> Duration {
+        Duration::from_micros(self.free_at.as_micros().saturating_sub(now.as_micros()))
+    }
+
+    /// Notes that an answer was sent.
+    pub fn note_sent(&mut self, bytes: usize, pace: &AnswerPace, now: BoxTime) {
+        let begin = self.free_at.max(now).as_micros();
+        self.free_at = BoxTime::from_micros(begin + pace.takes_us(bytes));
+    }
+}
--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -18,6 +18,7 @@
 use ravenspoke_core::time::{BoxTime, WallTime};
 use tokio::sync::mpsc::{Sender, UnboundedSender};
 
+use super::answer_pace::AnswerPace;
 use super::observe;
 use super::tally::{ControlTally, DatagramKind};
 use super::told::OperatorRecords;
@@ -60,6 +61,14 @@
 }
 
 impl PeerDatagram {
+    /// About how long it is, in bytes, if it is an answer.
+    pub fn answer_bytes(&self) -> Option<usize> {
+        match self {
+            Self::Note(_, note) if note.echo.is_some() => Some(AnswerPace::expected_bytes(note)),
+            _ => None,
+        }
+    }
+
     /// What it is.
     pub fn kind(&self) -> DatagramKind {
         match self {
@@ -72,10 +81,6 @@
     }
 }
 
-/// Answers that wait to be sent, at most: some 100 kilobytes each where all replicas are told. Where hundreds of
-/// boxes start at once those that all ask would else fill up; who gets no answer asks another box, or reads the store.
-pub const ANSWERS_QUEUED: usize = 32;
-
 /// Other datagrams that wait to be sent, at most: what a minute of calm brings. On a link that is full the newest are
 /// dropped; notes repeat what they say.
 pub const NOTES_QUEUED: usize = 256;
@@ -84,8 +89,8 @@
 pub struct GatewaySinks {
     /// Datagrams for other boxes that nobody asked for, and asks.
     pub notes: Sender<PeerDatagram>,
-    /// Answers to other boxes' asks; they wait for the rest.
-    pub answers: Sender<PeerDatagram>,
+    /// Answers to other boxes' asks; they wait for the rest. [`AnswerPace`] bounds them.
+    pub answers: UnboundedSender<PeerDatagram>,
     /// Verdicts for the store.
     pub verdicts: UnboundedSender<TrialVerdict>,
     /// Marks of trials for the store.
@@ -104,13 +109,20 @@
     operator: Mutex<OperatorRecords>,
     /// Whether the store may have this box's record of where it hears notes.
     pub listed: AtomicBool,
+    /// What answers to other boxes may take of the link.
+    pub answers: AnswerPace,
     /// What control has cost so far.
     pub tally: ControlTally,
 }
 
 impl GatewayDriver {
     /// A driver of `state`.
-    pub fn new(state: RouteState, sinks: GatewaySinks, clock: Arc<BoxClock>) -> Self {
+    pub fn new(
+        state: RouteState,
+        sinks: GatewaySinks,
+        clock: Arc<BoxClock>,
+        answers: AnswerPace,
+    ) -> Self {
         Self {
             state: Mutex::new(state),
             sinks,
@@ -118,6 +130,7 @@
             next_ticket: AtomicU64::new(1),
             operator: Mutex::default(),
             listed: AtomicBool::new(false),
+            answers,
             tally: ControlTally::default(),
         }
     }
@@ -194,10 +207,13 @@
 
     /// Queues a datagram; where too many wait it is dropped and counted.
     fn queue(&self, datagram: PeerDatagram) {
+        if let Some(bytes) = datagram.answer_bytes() {
+            self.answers.note_queued(bytes);
+            // The receiver lives as long as the process.
+            return drop(self.sinks.answers.send(datagram));
+        }
         let kind = datagram.kind();
-        let answers = kind == DatagramKind::Answer;
-        let queue = if answers { &self.sinks.answers } else { &self.sinks.notes };
-        if queue.try_send(datagram).is_err() {
+        if self.sinks.notes.try_send(datagram).is_err() {
             self.tally.count_dropped(kind);
         }
     }
--- a/crates/box/src/gateway/mod.rs
+++ b/crates/box/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! of replicas are not known here.
 //! [`reload`] takes changes of the settings. [`process`] puts them together.
 
+pub mod answer_pace;
 pub mod answers;
 pub mod directory;
 pub mod driver;
--- a/crates/box/src/gateway/note_wire/mod.rs
+++ b/crates/box/src/gateway/note_wire/mod.rs
@@ -5,6 +5,7 @@
 
 mod ask;
 pub mod packed;
+pub mod pages;
 mod peer;
 mod position;
 pub mod records;
@@ -14,6 +15,7 @@
 
 use prost::Message;
 use ravenspoke_adapter::store::KeyedRecord;
+use ravenspoke_core::route::backend::BackendChange;
 use ravenspoke_core::route::leader::usage::{UsageAsk, UsageNote};
 use ravenspoke_core::route::peers::{PeerAsk, PeerNote};
 use ravenspoke_core::route::placement::PlacementNote;
@@ -104,19 +106,30 @@
     usage_ask: Option<WireUsageAsk>,
     #[prost(message, optional, tag = "8")]
     usage: Option<WireUsage>,
+    /// The note's changes to replicas' entries, deflated, where they are a page of a listing.
+    #[prost(bytes = "vec", tag = "9")]
+    packed_page: Vec<u8>,
 }
 
-/// Encodes a note as a datagram, with the records that the ask it answers wants, if they are not left out.
-pub fn encode_note(note: &PeerNote, records: Option<&PackedRecords>) -> Vec<u8> {
-    let note = write_note(note);
-    let records = records.map(|records| records.as_bytes().to_vec());
+/// Encodes a note as a datagram, with the records that the ask it answers wants, if they are not left out. `page` is what
+/// was packed of its changes, if that was.
+pub fn encode_note(
+    note: &PeerNote,
+    records: Option<&PackedRecords>,
+    page: Option<&[u8]>,
+) -> Vec<u8> {
+    let changes = if page.is_some() { &[][..] } else { &note.changes };
+    let note = write_note(note, changes);
     let bytes = note.encode_to_vec();
+    let datagram = WireDatagram {
+        records: records.map(|records| records.as_bytes().to_vec()),
+        packed_page: page.unwrap_or_default().to_vec(),
+        ..WireDatagram::default()
+    };
     if bytes.len() < PACK_FROM {
-        return WireDatagram { note: Some(note), records, ..WireDatagram::default() }
-            .encode_to_vec();
+        return WireDatagram { note: Some(note), ..datagram }.encode_to_vec();
     }
-    WireDatagram { packed_note: deflate(&bytes), records, ..WireDatagram::default() }
-        .encode_to_vec()
+    WireDatagram { packed_note: deflate(&bytes), ..datagram }.encode_to_vec()
 }
 
 /// Encodes an ask as a datagram.
@@ -186,19 +199,21 @@
         }
         note => note,
     };
-    Ok(note.map_or(HeardDatagram::Empty, |note| {
-        HeardDatagram::Note(Box::new(read_note(note)), records)
-    }))
+    let Some(mut note) = note.map(read_note) else { return Ok(HeardDatagram::Empty) };
+    if !wire.packed_page.is_empty() {
+        note.changes.extend(pages::unpack(&wire.packed_page)?);
+    }
+    Ok(HeardDatagram::Note(Box::new(note), records))
 }
 
-fn write_note(note: &PeerNote) -> WireNote {
+fn write_note(note: &PeerNote, changes: &[BackendChange]) -> WireNote {
     WireNote {
         name: note.name.clone(),
         number: note.number,
         card: Some(write_card(&note.card)),
         known: Some(write_known(note.known)),
         era: note.era,
-        changes: note.changes.iter().map(write_change).collect(),
+        changes: changes.iter().map(write_change).collect(),
         trials: note.trials.iter().map(write_trial).collect(),
         verdicts: note.verdicts.iter().map(write_verdict).collect(),
         others: note.others.clone(),
--- a/crates/box/src/gateway/notes.rs
+++ b/crates/box/src/gateway/notes.rs
@@ -6,14 +6,17 @@
 use ravenspoke_core::route::event::RouteEvent;
 use ravenspoke_core::route::peers::PeerNote;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc::Receiver;
+use tokio::sync::mpsc::{Receiver, UnboundedReceiver};
 
+use super::answer_pace::AnswerSlot;
 use super::driver::{GatewayDriver, PeerDatagram};
+use super::note_wire::pages::PackedPages;
 use super::note_wire::{
     decode_datagram, encode_ask, encode_note, encode_placement, encode_usage, encode_usage_ask,
     HeardDatagram,
 };
 use super::observe;
+use super::tally::DatagramKind;
 use super::told::take_told;
 
 /// Largest datagram, in bytes.
@@ -28,7 +31,11 @@
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, _)) => match decode_datagram(&buffer[..length]) {
-                Ok(HeardDatagram::Ask(ask)) => driver.feed(RouteEvent::PeerAsked(ask)),
+                Ok(HeardDatagram::Ask(ask)) if driver.answers.has_room() => {
+                    driver.feed(RouteEvent::PeerAsked(ask));
+                }
+                // Who asked asks another box.
+                Ok(HeardDatagram::Ask(_)) => driver.tally.count_dropped(DatagramKind::Answer),
                 Ok(HeardDatagram::Placement(placement)) => {
                     driver.feed(RouteEvent::PlacementHeard(placement));
                 }
@@ -54,24 +61,39 @@
     driver: Arc<GatewayDriver>,
     socket: Arc<UdpSocket>,
     mut notes: Receiver<PeerDatagram>,
-    mut answers: Receiver<PeerDatagram>,
+    mut answers: UnboundedReceiver<PeerDatagram>,
 ) {
+    let mut pages = PackedPages::default();
+    let mut slot = AnswerSlot::default();
     loop {
+        let busy = slot.until_free(driver.now());
         let datagram = tokio::select! {
             biased;
             datagram = notes.recv() => datagram,
-            datagram = answers.recv() => datagram,
+            datagram = answers.recv(), if busy.is_zero() => datagram,
+            () = tokio::time::sleep(busy), if !busy.is_zero() => continue,
         };
         // The senders live as long as the process.
         let Some(datagram) = datagram else { return };
-        send_datagram(&driver, &socket, datagram).await;
+        let answer = datagram.answer_bytes();
+        let bytes = send_datagram(&driver, &socket, &mut pages, datagram).await;
+        if let Some(expected) = answer {
+            driver.answers.note_taken(expected);
+            slot.note_sent(bytes, &driver.answers, driver.now());
+        }
     }
 }
 
-async fn send_datagram(driver: &GatewayDriver, socket: &UdpSocket, datagram: PeerDatagram) {
+/// Sends a datagram. Gives how long it was, in bytes.
+async fn send_datagram(
+    driver: &GatewayDriver,
+    socket: &UdpSocket,
+    pages: &mut PackedPages,
+    datagram: PeerDatagram,
+) -> usize {
     let kind = datagram.kind();
     let (targets, bytes) = match datagram {
-        PeerDatagram::Note(targets, note) => (targets, encode_with_records(driver, &note)),
+        PeerDatagram::Note(targets, note) => (targets, encode_with_records(driver, pages, &note)),
         PeerDatagram::Placement(targets, placement) => (targets, encode_placement(placement)),
         PeerDatagram::Ask(target, ask) => (vec![target], encode_ask(&ask)),
         PeerDatagram::UsageAsk(targets, ask) => (targets, encode_usage_ask(&ask)),
@@ -86,12 +108,18 @@
             observe::note_socket_failed("notes", &error);
         }
     }
+    bytes.len()
 }
 
 /// Encodes a note with the records that the ask wants which it answers, if all fits into a datagram. Who gets
 /// its replicas' entries without them asks again, and who needs more than a datagram reads the store.
-fn encode_with_records(driver: &GatewayDriver, note: &PeerNote) -> Vec<u8> {
-    let bare = encode_note(note, None);
+fn encode_with_records(
+    driver: &GatewayDriver,
+    pages: &mut PackedPages,
+    note: &PeerNote,
+) -> Vec<u8> {
+    let page = pages.of(note);
+    let bare = encode_note(note, None, page);
     let Some(ask) = note.echo.as_ref().filter(|ask| ask.known < note.known) else {
         return bare;
     };
@@ -101,5 +129,5 @@
         operator.note_untold(ask.known.read_to, NOTE_LIMIT);
         return bare;
     }
-    encode_note(note, Some(records))
+    encode_note(note, Some(records), page)
 }
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -24,8 +24,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use super::answer_pace::AnswerPace;
 use super::directory::{metrics_routes, ready_routes, resolve_routes};
-use super::driver::{GatewayDriver, GatewaySinks, PeerDatagram, ANSWERS_QUEUED, NOTES_QUEUED};
+use super::driver::{GatewayDriver, GatewaySinks, PeerDatagram, NOTES_QUEUED};
 use super::entry::{accept_callers, CallerCount, CALLER_PART};
 use super::exchange::GatewayTools;
 use super::pool::ReplicaPool;
@@ -67,7 +68,7 @@
         .install_recorder()
         .map_err(|error| ProcessError::Metrics(error.to_string()))?;
     let (note_sender, note_receiver) = channel(NOTES_QUEUED);
-    let (answer_sender, answer_receiver) = channel(ANSWERS_QUEUED);
+    let (answer_sender, answer_receiver) = unbounded_channel();
     let (verdict_sender, verdict_receiver) = unbounded_channel();
     let (mark_sender, mark_receiver) = unbounded_channel();
     let (lead_sender, lead_receiver) = unbounded_channel();
@@ -87,7 +88,8 @@
     let receivers = GatewayReceivers { site, lead: lead_receiver };
     let state = RouteState::new(route_settings(&settings));
     let clock = Arc::new(BoxClock::start()?);
-    let driver = Arc::new(GatewayDriver::new(state, sinks, clock));
+    let answers = AnswerPace::new(settings.link_mbps);
+    let driver = Arc::new(GatewayDriver::new(state, sinks, clock, answers));
     let store = StoreClient::new(&settings.store, settings.entry.ip())?;
 
     let socket = UdpSocket::bind(settings.notes).await;
@@ -140,7 +142,7 @@
 /// Those of what is told to other boxes and to the store.
 struct SiteReceivers {
     notes: Receiver<PeerDatagram>,
-    answers: Receiver<PeerDatagram>,
+    answers: UnboundedReceiver<PeerDatagram>,
     verdicts: UnboundedReceiver<TrialVerdict>,
     marks: UnboundedReceiver<TrialMark>,
 }
--- a/crates/box/tests/clock.rs
+++ b/crates/box/tests/clock.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ravenspoke_box::clock::{BoxClock, SuspensionWatch};
+use ravenspoke_box::gateway::answer_pace::AnswerPace;
 use ravenspoke_box::gateway::driver::{GatewayDriver, GatewaySinks};
 use ravenspoke_core::position::TopicPosition;
 use ravenspoke_core::route::budget::BudgetBounds;
@@ -73,12 +74,13 @@
     };
     let sinks = GatewaySinks {
         notes: channel(1).0,
-        answers: channel(1).0,
+        answers: unbounded_channel().0,
         verdicts: unbounded_channel().0,
         marks: unbounded_channel().0,
         lead: unbounded_channel().0,
     };
-    let driver = GatewayDriver::new(RouteState::new(settings), sinks, clock);
+    let driver =
+        GatewayDriver::new(RouteState::new(settings), sinks, clock, AnswerPace::new(100.0));
     let plan = Some(RoutePlan { version: 1, ..RoutePlan::default() });
     driver.feed(RouteEvent::PlanRead {
         asked_at: driver.now(),
--- a/crates/box/tests/notes.rs
+++ b/crates/box/tests/notes.rs
@@ -97,14 +97,14 @@
 #[test]
 fn an_answer_is_read_as_it_was_written() {
     let note = answer();
-    let heard = decode_datagram(&encode_note(&note, None)).expect("a datagram");
+    let heard = decode_datagram(&encode_note(&note, None, None)).expect("a datagram");
     assert_eq!(heard, HeardDatagram::Note(Box::new(note), None));
 }
 
 #[test]
 fn a_note_that_answers_nothing_has_no_word_of_entries() {
     let note = PeerNote { echo: None, entries: EntryWord::default(), ..answer() };
-    let heard = decode_datagram(&encode_note(&note, None)).expect("a datagram");
+    let heard = decode_datagram(&encode_note(&note, None, None)).expect("a datagram");
     assert_eq!(heard, HeardDatagram::Note(Box::new(note), None));
 }
 
@@ -122,7 +122,7 @@
 fn a_page_of_a_listing_fits_into_a_datagram() {
     let changes = (0..CHANGES_TOLD).map(change).collect();
     let note = PeerNote { changes, ..answer() };
-    assert!(encode_note(&note, None).len() < NOTE_LIMIT);
+    assert!(encode_note(&note, None, None).len() < NOTE_LIMIT);
 }
 
 proptest! {
@@ -134,7 +134,7 @@
 
     #[test]
     fn a_cut_datagram_is_borne(length in 0_usize..300) {
-        let bytes = encode_note(&answer(), None);
+        let bytes = encode_note(&answer(), None, None);
         drop(decode_datagram(&bytes[..length.min(bytes.len())]));
     }
 }
@@ -162,7 +162,7 @@
     let note = PeerNote { changes: (0..CHANGES_TOLD).map(change).collect(), ..answer() };
 
     let packed = PackedRecords::pack(std::slice::from_ref(&record));
-    let datagram = encode_note(&note, Some(&packed));
+    let datagram = encode_note(&note, Some(&packed), None);
 
     assert!(record.value.as_ref().is_some_and(|value| value.len() > 3 * NOTE_LIMIT));
     assert!(datagram.len() < NOTE_LIMIT, "{} bytes", datagram.len());
--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -38,6 +38,8 @@
     pub keep_ms: u64,
     /// Descriptors that the process may have open.
     pub descriptors: usize,
+    /// What the box's link carries, in megabits a second.
+    pub link_mbps: f64,
     /// Region of each availability zone.
     pub regions: ZoneRegions,
     /// What one box does for all, if the platform has any of it.
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -3,7 +3,7 @@
 //! A replica is known by its entry in the store; [`super::loads`] says how busy it is. What a replica
 //! *does* counts as well: see [`super::deeds`].
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use serde::Serialize;
 use slotmap::SlotMap;
@@ -157,6 +157,10 @@
     pub(super) hashes: HashMap<u64, ReplicaKey>,
     /// In the order of the hashes of their ids, which is the same on every box.
     pub(super) by_service: HashMap<String, Vec<ReplicaKey>>,
+    /// In the order of their last changes: what a box that asks lacks is found without a look at all.
+    by_change: BTreeMap<TopicPosition, BTreeSet<ReplicaKey>>,
+    /// Those whose entries vanished while the store was unsound.
+    lapsing: BTreeSet<ReplicaKey>,
     gone: GoneReplicas,
     /// Position up to which the last whole listing showed all.
     listed_to: TopicPosition,
@@ -219,29 +223,29 @@
         stocks
     }
 
-    /// Changes of the store from a position on, in its order: replicas that are used, and with `gone` those
-    /// that are gone.
-    pub fn changes_from(&self, from: TopicPosition, gone: bool) -> Vec<BackendChange> {
-        let used = self.rows.values().filter(|row| row.lapses_at.is_none() && row.at >= from);
-        let mut changes: Vec<BackendChange> = used
-            .map(|row| BackendChange {
-                id: row.entry.id.clone(),
-                at: row.at,
-                entry: Some(row.entry.clone()),
-            })
-            .collect();
+    /// The first `most` changes of the store from a position on, in its order: replicas that are used, and with `gone`
+    /// those that are gone.
+    pub fn changes_from(&self, from: TopicPosition, gone: bool, most: usize) -> Vec<BackendChange> {
+        let keys = self.by_change.range(from..).flat_map(|(_, keys)| keys);
+        let rows = keys.filter_map(|key| self.rows.get(*key));
+        let used = rows.filter(|row| row.lapses_at.is_none()).map(|row| BackendChange {
+            id: row.entry.id.clone(),
+            at: row.at,
+            entry: Some(row.entry.clone()),
+        });
+        let mut changes: Vec<BackendChange> = used.take(most).collect();
         if gone {
-            let gone = self.gone.since(from);
+            let gone = self.gone.since(from).take(most);
             changes.extend(gone.map(|(id, at)| BackendChange { id: id.clone(), at, entry: None }));
+            changes.sort_by_key(|change| change.at);
+            changes.truncate(most);
         }
-        changes.sort_by_key(|change| change.at);
         changes
     }
 
     /// Position of the first change that may yet be undone: an entry vanished while the store was away.
     pub fn first_lapsing(&self) -> Option<TopicPosition> {
-        let lapsing = self.rows.values().filter(|row| row.lapses_at.is_some());
-        lapsing.map(|row| row.at).min()
+        self.lapsing.iter().filter_map(|key| self.rows.get(*key)).map(|row| row.at).min()
     }
 
     /// Position from which on it is known which replicas are gone.
@@ -287,7 +291,8 @@
         now: BoxTime,
         lapse_at: Option<BoxTime>,
     ) -> Vec<(BackendChange, BackendNews)> {
-        let missing = self.ids.keys().filter(|id| !listed.iter().any(|row| row.id == **id));
+        let shown: HashSet<&str> = listed.iter().map(|row| row.id.as_str()).collect();
+        let missing = self.ids.keys().filter(|id| !shown.contains(id.as_str()));
         // The listing shows all changes before `end`; one at `end` is later.
         let gone = |id: &String| BackendChange { id: id.clone(), at: end.previous(), entry: None };
         let missing: Vec<BackendChange> = missing.map(gone).collect();
@@ -309,8 +314,6 @@
             return self.put_other_life(key, entry, at, now);
         }
         let row = &mut self.rows[key];
-        row.at = at;
-        row.lapses_at = None;
         let born = entry.born.or(row.entry.born);
         let news = entry.leaving && !row.entry.leaving;
         let changed = row.entry.address != entry.address || row.entry.version != entry.version;
@@ -319,6 +322,9 @@
         row.cool(entry.cold_ms, now);
         self.newly_cold |= entry.cold_ms > 0;
         row.entry = BackendEntry { leaving, born, ..entry };
+        row.lapses_at = None;
+        self.lapsing.remove(&key);
+        self.note_change(key, at);
         match (news, changed) {
             (true, _) => BackendNews::Leaving,
             (false, true) => BackendNews::Changed,
@@ -339,6 +345,22 @@
         self.put(entry, at, now)
     }
 
+    /// Notes a replica's last change.
+    fn note_change(&mut self, key: ReplicaKey, at: TopicPosition) {
+        let former = std::mem::replace(&mut self.rows[key].at, at);
+        self.forget_change(key, former);
+        self.by_change.entry(at).or_default().insert(key);
+    }
+
+    fn forget_change(&mut self, key: ReplicaKey, at: TopicPosition) {
+        if let Some(keys) = self.by_change.get_mut(&at) {
+            keys.remove(&key);
+            if keys.is_empty() {
+                self.by_change.remove(&at);
+            }
+        }
+    }
+
     fn insert(&mut self, entry: BackendEntry, at: TopicPosition, now: BoxTime) {
         let (id, service) = (entry.id.clone(), entry.service.clone());
         self.newly_cold |= entry.cold_ms > 0;
@@ -365,6 +387,7 @@
             lost: Vec::new(),
             entry,
         });
+        self.by_change.entry(at).or_default().insert(key);
         self.hashes.insert(backend_hash(&id), key);
         self.ids.insert(id, key);
         let keys = self.by_service.entry(service).or_default();
@@ -377,10 +400,11 @@
             self.gone.note(id, at, None);
             return BackendNews::None;
         };
+        self.note_change(key, at);
         let row = &mut self.rows[key];
-        row.at = at;
         if let Some(lapse_at) = lapse_at.filter(|_| !row.entry.leaving) {
             row.lapses_at.get_or_insert(lapse_at);
+            self.lapsing.insert(key);
             return BackendNews::None;
         }
         self.remove(key);
@@ -389,6 +413,8 @@
 
     fn remove(&mut self, key: ReplicaKey) {
         let Some(row) = self.rows.remove(key) else { return };
+        self.forget_change(key, row.at);
+        self.lapsing.remove(&key);
         self.ids.remove(&row.entry.id);
         self.hashes.remove(&row.id_hash);
         if let Some(keys) = self.by_service.get_mut(&row.entry.service) {
@@ -400,9 +426,8 @@
 
     /// Drops entries whose grace is over, and gives that as changes.
     pub fn drop_lapsed(&mut self, now: BoxTime) -> Vec<BackendChange> {
-        let over = |row: &BackendState| row.lapses_at.is_some_and(|at| at <= now);
-        let lapsed: Vec<ReplicaKey> =
-            self.rows.iter().filter(|(_, row)| over(row)).map(|(key, _)| key).collect();
+        let over = |key: &ReplicaKey| self.rows[*key].lapses_at.is_some_and(|at| at <= now);
+        let lapsed: Vec<ReplicaKey> = self.lapsing.iter().copied().filter(over).collect();
         let mut changes = Vec::with_capacity(lapsed.len());
         for key in lapsed {
             let row = &self.rows[key];
--- a/crates/core/src/route/entries.rs
+++ b/crates/core/src/route/entries.rs
@@ -124,7 +124,7 @@
             return EntryAnswer::default();
         }
         let from = if whole { wish.page_from } else { wish.known_to.unwrap_or_default() };
-        let mut changes = table.changes_from(from, !whole);
+        let mut changes = table.changes_from(from, !whole, CHANGES_TOLD + 1);
         let more = changes.len() > CHANGES_TOLD;
         let next = changes.get(CHANGES_TOLD).map(|change| change.at);
         changes.truncate(CHANGES_TOLD);
--- a/crates/core/src/route/gone.rs
+++ b/crates/core/src/route/gone.rs
@@ -1,6 +1,6 @@
 //! Replicas that are gone: a change that comes late, or an older copy of the store, must not bring one back.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use super::backend::{is_other_life, BackendEntry};
 use crate::position::TopicPosition;
@@ -22,6 +22,8 @@
 #[derive(Debug, Default)]
 pub(super) struct GoneReplicas {
     rows: HashMap<String, GoneReplica>,
+    /// In the order in which they went.
+    by_change: BTreeSet<(TopicPosition, String)>,
     /// Position from which on none was forgotten.
     kept_from: TopicPosition,
 }
@@ -46,13 +48,18 @@
             let last = self.rows.values().map(|row| row.at).max().unwrap_or_default();
             self.kept_from = self.kept_from.max(last.plus(1));
             self.rows.clear();
+            self.by_change.clear();
         }
+        self.forget(id);
+        self.by_change.insert((at, id.to_owned()));
         self.rows.insert(id.to_owned(), GoneReplica { at, left });
     }
 
     /// Forgets one that is there again.
     pub(super) fn forget(&mut self, id: &str) {
-        self.rows.remove(id);
+        if let Some(row) = self.rows.remove(id) {
+            self.by_change.remove(&(row.at, id.to_owned()));
+        }
     }
 
     /// Position from which on all that went is known.
@@ -60,12 +67,11 @@
         self.kept_from
     }
 
-    /// Those that went from a position on, with when.
+    /// Those that went from a position on, with when, in that order.
     pub(super) fn since(
         &self,
         from: TopicPosition,
     ) -> impl Iterator<Item = (&String, TopicPosition)> {
-        let rows = self.rows.iter().map(|(id, row)| (id, row.at));
-        rows.filter(move |(_, at)| *at >= from)
+        self.by_change.range((from, String::new())..).map(|(at, id)| (id, *at))
     }
 }
--- a/crates/core/src/route/leader/mod.rs
+++ b/crates/core/src/route/leader/mod.rs
@@ -413,14 +413,14 @@
         let services = &self.table.plan().services;
         for (service, plan) in services {
             let Some(plan) = plan.scale.as_ref().filter(|plan| plan.is_sound()) else { continue };
-            let stocks = self.backends.stocks(service, stamp.now);
             let running = |trial: &VersionTrial| trial.state == TrialState::Running;
-            // Two versions side by side say nothing of the size.
-            if !self.trials.get(service).is_some_and(running) {
-                let found =
-                    || KnownSize { size: ServiceSize::found(service, &stocks), kept: false };
-                self.leader.sizes.entry(service.clone()).or_insert_with(found);
+            // Two versions stand side by side until it ends: an order would empty the new one's replicas.
+            if self.trials.get(service).is_some_and(running) {
+                continue;
             }
+            let stocks = self.backends.stocks(service, stamp.now);
+            let found = || KnownSize { size: ServiceSize::found(service, &stocks), kept: false };
+            self.leader.sizes.entry(service.clone()).or_insert_with(found);
             let Some(known) = self.leader.sizes.get(service) else { continue };
             if !known.kept {
                 let record = LeaderRecord::Size(known.size.clone());
--- a/crates/core/src/route/leader/scale.rs
+++ b/crates/core/src/route/leader/scale.rs
@@ -16,7 +16,7 @@
 pub const USUAL_SHARE: f64 = 0.125;
 
 /// Usual replicas are given back when what replaces them has served for this long, in milliseconds.
-pub const GIVE_BACK_MS: u64 = 4_000;
+pub const GIVE_BACK_MS: u64 = 2_000;
 
 /// An order that the platform refused is sent again after this, in milliseconds.
 pub const REFUSED_MS: u64 = 5_000;
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -312,6 +312,8 @@
         self.share_limits(stamp.now);
         self.share_cold(stamp.now);
         self.settle_ends(stamp.now);
+        self.take_turn(stamp.now);
+        self.tell_open(stamp.now);
         self.settle_reader(stamp.now);
         self.note_reader(stamp.now, out);
         self.tally_silent(stamp);
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -150,7 +150,7 @@
             zone: self.settings.zone.clone(),
             open: self.open(now),
             cut: self.is_cut(now),
-            reads: self.reads_for_others(now),
+            reads: self.reads_for_others(now) || self.reads_at_start(),
         }
     }
 
@@ -170,18 +170,26 @@
         }
         let first = stamp.dice.checked_rem(readers.len() as u64).unwrap_or(0) as usize;
         let reader = readers.get(first).filter(|_| !self.starts()).cloned();
-        let Some(reader) = reader.or_else(|| self.peers.any_address(stamp.dice)) else { return };
-        let pause_ms = self.ask_pause_ms();
+        let knowing = || self.peers.any_open(&self.settings.zone, stamp.now, stamp.dice);
+        let reader = reader.or_else(knowing).or_else(|| self.peers.any_address(stamp.dice));
+        let Some(reader) = reader else { return };
+        let pause_ms = self.ask_pause_ms(stamp.now);
         self.asks.next_ask = stamp.now.plus_millis(pause_ms);
         self.asks.unanswered_at = Some(stamp.now);
         out.push(RouteEffect::SendAsk(reader, self.ask(stamp)));
     }
 
     /// Time until the next ask, in milliseconds.
-    fn ask_pause_ms(&mut self) -> u64 {
+    fn ask_pause_ms(&mut self, now: BoxTime) -> u64 {
         let starts = self.starts();
+        let many_know = 4 * self.peers.open_rows(now).count() >= self.peers.live_count(now);
         let start = self.start.as_mut().filter(|_| starts);
-        start.map_or(peers::ASK_EVERY_MS, BoxStart::note_ask)
+        let pause_ms = start.map_or(peers::ASK_EVERY_MS, BoxStart::note_ask);
+        if starts && many_know {
+            pause_ms.min(peers::ASK_AGAIN_MS)
+        } else {
+            pause_ms
+        }
     }
 
     fn ask(&self, stamp: EventStamp) -> PeerAsk {
@@ -217,6 +225,10 @@
         if note.name == self.settings.name || !self.peers.hear(note, stamp.now) {
             return;
         }
+        if self.starts() && note.card.open && note.echo.is_none() {
+            // It has just come to know what this box asks for, and has told few others so.
+            self.asks.next_ask = stamp.now;
+        }
         self.peers.hear_of(&note.others, &self.settings.note_address, stamp.now);
         self.peers.hear_leads(&note.leads, &self.settings.name, stamp.now);
         self.note_era(note.era, stamp.now, out);
--- a/crates/core/src/route/peers/duties.rs
+++ b/crates/core/src/route/peers/duties.rs
@@ -21,24 +21,36 @@
     pub cut: bool,
 }
 
+/// By what boxes come one after the other in a duty: see [`PeerTable::candidates`].
+fn candidate_key(cut: bool, serves: bool, name: &str) -> (bool, bool, u64) {
+    (cut, !serves, xxh3_64(name.as_bytes()))
+}
+
 impl PeerTable {
     /// Boxes that may have duties, this one included: those that reach the store first, of these those that
     /// serve or read already (where the plan grows old on all, the readers stay), then by a hash of their names, so
     /// that they lie in different availability zones.
     fn candidates(&self, me: &OwnStanding, now: BoxTime) -> Vec<(bool, bool, u64, Option<&str>)> {
-        // Where notes reach all, who did not speak is silent; else word of it may be under way.
-        let few = self.all_are_told();
-        let live = |row: &PeerState| if few { row.lives(now) } else { row.leads(now) };
-        let others = self.rows.iter().filter(|(_, row)| live(row));
-        let hash = |name: &str| xxh3_64(name.as_bytes());
-        let mut all: Vec<(bool, bool, u64, Option<&str>)> = others
-            .map(|(name, row)| (row.card.cut, !row.card.serves(), hash(name), Some(name.as_str())))
-            .chain([(me.cut, !me.serves, hash(me.name), None)])
-            .collect();
+        let key = |cut, serves, name: &str, other| {
+            let (cut, idle, hash) = candidate_key(cut, serves, name);
+            (cut, idle, hash, other)
+        };
+        let others = self
+            .living(now)
+            .map(|(name, row)| key(row.card.cut, row.card.serves(), name, Some(name.as_str())));
+        let mut all: Vec<(bool, bool, u64, Option<&str>)> =
+            others.chain([key(me.cut, me.serves, me.name, None)]).collect();
         all.sort();
         all
     }
 
+    /// Other boxes that live: where notes reach all, who did not speak is silent; else word of it may be under way.
+    fn living(&self, now: BoxTime) -> impl Iterator<Item = (&String, &PeerState)> {
+        let few = self.all_are_told();
+        let live = move |row: &PeerState| if few { row.lives(now) } else { row.leads(now) };
+        self.rows.iter().filter(move |(_, row)| live(row))
+    }
+
     /// How many boxes read the store for the others.
     fn reader_count(&self, now: BoxTime) -> usize {
         READERS_MIN.max(self.fleet_count(now).div_ceil(ASKERS_LIMIT))
@@ -69,9 +81,17 @@
         .collect()
     }
 
+    /// Whether another box lives that reaches the store and serves or reads for the others.
+    pub fn any_serves(&self, now: BoxTime) -> bool {
+        self.living(now).any(|(_, row)| row.card.serves() && !row.card.cut)
+    }
+
     /// How many boxes come before this one in a duty that one box has.
     pub fn rank(&self, me: &OwnStanding, now: BoxTime) -> usize {
-        let all = self.candidates(me, now);
-        all.iter().position(|(_, _, _, name)| name.is_none()).unwrap_or(0)
+        let (own, others) = (candidate_key(me.cut, me.serves, me.name), self.living(now));
+        let key = |(name, row): (&String, &PeerState)| {
+            candidate_key(row.card.cut, row.card.serves(), name)
+        };
+        others.filter(|other| key(*other) < own).count()
     }
 }
--- a/crates/core/src/route/peers/mod.rs
+++ b/crates/core/src/route/peers/mod.rs
@@ -80,7 +80,7 @@
 pub const START_ASK_MS: u64 = 40;
 
 /// Times that the pause between a starting box's asks is doubled, at most: then it asks as often as any other.
-pub const START_ASK_DOUBLINGS: u32 = 4;
+pub const START_ASK_DOUBLINGS: u32 = 3;
 
 /// A box that others are told to ask first reads the store this long after its start at the latest, by chance,
 /// if nobody knew, in milliseconds: the others wait for it.
@@ -94,6 +94,13 @@
 /// store, and tell the others.
 pub const START_SPREAD_MS: u64 = 750;
 
+/// A box that has started waits so long for each box that comes before it in reading the store, in milliseconds: some of
+/// those have time to begin, and to say so.
+pub const START_TURN_MS: u64 = 100;
+
+/// It waits no longer than this, in milliseconds, for boxes that read the store or know all to tell it: they may be unable to.
+pub const START_TOLD_MS: u64 = 10_000;
+
 /// A box that could not reach the store goes behind the others in reading it for this long, in milliseconds,
 /// unless a call succeeds.
 pub const CUT_MS: u64 = 20_000;
--- a/crates/core/src/route/peers/table.rs
+++ b/crates/core/src/route/peers/table.rs
@@ -162,6 +162,15 @@
         known.chain(self.hearsay.keys()).cloned().collect()
     }
 
+    /// An open box, by chance, of an availability zone if it has any: what a box that knows nothing asks first.
+    pub fn any_open(&self, zone: &str, now: BoxTime, dice: u64) -> Option<String> {
+        let (near, far): (Vec<&PeerState>, Vec<&PeerState>) =
+            self.open_rows(now).partition(|row| row.card.zone == zone);
+        let rows = if near.is_empty() { far } else { near };
+        let index = dice.checked_rem(rows.len() as u64)?;
+        rows.get(index as usize).map(|row| row.card.note_address.clone())
+    }
+
     /// An address that may have a box, by chance: what a box asks that knows nobody yet.
     pub fn any_address(&self, dice: u64) -> Option<String> {
         let known = self.rows.values().map(|row| &row.card.note_address);
--- a/crates/core/src/route/readers.rs
+++ b/crates/core/src/route/readers.rs
@@ -4,6 +4,7 @@
 //! store, must neither wait for ever for the others nor storm the store with them.
 
 use super::event::RouteEffect;
+use super::start::BoxStart;
 use super::{peers, RouteState};
 use crate::time::BoxTime;
 
@@ -77,10 +78,54 @@
     fn is_untold(&self, age_ms: Option<u64>, limit_ms: u64, now: BoxTime) -> bool {
         match age_ms {
             Some(age) => age >= limit_ms,
-            None => self.start.is_none_or(|start| now >= start.read_at),
+            None => self.start.is_none_or(|start| self.is_own_turn(start, now)),
         }
     }
 
+    /// Whether a box that was started and told nothing reads the store. Where many start together, those that come first
+    /// do and tell the others; who hears of one that reads, or knows all, waits to be told.
+    fn is_own_turn(&self, start: BoxStart, now: BoxTime) -> bool {
+        if start.reads || now < start.read_at {
+            return start.reads;
+        }
+        let wait_ms = match (self.peers.any_serves(now), self.settings.is_seed) {
+            (true, true) => peers::START_WAIT_MS,
+            (true, false) => peers::START_TOLD_MS,
+            (false, true) => 0,
+            (false, false) => {
+                let before = self.peers.rank(&self.standing(now), now) as u64;
+                (before * peers::START_TURN_MS).min(peers::START_TOLD_MS)
+            }
+        };
+        now >= start.read_at.plus_millis(wait_ms)
+    }
+
+    /// Takes this box's turn to read the store, if it has come. Who has begun does not stop for another who has, too.
+    pub(super) fn take_turn(&mut self, now: BoxTime) {
+        let turn = self.start.is_some_and(|start| self.is_own_turn(start, now));
+        if let Some(start) = self.start.as_mut().filter(|_| turn) {
+            // Others that start wait to be told by boxes that say so.
+            if !std::mem::replace(&mut start.reads, true) {
+                self.rounds.next_note = BoxTime::default();
+            }
+        }
+    }
+
+    /// Tells others at once when this box, started lately, knows what they ask for.
+    pub(super) fn tell_open(&mut self, now: BoxTime) {
+        let open = self.open(now);
+        let untold = self.start.as_mut().filter(|start| open && !start.told_open);
+        if let Some(start) = untold {
+            start.told_open = true;
+            self.rounds.next_note = BoxTime::default();
+        }
+    }
+
+    /// Whether it was started lately and reads the store for what nobody told it, so that it can soon tell others.
+    pub(super) fn reads_at_start(&self) -> bool {
+        self.starts() && self.start.is_some_and(|start| start.reads)
+    }
+
     /// Whether this box tells the store where it hears notes, and reads where others do: readers, so that a
     /// box that starts finds one, and a box that hears nobody.
     pub fn wants_boxes(&self, now: BoxTime) -> bool {
--- a/crates/core/src/route/start.rs
+++ b/crates/core/src/route/start.rs
@@ -22,6 +22,10 @@
     pub(super) at: BoxTime,
     /// From when on it reads the store itself.
     pub(super) read_at: BoxTime,
+    /// Whether it reads the store itself.
+    pub(super) reads: bool,
+    /// Whether it has told others that it can answer them.
+    pub(super) told_open: bool,
     /// When it learnt the plan.
     plan_at: Option<BoxTime>,
     asks: u32,
@@ -35,7 +39,9 @@
         } else {
             START_WAIT_MS + stamp.dice % START_SPREAD_MS
         };
-        Self { at: stamp.now, read_at: stamp.now.plus_millis(wait_ms), plan_at: None, asks: 0 }
+        let read_at = stamp.now.plus_millis(wait_ms);
+        let (reads, told_open) = (false, false);
+        Self { at: stamp.now, read_at, reads, told_open, plan_at: None, asks: 0 }
     }
 
     /// Notes that the plan is known.
--- a/crates/core/tests/route/fleet.rs
+++ b/crates/core/tests/route/fleet.rs
@@ -8,7 +8,7 @@
 use ravenspoke_core::time::BoxTime;
 
 use crate::fixture::at;
-use crate::plan_fleet::{site, Fleet, FleetBox};
+use crate::plan_fleet::{site, Fleet, FleetBox, FleetSize};
 
 /// Readers that a fleet of this size should have.
 fn wanted(count: usize) -> usize {
@@ -148,3 +148,25 @@
         assert_eq!(known, 300, "evacuated {evacuated}");
     }
 }
+
+/// Boxes with links of 2 Mbit/s before a thousand replicas, which a listing of the store shows in pages of twenty: to list
+/// them takes a box 1.3 s, and to tell them 60 ms.
+const LARGE: FleetSize = FleetSize { link: 250, page: 20 };
+const LARGE_REPLICAS: usize = 1_000;
+
+#[test]
+fn boxes_that_start_before_many_replicas_learn_of_them_from_each_other() {
+    for count in [30, 100, 300] {
+        let mut fleet = Fleet::start_with(count, LARGE);
+        fleet.put_replicas(LARGE_REPLICAS);
+
+        let took = fleet.until_all(20_000, RouteState::knows_site);
+
+        let (calls, listings) = (fleet.calls(), fleet.listed_entries / LARGE_REPLICAS as u64);
+        let label = format!("{count} boxes: after {took:?} ms, {calls} calls, {listings} listings");
+        // Some who know nobody in time, or think that they come first, list as well.
+        assert!(listings <= 12, "{label}");
+        assert!(calls <= 50 * 12 + 2 * count as u32, "{label}");
+        assert!(took.is_some_and(|ms| ms <= 4_000), "{label}");
+    }
+}
--- a/crates/core/tests/route/membership.rs
+++ b/crates/core/tests/route/membership.rs
@@ -446,6 +446,7 @@
     while !lists(&asker) {
         asker.now += 1;
     }
+    asker.feed(RouteEvent::Tick);
 
     asker.feed(RouteEvent::PeerHeard(Box::new(answer(&mut reader, &asker))));
 
--- a/crates/core/tests/route/plan_fleet.rs
+++ b/crates/core/tests/route/plan_fleet.rs
@@ -35,6 +35,27 @@
 /// Datagrams lost of 100.
 const LOST: u64 = 3;
 
+/// Bytes of a datagram without replicas' entries.
+const NOTE_BYTES: u64 = 500;
+
+/// Bytes of an entry in a datagram.
+const TOLD_BYTES: u64 = 15;
+
+/// Bytes of an entry in a listing of the store.
+const LISTED_BYTES: u64 = 280;
+
+/// Answers wait at a box for so long, at most, in milliseconds; further ones are dropped.
+const ANSWER_WAIT_MS: u64 = 250;
+
+/// Links and pages of a fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetSize {
+    /// Bytes that pass a box's link in a millisecond; 0 without a bound.
+    pub link: u64,
+    /// Entries in a page of a listing; 0 for all in one.
+    pub page: usize,
+}
+
 /// What happens to a box.
 #[derive(Clone, Debug)]
 enum Step {
@@ -83,6 +104,8 @@
     calls: u32,
     /// Where its next read of the plan begins.
     next: TopicPosition,
+    /// Its link is taken until then, in microseconds.
+    link_until: u64,
     /// The store's era in its last answer.
     era: u64,
     /// Pause before its next try of the store, while that is away, in milliseconds.
@@ -97,6 +120,7 @@
             dead: false,
             calls: 0,
             next: TopicPosition::default(),
+            link_until: 0,
             era: 0,
             retry_ms: 0,
         }
@@ -130,6 +154,9 @@
     /// Entries of replicas and when the store took them; the offset is the index.
     entries: Vec<(u64, BackendChange)>,
     listed: Vec<String>,
+    size: FleetSize,
+    /// Entries that listings of the store showed.
+    pub listed_entries: u64,
     /// Until when the store refuses all calls.
     pub away_until: u64,
     /// Notes that were sent within an availability zone, and to another.
@@ -139,6 +166,11 @@
 impl Fleet {
     /// A fleet of `count` boxes that are told of three of them, started within a tenth of a second.
     pub fn start(count: usize) -> Self {
+        Self::start_with(count, FleetSize { link: 0, page: 0 })
+    }
+
+    /// The same with links and listings of a size.
+    pub fn start_with(count: usize, size: FleetSize) -> Self {
         let mut fleet = Self {
             boxes: Vec::new(),
             steps: BinaryHeap::new(),
@@ -148,6 +180,8 @@
             plans: vec![PlanRow { version: 1, written_at: 0 }],
             entries: Vec::new(),
             listed: Vec::new(),
+            size,
+            listed_entries: 0,
             away_until: 0,
             notes: [0; 2],
         };
@@ -242,25 +276,47 @@
                     for target in targets {
                         let far = number_of(&target) % ZONES != to % ZONES;
                         self.notes[usize::from(far)] += u64::from(note.echo.is_none());
-                        self.send(&target, RouteEvent::PeerHeard(note.clone()));
+                        let bytes = NOTE_BYTES + TOLD_BYTES * note.changes.len() as u64;
+                        let way = self.link_way(to, bytes);
+                        self.send(&target, way, RouteEvent::PeerHeard(note.clone()));
                     }
                 }
                 RouteEffect::SendAsk(target, ask) => {
-                    self.send(&target, RouteEvent::PeerAsked(ask));
+                    self.send(&target, 0, RouteEvent::PeerAsked(ask));
                 }
                 _ => {}
             }
         }
     }
 
-    fn send(&mut self, target: &str, event: RouteEvent) {
+    /// Until a box's link has taken so many bytes, in milliseconds.
+    fn link_way(&mut self, from: usize, bytes: u64) -> u64 {
+        if self.size.link == 0 {
+            return 0;
+        }
+        let subject = &mut self.boxes[from];
+        let begin = subject.link_until.max(self.now * 1_000);
+        subject.link_until = begin + bytes * 1_000 / self.size.link;
+        subject.link_until / 1_000 - self.now
+    }
+
+    fn send(&mut self, target: &str, way: u64, event: RouteEvent) {
         let number = number_of(target);
         let lost = self.draw(100) < LOST;
         if !lost {
-            self.push(self.now + WAY_MS, number, Step::Hear(Box::new(event)));
+            self.push(self.now + way + WAY_MS, number, Step::Hear(Box::new(event)));
         }
     }
 
+    /// Calls that a listing takes, and how long, in milliseconds.
+    fn listing_cost(&mut self) -> (u32, u64) {
+        let rows = self.entries.len();
+        self.listed_entries += rows as u64;
+        let pages = rows.checked_div(self.size.page).unwrap_or(0).max(1) as u64;
+        let way = (LISTED_BYTES * rows as u64).checked_div(self.size.link).unwrap_or(0);
+        (pages as u32, pages * CALL_MS + way)
+    }
+
     fn take(&mut self, to: usize, step: Step) {
         let now = BoxTime::from_millis(self.now);
         let state = &self.boxes[to].state;
@@ -292,8 +348,9 @@
                 let listing = listing || known.is_none();
                 let known = known.map_or(0, |to| to.offset as usize);
                 let waits = state.is_reader(now) && !listing && known >= self.entries.len();
-                self.boxes[to].calls += 1;
-                let at = self.now + CALL_MS + if waits { WAIT_MS / 4 } else { 0 };
+                let (calls, took) = if listing { self.listing_cost() } else { (1, CALL_MS) };
+                self.boxes[to].calls += calls;
+                let at = self.now + took + if waits { WAIT_MS / 4 } else { 0 };
                 self.push(at, to, Step::EntriesRead { asked_at: self.now, listing });
             }
             Step::LookForBoxes if state.wants_boxes(now) => {
@@ -331,6 +388,10 @@
                 if let RouteEvent::PeerHeard(note) = &*event {
                     self.take_records(to, note);
                 }
+                let asked = matches!(*event, RouteEvent::PeerAsked(_));
+                if asked && self.link_way(to, 0) > ANSWER_WAIT_MS {
+                    return;
+                }
                 self.feed(to, *event);
             }
         }
@@ -485,8 +546,15 @@
 /// A fleet before a store with twenty replicas.
 pub fn site(count: usize) -> Fleet {
     let mut fleet = Fleet::start(count);
-    for number in 0..20 {
-        fleet.put(&format!("r{number}"), false);
-    }
+    fleet.put_replicas(20);
     fleet
 }
+
+impl Fleet {
+    /// Writes entries of so many replicas.
+    pub fn put_replicas(&mut self, count: usize) {
+        for number in 0..count {
+            self.put(&format!("r{number}"), false);
+        }
+    }
+}
