readers: who has just opened takes others that it has not heard since for open, too

Cause: after an outage of 5 s all boxes are closed and have lost the store. Each that opens again knew the others as closed, took itself for one of the first and read the store: of 300 boxes 100 held themselves for readers 1.6 s after the store's return. Ruled out: calls of boxes that were told nothing (none is due then). Change: until another box has spoken since, it counts as open in the order of readers.

--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -312,6 +312,7 @@
         self.share_limits(stamp.now);
         self.share_cold(stamp.now);
         self.settle_ends(stamp.now);
+        self.note_open(stamp.now);
         self.take_turn(stamp.now);
         self.tell_open(stamp.now);
         self.settle_reader(stamp.now);
@@ -469,7 +470,8 @@
     /// This box among the candidates for a duty.
     fn standing(&self, now: BoxTime) -> OwnStanding<'_> {
         let serves = self.open(now) || self.reads_for_others(now);
-        OwnStanding { name: &self.settings.name, serves, cut: self.is_cut(now) }
+        let (cut, open_since) = (self.is_cut(now), self.reading.open_since);
+        OwnStanding { name: &self.settings.name, serves, cut, open_since }
     }
 
     /// Requests in hand.
--- a/crates/core/src/route/peers/duties.rs
+++ b/crates/core/src/route/peers/duties.rs
@@ -19,6 +19,15 @@
     pub serves: bool,
     /// Whether it can't reach the store.
     pub cut: bool,
+    /// Since when callers may be sent to it; others that have said nothing since may have come as far.
+    pub open_since: Option<BoxTime>,
+}
+
+impl OwnStanding<'_> {
+    /// Whether another box serves or reads, or may do so by now.
+    fn may_serve(&self, other: &PeerState) -> bool {
+        other.card.serves() || self.open_since.is_some_and(|since| other.heard_at < since)
+    }
 }
 
 /// By what boxes come one after the other in a duty: see [`PeerTable::candidates`].
@@ -37,7 +46,7 @@
         };
         let others = self
             .living(now)
-            .map(|(name, row)| key(row.card.cut, row.card.serves(), name, Some(name.as_str())));
+            .map(|(name, row)| key(row.card.cut, me.may_serve(row), name, Some(name.as_str())));
         let mut all: Vec<(bool, bool, u64, Option<&str>)> =
             others.chain([key(me.cut, me.serves, me.name, None)]).collect();
         all.sort();
@@ -90,7 +99,7 @@
     pub fn rank(&self, me: &OwnStanding, now: BoxTime) -> usize {
         let (own, others) = (candidate_key(me.cut, me.serves, me.name), self.living(now));
         let key = |(name, row): (&String, &PeerState)| {
-            candidate_key(row.card.cut, row.card.serves(), name)
+            candidate_key(row.card.cut, me.may_serve(row), name)
         };
         others.filter(|other| key(*other) < own).count()
     }
--- a/crates/core/src/route/readers.rs
+++ b/crates/core/src/route/readers.rs
@@ -33,6 +33,8 @@
     pub(super) reader_at: Option<BoxTime>,
     /// Whether it was last told to be a reader.
     pub(super) told_reader: bool,
+    /// Since when callers may be sent to this box.
+    pub(super) open_since: Option<BoxTime>,
 }
 
 impl RouteState {
@@ -111,6 +113,12 @@
         }
     }
 
+    /// Notes since when callers may be sent to this box.
+    pub(super) fn note_open(&mut self, now: BoxTime) {
+        let since = self.reading.open_since.unwrap_or(now);
+        self.reading.open_since = self.open(now).then_some(since);
+    }
+
     /// Tells others at once when this box, started lately, knows what they ask for.
     pub(super) fn tell_open(&mut self, now: BoxTime) {
         let open = self.open(now);
