readers: those that can answer many others first; an answer takes no look at all replicas

Each answer to an ask took four looks at all 10,000 replicas, for some milliseconds of a core of which most boxes have 0.12, and 16 readers drawn by name have 1,230 asks a second. Change: loads, words of the dead and limits are left out of answers where rounds of notes are needed to reach all; boxes with half a core and 100 Mbit/s by their settings come first among readers, so that a small one reads only where there are no others. Tests: route (65 of fleet, readers, membership, loads) green.

--- a/crates/bench/src/prompt_router.rs
+++ b/crates/bench/src/prompt_router.rs
@@ -11,6 +11,7 @@
 };
 use ravenspoke_core::route::fresh::FreshBounds;
 use ravenspoke_core::route::loads::BackendLoad;
+use ravenspoke_core::route::peers::BoxCapacity;
 use ravenspoke_core::route::plan::{RouteKind, RoutePlan, RouteSpec, RouteTarget};
 use ravenspoke_core::route::{RouteSettings, RouteState};
 use ravenspoke_core::time::{BoxTime, WallTime};
@@ -303,6 +304,7 @@
         entry_address: format!("{row}:80"),
         note_address: format!("{row}:90"),
         is_seed: false,
+        capacity: BoxCapacity::default(),
         fresh: FreshBounds { revoke_ms: None, apply_ms: 2_000 },
         budget: BudgetBounds { ratio: 0.9, slack: 60.0, window_ms: 10_000 },
         leader: None,
--- a/crates/box/src/gateway/note_wire/peer.rs
+++ b/crates/box/src/gateway/note_wire/peer.rs
@@ -34,6 +34,8 @@
     cut: bool,
     #[prost(bool, tag = "7")]
     reads: bool,
+    #[prost(bool, tag = "8")]
+    strong: bool,
 }
 
 /// Further sends of a box in a window.
@@ -99,6 +101,7 @@
         open: card.open,
         cut: card.cut,
         reads: card.reads,
+        strong: card.strong,
     }
 }
 
@@ -111,5 +114,6 @@
         open: card.open,
         cut: card.cut,
         reads: card.reads,
+        strong: card.strong,
     }
 }
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -88,7 +88,7 @@
     let receivers = GatewayReceivers { site, lead: lead_receiver };
     let state = RouteState::new(route_settings(&settings));
     let clock = Arc::new(BoxClock::start()?);
-    let answers = AnswerPace::new(settings.link_mbps);
+    let answers = AnswerPace::new(settings.capacity.link_mbps);
     let driver = Arc::new(GatewayDriver::new(state, sinks, clock, answers));
     let store = StoreClient::new(&settings.store, settings.entry.ip())?;
 
@@ -299,6 +299,7 @@
         entry_address: settings.entry.to_string(),
         note_address: settings.notes.to_string(),
         is_seed: settings.seeds.contains(&settings.notes),
+        capacity: settings.capacity,
         fresh: settings.fresh,
         budget: settings.budget,
         leader: settings.leader.as_ref().map(|leader| leader.bounds),
--- a/crates/box/tests/clock.rs
+++ b/crates/box/tests/clock.rs
@@ -11,6 +11,7 @@
 use ravenspoke_core::route::budget::BudgetBounds;
 use ravenspoke_core::route::event::RouteEvent;
 use ravenspoke_core::route::fresh::FreshBounds;
+use ravenspoke_core::route::peers::BoxCapacity;
 use ravenspoke_core::route::plan::RoutePlan;
 use ravenspoke_core::route::{RouteSettings, RouteState};
 use tokio::sync::mpsc::{channel, unbounded_channel};
@@ -67,6 +68,7 @@
         entry_address: "box-1:80".to_owned(),
         note_address: "box-1:90".to_owned(),
         is_seed: false,
+        capacity: BoxCapacity::default(),
         fresh: FreshBounds { revoke_ms: Some(LONG.as_millis() as u64), apply_ms: 2_000 },
         budget: BudgetBounds { ratio: 0.1, slack: 10.0, window_ms: 10_000 },
         leader: None,
--- a/crates/box/tests/notes.rs
+++ b/crates/box/tests/notes.rs
@@ -31,6 +31,7 @@
         zone: "west".to_owned(),
         open: true,
         cut: true,
+        strong: true,
         reads: true,
     }
 }
--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -5,6 +5,7 @@
 use ravenspoke_core::route::budget::BudgetBounds;
 use ravenspoke_core::route::fresh::FreshBounds;
 use ravenspoke_core::route::leader::LeaderBounds;
+use ravenspoke_core::route::peers::BoxCapacity;
 use ravenspoke_core::route::region::ZoneRegions;
 
 /// Checked settings.
@@ -38,8 +39,8 @@
     pub keep_ms: u64,
     /// Descriptors that the process may have open.
     pub descriptors: usize,
-    /// What the box's link carries, in megabits a second.
-    pub link_mbps: f64,
+    /// What the box has for its work.
+    pub capacity: BoxCapacity,
     /// Region of each availability zone.
     pub regions: ZoneRegions,
     /// What one box does for all, if the platform has any of it.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -81,7 +81,7 @@
 use leader::{LeaderBounds, LeaderState};
 use news::NoteRounds;
 use pace::ServicePace;
-use peers::{OwnStanding, PeerTable};
+use peers::{BoxCapacity, OwnStanding, PeerTable};
 use plan::{RoutePlan, RouteTable};
 use readers::StoreReading;
 use region::ZoneRegions;
@@ -119,6 +119,8 @@
     pub note_address: String,
     /// Whether boxes that start are told to ask this one.
     pub is_seed: bool,
+    /// What it has for its work.
+    pub capacity: BoxCapacity,
     /// Bounds of freshness.
     pub fresh: FreshBounds,
     /// Bounds of further sends.
@@ -471,7 +473,8 @@
     fn standing(&self, now: BoxTime) -> OwnStanding<'_> {
         let serves = self.open(now) || self.reads_for_others(now);
         let (cut, open_since) = (self.is_cut(now), self.reading.open_since);
-        OwnStanding { name: &self.settings.name, serves, cut, open_since }
+        let strong = self.settings.capacity.is_strong();
+        OwnStanding { name: &self.settings.name, serves, cut, strong, open_since }
     }
 
     /// Requests in hand.
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -32,6 +32,15 @@
     pub(super) changes: VecDeque<(BoxTime, BackendChange)>,
 }
 
+/// What a note is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NoteKind {
+    /// It goes to some boxes by turns.
+    Round,
+    /// It answers an ask.
+    Answer,
+}
+
 impl RouteState {
     /// Tells news of a replica to other boxes, at once and for a while.
     pub(super) fn tell(
@@ -63,11 +72,12 @@
         self.rounds.changes.retain(|(at, _)| told(*at));
         let targets = self.peers.note_targets(&self.settings.zone, stamp.dice);
         if !targets.is_empty() {
-            out.push(RouteEffect::SendNotes(targets, Box::new(self.note(stamp))));
+            let note = self.note(stamp, NoteKind::Round);
+            out.push(RouteEffect::SendNotes(targets, Box::new(note)));
         }
     }
 
-    fn note(&mut self, stamp: EventStamp) -> PeerNote {
+    fn note(&mut self, stamp: EventStamp, kind: NoteKind) -> PeerNote {
         self.rounds.note_number += 1;
         let number = self.rounds.note_number;
         let (others, leads, paces) = if self.tells_of_others(number, stamp.now) {
@@ -77,6 +87,14 @@
             Default::default()
         };
         let budgets = self.told_budgets(stamp.now);
+        // Each takes a look at all replicas, and rounds of notes bring them to all: an answer comes too often for that.
+        let (loads, down, limits) = if kind == NoteKind::Round || self.peers.all_are_told() {
+            let backends = &self.backends;
+            let now = stamp.now;
+            (backends.loads_to_tell(now), backends.down_to_tell(now), backends.limits_to_tell(now))
+        } else {
+            Default::default()
+        };
         let trials = self.trials.values().map(|trial| TrialNote {
             service: trial.order.service.clone(),
             version: trial.order.version.clone(),
@@ -102,9 +120,9 @@
                 .take(NEWS_LIMIT)
                 .map(|row| row.1.clone())
                 .collect(),
-            loads: self.backends.loads_to_tell(stamp.now),
-            down: self.backends.down_to_tell(stamp.now),
-            limits: self.backends.limits_to_tell(stamp.now),
+            loads,
+            down,
+            limits,
             ends: self.told_ends(stamp.now),
             contents: self.told_contents(number, stamp.now),
             budgets,
@@ -151,6 +169,7 @@
             open: self.open(now),
             cut: self.is_cut(now),
             reads: self.reads_for_others(now) || self.reads_at_start(),
+            strong: self.settings.capacity.is_strong(),
         }
     }
 
@@ -206,7 +225,7 @@
     pub(super) fn on_ask(&mut self, stamp: EventStamp, ask: PeerAsk, out: &mut Vec<RouteEffect>) {
         let to = vec![ask.note_address.clone()];
         self.peers.hear_of(&to, &self.settings.note_address, stamp.now);
-        let mut note = self.note(stamp);
+        let mut note = self.note(stamp, NoteKind::Answer);
         let EntryAnswer { changes, known_to, age_ms, page } =
             self.entries.answer(ask.entries, &self.backends, stamp.now);
         note.changes = changes;
--- a/crates/core/src/route/peers/duties.rs
+++ b/crates/core/src/route/peers/duties.rs
@@ -4,12 +4,35 @@
 //! live by the same keys, and notes tell of those in front, so that all agree within some rounds; two views
 //! that differ by a few boxes cost a call to the store and no more. Whose calls fail goes behind.
 
+use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::table::{PeerState, PeerTable};
 use super::{PeerSummary, ASKERS_LIMIT, LEADS_SPARE, READERS_MIN};
 use crate::time::BoxTime;
 
+/// Processor time of a box that answers many others, in cores.
+pub const STRONG_CORES: f64 = 0.5;
+
+/// Link of a box that answers many others, in megabits a second.
+pub const STRONG_LINK_MBPS: f64 = 100.0;
+
+/// What a box has for its work, as its settings say.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct BoxCapacity {
+    /// Processor time, in cores.
+    pub cores: f64,
+    /// Link, in megabits a second.
+    pub link_mbps: f64,
+}
+
+impl BoxCapacity {
+    /// Whether the box can answer many others. Where boxes differ, a reader costs a small one much of what it has.
+    pub fn is_strong(self) -> bool {
+        self.cores >= STRONG_CORES && self.link_mbps >= STRONG_LINK_MBPS
+    }
+}
+
 /// This box among the candidates for a duty.
 #[derive(Clone, Copy, Debug)]
 pub struct OwnStanding<'a> {
@@ -19,6 +42,8 @@
     pub serves: bool,
     /// Whether it can't reach the store.
     pub cut: bool,
+    /// Whether it can answer many others.
+    pub strong: bool,
     /// Since when callers may be sent to it; others that have said nothing since may have come as far.
     pub open_since: Option<BoxTime>,
 }
@@ -30,25 +55,38 @@
     }
 }
 
-/// By what boxes come one after the other in a duty: see [`PeerTable::candidates`].
-fn candidate_key(cut: bool, serves: bool, name: &str) -> (bool, bool, u64) {
-    (cut, !serves, xxh3_64(name.as_bytes()))
+/// By what boxes come one after the other in a duty: those that reach the store first, of these those that serve or read
+/// already (where the plan grows old on all, the readers stay), then those that can answer many others, then by a hash
+/// of their names, so that they lie in different availability zones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct CandidateKey {
+    cut: bool,
+    idle: bool,
+    weak: bool,
+    hash: u64,
 }
 
+impl CandidateKey {
+    fn of_own(me: &OwnStanding) -> Self {
+        let hash = xxh3_64(me.name.as_bytes());
+        Self { cut: me.cut, idle: !me.serves, weak: !me.strong, hash }
+    }
+
+    fn of_other(me: &OwnStanding, name: &str, other: &PeerState) -> Self {
+        let (idle, hash) = (!me.may_serve(other), xxh3_64(name.as_bytes()));
+        Self { cut: other.card.cut, idle, weak: !other.card.strong, hash }
+    }
+}
+
+/// A box that may have a duty; without a name, this one.
+type Candidate<'a> = (CandidateKey, Option<&'a str>);
+
 impl PeerTable {
-    /// Boxes that may have duties, this one included: those that reach the store first, of these those that
-    /// serve or read already (where the plan grows old on all, the readers stay), then by a hash of their names, so
-    /// that they lie in different availability zones.
-    fn candidates(&self, me: &OwnStanding, now: BoxTime) -> Vec<(bool, bool, u64, Option<&str>)> {
-        let key = |cut, serves, name: &str, other| {
-            let (cut, idle, hash) = candidate_key(cut, serves, name);
-            (cut, idle, hash, other)
-        };
-        let others = self
-            .living(now)
-            .map(|(name, row)| key(row.card.cut, me.may_serve(row), name, Some(name.as_str())));
-        let mut all: Vec<(bool, bool, u64, Option<&str>)> =
-            others.chain([key(me.cut, me.serves, me.name, None)]).collect();
+    /// Boxes that may have duties, this one included, in their order.
+    fn candidates(&self, me: &OwnStanding, now: BoxTime) -> Vec<Candidate<'_>> {
+        let key = |name: &str, row: &PeerState| CandidateKey::of_other(me, name, row);
+        let others = self.living(now).map(|(name, row)| (key(name, row), Some(name.as_str())));
+        let mut all: Vec<Candidate> = others.chain([(CandidateKey::of_own(me), None)]).collect();
         all.sort();
         all
     }
@@ -69,8 +107,8 @@
     pub fn readers(&self, me: &OwnStanding, now: BoxTime) -> (bool, Vec<String>) {
         let mut all = self.candidates(me, now);
         all.truncate(self.reader_count(now));
-        let own = all.iter().any(|(_, _, _, name)| name.is_none());
-        let others = all.into_iter().filter_map(|(_, _, _, name)| self.rows.get(name?));
+        let own = all.iter().any(|(_, name)| name.is_none());
+        let others = all.into_iter().filter_map(|(_, name)| self.rows.get(name?));
         (own, others.map(|row| row.card.note_address.clone()).collect())
     }
 
@@ -81,7 +119,7 @@
         }
         let mut all = self.candidates(me, now);
         all.truncate(self.reader_count(now) + LEADS_SPARE);
-        let rows = all.into_iter().filter_map(|(_, _, _, name)| self.rows.get_key_value(name?));
+        let rows = all.into_iter().filter_map(|(_, name)| self.rows.get_key_value(name?));
         rows.map(|(name, row)| PeerSummary {
             name: name.clone(),
             card: row.card.clone(),
@@ -97,10 +135,9 @@
 
     /// How many boxes come before this one in a duty that one box has.
     pub fn rank(&self, me: &OwnStanding, now: BoxTime) -> usize {
-        let (own, others) = (candidate_key(me.cut, me.serves, me.name), self.living(now));
-        let key = |(name, row): (&String, &PeerState)| {
-            candidate_key(row.card.cut, me.may_serve(row), name)
-        };
-        others.filter(|other| key(*other) < own).count()
+        let own = CandidateKey::of_own(me);
+        let before =
+            |(name, row): &(&String, &PeerState)| CandidateKey::of_other(me, name, row) < own;
+        self.living(now).filter(before).count()
     }
 }
--- a/crates/core/src/route/peers/mod.rs
+++ b/crates/core/src/route/peers/mod.rs
@@ -15,7 +15,7 @@
 
 use serde::Serialize;
 
-pub use duties::OwnStanding;
+pub use duties::{BoxCapacity, OwnStanding};
 pub use table::{PeerState, PeerTable};
 
 use super::backend::BackendChange;
@@ -177,6 +177,8 @@
     pub cut: bool,
     /// Whether it reads the store for the others.
     pub reads: bool,
+    /// Whether it can answer many others; see [`BoxCapacity::is_strong`].
+    pub strong: bool,
 }
 
 impl PeerCard {
--- a/crates/core/src/route/peers/table.rs
+++ b/crates/core/src/route/peers/table.rs
@@ -152,7 +152,7 @@
     }
 
     /// Whether the boxes that are known are so few that each note reaches all.
-    pub(super) fn all_are_told(&self) -> bool {
+    pub fn all_are_told(&self) -> bool {
         self.rows.len() + self.hearsay.len() <= NOTE_FANOUT
     }
 
--- a/crates/core/tests/route/fixture.rs
+++ b/crates/core/tests/route/fixture.rs
@@ -10,7 +10,7 @@
     AnswerHead, RefusalReason, RouteAsk, RouteEffect, RouteEvent, RouteRefusal, SendOrder,
 };
 use ravenspoke_core::route::fresh::FreshBounds;
-use ravenspoke_core::route::peers::PeerNote;
+use ravenspoke_core::route::peers::{BoxCapacity, PeerNote};
 use ravenspoke_core::route::plan::{KeyHolder, RouteKind, RoutePlan, RouteSpec, RouteTarget};
 use ravenspoke_core::route::trial::TrialOrder;
 use ravenspoke_core::route::{RouteSettings, RouteState};
@@ -41,6 +41,7 @@
         entry_address: format!("{name}:80"),
         note_address: format!("{name}:90"),
         is_seed: false,
+        capacity: BoxCapacity::default(),
         fresh: FreshBounds { revoke_ms: Some(5_000), apply_ms: 2_000 },
         budget: BudgetBounds { ratio: 0.9, slack: 60.0, window_ms: 10_000 },
         leader: None,
