entries: a listing tells which replicas are gone, so that who was told one can tell others what they lack

Cause: a box that was told all replicas up to a position knew none that had gone before it, and told all replicas again to whoever knew less by a position or two. While replicas come each box's listing ends elsewhere. Virtual time, 100 boxes before 500 replicas and ten more each 100 ms: 13,500 entries told again in 6 s after all knew all, now none. Change: pages carry the replicas that are gone, where these are at most 500, and from which position on.

--- a/crates/box/src/gateway/note_wire/ask.rs
+++ b/crates/box/src/gateway/note_wire/ask.rs
@@ -38,6 +38,8 @@
     page_end: Option<WirePosition>,
     #[prost(message, optional, tag = "7")]
     page_next: Option<WirePosition>,
+    #[prost(message, optional, tag = "8")]
+    page_gone_from: Option<WirePosition>,
 }
 
 pub(super) fn write_ask(ask: &PeerAsk) -> WireAsk {
@@ -72,12 +74,17 @@
         age_ms: word.age_ms,
         page_end: word.page.map(|page| page.end.into()),
         page_next: word.page.and_then(|page| page.next).map(Into::into),
+        page_gone_from: word.page.map(|page| page.gone_from.into()),
     }
 }
 
 pub(super) fn read_word(word: WireEntryWord) -> EntryWord {
     let next = word.page_next.map(Into::into);
-    let page = word.page_end.map(|end| ListingPage { end: end.into(), next });
+    let page = word.page_end.map(|end| {
+        let end = end.into();
+        let gone_from = word.page_gone_from.map_or(end, Into::into);
+        ListingPage { end, next, gone_from }
+    });
     let known_to = word.known_to.map(Into::into);
     EntryWord { known_to, age_ms: word.age_ms, page }
 }
--- a/crates/box/tests/notes.rs
+++ b/crates/box/tests/notes.rs
@@ -82,7 +82,11 @@
         entries: EntryWord {
             known_to: Some(at(43)),
             age_ms: Some(0),
-            page: Some(ListingPage { end: at(43), next: Some(TopicPosition::default()) }),
+            page: Some(ListingPage {
+                end: at(43),
+                next: Some(TopicPosition::default()),
+                gone_from: at(41),
+            }),
         },
         others: vec!["10.1.0.4:7680".to_owned()],
         budgets: vec![BudgetNote {
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -248,6 +248,11 @@
         self.lapsing.iter().filter_map(|key| self.rows.get(*key)).map(|row| row.at).min()
     }
 
+    /// Replicas that are known to be gone.
+    pub(super) fn gone_count(&self) -> usize {
+        self.gone.count()
+    }
+
     /// Position from which on it is known which replicas are gone.
     pub fn gone_from(&self) -> TopicPosition {
         self.gone.kept_from()
--- a/crates/core/src/route/entries.rs
+++ b/crates/core/src/route/entries.rs
@@ -14,6 +14,10 @@
 /// of a thousand routes beside them.
 pub const CHANGES_TOLD: usize = 1_000;
 
+/// A listing shows which replicas are gone as well, if these are at most so many: who was told it can then tell others what
+/// they lack, where it would else have to tell them all replicas.
+pub const GONE_TOLD: usize = CHANGES_TOLD / 2;
+
 /// A listing is under way for this long after a page of it, in milliseconds: an ask and its answer, once lost and
 /// repeated. Meanwhile the store is not asked for all replicas as well.
 pub const LISTING_MS: u64 = 500;
@@ -25,6 +29,8 @@
     pub end: TopicPosition,
     /// Position from which the next page goes on; `None` on the last.
     pub next: Option<TopicPosition>,
+    /// From this position on it shows which replicas are gone as well.
+    pub gone_from: TopicPosition,
 }
 
 /// What a box wants to know of the entries.
@@ -55,6 +61,7 @@
 #[derive(Debug)]
 struct OpenListing {
     end: TopicPosition,
+    gone_from: TopicPosition,
     as_of: Option<BoxTime>,
     next: TopicPosition,
     rows: Vec<BackendChange>,
@@ -98,6 +105,12 @@
         self.listing = None;
     }
 
+    /// Notes one that shows as well which replicas are gone from a position on.
+    fn note_told(&mut self, end: TopicPosition, gone_from: TopicPosition) {
+        self.note_listed(end);
+        self.gone_from = gone_from.min(end);
+    }
+
     /// Notes that all changes before `to` are known, and that there were no others at `as_of`.
     pub fn note_read(&mut self, to: TopicPosition, as_of: Option<BoxTime>) {
         self.known_to = self.known_to.max(Some(to));
@@ -124,14 +137,16 @@
             return EntryAnswer::default();
         }
         let from = if whole { wish.page_from } else { wish.known_to.unwrap_or_default() };
-        let mut changes = table.changes_from(from, !whole, CHANGES_TOLD + 1);
+        let shows_gone = !whole || table.gone_count() <= GONE_TOLD;
+        let mut changes = table.changes_from(from, shows_gone, CHANGES_TOLD + 1);
         let more = changes.len() > CHANGES_TOLD;
         let next = changes.get(CHANGES_TOLD).map(|change| change.at);
         changes.truncate(CHANGES_TOLD);
         let all = !more && settled_to == known_to;
         let age_ms = self.age_ms(now).filter(|_| all || whole);
         let told_to = next.map_or(settled_to, |at| at.min(settled_to));
-        let page = whole.then_some(ListingPage { end: settled_to, next });
+        let gone_from = if shows_gone { gone_from } else { settled_to };
+        let page = whole.then_some(ListingPage { end: settled_to, next, gone_from });
         let known_to = if whole { settled_to } else { told_to };
         EntryAnswer { changes, known_to: Some(known_to), age_ms, page }
     }
@@ -173,7 +188,9 @@
         let first = TopicPosition::default();
         if wish.page_from == first {
             let (end, rows) = (page.end, Vec::new());
-            self.listing = Some(OpenListing { end, as_of, next: first, rows, heard_at: now });
+            let gone_from = page.gone_from;
+            self.listing =
+                Some(OpenListing { end, gone_from, as_of, next: first, rows, heard_at: now });
         }
         let listing = self.listing.as_mut()?;
         if listing.next != wish.page_from || page.end < listing.end {
@@ -181,12 +198,14 @@
         }
         listing.rows.extend(changes.iter().cloned());
         listing.heard_at = now;
+        // Pages may come from different boxes.
+        listing.gone_from = listing.gone_from.max(page.gone_from);
         if let Some(next) = page.next {
             listing.next = next;
             return None;
         }
         let listing = self.listing.take()?;
-        self.note_listed(listing.end);
+        self.note_told(listing.end, listing.gone_from);
         self.note_read(listing.end, listing.as_of);
         Some((listing.end, listing.rows))
     }
--- a/crates/core/src/route/gone.rs
+++ b/crates/core/src/route/gone.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// How many are known.
+    pub(super) fn count(&self) -> usize {
+        self.rows.len()
+    }
+
     /// Position from which on all that went is known.
     pub(super) fn kept_from(&self) -> TopicPosition {
         self.kept_from
--- a/crates/core/tests/route/fleet.rs
+++ b/crates/core/tests/route/fleet.rs
@@ -170,3 +170,22 @@
         assert!(took.is_some_and(|ms| ms <= 4_000), "{label}");
     }
 }
+
+#[test]
+fn boxes_that_know_all_replicas_are_not_told_all_of_them_again_as_others_come() {
+    let mut fleet = Fleet::start_with(100, LARGE);
+    fleet.put_replicas(LARGE_REPLICAS / 2);
+    let known = |fleet: &Fleet| fleet.boxes.iter().all(|subject| subject.state.knows_site());
+    while !known(&fleet) {
+        fleet.run_until(fleet.now + 100);
+        fleet.put_replicas(10);
+    }
+    fleet.told_entries = 0;
+
+    for _ in 0..60 {
+        fleet.run_until(fleet.now + 100);
+        fleet.put_replicas(10);
+    }
+
+    assert_eq!(fleet.told_entries, 0, "entries of listings");
+}
--- a/crates/core/tests/route/plan_fleet.rs
+++ b/crates/core/tests/route/plan_fleet.rs
@@ -157,6 +157,8 @@
     size: FleetSize,
     /// Entries that listings of the store showed.
     pub listed_entries: u64,
+    /// Entries that boxes told each other in listings.
+    pub told_entries: u64,
     /// Until when the store refuses all calls.
     pub away_until: u64,
     /// Notes that were sent within an availability zone, and to another.
@@ -182,6 +184,7 @@
             listed: Vec::new(),
             size,
             listed_entries: 0,
+            told_entries: 0,
             away_until: 0,
             notes: [0; 2],
         };
@@ -276,6 +279,8 @@
                     for target in targets {
                         let far = number_of(&target) % ZONES != to % ZONES;
                         self.notes[usize::from(far)] += u64::from(note.echo.is_none());
+                        let entries = note.entries.page.map_or(0, |_| note.changes.len());
+                        self.told_entries += entries as u64;
                         let bytes = NOTE_BYTES + TOLD_BYTES * note.changes.len() as u64;
                         let way = self.link_way(to, bytes);
                         self.send(&target, way, RouteEvent::PeerHeard(note.clone()));
@@ -553,7 +558,8 @@
 impl Fleet {
     /// Writes entries of so many replicas.
     pub fn put_replicas(&mut self, count: usize) {
-        for number in 0..count {
+        for _ in 0..count {
+            let number = self.entries.len();
             self.put(&format!("r{number}"), false);
         }
     }
