entries: who is told as many changes as an answer holds asks on at once

Cause: on the whole fleet 10,000 replicas write their entries in the seconds after the boxes' start. An answer holds 1,000 changes and is no word that there are no more; with an ask each 800 ms no box kept up, and 4 s later all 985 read the store at once, which refused it.

--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -5,7 +5,7 @@
 
 use super::backend::{BackendChange, BackendNews};
 use super::budget::SendCount;
-use super::entries::EntryAnswer;
+use super::entries::{EntryAnswer, CHANGES_TOLD};
 use super::event::RouteEffect;
 use super::pace::{PaceNote, ServicePace};
 use super::peers::{self, BudgetNote, EntryWord, PeerAsk, PeerCard, PeerNote, TrialNote};
@@ -296,8 +296,14 @@
         let EntryWord { known_to, age_ms, page } = note.entries;
         let as_of = age_ms.map(|age| asked.asked_at.minus_millis(age));
         let Some(page) = page else {
+            let more = changes.len() >= CHANGES_TOLD;
             self.take_backends(stamp, changes, BackendSource::Told, None, out);
-            return self.entries.take_changes(asked.entries, known_to, as_of);
+            self.entries.take_changes(asked.entries, known_to, as_of);
+            if more {
+                // Where replicas come in thousands, an ask now and then does not keep up with them.
+                out.push(RouteEffect::SendAsk(note.card.note_address.clone(), self.ask(stamp)));
+            }
+            return;
         };
         match self.entries.take_page(asked.entries, page, &changes, as_of, stamp.now) {
             Some((end, listed)) => self.on_listed(stamp, end, listed, None, out),
--- a/crates/core/tests/route/fleet.rs
+++ b/crates/core/tests/route/fleet.rs
@@ -189,3 +189,20 @@
 
     assert_eq!(fleet.told_entries, 0, "entries of listings");
 }
+
+#[test]
+fn boxes_keep_up_with_replicas_that_come_in_thousands() {
+    let mut fleet = site(30);
+    fleet.run_until(5_000);
+    fleet.calls();
+
+    for _ in 0..60 {
+        fleet.run_until(fleet.now + 100);
+        fleet.put_replicas(200);
+    }
+
+    assert_eq!(fleet.others_calls(), 0, "calls of boxes that are told");
+    fleet.run_until(fleet.now + 1_500);
+    let all = |subject: &FleetBox| subject.state.backends().rows().count() == 12_020;
+    assert!(fleet.boxes.iter().all(all));
+}
--- a/crates/core/tests/route/plan_fleet.rs
+++ b/crates/core/tests/route/plan_fleet.rs
@@ -523,6 +523,13 @@
         alive.filter(|subject| subject.state.open(now)).count()
     }
 
+    /// Calls of boxes that don't read for the others.
+    pub fn others_calls(&self) -> u32 {
+        let now = BoxTime::from_millis(self.now);
+        let others = self.boxes.iter().filter(|subject| !subject.state.is_reader(now));
+        others.map(|subject| subject.calls).sum()
+    }
+
     pub fn calls(&mut self) -> u32 {
         let calls = self.boxes.iter().map(|subject| subject.calls).sum();
         self.boxes.iter_mut().for_each(|subject| subject.calls = 0);
