entries: long answers end at positions that are the same for all who ask, and are packed once

Change: an answer that can't hold all ends at a multiple of what it holds, so that what follows is the same for all; answers of a hundred entries and more are packed once, not only pages. Who was told something further asks on; who was told the same again does not.

--- a/crates/box/src/gateway/note_wire/pages.rs
+++ b/crates/box/src/gateway/note_wire/pages.rs
@@ -11,7 +11,10 @@
 use super::replica::{read_change, write_change, WireChange};
 
 /// Pages that are kept, at most: all of ten thousand replicas, and some that have changed since.
-const PAGES_KEPT: usize = 16;
+const PAGES_KEPT: usize = 32;
+
+/// Answers with so many entries are kept: shorter ones differ from each other, and are packed soon.
+const KEPT_FROM: usize = 100;
 
 #[derive(Clone, PartialEq, Message)]
 struct WireChanges {
@@ -39,9 +42,9 @@
 pub struct PackedPages(VecDeque<(PageKey, Vec<u8>)>);
 
 impl PackedPages {
-    /// The packed entries of an answer, if it is a page of a listing.
+    /// The packed entries of an answer, if they are many.
     pub fn of(&mut self, note: &PeerNote) -> Option<&[u8]> {
-        note.entries.page?;
+        note.echo.as_ref().filter(|_| note.changes.len() >= KEPT_FROM)?;
         let key = PageKey::of(&note.changes)?;
         let place = match self.0.iter().position(|(known, _)| *known == key) {
             Some(place) => place,
--- a/crates/core/src/route/entries.rs
+++ b/crates/core/src/route/entries.rs
@@ -140,8 +140,9 @@
         let shows_gone = !whole || table.gone_count() <= GONE_TOLD;
         let mut changes = table.changes_from(from, shows_gone, CHANGES_TOLD + 1);
         let more = changes.len() > CHANGES_TOLD;
-        let next = changes.get(CHANGES_TOLD).map(|change| change.at);
-        changes.truncate(CHANGES_TOLD);
+        let kept = if more && !whole { aligned(&changes) } else { CHANGES_TOLD };
+        let next = changes.get(kept).map(|change| change.at);
+        changes.truncate(kept);
         let all = !more && settled_to == known_to;
         let age_ms = self.age_ms(now).filter(|_| all || whole);
         let told_to = next.map_or(settled_to, |at| at.min(settled_to));
@@ -210,3 +211,11 @@
         Some((listing.end, listing.rows))
     }
 }
+
+/// How many of more changes than an answer holds are told in one: up to a position that is the same for all who ask, so that
+/// what follows is packed once for them.
+fn aligned(changes: &[BackendChange]) -> usize {
+    let window = |change: &BackendChange| (change.at.era, change.at.offset / CHANGES_TOLD as u64);
+    let Some(first) = changes.first().map(window) else { return 0 };
+    changes.iter().take(CHANGES_TOLD).take_while(|change| window(change) == first).count()
+}
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -5,7 +5,7 @@
 
 use super::backend::{BackendChange, BackendNews};
 use super::budget::SendCount;
-use super::entries::{EntryAnswer, CHANGES_TOLD};
+use super::entries::EntryAnswer;
 use super::event::RouteEffect;
 use super::pace::{PaceNote, ServicePace};
 use super::peers::{self, BudgetNote, EntryWord, PeerAsk, PeerCard, PeerNote, TrialNote};
@@ -296,7 +296,8 @@
         let EntryWord { known_to, age_ms, page } = note.entries;
         let as_of = age_ms.map(|age| asked.asked_at.minus_millis(age));
         let Some(page) = page else {
-            let more = changes.len() >= CHANGES_TOLD;
+            // An answer that is no word of all there is has more behind it.
+            let more = age_ms.is_none() && known_to > asked.entries.known_to;
             self.take_backends(stamp, changes, BackendSource::Told, None, out);
             self.entries.take_changes(asked.entries, known_to, as_of);
             if more {
--- a/crates/core/tests/route/membership.rs
+++ b/crates/core/tests/route/membership.rs
@@ -520,3 +520,18 @@
     first.feed(RouteEvent::PeerHeard(Box::new(note)));
     assert_eq!(named(&first), ["box-1:80"]);
 }
+
+#[test]
+fn who_is_told_nothing_further_while_an_entry_may_come_back_does_not_ask_on_at_once() {
+    let (mut reader, mut asker) = (second_ready_box(), ready_box());
+    asker.feed(RouteEvent::PeerHeard(Box::new(answer(&mut reader, &asker))));
+    reader.feed(RouteEvent::StoreFailed);
+    reader.drop_entry("a");
+    reader.put(entry("c", "v1"));
+
+    let first = asker.feed(RouteEvent::PeerHeard(Box::new(answer(&mut reader, &asker))));
+    let second = asker.feed(RouteEvent::PeerHeard(Box::new(answer(&mut reader, &asker))));
+
+    assert!(ask_in(&first).is_none() || ask_in(&second).is_none());
+    assert!(ask_in(&second).is_none(), "it was told the same again");
+}
