answers: what waits is bounded by memory as well as by the link

Cause: an answer that waits is not packed yet and takes some twenty times its bytes; a quarter of a second of a gigabit link lets 500 answers of a thousand replicas wait. Change: 512 KB of answers wait at most.

--- a/crates/box/src/gateway/answer_pace.rs
+++ b/crates/box/src/gateway/answer_pace.rs
@@ -16,6 +16,10 @@
 /// An answer waits for no longer than this, in milliseconds.
 pub const ANSWER_WAIT_MS: u64 = 250;
 
+/// Bytes of answers that wait, at most, however fast the link is: unpacked, what waits takes some twenty times its bytes in
+/// memory.
+pub const ANSWER_WAIT_BYTES: f64 = 512_000.0;
+
 /// Bytes of an answer without replicas' entries.
 const BARE_BYTES: usize = 600;
 
@@ -44,7 +48,7 @@
     /// Whether another answer would be sent soon.
     pub fn has_room(&self) -> bool {
         let limit = self.bytes_per_s * ANSWER_WAIT_MS as f64 / 1_000.0;
-        (self.waiting.load(Ordering::Relaxed) as f64) < limit
+        (self.waiting.load(Ordering::Relaxed) as f64) < limit.min(ANSWER_WAIT_BYTES)
     }
 
     /// Notes an answer that waits.
