--- a/crates/box/tests/leader.rs
+++ b/crates/box/tests/leader.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
-use std::time::Duration;
 
 use ravenspoke_standins::fleet::wait_for;
 use ravenspoke_standins::platform::cloud::{CloudOutage, CloudStandin};
@@ -111,7 +110,11 @@
     for outage in [CloudOutage::Busy, CloudOutage::Silent] {
         cloud.set_outage(outage, 0);
         ask(&site, std::slice::from_ref(&subject), 3).await;
-        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        let before = cloud.asked();
+        wait_for("the report is sent again", || async {
+            (cloud.asked() >= before + 2).then_some(())
+        })
+        .await;
         cloud.set_outage(CloudOutage::None, 0);
         wait_for_reports(&cloud, 2).await;
     }
--- a/crates/core/tests/route/fleet.rs
+++ b/crates/core/tests/route/fleet.rs
@@ -149,8 +149,8 @@
     }
 }
 
-/// Boxes with links of 2 Mbit/s before a thousand replicas, which a listing of the store shows in pages of twenty: to list
-/// them takes a box 1.3 s, and to tell them 60 ms.
+/// Boxes with slow links, so that to list all replicas takes a box longer than its turn to read the store, and twenty times as
+/// long as to tell them.
 const LARGE: FleetSize = FleetSize { link: 250, page: 20 };
 const LARGE_REPLICAS: usize = 1_000;
 
--- a/crates/standins/src/platform/cloud.rs
+++ b/crates/standins/src/platform/cloud.rs
@@ -42,6 +42,8 @@
     /// The highest token seen, by subject.
     seen: BTreeMap<String, u64>,
     refused: u64,
+    /// Calls that came, whatever became of them.
+    asked: u64,
     outage: CloudOutage,
     slow_ms: u64,
 }
@@ -79,6 +81,11 @@
         self.lock().calls.clone()
     }
 
+    /// Calls that came so far, whatever became of them.
+    pub fn asked(&self) -> u64 {
+        self.lock().asked
+    }
+
     /// Calls that were refused for their token.
     pub fn refused(&self) -> u64 {
         self.lock().refused
@@ -94,7 +101,8 @@
         let mut stream = BufReader::new(stream);
         while let Ok(Some(request)) = read_request(&mut stream).await {
             let (outage, slow_ms) = {
-                let state = self.lock();
+                let mut state = self.lock();
+                state.asked += 1;
                 (state.outage, state.slow_ms)
             };
             tokio::time::sleep(Duration::from_millis(slow_ms)).await;
