--- a/crates/core/tests/route/leader.rs
+++ b/crates/core/tests/route/leader.rs
@@ -2,10 +2,17 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use ravenspoke_core::route::event::{RouteEffect, RouteEvent};
 use ravenspoke_core::route::leader::lease::{LeaderPart, LeaseWord};
 use ravenspoke_core::route::leader::scale::{wish, ScalePlan, ZoneStock, ZoneWish};
-use ravenspoke_core::time::BoxTime;
-
+use ravenspoke_core::route::leader::usage::{
+    RoundStep, UsageBounds, UsageNote, UsageReport, UsageRound,
+};
+use ravenspoke_core::route::leader::{LeaderBounds, LeaderCall, LeaderRecord, LeaderStep};
+use ravenspoke_core::route::{RouteSettings, RouteState};
+use ravenspoke_core::time::{BoxTime, WallTime};
+
+use crate::fixture::{new_box, settings, TestBox};
 use crate::leader_fleet::{LeaderFleet, LATE_MS, LEASE_MS, WINDOW_MS, ZONES, ZONE_SIZE};
 
 const PLAN: ScalePlan = ScalePlan { min: 1, max: 40, spot_price: Some(0.15) };
@@ -152,3 +159,61 @@
     fleet.run(40_000);
     assert_eq!((fleet.count("east", false), fleet.count("east", true)), (3, 17));
 }
+
+/// A box that acts for all, under token 5.
+fn acting_box() -> TestBox {
+    let usage = Some(UsageBounds { window_ms: WINDOW_MS, late_ms: LATE_MS });
+    let leader = Some(LeaderBounds { lease_ms: LEASE_MS, usage, scales: false });
+    let mut subject = new_box("box-1");
+    subject.state = RouteState::new(RouteSettings { leader, ..settings("box-1") });
+    for _ in 0..4 {
+        let word = LeaseWord { token: 5, dealt: true };
+        let asked_at = BoxTime::from_millis(subject.now);
+        subject.feed(RouteEvent::LeaseAnswered { asked_at, word });
+        subject.now += 1_000;
+        subject.feed(RouteEvent::Tick);
+    }
+    subject
+}
+
+/// Reports that effects send.
+fn sent_reports(effects: &[RouteEffect]) -> Vec<UsageReport> {
+    let report = |effect: &RouteEffect| match effect {
+        RouteEffect::Lead(order) => match &order.step {
+            LeaderStep::Call(LeaderCall::Report(report)) => Some(report.clone()),
+            _ => None,
+        },
+        _ => None,
+    };
+    effects.iter().filter_map(report).collect()
+}
+
+#[test]
+fn a_late_answer_to_a_take_over_does_not_set_the_reports_back() {
+    let left = UsageReport { window: 0, counts: [("alpha".to_owned(), 3)].into() };
+    let taken = |left: Vec<LeaderRecord>| RouteEvent::LeadTaken { token: 5, next: 0, left };
+    let mut subject = acting_box();
+    subject.feed(taken(vec![LeaderRecord::Usage(left.clone())]));
+    assert_eq!(sent_reports(&subject.feed(RouteEvent::Tick)), [left.clone()]);
+
+    let mut subject = acting_box();
+    subject.feed(taken(Vec::new()));
+    subject.feed(taken(vec![LeaderRecord::Usage(left)]));
+    assert_eq!(sent_reports(&subject.feed(RouteEvent::Tick)), []);
+}
+
+#[test]
+fn counts_that_a_box_tells_twice_are_taken_once() {
+    let mut round = UsageRound::begin(7, [("alpha".to_owned(), 1)].into());
+    let usage = UsageReport { window: 7, counts: [("alpha".to_owned(), 2)].into() };
+    let note = UsageNote { note_address: "box-2:90".to_owned(), usage };
+
+    round.hear(&note);
+    round.hear(&note);
+
+    let bounds = UsageBounds { window_ms: WINDOW_MS, late_ms: LATE_MS };
+    let ended = WallTime(8 * WINDOW_MS + LATE_MS);
+    let step = round.step(bounds, &["box-2:90".to_owned()], ended);
+    let RoundStep::Report(report) = step else { panic!("{step:?}") };
+    assert_eq!(report.counts["alpha"], 3);
+}
