entry: a box that stops answers what it takes; one that has not opened, or stops before it does, refuses connections

What callers saw: while a box was in its planned stop, most requests on new connections, and each request that crossed the close of a kept one, were cut unread. A box that was asked to stop before it knew the site let the kernel complete connections that nobody took, for as long as it lived.

Cause, shown by the checks below: a connection that is accepted in a stop was looked at together with the stop, in any order; where the stop came first it was closed before anything was read. And the entry listened from the process's start, while callers were taken later, and on until the process ended.

Change: the entry's socket has a life of its own (bound, listening, closed). It listens when the reducer says so (TakeCallers), and only then is the box ready or named. In a stop each connection ends with its next answer; those without a request are closed once callers know of the stop; the socket is closed after those that the kernel holds were taken; the process ends then. 726 and 727 tell when callers are taken. A caller of the soak that gives up keeps what the kernel lists of its connection (both ends), to tell one that nobody accepted from one that is held.

Ruled out: that only kills cut them (no kill within 0.4 s of those counted).

Tests: box/tests/entry.rs, four; three of them failed on (329 connections to a box that took none; the first request after a stop's begin cut).

--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -17,6 +17,7 @@
 use ravenspoke_core::route::RouteState;
 use ravenspoke_core::time::{BoxTime, WallTime};
 use tokio::sync::mpsc::{Sender, UnboundedSender};
+use tokio::sync::Notify;
 
 use super::answer_pace::AnswerPace;
 use super::observe;
@@ -107,6 +108,8 @@
     next_ticket: AtomicU64,
     /// The operator's records, for boxes that ask for them.
     operator: Mutex<OperatorRecords>,
+    /// Tells that callers may connect.
+    pub callers_due: Notify,
     /// Whether the store may have this box's record of where it hears notes.
     pub listed: AtomicBool,
     /// What answers to other boxes may take of the link.
@@ -129,6 +132,7 @@
             clock,
             next_ticket: AtomicU64::new(1),
             operator: Mutex::default(),
+            callers_due: Notify::new(),
             listed: AtomicBool::new(false),
             answers,
             tally: ControlTally::default(),
@@ -229,6 +233,7 @@
             RouteEffect::SendAsk(to, ask) => self.queue(PeerDatagram::Ask(to, ask)),
             RouteEffect::WriteVerdict(verdict) => drop(self.sinks.verdicts.send(verdict)),
             RouteEffect::WriteMark(mark) => drop(self.sinks.marks.send(mark)),
+            RouteEffect::TakeCallers => self.callers_due.notify_one(),
             RouteEffect::Lead(order) => drop(self.sinks.lead.send(order)),
             RouteEffect::AskUsage(to, ask) => self.queue(PeerDatagram::UsageAsk(to, ask)),
             RouteEffect::TellUsage(to, note) => self.queue(PeerDatagram::Usage(to, note)),
--- a/crates/box/src/gateway/entry.rs
+++ b/crates/box/src/gateway/entry.rs
@@ -8,10 +8,11 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 use super::exchange::{serve_request, GatewayTools};
+use super::listen::ListeningEntry;
 use super::observe;
 
 /// Read buffer of a connection, in bytes, where the plan does not allow larger heads.
@@ -54,46 +55,95 @@
     }
 }
 
-/// Takes connections for as long as the process runs.
-pub async fn accept_callers(
-    listener: TcpListener,
-    tools: Arc<GatewayTools>,
-    count: Arc<CallerCount>,
-    limit: usize,
-    stop: watch::Receiver<bool>,
-) {
-    let mut full = false;
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                // Out of descriptors, or the caller was gone at once: the next may do better.
-                observe::note_socket_failed("entry", &error);
-                tokio::time::sleep(Duration::from_millis(10)).await;
-                continue;
+/// A connection that is taken while others are closed gets this long for its request, in milliseconds.
+pub const FIRST_REQUEST_MS: u64 = 100;
+
+/// Pause after a connection could not be accepted, in milliseconds.
+const ACCEPT_PAUSE_MS: u64 = 10;
+
+/// How far a box's planned stop has come, for its callers' connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum EntryPhase {
+    /// There is none: connections are kept.
+    Open,
+    /// It has begun: each connection ends with its next answer.
+    Stopping,
+    /// Callers know of it: connections without a request are closed.
+    Closing,
+    /// No more connections are taken.
+    Closed,
+}
+
+/// Takes callers' connections, within the limit, and serves each in a task of its own.
+pub struct CallerEntry {
+    /// What requests are served with.
+    pub tools: Arc<GatewayTools>,
+    /// Open connections.
+    pub count: Arc<CallerCount>,
+    /// How many there may be.
+    pub limit: usize,
+    /// How far the planned stop has come.
+    pub phase: watch::Receiver<EntryPhase>,
+}
+
+impl CallerEntry {
+    /// Takes connections until the entry is closed, those that the kernel holds by then as well.
+    pub async fn accept(mut self, listener: ListeningEntry) {
+        let mut full = false;
+        loop {
+            let accepted = tokio::select! {
+                // The sender lives as long as the process.
+                _ = self.phase.wait_for(|phase| *phase == EntryPhase::Closed) => break,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
+                Ok(stream) => self.take(stream, &mut full),
+                Err(error) => {
+                    // Out of descriptors, or the caller was gone at once: the next may do better.
+                    observe::note_socket_failed("entry", &error);
+                    tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+                }
             }
-        };
-        let was_full = std::mem::replace(&mut full, count.open() >= limit);
-        if full {
+        }
+        match listener.close() {
+            Ok(waiting) => waiting.into_iter().for_each(|stream| self.take(stream, &mut full)),
+            Err(error) => observe::note_socket_failed("entry", &error),
+        }
+    }
+
+    fn take(&self, stream: TcpStream, full: &mut bool) {
+        let was_full = std::mem::replace(full, self.count.open() >= self.limit);
+        if *full {
             observe::note_caller_turned_away();
             if !was_full {
-                observe::note_callers_full(limit);
+                observe::note_callers_full(self.limit);
             }
-            continue;
+            return;
         }
-        let counted = CountedCaller::new(&count);
-        let (tools, stop) = (tools.clone(), stop.clone());
+        let counted = CountedCaller::new(&self.count);
+        let (tools, phase) = (self.tools.clone(), self.phase.clone());
         tokio::spawn(async move {
-            serve_caller(stream, tools, stop).await;
+            serve_caller(stream, tools, phase).await;
             drop(counted);
         });
     }
 }
 
+/// Waits until a connection without a request may be closed. One that was opened when others were closed already may
+/// have sent its request, which is still to be read.
+async fn wait_to_close(mut phase: watch::Receiver<EntryPhase>) {
+    let opened_in = *phase.borrow();
+    // The sender lives as long as the process.
+    let _ = phase.wait_for(|phase| *phase >= EntryPhase::Closing).await;
+    if opened_in >= EntryPhase::Closing {
+        tokio::time::sleep(Duration::from_millis(FIRST_REQUEST_MS)).await;
+    }
+}
+
 async fn serve_caller(
     stream: TcpStream,
     tools: Arc<GatewayTools>,
-    mut stop: watch::Receiver<bool>,
+    phase: watch::Receiver<EntryPhase>,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         observe::note_socket_failed("entry", &error);
@@ -117,12 +167,14 @@
         .max_buf_size(buffer)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let stopped = tokio::select! {
+    let closes = tokio::select! {
+        // A request that has come is read before its connection is closed.
+        biased;
         // How a caller's connection ends shows at its request.
         _ = connection.as_mut() => false,
-        _ = stop.wait_for(|stopped| *stopped) => true,
+        () = wait_to_close(phase) => true,
     };
-    if stopped {
+    if closes {
         connection.as_mut().graceful_shutdown();
         let _ = connection.await;
     }
--- a/crates/box/src/gateway/mod.rs
+++ b/crates/box/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod exchange;
 pub mod follow;
 pub mod leader;
+mod listen;
 pub mod marks;
 pub mod note_wire;
 pub mod notes;
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -259,6 +259,16 @@
     warn!(event = 725, name = "callers_full", limit);
 }
 
+/// Logs that callers can connect from now on.
+pub fn note_callers_taken() {
+    info!(event = 726, name = "callers_taken");
+}
+
+/// Logs that connections of callers are refused from now on, with those that are open still.
+pub fn note_callers_refused(open_connections: usize) {
+    info!(event = 727, name = "callers_refused", open_connections);
+}
+
 /// Logs that the process ends.
 pub fn note_exit(open_connections: usize, in_hand: usize) {
     info!(event = 723, name = "gateway_exits", open_connections, in_hand);
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -17,7 +17,7 @@
 use ravenspoke_core::route::{RouteSettings, RouteState, STOP_TAKE_MS};
 use ravenspoke_core::time::BoxTime;
 use rocket::Route;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::UdpSocket;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc::{channel, unbounded_channel, Receiver, UnboundedReceiver};
 use tokio::sync::watch;
@@ -27,8 +27,9 @@
 use super::answer_pace::AnswerPace;
 use super::directory::{metrics_routes, ready_routes, resolve_routes};
 use super::driver::{GatewayDriver, GatewaySinks, PeerDatagram, NOTES_QUEUED};
-use super::entry::{accept_callers, CallerCount, CALLER_PART};
+use super::entry::{CallerCount, CallerEntry, EntryPhase, CALLER_PART};
 use super::exchange::GatewayTools;
+use super::listen::BoundEntry;
 use super::pool::ReplicaPool;
 use super::reload::follow_settings;
 use super::strange::StrangeHeaders;
@@ -45,12 +46,13 @@
 /// Idle connections are looked at this often, in milliseconds.
 pub const SWEEP_EVERY_MS: u64 = 1_000;
 
-/// While a box that has started waits to know the site, it looks this often, in milliseconds.
-pub const KNOW_LOOK_MS: u64 = 5;
-
 /// Kept back from the time between the signal to stop and the kill, in milliseconds.
 pub const GRACE_MARGIN_MS: u64 = 500;
 
+/// Callers may send to an address for this much longer than they keep an answer about it, in milliseconds: the answer
+/// takes a while to them, and their requests to the box.
+pub const KNOWN_MARGIN_MS: u64 = 200;
+
 /// While stopping, the box looks this often whether anything is left to do, in milliseconds.
 pub const STOP_LOOK_MS: u64 = 50;
 
@@ -94,12 +96,12 @@
 
     let socket = UdpSocket::bind(settings.notes).await;
     let socket = socket.map_err(|error| listen_error(settings.notes, "notes", &error))?;
-    let listener = TcpListener::bind(settings.entry).await;
-    let listener = listener.map_err(|error| listen_error(settings.entry, "entry", &error))?;
+    let bound = BoundEntry::bind(settings.entry);
+    let bound = bound.map_err(|error| listen_error(settings.entry, "entry", &error))?;
 
     follow_leader(&settings, &driver, &store, receivers.lead)?;
     follow_site(&settings, &driver, &store, socket, receivers.site);
-    let entry = OpenEntry::start(&settings, &driver, listener);
+    let entry = GatewayEntry::start(&settings, &driver, bound);
     launch_answers(&settings, &driver, metrics, metrics_port).await?;
     observe::note_started(&settings.name, settings.entry, &settings.seeds);
     if !settings.unread_seeds.is_empty() {
@@ -187,53 +189,76 @@
     driver.feed(RouteEvent::PeersNamed(seeds));
 }
 
-/// The entry that callers connect to, open from the start of the box until its planned stop.
-struct OpenEntry {
+/// The entry that callers connect to, and how far its planned stop has come.
+struct GatewayEntry {
     tools: Arc<GatewayTools>,
     callers: Arc<CallerCount>,
-    accepting: JoinHandle<()>,
-    stop: watch::Sender<bool>,
+    taking: JoinHandle<()>,
+    phase: watch::Sender<EntryPhase>,
 }
 
-impl OpenEntry {
+impl GatewayEntry {
     /// Takes callers from when the box knows the site.
-    fn start(
-        settings: &GatewaySettings,
-        driver: &Arc<GatewayDriver>,
-        listener: TcpListener,
-    ) -> Self {
+    fn start(settings: &GatewaySettings, driver: &Arc<GatewayDriver>, bound: BoundEntry) -> Self {
         let pool = Arc::new(ReplicaPool::new(driver.shared_clock()));
         tokio::spawn(run_ticks(driver.clone(), pool.clone()));
         let stopping = AtomicBool::new(false);
         let strange = StrangeHeaders::default();
         let tools = Arc::new(GatewayTools { driver: driver.clone(), pool, stopping, strange });
         let callers = Arc::new(CallerCount::default());
-        let limit = (settings.descriptors as f64 * CALLER_PART) as usize;
-        let (stop, stopped) = watch::channel(false);
-        let accepting = tokio::spawn({
-            let (tools, callers) = (tools.clone(), callers.clone());
-            async move {
-                wait_to_know(&tools.driver).await;
-                accept_callers(listener, tools, callers, limit, stopped).await;
-            }
-        });
-        Self { tools, callers, accepting, stop }
+        let (phase, phases) = watch::channel(EntryPhase::Open);
+        let entry = CallerEntry {
+            tools: tools.clone(),
+            count: callers.clone(),
+            limit: (settings.descriptors as f64 * CALLER_PART) as usize,
+            phase: phases,
+        };
+        let taking = tokio::spawn(take_callers(driver.clone(), bound, entry));
+        Self { tools, callers, taking, phase }
     }
 
-    /// Ends connections where no request is in hand, and takes new ones for [`STOP_TAKE_MS`] more.
+    /// Answers end their connections from now on.
     fn stop(&self) {
         self.tools.stopping.store(true, Ordering::Relaxed);
-        // The receivers live as long as the accept loop.
-        let _ = self.stop.send(true);
-        let accepting = self.accepting.abort_handle();
-        tokio::spawn(async move {
-            // A caller that is refused a connection tries another address at once.
-            tokio::time::sleep(Duration::from_millis(STOP_TAKE_MS)).await;
-            accepting.abort();
-        });
+        self.phase.send_replace(EntryPhase::Stopping);
+    }
+
+    /// Closes connections without a request.
+    fn close_resting(&self) {
+        self.phase.send_replace(EntryPhase::Closing);
+    }
+
+    /// Refuses further connections, so that a caller tries another address at once.
+    async fn close(&mut self) {
+        self.phase.send_replace(EntryPhase::Closed);
+        if let Err(error) = (&mut self.taking).await {
+            observe::note_socket_failed("entry", &std::io::Error::other(error));
+        }
     }
 }
 
+/// Takes callers from when the box knows the site until its entry is closed. A box that is asked to stop before that
+/// takes none.
+async fn take_callers(driver: Arc<GatewayDriver>, bound: BoundEntry, entry: CallerEntry) {
+    let (mut phase, open) = (entry.phase.clone(), entry.count.clone());
+    tokio::select! {
+        _ = phase.wait_for(|phase| *phase != EntryPhase::Open) => return,
+        () = driver.callers_due.notified() => {}
+    }
+    match bound.listen() {
+        Ok(listener) => {
+            observe::note_callers_taken();
+            entry.accept(listener).await;
+        }
+        Err(error) => {
+            observe::note_socket_failed("entry", &error);
+            // A box without one of its listeners is no box: the platform starts it anew.
+            std::process::exit(1);
+        }
+    }
+    observe::note_callers_refused(open.open());
+}
+
 /// Serves the directory, readiness, and metrics where a port is given for them.
 async fn launch_answers(
     settings: &GatewaySettings,
@@ -255,18 +280,34 @@
     settings: &GatewaySettings,
     driver: &Arc<GatewayDriver>,
     store: StoreClient,
-    entry: OpenEntry,
+    mut entry: GatewayEntry,
 ) {
-    let began = driver.now();
     driver.feed(RouteEvent::StopAsked);
     entry.stop();
-    if driver.listed.load(Ordering::Relaxed) {
-        follow::forget_box(driver.clone(), store, &settings.name).await;
-    }
-    wait_until_empty(settings, driver, &entry.callers, began).await;
+    tokio::join!(
+        async {
+            if driver.listed.load(Ordering::Relaxed) {
+                follow::forget_box(driver.clone(), store, &settings.name).await;
+            }
+        },
+        serve_out(settings, driver, &mut entry),
+    );
     observe::note_exit(entry.callers.open(), driver.state().in_hand());
 }
 
+/// Serves what callers send until they know of the stop, then what is open.
+async fn serve_out(settings: &GatewaySettings, driver: &GatewayDriver, entry: &mut GatewayEntry) {
+    let stop = StopWait { driver, callers: entry.callers.clone(), began: driver.now() };
+    let limit_ms = settings.grace_ms.saturating_sub(GRACE_MARGIN_MS);
+    // Callers keep an answer about addresses for its time, some of them longer; then they look for another.
+    let known_ms = (settings.keep_ms + KNOWN_MARGIN_MS).min(limit_ms);
+    stop.until(known_ms).await;
+    entry.close_resting();
+    stop.until_empty(STOP_TAKE_MS.max(known_ms).min(limit_ms)).await;
+    entry.close().await;
+    stop.until_empty(limit_ms).await;
+}
+
 fn listen_error(
     address: SocketAddr,
     purpose: &'static str,
@@ -307,14 +348,6 @@
     }
 }
 
-/// Waits until the box knows the site. Callers that connect meanwhile wait for some milliseconds in
-/// place of being refused; where there is nothing to know, they are not kept for long.
-async fn wait_to_know(driver: &GatewayDriver) {
-    while !driver.state().takes_callers(driver.now()) {
-        tokio::time::sleep(Duration::from_millis(KNOW_LOOK_MS)).await;
-    }
-}
-
 async fn run_ticks(driver: Arc<GatewayDriver>, pool: Arc<ReplicaPool>) {
     let mut swept = Instant::now();
     let mut told = (Instant::now(), observe::ToldCosts::default());
@@ -345,22 +378,32 @@
     }
 }
 
-/// Waits until callers can no longer come and all that is open has ended, or the time is up.
-async fn wait_until_empty(
-    settings: &GatewaySettings,
-    driver: &GatewayDriver,
-    callers: &CallerCount,
+/// Waits of the planned stop, in milliseconds since it began.
+struct StopWait<'a> {
+    driver: &'a GatewayDriver,
+    callers: Arc<CallerCount>,
     began: BoxTime,
-) {
-    let limit = Duration::from_millis(settings.grace_ms.saturating_sub(GRACE_MARGIN_MS));
-    // Callers keep an answer for its time, some of them longer; then they look for another.
-    let stay = Duration::from_millis(settings.keep_ms).min(limit);
-    loop {
-        let empty = callers.open() == 0 && driver.state().in_hand() == 0;
-        let stopping = driver.clock().since(began);
-        if (empty && stopping >= stay) || stopping >= limit {
-            return;
+}
+
+impl StopWait<'_> {
+    async fn until(&self, most_ms: u64) {
+        while !self.over(most_ms) {
+            tokio::time::sleep(Duration::from_millis(STOP_LOOK_MS)).await;
+        }
+    }
+
+    /// Waits until all that is open has ended, or the time is up.
+    async fn until_empty(&self, most_ms: u64) {
+        while !self.empty() && !self.over(most_ms) {
+            tokio::time::sleep(Duration::from_millis(STOP_LOOK_MS)).await;
         }
-        tokio::time::sleep(Duration::from_millis(STOP_LOOK_MS)).await;
+    }
+
+    fn empty(&self) -> bool {
+        self.callers.open() == 0 && self.driver.state().in_hand() == 0
+    }
+
+    fn over(&self, most_ms: u64) -> bool {
+        self.driver.clock().since(self.began) >= Duration::from_millis(most_ms)
     }
 }
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -46,6 +46,8 @@
     (723, "gateway_exits"),
     (724, "seeds_unreadable"),
     (725, "callers_full"),
+    (726, "callers_taken"),
+    (727, "callers_refused"),
     (730, "store_lost"),
     (731, "store_regained"),
     (732, "record_unreadable"),
--- /dev/null
+++ b/crates/box/tests/entry.rs
@@ -0,0 +1,119 @@
+//! The entry of a box at its start and its planned stop: what a caller sends is answered, or no connection comes about.
+//!
+//! Boxes run as processes before the stand-ins of the platform. Waiting is on a condition with a bound.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use ravenspoke_standins::fleet::wait_for;
+use ravenspoke_standins::platform::replica::ReplicaStandin;
+use ravenspoke_standins::platform::site::{RunningSite, SITE_KEY};
+use ravenspoke_standins::platform::site_box::SiteBox;
+use ravenspoke_standins::platform::store::{StoreFaults, StoreOutage};
+use tokio::net::TcpStream;
+
+/// Callers keep an answer about addresses for so long.
+const KNOWN_FOR: Duration = Duration::from_millis(2_000);
+
+/// Requests that are sent while a box stops.
+const REQUESTS: u32 = 100;
+
+/// A site with a plan, a replica and a box that is ready.
+async fn site_with_a_box() -> (RunningSite, ReplicaStandin, SiteBox) {
+    let mut site = new_site().await;
+    let replica = site.start_replica("i-1", 3, 1).await;
+    let subject = site.start_ready("box-1").await;
+    (site, replica, subject)
+}
+
+async fn new_site() -> RunningSite {
+    let site = RunningSite::start(Path::new(env!("CARGO_BIN_EXE_ravenspoked"))).await;
+    site.write_plan(1, &[SITE_KEY]);
+    site
+}
+
+/// Asks a box to stop and waits until it has begun.
+async fn begin_stop(subject: &SiteBox) {
+    subject.signal("TERM");
+    wait_for("the stop has begun", || async {
+        (!subject.events("stop_begun").is_empty()).then_some(())
+    })
+    .await;
+}
+
+/// Status of a request, and whether its answer ends the connection.
+async fn ask(site: &RunningSite, subject: &SiteBox, id: &str) -> (u16, bool) {
+    let answer = site.request(subject, "POST", "/file/x", id).body("body").send().await;
+    let answer = answer.expect("a request that was taken is answered");
+    let closes = answer.headers().get("connection").is_some_and(|value| value == "close");
+    let status = answer.status().as_u16();
+    answer.bytes().await.expect("a whole answer");
+    (status, closes)
+}
+
+async fn connect(subject: &SiteBox) -> std::io::Result<TcpStream> {
+    let address: SocketAddr = subject.entry_address().parse().expect("an address");
+    TcpStream::connect(address).await
+}
+
+// Each connection that was opened during a stop was closed unread if the stop was looked at before the socket.
+#[tokio::test]
+async fn a_box_that_stops_answers_each_request_on_a_new_connection() {
+    let (mut site, _replica, subject) = site_with_a_box().await;
+    site.http = reqwest::Client::builder().pool_max_idle_per_host(0).build().expect("a client");
+
+    begin_stop(&subject).await;
+    let began = Instant::now();
+    let mut answers = Vec::new();
+    while answers.len() < REQUESTS as usize && began.elapsed() < KNOWN_FOR {
+        answers.push(ask(&site, &subject, &format!("new-{}", answers.len())).await);
+    }
+
+    assert!(answers.iter().all(|answer| *answer == (200, true)), "{answers:?}");
+}
+
+#[tokio::test]
+async fn a_connection_that_rests_when_a_stop_begins_has_its_next_request_answered() {
+    let (site, _replica, subject) = site_with_a_box().await;
+    assert_eq!(ask(&site, &subject, "before").await, (200, false));
+
+    begin_stop(&subject).await;
+
+    assert_eq!(ask(&site, &subject, "after").await, (200, true));
+}
+
+// The kernel completed connections to a box that accepted none: callers waited, and were cut when the box ended.
+#[tokio::test]
+async fn a_box_that_is_stopped_before_it_takes_callers_refuses_connections() {
+    let mut site = new_site().await;
+    let outage = StoreOutage::Silent;
+    site.store.set_faults(StoreFaults { outage, ..StoreFaults::default() });
+    let mut subject = site.start_box("box-1");
+    subject.tell().await;
+    subject.signal("TERM");
+
+    let mut connected = 0;
+    while subject.exit_code().is_none() {
+        connected += u32::from(connect(&subject).await.is_ok());
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+
+    assert_eq!(connected, 0);
+    assert!(subject.events("callers_taken").is_empty(), "the test asked it to stop too late");
+}
+
+#[tokio::test]
+async fn a_box_that_says_that_it_is_ready_can_be_connected_to() {
+    let mut site = new_site().await;
+    let _replica = site.start_replica("i-1", 3, 1).await;
+    let subject = site.start_box("box-1");
+
+    let mut refused = 0;
+    while !subject.ready().await {
+        refused += u32::from(connect(&subject).await.is_err());
+    }
+
+    assert!(connect(&subject).await.is_ok());
+    assert!(refused > 0, "until then connections are refused");
+}
--- a/crates/box/tests/soak.rs
+++ b/crates/box/tests/soak.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::path::Path;
 
-use ravenspoke_standins::soak::play::play;
+use ravenspoke_standins::soak::play::{play, play_series, SoakReport};
 
 /// Seeds that every run of CI plays.
 const SEEDS: [u64; 3] = [1, 2, 3];
@@ -15,6 +15,9 @@
     lines.filter(|line| !line.is_empty()).map(|line| first(line).expect("a seed")).collect()
 }
 
+/// Seeds of series of stops and kills that every run of CI plays.
+const SERIES_SEEDS: [u64; 3] = [1004, 1005, 1007];
+
 /// A seed with a finding that is not traced; it is played on its own.
 const UNTRACED_SEED: u64 = 2;
 
@@ -23,13 +26,16 @@
     let runs: Vec<_> =
         seeds.into_iter().map(|seed| (seed, tokio::spawn(play(binary, seed)))).collect();
     for (seed, run) in runs {
-        let report = run.await.expect("the run ends");
-        let found = report.broken.join("\n");
-        assert!(report.broken.is_empty(), "seed {seed}, {:#?}\n{found}", report.faults);
-        assert!(report.served > report.asks / 4, "seed {seed}: {} served", report.served);
+        assert_kept(seed, &run.await.expect("the run ends"));
     }
 }
 
+fn assert_kept(seed: u64, report: &SoakReport) {
+    let found = report.broken.join("\n");
+    assert!(report.broken.is_empty(), "seed {seed}, {:#?}\n{found}", report.faults);
+    assert!(report.served > report.asks / 4, "seed {seed}: {} served", report.served);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn no_promise_is_broken_under_faults() {
     let mut seeds: BTreeSet<u64> = SEEDS.into_iter().chain(failed_seeds()).collect();
@@ -42,3 +48,15 @@
 async fn a_box_that_is_stopped_holds_no_request_that_it_never_read() {
     assert_no_promise_is_broken(BTreeSet::from([UNTRACED_SEED])).await;
 }
+
+// Requests that boxes cut while they stopped, and sessions moved back by boxes that started and stopped in a trial.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_while_boxes_are_stopped_and_killed_in_a_series() {
+    let binary = Path::new(env!("CARGO_BIN_EXE_ravenspoked"));
+    for run in SERIES_SEEDS
+        .map(|seed| tokio::spawn(async move { (seed, play_series(binary, seed).await) }))
+    {
+        let (seed, report) = run.await.expect("the run ends");
+        assert_kept(seed, &report);
+    }
+}
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -512,4 +512,6 @@
     TellUsage(String, UsageNote),
     /// The planned stop has begun.
     StopBegun,
+    /// Callers may connect from now on.
+    TakeCallers,
 }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -302,10 +302,23 @@
                 self.on_tick(stamp, out);
             }
         }
+        self.take_callers(stamp.now, out);
         effects
     }
 
+    /// Lets callers connect, once, when that is due.
+    fn take_callers(&mut self, now: BoxTime, out: &mut Vec<RouteEffect>) {
+        let due = !self.stopping() && self.takes_callers(now);
+        let start = self.start.as_mut().filter(|start| due && !start.takes_callers);
+        if let Some(start) = start {
+            start.takes_callers = true;
+            out.push(RouteEffect::TakeCallers);
+        }
+    }
+
     fn on_tick(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
+        // First: what follows tells others of it.
+        self.take_callers(stamp.now, out);
         for change in self.backends.drop_lapsed(stamp.now) {
             self.tell(stamp, change, BackendNews::Leaving, out);
         }
@@ -436,7 +449,11 @@
 
     /// Whether the box can serve at all.
     pub fn ready(&self, now: BoxTime) -> bool {
-        self.has_plan() && !self.stopping() && self.fresh.honours_keys(now, self.settings.fresh)
+        let takes = self.start.is_some_and(|start| start.takes_callers);
+        takes
+            && self.has_plan()
+            && !self.stopping()
+            && self.fresh.honours_keys(now, self.settings.fresh)
     }
 
     /// Whether the planned stop has begun.
--- a/crates/core/src/route/start.rs
+++ b/crates/core/src/route/start.rs
@@ -24,6 +24,8 @@
     pub(super) read_at: BoxTime,
     /// Whether it reads the store itself.
     pub(super) reads: bool,
+    /// Whether it takes callers.
+    pub(super) takes_callers: bool,
     /// Whether it has told others that it can answer them.
     pub(super) told_open: bool,
     /// When it learnt the plan.
@@ -40,8 +42,15 @@
             START_WAIT_MS + stamp.dice % START_SPREAD_MS
         };
         let read_at = stamp.now.plus_millis(wait_ms);
-        let (reads, told_open) = (false, false);
-        Self { at: stamp.now, read_at, reads, told_open, plan_at: None, asks: 0 }
+        Self {
+            at: stamp.now,
+            read_at,
+            reads: false,
+            takes_callers: false,
+            told_open: false,
+            plan_at: None,
+            asks: 0,
+        }
     }
 
     /// Notes that the plan is known.
--- a/crates/standins/examples/soak.rs
+++ b/crates/standins/examples/soak.rs
@@ -1,26 +1,35 @@
 //! The fault soak by hand: `scripts/soak` builds everything and runs this.
 //!
-//! Usage: `soak RAVENSPOKED SEED...`. One line a seed; exits with 1 if a promise was broken.
+//! Usage: `soak RAVENSPOKED [--series] SEED...`. With `--series` boxes are stopped and killed one after the other, and nothing
+//! else is done. One line a seed; exits with 1 if a promise was broken.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use ravenspoke_standins::soak::play::play;
+use ravenspoke_standins::soak::play::{play, play_series};
 
 #[tokio::main]
 async fn main() -> ExitCode {
     let mut args = std::env::args().skip(1);
     let Some(binary) = args.next().map(PathBuf::from) else {
-        eprintln!("usage: soak RAVENSPOKED SEED...");
+        eprintln!("usage: soak RAVENSPOKED [--series] SEED...");
         return ExitCode::from(2);
     };
     let mut whole = true;
+    let mut series = false;
     for text in args {
+        if text == "--series" {
+            series = true;
+            continue;
+        }
         let Ok(seed) = text.parse() else {
             eprintln!("`{text}` is no seed: give whole numbers");
             return ExitCode::from(2);
         };
-        let report = play(&binary, seed).await;
+        let report = match series {
+            true => play_series(&binary, seed).await,
+            false => play(&binary, seed).await,
+        };
         let (asks, served, broken) = (report.asks, report.served, report.broken.len());
         println!("seed {seed}: {asks} requests, {served} served, {broken} findings");
         if broken > 0 {
--- a/crates/standins/src/soak/callers.rs
+++ b/crates/standins/src/soak/callers.rs
@@ -1,6 +1,7 @@
 //! Callers: they ask boxes which addresses to use, keep the answer for a while, and keep connections open
 //! until the process behind them is gone.
 
+use std::future::Future;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -11,6 +12,7 @@
 use serde_json::Value;
 use tokio::sync::watch;
 
+use super::sockets::kernel_sockets;
 use super::witness::{AskEnd, AskKind, AskRecord, SoakWitness};
 use crate::platform::site::SITE_KEY;
 use crate::platform::site_box::{directory_url, entry_address, named_in, SITE_HOST};
@@ -39,6 +41,9 @@
 /// A caller ends a request that is not answered this long after its time.
 const GIVE_UP: Duration = Duration::from_millis(DEADLINE_MS + 2_000);
 
+/// So long before it gives up a caller looks at what the kernel lists of its connection.
+const LOOK_BEFORE: Duration = Duration::from_millis(300);
+
 /// One caller.
 pub struct SoakCaller {
     number: usize,
@@ -98,7 +103,8 @@
         let session = self.dice.gen_range(0..SESSIONS);
         let id = format!("c{}-{count}", self.number);
         let sent_at = Instant::now();
-        let end = send(&self.http, to, kind, &id, second_key, session).await;
+        let (end, sockets) =
+            watched(send(&self.http, to, kind, &id, second_key, session), to).await;
         let failed = !matches!(end, AskEnd::Answered { .. });
         let ended_at = Instant::now();
         self.witness.note_ask(AskRecord {
@@ -110,6 +116,7 @@
             sent_at,
             ended_at,
             end,
+            sockets,
         });
         if failed && self.named.len() > 1 {
             self.named.remove(place);
@@ -117,6 +124,19 @@
     }
 }
 
+/// Waits for a request's end; where that takes so long that the caller is about to give up, gives what the kernel lists of
+/// the connections to its box by then.
+async fn watched(request: impl Future<Output = AskEnd>, to: IpAddr) -> (AskEnd, Vec<String>) {
+    tokio::pin!(request);
+    match tokio::time::timeout(GIVE_UP - LOOK_BEFORE, &mut request).await {
+        Ok(end) => (end, Vec::new()),
+        Err(_) => {
+            let sockets = kernel_sockets(to);
+            (request.await, sockets)
+        }
+    }
+}
+
 /// Addresses that a box names.
 pub async fn resolve(http: &Client, asked: IpAddr) -> Option<Vec<IpAddr>> {
     let answer = http.get(directory_url(asked)).timeout(DIRECTORY_WAIT).send().await.ok()?;
--- a/crates/standins/src/soak/inflict.rs
+++ b/crates/standins/src/soak/inflict.rs
@@ -38,11 +38,24 @@
 /// Plays one fault and notes it.
 pub(super) async fn play_fault(site: Arc<SoakSite>, row: TimedFault) {
     sleep(row.at).await;
-    let from = Instant::now();
-    match row.fault {
-        SoakFault::BoxKilled(number) => site.kill_box(number, row.length).await,
+    let asked_at = Instant::now();
+    let began_at = match row.fault {
+        SoakFault::BoxKilled(number) => Some(site.kill_box(number, row.length).await),
+        SoakFault::BoxStopped(number) => Some(site.stop_box(number).await),
+        fault => {
+            inflict(&site, fault, row).await;
+            None
+        }
+    };
+    let from = began_at.unwrap_or(asked_at);
+    site.witness.note_fault(PlayedFault { fault: row.fault, from, until: Instant::now() });
+}
+
+/// Plays a fault that waits for nothing before it begins.
+async fn inflict(site: &SoakSite, fault: SoakFault, row: TimedFault) {
+    match fault {
+        SoakFault::BoxKilled(_) | SoakFault::BoxStopped(_) => {}
         SoakFault::BoxesKilled => site.kill_boxes(row.length).await,
-        SoakFault::BoxStopped(number) => site.stop_box(number).await,
         SoakFault::BoxPaused(number) => site.pause_box(number, row.length).await,
         SoakFault::BoxTold(number) => site.boxes[number].lock().await.tell().await,
         SoakFault::Store(outage, only) => site.take_store_away(outage, only, row.length).await,
@@ -64,7 +77,6 @@
         }
         SoakFault::PlanChanged => site.write_plan().await,
     }
-    site.witness.note_fault(PlayedFault { fault: row.fault, from, until: Instant::now() });
 }
 
 async fn disturb(path: &FaultProxy, fault: ProxyFault, row: TimedFault) {
@@ -74,12 +86,14 @@
 }
 
 impl SoakSite {
-    /// Kills a box and starts it again later.
-    async fn kill_box(&self, number: usize, length: Duration) {
+    /// Kills a box, once no other fault holds it, and starts it again later. Gives when it was killed.
+    async fn kill_box(&self, number: usize, length: Duration) -> Instant {
         let mut subject = self.boxes[number].lock().await;
+        let killed_at = Instant::now();
         subject.kill();
         sleep(length).await;
         subject.restart();
+        killed_at
     }
 
     /// Kills all boxes and starts them again later.
@@ -93,9 +107,11 @@
         boxes.iter_mut().for_each(|subject| subject.restart());
     }
 
-    /// Asks a box to stop, waits until it has ended, and starts it again.
-    async fn stop_box(&self, number: usize) {
+    /// Asks a box to stop, once no other fault holds it, waits until it has ended, and starts it again. Gives when it was
+    /// asked.
+    async fn stop_box(&self, number: usize) -> Instant {
         let mut subject = self.boxes[number].lock().await;
+        let asked_at = Instant::now();
         subject.signal("TERM");
         let until = Instant::now() + GRACE;
         while subject.exit_code().is_none() && Instant::now() < until {
@@ -103,6 +119,7 @@
         }
         subject.kill();
         subject.restart();
+        asked_at
     }
 
     /// Lets a box stand still for a while.
--- a/crates/standins/src/soak/judge.rs
+++ b/crates/standins/src/soak/judge.rs
@@ -29,6 +29,9 @@
 /// Allowed beyond a bound: the machine has other work, and records are made a little late.
 const SLACK: Duration = Duration::from_millis(400);
 
+/// Callers may send to a box for this long after it was asked to stop: they keep an answer about addresses for so long.
+const KNOWN_FOR: Duration = Duration::from_millis(2_000);
+
 /// A request is answered this long after its time at the latest.
 const LATE: Duration = Duration::from_millis(1_000);
 
@@ -86,6 +89,7 @@
         broken.extend(check_lost(record, &faults, ask, ran));
         broken.extend(check_time(record, &faults, ask));
     }
+    broken.extend(check_stops(record, &asks, &faults, &runs));
     broken.extend(check_key(record, &asks, &runs));
     broken.extend(check_leaving(record, &faults));
     broken.extend(check_emptied(record, &faults));
@@ -168,6 +172,45 @@
     late.then(|| format!("a request was held for {took:?}: {ask:?}"))
 }
 
+/// While callers may still send to a box that stops, it answers what it takes.
+fn check_stops(
+    record: &SoakRecord,
+    asks: &[AskRecord],
+    faults: &[PlayedFault],
+    runs: &HashMap<String, Vec<ReplicaRun>>,
+) -> Vec<BrokenPromise> {
+    let mut broken = Vec::new();
+    for stop in faults {
+        let SoakFault::BoxStopped(number) = stop.fault else { continue };
+        let known = stop.from..stop.from + KNOWN_FOR;
+        let cut = |ask: &&AskRecord| {
+            ask.to == record.boxes[number]
+                && known.contains(&ask.sent_at)
+                && matches!(ask.end, AskEnd::Broken(_))
+                && !runs.contains_key(&ask.id)
+                && !killed_near(faults, number, ask)
+        };
+        let cut: Vec<&AskRecord> = asks.iter().filter(cut).collect();
+        if let Some(first) = cut.first() {
+            let count = cut.len();
+            broken.push(format!("box {number} stopped and cut {count} requests, first {first:?}"));
+        }
+    }
+    broken
+}
+
+/// Whether a box was killed, or stood still, near a request.
+fn killed_near(faults: &[PlayedFault], number: usize, ask: &AskRecord) -> bool {
+    faults.iter().any(|row| {
+        let here = match row.fault {
+            SoakFault::BoxKilled(killed) | SoakFault::BoxPaused(killed) => killed == number,
+            SoakFault::BoxesKilled => true,
+            _ => false,
+        };
+        here && row.meets(ask.sent_at, ask.ended_at, SLACK)
+    })
+}
+
 fn check_key(
     record: &SoakRecord,
     asks: &[AskRecord],
--- a/crates/standins/src/soak/mod.rs
+++ b/crates/standins/src/soak/mod.rs
@@ -15,4 +15,5 @@
 pub mod schedule;
 pub mod sessions;
 mod site;
+mod sockets;
 pub mod witness;
--- a/crates/standins/src/soak/play.rs
+++ b/crates/standins/src/soak/play.rs
@@ -9,7 +9,7 @@
 use super::callers::{resolve, send, SoakCaller, CALLERS};
 use super::inflict::play_fault;
 use super::judge::{judge, BrokenPromise, SoakRecord};
-use super::schedule::{draw_faults, TimedFault, BOXES, CALM_FOR, FAULTS_FOR};
+use super::schedule::{draw_faults, draw_series, TimedFault, BOXES, CALM_FOR, FAULTS_FOR};
 use super::site::SoakSite;
 use super::witness::{AskEnd, AskKind};
 
@@ -30,10 +30,18 @@
 
 /// Plays a seed with boxes that run `binary`. A run with a broken promise keeps its logs.
 pub async fn play(binary: &Path, seed: u64) -> SoakReport {
+    play_faults(binary, seed, draw_faults(seed)).await
+}
+
+/// Plays the series of stops and kills that a seed draws.
+pub async fn play_series(binary: &Path, seed: u64) -> SoakReport {
+    play_faults(binary, seed, draw_series(seed)).await
+}
+
+async fn play_faults(binary: &Path, seed: u64, faults: Vec<TimedFault>) -> SoakReport {
     let site = Arc::new(SoakSite::start(binary).await);
     let (stop, stopped) = watch::channel(false);
     let callers = start_callers(&site, seed, &stopped);
-    let faults = draw_faults(seed);
     let played: Vec<_> =
         faults.iter().map(|row| tokio::spawn(play_fault(site.clone(), *row))).collect();
     tokio::time::sleep(FAULTS_FOR).await;
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -61,6 +61,15 @@
 /// A zone is emptied for this long, in milliseconds: longer than the platform allows until all boxes act on it.
 const ZONE_EMPTIED_MS: (u64, u64) = (5_500, 9_000);
 
+/// Stops and kills of boxes in a series.
+const SERIES: u32 = 30;
+
+/// Time between the beginnings of two of them.
+const SERIES_EVERY: Duration = Duration::from_millis(700);
+
+/// Shortest and longest time for which a killed box of a series is away, in milliseconds.
+const SERIES_AWAY_MS: (u64, u64) = (50, 1_500);
+
 /// What is done to the site.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SoakFault {
@@ -160,6 +169,21 @@
     faults
 }
 
+/// A series of stops and kills of any boxes, which may meet a box that has just started, and nothing else.
+pub fn draw_series(seed: u64) -> Vec<TimedFault> {
+    let mut dice = StdRng::seed_from_u64(seed);
+    (0..SERIES).map(|number| draw_outage_of_box(&mut dice, number)).collect()
+}
+
+fn draw_outage_of_box(dice: &mut StdRng, number: u32) -> TimedFault {
+    let subject = dice.gen_range(0..BOXES);
+    let stops = dice.gen_bool(0.5);
+    let fault = if stops { SoakFault::BoxStopped(subject) } else { SoakFault::BoxKilled(subject) };
+    let length = Duration::from_millis(dice.gen_range(SERIES_AWAY_MS.0..SERIES_AWAY_MS.1));
+    let at = Duration::from_millis(FIRST_AT_MS) + SERIES_EVERY * number;
+    TimedFault { at, length, fault }
+}
+
 fn draw(dice: &mut StdRng) -> TimedFault {
     let at = Duration::from_millis(dice.gen_range(FIRST_AT_MS..FAULTS_FOR.as_millis() as u64));
     let fault = draw_fault(dice);
--- a/crates/standins/src/soak/witness.rs
+++ b/crates/standins/src/soak/witness.rs
@@ -65,6 +65,8 @@
     pub ended_at: Instant,
     /// How.
     pub end: AskEnd,
+    /// What the kernel listed of connections to the box shortly before the caller gave up, if it came to that.
+    pub sockets: Vec<String>,
 }
 
 /// A fault as it was played.
