fleet of the tests: ports are given, not tried and let go

Cause: free_address bound a port and let it go before its box bound it.

Change: an address of the test process's own and a counter; wait_box tells that its box has ended, with its log.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -4,9 +4,11 @@
 //! Waiting is always on a condition, with a bound.
 
 use std::future::Future;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::OnceLock;
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
@@ -14,12 +16,16 @@
 
 use crate::engine::EngineFaults;
 use crate::list::{BoxRow, ListRows, ReplicaRow};
+use crate::platform::site::own_address;
 use crate::serve::RunningServer;
 use crate::{engine, list, log, rating, service};
 
 /// Bound on every wait.
 pub const WAIT_BOUND: Duration = Duration::from_secs(20);
 
+/// What is waited for is looked at this often.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
 /// The operator key of fleets.
 pub const OPERATOR_KEY: &str = "operator-of-the-fleet";
 
@@ -127,24 +133,20 @@
             return value;
         }
         assert!(Instant::now() < until, "gave up waiting: {what}");
-        tokio::time::sleep(Duration::from_millis(20)).await;
+        tokio::time::sleep(LOOK_EVERY).await;
     }
 }
 
-/// A loopback address that nobody listens on. Ports are counted up from a random start, so that no
-/// two fleets of a process get the same one, and stay below the range that the system gives to
-/// outgoing connections: one of those could take the port before its box binds it.
+/// Ports of boxes are counted up from here; they stay below the range that the system gives to outgoing connections.
+const FIRST_PORT: u16 = 12_000;
+
+/// An address for a listener of a box: a loopback address of this process's own, and a port that it gives once. It is
+/// not tried: a process that is being started would hold the port for a moment longer than this one.
 fn free_address() -> String {
-    static NEXT: std::sync::OnceLock<AtomicU16> = std::sync::OnceLock::new();
-    let next = NEXT.get_or_init(|| {
-        AtomicU16::new(rand::Rng::gen_range(&mut rand::thread_rng(), 12_000..28_000))
-    });
-    loop {
-        let port = next.fetch_add(1, Ordering::Relaxed);
-        if let Ok(listener) = std::net::TcpListener::bind(("127.0.0.1", port)) {
-            return listener.local_addr().expect("a bound port").to_string();
-        }
-    }
+    static ADDRESS: OnceLock<IpAddr> = OnceLock::new();
+    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    let ip = *ADDRESS.get_or_init(own_address);
+    SocketAddr::new(ip, NEXT.fetch_add(1, Ordering::Relaxed)).to_string()
 }
 
 impl RunningFleet {
@@ -310,16 +312,21 @@
     }
 
     /// Waits until the box answers its callers.
-    pub async fn wait_box(&self, index: usize) {
+    ///
+    /// # Panics
+    /// If it ends, or does not answer within [`WAIT_BOUND`].
+    pub async fn wait_box(&mut self, index: usize) {
         let url = format!("{}/health", self.boxes[index].entry_url());
-        let answers = wait_for("the box answers", || async {
-            self.http.get(&url).send().await.ok().filter(|answer| answer.status().is_success())
-        });
-        tokio::select! {
-            _ = answers => {}
-            () = tokio::time::sleep(WAIT_BOUND - Duration::from_secs(1)) => {
-                panic!("{url} does not answer; the box's log: {}", self.box_log(index));
+        let until = Instant::now() + WAIT_BOUND;
+        loop {
+            let answer = self.http.get(&url).send().await;
+            if answer.is_ok_and(|answer| answer.status().is_success()) {
+                return;
             }
+            let code = self.boxes[index].exit_code();
+            let waits = code.is_none() && Instant::now() < until;
+            assert!(waits, "{url}: exit code {code:?}, the box's log: {}", self.box_log(index));
+            tokio::time::sleep(LOOK_EVERY).await;
         }
     }
 
