--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -108,7 +108,7 @@
     next_ticket: AtomicU64,
     /// The operator's records, for boxes that ask for them.
     operator: Mutex<OperatorRecords>,
-    /// Tells that callers may connect.
+    /// Tells that callers' connections are to be taken.
     pub callers_due: Notify,
     /// Whether the store may have this box's record of where it hears notes.
     pub listed: AtomicBool,
--- a/crates/box/src/gateway/entry.rs
+++ b/crates/box/src/gateway/entry.rs
@@ -1,6 +1,6 @@
 //! Takes callers' connections, and closes them politely at the planned stop.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -82,22 +82,24 @@
     pub count: Arc<CallerCount>,
     /// How many there may be.
     pub limit: usize,
+    /// Whether the last connection found too many open.
+    pub full: AtomicBool,
     /// How far the planned stop has come.
     pub phase: watch::Receiver<EntryPhase>,
 }
 
 impl CallerEntry {
-    /// Takes connections until the entry is closed, those that the kernel holds by then as well.
-    pub async fn accept(mut self, listener: ListeningEntry) {
-        let mut full = false;
+    /// Takes connections until the entry is to be closed.
+    pub async fn accept(&self, listener: &ListeningEntry) {
+        let mut phase = self.phase.clone();
         loop {
             let accepted = tokio::select! {
                 // The sender lives as long as the process.
-                _ = self.phase.wait_for(|phase| *phase == EntryPhase::Closed) => break,
+                _ = phase.wait_for(|phase| *phase == EntryPhase::Closed) => return,
                 accepted = listener.accept() => accepted,
             };
             match accepted {
-                Ok(stream) => self.take(stream, &mut full),
+                Ok(stream) => self.take(stream),
                 Err(error) => {
                     // Out of descriptors, or the caller was gone at once: the next may do better.
                     observe::note_socket_failed("entry", &error);
@@ -105,15 +107,20 @@
                 }
             }
         }
+    }
+
+    /// Closes the socket, and takes the connections that wait there.
+    pub fn take_last(&self, listener: ListeningEntry) {
         match listener.close() {
-            Ok(waiting) => waiting.into_iter().for_each(|stream| self.take(stream, &mut full)),
+            Ok(waiting) => waiting.into_iter().for_each(|stream| self.take(stream)),
             Err(error) => observe::note_socket_failed("entry", &error),
         }
     }
 
-    fn take(&self, stream: TcpStream, full: &mut bool) {
-        let was_full = std::mem::replace(full, self.count.open() >= self.limit);
-        if *full {
+    fn take(&self, stream: TcpStream) {
+        let full = self.count.open() >= self.limit;
+        let was_full = self.full.swap(full, Ordering::Relaxed);
+        if full {
             observe::note_caller_turned_away();
             if !was_full {
                 observe::note_callers_full(self.limit);
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -259,7 +259,7 @@
     warn!(event = 725, name = "callers_full", limit);
 }
 
-/// Logs that callers can connect from now on.
+/// Logs that callers' connections are taken from now on.
 pub fn note_callers_taken() {
     info!(event = 726, name = "callers_taken");
 }
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -29,7 +29,7 @@
 use super::driver::{GatewayDriver, GatewaySinks, PeerDatagram, NOTES_QUEUED};
 use super::entry::{CallerCount, CallerEntry, EntryPhase, CALLER_PART};
 use super::exchange::GatewayTools;
-use super::listen::BoundEntry;
+use super::listen::ListeningEntry;
 use super::pool::ReplicaPool;
 use super::reload::follow_settings;
 use super::strange::StrangeHeaders;
@@ -96,12 +96,12 @@
 
     let socket = UdpSocket::bind(settings.notes).await;
     let socket = socket.map_err(|error| listen_error(settings.notes, "notes", &error))?;
-    let bound = BoundEntry::bind(settings.entry);
-    let bound = bound.map_err(|error| listen_error(settings.entry, "entry", &error))?;
+    let listener = ListeningEntry::bind(settings.entry).await;
+    let listener = listener.map_err(|error| listen_error(settings.entry, "entry", &error))?;
 
     follow_leader(&settings, &driver, &store, receivers.lead)?;
     follow_site(&settings, &driver, &store, socket, receivers.site);
-    let entry = GatewayEntry::start(&settings, &driver, bound);
+    let entry = GatewayEntry::start(&settings, &driver, listener);
     launch_answers(&settings, &driver, metrics, metrics_port).await?;
     observe::note_started(&settings.name, settings.entry, &settings.seeds);
     if !settings.unread_seeds.is_empty() {
@@ -198,8 +198,12 @@
 }
 
 impl GatewayEntry {
-    /// Takes callers from when the box knows the site.
-    fn start(settings: &GatewaySettings, driver: &Arc<GatewayDriver>, bound: BoundEntry) -> Self {
+    /// Takes callers from when the box knows the site; those who connect before that wait.
+    fn start(
+        settings: &GatewaySettings,
+        driver: &Arc<GatewayDriver>,
+        listener: ListeningEntry,
+    ) -> Self {
         let pool = Arc::new(ReplicaPool::new(driver.shared_clock()));
         tokio::spawn(run_ticks(driver.clone(), pool.clone()));
         let stopping = AtomicBool::new(false);
@@ -211,9 +215,10 @@
             tools: tools.clone(),
             count: callers.clone(),
             limit: (settings.descriptors as f64 * CALLER_PART) as usize,
+            full: AtomicBool::new(false),
             phase: phases,
         };
-        let taking = tokio::spawn(take_callers(driver.clone(), bound, entry));
+        let taking = tokio::spawn(take_callers(driver.clone(), listener, entry));
         Self { tools, callers, taking, phase }
     }
 
@@ -238,25 +243,20 @@
 }
 
 /// Takes callers from when the box knows the site until its entry is closed. A box that is asked to stop before that
-/// takes none.
-async fn take_callers(driver: Arc<GatewayDriver>, bound: BoundEntry, entry: CallerEntry) {
-    let (mut phase, open) = (entry.phase.clone(), entry.count.clone());
-    tokio::select! {
-        _ = phase.wait_for(|phase| *phase != EntryPhase::Open) => return,
-        () = driver.callers_due.notified() => {}
-    }
-    match bound.listen() {
-        Ok(listener) => {
-            observe::note_callers_taken();
-            entry.accept(listener).await;
-        }
-        Err(error) => {
-            observe::note_socket_failed("entry", &error);
-            // A box without one of its listeners is no box: the platform starts it anew.
-            std::process::exit(1);
-        }
+/// answers those who have connected by then, and takes no more.
+async fn take_callers(driver: Arc<GatewayDriver>, listener: ListeningEntry, entry: CallerEntry) {
+    let mut phase = entry.phase.clone();
+    let opens = tokio::select! {
+        () = driver.callers_due.notified() => true,
+        // The sender lives as long as the process.
+        _ = phase.wait_for(|phase| *phase != EntryPhase::Open) => false,
+    };
+    if opens {
+        observe::note_callers_taken();
+        entry.accept(&listener).await;
     }
-    observe::note_callers_refused(open.open());
+    entry.take_last(listener);
+    observe::note_callers_refused(entry.count.open());
 }
 
 /// Serves the directory, readiness, and metrics where a port is given for them.
--- a/crates/core/src/route/arrival.rs
+++ b/crates/core/src/route/arrival.rs
@@ -36,7 +36,8 @@
 
     fn admit(&self, stamp: EventStamp, ask: &RouteAsk) -> Result<RouteRequest, RefusalReason> {
         let since = self.stopping_since;
-        if since.is_some_and(|since| stamp.now.millis_since(since) >= STOP_TAKE_MS) {
+        let late = |since| stamp.now.millis_since(since) >= STOP_TAKE_MS || !self.took_callers();
+        if since.is_some_and(late) {
             return Err(RefusalReason::Stopping);
         }
         if !self.has_plan() {
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -512,6 +512,6 @@
     TellUsage(String, UsageNote),
     /// The planned stop has begun.
     StopBegun,
-    /// Callers may connect from now on.
+    /// Callers' connections are taken from now on.
     TakeCallers,
 }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -447,10 +447,14 @@
         self.ready(now) && fresh && self.knows_replicas()
     }
 
+    /// Whether callers were ever taken.
+    fn took_callers(&self) -> bool {
+        self.start.is_some_and(|start| start.takes_callers)
+    }
+
     /// Whether the box can serve at all.
     pub fn ready(&self, now: BoxTime) -> bool {
-        let takes = self.start.is_some_and(|start| start.takes_callers);
-        takes
+        self.took_callers()
             && self.has_plan()
             && !self.stopping()
             && self.fresh.honours_keys(now, self.settings.fresh)
