trials: from when on a version carries all is told before it does, and is one age of the order on all boxes

Each box took the last step as soon as it had counted or heard of enough answers itself.

Sought elsewhere: the first step rests on the order's age alone, which is joined; a verdict is one record of the store. ready() rests on the plan alone again: the entry listens from the start, and a box that named nobody meanwhile made callers that have no other box wait longer.

--- a/crates/box/src/gateway/marks.rs
+++ b/crates/box/src/gateway/marks.rs
@@ -83,5 +83,5 @@
     let (phase, age) = (standing.progress.phase, standing.progress.age_ms);
     let later = phase > wanted.progress.phase;
     let equal = phase == wanted.progress.phase && age >= wanted.progress.age_ms;
-    same && (later || equal)
+    same && (later || equal) && !wanted.progress.settles_more(standing.progress)
 }
--- a/crates/box/src/gateway/note_wire/trial.rs
+++ b/crates/box/src/gateway/note_wire/trial.rs
@@ -20,6 +20,8 @@
     phase: i32,
     #[prost(message, optional, tag = "6")]
     marked: Option<WireProgress>,
+    #[prost(uint64, optional, tag = "7")]
+    carries_at_ms: Option<u64>,
 }
 
 #[derive(Clone, Copy, PartialEq, Message)]
@@ -28,6 +30,8 @@
     phase: i32,
     #[prost(uint64, tag = "2")]
     age_ms: u64,
+    #[prost(uint64, optional, tag = "3")]
+    carries_at_ms: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Enumeration)]
@@ -125,6 +129,7 @@
         version: trial.version.clone(),
         age_ms: trial.progress.age_ms,
         phase: WirePhase::from(trial.progress.phase) as i32,
+        carries_at_ms: trial.progress.carries_at_ms,
         marked: Some(write_progress(trial.marked)),
         routes: trial.tallies.iter().map(route).collect(),
     }
@@ -132,13 +137,21 @@
 
 fn write_progress(progress: TrialProgress) -> WireProgress {
     let phase = WirePhase::from(progress.phase) as i32;
-    WireProgress { phase, age_ms: progress.age_ms }
+    WireProgress { phase, age_ms: progress.age_ms, carries_at_ms: progress.carries_at_ms }
 }
 
 pub(super) fn read_trial(trial: WireTrial) -> TrialNote {
-    let progress = TrialProgress { phase: trial.phase().into(), age_ms: trial.age_ms };
+    let progress = TrialProgress {
+        phase: trial.phase().into(),
+        age_ms: trial.age_ms,
+        carries_at_ms: trial.carries_at_ms,
+    };
     let marked = trial.marked.unwrap_or_default();
-    let marked = TrialProgress { phase: marked.phase().into(), age_ms: marked.age_ms };
+    let marked = TrialProgress {
+        phase: marked.phase().into(),
+        age_ms: marked.age_ms,
+        carries_at_ms: marked.carries_at_ms,
+    };
     let route = |row: WireRoute| {
         let tally = TrialTally { fresh: read_tally(row.fresh), base: read_tally(row.base) };
         (row.route, tally)
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -454,10 +454,7 @@
 
     /// Whether the box can serve at all.
     pub fn ready(&self, now: BoxTime) -> bool {
-        self.took_callers()
-            && self.has_plan()
-            && !self.stopping()
-            && self.fresh.honours_keys(now, self.settings.fresh)
+        self.has_plan() && !self.stopping() && self.fresh.honours_keys(now, self.settings.fresh)
     }
 
     /// Whether the planned stop has begun.
--- a/crates/core/src/route/progress.rs
+++ b/crates/core/src/route/progress.rs
@@ -35,6 +35,17 @@
     pub phase: TrialPhase,
     /// How long ago the order was given, at the least, in milliseconds.
     pub age_ms: u64,
+    /// From which age of the order on the version carries all, in milliseconds, once that is settled: the earliest that
+    /// any box has named.
+    pub carries_at_ms: Option<u64>,
+}
+
+impl TrialProgress {
+    /// Whether it names from when on the version carries all, or names it earlier, than the other.
+    pub fn settles_more(self, other: TrialProgress) -> bool {
+        let earlier = |at_ms| other.carries_at_ms.is_none_or(|other_ms| at_ms < other_ms);
+        self.carries_at_ms.is_some_and(earlier)
+    }
 }
 
 /// Progress of a trial as it stands in the store, where it outlives every process.
--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -189,7 +189,11 @@
     pub(super) fn advance_trials(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
         let store_away = self.store_away(stamp.now);
         for trial in self.trials.values_mut() {
+            let settled = trial.carries_at_ms;
             advance(trial, stamp.now, out);
+            if trial.carries_at_ms != settled {
+                self.rounds.next_note = BoxTime::default();
+            }
             let share = trial.share(stamp.now, store_away);
             if share == trial.logged_share {
                 continue;
