entry: what a request waits while its box starts is taken off its caller's time

Cause: the kernel held their connections until the box knew the site, and the box took them for new then. Shown: with a store that takes 200 ms a call a replica was given 3,499 ms of 3,500 for a request that had waited 617 ms.

The entry's phases begin with Starting, which a stop ends as well as the site's being known; the flag that the planned stop set beside them is gone.

Test: entry::a_request_that_waits_while_a_box_starts_is_given_the_time_that_is_left, failed before as above.

--- a/crates/box/src/gateway/entry.rs
+++ b/crates/box/src/gateway/entry.rs
@@ -1,6 +1,6 @@
 //! Takes callers' connections, and closes them politely at the planned stop.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +8,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use ravenspoke_core::time::BoxTime;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
@@ -55,20 +56,22 @@
     }
 }
 
-/// A connection that is taken while others are closed gets this long for its request, in milliseconds.
+/// A request that was sent as its connection was opened is read within this time, in milliseconds.
 pub const FIRST_REQUEST_MS: u64 = 100;
 
 /// Pause after a connection could not be accepted, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 10;
 
-/// How far a box's planned stop has come, for its callers' connections.
+/// What a box does with its callers' connections, from its start to its planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EntryPhase {
-    /// There is none: connections are kept.
+    /// It does not know the site yet: requests wait.
+    Starting,
+    /// Requests are served, and connections kept.
     Open,
-    /// It has begun: each connection ends with its next answer.
+    /// The planned stop has begun: each connection ends with its next answer.
     Stopping,
-    /// Callers know of it: connections without a request are closed.
+    /// Callers know of the stop: connections without a request are closed.
     Closing,
     /// No more connections are taken.
     Closed,
@@ -84,13 +87,22 @@
     pub limit: usize,
     /// Whether the last connection found too many open.
     pub full: AtomicBool,
-    /// How far the planned stop has come.
+    /// What is done with them now.
     pub phase: watch::Receiver<EntryPhase>,
 }
 
 impl CallerEntry {
-    /// Takes connections until the entry is to be closed.
-    pub async fn accept(&self, listener: &ListeningEntry) {
+    /// Takes connections until the entry is closed, those that the kernel holds by then as well.
+    pub async fn run(self, listener: ListeningEntry) {
+        self.accept(&listener).await;
+        match listener.close() {
+            Ok(waiting) => waiting.into_iter().for_each(|stream| self.take(stream)),
+            Err(error) => observe::note_socket_failed("entry", &error),
+        }
+        observe::note_callers_refused(self.count.open());
+    }
+
+    async fn accept(&self, listener: &ListeningEntry) {
         let mut phase = self.phase.clone();
         loop {
             let accepted = tokio::select! {
@@ -109,14 +121,6 @@
         }
     }
 
-    /// Closes the socket, and takes the connections that wait there.
-    pub fn take_last(&self, listener: ListeningEntry) {
-        match listener.close() {
-            Ok(waiting) => waiting.into_iter().for_each(|stream| self.take(stream)),
-            Err(error) => observe::note_socket_failed("entry", &error),
-        }
-    }
-
     fn take(&self, stream: TcpStream) {
         let full = self.count.open() >= self.limit;
         let was_full = self.full.swap(full, Ordering::Relaxed);
@@ -155,14 +159,18 @@
     if let Err(error) = stream.set_nodelay(true) {
         observe::note_socket_failed("entry", &error);
     }
+    let wait = wait_to_serve(&tools, phase.clone()).await;
+    let first = FirstWait::new(wait, tools.driver.now());
     let limits = tools.driver.state().plan().limits;
     let idle_ms = limits.idle_ms + IDLE_SLACK_MS;
     let buffer = BUFFER_BYTES.max(BUFFER_HEADS * limits.header_bytes);
+    let phase_now = phase.clone();
     let service = service_fn(move |request| {
-        let tools = tools.clone();
+        let answer = serve_request(tools.clone(), request, first.take(tools.driver.now()));
+        let phase = phase_now.clone();
         async move {
-            let mut answer = serve_request(tools.clone(), request).await;
-            if let (Ok(answer), true) = (&mut answer, tools.stopping.load(Ordering::Relaxed)) {
+            let mut answer = answer.await;
+            if let (Ok(answer), true) = (&mut answer, *phase.borrow() >= EntryPhase::Stopping) {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             answer
@@ -186,3 +194,34 @@
         let _ = connection.await;
     }
 }
+
+/// Waits until the box serves, or refuses since it stops. Gives how long that took.
+async fn wait_to_serve(tools: &GatewayTools, mut phase: watch::Receiver<EntryPhase>) -> Duration {
+    if *phase.borrow() > EntryPhase::Starting {
+        return Duration::ZERO;
+    }
+    let came_at = tools.driver.now();
+    // The sender lives as long as the process.
+    let _ = phase.wait_for(|phase| *phase > EntryPhase::Starting).await;
+    tools.driver.clock().since(came_at)
+}
+
+/// How long a connection waited, and its first request with it.
+struct FirstWait {
+    wait_ms: AtomicU64,
+    served_from: BoxTime,
+}
+
+impl FirstWait {
+    /// A wait that is over now.
+    fn new(wait: Duration, now: BoxTime) -> Self {
+        Self { wait_ms: AtomicU64::new(wait.as_millis() as u64), served_from: now }
+    }
+
+    /// The wait of a request that is read now. One that comes later than what had come has not waited.
+    fn take(&self, now: BoxTime) -> Duration {
+        let wait_ms = self.wait_ms.swap(0, Ordering::Relaxed);
+        let had_come = now.millis_since(self.served_from) < FIRST_REQUEST_MS;
+        Duration::from_millis(if had_come { wait_ms } else { 0 })
+    }
+}
--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -1,7 +1,6 @@
 //! Serves one request: asks the reducer, sends it to replicas, and passes the answer on.
 
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -29,8 +28,6 @@
     pub driver: Arc<GatewayDriver>,
     /// Connections to replicas.
     pub pool: Arc<ReplicaPool>,
-    /// Set when the planned stop begins.
-    pub stopping: AtomicBool,
     /// Headers of replicas that this box does not know.
     pub strange: StrangeHeaders,
 }
@@ -123,13 +120,14 @@
     }
 }
 
-/// Serves a request.
+/// Serves a request that has waited at this box before.
 ///
 /// # Errors
 /// [`BrokenAnswer`], if the caller's request can't be read.
 pub async fn serve_request(
     tools: Arc<GatewayTools>,
     request: Request<Incoming>,
+    waited: Duration,
 ) -> Result<Response<CallerBody>, BrokenAnswer> {
     let (head, body) = match read_whole(&tools, request).await {
         Ok(read) => read,
@@ -138,7 +136,11 @@
     };
     let ask = headers::read_request(&head);
     let content = xxhash_rust::xxh3::xxh3_64_with_seed(&body, ask.content);
-    let ask = RouteAsk { body_bytes: body.len(), content, ..ask };
+    let waited_ms = waited.as_millis() as u64;
+    let ask = RouteAsk { body_bytes: body.len(), content, waited_ms, ..ask };
+    if waited_ms > 0 {
+        observe::note_request_waited(&ask.id, waited_ms);
+    }
     let driver = tools.driver.clone();
     let name = RequestName { ticket: driver.next_ticket(), id: ask.id.clone() };
     let mut guard = RequestGuard { driver, name, began: Instant::now(), ended: false };
--- a/crates/box/src/gateway/listen.rs
+++ b/crates/box/src/gateway/listen.rs
@@ -1,5 +1,5 @@
-//! The socket that callers connect to. The kernel completes their connections from the process's start on, whether or not
-//! anybody accepts them: each is to be accepted before the socket is closed.
+//! The socket that callers connect to. The kernel completes their connections whether or not anybody accepts them: each is
+//! accepted before the socket is closed.
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -259,6 +259,11 @@
     warn!(event = 725, name = "callers_full", limit);
 }
 
+/// Logs that a request came while the box started.
+pub fn note_request_waited(id: &str, waited_ms: u64) {
+    info!(event = 728, name = "request_waited", id, waited_ms);
+}
+
 /// Logs that callers' connections are taken from now on.
 pub fn note_callers_taken() {
     info!(event = 726, name = "callers_taken");
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -189,9 +189,8 @@
     driver.feed(RouteEvent::PeersNamed(seeds));
 }
 
-/// The entry that callers connect to, and how far its planned stop has come.
+/// The entry that callers connect to, and what is done with their connections.
 struct GatewayEntry {
-    tools: Arc<GatewayTools>,
     callers: Arc<CallerCount>,
     taking: JoinHandle<()>,
     phase: watch::Sender<EntryPhase>,
@@ -206,25 +205,24 @@
     ) -> Self {
         let pool = Arc::new(ReplicaPool::new(driver.shared_clock()));
         tokio::spawn(run_ticks(driver.clone(), pool.clone()));
-        let stopping = AtomicBool::new(false);
         let strange = StrangeHeaders::default();
-        let tools = Arc::new(GatewayTools { driver: driver.clone(), pool, stopping, strange });
+        let tools = Arc::new(GatewayTools { driver: driver.clone(), pool, strange });
         let callers = Arc::new(CallerCount::default());
-        let (phase, phases) = watch::channel(EntryPhase::Open);
+        let (phase, phases) = watch::channel(EntryPhase::Starting);
         let entry = CallerEntry {
-            tools: tools.clone(),
+            tools,
             count: callers.clone(),
             limit: (settings.descriptors as f64 * CALLER_PART) as usize,
             full: AtomicBool::new(false),
             phase: phases,
         };
-        let taking = tokio::spawn(take_callers(driver.clone(), listener, entry));
-        Self { tools, callers, taking, phase }
+        tokio::spawn(open_entry(driver.clone(), phase.clone()));
+        let taking = tokio::spawn(entry.run(listener));
+        Self { callers, taking, phase }
     }
 
     /// Answers end their connections from now on.
     fn stop(&self) {
-        self.tools.stopping.store(true, Ordering::Relaxed);
         self.phase.send_replace(EntryPhase::Stopping);
     }
 
@@ -242,21 +240,17 @@
     }
 }
 
-/// Takes callers from when the box knows the site until its entry is closed. A box that is asked to stop before that
-/// answers those who have connected by then, and takes no more.
-async fn take_callers(driver: Arc<GatewayDriver>, listener: ListeningEntry, entry: CallerEntry) {
-    let mut phase = entry.phase.clone();
-    let opens = tokio::select! {
-        () = driver.callers_due.notified() => true,
-        // The sender lives as long as the process.
-        _ = phase.wait_for(|phase| *phase != EntryPhase::Open) => false,
-    };
-    if opens {
+/// Serves callers from when the box knows the site, unless it stops before.
+async fn open_entry(driver: Arc<GatewayDriver>, phase: watch::Sender<EntryPhase>) {
+    driver.callers_due.notified().await;
+    let opened = phase.send_if_modified(|phase| {
+        let starting = *phase == EntryPhase::Starting;
+        *phase = (*phase).max(EntryPhase::Open);
+        starting
+    });
+    if opened {
         observe::note_callers_taken();
-        entry.accept(&listener).await;
     }
-    entry.take_last(listener);
-    observe::note_callers_refused(entry.count.open());
 }
 
 /// Serves the directory, readiness, and metrics where a port is given for them.
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -48,6 +48,7 @@
     (725, "callers_full"),
     (726, "callers_taken"),
     (727, "callers_refused"),
+    (728, "request_waited"),
     (730, "store_lost"),
     (731, "store_regained"),
     (732, "record_unreadable"),
--- a/crates/box/tests/entry.rs
+++ b/crates/box/tests/entry.rs
@@ -16,6 +16,12 @@
 /// Callers keep an answer about addresses for so long.
 const KNOWN_FOR: Duration = Duration::from_millis(2_000);
 
+/// Time that a site's requests give.
+const DEADLINE: Duration = Duration::from_millis(3_500);
+
+/// Allowed beyond it: what a request takes on its way.
+const SLACK: Duration = Duration::from_millis(100);
+
 /// Requests that are sent while a box stops.
 const REQUESTS: u32 = 100;
 
@@ -120,3 +126,24 @@
 
     assert_eq!(answer, (200, false));
 }
+
+// What the kernel held while a box started was taken for new: a call was answered 504 after its caller's time.
+#[tokio::test]
+async fn a_request_that_waits_while_a_box_starts_is_given_the_time_that_is_left() {
+    let mut site = new_site().await;
+    let replica = site.start_replica("i-1", 3, 1).await;
+    site.store.set_faults(StoreFaults { slow_ms: 200, ..StoreFaults::default() });
+    let subject = site.start_box("box-1");
+
+    wait_for("a connection comes about", || async { connect(&subject).await.ok() }).await;
+    let sent_at = Instant::now();
+    assert_eq!(ask(&site, &subject, "early").await, (200, false));
+
+    let run = replica.runs().remove(0);
+    let given = run.headers.iter().find(|(name, _)| name == "x-ravenspoke-deadline-ms");
+    let given_ms = given.and_then(|(_, value)| value.parse().ok()).expect("a deadline");
+    let waited = run.at - sent_at;
+    assert!(waited > Duration::from_millis(200), "the box knew the site after {waited:?}");
+    let ends = waited + Duration::from_millis(given_ms);
+    assert!(ends < DEADLINE + SLACK, "{given_ms} ms after {waited:?}");
+}
--- a/crates/core/src/route/arrival.rs
+++ b/crates/core/src/route/arrival.rs
@@ -45,6 +45,7 @@
         }
         let (route, holder) = self.find_route(stamp, ask)?;
         let allowed = ask.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+        let left = allowed.saturating_sub(ask.waited_ms);
         let service = pick_target(route, stamp.dice).ok_or(RefusalReason::NoReplica)?;
         let chooses = ask.any_model && !route.sizes.is_empty();
         let of_account = holder.map_or(&[][..], |holder| &holder.regions);
@@ -62,7 +63,7 @@
             size: if chooses { sizes::first_size(&route.sizes) } else { None },
             opinion: None,
             arrived: stamp.now,
-            deadline: stamp.now.plus_millis(allowed),
+            deadline: stamp.now.plus_millis(left),
             tried: Vec::new(),
             sends: 0,
             free_connects: 0,
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -33,6 +33,8 @@
     pub key: Option<String>,
     /// How long the caller waits, in milliseconds.
     pub deadline_ms: Option<u64>,
+    /// How long it has waited at this box before it was read, in milliseconds.
+    pub waited_ms: u64,
     /// Hash of the prompt's shared parts; 0 for none.
     pub affinity: u64,
     /// Tokens of the prompt.
