--- a/crates/core/src/route/readers.rs
+++ b/crates/core/src/route/readers.rs
@@ -47,8 +47,7 @@
     }
 
     /// Whether others have read further and have not told this box what: it may be too long to be told, so that no
-    /// answer of theirs stands for a read. Where this did not count after a failed call, 40 of 91 boxes had a confirmed
-    /// plan of 890 KB 20 s late (one day played).
+    /// answer of theirs stands for a read, also after a call that failed.
     pub fn is_behind(&self, now: BoxTime) -> bool {
         let long = |at: BoxTime| now.millis_since(at) >= peers::BEHIND_MS;
         self.asks.told_too_little || self.asks.behind_since.is_some_and(long)
--- a/crates/standins/src/soak/inflict.rs
+++ b/crates/standins/src/soak/inflict.rs
@@ -16,13 +16,13 @@
 use crate::platform::site::{evacuation_key, OPERATOR_TOPIC, REPLICA_TOPIC, SITE_SERVICE};
 use crate::platform::store::{StoreFaults, StoreOutage};
 
-/// Time that a slow store takes, in milliseconds. A choice.
+/// Time that a slow store takes, in milliseconds.
 const SLOW_MS: u64 = 300;
 
 /// A box that was asked to stop is gone after this: the time that the platform gives it.
 const GRACE: Duration = Duration::from_millis(8_000);
 
-/// A box that was asked to stop is looked at this often. A choice.
+/// A box that was asked to stop is looked at this often.
 const EXIT_LOOK: Duration = Duration::from_millis(20);
 
 /// The entry of a replica that leaves stands for this long after its mark: a little over the two
--- a/crates/standins/src/soak/proxy.rs
+++ b/crates/standins/src/soak/proxy.rs
@@ -8,7 +8,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-/// Largest piece that is passed on at once, in bytes. A choice.
+/// Largest piece that is passed on at once, in bytes.
 const PIECE_BYTES: usize = 16 << 10;
 
 /// How connections are disturbed.
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -31,16 +31,16 @@
 /// Longest fault of the store, in milliseconds: past the time for which keys are honoured without it.
 const LONGEST_STORE_MS: u64 = 7_000;
 
-/// Shortest fault, in milliseconds. A choice: many times the pause of a caller.
+/// Shortest fault, in milliseconds. Many times the pause of a caller.
 const SHORTEST_MS: u64 = 150;
 
-/// The first fault begins after this, in milliseconds. A choice: callers are at work by then.
+/// The first fault begins after this, in milliseconds. Callers are at work by then.
 const FIRST_AT_MS: u64 = 200;
 
-/// Between two boxes that are taken away, at the least. A choice: time to start the first again.
+/// Between two boxes that are taken away, at the least. Time to start the first again.
 const BACK_AFTER: Duration = Duration::from_millis(500);
 
-/// By this each piece comes later on a disturbed way. A choice.
+/// By this each piece comes later on a disturbed way.
 const PATH_DELAY: Duration = Duration::from_millis(80);
 
 /// Event of a stream at which a replica breaks off or pauses: neither the first nor the last.
@@ -49,13 +49,13 @@
 /// Replicas that misbehave in every run: there are nine ways, and each must come often.
 const REPLICA_FAULTS: usize = 3;
 
-/// Part of the runs in which all boxes are killed at once. A choice: often enough among fifty seeds.
+/// Part of the runs in which all boxes are killed at once. Often enough among fifty seeds.
 const ALL_KILLED_PART: f64 = 0.25;
 
-/// Part of the runs in which a zone is emptied, and in which a cold replica comes. A choice.
+/// Part of the runs in which a zone is emptied, and in which a cold replica comes.
 const ZONE_EMPTIED_PART: f64 = 0.4;
 
-/// Part of the runs in which the store comes back from a copy. A choice.
+/// Part of the runs in which the store comes back from a copy.
 const RESTORED_PART: f64 = 0.4;
 
 /// A zone is emptied for this long, in milliseconds: longer than the platform allows until all boxes act on it.
--- a/crates/standins/src/soak/site.rs
+++ b/crates/standins/src/soak/site.rs
@@ -24,10 +24,10 @@
 use crate::platform::site_box::SiteBox;
 use crate::platform::store::StoreFaults;
 
-/// Events of a stream. A choice: some before and some behind the one at which a replica breaks off.
+/// Events of a stream. Some before and some behind the one at which a replica breaks off.
 const EVENTS: u32 = 6;
 
-/// Time between two events of a stream, in milliseconds. A choice.
+/// Time between two events of a stream, in milliseconds.
 const GAP_MS: u64 = 15;
 
 /// Numbers between two plans' versions: versions need not follow each other.
@@ -39,7 +39,7 @@
 /// Zone of all others.
 pub(super) const OTHER_ZONE: &str = "east";
 
-/// Requests a second that a cold replica bears, as the plan says. A choice: a tenth of what callers send.
+/// Requests a second that a cold replica bears, as the plan says. A tenth of what callers send.
 pub(super) const COLD_PER_S: f64 = 20.0;
 
 /// A replica that comes cold is so for this long, in milliseconds.
