--- a/crates/core/tests/route/restarts.rs
+++ b/crates/core/tests/route/restarts.rs
@@ -21,6 +21,7 @@
 //! 701 request_sent version=v1 trial_share=0.0 trial_age_ms=9319  trial_gave_way=false
 //! ```
 
+use ravenspoke_core::position::TopicPosition;
 use ravenspoke_core::route::backend::BackendChange;
 use ravenspoke_core::route::event::{RefusalReason, RouteAsk, RouteEffect, RouteEvent};
 use ravenspoke_core::route::peers::{
@@ -35,6 +36,7 @@
 use crate::fixture::{
     ask, at, entry, head, is_refused, new_box, note_in, plan, ready_box, session, TestBox,
 };
+use crate::plan_fleet::site;
 
 /// How long the order of these tests gives, in milliseconds.
 const ORDER_MS: u64 = 10_000;
@@ -146,6 +148,31 @@
     assert!(!given[0] && given[14], "{given:?}");
 }
 
+/// Time until all of `count` boxes know from when on the version carries all, once one does, in milliseconds.
+fn settled_by_all_after(count: usize) -> Option<u64> {
+    let mut fleet = site(count);
+    fleet.run_until(10_000);
+    for number in 0..count {
+        let read_to = TopicPosition::new(1, 1);
+        fleet.feed(number, RouteEvent::OrdersRead { read_to, orders: vec![order()] });
+    }
+    let mut settled = mark(TrialPhase::Shared, SHARED_AT_MS);
+    settled.progress.carries_at_ms = Some(CARRIED_AT_MS);
+    fleet.feed(count / 2, RouteEvent::MarkTaken(settled));
+
+    fleet.until_all(2 * CARRY_LEAD_MS, |state| {
+        state.dump(BoxTime::default()).trials.iter().all(|trial| trial.carries_at_ms.is_some())
+    })
+}
+
+#[test]
+fn boxes_know_from_when_on_a_version_carries_all_before_it_does() {
+    for count in [3, 84, 295] {
+        let after = settled_by_all_after(count);
+        assert!(after.is_some_and(|after_ms| after_ms < CARRY_LEAD_MS), "{count}: {after:?}");
+    }
+}
+
 /// What the store would be given of a trial's progress.
 fn mark_in(effects: &[RouteEffect]) -> Option<TrialProgress> {
     effects.iter().find_map(|effect| match effect {
