--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -108,7 +108,7 @@
     next_ticket: AtomicU64,
     /// The operator's records, for boxes that ask for them.
     operator: Mutex<OperatorRecords>,
-    /// Tells that callers' connections are to be taken.
+    /// Tells that callers are to be served.
     pub callers_due: Notify,
     /// Whether the store may have this box's record of where it hears notes.
     pub listed: AtomicBool,
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -264,7 +264,7 @@
     info!(event = 728, name = "request_waited", id, waited_ms);
 }
 
-/// Logs that callers' connections are taken from now on.
+/// Logs that callers are served from now on.
 pub fn note_callers_taken() {
     info!(event = 726, name = "callers_taken");
 }
--- a/crates/core/src/route/arrival.rs
+++ b/crates/core/src/route/arrival.rs
@@ -36,7 +36,7 @@
 
     fn admit(&self, stamp: EventStamp, ask: &RouteAsk) -> Result<RouteRequest, RefusalReason> {
         let since = self.stopping_since;
-        let late = |since| stamp.now.millis_since(since) >= STOP_TAKE_MS || !self.took_callers();
+        let late = |since| stamp.now.millis_since(since) >= STOP_TAKE_MS || !self.entry_opened();
         if since.is_some_and(late) {
             return Err(RefusalReason::Stopping);
         }
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -514,6 +514,6 @@
     TellUsage(String, UsageNote),
     /// The planned stop has begun.
     StopBegun,
-    /// Callers' connections are taken from now on.
+    /// Callers are served from now on.
     TakeCallers,
 }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -302,23 +302,21 @@
                 self.on_tick(stamp, out);
             }
         }
-        self.take_callers(stamp.now, out);
+        self.open_entry(stamp.now, out);
         effects
     }
 
-    /// Lets callers connect, once, when that is due.
-    fn take_callers(&mut self, now: BoxTime, out: &mut Vec<RouteEffect>) {
+    /// Has callers served from now on, once, when that is due.
+    fn open_entry(&mut self, now: BoxTime, out: &mut Vec<RouteEffect>) {
         let due = !self.stopping() && self.takes_callers(now);
-        let start = self.start.as_mut().filter(|start| due && !start.takes_callers);
+        let start = self.start.as_mut().filter(|start| due && !start.entry_opened);
         if let Some(start) = start {
-            start.takes_callers = true;
+            start.entry_opened = true;
             out.push(RouteEffect::TakeCallers);
         }
     }
 
     fn on_tick(&mut self, stamp: EventStamp, out: &mut Vec<RouteEffect>) {
-        // First: what follows tells others of it.
-        self.take_callers(stamp.now, out);
         for change in self.backends.drop_lapsed(stamp.now) {
             self.tell(stamp, change, BackendNews::Leaving, out);
         }
@@ -447,9 +445,9 @@
         self.ready(now) && fresh && self.knows_replicas()
     }
 
-    /// Whether callers were ever taken.
-    fn took_callers(&self) -> bool {
-        self.start.is_some_and(|start| start.takes_callers)
+    /// Whether callers were served before the planned stop, if that has begun.
+    fn entry_opened(&self) -> bool {
+        self.start.is_some_and(|start| start.entry_opened)
     }
 
     /// Whether the box can serve at all.
--- a/crates/core/src/route/start.rs
+++ b/crates/core/src/route/start.rs
@@ -24,8 +24,8 @@
     pub(super) read_at: BoxTime,
     /// Whether it reads the store itself.
     pub(super) reads: bool,
-    /// Whether it takes callers.
-    pub(super) takes_callers: bool,
+    /// Whether it has begun to serve callers.
+    pub(super) entry_opened: bool,
     /// Whether it has told others that it can answer them.
     pub(super) told_open: bool,
     /// When it learnt the plan.
@@ -46,7 +46,7 @@
             at: stamp.now,
             read_at,
             reads: false,
-            takes_callers: false,
+            entry_opened: false,
             told_open: false,
             plan_at: None,
             asks: 0,
