--- a/crates/box/tests/entry.rs
+++ b/crates/box/tests/entry.rs
@@ -12,6 +12,7 @@
 use ravenspoke_standins::platform::site_box::SiteBox;
 use ravenspoke_standins::platform::store::{StoreFaults, StoreOutage};
 use tokio::net::TcpStream;
+use tokio::sync::Mutex;
 
 /// Callers keep an answer about addresses for so long.
 const KNOWN_FOR: Duration = Duration::from_millis(2_000);
@@ -96,20 +97,24 @@
     site.http = reqwest::Client::builder().pool_max_idle_per_host(0).build().expect("a client");
     let outage = StoreOutage::Silent;
     site.store.set_faults(StoreFaults { outage, ..StoreFaults::default() });
-    let mut subject = site.start_box("box-1");
+    let subject = site.start_box("box-1");
     subject.tell().await;
     subject.signal("TERM");
 
-    let mut ends = Vec::new();
-    while subject.exit_code().is_none() {
+    let ends = Mutex::new(Vec::new());
+    let subject = Mutex::new(subject);
+    wait_for("the box exits", || async {
+        let mut subject = subject.lock().await;
         let request = site.request(&subject, "POST", "/file/x", "early").body("body");
-        ends.push(match request.send().await {
+        ends.lock().await.push(match request.send().await {
             Ok(answer) => Ok(answer.status().as_u16()),
             Err(error) => Err(error.is_connect()),
         });
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
+        subject.exit_code()
+    })
+    .await;
 
+    let (ends, subject) = (ends.into_inner(), subject.into_inner());
     let whole = |end: &Result<u16, bool>| matches!(end, Ok(503) | Err(true));
     assert!(ends.iter().all(whole), "{ends:?}");
     assert!(subject.events("callers_taken").is_empty(), "the test asked it to stop too late");
--- a/crates/core/src/route/trial.rs
+++ b/crates/core/src/route/trial.rs
@@ -39,8 +39,8 @@
 /// Part of the order's time after which a version that did well carries all.
 pub const RAMP_AT: f64 = 0.8;
 
-/// From when on a version carries all is told so long before, in milliseconds: two rounds of notes. What each box did as
-/// soon as it had heard of enough answers would part sessions, since boxes hear of them at different times.
+/// From when on a version carries all is told so long before, in milliseconds: two rounds of notes. Boxes
+/// hear of answers at different times: were each to go by those it knows, sessions would be parted.
 pub const CARRY_LEAD_MS: u64 = 1_000;
 
 /// The same, as a part of the order's time where that is longer.
