route: verdicts say what they rest on (event 754)

Logs could not tell the incident's hypotheses apart: nothing said how many responses stood behind an acceptance, at which load they were given, how small a fault they would have shown, and how many of the service's requests the version had. Boxes now count sends to a version on trial and the highest load reported with its responses, gossip both, and log them with each verdict that is due. No decision changes.

--- a/crates/box/src/gateway/gossip_wire/trial.rs
+++ b/crates/box/src/gateway/gossip_wire/trial.rs
@@ -3,6 +3,7 @@
 use prost::{Enumeration, Message};
 use ravenspoke_core::route::peers::TrialUpdate;
 use ravenspoke_core::route::trial::{TrialState, TrialVerdict};
+use ravenspoke_core::route::trial_exposure::ExposureCount;
 use ravenspoke_core::route::trial_progress::{TrialPhase, TrialProgress};
 use ravenspoke_core::route::trial_stats::{TrialStats, VersionStats};
 
@@ -22,6 +23,10 @@
     checkpoint: Option<WireProgress>,
     #[prost(uint64, optional, tag = "7")]
     carries_at_ms: Option<u64>,
+    #[prost(uint64, tag = "8")]
+    sent_to_canary: u64,
+    #[prost(uint64, tag = "9")]
+    sent_to_all: u64,
 }
 
 #[derive(Clone, Copy, PartialEq, Message)]
@@ -84,6 +89,8 @@
     log_sum: f32,
     #[prost(float, tag = "5")]
     log_square: f32,
+    #[prost(float, tag = "6")]
+    peak_load: f32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -104,6 +111,7 @@
         timed: stats.timed as f32,
         log_sum: stats.log_sum as f32,
         log_square: stats.log_square as f32,
+        peak_load: stats.peak_load as f32,
     }
 }
 
@@ -115,6 +123,7 @@
         timed: f64::from(stats.timed),
         log_sum: f64::from(stats.log_sum),
         log_square: f64::from(stats.log_square),
+        peak_load: f64::from(stats.peak_load),
     }
 }
 
@@ -132,6 +141,8 @@
         carries_at_ms: trial.progress.carries_at_ms,
         checkpoint: Some(write_progress(trial.checkpoint)),
         routes: trial.stats.iter().map(route).collect(),
+        sent_to_canary: trial.exposure.canary,
+        sent_to_all: trial.exposure.all,
     }
 }
 
@@ -163,6 +174,7 @@
         progress,
         checkpoint,
         stats: trial.routes.into_iter().map(route).collect(),
+        exposure: ExposureCount { canary: trial.sent_to_canary, all: trial.sent_to_all },
     }
 }
 
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -194,6 +194,26 @@
             let (service, version, state) = (&verdict.service, &verdict.version, verdict.state);
             info!(event = 714, name = "verdict_due", service, version, ?state);
         }
+        RouteEffect::VerdictExplained { service, version, state, basis } => {
+            let (canary, baseline) = (&basis.stats.canary, &basis.stats.baseline);
+            info!(
+                event = 754,
+                name = "verdict_basis",
+                service,
+                version,
+                ?state,
+                age_ms = basis.age_ms,
+                runs = canary.runs,
+                bad = canary.bad,
+                other_runs = baseline.runs,
+                other_bad = baseline.bad,
+                peak_load = canary.peak_load,
+                other_peak_load = baseline.peak_load,
+                least_shown_share = canary.least_shown_share(),
+                sent_to_version = basis.exposure.canary,
+                sent_to_service = basis.exposure.all,
+            );
+        }
         RouteEffect::VersionRejected { service, version, finding } => {
             let (route, stats) = (finding.route.as_deref().unwrap_or("all"), &finding.stats);
             warn!(
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -74,6 +74,7 @@
     (751, "lead_failed"),
     (752, "lease_unanswered"),
     (753, "scale_unsound"),
+    (754, "verdict_basis"),
 ];
 
 /// Logs and counts an effect, if it has a log event or a metric.
--- a/crates/core/src/route/answer.rs
+++ b/crates/core/src/route/answer.rs
@@ -58,6 +58,7 @@
         request.may_have_run = true;
         let failed = head.status >= 500 || !head.proven;
         self.count_answer(ticket, failed, took_ms);
+        self.record_trial_load(ticket, head.load);
         let Some(request) = self.requests.get(&ticket) else { return };
         let (kind, relayed) = (request.route.kind, request.relayed);
         if failed && kind.repeatable() && self.reassign(stamp, ticket, SendCause::Failure, out) {
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -172,8 +172,8 @@
         let Some(row) = self.backends.get(pick.key) else { return };
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         // The version is that of the replica, even if no replica of the preferred version was left.
-        let trial = self.trials.get(&request.service);
-        let on_trial = trial.is_some_and(|trial| trial.is_on_trial(&row.entry.version));
+        let trial = self.trials.get_mut(&request.service);
+        let on_trial = trial.is_some_and(|trial| trial.count_sent(&row.entry.version));
         request.attempt = Some(RunningAttempt {
             replica: pick.key,
             began: stamp.now,
@@ -353,6 +353,10 @@
             AttemptFailure::Broken | AttemptFailure::Silent => None,
         };
         if let Some(outcome) = unwritten {
+            let trial = self.trials.get_mut(&request.service);
+            if let Some((trial, attempt)) = trial.zip(request.attempt) {
+                trial.exposure.remove_unsent(attempt.on_trial);
+            }
             request.connect_failures += 1;
             if request.connect_failures <= FREE_CONNECT_FAILURES {
                 request.sends -= 1;
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -10,7 +10,7 @@
 use super::peers::{GossipMessage, PlanPosition, SyncRequest};
 use super::placement::PlacementUpdate;
 use super::plan::{RouteKind, RoutePlan};
-use super::trial::{TrialOrder, TrialState, TrialVerdict};
+use super::trial::{TrialOrder, TrialState, TrialVerdict, VerdictBasis};
 use super::trial_progress::TrialCheckpoint;
 use super::trial_stats::TrialFinding;
 use crate::event::RequestTicket;
@@ -470,6 +470,17 @@
         /// Failures among them.
         bad: f64,
     },
+    /// A verdict on a version is due, and rests on this.
+    VerdictExplained {
+        /// Service.
+        service: String,
+        /// Version on trial.
+        version: String,
+        /// State that the verdict gives to the trial.
+        state: TrialState,
+        /// What it rests on.
+        basis: VerdictBasis,
+    },
     /// This box rejected a version on trial, and writes a verdict.
     VersionRejected {
         /// Service.
--- a/crates/core/src/route/feedback.rs
+++ b/crates/core/src/route/feedback.rs
@@ -3,6 +3,7 @@
 
 use super::backend_health::LostAnswer;
 use super::event::{AnswerHead, RouteEffect};
+use super::loads::BackendLoad;
 use super::pick::BackendPick;
 use super::placement::{PlacementUpdate, PLACEMENT_GOSSIP_WORK_MS};
 use super::trial::{TrialState, VersionTrial};
@@ -76,6 +77,16 @@
         }
     }
 
+    /// Records the load of the replica that answers, for the trial of its service.
+    pub(super) fn record_trial_load(&mut self, ticket: RequestTicket, load: Option<BackendLoad>) {
+        let Some((request, load)) = self.requests.get(&ticket).zip(load) else { return };
+        let Some(attempt) = request.attempt else { return };
+        let Some(trial) = self.trials.get_mut(&request.service) else { return };
+        let row = trial.own.entry(request.route.name.clone()).or_default();
+        let side = if attempt.on_trial { &mut row.canary } else { &mut row.baseline };
+        side.record_load(f64::from(load.running) / f64::from(load.slots.max(1)));
+    }
+
     /// Records a lost answer. It counts against the version unless the replica is gone.
     pub(super) fn count_lost_answer(&mut self, stamp: EventStamp, ticket: RequestTicket) {
         let Some(request) = self.requests.get_mut(&ticket) else { return };
--- a/crates/core/src/route/gossip.rs
+++ b/crates/core/src/route/gossip.rs
@@ -111,6 +111,7 @@
             progress: trial.progress(stamp.now),
             checkpoint: trial.checkpoint,
             stats: trial.own.clone(),
+            exposure: trial.exposure.own(),
         });
         GossipMessage {
             name: self.settings.name.clone(),
--- a/crates/core/src/route/peers/mod.rs
+++ b/crates/core/src/route/peers/mod.rs
@@ -31,6 +31,7 @@
 use super::rate_limit::LimitUpdate;
 use super::retry_budget::SendCount;
 use super::trial::TrialVerdict;
+use super::trial_exposure::ExposureCount;
 use super::trial_progress::TrialProgress;
 use super::trial_stats::RouteStats;
 use crate::position::TopicPosition;
@@ -159,6 +160,8 @@
     pub checkpoint: TrialProgress,
     /// Statistics of the sender.
     pub stats: RouteStats,
+    /// Requests that the sender sent since the order.
+    pub exposure: ExposureCount,
 }
 
 /// Update on the extra attempts of a box for a service in a window.
--- a/crates/core/src/route/trial.rs
+++ b/crates/core/src/route/trial.rs
@@ -21,6 +21,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::trial_exposure::{ExposureCount, ExposureTally};
 use super::trial_progress::{TrialCheckpoint, TrialPhase, TrialProgress};
 use super::trial_stats::{RouteStats, TrialFinding, TrialStats};
 use crate::replica::mix;
@@ -99,6 +100,17 @@
     pub state: TrialState,
 }
 
+/// What a verdict rests on, for the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct VerdictBasis {
+    /// Age of the order, in milliseconds.
+    pub age_ms: u64,
+    /// Statistics of all boxes over all routes.
+    pub stats: TrialStats,
+    /// Requests sent by all boxes since the order.
+    pub exposure: ExposureCount,
+}
+
 /// A trial, as this box knows it.
 #[derive(Clone, Debug, Serialize)]
 pub struct VersionTrial {
@@ -136,6 +148,8 @@
     pub own: RouteStats,
     /// Statistics of the other boxes, by box name.
     pub peers: BTreeMap<String, RouteStats>,
+    /// Requests that the version and its service received.
+    pub exposure: ExposureTally,
     /// The share that was logged last.
     pub logged_share: f64,
 }
@@ -158,6 +172,7 @@
             replaced: Vec::new(),
             own: RouteStats::new(),
             peers: BTreeMap::new(),
+            exposure: ExposureTally::default(),
             logged_share: 0.0,
         }
     }
@@ -219,6 +234,17 @@
         rows.find_map(|(route, stats)| Some(TrialFinding { route, fault: stats.fault()?, stats }))
     }
 
+    /// What a verdict on the version rests on.
+    pub fn basis(&self, now: BoxTime) -> VerdictBasis {
+        let mut all = TrialStats::default();
+        for stats in self.evidence().values() {
+            all.canary.merge(&stats.canary);
+            all.baseline.merge(&stats.baseline);
+        }
+        let exposure = self.exposure.total();
+        VerdictBasis { age_ms: self.age_ms(now), stats: all, exposure }
+    }
+
     /// Whether there is a finding against the version.
     pub fn is_bad(&self) -> bool {
         self.finding().is_some()
@@ -347,6 +373,14 @@
         self.state == TrialState::Running && self.order.version == version
     }
 
+    /// Counts a request that is sent to a replica of `version`. Returns whether that version is on
+    /// trial.
+    pub fn count_sent(&mut self, version: &str) -> bool {
+        let on_trial = self.is_on_trial(version);
+        self.exposure.add_sent(self.order.version == version);
+        on_trial
+    }
+
     fn has_enough_answers(&self) -> bool {
         self.answers().0 >= MIN_DONE_RUNS
     }
--- a/crates/core/src/route/trial_stats.rs
+++ b/crates/core/src/route/trial_stats.rs
@@ -38,6 +38,9 @@
     pub log_sum: f64,
     /// Sum of the squares of those logarithms.
     pub log_square: f64,
+    /// Highest load that a replica of the version reported with a response, as a share of its
+    /// slots.
+    pub peak_load: f64,
 }
 
 impl VersionStats {
@@ -53,6 +56,11 @@
         }
     }
 
+    /// Records the load that a replica reported with a response, as a share of its slots.
+    pub fn record_load(&mut self, load: f64) {
+        self.peak_load = self.peak_load.max(load);
+    }
+
     /// Adds the statistics of another box.
     pub fn merge(&mut self, other: &VersionStats) {
         self.runs += other.runs;
@@ -60,6 +68,14 @@
         self.timed += other.timed;
         self.log_sum += other.log_sum;
         self.log_square += other.log_square;
+        self.peak_load = self.peak_load.max(other.peak_load);
+    }
+
+    /// Least share of faulty responses that this many responses would have shown, by
+    /// [`MIN_STANDARD_ERRORS`], beside none of the baseline's.
+    pub fn least_shown_share(&self) -> f64 {
+        let squared = MIN_STANDARD_ERRORS * MIN_STANDARD_ERRORS;
+        (squared / (squared + self.runs)).max(MIN_EXCESS_SHARE)
     }
 
     fn bad_share(&self) -> f64 {
--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -146,6 +146,7 @@
                 trial.note_checkpoint(update.checkpoint);
             }
             trial.peers.insert(message.name.clone(), update.stats.clone());
+            trial.exposure.apply_peer(&message.name, update.exposure);
         }
         for verdict in &message.verdicts {
             self.apply_verdict(verdict.clone(), is_stored, out);
@@ -172,6 +173,12 @@
                 }
             };
             if takes_turn(&mut self.verdict_at, service, rank, stamp.now) {
+                out.push(RouteEffect::VerdictExplained {
+                    service: service.clone(),
+                    version: trial.order.version.clone(),
+                    state,
+                    basis: trial.basis(stamp.now),
+                });
                 out.push(RouteEffect::WriteVerdict(TrialVerdict {
                     service: service.clone(),
                     version: trial.order.version.clone(),
--- a/crates/core/tests/route/trials.rs
+++ b/crates/core/tests/route/trials.rs
@@ -342,6 +342,7 @@
                 },
                 checkpoint: TrialProgress::default(),
                 stats,
+                ..Default::default()
             }],
             ..Default::default()
         },
