trial: the phases keep a version within its bound, whether anything is found against it or not

Callers: a bad version against which nothing was found got 0.26 of its service's requests by its deadline (0.2 of the sessions from 0.515 to 0.8 of the time, all to 0.88, all once accepted), where 0.15 and 30 requests are allowed.

Ruled out: sends past the verdict, sends for lack of an old replica (none logged).

Change: the phases are worked out from the bound, which the settings name: a version carries all sessions from 1 - 0.4 share of the time, and gets as much of the sessions before as keeps the whole at 0.9 of the bound. It carries all only once the requests still to come, at the rate of late, fit into what is left by the counts of all boxes; so load that grows towards the end moves the step, not the exposure.

--- a/crates/bench/src/prompt_router.rs
+++ b/crates/bench/src/prompt_router.rs
@@ -316,6 +316,7 @@
         capacity: BoxCapacity::default(),
         fresh: FreshBounds { revoke_ms: None, apply_ms: 2_000 },
         budget: BudgetBounds { ratio: 0.9, slack: 60.0, window_ms: 10_000 },
+        exposure: Default::default(),
         leader: None,
         regions: BTreeMap::new(),
     });
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -349,6 +349,7 @@
         capacity: settings.capacity,
         fresh: settings.fresh,
         budget: settings.budget,
+        exposure: settings.exposure,
         leader: settings.leader.as_ref().map(|leader| leader.bounds),
         regions: settings.regions.clone(),
     }
--- a/crates/box/tests/clock.rs
+++ b/crates/box/tests/clock.rs
@@ -71,6 +71,7 @@
         capacity: BoxCapacity::default(),
         fresh: FreshBounds { revoke_ms: Some(TEST_LIMIT.as_millis() as u64), apply_ms: 2_000 },
         budget: BudgetBounds { ratio: 0.1, slack: 10.0, window_ms: 10_000 },
+        exposure: Default::default(),
         leader: None,
         regions: std::collections::BTreeMap::new(),
     };
--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -7,6 +7,7 @@
 use ravenspoke_core::route::plan_freshness::FreshBounds;
 use ravenspoke_core::route::region::ZoneRegions;
 use ravenspoke_core::route::retry_budget::BudgetBounds;
+use ravenspoke_core::route::trial_exposure::ExposureBounds;
 
 /// Validated settings of a gateway box.
 #[derive(Clone, Debug, PartialEq)]
@@ -33,6 +34,8 @@
     pub fresh: FreshBounds,
     /// Retry budget.
     pub budget: BudgetBounds,
+    /// Bound on what versions on trial receive.
+    pub exposure: ExposureBounds,
     /// Time between the stop signal and the kill, in milliseconds.
     pub grace_ms: u64,
     /// How long callers may cache an address response, in milliseconds.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -119,6 +119,7 @@
 use store_readers::ReaderState;
 use sync_state::SyncState;
 use trial::VersionTrial;
+use trial_exposure::ExposureBounds;
 
 pub use dump::RouteDump;
 
@@ -155,6 +156,8 @@
     pub fresh: FreshBounds,
     /// Bounds of the retry budget.
     pub budget: BudgetBounds,
+    /// Bound on what versions on trial receive.
+    pub exposure: ExposureBounds,
     /// Bounds of the leader's tasks, if the platform has any.
     pub leader: Option<LeaderBounds>,
     /// Region of each availability zone.
--- a/crates/core/src/route/trial_exposure.rs
+++ b/crates/core/src/route/trial_exposure.rs
@@ -5,6 +5,8 @@
 
 use serde::Serialize;
 
+use crate::time::BoxTime;
+
 /// Bound on the requests that a version on trial may receive, from its order to the end of the
 /// order's duration.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
@@ -30,12 +32,60 @@
     pub all: u64,
 }
 
+/// Part of the bound that the phases of a trial use; the rest covers load that grows towards the end.
+const PLANNED_PART: f64 = 0.9;
+
+/// Part of the bound that is kept for the time in which a version carries all sessions: the old
+/// replicas stop once it is accepted, so it receives all requests until the duration ends.
+const CARRY_PART: f64 = 0.4;
+
+/// Part of the time after [`ExposureBounds::carry_at`] after which the version is accepted. By then
+/// all boxes send it all sessions.
+const DONE_PART: f64 = 0.3;
+
+/// Part of the slack that may be used. The rest covers requests that a box does not know of yet.
+const SLACK_PART: f64 = 0.5;
+
+impl ExposureBounds {
+    /// Fraction of the order's duration after which a version may carry all sessions.
+    pub fn carry_at(&self) -> f64 {
+        1.0 - CARRY_PART * self.share
+    }
+
+    /// Fraction of the order's duration after which a version may be accepted.
+    pub fn done_at(&self) -> f64 {
+        self.carry_at() + (1.0 - self.carry_at()) * DONE_PART
+    }
+
+    /// Share of the sessions that a version gets from `start`, a fraction of the order's duration,
+    /// until it may carry all.
+    pub fn trial_share(&self, start: f64) -> f64 {
+        (PLANNED_PART - CARRY_PART) * self.share / (self.carry_at() - start)
+    }
+
+    /// Requests that a version may receive of `all` requests.
+    pub fn allowed(&self, all: f64) -> f64 {
+        self.share * all + SLACK_PART * self.slack
+    }
+}
+
 impl ExposureCount {
     fn plus(self, other: Self) -> Self {
         Self { canary: self.canary + other.canary, all: self.all + other.all }
     }
 }
 
+/// Interval between two marks of the request rate, in milliseconds: long enough for the counts of
+/// other boxes to arrive.
+const RATE_MARK_MS: u64 = 1_000;
+
+/// Number of requests at a time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+struct RateMark {
+    at: BoxTime,
+    all: u64,
+}
+
 /// Counts of another box. A box that restarts counts from zero again.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 struct PeerCount {
@@ -50,6 +100,8 @@
 pub struct ExposureTally {
     own: ExposureCount,
     peers: BTreeMap<String, PeerCount>,
+    /// The last two marks, the older one first.
+    marks: [RateMark; 2],
 }
 
 impl ExposureTally {
@@ -80,6 +132,22 @@
         peer.current = current;
     }
 
+    /// Marks the number of requests, if that is due.
+    pub fn mark_rate(&mut self, now: BoxTime) {
+        if now.millis_since(self.marks[1].at) >= RATE_MARK_MS {
+            self.marks = [self.marks[1], RateMark { at: now, all: self.total().all }];
+        }
+    }
+
+    /// Requests to the service a millisecond: of late, or since the order if that is more.
+    pub fn rate(&self, now: BoxTime, age_ms: u64) -> f64 {
+        let all = self.total().all;
+        let mark = self.marks[0];
+        let span_ms = now.millis_since(mark.at).max(1) as f64;
+        let lately = all.saturating_sub(mark.all) as f64 / span_ms;
+        lately.max(all as f64 / age_ms.max(1) as f64)
+    }
+
     /// Counts of all boxes.
     pub fn total(&self) -> ExposureCount {
         let peers = self.peers.values().map(|peer| peer.former.plus(peer.current));
--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -38,7 +38,7 @@
             let replaced = known.map(VersionTrial::replaced_versions).unwrap_or_default();
             self.verdict_at.remove(&order.service);
             let service = order.service.clone();
-            let mut trial = VersionTrial::new(order, stamp.now);
+            let mut trial = VersionTrial::new(order, self.settings.exposure, stamp.now);
             trial.replaced = replaced;
             // This box knows all records up to a moment ago, and the order was not among them. So
             // the store cannot have a verdict or checkpoint of this trial yet, and asking would
--- a/crates/core/tests/route/fixture.rs
+++ b/crates/core/tests/route/fixture.rs
@@ -44,6 +44,7 @@
         capacity: BoxCapacity::default(),
         fresh: FreshBounds { revoke_ms: Some(5_000), apply_ms: 2_000 },
         budget: BudgetBounds { ratio: 0.9, slack: 60.0, window_ms: 10_000 },
+        exposure: Default::default(),
         leader: None,
         regions: BTreeMap::new(),
     }
