trial: a version is accepted on evidence that it is no worse, not on the lack of a finding

Callers: a version of which three answers in ten were eight times slower was accepted on 32 responses, and got 211 requests later than 5 s after its 50th bad answer.

Cause: acceptance asked for 20 responses and no finding.

Change: each route has a log-likelihood ratio for failures and one for slow responses (three times the usual of the route), against a version worse by 0.2; their sums stand for all routes. A rise by 6 above the lowest value condemns, so that good responses from before a late fault count for nothing; 15 faulty responses more than expected condemn as well, however many there are. Acceptance needs low ratios on all routes together and on each main one. A version still undecided goes on with its share, and is rolled back at 1.5 of the time. What a box counted before its restart is kept by the others.

--- a/crates/box/src/gateway/gossip_wire/trial.rs
+++ b/crates/box/src/gateway/gossip_wire/trial.rs
@@ -91,6 +91,10 @@
     log_square: f32,
     #[prost(float, tag = "6")]
     peak_load: f32,
+    #[prost(float, tag = "7")]
+    judged: f32,
+    #[prost(float, tag = "8")]
+    slow: f32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -112,6 +116,8 @@
         log_sum: stats.log_sum as f32,
         log_square: stats.log_square as f32,
         peak_load: stats.peak_load as f32,
+        judged: stats.judged as f32,
+        slow: stats.slow as f32,
     }
 }
 
@@ -124,6 +130,8 @@
         log_sum: f64::from(stats.log_sum),
         log_square: f64::from(stats.log_square),
         peak_load: f64::from(stats.peak_load),
+        judged: f64::from(stats.judged),
+        slow: f64::from(stats.slow),
     }
 }
 
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -207,6 +207,8 @@
                 bad = canary.bad,
                 other_runs = baseline.runs,
                 other_bad = baseline.bad,
+                slow = canary.slow,
+                other_slow = baseline.slow,
                 peak_load = canary.peak_load,
                 other_peak_load = baseline.peak_load,
                 least_shown_share = canary.least_shown_share(),
@@ -227,6 +229,8 @@
                 bad = stats.canary.bad,
                 other_runs = stats.baseline.runs,
                 other_bad = stats.baseline.bad,
+                slow = stats.canary.slow,
+                other_slow = stats.baseline.slow,
                 times_slower = stats.times_slower(),
             );
         }
--- a/crates/core/src/route/feedback.rs
+++ b/crates/core/src/route/feedback.rs
@@ -125,8 +125,6 @@
     ) {
         let running = |trial: &&mut VersionTrial| trial.state == TrialState::Running;
         let Some(trial) = self.trials.get_mut(service).filter(running) else { return };
-        let row = trial.own.entry(route.to_owned()).or_default();
-        let side = if on_trial { &mut row.canary } else { &mut row.baseline };
-        side.add(bad, took_ms);
+        trial.add_response(route, on_trial, bad, took_ms);
     }
 }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -44,8 +44,8 @@
 //! - [`region`]: regions in which a request may be served
 //! - [`retry_budget`]: extra attempts
 //! - [`model_cascade`]: which model answers
-//! - [`trial`], [`trial_stats`], [`trial_exposure`], [`trial_progress`]: new versions, the evidence
-//!   about them, the requests that they receive, and their progress
+//! - [`trial`], [`trial_stats`], [`trial_evidence`], [`trial_exposure`], [`trial_progress`]: new
+//!   versions, the evidence about them, the requests that they receive, and their progress
 
 pub mod admission;
 mod answer;
@@ -87,6 +87,7 @@
 mod sync_state;
 mod tombstones;
 pub mod trial;
+pub mod trial_evidence;
 pub mod trial_exposure;
 pub mod trial_progress;
 pub mod trial_stats;
--- a/crates/core/src/route/trial.rs
+++ b/crates/core/src/route/trial.rs
@@ -25,9 +25,10 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::trial_evidence::{FaultTests, PeerStats};
 use super::trial_exposure::{ExposureBounds, ExposureCount, ExposureTally};
 use super::trial_progress::{TrialCheckpoint, TrialPhase, TrialProgress};
-use super::trial_stats::{RouteStats, TrialFinding, TrialStats};
+use super::trial_stats::{RouteStats, TrialFinding, TrialStats, SLOW_FACTOR};
 use crate::replica::mix;
 use crate::time::BoxTime;
 
@@ -56,8 +57,9 @@
 /// accept the verdict: two of its attempts to write it.
 pub const LOCAL_EJECTION_MS: u64 = 3_000;
 
-/// Least number of responses of a version for its acceptance.
-pub const MIN_DONE_RUNS: f64 = 20.0;
+/// Fraction of the order's duration after which a version whose responses still show too little is
+/// rolled back.
+pub const GIVE_UP_AT: f64 = 1.5;
 
 /// State of a trial.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -141,7 +143,9 @@
     /// Statistics of this box.
     pub own: RouteStats,
     /// Statistics of the other boxes, by box name.
-    pub peers: BTreeMap<String, RouteStats>,
+    pub peers: BTreeMap<String, PeerStats>,
+    /// Tests of the version.
+    pub tests: FaultTests,
     /// Requests that the version and its service received.
     pub exposure: ExposureTally,
     /// The share that was logged last.
@@ -167,6 +171,7 @@
             replaced: Vec::new(),
             own: RouteStats::new(),
             peers: BTreeMap::new(),
+            tests: FaultTests::default(),
             exposure: ExposureTally::default(),
             logged_share: 0.0,
         }
@@ -197,11 +202,7 @@
     /// Statistics of all boxes, by route.
     pub fn evidence(&self) -> RouteStats {
         let mut all = self.own.clone();
-        for (route, stats) in self.peers.values().flatten() {
-            let row = all.entry(route.clone()).or_default();
-            row.canary.merge(&stats.canary);
-            row.baseline.merge(&stats.baseline);
-        }
+        self.peers.values().for_each(|peer| peer.add_to(&mut all));
         all
     }
 
@@ -215,27 +216,36 @@
 
     /// The first finding against the version, on all routes together or on one route.
     pub fn finding(&self) -> Option<TrialFinding> {
-        let evidence = self.evidence();
-        let mut all = TrialStats::default();
-        for stats in evidence.values() {
-            // Times of different routes are not comparable; failures are.
-            all.canary.runs += stats.canary.runs;
-            all.canary.bad += stats.canary.bad;
-            all.baseline.runs += stats.baseline.runs;
-            all.baseline.bad += stats.baseline.bad;
+        self.tests.finding(&self.evidence())
+    }
+
+    /// Adds a response of a replica. A bad response has no time.
+    pub fn add_response(&mut self, route: &str, on_trial: bool, bad: bool, took_ms: Option<f64>) {
+        let usual_ms = self.route_evidence(route).baseline.usual_ms();
+        let row = self.own.entry(route.to_owned()).or_default();
+        let side = if on_trial { &mut row.canary } else { &mut row.baseline };
+        side.add(bad, took_ms);
+        if let Some((took_ms, usual_ms)) = took_ms.zip(usual_ms) {
+            side.record_slowness(took_ms > SLOW_FACTOR * usual_ms);
         }
-        let rows = evidence.into_iter().map(|(route, stats)| (Some(route), stats));
-        let mut rows = [(None, all)].into_iter().chain(rows);
-        rows.find_map(|(route, stats)| Some(TrialFinding { route, fault: stats.fault()?, stats }))
+    }
+
+    /// Statistics of all boxes on one route.
+    fn route_evidence(&self, route: &str) -> TrialStats {
+        let mut stats = self.own.get(route).copied().unwrap_or_default();
+        self.peers.values().for_each(|peer| peer.add_route_to(route, &mut stats));
+        stats
+    }
+
+    /// Whether the responses show that the version has no fault that matters.
+    pub fn is_shown_good(&self) -> bool {
+        self.tests.shows_no_fault(&self.evidence())
     }
 
     /// What a verdict on the version rests on.
     pub fn basis(&self, now: BoxTime) -> VerdictBasis {
         let mut all = TrialStats::default();
-        for stats in self.evidence().values() {
-            all.canary.merge(&stats.canary);
-            all.baseline.merge(&stats.baseline);
-        }
+        self.evidence().values().for_each(|stats| all.merge(stats));
         let exposure = self.exposure.total();
         VerdictBasis { age_ms: self.age_ms(now), stats: all, exposure }
     }
@@ -292,7 +302,9 @@
         if self.state != TrialState::Running {
             return None;
         }
-        if let Some(finding) = self.finding() {
+        let evidence = self.evidence();
+        self.tests.follow(&evidence);
+        if let Some(finding) = self.tests.finding(&evidence) {
             let is_first = self.bad_since.is_none();
             self.bad_since.get_or_insert(now);
             return is_first.then_some(finding);
@@ -321,7 +333,7 @@
         let earliest_ms = self.age_ms(now) + lead_ms;
         let at_ms = earliest_ms.max(carry_ms);
         let due = self.carries_at_ms.is_none() && earliest_ms >= carry_ms;
-        if due && self.has_enough_answers() && self.may_carry_from(at_ms, now) {
+        if due && self.may_carry_from(at_ms, now) && self.is_shown_good() {
             self.carries_at_ms = Some(at_ms);
         }
     }
@@ -404,16 +416,18 @@
         on_trial
     }
 
-    fn has_enough_answers(&self) -> bool {
-        self.answers().0 >= MIN_DONE_RUNS
-    }
-
     /// The verdict that is due now, if any.
     pub fn due(&self, now: BoxTime) -> Option<TrialState> {
         if self.is_rollback_due() {
             return Some(TrialState::RolledBack);
         }
-        let carried = self.state == TrialState::Running && self.phase == TrialPhase::Carried;
-        (carried && self.elapsed(now) >= self.bounds.done_at()).then_some(TrialState::Done)
+        if self.state != TrialState::Running {
+            return None;
+        }
+        let (elapsed, carried) = (self.elapsed(now), self.phase == TrialPhase::Carried);
+        if carried && elapsed >= self.bounds.done_at() && self.is_shown_good() {
+            return Some(TrialState::Done);
+        }
+        (elapsed >= GIVE_UP_AT).then_some(TrialState::RolledBack)
     }
 }
--- a/crates/core/src/route/trial_exposure.rs
+++ b/crates/core/src/route/trial_exposure.rs
@@ -89,6 +89,7 @@
 /// Counts of another box. A box that restarts counts from zero again.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 struct PeerCount {
+    incarnation: u64,
     /// Counts of its earlier processes.
     former: ExposureCount,
     /// Counts of its current process.
@@ -123,11 +124,11 @@
     }
 
     /// Applies the counts that another box reported.
-    pub fn apply_peer(&mut self, name: &str, current: ExposureCount) {
+    pub fn apply_peer(&mut self, name: &str, incarnation: u64, current: ExposureCount) {
         let peer = self.peers.entry(name.to_owned()).or_default();
-        let restarted = current.all < peer.current.all / 2;
-        if restarted {
+        if incarnation != peer.incarnation {
             peer.former = peer.former.plus(peer.current);
+            peer.incarnation = incarnation;
         }
         peer.current = current;
     }
--- a/crates/core/src/route/trial_stats.rs
+++ b/crates/core/src/route/trial_stats.rs
@@ -11,13 +11,22 @@
 /// Number of standard errors by which the canary must be worse than the baseline.
 pub const MIN_STANDARD_ERRORS: f64 = 3.0;
 
-/// Least excess of the canary's failure share over the baseline's that counts.
-pub const MIN_EXCESS_SHARE: f64 = 0.08;
+/// Least share of a version's responses that a fault affects, to be told from a good version.
+pub const LEAST_FAULT_SHARE: f64 = 0.2;
+
+/// A response is slow if it took this many times as long as usual on its route.
+pub const SLOW_FACTOR: f64 = 3.0;
+
+/// Bounds of the share of faulty responses that is assumed for the baseline.
+const USUAL_SHARES: std::ops::RangeInclusive<f64> = 0.005..=0.7;
+
+/// Least number of the baseline's responses whose slowness is known, for a test of the canary's.
+const MIN_JUDGED: f64 = 20.0;
 
 /// Logarithm of the slowdown that counts as bad, 1.7 times.
 pub const MIN_SLOWDOWN_LOG: f64 = 0.53;
 
-/// Prior of the baseline's failure share, as responses and failures assumed before the first
+/// Prior of the baseline's share of faulty responses, as responses and failures assumed before the first
 /// observation: one in twenty.
 const PRIOR_RUNS: f64 = 20.0;
 const PRIOR_BAD: f64 = 1.0;
@@ -32,6 +41,10 @@
     pub runs: f64,
     /// Failed responses.
     pub bad: f64,
+    /// Responses of which it is known whether they were slow.
+    pub judged: f64,
+    /// Slow responses among them.
+    pub slow: f64,
     /// Responses whose time was taken.
     pub timed: f64,
     /// Sum of the logarithms of their times.
@@ -56,6 +69,12 @@
         }
     }
 
+    /// Records whether a response was slow.
+    pub fn record_slowness(&mut self, is_slow: bool) {
+        self.judged += 1.0;
+        self.slow += f64::from(u8::from(is_slow));
+    }
+
     /// Records the load that a replica reported with a response, as a share of its slots.
     pub fn record_load(&mut self, load: f64) {
         self.peak_load = self.peak_load.max(load);
@@ -65,6 +84,8 @@
     pub fn merge(&mut self, other: &VersionStats) {
         self.runs += other.runs;
         self.bad += other.bad;
+        self.judged += other.judged;
+        self.slow += other.slow;
         self.timed += other.timed;
         self.log_sum += other.log_sum;
         self.log_square += other.log_square;
@@ -75,11 +96,20 @@
     /// [`MIN_STANDARD_ERRORS`], beside none of the baseline's.
     pub fn least_shown_share(&self) -> f64 {
         let squared = MIN_STANDARD_ERRORS * MIN_STANDARD_ERRORS;
-        (squared / (squared + self.runs)).max(MIN_EXCESS_SHARE)
+        squared / (squared + self.runs)
     }
 
-    fn bad_share(&self) -> f64 {
-        self.bad / self.runs.max(1.0)
+    /// Responses that show whether there is a fault, and those with it.
+    fn counts(&self, fault: TrialFault) -> (f64, f64) {
+        match fault {
+            TrialFault::FailsMore => (self.runs, self.bad),
+            TrialFault::Slower => (self.judged, self.slow),
+        }
+    }
+
+    /// Usual time of a response, in milliseconds, if enough were timed.
+    pub fn usual_ms(&self) -> Option<f64> {
+        (self.timed >= MIN_RUNS).then(|| self.log_mean().exp())
     }
 
     fn log_mean(&self) -> f64 {
@@ -104,7 +134,7 @@
 }
 
 /// How a version is worse than the others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 pub enum TrialFault {
     /// A greater share of its responses fails.
     FailsMore,
@@ -125,12 +155,42 @@
 }
 
 impl TrialStats {
-    /// The fault of the canary that chance does not explain, if any.
-    pub fn fault(&self) -> Option<TrialFault> {
-        if self.fails_more() {
-            return Some(TrialFault::FailsMore);
+    /// Adds the statistics of other responses.
+    pub fn merge(&mut self, other: &TrialStats) {
+        self.canary.merge(&other.canary);
+        self.baseline.merge(&other.baseline);
+    }
+
+    /// Share of the baseline's responses that have a fault.
+    fn usual_share(&self, fault: TrialFault) -> f64 {
+        let (runs, faulty) = self.baseline.counts(fault);
+        let share = (faulty + PRIOR_BAD) / (runs + PRIOR_RUNS);
+        share.clamp(*USUAL_SHARES.start(), *USUAL_SHARES.end())
+    }
+
+    /// Whether the baseline allows a test for a fault.
+    pub fn can_show(&self, fault: TrialFault) -> bool {
+        fault == TrialFault::FailsMore || self.baseline.judged >= MIN_JUDGED
+    }
+
+    /// Log-likelihood ratio of the canary's responses: positive if they agree better with a version
+    /// that has the fault in [`LEAST_FAULT_SHARE`] more of its responses than the baseline.
+    pub fn log_ratio(&self, fault: TrialFault) -> f64 {
+        if !self.can_show(fault) {
+            return 0.0;
         }
-        self.is_slower().then_some(TrialFault::Slower)
+        let (runs, faulty) = self.canary.counts(fault);
+        let usual = self.usual_share(fault);
+        let worse = usual + (1.0 - usual) * LEAST_FAULT_SHARE;
+        let (for_fault, against) = ((worse / usual).ln(), ((1.0 - worse) / (1.0 - usual)).ln());
+        faulty * for_fault + (runs - faulty) * against
+    }
+
+    /// Faulty responses of the canary beyond those expected, and the variance of their number.
+    pub fn excess(&self, fault: TrialFault) -> (f64, f64) {
+        let (runs, faulty) = self.canary.counts(fault);
+        let usual = self.usual_share(fault);
+        (faulty - runs * usual, runs * usual * (1.0 - usual))
     }
 
     /// Ratio of the canary's response times to the baseline's, by the means of their logarithms.
@@ -138,18 +198,8 @@
         (self.canary.log_mean() - self.baseline.log_mean()).exp()
     }
 
-    fn fails_more(&self) -> bool {
-        let (canary, baseline) = (&self.canary, &self.baseline);
-        if canary.runs < MIN_RUNS {
-            return false;
-        }
-        let expected = (baseline.bad + PRIOR_BAD) / (baseline.runs + PRIOR_RUNS);
-        let error = (expected * (1.0 - expected) / canary.runs).sqrt();
-        let excess = canary.bad_share() - expected;
-        excess > MIN_EXCESS_SHARE && excess > MIN_STANDARD_ERRORS * error
-    }
-
-    fn is_slower(&self) -> bool {
+    /// Whether the canary's times are longer in the mean.
+    pub fn is_slower(&self) -> bool {
         let (canary, baseline) = (&self.canary, &self.baseline);
         if canary.timed < MIN_RUNS || baseline.timed < MIN_RUNS {
             return false;
--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -145,8 +145,10 @@
             if is_stored {
                 trial.note_checkpoint(update.checkpoint);
             }
-            trial.peers.insert(message.name.clone(), update.stats.clone());
-            trial.exposure.apply_peer(&message.name, update.exposure);
+            let incarnation = message.info.incarnation;
+            let peer = trial.peers.entry(message.name.clone()).or_default();
+            peer.apply(incarnation, &update.stats);
+            trial.exposure.apply_peer(&message.name, incarnation, update.exposure);
         }
         for verdict in &message.verdicts {
             self.apply_verdict(verdict.clone(), is_stored, out);
--- a/crates/core/tests/route/trials.rs
+++ b/crates/core/tests/route/trials.rs
@@ -4,6 +4,7 @@
 use ravenspoke_core::route::event::{AttemptFailure, CallerRequest, RouteEffect, RouteEvent};
 use ravenspoke_core::route::peers::PeerInfo;
 use ravenspoke_core::route::trial::{TrialOrder, TrialState, TrialVerdict};
+use ravenspoke_core::route::trial_evidence::FaultTests;
 use ravenspoke_core::route::trial_progress::{TrialPhase, TrialProgress};
 use ravenspoke_core::route::trial_stats::{TrialFault, TrialStats, VersionStats};
 use ravenspoke_core::time::BoxTime;
@@ -473,7 +474,9 @@
 #[test]
 fn a_few_slow_responses_are_no_finding_and_many_are() {
     let fault = |quick, slow| {
-        TrialStats { canary: timed_stats(quick, slow), baseline: timed_stats(52, 0) }.fault()
+        let stats = TrialStats { canary: timed_stats(quick, slow), baseline: timed_stats(52, 0) };
+        let finding = FaultTests::default().finding(&[("file".to_owned(), stats)].into());
+        finding.map(|finding| finding.fault)
     };
     assert_eq!(fault(9, 5), None, "five of fourteen may be slow because of cold caches");
     assert_eq!(fault(27, 15), Some(TrialFault::Slower), "the same share of three times as many");
