trial: a version is tried at the load to come, and requests without a session from early on

Change: while a version has a share, only as many of its replicas are used as carry with it the load of the old ones. When no old replica is left, the new version serves within its bound only.

--- a/crates/core/src/route/arrival.rs
+++ b/crates/core/src/route/arrival.rs
@@ -75,6 +75,7 @@
             sends: 0,
             connect_failures: 0,
             counted: false,
+            counted_bad: false,
             may_have_run: false,
             relayed: false,
             relayed_on_trial: false,
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -179,7 +179,6 @@
             began: stamp.now,
             on_trial,
             pauses: 0,
-            counted_bad: false,
             cached: pick.cached,
             was_idle: pick.wait_ms <= IDLE_WORK_MS,
         });
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -7,9 +7,15 @@
 use super::placement::PromptWork;
 use super::request::RouteRequest;
 use super::trial::{TrialState, VersionTrial};
+use super::trial_progress::TrialPhase;
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
 use crate::replica::mix;
+use crate::time::BoxTime;
+
+/// Load that a replica on trial is to have while it takes all requests without a session, as a
+/// share of its slots. Some versions fail only from half of the slots on.
+const WINDOW_LOAD: f64 = 0.5;
 
 /// The replica chosen for an attempt, with the part that a trial of its service had in it.
 #[derive(Clone, Copy, Debug)]
@@ -30,21 +36,24 @@
         let trial = self.trials.get(&request.service);
         let store_away = self.store_away(stamp.now);
         let share = trial.map_or(0.0, |trial| trial.share(stamp.now, store_away));
-        let version = trial.map_or(VersionFilter::Any, |trial| {
-            // While the trial is undecided, a partly relayed answer continues on the version that
-            // began it.
+        // While the trial is undecided, a partly relayed answer continues on the version that began
+        // it.
+        let on_trial = trial.is_some_and(|trial| {
             let open =
                 trial.state == TrialState::Running && !trial.is_ejected(stamp.now, store_away);
-            let on_trial = if request.relayed && open {
+            if request.relayed && open {
                 request.relayed_on_trial
             } else {
-                trial.session_draw(request.session, stamp.random) < share
-            };
-            version_filter(trial, on_trial)
+                trial.takes(request.session, stamp.now, store_away)
+            }
         });
+        let version = trial.map_or(VersionFilter::Any, |trial| version_filter(trial, on_trial));
         let query = BackendQuery {
             service: &request.service,
             version,
+            most: trial
+                .filter(|_| on_trial)
+                .and_then(|trial| self.canary_replicas(trial, request.session, stamp.now)),
             work: self.prompt_work(request, size),
             zone: &self.settings.zone,
             evacuated: &self.evacuated,
@@ -57,8 +66,10 @@
         let preferred = self.backends.pick(&query);
         // If no replica of the preferred version is usable, any version serves except one found
         // bad.
-        let fallback =
-            || self.backends.pick(&BackendQuery { version: fallback_filter(trial), ..query });
+        let fallback = || {
+            let version = fallback_filter(trial);
+            self.backends.pick(&BackendQuery { version, most: None, ..query })
+        };
         let pick = preferred.or_else(fallback)?;
         let trial = trial.map(|trial| TrialInputs {
             age_ms: trial.age_ms(stamp.now),
@@ -68,6 +79,23 @@
         Some(AttemptChoice { pick, trial })
     }
 
+    /// Number of replicas that the version on trial uses while it has a share of the requests, so
+    /// that each carries the load that it will carry alone; `None` for all.
+    fn canary_replicas(&self, trial: &VersionTrial, session: u64, now: BoxTime) -> Option<usize> {
+        let order = &trial.order;
+        let usable = |version| self.backends.version_load(&order.service, version, now);
+        if trial.state != TrialState::Running || trial.phase == TrialPhase::Carried {
+            return None;
+        }
+        let (count, _) = usable(VersionFilter::Only(&order.version));
+        let share = if session == 0 {
+            usable(VersionFilter::Not(&order.version)).1 / WINDOW_LOAD
+        } else {
+            trial.trial_share()
+        };
+        Some(((count as f64 * share).ceil() as usize).clamp(1, count.max(1)))
+    }
+
     /// Returns the work of reading a request's prompt with the model in row `size`, if it has a
     /// prompt.
     pub(super) fn prompt_work(
@@ -102,7 +130,9 @@
 /// Returns the filter if no replica of the preferred version is usable.
 fn fallback_filter(trial: Option<&VersionTrial>) -> VersionFilter<'_> {
     match trial {
-        Some(trial) if trial.is_rejected() => VersionFilter::Not(&trial.order.version),
+        Some(trial) if trial.is_rejected() || !trial.may_expose() => {
+            VersionFilter::Not(&trial.order.version)
+        }
         _ => VersionFilter::Any,
     }
 }
--- a/crates/core/src/route/feedback.rs
+++ b/crates/core/src/route/feedback.rs
@@ -66,14 +66,19 @@
     /// replica's earlier lost answers: the replica is alive, so these were not due to a crash.
     pub(super) fn count_answer(&mut self, ticket: RequestTicket, bad: bool, took_ms: f64) {
         let Some(request) = self.requests.get_mut(&ticket) else { return };
-        let Some(attempt) = &mut request.attempt else { return };
-        let (replica, on_trial, counted_bad) =
-            (attempt.replica, attempt.on_trial, attempt.counted_bad);
-        attempt.counted_bad |= bad;
+        let Some(attempt) = request.attempt else { return };
+        let (replica, on_trial) = (attempt.replica, attempt.on_trial);
+        let counted_bad = request.counted_bad;
+        request.counted_bad |= bad;
         let (service, route) = (request.service.clone(), request.route.name.clone());
+        let is_prompt = request.prompt.is_some();
         self.apply_lost_answers(&service, replica);
         if !counted_bad {
-            self.add_answer(&service, &route, on_trial, bad, (!bad).then_some(took_ms));
+            let took_ms = (!bad).then_some(took_ms);
+            let running = |trial: &&mut VersionTrial| trial.state == TrialState::Running;
+            if let Some(trial) = self.trials.get_mut(&service).filter(running) {
+                trial.add_response(&route, on_trial, bad, took_ms, is_prompt);
+            }
         }
     }
 
@@ -90,8 +95,8 @@
     /// Records a lost answer. It counts against the version unless the replica is gone.
     pub(super) fn count_lost_answer(&mut self, stamp: EventStamp, ticket: RequestTicket) {
         let Some(request) = self.requests.get_mut(&ticket) else { return };
-        let Some(attempt) = &mut request.attempt else { return };
-        if std::mem::replace(&mut attempt.counted_bad, true) {
+        let Some(attempt) = request.attempt else { return };
+        if std::mem::replace(&mut request.counted_bad, true) {
             return;
         }
         let (route, on_trial) = (request.route.name.clone(), attempt.on_trial);
@@ -109,22 +114,11 @@
 
     /// Adds a replica's lost answers to the trial of its service.
     fn apply_lost_answers(&mut self, service: &str, replica: ReplicaKey) {
-        for lost in self.backends.drain_lost(replica) {
-            self.add_answer(service, &lost.route, lost.on_trial, true, None);
-        }
-    }
-
-    /// Adds an answer to the running trial of a service, if there is one. A bad answer has no time.
-    fn add_answer(
-        &mut self,
-        service: &str,
-        route: &str,
-        on_trial: bool,
-        bad: bool,
-        took_ms: Option<f64>,
-    ) {
+        let lost_answers = self.backends.drain_lost(replica);
         let running = |trial: &&mut VersionTrial| trial.state == TrialState::Running;
         let Some(trial) = self.trials.get_mut(service).filter(running) else { return };
-        trial.add_response(route, on_trial, bad, took_ms);
+        for lost in lost_answers {
+            trial.add_response(&lost.route, lost.on_trial, true, None, false);
+        }
     }
 }
--- a/crates/core/src/route/pick.rs
+++ b/crates/core/src/route/pick.rs
@@ -26,6 +26,8 @@
     pub service: &'a str,
     /// Versions allowed.
     pub version: VersionFilter<'a>,
+    /// At most this many replicas are used, the same ones on every box; `None` for all.
+    pub most: Option<usize>,
     /// Work of reading its prompt, if it has one.
     pub work: Option<PromptWork>,
     /// Availability zone of the box.
@@ -110,6 +112,7 @@
             .collect();
         // With more than half ejected, the cause is not the replicas.
         let mut pool = if healthy.len() * 2 < usable.len() { usable } else { healthy };
+        pool.truncate(query.most.unwrap_or(usize::MAX));
         let probe = pool.iter().copied().find(|key| self.rows[*key].limit.needs_probe(query.now));
         if let Some(probe) = probe {
             pool = vec![probe];
@@ -132,6 +135,20 @@
         })
     }
 
+    /// Number of usable replicas that match a filter, and their mean load as a share of slots.
+    pub(super) fn version_load(
+        &self,
+        service: &str,
+        version: VersionFilter,
+        now: BoxTime,
+    ) -> (usize, f64) {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        let rows = keys.map(|key| &self.rows[*key]);
+        let matching = rows.filter(|row| row.usable(now) && version.matches(&row.entry.version));
+        let loads: Vec<f64> = matching.map(|row| row.load(now)).collect();
+        (loads.len(), loads.iter().sum::<f64>() / loads.len().max(1) as f64)
+    }
+
     /// Returns whether a service has usable replicas, but none in these availability zones.
     pub(super) fn none_in(&self, service: &str, zones: &[String], now: BoxTime) -> bool {
         let keys = self.by_service.get(service).into_iter().flatten();
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -37,6 +37,9 @@
     pub(super) counted: bool,
     /// Whether any replica may have begun to run it.
     pub(super) may_have_run: bool,
+    /// Whether a bad answer was counted for the trial of its service. What fails one replica often
+    /// fails the next one too, so later attempts show nothing.
+    pub(super) counted_bad: bool,
     /// Whether the caller has received a response head.
     pub(super) relayed: bool,
     /// Whether that response began on a version on trial.
@@ -64,9 +67,6 @@
     pub(super) on_trial: bool,
     /// Pauses so far.
     pub(super) pauses: u32,
-    /// Whether it was counted as a bad answer of its version: that happens once, however often it
-    /// fails.
-    pub(super) counted_bad: bool,
     /// Whether the replica was assumed to have the prompt's prefix cached.
     pub(super) cached: bool,
     /// Whether no queued work was known there.
