soak: bad versions in each manner, and what a new version receives

Sessions may leave a bad version (the platform's rule names good ones), so the check of sessions passes over that for versions that made responses bad.

--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -216,6 +216,9 @@
                 sent_to_service = basis.exposure.all,
             );
         }
+        RouteEffect::CarryDelayed { service, version, age_ms, delay } => {
+            info!(event = 755, name = "trial_put_off", service, version, age_ms, ?delay);
+        }
         RouteEffect::VersionRejected { service, version, finding } => {
             let (route, stats) = (finding.route.as_deref().unwrap_or("all"), &finding.stats);
             warn!(
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -75,6 +75,7 @@
     (752, "lease_unanswered"),
     (753, "scale_unsound"),
     (754, "verdict_basis"),
+    (755, "trial_put_off"),
 ];
 
 /// Logs and counts an effect, if it has a log event or a metric.
--- a/crates/box/tests/soak.rs
+++ b/crates/box/tests/soak.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::path::Path;
 
-use ravenspoke_standins::soak::play::{play, play_series, SoakReport};
+use ravenspoke_standins::soak::play::{play, play_bad_version, play_series, SoakReport};
 
 /// Seeds of every CI run.
 const SEEDS: [u64; 3] = [1, 2, 3];
@@ -18,6 +18,9 @@
 /// Seeds of the series of stops and kills in every CI run.
 const SERIES_SEEDS: [u64; 4] = [1004, 1005, 1007, 2001];
 
+/// Seeds of bad versions in every CI run. They draw each manner.
+const BAD_VERSION_SEEDS: [u64; 6] = [1, 2, 3, 4, 5, 6];
+
 /// A seed that has its own test.
 const SEPARATE_SEED: u64 = 2;
 
@@ -61,3 +64,14 @@
         assert_report(seed, &report);
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_versions_stay_within_their_bound() {
+    let binary = Path::new(env!("CARGO_BIN_EXE_ravenspoked"));
+    let runs = BAD_VERSION_SEEDS
+        .map(|seed| tokio::spawn(async move { (seed, play_bad_version(binary, seed).await) }));
+    for run in runs {
+        let (seed, report) = run.await.expect("the run ends");
+        assert_report(seed, &report);
+    }
+}
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -17,6 +17,10 @@
 /// share of its slots. Some versions fail only from half of the slots on.
 const WINDOW_LOAD: f64 = 0.5;
 
+/// Replicas on trial for sessions, as a multiple of those that would carry the load of the old ones:
+/// their prefix caches are empty at first.
+const SESSION_SPREAD: f64 = 2.0;
+
 /// The replica chosen for an attempt, with the part that a trial of its service had in it.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct AttemptChoice {
@@ -80,7 +84,7 @@
     }
 
     /// Number of replicas that the version on trial uses while it has a share of the requests, so
-    /// that each carries the load that it will carry alone; `None` for all.
+    /// that their load is not far below the one to come; `None` for all.
     fn canary_replicas(&self, trial: &VersionTrial, session: u64, now: BoxTime) -> Option<usize> {
         let order = &trial.order;
         let usable = |version| self.backends.version_load(&order.service, version, now);
@@ -91,7 +95,7 @@
         let share = if session == 0 {
             usable(VersionFilter::Not(&order.version)).1 / WINDOW_LOAD
         } else {
-            trial.trial_share()
+            trial.trial_share() * SESSION_SPREAD
         };
         Some(((count as f64 * share).ceil() as usize).clamp(1, count.max(1)))
     }
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -10,7 +10,7 @@
 use super::peers::{GossipMessage, PlanPosition, SyncRequest};
 use super::placement::PlacementUpdate;
 use super::plan::{RouteKind, RoutePlan};
-use super::trial::{TrialOrder, TrialState, TrialVerdict, VerdictBasis};
+use super::trial::{CarryDelay, TrialOrder, TrialState, TrialVerdict, VerdictBasis};
 use super::trial_progress::TrialCheckpoint;
 use super::trial_stats::TrialFinding;
 use crate::event::RequestTicket;
@@ -481,6 +481,17 @@
         /// What it rests on.
         basis: VerdictBasis,
     },
+    /// A version does not carry all sessions although it is time for that.
+    CarryDelayed {
+        /// Service.
+        service: String,
+        /// Version on trial.
+        version: String,
+        /// Age of the order, in milliseconds.
+        age_ms: u64,
+        /// Why.
+        delay: CarryDelay,
+    },
     /// This box rejected a version on trial, and writes a verdict.
     VersionRejected {
         /// Service.
--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -215,6 +215,16 @@
             if trial.carries_at_ms != settled {
                 self.rounds.next_round = BoxTime::default();
             }
+            let delay = trial.delay(stamp.now).filter(|_| !trial.delay_logged);
+            if let Some(delay) = delay {
+                trial.delay_logged = true;
+                out.push(RouteEffect::CarryDelayed {
+                    service: trial.order.service.clone(),
+                    version: trial.order.version.clone(),
+                    age_ms: trial.age_ms(stamp.now),
+                    delay,
+                });
+            }
             let share = trial.share(stamp.now, store_away);
             if share == trial.logged_share {
                 continue;
--- a/crates/standins/src/soak/mod.rs
+++ b/crates/standins/src/soak/mod.rs
@@ -8,6 +8,7 @@
 //! because boxes use only the monotonic clock and no disk.
 
 pub mod callers;
+mod exposure;
 mod inflict;
 pub mod judge;
 pub mod play;
--- a/crates/standins/src/soak/play.rs
+++ b/crates/standins/src/soak/play.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use super::callers::{resolve, send, SoakCaller, CALLERS};
+use super::exposure::{draw_version_fault, FAULTS_BESIDE};
 use super::inflict::inject_fault;
 use super::judge::{judge, BrokenGuarantee, SoakRecord};
 use super::recorder::{AskEnd, AskKind};
@@ -40,8 +41,23 @@
     play_faults(binary, seed, draw_series(seed)).await
 }
 
+/// Runs a seed with a bad version and a few of the seed's faults.
+pub async fn play_bad_version(binary: &Path, seed: u64) -> SoakReport {
+    let mut faults = draw_faults(seed);
+    faults.truncate((seed % (FAULTS_BESIDE as u64 + 1)) as usize);
+    let site = SoakSite::start(binary).await;
+    let fault = draw_version_fault(seed);
+    site.new_replicas.iter().for_each(|replica| replica.set_version_fault(Some(fault)));
+    let mut report = play_at(Arc::new(site), seed, faults).await;
+    report.faults.push(format!("{fault:?}"));
+    report
+}
+
 async fn play_faults(binary: &Path, seed: u64, faults: Vec<TimedFault>) -> SoakReport {
-    let site = Arc::new(SoakSite::start(binary).await);
+    play_at(Arc::new(SoakSite::start(binary).await), seed, faults).await
+}
+
+async fn play_at(site: Arc<SoakSite>, seed: u64, faults: Vec<TimedFault>) -> SoakReport {
     let (stop, stopped) = watch::channel(false);
     let callers = start_callers(&site, seed, &stopped);
     let played: Vec<_> =
--- a/crates/standins/src/soak/sessions.rs
+++ b/crates/standins/src/soak/sessions.rs
@@ -23,7 +23,7 @@
 
 /// Length of the rollout in its order. The second half starts during the faults, and it ends with
 /// the run.
-const ROLLOUT_TIME: Duration = Duration::from_secs(11);
+pub(super) const ROLLOUT_TIME: Duration = Duration::from_secs(11);
 
 /// Time without requests after which a session is forgotten. The platform's bound.
 const SESSION_TTL: Duration = Duration::from_millis(5_000);
@@ -46,6 +46,8 @@
     pub ordered_at: Instant,
     /// Whether the new version was rolled back by the end of the run.
     pub rolled_back: bool,
+    /// Whether the new version is bad. Sessions may leave it then.
+    pub is_bad: bool,
 }
 
 /// Finds requests that ran on another version than the session's previous request without cause.
@@ -103,12 +105,13 @@
 }
 
 /// Whether a session must not switch between these versions at this time: to the new one in the
-/// first half of the rollout, and back in the second half, unless the new version was rolled back.
+/// first half of the rollout, and back in the second half, unless the new version is bad or was
+/// rolled back.
 fn is_forbidden(rollout: &RolloutResult, ask: &AskRecord, from: &str, to: &str) -> bool {
     let first_half = ask.ended_at < rollout.ordered_at + ROLLOUT_TIME / 2;
     match (from == OLD_VERSION, to == OLD_VERSION) {
         (true, false) => first_half,
-        (false, true) => !first_half && !rollout.rolled_back,
+        (false, true) => !first_half && !rollout.rolled_back && !rollout.is_bad,
         _ => false,
     }
 }
@@ -128,7 +131,7 @@
 
 /// Whether a fault keeps a running box from the state that the others share. A kill, a stop or a
 /// start does not.
-fn separates_boxes(fault: SoakFault) -> bool {
+pub(super) fn separates_boxes(fault: SoakFault) -> bool {
     match fault {
         SoakFault::BoxPaused(_)
         | SoakFault::Store(..)
--- a/crates/standins/src/soak/site.rs
+++ b/crates/standins/src/soak/site.rs
@@ -132,7 +132,8 @@
     pub(super) async fn rollout(&self) -> RolloutResult {
         let status = self.site.lock().await.store.newest(STATUS_TOPIC, ROLLOUT_KEY);
         let rolled_back = status.is_some_and(|status| status["state"] == "rolled_back");
-        RolloutResult { ordered_at: self.ordered_at, rolled_back }
+        let is_bad = self.new_replicas.iter().any(|replica| !replica.bad_times().is_empty());
+        RolloutResult { ordered_at: self.ordered_at, rolled_back, is_bad }
     }
 
     /// Writes a newer plan, without the second key once it is revoked.
