--- a/crates/core/src/route/trial.rs
+++ b/crates/core/src/route/trial.rs
@@ -509,6 +509,7 @@
         if done && (self.is_shown_good() || self.elapsed(now) >= 1.0) {
             return Some(TrialState::Done);
         }
-        (self.elapsed(now) >= GIVE_UP_AT).then_some(TrialState::RolledBack)
+        let old_served = self.basis(now).stats.baseline.runs > 0.0;
+        (old_served && self.elapsed(now) >= GIVE_UP_AT).then_some(TrialState::RolledBack)
     }
 }
--- a/crates/core/src/route/trial_evidence.rs
+++ b/crates/core/src/route/trial_evidence.rs
@@ -43,6 +43,10 @@
 /// Number of standard errors that such an excess must exceed.
 const EXCESS_STANDARD_ERRORS: f64 = 4.0;
 
+/// Least number of timed responses of the version for its acceptance, on routes that have a mean,
+/// where the means are needed.
+const MIN_TIMED: f64 = 20.0;
+
 /// Standard errors added to a slowdown that a version must not have, for its acceptance.
 const SLOWDOWN_STANDARD_ERRORS: f64 = 2.0;
 
@@ -198,6 +202,12 @@
             variance += (timed * error) * (timed * error);
         }
     }
+    // Where single responses can't be told to be slow, only the means show it.
+    let means_needed = !evidence.values().any(|stats| stats.can_show(TrialFault::Slower));
+    if means_needed && count < MIN_TIMED {
+        let ratio = f64::INFINITY;
+        return Some(TrialDoubt { fault: TrialFault::Slower, route: None, ratio, rise: 0.0 });
+    }
     let highest = sum + SLOWDOWN_STANDARD_ERRORS * f64::sqrt(variance);
     let ratio = highest / f64::max(count, 1.0);
     let doubt = TrialDoubt { fault: TrialFault::Slower, route: None, ratio, rise: 0.0 };
--- a/crates/core/tests/route/restarts.rs
+++ b/crates/core/tests/route/restarts.rs
@@ -321,9 +321,10 @@
 }
 
 /// Gossip with statistics of responses, none of which failed.
-fn gossip_with_stats(name: &str, incarnation: u64, runs: f64) -> GossipMessage {
-    let canary = VersionStats { runs, ..VersionStats::default() };
-    let stats = TrialStats { canary, ..TrialStats::default() };
+fn gossip_with_stats(name: &str, incarnation: u64, runs: u32) -> GossipMessage {
+    let mut version = VersionStats::default();
+    (0..runs).for_each(|_| version.add(false, Some(100.0)));
+    let stats = TrialStats { canary: version, baseline: version };
     let trial = TrialUpdate {
         service: "pool".to_owned(),
         version: "v2".to_owned(),
@@ -344,7 +345,7 @@
     let mut subject = started_box("box-1");
     subject.now += CARRIED_AT_MS - CARRY_LEAD_MS;
     subject.read_plan(None);
-    subject.feed(RouteEvent::GossipReceived(Box::new(gossip_with_stats("box-2", 1, 30.0))));
+    subject.feed(RouteEvent::GossipReceived(Box::new(gossip_with_stats("box-2", 1, 30))));
     subject.feed(RouteEvent::Tick);
     subject.now += CARRY_LEAD_MS;
     subject.read_plan(None);
@@ -355,7 +356,7 @@
     };
     assert_eq!(carried(&mut subject), 14, "the statistics of the other box prove it");
 
-    subject.feed(RouteEvent::GossipReceived(Box::new(gossip_with_stats("box-2", 2, 0.0))));
+    subject.feed(RouteEvent::GossipReceived(Box::new(gossip_with_stats("box-2", 2, 0))));
     subject.feed(RouteEvent::Tick);
 
     assert_eq!(carried(&mut subject), 14, "no session is moved back");
--- a/crates/core/tests/route/trials.rs
+++ b/crates/core/tests/route/trials.rs
@@ -481,3 +481,16 @@
     assert_eq!(fault(9, 5), None, "five of fourteen may be slow because of cold caches");
     assert_eq!(fault(27, 15), Some(TrialFault::Slower), "the same share of three times as many");
 }
+
+// A version whose responses were eight times slower was accepted on 15 prompts of three routes, too
+// few on each for a mean.
+#[test]
+fn few_times_on_each_route_do_not_show_that_a_version_is_as_fast() {
+    let doubt = |count| {
+        let stats = TrialStats { canary: timed_stats(count, 0), baseline: timed_stats(100, 0) };
+        let routes = ["chat", "file", "read"].map(|route| (route.to_owned(), stats));
+        FaultTests::default().doubt(&routes.into()).map(|doubt| doubt.fault)
+    };
+    assert_eq!(doubt(5), Some(TrialFault::Slower));
+    assert_eq!(doubt(20), None);
+}
