trial: a version's bound is of requests, not of attempts

Now a request counts once in all, and each attempt at the version; half of the slack is kept for what a box has not heard yet.

--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -173,7 +173,8 @@
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         // The version is that of the replica, even if no replica of the preferred version was left.
         let trial = self.trials.get_mut(&request.service);
-        let on_trial = trial.is_some_and(|trial| trial.count_sent(&row.entry.version));
+        let on_trial =
+            trial.is_some_and(|trial| trial.count_sent(&row.entry.version, request.sends == 0));
         request.attempt = Some(RunningAttempt {
             replica: pick.key,
             began: stamp.now,
@@ -354,7 +355,7 @@
         if let Some(outcome) = unwritten {
             let trial = self.trials.get_mut(&request.service);
             if let Some((trial, attempt)) = trial.zip(request.attempt) {
-                trial.exposure.remove_unsent(attempt.on_trial);
+                trial.exposure.remove_unsent(attempt.on_trial, request.sends == 1);
             }
             request.connect_failures += 1;
             if request.connect_failures <= FREE_CONNECT_FAILURES {
--- a/crates/core/src/route/trial.rs
+++ b/crates/core/src/route/trial.rs
@@ -488,11 +488,11 @@
         self.state == TrialState::Running && self.order.version == version
     }
 
-    /// Counts a request that is sent to a replica of `version`. Returns whether that version is on
+    /// Counts an attempt that is sent to a replica of `version`. Returns whether that version is on
     /// trial.
-    pub fn count_sent(&mut self, version: &str) -> bool {
+    pub fn count_sent(&mut self, version: &str, is_first: bool) -> bool {
         let on_trial = self.is_on_trial(version);
-        self.exposure.add_sent(self.order.version == version);
+        self.exposure.add_sent(self.order.version == version, is_first);
         on_trial
     }
 
--- a/crates/core/src/route/trial_exposure.rs
+++ b/crates/core/src/route/trial_exposure.rs
@@ -26,9 +26,9 @@
 /// Requests sent to replicas of a service since the order.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct ExposureCount {
-    /// Requests sent to the version on trial.
+    /// Attempts sent to the version on trial.
     pub canary: u64,
-    /// Requests sent to any version.
+    /// Requests sent to any version, each counted once however often it is sent.
     pub all: u64,
 }
 
@@ -51,10 +51,10 @@
 const WINDOW_SHARE_LIMIT: f64 = 0.25;
 
 /// Part of the slack that may be used. The rest covers requests that a box does not know of yet.
-const SLACK_PART: f64 = 0.7;
+const SLACK_PART: f64 = 0.5;
 
 /// Part of the slack that requests without a session may use before a version carries all.
-const WINDOW_SLACK_PART: f64 = 0.4;
+const WINDOW_SLACK_PART: f64 = 0.3;
 
 impl ExposureBounds {
     /// Fraction of an order's duration after which a version may carry all sessions.
@@ -121,15 +121,15 @@
 }
 
 impl ExposureTally {
-    /// Adds a request that this box sends to a replica.
-    pub fn add_sent(&mut self, on_trial: bool) {
-        self.own.all += 1;
+    /// Adds an attempt that this box sends to a replica.
+    pub fn add_sent(&mut self, on_trial: bool, is_first: bool) {
+        self.own.all += u64::from(is_first);
         self.own.canary += u64::from(on_trial);
     }
 
-    /// Removes a request of which nothing was written to the replica.
-    pub fn remove_unsent(&mut self, on_trial: bool) {
-        self.own.all = self.own.all.saturating_sub(1);
+    /// Removes an attempt of which nothing was written to the replica.
+    pub fn remove_unsent(&mut self, on_trial: bool, is_first: bool) {
+        self.own.all = self.own.all.saturating_sub(u64::from(is_first));
         self.own.canary = self.own.canary.saturating_sub(u64::from(on_trial));
     }
 
