--- a/crates/core/tests/route/trials.rs
+++ b/crates/core/tests/route/trials.rs
@@ -494,3 +494,15 @@
     assert_eq!(doubt(5), Some(TrialFault::Slower));
     assert_eq!(doubt(20), None);
 }
+
+// The bound looked larger by each request that was sent again.
+#[test]
+fn a_request_that_is_sent_twice_counts_once_towards_the_bound() {
+    let mut subject = trial_box();
+    let (ticket, _) = subject.sent(ask("/read/x"));
+
+    let effects = subject.feed(RouteEvent::HeadReceived(ticket, head(500)));
+
+    assert!(order_in(&effects).is_some(), "it is sent again");
+    assert_eq!(subject.state.dump(Default::default()).trials[0].exposure.total().all, 1);
+}
