--- a/crates/core/tests/route/exposure.rs
+++ b/crates/core/tests/route/exposure.rs
@@ -42,7 +42,7 @@
     results.filter(|(_, result)| is_broken(result)).collect()
 }
 
-// A version without findings got all requests from 0.8 of the duration on.
+// Guards against phases that exceed the bound unless a finding stops them.
 #[test]
 fn a_version_without_findings_stays_within_its_bound() {
     let results: Vec<RolloutResult> = cases(Manner::Good, 0.0).into_iter().map(play).collect();
@@ -58,7 +58,7 @@
     }
 }
 
-// Acceptance on a few tens of responses, and a mean of times, missed a third of slow responses.
+// Guards against acceptance on a mean of times, which a few slow responses hardly change.
 #[test]
 fn a_version_that_is_slow_now_and_then_stays_within_its_bound() {
     for share in [0.3, 0.7] {
--- a/crates/core/tests/route/trials.rs
+++ b/crates/core/tests/route/trials.rs
@@ -482,8 +482,7 @@
     assert_eq!(fault(27, 15), Some(TrialFault::Slower), "the same share of three times as many");
 }
 
-// A version whose responses were eight times slower was accepted on 15 prompts of three routes, too
-// few on each for a mean.
+// Guards against acceptance without any comparison of times.
 #[test]
 fn few_times_on_each_route_do_not_show_that_a_version_is_as_fast() {
     let doubt = |count| {
@@ -495,7 +494,7 @@
     assert_eq!(doubt(20), None);
 }
 
-// The bound looked larger by each request that was sent again.
+// Guards against a bound that grows with each retry.
 #[test]
 fn a_request_that_is_sent_twice_counts_once_towards_the_bound() {
     let mut subject = trial_box();
