--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -154,6 +154,11 @@
         RouteEffect::BackendLeaving(replica) => {
             info!(event = 712, name = "backend_leaving", replica);
         }
+        RouteEffect::ReplicaUnreachable { replica, reported_by } => {
+            let told_by = if reported_by.is_some() { "other" } else { "own" };
+            counter!("ravenspoke_replicas_unreachable_total", "told_by" => told_by).increment(1);
+            info!(event = 756, name = "replica_unreachable", replica, told_by = reported_by);
+        }
         RouteEffect::EvacuationChanged { order, known_to, in_flight } => {
             let zone = order.zone.clone();
             let evacuated = order.evacuated;
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -76,6 +76,7 @@
     (753, "scale_unsound"),
     (754, "verdict_basis"),
     (755, "trial_put_off"),
+    (756, "replica_unreachable"),
 ];
 
 /// Logs and counts an effect, if it has a log event or a metric.
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -13,6 +13,7 @@
 use super::verdict::advance;
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
+use crate::ids::ReplicaKey;
 
 /// Time limit of a response head where another replica may be tried, as a multiple of the latency
 /// target.
@@ -313,6 +314,18 @@
         }
     }
 
+    /// Reports that a replica is passed over, because this box or another one cannot connect to it.
+    pub(super) fn report_unreachable(
+        &self,
+        replica: ReplicaKey,
+        reported_by: Option<&str>,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let Some(row) = self.backends.get(replica) else { return };
+        let reported_by = reported_by.map(str::to_owned);
+        out.push(RouteEffect::ReplicaUnreachable { replica: row.entry.id.clone(), reported_by });
+    }
+
     /// Reassigns a stalled request if there is another replica and the budget allows it. Otherwise
     /// the attempt continues.
     pub(super) fn on_attempt_stalled(
@@ -361,7 +374,11 @@
             if request.connect_failures <= FREE_CONNECT_FAILURES {
                 request.sends -= 1;
             }
+            let replica = request.attempt.map(|attempt| attempt.replica);
             self.end_attempt(stamp, ticket, outcome);
+            if let Some(replica) = replica.filter(|_| outcome == BackendOutcome::Unreachable) {
+                self.report_unreachable(replica, None, out);
+            }
             self.resend_unwritten(stamp, ticket, out);
             return;
         }
--- a/crates/core/src/route/backend_health.rs
+++ b/crates/core/src/route/backend_health.rs
@@ -107,6 +107,12 @@
         }
     }
 
+    /// Whether the replica with this hash is ejected.
+    pub(super) fn is_ejected(&self, replica: u64, now: BoxTime) -> bool {
+        let row = self.hashes.get(&replica).and_then(|key| self.rows.get(*key));
+        row.is_some_and(|row| row.ejected_until > now)
+    }
+
     /// Applies an update of a box that could not reach a replica, unless the replica has reported
     /// its load since. A crash takes down many replicas at once, which then look idle, and each box
     /// would otherwise lose a request to each of them. Returns the replica if the update applies.
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -419,6 +419,13 @@
     },
     /// A replica is leaving or was removed.
     BackendLeaving(String),
+    /// A replica is passed over from now on, because connections to it fail.
+    ReplicaUnreachable {
+        /// Id of the replica.
+        replica: String,
+        /// Box whose connection failed; `None` for this box.
+        reported_by: Option<String>,
+    },
     /// The store was restored from an older copy of its data.
     StoreRestored {
         /// New era.
--- a/crates/core/src/route/gossip.rs
+++ b/crates/core/src/route/gossip.rs
@@ -278,8 +278,12 @@
             self.backends.apply_load(update, &mean_ms, stamp.now);
         }
         for update in &message.unreachable {
+            let was_ejected = self.backends.is_ejected(update.replica, stamp.now);
             if let Some(key) = self.backends.apply_unreachable(update, stamp.now) {
                 self.mark_unreachable_cold(key);
+                if !was_ejected {
+                    self.report_unreachable(key, Some(&message.name), out);
+                }
             }
         }
         self.apply_limits(stamp, &message.limits, out);
