--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -14,6 +14,8 @@
 mod loads;
 mod membership;
 mod models;
+mod partition_fleet;
+mod partitions;
 mod placement;
 mod plan;
 mod plan_fleet;
--- /dev/null
+++ b/crates/core/tests/route/partition_fleet.rs
@@ -0,0 +1,455 @@
+//! A simulated fleet whose boxes may lose their network paths to replicas, with callers that cache
+//! the addresses of boxes, in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+
+use ravenspoke_core::event::{EventStamp, RequestTicket};
+use ravenspoke_core::ids::ReplicaKey;
+use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
+use ravenspoke_core::route::event::{
+    AttemptFailure, CallerRequest, RouteEffect, RouteEvent, SendOrder,
+};
+use ravenspoke_core::route::plan::RoutePlan;
+use ravenspoke_core::route::{RouteSettings, RouteState};
+use ravenspoke_core::time::{BoxTime, WallTime};
+
+use crate::fixture::{ask, at, entry, head, plan, session, settings};
+
+/// Number of zones, each with a part of the boxes and replicas.
+pub const ZONES: usize = 4;
+
+/// Requests a second for each box.
+const RATE: f64 = 8.0;
+
+/// Interval between ticks of a box, in milliseconds.
+const TICK_MS: u64 = 200;
+
+/// Time from the request to the begin and to the end of its response, in milliseconds.
+const ANSWER_MS: (u64, u64) = (40, 240);
+
+/// Time after which a connection attempt without a response fails, in milliseconds.
+const CONNECT_MS: u64 = 250;
+
+/// Time for which boxes use connections that were open when their paths began to hang, in
+/// milliseconds.
+const POOL_MS: u64 = 1_000;
+
+/// Number of callers.
+const CALLERS: usize = 60;
+
+/// Time for which callers cache addresses, and for which every third one does, in milliseconds.
+const CACHE_MS: (u64, u64) = (2_000, 6_000);
+
+/// How connections fail on a lost path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PathFailure {
+    /// New ones are refused; open ones continue.
+    Refused,
+    /// New ones are refused; open ones are reset.
+    Reset,
+    /// Packets are dropped.
+    Hanging,
+}
+
+/// A step of the simulation. Steps of an attempt carry its number, and apply only while it runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    Arrive,
+    Tick(usize),
+    Head(usize, u64, u64),
+    End(usize, u64),
+    Fail(usize, u64, u64),
+    Break(usize, u64, u64),
+    Stall(usize, u64, u64),
+    Deadline(usize, u64),
+}
+
+/// A first try of a caller.
+#[derive(Clone, Copy, Debug)]
+pub struct FirstTry {
+    /// When it was sent, in milliseconds.
+    pub at: u64,
+    /// The box that it was sent to.
+    pub entry: usize,
+    /// When it ended, and whether it was served.
+    pub ended: Option<(u64, bool)>,
+}
+
+/// An attempt in flight.
+#[derive(Clone, Debug)]
+struct RunningTry {
+    number: u64,
+    order: SendOrder,
+    head: bool,
+}
+
+struct CallerView {
+    boxes: Vec<usize>,
+    until: u64,
+    cache_ms: u64,
+}
+
+/// Boxes and replicas with the paths between them.
+pub struct PartitionFleet {
+    pub boxes: Vec<RouteState>,
+    keys: Vec<HashMap<ReplicaKey, usize>>,
+    replicas: usize,
+    /// Lost paths, by box and replica.
+    lost: Vec<Vec<bool>>,
+    /// Replicas that are down for all boxes.
+    pub down: Vec<bool>,
+    failure: PathFailure,
+    lost_at: u64,
+    pub now: u64,
+    random: u64,
+    steps: BinaryHeap<Reverse<(u64, u64, Step)>>,
+    step_number: u64,
+    tickets: u64,
+    attempts: HashMap<(usize, u64), RunningTry>,
+    attempt_number: u64,
+    callers: Vec<CallerView>,
+    tries: HashMap<(usize, u64), FirstTry>,
+    /// Attempts of each box that failed on their path.
+    pub failed_sends: Vec<usize>,
+    /// Requests that each box sent to replicas that it reaches.
+    pub sends: Vec<usize>,
+    next_arrival: f64,
+    plan: RoutePlan,
+}
+
+impl PartitionFleet {
+    pub fn start(boxes: usize, replicas: usize) -> Self {
+        let mut fleet = Self {
+            boxes: (0..boxes).map(new_state).collect(),
+            keys: vec![HashMap::new(); boxes],
+            replicas,
+            lost: vec![vec![false; replicas]; boxes],
+            down: vec![false; replicas],
+            failure: PathFailure::Refused,
+            lost_at: 0,
+            now: 1_000,
+            random: 11,
+            steps: BinaryHeap::new(),
+            step_number: 0,
+            tickets: 0,
+            attempts: HashMap::new(),
+            attempt_number: 0,
+            callers: Vec::new(),
+            tries: HashMap::new(),
+            failed_sends: vec![0; boxes],
+            sends: vec![0; boxes],
+            next_arrival: 1_000.0,
+            plan: plan(1),
+        };
+        for number in 0..boxes {
+            fleet.begin(number);
+            fleet.push(1_000 + number as u64, Step::Tick(number));
+        }
+        fleet.callers = (0..CALLERS).map(|number| new_caller(number, boxes)).collect();
+        fleet.push(1_000, Step::Arrive);
+        fleet
+    }
+
+    /// Lets a box that knows nothing read the store.
+    fn begin(&mut self, number: usize) {
+        let others = (0..self.boxes.len()).filter(|other| *other != number);
+        let addresses = others.map(|other| format!("box-{other}:90")).collect();
+        self.feed(number, RouteEvent::PeersDiscovered(addresses));
+        self.read_plan(number, true);
+        for replica in 0..self.replicas {
+            self.read_entry(number, replica);
+        }
+        let now = BoxTime::from_millis(self.now);
+        let to = at(self.replicas as u64 + 2);
+        self.feed(number, RouteEvent::EntriesRead { as_of: now, to });
+    }
+
+    fn read_plan(&mut self, number: usize, is_first: bool) {
+        let asked_at = BoxTime::from_millis(self.now);
+        let plan = is_first.then(|| self.plan.clone());
+        self.feed(number, RouteEvent::PlanRead { asked_at, read_to: at(1), plan });
+    }
+
+    fn read_entry(&mut self, number: usize, replica: usize) {
+        let id = format!("r{replica}");
+        let zone = format!("zone-{}", replica % ZONES);
+        let entry = BackendEntry { zone, slots: 16, ..entry(&id, "v1") };
+        let change =
+            BackendChange { id: id.clone(), at: at(replica as u64 + 1), entry: Some(entry) };
+        self.feed(number, RouteEvent::BackendsChanged(vec![change]));
+        let mut rows = self.boxes[number].backends().rows();
+        let key = rows.find(|(_, row)| row.entry.id == id).expect("a row").0;
+        self.keys[number].insert(key, replica);
+    }
+
+    /// Restarts a box, which loses its requests.
+    pub fn restart(&mut self, number: usize) {
+        self.boxes[number] = new_state(number);
+        self.keys[number].clear();
+        self.attempts.retain(|(owner, _), _| *owner != number);
+        self.begin(number);
+    }
+
+    /// Cuts paths from a box to replicas.
+    pub fn lose_paths(
+        &mut self,
+        number: usize,
+        replicas: impl Fn(usize) -> bool,
+        failure: PathFailure,
+    ) {
+        self.failure = failure;
+        self.lost_at = self.now;
+        for replica in (0..self.replicas).filter(|replica| replicas(*replica)) {
+            self.lost[number][replica] = true;
+        }
+        let keys = &self.keys[number];
+        let hit = |order: &SendOrder| keys.get(&order.replica).is_some_and(|row| replicas(*row));
+        let mut broken: Vec<(u64, u64)> = Vec::new();
+        for ((owner, ticket), attempt) in &mut self.attempts {
+            if *owner == number && hit(&attempt.order) && failure != PathFailure::Refused {
+                self.attempt_number += 1;
+                attempt.number = self.attempt_number;
+                broken.push((*ticket, attempt.number));
+            }
+        }
+        broken.sort_unstable();
+        for (ticket, attempt) in broken {
+            if failure == PathFailure::Reset {
+                self.push(self.now, Step::Break(number, ticket, attempt));
+            } else {
+                self.push(self.now + 1_000, Step::Stall(number, ticket, attempt));
+            }
+        }
+    }
+
+    /// Restores all paths of a box.
+    pub fn restore_paths(&mut self, number: usize) {
+        self.lost[number].fill(false);
+    }
+
+    fn draw(&mut self) -> u64 {
+        self.random = self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        self.random >> 33
+    }
+
+    fn push(&mut self, at: u64, step: Step) {
+        self.step_number += 1;
+        self.steps.push(Reverse((at, self.step_number, step)));
+    }
+
+    /// Applies an event to a box and handles its effects.
+    pub fn feed(&mut self, number: usize, event: RouteEvent) {
+        let random = self.draw() << 20;
+        let now = BoxTime::from_millis(self.now);
+        let stamp = EventStamp { now, wall: WallTime(0), random };
+        for effect in self.boxes[number].apply(stamp, event) {
+            self.handle(number, effect);
+        }
+    }
+
+    fn handle(&mut self, number: usize, effect: RouteEffect) {
+        match effect {
+            RouteEffect::Send(ticket, order) => self.send(number, ticket.0, order),
+            RouteEffect::Relay(ticket) => self.relay(number, ticket.0),
+            RouteEffect::Refuse(ticket, ..) | RouteEffect::AbortResponse(ticket, _) => {
+                self.attempts.remove(&(number, ticket.0));
+                self.end_try(number, ticket.0, false);
+            }
+            RouteEffect::SendGossip(targets, message) => {
+                for target in targets.iter().filter_map(|target| number_of(target)) {
+                    self.feed(target, RouteEvent::GossipReceived(message.clone()));
+                }
+            }
+            RouteEffect::SendSyncRequest(target, request) => {
+                if let Some(target) = number_of(&target) {
+                    self.feed(target, RouteEvent::SyncRequested(request));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, number: usize, ticket: u64, order: SendOrder) {
+        self.attempt_number += 1;
+        let attempt = self.attempt_number;
+        let replica = self.keys[number][&order.replica];
+        let is_lost = self.lost[number][replica];
+        let (head_ms, deadline) = (order.head_ms, order.deadline.as_millis());
+        self.attempts.insert((number, ticket), RunningTry { number: attempt, order, head: false });
+        let was_open = self.now < self.lost_at + POOL_MS;
+        let after_ms = match self.failure {
+            _ if self.down[replica] => Some(1),
+            _ if !is_lost => None,
+            PathFailure::Hanging => Some(CONNECT_MS),
+            PathFailure::Refused | PathFailure::Reset => Some(1),
+        };
+        self.failed_sends[number] += usize::from(after_ms.is_some());
+        self.sends[number] += usize::from(after_ms.is_none());
+        let hangs = is_lost && self.failure == PathFailure::Hanging && was_open;
+        match after_ms {
+            _ if hangs => {}
+            Some(after_ms) => self.push(self.now + after_ms, Step::Fail(number, ticket, attempt)),
+            None => self.push(self.now + ANSWER_MS.0, Step::Head(number, ticket, attempt)),
+        }
+        self.push(self.now + head_ms, Step::Stall(number, ticket, attempt));
+        self.push(deadline, Step::Deadline(number, ticket));
+    }
+
+    fn relay(&mut self, number: usize, ticket: u64) {
+        if let Some(attempt) = self.attempts.get_mut(&(number, ticket)) {
+            attempt.head = true;
+        }
+        self.end_try(number, ticket, true);
+        self.push(self.now + ANSWER_MS.1 - ANSWER_MS.0, Step::End(number, ticket));
+    }
+
+    fn end_try(&mut self, number: usize, ticket: u64, served: bool) {
+        let now = self.now;
+        if let Some(row) = self.tries.get_mut(&(number, ticket)) {
+            row.ended.get_or_insert((now, served));
+        }
+    }
+
+    /// Plays the fleet for a time.
+    pub fn play(&mut self, length_ms: u64) {
+        let end = self.now + length_ms;
+        while let Some(Reverse((at, number, step))) = self.steps.pop() {
+            if at >= end {
+                self.steps.push(Reverse((at, number, step)));
+                break;
+            }
+            self.now = self.now.max(at);
+            self.run_step(step);
+        }
+        self.now = end;
+    }
+
+    fn is_running(&self, number: usize, ticket: u64, attempt: u64) -> bool {
+        let running = self.attempts.get(&(number, ticket));
+        running.is_some_and(|running| running.number == attempt)
+    }
+
+    fn run_step(&mut self, step: Step) {
+        match step {
+            Step::Arrive => self.arrive(),
+            Step::Tick(number) => {
+                self.read_plan(number, false);
+                self.feed(number, RouteEvent::Tick);
+                self.push(self.now + TICK_MS, Step::Tick(number));
+            }
+            Step::Head(number, ticket, attempt) if self.is_running(number, ticket, attempt) => {
+                self.feed(number, RouteEvent::HeadReceived(RequestTicket(ticket), head(200)));
+            }
+            Step::End(number, ticket) if self.attempts.contains_key(&(number, ticket)) => {
+                self.attempts.remove(&(number, ticket));
+                self.feed(number, RouteEvent::ResponseFinished(RequestTicket(ticket)));
+            }
+            Step::Fail(number, ticket, attempt) if self.is_running(number, ticket, attempt) => {
+                self.fail(number, ticket, AttemptFailure::NeverSent);
+            }
+            Step::Break(number, ticket, attempt) if self.is_running(number, ticket, attempt) => {
+                self.fail(number, ticket, AttemptFailure::Broken);
+            }
+            Step::Stall(number, ticket, attempt) if self.is_running(number, ticket, attempt) => {
+                self.stall(number, ticket, attempt);
+            }
+            Step::Deadline(number, ticket) => {
+                let ended = self.tries.get(&(number, ticket)).is_none_or(|row| row.ended.is_some());
+                if !ended {
+                    self.attempts.remove(&(number, ticket));
+                    self.feed(number, RouteEvent::DeadlinePassed(RequestTicket(ticket)));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn fail(&mut self, number: usize, ticket: u64, failure: AttemptFailure) {
+        self.attempts.remove(&(number, ticket));
+        self.feed(number, RouteEvent::AttemptFailed(RequestTicket(ticket), failure));
+    }
+
+    fn stall(&mut self, number: usize, ticket: u64, attempt: u64) {
+        let running = &self.attempts[&(number, ticket)];
+        if running.head {
+            return;
+        }
+        let head_ms = running.order.head_ms.max(1);
+        self.feed(number, RouteEvent::AttemptStalled(RequestTicket(ticket)));
+        self.push(self.now + head_ms, Step::Stall(number, ticket, attempt));
+    }
+
+    fn arrive(&mut self) {
+        let gap_ms = 1_000.0 / (RATE * self.boxes.len() as f64);
+        self.next_arrival += gap_ms;
+        self.push(self.next_arrival as u64, Step::Arrive);
+        let caller = self.draw() as usize % CALLERS;
+        self.refresh(caller);
+        let boxes = &self.callers[caller].boxes;
+        if boxes.is_empty() {
+            return;
+        }
+        let entry = boxes[self.random as usize % boxes.len()];
+        self.tickets += 1;
+        let ticket = self.tickets;
+        let first = FirstTry { at: self.now, entry, ended: None };
+        self.tries.insert((entry, ticket), first);
+        let path = ["/read/x", "/chat/x", "/file/x"][ticket as usize % 3];
+        let request = CallerRequest {
+            id: format!("r{ticket}"),
+            session: session(caller as u64 + 1),
+            content: session(1_000 + ticket),
+            ..ask(path)
+        };
+        self.feed(entry, RouteEvent::RequestArrived(RequestTicket(ticket), request));
+    }
+
+    /// Renews a caller's addresses from the directory of a random box, if they have expired.
+    fn refresh(&mut self, caller: usize) {
+        if self.now < self.callers[caller].until {
+            return;
+        }
+        let asked = self.draw() as usize % self.boxes.len();
+        let now = BoxTime::from_millis(self.now);
+        let addresses = self.boxes[asked].advertised_addresses(now);
+        let view = &mut self.callers[caller];
+        view.boxes = addresses.iter().filter_map(|address| number_of(address)).collect();
+        view.until = self.now + view.cache_ms;
+    }
+
+    /// Boxes that the directory of a box lists.
+    pub fn listed(&self, number: usize) -> Vec<usize> {
+        let now = BoxTime::from_millis(self.now);
+        let addresses = self.boxes[number].advertised_addresses(now);
+        let mut listed: Vec<usize> =
+            addresses.iter().filter_map(|address| number_of(address)).collect();
+        listed.sort_unstable();
+        listed
+    }
+
+    /// First tries that were sent from `from` until `until` to boxes that `which` selects, in
+    /// milliseconds.
+    pub fn tries(&self, from: u64, until: u64, which: impl Fn(usize) -> bool) -> Vec<FirstTry> {
+        let rows = self.tries.values();
+        rows.filter(|row| (from..until).contains(&row.at) && which(row.entry)).copied().collect()
+    }
+}
+
+/// Number of the box with this address.
+fn number_of(address: &str) -> Option<usize> {
+    address.strip_prefix("box-")?.split(':').next()?.parse().ok()
+}
+
+fn new_caller(number: usize, boxes: usize) -> CallerView {
+    let cache_ms = if number % 3 == 0 { CACHE_MS.1 } else { CACHE_MS.0 };
+    let until = 1_000 + cache_ms * number as u64 / CALLERS as u64;
+    CallerView { boxes: (0..boxes).collect(), until, cache_ms }
+}
+
+fn new_state(number: usize) -> RouteState {
+    let name = format!("box-{number}");
+    let zone = format!("zone-{}", number % ZONES);
+    let incarnation = session(number as u64 + 1);
+    RouteState::new(RouteSettings { zone, incarnation, ..settings(&name) })
+}
