--- a/crates/bench/src/prompt_router.rs
+++ b/crates/bench/src/prompt_router.rs
@@ -141,6 +141,7 @@
         self.reported[engine] = waiting + running;
         if self.policy == PromptPolicy::Ravenspoke {
             let head = AnswerHead {
+                begun: None,
                 status: if good { 200 } else { 500 },
                 load: Some(BackendLoad { running, waiting, slots: SLOTS }),
                 confidence: good.then_some(confidence),
@@ -307,6 +308,7 @@
 /// other boxes.
 pub fn new_box(site: &PromptSite, row: usize) -> RouteState {
     let mut state = RouteState::new(RouteSettings {
+        forward_key: 1,
         name: row.to_string(),
         zone: format!("zone-{}", site.boxes[row]),
         incarnation: 1 + row as u64,
--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -17,11 +17,12 @@
 use ravenspoke_core::route::RouteState;
 use ravenspoke_core::time::{BoxTime, WallTime};
 use tokio::sync::mpsc::{Sender, UnboundedSender};
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 
 use super::control_stats::{ControlStats, DatagramKind};
 use super::observe;
 use super::operator_records::OperatorRecords;
+use super::probes::PathProbe;
 use super::sync_pacer::SyncPacer;
 use crate::clock::BoxClock;
 
@@ -99,6 +100,8 @@
     pub verdicts: UnboundedSender<TrialVerdict>,
     /// Checkpoints of trials to write to the store.
     pub checkpoints: UnboundedSender<TrialCheckpoint>,
+    /// Replicas whose paths are to be probed.
+    pub probes: UnboundedSender<PathProbe>,
     /// Orders for this box as the leader.
     pub leader_orders: UnboundedSender<LeaderOrder>,
 }
@@ -111,6 +114,8 @@
     next_ticket: AtomicU64,
     /// The operator's records, for boxes that request them.
     operator: Mutex<OperatorRecords>,
+    /// Changes when paths to replicas turn out to be lost.
+    pub lost_paths: watch::Sender<u64>,
     /// Notified when callers are to be served.
     pub accept_callers: Notify,
     /// Whether the store may hold this box's record with its gossip address.
@@ -135,6 +140,7 @@
             clock,
             next_ticket: AtomicU64::new(1),
             operator: Mutex::default(),
+            lost_paths: watch::Sender::new(0),
             accept_callers: Notify::new(),
             registered: AtomicBool::new(false),
             sync_pacer,
@@ -240,6 +246,10 @@
             RouteEffect::WriteCheckpoint(checkpoint) => {
                 drop(self.sinks.checkpoints.send(checkpoint))
             }
+            RouteEffect::ProbePath(replica, address) => {
+                drop(self.sinks.probes.send(PathProbe { replica, address }))
+            }
+            RouteEffect::PathsBlocked => self.lost_paths.send_modify(|count| *count += 1),
             RouteEffect::AcceptCallers => self.accept_callers.notify_one(),
             RouteEffect::RunLeaderStep(order) => drop(self.sinks.leader_orders.send(order)),
             RouteEffect::RequestUsage(to, request) => {
--- a/crates/box/src/gateway/entry.rs
+++ b/crates/box/src/gateway/entry.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 
 use super::exchange::{serve_request, GatewayContext};
+use super::forward::RequestOrigin;
 use super::listen::ListeningEntry;
 use super::observe;
 
@@ -29,6 +30,9 @@
 /// Share of the process's file descriptors that callers may use.
 pub const CALLER_SHARE: f64 = 0.6;
 
+/// Share of the process's file descriptors that boxes may use in addition to forward requests.
+pub const FORWARD_SHARE: f64 = 0.1;
+
 /// Number of open connections of callers.
 #[derive(Default)]
 pub struct CallerCount(AtomicUsize);
@@ -80,6 +84,8 @@
 pub struct CallerEntry {
     /// Shared context of requests.
     pub context: Arc<GatewayContext>,
+    /// Who connects.
+    pub origin: RequestOrigin,
     /// Number of open connections.
     pub count: Arc<CallerCount>,
     /// Maximum number of open connections.
@@ -99,7 +105,9 @@
             Ok(pending) => pending.into_iter().for_each(|stream| self.admit(stream)),
             Err(error) => observe::log_socket_failed("entry", &error),
         }
-        observe::log_entry_closed(self.count.open());
+        if self.origin == RequestOrigin::Caller {
+            observe::log_entry_closed(self.count.open());
+        }
     }
 
     async fn accept(&self, listener: &ListeningEntry) {
@@ -133,9 +141,9 @@
             return;
         }
         let counted = CountedCaller::new(&self.count);
-        let (context, phase) = (self.context.clone(), self.phase.clone());
+        let (context, origin, phase) = (self.context.clone(), self.origin, self.phase.clone());
         tokio::spawn(async move {
-            serve_caller(stream, context, phase).await;
+            serve_caller(stream, context, origin, phase).await;
             drop(counted);
         });
     }
@@ -155,6 +163,7 @@
 async fn serve_caller(
     stream: TcpStream,
     context: Arc<GatewayContext>,
+    origin: RequestOrigin,
     phase: watch::Receiver<EntryPhase>,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
@@ -167,8 +176,8 @@
     let buffer = BUFFER_BYTES.max(BUFFER_HEADS * limits.header_bytes);
     let phase_now = phase.clone();
     let service = service_fn(move |request| {
-        let response =
-            serve_request(context.clone(), request, start_wait.take(context.driver.now()));
+        let waited = start_wait.take(context.driver.now());
+        let response = serve_request(context.clone(), request, origin, waited);
         let phase = phase_now.clone();
         async move {
             let mut response = response.await;
--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -12,10 +12,11 @@
 use ravenspoke_adapter::headers;
 use ravenspoke_core::event::RequestTicket;
 use ravenspoke_core::route::event::{
-    AnswerHead, AttemptFailure, CallerRequest, RouteEvent, SendOrder,
+    AnswerHead, AttemptFailure, CallerRequest, ForwardedRequest, RouteEvent, SendOrder,
 };
 
 use super::driver::{GatewayDriver, RequestName, RequestStep};
+use super::forward::{self, RequestOrigin, UnknownForwarder};
 use super::observe;
 use super::pool::{ReplicaLink, ReplicaPool};
 use super::relay::{relay_stream, StreamSource};
@@ -42,6 +43,8 @@
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// Whether another box forwarded it.
+    pub(super) is_forwarded: bool,
 }
 
 /// Reports a disconnected caller to the reducer when the task of its request is dropped.
@@ -131,17 +134,29 @@
 pub async fn serve_request(
     context: Arc<GatewayContext>,
     request: Request<Incoming>,
+    origin: RequestOrigin,
     waited: Duration,
 ) -> Result<Response<CallerBody>, AbortedResponse> {
-    let (head, body) = match read_whole(&context, request).await {
+    let (mut head, body) = match read_whole(&context, request).await {
         Ok(read) => read,
         Err(ReadFailure::TooLarge(status, text)) => return Ok(text_response(status, text)),
         Err(ReadFailure::Broken(broken)) => return Err(broken),
     };
+    let forwarded = match take_forwarded(&context, &mut head, origin) {
+        Ok(forwarded) => forwarded,
+        Err(error) => {
+            observe::log_forward_rejected(&error);
+            return Ok(text_response(StatusCode::FORBIDDEN, "no box of this fleet"));
+        }
+    };
     let request = headers::read_request(&head);
     let content = xxhash_rust::xxh3::xxh3_64_with_seed(&body, request.content);
     let waited_ms = waited.as_millis() as u64;
-    let request = CallerRequest { body_bytes: body.len(), content, waited_ms, ..request };
+    let request =
+        CallerRequest { body_bytes: body.len(), content, waited_ms, forward: forwarded, ..request };
+    if let Some(forwarded) = &forwarded {
+        observe::log_forward_received(&request.id, forwarded);
+    }
     if waited_ms > 0 {
         observe::log_request_waited(&request.id, waited_ms);
     }
@@ -149,8 +164,13 @@
     let name = RequestName { ticket: driver.next_ticket(), id: request.id.clone() };
     let mut guard = RequestGuard { driver, name, began: Instant::now(), ended: false };
     let mut step = guard.feed(RouteEvent::RequestArrived(guard.name.ticket, request));
-    let caller =
-        BufferedRequest { method: head.method, uri: head.uri, headers: head.headers, body };
+    let caller = BufferedRequest {
+        method: head.method,
+        uri: head.uri,
+        headers: head.headers,
+        body,
+        is_forwarded: forwarded.is_some(),
+    };
     loop {
         let order = match step {
             Some(RequestStep::Send(order)) => order,
@@ -169,6 +189,19 @@
     }
 }
 
+/// Removes and decodes what another box adds to a request that it forwards.
+fn take_forwarded(
+    context: &GatewayContext,
+    head: &mut http::request::Parts,
+    origin: RequestOrigin,
+) -> Result<Option<ForwardedRequest>, UnknownForwarder> {
+    if origin == RequestOrigin::Caller {
+        return Ok(None);
+    }
+    let key = context.driver.state().forward_key();
+    forward::take_pass(&mut head.headers, key).map(Some)
+}
+
 /// Approximate size of a request's head in bytes, without separators and the constant part of the
 /// request line.
 fn head_bytes(head: &http::request::Parts) -> usize {
@@ -196,10 +229,26 @@
     let began = Instant::now();
     let call = call_replica(context, caller, guard.name.ticket, order, resume_after);
     tokio::pin!(call);
-    let stall_limit = Duration::from_millis(order.head_ms);
+    let mut lost_paths = context.driver.lost_paths.subscribe();
+    let mut stall_at = context.driver.now().plus_millis(order.head_ms);
     let (failure, why) = loop {
         let left = context.driver.until(order.deadline);
-        match context.driver.clock().within(left.min(stall_limit), call.as_mut()).await {
+        let stall_limit = context.driver.until(stall_at);
+        let response = context.driver.clock().within(left.min(stall_limit), call.as_mut());
+        let ended = tokio::select! {
+            ended = response => ended,
+            // The sender lives as long as the driver.
+            _ = lost_paths.changed() => {
+                if let Some(step) = guard.feed(RouteEvent::PathBlocked(guard.name.ticket)) {
+                    let why = "the path to the replica is lost";
+                    let after = began.elapsed();
+                    observe::log_attempt_failed(&guard.name, AttemptFailure::Silent, why, after);
+                    return AttemptOutcome::Ended(Some(step));
+                }
+                continue;
+            }
+        };
+        match ended {
             Some(Ok(response)) => {
                 observe::log_head_received(&guard.name, &response.decoded, began.elapsed());
                 return AttemptOutcome::Response(Box::new(response));
@@ -210,7 +259,7 @@
                     guard.feed(RouteEvent::DeadlinePassed(guard.name.ticket)),
                 );
             }
-            None => {}
+            None => stall_at = context.driver.now().plus_millis(order.head_ms),
         }
         // A stall does not end the attempt by itself: the reducer names another replica, or the
         // wait continues.
@@ -249,12 +298,17 @@
         .map_err(|_| never_sent("the entry has no valid address".to_owned()))?;
     let request = || replica_request(context, caller, order, resume_after);
     let (response, link) = send_request(context, order, address, ticket, request).await?;
-    let (head, body) = response.into_parts();
-    if !headers::answers_request(&caller.headers, &head.headers) {
+    let (mut head, body) = response.into_parts();
+    let begun = forward::take_begun(&mut head.headers);
+    let decoded = AnswerHead { begun, ..headers::read_answer(&head) };
+    // Responses of other boxes themselves have no request id.
+    let is_own = order.pass.is_some() && !decoded.proven;
+    if !is_own && !headers::answers_request(&caller.headers, &head.headers) {
         return Err(broken("the response belongs to another request".to_owned()));
     }
-    context.unknown_headers.log_new(&order.replica_id, &head.headers);
-    let decoded = headers::read_answer(&head);
+    if order.pass.is_none() {
+        context.unknown_headers.log_new(&order.replica_id, &head.headers);
+    }
     if order.kind.is_stream() && head.status.is_success() {
         return Ok(ReplicaResponse { head, decoded, body: ReplicaBody::Stream(body, link) });
     }
@@ -283,7 +337,13 @@
             return Err((AttemptFailure::Withdrawn, why.to_owned()));
         }
         let error = match link.sender.try_send_request(request()).await {
-            Ok(response) => return Ok((response, link)),
+            Ok(response) => {
+                if !link.used && order.pass.is_none() {
+                    let (replica, reached) = (order.replica, true);
+                    context.driver.feed(RouteEvent::PathProbed { replica, reached });
+                }
+                return Ok((response, link));
+            }
             Err(error) => error,
         };
         // A returned request means that none of it was written, as when the replica closed an idle
@@ -326,8 +386,14 @@
     let mut request = Request::new(Full::new(caller.body.clone()));
     *request.method_mut() = caller.method.clone();
     *request.uri_mut() = caller.uri.clone();
-    *request.headers_mut() =
-        headers::replica_headers(&caller.headers, order, left_ms, resume_after);
+    *request.headers_mut() = match &order.pass {
+        None => headers::replica_headers(&caller.headers, order, left_ms, resume_after),
+        Some(pass) => {
+            let mut headers = headers::forwarded_headers(&caller.headers, left_ms, resume_after);
+            forward::write_pass(&mut headers, pass);
+            headers
+        }
+    };
     request
 }
 
@@ -340,7 +406,12 @@
 ) -> Response<CallerBody> {
     let is_stream = matches!(response.body, ReplicaBody::Stream(..));
     let status = response.head.status;
-    let caller_headers = headers::caller_headers(&response.head.headers, is_stream);
+    let mut caller_headers = headers::caller_headers(&response.head.headers, is_stream);
+    if caller.is_forwarded {
+        if let Some(begun) = context.driver.state().begun_answer(guard.name.ticket) {
+            forward::write_begun(&mut caller_headers, begun);
+        }
+    }
     let body = match response.body {
         ReplicaBody::Whole(bytes) => {
             guard.finish(status.as_u16());
--- /dev/null
+++ b/crates/box/src/gateway/forward.rs
@@ -0,0 +1,90 @@
+//! Requests that boxes forward to each other: the headers with which they do so.
+//!
+//! They arrive on a TCP socket at the gossip address, apart from callers. Each carries the key of the
+//! receiving box, a random number that it draws at its start and that only gossip contains.
+
+use http::{HeaderMap, HeaderName, HeaderValue};
+use ravenspoke_core::route::event::{BegunAnswer, ForwardPass, ForwardedRequest};
+
+/// Key of the receiving box, and how far the forwarding one has brought the request:
+/// `key=HEX;attempts=N;repeat=0|1`, and the begun answer if there is one.
+const FORWARD: HeaderName = HeaderName::from_static("ravenspoke-forward");
+
+/// How the answer began, in the response to a forwarded request: `size=N;trial=0|1`.
+const BEGUN: HeaderName = HeaderName::from_static("ravenspoke-begun");
+
+/// Sender of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestOrigin {
+    /// A caller.
+    Caller,
+    /// Another box, for one of its callers.
+    Peer,
+}
+
+/// A request that no box of the fleet forwarded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the request carries no valid key of this box")]
+pub struct UnknownForwarder;
+
+/// Adds the header of a forwarded request.
+pub fn write_pass(headers: &mut HeaderMap, pass: &ForwardPass) {
+    let ForwardedRequest { attempts, is_repeat, begun } = pass.request;
+    let begun = begun.map_or(String::new(), |begun| format!(";{}", begun_text(begun)));
+    let repeat = u8::from(is_repeat);
+    let text = format!("key={:016x};attempts={attempts};repeat={repeat}{begun}", pass.key);
+    set(headers, FORWARD, &text);
+}
+
+/// Removes the header of a forwarded request and decodes it.
+///
+/// # Errors
+/// Returns [`UnknownForwarder`] if the header does not carry `key`.
+pub fn take_pass(headers: &mut HeaderMap, key: u64) -> Result<ForwardedRequest, UnknownForwarder> {
+    let value = headers.remove(&FORWARD).ok_or(UnknownForwarder)?;
+    let text = value.to_str().map_err(|_| UnknownForwarder)?;
+    let sent_key = field(text, "key").and_then(|key| u64::from_str_radix(key, 16).ok());
+    if key == 0 || sent_key != Some(key) {
+        return Err(UnknownForwarder);
+    }
+    let attempts = field(text, "attempts").and_then(|count| count.parse().ok());
+    Ok(ForwardedRequest {
+        attempts: attempts.ok_or(UnknownForwarder)?,
+        is_repeat: field(text, "repeat") == Some("1"),
+        begun: read_begun_text(text),
+    })
+}
+
+/// Adds the header of a response to a forwarded request.
+pub fn write_begun(headers: &mut HeaderMap, begun: BegunAnswer) {
+    set(headers, BEGUN, &begun_text(begun));
+}
+
+/// Removes the header of a response to a forwarded request and decodes it.
+pub fn take_begun(headers: &mut HeaderMap) -> Option<BegunAnswer> {
+    let value = headers.remove(&BEGUN)?;
+    read_begun_text(value.to_str().ok()?)
+}
+
+fn begun_text(begun: BegunAnswer) -> String {
+    let size = begun.size.map_or(String::new(), |size| format!("size={size};"));
+    format!("{size}trial={}", u8::from(begun.on_trial))
+}
+
+fn read_begun_text(text: &str) -> Option<BegunAnswer> {
+    let on_trial = field(text, "trial")? == "1";
+    let size = field(text, "size").and_then(|size| size.parse().ok());
+    Some(BegunAnswer { size, on_trial })
+}
+
+/// Value of a field in `name=value;name=value`.
+fn field<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+    let mut fields = text.split(';').filter_map(|field| field.split_once('='));
+    fields.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
+fn set(headers: &mut HeaderMap, name: HeaderName, text: &str) {
+    if let Ok(value) = HeaderValue::from_str(text) {
+        headers.insert(name, value);
+    }
+}
--- a/crates/box/src/gateway/gossip_wire/peer.rs
+++ b/crates/box/src/gateway/gossip_wire/peer.rs
@@ -36,6 +36,12 @@
     reads_store: bool,
     #[prost(bool, tag = "8")]
     strong: bool,
+    #[prost(fixed64, tag = "9")]
+    forward_key: u64,
+    #[prost(bool, tag = "10")]
+    paths_lost: bool,
+    #[prost(fixed64, repeated, tag = "11")]
+    unreached: Vec<u64>,
 }
 
 /// Retries of a box in a window, for the retry budget.
@@ -102,6 +108,9 @@
         store_unreachable: info.store_unreachable,
         reads_store: info.reads_store,
         strong: info.strong,
+        forward_key: info.forward_key,
+        paths_lost: info.paths_lost,
+        unreached: info.unreached.clone(),
     }
 }
 
@@ -115,5 +124,8 @@
         store_unreachable: info.store_unreachable,
         reads_store: info.reads_store,
         strong: info.strong,
+        forward_key: info.forward_key,
+        paths_lost: info.paths_lost,
+        unreached: info.unreached,
     }
 }
--- a/crates/box/src/gateway/mod.rs
+++ b/crates/box/src/gateway/mod.rs
@@ -3,7 +3,8 @@
 //! [`driver`] holds the reducer's state and applies events to it. [`entry`] accepts callers'
 //! connections, [`exchange`] serves one request, [`responses`] builds the caller's response,
 //! [`relay`] forwards a stream and resumes it at another replica when it breaks, [`event_splitter`]
-//! splits it into whole events, and [`pool`] keeps connections to replicas.
+//! splits it into whole events, [`pool`] keeps connections to replicas, and [`probes`] opens
+//! some to check the paths. [`forward`] marks requests that go through another box.
 //!
 //! [`follow`] follows the topics of the platform's store. `topic_follower` calls the store for one
 //! topic, and `store_calls` holds its open calls. [`verdicts`] and [`checkpoints`] read and write
@@ -25,6 +26,7 @@
 pub mod event_splitter;
 pub mod exchange;
 pub mod follow;
+pub mod forward;
 pub mod gossip;
 pub mod gossip_wire;
 pub mod leader;
@@ -32,6 +34,7 @@
 pub mod observe;
 pub mod operator_records;
 pub mod pool;
+pub mod probes;
 pub mod process;
 pub mod relay;
 pub mod reload;
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -9,18 +9,23 @@
 use metrics::{counter, gauge, histogram};
 use ravenspoke_adapter::records::RecordError;
 use ravenspoke_core::position::TopicPosition;
-use ravenspoke_core::route::event::{AnswerHead, AttemptFailure, RouteEffect, SendOrder};
+use ravenspoke_core::route::event::{
+    AnswerHead, AttemptFailure, ForwardedRequest, RouteEffect, SendOrder,
+};
 use ravenspoke_core::route::leader::scale::ScaleSubject;
 use ravenspoke_core::route::leader::{CallOutcome, LeaderCall};
+use ravenspoke_core::route::paths::PathPhase;
 use tracing::{error, info, warn};
 
 use super::control_stats::ControlStats;
 use super::driver::RequestName;
+use super::forward::UnknownForwarder;
 
 /// Logs a decision about a request.
 pub fn log_request(name: &RequestName, effect: &RouteEffect) {
     let id = name.id.as_str();
     match effect {
+        RouteEffect::Send(_, order) if order.pass.is_some() => log_forward(id, order),
         RouteEffect::Send(_, order) => log_send(id, order),
         RouteEffect::Refuse(_, refusal, inputs) => {
             let reason = refusal.reason.slug();
@@ -74,6 +79,35 @@
     );
 }
 
+fn log_forward(id: &str, order: &SendOrder) {
+    counter!("ravenspoke_forwards_total").increment(1);
+    info!(
+        event = 758,
+        name = "request_forwarded",
+        id,
+        to = order.replica_id,
+        address = order.address,
+        route = order.route,
+        attempts = order.pass.map(|pass| pass.request.attempts),
+        repeat = order.pass.map(|pass| pass.request.is_repeat),
+        plan = order.inputs.plan_version,
+        plan_age_ms = order.inputs.plan_age_ms,
+    );
+}
+
+/// Logs a request that another box forwarded to this one.
+pub fn log_forward_received(id: &str, request: &ForwardedRequest) {
+    counter!("ravenspoke_forwards_received_total").increment(1);
+    let ForwardedRequest { attempts, is_repeat: repeat, begun } = request;
+    info!(event = 759, name = "forward_received", id, attempts, repeat, resumes = begun.is_some());
+}
+
+/// Logs a request on the socket for other boxes that none of them sent.
+pub fn log_forward_rejected(error: &UnknownForwarder) {
+    counter!("ravenspoke_forwards_rejected_total").increment(1);
+    warn!(event = 760, name = "forward_rejected", why = %error);
+}
+
 /// Logs a failed attempt: its response was invalid, or none came.
 pub fn log_attempt_failed(name: &RequestName, failure: AttemptFailure, why: &str, after: Duration) {
     counter!("ravenspoke_attempts_failed_total").increment(1);
@@ -154,6 +188,11 @@
         RouteEffect::BackendLeaving(replica) => {
             info!(event = 712, name = "backend_leaving", replica);
         }
+        RouteEffect::PathPhaseChanged { phase, lasted_ms, failed } => {
+            let is_lost = *phase == PathPhase::Lost;
+            gauge!("ravenspoke_paths_lost").set(f64::from(u8::from(is_lost)));
+            info!(event = 757, name = "paths_changed", ?phase, former_ms = lasted_ms, failed);
+        }
         RouteEffect::ReplicaUnreachable { replica, reported_by } => {
             let told_by = if reported_by.is_some() { "other" } else { "own" };
             counter!("ravenspoke_replicas_unreachable_total", "told_by" => told_by).increment(1);
--- a/crates/box/src/gateway/pool.rs
+++ b/crates/box/src/gateway/pool.rs
@@ -3,7 +3,7 @@
 //! further bytes have arrived.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper_util::rt::TokioIo;
 use ravenspoke_core::time::BoxTime;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
 use crate::clock::BoxClock;
@@ -43,6 +43,10 @@
 /// milliseconds. One that is not ready has not sent the whole request.
 pub const READY_MS: u64 = 20;
 
+/// Time after which a probed connection must still be open, in milliseconds. A proxy on the path may
+/// accept a connection and close it at once.
+pub const PROBE_HOLD_MS: u64 = 20;
+
 /// Closes the connection when dropped, whatever its state.
 #[derive(Debug)]
 struct ClosingTask(AbortHandle);
@@ -72,14 +76,16 @@
 
 /// Idle connections by address.
 pub struct ReplicaPool {
+    /// The box's own address, from which it connects.
+    local: IpAddr,
     clock: Arc<BoxClock>,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleLink>>>,
 }
 
 impl ReplicaPool {
-    /// Creates an empty pool whose idle times are measured by `clock`.
-    pub fn new(clock: Arc<BoxClock>) -> Self {
-        Self { clock, idle: Mutex::default() }
+    /// Creates an empty pool that connects from `local` and whose idle times are measured by `clock`.
+    pub fn new(local: IpAddr, clock: Arc<BoxClock>) -> Self {
+        Self { local, clock, idle: Mutex::default() }
     }
 
     /// Takes a usable idle connection to `address`, for a request that may or may not be
@@ -110,7 +116,7 @@
     /// Returns the error of the operating system, or a timeout.
     pub async fn open(&self, address: SocketAddr, limit: Duration) -> std::io::Result<ReplicaLink> {
         let limit = limit.min(Duration::from_millis(CONNECT_MS));
-        let stream = tokio::time::timeout(limit, TcpStream::connect(address)).await??;
+        let stream = tokio::time::timeout(limit, self.connect(address)).await??;
         stream.set_nodelay(true)?;
         let unsent = Duration::from_millis(UNSENT_MS);
         socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(unsent))?;
@@ -125,6 +131,25 @@
         Ok(ReplicaLink { sender, used: false, address, _task })
     }
 
+    /// Connects from the box's own address, so that the network sees which box it is.
+    async fn connect(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.bind(SocketAddr::new(self.local, 0))?;
+        socket.connect(address).await
+    }
+
+    /// Opens a connection and keeps it for the next request. Returns whether that succeeded.
+    pub async fn probe(&self, address: SocketAddr) -> bool {
+        let opened = self.open(address, Duration::from_millis(CONNECT_MS)).await;
+        let Ok(link) = opened else { return false };
+        tokio::time::sleep(Duration::from_millis(PROBE_HOLD_MS)).await;
+        let is_open = !link.sender.is_closed();
+        if is_open {
+            self.put_back(link, None).await;
+        }
+        is_open
+    }
+
     /// Returns a connection to the pool after a whole response, if it is clean.
     pub async fn put_back(&self, mut link: ReplicaLink, kept_ms: Option<u64>) {
         let kept_ms = kept_ms.map_or(IDLE_MS, |kept| kept.saturating_sub(IDLE_MARGIN_MS));
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -26,10 +26,12 @@
 
 use super::directory::{metrics_routes, ready_routes, resolve_routes};
 use super::driver::{GatewayDriver, GatewaySinks, PeerDatagram, GOSSIP_QUEUE_LIMIT};
-use super::entry::{CallerCount, CallerEntry, EntryPhase, CALLER_SHARE};
+use super::entry::{CallerCount, CallerEntry, EntryPhase, CALLER_SHARE, FORWARD_SHARE};
 use super::exchange::GatewayContext;
+use super::forward::RequestOrigin;
 use super::listen::ListeningEntry;
 use super::pool::ReplicaPool;
+use super::probes::{run_probes, PathProbe};
 use super::reload::follow_settings;
 use super::sync_pacer::SyncPacer;
 use super::unknown_headers::UnknownHeaders;
@@ -75,11 +77,13 @@
     let (verdict_sender, verdict_receiver) = unbounded_channel();
     let (checkpoint_sender, checkpoint_receiver) = unbounded_channel();
     let (order_sender, order_receiver) = unbounded_channel();
+    let (probe_sender, probe_receiver) = unbounded_channel();
     let sinks = GatewaySinks {
         gossip: gossip_sender,
         sync_responses: response_sender,
         verdicts: verdict_sender,
         checkpoints: checkpoint_sender,
+        probes: probe_sender,
         leader_orders: order_sender,
     };
     let site = SiteReceivers {
@@ -99,10 +103,13 @@
     let socket = socket.map_err(|error| listen_error(settings.gossip, "notes", &error))?;
     let listener = ListeningEntry::bind(settings.entry).await;
     let listener = listener.map_err(|error| listen_error(settings.entry, "entry", &error))?;
+    let forwards = ListeningEntry::bind(settings.gossip).await;
+    let forwards = forwards.map_err(|error| listen_error(settings.gossip, "forwards", &error))?;
+    let listeners = EntryListeners { callers: listener, forwards };
 
     spawn_leader_tasks(&settings, &driver, &store, receivers.leader_orders)?;
     spawn_site_tasks(&settings, &driver, &store, socket, receivers.site);
-    let entry = GatewayEntry::start(&settings, &driver, listener);
+    let entry = GatewayEntry::start(&settings, &driver, listeners, probe_receiver);
     launch_endpoints(&settings, &driver, metrics, metrics_port).await?;
     observe::log_started(&settings.name, settings.entry, &settings.seeds);
     if !settings.invalid_seeds.is_empty() {
@@ -199,10 +206,17 @@
     driver.feed(RouteEvent::PeersDiscovered(seeds));
 }
 
+/// Sockets on which requests arrive.
+struct EntryListeners {
+    callers: ListeningEntry,
+    /// For requests that other boxes forward.
+    forwards: ListeningEntry,
+}
+
 /// The entry that callers connect to, with the state of its connections.
 struct GatewayEntry {
     callers: Arc<CallerCount>,
-    accepting: JoinHandle<()>,
+    accepting: Vec<JoinHandle<()>>,
     phase: watch::Sender<EntryPhase>,
 }
 
@@ -211,23 +225,31 @@
     fn start(
         settings: &GatewaySettings,
         driver: &Arc<GatewayDriver>,
-        listener: ListeningEntry,
+        listeners: EntryListeners,
+        probes: UnboundedReceiver<PathProbe>,
     ) -> Self {
-        let pool = Arc::new(ReplicaPool::new(driver.shared_clock()));
+        let pool = Arc::new(ReplicaPool::new(settings.entry.ip(), driver.shared_clock()));
+        tokio::spawn(run_probes(driver.clone(), pool.clone(), probes));
         tokio::spawn(run_ticks(driver.clone(), pool.clone()));
         let unknown_headers = UnknownHeaders::default();
         let context = Arc::new(GatewayContext { driver: driver.clone(), pool, unknown_headers });
         let callers = Arc::new(CallerCount::default());
         let (phase, phases) = watch::channel(EntryPhase::Starting);
-        let entry = CallerEntry {
-            context,
+        let entry = |origin, share: f64| CallerEntry {
+            context: context.clone(),
+            origin,
             count: callers.clone(),
-            limit: (settings.descriptors as f64 * CALLER_SHARE) as usize,
+            limit: (settings.descriptors as f64 * share) as usize,
             full: AtomicBool::new(false),
-            phase: phases,
+            phase: phases.clone(),
         };
         tokio::spawn(open_when_synced(driver.clone(), phase.clone()));
-        let accepting = tokio::spawn(entry.run(listener));
+        let callers_entry = entry(RequestOrigin::Caller, CALLER_SHARE);
+        let forwards_entry = entry(RequestOrigin::Peer, CALLER_SHARE + FORWARD_SHARE);
+        let accepting = vec![
+            tokio::spawn(callers_entry.run(listeners.callers)),
+            tokio::spawn(forwards_entry.run(listeners.forwards)),
+        ];
         Self { callers, accepting, phase }
     }
 
@@ -244,8 +266,10 @@
     /// Closes the listening socket, so that callers are refused and try another address at once.
     async fn close(&mut self) {
         self.phase.send_replace(EntryPhase::Closed);
-        if let Err(error) = (&mut self.accepting).await {
-            observe::log_socket_failed("entry", &std::io::Error::other(error));
+        for accepting in &mut self.accepting {
+            if let Err(error) = accepting.await {
+                observe::log_socket_failed("entry", &std::io::Error::other(error));
+            }
         }
     }
 }
@@ -343,6 +367,7 @@
         name: settings.name.clone(),
         zone: settings.zone.clone(),
         incarnation: rand::random(),
+        forward_key: rand::random(),
         entry_address: settings.entry.to_string(),
         gossip_address: settings.gossip.to_string(),
         is_seed: settings.seeds.contains(&settings.gossip),
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -77,6 +77,10 @@
     (754, "verdict_basis"),
     (755, "trial_put_off"),
     (756, "replica_unreachable"),
+    (757, "paths_changed"),
+    (758, "request_forwarded"),
+    (759, "forward_received"),
+    (760, "forward_rejected"),
 ];
 
 /// Logs and counts an effect, if it has a log event or a metric.
--- a/crates/box/tests/clock.rs
+++ b/crates/box/tests/clock.rs
@@ -62,6 +62,7 @@
 /// A driver whose box has just read a plan, and may rely on it for [`TEST_LIMIT`] at most.
 fn driver_with_plan(clock: Arc<BoxClock>) -> GatewayDriver {
     let settings = RouteSettings {
+        forward_key: 1,
         name: "box-1".to_owned(),
         zone: "east".to_owned(),
         incarnation: 1,
@@ -80,6 +81,7 @@
         sync_responses: unbounded_channel().0,
         verdicts: unbounded_channel().0,
         checkpoints: unbounded_channel().0,
+        probes: unbounded_channel().0,
         leader_orders: unbounded_channel().0,
     };
     let driver = GatewayDriver::new(RouteState::new(settings), sinks, clock, SyncPacer::new(100.0));
--- a/crates/box/tests/gossip_wire.rs
+++ b/crates/box/tests/gossip_wire.rs
@@ -29,6 +29,9 @@
 
 fn peer_info(name: &str) -> PeerInfo {
     PeerInfo {
+        forward_key: 77,
+        paths_lost: true,
+        unreached: vec![5, 6],
         incarnation: 17,
         gossip_address: format!("10.1.0.{}:7680", name.len()),
         entry_address: format!("10.1.0.{}:8603", name.len()),
--- /dev/null
+++ b/crates/box/tests/partitions.rs
@@ -0,0 +1,204 @@
+//! Boxes as processes that lose their network paths to replicas.
+
+use std::path::Path;
+use std::time::Duration;
+
+use ravenspoke_standins::fleet::wait_for;
+use ravenspoke_standins::platform::replica::{ReplicaRun, ReplicaStandin};
+use ravenspoke_standins::platform::site::{
+    own_address, RunningSite, REPLICA_TOPIC, SITE_KEY, SITE_SERVICE,
+};
+use ravenspoke_standins::platform::site_box::SiteBox;
+use ravenspoke_standins::soak::proxy::{FaultProxy, ProxyFault};
+
+/// Port at which a box receives gossip, and requests that other boxes forward.
+const FORWARD_PORT: u16 = 18_340;
+
+/// Manners in which connections fail on a lost path.
+const FAULTS: [ProxyFault; 2] = [ProxyFault::Reset, ProxyFault::Refused];
+
+/// A site with three boxes, and four replicas behind proxies.
+struct PartitionSite {
+    site: RunningSite,
+    boxes: Vec<SiteBox>,
+    replicas: Vec<ReplicaStandin>,
+    paths: Vec<FaultProxy>,
+}
+
+impl PartitionSite {
+    /// Starts a site whose streams have this many events, this far apart in milliseconds.
+    async fn start(events: u32, gap_ms: u64) -> Self {
+        let mut site = RunningSite::start(Path::new(env!("CARGO_BIN_EXE_ravenspoked"))).await;
+        site.write_plan(1, &[SITE_KEY]);
+        let (mut replicas, mut paths) = (Vec::new(), Vec::new());
+        for number in 0..4 {
+            let id = format!("i-{number}");
+            let replica = ReplicaStandin::start(own_address(), &id, events, gap_ms).await;
+            let path = FaultProxy::start(replica.address.ip(), replica.address).await;
+            let entry = replica.behind(path.address).entry(SITE_SERVICE, "v1", "ready");
+            site.store.put(REPLICA_TOPIC, &id, &entry);
+            replicas.push(replica);
+            paths.push(path);
+        }
+        let mut boxes = Vec::new();
+        for number in 0..3 {
+            boxes.push(site.start_ready(&format!("box-{number}")).await);
+        }
+        let all = Self { site, boxes, replicas, paths };
+        all.wait_listed(3).await;
+        all
+    }
+
+    /// Waits until the directory of each box lists this many boxes.
+    async fn wait_listed(&self, count: usize) {
+        for subject in &self.boxes {
+            wait_for("the directory lists the boxes", || async {
+                (subject.resolve().await?.len() == count).then_some(())
+            })
+            .await;
+        }
+    }
+
+    fn set_paths(&self, number: usize, fault: ProxyFault) {
+        self.paths.iter().for_each(|path| path.set_from(self.boxes[number].ip, fault));
+    }
+
+    /// Cuts a box off and waits until it has noticed, which takes a few requests.
+    async fn lose_paths(&self, number: usize, fault: ProxyFault) {
+        self.set_paths(number, fault);
+        let mut count = 0;
+        loop {
+            count += 1;
+            let events = self.boxes[number].events("paths_changed");
+            if events.last().is_some_and(|event| event["phase"] == "Lost") {
+                return;
+            }
+            assert!(count < 100, "the box notices that its paths are lost");
+            let id = format!("notice-{number}-{count}");
+            drop(self.site.request(&self.boxes[number], "GET", "/read/x", &id).send().await);
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    fn runs(&self, id: &str) -> Vec<ReplicaRun> {
+        let runs = self.replicas.iter().flat_map(ReplicaStandin::runs);
+        runs.filter(|run| run.id == id).collect()
+    }
+}
+
+fn whole_stream(events: u32) -> String {
+    (1..=events).map(|number| format!("id: {number}\ndata: piece {number}\n\n")).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn box_that_reaches_no_replica_serves_through_another_box() {
+    for fault in FAULTS {
+        let all = PartitionSite::start(4, 10).await;
+        all.lose_paths(0, fault).await;
+
+        for (method, path) in [("GET", "/read/x"), ("POST", "/file/x"), ("POST", "/chat/x")] {
+            let id = format!("through{}", path.replace('/', "-"));
+            let mut request = all.site.request(&all.boxes[0], method, path, &id);
+            if path == "/chat/x" {
+                request = request.header("Accept", "text/event-stream");
+            }
+            let answer = request.send().await.expect("an answer");
+            assert_eq!(answer.status(), 200, "{fault:?} {path}");
+            assert!(answer.headers().get("ravenspoke-begun").is_none());
+            let body = answer.text().await.expect("a whole body");
+            assert!(path != "/chat/x" || body == whole_stream(4), "{body}");
+            let runs = all.runs(&id);
+            assert_eq!(runs.len(), 1, "{fault:?} {path}");
+            let names = runs[0].headers.iter().map(|(name, _)| name.as_str());
+            let leaked: Vec<&str> = names
+                .filter(|name| name.starts_with("ravenspoke-") || *name == "authorization")
+                .collect();
+            assert_eq!(leaked, Vec::<&str>::new());
+        }
+        all.wait_listed(2).await;
+
+        all.set_paths(0, ProxyFault::None);
+        all.wait_listed(3).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_no_box_forwarded_are_refused_on_the_socket_for_boxes() {
+    let all = PartitionSite::start(4, 10).await;
+    let url = format!("http://{}:{FORWARD_PORT}/read/x", all.boxes[0].ip);
+
+    for forward in [None, Some("key=0000000000000000;attempts=2;repeat=0"), Some("attempts=2")] {
+        let mut request = all.site.http.get(&url).header("Host", "api.example");
+        request = request.header("X-Ravenspoke-Request-Id", "intruder");
+        request = request.header("Authorization", format!("Bearer {SITE_KEY}"));
+        if let Some(forward) = forward {
+            request = request.header("ravenspoke-forward", forward);
+        }
+        let answer = request.send().await.expect("an answer");
+        assert_eq!(answer.status(), 403, "{forward:?}");
+    }
+    assert_eq!(all.runs("intruder"), []);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_is_whole_when_its_path_is_lost_in_the_middle() {
+    let all = PartitionSite::start(20, 50).await;
+    let request = all.site.chat(&all.boxes[0], "moved").send();
+    let answer = request.await.expect("the stream begins");
+
+    all.set_paths(0, ProxyFault::Reset);
+
+    assert_eq!(answer.text().await.expect("a whole stream"), whole_stream(20));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_is_whole_when_the_box_that_it_goes_through_is_killed() {
+    let mut all = PartitionSite::start(20, 50).await;
+    all.lose_paths(0, ProxyFault::Reset).await;
+    let request = all.site.chat(&all.boxes[0], "carried").send();
+    let answer = request.await.expect("the stream begins");
+    let forwarded = wait_for("the forward is logged", || async {
+        let events = all.boxes[0].events("request_forwarded");
+        let own = events.into_iter().rfind(|event| event["id"] == "carried")?;
+        own["to"].as_str()?.strip_prefix("box-")?.parse::<usize>().ok()
+    })
+    .await;
+
+    all.boxes[forwarded].kill();
+
+    assert_eq!(answer.text().await.expect("a whole stream"), whole_stream(20));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn replica_stops_when_the_caller_of_a_forwarded_stream_disconnects() {
+    let all = PartitionSite::start(200, 20).await;
+    all.lose_paths(0, ProxyFault::Reset).await;
+    let request = all.site.chat(&all.boxes[0], "left").send();
+    let answer = request.await.expect("the stream begins");
+
+    drop(answer);
+
+    wait_for("the replica stops", || async {
+        all.runs("left").first().is_some_and(|run| run.left).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_refused_at_once_when_no_box_reaches_a_replica() {
+    let all = PartitionSite::start(4, 10).await;
+    for number in 0..3 {
+        all.lose_paths(number, ProxyFault::Reset).await;
+    }
+
+    for number in 0..3 {
+        let sent_at = std::time::Instant::now();
+        let request = all.site.request(&all.boxes[number], "POST", "/file/x", "nowhere");
+        let answer = request.send().await.expect("an answer");
+        assert_eq!(answer.status(), 503);
+        assert!(answer.headers().contains_key("retry-after"));
+        assert!(sent_at.elapsed() < Duration::from_millis(500), "{:?}", sent_at.elapsed());
+    }
+    assert_eq!(all.runs("nowhere"), []);
+    all.wait_listed(3).await;
+}
--- a/crates/box/tests/soak.rs
+++ b/crates/box/tests/soak.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeSet;
 use std::path::Path;
 
-use ravenspoke_standins::soak::play::{play, play_bad_version, play_series, SoakReport};
+use ravenspoke_standins::soak::play::{
+    play, play_bad_version, play_partitions, play_series, SoakReport,
+};
 
 /// Seeds of every CI run.
 const SEEDS: [u64; 3] = [1, 2, 3];
@@ -21,6 +23,9 @@
 /// Seeds of bad versions in every CI run. They draw each manner.
 const BAD_VERSION_SEEDS: [u64; 6] = [1, 2, 3, 4, 5, 6];
 
+/// Seeds of lost paths in every CI run. They draw each manner, alone and beside stops and kills.
+const PARTITION_SEEDS: [u64; 6] = [1, 2, 3, 4, 5, 6];
+
 /// A seed that has its own test.
 const SEPARATE_SEED: u64 = 2;
 
@@ -75,3 +80,14 @@
         assert_report(seed, &report);
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_boxes_without_paths_to_replicas_are_served() {
+    let binary = Path::new(env!("CARGO_BIN_EXE_ravenspoked"));
+    let runs = PARTITION_SEEDS
+        .map(|seed| tokio::spawn(async move { (seed, play_partitions(binary, seed).await) }));
+    for run in runs {
+        let (seed, report) = run.await.expect("the run ends");
+        assert_report(seed, &report);
+    }
+}
--- a/crates/core/src/route/answer.rs
+++ b/crates/core/src/route/answer.rs
@@ -19,11 +19,16 @@
         head: AnswerHead,
         out: &mut Vec<RouteEffect>,
     ) {
+        if self.is_forwarded(ticket) {
+            return self.on_forward_head(stamp, ticket, head, out);
+        }
         self.learn_latency(stamp, ticket, head);
         let Some(request) = self.requests.get(&ticket) else { return };
         let Some(attempt) = request.attempt else { return };
+        let service = request.service.clone();
+        self.note_answered(stamp, attempt.replica);
         if let Some(load) = head.load {
-            let mean_ms = self.latencies.get(&request.service).map_or(0.0, ServiceLatency::mean_ms);
+            let mean_ms = self.latencies.get(&service).map_or(0.0, ServiceLatency::mean_ms);
             self.backends.reported(attempt.replica, load, mean_ms, stamp.now);
         }
         self.learn_limit(stamp, attempt.replica, head, out);
@@ -91,7 +96,7 @@
         out: &mut Vec<RouteEffect>,
     ) -> bool {
         let Some(request) = self.requests.get_mut(&ticket) else { return false };
-        let Some(size) = request.size.filter(|_| !request.relayed) else { return false };
+        let Some(size) = request.size.filter(|_| request.begun().is_none()) else { return false };
         let Some(score) = head.confidence else { return false };
         // The replica did nothing wrong, and its prefix cache may hold the prompt's prefix.
         let tried = request.tried.pop();
--- a/crates/core/src/route/arrival.rs
+++ b/crates/core/src/route/arrival.rs
@@ -56,6 +56,12 @@
         let service = pick_target(route, stamp.random).ok_or(RefusalReason::NoReplica)?;
         let chooses = caller.any_model && !route.sizes.is_empty();
         let account_regions = holder.map_or(&[][..], |holder| &holder.regions);
+        let mut route = route.clone();
+        if let Some(received) = caller.forward {
+            route.attempts = received.attempts + u32::from(received.is_repeat);
+        }
+        let chosen = || model_cascade::first_size(&route.sizes);
+        let begun_size = caller.forward.and_then(|received| received.begun?.size);
         let zones = allowed_zones(&self.settings.regions, &[&route.regions, account_regions]);
         Ok(RouteRequest {
             service,
@@ -67,12 +73,12 @@
             session: caller.session,
             content: caller.content,
             id_hash: xxh3_64(caller.id.as_bytes()),
-            size: if chooses { model_cascade::first_size(&route.sizes) } else { None },
+            size: if chooses { begun_size.or_else(chosen) } else { None },
             confidence: None,
             arrived: stamp.now,
             deadline: stamp.now.plus_millis(left),
             tried: Vec::new(),
-            sends: 0,
+            sends: u32::from(caller.forward.is_some_and(|received| received.is_repeat)),
             connect_failures: 0,
             counted: false,
             counted_bad: false,
@@ -81,8 +87,11 @@
             relayed_on_trial: false,
             outcome: BackendOutcome::Served,
             attempt: None,
+            received: caller.forward,
+            forward_tried: Vec::new(),
+            forward: None,
             retry_after_ms: None,
-            route: route.clone(),
+            route,
         })
     }
 
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -8,12 +8,13 @@
 use super::pick::BackendPick;
 use super::placement::urgency;
 use super::plan::{RouteKind, RouteSpec};
-use super::request::RunningAttempt;
+use super::request::{RouteRequest, RunningAttempt};
 use super::retry_budget::SendCause;
 use super::verdict::advance;
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
 use crate::ids::ReplicaKey;
+use crate::time::BoxTime;
 
 /// Time limit of a response head where another replica may be tried, as a multiple of the latency
 /// target.
@@ -51,7 +52,12 @@
         self.advance_trial(stamp, ticket, out);
         self.share_newly_cold(stamp.now);
         let size = self.requests.get(&ticket).and_then(|request| request.size);
-        let Some(choice) = self.choose(stamp, ticket, size) else {
+        let choice = self.choose(stamp, ticket, size);
+        if let Some(target) = self.better_forward(stamp, ticket, choice.as_ref()) {
+            return self.send_forward(stamp, ticket, target, out);
+        }
+        let choice = choice.filter(|_| !self.paths.is_lost());
+        let Some(choice) = choice else {
             let reason = self.no_replica_reason(stamp, ticket).unwrap_or(otherwise);
             match reason {
                 RefusalReason::Evacuated | RefusalReason::NoRegion => {
@@ -144,7 +150,7 @@
     fn fall_back_to_small(&mut self, ticket: RequestTicket) {
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         let last = request.sends + 1 >= request.route.attempts;
-        if last && !request.relayed {
+        if last && request.begun().is_none() {
             request.size = request.size.map(|_| 0);
         }
     }
@@ -183,11 +189,11 @@
             pauses: 0,
             cached: pick.cached,
             was_idle: pick.wait_ms <= IDLE_WORK_MS,
+            expected_ms: pick.expected_ms as u64,
         });
         request.tried.push(pick.key);
         request.sends += 1;
-        let retryable = request.route.kind.repeatable() && request.sends < request.route.attempts;
-        let left = request.deadline.millis_since(stamp.now);
+        let (head_ms, pause_ms) = stall_limits(request, stamp.now);
         let order = SendOrder {
             number: request.sends,
             replica: pick.key,
@@ -202,9 +208,10 @@
             content: request.content,
             urgency: request.size.map(urgency),
             deadline: request.deadline,
-            head_ms: if retryable { head_ms(&request.route).min(left) } else { left },
-            pause_ms: if retryable { pause_ms(&request.route).min(left) } else { left },
+            head_ms,
+            pause_ms,
             inputs,
+            pass: None,
         };
         out.push(RouteEffect::Send(ticket, order));
     }
@@ -226,18 +233,27 @@
         self.share_newly_cold(stamp.now);
         let next = self.requests.get(&ticket).and_then(|request| request.size);
         let choice = self.choose(stamp, ticket, next);
-        let Some(choice) = choice.filter(|_| self.may_send_again(stamp, ticket, cause)) else {
+        let target = self.better_forward(stamp, ticket, choice.as_ref());
+        let target = target.filter(|_| cause != SendCause::LargerModel);
+        let choice = choice.filter(|_| !self.paths.is_lost());
+        let possible = target.is_some() || choice.is_some();
+        if !possible || !self.may_send_again(stamp, ticket, cause) {
             if let Some(request) = self.requests.get_mut(&ticket) {
                 request.size = size;
             }
             return false;
-        };
+        }
         let outcome = match cause {
             SendCause::LargerModel => BackendOutcome::Served,
             SendCause::Failure | SendCause::Stall => BackendOutcome::Failed,
+            SendCause::PathLost => BackendOutcome::Inconclusive,
         };
         self.end_attempt(stamp, ticket, outcome);
-        self.assign(stamp, ticket, choice, out);
+        match (target, choice) {
+            (Some(target), _) => self.send_forward(stamp, ticket, target, out),
+            (None, Some(choice)) => self.assign(stamp, ticket, choice, out),
+            (None, None) => {}
+        }
         true
     }
 
@@ -334,6 +350,9 @@
         ticket: RequestTicket,
         out: &mut Vec<RouteEffect>,
     ) {
+        if self.is_forwarded(ticket) {
+            return self.on_forward_stalled(stamp, ticket, out);
+        }
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         let Some(attempt) = &mut request.attempt else { return };
         attempt.pauses += 1;
@@ -350,6 +369,28 @@
         }
     }
 
+    /// Moves a request whose path to its replica turned out to be lost, if it may be repeated.
+    pub(super) fn on_path_blocked(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let Some(request) = self.requests.get(&ticket) else { return };
+        let Some(attempt) = request.attempt else { return };
+        let Some(row) = self.backends.get(attempt.replica) else { return };
+        let lost = self.paths.is_lost() || row.path.is_blocked(stamp.now);
+        let movable = request.route.kind.repeatable() && !request.relayed;
+        if !lost || !movable || row.path.reached_since(attempt.began) {
+            return;
+        }
+        if self.reassign(stamp, ticket, SendCause::PathLost, out) {
+            if let Some(request) = self.requests.get_mut(&ticket) {
+                request.may_have_run = true;
+            }
+        }
+    }
+
     /// Handles a failed attempt: the request is sent again if it may be repeated, and refused
     /// otherwise.
     pub(super) fn on_failed(
@@ -359,6 +400,9 @@
         failure: AttemptFailure,
         out: &mut Vec<RouteEffect>,
     ) {
+        if self.is_forwarded(ticket) {
+            return self.on_forward_failed(stamp, ticket, failure, out);
+        }
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         let unwritten = match failure {
             AttemptFailure::NeverSent => Some(BackendOutcome::Unreachable),
@@ -378,13 +422,18 @@
             self.end_attempt(stamp, ticket, outcome);
             if let Some(replica) = replica.filter(|_| outcome == BackendOutcome::Unreachable) {
                 self.report_unreachable(replica, None, out);
+                self.note_path_failed(stamp, replica, out);
             }
             self.resend_unwritten(stamp, ticket, out);
             return;
         }
         request.may_have_run = true;
+        let replica = request.attempt.map(|attempt| attempt.replica);
         if failure == AttemptFailure::Broken {
             self.record_broken(stamp, ticket);
+            if let Some(replica) = replica {
+                self.note_suspicion(stamp, replica, out);
+            }
         }
         self.count_lost_answer(stamp, ticket);
         self.end_attempt(stamp, ticket, BackendOutcome::Failed);
@@ -423,7 +472,7 @@
         out: &mut Vec<RouteEffect>,
     ) {
         let Some(request) = self.requests.get_mut(&ticket) else { return };
-        request.may_have_run |= request.attempt.is_some();
+        request.may_have_run |= request.attempt.is_some() || request.forward.is_some();
         if !request.relayed {
             self.count_lost_answer(stamp, ticket);
         }
@@ -432,6 +481,16 @@
     }
 }
 
+/// Returns the time limits of a response head and of a pause between events, in milliseconds.
+pub(super) fn stall_limits(request: &RouteRequest, now: BoxTime) -> (u64, u64) {
+    let left_ms = request.deadline.millis_since(now);
+    let retryable = request.route.kind.repeatable() && request.sends < request.route.attempts;
+    if !retryable {
+        return (left_ms, left_ms);
+    }
+    (head_ms(&request.route).min(left_ms), pause_ms(&request.route).min(left_ms))
+}
+
 /// Returns the time limit of a response head where another replica may be tried, in milliseconds.
 fn head_ms(route: &RouteSpec) -> u64 {
     let targets = if route.kind.is_stream() { HEAD_TARGETS } else { UNARY_HEAD_TARGETS };
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -12,6 +12,7 @@
 use super::backend_health::LostAnswer;
 use super::backlog::ReplicaBacklog;
 use super::leader::scale::ZoneCount;
+use super::paths::ReplicaPath;
 use super::prefix_cache::PrefixCache;
 use super::rate_limit::ReplicaLimit;
 use super::rate_share::SenderShare;
@@ -105,14 +106,22 @@
     /// Ejected until this time.
     #[serde(rename = "passed_until")]
     pub ejected_until: BoxTime,
+    /// Passed over until this time, because another box could not connect to it.
+    pub(super) reported_until: BoxTime,
+    /// This box's network path to it.
+    pub path: ReplicaPath,
     /// When this or another box last failed to connect to it.
     #[serde(rename = "down_at")]
     pub unreachable_at: Option<BoxTime>,
+    /// When that began.
+    pub(super) unreachable_since: Option<BoxTime>,
     /// Not chosen from this time on, because its entry vanished during a store outage.
     #[serde(rename = "lapses_at")]
     pub expires_at: Option<BoxTime>,
     /// Cold until this time.
     pub cold_until: BoxTime,
+    /// Assumed to be cold until this time, because it was unreachable and may have restarted.
+    pub assumed_cold_until: BoxTime,
     /// This box's share of the requests that it takes while it is cold.
     pub(super) warm_up: SenderShare,
     /// In backoff for this box until this time.
@@ -138,9 +147,14 @@
         self.cold_until = self.cold_until.max(from.plus_millis(ms));
     }
 
+    /// Whether it is cold, or assumed to be.
+    pub fn is_cold(&self, now: BoxTime) -> bool {
+        self.cold_until.max(self.assumed_cold_until) > now
+    }
+
     /// Whether it is cold and this box has used up its share.
     pub(super) fn too_cold(&self, now: BoxTime) -> bool {
-        self.cold_until > now && !self.warm_up.allows(now)
+        self.is_cold(now) && !self.warm_up.allows(now)
     }
 
     /// Whether it may be chosen at all.
@@ -182,7 +196,9 @@
     /// replicas have restarted, and the entry shows that seconds later.
     pub(super) fn mark_unreachable_cold(&mut self, key: ReplicaKey, ms: u64) {
         if let Some(row) = self.rows.get_mut(key) {
-            row.mark_cold(ASSUMED_DOWN_MS + ms, row.ejected_until);
+            let back_at = row.path.retry_at().max(row.reported_until);
+            let until = back_at.plus_millis(ASSUMED_DOWN_MS + ms);
+            row.assumed_cold_until = row.assumed_cold_until.max(until);
             self.newly_cold = true;
         }
     }
@@ -225,7 +241,7 @@
             let count = zone_counts.entry(row.entry.zone.clone()).or_default();
             if !row.entry.spot {
                 count.on_demand += 1;
-            } else if row.cold_until <= now {
+            } else if !row.is_cold(now) {
                 count.spot += 1;
             }
         }
@@ -398,6 +414,7 @@
         let key = self.rows.insert(BackendState {
             id_hash: backend_hash(&id),
             cold_until: now.plus_millis(entry.cold_ms),
+            assumed_cold_until: BoxTime::default(),
             warm_up: SenderShare::default(),
             backoff_until: BoxTime::default(),
             limit: ReplicaLimit::default(),
@@ -411,7 +428,10 @@
             failures: 0,
             ejections: 0,
             ejected_until: BoxTime::default(),
+            reported_until: BoxTime::default(),
+            path: ReplicaPath::default(),
             unreachable_at: None,
+            unreachable_since: None,
             expires_at: None,
             backlog: ReplicaBacklog::default(),
             prefix_cache: PrefixCache::default(),
--- a/crates/core/src/route/backend_health.rs
+++ b/crates/core/src/route/backend_health.rs
@@ -1,9 +1,12 @@
 //! Health of replicas by the outcome of requests, and outlier ejection.
 //!
-//! A replica that refuses connections, breaks answers or fails requests is ejected for a while.
+//! A replica that breaks answers or fails requests is ejected for a while. One to which other boxes
+//! cannot connect is passed over likewise. What failed connections of this box show is in
+//! [`super::paths`].
 //! [`super::pick`] limits this to half of a service's replicas at a time.
 
 use super::backend::{BackendState, BackendTable};
+use super::paths::ALIVE_MS;
 use crate::ids::ReplicaKey;
 use crate::time::BoxTime;
 
@@ -70,6 +73,22 @@
 }
 
 impl BackendState {
+    /// Records that a connection to it failed at `at`. Failures that follow each other are of one
+    /// outage, unless it answered in between.
+    fn mark_unreachable(&mut self, at: BoxTime) {
+        let last_at = self.unreachable_at.filter(|last_at| !self.path.reached_since(*last_at));
+        let continues = last_at.is_some_and(|last_at| at.millis_since(last_at) < ALIVE_MS);
+        if !continues {
+            self.unreachable_since = Some(at);
+        }
+        self.unreachable_at = self.unreachable_at.max(Some(at));
+    }
+
+    /// Whether it was ejected, or is passed over because other boxes cannot connect to it.
+    pub(super) fn is_passed_over(&self, now: BoxTime) -> bool {
+        self.ejected_until.max(self.reported_until) > now
+    }
+
     /// Ejects the replica, for longer each consecutive time.
     fn eject(&mut self, now: BoxTime) {
         let span = (EJECTION_FIRST_MS << self.ejections.min(8)).min(EJECTION_LIMIT_MS);
@@ -97,8 +116,7 @@
             }
             BackendOutcome::Failed => row.failures += 1,
             BackendOutcome::Unreachable => {
-                row.unreachable_at = Some(now);
-                row.failures += EJECTION_FAILURES;
+                row.mark_unreachable(now);
             }
             BackendOutcome::Inconclusive => {}
         }
@@ -107,14 +125,14 @@
         }
     }
 
-    /// Whether the replica with this hash is ejected.
-    pub(super) fn is_ejected(&self, replica: u64, now: BoxTime) -> bool {
+    /// Whether the replica with this hash is passed over.
+    pub(super) fn is_passed_over(&self, replica: u64, now: BoxTime) -> bool {
         let row = self.hashes.get(&replica).and_then(|key| self.rows.get(*key));
-        row.is_some_and(|row| row.ejected_until > now)
+        row.is_some_and(|row| row.is_passed_over(now))
     }
 
     /// Applies an update of a box that could not reach a replica, unless the replica has reported
-    /// its load since. A crash takes down many replicas at once, which then look idle, and each box
+    /// its load since, or answered this box. A crash takes down many replicas at once, which then look idle, and each box
     /// would otherwise lose a request to each of them. Returns the replica if the update applies.
     pub(super) fn apply_unreachable(
         &mut self,
@@ -124,9 +142,10 @@
         let key = *self.hashes.get(&update.replica)?;
         let row = &mut self.rows[key];
         let at = now.minus_millis(update.age_ms);
-        if update.age_ms < UNREACHABLE_GOSSIP_MS && at > row.reported_at {
-            row.unreachable_at = row.unreachable_at.max(Some(at));
-            row.ejected_until = row.ejected_until.max(at.plus_millis(EJECTION_FIRST_MS));
+        let alive = row.reported_at >= at || row.path.reached_since(at);
+        if update.age_ms < UNREACHABLE_GOSSIP_MS && !alive {
+            row.mark_unreachable(at);
+            row.reported_until = row.reported_until.max(at.plus_millis(EJECTION_FIRST_MS));
             return Some(key);
         }
         None
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -45,11 +45,11 @@
         let on_trial = trial.is_some_and(|trial| {
             let open =
                 trial.state == TrialState::Running && !trial.is_ejected(stamp.now, store_away);
-            if request.relayed && open {
-                request.relayed_on_trial
-            } else {
-                trial.takes(request.session, stamp.now, store_away)
-            }
+            let begun = request.begun().filter(|_| open);
+            begun.map_or_else(
+                || trial.takes(request.session, stamp.now, store_away),
+                |begun| begun.on_trial,
+            )
         });
         let version = trial.map_or(VersionFilter::Any, |trial| version_filter(trial, on_trial));
         let query = BackendQuery {
--- a/crates/core/src/route/dump.rs
+++ b/crates/core/src/route/dump.rs
@@ -3,6 +3,7 @@
 use serde::Serialize;
 
 use super::backend::BackendState;
+use super::paths::PathPhase;
 use super::peers::PeerState;
 use super::plan::RoutePlan;
 use super::poison::PoisonDump;
@@ -18,6 +19,8 @@
     pub name: &'a str,
     /// Whether callers may be directed to this box.
     pub open: bool,
+    /// What the box knows of its network paths to replicas.
+    pub paths: PathPhase,
     /// Whether the planned stop has begun.
     pub stopping: bool,
     /// The store's era; 0 if unknown.
@@ -52,6 +55,7 @@
         RouteDump {
             name: &self.settings.name,
             open: self.open(now),
+            paths: self.paths.phase(),
             stopping: self.stopping(),
             store_era: self.era,
             read_to: self.read_to,
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -7,6 +7,7 @@
 use super::leader::usage::{UsageRequest, UsageResponse};
 use super::leader::{CallOutcome, LeaderCall, LeaderOrder, LeaderRecord};
 use super::loads::BackendLoad;
+use super::paths::PathPhase;
 use super::peers::{GossipMessage, PlanPosition, SyncRequest};
 use super::placement::PlacementUpdate;
 use super::plan::{RouteKind, RoutePlan};
@@ -45,6 +46,28 @@
     pub any_model: bool,
     /// Hash of the content, which identifies a caller's retries under other ids; 0 without one.
     pub content: u64,
+    /// How the box received it that forwards it, if a caller did not send it to this one.
+    pub forward: Option<ForwardedRequest>,
+}
+
+/// A request as the box left it that forwards it to this one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ForwardedRequest {
+    /// Replicas that it may still be sent to.
+    pub attempts: u32,
+    /// Whether it may have reached a replica before.
+    pub is_repeat: bool,
+    /// How the answer began of which the caller has a part.
+    pub begun: Option<BegunAnswer>,
+}
+
+/// What the rest of a partly relayed answer must continue.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BegunAnswer {
+    /// Row of the model in the route's sizes, if the router chose it.
+    pub size: Option<usize>,
+    /// Whether the version was on trial.
+    pub on_trial: bool,
 }
 
 /// Tokens of a prompt; both 0 if the caller does not state them.
@@ -78,6 +101,8 @@
     pub other_replica: bool,
     /// Whether the response carries the replica's proof.
     pub proven: bool,
+    /// How the answer began, if a box responds to which this one forwarded the request.
+    pub begun: Option<BegunAnswer>,
 }
 
 /// Why an attempt failed.
@@ -223,6 +248,15 @@
     AttemptStalled(RequestTicket),
     /// The attempt failed.
     AttemptFailed(RequestTicket, AttemptFailure),
+    /// A new connection to a replica was tried.
+    PathProbed {
+        /// The replica.
+        replica: ReplicaKey,
+        /// Whether it succeeded.
+        reached: bool,
+    },
+    /// Paths to replicas turned out to be lost, maybe that of this request.
+    PathBlocked(RequestTicket),
     /// The whole response was relayed.
     ResponseFinished(RequestTicket),
     /// The deadline of the request passed.
@@ -371,6 +405,18 @@
     pub pause_ms: u64,
     /// Inputs of the decision.
     pub inputs: DecisionInputs,
+    /// Set if the request goes to another box, which `replica_id` and `address` name, in place of a
+    /// replica.
+    pub pass: Option<ForwardPass>,
+}
+
+/// What a box hands over with a request that it forwards.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ForwardPass {
+    /// Key of the receiving box, which shows that a box of its fleet forwards the request.
+    pub key: u64,
+    /// The request as this box leaves it.
+    pub request: ForwardedRequest,
 }
 
 /// An effect that a routing box requests.
@@ -419,6 +465,19 @@
     },
     /// A replica is leaving or was removed.
     BackendLeaving(String),
+    /// Try a new connection to the replica at this address.
+    ProbePath(ReplicaKey, String),
+    /// Paths turned out to be lost: requests in flight may have to be moved.
+    PathsBlocked,
+    /// What the box knows of its paths to replicas changed.
+    PathPhaseChanged {
+        /// New phase.
+        phase: PathPhase,
+        /// Length of the former phase, in milliseconds.
+        lasted_ms: u64,
+        /// Replicas whose connections failed since one last succeeded.
+        failed: usize,
+    },
     /// A replica is passed over from now on, because connections to it fail.
     ReplicaUnreachable {
         /// Id of the replica.
--- a/crates/core/src/route/feedback.rs
+++ b/crates/core/src/route/feedback.rs
@@ -94,6 +94,9 @@
 
     /// Records a lost answer. It counts against the version unless the replica is gone.
     pub(super) fn count_lost_answer(&mut self, stamp: EventStamp, ticket: RequestTicket) {
+        if self.paths.is_lost() {
+            return;
+        }
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         let Some(attempt) = request.attempt else { return };
         if std::mem::replace(&mut request.counted_bad, true) {
--- /dev/null
+++ b/crates/core/src/route/forward.rs
@@ -0,0 +1,234 @@
+//! Requests that this box forwards through another one, because it cannot reach a replica for them.
+//!
+//! The other box treats a forwarded request like one of a caller: it checks the key, chooses version,
+//! model and replica, and counts it in its budgets and trials. It never forwards it again. Its
+//! response is relayed; a 503 of its own means that nothing ran, as for callers.
+//!
+//! The forwarding box keeps one attempt for itself: if the other box fails, it is not known at how
+//! many replicas the request ran.
+
+use super::attempt::stall_limits;
+use super::backend::backend_hash;
+use super::backend_health::BackendOutcome;
+use super::choice::AttemptChoice;
+use super::event::{
+    AnswerHead, AttemptFailure, BegunAnswer, ForwardPass, ForwardedRequest, RefusalReason,
+    RouteEffect, SendOrder,
+};
+use super::peers::ForwardQuery;
+use super::request::RunningForward;
+use super::RouteState;
+use crate::event::{EventStamp, RequestTicket};
+use crate::ids::ReplicaKey;
+use crate::time::BoxTime;
+
+/// Boxes that a request is forwarded to, at most, if they could not send it to a replica either.
+pub const FORWARD_LIMIT: usize = 3;
+
+/// Time for which a box gets no requests for a service after it refused one, in milliseconds: its
+/// own gossip tells by then what it reaches.
+pub const FORWARD_REFUSED_MS: u64 = 600;
+
+/// Time for which a box gets no requests after a connection to it failed, in milliseconds.
+pub const FORWARD_FAILED_MS: u64 = 1_000;
+
+impl RouteState {
+    /// Returns the box that a request should be forwarded to, rather than be sent by this box as
+    /// chosen: the box reaches no replica for it, or only replicas of another version than the one
+    /// that the request should get, or its paths are in doubt and failed the request before.
+    pub(super) fn better_forward(
+        &self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        choice: Option<&AttemptChoice>,
+    ) -> Option<ForwardTarget> {
+        let fell_back = |choice: &AttemptChoice| choice.trial.is_some_and(|trial| trial.fell_back);
+        let request = self.requests.get(&ticket)?;
+        let doubtful = self.paths.is_suspect() && request.has_failed();
+        let sendable = choice.is_some_and(|choice| !fell_back(choice));
+        if !self.paths.is_lost() && !doubtful && sendable {
+            return None;
+        }
+        let exhausted = request.received.is_some()
+            || request.forward_tried.len() >= FORWARD_LIMIT
+            || !request.may_be_sent(stamp.now);
+        let lost = self.paths.is_lost()
+            || doubtful
+            || self.backends.any_blocked(&request.service, stamp.now);
+        if exhausted || !lost {
+            return None;
+        }
+        let query = ForwardQuery {
+            service: backend_hash(&request.service),
+            zone: &self.settings.zone,
+            tried: &request.forward_tried,
+            random: stamp.random,
+            now: stamp.now,
+        };
+        let (name, info) = self.peers.forward_target(&query)?;
+        let (name, address, key) = (name.clone(), info.gossip_address.clone(), info.forward_key);
+        Some(ForwardTarget { name, address, key })
+    }
+
+    /// Forwards a request to another box.
+    pub(super) fn send_forward(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        target: ForwardTarget,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let inputs = self.inputs(stamp);
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        if request.forward_tried.is_empty() {
+            // The other box counts the request for the retry budget.
+            if let Some(budget) = self.budgets.get_mut(&request.service) {
+                budget.give_back(self.settings.budget, stamp.now);
+            }
+        }
+        let left = request.route.attempts - request.sends;
+        let reserved = u32::from(left > 1);
+        let begun = request.begun();
+        let passed = ForwardedRequest {
+            attempts: left - reserved,
+            is_repeat: request.sends > 0 || request.may_have_run,
+            begun,
+        };
+        let pass = ForwardPass { key: target.key, request: passed };
+        request.forward_tried.push(target.name.clone());
+        request.forward = Some(RunningForward { peer: target.name.clone(), reserved });
+        let (head_ms, pause_ms) = stall_limits(request, stamp.now);
+        let order = SendOrder {
+            number: request.sends + 1,
+            replica: ReplicaKey::default(),
+            replica_id: target.name,
+            address: target.address,
+            version: String::new(),
+            route: request.route.name.clone(),
+            kind: request.route.kind,
+            model: None,
+            account: None,
+            session: request.session,
+            content: request.content,
+            urgency: None,
+            deadline: request.deadline,
+            head_ms,
+            pause_ms,
+            inputs,
+            pass: Some(pass),
+        };
+        out.push(RouteEffect::Send(ticket, order));
+    }
+
+    /// Whether a request is at another box.
+    pub(super) fn is_forwarded(&self, ticket: RequestTicket) -> bool {
+        self.requests.get(&ticket).is_some_and(|request| request.forward.is_some())
+    }
+
+    /// Handles the response head of the box that a request was forwarded to.
+    pub(super) fn on_forward_head(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        head: AnswerHead,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        if head.proven {
+            let begins = !request.relayed;
+            if let Some(BegunAnswer { size, on_trial }) = head.begun.filter(|_| begins) {
+                request.size = size.or(request.size);
+                request.relayed_on_trial = on_trial;
+            }
+            request.relayed = true;
+            request.may_have_run = true;
+            request.outcome = BackendOutcome::Inconclusive;
+            out.push(RouteEffect::Relay(ticket));
+            return;
+        }
+        let forward = request.forward.take();
+        if head.status == 503 {
+            request.retry_after_ms = head.backoff_ms;
+            let service = backend_hash(&request.service);
+            if let Some(forward) = forward {
+                let until = stamp.now.plus_millis(FORWARD_REFUSED_MS);
+                self.peers.avoid(&forward.peer, Some(service), until);
+            }
+            return self.send(stamp, ticket, RefusalReason::NoReplica, out);
+        }
+        let reason = match head.status {
+            401 => RefusalReason::UnknownKey,
+            404 => RefusalReason::NoRoute,
+            504 => RefusalReason::DeadlinePassed,
+            _ => RefusalReason::Failed,
+        };
+        request.may_have_run |= head.status >= 500;
+        self.give_up(stamp, ticket, reason, out);
+    }
+
+    /// Handles a failed exchange with the box that a request was forwarded to.
+    pub(super) fn on_forward_failed(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        failure: AttemptFailure,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let Some(forward) = request.forward.take() else { return };
+        self.peers.avoid(&forward.peer, None, stamp.now.plus_millis(FORWARD_FAILED_MS));
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        if matches!(failure, AttemptFailure::NeverSent | AttemptFailure::Withdrawn) {
+            return self.send(stamp, ticket, RefusalReason::NoReplica, out);
+        }
+        request.may_have_run = true;
+        request.sends = request.route.attempts - forward.reserved;
+        if request.route.kind.repeatable() {
+            self.resend(stamp, ticket, RefusalReason::Failed, out);
+        } else {
+            self.give_up(stamp, ticket, RefusalReason::Failed, out);
+        }
+    }
+
+    /// Handles a pause of a forwarded request. The other box handles those of its replica, so that
+    /// only its own silence matters.
+    pub(super) fn on_forward_stalled(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let Some(request) = self.requests.get(&ticket) else { return };
+        let Some(forward) = &request.forward else { return };
+        let may_repeat = request.route.kind.repeatable() && forward.reserved > 0;
+        if may_repeat && !self.peers.is_live_peer(&forward.peer, stamp.now) {
+            self.on_forward_failed(stamp, ticket, AttemptFailure::Silent, out);
+        }
+    }
+
+    /// Key that other boxes present when they forward requests to this one.
+    pub fn forward_key(&self) -> u64 {
+        self.settings.forward_key
+    }
+
+    /// How the response to a request began, for the box that forwarded it.
+    pub fn begun_answer(&self, ticket: RequestTicket) -> Option<BegunAnswer> {
+        self.requests.get(&ticket)?.begun()
+    }
+}
+
+/// The box that a request is forwarded to.
+pub(super) struct ForwardTarget {
+    name: String,
+    address: String,
+    key: u64,
+}
+
+impl super::backend::BackendTable {
+    /// Whether a service has a usable replica whose path is blocked.
+    pub(super) fn any_blocked(&self, service: &str, now: BoxTime) -> bool {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        let mut rows = keys.map(|key| &self.rows[*key]);
+        rows.any(|row| row.usable(now) && row.path.is_blocked(now))
+    }
+}
--- a/crates/core/src/route/gossip.rs
+++ b/crates/core/src/route/gossip.rs
@@ -93,18 +93,15 @@
         let budgets = self.budget_updates(stamp.now);
         // Each of these scans all replicas, and rounds of gossip carry them to all boxes anyway:
         // responses are too frequent for such scans.
-        let (loads, unreachable, limits) =
-            if kind == MessageKind::Round || self.peers.gossip_reaches_all() {
-                let backends = &self.backends;
-                let now = stamp.now;
-                (
-                    backends.load_updates(now),
-                    backends.unreachable_updates(now),
-                    backends.limit_updates(now),
-                )
-            } else {
-                Default::default()
-            };
+        let (loads, unreachable, limits) = if kind == MessageKind::Round
+            || self.peers.gossip_reaches_all()
+        {
+            let backends = &self.backends;
+            let now = stamp.now;
+            (backends.load_updates(now), self.unreachable_updates(now), backends.limit_updates(now))
+        } else {
+            Default::default()
+        };
         let trials = self.trials.values().map(|trial| TrialUpdate {
             service: trial.order.service.clone(),
             version: trial.order.version.clone(),
@@ -181,6 +178,9 @@
             store_unreachable: self.store_unreachable(now),
             reads_store: self.reads_for_others(now) || self.reads_at_start(),
             strong: self.settings.capacity.is_strong(),
+            forward_key: self.settings.forward_key,
+            paths_lost: self.paths.is_lost() || !self.paths.is_listed(),
+            unreached: self.unreached_services(now),
         }
     }
 
@@ -278,7 +278,7 @@
             self.backends.apply_load(update, &mean_ms, stamp.now);
         }
         for update in &message.unreachable {
-            let was_ejected = self.backends.is_ejected(update.replica, stamp.now);
+            let was_ejected = self.backends.is_passed_over(update.replica, stamp.now);
             if let Some(key) = self.backends.apply_unreachable(update, stamp.now) {
                 self.mark_unreachable_cold(key);
                 if !was_ejected {
--- a/crates/core/src/route/loads.rs
+++ b/crates/core/src/route/loads.rs
@@ -66,7 +66,7 @@
 impl BackendState {
     /// Returns the replica's placement inputs that are the same for all prompts.
     pub(super) fn view(&self, now: BoxTime) -> ReplicaView {
-        let cold = if self.cold_until > now { COLD_WEIGHT } else { 1.0 };
+        let cold = if self.is_cold(now) { COLD_WEIGHT } else { 1.0 };
         ReplicaView {
             wait_ms: self.backlog.wait_ms(now),
             slowness: cold,
@@ -81,7 +81,7 @@
         let left = (-age / REPORT_HALF_LIFE_MS).exp2();
         let decayed = self.typical_load + (f64::from(self.reported) - self.typical_load) * left;
         let estimate = (decayed + f64::from(self.since_report)).max(f64::from(self.outstanding));
-        let cold = if self.cold_until > now { COLD_WEIGHT } else { 1.0 };
+        let cold = if self.is_cold(now) { COLD_WEIGHT } else { 1.0 };
         estimate * cold / self.slots()
     }
 
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -28,6 +28,8 @@
 //! - [`backend`]: known replicas
 //! - [`loads`]: their loads
 //! - [`backend_health`]: their health
+//! - [`paths`]: the network paths to them
+//! - [`forward`]: requests that another box sends to them
 //! - [`warm_up`]: cold replicas
 //! - `leaving`: replicas that report that they are leaving
 //! - [`rate_limit`]: replicas with a rate limit
@@ -62,12 +64,14 @@
 pub mod evacuation;
 pub mod event;
 mod feedback;
+pub mod forward;
 mod gossip;
 pub mod leader;
 mod leaving;
 pub mod loads;
 pub mod model_cascade;
 pub mod model_latency;
+pub mod paths;
 pub mod peers;
 pub mod pick;
 pub mod placement;
@@ -111,7 +115,8 @@
 use leader::{LeaderBounds, LeaderState};
 use model_cascade::ConfidenceGains;
 use model_latency::ServiceLatency;
-use peers::{BoxCapacity, PeerTable};
+use paths::BoxPaths;
+use peers::{BoxCapacity, PeerState, PeerTable};
 use plan::{RoutePlan, RouteTable};
 use plan_freshness::{FreshBounds, PlanFreshness};
 use poison::PoisonContents;
@@ -147,6 +152,9 @@
     pub zone: String,
     /// Random number drawn at the start of the process.
     pub incarnation: u64,
+    /// Random number drawn at the start of the process, with which other boxes prove that they may
+    /// forward requests to this one; 0 to accept none.
+    pub forward_key: u64,
     /// Address at which it accepts callers.
     pub entry_address: String,
     /// Address at which it receives gossip.
@@ -183,6 +191,8 @@
     table: RouteTable,
     fresh: PlanFreshness,
     backends: BackendTable,
+    /// Network paths to the replicas.
+    paths: BoxPaths,
     /// Availability zones under evacuation.
     evacuated: EvacuatedZones,
     /// Content that crashes replicas.
@@ -228,6 +238,7 @@
     pub fn new(settings: RouteSettings) -> Self {
         Self {
             backends: BackendTable::default(),
+            paths: BoxPaths::default(),
             settings,
             table: RouteTable::default(),
             fresh: PlanFreshness::default(),
@@ -339,6 +350,10 @@
             RouteEvent::AttemptFailed(ticket, failure) => {
                 self.on_failed(stamp, ticket, failure, out);
             }
+            RouteEvent::PathProbed { replica, reached } => {
+                self.on_path_probed(stamp, replica, reached, out);
+            }
+            RouteEvent::PathBlocked(ticket) => self.on_path_blocked(stamp, ticket, out),
             RouteEvent::ResponseFinished(ticket) => self.on_response_finished(stamp, ticket),
             RouteEvent::DeadlinePassed(ticket) => self.on_deadline_passed(stamp, ticket, out),
             RouteEvent::CallerDisconnected(ticket) => self.on_caller_disconnected(stamp, ticket),
@@ -371,6 +386,7 @@
         self.apply_evacuations(stamp, evacuations, out);
         self.share_limits(stamp.now);
         self.share_cold(stamp.now);
+        self.check_paths(stamp, out);
         self.settle_crashes(stamp.now);
         self.update_open_since(stamp.now);
         self.begin_start_read(stamp.now);
@@ -490,6 +506,9 @@
     /// connection is opened, the zone may be evacuated, or the replica may report that it is
     /// leaving or ask for backoff.
     pub fn may_write(&self, ticket: RequestTicket, now: BoxTime) -> bool {
+        if self.is_forwarded(ticket) {
+            return true;
+        }
         let attempt = self.requests.get(&ticket).and_then(|request| request.attempt);
         let row = attempt.and_then(|attempt| self.backends.get(attempt.replica));
         row.is_some_and(|row| {
@@ -529,11 +548,19 @@
         self.settings.budget = budget;
     }
 
-    /// Addresses for callers: open boxes, or this box if none is open and it can serve.
+    /// Addresses for callers: open boxes that reach replicas, or all open ones if none does, or this
+    /// box if none is open and it can serve.
     pub fn advertised_addresses(&self, now: BoxTime) -> Vec<String> {
-        let mut addresses: Vec<String> =
-            self.peers.open_rows(now).map(|row| row.info.entry_address.clone()).collect();
-        if self.open(now) || (addresses.is_empty() && self.ready(now)) {
+        let address = |row: &PeerState| row.info.entry_address.clone();
+        let reaching = self.peers.open_rows(now).filter(|row| !row.info.paths_lost);
+        let mut addresses: Vec<String> = reaching.map(address).collect();
+        let own_listed = self.open(now) && self.paths.is_listed();
+        if addresses.is_empty() && !own_listed {
+            addresses = self.peers.open_rows(now).map(address).collect();
+        }
+        let any_reaches = self.peers.open_rows(now).any(|row| !row.info.paths_lost);
+        let only_choice = addresses.is_empty() && self.ready(now);
+        if own_listed || only_choice || (self.open(now) && !any_reaches) {
             addresses.push(self.settings.entry_address.clone());
         }
         addresses.truncate(peers::ADVERTISED_LIMIT);
--- a/crates/core/src/route/peers/mod.rs
+++ b/crates/core/src/route/peers/mod.rs
@@ -19,7 +19,7 @@
 use serde::Serialize;
 
 pub use duties::{BoxCapacity, LocalPeer};
-pub use table::{PeerState, PeerTable};
+pub use table::{ForwardQuery, PeerState, PeerTable};
 
 use super::backend::BackendChange;
 use super::backend_health::UnreachableUpdate;
@@ -195,6 +195,13 @@
     pub reads_store: bool,
     /// Whether it has the capacity to respond to many others; see [`BoxCapacity::is_strong`].
     pub strong: bool,
+    /// Key with which requests may be forwarded to it; 0 if it accepts none.
+    #[serde(skip)]
+    pub forward_key: u64,
+    /// Whether it reaches no replica, or did not until recently.
+    pub paths_lost: bool,
+    /// Hashes of the services of which it reaches no replica.
+    pub unreached: Vec<u64>,
 }
 
 impl PeerInfo {
--- a/crates/core/src/route/peers/table.rs
+++ b/crates/core/src/route/peers/table.rs
@@ -42,6 +42,23 @@
     pub(super) rows: BTreeMap<String, PeerState>,
     /// Addresses from which no message was received, with the time when they became known.
     unverified: BTreeMap<String, BoxTime>,
+    /// Boxes that get no forwarded requests until some time, for one service or for all.
+    avoided: BTreeMap<(String, Option<u64>), BoxTime>,
+}
+
+/// What a request needs of the box that it is forwarded to.
+#[derive(Clone, Copy, Debug)]
+pub struct ForwardQuery<'a> {
+    /// Hash of its service.
+    pub service: u64,
+    /// Availability zone of this box.
+    pub zone: &'a str,
+    /// Boxes that already had it.
+    pub tried: &'a [String],
+    /// A random number.
+    pub random: u64,
+    /// The current time.
+    pub now: BoxTime,
 }
 
 impl PeerTable {
@@ -113,6 +130,7 @@
     pub fn forget(&mut self, now: BoxTime) {
         self.rows.retain(|_, row| now.millis_since(row.seen_at) < PEER_EXPIRY_MS);
         self.unverified.retain(|_, at| now.millis_since(*at) < PEER_EXPIRY_MS);
+        self.avoided.retain(|_, until| *until > now);
     }
 
     /// Number of live boxes, including this one.
@@ -196,6 +214,43 @@
         some.map(|row| row.info.gossip_address.clone()).collect()
     }
 
+    /// Returns a box that reaches replicas of the request's service, at random, and of this box's
+    /// availability zone if there is one.
+    pub fn forward_target(&self, query: &ForwardQuery) -> Option<(&String, &PeerInfo)> {
+        let fits = |row: &(&String, &PeerState)| {
+            let (name, PeerState { info, .. }) = *row;
+            info.open
+                && row.1.is_live(query.now)
+                && info.forward_key != 0
+                && !info.paths_lost
+                && !info.unreached.contains(&query.service)
+                && !query.tried.contains(name)
+                && !self.is_avoided(name, query)
+        };
+        let order = |(name, row): &(&String, &PeerState)| {
+            let far = row.info.zone != query.zone;
+            (far, xxh3_64_with_seed(name.as_bytes(), query.random))
+        };
+        let target = self.rows.iter().filter(fits).min_by_key(order);
+        target.map(|(name, row)| (name, &row.info))
+    }
+
+    fn is_avoided(&self, name: &str, query: &ForwardQuery) -> bool {
+        let until = |service| self.avoided.get(&(name.to_owned(), service));
+        let until = until(None).max(until(Some(query.service)));
+        until.is_some_and(|until| *until > query.now)
+    }
+
+    /// Forwards nothing to a box until some time, for one service or for all.
+    pub fn avoid(&mut self, name: &str, service: Option<u64>, until: BoxTime) {
+        self.avoided.insert((name.to_owned(), service), until);
+    }
+
+    /// Whether a box sent a message recently.
+    pub fn is_live_peer(&self, name: &str, now: BoxTime) -> bool {
+        self.rows.get(name).is_some_and(|row| row.is_live(now))
+    }
+
     /// Live boxes that callers may be directed to.
     pub fn open_rows(&self, now: BoxTime) -> impl Iterator<Item = &PeerState> {
         self.rows.values().filter(move |row| row.info.open && row.is_live(now))
--- a/crates/core/src/route/pick.rs
+++ b/crates/core/src/route/pick.rs
@@ -97,6 +97,7 @@
         let fits = |key: &&ReplicaKey| {
             let row = &self.rows[**key];
             row.usable(query.now)
+                && !row.path.is_blocked(query.now)
                 && !query.evacuated.contains(&row.entry.zone)
                 && query.zones.is_none_or(|zones| zones.contains(&row.entry.zone))
                 && !(query.bounds_cold && row.too_cold(query.now))
@@ -108,9 +109,9 @@
         let healthy: Vec<ReplicaKey> = usable
             .iter()
             .copied()
-            .filter(|key| self.rows[*key].ejected_until <= query.now)
+            .filter(|key| !self.rows[*key].is_passed_over(query.now))
             .collect();
-        // With more than half ejected, the cause is not the replicas.
+        // With more than half passed over, the cause is not the replicas.
         let mut pool = if healthy.len() * 2 < usable.len() { usable } else { healthy };
         pool.truncate(query.most.unwrap_or(usize::MAX));
         let probe = pool.iter().copied().find(|key| self.rows[*key].limit.needs_probe(query.now));
--- a/crates/core/src/route/poison/mod.rs
+++ b/crates/core/src/route/poison/mod.rs
@@ -174,6 +174,11 @@
         settled
     }
 
+    /// Removes the crashes since `since` that this box observed itself.
+    pub(super) fn retract_own(&mut self, since: BoxTime) {
+        self.rows.values_mut().for_each(|row| row.retract_own(since));
+    }
+
     /// Removes the records that have expired.
     fn forget(&mut self, now: BoxTime) {
         self.rows.retain(|_, row| row.is_kept(now));
@@ -250,6 +255,7 @@
             requests: vec![request.id_hash],
             replica: row.id_hash,
             unconfirmed: Some(attempt.replica),
+            own: true,
             at: stamp.now,
         };
         self.poison.add_crash(request.content, crash, stamp.now);
@@ -279,7 +285,13 @@
         for update in crashes.iter().filter(|update| update.age_ms < CRASH_GOSSIP_MS) {
             let at = stamp.now.minus_millis(update.age_ms);
             let CrashUpdate { content, request, replica, .. } = *update;
-            let crash = ReplicaCrash { requests: vec![request], replica, unconfirmed: None, at };
+            let crash = ReplicaCrash {
+                requests: vec![request],
+                replica,
+                unconfirmed: None,
+                own: false,
+                at,
+            };
             self.poison.add_crash(content, crash, stamp.now);
         }
         for update in updates.iter().filter(|update| update.age_ms < POISON_KEPT_MS) {
--- a/crates/core/src/route/poison/record.rs
+++ b/crates/core/src/route/poison/record.rs
@@ -18,6 +18,8 @@
     pub(super) replica: u64,
     /// Key of the replica while the crash is unconfirmed.
     pub(super) unconfirmed: Option<ReplicaKey>,
+    /// Whether only this box observed it.
+    pub(super) own: bool,
     pub(super) at: BoxTime,
 }
 
@@ -36,6 +38,7 @@
             }
         }
         self.unconfirmed = self.unconfirmed.and(other.unconfirmed);
+        self.own &= other.own;
     }
 
     /// Returns whether this crash and an earlier one were simultaneous under different requests.
@@ -116,6 +119,16 @@
         }
     }
 
+    /// Removes the crashes since `since` that only this box observed, and what followed from them.
+    pub(super) fn retract_own(&mut self, since: BoxTime) {
+        let before = self.crashes.len();
+        self.crashes.retain(|crash| !crash.own || crash.at < since);
+        if self.crashes.len() < before {
+            self.poison_at = self.poison_at.filter(|at| *at < since);
+            self.logged &= self.poison_at.is_some();
+        }
+    }
+
     /// Resolves unconfirmed crashes by the fate of their replicas. Returns whether any was
     /// confirmed.
     pub(super) fn settle(
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -1,7 +1,7 @@
 //! A request in flight and its current attempt: plain data that the decisions share.
 
 use super::backend_health::BackendOutcome;
-use super::event::PromptSize;
+use super::event::{BegunAnswer, ForwardedRequest, PromptSize};
 use super::model_cascade::ModelConfidence;
 use super::plan::RouteSpec;
 use crate::ids::ReplicaKey;
@@ -47,6 +47,12 @@
     /// Outcome for the replica whose answer was relayed.
     pub(super) outcome: BackendOutcome,
     pub(super) attempt: Option<RunningAttempt>,
+    /// How the forwarding box received it, if another box forwarded it to this one.
+    pub(super) received: Option<ForwardedRequest>,
+    /// Boxes to which it was forwarded.
+    pub(super) forward_tried: Vec<String>,
+    /// The box that has it now.
+    pub(super) forward: Option<RunningForward>,
     /// Retry time if it is refused, in milliseconds, where it is known.
     pub(super) retry_after_ms: Option<u64>,
 }
@@ -56,6 +62,20 @@
     pub(super) fn may_be_sent(&self, now: BoxTime) -> bool {
         self.sends < self.route.attempts && now < self.deadline
     }
+
+    /// Returns whether an attempt failed.
+    pub(super) fn has_failed(&self) -> bool {
+        self.connect_failures > 0 || self.may_have_run
+    }
+
+    /// Returns how the answer began of which the caller has a part, here or at the box that forwarded
+    /// the request.
+    pub(super) fn begun(&self) -> Option<BegunAnswer> {
+        if self.relayed {
+            return Some(BegunAnswer { size: self.size, on_trial: self.relayed_on_trial });
+        }
+        self.received.and_then(|received| received.begun)
+    }
 }
 
 /// A current attempt.
@@ -71,4 +91,15 @@
     pub(super) cached: bool,
     /// Whether no queued work was known there.
     pub(super) was_idle: bool,
+    /// Expected time until the answer begins, in milliseconds.
+    pub(super) expected_ms: u64,
+}
+
+/// A request at the box to which it was forwarded.
+#[derive(Clone, Debug)]
+pub(super) struct RunningForward {
+    /// Name of the box.
+    pub(super) peer: String,
+    /// Attempts that this box kept for itself.
+    pub(super) reserved: u32,
 }
--- a/crates/core/src/route/retry_budget.rs
+++ b/crates/core/src/route/retry_budget.rs
@@ -77,6 +77,8 @@
     Stall,
     /// A larger model is asked.
     LargerModel,
+    /// The path to the replica is lost.
+    PathLost,
 }
 
 /// Requests and extra attempts in one slot.
@@ -113,6 +115,12 @@
         self.slot(bounds, now).requests += 1;
     }
 
+    /// Takes back one recorded request, which another box counts.
+    pub fn give_back(&mut self, bounds: BudgetBounds, now: BoxTime) {
+        let slot = self.slot(bounds, now);
+        slot.requests = slot.requests.saturating_sub(1);
+    }
+
     /// Returns this box's counts, for gossip.
     pub fn count(&mut self, bounds: BudgetBounds, now: BoxTime) -> SendCount {
         self.slot(bounds, now);
@@ -137,7 +145,7 @@
     ) -> bool {
         let own = self.count(bounds, now);
         let share = match cause {
-            SendCause::Failure => 1.0,
+            SendCause::Failure | SendCause::PathLost => 1.0,
             SendCause::Stall | SendCause::LargerModel => 1.0 - FAILURE_RESERVE,
         };
         let slack = bounds.slack * SLACK_USED / boxes.max(1) as f64;
--- a/crates/core/src/route/warm_up.rs
+++ b/crates/core/src/route/warm_up.rs
@@ -35,7 +35,7 @@
         fleet: &FleetNames,
         now: BoxTime,
     ) {
-        for row in self.rows.values_mut().filter(|row| row.cold_until > now) {
+        for row in self.rows.values_mut().filter(|row| row.is_cold(now)) {
             if let Some(plan) = warm_up(&row.entry.service) {
                 row.warm_up.set_share(plan.per_s, row.id_hash, fleet);
             }
@@ -44,7 +44,7 @@
 
     /// Returns whether any replica is cold.
     fn any_cold(&self, now: BoxTime) -> bool {
-        self.rows.values().any(|row| row.cold_until > now)
+        self.rows.values().any(|row| row.is_cold(now))
     }
 }
 
--- a/crates/core/tests/route/fixture.rs
+++ b/crates/core/tests/route/fixture.rs
@@ -38,6 +38,7 @@
         name: name.to_owned(),
         zone: "east".to_owned(),
         incarnation: 1,
+        forward_key: 9,
         entry_address: format!("{name}:80"),
         gossip_address: format!("{name}:90"),
         is_seed: false,
@@ -113,6 +114,7 @@
         not_run: false,
         other_replica: false,
         proven: true,
+        begun: None,
     }
 }
 
--- a/crates/core/tests/route/partition_fleet.rs
+++ b/crates/core/tests/route/partition_fleet.rs
@@ -8,7 +8,7 @@
 use ravenspoke_core::ids::ReplicaKey;
 use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
 use ravenspoke_core::route::event::{
-    AttemptFailure, CallerRequest, RouteEffect, RouteEvent, SendOrder,
+    AnswerHead, AttemptFailure, CallerRequest, RouteEffect, RouteEvent, SendOrder,
 };
 use ravenspoke_core::route::plan::RoutePlan;
 use ravenspoke_core::route::{RouteSettings, RouteState};
@@ -63,6 +63,7 @@
     Break(usize, u64, u64),
     Stall(usize, u64, u64),
     Deadline(usize, u64),
+    Probed(usize, ReplicaKey, bool),
 }
 
 /// A first try of a caller.
@@ -110,6 +111,16 @@
     attempt_number: u64,
     callers: Vec<CallerView>,
     tries: HashMap<(usize, u64), FirstTry>,
+    /// Requests as callers sent them, by box and ticket.
+    requests: HashMap<(usize, u64), CallerRequest>,
+    /// The forwarding box and its ticket, by box and ticket of a forwarded request.
+    origins: HashMap<(usize, u64), (usize, u64)>,
+    /// Requests that each box forwarded.
+    pub forwards: Vec<usize>,
+    /// Whether all requests have the same content.
+    pub one_content: bool,
+    /// Versions and contents that boxes found bad.
+    pub verdicts: Vec<RouteEffect>,
     /// Attempts of each box that failed on their path.
     pub failed_sends: Vec<usize>,
     /// Requests that each box sent to replicas that it reaches.
@@ -137,6 +148,11 @@
             attempt_number: 0,
             callers: Vec::new(),
             tries: HashMap::new(),
+            requests: HashMap::new(),
+            origins: HashMap::new(),
+            forwards: vec![0; boxes],
+            one_content: false,
+            verdicts: Vec::new(),
             failed_sends: vec![0; boxes],
             sends: vec![0; boxes],
             next_arrival: 1_000.0,
@@ -250,12 +266,26 @@
 
     fn handle(&mut self, number: usize, effect: RouteEffect) {
         match effect {
+            RouteEffect::Send(ticket, order) if order.pass.is_some() => {
+                self.forward(number, ticket.0, order);
+            }
             RouteEffect::Send(ticket, order) => self.send(number, ticket.0, order),
             RouteEffect::Relay(ticket) => self.relay(number, ticket.0),
-            RouteEffect::Refuse(ticket, ..) | RouteEffect::AbortResponse(ticket, _) => {
+            RouteEffect::Refuse(ticket, refusal, _) => {
+                self.attempts.remove(&(number, ticket.0));
+                self.end_try(number, ticket.0, false);
+                let answer = AnswerHead { proven: false, ..head(refusal.status) };
+                self.answer_origin(number, ticket.0, answer);
+            }
+            RouteEffect::AbortResponse(ticket, _) => {
                 self.attempts.remove(&(number, ticket.0));
                 self.end_try(number, ticket.0, false);
             }
+            RouteEffect::ProbePath(key, _) => self.probe(number, key),
+            RouteEffect::PathsBlocked => self.report_blocked(number),
+            effect @ (RouteEffect::PoisonRefused { .. } | RouteEffect::VersionRejected { .. }) => {
+                self.verdicts.push(effect);
+            }
             RouteEffect::SendGossip(targets, message) => {
                 for target in targets.iter().filter_map(|target| number_of(target)) {
                     self.feed(target, RouteEvent::GossipReceived(message.clone()));
@@ -296,7 +326,57 @@
         self.push(deadline, Step::Deadline(number, ticket));
     }
 
+    /// Delivers a forwarded request to its box.
+    fn forward(&mut self, number: usize, ticket: u64, order: SendOrder) {
+        self.forwards[number] += 1;
+        self.attempt_number += 1;
+        let attempt = self.attempt_number;
+        let target = number_of(&order.address).expect("a box");
+        let deadline = order.deadline.as_millis();
+        let request = self.requests[&(number, ticket)].clone();
+        let pass = order.pass.expect("a pass");
+        assert_eq!(pass.key, self.boxes[target].forward_key(), "the key of the box");
+        self.attempts.insert((number, ticket), RunningTry { number: attempt, order, head: false });
+        self.push(deadline, Step::Deadline(number, ticket));
+        self.tickets += 1;
+        let inner = self.tickets;
+        self.origins.insert((target, inner), (number, ticket));
+        let left = deadline.saturating_sub(self.now);
+        let request =
+            CallerRequest { forward: Some(pass.request), deadline_ms: Some(left), ..request };
+        self.feed(target, RouteEvent::RequestArrived(RequestTicket(inner), request));
+    }
+
+    /// Hands the answer to a forwarded request to the box that forwarded it.
+    fn answer_origin(&mut self, number: usize, ticket: u64, answer: AnswerHead) {
+        if let Some((origin, outer)) = self.origins.remove(&(number, ticket)) {
+            if self.attempts.contains_key(&(origin, outer)) {
+                self.feed(origin, RouteEvent::HeadReceived(RequestTicket(outer), answer));
+            }
+        }
+    }
+
+    fn probe(&mut self, number: usize, key: ReplicaKey) {
+        let replica = self.keys[number][&key];
+        let is_lost = self.lost[number][replica];
+        let hangs = is_lost && self.failure == PathFailure::Hanging && !self.down[replica];
+        let after_ms = if hangs { CONNECT_MS } else { 1 };
+        let reached = !is_lost && !self.down[replica];
+        self.push(self.now + after_ms, Step::Probed(number, key, reached));
+    }
+
+    /// Tells all requests of a box that paths are lost.
+    fn report_blocked(&mut self, number: usize) {
+        let own = self.attempts.iter().filter(|((owner, _), row)| *owner == number && !row.head);
+        let mut tickets: Vec<u64> = own.map(|((_, ticket), _)| *ticket).collect();
+        tickets.sort_unstable();
+        for ticket in tickets {
+            self.feed(number, RouteEvent::PathBlocked(RequestTicket(ticket)));
+        }
+    }
+
     fn relay(&mut self, number: usize, ticket: u64) {
+        self.answer_origin(number, ticket, head(200));
         if let Some(attempt) = self.attempts.get_mut(&(number, ticket)) {
             attempt.head = true;
         }
@@ -338,6 +418,9 @@
                 self.feed(number, RouteEvent::Tick);
                 self.push(self.now + TICK_MS, Step::Tick(number));
             }
+            Step::Probed(number, replica, reached) => {
+                self.feed(number, RouteEvent::PathProbed { replica, reached });
+            }
             Step::Head(number, ticket, attempt) if self.is_running(number, ticket, attempt) => {
                 self.feed(number, RouteEvent::HeadReceived(RequestTicket(ticket), head(200)));
             }
@@ -399,9 +482,10 @@
         let request = CallerRequest {
             id: format!("r{ticket}"),
             session: session(caller as u64 + 1),
-            content: session(1_000 + ticket),
+            content: if self.one_content { 77 } else { session(1_000 + ticket) },
             ..ask(path)
         };
+        self.requests.insert((entry, ticket), request.clone());
         self.feed(entry, RouteEvent::RequestArrived(RequestTicket(ticket), request));
     }
 
--- a/crates/core/tests/route/partitions.rs
+++ b/crates/core/tests/route/partitions.rs
@@ -91,3 +91,124 @@
         assert!(failed * 4 < sent, "{how:?}: {failed} sends failed on their path, {sent} did not");
     }
 }
+
+#[test]
+fn directory_stays_filled_when_no_box_reaches_a_replica() {
+    for how in FAILURES {
+        let all: Vec<usize> = (0..7).collect();
+        let mut fleet = partitioned(7, 12, &all, how);
+
+        fleet.play(CONTACT_MS);
+
+        for number in 0..7 {
+            assert_eq!(fleet.listed(number), all, "{how:?}: box {number}");
+        }
+    }
+}
+
+#[test]
+fn replicas_that_are_down_for_all_boxes_empty_no_directory_and_requests_are_refused_at_once() {
+    let all: Vec<usize> = (0..7).collect();
+    let mut fleet = PartitionFleet::start(7, 12);
+    fleet.play(5_000);
+    fleet.down.fill(true);
+    fleet.play(2_000);
+    let from = fleet.now;
+
+    fleet.play(3_000);
+
+    for number in 0..7 {
+        assert_eq!(fleet.listed(number), all, "box {number}");
+    }
+    for row in fleet.tries(from, fleet.now - 500, |_| true) {
+        let (ended_at, served) = row.ended.expect("the request ends");
+        assert!(!served && ended_at - row.at <= 50, "{row:?}");
+    }
+    let forwards: usize = fleet.forwards.iter().sum();
+    assert!(forwards <= 30, "{forwards} requests were forwarded to boxes that reach no replica");
+}
+
+#[test]
+fn box_whose_paths_return_serves_its_callers_itself() {
+    for how in FAILURES {
+        let mut fleet = partitioned(7, 12, &[0, 2, 5], how);
+        fleet.play(LOST_MS);
+        assert_eq!(fleet.listed(1), [1, 3, 4, 6], "{how:?}");
+        [0, 2, 5].iter().for_each(|number| fleet.restore_paths(*number));
+        fleet.play(3_000);
+        fleet.forwards.fill(0);
+        let from = fleet.now;
+
+        fleet.play(5_000);
+
+        let all: Vec<usize> = (0..7).collect();
+        assert_eq!(fleet.listed(1), all, "{how:?}");
+        assert_eq!(fleet.forwards, [0; 7], "{how:?}");
+        let tries = fleet.tries(from, fleet.now - 1_000, |_| true);
+        assert_eq!(served(&tries), tries.len(), "{how:?}");
+    }
+}
+
+#[test]
+fn callers_are_served_while_paths_come_and_go() {
+    for how in FAILURES {
+        let mut fleet = PartitionFleet::start(7, 12);
+        fleet.play(5_000);
+        let from = fleet.now;
+        for _ in 0..8 {
+            [0, 2, 5].iter().for_each(|number| fleet.lose_paths(*number, |_| true, how));
+            fleet.play(1_000);
+            [0, 2, 5].iter().for_each(|number| fleet.restore_paths(*number));
+            fleet.play(1_000);
+        }
+
+        assert_served(&fleet, &[0, 2, 5], from + CONTACT_MS, fleet.now - 1_000);
+    }
+}
+
+#[test]
+fn box_that_starts_without_paths_serves_its_callers_through_others() {
+    for how in FAILURES {
+        let mut fleet = partitioned(7, 12, &[0], how);
+        fleet.play(2_000);
+        fleet.restart(0);
+        let from = fleet.now;
+
+        fleet.play(LOST_MS);
+
+        assert_served(&fleet, &[0], from + CONTACT_MS, fleet.now - 1_000);
+        assert!(!fleet.listed(1).contains(&0), "{how:?}");
+    }
+}
+
+#[test]
+fn boxes_of_a_large_fleet_that_reach_no_replica_are_not_listed() {
+    for how in FAILURES {
+        let cut: Vec<usize> = (0..84).filter(|number| number % 4 == 1).collect();
+        let mut fleet = partitioned(84, 140, &cut, how);
+        let lost_at = fleet.now;
+
+        fleet.play(8_000);
+
+        assert_served(&fleet, &cut, lost_at + CONTACT_MS, fleet.now - 1_000);
+        let listed = fleet.listed(0);
+        assert!(listed.iter().all(|number| !cut.contains(number)), "{how:?}: {listed:?}");
+    }
+}
+
+#[test]
+fn lost_paths_are_no_evidence_against_contents() {
+    for how in FAILURES {
+        let mut fleet = PartitionFleet::start(7, 12);
+        fleet.one_content = true;
+        fleet.play(5_000);
+        for _ in 0..4 {
+            [0, 2, 5].iter().for_each(|number| fleet.lose_paths(*number, |_| true, how));
+            fleet.play(2_000);
+            [0, 2, 5].iter().for_each(|number| fleet.restore_paths(*number));
+            fleet.play(2_000);
+        }
+
+        assert_eq!(fleet.verdicts, [], "{how:?}");
+    }
+}
--- a/crates/core/tests/route/replica_fleet.rs
+++ b/crates/core/tests/route/replica_fleet.rs
@@ -274,8 +274,17 @@
 
     pub fn feed(&mut self, number: usize, event: RouteEvent) -> Vec<RouteEffect> {
         let random = (self.draw() * (1u64 << 62) as f64) as u64;
-        let now = BoxTime::from_millis(self.now);
-        self.boxes[number].apply(EventStamp { now, wall: WallTime(0), random }, event)
+        let stamp = EventStamp { now: BoxTime::from_millis(self.now), wall: WallTime(0), random };
+        let mut effects = self.boxes[number].apply(stamp, event);
+        let mut probed = 0;
+        while let Some(effect) = effects.get(probed) {
+            probed += 1;
+            let RouteEffect::ProbePath(replica, _) = *effect else { continue };
+            let reached = !self.down[self.keys[number][&replica]];
+            let event = RouteEvent::PathProbed { replica, reached };
+            effects.extend(self.boxes[number].apply(stamp, event));
+        }
+        effects
     }
 
     fn push(&mut self, at: u64, step: Step) {
--- a/crates/standins/src/soak/inflict.rs
+++ b/crates/standins/src/soak/inflict.rs
@@ -1,5 +1,6 @@
 //! Injects faults into the site and ends them again.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -67,6 +68,12 @@
         SoakFault::ReplicaPath(number, fault) => {
             disturb(&site.replica_paths[number], fault, row).await;
         }
+        SoakFault::BoxPaths(number, fault) => {
+            site.lose_paths(&[site.addresses[number]], fault, row.length).await;
+        }
+        SoakFault::AllPaths(fault) => {
+            site.lose_paths(&site.addresses, fault, row.length).await;
+        }
         SoakFault::Replica(number, mode) => site.disturb_replica(number, mode, row.length).await,
         SoakFault::ReplicaLeaves => site.add_leaving_replica(row, 0).await,
         SoakFault::ReplicaCold => site.add_leaving_replica(row, COLD_MS).await,
@@ -86,6 +93,19 @@
 }
 
 impl SoakSite {
+    /// Cuts the paths from some boxes to all replicas for a while.
+    async fn lose_paths(&self, boxes: &[IpAddr], fault: ProxyFault, length: Duration) {
+        self.set_paths(boxes, fault);
+        sleep(length).await;
+        self.set_paths(boxes, ProxyFault::None);
+    }
+
+    fn set_paths(&self, boxes: &[IpAddr], fault: ProxyFault) {
+        for path in self.replica_paths.iter().chain(&self.new_paths) {
+            boxes.iter().for_each(|address| path.set_from(*address, fault));
+        }
+    }
+
     /// Kills a box once no other fault has locked it, and restarts it later. Returns when it was
     /// killed.
     async fn kill_box(&self, number: usize, length: Duration) -> Instant {
--- a/crates/standins/src/soak/judge.rs
+++ b/crates/standins/src/soak/judge.rs
@@ -5,6 +5,7 @@
 
 use super::callers::DEADLINE_MS;
 use super::exposure::check_exposure;
+use super::partitions::check_partitions;
 use super::recorder::{AskEnd, AskKind, AskRecord, InjectedFault, SoakRecorder};
 use super::schedule::SoakFault;
 use super::sessions::{check_sessions, RolloutResult};
@@ -101,6 +102,7 @@
     broken.extend(check_cold(record));
     broken.extend(check_sessions(record, &asks, &faults));
     broken.extend(check_exposure(record, &faults));
+    broken.extend(check_partitions(record.boxes, &asks, &faults));
     broken
 }
 
@@ -155,7 +157,7 @@
         let excuses = match row.fault {
             SoakFault::BoxKilled(number) | SoakFault::BoxPaused(number) => here(number),
             SoakFault::BoxesKilled => true,
-            SoakFault::Replica(..) | SoakFault::ReplicaPath(..) => true,
+            SoakFault::Replica(..) | SoakFault::ReplicaPath(..) | SoakFault::AllPaths(..) => true,
             _ => false,
         };
         excuses && row.overlaps(ask.sent_at, ask.ended_at, SLACK)
@@ -295,6 +297,8 @@
         SoakFault::BoxTold(_)
         | SoakFault::Replica(..)
         | SoakFault::ReplicaPath(..)
+        | SoakFault::BoxPaths(..)
+        | SoakFault::AllPaths(..)
         | SoakFault::ReplicaLeaves
         | SoakFault::ReplicaCold
         | SoakFault::ZoneEmptied
--- a/crates/standins/src/soak/mod.rs
+++ b/crates/standins/src/soak/mod.rs
@@ -11,6 +11,7 @@
 mod exposure;
 mod inflict;
 pub mod judge;
+mod partitions;
 pub mod play;
 pub mod proxy;
 pub mod recorder;
--- a/crates/standins/src/soak/play.rs
+++ b/crates/standins/src/soak/play.rs
@@ -13,7 +13,9 @@
 use super::inflict::inject_fault;
 use super::judge::{judge, BrokenGuarantee, SoakRecord};
 use super::recorder::{AskEnd, AskKind};
-use super::schedule::{draw_faults, draw_series, TimedFault, BOXES, FAULT_WINDOW, RECOVERY_TIME};
+use super::schedule::{
+    draw_faults, draw_partitions, draw_series, TimedFault, BOXES, FAULT_WINDOW, RECOVERY_TIME,
+};
 use super::site::SoakSite;
 
 /// Requests that each box must serve after the faults.
@@ -41,6 +43,11 @@
     play_faults(binary, seed, draw_series(seed)).await
 }
 
+/// Runs the lost paths of a box, with the stops and kills that a seed draws.
+pub async fn play_partitions(binary: &Path, seed: u64) -> SoakReport {
+    play_faults(binary, seed, draw_partitions(seed)).await
+}
+
 /// Runs a seed with a bad version and a few of the seed's faults.
 pub async fn play_bad_version(binary: &Path, seed: u64) -> SoakReport {
     let mut faults = draw_faults(seed);
--- a/crates/standins/src/soak/proxy.rs
+++ b/crates/standins/src/soak/proxy.rs
@@ -1,5 +1,7 @@
-//! A loopback TCP proxy that injects network faults into its connections.
+//! A loopback TCP proxy that injects network faults into its connections, all of them or those from
+//! one address.
 
+use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -21,6 +23,8 @@
     Delayed(Duration),
     /// Connections are reset, new ones too.
     Reset,
+    /// New connections are reset; open ones continue.
+    Refused,
     /// Nothing is forwarded to the target.
     CutThere,
     /// Nothing is forwarded from the target.
@@ -42,16 +46,59 @@
             ProxyFault::CutThere => way == Direction::There,
             ProxyFault::CutBack => way == Direction::Back,
             ProxyFault::Silent => true,
-            ProxyFault::None | ProxyFault::Delayed(_) | ProxyFault::Reset => false,
+            ProxyFault::None | ProxyFault::Delayed(_) | ProxyFault::Reset | ProxyFault::Refused => {
+                false
+            }
         }
     }
 }
 
+/// Faults of a proxy.
+#[derive(Clone, Debug, Default)]
+struct ProxyFaults {
+    /// Of connections from any address.
+    all: ProxyFault,
+    /// Of connections from some addresses.
+    from: HashMap<IpAddr, ProxyFault>,
+}
+
+impl ProxyFaults {
+    /// Fault of connections from an address.
+    fn of(&self, source: IpAddr) -> ProxyFault {
+        match self.from.get(&source) {
+            Some(fault) if *fault != ProxyFault::None => *fault,
+            _ => self.all,
+        }
+    }
+}
+
+/// Faults of one connection.
+#[derive(Clone)]
+struct ConnectionFaults {
+    source: IpAddr,
+    faults: watch::Receiver<ProxyFaults>,
+}
+
+impl ConnectionFaults {
+    fn now(&self) -> ProxyFault {
+        self.faults.borrow().of(self.source)
+    }
+
+    /// Waits until the fault is as `matches` says. Returns an error if the proxy was dropped.
+    async fn wait_for(
+        &mut self,
+        matches: impl Fn(ProxyFault) -> bool,
+    ) -> Result<(), watch::error::RecvError> {
+        let source = self.source;
+        self.faults.wait_for(|faults| matches(faults.of(source))).await.map(drop)
+    }
+}
+
 /// A running proxy before the store or a replica.
 pub struct FaultProxy {
     /// Address that it listens on.
     pub address: SocketAddr,
-    fault: watch::Sender<ProxyFault>,
+    faults: watch::Sender<ProxyFaults>,
 }
 
 impl FaultProxy {
@@ -59,26 +106,34 @@
     pub async fn start(ip: IpAddr, target: SocketAddr) -> Self {
         let listener = TcpListener::bind((ip, 0)).await.expect("a free port");
         let address = listener.local_addr().expect("it listens");
-        let (fault, state) = watch::channel(ProxyFault::None);
+        let (faults, state) = watch::channel(ProxyFaults::default());
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(forward(stream, target, state.clone()));
+            while let Ok((stream, source)) = listener.accept().await {
+                let state = ConnectionFaults { source: source.ip(), faults: state.clone() };
+                tokio::spawn(forward(stream, target, state));
             }
         });
-        Self { address, fault }
+        Self { address, faults }
     }
 
     /// Sets the fault of present and future connections.
     pub fn set(&self, fault: ProxyFault) {
-        self.fault.send_replace(fault);
+        self.faults.send_modify(|faults| faults.all = fault);
+    }
+
+    /// Sets the fault of present and future connections from an address.
+    pub fn set_from(&self, source: IpAddr, fault: ProxyFault) {
+        self.faults.send_modify(|faults| {
+            faults.from.insert(source, fault);
+        });
     }
 }
 
 /// Forwards one connection until either side ends it.
-async fn forward(client: TcpStream, target: SocketAddr, mut state: watch::Receiver<ProxyFault>) {
+async fn forward(client: TcpStream, target: SocketAddr, mut state: ConnectionFaults) {
     // Without this, Nagle's algorithm delays small responses.
     drop(client.set_nodelay(true));
-    if *state.borrow() == ProxyFault::Reset {
+    if matches!(state.now(), ProxyFault::Reset | ProxyFault::Refused) {
         return reset(client);
     }
     let Ok(upstream) = TcpStream::connect(target).await else { return reset(client) };
@@ -89,7 +144,7 @@
         () = copy(client_read, target_write, Direction::There, state.clone()) => {}
         () = copy(target_read, client_write, Direction::Back, state.clone()) => {}
         // An error means that the proxy was dropped, which ends its connections too.
-        _ = state.wait_for(|fault| *fault == ProxyFault::Reset) => {}
+        _ = state.wait_for(|fault| fault == ProxyFault::Reset) => {}
     }
 }
 
@@ -102,12 +157,11 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     way: Direction,
-    mut state: watch::Receiver<ProxyFault>,
+    mut state: ConnectionFaults,
 ) {
     let mut buffer = vec![0; PIECE_BYTES];
     while let Ok(count @ 1..) = from.read(&mut buffer).await {
-        let fault = *state.borrow();
-        if let ProxyFault::Delayed(by) = fault {
+        if let ProxyFault::Delayed(by) = state.now() {
             tokio::time::sleep(by).await;
         }
         // Bytes that a fault blocks are forwarded when it is over.
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -62,12 +62,24 @@
 /// platform requires all boxes to act on it.
 const ZONE_EMPTIED_MS: (u64, u64) = (5_500, 9_000);
 
+/// Probability that a box loses its paths to all replicas in a run, and that all boxes do.
+const PATHS_LOST_PROBABILITY: f64 = 0.5;
+const ALL_PATHS_LOST_PROBABILITY: f64 = 0.15;
+
+/// Range of the time for which paths to replicas are lost, in milliseconds. Callers must be served
+/// again before it is over.
+const PATHS_LOST_MS: (u64, u64) = (4_500, 7_500);
+
 /// Number of stops and kills in a series.
 const SERIES: u32 = 30;
 
 /// Time between the starts of two faults of a series.
 const SERIES_EVERY: Duration = Duration::from_millis(700);
 
+/// Most stops and kills beside lost paths, and their distance as a multiple of that in a series.
+const PARTITION_OUTAGES: u32 = 3;
+const PARTITION_STRETCH: u32 = 3;
+
 /// Range of the time for which a killed box of a series is down, in milliseconds.
 const SERIES_AWAY_MS: (u64, u64) = (50, 1_500);
 
@@ -101,6 +113,10 @@
     Replica(usize, ReplicaMode),
     /// The network path to a replica is faulty.
     ReplicaPath(usize, ProxyFault),
+    /// The network paths from a box to all replicas are faulty.
+    BoxPaths(usize, ProxyFault),
+    /// The network paths from all boxes to all replicas are faulty.
+    AllPaths(ProxyFault),
     /// A replica is added, announces after the fault's length that it leaves, and is removed.
     ReplicaLeaves,
     /// The zone of the first replica is evacuated until the fault is over.
@@ -157,6 +173,14 @@
     if rng.gen_bool(RESTORED_PROBABILITY) {
         faults.push(TimedFault { fault: SoakFault::StoreRestored, ..draw(&mut rng) });
     }
+    if rng.gen_bool(PATHS_LOST_PROBABILITY) {
+        let fault = SoakFault::BoxPaths(rng.gen_range(0..BOXES), draw_loss(&mut rng));
+        faults.push(draw_paths_lost(&mut rng, fault));
+    }
+    if rng.gen_bool(ALL_PATHS_LOST_PROBABILITY) {
+        let fault = SoakFault::AllPaths(draw_loss(&mut rng));
+        faults.push(draw_paths_lost(&mut rng, fault));
+    }
     // Only one box at a time is down or suspended, so that callers have two others.
     let mut down_until = Duration::ZERO;
     faults.sort_by_key(|row| row.at);
@@ -171,6 +195,33 @@
     faults
 }
 
+fn draw_paths_lost(rng: &mut StdRng, fault: SoakFault) -> TimedFault {
+    let length = Duration::from_millis(rng.gen_range(PATHS_LOST_MS.0..PATHS_LOST_MS.1));
+    TimedFault { fault, length, ..draw(rng) }
+}
+
+/// Draws how connections fail on a lost path.
+fn draw_loss(rng: &mut StdRng) -> ProxyFault {
+    let faults = [ProxyFault::Reset, ProxyFault::Refused, ProxyFault::Silent];
+    faults[rng.gen_range(0..faults.len())]
+}
+
+/// Draws the loss and the return of one box's paths, again and again, and the stops and kills of a
+/// series.
+pub fn draw_partitions(seed: u64) -> Vec<TimedFault> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let subject = rng.gen_range(0..BOXES);
+    let loss = draw_loss(&mut rng);
+    let lost = draw_paths_lost(&mut rng, SoakFault::BoxPaths(subject, loss));
+    let mut faults = vec![TimedFault { at: Duration::from_millis(FIRST_AT_MS), ..lost }];
+    let outages = rng.gen_range(0..=PARTITION_OUTAGES);
+    faults.extend((0..outages).map(|number| {
+        let outage = draw_outage_of_box(&mut rng, number);
+        TimedFault { at: outage.at * PARTITION_STRETCH, ..outage }
+    }));
+    faults
+}
+
 /// Draws a series of stops and kills of random boxes and no other faults. They may hit a box that
 /// has just started.
 pub fn draw_series(seed: u64) -> Vec<TimedFault> {
--- a/crates/standins/src/soak/sessions.rs
+++ b/crates/standins/src/soak/sessions.rs
@@ -145,6 +145,8 @@
         | SoakFault::StoreCompacts
         | SoakFault::StoreRestored
         | SoakFault::Replica(..)
+        | SoakFault::BoxPaths(..)
+        | SoakFault::AllPaths(..)
         | SoakFault::ReplicaPath(..)
         | SoakFault::ReplicaLeaves
         | SoakFault::ReplicaCold
--- a/crates/standins/src/soak/site.rs
+++ b/crates/standins/src/soak/site.rs
@@ -71,7 +71,7 @@
     /// Replicas of the new version.
     pub(super) new_replicas: Vec<ReplicaStandin>,
     /// Proxies before the replicas of the new version.
-    _new_paths: Vec<FaultProxy>,
+    pub(super) new_paths: Vec<FaultProxy>,
     /// When the rollout was ordered.
     ordered_at: Instant,
     /// Proxy between each box and the store.
@@ -111,7 +111,7 @@
         let (new_replicas, new_paths) = start_replicas(&site, "n", NEW_VERSION, NEW_REPLICAS).await;
         Self {
             new_replicas,
-            _new_paths: new_paths,
+            new_paths,
             ordered_at,
             boxes: boxes.into_iter().map(Mutex::new).collect(),
             site: Mutex::new(site),
