route: boxes keep to their shares of the slots of brittle replicas (LIMIT)

Replicas that say Server-Brittle fall over if they must turn away more requests in a second than they name. Boxes knew nothing of it: each saw free slots in the same report and a burst met the queue's end.

While a service is brittle its replicas' slots are divided among the boxes by hash, so that all boxes together fit into them, and a box that is turned away nevertheless leaves that replica alone until all boxes together cause half of what it bears. Gossiped by service; events 761, 762.

--- a/crates/bench/src/prompt_router.rs
+++ b/crates/bench/src/prompt_router.rs
@@ -142,6 +142,7 @@
         if self.policy == PromptPolicy::Ravenspoke {
             let head = AnswerHead {
                 begun: None,
+                brittle_per_s: None,
                 status: if good { 200 } else { 500 },
                 load: Some(BackendLoad { running, waiting, slots: SLOTS }),
                 confidence: good.then_some(confidence),
--- a/crates/box/src/gateway/gossip_wire/mod.rs
+++ b/crates/box/src/gateway/gossip_wire/mod.rs
@@ -29,10 +29,11 @@
 use position::{read_plan_position, write_plan_position, WirePlanPosition};
 use records::PackedRecords;
 use replica::{
-    read_change, read_crash, read_latency, read_limit, read_load, read_placement, read_poison,
-    read_unreachable, write_change, write_crash, write_latency, write_limit, write_load,
-    write_placement, write_poison, write_unreachable, WireChange, WireCrash, WireLatency,
-    WireLimit, WireLoad, WirePlacement, WirePoison, WireUnreachable,
+    read_brittle, read_change, read_crash, read_latency, read_limit, read_load, read_placement,
+    read_poison, read_unreachable, write_brittle, write_change, write_crash, write_latency,
+    write_limit, write_load, write_placement, write_poison, write_unreachable, WireBrittle,
+    WireChange, WireCrash, WireLatency, WireLimit, WireLoad, WirePlacement, WirePoison,
+    WireUnreachable,
 };
 use sync::{
     read_coverage, read_sync_request, write_coverage, write_sync_request, WireEntryCoverage,
@@ -93,6 +94,8 @@
     crashes: Vec<WireCrash>,
     #[prost(message, repeated, tag = "24")]
     poison: Vec<WirePoison>,
+    #[prost(message, repeated, tag = "27")]
+    brittle: Vec<WireBrittle>,
 }
 
 /// A datagram; one of its messages is set.
@@ -233,6 +236,7 @@
         entries: gossip.in_reply_to.as_ref().map(|_| write_coverage(gossip.entries)),
         unreachable: gossip.unreachable.iter().map(write_unreachable).collect(),
         limits: gossip.limits.iter().map(write_limit).collect(),
+        brittle: gossip.brittle.iter().map(write_brittle).collect(),
         crashes: gossip.crashes.iter().map(write_crash).collect(),
         poison: gossip.poison.iter().map(write_poison).collect(),
         budgets: gossip.budgets.iter().map(write_budget).collect(),
@@ -259,6 +263,7 @@
         entries: wire.entries.map(read_coverage).unwrap_or_default(),
         unreachable: wire.unreachable.into_iter().map(read_unreachable).collect(),
         limits: wire.limits.into_iter().map(read_limit).collect(),
+        brittle: wire.brittle.into_iter().map(read_brittle).collect(),
         crashes: wire.crashes.into_iter().map(read_crash).collect(),
         poison: wire.poison.into_iter().map(read_poison).collect(),
         budgets: wire.budgets.into_iter().map(read_budget).collect(),
--- a/crates/box/src/gateway/gossip_wire/replica.rs
+++ b/crates/box/src/gateway/gossip_wire/replica.rs
@@ -3,6 +3,7 @@
 use prost::Message;
 use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
 use ravenspoke_core::route::backend_health::UnreachableUpdate;
+use ravenspoke_core::route::brittle::BrittleUpdate;
 use ravenspoke_core::route::loads::LoadUpdate;
 use ravenspoke_core::route::model_latency::{LatencyEstimate, LatencyUpdate, ModelLatency};
 use ravenspoke_core::route::placement::PlacementUpdate;
@@ -192,6 +193,25 @@
     LimitUpdate { replica: wire.replica, per_s: wire.per_s, age_ms: wire.age_ms }
 }
 
+/// A brittle service, or the end of it.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub(super) struct WireBrittle {
+    #[prost(fixed64, tag = "1")]
+    service: u64,
+    #[prost(double, optional, tag = "2")]
+    per_s: Option<f64>,
+    #[prost(uint64, tag = "3")]
+    age_ms: u64,
+}
+
+pub(super) fn write_brittle(update: &BrittleUpdate) -> WireBrittle {
+    WireBrittle { service: update.service, per_s: update.per_s, age_ms: update.age_ms }
+}
+
+pub(super) fn read_brittle(wire: WireBrittle) -> BrittleUpdate {
+    BrittleUpdate { service: wire.service, per_s: wire.per_s, age_ms: wire.age_ms }
+}
+
 /// A crash of a replica while it ran a request.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub(super) struct WireCrash {
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -218,6 +218,14 @@
             counter!("ravenspoke_limits_moved_total").increment(1);
             info!(event = 741, name = "limit_moved", replica, per_s, own_per_s);
         }
+        RouteEffect::BrittleChanged { service, per_s } => {
+            let service = format!("{service:016x}");
+            info!(event = 761, name = "brittle_changed", service, per_s);
+        }
+        RouteEffect::BrittleRejected { service, pause_ms } => {
+            counter!("ravenspoke_brittle_rejections_total").increment(1);
+            info!(event = 762, name = "brittle_rejected", service, pause_ms);
+        }
         RouteEffect::TrialStateChanged { service, version, state, runs, bad } => {
             info!(event = 713, name = "trial_moved", service, version, ?state, runs, bad);
         }
--- a/crates/box/src/gateway/pool.rs
+++ b/crates/box/src/gateway/pool.rs
@@ -36,8 +36,9 @@
 /// Maximum number of idle connections to one replica.
 pub const IDLE_LIMIT: usize = 12;
 
-/// A replica that acknowledges no bytes for this long is unreachable, in milliseconds.
-pub const UNSENT_MS: u64 = 2_000;
+/// A replica that acknowledges no bytes for this long is unreachable, in milliseconds. A sound one may
+/// be silent for about a second. Keep-alive probes, if any, give up after it too.
+pub const UNSENT_MS: u64 = 3_000;
 
 /// Time within which a connection must be ready for the next request after a response, in
 /// milliseconds. One that is not ready has not sent the whole request.
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -81,6 +81,8 @@
     (758, "request_forwarded"),
     (759, "forward_received"),
     (760, "forward_rejected"),
+    (761, "brittle_changed"),
+    (762, "brittle_rejected"),
 ];
 
 /// Logs and counts an effect, if it has a log event or a metric.
--- a/crates/core/src/route/answer.rs
+++ b/crates/core/src/route/answer.rs
@@ -33,6 +33,7 @@
         }
         self.learn_limit(stamp, attempt.replica, head, out);
         self.learn_backoff(stamp, attempt.replica, head);
+        self.learn_brittle(stamp, attempt.replica, head, out);
         self.learn_leaving(stamp, attempt.replica, head, out);
         if head.not_run || head.other_replica {
             let outcome = if head.other_replica {
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -65,6 +65,11 @@
     xxh3_64(id.as_bytes())
 }
 
+/// Hash that identifies a service in gossip.
+pub fn service_hash(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
 /// What a change adds to what is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ChangeKind {
@@ -127,6 +132,8 @@
     /// In backoff for this box until this time.
     #[serde(rename = "rests_until")]
     pub backoff_until: BoxTime,
+    /// Requests that this box may have there at a time, while it is brittle.
+    pub slot_share: Option<u32>,
     /// Its rate limit.
     pub limit: ReplicaLimit,
     /// Prompts in its queue.
@@ -417,6 +424,7 @@
             assumed_cold_until: BoxTime::default(),
             warm_up: SenderShare::default(),
             backoff_until: BoxTime::default(),
+            slot_share: None,
             limit: ReplicaLimit::default(),
             at,
             reported: 0,
--- a/crates/core/src/route/backoff.rs
+++ b/crates/core/src/route/backoff.rs
@@ -6,6 +6,7 @@
 //! gossiped. Other boxes receive their own.
 
 use super::backend::{BackendState, BackendTable};
+use super::brittle::ROOM_RETRY_MS;
 use super::event::AnswerHead;
 use super::RouteState;
 use crate::event::EventStamp;
@@ -21,13 +22,16 @@
         now < self.backoff_until
     }
 
-    /// Returns whether this box may send a request now, by backoff and rate limit.
+    /// Returns whether this box may send a request now, by backoff, rate limit and share of the slots.
     pub(super) fn accepts_requests(&self, now: BoxTime) -> bool {
-        !self.backs_off(now) && self.limit.allows(now)
+        !self.backs_off(now) && self.limit.allows(now) && !self.share_used_up()
     }
 
     /// Returns when this box may next send a request, or `None` if its rate limit allows none.
     fn next_at(&self, now: BoxTime) -> Option<BoxTime> {
+        if self.share_used_up() {
+            return Some(self.backoff_until.max(now.plus_millis(ROOM_RETRY_MS)));
+        }
         if self.limit.allows(now) {
             return Some(self.backoff_until);
         }
@@ -35,7 +39,8 @@
     }
 }
 
-/// A service of which every replica refuses requests for now, by backoff or rate limit.
+/// A service of which every replica refuses requests for now, by backoff, rate limit or share of its
+/// slots.
 pub(super) struct ThrottledService {
     /// When this box may next send to one of the replicas; `None` if that is not known.
     pub(super) next_at: Option<BoxTime>,
@@ -43,7 +48,7 @@
 
 impl BackendTable {
     /// Applies a replica's request to back off until `until`.
-    fn back_off(&mut self, key: ReplicaKey, until: BoxTime) {
+    pub(super) fn back_off(&mut self, key: ReplicaKey, until: BoxTime) {
         if let Some(row) = self.rows.get_mut(key) {
             row.backoff_until = row.backoff_until.max(until);
         }
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -93,6 +93,8 @@
     /// Backoff that the replica asks of this box when it rejects the request, in milliseconds, if
     /// it states one.
     pub backoff_ms: Option<u64>,
+    /// Rejections in a second for want of room that the replica bears, if it says that it is brittle.
+    pub brittle_per_s: Option<f64>,
     /// Whether the replica reports that it is leaving.
     pub leaving: bool,
     /// Whether the replica reports that it did not execute the request.
@@ -523,6 +525,20 @@
         /// Share of this box, in requests a second.
         own_per_s: f64,
     },
+    /// The replicas of a service became brittle, or are no longer.
+    BrittleChanged {
+        /// The service, by [`super::backend::service_hash`] of its name.
+        service: u64,
+        /// Rejections in a second that a replica bears; `None` if it is no longer brittle.
+        per_s: Option<f64>,
+    },
+    /// A brittle replica rejected a request of this box, which leaves it alone for a while.
+    BrittleRejected {
+        /// Name of the service.
+        service: String,
+        /// For how long, in milliseconds.
+        pause_ms: u64,
+    },
     /// The state of a trial changed.
     TrialStateChanged {
         /// Service.
--- a/crates/core/src/route/gossip.rs
+++ b/crates/core/src/route/gossip.rs
@@ -131,6 +131,7 @@
             loads,
             unreachable,
             limits,
+            brittle: self.brittle_updates(stamp.now),
             crashes: self.crash_updates(stamp.now),
             poison: self.poison_updates(number, stamp.now),
             budgets,
@@ -287,6 +288,7 @@
             }
         }
         self.apply_limits(stamp, &message.limits, out);
+        self.apply_brittle_updates(stamp, &message.brittle, out);
         self.apply_crashes(stamp, &message.crashes, &message.poison);
         for update in &message.latencies {
             if self.backends.serves(&update.service) {
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -33,6 +33,7 @@
 //! - [`warm_up`]: cold replicas
 //! - `leaving`: replicas that report that they are leaving
 //! - [`rate_limit`]: replicas with a rate limit
+//! - [`brittle`]: replicas that fail if they must reject too many requests
 //! - [`backoff`]: replicas that asked a box to back off
 //! - `rate_share`: each box's share of a limited or cold replica
 //! - [`poison`]: requests that crash replicas
@@ -58,6 +59,7 @@
 pub mod backend_health;
 pub mod backlog;
 pub mod backoff;
+pub mod brittle;
 mod choice;
 mod dump;
 pub mod entry_sync;
@@ -108,6 +110,7 @@
 use crate::time::BoxTime;
 
 use backend::{BackendChange, BackendTable, ChangeKind};
+use brittle::BrittleServices;
 use entry_sync::EntryPosition;
 use evacuation::{EvacuatedZones, ZoneOrder};
 use event::{RouteEffect, RouteEvent};
@@ -195,6 +198,8 @@
     paths: BoxPaths,
     /// Availability zones under evacuation.
     evacuated: EvacuatedZones,
+    /// Services whose replicas are brittle.
+    brittle: BrittleServices,
     /// Content that crashes replicas.
     poison: PoisonContents,
     peers: PeerTable,
@@ -243,6 +248,7 @@
             table: RouteTable::default(),
             fresh: PlanFreshness::default(),
             evacuated: EvacuatedZones::default(),
+            brittle: BrittleServices::default(),
             poison: PoisonContents::default(),
             peers: PeerTable::default(),
             trials: BTreeMap::new(),
@@ -386,6 +392,7 @@
         self.apply_evacuations(stamp, evacuations, out);
         self.share_limits(stamp.now);
         self.share_cold(stamp.now);
+        self.update_slot_shares(stamp.now);
         self.check_paths(stamp, out);
         self.settle_crashes(stamp.now);
         self.update_open_since(stamp.now);
--- a/crates/core/src/route/peers/mod.rs
+++ b/crates/core/src/route/peers/mod.rs
@@ -23,6 +23,7 @@
 
 use super::backend::BackendChange;
 use super::backend_health::UnreachableUpdate;
+use super::brittle::BrittleUpdate;
 use super::entry_sync::{EntryQuery, ListingPage};
 use super::evacuation::EvacuationDigest;
 use super::loads::LoadUpdate;
@@ -240,6 +241,8 @@
     pub unreachable: Vec<UnreachableUpdate>,
     /// Rate limits that replicas state or have withdrawn.
     pub limits: Vec<LimitUpdate>,
+    /// Services whose replicas are brittle, or no longer are.
+    pub brittle: Vec<BrittleUpdate>,
     /// Crashes of replicas while they processed requests.
     pub crashes: Vec<CrashUpdate>,
     /// Content that crashes replicas, or turned out not to.
--- a/crates/core/src/route/rate_share.rs
+++ b/crates/core/src/route/rate_share.rs
@@ -72,6 +72,15 @@
 }
 
 impl FleetNames {
+    /// This box's part of `count` slots of the replica with hash `replica`. The parts of all boxes add
+    /// up to `count`; the remainder goes to the first boxes in the replica's order.
+    pub(super) fn part_of(&self, count: u32, replica: u64) -> u32 {
+        let weight = |name: u64| mix(name ^ replica);
+        let before = self.others.iter().filter(|other| weight(**other) < weight(self.own)).count();
+        let boxes = self.others.len() as u32 + 1;
+        count / boxes + u32::from((before as u32) < count % boxes)
+    }
+
     fn new(own: &str, peers: &PeerTable, now: BoxTime) -> Self {
         let hash = |name: &str| xxh3_64(name.as_bytes());
         Self { own: hash(own), others: peers.fleet_names(now).map(hash).collect() }
--- a/crates/core/tests/route/fixture.rs
+++ b/crates/core/tests/route/fixture.rs
@@ -110,6 +110,7 @@
         confidence: None,
         limit_per_s: None,
         backoff_ms: None,
+        brittle_per_s: None,
         leaving: false,
         not_run: false,
         other_replica: false,
--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -1,6 +1,7 @@
 //! Tests of request routing by host and path prefix, on the real reducer in virtual time.
 
 mod backoff;
+mod brittle;
 mod calls;
 mod cold;
 mod evacuations;
