--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -362,7 +362,9 @@
             return;
         }
         self.count_lost_answer(stamp, ticket);
-        if self.reassign(stamp, ticket, SendCause::Stall, out) {
+        let path_lost = self.paths.is_lost() || self.is_silent_everywhere(stamp.now);
+        let cause = if path_lost { SendCause::PathLost } else { SendCause::Stall };
+        if self.reassign(stamp, ticket, cause, out) {
             if let Some(request) = self.requests.get_mut(&ticket) {
                 request.may_have_run = true;
             }
@@ -379,7 +381,7 @@
         let Some(request) = self.requests.get(&ticket) else { return };
         let Some(attempt) = request.attempt else { return };
         let Some(row) = self.backends.get(attempt.replica) else { return };
-        let lost = self.paths.is_lost() || row.path.is_blocked(stamp.now);
+        let lost = self.paths.is_lost() || row.path.is_lost(stamp.now);
         let movable = request.route.kind.repeatable() && !request.relayed;
         if !lost || !movable || row.path.reached_since(attempt.began) {
             return;
--- a/crates/core/src/route/forward.rs
+++ b/crates/core/src/route/forward.rs
@@ -8,7 +8,7 @@
 //! many replicas the request ran.
 
 use super::attempt::stall_limits;
-use super::backend::backend_hash;
+use super::backend::service_hash;
 use super::backend_health::BackendOutcome;
 use super::choice::AttemptChoice;
 use super::event::{
@@ -44,7 +44,8 @@
     ) -> Option<ForwardTarget> {
         let fell_back = |choice: &AttemptChoice| choice.trial.is_some_and(|trial| trial.fell_back);
         let request = self.requests.get(&ticket)?;
-        let doubtful = self.paths.is_suspect() && request.has_failed();
+        let in_doubt = || self.paths.is_suspect() || self.is_silent_everywhere(stamp.now);
+        let doubtful = request.was_tried() && in_doubt();
         let sendable = choice.is_some_and(|choice| !fell_back(choice));
         if !self.paths.is_lost() && !doubtful && sendable {
             return None;
@@ -59,7 +60,7 @@
             return None;
         }
         let query = ForwardQuery {
-            service: backend_hash(&request.service),
+            service: service_hash(&request.service),
             zone: &self.settings.zone,
             tried: &request.forward_tried,
             random: stamp.random,
@@ -149,7 +150,7 @@
         let forward = request.forward.take();
         if head.status == 503 {
             request.retry_after_ms = head.backoff_ms;
-            let service = backend_hash(&request.service);
+            let service = service_hash(&request.service);
             if let Some(forward) = forward {
                 let until = stamp.now.plus_millis(FORWARD_REFUSED_MS);
                 self.peers.avoid(&forward.peer, Some(service), until);
--- a/crates/core/src/route/paths.rs
+++ b/crates/core/src/route/paths.rs
@@ -31,6 +31,10 @@
 /// Longest such time, in milliseconds. Probes mostly find a restored path sooner.
 pub const PATH_RETRY_LIMIT_MS: u64 = 4_000;
 
+/// Consecutive failed connections after which requests leave a replica that may be repeated. A sound
+/// replica may be silent for longer than the first of them takes.
+pub const LOST_FAILURES: u32 = 2;
+
 /// Replicas whose connections must fail before the box checks all of its paths.
 pub const SUSPECT_REPLICAS: usize = 2;
 
@@ -91,6 +95,11 @@
         now < self.retry_at
     }
 
+    /// Whether connections failed for longer than a sound replica may be silent.
+    pub(super) fn is_lost(&self, now: BoxTime) -> bool {
+        self.is_blocked(now) && self.failures >= LOST_FAILURES
+    }
+
     /// When it is tried again.
     pub(super) fn retry_at(&self) -> BoxTime {
         self.retry_at
@@ -132,6 +141,8 @@
     last_probed: ReplicaKey,
     /// When anything last arrived from any replica.
     reached_at: BoxTime,
+    /// When the last response head arrived from any replica.
+    answered_at: BoxTime,
     /// Whether callers may be directed to this box.
     listed: bool,
 }
@@ -147,6 +158,7 @@
             failed_probes: 0,
             last_probed: ReplicaKey::default(),
             reached_at: BoxTime::default(),
+            answered_at: BoxTime::default(),
             listed: true,
         }
     }
@@ -284,10 +296,29 @@
 
     /// Records that a response head arrived from a replica.
     pub(super) fn note_answered(&mut self, stamp: EventStamp, key: ReplicaKey) {
+        self.paths.answered_at = stamp.now;
+        self.note_reached(stamp, key);
+    }
+
+    fn note_reached(&mut self, stamp: EventStamp, key: ReplicaKey) {
         self.paths.reached_at = stamp.now;
         self.backends.record_reached(key, stamp.now);
     }
 
+    /// Whether several replicas were sent requests and none has answered for a while. New connections
+    /// may succeed nevertheless, at a proxy on the path.
+    pub(super) fn is_silent_everywhere(&self, now: BoxTime) -> bool {
+        if now.millis_since(self.paths.answered_at) < SILENCE_MS {
+            return false;
+        }
+        let attempts = self.requests.values().filter_map(|request| request.attempt);
+        let overdue = attempts.filter(|attempt| {
+            now.millis_since(attempt.began) >= SILENCE_MS + 2 * attempt.expected_ms
+        });
+        let replicas: BTreeSet<ReplicaKey> = overdue.map(|attempt| attempt.replica).collect();
+        replicas.len() >= SUSPECT_REPLICAS
+    }
+
     /// Applies the outcome of a new connection to a replica.
     pub(super) fn on_path_probed(
         &mut self,
@@ -315,7 +346,7 @@
 
     /// Records a successful connection. After one, the paths to all replicas are tried again.
     fn note_connected(&mut self, stamp: EventStamp, key: ReplicaKey, out: &mut Vec<RouteEffect>) {
-        self.note_answered(stamp, key);
+        self.note_reached(stamp, key);
         if let Some(row) = self.backends.rows.get_mut(key) {
             row.path.clear();
         }
@@ -427,7 +458,7 @@
         let services: BTreeSet<&str> = rows.map(|row| row.entry.service.as_str()).collect();
         let unreached =
             services.into_iter().filter(|service| self.backends.all_blocked(service, now));
-        unreached.map(super::backend::backend_hash).collect()
+        unreached.map(super::backend::service_hash).collect()
     }
 
     /// Replicas that are unreachable, for gossip. While the paths of this box are in doubt, it reports
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -63,9 +63,9 @@
         self.sends < self.route.attempts && now < self.deadline
     }
 
-    /// Returns whether an attempt failed.
-    pub(super) fn has_failed(&self) -> bool {
-        self.connect_failures > 0 || self.may_have_run
+    /// Returns whether an attempt was made.
+    pub(super) fn was_tried(&self) -> bool {
+        self.connect_failures > 0 || self.sends > 0
     }
 
     /// Returns how the answer began of which the caller has a part, here or at the box that forwarded
--- a/crates/core/tests/route/partition_fleet.rs
+++ b/crates/core/tests/route/partition_fleet.rs
@@ -100,6 +100,10 @@
     lost: Vec<Vec<bool>>,
     /// Replicas that are down for all boxes.
     pub down: Vec<bool>,
+    /// Until when each replica sends and accepts nothing, in milliseconds.
+    pub silent_until: Vec<u64>,
+    /// Requests that were sent to more than one replica.
+    pub repeats: usize,
     failure: PathFailure,
     lost_at: u64,
     pub now: u64,
@@ -137,6 +141,8 @@
             replicas,
             lost: vec![vec![false; replicas]; boxes],
             down: vec![false; replicas],
+            silent_until: vec![0; replicas],
+            repeats: 0,
             failure: PathFailure::Refused,
             lost_at: 0,
             now: 1_000,
@@ -305,6 +311,7 @@
         let attempt = self.attempt_number;
         let replica = self.keys[number][&order.replica];
         let is_lost = self.lost[number][replica];
+        self.repeats += usize::from(order.number > 1);
         let (head_ms, deadline) = (order.head_ms, order.deadline.as_millis());
         self.attempts.insert((number, ticket), RunningTry { number: attempt, order, head: false });
         let was_open = self.now < self.lost_at + POOL_MS;
@@ -320,7 +327,10 @@
         match after_ms {
             _ if hangs => {}
             Some(after_ms) => self.push(self.now + after_ms, Step::Fail(number, ticket, attempt)),
-            None => self.push(self.now + ANSWER_MS.0, Step::Head(number, ticket, attempt)),
+            None => {
+                let begins = self.now.max(self.silent_until[replica]) + ANSWER_MS.0;
+                self.push(begins, Step::Head(number, ticket, attempt));
+            }
         }
         self.push(self.now + head_ms, Step::Stall(number, ticket, attempt));
         self.push(deadline, Step::Deadline(number, ticket));
@@ -359,9 +369,10 @@
     fn probe(&mut self, number: usize, key: ReplicaKey) {
         let replica = self.keys[number][&key];
         let is_lost = self.lost[number][replica];
-        let hangs = is_lost && self.failure == PathFailure::Hanging && !self.down[replica];
-        let after_ms = if hangs { CONNECT_MS } else { 1 };
-        let reached = !is_lost && !self.down[replica];
+        let is_silent = self.now < self.silent_until[replica];
+        let hangs = is_silent || is_lost && self.failure == PathFailure::Hanging;
+        let after_ms = if hangs && !self.down[replica] { CONNECT_MS } else { 1 };
+        let reached = !is_lost && !is_silent && !self.down[replica];
         self.push(self.now + after_ms, Step::Probed(number, key, reached));
     }
 
--- a/crates/core/tests/route/partitions.rs
+++ b/crates/core/tests/route/partitions.rs
@@ -212,3 +212,21 @@
         assert_eq!(fleet.verdicts, [], "{how:?}");
     }
 }
+
+#[test]
+fn replica_that_is_silent_for_a_while_loses_no_request_and_repeats_none() {
+    for boxes in [1, 7] {
+        let mut fleet = PartitionFleet::start(boxes, 12);
+        fleet.play(5_000);
+        let from = fleet.now;
+        for round in 0..6 {
+            fleet.silent_until[round] = fleet.now + 900;
+            fleet.play(2_000);
+        }
+
+        let tries = fleet.tries(from, fleet.now - 1_000, |_| true);
+        assert_eq!(served(&tries), tries.len(), "{boxes} boxes");
+        assert_eq!(fleet.repeats, 0, "{boxes} boxes");
+        assert_eq!(fleet.forwards.iter().sum::<usize>(), 0, "{boxes} boxes");
+    }
+}
