--- a/crates/box/tests/soak.rs
+++ b/crates/box/tests/soak.rs
@@ -3,9 +3,7 @@
 use std::collections::BTreeSet;
 use std::path::Path;
 
-use ravenspoke_standins::soak::play::{
-    play, play_bad_version, play_partitions, play_series, SoakReport,
-};
+use ravenspoke_standins::soak::play::{play, play_bad_version, play_series};
 
 /// Seeds of every CI run.
 const SEEDS: [u64; 3] = [1, 2, 3];
@@ -23,9 +21,6 @@
 /// Seeds of bad versions in every CI run. They draw each manner.
 const BAD_VERSION_SEEDS: [u64; 6] = [1, 2, 3, 4, 5, 6];
 
-/// Seeds of lost paths in every CI run. They draw each manner, alone and beside stops and kills.
-const PARTITION_SEEDS: [u64; 6] = [1, 2, 3, 4, 5, 6];
-
 /// A seed that has its own test.
 const SEPARATE_SEED: u64 = 2;
 
@@ -34,16 +29,10 @@
     let runs: Vec<_> =
         seeds.into_iter().map(|seed| (seed, tokio::spawn(play(binary, seed)))).collect();
     for (seed, run) in runs {
-        assert_report(seed, &run.await.expect("the run ends"));
+        run.await.expect("the run ends").assert_kept(seed);
     }
 }
 
-fn assert_report(seed: u64, report: &SoakReport) {
-    let found = report.broken.join("\n");
-    assert!(report.broken.is_empty(), "seed {seed}, {:#?}\n{found}", report.faults);
-    assert!(report.served > report.asks / 4, "seed {seed}: {} served", report.served);
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn guarantees_hold_under_faults() {
     let mut seeds: BTreeSet<u64> = SEEDS.into_iter().chain(failed_seeds()).collect();
@@ -66,7 +55,7 @@
         .map(|seed| tokio::spawn(async move { (seed, play_series(binary, seed).await) }))
     {
         let (seed, report) = run.await.expect("the run ends");
-        assert_report(seed, &report);
+        report.assert_kept(seed);
     }
 }
 
@@ -77,17 +66,6 @@
         .map(|seed| tokio::spawn(async move { (seed, play_bad_version(binary, seed).await) }));
     for run in runs {
         let (seed, report) = run.await.expect("the run ends");
-        assert_report(seed, &report);
-    }
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn callers_of_boxes_without_paths_to_replicas_are_served() {
-    let binary = Path::new(env!("CARGO_BIN_EXE_ravenspoked"));
-    let runs = PARTITION_SEEDS
-        .map(|seed| tokio::spawn(async move { (seed, play_partitions(binary, seed).await) }));
-    for run in runs {
-        let (seed, report) = run.await.expect("the run ends");
-        assert_report(seed, &report);
+        report.assert_kept(seed);
     }
 }
--- a/crates/standins/src/soak/inflict.rs
+++ b/crates/standins/src/soak/inflict.rs
@@ -33,6 +33,13 @@
 /// Time for which the store is unreachable before it is restored from a copy.
 const RESTORE_OUTAGE: Duration = Duration::from_millis(600);
 
+/// Rejections in a second that a brittle replica bears. Callers send many times as many requests.
+const BRITTLE_PER_S: u32 = 4;
+
+/// Time for which replicas say that they are brittle before one of them rejects requests: the
+/// platform's bound on the time until boxes know it.
+const BRITTLE_LEAD: Duration = Duration::from_millis(3_000);
+
 /// `Retry-After` of a full replica, in seconds. Several pauses of a caller.
 const RETRY_AFTER_S: f64 = 0.4;
 
@@ -74,6 +81,11 @@
         SoakFault::AllPaths(fault) => {
             site.lose_paths(&site.addresses, fault, row.length).await;
         }
+        SoakFault::ReplicaSilent(number) => {
+            site.replicas[number].fall_silent(row.length);
+            sleep(row.length).await;
+        }
+        SoakFault::Brittle(number) => site.make_brittle(number, row.length).await,
         SoakFault::Replica(number, mode) => site.disturb_replica(number, mode, row.length).await,
         SoakFault::ReplicaLeaves => site.add_leaving_replica(row, 0).await,
         SoakFault::ReplicaCold => site.add_leaving_replica(row, COLD_MS).await,
@@ -93,6 +105,17 @@
 }
 
 impl SoakSite {
+    /// Makes all replicas say that they are brittle, and one of them reject all requests.
+    async fn make_brittle(&self, number: usize, length: Duration) {
+        let all = || self.replicas.iter().chain(&self.new_replicas);
+        all().for_each(|replica| replica.set_brittle(Some(BRITTLE_PER_S)));
+        sleep(BRITTLE_LEAD.min(length)).await;
+        self.replicas[number].set_mode(ReplicaMode::Full);
+        sleep(length.saturating_sub(BRITTLE_LEAD)).await;
+        self.replicas[number].set_mode(ReplicaMode::Well);
+        all().for_each(|replica| replica.set_brittle(None));
+    }
+
     /// Cuts the paths from some boxes to all replicas for a while.
     async fn lose_paths(&self, boxes: &[IpAddr], fault: ProxyFault, length: Duration) {
         self.set_paths(boxes, fault);
--- a/crates/standins/src/soak/judge.rs
+++ b/crates/standins/src/soak/judge.rs
@@ -31,6 +31,11 @@
 const COLD_OVER: f64 = 1.5;
 const COLD_SLACK: f64 = 5.0;
 
+/// Falls of a service's brittle replicas that are allowed: some, and a share of their number. The
+/// platform's bound for one time in which they are brittle; runs have one.
+const FALLS_ALLOWED: f64 = 2.0;
+const FALLS_SHARE: f64 = 0.1;
+
 /// Tolerance beyond a bound, as the machine runs other work and records are made a little late.
 pub(super) const SLACK: Duration = Duration::from_millis(400);
 
@@ -102,6 +107,7 @@
     broken.extend(check_cold(record));
     broken.extend(check_sessions(record, &asks, &faults));
     broken.extend(check_exposure(record, &faults));
+    broken.extend(check_falls(record));
     broken.extend(check_partitions(record.boxes, &asks, &faults));
     broken
 }
@@ -271,6 +277,14 @@
     broken
 }
 
+/// Brittle replicas fall over no more often than the bound.
+fn check_falls(record: &SoakRecord) -> Option<BrokenGuarantee> {
+    let replicas = || record.replicas.iter().chain(record.new_replicas);
+    let falls: usize = replicas().map(ReplicaStandin::falls).sum();
+    let allowed = FALLS_ALLOWED + FALLS_SHARE * replicas().count() as f64;
+    (falls as f64 > allowed).then(|| format!("brittle replicas fell over {falls} times"))
+}
+
 /// A cold replica gets no more requests from all boxes together than it can serve.
 fn check_cold(record: &SoakRecord) -> Vec<BrokenGuarantee> {
     let bound = (COLD_PER_S * COLD_OVER + COLD_SLACK) as usize;
@@ -299,6 +313,8 @@
         | SoakFault::ReplicaPath(..)
         | SoakFault::BoxPaths(..)
         | SoakFault::AllPaths(..)
+        | SoakFault::Brittle(..)
+        | SoakFault::ReplicaSilent(..)
         | SoakFault::ReplicaLeaves
         | SoakFault::ReplicaCold
         | SoakFault::ZoneEmptied
--- a/crates/standins/src/soak/play.rs
+++ b/crates/standins/src/soak/play.rs
@@ -33,6 +33,15 @@
     pub broken: Vec<BrokenGuarantee>,
 }
 
+impl SoakReport {
+    /// Panics if a guarantee was broken or few requests were served.
+    pub fn assert_kept(&self, seed: u64) {
+        let found = self.broken.join("\n");
+        assert!(self.broken.is_empty(), "seed {seed}, {:#?}\n{found}", self.faults);
+        assert!(self.served > self.asks / 4, "seed {seed}: {} served", self.served);
+    }
+}
+
 /// Runs a seed with boxes of `binary`. Logs are kept if a guarantee was broken.
 pub async fn play(binary: &Path, seed: u64) -> SoakReport {
     play_faults(binary, seed, draw_faults(seed)).await
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -66,9 +66,16 @@
 const PATHS_LOST_PROBABILITY: f64 = 0.5;
 const ALL_PATHS_LOST_PROBABILITY: f64 = 0.15;
 
-/// Range of the time for which paths to replicas are lost, in milliseconds. Callers must be served
-/// again before it is over.
-const PATHS_LOST_MS: (u64, u64) = (4_500, 7_500);
+/// Probability that a sound replica is silent in a run, and the range of the time, in milliseconds.
+const SILENT_PROBABILITY: f64 = 0.4;
+const SILENT_MS: (u64, u64) = (500, 1_500);
+
+/// Probability that replicas are brittle in a run.
+const BRITTLE_PROBABILITY: f64 = 0.4;
+
+/// Range of the length of faults to which boxes must have adapted before they are over, in
+/// milliseconds.
+const LONG_FAULT_MS: (u64, u64) = (4_500, 7_500);
 
 /// Number of stops and kills in a series.
 const SERIES: u32 = 30;
@@ -117,6 +124,10 @@
     BoxPaths(usize, ProxyFault),
     /// The network paths from all boxes to all replicas are faulty.
     AllPaths(ProxyFault),
+    /// A replica reads and writes nothing for a while, and goes on then.
+    ReplicaSilent(usize),
+    /// All replicas say that they are brittle, and one of them has no room.
+    Brittle(usize),
     /// A replica is added, announces after the fault's length that it leaves, and is removed.
     ReplicaLeaves,
     /// The zone of the first replica is evacuated until the fault is over.
@@ -175,11 +186,20 @@
     }
     if rng.gen_bool(PATHS_LOST_PROBABILITY) {
         let fault = SoakFault::BoxPaths(rng.gen_range(0..BOXES), draw_loss(&mut rng));
-        faults.push(draw_paths_lost(&mut rng, fault));
+        faults.push(draw_long(&mut rng, fault));
     }
     if rng.gen_bool(ALL_PATHS_LOST_PROBABILITY) {
         let fault = SoakFault::AllPaths(draw_loss(&mut rng));
-        faults.push(draw_paths_lost(&mut rng, fault));
+        faults.push(draw_long(&mut rng, fault));
+    }
+    if rng.gen_bool(SILENT_PROBABILITY) {
+        let length = Duration::from_millis(rng.gen_range(SILENT_MS.0..SILENT_MS.1));
+        let fault = SoakFault::ReplicaSilent(rng.gen_range(0..REPLICAS));
+        faults.push(TimedFault { fault, length, ..draw(&mut rng) });
+    }
+    if rng.gen_bool(BRITTLE_PROBABILITY) {
+        let fault = SoakFault::Brittle(rng.gen_range(0..REPLICAS));
+        faults.push(draw_long(&mut rng, fault));
     }
     // Only one box at a time is down or suspended, so that callers have two others.
     let mut down_until = Duration::ZERO;
@@ -195,8 +215,8 @@
     faults
 }
 
-fn draw_paths_lost(rng: &mut StdRng, fault: SoakFault) -> TimedFault {
-    let length = Duration::from_millis(rng.gen_range(PATHS_LOST_MS.0..PATHS_LOST_MS.1));
+fn draw_long(rng: &mut StdRng, fault: SoakFault) -> TimedFault {
+    let length = Duration::from_millis(rng.gen_range(LONG_FAULT_MS.0..LONG_FAULT_MS.1));
     TimedFault { fault, length, ..draw(rng) }
 }
 
@@ -212,7 +232,7 @@
     let mut rng = StdRng::seed_from_u64(seed);
     let subject = rng.gen_range(0..BOXES);
     let loss = draw_loss(&mut rng);
-    let lost = draw_paths_lost(&mut rng, SoakFault::BoxPaths(subject, loss));
+    let lost = draw_long(&mut rng, SoakFault::BoxPaths(subject, loss));
     let mut faults = vec![TimedFault { at: Duration::from_millis(FIRST_AT_MS), ..lost }];
     let outages = rng.gen_range(0..=PARTITION_OUTAGES);
     faults.extend((0..outages).map(|number| {
--- a/crates/standins/src/soak/sessions.rs
+++ b/crates/standins/src/soak/sessions.rs
@@ -147,6 +147,8 @@
         | SoakFault::Replica(..)
         | SoakFault::BoxPaths(..)
         | SoakFault::AllPaths(..)
+        | SoakFault::Brittle(..)
+        | SoakFault::ReplicaSilent(..)
         | SoakFault::ReplicaPath(..)
         | SoakFault::ReplicaLeaves
         | SoakFault::ReplicaCold
