--- a/crates/core/src/route/brittle.rs
+++ b/crates/core/src/route/brittle.rs
@@ -14,6 +14,7 @@
 
 use super::backend::{service_hash, BackendState, BackendTable};
 use super::event::{AnswerHead, RouteEffect};
+use super::pick::BackendQuery;
 use super::rate_share::FleetNames;
 use super::RouteState;
 use crate::event::EventStamp;
@@ -107,6 +108,15 @@
 }
 
 impl BackendTable {
+    /// Whether a brittle replica of the versions allowed is usable but has no room for this box.
+    pub(super) fn any_without_room(&self, query: &BackendQuery) -> bool {
+        let keys = self.by_service.get(query.service).into_iter().flatten();
+        let rows = keys.map(|key| &self.rows[*key]);
+        let allowed = rows.filter(|row| query.version.matches(&row.entry.version));
+        let mut brittle = allowed.filter(|row| row.slot_share.is_some() && row.usable(query.now));
+        brittle.any(|row| !row.accepts_requests(query.now))
+    }
+
     /// Sets this box's shares of the slots of brittle replicas, and none for others.
     fn share_slots(&mut self, services: &BrittleServices, fleet: &FleetNames, now: BoxTime) {
         for row in self.rows.values_mut() {
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -74,7 +74,9 @@
             let version = fallback_filter(trial);
             self.backends.pick(&BackendQuery { version, most: None, ..query })
         };
-        let pick = preferred.or_else(fallback)?;
+        // A session does not change its version because brittle replicas have no room for a moment.
+        let waits = || request.session != 0 && self.backends.any_without_room(&query);
+        let pick = preferred.or_else(|| if waits() { None } else { fallback() })?;
         let trial = trial.map(|trial| TrialInputs {
             age_ms: trial.age_ms(stamp.now),
             share,
--- a/crates/core/src/route/pick.rs
+++ b/crates/core/src/route/pick.rs
@@ -58,7 +58,7 @@
 }
 
 impl VersionFilter<'_> {
-    fn matches(self, version: &str) -> bool {
+    pub(super) fn matches(self, version: &str) -> bool {
         match self {
             VersionFilter::Any => true,
             VersionFilter::Only(wanted) => version == wanted,
--- a/crates/core/tests/route/brittle.rs
+++ b/crates/core/tests/route/brittle.rs
@@ -4,6 +4,7 @@
 use ravenspoke_core::route::event::{AnswerHead, RefusalReason, RouteEffect, RouteEvent};
 use ravenspoke_core::route::loads::BackendLoad;
 use ravenspoke_core::route::peers::{GossipMessage, PeerInfo};
+use ravenspoke_core::route::trial::TrialOrder;
 
 use crate::fixture::{
     ask, entry, gossip_in, head, is_refused, new_box, order_in, plan, refusal_in, TestBox,
@@ -140,3 +141,25 @@
     boxes[2].feed(RouteEvent::Tick);
     assert_eq!(sends(&mut boxes[2], BURST), BURST);
 }
+
+#[test]
+fn session_keeps_its_version_while_brittle_replicas_have_no_room() {
+    let mut boxes = fleet(1);
+    let subject = &mut boxes[0];
+    subject.put(entry("n", "v2"));
+    let (service, version) = ("pool".to_owned(), "v2".to_owned());
+    subject.give_order(TrialOrder { service, version, duration_ms: 20_000 });
+    become_brittle(&mut boxes);
+    let subject = &mut boxes[0];
+    let in_session = || ravenspoke_core::route::event::CallerRequest {
+        session: crate::fixture::session(1),
+        ..ask("/read/x")
+    };
+    while let Some(order) = order_in(&subject.arrive(in_session()).1) {
+        assert_eq!(order.version, "v1");
+    }
+
+    let (_, effects) = subject.arrive(in_session());
+
+    assert!(refusal_in(&effects).is_some_and(|refusal| refusal.status == 503));
+}
