--- a/crates/box/tests/brittle.rs
+++ b/crates/box/tests/brittle.rs
@@ -13,6 +13,9 @@
 /// Time within which boxes must know that replicas are brittle. The platform's bound.
 const KNOWN_WITHIN: Duration = Duration::from_millis(3_000);
 
+/// Time between two requests before the bursts.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Streams at a time in a burst, five times the slots of both replicas.
 const BURST: usize = 80;
 
@@ -47,13 +50,14 @@
     }
     replicas.iter().for_each(|replica| replica.set_brittle(Some(PER_S)));
     let brittle_at = Instant::now();
+    let mut ticks = tokio::time::interval(REQUEST_INTERVAL);
     let mut number = 0;
     while brittle_at.elapsed() < KNOWN_WITHIN {
         number += 1;
         let request =
             site.request(&boxes[number % 3], "GET", "/read/x", &format!("before-{number}"));
         drop(request.send().await);
-        tokio::time::sleep(Duration::from_millis(100)).await;
+        ticks.tick().await;
     }
 
     let mut served = 0;
--- a/crates/box/tests/partitions.rs
+++ b/crates/box/tests/partitions.rs
@@ -14,6 +14,9 @@
 /// Port at which a box receives gossip, and requests that other boxes forward.
 const FORWARD_PORT: u16 = 18_340;
 
+/// Time between two requests while a box has not noticed that its paths are lost.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Manners in which connections fail on a lost path.
 const FAULTS: [ProxyFault; 2] = [ProxyFault::Reset, ProxyFault::Refused];
 
@@ -66,6 +69,7 @@
     /// Cuts a box off and waits until it has noticed, which takes a few requests.
     async fn lose_paths(&self, number: usize, fault: ProxyFault) {
         self.set_paths(number, fault);
+        let mut ticks = tokio::time::interval(REQUEST_INTERVAL);
         let mut count = 0;
         loop {
             count += 1;
@@ -76,7 +80,7 @@
             assert!(count < 100, "the box notices that its paths are lost");
             let id = format!("notice-{number}-{count}");
             drop(self.site.request(&self.boxes[number], "GET", "/read/x", &id).send().await);
-            tokio::time::sleep(Duration::from_millis(50)).await;
+            ticks.tick().await;
         }
     }
 
--- a/crates/core/src/route/forward.rs
+++ b/crates/core/src/route/forward.rs
@@ -20,7 +20,6 @@
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
 use crate::ids::ReplicaKey;
-use crate::time::BoxTime;
 
 /// Boxes that a request is forwarded to, at most, if they could not send it to a replica either.
 pub const FORWARD_LIMIT: usize = 3;
@@ -224,12 +223,3 @@
     address: String,
     key: u64,
 }
-
-impl super::backend::BackendTable {
-    /// Whether a service has a usable replica whose path is blocked.
-    pub(super) fn any_blocked(&self, service: &str, now: BoxTime) -> bool {
-        let keys = self.by_service.get(service).into_iter().flatten();
-        let mut rows = keys.map(|key| &self.rows[*key]);
-        rows.any(|row| row.usable(now) && row.path.is_blocked(now))
-    }
-}
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -65,6 +65,7 @@
 pub mod entry_sync;
 pub mod evacuation;
 pub mod event;
+mod exchange;
 mod feedback;
 pub mod forward;
 mod gossip;
--- a/crates/core/src/route/paths.rs
+++ b/crates/core/src/route/paths.rs
@@ -212,6 +212,13 @@
         usable.peek().is_some() && usable.all(|row| row.path.is_blocked(now))
     }
 
+    /// Whether a service has a usable replica whose path is blocked.
+    pub(super) fn any_blocked(&self, service: &str, now: BoxTime) -> bool {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        let mut rows = keys.map(|key| &self.rows[*key]);
+        rows.any(|row| row.usable(now) && row.path.is_blocked(now))
+    }
+
     /// Records that something arrived from a replica. It ends what other boxes reported, and shows
     /// that the replica did not restart if the failed connection was recent.
     fn record_reached(&mut self, key: ReplicaKey, now: BoxTime) {
