route: cold marks and evidence after lost paths, as found by reading

A replica to which this box could not connect was assumed cold from time zero, so not at all, since its ejection no longer gave the time; one that was unreachable for seconds counted as not restarted if the last failure was recent; what a box concluded while its paths were lost was discarded only as of now on their return; broken answers then were still recorded as crashes. The first two failed the new test of route cold before; the others were not brought about.

--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -323,7 +323,7 @@
             self.backends.ended(attempt.replica, outcome, stamp.now);
             if outcome == BackendOutcome::Unreachable {
                 self.settle_crashes(stamp.now);
-                self.mark_unreachable_cold(attempt.replica);
+                self.mark_unreachable_cold(attempt.replica, stamp.now);
                 self.rounds.next_round =
                     self.rounds.next_round.min(stamp.now.plus_millis(UNREACHABLE_DELAY_MS));
             }
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -12,7 +12,7 @@
 use super::backend_health::LostAnswer;
 use super::backlog::ReplicaBacklog;
 use super::leader::scale::ZoneCount;
-use super::paths::ReplicaPath;
+use super::paths::{ReplicaPath, PATH_RETRY_FIRST_MS};
 use super::prefix_cache::PrefixCache;
 use super::rate_limit::ReplicaLimit;
 use super::rate_share::SenderShare;
@@ -201,9 +201,10 @@
 impl BackendTable {
     /// Marks an unreachable replica as cold for `ms` from when it may be back. Most unreachable
     /// replicas have restarted, and the entry shows that seconds later.
-    pub(super) fn mark_unreachable_cold(&mut self, key: ReplicaKey, ms: u64) {
+    pub(super) fn mark_unreachable_cold(&mut self, key: ReplicaKey, ms: u64, now: BoxTime) {
         if let Some(row) = self.rows.get_mut(key) {
-            let back_at = row.path.retry_at().max(row.reported_until);
+            let retry_at = now.plus_millis(PATH_RETRY_FIRST_MS).max(row.path.retry_at());
+            let back_at = retry_at.max(row.reported_until);
             let until = back_at.plus_millis(ASSUMED_DOWN_MS + ms);
             row.assumed_cold_until = row.assumed_cold_until.max(until);
             self.newly_cold = true;
--- a/crates/core/src/route/backend_health.rs
+++ b/crates/core/src/route/backend_health.rs
@@ -6,7 +6,6 @@
 //! [`super::pick`] limits this to half of a service's replicas at a time.
 
 use super::backend::{BackendState, BackendTable};
-use super::paths::ALIVE_MS;
 use crate::ids::ReplicaKey;
 use crate::time::BoxTime;
 
@@ -73,12 +72,12 @@
 }
 
 impl BackendState {
-    /// Records that a connection to it failed at `at`. Failures that follow each other are of one
-    /// outage, unless it answered in between.
+    /// Records that a connection to it failed at `at`. Failures are of one outage if nothing came from
+    /// it in between.
     fn mark_unreachable(&mut self, at: BoxTime) {
-        let last_at = self.unreachable_at.filter(|last_at| !self.path.reached_since(*last_at));
-        let continues = last_at.is_some_and(|last_at| at.millis_since(last_at) < ALIVE_MS);
-        if !continues {
+        let silent_since =
+            |last_at: BoxTime| !self.path.reached_since(last_at) && self.reported_at <= last_at;
+        if !self.unreachable_at.is_some_and(silent_since) {
             self.unreachable_since = Some(at);
         }
         self.unreachable_at = self.unreachable_at.max(Some(at));
--- a/crates/core/src/route/gossip.rs
+++ b/crates/core/src/route/gossip.rs
@@ -281,7 +281,7 @@
         for update in &message.unreachable {
             let was_ejected = self.backends.is_passed_over(update.replica, stamp.now);
             if let Some(key) = self.backends.apply_unreachable(update, stamp.now) {
-                self.mark_unreachable_cold(key);
+                self.mark_unreachable_cold(key, stamp.now);
                 if !was_ejected {
                     self.report_unreachable(key, Some(&message.name), out);
                 }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -439,11 +439,11 @@
 
     /// Marks an unreachable replica as cold from its next attempt on, if its service limits cold
     /// replicas.
-    pub(super) fn mark_unreachable_cold(&mut self, key: ReplicaKey) {
+    pub(super) fn mark_unreachable_cold(&mut self, key: ReplicaKey, now: BoxTime) {
         let service = self.backends.get(key).map(|row| row.entry.service.as_str());
         let plan = service.and_then(|service| self.table.plan().services.get(service));
         if let Some(warm_up) = plan.and_then(|plan| plan.warm_up) {
-            self.backends.mark_unreachable_cold(key, warm_up.lasts_ms);
+            self.backends.mark_unreachable_cold(key, warm_up.lasts_ms, now);
         }
     }
 
--- a/crates/core/src/route/paths.rs
+++ b/crates/core/src/route/paths.rs
@@ -59,7 +59,7 @@
 pub const RESTORED_MS: u64 = 1_000;
 
 /// Time from the first failed connection within which an answer shows that the replica did not
-/// restart meanwhile, in milliseconds. Within it, failed connections are of one outage.
+/// restart meanwhile, in milliseconds.
 pub const ALIVE_MS: u64 = 1_500;
 
 /// The path to one replica.
@@ -353,17 +353,17 @@
 
     /// Records a successful connection. After one, the paths to all replicas are tried again.
     fn note_connected(&mut self, stamp: EventStamp, key: ReplicaKey, out: &mut Vec<RouteEffect>) {
+        if self.paths.is_lost() {
+            self.discard_own_failures();
+            self.backends.clear_paths();
+            self.paths.blocked.clear();
+        }
         self.note_reached(stamp, key);
         if let Some(row) = self.backends.rows.get_mut(key) {
             row.path.clear();
         }
         self.paths.blocked.remove(&key);
         self.paths.failed.clear();
-        if self.paths.is_lost() {
-            self.discard_own_failures();
-            self.backends.clear_paths();
-            self.paths.blocked.clear();
-        }
         if !self.paths.is_working() {
             self.change_phase(stamp, PathPhase::Working, out);
         }
--- a/crates/core/src/route/poison/mod.rs
+++ b/crates/core/src/route/poison/mod.rs
@@ -241,8 +241,12 @@
 
 impl RouteState {
     /// Records a broken attempt: if its replica turns out to have crashed, it did so under this
-    /// request. A leaving replica is ignored, since it exits for that reason.
+    /// request. A leaving replica is ignored, since it exits for that reason, and so are all while the
+    /// paths of this box are lost.
     pub(super) fn record_broken(&mut self, stamp: EventStamp, ticket: RequestTicket) {
+        if self.paths.is_lost() {
+            return;
+        }
         let Some(request) = self.requests.get(&ticket).filter(|row| row.content != 0) else {
             return;
         };
--- a/crates/core/tests/route/cold.rs
+++ b/crates/core/tests/route/cold.rs
@@ -1,13 +1,14 @@
 //! Cold replicas: the requests that they get in their busiest second, from all boxes together.
 
+use ravenspoke_core::ids::ReplicaKey;
 use ravenspoke_core::route::backend::BackendEntry;
 use ravenspoke_core::route::evacuation::{EvacuationRead, ZoneOrder};
-use ravenspoke_core::route::event::RouteEvent;
-use ravenspoke_core::route::plan::ServicePlan;
+use ravenspoke_core::route::event::{AttemptFailure, RouteEvent};
+use ravenspoke_core::route::plan::{RoutePlan, ServicePlan};
 use ravenspoke_core::route::warm_up::WarmUpPlan;
 use ravenspoke_core::time::BoxTime;
 
-use crate::fixture::{at, entry, ready_box};
+use crate::fixture::{ask, at, entry, plan, ready_box, TestBox};
 use crate::replica_fleet::{ReplicaFleet, BURST, SIZES, ZONES};
 
 /// Requests a second that a cold replica accepts, and for how long it is cold, in milliseconds.
@@ -168,3 +169,36 @@
     let fullest = peak_after_quiet(boxes, replicas, true);
     assert!(fullest <= COLD_BOUND, "{boxes} boxes: {fullest}");
 }
+
+/// A box with two replicas that are cold after a start, and a request that failed to connect to one
+/// of them, which is returned.
+fn box_with_unreachable_replica() -> (TestBox, ReplicaKey) {
+    let mut subject = ready_box();
+    let service = ServicePlan { warm_up: Some(WARM_UP), ..ServicePlan::default() };
+    let services = [("pool".to_owned(), service)].into();
+    subject.read_plan(Some(RoutePlan { services, ..plan(2) }));
+    let (ticket, order) = subject.sent(ask("/read/x"));
+    subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::NeverSent));
+    (subject, order.replica)
+}
+
+/// Whether a replica counts as cold once a connection to it succeeds after a time.
+fn is_cold_when_reached(subject: &mut TestBox, replica: ReplicaKey, after_ms: u64) -> bool {
+    subject.now += after_ms;
+    subject.feed(RouteEvent::PathProbed { replica, reached: true });
+    let now = BoxTime::from_millis(subject.now);
+    subject.state.backends().get(replica).expect("a row").is_cold(now)
+}
+
+#[test]
+fn replica_that_was_unreachable_for_seconds_counts_as_cold_and_a_briefly_lost_path_does_not() {
+    let (mut subject, replica) = box_with_unreachable_replica();
+    assert!(!is_cold_when_reached(&mut subject, replica, 1_000));
+
+    let (mut subject, replica) = box_with_unreachable_replica();
+    for _ in 0..2 {
+        subject.now += 1_700;
+        subject.feed(RouteEvent::PathProbed { replica, reached: false });
+    }
+    assert!(is_cold_when_reached(&mut subject, replica, 600));
+}
