tests: a paused stream has a retry to be moved with

Its log: all four streams of the first half went to i-2 by chance, so that i-1 had no failure yet and was not ejected at the first pause; two of the second half went to i-1, and of eight requests one stall may be retried (a twentieth, at least one), so that the second stream waited for its deadline. The check stands; 80 requests before it give the budget that each stream needs.

--- a/crates/box/tests/platform.rs
+++ b/crates/box/tests/platform.rs
@@ -200,12 +200,20 @@
     }
 }
 
+/// Requests before streams stall, so that the retry budget allows each of four streams a stall.
+const REQUESTS_BEFORE_STALLS: usize = 80;
+
 #[tokio::test]
 async fn stream_broken_within_an_event_is_resumed_without_gaps() {
     let mut site = site().await;
     let replicas = [site.start_replica("i-1", 8, 2).await, site.start_replica("i-2", 8, 2).await];
     let subject = site.start_ready("box-1").await;
     wait_replicas(&subject, 2).await;
+    // The retry budget allows one stall for each twenty requests.
+    for number in 0..REQUESTS_BEFORE_STALLS {
+        let request = site.request(&subject, "GET", "/read/x", &format!("before-{number}"));
+        assert_eq!(request.send().await.expect("an answer").status(), 200);
+    }
     let whole: String = (1..=8).map(|n| format!("id: {n}\ndata: piece {n}\n\n")).collect();
     for mode in [ReplicaMode::CutAt(4), ReplicaMode::PauseAt(4)] {
         replicas[0].set_mode(mode);
