--- a/crates/box/src/gateway/directory.rs
+++ b/crates/box/src/gateway/directory.rs
@@ -1,5 +1,6 @@
 //! Endpoints for addresses, readiness, state and metrics.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -9,6 +10,7 @@
 use rocket::{Data, Request, Route};
 
 use super::driver::GatewayDriver;
+use super::observe;
 
 /// Path of the state dump, on the port of the metrics.
 pub const STATE_PATH: &str = "/state";
@@ -28,13 +30,19 @@
 struct ResolveHandler {
     driver: Arc<GatewayDriver>,
     address_ttl_ms: u64,
+    /// Whether the last lookup named no box.
+    refusing: Arc<AtomicBool>,
 }
 
 #[rocket::async_trait]
 impl Handler for ResolveHandler {
     async fn handle<'r>(&self, request: &'r Request<'_>, _data: Data<'r>) -> Outcome<'r> {
-        let addresses = self.driver.state().advertised_addresses(self.driver.now());
+        let now = self.driver.now();
+        let addresses = self.driver.state().advertised_addresses(now);
+        let was_refusing = self.refusing.swap(addresses.is_empty(), Ordering::Relaxed);
         if addresses.is_empty() {
+            let knowledge = self.driver.state().knowledge(now);
+            observe::log_lookup_refused(!was_refusing, knowledge);
             return Outcome::from(request, Status::ServiceUnavailable);
         }
         Outcome::from(
@@ -75,7 +83,8 @@
 
 /// Routes by which callers resolve the service to box addresses.
 pub fn resolve_routes(driver: &Arc<GatewayDriver>, address_ttl_ms: u64) -> Vec<Route> {
-    let handler = ResolveHandler { driver: driver.clone(), address_ttl_ms };
+    let refusing = Arc::new(AtomicBool::new(false));
+    let handler = ResolveHandler { driver: driver.clone(), address_ttl_ms, refusing };
     vec![Route::new(Method::Get, RESOLVE_PATH, handler)]
 }
 
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -17,6 +17,7 @@
 use ravenspoke_core::route::leader::{CallOutcome, LeaderCall};
 use ravenspoke_core::route::paths::PathPhase;
 use ravenspoke_core::route::poison::{CrashJudgement, PoisonFinding, PoisonRecord};
+use ravenspoke_core::route::readiness::KnowledgeSummary;
 use ravenspoke_core::route::scheduling::account_shares::ShareSummary;
 use ravenspoke_core::route::shares::{AccountUse, MEASURED_ACCOUNTS};
 use tracing::{error, info, warn};
@@ -253,6 +254,17 @@
                 plan_age_ms
             );
         }
+        RouteEffect::ReadDeferralChanged { to, failed_ms, plan_version } => {
+            gauge!("ravenspoke_read_deferred").set(f64::from(u8::from(to.is_some())));
+            info!(
+                event = 771,
+                name = "read_deferred",
+                deferred = to.is_some(),
+                to = to.as_deref(),
+                failed_ms,
+                plan = plan_version
+            );
+        }
         RouteEffect::PlanTooOld { version } => {
             warn!(event = 711, name = "plan_too_old", version);
         }
@@ -485,9 +497,27 @@
     info!(event = 728, name = "request_waited", id, waited_ms);
 }
 
-/// Logs that callers are served from now on.
-pub fn log_callers_accepted() {
-    info!(event = 726, name = "callers_taken");
+/// Logs that callers are served from now on, and what the box knows by then.
+pub fn log_callers_accepted(knowledge: KnowledgeSummary) {
+    let KnowledgeSummary { plan_version, replicas, paths_lost, peers, store_failed_ms } = knowledge;
+    info!(
+        event = 726,
+        name = "callers_taken",
+        plan = plan_version,
+        replicas,
+        paths_lost,
+        peers,
+        store_failed_ms,
+    );
+}
+
+/// Counts a caller's lookup that named no box. The first one since a lookup named any is logged.
+pub fn log_lookup_refused(is_first: bool, knowledge: KnowledgeSummary) {
+    counter!("ravenspoke_lookups_refused_total").increment(1);
+    if is_first {
+        let KnowledgeSummary { plan_version, replicas, peers, .. } = knowledge;
+        warn!(event = 772, name = "lookups_refused", plan = plan_version, replicas, peers);
+    }
 }
 
 /// Logs that new connections are refused from now on, with the number of open ones.
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -299,7 +299,7 @@
         starting
     });
     if opened {
-        observe::log_callers_accepted();
+        observe::log_callers_accepted(driver.state().knowledge(driver.now()));
     }
 }
 
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -91,6 +91,8 @@
     (768, "shares_changed"),
     (769, "speed_changed"),
     (770, "contention_changed"),
+    (771, "read_deferred"),
+    (772, "lookups_refused"),
 ];
 
 /// Logs and counts an effect, if it has a log event or a metric.
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -225,6 +225,15 @@
         /// Age of its plan, in milliseconds, if it has one.
         plan_age_ms: Option<u64>,
     },
+    /// This box needs to read the plan and from now on leaves it to others, or no longer does.
+    ReadDeferralChanged {
+        /// Name of the box that responded last, if it leaves the read to others.
+        to: Option<String>,
+        /// Time since a call to the store failed, if none has succeeded since, in milliseconds.
+        failed_ms: Option<u64>,
+        /// Version of its plan; 0 without one.
+        plan_version: u64,
+    },
     /// A plan was older than the one in force and was discarded.
     PlanTooOld {
         /// Its version.
--- a/crates/core/src/route/gossip.rs
+++ b/crates/core/src/route/gossip.rs
@@ -332,6 +332,7 @@
         };
         self.sync.unanswered_at = None;
         self.sync.answered_at = Some(stamp.now);
+        self.sync.answered_by.clone_from(&message.name);
         if message.info.open {
             self.note_poison_known();
         }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -20,7 +20,7 @@
 //! - [`store_readers`]: which boxes read the store
 //! - `store_era`: restores of the store from an older copy
 //! - [`startup`]: the start of a box
-//! - `readiness`: what a box knows, and whether it can serve
+//! - [`readiness`]: what a box knows, and whether it can serve
 //! - [`peers`]: the other boxes
 //! - [`leader`]: tasks that one box performs for the fleet
 //!
@@ -79,7 +79,7 @@
 pub mod prefix_cache;
 pub mod rate_limit;
 mod rate_share;
-mod readiness;
+pub mod readiness;
 mod refuse;
 pub mod region;
 pub mod rejected;
@@ -428,6 +428,7 @@
         self.announce_open(stamp.now);
         self.update_reader_at(stamp.now);
         self.report_reader_change(stamp.now, out);
+        self.report_deferral_change(stamp.now, out);
         self.count_silent_replicas(stamp);
         self.advance_trials(stamp, out);
         self.judge_trials(stamp, out);
--- a/crates/core/src/route/readiness.rs
+++ b/crates/core/src/route/readiness.rs
@@ -6,7 +6,33 @@
 use crate::position::TopicPosition;
 use crate::time::BoxTime;
 
+/// What a box knows, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KnowledgeSummary {
+    /// Version of the plan; 0 without one.
+    pub plan_version: u64,
+    /// Number of replicas.
+    pub replicas: usize,
+    /// Whether its network paths to replicas are lost.
+    pub paths_lost: bool,
+    /// Number of other boxes that are live.
+    pub peers: usize,
+    /// Time since a call to the store failed, if none has succeeded since, in milliseconds.
+    pub store_failed_ms: Option<u64>,
+}
+
 impl RouteState {
+    /// Summarizes what the box knows.
+    pub fn knowledge(&self, now: BoxTime) -> KnowledgeSummary {
+        KnowledgeSummary {
+            plan_version: self.table.plan().version,
+            replicas: self.backends.rows().count(),
+            paths_lost: self.paths.is_lost(),
+            peers: self.peers.live_count(now) - 1,
+            store_failed_ms: self.reader.store_failed_at.map(|at| now.millis_since(at)),
+        }
+    }
+
     pub(super) fn has_plan(&self) -> bool {
         self.table.plan().version > 0
     }
--- a/crates/core/src/route/store_readers.rs
+++ b/crates/core/src/route/store_readers.rs
@@ -37,6 +37,8 @@
     pub(super) reader_at: Option<BoxTime>,
     /// Whether it was last reported as a store reader.
     pub(super) reported_reader: bool,
+    /// Whether it was last reported as leaving a read to others.
+    pub(super) reported_deferral: bool,
     /// Since when callers may be directed to this box.
     pub(super) open_since: Option<BoxTime>,
 }
@@ -198,4 +200,22 @@
             (self.store_unreachable(now), self.fresh.age_ms(now));
         out.push(RouteEffect::ReaderChanged { is_reader, store_unreachable, plan_age_ms });
     }
+
+    /// Whether this box needs to read the plan and leaves it to others.
+    fn leaves_read_to_others(&self, now: BoxTime) -> bool {
+        let outdated = self.is_outdated(self.fresh.age_ms(now), PLAN_READ_AGE_MS, now);
+        outdated && !self.must_read_plan(now)
+    }
+
+    /// Reports when this box begins to leave a read of the plan to others, or ceases to.
+    pub(super) fn report_deferral_change(&mut self, now: BoxTime, out: &mut Vec<RouteEffect>) {
+        let defers = self.leaves_read_to_others(now);
+        if std::mem::replace(&mut self.reader.reported_deferral, defers) == defers {
+            return;
+        }
+        let to = defers.then(|| self.sync.answered_by.clone());
+        let failed_ms = self.reader.store_failed_at.map(|at| now.millis_since(at));
+        let plan_version = self.table.plan().version;
+        out.push(RouteEffect::ReadDeferralChanged { to, failed_ms, plan_version });
+    }
 }
--- a/crates/core/src/route/sync_state.rs
+++ b/crates/core/src/route/sync_state.rs
@@ -11,6 +11,8 @@
     pub(super) unanswered_at: Option<BoxTime>,
     /// When another box last responded.
     pub(super) answered_at: Option<BoxTime>,
+    /// Name of that box.
+    pub(super) answered_by: String,
     /// When a store reader last responded.
     pub(super) reader_answered_at: Option<BoxTime>,
     /// Since when another box is known to have read further.
--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -28,6 +28,7 @@
 mod poison_paths;
 mod poison_traffic;
 mod rate_limit;
+mod recovery;
 mod regions;
 mod rejected;
 mod replica_fleet;
--- a/crates/core/tests/route/plan_fleet.rs
+++ b/crates/core/tests/route/plan_fleet.rs
@@ -33,6 +33,9 @@
 /// reader, then of any other box.
 const RETRIES_MS: [(u64, u64); 2] = [(250, 500), (1_000, 8_000)];
 
+/// Interval at which a box that waits for a retry checks its role, in milliseconds.
+const RETRY_POLL_MS: u64 = 50;
+
 /// Number of datagrams lost of each 100.
 const LOST_PERCENT: u64 = 3;
 
@@ -57,6 +60,40 @@
     pub page: usize,
 }
 
+/// A topic of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreTopic {
+    Plan,
+    Entries,
+    Boxes,
+}
+
+/// A time in which calls to the store fail.
+#[derive(Clone, Debug)]
+pub struct StoreOutage {
+    pub from: u64,
+    pub until: u64,
+    /// The topics whose calls fail.
+    pub topics: Vec<StoreTopic>,
+    /// The boxes whose calls fail; empty for all.
+    pub boxes: Vec<usize>,
+}
+
+impl StoreOutage {
+    fn covers(&self, number: usize, topic: StoreTopic, now: u64) -> bool {
+        let concerns = self.boxes.is_empty() || self.boxes.contains(&number);
+        concerns && self.topics.contains(&topic) && (self.from..self.until).contains(&now)
+    }
+}
+
+/// A failed call and the pause before the next one, in milliseconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct FailedCall {
+    at: u64,
+    pause: u64,
+    jitter: u64,
+}
+
 /// A step of a box's tasks. `asked_at` is the start of a read, and `shown_at` the time as of which
 /// it shows the plan.
 #[derive(Clone, Debug)]
@@ -68,6 +105,7 @@
     PlanRead { asked_at: u64, shown_at: u64 },
     EntriesRead { asked_at: u64, listing: bool },
     BoxesRead,
+    Retry(StoreTopic),
     Receive(Box<RouteEvent>),
 }
 
@@ -110,8 +148,8 @@
     link_until: u64,
     /// The store's era in its last response.
     era: u64,
-    /// Pause before the next retry of an unreachable store, in milliseconds.
-    retry_ms: u64,
+    /// The last failed call for each topic, if none has succeeded since.
+    failed: [Option<FailedCall>; 3],
 }
 
 impl FleetBox {
@@ -124,7 +162,7 @@
             next: TopicPosition::default(),
             link_until: 0,
             era: 0,
-            retry_ms: 0,
+            failed: [None; 3],
         }
     }
 }
@@ -163,6 +201,8 @@
     pub gossiped_entries: u64,
     /// Time until which the store is unreachable.
     pub outage_until: u64,
+    /// Outages of parts of the store.
+    pub outages: Vec<StoreOutage>,
     /// Gossip messages within an availability zone and between zones, without sync responses.
     pub messages: [u64; 2],
 }
@@ -188,6 +228,7 @@
             listed_entries: 0,
             gossiped_entries: 0,
             outage_until: 0,
+            outages: Vec::new(),
             messages: [0; 2],
         };
         for number in 0..count {
@@ -337,11 +378,20 @@
                 self.feed(to, RouteEvent::Tick);
                 self.push(next, to, Step::Tick);
             }
-            Step::PollPlan if state.must_read_plan(now) && self.store_unreachable() => {
-                self.fail(to, step)
+            Step::PollPlan
+                if state.must_read_plan(now) && self.unreachable(to, StoreTopic::Plan) =>
+            {
+                self.fail(to, StoreTopic::Plan);
+            }
+            Step::PollEntries
+                if state.must_read_entries(now) && self.unreachable(to, StoreTopic::Entries) =>
+            {
+                self.fail(to, StoreTopic::Entries);
             }
-            Step::PollEntries if state.must_read_entries(now) && self.store_unreachable() => {
-                self.fail(to, step);
+            Step::PollBoxes
+                if state.must_read_box_list(now) && self.unreachable(to, StoreTopic::Boxes) =>
+            {
+                self.fail(to, StoreTopic::Boxes);
             }
             Step::PollPlan if state.must_read_poison(now) => {
                 self.boxes[to].calls += 1;
@@ -380,12 +430,14 @@
                 self.push(next_poll, to, step);
             }
             // A store outage aborts long polls.
-            Step::PlanRead { .. } if self.store_unreachable() => self.fail(to, Step::PollPlan),
-            Step::EntriesRead { .. } if self.store_unreachable() => {
-                self.fail(to, Step::PollEntries)
+            Step::PlanRead { .. } if self.unreachable(to, StoreTopic::Plan) => {
+                self.fail(to, StoreTopic::Plan);
+            }
+            Step::EntriesRead { .. } if self.unreachable(to, StoreTopic::Entries) => {
+                self.fail(to, StoreTopic::Entries);
             }
             Step::PlanRead { asked_at, shown_at } => {
-                self.recover_store(to);
+                self.recover_store(to, StoreTopic::Plan);
                 let shown_at = shown_at.max(asked_at);
                 self.read_plan(to, shown_at);
                 // A read that does not renew the plan is followed by a pause.
@@ -396,11 +448,13 @@
                 self.push(self.now + pause, to, Step::PollPlan);
             }
             Step::EntriesRead { asked_at, listing } => {
-                self.recover_store(to);
+                self.recover_store(to, StoreTopic::Entries);
                 self.read_entries(to, asked_at, listing);
                 self.push(self.now + 1, to, Step::PollEntries);
             }
+            Step::Retry(topic) => self.wait_to_retry(to, topic),
             Step::BoxesRead => {
+                self.recover_store(to, StoreTopic::Boxes);
                 self.feed(to, RouteEvent::PeersDiscovered(self.listed.clone()));
                 self.push(self.now + 60_000, to, Step::PollBoxes);
             }
@@ -417,25 +471,43 @@
         }
     }
 
-    fn store_unreachable(&self) -> bool {
-        self.now < self.outage_until
+    fn unreachable(&self, number: usize, topic: StoreTopic) -> bool {
+        let covers = |outage: &StoreOutage| outage.covers(number, topic, self.now);
+        self.now < self.outage_until || self.outages.iter().any(covers)
     }
 
     /// Handles a failed call, which is retried after a pause.
-    fn fail(&mut self, to: usize, step: Step) {
+    fn fail(&mut self, to: usize, topic: StoreTopic) {
         self.feed(to, RouteEvent::StoreFailed);
-        let reader = self.boxes[to].state.is_reader(BoxTime::from_millis(self.now));
-        let (least, most) = RETRIES_MS[usize::from(!reader)];
+        let jitter = self.draw(25);
         let subject = &mut self.boxes[to];
         subject.calls += 1;
-        let pause = subject.retry_ms.clamp(least, most);
-        subject.retry_ms = pause * 2;
-        let jitter = self.draw(pause / 4);
-        self.push(self.now + pause + jitter, to, step);
+        let former = subject.failed[topic as usize];
+        let pause = former.map_or(0, |call| call.pause);
+        subject.failed[topic as usize] = Some(FailedCall { at: self.now, pause, jitter });
+        self.push(self.now + RETRY_POLL_MS, to, Step::Retry(topic));
+    }
+
+    /// Waits for the retry pause of the box's present role.
+    fn wait_to_retry(&mut self, to: usize, topic: StoreTopic) {
+        let reader = self.boxes[to].state.is_reader(BoxTime::from_millis(self.now));
+        let (least, most) = RETRIES_MS[usize::from(!reader)];
+        let call = self.boxes[to].failed[topic as usize].unwrap_or_default();
+        let pause = call.pause.clamp(least, most);
+        if self.now < call.at + pause + pause * call.jitter / 100 {
+            return self.push(self.now + RETRY_POLL_MS, to, Step::Retry(topic));
+        }
+        self.boxes[to].failed[topic as usize] = Some(FailedCall { pause: pause * 2, ..call });
+        let step = match topic {
+            StoreTopic::Plan => Step::PollPlan,
+            StoreTopic::Entries => Step::PollEntries,
+            StoreTopic::Boxes => Step::PollBoxes,
+        };
+        self.push(self.now, to, step);
     }
 
-    fn recover_store(&mut self, to: usize) {
-        if std::mem::take(&mut self.boxes[to].retry_ms) > 0 {
+    fn recover_store(&mut self, to: usize, topic: StoreTopic) {
+        if self.boxes[to].failed[topic as usize].take().is_some() {
             self.feed(to, RouteEvent::StoreRecovered);
         }
         if std::mem::replace(&mut self.boxes[to].era, self.era) < self.era {
