--- a/crates/core/tests/route/plan_fleet.rs
+++ b/crates/core/tests/route/plan_fleet.rs
@@ -251,7 +251,12 @@
         }
     }
 
-    fn draw(&mut self, below: u64) -> u64 {
+    /// Continues with other random numbers.
+    pub fn reseed(&mut self, seed: u64) {
+        self.random ^= seed.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    }
+
+    pub fn draw(&mut self, below: u64) -> u64 {
         self.random = self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
         (self.random >> 33) % below
     }
