route: boxes without the store neither all wait for each other nor all rank themselves last

Seen by callers: after a kill of all boxes beside an outage of a part of the store, no request was served for 20 s. Cause: a box whose call failed left the store to any box that answered it, for 20 s, also to one that did the same; and a starting box announced that it reads but ranked itself as one that doesn't, so that nobody held the role of store reader. The belief about one's own access was a clock of 20 s, so that after an outage for all, boxes that reached the store ranked like those that had lost it. Now: a box that announces that it reads defers to nobody; the others for 2 to 9 s, drawn at each failure, so that some box tries at any time; own and others' rank follow the same announcement; a failure counts for less once the store is known to have answered some box since (StoreAccess); retries of boxes that are no readers come within 4 s (8 s).

--- a/crates/box/src/gateway/gossip_wire/peer.rs
+++ b/crates/box/src/gateway/gossip_wire/peer.rs
@@ -4,6 +4,7 @@
 use ravenspoke_core::route::evacuation::EvacuationDigest;
 use ravenspoke_core::route::peers::{BudgetUpdate, PeerInfo, PeerSummary};
 use ravenspoke_core::route::retry_budget::SendCount;
+use ravenspoke_core::route::store_access::StoreAccess;
 
 use super::position::{read_position, WirePosition};
 
@@ -30,8 +31,8 @@
     zone: String,
     #[prost(bool, tag = "5")]
     open: bool,
-    #[prost(bool, tag = "6")]
-    store_unreachable: bool,
+    #[prost(uint32, tag = "6")]
+    store_access: u32,
     #[prost(bool, tag = "7")]
     reads_store: bool,
     #[prost(bool, tag = "8")]
@@ -98,6 +99,22 @@
     }
 }
 
+fn write_access(access: StoreAccess) -> u32 {
+    match access {
+        StoreAccess::Working => 0,
+        StoreAccess::Failed => 1,
+        StoreAccess::Unknown => 2,
+    }
+}
+
+fn read_access(wire: u32) -> StoreAccess {
+    match wire {
+        0 => StoreAccess::Working,
+        1 => StoreAccess::Failed,
+        _ => StoreAccess::Unknown,
+    }
+}
+
 pub(super) fn write_peer_info(info: &PeerInfo) -> WirePeerInfo {
     WirePeerInfo {
         incarnation: info.incarnation,
@@ -105,7 +122,7 @@
         entry_address: info.entry_address.clone(),
         zone: info.zone.clone(),
         open: info.open,
-        store_unreachable: info.store_unreachable,
+        store_access: write_access(info.store_access),
         reads_store: info.reads_store,
         strong: info.strong,
         forward_key: info.forward_key,
@@ -121,7 +138,7 @@
         entry_address: info.entry_address,
         zone: info.zone,
         open: info.open,
-        store_unreachable: info.store_unreachable,
+        store_access: read_access(info.store_access),
         reads_store: info.reads_store,
         strong: info.strong,
         forward_key: info.forward_key,
--- a/crates/box/src/gateway/topic_follower.rs
+++ b/crates/box/src/gateway/topic_follower.rs
@@ -35,8 +35,9 @@
 /// same time, the store readers detect that it is reachable again.
 pub const RETRY_OTHERS_MS: u64 = 1_000;
 
-/// Longest retry pause of the other boxes, in milliseconds.
-pub const RETRY_LIMIT_MS: u64 = 8_000;
+/// Longest retry pause of the other boxes, in milliseconds. All boxes but one may be unable to
+/// reach the store, and the fleet must serve within some seconds of its return.
+pub const RETRY_LIMIT_MS: u64 = 4_000;
 
 /// Interval at which a box that waits for a retry checks whether it must retry sooner, in
 /// milliseconds.
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -227,7 +227,7 @@
     },
     /// This box needs to read the plan and from now on leaves it to others, or no longer does.
     ReadDeferralChanged {
-        /// Name of the box that responded last, if it leaves the read to others.
+        /// Name of the box that answered it last, if it leaves the read to others.
         to: Option<String>,
         /// Time since a call to the store failed, if none has succeeded since, in milliseconds.
         failed_ms: Option<u64>,
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -17,6 +17,7 @@
 //! - [`plan_freshness`]: how long a plan may be relied on
 //! - `plan_state`: how far the operator's records are known
 //! - [`entry_sync`]: how far the replicas' entries are known
+//! - [`store_access`]: what a box knows of its own access to the store
 //! - [`store_readers`]: which boxes read the store
 //! - `store_era`: restores of the store from an older copy
 //! - [`startup`]: the start of a box
@@ -88,6 +89,7 @@
 pub mod scheduling;
 pub mod shares;
 pub mod startup;
+pub mod store_access;
 mod store_era;
 pub mod store_readers;
 mod sync_state;
@@ -346,7 +348,7 @@
             RouteEvent::EraObserved(era) => self.observe_era(era, stamp.now, out),
             RouteEvent::StoreFailed | RouteEvent::StoreRecovered => {
                 let failed = matches!(event, RouteEvent::StoreFailed);
-                self.reader.store_failed_at = failed.then_some(stamp.now);
+                self.record_store_call(stamp, failed);
                 self.grace_until = Some(stamp.now.plus_millis(EXPIRY_GRACE_MS));
             }
             RouteEvent::GossipReceived(message) => self.on_gossip(stamp, &message, out),
--- a/crates/core/src/route/peers/duties.rs
+++ b/crates/core/src/route/peers/duties.rs
@@ -10,6 +10,7 @@
 
 use super::table::{PeerState, PeerTable};
 use super::{PeerSummary, CLIENTS_PER_READER, READERS_MIN, SPARE_DUTY_HOLDERS};
+use crate::route::store_access::StoreAccess;
 use crate::time::BoxTime;
 
 /// Processor time of a box that can respond to many others, in cores.
@@ -42,8 +43,10 @@
     pub name: &'a str,
     /// Whether callers may be directed to it, or it is a store reader.
     pub serves: bool,
-    /// Whether it cannot reach the store.
-    pub store_unreachable: bool,
+    /// Its access to the store.
+    pub store_access: StoreAccess,
+    /// Time as of which it knows that the store answered it or another box.
+    pub store_read_at: Option<BoxTime>,
     /// Whether it can respond to many others.
     pub strong: bool,
     /// Since when callers may be directed to it. Other boxes without a message since then may have
@@ -56,15 +59,22 @@
     fn may_serve(&self, other: &PeerState) -> bool {
         other.info.serves() || self.open_since.is_some_and(|since| other.seen_at < since)
     }
+
+    /// Another box's access to the store. Its report of a failure is outdated in the same way as a
+    /// failure of this box.
+    fn access_of(&self, other: &PeerState) -> StoreAccess {
+        other.info.store_access.after_read(other.seen_at, self.store_read_at)
+    }
 }
 
-/// Order of candidates for a duty. Boxes that reach the store come first. Among them, boxes that
+/// Order of candidates for a duty. Boxes that reach the store come first, then those of which this
+/// is unknown. Among equal ones, boxes that
 /// are open or readers come first: if the plan becomes outdated on all boxes, the readers remain
 /// the same. Then come boxes that can respond to many others, then the order is by a hash of the
 /// names, which spreads duties over availability zones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct CandidateKey {
-    store_unreachable: bool,
+    store_access: StoreAccess,
     idle: bool,
     weak: bool,
     hash: u64,
@@ -73,17 +83,12 @@
 impl CandidateKey {
     fn of_own(me: &LocalPeer) -> Self {
         let hash = xxh3_64(me.name.as_bytes());
-        Self { store_unreachable: me.store_unreachable, idle: !me.serves, weak: !me.strong, hash }
+        Self { store_access: me.store_access, idle: !me.serves, weak: !me.strong, hash }
     }
 
     fn of_other(me: &LocalPeer, name: &str, other: &PeerState) -> Self {
         let (idle, hash) = (!me.may_serve(other), xxh3_64(name.as_bytes()));
-        Self {
-            store_unreachable: other.info.store_unreachable,
-            idle,
-            weak: !other.info.strong,
-            hash,
-        }
+        Self { store_access: me.access_of(other), idle, weak: !other.info.strong, hash }
     }
 }
 
@@ -139,9 +144,10 @@
         .collect()
     }
 
-    /// Whether another live box reaches the store and is open or a reader.
+    /// Whether another live box is open or a reader, and is not known to have lost the store.
     pub fn any_serves(&self, now: BoxTime) -> bool {
-        self.live_rows(now).any(|(_, row)| row.info.serves() && !row.info.store_unreachable)
+        let lost = |row: &PeerState| row.info.store_access == StoreAccess::Failed;
+        self.live_rows(now).any(|(_, row)| row.info.serves() && !lost(row))
     }
 
     /// Number of boxes that come before this one in a duty of a single box.
--- a/crates/core/src/route/peers/mod.rs
+++ b/crates/core/src/route/peers/mod.rs
@@ -33,6 +33,7 @@
 use super::scheduling::account_demand::ShareUpdate;
 use super::scheduling::loads::LoadUpdate;
 use super::scheduling::replica_speed::SpeedUpdate;
+use super::store_access::StoreAccess;
 use super::trial::TrialVerdict;
 use super::trial_exposure::ExposureCount;
 use super::trial_progress::TrialProgress;
@@ -112,10 +113,6 @@
 /// may be unable to respond.
 pub const START_SYNC_LIMIT_MS: u64 = 10_000;
 
-/// A box that could not reach the store ranks behind the others in reading it for this long, in
-/// milliseconds, unless a call succeeds.
-pub const STORE_UNREACHABLE_MS: u64 = 20_000;
-
 /// Interval between sync requests, in milliseconds.
 pub const SYNC_INTERVAL_MS: u64 = 800;
 
@@ -128,8 +125,7 @@
 pub const SYNC_RETRY_MS: u64 = 150;
 
 /// A box that cannot reach the store leaves it to the readers to find out when the store is back,
-/// if its last request was answered within this, in milliseconds. It covers two requests, lost
-/// once. In an outage of 8 s, 300 boxes make 415 calls in place of 1,094 (in virtual time).
+/// if one of them answered it within this, in milliseconds. It covers two requests, lost once.
 pub const SYNC_ANSWERED_MS: u64 = 1_700;
 
 /// A response to a request that was sent longer ago is ignored, in milliseconds.
@@ -190,9 +186,8 @@
     pub zone: String,
     /// Whether callers may be directed to it.
     pub open: bool,
-    /// Whether it cannot reach the store.
-    #[serde(rename = "cut")]
-    pub store_unreachable: bool,
+    /// Its access to the store.
+    pub store_access: StoreAccess,
     /// Whether it reads the store, as a store reader or during its start.
     #[serde(rename = "reads")]
     pub reads_store: bool,
--- a/crates/core/src/route/readiness.rs
+++ b/crates/core/src/route/readiness.rs
@@ -78,19 +78,19 @@
         self.start.is_some_and(|start| now.millis_since(start.at) < peers::START_SETTLE_MS)
     }
 
-    /// Whether this box cannot reach the store.
-    pub(super) fn store_unreachable(&self, now: BoxTime) -> bool {
-        self.reader
-            .store_failed_at
-            .is_some_and(|at| now.millis_since(at) < peers::STORE_UNREACHABLE_MS)
-    }
-
     /// This box as a candidate for a duty.
     pub(super) fn local_peer(&self, now: BoxTime) -> LocalPeer<'_> {
-        let serves = self.open(now) || self.reads_for_others(now);
-        let (store_unreachable, open_since) = (self.store_unreachable(now), self.reader.open_since);
-        let strong = self.settings.capacity.is_strong();
-        LocalPeer { name: &self.settings.name, serves, store_unreachable, strong, open_since }
+        // Other boxes rank this one by what it announces.
+        let serves = self.open(now) || self.announces_reads(now);
+        let (store_access, open_since) = (self.store_access(now), self.reader.open_since);
+        LocalPeer {
+            name: &self.settings.name,
+            serves,
+            store_access,
+            store_read_at: self.fresh.as_of(),
+            strong: self.settings.capacity.is_strong(),
+            open_since,
+        }
     }
 
     /// Number of requests in flight.
--- a/crates/core/src/route/store_readers.rs
+++ b/crates/core/src/route/store_readers.rs
@@ -8,6 +8,7 @@
 use super::event::RouteEffect;
 use super::startup::StartupState;
 use super::{peers, RouteState};
+use crate::event::EventStamp;
 use crate::time::BoxTime;
 
 /// A box whose plan no reader has confirmed for this long reads the store itself, in milliseconds.
@@ -23,6 +24,14 @@
 /// itself, in milliseconds. It covers the age of a reader's own knowledge and two sync requests.
 pub const ENTRIES_READ_AGE_MS: u64 = 4_000;
 
+/// A box that cannot reach the store leaves it to others for at least this long, in milliseconds,
+/// which covers a sync request, a retry of a reader and the time until all agree on the readers.
+pub const DEFER_MIN_MS: u64 = 2_000;
+
+/// Upper bound of a random time beyond [`DEFER_MIN_MS`], in milliseconds. The box then tries again,
+/// because it may be the only one that reaches the store; of many boxes, some do so at any time.
+pub const DEFER_SPREAD_MS: u64 = 7_000;
+
 /// A box that waits for a restored store to show a lost plan reads the store itself if no reader
 /// has responded for this long, in milliseconds, which is the time until boxes agree on other
 /// readers.
@@ -33,6 +42,8 @@
 pub(super) struct ReaderState {
     /// When a call to the store last failed, if none has succeeded since.
     pub(super) store_failed_at: Option<BoxTime>,
+    /// For how long after that failure it leaves the store to others, in milliseconds.
+    pub(super) defer_ms: u64,
     /// When this box begins to act as a store reader, if it is one.
     pub(super) reader_at: Option<BoxTime>,
     /// Whether it was last reported as a store reader.
@@ -60,17 +71,28 @@
     }
 
     /// Whether this box cannot reach the store, or the store lost its plan, and it leaves it to
-    /// boxes that respond to find out when the store is back.
+    /// boxes that respond to find out when the store is back. A box that announces that it reads
+    /// never does: others may leave the store to it.
     pub(super) fn defers_to_others(&self, now: BoxTime) -> bool {
         let within = |limit_ms| move |at: BoxTime| now.millis_since(at) < limit_ms;
-        let answered_at = self.sync.answered_at;
-        let answered =
-            self.store_unreachable(now) && answered_at.is_some_and(within(peers::SYNC_ANSWERED_MS));
+        let failed = self.reader.store_failed_at.is_some_and(within(self.reader.defer_ms));
+        let answered = failed && self.sync.answered_at.is_some_and(within(peers::SYNC_ANSWERED_MS));
         // No box can confirm that the plan is current, so only the response of a reader replaces a
         // read.
         let read_at = self.sync.reader_answered_at;
         let read = self.awaits_plan() && read_at.is_some_and(within(READER_LOST_MS));
-        answered || read
+        (answered || read) && !self.announces_reads(now)
+    }
+
+    /// Records a call to the store that failed, or one that succeeded after such a call.
+    pub(super) fn record_store_call(&mut self, stamp: EventStamp, failed: bool) {
+        self.reader.store_failed_at = failed.then_some(stamp.now);
+        self.reader.defer_ms = DEFER_MIN_MS + stamp.random % DEFER_SPREAD_MS;
+    }
+
+    /// Whether this box tells others that it reads the store, as a store reader or during its start.
+    pub(super) fn announces_reads(&self, now: BoxTime) -> bool {
+        self.reads_for_others(now) || self.reads_at_start()
     }
 
     /// Whether this box must read the replicas' entries itself: it is a reader, or no other box has
@@ -78,7 +100,8 @@
     pub fn must_read_entries(&self, now: BoxTime) -> bool {
         let outdated = self.is_outdated(self.entries.age_ms(now), ENTRIES_READ_AGE_MS, now);
         // During a store outage, reads of the plan find out when the store is back.
-        let unreachable = self.store_away(now) && self.store_unreachable(now);
+        let unreachable =
+            self.store_away(now) && self.store_unreachable(now) && !self.reads_at_start();
         let deferred = self.entries.is_listing(now) || self.defers_to_others(now);
         self.is_reader(now) || (outdated && !unreachable && !deferred)
     }
--- a/crates/core/src/route/sync_state.rs
+++ b/crates/core/src/route/sync_state.rs
@@ -13,7 +13,7 @@
     pub(super) answered_at: Option<BoxTime>,
     /// Name of that box.
     pub(super) answered_by: String,
-    /// When a store reader last responded.
+    /// When a box that reads the store last responded.
     pub(super) reader_answered_at: Option<BoxTime>,
     /// Since when another box is known to have read further.
     pub(super) behind_since: Option<BoxTime>,
