--- a/crates/core/tests/route/recovery.rs
+++ b/crates/core/tests/route/recovery.rs
@@ -10,6 +10,9 @@
 /// Time within which a fleet serves again after all its boxes have restarted, in milliseconds.
 const RECOVERY_MS: u64 = 12_000;
 
+/// Longest time without a call to the store during an outage, in milliseconds.
+const TRY_MS: u64 = 2_000;
+
 /// Sizes of the simulated fleets.
 const SIZES: [usize; 3] = [7, 84, 300];
 
@@ -176,3 +179,33 @@
         }
     }
 }
+
+// Each box announced that it read and ranked itself as one that did not, behind all others.
+#[test]
+fn boxes_that_restart_without_the_store_agree_on_store_readers() {
+    let mut fleet = running_fleet(7, 0);
+    fleet.outage_until = fleet.now + RECOVERY_MS;
+    fleet.restart_all();
+
+    fleet.run_until(fleet.now + RECOVERY_MS / 3);
+
+    assert_eq!(fleet.readers(), READERS_MIN);
+}
+
+#[test]
+fn some_box_tries_the_store_throughout_an_outage() {
+    for count in SIZES {
+        for restart in [false, true] {
+            let mut fleet = running_fleet(count, 0);
+            fleet.outage_until = fleet.now + 30_000;
+            if restart {
+                fleet.restart_all();
+            }
+            fleet.calls();
+            for second in 1..8 {
+                fleet.run_until(fleet.now + TRY_MS);
+                assert!(fleet.calls() > 0, "{count} boxes, restarted {restart}, {second}");
+            }
+        }
+    }
+}
