--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -40,6 +40,8 @@
     pub outage: StoreOutage,
     /// Clients for which it fails. Empty for all.
     pub only: HashSet<IpAddr>,
+    /// Topics for which it fails. Empty for all.
+    pub topics: HashSet<String>,
     /// Delay of each call, in milliseconds.
     pub slow_ms: u64,
     /// Limit of the bytes a second of a response, for the clients in `only`. 0 for no limit.
@@ -48,6 +50,14 @@
     pub lose_answers: u32,
 }
 
+impl StoreFaults {
+    /// Whether the outage concerns a call of this client to a topic.
+    fn concerns(&self, from: IpAddr, topic: &str) -> bool {
+        let client = self.only.is_empty() || self.only.contains(&from);
+        client && (self.topics.is_empty() || self.topics.contains(topic))
+    }
+}
+
 #[derive(Clone, Debug)]
 struct StoredRecord {
     key: String,
@@ -231,7 +241,8 @@
         let mut stream = BufReader::new(stream);
         while let Ok(Some(request)) = read_request(&mut stream).await {
             let faults = self.record_call(from, &request);
-            let hit = faults.only.is_empty() || faults.only.contains(&from);
+            let topic = request.query("topic").unwrap_or_default();
+            let hit = faults.concerns(from, topic);
             match faults.outage {
                 StoreOutage::Busy if hit => {
                     let answer = self.answer_with(503, b"");
--- a/crates/standins/src/soak/inflict.rs
+++ b/crates/standins/src/soak/inflict.rs
@@ -67,6 +67,7 @@
         SoakFault::BoxPaused(number) => site.pause_box(number, row.length).await,
         SoakFault::BoxTold(number) => site.boxes[number].lock().await.tell().await,
         SoakFault::Store(outage, only) => site.fail_store(outage, only, row.length).await,
+        SoakFault::StoreTopic(outage, topic) => site.fail_topic(outage, topic, row.length).await,
         SoakFault::StoreSlow => site.slow_store(row.length).await,
         SoakFault::StoreLoses => site.lose_answers(row.length).await,
         SoakFault::StoreCompacts => site.compact_store().await,
@@ -184,6 +185,15 @@
         .await;
     }
 
+    /// Makes the store fail for calls to a topic.
+    async fn fail_topic(&self, outage: StoreOutage, topic: &str, length: Duration) {
+        self.disturb_store(length, |faults, on| {
+            faults.outage = if on { outage } else { StoreOutage::None };
+            faults.topics = Some(topic.to_owned()).filter(|_| on).into_iter().collect();
+        })
+        .await;
+    }
+
     async fn slow_store(&self, length: Duration) {
         self.disturb_store(length, |faults, on| {
             faults.slow_ms = if on { SLOW_MS } else { 0 };
--- a/crates/standins/src/soak/judge.rs
+++ b/crates/standins/src/soak/judge.rs
@@ -325,6 +325,7 @@
         | SoakFault::BoxStopped(_)
         | SoakFault::BoxPaused(_)
         | SoakFault::Store(..)
+        | SoakFault::StoreTopic(..)
         | SoakFault::StoreSlow
         | SoakFault::StoreLoses
         | SoakFault::StoreCompacts
--- a/crates/standins/src/soak/play.rs
+++ b/crates/standins/src/soak/play.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use futures_util::future::join_all;
 use tokio::runtime::Builder;
@@ -14,7 +15,8 @@
 use super::judge::{judge, BrokenGuarantee, SoakRecord};
 use super::recorder::{AskEnd, AskKind};
 use super::schedule::{
-    draw_faults, draw_partitions, draw_series, TimedFault, BOXES, FAULT_WINDOW, RECOVERY_TIME,
+    draw_faults, draw_partitions, draw_restarts, draw_series, TimedFault, BOXES, FAULT_WINDOW,
+    RECOVERY_TIME, RESTART_RECOVERY_TIME,
 };
 use super::site::SoakSite;
 
@@ -57,6 +59,12 @@
     play_faults(binary, seed, draw_partitions(seed)).await
 }
 
+/// Runs the kills of all boxes beside store outages that a seed draws.
+pub async fn play_restarts(binary: &Path, seed: u64) -> SoakReport {
+    let site = Arc::new(SoakSite::start(binary).await);
+    play_at(site, seed, draw_restarts(seed), RESTART_RECOVERY_TIME).await
+}
+
 /// Runs a seed with a bad version and a few of the seed's faults.
 pub async fn play_bad_version(binary: &Path, seed: u64) -> SoakReport {
     let mut faults = draw_faults(seed);
@@ -64,16 +72,21 @@
     let site = SoakSite::start(binary).await;
     let fault = draw_version_fault(seed);
     site.new_replicas.iter().for_each(|replica| replica.set_version_fault(Some(fault)));
-    let mut report = play_at(Arc::new(site), seed, faults).await;
+    let mut report = play_at(Arc::new(site), seed, faults, RECOVERY_TIME).await;
     report.faults.push(format!("{fault:?}"));
     report
 }
 
 async fn play_faults(binary: &Path, seed: u64, faults: Vec<TimedFault>) -> SoakReport {
-    play_at(Arc::new(SoakSite::start(binary).await), seed, faults).await
+    play_at(Arc::new(SoakSite::start(binary).await), seed, faults, RECOVERY_TIME).await
 }
 
-async fn play_at(site: Arc<SoakSite>, seed: u64, faults: Vec<TimedFault>) -> SoakReport {
+async fn play_at(
+    site: Arc<SoakSite>,
+    seed: u64,
+    faults: Vec<TimedFault>,
+    recovery_time: Duration,
+) -> SoakReport {
     let (stop, stopped) = watch::channel(false);
     let callers = start_callers(&site, seed, &stopped);
     let played: Vec<_> =
@@ -82,7 +95,7 @@
     for fault in played {
         fault.await.expect("the fault is played");
     }
-    tokio::time::sleep(RECOVERY_TIME).await;
+    tokio::time::sleep(recovery_time).await;
     stop.send_replace(true);
     let ended = tokio::task::spawn_blocking(move || callers.join()).await;
     ended.expect("the wait ends").expect("the callers end");
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -7,6 +7,7 @@
 
 use super::proxy::ProxyFault;
 use crate::platform::replica::ReplicaMode;
+use crate::platform::site::{OPERATOR_TOPIC, REPLICA_TOPIC};
 use crate::platform::store::StoreOutage;
 
 /// Faults start within this time from the start of traffic.
@@ -16,6 +17,10 @@
 /// seconds after the store is, and a box retries within two seconds.
 pub const RECOVERY_TIME: Duration = Duration::from_millis(4_500);
 
+/// Time between the last fault and the end of a run of restarts: the platform's bound on the time
+/// until a fleet serves after all its boxes have restarted.
+pub const RESTART_RECOVERY_TIME: Duration = Duration::from_millis(12_000);
+
 /// Number of boxes of a site.
 pub const BOXES: usize = 3;
 
@@ -87,6 +92,17 @@
 const PARTITION_OUTAGES: u32 = 3;
 const PARTITION_STRETCH: u32 = 3;
 
+/// Most kills of all boxes in a run of restarts.
+const RESTARTS: u32 = 2;
+
+/// Longest time from the start of a store outage to the kill of all boxes beside it, in
+/// milliseconds.
+const RESTART_LEAD_MS: u64 = 2_000;
+
+/// Range of the length of store outages beside such a kill, in milliseconds. Boxes that have
+/// started call the store within a second.
+const RESTART_OUTAGE_MS: (u64, u64) = (1_500, 6_000);
+
 /// Range of the time for which a killed box of a series is down, in milliseconds.
 const SERIES_AWAY_MS: (u64, u64) = (50, 1_500);
 
@@ -105,6 +121,8 @@
     BoxTold(usize),
     /// The store fails for all boxes, or for one box.
     Store(StoreOutage, Option<usize>),
+    /// The store fails for calls to one topic.
+    StoreTopic(StoreOutage, &'static str),
     /// The store answers slowly.
     StoreSlow,
     /// The store does an append and does not answer it.
@@ -249,6 +267,37 @@
     (0..SERIES).map(|number| draw_outage_of_box(&mut rng, number)).collect()
 }
 
+/// Draws kills of all boxes, each beside one or two outages of the store, in whole or in part.
+pub fn draw_restarts(seed: u64) -> Vec<TimedFault> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut faults = Vec::new();
+    for _ in 0..rng.gen_range(1..=RESTARTS) {
+        let killed = TimedFault { fault: SoakFault::BoxesKilled, ..draw(&mut rng) };
+        for _ in 0..rng.gen_range(1..=2) {
+            let lead = Duration::from_millis(rng.gen_range(0..RESTART_LEAD_MS));
+            let length = rng.gen_range(RESTART_OUTAGE_MS.0..RESTART_OUTAGE_MS.1);
+            faults.push(TimedFault {
+                at: killed.at.saturating_sub(lead),
+                length: Duration::from_millis(length),
+                fault: draw_store_part(&mut rng),
+            });
+        }
+        faults.push(killed);
+    }
+    faults
+}
+
+/// Draws an outage of the store for all boxes or one, or of one topic.
+fn draw_store_part(rng: &mut StdRng) -> SoakFault {
+    let outage = draw_outage(rng);
+    match rng.gen_range(0..6) {
+        0 => SoakFault::Store(outage, None),
+        1 => SoakFault::Store(outage, Some(rng.gen_range(0..BOXES))),
+        2 | 3 => SoakFault::StoreTopic(outage, OPERATOR_TOPIC),
+        _ => SoakFault::StoreTopic(outage, REPLICA_TOPIC),
+    }
+}
+
 fn draw_outage_of_box(rng: &mut StdRng, number: u32) -> TimedFault {
     let subject = rng.gen_range(0..BOXES);
     let stops = rng.gen_bool(0.5);
--- a/crates/standins/src/soak/sessions.rs
+++ b/crates/standins/src/soak/sessions.rs
@@ -135,6 +135,7 @@
     match fault {
         SoakFault::BoxPaused(_)
         | SoakFault::Store(..)
+        | SoakFault::StoreTopic(..)
         | SoakFault::StoreSlow
         | SoakFault::StoreLoses
         | SoakFault::StorePath(..) => true,
