poison: a part that merely ran beside a convicted one is not convicted of the same crashes

Seen: 84 boxes with half of their paths refused beside a poison part: a harmless part that nobody had answered yet stood at four crashes, all of them the poison part's, which was convicted a second before; requests with it were refused as crashes_replicas (traced: all four crashes 1.9 to 2.1 s old, none own, none doubtful). Explaining them away for all parts would lose the bound of a second poison part; so they count only beside a crash that the convicted one does not explain.

--- a/crates/core/src/route/poison/record.rs
+++ b/crates/core/src/route/poison/record.rs
@@ -343,7 +343,8 @@
 
     /// Returns whether the feature was never answered, and the number of crashes, if they show that it
     /// crashes replicas. Crashes that poison explains do not count against a part that was answered
-    /// before, or against a content.
+    /// before, or against a content. Against any other part they count beside one that poison does not
+    /// explain: such a part may be a second one that crashes replicas.
     pub(super) fn conviction(
         &self,
         feature: RequestFeature,
@@ -357,8 +358,10 @@
         let is_shielded = was_answered || !feature.is_part();
         let counts = |crash: &&ReplicaCrash| !is_shielded || !is_explained(crash);
         let heard = self.confirmed(now).filter(|crash| crash.counts(now));
-        let evidence = CrashEvidence::new(heard.filter(counts), now);
-        let is_convicted = evidence.convicts(feature, was_answered);
+        let heard: Vec<&ReplicaCrash> = heard.collect();
+        let all_explained = heard.iter().all(|crash| is_explained(crash));
+        let evidence = CrashEvidence::new(heard.into_iter().filter(counts), now);
+        let is_convicted = !all_explained && evidence.convicts(feature, was_answered);
         is_convicted.then_some((!was_answered, evidence.crashes))
     }
 
