--- a/crates/core/src/route/peers/duties.rs
+++ b/crates/core/src/route/peers/duties.rs
@@ -68,10 +68,9 @@
 }
 
 /// Order of candidates for a duty. Boxes that reach the store come first, then those of which this
-/// is unknown. Among equal ones, boxes that
-/// are open or readers come first: if the plan becomes outdated on all boxes, the readers remain
-/// the same. Then come boxes that can respond to many others, then the order is by a hash of the
-/// names, which spreads duties over availability zones.
+/// is unknown. Among equal ones, boxes that are open or readers come first: if the plan becomes
+/// outdated on all boxes, the readers remain the same. Then come boxes that can respond to many
+/// others, then the order is by a hash of the names, which spreads duties over availability zones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct CandidateKey {
     store_access: StoreAccess,
--- a/crates/core/src/route/peers/mod.rs
+++ b/crates/core/src/route/peers/mod.rs
@@ -124,8 +124,9 @@
 /// milliseconds.
 pub const SYNC_RETRY_MS: u64 = 150;
 
-/// A box that cannot reach the store leaves it to the readers to find out when the store is back,
-/// if one of them answered it within this, in milliseconds. It covers two requests, lost once.
+/// A box that cannot reach the store leaves it to others for a while to find out when the store is
+/// back, if its last request was answered within this, in milliseconds. It covers two requests, lost
+/// once.
 pub const SYNC_ANSWERED_MS: u64 = 1_700;
 
 /// A response to a request that was sent longer ago is ignored, in milliseconds.
--- a/crates/core/tests/route/store_readers.rs
+++ b/crates/core/tests/route/store_readers.rs
@@ -4,6 +4,7 @@
 use ravenspoke_core::route::entry_sync::ListingPage;
 use ravenspoke_core::route::event::{RouteEffect, RouteEvent};
 use ravenspoke_core::route::peers::{GossipMessage, PeerInfo, BEHIND_MS, START_SETTLE_MS};
+use ravenspoke_core::route::store_access::StoreAccess;
 
 use crate::fixture::{at, new_box, plan, ready_box, TestBox};
 use crate::membership::{answer, clock, deliver_gossip, sync_request_in};
@@ -37,6 +38,26 @@
     assert!(subject.state.is_reader(clock(&subject)), "{live} live");
 }
 
+#[test]
+fn failed_call_counts_for_less_once_the_store_has_answered_another_box() {
+    let mut subject = box_without_the_store();
+    let failed = subject.state.store_access(clock(&subject));
+    subject.now += 200;
+    let mut reader = new_box("box-2");
+    reader.now = subject.now;
+    reader.read_plan(Some(plan(1)));
+    subject.now += 10;
+    reader.now = subject.now;
+    let message = answer(&mut reader, &subject);
+
+    subject.feed(RouteEvent::GossipReceived(Box::new(message)));
+
+    assert_eq!(failed, StoreAccess::Failed);
+    assert_eq!(subject.state.store_access(clock(&subject)), StoreAccess::Unknown);
+    subject.feed(RouteEvent::StoreRecovered);
+    assert_eq!(subject.state.store_access(clock(&subject)), StoreAccess::Working);
+}
+
 #[test]
 fn reader_with_an_old_plan_reads_without_a_long_poll() {
     let mut subject = ready_box();
