--- /dev/null
+++ b/review/driver/src/memory.rs
@@ -0,0 +1,159 @@
+//! Clients send bodies as long as the config lets them, all at once.
+//!
+//! The platform's stand-in kills a process whose resident memory is over `memory_mb` and starts it
+//! again after a short delay, as DEPLOY.md tells. Nothing else is done to the boxes.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use ravenspoke_standins::fleet::wait_for;
+use ravenspoke_standins::platform::site::{RunningSite, OPERATOR_TOPIC, SITE_KEY, SITE_SERVICE};
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::{Case, Outcome};
+
+/// `memory_mb` of the settings on DEPLOY.md and of the machines in the site file.
+const MEMORY_MB: usize = 110;
+/// `body_bytes` under `config` in the site file, which is the config's `max_body_bytes`.
+const BODY_LIMIT: usize = 4_194_304;
+/// The longest body of the site file's requests (`req_bytes`, `max`).
+const USUAL_BODY: usize = 72_000;
+/// Clients of the site file's four zones: 28, 23, 32 and 24.
+const CLIENTS: usize = 107;
+const ROUNDS: usize = 4;
+const ROUND: Duration = Duration::from_secs(6);
+/// The rule's count of ends of a process.
+const ENDS: usize = 3;
+
+/// What became of a client's request.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+enum End {
+    Answered(u16),
+    /// The client had sent the whole request, and the channel ended without an answer.
+    CutAfterWhole,
+    /// The channel ended before the client had sent the whole request.
+    CutBefore,
+    NoChannel,
+}
+
+async fn send(address: String, id: String, size: usize) -> End {
+    let Ok(mut stream) = TcpStream::connect(address).await else { return End::NoChannel };
+    let head = format!(
+        "POST /file/x HTTP/1.1\r\nHost: api.example\r\nX-Ravenspoke-Request-Id: {id}\r\n\
+         X-Ravenspoke-Deadline-Ms: 5000\r\nAuthorization: Bearer {SITE_KEY}\r\n\
+         Content-Length: {size}\r\n\r\n"
+    );
+    let body = vec![b'x'; size];
+    let written = async {
+        stream.write_all(head.as_bytes()).await?;
+        stream.write_all(&body).await
+    };
+    let whole = written.await.is_ok();
+    let mut answer = [0; 1024];
+    match stream.read(&mut answer).await {
+        Ok(count) if count > 12 => {
+            let text = String::from_utf8_lossy(&answer[9..12]).into_owned();
+            End::Answered(text.parse().unwrap_or(0))
+        }
+        _ if whole => End::CutAfterWhole,
+        _ => End::CutBefore,
+    }
+}
+
+pub async fn run(case: &Case) -> Option<Outcome> {
+    let size = if case.trouble { BODY_LIMIT } else { USUAL_BODY };
+    let mut site = RunningSite::start(&case.binary).await;
+    site.memory_mb = Some(MEMORY_MB as u32);
+    site.contracts = vec![
+        "base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants",
+        "platform", "rollout",
+    ];
+    site.store.put(
+        OPERATOR_TOPIC,
+        "config",
+        &json!({
+            "version": 1,
+            "routes": [{
+                "name": "file", "host": "api.example", "path_prefix": "/file/",
+                "kind": "idempotent", "timeout_ms": 5000, "target_latency_ms": 500, "priority": 1,
+                "service": SITE_SERVICE, "max_attempts": 2,
+            }],
+            "services": [{ "name": SITE_SERVICE, "max_connections": 370 }],
+            "tenants": [{ "name": "alpha", "api_keys": [SITE_KEY] }],
+            "limits": {
+                "max_body_bytes": BODY_LIMIT, "max_header_bytes": 16384,
+                "header_timeout_ms": 5000, "idle_timeout_ms": 30000,
+            },
+        }),
+    );
+    let mut replicas = Vec::new();
+    for number in 1..=4 {
+        replicas.push(site.start_replica(&format!("i-{number}"), 3, 1).await);
+    }
+    let mut boxes = Vec::new();
+    for name in ["box-1", "box-2"] {
+        boxes.push(site.start_ready(name).await);
+    }
+    for subject in &boxes {
+        wait_for("the box knows the replicas", || async {
+            let state = subject.state().await?;
+            (state["backends"].as_array()?.len() == 4).then_some(())
+        })
+        .await;
+    }
+    case.note(&format!(
+        "two boxes, four replicas; memory_mb {MEMORY_MB}; {CLIENTS} clients, bodies of {size} bytes, {ROUNDS} rounds"
+    ));
+    let addresses: Vec<String> = boxes.iter().map(|subject| subject.entry_address()).collect();
+
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut watches = Vec::new();
+    let ends: Vec<Arc<AtomicUsize>> = boxes.iter().map(|_| Arc::default()).collect();
+    for (mut subject, ends) in boxes.into_iter().zip(ends.clone()) {
+        let stop = stop.clone();
+        // The platform: kills a process over its memory, and starts it again.
+        watches.push(tokio::spawn(async move {
+            let mut peak = 0;
+            while !stop.load(Ordering::Relaxed) {
+                let bytes = subject.resident_bytes();
+                peak = peak.max(bytes);
+                if bytes > MEMORY_MB << 20 {
+                    subject.kill();
+                    ends.fetch_add(1, Ordering::Relaxed);
+                    tokio::time::sleep(Duration::from_millis(500)).await;
+                    subject.restart();
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            (peak, subject)
+        }));
+    }
+    for round in 1..=ROUNDS {
+        let calls: Vec<_> = (0..CLIENTS)
+            .map(|client| {
+                let address = addresses[client % addresses.len()].clone();
+                tokio::spawn(send(address, format!("r{round}c{client}"), size))
+            })
+            .collect();
+        let mut outcomes = std::collections::BTreeMap::new();
+        for call in calls {
+            *outcomes.entry(call.await.ok()?).or_insert(0) += 1;
+        }
+        case.note(&format!("round {round}: {outcomes:?}"));
+        tokio::time::sleep(ROUND).await;
+    }
+    stop.store(true, Ordering::Relaxed);
+    for watch in watches {
+        let (peak, _ended) = watch.await.ok()?;
+        case.note(&format!("peak of a box as seen: {} MB", peak >> 20));
+    }
+    let runs: usize = replicas.iter().map(|replica| replica.runs().len()).sum();
+    let ended: Vec<usize> = ends.iter().map(|ends| ends.load(Ordering::Relaxed)).collect();
+    case.note(&format!("runs at replicas: {runs}; ends of the boxes over their memory: {ended:?}"));
+    let broken = ended.iter().filter(|count| **count >= ENDS).count() >= 2;
+    case.note(if broken { "Fault: broken" } else { "Fault: held" });
+    Some(if broken { Outcome::Broken } else { Outcome::Held })
+}
