Review case 1: streams of a replaced key are cut when replicas leave

Tried: 24 streams through one of two boxes, two of eight replicas leave as planned, beside a config that replaces the tenant's key. Real processes, real clock.

--- a/review/driver/src/main.rs
+++ b/review/driver/src/main.rs
@@ -5,7 +5,9 @@
 //! Usage: `review-driver CASE RAVENSPOKED RECORD`. Exits with 1 if the rule was broken, 0 if it
 //! held, 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
+mod client;
 mod memory;
+mod rotation;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -48,6 +50,7 @@
     let case = Case { binary: binary.into(), trouble, record: file.into() };
     let outcome = match name.as_str() {
         "memory" => memory::run(&case).await,
+        "rotation" => rotation::run(&case).await,
         _ => {
             eprintln!("no such case");
             return ExitCode::from(2);
