Review case 2: a resumed stream goes on at another service of a split route

Tried: a stream route split between two services, a quarter of the replicas of each leaves as planned, 80 streams through one of two boxes. Real processes, real clock.

--- a/review/driver/src/main.rs
+++ b/review/driver/src/main.rs
@@ -7,7 +7,9 @@
 
 mod client;
 mod memory;
+mod replica;
 mod rotation;
+mod split;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -51,6 +53,7 @@
     let outcome = match name.as_str() {
         "memory" => memory::run(&case).await,
         "rotation" => rotation::run(&case).await,
+        "split" => split::run(&case).await,
         _ => {
             eprintln!("no such case");
             return ExitCode::from(2);
--- /dev/null
+++ b/review/driver/src/replica.rs
@@ -0,0 +1,129 @@
+//! A sound replica of a model service: it streams events that name its service, goes on after
+//! `Last-Event-Id`, and ends when it is told to.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ravenspoke_standins::platform::site::own_address;
+use serde_json::{json, Value};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// A run: the request's id, and the event after which it went on.
+pub type Run = (String, u32);
+
+#[derive(Clone)]
+pub struct Replica {
+    pub address: SocketAddr,
+    pub id: String,
+    pub service: &'static str,
+    pub events: u32,
+    pub gap_ms: u64,
+    runs: Arc<Mutex<Vec<Run>>>,
+    ended: watch::Sender<bool>,
+}
+
+impl Replica {
+    pub async fn start(id: &str, service: &'static str, events: u32, gap_ms: u64) -> Self {
+        let listener = TcpListener::bind((own_address(), 0)).await.expect("a free port");
+        let address = listener.local_addr().expect("it listens");
+        let (ended, mut end) = watch::channel(false);
+        let (id, runs) = (id.to_owned(), Arc::default());
+        let replica = Self { address, id, service, events, gap_ms, runs, ended };
+        let server = replica.clone();
+        tokio::spawn(async move {
+            loop {
+                let stream = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    _ = end.changed() => return,
+                };
+                let Ok((stream, _)) = stream else { return };
+                let (server, mut end) = (server.clone(), end.clone());
+                tokio::spawn(async move {
+                    tokio::select! {
+                        _ = server.serve(stream) => {}
+                        _ = end.changed() => {}
+                    }
+                });
+            }
+        });
+        replica
+    }
+
+    /// Ends it: its channels close, and nothing listens at its address.
+    pub fn end(&self) {
+        self.ended.send_replace(true);
+    }
+
+    pub fn runs(&self) -> Vec<Run> {
+        self.runs.lock().expect("not poisoned").clone()
+    }
+
+    pub fn entry(&self, state: &str) -> Value {
+        json!({
+            "service": self.service, "address": self.address.to_string(), "zone": "east",
+            "version": "v1", "slots": 64, "state": state, "cold_remaining_ms": 0, "sequence": 1,
+        })
+    }
+
+    async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut bytes = Vec::new();
+        loop {
+            let head_end = loop {
+                if let Some(at) = bytes.windows(4).position(|four| four == b"\r\n\r\n") {
+                    break at + 4;
+                }
+                let mut piece = [0; 4096];
+                match stream.read(&mut piece).await? {
+                    0 => return Ok(()),
+                    count => bytes.extend_from_slice(&piece[..count]),
+                }
+            };
+            let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
+            let header = |name: &str| {
+                let rows = head.lines().filter_map(|line| line.split_once(':'));
+                let mut rows = rows.filter(|(row, _)| row.eq_ignore_ascii_case(name));
+                rows.next().map(|(_, value)| value.trim().to_owned())
+            };
+            let length = header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+            while bytes.len() < head_end + length {
+                let mut piece = [0; 4096];
+                match stream.read(&mut piece).await? {
+                    0 => return Ok(()),
+                    count => bytes.extend_from_slice(&piece[..count]),
+                }
+            }
+            bytes.drain(..head_end + length);
+            let id = header("x-ravenspoke-request-id").unwrap_or_default();
+            let target = header("x-ravenspoke-target-instance");
+            if target.is_some_and(|target| target != self.id) {
+                let answer = format!(
+                    "HTTP/1.1 421 Misdirected Request\r\nX-Ravenspoke-Request-Id: {id}\r\n\
+                     X-Ravenspoke-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                    self.id
+                );
+                stream.write_all(answer.as_bytes()).await?;
+                continue;
+            }
+            let after = header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
+            self.runs.lock().expect("not poisoned").push((id.clone(), after));
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nX-Ravenspoke-Request-Id: {id}\r\n\
+                 X-Ravenspoke-Response-Stamp: {}.{id}\r\nContent-Type: text/event-stream\r\n\
+                 Transfer-Encoding: chunked\r\n\r\n",
+                self.id
+            );
+            stream.write_all(answer.as_bytes()).await?;
+            for number in after + 1..=self.events {
+                let event = format!("id: {number}\ndata: {} {number}\n\n", self.service);
+                let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+                stream.write_all(chunk.as_bytes()).await?;
+                tokio::time::sleep(Duration::from_millis(self.gap_ms)).await;
+            }
+            stream.write_all(b"0\r\n\r\n").await?;
+        }
+    }
+}
--- /dev/null
+++ b/review/driver/src/split.rs
@@ -0,0 +1,135 @@
+//! A route is split between two services; replicas of one of them leave as planned while its streams
+//! run.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use ravenspoke_standins::fleet::wait_for;
+use ravenspoke_standins::platform::site::{RunningSite, OPERATOR_TOPIC, REPLICA_TOPIC, SITE_KEY};
+use serde_json::json;
+
+use crate::client::{ask, Ask};
+use crate::replica::Replica;
+use crate::{Case, Outcome};
+
+const EVENTS: u32 = 24;
+const GAP_MS: u64 = 300;
+const STREAMS: usize = 80;
+const EACH: usize = 8;
+/// `drain_ms` of the site, and a little longer.
+const SERVES_ON: Duration = Duration::from_millis(2_300);
+
+pub async fn run(case: &Case) -> Option<Outcome> {
+    let mut site = RunningSite::start(&case.binary).await;
+    site.memory_mb = Some(110);
+    site.store.put(
+        OPERATOR_TOPIC,
+        "config",
+        &json!({
+            "version": 1,
+            "routes": [{
+                "name": "chat", "host": "api.example", "path_prefix": "/chat/", "kind": "stream",
+                "stream_resume": true, "timeout_ms": 20000, "target_latency_ms": 1500,
+                "gap_aim_ms": 1200, "priority": 0, "max_attempts": 3,
+                "traffic_split": [
+                    { "service": "amber", "weight": 50 }, { "service": "blue", "weight": 50 },
+                ],
+            }],
+            "services": [
+                { "name": "amber", "max_connections": 370 },
+                { "name": "blue", "max_connections": 370 },
+            ],
+            "tenants": [{ "name": "alpha", "api_keys": [SITE_KEY] }],
+            "limits": {
+                "max_body_bytes": 4194304, "max_header_bytes": 16384,
+                "header_timeout_ms": 5000, "idle_timeout_ms": 30000,
+            },
+        }),
+    );
+    let mut replicas = Vec::new();
+    for service in ["amber", "blue"] {
+        for number in 1..=EACH {
+            let id = format!("i-{service}-{number}");
+            let replica = Replica::start(&id, service, EVENTS, GAP_MS).await;
+            site.store.put(REPLICA_TOPIC, &id, &replica.entry("ready"));
+            replicas.push(replica);
+        }
+    }
+    let first = site.start_ready("box-1").await;
+    let second = site.start_ready("box-2").await;
+    for subject in [&first, &second] {
+        wait_for("the box knows the replicas and the other box", || async {
+            let state = subject.state().await?;
+            let known = state["backends"].as_array()?.len() == replicas.len();
+            let listed = subject.resolve().await?.len() == 2;
+            (known && listed).then_some(())
+        })
+        .await;
+    }
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let began = Instant::now();
+    let at = || began.elapsed().as_millis();
+    let mut streams = Vec::new();
+    for number in 0..STREAMS {
+        let request = Ask {
+            address: first.entry_address(),
+            method: "POST",
+            path: "/chat/x",
+            id: format!("s{number}"),
+            key: SITE_KEY,
+            deadline_ms: 20_000,
+            body: format!("prompt {number}").into_bytes(),
+            stream: true,
+            more: String::new(),
+        };
+        streams.push(tokio::spawn(async move { ask(&request).await }));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    case.note(&format!("{} ms: {STREAMS} streams were sent to box-1", at()));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    // A quarter of each service.
+    let leaving: Vec<Replica> = (0..EACH / 4)
+        .flat_map(|row| [replicas[row].clone(), replicas[EACH + row].clone()])
+        .collect();
+    if case.trouble {
+        for replica in &leaving {
+            site.store.put(REPLICA_TOPIC, &replica.id, &replica.entry("draining"));
+            case.note(&format!("{} ms: {} says draining", at(), replica.id));
+        }
+        tokio::time::sleep(SERVES_ON).await;
+        for replica in &leaving {
+            replica.end();
+        }
+        for replica in &leaving {
+            site.store.drop_key(REPLICA_TOPIC, &replica.id);
+            case.note(&format!("{} ms: {} has ended", at(), replica.id));
+        }
+    }
+    let (mut mixed, mut cut) = (0, 0);
+    for (number, stream) in streams.into_iter().enumerate() {
+        let reply = stream.await.ok()?;
+        let services: BTreeSet<&str> = reply
+            .body
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "))
+            .filter_map(|data| data.split(' ').next())
+            .collect();
+        mixed += usize::from(services.len() > 1);
+        cut += usize::from(!reply.whole);
+        case.note(&format!(
+            "s{number}: {}, whole {}, {} events, written by {services:?}",
+            reply.status,
+            reply.whole,
+            reply.events().len()
+        ));
+    }
+    for replica in &replicas {
+        case.note(&format!("{} ran (id, after event) {:?}", replica.id, replica.runs()));
+    }
+    for event in first.events("request_forwarded") {
+        case.note(&format!("log of box-1: request_forwarded {}", event["id"]));
+    }
+    case.note(&format!("{mixed} of {STREAMS} answers were written by both services, {cut} were cut"));
+    case.note(if mixed > 0 { "MIXED: broken" } else { "MIXED: held" });
+    Some(if mixed > 0 { Outcome::Broken } else { Outcome::Held })
+}
