--- a/review/driver/src/replica.rs
+++ b/review/driver/src/replica.rs
@@ -1,15 +1,14 @@
 //! A sound replica of a model service: it streams events that name its service, goes on after
-//! `Last-Event-Id`, and ends when it is told to.
+//! `Last-Event-Id`, and pauses when it is told to.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ravenspoke_standins::platform::site::own_address;
 use serde_json::{json, Value};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 
 /// A run: the request's id, and the event after which it went on.
 pub type Run = (String, u32);
@@ -22,39 +21,36 @@
     pub events: u32,
     pub gap_ms: u64,
     runs: Arc<Mutex<Vec<Run>>>,
-    ended: watch::Sender<bool>,
+    silent_until: Arc<Mutex<Option<Instant>>>,
 }
 
 impl Replica {
     pub async fn start(id: &str, service: &'static str, events: u32, gap_ms: u64) -> Self {
         let listener = TcpListener::bind((own_address(), 0)).await.expect("a free port");
         let address = listener.local_addr().expect("it listens");
-        let (ended, mut end) = watch::channel(false);
-        let (id, runs) = (id.to_owned(), Arc::default());
-        let replica = Self { address, id, service, events, gap_ms, runs, ended };
+        let (id, runs, silent_until) = (id.to_owned(), Arc::default(), Arc::default());
+        let replica = Self { address, id, service, events, gap_ms, runs, silent_until };
         let server = replica.clone();
         tokio::spawn(async move {
-            loop {
-                let stream = tokio::select! {
-                    accepted = listener.accept() => accepted,
-                    _ = end.changed() => return,
-                };
-                let Ok((stream, _)) = stream else { return };
-                let (server, mut end) = (server.clone(), end.clone());
-                tokio::spawn(async move {
-                    tokio::select! {
-                        _ = server.serve(stream) => {}
-                        _ = end.changed() => {}
-                    }
-                });
+            while let Ok((stream, _)) = listener.accept().await {
+                let server = server.clone();
+                tokio::spawn(async move { server.serve(stream).await });
             }
         });
         replica
     }
 
-    /// Ends it: its channels close, and nothing listens at its address.
-    pub fn end(&self) {
-        self.ended.send_replace(true);
+    /// Makes no events for a while, and goes on then.
+    pub fn pause(&self, length: Duration) {
+        *self.silent_until.lock().expect("not poisoned") = Some(Instant::now() + length);
+    }
+
+    async fn wait_pause(&self) {
+        loop {
+            let until = *self.silent_until.lock().expect("not poisoned");
+            let Some(until) = until.filter(|until| *until > Instant::now()) else { return };
+            tokio::time::sleep_until(until.into()).await;
+        }
     }
 
     pub fn runs(&self) -> Vec<Run> {
@@ -118,6 +114,7 @@
             );
             stream.write_all(answer.as_bytes()).await?;
             for number in after + 1..=self.events {
+                self.wait_pause().await;
                 let event = format!("id: {number}\ndata: {} {number}\n\n", self.service);
                 let chunk = format!("{:x}\r\n{event}\r\n", event.len());
                 stream.write_all(chunk.as_bytes()).await?;
--- a/review/driver/src/rotation.rs
+++ b/review/driver/src/rotation.rs
@@ -1,24 +1,24 @@
-//! A tenant's key is replaced while its streams run and replicas leave as planned.
+//! A tenant's key is replaced while its streams run, and a replica pauses for a moment.
 
 use std::time::{Duration, Instant};
 
 use ravenspoke_standins::fleet::wait_for;
-use ravenspoke_standins::platform::replica::ReplicaStandin;
+use ravenspoke_standins::platform::site::{RunningSite, OPERATOR_TOPIC, REPLICA_TOPIC, SITE_KEY};
 use ravenspoke_standins::platform::site_box::SiteBox;
-use ravenspoke_standins::platform::site::{
-    RunningSite, OPERATOR_TOPIC, REPLICA_TOPIC, SITE_KEY, SITE_SERVICE,
-};
 use serde_json::json;
 
 use crate::client::{ask, Ask};
+use crate::replica::Replica;
 use crate::{Case, Outcome};
 
+const SERVICE: &str = "pool";
 const EVENTS: u32 = 24;
 const GAP_MS: u64 = 300;
-const STREAMS: usize = 24;
-const REPLICAS: usize = 8;
-/// `drain_ms` of the site, and a little longer.
-const SERVES_ON: Duration = Duration::from_millis(2_300);
+const STREAMS: usize = 16;
+const REPLICAS: usize = 4;
+/// The longest pause that still keeps an answer in time.
+const GAP_AIM_MS: u64 = 1_200;
+const PAUSE: Duration = Duration::from_millis(1_100);
 const NEW_KEY: &str = "new-key";
 
 fn plan(site: &RunningSite, version: u64, keys: &[&str]) {
@@ -30,9 +30,9 @@
             "routes": [{
                 "name": "chat", "host": "api.example", "path_prefix": "/chat/", "kind": "stream",
                 "stream_resume": true, "timeout_ms": 20000, "target_latency_ms": 1500,
-                "gap_aim_ms": 1200, "priority": 0, "service": SITE_SERVICE, "max_attempts": 3,
+                "gap_aim_ms": GAP_AIM_MS, "priority": 0, "service": SERVICE, "max_attempts": 3,
             }],
-            "services": [{ "name": SITE_SERVICE, "max_connections": 370 }],
+            "services": [{ "name": SERVICE, "max_connections": 370 }],
             "tenants": [{ "name": "alpha", "api_keys": keys }],
             "limits": {
                 "max_body_bytes": 4194304, "max_header_bytes": 16384,
@@ -42,30 +42,13 @@
     );
 }
 
-/// Ends a replica: its channels close, and nothing listens at its address.
-async fn end(replica: &ReplicaStandin) {
-    replica.end_on(b"end");
-    let ask_end = Ask {
-        address: replica.address.to_string(),
-        method: "POST",
-        path: "/end",
-        id: format!("end-{}", replica.id),
-        key: "none",
-        deadline_ms: 1000,
-        body: b"end".to_vec(),
-        stream: false,
-        more: String::new(),
-    };
-    ask(&ask_end).await;
-}
-
-/// Lets streams run on all replicas through the first box, and two replicas leave meanwhile, as
-/// planned. Returns how many streams were cut.
+/// Lets streams run on all replicas through the first box, and one replica pause meanwhile. Returns
+/// how many streams were cut.
 async fn play(
     case: &Case,
     site: &RunningSite,
-    boxes: [&SiteBox; 2],
-    leaving: &[ReplicaStandin],
+    first: &SiteBox,
+    pausing: &Replica,
     phase: &str,
     new_plan: Option<&[&str]>,
 ) -> Option<usize> {
@@ -74,7 +57,7 @@
     let mut streams = Vec::new();
     for number in 0..STREAMS {
         let request = Ask {
-            address: boxes[0].entry_address(),
+            address: first.entry_address(),
             method: "POST",
             path: "/chat/x",
             id: format!("{phase}{number}"),
@@ -88,24 +71,14 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     case.note(&format!("{phase}: {} ms: {STREAMS} streams were sent to box-1", at()));
-    tokio::time::sleep(Duration::from_millis(500)).await;
-    for replica in leaving {
-        let entry = replica.entry(SITE_SERVICE, "v1", "draining");
-        site.store.put(REPLICA_TOPIC, &replica.id, &entry);
-        case.note(&format!("{phase}: {} ms: {} says draining", at(), replica.id));
-    }
-    let ends_at = Instant::now() + SERVES_ON;
-    tokio::time::sleep(Duration::from_millis(300)).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
     if let Some(keys) = new_plan {
         plan(site, 2, keys);
         case.note(&format!("{phase}: {} ms: config 2 is confirmed, the tenant's key is {keys:?}", at()));
     }
-    tokio::time::sleep_until(ends_at.into()).await;
-    tokio::join!(end(&leaving[0]), end(&leaving[1]));
-    for replica in leaving {
-        site.store.drop_key(REPLICA_TOPIC, &replica.id);
-        case.note(&format!("{phase}: {} ms: {} has ended", at(), replica.id));
-    }
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    pausing.pause(PAUSE);
+    case.note(&format!("{phase}: {} ms: {} pauses for {PAUSE:?}", at(), pausing.id));
     let wanted: Vec<u32> = (1..=EVENTS).collect();
     let mut cut = 0;
     for (number, stream) in streams.into_iter().enumerate() {
@@ -127,7 +100,9 @@
     plan(&site, 1, &[SITE_KEY]);
     let mut replicas = Vec::new();
     for number in 1..=REPLICAS {
-        replicas.push(site.start_replica(&format!("i-{number}"), EVENTS, GAP_MS).await);
+        let replica = Replica::start(&format!("i-{number}"), SERVICE, EVENTS, GAP_MS).await;
+        site.store.put(REPLICA_TOPIC, &replica.id, &replica.entry("ready"));
+        replicas.push(replica);
     }
     let first = site.start_ready("box-1").await;
     let second = site.start_ready("box-2").await;
@@ -143,20 +118,18 @@
     }
     tokio::time::sleep(Duration::from_secs(4)).await;
     // At other times: the same without a config. Then beside a config.
-    let before = play(case, &site, boxes, &replicas[..2], "other", None).await?;
+    let before = play(case, &site, &first, &replicas[0], "other", None).await?;
     tokio::time::sleep(Duration::from_secs(4)).await;
     let new_plan: Option<&[&str]> = if case.trouble { Some(&[NEW_KEY]) } else { None };
-    let beside = play(case, &site, boxes, &replicas[2..4], "beside", new_plan).await?;
+    let beside = play(case, &site, &first, &replicas[1], "beside", new_plan).await?;
     for replica in &replicas {
-        let runs = replica.runs();
-        let ids: Vec<&str> = runs.iter().map(|run| run.id.as_str()).collect();
-        case.note(&format!("{} ran {}", replica.id, ids.join(" ")));
+        case.note(&format!("{} ran (id, after event) {:?}", replica.id, replica.runs()));
     }
     for (name, subject) in ["box-1", "box-2"].iter().zip(boxes) {
-        for event in ["request_forwarded", "request_given_up", "answer_broken_off"] {
+        for event in ["attempt_failed", "request_forwarded", "request_given_up", "answer_broken_off"] {
             for fields in subject.events(event) {
-                let (id, why) = (&fields["id"], &fields["reason"]);
-                case.note(&format!("log of {name}: {event} {id} {why}"));
+                let (id, reason, why) = (&fields["id"], &fields["reason"], &fields["why"]);
+                case.note(&format!("log of {name}: {event} {id} {reason} {why}"));
             }
         }
     }
--- a/review/driver/src/split.rs
+++ b/review/driver/src/split.rs
@@ -1,4 +1,4 @@
-//! A route is split between two services; replicas of one of them leave as planned while its streams
+//! A route is split between two services, and a replica of each pauses for a moment while its streams
 //! run.
 
 use std::collections::BTreeSet;
@@ -14,10 +14,10 @@
 
 const EVENTS: u32 = 24;
 const GAP_MS: u64 = 300;
-const STREAMS: usize = 80;
-const EACH: usize = 8;
-/// `drain_ms` of the site, and a little longer.
-const SERVES_ON: Duration = Duration::from_millis(2_300);
+const STREAMS: usize = 48;
+const EACH: usize = 4;
+/// Shorter than the longest pause that still keeps an answer in time, 1,200 ms.
+const PAUSE: Duration = Duration::from_millis(1_100);
 
 pub async fn run(case: &Case) -> Option<Outcome> {
     let mut site = RunningSite::start(&case.binary).await;
@@ -86,23 +86,11 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     case.note(&format!("{} ms: {STREAMS} streams were sent to box-1", at()));
-    tokio::time::sleep(Duration::from_millis(500)).await;
-    // A quarter of each service.
-    let leaving: Vec<Replica> = (0..EACH / 4)
-        .flat_map(|row| [replicas[row].clone(), replicas[EACH + row].clone()])
-        .collect();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
     if case.trouble {
-        for replica in &leaving {
-            site.store.put(REPLICA_TOPIC, &replica.id, &replica.entry("draining"));
-            case.note(&format!("{} ms: {} says draining", at(), replica.id));
-        }
-        tokio::time::sleep(SERVES_ON).await;
-        for replica in &leaving {
-            replica.end();
-        }
-        for replica in &leaving {
-            site.store.drop_key(REPLICA_TOPIC, &replica.id);
-            case.note(&format!("{} ms: {} has ended", at(), replica.id));
+        for replica in [&replicas[0], &replicas[EACH]] {
+            replica.pause(PAUSE);
+            case.note(&format!("{} ms: {} pauses for {PAUSE:?}", at(), replica.id));
         }
     }
     let (mut mixed, mut cut) = (0, 0);
