--- a/review/driver/src/main.rs
+++ b/review/driver/src/main.rs
@@ -6,6 +6,7 @@
 //! held, 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
 mod client;
+mod escalation;
 mod memory;
 mod replica;
 mod rotation;
@@ -54,6 +55,7 @@
         "memory" => memory::run(&case).await,
         "rotation" => rotation::run(&case).await,
         "split" => split::run(&case).await,
+        "escalation" => escalation::run(&case).await,
         _ => {
             eprintln!("no such case");
             return ExitCode::from(2);
--- a/review/driver/src/replica.rs
+++ b/review/driver/src/replica.rs
@@ -22,6 +22,8 @@
     pub gap_ms: u64,
     runs: Arc<Mutex<Vec<Run>>>,
     silent_until: Arc<Mutex<Option<Instant>>>,
+    /// Models with the confidence that each states in the head of its answers.
+    confidence: Arc<Mutex<Vec<(String, u8)>>>,
 }
 
 impl Replica {
@@ -29,7 +31,8 @@
         let listener = TcpListener::bind((own_address(), 0)).await.expect("a free port");
         let address = listener.local_addr().expect("it listens");
         let (id, runs, silent_until) = (id.to_owned(), Arc::default(), Arc::default());
-        let replica = Self { address, id, service, events, gap_ms, runs, silent_until };
+        let confidence = Arc::default();
+        let replica = Self { address, id, service, events, gap_ms, runs, silent_until, confidence };
         let server = replica.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -45,6 +48,11 @@
         *self.silent_until.lock().expect("not poisoned") = Some(Instant::now() + length);
     }
 
+    /// Sets what a model says of its answers.
+    pub fn set_confidence(&self, model: &str, confidence: u8) {
+        self.confidence.lock().expect("not poisoned").push((model.to_owned(), confidence));
+    }
+
     async fn wait_pause(&self) {
         loop {
             let until = *self.silent_until.lock().expect("not poisoned");
@@ -105,10 +113,16 @@
                 continue;
             }
             let after = header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
+            let model = header("x-ravenspoke-model").unwrap_or_default();
             self.runs.lock().expect("not poisoned").push((id.clone(), after));
+            let confidence = {
+                let rows = self.confidence.lock().expect("not poisoned");
+                let row = rows.iter().find(|(row, _)| *row == model);
+                row.map_or(String::new(), |(_, score)| format!("Confidence: {score}\r\n"))
+            };
             let answer = format!(
                 "HTTP/1.1 200 OK\r\nX-Ravenspoke-Request-Id: {id}\r\n\
-                 X-Ravenspoke-Response-Stamp: {}.{id}\r\nContent-Type: text/event-stream\r\n\
+                 X-Ravenspoke-Response-Stamp: {}.{id}\r\n{confidence}Content-Type: text/event-stream\r\n\
                  Transfer-Encoding: chunked\r\n\r\n",
                 self.id
             );
