--- a/review/driver/src/escalation.rs
+++ b/review/driver/src/escalation.rs
@@ -84,7 +84,10 @@
             .map(|(_, replica)| replica)
             .collect();
         twice += usize::from(ran.len() > 1);
-        case.note(&format!("s{number} {}: {}, whole {}, ran at {ran:?}", request.path, reply.status, reply.whole));
+        case.note(&format!(
+            "s{number} {}: {}, whole {}, ran at {ran:?}",
+            request.path, reply.status, reply.whole
+        ));
     }
     case.note(&format!("{twice} of {REQUESTS} requests ran more than once"));
     case.note(if twice > 0 { "TWICE: broken" } else { "TWICE: held" });
--- a/review/driver/src/rotation.rs
+++ b/review/driver/src/rotation.rs
@@ -74,7 +74,10 @@
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     if let Some(keys) = new_plan {
         plan(site, 2, keys);
-        case.note(&format!("{phase}: {} ms: config 2 is confirmed, the tenant's key is {keys:?}", at()));
+        case.note(&format!(
+            "{phase}: {} ms: config 2 is confirmed, the tenant's key is {keys:?}",
+            at()
+        ));
     }
     tokio::time::sleep(Duration::from_millis(1_000)).await;
     pausing.pause(PAUSE);
@@ -126,7 +129,9 @@
         case.note(&format!("{} ran (id, after event) {:?}", replica.id, replica.runs()));
     }
     for (name, subject) in ["box-1", "box-2"].iter().zip(boxes) {
-        for event in ["attempt_failed", "request_forwarded", "request_given_up", "answer_broken_off"] {
+        for event in
+            ["attempt_failed", "request_forwarded", "request_given_up", "answer_broken_off"]
+        {
             for fields in subject.events(event) {
                 let (id, reason, why) = (&fields["id"], &fields["reason"], &fields["why"]);
                 case.note(&format!("log of {name}: {event} {id} {reason} {why}"));
--- a/review/driver/src/split.rs
+++ b/review/driver/src/split.rs
@@ -117,7 +117,9 @@
     for event in first.events("request_forwarded") {
         case.note(&format!("log of box-1: request_forwarded {}", event["id"]));
     }
-    case.note(&format!("{mixed} of {STREAMS} answers were written by both services, {cut} were cut"));
+    case.note(&format!(
+        "{mixed} of {STREAMS} answers were written by both services, {cut} were cut"
+    ));
     case.note(if mixed > 0 { "MIXED: broken" } else { "MIXED: held" });
     Some(if mixed > 0 { Outcome::Broken } else { Outcome::Held })
 }
