--- a/review/driver/src/client.rs
+++ b/review/driver/src/client.rs
@@ -1,9 +1,10 @@
 //! A client with one request on a channel of its own.
 
-use ravenspoke_standins::platform::site_box::SITE_HOST;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use crate::fleet::HOST;
+
 /// A client's request.
 pub struct Ask {
     pub address: String,
@@ -41,7 +42,7 @@
     let Ok(mut stream) = TcpStream::connect(&ask.address).await else { return Reply::default() };
     let accept = if ask.stream { "Accept: text/event-stream\r\n" } else { "" };
     let head = format!(
-        "{} {} HTTP/1.1\r\nHost: {SITE_HOST}\r\nX-Ravenspoke-Request-Id: {}\r\n\
+        "{} {} HTTP/1.1\r\nHost: {HOST}\r\nX-Ravenspoke-Request-Id: {}\r\n\
          X-Ravenspoke-Deadline-Ms: {}\r\nAuthorization: Bearer {}\r\n{accept}{}\
          Content-Length: {}\r\nConnection: close\r\n\r\n",
         ask.method,
--- a/review/driver/src/escalation.rs
+++ b/review/driver/src/escalation.rs
@@ -3,11 +3,10 @@
 
 use std::time::Duration;
 
-use ravenspoke_standins::fleet::wait_for;
-use ravenspoke_standins::platform::site::{RunningSite, OPERATOR_TOPIC, REPLICA_TOPIC, SITE_KEY};
 use serde_json::json;
 
 use crate::client::{ask, Ask};
+use crate::fleet::{Fleet, HOST, KEY, OPERATOR_TOPIC, REPLICA_TOPIC};
 use crate::replica::Replica;
 use crate::{Case, Outcome};
 
@@ -17,11 +16,10 @@
 const REQUESTS: usize = 20;
 
 pub async fn run(case: &Case) -> Option<Outcome> {
-    let mut site = RunningSite::start(&case.binary).await;
-    site.memory_mb = Some(110);
+    let site = Fleet::start(&case.binary, 1).await;
     let route = |name: &str, kind: &str| {
         json!({
-            "name": name, "host": "api.example", "path_prefix": format!("/{name}/"), "kind": kind,
+            "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
             "stream_resume": false, "timeout_ms": 20000, "target_latency_ms": 1500,
             "gap_aim_ms": 1200, "priority": 0, "service": SERVICE, "max_attempts": 3,
             "sizes": ["small", "large"],
@@ -39,7 +37,7 @@
                     { "name": "small", "cost": 0.02 }, { "name": "large", "cost": 0.35 },
                 ] },
             }],
-            "tenants": [{ "name": "alpha", "api_keys": [SITE_KEY] }],
+            "tenants": [{ "name": "alpha", "api_keys": [KEY] }],
             "limits": {
                 "max_body_bytes": 4194304, "max_header_bytes": 16384,
                 "header_timeout_ms": 5000, "idle_timeout_ms": 30000,
@@ -54,12 +52,8 @@
         site.store.put(REPLICA_TOPIC, &replica.id, &replica.entry("ready"));
         replicas.push(replica);
     }
-    let first = site.start_ready("box-1").await;
-    wait_for("the box knows the replicas", || async {
-        let state = first.state().await?;
-        (state["backends"].as_array()?.len() == replicas.len()).then_some(())
-    })
-    .await;
+    let first = site.start_box(0);
+    first.wait(replicas.len(), 1).await?;
     tokio::time::sleep(Duration::from_secs(2)).await;
     let mut twice = 0;
     for number in 0..REQUESTS {
@@ -68,7 +62,7 @@
             method: "POST",
             path: if number % 2 == 0 { "/chat/x" } else { "/call/x" },
             id: format!("s{number}"),
-            key: SITE_KEY,
+            key: KEY,
             deadline_ms: 20_000,
             body: format!("prompt {number}").into_bytes(),
             stream: true,
--- a/review/driver/src/main.rs
+++ b/review/driver/src/main.rs
@@ -7,6 +7,7 @@
 
 mod client;
 mod escalation;
+mod fleet;
 mod memory;
 mod replica;
 mod rotation;
--- a/review/driver/src/memory.rs
+++ b/review/driver/src/memory.rs
@@ -7,16 +7,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ravenspoke_standins::fleet::wait_for;
-use ravenspoke_standins::platform::site::{RunningSite, OPERATOR_TOPIC, SITE_KEY, SITE_SERVICE};
+use ravenspoke_standins::platform::replica::ReplicaStandin;
+use ravenspoke_standins::platform::site::own_address;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use crate::fleet::{Fleet, HOST, KEY, MEMORY_MB, OPERATOR_TOPIC, REPLICA_TOPIC};
 use crate::{Case, Outcome};
 
-/// `memory_mb` of the settings on DEPLOY.md and of the machines in the site file.
-const MEMORY_MB: usize = 110;
+const SERVICE: &str = "pool";
+
 /// `body_bytes` under `config` in the site file, which is the config's `max_body_bytes`.
 const BODY_LIMIT: usize = 4_194_304;
 /// The longest body of the site file's requests (`req_bytes`, `max`).
@@ -42,8 +43,8 @@
 async fn send(address: String, id: String, size: usize) -> End {
     let Ok(mut stream) = TcpStream::connect(address).await else { return End::NoChannel };
     let head = format!(
-        "POST /file/x HTTP/1.1\r\nHost: api.example\r\nX-Ravenspoke-Request-Id: {id}\r\n\
-         X-Ravenspoke-Deadline-Ms: 5000\r\nAuthorization: Bearer {SITE_KEY}\r\n\
+        "POST /file/x HTTP/1.1\r\nHost: {HOST}\r\nX-Ravenspoke-Request-Id: {id}\r\n\
+         X-Ravenspoke-Deadline-Ms: 5000\r\nAuthorization: Bearer {KEY}\r\n\
          Content-Length: {size}\r\n\r\n"
     );
     let body = vec![b'x'; size];
@@ -65,24 +66,19 @@
 
 pub async fn run(case: &Case) -> Option<Outcome> {
     let size = if case.trouble { BODY_LIMIT } else { USUAL_BODY };
-    let mut site = RunningSite::start(&case.binary).await;
-    site.memory_mb = Some(MEMORY_MB as u32);
-    site.contracts = vec![
-        "base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants",
-        "platform", "rollout",
-    ];
+    let site = Fleet::start(&case.binary, 2).await;
     site.store.put(
         OPERATOR_TOPIC,
         "config",
         &json!({
             "version": 1,
             "routes": [{
-                "name": "file", "host": "api.example", "path_prefix": "/file/",
+                "name": "file", "host": HOST, "path_prefix": "/file/",
                 "kind": "idempotent", "timeout_ms": 5000, "target_latency_ms": 500, "priority": 1,
-                "service": SITE_SERVICE, "max_attempts": 2,
+                "service": SERVICE, "max_attempts": 2,
             }],
-            "services": [{ "name": SITE_SERVICE, "max_connections": 370 }],
-            "tenants": [{ "name": "alpha", "api_keys": [SITE_KEY] }],
+            "services": [{ "name": SERVICE, "max_connections": 370 }],
+            "tenants": [{ "name": "alpha", "api_keys": [KEY] }],
             "limits": {
                 "max_body_bytes": BODY_LIMIT, "max_header_bytes": 16384,
                 "header_timeout_ms": 5000, "idle_timeout_ms": 30000,
@@ -91,18 +87,13 @@
     );
     let mut replicas = Vec::new();
     for number in 1..=4 {
-        replicas.push(site.start_replica(&format!("i-{number}"), 3, 1).await);
-    }
-    let mut boxes = Vec::new();
-    for name in ["box-1", "box-2"] {
-        boxes.push(site.start_ready(name).await);
+        let replica = ReplicaStandin::start(own_address(), &format!("i-{number}"), 3, 1).await;
+        site.store.put(REPLICA_TOPIC, &replica.id, &replica.entry(SERVICE, "v1", "ready"));
+        replicas.push(replica);
     }
+    let boxes = vec![site.start_box(0), site.start_box(1)];
     for subject in &boxes {
-        wait_for("the box knows the replicas", || async {
-            let state = subject.state().await?;
-            (state["backends"].as_array()?.len() == 4).then_some(())
-        })
-        .await;
+        subject.wait(replicas.len(), 2).await?;
     }
     case.note(&format!(
         "two boxes, four replicas; memory_mb {MEMORY_MB}; {CLIENTS} clients, bodies of {size} bytes, {ROUNDS} rounds"
--- a/review/driver/src/replica.rs
+++ b/review/driver/src/replica.rs
@@ -67,7 +67,7 @@
 
     pub fn entry(&self, state: &str) -> Value {
         json!({
-            "service": self.service, "address": self.address.to_string(), "zone": "east",
+            "service": self.service, "address": self.address.to_string(), "zone": "regina-hall",
             "version": "v1", "slots": 64, "state": state, "cold_remaining_ms": 0, "sequence": 1,
         })
     }
--- a/review/driver/src/rotation.rs
+++ b/review/driver/src/rotation.rs
@@ -2,12 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use ravenspoke_standins::fleet::wait_for;
-use ravenspoke_standins::platform::site::{RunningSite, OPERATOR_TOPIC, REPLICA_TOPIC, SITE_KEY};
-use ravenspoke_standins::platform::site_box::SiteBox;
 use serde_json::json;
 
 use crate::client::{ask, Ask};
+use crate::fleet::{Fleet, Node, HOST, KEY, OPERATOR_TOPIC, REPLICA_TOPIC};
 use crate::replica::Replica;
 use crate::{Case, Outcome};
 
@@ -21,14 +19,14 @@
 const PAUSE: Duration = Duration::from_millis(1_100);
 const NEW_KEY: &str = "new-key";
 
-fn plan(site: &RunningSite, version: u64, keys: &[&str]) {
+fn plan(site: &Fleet, version: u64, keys: &[&str]) {
     site.store.put(
         OPERATOR_TOPIC,
         "config",
         &json!({
             "version": version,
             "routes": [{
-                "name": "chat", "host": "api.example", "path_prefix": "/chat/", "kind": "stream",
+                "name": "chat", "host": HOST, "path_prefix": "/chat/", "kind": "stream",
                 "stream_resume": true, "timeout_ms": 20000, "target_latency_ms": 1500,
                 "gap_aim_ms": GAP_AIM_MS, "priority": 0, "service": SERVICE, "max_attempts": 3,
             }],
@@ -46,8 +44,8 @@
 /// how many streams were cut.
 async fn play(
     case: &Case,
-    site: &RunningSite,
-    first: &SiteBox,
+    site: &Fleet,
+    first: &Node,
     pausing: &Replica,
     phase: &str,
     new_plan: Option<&[&str]>,
@@ -61,7 +59,7 @@
             method: "POST",
             path: "/chat/x",
             id: format!("{phase}{number}"),
-            key: SITE_KEY,
+            key: KEY,
             deadline_ms: 20_000,
             body: format!("prompt {phase}{number}").into_bytes(),
             stream: true,
@@ -98,27 +96,19 @@
 }
 
 pub async fn run(case: &Case) -> Option<Outcome> {
-    let mut site = RunningSite::start(&case.binary).await;
-    site.memory_mb = Some(110);
-    plan(&site, 1, &[SITE_KEY]);
+    let site = Fleet::start(&case.binary, 2).await;
+    plan(&site, 1, &[KEY]);
     let mut replicas = Vec::new();
     for number in 1..=REPLICAS {
         let replica = Replica::start(&format!("i-{number}"), SERVICE, EVENTS, GAP_MS).await;
         site.store.put(REPLICA_TOPIC, &replica.id, &replica.entry("ready"));
         replicas.push(replica);
     }
-    let first = site.start_ready("box-1").await;
-    let second = site.start_ready("box-2").await;
-    let boxes = [&first, &second];
-    for subject in boxes {
-        wait_for("the box knows the replicas and the other box", || async {
-            let state = subject.state().await?;
-            let known = state["backends"].as_array()?.len() == REPLICAS;
-            let listed = subject.resolve().await?.len() == 2;
-            (known && listed).then_some(())
-        })
-        .await;
+    let (first, second) = (site.start_box(0), site.start_box(1));
+    for subject in [&first, &second] {
+        subject.wait(replicas.len(), 2).await?;
     }
+    let boxes = [&first, &second];
     tokio::time::sleep(Duration::from_secs(4)).await;
     // At other times: the same without a config. Then beside a config.
     let before = play(case, &site, &first, &replicas[0], "other", None).await?;
--- a/review/driver/src/split.rs
+++ b/review/driver/src/split.rs
@@ -4,11 +4,10 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use ravenspoke_standins::fleet::wait_for;
-use ravenspoke_standins::platform::site::{RunningSite, OPERATOR_TOPIC, REPLICA_TOPIC, SITE_KEY};
 use serde_json::json;
 
 use crate::client::{ask, Ask};
+use crate::fleet::{Fleet, HOST, KEY, OPERATOR_TOPIC, REPLICA_TOPIC};
 use crate::replica::Replica;
 use crate::{Case, Outcome};
 
@@ -20,15 +19,14 @@
 const PAUSE: Duration = Duration::from_millis(1_100);
 
 pub async fn run(case: &Case) -> Option<Outcome> {
-    let mut site = RunningSite::start(&case.binary).await;
-    site.memory_mb = Some(110);
+    let site = Fleet::start(&case.binary, 2).await;
     site.store.put(
         OPERATOR_TOPIC,
         "config",
         &json!({
             "version": 1,
             "routes": [{
-                "name": "chat", "host": "api.example", "path_prefix": "/chat/", "kind": "stream",
+                "name": "chat", "host": HOST, "path_prefix": "/chat/", "kind": "stream",
                 "stream_resume": true, "timeout_ms": 20000, "target_latency_ms": 1500,
                 "gap_aim_ms": 1200, "priority": 0, "max_attempts": 3,
                 "traffic_split": [
@@ -39,7 +37,7 @@
                 { "name": "amber", "max_connections": 370 },
                 { "name": "blue", "max_connections": 370 },
             ],
-            "tenants": [{ "name": "alpha", "api_keys": [SITE_KEY] }],
+            "tenants": [{ "name": "alpha", "api_keys": [KEY] }],
             "limits": {
                 "max_body_bytes": 4194304, "max_header_bytes": 16384,
                 "header_timeout_ms": 5000, "idle_timeout_ms": 30000,
@@ -55,16 +53,9 @@
             replicas.push(replica);
         }
     }
-    let first = site.start_ready("box-1").await;
-    let second = site.start_ready("box-2").await;
+    let (first, second) = (site.start_box(0), site.start_box(1));
     for subject in [&first, &second] {
-        wait_for("the box knows the replicas and the other box", || async {
-            let state = subject.state().await?;
-            let known = state["backends"].as_array()?.len() == replicas.len();
-            let listed = subject.resolve().await?.len() == 2;
-            (known && listed).then_some(())
-        })
-        .await;
+        subject.wait(replicas.len(), 2).await?;
     }
     tokio::time::sleep(Duration::from_secs(4)).await;
     let began = Instant::now();
@@ -76,7 +67,7 @@
             method: "POST",
             path: "/chat/x",
             id: format!("s{number}"),
-            key: SITE_KEY,
+            key: KEY,
             deadline_ms: 20_000,
             body: format!("prompt {number}").into_bytes(),
             stream: true,
