--- a/review/driver/src/main.rs
+++ b/review/driver/src/main.rs
@@ -52,6 +52,7 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let case = Case { binary: binary.into(), trouble, record: file.into() };
+    case.note(&format!("TROUBLE={}", u8::from(case.trouble)));
     let outcome = match name.as_str() {
         "memory" => memory::run(&case).await,
         "rotation" => rotation::run(&case).await,
--- a/review/driver/src/memory.rs
+++ b/review/driver/src/memory.rs
@@ -126,12 +126,15 @@
         let calls: Vec<_> = (0..CLIENTS)
             .map(|client| {
                 let address = addresses[client % addresses.len()].clone();
-                tokio::spawn(send(address, format!("r{round}c{client}"), size))
+                let id = format!("r{round}c{client}");
+                tokio::spawn(async move { (id.clone(), send(address, id, size).await) })
             })
             .collect();
         let mut outcomes = std::collections::BTreeMap::new();
         for call in calls {
-            *outcomes.entry(call.await.ok()?).or_insert(0) += 1;
+            let (id, end) = call.await.ok()?;
+            case.note(&format!("sent {id}, {size} bytes: {end:?}"));
+            *outcomes.entry(end).or_insert(0) += 1;
         }
         case.note(&format!("round {round}: {outcomes:?}"));
         tokio::time::sleep(ROUND).await;
@@ -141,6 +144,11 @@
         let (peak, _ended) = watch.await.ok()?;
         case.note(&format!("peak of a box as seen: {} MB", peak >> 20));
     }
+    for replica in &replicas {
+        let runs = replica.runs();
+        let ids: Vec<&str> = runs.iter().map(|run| run.id.as_str()).collect();
+        case.note(&format!("{} ran {}", replica.id, ids.join(" ")));
+    }
     let runs: usize = replicas.iter().map(|replica| replica.runs().len()).sum();
     let ended: Vec<usize> = ends.iter().map(|ends| ends.load(Ordering::Relaxed)).collect();
     case.note(&format!("runs at replicas: {runs}; ends of the boxes over their memory: {ended:?}"));
--- a/review/driver/src/replica.rs
+++ b/review/driver/src/replica.rs
@@ -21,7 +21,8 @@
     pub events: u32,
     pub gap_ms: u64,
     runs: Arc<Mutex<Vec<Run>>>,
-    silent_until: Arc<Mutex<Option<Instant>>>,
+    /// When it was told to pause, and the length of the next gap of each stream that runs then.
+    pause: Arc<Mutex<Option<(Instant, Duration)>>>,
     /// Models with the confidence that each states in the head of its answers.
     confidence: Arc<Mutex<Vec<(String, u8)>>>,
 }
@@ -30,9 +31,9 @@
     pub async fn start(id: &str, service: &'static str, events: u32, gap_ms: u64) -> Self {
         let listener = TcpListener::bind((own_address(), 0)).await.expect("a free port");
         let address = listener.local_addr().expect("it listens");
-        let (id, runs, silent_until) = (id.to_owned(), Arc::default(), Arc::default());
+        let (id, runs, pause) = (id.to_owned(), Arc::default(), Arc::default());
         let confidence = Arc::default();
-        let replica = Self { address, id, service, events, gap_ms, runs, silent_until, confidence };
+        let replica = Self { address, id, service, events, gap_ms, runs, pause, confidence };
         let server = replica.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -43,9 +44,9 @@
         replica
     }
 
-    /// Makes no events for a while, and goes on then.
+    /// Makes the next gap between two events of each stream that it runs now this long.
     pub fn pause(&self, length: Duration) {
-        *self.silent_until.lock().expect("not poisoned") = Some(Instant::now() + length);
+        *self.pause.lock().expect("not poisoned") = Some((Instant::now(), length));
     }
 
     /// Sets what a model says of its answers.
@@ -53,11 +54,15 @@
         self.confidence.lock().expect("not poisoned").push((model.to_owned(), confidence));
     }
 
-    async fn wait_pause(&self) {
-        loop {
-            let until = *self.silent_until.lock().expect("not poisoned");
-            let Some(until) = until.filter(|until| *until > Instant::now()) else { return };
-            tokio::time::sleep_until(until.into()).await;
+    /// The gap after an event of a stream that began at `began` and paused last at `paused`.
+    fn gap(&self, began: Instant, paused: &mut Option<Instant>) -> Duration {
+        let pause = *self.pause.lock().expect("not poisoned");
+        match pause {
+            Some((at, length)) if at > began && *paused != Some(at) => {
+                *paused = Some(at);
+                length
+            }
+            _ => Duration::from_millis(self.gap_ms),
         }
     }
 
@@ -127,12 +132,12 @@
                 self.id
             );
             stream.write_all(answer.as_bytes()).await?;
+            let (began, mut paused) = (Instant::now(), None);
             for number in after + 1..=self.events {
-                self.wait_pause().await;
                 let event = format!("id: {number}\ndata: {} {number}\n\n", self.service);
                 let chunk = format!("{:x}\r\n{event}\r\n", event.len());
                 stream.write_all(chunk.as_bytes()).await?;
-                tokio::time::sleep(Duration::from_millis(self.gap_ms)).await;
+                tokio::time::sleep(self.gap(began, &mut paused)).await;
             }
             stream.write_all(b"0\r\n\r\n").await?;
         }
