Review case 2: a removed key is honoured again after a read of the store that stops short

The store turns two boxes away for 9 s while twelve configs of 250,000 bytes come; the tenth takes a key away.

--- a/review/driver/src/fleet.rs
+++ b/review/driver/src/fleet.rs
@@ -2,7 +2,7 @@
 //! (coteau-lic), each on a loopback address of its own, before the project's stand-in of the store.
 
 use std::fs::File;
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -30,6 +30,8 @@
 /// The store, and what boxes are started with.
 pub struct Fleet {
     pub store: StoreStandin,
+    /// The store that boxes are started with, if it isn't the project's stand-in.
+    pub store_address: SocketAddr,
     binary: PathBuf,
     folder: PathBuf,
     ips: Vec<IpAddr>,
@@ -39,10 +41,11 @@
     pub async fn start(binary: &Path, boxes: usize) -> Self {
         let ips: Vec<IpAddr> = (0..boxes).map(|_| own_address()).collect();
         let store = StoreStandin::start(own_address()).await;
+        let store_address = store.address;
         let name = format!("ravenspoke-review-{}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).expect("a temporary folder");
-        Self { store, binary: binary.to_owned(), folder, ips }
+        Self { store, store_address, binary: binary.to_owned(), folder, ips }
     }
 
     /// Starts the box in this row.
@@ -137,7 +140,7 @@
 ttl_min_ms = 1000
 "#,
             seeds.join(","),
-            self.store.address
+            self.store_address
         )
     }
 }
@@ -169,6 +172,10 @@
 }
 
 impl Node {
+    pub fn ip(&self) -> IpAddr {
+        self.ip
+    }
+
     pub fn entry_address(&self) -> String {
         format!("{}:{FRONT}", self.ip)
     }
--- a/review/driver/src/main.rs
+++ b/review/driver/src/main.rs
@@ -5,9 +5,11 @@
 //! Usage: `review-driver CASE RAVENSPOKED RECORD`. Exits with 1 if the rule was broken, 0 if it
 //! held, 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
+mod backlog;
 mod client;
 mod escalation;
 mod fleet;
+mod log_store;
 mod memory;
 mod replica;
 mod rotation;
@@ -57,6 +59,7 @@
         "memory" => memory::run(&case).await,
         "rotation" => rotation::run(&case).await,
         "split" => split::run(&case).await,
+        "backlog" => backlog::run(&case).await,
         "escalation" => escalation::run(&case).await,
         _ => {
             eprintln!("no such case");
