--- a/review/driver/src/backlog.rs
+++ b/review/driver/src/backlog.rs
@@ -15,7 +15,7 @@
 use crate::{Case, Outcome};
 
 const SERVICE: &str = "pool";
-/// Boxes, and how many of them the store turns away: share 0.33 (coteau-lic).
+/// Boxes, and how many of them the store turns away (`kinds`: share .35; coteau-lic: three of nine).
 const BOXES: usize = 6;
 const TURNED_AWAY: usize = 2;
 /// How long it does so: `for_s` 9 (coteau-lic).
@@ -24,10 +24,10 @@
 const CONFIGS: u64 = 12;
 const CONFIG_GAP: Duration = Duration::from_millis(330);
 /// The config from which on the key is gone.
-const WITHOUT_KEY: u64 = 10;
+const WITHOUT_KEY: u64 = 12;
 /// Tenants (coteau-lic), and keys of each.
 const TENANTS: u64 = 10;
-const KEYS_EACH: u64 = 1_085;
+const KEYS_EACH: u64 = 500;
 /// `record_bytes` of the settings: the size of a record of the store, and so of a config.
 const RECORD_BYTES: usize = 262_144;
 /// `revoke_ms` of the settings.
