Review case 2: a stopping box cuts streams of a sound replica whose silence it takes for a failure

Tried: two boxes and four replicas as processes, 42 clients for 32 places, SIGTERM to one box, one replica pauses for 1,100 ms. The case of models that are asked twice (escalation) leaves the tree for it; what were cases 2 and 3 are 3 and 4.

--- a/review/driver/src/fleet.rs
+++ b/review/driver/src/fleet.rs
@@ -239,6 +239,16 @@
         let _ = self.child.wait();
     }
 
+    /// Asks its process to stop, as the platform does.
+    pub fn terminate(&self) {
+        let _ = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+    }
+
+    /// Whether its process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Starts its process again.
     pub fn restart(&mut self) {
         self.child = spawn(&self.binary, &self.settings, &self.log);
--- a/review/driver/src/main.rs
+++ b/review/driver/src/main.rs
@@ -7,7 +7,7 @@
 
 mod backlog;
 mod client;
-mod escalation;
+mod crowded;
 mod fleet;
 mod log_store;
 mod memory;
@@ -60,7 +60,7 @@
         "rotation" => rotation::run(&case).await,
         "split" => split::run(&case).await,
         "backlog" => backlog::run(&case).await,
-        "escalation" => escalation::run(&case).await,
+        "crowded" => crowded::run(&case).await,
         _ => {
             eprintln!("no such case");
             return ExitCode::from(2);
