--- a/review/driver/src/main.rs
+++ b/review/driver/src/main.rs
@@ -9,11 +9,13 @@
 mod client;
 mod crowded;
 mod desk;
+mod escalation;
 mod fleet;
 mod log_store;
 mod memory;
 mod replica;
 mod rotation;
+mod split;
 mod surplus;
 
 use std::path::PathBuf;
@@ -60,6 +62,8 @@
         "memory" => memory::run(&case).await,
         "rotation" => rotation::run(&case).await,
         "backlog" => backlog::run(&case).await,
+        "split" => split::run(&case).await,
+        "escalation" => escalation::run(&case).await,
         "surplus" => surplus::run(&case).await,
         "crowded" => crowded::run(&case).await,
         _ => {
--- a/review/driver/src/replica.rs
+++ b/review/driver/src/replica.rs
@@ -28,6 +28,8 @@
     runs: Arc<Mutex<Vec<Run>>>,
     /// When it was told to pause, and the length of the next gap of each stream that runs then.
     pause: Arc<Mutex<Option<(Instant, Duration)>>>,
+    /// Models with the confidence that each states in the head of its answers.
+    confidence: Arc<Mutex<Vec<(String, u8)>>>,
     /// Requests that it works on at a time.
     slots: usize,
     /// Requests that may wait for a slot.
@@ -77,7 +79,7 @@
         let listener = TcpListener::bind((own_address(), 0)).await.expect("a free port");
         let address = listener.local_addr().expect("it listens");
         let (id, runs, pause) = (id.to_owned(), Arc::default(), Arc::default());
-        let (rejected, active) = (Arc::default(), Arc::default());
+        let (confidence, rejected, active) = (Arc::default(), Arc::default(), Arc::default());
         let places = Arc::new(Semaphore::new(slots + queue));
         let running = Arc::new(Semaphore::new(slots));
         let replica = Self {
@@ -88,6 +90,7 @@
             gap_ms,
             runs,
             pause,
+            confidence,
             slots,
             queue,
             places,
@@ -122,6 +125,11 @@
         }
     }
 
+    /// Sets what a model says of its answers.
+    pub fn set_confidence(&self, model: &str, confidence: u8) {
+        self.confidence.lock().expect("not poisoned").push((model.to_owned(), confidence));
+    }
+
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().expect("not poisoned").clone()
     }
@@ -210,9 +218,15 @@
             };
             self.runs.lock().expect("not poisoned").push((id.clone(), after));
             let _active = ActiveRun::new(&self.active, &id);
+            let model = header("x-ravenspoke-model").unwrap_or_default();
+            let confidence = {
+                let rows = self.confidence.lock().expect("not poisoned");
+                let row = rows.iter().find(|(row, _)| *row == model);
+                row.map_or(String::new(), |(_, score)| format!("Confidence: {score}\r\n"))
+            };
             let answer = format!(
                 "HTTP/1.1 200 OK\r\nX-Ravenspoke-Request-Id: {id}\r\n\
-                 X-Ravenspoke-Response-Stamp: {}.{id}\r\n\
+                 X-Ravenspoke-Response-Stamp: {}.{id}\r\n{confidence}\
                  X-Ravenspoke-Instance-Load: {}\r\nContent-Type: text/event-stream\r\n\
                  Transfer-Encoding: chunked\r\n\r\n",
                 self.id,
