--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,7 +5,7 @@
 export TROUBLE="${TROUBLE:-1}"
 [ -x target/release/review-driver ] && [ -x target/release/ravenspoked ] || exit 2
 # If the driver takes too long, its group is stopped: the boxes end within their grace of 8 s.
-timeout 105 target/release/review-driver rotation target/release/ravenspoked review/2/record.txt
+timeout 105 target/release/review-driver surplus target/release/ravenspoked review/2/record.txt
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
--- a/review/driver/src/backlog.rs
+++ b/review/driver/src/backlog.rs
@@ -19,23 +19,23 @@
 const BOXES: usize = 6;
 const TURNED_AWAY: usize = 2;
 /// How long it does so: `for_s` 9 (coteau-lic).
-const OUTAGE: Duration = Duration::from_secs(9);
+pub const OUTAGE: Duration = Duration::from_secs(9);
 /// Configs in quick succession: 4 s, each 0.33 s (coteau-lic).
 const CONFIGS: u64 = 12;
 const CONFIG_GAP: Duration = Duration::from_millis(330);
 /// The config from which on the key is gone.
 const WITHOUT_KEY: u64 = 12;
 /// Tenants (coteau-lic), and keys of each.
-const TENANTS: u64 = 10;
-const KEYS_EACH: u64 = 500;
+pub const TENANTS: u64 = 10;
+pub const KEYS_EACH: u64 = 500;
 /// `record_bytes` of the settings: the size of a record of the store, and so of a config.
-const RECORD_BYTES: usize = 262_144;
+pub const RECORD_BYTES: usize = 262_144;
 /// `revoke_ms` of the settings.
-const REVOKE: Duration = Duration::from_millis(5_000);
+pub const REVOKE: Duration = Duration::from_millis(5_000);
 const LAST_KEY: &str = "n2ctnfzs989anu6wsjnb";
 
 /// A key of twenty signs, as in PROTOCOL.md.
-fn key(number: u64) -> String {
+pub fn config_key(number: u64) -> String {
     const SIGNS: &[u8] = b"abcdefghijklmnopqrstuvwxyz0123456789";
     let mut state = number.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     let mut sign = || {
@@ -52,7 +52,7 @@
     let tenants: Vec<Value> = (0..TENANTS)
         .map(|tenant| {
             let mut keys: Vec<String> =
-                (0..KEYS_EACH).map(|row| key(tenant * KEYS_EACH + row)).collect();
+                (0..KEYS_EACH).map(|row| config_key(tenant * KEYS_EACH + row)).collect();
             if tenant == 0 {
                 keys.push(KEY.to_owned());
                 keys.extend((version < WITHOUT_KEY).then(|| LAST_KEY.to_owned()));
--- a/review/driver/src/fleet.rs
+++ b/review/driver/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::fs::File;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::time::{Duration, Instant};
 
 use ravenspoke_standins::platform::site::own_address;
@@ -163,11 +163,13 @@
 
 fn spawn(binary: &Path, settings: &Path, log: &Path) -> Child {
     let output = File::options().create(true).append(true).open(log).expect("a log");
+    let errors = log.with_extension("err");
+    let errors = File::options().create(true).append(true).open(errors).expect("a log");
     Command::new(binary)
         .args(["--platform", "--metrics", &METRICS.to_string()])
         .env("RAVENSPOKE_SETTINGS", settings)
         .stdout(output)
-        .stderr(Stdio::null())
+        .stderr(errors)
         .spawn()
         .expect("the box starts")
 }
@@ -201,6 +203,20 @@
         Some((head.get(9..12)?.parse().ok()?, body.to_owned()))
     }
 
+    /// Status of its answer to the platform's check; 0 without an answer.
+    pub async fn ready(&self) -> u16 {
+        let answer = tokio::time::timeout(Duration::from_secs(1), self.get(READY, "/-/ready"));
+        answer.await.ok().flatten().map_or(0, |(status, _)| status)
+    }
+
+    /// What its process wrote to standard error, as far as it tells of panics.
+    pub fn panics(&self) -> Vec<String> {
+        let text = std::fs::read_to_string(self.log.with_extension("err")).unwrap_or_default();
+        let rows: Vec<&str> = text.lines().filter(|line| !line.is_empty()).collect();
+        let told = rows.windows(2).filter(|two| two[0].contains("panicked at"));
+        told.map(|two| format!("{}: {}", two[0], two[1])).collect()
+    }
+
     /// Number of replicas that it knows, by its state dump.
     async fn replicas(&self) -> Option<usize> {
         let (_, body) = self.get(METRICS, "/state").await?;
@@ -211,7 +227,7 @@
     }
 
     /// Number of addresses that its directory names.
-    async fn listed(&self) -> Option<usize> {
+    pub async fn listed(&self) -> Option<usize> {
         let path = format!("/-/resolve?name={HOST}&region=prairie-west&zone=regina-hall");
         let (_, body) = self.get(DIRECTORY, &path).await?;
         let answer: Value = serde_json::from_str(&body).ok()?;
--- a/review/driver/src/main.rs
+++ b/review/driver/src/main.rs
@@ -11,12 +11,14 @@
 mod desk;
 mod escalation;
 mod fleet;
+mod holder;
 mod log_store;
 mod memory;
 mod replica;
 mod rotation;
 mod split;
 mod surplus;
+mod writer;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -65,6 +67,8 @@
         "split" => split::run(&case).await,
         "escalation" => escalation::run(&case).await,
         "surplus" => surplus::run(&case).await,
+        "holder" => holder::run(&case).await,
+        "writer" => writer::run(&case).await,
         "crowded" => crowded::run(&case).await,
         _ => {
             eprintln!("no such case");
--- a/review/driver/src/replica.rs
+++ b/review/driver/src/replica.rs
@@ -26,6 +26,8 @@
     pub events: u32,
     pub gap_ms: u64,
     runs: Arc<Mutex<Vec<Run>>>,
+    /// Id of each request that it ran, and the tenant that the box named; empty for none.
+    tenants: Arc<Mutex<Vec<(String, String)>>>,
     /// When it was told to pause, and the length of the next gap of each stream that runs then.
     pause: Arc<Mutex<Option<(Instant, Duration)>>>,
     /// Models with the confidence that each states in the head of its answers.
@@ -80,6 +82,7 @@
         let address = listener.local_addr().expect("it listens");
         let (id, runs, pause) = (id.to_owned(), Arc::default(), Arc::default());
         let (confidence, rejected, active) = (Arc::default(), Arc::default(), Arc::default());
+        let tenants = Arc::default();
         let places = Arc::new(Semaphore::new(slots + queue));
         let running = Arc::new(Semaphore::new(slots));
         let replica = Self {
@@ -89,6 +92,7 @@
             events,
             gap_ms,
             runs,
+            tenants,
             pause,
             confidence,
             slots,
@@ -134,6 +138,11 @@
         self.runs.lock().expect("not poisoned").clone()
     }
 
+    /// Id of each request that it ran, and the tenant that the box named; empty for none.
+    pub fn tenants(&self) -> Vec<(String, String)> {
+        self.tenants.lock().expect("not poisoned").clone()
+    }
+
     /// Ids of the requests that it rejected without running them.
     pub fn rejected(&self) -> Vec<String> {
         self.rejected.lock().expect("not poisoned").clone()
@@ -217,6 +226,8 @@
                 _ = stream.read(&mut next) => return Ok(()),
             };
             self.runs.lock().expect("not poisoned").push((id.clone(), after));
+            let tenant = header("x-ravenspoke-tenant").unwrap_or_default();
+            self.tenants.lock().expect("not poisoned").push((id.clone(), tenant));
             let _active = ActiveRun::new(&self.active, &id);
             let model = header("x-ravenspoke-model").unwrap_or_default();
             let confidence = {
