--- a/review/driver/src/main.rs
+++ b/review/driver/src/main.rs
@@ -11,6 +11,7 @@
 mod desk;
 mod escalation;
 mod fleet;
+mod ghost;
 mod holder;
 mod log_store;
 mod memory;
@@ -69,6 +70,7 @@
         "surplus" => surplus::run(&case).await,
         "holder" => holder::run(&case).await,
         "writer" => writer::run(&case).await,
+        "ghost" => ghost::run(&case).await,
         "crowded" => crowded::run(&case).await,
         _ => {
             eprintln!("no such case");
--- a/review/driver/src/replica.rs
+++ b/review/driver/src/replica.rs
@@ -44,6 +44,8 @@
     rejected: Arc<Mutex<Vec<String>>>,
     /// Ids of the requests that it runs.
     active: Arc<Mutex<Vec<String>>>,
+    /// Notified when it ends.
+    ended: Arc<tokio::sync::Notify>,
 }
 
 /// A request while it runs.
@@ -82,7 +84,7 @@
         let address = listener.local_addr().expect("it listens");
         let (id, runs, pause) = (id.to_owned(), Arc::default(), Arc::default());
         let (confidence, rejected, active) = (Arc::default(), Arc::default(), Arc::default());
-        let tenants = Arc::default();
+        let (tenants, ended) = (Arc::default(), Arc::default());
         let places = Arc::new(Semaphore::new(slots + queue));
         let running = Arc::new(Semaphore::new(slots));
         let replica = Self {
@@ -101,17 +103,30 @@
             running,
             rejected,
             active,
+            ended,
         };
         let server = replica.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let server = server.clone();
-                tokio::spawn(async move { server.serve(stream).await });
+            let mut serving = tokio::task::JoinSet::new();
+            loop {
+                tokio::select! {
+                    () = server.ended.notified() => return,
+                    accepted = listener.accept() => {
+                        let Ok((stream, _)) = accepted else { return };
+                        let server = server.clone();
+                        serving.spawn(async move { server.serve(stream).await });
+                    }
+                }
             }
         });
         replica
     }
 
+    /// Ends it: it closes its channels and accepts no others.
+    pub fn end(&self) {
+        self.ended.notify_one();
+    }
+
     /// Makes the next gap between two events of each stream that it runs now this long.
     pub fn pause(&self, length: Duration) {
         *self.pause.lock().expect("not poisoned") = Some((Instant::now(), length));
--- a/review/driver/src/writer.rs
+++ b/review/driver/src/writer.rs
@@ -13,7 +13,7 @@
 use crate::replica::Replica;
 use crate::{Case, Outcome};
 
-const SERVICE: &str = "pool";
+pub const SERVICE: &str = "pool";
 const BOXES: usize = 6;
 const REPLICAS: usize = 4;
 /// The replicas under whose ids another writer makes entries, one after the other.
@@ -29,7 +29,7 @@
 
 /// Sends requests one after the other until it is told to end. Returns their ids and the status of
 /// each answer; 0 for a channel that was closed without one.
-async fn press(address: String, name: String, ended: Arc<AtomicBool>) -> Vec<(String, u16)> {
+pub async fn press(address: String, name: String, ended: Arc<AtomicBool>) -> Vec<(String, u16)> {
     let mut all = Vec::new();
     while !ended.load(Ordering::Relaxed) {
         let id = format!("{name}-{}", all.len());
@@ -50,7 +50,7 @@
     all
 }
 
-async fn note_boxes(case: &Case, boxes: &[Node], at: u128) {
+pub async fn note_boxes(case: &Case, boxes: &[Node], at: u128) {
     for (row, subject) in boxes.iter().enumerate() {
         let (ready, listed) = (subject.ready().await, subject.listed().await.unwrap_or(0));
         case.note(&format!(
@@ -60,8 +60,8 @@
     }
 }
 
-pub async fn run(case: &Case) -> Option<Outcome> {
-    let site = Fleet::start(&case.binary, BOXES).await;
+/// Writes a config with one route to one service.
+pub fn write_config(site: &Fleet) {
     site.store.put(
         OPERATOR_TOPIC,
         "config",
@@ -80,6 +80,11 @@
             },
         }),
     );
+}
+
+pub async fn run(case: &Case) -> Option<Outcome> {
+    let site = Fleet::start(&case.binary, BOXES).await;
+    write_config(&site);
     let mut replicas = Vec::new();
     for number in 1..=REPLICAS {
         let replica = Replica::start(&format!("i-{number}"), SERVICE, 2, 20).await;
