--- a/review/driver/src/main.rs
+++ b/review/driver/src/main.rs
@@ -69,6 +69,7 @@
         "escalation" => escalation::run(&case).await,
         "surplus" => surplus::run(&case).await,
         "holder" => holder::run(&case).await,
+        "again" => writer::run_again(&case).await,
         "writer" => writer::run(&case).await,
         "ghost" => ghost::run(&case).await,
         "crowded" => crowded::run(&case).await,
--- a/review/driver/src/writer.rs
+++ b/review/driver/src/writer.rs
@@ -83,6 +83,16 @@
 }
 
 pub async fn run(case: &Case) -> Option<Outcome> {
+    play(case, false).await
+}
+
+/// The same with a single entry of the other writer, after which the replica starts again under its
+/// id.
+pub async fn run_again(case: &Case) -> Option<Outcome> {
+    play(case, true).await
+}
+
+async fn play(case: &Case, starts_again: bool) -> Option<Outcome> {
     let site = Fleet::start(&case.binary, BOXES).await;
     write_config(&site);
     let mut replicas = Vec::new();
@@ -104,6 +114,9 @@
         let own_entry = |sequence: u64| {
             let mut entry = subject.entry("ready");
             entry["sequence"] = json!(sequence);
+            if starts_again {
+                entry["born"] = json!(1_760_000_000_000_u64 + sequence);
+            }
             site.store.put(REPLICA_TOPIC, &subject.id, &entry);
             case.note(&format!("{} ms: {} writes its entry", at(), subject.id));
         };
@@ -119,12 +132,14 @@
                 subject.id
             ));
             tokio::time::sleep(BETWEEN).await;
-            site.store.put(REPLICA_TOPIC, &subject.id, &json!({ "service": "annex" }));
-            case.note(&format!(
-                "{} ms: another writer's entry under {}: all other fields are missing",
-                at(),
-                subject.id
-            ));
+            if !starts_again {
+                site.store.put(REPLICA_TOPIC, &subject.id, &json!({ "service": "annex" }));
+                case.note(&format!(
+                    "{} ms: another writer's entry under {}: all other fields are missing",
+                    at(),
+                    subject.id
+                ));
+            }
         }
         tokio::time::sleep(HEARTBEAT.saturating_sub(written.elapsed())).await;
         own_entry(3);
