observe: name the connection of an attempt, and what it carried before

704 and 707 name the connection, the requests that it carried before, whether one of them had the same id, and the bytes written for the attempt; answers that bear another request's id are counted. Needed to tell three hypotheses apart: a second copy of an answer on a connection that carries the id again, another box's word, a request that counts as unwritten. No decision changes.

--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -15,10 +15,11 @@
     AnswerHead, AttemptFailure, CallerRequest, ForwardedRequest, RouteEvent, SendOrder,
 };
 
+use super::carried_ids::RequestId;
 use super::driver::{GatewayDriver, RequestName, RequestStep, WaitingTurn};
 use super::forward::{self, RequestOrigin, UnknownForwarder};
 use super::observe;
-use super::pool::{ReplicaLink, ReplicaPool};
+use super::pool::{LinkUse, ReplicaLink, ReplicaPool};
 use super::relay::{relay_stream, StreamSource, STREAM_ALLOWANCE};
 use super::replica_stream::ReadAllowance;
 use super::responses::{full_body, refusal_response, text_response, AbortedResponse, CallerBody};
@@ -112,6 +113,8 @@
     pub(super) head: http::response::Parts,
     pub(super) decoded: AnswerHead,
     pub(super) body: ReplicaBody,
+    /// The connection on which it came.
+    pub(super) link_use: LinkUse,
 }
 
 /// Body of a replica's response.
@@ -264,7 +267,7 @@
     tokio::pin!(call);
     let mut rechecks = context.driver.rechecks.subscribe();
     let mut stall_at = context.driver.now().plus_millis(order.head_ms);
-    let (failure, why) = loop {
+    let failed = loop {
         let left = context.driver.until(order.deadline);
         let stall_limit = context.driver.until(stall_at);
         let response = context.driver.clock().within(left.min(stall_limit), call.as_mut());
@@ -273,9 +276,8 @@
             // The sender lives as long as the driver.
             _ = rechecks.changed() => {
                 if let Some(step) = guard.feed(RouteEvent::AttemptRechecked(guard.name.ticket)) {
-                    let why = "its path is lost, or it has a feature that crashes replicas";
-                    let after = began.elapsed();
-                    observe::log_attempt_failed(&guard.name, AttemptFailure::Silent, why, after);
+                    let failed = silent("its path is lost, or it has a feature that crashes replicas");
+                    observe::log_attempt_failed(&guard.name, &failed, began.elapsed());
                     return AttemptOutcome::Ended(Some(step));
                 }
                 continue;
@@ -283,10 +285,11 @@
         };
         match ended {
             Some(Ok(response)) => {
-                observe::log_head_received(&guard.name, &response.decoded, began.elapsed());
+                let (head, link_use) = (&response.decoded, response.link_use);
+                observe::log_head_received(&guard.name, head, link_use, began.elapsed());
                 return AttemptOutcome::Response(Box::new(response));
             }
-            Some(Err(failure)) => break failure,
+            Some(Err(failed)) => break failed,
             None if left <= stall_limit => {
                 return AttemptOutcome::Ended(
                     guard.feed(RouteEvent::DeadlinePassed(guard.name.ticket)),
@@ -297,24 +300,58 @@
         // A stall does not end the attempt by itself: the reducer names another replica, or the
         // wait continues.
         if let Some(step) = guard.feed(RouteEvent::AttemptStalled(guard.name.ticket)) {
-            let why = "no response head within the limit";
-            observe::log_attempt_failed(&guard.name, AttemptFailure::Silent, why, began.elapsed());
+            let failed = silent("no response head within the limit");
+            observe::log_attempt_failed(&guard.name, &failed, began.elapsed());
             return AttemptOutcome::Ended(Some(step));
         }
     };
-    observe::log_attempt_failed(&guard.name, failure, &why, began.elapsed());
-    AttemptOutcome::Ended(guard.feed(RouteEvent::AttemptFailed(guard.name.ticket, failure)))
+    observe::log_attempt_failed(&guard.name, &failed, began.elapsed());
+    let event = RouteEvent::AttemptFailed(guard.name.ticket, failed.failure);
+    AttemptOutcome::Ended(guard.feed(event))
 }
 
-/// A failure with its cause.
-type FailedAttempt = (AttemptFailure, String);
+/// A failed attempt.
+#[derive(Debug)]
+pub struct FailedAttempt {
+    /// How it failed.
+    pub failure: AttemptFailure,
+    /// What is known of the cause.
+    pub why: String,
+    /// The connection, if the attempt had one.
+    pub link_use: Option<LinkUse>,
+    /// Bytes that it wrote.
+    pub written: usize,
+}
 
 fn never_sent(why: String) -> FailedAttempt {
-    (AttemptFailure::NeverSent, why)
+    FailedAttempt { failure: AttemptFailure::NeverSent, why, link_use: None, written: 0 }
+}
+
+/// A failed attempt whose connection the caller of this function does not have.
+pub(super) fn silent(why: &str) -> FailedAttempt {
+    let why = why.to_owned();
+    FailedAttempt { failure: AttemptFailure::Silent, why, link_use: None, written: 0 }
+}
+
+/// A connection while it carries an attempt.
+struct AttemptLink {
+    link: ReplicaLink,
+    link_use: LinkUse,
+    /// Bytes that had been written to the connection before.
+    written_before: usize,
 }
 
-fn broken(why: String) -> FailedAttempt {
-    (AttemptFailure::Broken, why)
+impl AttemptLink {
+    fn new(mut link: ReplicaLink, id: RequestId) -> Self {
+        let written_before = link.written.count();
+        let link_use = link.carry(id);
+        Self { link, link_use, written_before }
+    }
+
+    fn failed(&self, failure: AttemptFailure, why: String) -> FailedAttempt {
+        let written = self.link.written.count() - self.written_before;
+        FailedAttempt { failure, why, link_use: Some(self.link_use), written }
+    }
 }
 
 /// Sends the request to the order's replica, and reads the whole response or the head of a stream.
@@ -330,27 +367,33 @@
         .parse()
         .map_err(|_| never_sent("the entry has no valid address".to_owned()))?;
     let request = || replica_request(context, caller, order, resume_after);
-    let (response, link) = send_request(context, order, address, ticket, request).await?;
+    let id = RequestId::of(&caller.headers);
+    let (response, attempt) = send_request(context, order, address, ticket, id, request).await?;
+    let link_use = attempt.link_use;
     let (mut head, body) = response.into_parts();
     let begun = forward::take_begun(&mut head.headers);
     let decoded = AnswerHead { begun, ..headers::read_answer(&head) };
     // Responses of other boxes themselves have no request id.
     let is_own = order.pass.is_some() && !decoded.proven;
     if !is_own && !headers::answers_request(&caller.headers, &head.headers) {
-        return Err(broken("the response belongs to another request".to_owned()));
+        observe::count_foreign_answer();
+        let why = "the response belongs to another request".to_owned();
+        return Err(attempt.failed(AttemptFailure::Broken, why));
     }
     if order.pass.is_none() {
         context.unknown_headers.log_new(&order.replica_id, &head.headers);
     }
     if order.kind.is_stream() && head.status.is_success() {
-        link.allowance.set(STREAM_ALLOWANCE);
-        return Ok(ReplicaResponse { head, decoded, body: ReplicaBody::Stream(body, link) });
+        attempt.link.allowance.set(STREAM_ALLOWANCE);
+        let body = ReplicaBody::Stream(body, attempt.link);
+        return Ok(ReplicaResponse { head, decoded, body, link_use });
     }
-    link.allowance.set(RESPONSE_ALLOWANCE);
+    attempt.link.allowance.set(RESPONSE_ALLOWANCE);
     let whole = Limited::new(body, RESPONSE_LIMIT).collect().await;
-    let whole = whole.map_err(|error| broken(error.to_string()))?.to_bytes();
-    put_back(context, link, &head.headers);
-    Ok(ReplicaResponse { head, decoded, body: ReplicaBody::Whole(whole) })
+    let whole = whole.map_err(|error| attempt.failed(AttemptFailure::Broken, error.to_string()))?;
+    put_back(context, attempt.link, &head.headers);
+    let body = ReplicaBody::Whole(whole.to_bytes());
+    Ok(ReplicaResponse { head, decoded, body, link_use })
 }
 
 /// Sends `request` on an idle connection, or on a new one if no idle connection accepts it.
@@ -359,36 +402,40 @@
     order: &SendOrder,
     address: SocketAddr,
     ticket: RequestTicket,
+    id: RequestId,
     request: impl Fn() -> Request<Full<Bytes>>,
-) -> Result<(Response<Incoming>, ReplicaLink), FailedAttempt> {
+) -> Result<(Response<Incoming>, AttemptLink), FailedAttempt> {
     let mut link = match context.pool.take(address, order.kind.repeatable()) {
         Some(link) => link,
         None => open(context, order, address).await?,
     };
     loop {
+        let mut attempt = AttemptLink::new(link, id);
         // Checked right before the write, because opening a connection may have taken a while.
         if !context.driver.state().may_write(ticket, context.driver.now()) {
-            let why = "the replica was withdrawn after it was chosen";
-            return Err((AttemptFailure::Withdrawn, why.to_owned()));
+            let why = "the replica was withdrawn after it was chosen".to_owned();
+            return Err(attempt.failed(AttemptFailure::Withdrawn, why));
         }
-        link.allowance.set(ReadAllowance::HEAD_BYTES);
-        let error = match link.sender.try_send_request(request()).await {
+        attempt.link.allowance.set(ReadAllowance::HEAD_BYTES);
+        let error = match attempt.link.sender.try_send_request(request()).await {
             Ok(response) => {
-                if !link.used && order.pass.is_none() {
+                if !attempt.link.used && order.pass.is_none() {
                     let (replica, reached) = (order.replica, true);
                     context.driver.feed(RouteEvent::PathProbed { replica, reached });
                 }
-                return Ok((response, link));
+                return Ok((response, attempt));
             }
             Err(error) => error,
         };
         // A returned request means that none of it was written, as when the replica closed an idle
         // connection.
         if error.message().is_none() {
-            return Err(broken(error.into_error().to_string()));
+            let why = error.into_error().to_string();
+            return Err(attempt.failed(AttemptFailure::Broken, why));
         }
-        if !link.used {
-            return Err(never_sent(error.into_error().to_string()));
+        if !attempt.link.used {
+            let why = error.into_error().to_string();
+            return Err(attempt.failed(AttemptFailure::NeverSent, why));
         }
         link = open(context, order, address).await?;
     }
@@ -458,7 +505,8 @@
             full_body(bytes)
         }
         ReplicaBody::Stream(body, link) => {
-            let source = StreamSource { body, link, headers: response.head.headers };
+            let (link_use, headers) = (response.link_use, response.head.headers);
+            let source = StreamSource { body, link, link_use, headers };
             relay_stream(context, caller, guard, order, source)
         }
     };
--- a/crates/box/src/gateway/mod.rs
+++ b/crates/box/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //! [`driver`] holds the reducer's state and applies events to it. [`entry`] accepts callers'
 //! connections, [`caller_stream`] and [`slow_readers`] disconnect callers that do not read, [`exchange`] serves one request, [`responses`] builds the caller's response,
 //! [`relay`] forwards a stream and resumes it at another replica when it breaks, [`event_splitter`]
-//! splits it into whole events, [`pool`] keeps connections to replicas, [`replica_stream`]
+//! splits it into whole events, [`pool`] keeps connections to replicas, [`carried_ids`] holds what they have carried, [`replica_stream`]
 //! bounds what is read from them, and [`probes`] opens some to check the paths. [`forward`] marks requests that go through another box.
 //!
 //! [`follow`] follows the topics of the platform's store. `topic_follower` calls the store for one
@@ -19,6 +19,7 @@
 //! applies changed settings. [`process`] puts everything together.
 
 pub mod caller_stream;
+pub mod carried_ids;
 pub mod checkpoints;
 pub mod control_stats;
 pub mod directory;
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -10,8 +10,7 @@
 use ravenspoke_adapter::records::RecordError;
 use ravenspoke_core::position::TopicPosition;
 use ravenspoke_core::route::event::{
-    AnswerHead, AttemptFailure, DecisionInputs, ForwardedRequest, PromptPart, RouteEffect,
-    SendOrder, WaitOrder,
+    AnswerHead, DecisionInputs, ForwardedRequest, PromptPart, RouteEffect, SendOrder, WaitOrder,
 };
 use ravenspoke_core::route::leader::scale::ScaleSubject;
 use ravenspoke_core::route::leader::{CallOutcome, LeaderCall};
@@ -24,7 +23,9 @@
 
 use super::control_stats::ControlStats;
 use super::driver::RequestName;
+use super::exchange::FailedAttempt;
 use super::forward::UnknownForwarder;
+use super::pool::LinkUse;
 use super::slow_readers::{ReaderStall, StallCause};
 
 /// Logs a decision about a request.
@@ -172,14 +173,30 @@
 }
 
 /// Logs a failed attempt: its response was invalid, or none came.
-pub fn log_attempt_failed(name: &RequestName, failure: AttemptFailure, why: &str, after: Duration) {
+pub fn log_attempt_failed(name: &RequestName, failed: &FailedAttempt, after: Duration) {
+    let FailedAttempt { failure, why, link_use, written } = failed;
     counter!("ravenspoke_attempts_failed_total").increment(1);
-    let after_ms = after.as_millis() as u64;
-    info!(event = 704, name = "attempt_failed", id = name.id, ?failure, why, after_ms);
+    info!(
+        event = 704,
+        name = "attempt_failed",
+        id = name.id,
+        ?failure,
+        why,
+        written,
+        connection = link_use.map(|link| link.connection),
+        carried = link_use.map(|link| link.earlier),
+        repeats_id = link_use.map(|link| link.repeats_id),
+        after_ms = after.as_millis() as u64,
+    );
+}
+
+/// Counts an answer that does not bear the id of the request that waits for it.
+pub fn count_foreign_answer() {
+    counter!("ravenspoke_foreign_answers_total").increment(1);
 }
 
 /// Logs the head of a replica's response, which the next decision depends on.
-pub fn log_head_received(name: &RequestName, head: &AnswerHead, after: Duration) {
+pub fn log_head_received(name: &RequestName, head: &AnswerHead, link: LinkUse, after: Duration) {
     let after_ms = after.as_millis() as u64;
     info!(
         event = 707,
@@ -195,6 +212,9 @@
         limit_per_s = head.limit_per_s,
         rest_ms = head.backoff_ms,
         leaving = head.leaving,
+        connection = link.connection,
+        carried = link.earlier,
+        repeats_id = link.repeats_id,
         after_ms,
     );
 }
--- a/crates/box/src/gateway/pool.rs
+++ b/crates/box/src/gateway/pool.rs
@@ -4,6 +4,7 @@
 
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -15,7 +16,8 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
-use super::replica_stream::{ReadAllowance, ReplicaStream, READ_BUFFER_BYTES};
+use super::carried_ids::{CarriedIds, RequestId};
+use super::replica_stream::{ReadAllowance, ReplicaStream, WrittenBytes, READ_BUFFER_BYTES};
 use crate::clock::BoxClock;
 
 /// Connect timeout, in milliseconds. A connection across availability zones takes a few
@@ -68,10 +70,36 @@
     pub used: bool,
     /// Bytes that may be read for the current part of a response.
     pub allowance: ReadAllowance,
+    /// Bytes written to the connection.
+    pub written: WrittenBytes,
+    /// Number of the connection in this process, for the log.
+    number: u64,
+    carried: CarriedIds,
     address: SocketAddr,
     _task: ClosingTask,
 }
 
+/// What a connection carried before an attempt, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LinkUse {
+    /// Number of the connection in this process.
+    pub connection: u64,
+    /// Requests that it carried before.
+    pub earlier: usize,
+    /// Whether one of them had the same id.
+    pub repeats_id: bool,
+}
+
+impl ReplicaLink {
+    /// Records that a request is about to be written.
+    pub fn carry(&mut self, id: RequestId) -> LinkUse {
+        let repeats_id = self.carried.contains(id);
+        let earlier = self.carried.len();
+        self.carried.add(id);
+        LinkUse { connection: self.number, earlier, repeats_id }
+    }
+}
+
 struct IdleLink {
     link: ReplicaLink,
     since: BoxTime,
@@ -83,13 +111,14 @@
     /// The box's own address, from which it connects.
     local: IpAddr,
     clock: Arc<BoxClock>,
+    next_number: AtomicU64,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleLink>>>,
 }
 
 impl ReplicaPool {
     /// Creates an empty pool that connects from `local` and whose idle times are measured by `clock`.
     pub fn new(local: IpAddr, clock: Arc<BoxClock>) -> Self {
-        Self { local, clock, idle: Mutex::default() }
+        Self { local, clock, next_number: AtomicU64::new(1), idle: Mutex::default() }
     }
 
     /// Takes a usable idle connection to `address`, for a request that may or may not be
@@ -125,7 +154,9 @@
         let unsent = Duration::from_millis(UNSENT_MS);
         socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(unsent))?;
         let allowance = ReadAllowance::for_head();
-        let stream = TokioIo::new(ReplicaStream::new(stream, allowance.clone()));
+        let written = WrittenBytes::default();
+        let stream = ReplicaStream::new(stream, allowance.clone(), written.clone());
+        let stream = TokioIo::new(stream);
         let shaken = Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(stream).await;
         let (sender, connection) = shaken.map_err(std::io::Error::other)?;
         metrics::counter!("ravenspoke_replica_connections_total").increment(1);
@@ -134,7 +165,9 @@
             let _ = connection.await;
         });
         let _task = ClosingTask(task.abort_handle());
-        Ok(ReplicaLink { sender, used: false, allowance, address, _task })
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        let carried = CarriedIds::default();
+        Ok(ReplicaLink { sender, used: false, allowance, written, number, carried, address, _task })
     }
 
     /// Connects from the box's own address, so that the network sees which box it is.
--- a/crates/box/src/gateway/relay.rs
+++ b/crates/box/src/gateway/relay.rs
@@ -13,10 +13,11 @@
 use super::driver::RequestStep;
 use super::event_splitter::{EventSplitter, EVENT_LIMIT};
 use super::exchange::{
-    attempt, put_back, AttemptOutcome, BufferedRequest, GatewayContext, ReplicaBody, RequestGuard,
+    attempt, put_back, AttemptOutcome, BufferedRequest, FailedAttempt, GatewayContext, ReplicaBody,
+    RequestGuard,
 };
 use super::observe;
-use super::pool::ReplicaLink;
+use super::pool::{LinkUse, ReplicaLink};
 use super::responses::{AbortedResponse, CallerBody};
 
 /// Maximum number of bytes that are read of a stream between two events. Chunks have a few bytes in
@@ -41,6 +42,7 @@
 pub(super) struct StreamSource {
     pub(super) body: Incoming,
     pub(super) link: ReplicaLink,
+    pub(super) link_use: LinkUse,
     /// Headers of the replica's response.
     pub(super) headers: HeaderMap,
 }
@@ -137,7 +139,9 @@
     }
 
     fn log_failed(&self, failure: AttemptFailure, why: &str, began: Instant) {
-        observe::log_attempt_failed(&self.guard.name, failure, why, began.elapsed());
+        let link_use = self.source.as_ref().map(|source| source.link_use);
+        let failed = FailedAttempt { failure, why: why.to_owned(), link_use, written: 0 };
+        observe::log_attempt_failed(&self.guard.name, &failed, began.elapsed());
     }
 
     async fn next_piece(&mut self, stall_limit: Duration) -> StreamPiece {
@@ -177,7 +181,8 @@
                     let ReplicaBody::Stream(body, link) = response.body else {
                         return Err(AbortedResponse("the resumed response is not a stream"));
                     };
-                    self.source = Some(StreamSource { body, link, headers: response.head.headers });
+                    let (link_use, headers) = (response.link_use, response.head.headers);
+                    self.source = Some(StreamSource { body, link, link_use, headers });
                     return Ok(());
                 }
                 AttemptOutcome::Ended(next) => step = next,
--- a/crates/box/src/gateway/replica_stream.rs
+++ b/crates/box/src/gateway/replica_stream.rs
@@ -52,16 +52,38 @@
     }
 }
 
+/// Number of bytes that were handed to the operating system on a connection.
+#[derive(Clone, Debug, Default)]
+pub struct WrittenBytes(Arc<AtomicUsize>);
+
+impl WrittenBytes {
+    /// Bytes so far.
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn add(&self, bytes: usize) {
+        self.0.fetch_add(bytes, Ordering::Relaxed);
+    }
+}
+
 /// A connection to a replica.
 pub struct ReplicaStream {
     stream: TcpStream,
     allowance: ReadAllowance,
+    written: WrittenBytes,
 }
 
 impl ReplicaStream {
     /// Wraps a connection.
-    pub fn new(stream: TcpStream, allowance: ReadAllowance) -> Self {
-        Self { stream, allowance }
+    pub fn new(stream: TcpStream, allowance: ReadAllowance, written: WrittenBytes) -> Self {
+        Self { stream, allowance, written }
+    }
+
+    fn note_written(&self, result: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(bytes)) = result {
+            self.written.add(*bytes);
+        }
     }
 }
 
@@ -87,7 +109,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.note_written(&result);
+        result
     }
 
     fn poll_write_vectored(
@@ -95,7 +119,9 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.note_written(&result);
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
