--- a/crates/standins/src/platform/replica.rs
+++ b/crates/standins/src/platform/replica.rs
@@ -1,6 +1,7 @@
 //! Stand-in for a replica. It runs requests, streams events, and fails in ways that the protocol
 //! describes.
 
+use std::collections::VecDeque;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -66,6 +67,15 @@
     }
 }
 
+/// What a replica does with a request that a test decides on beforehand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NextAnswer {
+    /// It rejects the request for want of room.
+    Reject,
+    /// It runs the request.
+    Run,
+}
+
 /// How the responses of a bad version are bad.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BadManner {
@@ -128,6 +138,10 @@
 #[derive(Default)]
 struct ReplicaRecord {
     mode: ReplicaMode,
+    /// What it does with the next requests.
+    next_answers: VecDeque<NextAnswer>,
+    /// Whether each whole response is sent again in place of the next one on its connection.
+    repeats_late: bool,
     version_fault: Option<VersionFault>,
     /// Requests that it runs now.
     running: u32,
@@ -220,6 +234,17 @@
         self.lock().mode = mode;
     }
 
+    /// Sets what it does with the next requests; its mode applies to those after them.
+    pub fn answer_next(&self, answers: impl IntoIterator<Item = NextAnswer>) {
+        self.lock().next_answers = answers.into_iter().collect();
+    }
+
+    /// Makes it send each whole response a second time, when the next request arrives on the same
+    /// connection and before the response to that one.
+    pub fn repeat_late(&self) {
+        self.lock().repeats_late = true;
+    }
+
     /// Sets the rate limit that its responses announce, in requests a second from all boxes
     /// together.
     pub fn set_limit(&self, limit_per_s: Option<f64>) {
@@ -405,25 +430,42 @@
         if mode == ReplicaMode::Endless(EndlessPart::Banner) {
             self.write_endless(&mut stream, "", EndlessPart::Banner).await?;
         }
+        let mut held: Option<Vec<u8>> = None;
         while let Some(request) = read_request(&mut stream).await? {
-            if !self.answer(&mut stream, &request).await? {
+            if let Some(response) = held.take() {
+                stream.write_all(&response).await?;
+            }
+            if !self.answer(&mut stream, &request, &mut held).await? {
                 break;
             }
         }
         Ok(())
     }
 
+    /// Writes a whole response, and holds a copy of it if it is to be sent again.
+    async fn respond(
+        &self,
+        stream: &mut BufReader<TcpStream>,
+        response: Vec<u8>,
+        held: &mut Option<Vec<u8>>,
+    ) -> std::io::Result<()> {
+        stream.write_all(&response).await?;
+        *held = self.lock().repeats_late.then_some(response);
+        Ok(())
+    }
+
     /// Responds to a request. Returns whether the connection stays open.
     async fn answer(
         &self,
         stream: &mut BufReader<TcpStream>,
         request: &WireRequest,
+        held: &mut Option<Vec<u8>>,
     ) -> std::io::Result<bool> {
         let id = request.header("x-ravenspoke-request-id").unwrap_or_default().to_owned();
         let expected = request.header("x-ravenspoke-target-instance");
         if expected.is_some_and(|expected| expected != self.id) {
             let headers = [("X-Ravenspoke-Request-Id", id.as_str())];
-            stream.write_all(&full_response(421, &headers, b"")).await?;
+            self.respond(stream, full_response(421, &headers, b""), held).await?;
             return Ok(true);
         }
         let mode = self.lock().mode;
@@ -435,8 +477,10 @@
             let record = self.lock();
             record.brittle_per_s.is_some() && record.running >= SLOTS
         };
-        if mode == ReplicaMode::Full || is_full {
-            stream.write_all(&self.reject(&id)).await?;
+        let next = self.lock().next_answers.pop_front();
+        let rejects = next.map_or(mode == ReplicaMode::Full, |next| next == NextAnswer::Reject);
+        if rejects || is_full {
+            self.respond(stream, self.reject(&id), held).await?;
             return Ok(!self.check_fall());
         }
         let row = self.record_run(&id, request);
@@ -455,7 +499,7 @@
         }
         match self.is_made_bad(request, &id) {
             Some(BadManner::Slow) => tokio::time::sleep(SLOW_TIME).await,
-            Some(_) => return self.plain(stream, &id, ReplicaMode::Failing).await,
+            Some(_) => return self.plain(stream, &id, ReplicaMode::Failing, held).await,
             None => {}
         }
         if request.header("accept") == Some("text/event-stream") {
@@ -467,7 +511,7 @@
             drop(record);
             return went_on;
         }
-        self.plain(stream, &id, mode).await
+        self.plain(stream, &id, mode, held).await
     }
 
     fn record_run(&self, id: &str, request: &WireRequest) -> usize {
@@ -488,6 +532,7 @@
         stream: &mut BufReader<TcpStream>,
         id: &str,
         mode: ReplicaMode,
+        held: &mut Option<Vec<u8>>,
     ) -> std::io::Result<bool> {
         let body = match mode {
             ReplicaMode::Large(length) => "x".repeat(length),
@@ -514,7 +559,7 @@
                 return Ok(false);
             }
             ReplicaMode::Surplus => stream.write_all(&[answer.clone(), answer].concat()).await?,
-            _ => stream.write_all(&answer).await?,
+            _ => self.respond(stream, answer, held).await?,
         }
         Ok(true)
     }
