pool: no connection carries two requests with the same id

Callers saw a call that may run once run twice (200), or run although it was answered 503, which promises that it has not run.

Cause: a rejected call is sent again under the id that its caller gave it, and the pool handed out the connection of the rejection first. A replica may send an answer a second time, in the place where the next one is due; its id is all that tells it from the next one. With the same id twice on one connection it tells nothing: the copy of the rejection was believed while the replica ran the call.

Each connection keeps the ids that it has carried, and the pool gives it to no request with one of them; after 128 requests it is closed, which bounds the memory. So an answer's id names one request on its connection, however late the answer arrives: also for a request that is sent again after 421, to a larger model, as the rest of a stream, or by a caller that uses an id again.

--- a/crates/box/src/gateway/carried_ids.rs
+++ b/crates/box/src/gateway/carried_ids.rs
@@ -17,6 +17,9 @@
     }
 }
 
+/// Requests that a connection carries, at most. It bounds the memory for their ids.
+pub const CARRIED_LIMIT: usize = 128;
+
 /// Ids that a connection has carried.
 #[derive(Debug, Default)]
 pub struct CarriedIds(Vec<RequestId>);
@@ -41,4 +44,9 @@
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
+
+    /// Whether the connection may carry no further request.
+    pub fn is_full(&self) -> bool {
+        self.0.len() >= CARRIED_LIMIT
+    }
 }
--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -405,7 +405,7 @@
     id: RequestId,
     request: impl Fn() -> Request<Full<Bytes>>,
 ) -> Result<(Response<Incoming>, AttemptLink), FailedAttempt> {
-    let mut link = match context.pool.take(address, order.kind.repeatable()) {
+    let mut link = match context.pool.take(address, id, order.kind.repeatable()) {
         Some(link) => link,
         None => open(context, order, address).await?,
     };
--- a/crates/box/src/gateway/pool.rs
+++ b/crates/box/src/gateway/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to replicas. Each carries one request at a time, and returns to the pool only when
 //! it is known to be clean: the request was written and the response read completely, and no
-//! further bytes have arrived.
+//! further bytes have arrived. None carries two requests with the same id, so that an answer's id
+//! names the request that it belongs to, however late it arrives.
 
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
@@ -106,6 +107,20 @@
     until: BoxTime,
 }
 
+impl IdleLink {
+    /// Whether it is open, and its idle time is not over.
+    fn is_usable(&self, now: BoxTime) -> bool {
+        self.until > now && self.link.sender.is_ready()
+    }
+
+    /// Whether a request may use it. An answer on it belongs to the request whose id it bears, so no
+    /// two requests on it may have the same id.
+    fn fits(&self, id: RequestId, repeatable: bool, now: BoxTime) -> bool {
+        let is_fresh = repeatable || now.millis_since(self.since) <= SINGLE_IDLE_MS;
+        is_fresh && !self.link.carried.contains(id)
+    }
+}
+
 /// Idle connections by address.
 pub struct ReplicaPool {
     /// The box's own address, from which it connects.
@@ -121,26 +136,20 @@
         Self { local, clock, next_number: AtomicU64::new(1), idle: Mutex::default() }
     }
 
-    /// Takes a usable idle connection to `address`, for a request that may or may not be
-    /// `repeatable`.
-    pub fn take(&self, address: SocketAddr, repeatable: bool) -> Option<ReplicaLink> {
+    /// Takes a usable idle connection to `address`, for a request with this id that may or may not be
+    /// `repeatable`. The one used last comes first.
+    pub fn take(
+        &self,
+        address: SocketAddr,
+        id: RequestId,
+        repeatable: bool,
+    ) -> Option<ReplicaLink> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let links = idle.get_mut(&address)?;
         let now = self.clock.now();
-        // The last connection has the shortest idle time.
-        if !repeatable
-            && links
-                .last()
-                .is_some_and(|idle_link| now.millis_since(idle_link.since) > SINGLE_IDLE_MS)
-        {
-            return None;
-        }
-        while let Some(idle_link) = links.pop() {
-            if idle_link.until > now && idle_link.link.sender.is_ready() {
-                return Some(idle_link.link);
-            }
-        }
-        None
+        links.retain(|idle_link| idle_link.is_usable(now));
+        let row = links.iter().rposition(|idle_link| idle_link.fits(id, repeatable, now))?;
+        Some(links.remove(row).link)
     }
 
     /// Opens a connection.
@@ -193,7 +202,7 @@
     pub async fn put_back(&self, mut link: ReplicaLink, kept_ms: Option<u64>) {
         let kept_ms = kept_ms.map_or(IDLE_MS, |kept| kept.saturating_sub(IDLE_MARGIN_MS));
         let ready = tokio::time::timeout(Duration::from_millis(READY_MS), link.sender.ready());
-        if kept_ms == 0 || !matches!(ready.await, Ok(Ok(()))) {
+        if kept_ms == 0 || link.carried.is_full() || !matches!(ready.await, Ok(Ok(()))) {
             return;
         }
         link.used = true;
@@ -211,7 +220,7 @@
         let now = self.clock.now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         for links in idle.values_mut() {
-            links.retain(|idle_link| idle_link.until > now && idle_link.link.sender.is_ready());
+            links.retain(|idle_link| idle_link.is_usable(now));
         }
         idle.retain(|_, links| !links.is_empty());
     }
