route: only evidence shows that a request has not run

Callers of a route with several models saw a call that may run once run twice: an answer of low confidence was dropped and the call asked again of a larger model. And the flag that allows a refusal as not run was set by each path that thought of it; one that forgets made a false promise.

Now an attempt counts as run from the moment on at which it is handed out. RunRecord takes that back only for a NotRunProof, which is made from a failure before the write, a rejection, another replica's 421 or another box's refusal. Status 503 needs a NotRunGrant, and an attempt an AttemptPermit, which a call that may run once gets only while none may have run: a false promise or a forgotten check does not compile. A success whose head also says that it did not run counts as run.

--- a/crates/core/src/route/answer.rs
+++ b/crates/core/src/route/answer.rs
@@ -6,6 +6,7 @@
 use super::model_cascade::{self, ModelConfidence};
 use super::model_latency::ServiceLatency;
 use super::retry_budget::SendCause;
+use super::run_record::NotRunProof;
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
 
@@ -39,22 +40,33 @@
         self.learn_backoff(stamp, attempt.replica, head);
         self.learn_brittle(stamp, attempt.replica, head, out);
         self.learn_leaving(stamp, attempt.replica, head, out);
-        if head.not_run || head.other_replica {
-            let outcome = if head.other_replica {
-                BackendOutcome::Unreachable
-            } else {
-                BackendOutcome::Inconclusive
-            };
-            self.end_attempt(stamp, ticket, outcome);
-            if head.other_replica || !self.wait_after_rejection(stamp, ticket, out) {
-                self.resend(stamp, ticket, RefusalReason::Full, out);
-            }
-            return;
+        if let Some(proof) = NotRunProof::of_answer(&head) {
+            return self.on_rejected(stamp, ticket, proof, out);
         }
         let took_ms = stamp.now.millis_since(attempt.began) as f64;
         self.handle_head(stamp, ticket, head, took_ms, out);
     }
 
+    /// Sends a request elsewhere, or later, that a replica did not run.
+    fn on_rejected(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        proof: NotRunProof,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let is_other = proof == NotRunProof::OtherReplica;
+        let outcome =
+            if is_other { BackendOutcome::Unreachable } else { BackendOutcome::Inconclusive };
+        if let Some(request) = self.requests.get_mut(&ticket) {
+            request.runs.settle(proof);
+        }
+        self.end_attempt(stamp, ticket, outcome);
+        if is_other || !self.wait_after_rejection(stamp, ticket, out) {
+            self.resend(stamp, ticket, RefusalReason::Full, out);
+        }
+    }
+
     /// Decides on the head of an answer that began after `took_ms`, from a replica that ran the
     /// request.
     fn handle_head(
@@ -67,8 +79,6 @@
     ) {
         self.count_usage(stamp.wall, ticket);
         self.record_begun(stamp.now, ticket);
-        let Some(request) = self.requests.get_mut(&ticket) else { return };
-        request.may_have_run = true;
         let failed = head.status >= 500 || !head.proven;
         self.count_answer(ticket, failed, took_ms);
         self.record_trial_load(ticket, head.load);
--- a/crates/core/src/route/arrival.rs
+++ b/crates/core/src/route/arrival.rs
@@ -9,6 +9,7 @@
 use super::refuse::refusal;
 use super::region::allowed_zones;
 use super::request::RouteRequest;
+use super::run_record::RunRecord;
 use super::{poison, RouteState, STOP_ACCEPT_MS};
 use crate::event::{EventStamp, RequestTicket};
 use crate::replica::mix;
@@ -25,7 +26,11 @@
         let request = match self.admit(stamp, &caller) {
             Ok(request) => request,
             Err(reason) => {
-                out.push(RouteEffect::Refuse(ticket, refusal(reason, false), self.inputs(stamp)));
+                out.push(RouteEffect::Refuse(
+                    ticket,
+                    refusal(reason, Some(RunRecord::never_attempted())),
+                    self.inputs(stamp),
+                ));
                 return;
             }
         };
@@ -89,7 +94,7 @@
             pauses_until: None,
             counted: false,
             counted_bad: false,
-            may_have_run: false,
+            runs: RunRecord::default(),
             relayed: false,
             relayed_on_trial: false,
             succeeds: false,
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -7,6 +7,7 @@
 use super::plan::{RouteKind, RouteSpec};
 use super::request::{RouteRequest, RunningAttempt};
 use super::retry_budget::SendCause;
+use super::run_record::NotRunProof;
 use super::scheduling::admission::{latest_retry_ms, overload_retry_ms};
 use super::scheduling::pick::BackendPick;
 use super::scheduling::placement::{load_urgency, urgency};
@@ -185,6 +186,9 @@
     ) {
         let pick = choice.pick;
         let Some(request) = self.requests.get(&ticket) else { return };
+        let Some(permit) = request.permit() else {
+            return self.give_up(stamp, ticket, RefusalReason::Failed, out);
+        };
         let inputs = DecisionInputs {
             candidates: pick.candidates,
             load: pick.load,
@@ -202,6 +206,7 @@
         let usual_ms = self.usual_ms(ticket, &pick);
         let Some(row) = self.backends.get(pick.key) else { return };
         let Some(request) = self.requests.get_mut(&ticket) else { return };
+        request.runs.begin(permit);
         // The version is that of the replica, even if no replica of the preferred version was left.
         let trial = self.trials.get_mut(&request.service);
         let on_trial =
@@ -407,11 +412,7 @@
             self.learn_silence(stamp, ticket, out);
         }
         let cause = if path_lost { SendCause::PathLost } else { SendCause::Stall };
-        if self.reassign(stamp, ticket, cause, out) {
-            if let Some(request) = self.requests.get_mut(&ticket) {
-                request.may_have_run = true;
-            }
-        }
+        self.reassign(stamp, ticket, cause, out);
     }
 
     /// Ends a request with a feature that crashes replicas, before its replica begins to answer, and
@@ -433,11 +434,7 @@
         if !lost || !movable || row.path.reached_since(attempt.began) {
             return;
         }
-        if self.reassign(stamp, ticket, SendCause::PathLost, out) {
-            if let Some(request) = self.requests.get_mut(&ticket) {
-                request.may_have_run = true;
-            }
-        }
+        self.reassign(stamp, ticket, SendCause::PathLost, out);
     }
 
     /// Handles a failed attempt: the request is sent again if it may be repeated, and refused
@@ -456,12 +453,14 @@
         if request.waiting.is_some() {
             return;
         }
-        let unwritten = match failure {
-            AttemptFailure::NeverSent => Some(BackendOutcome::Unreachable),
-            AttemptFailure::Withdrawn => Some(BackendOutcome::Inconclusive),
-            AttemptFailure::Broken | AttemptFailure::Silent => None,
-        };
-        if let Some(outcome) = unwritten {
+        if let Some(proof) = NotRunProof::of_failure(failure) {
+            let is_unreachable = failure == AttemptFailure::NeverSent;
+            let outcome = if is_unreachable {
+                BackendOutcome::Unreachable
+            } else {
+                BackendOutcome::Inconclusive
+            };
+            request.runs.settle(proof);
             let trial = self.trials.get_mut(&request.service);
             if let Some((trial, attempt)) = trial.zip(request.attempt) {
                 trial.exposure.remove_unsent(attempt.on_trial, request.sends == 1);
@@ -472,14 +471,13 @@
             }
             let replica = request.attempt.map(|attempt| attempt.replica);
             self.end_attempt(stamp, ticket, outcome);
-            if let Some(replica) = replica.filter(|_| outcome == BackendOutcome::Unreachable) {
+            if let Some(replica) = replica.filter(|_| is_unreachable) {
                 self.report_unreachable(replica, None, out);
                 self.note_path_failed(stamp, replica, out);
             }
             self.resend_unwritten(stamp, ticket, out);
             return;
         }
-        request.may_have_run = true;
         let replica = request.attempt.map(|attempt| attempt.replica);
         if failure == AttemptFailure::Broken {
             self.record_broken(stamp, ticket);
@@ -521,8 +519,7 @@
         ticket: RequestTicket,
         out: &mut Vec<RouteEffect>,
     ) {
-        let Some(request) = self.requests.get_mut(&ticket) else { return };
-        request.may_have_run |= request.attempt.is_some() || request.forward.is_some();
+        let Some(request) = self.requests.get(&ticket) else { return };
         if !request.relayed {
             self.count_lost_answer(stamp, ticket);
         }
--- a/crates/core/src/route/forward.rs
+++ b/crates/core/src/route/forward.rs
@@ -17,6 +17,7 @@
 };
 use super::peers::ForwardQuery;
 use super::request::RunningForward;
+use super::run_record::NotRunProof;
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
 use crate::ids::ReplicaKey;
@@ -79,6 +80,9 @@
         out: &mut Vec<RouteEffect>,
     ) {
         let Some(request) = self.requests.get(&ticket) else { return };
+        let Some(permit) = request.permit() else {
+            return self.give_up(stamp, ticket, RefusalReason::Failed, out);
+        };
         let inputs = self.request_inputs(stamp, request);
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         if request.forward_tried.is_empty() {
@@ -92,10 +96,11 @@
         let begun = request.begun();
         let passed = ForwardedRequest {
             attempts: left - reserved,
-            is_repeat: request.sends > 0 || request.may_have_run,
+            is_repeat: request.sends > 0 || request.runs.may_have_run(),
             begun,
         };
         let pass = ForwardPass { key: target.key, request: passed };
+        request.runs.begin(permit);
         request.forward_tried.push(target.name.clone());
         request.forward = Some(RunningForward { peer: target.name.clone(), reserved });
         let (head_ms, pause_ms) = stall_limits(request, stamp.now);
@@ -143,13 +148,15 @@
                 request.relayed_on_trial = on_trial;
             }
             request.relayed = true;
-            request.may_have_run = true;
             request.outcome = BackendOutcome::Inconclusive;
             request.succeeds = false;
             out.push(RouteEffect::Relay(ticket));
             return;
         }
         let forward = request.forward.take();
+        if let Some(proof) = NotRunProof::of_peer_answer(&head) {
+            request.runs.settle(proof);
+        }
         if head.status == 503 {
             request.retry_after_ms = head.backoff_ms;
             let service = service_hash(&request.service);
@@ -165,7 +172,6 @@
             504 => RefusalReason::DeadlinePassed,
             _ => RefusalReason::Failed,
         };
-        request.may_have_run |= head.status >= 500;
         self.give_up(stamp, ticket, reason, out);
     }
 
@@ -181,10 +187,10 @@
         let Some(forward) = request.forward.take() else { return };
         self.peers.avoid(&forward.peer, None, stamp.now.plus_millis(FORWARD_FAILED_MS));
         let Some(request) = self.requests.get_mut(&ticket) else { return };
-        if matches!(failure, AttemptFailure::NeverSent | AttemptFailure::Withdrawn) {
+        if let Some(proof) = NotRunProof::of_failure(failure) {
+            request.runs.settle(proof);
             return self.send(stamp, ticket, RefusalReason::NoReplica, out);
         }
-        request.may_have_run = true;
         request.sends = request.route.attempts - forward.reserved + request.rejections;
         if request.route.kind.repeatable() {
             self.resend(stamp, ticket, RefusalReason::Failed, out);
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -86,6 +86,7 @@
 pub mod rejected;
 mod request;
 pub mod retry_budget;
+mod run_record;
 pub mod scheduling;
 pub mod shares;
 pub mod startup;
--- a/crates/core/src/route/refuse.rs
+++ b/crates/core/src/route/refuse.rs
@@ -3,6 +3,7 @@
 
 use super::event::{DecisionInputs, RefusalReason, RouteEffect, RouteRefusal};
 use super::request::RouteRequest;
+use super::run_record::NotRunGrant;
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
 
@@ -14,6 +15,9 @@
 /// address.
 pub const ELSEWHERE_RETRY_MS: u64 = 100;
 
+/// Status that promises that the request has not run and will not run.
+const NOT_RUN_STATUS: u16 = 503;
+
 impl RouteState {
     /// Ends a request without a replica's answer: refuses it, or aborts a response that has begun.
     pub(super) fn give_up(
@@ -28,7 +32,7 @@
             out.push(RouteEffect::AbortResponse(ticket, reason));
             return;
         }
-        let mut refusal = refusal(reason, request.may_have_run);
+        let mut refusal = refusal(reason, request.runs.not_run());
         if refusal.retry_after_ms.is_some() {
             refusal.retry_after_ms = request.retry_after_ms.or(refusal.retry_after_ms);
         }
@@ -61,30 +65,28 @@
     }
 }
 
-/// Returns the refusal for a reason, depending on whether the request may have run.
-pub(super) fn refusal(reason: RefusalReason, may_have_run: bool) -> RouteRefusal {
-    let (status, retry_after_ms) = match reason {
-        RefusalReason::NoRoute => (404, None),
-        RefusalReason::UnknownKey => (401, None),
-        RefusalReason::DeadlinePassed if may_have_run => (504, None),
+/// Returns the refusal for a reason. Without a grant, the request may have run.
+pub(super) fn refusal(reason: RefusalReason, grant: Option<NotRunGrant>) -> RouteRefusal {
+    let (status, retry_after_ms) = match (reason, grant) {
+        (RefusalReason::NoRoute, _) => (404, None),
+        (RefusalReason::UnknownKey, _) => (401, None),
+        (RefusalReason::DeadlinePassed, None) => (504, None),
         // Its content has run, if under other requests, and a retry does not help.
-        RefusalReason::CrashesReplicas => (502, None),
-        _ if may_have_run => (502, None),
-        RefusalReason::SuspectedOfCrashes
-        | RefusalReason::Full
-        | RefusalReason::DeadlineTooShort
-        | RefusalReason::OverShare
-        | RefusalReason::DeadlinePassed
-        | RefusalReason::Failed => (503, Some(FULL_RETRY_MS)),
-        RefusalReason::NoReplica => (503, Some(FULL_RETRY_MS)),
-        // These last for seconds at least. The request's remaining time determines how long its
-        // caller may wait.
-        RefusalReason::Evacuated | RefusalReason::ReplicasLimited | RefusalReason::NoRegion => {
-            (503, Some(FULL_RETRY_MS))
-        }
+        (RefusalReason::CrashesReplicas, _) | (_, None) => (502, None),
+        (reason, Some(grant)) => not_run_status(reason, grant),
+    };
+    RouteRefusal { status, reason, retry_after_ms }
+}
+
+/// Returns the status that promises that the request has not run, and the retry time.
+fn not_run_status(reason: RefusalReason, _grant: NotRunGrant) -> (u16, Option<u64>) {
+    let retry_after_ms = match reason {
         RefusalReason::NoPlan | RefusalReason::PlanStale | RefusalReason::BoxStopping => {
-            (503, Some(ELSEWHERE_RETRY_MS))
+            ELSEWHERE_RETRY_MS
         }
+        // Some of these last for seconds at least. The request's remaining time determines how long
+        // its caller may wait.
+        _ => FULL_RETRY_MS,
     };
-    RouteRefusal { status, reason, retry_after_ms }
+    (NOT_RUN_STATUS, Some(retry_after_ms))
 }
--- a/crates/core/src/route/rejected.rs
+++ b/crates/core/src/route/rejected.rs
@@ -40,7 +40,7 @@
     ) -> bool {
         let Some(request) = self.requests.get(&ticket) else { return false };
         let may_wait = request.prompt.is_none()
-            && !request.may_have_run
+            && !request.runs.may_have_run()
             && request.rejections < REJECTION_LIMIT
             && self.controls_overload(&request.service);
         let until = stamp.now.plus_millis(pause_ms(request.rejections + 1, stamp.random));
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -5,6 +5,7 @@
 use super::model_cascade::ModelConfidence;
 use super::plan::RouteSpec;
 use super::poison::RequestFeature;
+use super::run_record::{AttemptPermit, RunRecord};
 use super::scheduling::waiting_room::{aged_priority, WaitingKey};
 use crate::ids::ReplicaKey;
 use crate::time::BoxTime;
@@ -50,7 +51,7 @@
     /// Whether its usage was counted, which happens once, when a replica is known to have run it.
     pub(super) counted: bool,
     /// Whether any replica may have begun to run it.
-    pub(super) may_have_run: bool,
+    pub(super) runs: RunRecord,
     /// Whether a bad answer was counted for the trial of its service. What fails one replica often
     /// fails the next one too, so later attempts show nothing.
     pub(super) counted_bad: bool,
@@ -85,9 +86,14 @@
 }
 
 impl RouteRequest {
-    /// Returns whether its attempts and its deadline allow another attempt.
+    /// Returns whether its attempts, its deadline and what may have run allow another attempt.
     pub(super) fn may_be_sent(&self, now: BoxTime) -> bool {
-        self.attempts_used() < self.route.attempts && now < self.deadline
+        self.attempts_used() < self.route.attempts && now < self.deadline && self.permit().is_some()
+    }
+
+    /// Grants another attempt, unless one may have run and its route allows only one run.
+    pub(super) fn permit(&self) -> Option<AttemptPermit> {
+        self.runs.permit(self.route.kind.repeatable())
     }
 
     /// Returns the attempts that count against the limit of its route.
--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -18,6 +18,7 @@
 mod loads;
 mod membership;
 mod models;
+mod not_run;
 mod partition_fleet;
 mod partitions;
 mod placement;
