forward: a box's refusal counts only if it repeats the number of the attempt

Seen by a test: a box that has lost its paths forwards a call that may run once to a box that was killed, whose address another server has got. That server takes the call and answers 503; the caller got 503, which promises that the call has not run.

Cause: any 503 without a replica's proof that came from the address of the other box was taken for that box's own refusal, and nothing in the request kept a replica there from running it.

The forwarding box draws a number for each attempt, and the box that receives it repeats the number in whatever it responds; a response without it is broken, and the call may have run (502). The request names the box in the header that makes a replica answer 421.

Not shown on real boxes at the deployment's rates, where nobody loses paths.

--- a/crates/box/src/gateway/entry.rs
+++ b/crates/box/src/gateway/entry.rs
@@ -14,7 +14,7 @@
 
 use super::caller_stream::CallerStream;
 use super::exchange::{serve_request, GatewayContext};
-use super::forward::RequestOrigin;
+use super::forward::{ForwardAttempt, RequestOrigin};
 use super::listen::ListeningEntry;
 use super::observe;
 use super::slow_readers::ReaderMeter;
@@ -195,10 +195,14 @@
     let phase_now = phase.clone();
     let service = service_fn(move |request| {
         let waited = start_wait.take(context.driver.now());
+        let attempt = ForwardAttempt::of_request(origin, request.headers());
         let response = serve_request(context.clone(), request, origin, waited, meter.clone());
         let phase = phase_now.clone();
         async move {
             let mut response = response.await;
+            if let (Ok(response), Some(attempt)) = (&mut response, attempt) {
+                attempt.write(response.headers_mut());
+            }
             if let (Ok(response), true) = (&mut response, *phase.borrow() >= EntryPhase::Stopping) {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -12,12 +12,12 @@
 use ravenspoke_adapter::headers;
 use ravenspoke_core::event::RequestTicket;
 use ravenspoke_core::route::event::{
-    AnswerHead, AttemptFailure, CallerRequest, ForwardedRequest, RouteEvent, SendOrder,
+    AnswerHead, AttemptFailure, CallerRequest, ForwardPass, ForwardedRequest, RouteEvent, SendOrder,
 };
 
 use super::carried_ids::RequestId;
 use super::driver::{GatewayDriver, RequestName, RequestStep, WaitingTurn};
-use super::forward::{self, RequestOrigin, UnknownForwarder};
+use super::forward::{self, ForwardAttempt, RequestOrigin, UnknownForwarder};
 use super::observe;
 use super::pool::{LinkUse, ReplicaLink, ReplicaPool};
 use super::relay::{relay_stream, StreamSource, STREAM_ALLOWANCE};
@@ -366,16 +366,20 @@
         .address
         .parse()
         .map_err(|_| never_sent("the entry has no valid address".to_owned()))?;
-    let request = || replica_request(context, caller, order, resume_after);
+    let forward = order.pass.map(|pass| (pass, ForwardAttempt::draw()));
+    let request = || replica_request(context, caller, order, forward.as_ref(), resume_after);
     let id = RequestId::of(&caller.headers);
     let (response, attempt) = send_request(context, order, address, ticket, id, request).await?;
     let link_use = attempt.link_use;
     let (mut head, body) = response.into_parts();
     let begun = forward::take_begun(&mut head.headers);
     let decoded = AnswerHead { begun, ..headers::read_answer(&head) };
-    // Responses of other boxes themselves have no request id.
-    let is_own = order.pass.is_some() && !decoded.proven;
-    if !is_own && !headers::answers_request(&caller.headers, &head.headers) {
+    // What another box responds by itself has no request id.
+    let is_own = forward.is_some() && !decoded.proven;
+    let repeats_id = is_own || headers::answers_request(&caller.headers, &head.headers);
+    let repeats_attempt =
+        forward.as_ref().is_none_or(|(_, attempt)| attempt.take_from(&mut head.headers));
+    if !repeats_id || !repeats_attempt {
         observe::count_foreign_answer();
         let why = "the response belongs to another request".to_owned();
         return Err(attempt.failed(AttemptFailure::Broken, why));
@@ -463,17 +467,21 @@
     context: &GatewayContext,
     caller: &BufferedRequest,
     order: &SendOrder,
+    forward: Option<&(ForwardPass, ForwardAttempt)>,
     resume_after: Option<&str>,
 ) -> Request<Full<Bytes>> {
     let left_ms = context.driver.until(order.deadline).as_millis() as u64;
     let mut request = Request::new(Full::new(caller.body.clone()));
     *request.method_mut() = caller.method.clone();
     *request.uri_mut() = caller.uri.clone();
-    *request.headers_mut() = match &order.pass {
+    *request.headers_mut() = match forward {
         None => headers::replica_headers(&caller.headers, order, left_ms, resume_after),
-        Some(pass) => {
-            let mut headers = headers::forwarded_headers(&caller.headers, left_ms, resume_after);
+        Some((pass, attempt)) => {
+            let to = &order.replica_id;
+            let mut headers =
+                headers::forwarded_headers(&caller.headers, to, left_ms, resume_after);
             forward::write_pass(&mut headers, pass);
+            attempt.write(&mut headers);
             headers
         }
     };
--- a/crates/box/src/gateway/forward.rs
+++ b/crates/box/src/gateway/forward.rs
@@ -10,6 +10,10 @@
 /// `key=HEX;attempts=N;repeat=0|1`, and the begun answer if there is one.
 const FORWARD: HeaderName = HeaderName::from_static("ravenspoke-forward");
 
+/// Number of the attempt, drawn by the forwarding box and repeated in the response, which shows that
+/// the response is that of the receiving box to this attempt.
+const ATTEMPT: HeaderName = HeaderName::from_static("ravenspoke-attempt");
+
 /// How the answer began, in the response to a forwarded request: `size=N;trial=0|1`.
 const BEGUN: HeaderName = HeaderName::from_static("ravenspoke-begun");
 
@@ -27,6 +31,33 @@
 #[error("the request carries no valid key of this box")]
 pub struct UnknownForwarder;
 
+/// Number of an attempt at another box.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ForwardAttempt(HeaderValue);
+
+impl ForwardAttempt {
+    /// Draws a number for an attempt.
+    pub fn draw() -> Self {
+        Self(HeaderValue::from(rand::random::<u64>()))
+    }
+
+    /// The number in the request of another box; `None` for callers, and for a box that sends none.
+    pub fn of_request(origin: RequestOrigin, headers: &HeaderMap) -> Option<Self> {
+        let number = headers.get(&ATTEMPT).filter(|_| origin == RequestOrigin::Peer)?;
+        Some(Self(number.clone()))
+    }
+
+    /// Adds the number to the headers of a request or of its response.
+    pub fn write(&self, headers: &mut HeaderMap) {
+        headers.insert(ATTEMPT, self.0.clone());
+    }
+
+    /// Removes the number from the headers of a response, and returns whether it is this one.
+    pub fn take_from(&self, headers: &mut HeaderMap) -> bool {
+        headers.remove(&ATTEMPT).as_ref() == Some(&self.0)
+    }
+}
+
 /// Adds the header of a forwarded request.
 pub fn write_pass(headers: &mut HeaderMap, pass: &ForwardPass) {
     let ForwardedRequest { attempts, is_repeat, begun } = pass.request;
@@ -36,11 +67,12 @@
     set(headers, FORWARD, &text);
 }
 
-/// Removes the header of a forwarded request and decodes it.
+/// Removes the headers of a forwarded request and decodes how far it has been brought.
 ///
 /// # Errors
 /// Returns [`UnknownForwarder`] if the header does not carry `key`.
 pub fn take_pass(headers: &mut HeaderMap, key: u64) -> Result<ForwardedRequest, UnknownForwarder> {
+    headers.remove(&ATTEMPT);
     let value = headers.remove(&FORWARD).ok_or(UnknownForwarder)?;
     let text = value.to_str().map_err(|_| UnknownForwarder)?;
     let sent_key = field(text, "key").and_then(|key| u64::from_str_radix(key, 16).ok());
--- a/crates/box/tests/partitions.rs
+++ b/crates/box/tests/partitions.rs
@@ -10,6 +10,9 @@
 };
 use ravenspoke_standins::platform::site_box::SiteBox;
 use ravenspoke_standins::soak::proxy::{FaultProxy, ProxyFault};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 
 /// Port at which a box receives gossip, and requests that other boxes forward.
 const FORWARD_PORT: u16 = 18_340;
@@ -206,3 +209,46 @@
     assert_eq!(all.runs("nowhere"), []);
     all.wait_listed(3).await;
 }
+
+/// A server at the former address of a box, which takes any request and answers 503. Yields the heads
+/// of the requests.
+async fn successor_of(former: &SiteBox, heads: UnboundedSender<String>) {
+    let address = (former.ip, FORWARD_PORT);
+    let listener = TcpListener::bind(address).await.expect("the address is free");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut head = vec![0; 4096];
+            let length = stream.read(&mut head).await.unwrap_or_default();
+            drop(heads.send(String::from_utf8_lossy(&head[..length]).to_lowercase()));
+            let refusal = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+            drop(stream.write_all(refusal).await);
+        }
+    });
+}
+
+/// A site whose first box has lost its paths, and whose other boxes are gone; their addresses belong
+/// to servers that answer 503.
+async fn site_with_successors() -> (PartitionSite, UnboundedReceiver<String>) {
+    let mut all = PartitionSite::start(4, 10).await;
+    all.lose_paths(0, ProxyFault::Reset).await;
+    let (heads, received) = unbounded_channel();
+    for former in &mut all.boxes[1..] {
+        former.kill();
+        successor_of(former, heads.clone()).await;
+    }
+    (all, received)
+}
+
+/// Guards against a 503 of whoever has got a box's address that counts as that box's refusal.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_is_not_refused_as_not_run_by_a_successor_of_a_box() {
+    let (all, mut received) = site_with_successors().await;
+
+    let request = all.site.request(&all.boxes[0], "POST", "/file/x", "astray").body("b");
+    let answer = request.send().await.expect("an answer");
+
+    assert_eq!(answer.status(), 502);
+    let head = received.recv().await.expect("the call reached a successor");
+    assert!(head.contains("x-ravenspoke-target-instance: box-"), "{head}");
+    assert!(received.try_recv().is_err(), "the call is sent only once");
+}
