--- a/crates/box/tests/replica_entries.rs
+++ b/crates/box/tests/replica_entries.rs
@@ -67,6 +67,121 @@
     .await;
 }
 
+/// Entries that another writer may leave: nested deeply, with numbers and ports beyond their range,
+/// and bytes that are no text.
+fn odd_entries() -> Vec<Vec<u8>> {
+    let entry = |field: &str, value: &str| {
+        let mut entry = json!({
+            "service": SITE_SERVICE, "address": "127.0.0.1:9", "zone": "east", "version": "v1", "slots": 8,
+            "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 1,
+        });
+        entry[field] = json!("HOLE");
+        entry.to_string().replace("\"HOLE\"", value).into_bytes()
+    };
+    let nested = format!("{}{}", "[".repeat(60_000), "]".repeat(60_000));
+    vec![
+        nested.clone().into_bytes(),
+        "{\"a\":".repeat(30_000).into_bytes(),
+        entry("zone", &nested),
+        entry("slots", "4294967296"),
+        entry("slots", "1e400"),
+        entry("slots", &"9".repeat(50_000)),
+        entry("born", "-1"),
+        entry("born", "18446744073709551616"),
+        entry("cold_remaining_ms", "1e400"),
+        entry("address", "\"127.0.0.1:70000\""),
+        entry("address", "\"127.0.0.1:0\""),
+        entry("address", "\"127.0.0.1\""),
+        entry("state", "\"\\ud800\""),
+        vec![0xff, 0x00, 0xfe],
+    ]
+}
+
+/// Entries with numbers at the ends of their range. Nothing listens at their address.
+fn extreme_entries() -> Vec<Value> {
+    let entry = |slots: u32, cold_ms: f64, born: u64| {
+        json!({
+            "service": "annex", "address": "127.0.0.1:9", "zone": "east", "version": "v1", "slots": slots,
+            "state": "ready", "cold_remaining_ms": cold_ms, "sequence": 1, "born": born,
+        })
+    };
+    vec![entry(u32::MAX, 0.0, u64::MAX), entry(0, f64::MAX, 0), entry(8, -f64::MAX, u64::MAX - 1)]
+}
+
+/// Ids of the replicas of the site's service that a box knows.
+async fn known_replicas(subject: &SiteBox) -> Option<Vec<String>> {
+    let state = subject.state().await?;
+    let rows = state["backends"].as_array()?.iter();
+    let rows = rows.filter(|row| row["entry"]["service"] == SITE_SERVICE);
+    let mut known: Vec<String> =
+        rows.filter_map(|row| Some(row["entry"]["id"].as_str()?.to_owned())).collect();
+    known.sort();
+    Some(known)
+}
+
+async fn wait_for_replicas(subject: &SiteBox, wanted: &[&str]) {
+    wait_for("the box knows these replicas", || async {
+        (known_replicas(subject).await? == wanted).then_some(())
+    })
+    .await;
+}
+
+/// Writes odd and extreme entries, each under an id of its own.
+fn write_odd_entries(site: &RunningSite, name: &str) {
+    for (number, entry) in odd_entries().iter().enumerate() {
+        site.store.put_bytes(REPLICA_TOPIC, &format!("{name}-odd-{number}"), entry);
+    }
+    for (number, entry) in extreme_entries().iter().enumerate() {
+        site.store.put(REPLICA_TOPIC, &format!("{name}-extreme-{number}"), entry);
+    }
+}
+
+/// Guards against boxes that end, or stop following the replicas, because of another writer's entry.
+#[tokio::test]
+async fn boxes_follow_replicas_past_odd_entries() {
+    let (mut site, listing) = site_with_invalid_entries().await;
+    write_odd_entries(&site, "listed");
+    start_incarnation(&site, "i-1", 1_000).await;
+    wait_for_replicas(&listing, &["i-1"]).await;
+    // It learns the replicas from a listing that has the odd entries.
+    let second = site.start_ready("box-2").await;
+    wait_for_replicas(&second, &["i-1"]).await;
+
+    write_odd_entries(&site, "followed");
+    start_incarnation(&site, "i-2", 1_000).await;
+    site.store.put_bytes(REPLICA_TOPIC, "i-1", &odd_entries()[0]);
+
+    for mut subject in [listing, second] {
+        wait_for_replicas(&subject, &["i-2"]).await;
+        let answer = site.request(&subject, "POST", "/file/x", "r1").body("b").send().await;
+        assert_eq!(answer.expect("an answer").status(), 200);
+        assert_eq!(subject.exit_code(), None);
+    }
+}
+
+/// Guards against requests that panic, and tasks that end, because an entry under a replica's id named
+/// another service.
+#[tokio::test]
+async fn boxes_serve_after_an_entry_that_changed_its_service() {
+    let (site, subject) = site_with_invalid_entries().await;
+    let replica = start_incarnation(&site, "i-1", 1_000).await;
+    wait_for_replicas(&subject, &["i-1"]).await;
+    let own = replica.entry(SITE_SERVICE, "v1", "ready");
+
+    site.store.put(REPLICA_TOPIC, "i-1", &replica.entry("annex", "v1", "ready"));
+    wait_for_replicas(&subject, &[]).await;
+    site.store.put(REPLICA_TOPIC, "i-1", &json!({ "service": "annex" }));
+    start_incarnation(&site, "i-2", 1_000).await;
+    wait_for_replicas(&subject, &["i-2"]).await;
+    site.store.put(REPLICA_TOPIC, "i-1", &own);
+
+    wait_for_replicas(&subject, &["i-1", "i-2"]).await;
+    for number in 0..5 {
+        let answer = site.request(&subject, "POST", "/read/x", &format!("r{number}")).body("b");
+        assert_eq!(answer.send().await.expect("an answer").status(), 200);
+    }
+}
+
 #[tokio::test]
 async fn invalid_replica_entries_are_ignored_and_valid_ones_used() {
     let (site, subject) = site_with_invalid_entries().await;
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -195,7 +195,14 @@
     born.is_some_and(|(known, other)| known != other)
 }
 
-/// The known replicas, by key.
+/// Whether an entry under a replica's id describes another replica than the known one: an incarnation
+/// that follows it in the order of the store, or a replica of another service.
+fn is_other_replica(known: &BackendEntry, other: &BackendEntry) -> bool {
+    is_other_incarnation(known, other) || known.service != other.service
+}
+
+/// The known replicas, by key. Only `insert` and `remove` change the indexes, and a row keeps its id and
+/// its service, so that the indexes agree.
 #[derive(Debug, Default)]
 pub struct BackendTable {
     pub(super) rows: SlotMap<ReplicaKey, BackendState>,
@@ -397,8 +404,8 @@
             self.insert(entry, at, now);
             return if leaving { ChangeKind::Leaving } else { ChangeKind::Changed };
         };
-        if is_other_incarnation(&self.rows[key].entry, &entry) {
-            return self.put_other_incarnation(key, entry, at, now);
+        if is_other_replica(&self.rows[key].entry, &entry) {
+            return self.put_other_replica(key, entry, at, now);
         }
         let row = &mut self.rows[key];
         let born = entry.born.or(row.entry.born);
@@ -419,10 +426,9 @@
         }
     }
 
-    /// Stores the entry of an incarnation that follows another one in the order of the store. It
-    /// shares no state with the former one, so that it gets a key of its own: requests in flight,
-    /// failures, cached prompt parts and load stay with the former key.
-    fn put_other_incarnation(
+    /// Stores an entry that shares no state with the one that it replaces, under a key of its own:
+    /// requests in flight, failures, cached prompt parts and load stay with the former key.
+    fn put_other_replica(
         &mut self,
         former: ReplicaKey,
         entry: BackendEntry,
--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -34,6 +34,7 @@
 mod rejected;
 mod replica_fleet;
 mod replica_speed;
+mod replica_table;
 mod requests;
 mod restarts;
 mod restores;
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -159,6 +159,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Writes a record of any bytes, as any other writer may.
+    pub fn put_bytes(&self, topic: &str, key: &str, value: &[u8]) {
+        self.lock().push(topic, key, value.to_vec());
+        self.changed.notify_waiters();
+    }
+
     /// Deletes a key, as the platform does with the entry of a replica that has left.
     pub fn drop_key(&self, topic: &str, key: &str) {
         self.lock().push(topic, key, Vec::new());
