--- a/crates/box/src/gateway/mod.rs
+++ b/crates/box/src/gateway/mod.rs
@@ -16,7 +16,8 @@
 //!
 //! [`directory`] serves addresses, readiness, state and metrics. [`observe`] writes logs and
 //! metrics, and `unknown_headers` logs headers of replicas that the box does not know. [`reload`]
-//! applies changed settings. [`process`] puts everything together.
+//! applies changed settings. [`process`] puts everything together, and [`task_watch`] keeps its tasks
+//! running.
 
 pub mod caller_stream;
 pub mod carried_ids;
@@ -46,6 +47,7 @@
 pub mod slow_readers;
 mod store_calls;
 pub mod sync_pacer;
+pub mod task_watch;
 mod topic_follower;
 mod unknown_headers;
 pub mod verdicts;
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -540,6 +540,19 @@
     }
 }
 
+/// Logs that a task ended that should run as long as the process. It is started again after
+/// `restart_ms`, or the process ends.
+pub fn log_task_ended(task: &'static str, restart_ms: Option<u64>) {
+    counter!("ravenspoke_tasks_ended_total", "task" => task).increment(1);
+    error!(event = 773, name = "task_ended", task, restart_ms);
+}
+
+/// Logs a panic. It ends the request or the task that it belongs to.
+pub fn log_panic(place: &str, why: &str) {
+    counter!("ravenspoke_panics_total").increment(1);
+    error!(event = 774, name = "panicked", place, why);
+}
+
 /// Logs that new connections are refused from now on, with the number of open ones.
 pub fn log_entry_closed(open_connections: usize) {
     info!(event = 727, name = "callers_refused", open_connections);
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -1,5 +1,6 @@
 //! Assembles a routing box (state, listeners and tasks) and runs it until its planned stop is over.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -38,7 +39,8 @@
 use super::sync_pacer::SyncPacer;
 use super::unknown_headers::UnknownHeaders;
 use super::{
-    checkpoints, control_stats, follow, gossip, leader, observe, poison_records, verdicts,
+    checkpoints, control_stats, follow, gossip, leader, observe, poison_records, task_watch,
+    verdicts,
 };
 use crate::clock::{BoxClock, SuspensionWatch};
 use crate::process::{ignite, server, ProcessError};
@@ -76,6 +78,7 @@
     let metrics = metrics_exporter_prometheus::PrometheusBuilder::new()
         .install_recorder()
         .map_err(|error| ProcessError::Metrics(error.to_string()))?;
+    task_watch::log_panics();
     let (gossip_sender, gossip_receiver) = channel(GOSSIP_QUEUE_LIMIT);
     let (response_sender, response_receiver) = unbounded_channel();
     let (verdict_sender, verdict_receiver) = unbounded_channel();
@@ -174,8 +177,12 @@
 ) -> Result<(), ProcessError> {
     let Some(leader) = &settings.leader else { return Ok(()) };
     let cloud = CloudClient::new(&leader.cloud, &settings.name, settings.entry.ip())?;
-    tokio::spawn(leader::follow_lease(driver.clone(), store.clone(), settings.name.clone()));
-    tokio::spawn(leader::execute_orders(driver.clone(), store.clone(), cloud, due));
+    let name = settings.name.clone();
+    keep_reading("follow_lease", driver, store, move |driver, store| {
+        leader::follow_lease(driver, store, name.clone())
+    });
+    let orders = leader::execute_orders(driver.clone(), store.clone(), cloud, due);
+    tokio::spawn(task_watch::exit_with("execute_orders", orders));
     Ok(())
 }
 
@@ -188,34 +195,54 @@
     receivers: SiteReceivers,
 ) {
     let socket = Arc::new(socket);
-    tokio::spawn(gossip::receive_datagrams(driver.clone(), socket.clone()));
-    tokio::spawn(gossip::send_datagrams(
-        driver.clone(),
-        socket,
-        receivers.gossip,
-        receivers.sync_responses,
-    ));
-    tokio::spawn(follow::follow_operator(driver.clone(), store.clone()));
-    tokio::spawn(follow::follow_backends(driver.clone(), store.clone()));
-    tokio::spawn(verdicts::follow_verdicts(driver.clone(), store.clone()));
-    tokio::spawn(verdicts::write_verdicts(driver.clone(), store.clone(), receivers.verdicts));
-    tokio::spawn(checkpoints::write_checkpoints(
-        driver.clone(),
-        store.clone(),
-        receivers.checkpoints,
-    ));
-    tokio::spawn(poison_records::follow_poison(driver.clone(), store.clone()));
-    tokio::spawn(poison_records::write_records(driver.clone(), store.clone(), receivers.poison));
-    tokio::spawn(follow::follow_boxes(
-        driver.clone(),
-        store.clone(),
-        settings.name.clone(),
-        settings.gossip.to_string(),
-    ));
+    spawn_site_writers(driver, store, socket.clone(), receivers);
+    keep_reading("receive_datagrams", driver, store, move |driver, _| {
+        gossip::receive_datagrams(driver, socket.clone())
+    });
+    keep_reading("follow_operator", driver, store, follow::follow_operator);
+    keep_reading("follow_backends", driver, store, follow::follow_backends);
+    keep_reading("follow_verdicts", driver, store, verdicts::follow_verdicts);
+    keep_reading("follow_poison", driver, store, poison_records::follow_poison);
+    let (name, gossip) = (settings.name.clone(), settings.gossip.to_string());
+    keep_reading("follow_boxes", driver, store, move |driver, store| {
+        follow::follow_boxes(driver, store, name.clone(), gossip.clone())
+    });
     let seeds = settings.seeds.iter().map(SocketAddr::to_string).collect();
     driver.feed(RouteEvent::PeersDiscovered(seeds));
 }
 
+/// Spawns a task that brings in what the box must know, and starts it again if it ends.
+fn keep_reading<F>(
+    name: &'static str,
+    driver: &Arc<GatewayDriver>,
+    store: &StoreClient,
+    task: impl Fn(Arc<GatewayDriver>, StoreClient) -> F + Send + 'static,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let (driver, store) = (driver.clone(), store.clone());
+    tokio::spawn(task_watch::keep_running(name, move || task(driver.clone(), store.clone())));
+}
+
+/// Spawns the tasks that write to the store and send datagrams.
+fn spawn_site_writers(
+    driver: &Arc<GatewayDriver>,
+    store: &StoreClient,
+    socket: Arc<UdpSocket>,
+    receivers: SiteReceivers,
+) {
+    let (gossip, sync_responses) = (receivers.gossip, receivers.sync_responses);
+    let datagrams = gossip::send_datagrams(driver.clone(), socket, gossip, sync_responses);
+    tokio::spawn(task_watch::exit_with("send_datagrams", datagrams));
+    let verdicts = verdicts::write_verdicts(driver.clone(), store.clone(), receivers.verdicts);
+    tokio::spawn(task_watch::exit_with("write_verdicts", verdicts));
+    let checkpoints =
+        checkpoints::write_checkpoints(driver.clone(), store.clone(), receivers.checkpoints);
+    tokio::spawn(task_watch::exit_with("write_checkpoints", checkpoints));
+    let records = poison_records::write_records(driver.clone(), store.clone(), receivers.poison);
+    tokio::spawn(task_watch::exit_with("write_poison_records", records));
+}
+
 /// Sockets on which requests arrive.
 struct EntryListeners {
     callers: ListeningEntry,
@@ -239,8 +266,12 @@
         probes: UnboundedReceiver<PathProbe>,
     ) -> Self {
         let pool = Arc::new(ReplicaPool::new(settings.entry.ip(), driver.shared_clock()));
-        tokio::spawn(run_probes(driver.clone(), pool.clone(), probes));
-        tokio::spawn(run_ticks(driver.clone(), pool.clone()));
+        let probing = run_probes(driver.clone(), pool.clone(), probes);
+        tokio::spawn(task_watch::exit_with("run_probes", probing));
+        let ticking = (driver.clone(), pool.clone());
+        tokio::spawn(task_watch::keep_running("run_ticks", move || {
+            run_ticks(ticking.0.clone(), ticking.1.clone())
+        }));
         let unknown_headers = UnknownHeaders::default();
         let readers = ReaderWatch::new(settings.load).map(Arc::new);
         if let Some(readers) = &readers {
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -93,6 +93,8 @@
     (770, "contention_changed"),
     (771, "read_deferred"),
     (772, "lookups_refused"),
+    (773, "task_ended"),
+    (774, "panicked"),
 ];
 
 /// Logs and counts an effect, if it has a log event or a metric.
