--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -11,4 +11,4 @@
 pub mod site;
 pub mod site_box;
 pub mod store;
-mod wire;
+pub mod wire;
