store: a read that stops short of the topic's end is read on before it counts

Cause: the store answers at most 1,024 KB at a time and names the topic's end; a box that had missed more took the first part for the whole, as of the start of the call, and honoured keys by a plan that was several versions old.

A read goes on to the end that the store named in its first answer, and its time is that of the first call. A call that fails on the way begins the read anew. The stand-in of the store stops short at the same size now.

Not done: listings in pages, which already end where the store says so, and what an anonymous route says of a key's holder (mode holder).

--- a/crates/box/src/gateway/topic_follower.rs
+++ b/crates/box/src/gateway/topic_follower.rs
@@ -162,7 +162,7 @@
         // The store may have lost records that were read in an earlier era.
         *next = next.filter(|next| next.era >= self.era());
         if let Some(from) = *next {
-            match self.read_from(from, wait_ms).await {
+            match self.read_to_end(from, wait_ms).await {
                 Err(StoreError::Gone) => *next = None,
                 result => {
                     let AnsweredCall { asked_at, wait_ms, value: (from, read) } = result.ok()?;
@@ -182,6 +182,25 @@
         Some(TopicUpdate { asked_at, wait_ms, listed_to, records: value.records })
     }
 
+    /// Reads from `from` on up to the end that the store names in its first answer. An answer may stop
+    /// short of it, and shows the topic as of no time that is known.
+    async fn read_to_end(
+        &mut self,
+        from: TopicPosition,
+        wait_ms: u64,
+    ) -> Result<AnsweredCall<(TopicPosition, TopicRead)>, StoreError> {
+        let mut answered = self.read_from(from, wait_ms).await?;
+        let (_, whole) = &mut answered.value;
+        let end = whole.end;
+        while whole.next < end {
+            let (_, part) = self.read_from(whole.next, 0).await?.value;
+            if !whole.extend(part) {
+                self.wait_to_retry().await;
+            }
+        }
+        Ok(answered)
+    }
+
     /// Begins reads from `from` on as they are due. Returns the next answer of any open read, which
     /// may have begun at an earlier position.
     async fn read_from(
--- a/crates/box/tests/plans.rs
+++ b/crates/box/tests/plans.rs
@@ -8,7 +8,7 @@
 
 use ravenspoke_standins::fleet::wait_for;
 use ravenspoke_standins::platform::site::{RunningSite, OPERATOR_TOPIC, SITE_KEY};
-use ravenspoke_standins::platform::site_box::SiteBox;
+use ravenspoke_standins::platform::site_box::{SiteBox, SITE_HOST};
 use ravenspoke_standins::platform::store::{StoreFaults, StoreOutage};
 
 /// Number of routes of a plan that does not fit into a datagram even when packed.
@@ -157,3 +157,46 @@
         boxes.iter().flat_map(|subject| subject.events("request_given_up")).collect();
     assert!(served > 200 && refused.is_empty(), "{served} served, refused: {refused:?}");
 }
+
+/// Routes of a plan of which three do not fit into one answer of the store.
+const HALF_ANSWER_ROUTES: u64 = 2_500;
+
+/// Status of a call that presents a key.
+async fn status_with_key(site: &RunningSite, subject: &SiteBox, key: &str) -> u16 {
+    let request = site.http.get(subject.entry("/read/x")).header("Host", SITE_HOST);
+    let request = request.header("X-Ravenspoke-Request-Id", "r1").bearer_auth(key);
+    request.send().await.expect("an answer").status().as_u16()
+}
+
+/// Sends calls with a key until one gets this status. Returns the statuses before.
+async fn statuses_until(site: &RunningSite, subject: &SiteBox, key: &str, last: u16) -> Vec<u16> {
+    let statuses = std::sync::Mutex::new(Vec::new());
+    wait_for("the status is as expected", || async {
+        let status = status_with_key(site, subject, key).await;
+        statuses.lock().expect("not poisoned").push(status);
+        (status == last).then_some(())
+    })
+    .await;
+    statuses.into_inner().expect("not poisoned")
+}
+
+/// Guards against an answer of the store that stops short of the end and counts as the latest plan.
+#[tokio::test]
+async fn removed_key_is_not_honoured_while_the_plans_of_an_outage_are_read() {
+    let (site, boxes) = site_of(1).await;
+    let subject = &boxes[0];
+    site.write_long_plan(2, &[SITE_KEY, "old-key"], 0);
+    statuses_until(&site, subject, "old-key", 200).await;
+    let outage = StoreFaults { outage: StoreOutage::Busy, ..StoreFaults::default() };
+    site.store.set_faults(outage);
+    statuses_until(&site, subject, "old-key", 503).await;
+    for version in 3..8 {
+        site.write_long_plan(version, &[SITE_KEY, "old-key"], HALF_ANSWER_ROUTES);
+    }
+    site.write_long_plan(8, &[SITE_KEY], 0);
+
+    site.store.set_faults(StoreFaults { slow_ms: 300, ..StoreFaults::default() });
+
+    let statuses = statuses_until(&site, subject, "old-key", 401).await;
+    assert!(statuses.iter().all(|status| *status != 200), "{statuses:?}");
+}
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -19,6 +19,9 @@
 /// First era of a store.
 const FIRST_ERA: u64 = 1;
 
+/// Bytes of a response to a read, with the start of the record that exceeds them.
+const READ_LIMIT: usize = 1 << 20;
+
 /// Failure of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreOutage {
@@ -399,6 +402,9 @@
         let records = row.records.iter().skip((from - row.first) as usize);
         let mut any = false;
         for record in records {
+            if any && body.len() > READ_LIMIT {
+                break;
+            }
             any = true;
             let length = 1 + record.key.len() + record.value.len();
             body.extend((length as u32).to_be_bytes());
