forward: what another box thinks of an admitted stream does not end it

Cause: the taker checks work that was accepted as if it were new, and its answer was passed on as the end. Now only the end of the time ends a stream of which the caller has a part; any other refusal of a box makes that box be avoided, and the rest goes to another box or a replica of this one. New requests get 401 and 404 of the other box as before.

Evidence: streams_are_whole_when_their_key_is_replaced_and_a_replica_pauses, cut before and whole now. Not done: that what admitted a request goes with it to the taker, and why a box whose streams all run takes its replicas for silent.

--- a/crates/box/tests/partitions.rs
+++ b/crates/box/tests/partitions.rs
@@ -210,6 +210,33 @@
     all.wait_listed(3).await;
 }
 
+/// Guards against a stream that ends because the box that it is handed to no longer knows its key.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_are_whole_when_their_key_is_replaced_and_a_replica_pauses() {
+    let all = PartitionSite::start(8, 300).await;
+    let mut answers = Vec::new();
+    for number in 0..8 {
+        let request = all.site.chat(&all.boxes[0], &format!("admitted-{number}"));
+        answers.push(request.send().await.expect("the stream begins"));
+    }
+    all.site.write_plan(2, &["new-key"]);
+    for subject in &all.boxes {
+        wait_for("the new plan is in force", || async {
+            let mut plans = subject.events("plan_in_force").into_iter();
+            plans.any(|event| event["version"] == 2).then_some(())
+        })
+        .await;
+    }
+
+    let busiest = all.replicas.iter().max_by_key(|replica| replica.runs().len());
+    busiest.expect("a replica").fall_silent(Duration::from_millis(1_100));
+
+    for answer in answers {
+        assert_eq!(answer.text().await.expect("a whole stream"), whole_stream(8));
+    }
+    assert!(!all.boxes[0].events("request_forwarded").is_empty(), "streams were handed over");
+}
+
 /// A server at the former address of a box, which takes any request and answers 503. Yields the heads
 /// of the requests.
 async fn successor_of(former: &SiteBox, heads: UnboundedSender<String>) {
--- a/crates/core/src/route/forward.rs
+++ b/crates/core/src/route/forward.rs
@@ -32,6 +32,9 @@
 /// Time for which a box gets no requests after a connection to it failed, in milliseconds.
 pub const FORWARD_FAILED_MS: u64 = 1_000;
 
+/// Status with which another box ends a request whose deadline has passed.
+const TIME_UP_STATUS: u16 = 504;
+
 impl RouteState {
     /// Returns the box that a request should be forwarded to, rather than be sent by this box as
     /// chosen: the box reaches no replica for it, or only replicas of another version than the one
@@ -166,10 +169,18 @@
             }
             return self.send(stamp, ticket, RefusalReason::NoReplica, out);
         }
+        // The caller has a part of the answer, so the request was admitted. What the other box thinks of
+        // it, by a newer or older plan, does not end it.
+        if request.relayed && head.status != TIME_UP_STATUS {
+            if let Some(forward) = forward {
+                self.peers.avoid(&forward.peer, None, stamp.now.plus_millis(FORWARD_FAILED_MS));
+            }
+            return self.resend(stamp, ticket, RefusalReason::NoReplica, out);
+        }
         let reason = match head.status {
             401 => RefusalReason::UnknownKey,
             404 => RefusalReason::NoRoute,
-            504 => RefusalReason::DeadlinePassed,
+            TIME_UP_STATUS => RefusalReason::DeadlinePassed,
             _ => RefusalReason::Failed,
         };
         self.give_up(stamp, ticket, reason, out);
