--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -1,39 +1,26 @@
 //! Serves one request: gets each step from the reducer, sends the request to replicas, and returns
 //! the response.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use ravenspoke_adapter::headers;
-use ravenspoke_core::event::RequestTicket;
-use ravenspoke_core::route::event::{
-    AnswerHead, AttemptFailure, CallerRequest, ForwardPass, ForwardedRequest, RouteEvent, SendOrder,
-};
+use ravenspoke_core::route::event::{CallerRequest, ForwardedRequest, RouteEvent, SendOrder};
 
-use super::carried_ids::RequestId;
 use super::driver::{GatewayDriver, RequestName, RequestStep, WaitingTurn};
-use super::forward::{self, ForwardAttempt, RequestOrigin, UnknownForwarder};
+use super::forward::{self, RequestOrigin, UnknownForwarder};
 use super::observe;
-use super::pool::{LinkUse, ReplicaLink, ReplicaPool};
-use super::relay::{relay_stream, StreamSource, STREAM_ALLOWANCE};
-use super::replica_stream::ReadAllowance;
+use super::pool::ReplicaPool;
+use super::relay::{relay_stream, StreamSource};
+use super::replica_call::{call_replica, silent, ReplicaBody, ReplicaResponse};
 use super::responses::{full_body, refusal_response, text_response, AbortedResponse, CallerBody};
 use super::slow_readers::{ReadRequest, ReaderMeter, ReaderWatch};
 use super::unknown_headers::UnknownHeaders;
 
-/// Maximum size of a response that is not a stream, in bytes. It is read completely before any of
-/// it is forwarded.
-pub const RESPONSE_LIMIT: usize = 4 << 20;
-
-/// Maximum number of bytes that are read for a response that is not a stream. Chunks have a few
-/// bytes in addition to the body.
-const RESPONSE_ALLOWANCE: usize = 2 * RESPONSE_LIMIT;
-
 /// Shared context of requests.
 pub struct GatewayContext {
     /// Applies events to the reducer's state.
@@ -108,23 +95,6 @@
     }
 }
 
-/// A replica's response.
-pub struct ReplicaResponse {
-    pub(super) head: http::response::Parts,
-    pub(super) decoded: AnswerHead,
-    pub(super) body: ReplicaBody,
-    /// The connection on which it came.
-    pub(super) link_use: LinkUse,
-}
-
-/// Body of a replica's response.
-pub enum ReplicaBody {
-    /// A whole body.
-    Whole(Bytes),
-    /// A stream that is still open.
-    Stream(Incoming, ReplicaLink),
-}
-
 /// Reason why a caller's request could not be read.
 enum ReadFailure {
     /// The request is too large; status and text of the response.
@@ -310,184 +280,6 @@
     AttemptOutcome::Ended(guard.feed(event))
 }
 
-/// A failed attempt.
-#[derive(Debug)]
-pub struct FailedAttempt {
-    /// How it failed.
-    pub failure: AttemptFailure,
-    /// What is known of the cause.
-    pub why: String,
-    /// The connection, if the attempt had one.
-    pub link_use: Option<LinkUse>,
-    /// Bytes that it wrote.
-    pub written: usize,
-}
-
-fn never_sent(why: String) -> FailedAttempt {
-    FailedAttempt { failure: AttemptFailure::NeverSent, why, link_use: None, written: 0 }
-}
-
-/// A failed attempt whose connection the caller of this function does not have.
-pub(super) fn silent(why: &str) -> FailedAttempt {
-    let why = why.to_owned();
-    FailedAttempt { failure: AttemptFailure::Silent, why, link_use: None, written: 0 }
-}
-
-/// A connection while it carries an attempt.
-struct AttemptLink {
-    link: ReplicaLink,
-    link_use: LinkUse,
-    /// Bytes that had been written to the connection before.
-    written_before: usize,
-}
-
-impl AttemptLink {
-    fn new(mut link: ReplicaLink, id: RequestId) -> Self {
-        let written_before = link.written.count();
-        let link_use = link.carry(id);
-        Self { link, link_use, written_before }
-    }
-
-    fn failed(&self, failure: AttemptFailure, why: String) -> FailedAttempt {
-        let written = self.link.written.count() - self.written_before;
-        FailedAttempt { failure, why, link_use: Some(self.link_use), written }
-    }
-}
-
-/// Sends the request to the order's replica, and reads the whole response or the head of a stream.
-async fn call_replica(
-    context: &GatewayContext,
-    caller: &BufferedRequest,
-    ticket: RequestTicket,
-    order: &SendOrder,
-    resume_after: Option<&str>,
-) -> Result<ReplicaResponse, FailedAttempt> {
-    let address: SocketAddr = order
-        .address
-        .parse()
-        .map_err(|_| never_sent("the entry has no valid address".to_owned()))?;
-    let forward = order.pass.map(|pass| (pass, ForwardAttempt::draw()));
-    let request = || replica_request(context, caller, order, forward.as_ref(), resume_after);
-    let id = RequestId::of(&caller.headers);
-    let (response, attempt) = send_request(context, order, address, ticket, id, request).await?;
-    let link_use = attempt.link_use;
-    let (mut head, body) = response.into_parts();
-    let begun = forward::take_begun(&mut head.headers);
-    let decoded = AnswerHead { begun, ..headers::read_answer(&head) };
-    // What another box responds by itself has no request id.
-    let is_own = forward.is_some() && !decoded.proven;
-    let repeats_id = is_own || headers::answers_request(&caller.headers, &head.headers);
-    let repeats_attempt =
-        forward.as_ref().is_none_or(|(_, attempt)| attempt.take_from(&mut head.headers));
-    if !repeats_id || !repeats_attempt {
-        observe::count_foreign_answer();
-        let why = "the response belongs to another request".to_owned();
-        return Err(attempt.failed(AttemptFailure::Broken, why));
-    }
-    if order.pass.is_none() {
-        context.unknown_headers.log_new(&order.replica_id, &head.headers);
-    }
-    if order.kind.is_stream() && head.status.is_success() {
-        attempt.link.allowance.set(STREAM_ALLOWANCE);
-        let body = ReplicaBody::Stream(body, attempt.link);
-        return Ok(ReplicaResponse { head, decoded, body, link_use });
-    }
-    attempt.link.allowance.set(RESPONSE_ALLOWANCE);
-    let whole = Limited::new(body, RESPONSE_LIMIT).collect().await;
-    let whole = whole.map_err(|error| attempt.failed(AttemptFailure::Broken, error.to_string()))?;
-    put_back(context, attempt.link, &head.headers);
-    let body = ReplicaBody::Whole(whole.to_bytes());
-    Ok(ReplicaResponse { head, decoded, body, link_use })
-}
-
-/// Sends `request` on an idle connection, or on a new one if no idle connection accepts it.
-async fn send_request(
-    context: &GatewayContext,
-    order: &SendOrder,
-    address: SocketAddr,
-    ticket: RequestTicket,
-    id: RequestId,
-    request: impl Fn() -> Request<Full<Bytes>>,
-) -> Result<(Response<Incoming>, AttemptLink), FailedAttempt> {
-    let mut link = match context.pool.take(address, id, order.kind.repeatable()) {
-        Some(link) => link,
-        None => open(context, order, address).await?,
-    };
-    loop {
-        let mut attempt = AttemptLink::new(link, id);
-        // Checked right before the write, because opening a connection may have taken a while.
-        if !context.driver.state().may_write(ticket, context.driver.now()) {
-            let why = "the replica was withdrawn after it was chosen".to_owned();
-            return Err(attempt.failed(AttemptFailure::Withdrawn, why));
-        }
-        attempt.link.allowance.set(ReadAllowance::HEAD_BYTES);
-        let error = match attempt.link.sender.try_send_request(request()).await {
-            Ok(response) => {
-                if !attempt.link.used && order.pass.is_none() {
-                    let (replica, reached) = (order.replica, true);
-                    context.driver.feed(RouteEvent::PathProbed { replica, reached });
-                }
-                return Ok((response, attempt));
-            }
-            Err(error) => error,
-        };
-        // A returned request means that none of it was written, as when the replica closed an idle
-        // connection.
-        if error.message().is_none() {
-            let why = error.into_error().to_string();
-            return Err(attempt.failed(AttemptFailure::Broken, why));
-        }
-        if !attempt.link.used {
-            let why = error.into_error().to_string();
-            return Err(attempt.failed(AttemptFailure::NeverSent, why));
-        }
-        link = open(context, order, address).await?;
-    }
-}
-
-async fn open(
-    context: &GatewayContext,
-    order: &SendOrder,
-    address: SocketAddr,
-) -> Result<ReplicaLink, FailedAttempt> {
-    let limit = context.driver.until(order.deadline);
-    let opened = context.pool.open(address, limit).await;
-    opened.map_err(|error| never_sent(error.to_string()))
-}
-
-/// Returns a connection to the pool in a separate task, so that the caller's response does not wait
-/// for the check of the connection.
-pub(super) fn put_back(context: &GatewayContext, link: ReplicaLink, response: &HeaderMap) {
-    let kept_ms = headers::kept_idle_ms(response);
-    let pool = context.pool.clone();
-    tokio::spawn(async move { pool.put_back(link, kept_ms).await });
-}
-
-fn replica_request(
-    context: &GatewayContext,
-    caller: &BufferedRequest,
-    order: &SendOrder,
-    forward: Option<&(ForwardPass, ForwardAttempt)>,
-    resume_after: Option<&str>,
-) -> Request<Full<Bytes>> {
-    let left_ms = context.driver.until(order.deadline).as_millis() as u64;
-    let mut request = Request::new(Full::new(caller.body.clone()));
-    *request.method_mut() = caller.method.clone();
-    *request.uri_mut() = caller.uri.clone();
-    *request.headers_mut() = match forward {
-        None => headers::replica_headers(&caller.headers, order, left_ms, resume_after),
-        Some((pass, attempt)) => {
-            let to = &order.replica_id;
-            let mut headers =
-                headers::forwarded_headers(&caller.headers, to, left_ms, resume_after);
-            forward::write_pass(&mut headers, pass);
-            attempt.write(&mut headers);
-            headers
-        }
-    };
-    request
-}
-
 fn respond(
     context: Arc<GatewayContext>,
     caller: BufferedRequest,
--- a/crates/box/src/gateway/mod.rs
+++ b/crates/box/src/gateway/mod.rs
@@ -1,7 +1,7 @@
 //! The routing gateway: a box that routes requests by host and path prefix on the users' platform.
 //!
 //! [`driver`] holds the reducer's state and applies events to it. [`entry`] accepts callers'
-//! connections, [`caller_stream`] and [`slow_readers`] disconnect callers that do not read, [`exchange`] serves one request, [`responses`] builds the caller's response,
+//! connections, [`caller_stream`] and [`slow_readers`] disconnect callers that do not read, [`exchange`] serves one request, [`replica_call`] sends one attempt of it, [`responses`] builds the caller's response,
 //! [`relay`] forwards a stream and resumes it at another replica when it breaks, [`event_splitter`]
 //! splits it into whole events, [`pool`] keeps connections to replicas, [`carried_ids`] holds what they have carried, [`replica_stream`]
 //! bounds what is read from them, and [`probes`] opens some to check the paths. [`forward`] marks requests that go through another box.
@@ -42,6 +42,7 @@
 pub mod process;
 pub mod relay;
 pub mod reload;
+pub mod replica_call;
 pub mod replica_stream;
 pub mod responses;
 pub mod slow_readers;
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -23,9 +23,9 @@
 
 use super::control_stats::ControlStats;
 use super::driver::RequestName;
-use super::exchange::FailedAttempt;
 use super::forward::UnknownForwarder;
 use super::pool::LinkUse;
+use super::replica_call::FailedAttempt;
 use super::slow_readers::{ReaderStall, StallCause};
 
 /// Logs a decision about a request.
--- a/crates/box/src/gateway/relay.rs
+++ b/crates/box/src/gateway/relay.rs
@@ -12,12 +12,10 @@
 
 use super::driver::RequestStep;
 use super::event_splitter::{EventSplitter, EVENT_LIMIT};
-use super::exchange::{
-    attempt, put_back, AttemptOutcome, BufferedRequest, FailedAttempt, GatewayContext, ReplicaBody,
-    RequestGuard,
-};
+use super::exchange::{attempt, AttemptOutcome, BufferedRequest, GatewayContext, RequestGuard};
 use super::observe;
 use super::pool::{LinkUse, ReplicaLink};
+use super::replica_call::{put_back, FailedAttempt, ReplicaBody};
 use super::responses::{AbortedResponse, CallerBody};
 
 /// Maximum number of bytes that are read of a stream between two events. Chunks have a few bytes in
@@ -140,7 +138,7 @@
 
     fn log_failed(&self, failure: AttemptFailure, why: &str, began: Instant) {
         let link_use = self.source.as_ref().map(|source| source.link_use);
-        let failed = FailedAttempt { failure, why: why.to_owned(), link_use, written: 0 };
+        let failed = FailedAttempt { failure, why: why.to_owned(), link_use, written: None };
         observe::log_attempt_failed(&self.guard.name, &failed, began.elapsed());
     }
 
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -318,8 +318,7 @@
     }
 
     /// Sends a request again whose last attempt wrote nothing to a replica. The retry budget bounds
-    /// what arrives at replicas, so it does not apply here: with it, 257 requests were refused
-    /// after one failed connection when a quarter of 140 replicas crashed.
+    /// what arrives at replicas, so it does not apply here.
     fn resend_unwritten(
         &mut self,
         stamp: EventStamp,
