soak: replicas that reject often and send their answers again (--repeats)

Boxes keep load control, all replicas reject 40 of 100 requests and repeat each whole answer in place of the next one for some seconds, beside up to three stops and kills.

--- a/crates/box/tests/repeated_answers.rs
+++ b/crates/box/tests/repeated_answers.rs
@@ -22,7 +22,7 @@
     site.contracts = vec!["pressure"];
     site.write_plan(1, &[SITE_KEY]);
     let replica = site.start_replica("i-1", 3, 1).await;
-    replica.repeat_late();
+    replica.repeat_late(true);
     let subject = site.start_ready("box-1").await;
     wait_for("the box knows the replica", || async {
         (subject.state().await?["backends"].as_array()?.len() == 1).then_some(())
@@ -57,7 +57,7 @@
     let mut replicas = Vec::new();
     for number in 0..REPLICAS {
         let replica = site.start_replica(&format!("i-{number}"), 3, 1).await;
-        replica.repeat_late();
+        replica.repeat_late(true);
         replica.answer_next((0..DECIDED).map(|_| match rng.gen_bool(REJECTED_SHARE) {
             true => NextAnswer::Reject,
             false => NextAnswer::Run,
--- a/crates/standins/examples/soak.rs
+++ b/crates/standins/examples/soak.rs
@@ -1,9 +1,10 @@
 //! Runs the fault soak from the command line. `scripts/soak` builds everything and runs this.
 //!
-//! Usage: `soak RAVENSPOKED [--series | --bad-version | --partitions | --restarts] SEED...`. With
+//! Usage: `soak RAVENSPOKED [--series | --bad-version | --partitions | --repeats | --restarts] SEED...`. With
 //! `--series` boxes are stopped and killed one after the other, and there are no other faults. With
 //! `--bad-version` the version that is rolled out is bad, and there are few other faults. With
 //! `--partitions` a box loses its paths to all replicas, and a few stops and kills happen meanwhile.
+//! With `--repeats` replicas reject often and send their answers again, beside the same.
 //! With `--restarts` all boxes are killed while the store or a part of it is away. Prints one line
 //! for each seed, and more on findings. Exits with 1 if a guarantee was broken.
 
@@ -11,14 +12,14 @@
 use std::process::ExitCode;
 
 use ravenspoke_standins::soak::play::{
-    play, play_bad_version, play_partitions, play_restarts, play_series,
+    play, play_bad_version, play_partitions, play_repeats, play_restarts, play_series,
 };
 
 #[tokio::main]
 async fn main() -> ExitCode {
     let mut args = std::env::args().skip(1);
     let Some(binary) = args.next().map(PathBuf::from) else {
-        eprintln!("usage: soak RAVENSPOKED [--series | --bad-version | --partitions | --restarts] SEED...");
+        eprintln!("usage: soak RAVENSPOKED [--series | --bad-version | --partitions | --repeats | --restarts] SEED...");
         return ExitCode::from(2);
     };
     let mut all_kept = true;
@@ -36,6 +37,7 @@
             Some("--series") => play_series(&binary, seed).await,
             Some("--bad-version") => play_bad_version(&binary, seed).await,
             Some("--partitions") => play_partitions(&binary, seed).await,
+            Some("--repeats") => play_repeats(&binary, seed).await,
             Some("--restarts") => play_restarts(&binary, seed).await,
             Some(other) => {
                 eprintln!("`{other}` is no option");
--- a/crates/standins/src/platform/replica.rs
+++ b/crates/standins/src/platform/replica.rs
@@ -239,10 +239,10 @@
         self.lock().next_answers = answers.into_iter().collect();
     }
 
-    /// Makes it send each whole response a second time, when the next request arrives on the same
-    /// connection and before the response to that one.
-    pub fn repeat_late(&self) {
-        self.lock().repeats_late = true;
+    /// Sets whether it sends each whole response a second time, when the next request arrives on the
+    /// same connection and before the response to that one.
+    pub fn repeat_late(&self, repeats: bool) {
+        self.lock().repeats_late = repeats;
     }
 
     /// Sets the rate limit that its responses announce, in requests a second from all boxes
--- a/crates/standins/src/soak/inflict.rs
+++ b/crates/standins/src/soak/inflict.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -13,7 +15,7 @@
 use super::schedule::{SoakFault, TimedFault};
 use super::sessions::OLD_VERSION;
 use super::site::{start_replica, ReplicaPlace, SoakSite, COLD_MS, FIRST_ZONE, OTHER_ZONE};
-use crate::platform::replica::ReplicaMode;
+use crate::platform::replica::{NextAnswer, ReplicaMode};
 use crate::platform::site::{evacuation_key, OPERATOR_TOPIC, REPLICA_TOPIC, SITE_SERVICE};
 use crate::platform::store::{StoreFaults, StoreOutage};
 
@@ -40,6 +42,12 @@
 /// platform's bound on the time until boxes know it.
 const BRITTLE_LEAD: Duration = Duration::from_millis(3_000);
 
+/// Share of the requests that replicas reject while they repeat their answers.
+const REJECTED_SHARE: f64 = 0.4;
+
+/// Answers of a replica that are decided beforehand: more than it gives in a run.
+const DECIDED_ANSWERS: usize = 20_000;
+
 /// `Retry-After` of a full replica, in seconds. Several pauses of a caller.
 const RETRY_AFTER_S: f64 = 0.4;
 
@@ -86,6 +94,7 @@
             site.replicas[number].fall_silent(row.length);
             sleep(row.length).await;
         }
+        SoakFault::RepeatedAnswers(seed) => site.repeat_answers(seed, row.length).await,
         SoakFault::Brittle(number) => site.make_brittle(number, row.length).await,
         SoakFault::Replica(number, mode) => site.disturb_replica(number, mode, row.length).await,
         SoakFault::ReplicaLeaves => site.add_leaving_replica(row, 0).await,
@@ -117,6 +126,24 @@
         all().for_each(|replica| replica.set_brittle(None));
     }
 
+    /// Makes all replicas reject requests that the seed draws, and send their answers again.
+    async fn repeat_answers(&self, seed: u64, length: Duration) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let all = || self.replicas.iter().chain(&self.new_replicas);
+        for replica in all() {
+            replica.answer_next((0..DECIDED_ANSWERS).map(|_| match rng.gen_bool(REJECTED_SHARE) {
+                true => NextAnswer::Reject,
+                false => NextAnswer::Run,
+            }));
+            replica.repeat_late(true);
+        }
+        sleep(length).await;
+        for replica in all() {
+            replica.answer_next([]);
+            replica.repeat_late(false);
+        }
+    }
+
     /// Cuts the paths from some boxes to all replicas for a while.
     async fn lose_paths(&self, boxes: &[IpAddr], fault: ProxyFault, length: Duration) {
         self.set_paths(boxes, fault);
--- a/crates/standins/src/soak/judge.rs
+++ b/crates/standins/src/soak/judge.rs
@@ -310,6 +310,7 @@
     match fault {
         SoakFault::BoxTold(_)
         | SoakFault::Replica(..)
+        | SoakFault::RepeatedAnswers(_)
         | SoakFault::ReplicaPath(..)
         | SoakFault::BoxPaths(..)
         | SoakFault::AllPaths(..)
--- a/crates/standins/src/soak/play.rs
+++ b/crates/standins/src/soak/play.rs
@@ -15,8 +15,8 @@
 use super::judge::{judge, BrokenGuarantee, SoakRecord};
 use super::recorder::{AskEnd, AskKind};
 use super::schedule::{
-    draw_faults, draw_partitions, draw_restarts, draw_series, SoakFault, TimedFault, FAULT_WINDOW,
-    RECOVERY_TIME, RESTART_BOXES, RESTART_RECOVERY_TIME,
+    draw_faults, draw_partitions, draw_repeats, draw_restarts, draw_series, SoakFault, TimedFault,
+    FAULT_WINDOW, RECOVERY_TIME, RESTART_BOXES, RESTART_RECOVERY_TIME,
 };
 use super::site::SoakSite;
 
@@ -59,6 +59,12 @@
     play_faults(binary, seed, draw_partitions(seed)).await
 }
 
+/// Runs replicas that reject often and repeat their answers, with the stops and kills that a seed draws.
+pub async fn play_repeats(binary: &Path, seed: u64) -> SoakReport {
+    let site = Arc::new(SoakSite::start_with_load_control(binary).await);
+    play_at(site, seed, draw_repeats(seed), RunEnd::AfterFaults(RECOVERY_TIME)).await
+}
+
 /// Runs the kills of all boxes beside store outages that a seed draws. The boxes must serve some time
 /// after their last return, whether or not the store came back later.
 pub async fn play_restarts(binary: &Path, seed: u64) -> SoakReport {
--- a/crates/standins/src/soak/schedule.rs
+++ b/crates/standins/src/soak/schedule.rs
@@ -90,7 +90,7 @@
 /// Time between the starts of two faults of a series.
 const SERIES_EVERY: Duration = Duration::from_millis(700);
 
-/// Most stops and kills beside lost paths, and their distance as a multiple of that in a series.
+/// Most stops and kills beside lost paths or repeated answers, and their distance as a multiple of that in a series.
 const PARTITION_OUTAGES: u32 = 3;
 const PARTITION_STRETCH: u32 = 3;
 
@@ -146,6 +146,9 @@
     AllPaths(ProxyFault),
     /// A replica reads and writes nothing for a while, and goes on then.
     ReplicaSilent(usize),
+    /// All replicas reject drawn requests, and send each whole response again in place of the next one on
+    /// its connection.
+    RepeatedAnswers(u64),
     /// All replicas say that they are brittle, and one of them has no room.
     Brittle(usize),
     /// A replica is added, announces after the fault's length that it leaves, and is removed.
@@ -254,12 +257,27 @@
     let loss = draw_loss(&mut rng);
     let lost = draw_long(&mut rng, SoakFault::BoxPaths(subject, loss));
     let mut faults = vec![TimedFault { at: Duration::from_millis(FIRST_AT_MS), ..lost }];
+    faults.extend(draw_some_outages(&mut rng));
+    faults
+}
+
+/// Draws replicas that reject often and repeat their answers, and the stops and kills beside them.
+pub fn draw_repeats(seed: u64) -> Vec<TimedFault> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let repeated = draw_long(&mut rng, SoakFault::RepeatedAnswers(seed));
+    let mut faults = vec![TimedFault { at: Duration::from_millis(FIRST_AT_MS), ..repeated }];
+    faults.extend(draw_some_outages(&mut rng));
+    faults
+}
+
+/// Draws a few stops and kills, further apart than in a series.
+fn draw_some_outages(rng: &mut StdRng) -> Vec<TimedFault> {
     let outages = rng.gen_range(0..=PARTITION_OUTAGES);
-    faults.extend((0..outages).map(|number| {
-        let outage = draw_outage_of_box(&mut rng, number);
+    let draw = |number| {
+        let outage = draw_outage_of_box(rng, number);
         TimedFault { at: outage.at * PARTITION_STRETCH, ..outage }
-    }));
-    faults
+    };
+    (0..outages).map(draw).collect()
 }
 
 /// Draws a series of stops and kills of random boxes and no other faults. They may hit a box that
--- a/crates/standins/src/soak/sessions.rs
+++ b/crates/standins/src/soak/sessions.rs
@@ -146,6 +146,7 @@
         | SoakFault::StoreCompacts
         | SoakFault::StoreRestored
         | SoakFault::Replica(..)
+        | SoakFault::RepeatedAnswers(_)
         | SoakFault::BoxPaths(..)
         | SoakFault::AllPaths(..)
         | SoakFault::Brittle(..)
--- a/crates/standins/src/soak/site.rs
+++ b/crates/standins/src/soak/site.rs
@@ -97,9 +97,20 @@
         Self::start_with(binary, BOXES).await
     }
 
-    /// Starts a site and waits until the first box lists all boxes.
+    /// Starts a site of so many boxes.
     pub(super) async fn start_with(binary: &Path, count: usize) -> Self {
+        Self::start_under(binary, count, Vec::new()).await
+    }
+
+    /// Starts a site whose boxes keep load control, so that rejected calls wait and are sent again.
+    pub(super) async fn start_with_load_control(binary: &Path) -> Self {
+        Self::start_under(binary, BOXES, vec!["pressure"]).await
+    }
+
+    /// Starts a site under parts of the contract, and waits until the first box lists all boxes.
+    async fn start_under(binary: &Path, count: usize, contracts: Vec<&'static str>) -> Self {
         let mut site = RunningSite::start(binary).await;
+        site.contracts = contracts;
         site.warm_up = Some((COLD_MS as f64 / 1_000.0, COLD_PER_S));
         site.write_plan(1, &[SITE_KEY, SECOND_KEY]);
         let (replicas, replica_paths) = start_replicas(&site, "i", OLD_VERSION, REPLICAS).await;
