soak: streams cut while replicas repeat and reject are the replicas' break

A break by the replica is not counted, as for the replicas' other faults, so the new fault excuses cuts as they do.

--- a/crates/standins/src/soak/judge.rs
+++ b/crates/standins/src/soak/judge.rs
@@ -163,7 +163,10 @@
         let excuses = match row.fault {
             SoakFault::BoxKilled(number) | SoakFault::BoxPaused(number) => here(number),
             SoakFault::BoxesKilled => true,
-            SoakFault::Replica(..) | SoakFault::ReplicaPath(..) | SoakFault::AllPaths(..) => true,
+            SoakFault::Replica(..)
+            | SoakFault::RepeatedAnswers(_)
+            | SoakFault::ReplicaPath(..)
+            | SoakFault::AllPaths(..) => true,
             _ => false,
         };
         excuses && row.overlaps(ask.sent_at, ask.ended_at, SLACK)
