--- a/crates/box/tests/cut_answers.rs
+++ b/crates/box/tests/cut_answers.rs
@@ -5,7 +5,6 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
 
 use ravenspoke_standins::fleet::wait_for;
 use ravenspoke_standins::platform::site::{
@@ -23,13 +22,6 @@
 /// Events of a stream.
 const EVENTS: u32 = 2;
 
-/// Time after which a request that did not reach the server is sent again: the box leaves a replica
-/// alone for a while after failures.
-const RETRY_PAUSE: Duration = Duration::from_millis(50);
-
-/// Tries of a request that does not reach the server.
-const TRIES: usize = 100;
-
 /// How an answer is framed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum AnswerForm {
@@ -138,7 +130,8 @@
     body: Option<Vec<u8>>,
 }
 
-/// Sends requests until one has reached the server, and returns its answer.
+/// Sends requests until one has reached the server, and returns its answer. The box leaves a replica
+/// alone for a while after failures.
 async fn ask_cut(
     site: &RunningSite,
     subject: &SiteBox,
@@ -147,27 +140,25 @@
 ) -> CallerAnswer {
     let (method, path) = form.target();
     let received = server.requests.load(Ordering::Relaxed);
-    for number in 0..TRIES {
-        let id = format!("r{received}-{number}");
+    let sent = AtomicUsize::new(0);
+    wait_for("a request reaches the server", || async {
+        let id = format!("r{received}-{}", sent.fetch_add(1, Ordering::Relaxed));
         let request = site.request(subject, method, path, &id).body(id.clone());
-        let sent = request.header("Accept", "text/event-stream").send().await;
-        let status = sent.as_ref().map_or(0, |answer| answer.status().as_u16());
-        let body = match sent {
+        let answer = request.header("Accept", "text/event-stream").send().await;
+        let status = answer.as_ref().map_or(0, |answer| answer.status().as_u16());
+        let body = match answer {
             Ok(answer) => answer.bytes().await.ok().map(|body| body.to_vec()),
             Err(_) => None,
         };
-        if server.requests.load(Ordering::Relaxed) > received {
-            return CallerAnswer { status, body };
-        }
-        tokio::time::sleep(RETRY_PAUSE).await;
-    }
-    panic!("no request reached the server");
+        let has_reached = server.requests.load(Ordering::Relaxed) > received;
+        has_reached.then_some(CallerAnswer { status, body })
+    })
+    .await
 }
 
 async fn assert_no_cut_answer_looks_whole(form: AnswerForm) {
     let (site, subject, server) = site_with_cut_server(form).await;
     let length = form.answer("r0-0").len();
-    // Ids have up to four more bytes.
     for kept in 0..length {
         server.kept.store(kept, Ordering::Relaxed);
         let answer = ask_cut(&site, &subject, &server, form).await;
