forward: what admitted a request goes with it to the box that takes it up

Callers saw: streams cut in the middle of the answer (401, 404, 413, 503 of another box) or finished by another service, when a plan changed and their box then lost its paths to replicas. Cause: a forwarded request carried attempts and the begun answer only. The other box found its route, key, service and limits anew in its own plan, which may be newer or older. Change: `RequestAdmission` (plan version, route terms, service, client account, priority, zones) goes in a header beside the receiving box's key, bound to the request's id; the other box takes it as it is and does not read its body within its own plan's limits. A row of `sizes` that does not exist is not used. Boxes publish the key under a new tag, so that boxes of the version before and this one do not forward to each other. A 4xx of another box means, as its 503, that it does not take the request; a replica's failure is no rest of a stream that has begun. Test: partitions::streams_go_on_as_they_were_admitted_when_the_plan_changes_and_paths_are_lost, red before for each of its four changes alone (stream cut), green after.

--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Collected, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use ravenspoke_adapter::headers;
 use ravenspoke_core::route::event::{CallerRequest, ForwardedRequest, RouteEvent, SendOrder};
@@ -103,27 +103,31 @@
     Broken(AbortedResponse),
 }
 
-/// Reads a caller's request within the plan's limits.
-async fn read_whole(
+/// Reads the body of a request, within the plan's limits if a caller sent it. What another box
+/// forwards it has read within the limits of its own plan.
+async fn read_body(
     context: &GatewayContext,
-    request: Request<Incoming>,
-) -> Result<(http::request::Parts, Bytes), ReadFailure> {
-    let (head, body) = request.into_parts();
+    head: &http::request::Parts,
+    body: Incoming,
+    origin: RequestOrigin,
+) -> Result<Bytes, ReadFailure> {
+    let truncated = || ReadFailure::Broken(AbortedResponse("the request body was truncated"));
+    if origin == RequestOrigin::Peer {
+        let body = body.collect().await;
+        return body.map(Collected::to_bytes).map_err(|_| truncated());
+    }
     let limits = context.driver.state().plan().limits;
-    if head_bytes(&head) > limits.header_bytes {
+    if head_bytes(head) > limits.header_bytes {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
         return Err(ReadFailure::TooLarge(status, "the head is too large"));
     }
     match Limited::new(body, limits.body_bytes).collect().await {
-        Ok(body) => Ok((head, body.to_bytes())),
+        Ok(body) => Ok(body.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
             Err(ReadFailure::TooLarge(status, "the body is too large"))
         }
-        Err(_) => {
-            let broken = AbortedResponse("the request body was truncated");
-            Err(ReadFailure::Broken(broken))
-        }
+        Err(_) => Err(truncated()),
     }
 }
 
@@ -138,11 +142,7 @@
     waited: Duration,
     reader: Option<Arc<ReaderMeter>>,
 ) -> Result<Response<CallerBody>, AbortedResponse> {
-    let (mut head, body) = match read_whole(&context, request).await {
-        Ok(read) => read,
-        Err(ReadFailure::TooLarge(status, text)) => return Ok(text_response(status, text)),
-        Err(ReadFailure::Broken(broken)) => return Err(broken),
-    };
+    let (mut head, body) = request.into_parts();
     let forwarded = match take_forwarded(&context, &mut head, origin) {
         Ok(forwarded) => forwarded,
         Err(error) => {
@@ -150,14 +150,20 @@
             return Ok(text_response(StatusCode::FORBIDDEN, "no box of this fleet"));
         }
     };
+    let body = match read_body(&context, &head, body, origin).await {
+        Ok(body) => body,
+        Err(ReadFailure::TooLarge(status, text)) => return Ok(text_response(status, text)),
+        Err(ReadFailure::Broken(broken)) => return Err(broken),
+    };
     let request = headers::read_request(&head);
     let content = xxhash_rust::xxh3::xxh3_64_with_seed(&body, request.content);
     let waited_ms = waited.as_millis() as u64;
-    let request =
-        CallerRequest { body_bytes: body.len(), content, waited_ms, forward: forwarded, ..request };
     if let Some(forwarded) = &forwarded {
         observe::log_forward_received(&request.id, forwarded);
     }
+    let is_forwarded = forwarded.is_some();
+    let request =
+        CallerRequest { body_bytes: body.len(), content, waited_ms, forward: forwarded, ..request };
     if waited_ms > 0 {
         observe::log_request_waited(&request.id, waited_ms);
     }
@@ -170,7 +176,7 @@
         uri: head.uri,
         headers: head.headers,
         body,
-        is_forwarded: forwarded.is_some(),
+        is_forwarded,
         reader,
     };
     loop {
--- a/crates/box/src/gateway/forward.rs
+++ b/crates/box/src/gateway/forward.rs
@@ -4,12 +4,18 @@
 //! receiving box, a random number that it draws at its start and that only gossip contains.
 
 use http::{HeaderMap, HeaderName, HeaderValue};
-use ravenspoke_core::route::event::{BegunAnswer, ForwardPass, ForwardedRequest};
+use ravenspoke_adapter::headers::request_id_hash;
+use ravenspoke_core::route::event::{BegunAnswer, ForwardPass, ForwardProgress, ForwardedRequest};
+
+use super::admission_wire::{read_admission, write_admission};
 
 /// Key of the receiving box, and how far the forwarding one has brought the request:
 /// `key=HEX;attempts=N;repeat=0|1`, and the begun answer if there is one.
 const FORWARD: HeaderName = HeaderName::from_static("ravenspoke-forward");
 
+/// What admitted the request, as [`super::admission_wire`] encodes it.
+const ADMISSION: HeaderName = HeaderName::from_static("ravenspoke-admission");
+
 /// Number of the attempt, drawn by the forwarding box and repeated in the response, which shows that
 /// the response is that of the receiving box to this attempt.
 const ATTEMPT: HeaderName = HeaderName::from_static("ravenspoke-attempt");
@@ -28,7 +34,7 @@
 
 /// A request that no box of the fleet forwarded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("the request carries no valid key of this box")]
+#[error("the request carries no valid key of this box, or not what admitted it")]
 pub struct UnknownForwarder;
 
 /// Number of an attempt at another box.
@@ -58,33 +64,41 @@
     }
 }
 
-/// Adds the header of a forwarded request.
+/// Adds the headers of a forwarded request, which has its id already.
 pub fn write_pass(headers: &mut HeaderMap, pass: &ForwardPass) {
-    let ForwardedRequest { attempts, is_repeat, begun } = pass.request;
+    let ForwardProgress { attempts, is_repeat, begun } = pass.request.progress;
     let begun = begun.map_or(String::new(), |begun| format!(";{}", begun_text(begun)));
     let repeat = u8::from(is_repeat);
     let text = format!("key={:016x};attempts={attempts};repeat={repeat}{begun}", pass.key);
     set(headers, FORWARD, &text);
+    let admission = write_admission(request_id_hash(headers), &pass.request.admission);
+    set(headers, ADMISSION, &admission);
 }
 
-/// Removes the headers of a forwarded request and decodes how far it has been brought.
+/// Removes the headers of a forwarded request and decodes them.
 ///
 /// # Errors
-/// Returns [`UnknownForwarder`] if the header does not carry `key`.
+/// Returns [`UnknownForwarder`] if they do not carry `key` and what admitted this request.
 pub fn take_pass(headers: &mut HeaderMap, key: u64) -> Result<ForwardedRequest, UnknownForwarder> {
     headers.remove(&ATTEMPT);
+    let admission = headers.remove(&ADMISSION);
     let value = headers.remove(&FORWARD).ok_or(UnknownForwarder)?;
     let text = value.to_str().map_err(|_| UnknownForwarder)?;
     let sent_key = field(text, "key").and_then(|key| u64::from_str_radix(key, 16).ok());
     if key == 0 || sent_key != Some(key) {
         return Err(UnknownForwarder);
     }
+    let id_hash = request_id_hash(headers);
+    let admission = admission.as_ref().and_then(|value| value.to_str().ok());
+    let admission = admission.and_then(|text| read_admission(id_hash, text));
     let attempts = field(text, "attempts").and_then(|count| count.parse().ok());
-    Ok(ForwardedRequest {
+    let progress = ForwardProgress {
         attempts: attempts.ok_or(UnknownForwarder)?,
         is_repeat: field(text, "repeat") == Some("1"),
         begun: read_begun_text(text),
-    })
+    };
+    let admission = Box::new(admission.ok_or(UnknownForwarder)?);
+    Ok(ForwardedRequest { admission, progress })
 }
 
 /// Adds the header of a response to a forwarded request.
--- a/crates/box/src/gateway/gossip_wire/peer.rs
+++ b/crates/box/src/gateway/gossip_wire/peer.rs
@@ -37,12 +37,13 @@
     reads_store: bool,
     #[prost(bool, tag = "8")]
     strong: bool,
-    #[prost(fixed64, tag = "9")]
-    forward_key: u64,
     #[prost(bool, tag = "10")]
     paths_lost: bool,
     #[prost(fixed64, repeated, tag = "11")]
     unreached: Vec<u64>,
+    /// Boxes that check forwarded requests like new ones send their key with tag 9 instead.
+    #[prost(fixed64, tag = "12")]
+    forward_key: u64,
 }
 
 /// Retries of a box in a window, for the retry budget.
--- a/crates/box/src/gateway/mod.rs
+++ b/crates/box/src/gateway/mod.rs
@@ -4,7 +4,7 @@
 //! connections, [`caller_stream`] and [`slow_readers`] disconnect callers that do not read, [`exchange`] serves one request, [`replica_call`] sends one attempt of it, [`responses`] builds the caller's response,
 //! [`relay`] forwards a stream and resumes it at another replica when it breaks, [`event_splitter`]
 //! splits it into whole events, [`pool`] keeps connections to replicas, [`carried_ids`] holds what they have carried, [`replica_stream`]
-//! bounds what is read from them, and [`probes`] opens some to check the paths. [`forward`] marks requests that go through another box.
+//! bounds what is read from them, and [`probes`] opens some to check the paths. [`forward`] marks requests that go through another box, and `admission_wire` encodes what admitted them.
 //!
 //! [`follow`] follows the topics of the platform's store. `topic_follower` calls the store for one
 //! topic, and `store_calls` holds its open calls. [`verdicts`] and [`checkpoints`] read and write
@@ -19,6 +19,7 @@
 //! applies changed settings. [`process`] puts everything together, and [`task_watch`] keeps its tasks
 //! running.
 
+mod admission_wire;
 pub mod caller_stream;
 pub mod carried_ids;
 pub mod checkpoints;
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -10,7 +10,8 @@
 use ravenspoke_adapter::records::RecordError;
 use ravenspoke_core::position::TopicPosition;
 use ravenspoke_core::route::event::{
-    AnswerHead, DecisionInputs, ForwardedRequest, PromptPart, RouteEffect, SendOrder, WaitOrder,
+    AnswerHead, DecisionInputs, ForwardProgress, ForwardedRequest, PromptPart, RouteEffect,
+    SendOrder, WaitOrder,
 };
 use ravenspoke_core::route::leader::scale::ScaleSubject;
 use ravenspoke_core::route::leader::{CallOutcome, LeaderCall};
@@ -145,6 +146,8 @@
 
 fn log_forward(id: &str, order: &SendOrder) {
     counter!("ravenspoke_forwards_total").increment(1);
+    let progress = order.pass.as_ref().map(|pass| pass.request.progress);
+    let admission = order.pass.as_ref().map(|pass| &pass.request.admission);
     info!(
         event = 758,
         name = "request_forwarded",
@@ -152,8 +155,11 @@
         to = order.replica_id,
         address = order.address,
         route = order.route,
-        attempts = order.pass.map(|pass| pass.request.attempts),
-        repeat = order.pass.map(|pass| pass.request.is_repeat),
+        attempts = progress.map(|progress| progress.attempts),
+        repeat = progress.map(|progress| progress.is_repeat),
+        resumes = progress.is_some_and(|progress| progress.begun.is_some()),
+        admitted_by = admission.map(|admission| admission.plan_version),
+        service = admission.map(|admission| admission.service.as_str()),
         plan = order.inputs.plan_version,
         plan_age_ms = order.inputs.plan_age_ms,
     );
@@ -162,8 +168,19 @@
 /// Logs a request that another box forwarded to this one.
 pub fn log_forward_received(id: &str, request: &ForwardedRequest) {
     counter!("ravenspoke_forwards_received_total").increment(1);
-    let ForwardedRequest { attempts, is_repeat: repeat, begun } = request;
-    info!(event = 759, name = "forward_received", id, attempts, repeat, resumes = begun.is_some());
+    let ForwardProgress { attempts, is_repeat: repeat, begun } = request.progress;
+    let admission = &request.admission;
+    info!(
+        event = 759,
+        name = "forward_received",
+        id,
+        attempts,
+        repeat,
+        resumes = begun.is_some(),
+        admitted_by = admission.plan_version,
+        service = admission.service,
+        account = admission.account,
+    );
 }
 
 /// Logs a request on the socket for other boxes that none of them sent.
--- a/crates/box/src/gateway/replica_call.rs
+++ b/crates/box/src/gateway/replica_call.rs
@@ -106,7 +106,7 @@
         .address
         .parse()
         .map_err(|_| never_sent("the entry has no valid address".to_owned()))?;
-    let forward = order.pass.map(|pass| (pass, ForwardAttempt::draw()));
+    let forward = order.pass.as_ref().map(|pass| (pass, ForwardAttempt::draw()));
     let request = || replica_request(context, caller, order, forward.as_ref(), resume_after);
     let id = RequestId::of(&caller.headers);
     let (response, attempt) = send_request(context, order, address, ticket, id, request).await?;
@@ -207,7 +207,7 @@
     context: &GatewayContext,
     caller: &BufferedRequest,
     order: &SendOrder,
-    forward: Option<&(ForwardPass, ForwardAttempt)>,
+    forward: Option<&(&ForwardPass, ForwardAttempt)>,
     resume_after: Option<&str>,
 ) -> Request<Full<Bytes>> {
     let left_ms = context.driver.until(order.deadline).as_millis() as u64;
--- a/crates/box/tests/partitions.rs
+++ b/crates/box/tests/partitions.rs
@@ -6,10 +6,11 @@
 use ravenspoke_standins::fleet::wait_for;
 use ravenspoke_standins::platform::replica::{ReplicaRun, ReplicaStandin};
 use ravenspoke_standins::platform::site::{
-    own_address, RunningSite, REPLICA_TOPIC, SITE_KEY, SITE_SERVICE,
+    own_address, RunningSite, OPERATOR_TOPIC, REPLICA_TOPIC, SITE_KEY, SITE_SERVICE,
 };
-use ravenspoke_standins::platform::site_box::SiteBox;
+use ravenspoke_standins::platform::site_box::{SiteBox, SITE_HOST};
 use ravenspoke_standins::soak::proxy::{FaultProxy, ProxyFault};
+use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
@@ -65,6 +66,17 @@
         }
     }
 
+    /// Waits until this plan is in force at each box.
+    async fn wait_plan(&self, version: u64) {
+        for subject in &self.boxes {
+            wait_for("the new plan is in force", || async {
+                let mut plans = subject.events("plan_in_force").into_iter();
+                plans.any(|event| event["version"] == version).then_some(())
+            })
+            .await;
+        }
+    }
+
     fn set_paths(&self, number: usize, fault: ProxyFault) {
         self.paths.iter().for_each(|path| path.set_from(self.boxes[number].ip, fault));
     }
@@ -220,13 +232,7 @@
         answers.push(request.send().await.expect("the stream begins"));
     }
     all.site.write_plan(2, &["new-key"]);
-    for subject in &all.boxes {
-        wait_for("the new plan is in force", || async {
-            let mut plans = subject.events("plan_in_force").into_iter();
-            plans.any(|event| event["version"] == 2).then_some(())
-        })
-        .await;
-    }
+    all.wait_plan(2).await;
 
     let busiest = all.replicas.iter().max_by_key(|replica| replica.runs().len());
     busiest.expect("a replica").fall_silent(Duration::from_millis(1_100));
@@ -237,6 +243,78 @@
     assert!(!all.boxes[0].events("request_forwarded").is_empty(), "streams were handed over");
 }
 
+/// Service to which a plan moves the route of streams.
+const OTHER_SERVICE: &str = "other";
+
+/// What a plan changes for requests that were admitted under the one before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PlanChange {
+    /// The key of their client account is replaced.
+    KeyReplaced,
+    /// Their route goes to another service.
+    RouteMoved,
+    /// Their route is gone.
+    RouteRemoved,
+    /// Heads and bodies may only be shorter than theirs.
+    LimitsLowered,
+}
+
+impl PlanChange {
+    /// Writes the plan.
+    fn write(self, site: &RunningSite) {
+        let prefix = if self == Self::RouteRemoved { "/gone/" } else { "/chat/" };
+        let service = if self == Self::RouteMoved { OTHER_SERVICE } else { SITE_SERVICE };
+        let key = if self == Self::KeyReplaced { "new-key" } else { SITE_KEY };
+        let limit = if self == Self::LimitsLowered { 4 } else { 8_192 };
+        let plan = json!({
+            "version": 2,
+            "routes": [{
+                "name": "chat", "host": SITE_HOST, "path_prefix": prefix, "kind": "stream",
+                "timeout_ms": 4000, "target_latency_ms": 500, "priority": 1, "service": service,
+                "max_attempts": 3, "stream_resume": true, "gap_aim_ms": 500,
+            }],
+            "services": [
+                { "name": SITE_SERVICE, "max_connections": 100 },
+                { "name": OTHER_SERVICE, "max_connections": 100 },
+            ],
+            "tenants": [{ "name": "alpha", "api_keys": [key] }],
+            "limits": { "max_body_bytes": limit, "max_header_bytes": limit },
+        });
+        site.store.put(OPERATOR_TOPIC, "config", &plan);
+    }
+}
+
+/// Guards against a stream that the box which takes it up admits, or routes, like a new request.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_as_they_were_admitted_when_the_plan_changes_and_paths_are_lost() {
+    for change in [
+        PlanChange::KeyReplaced,
+        PlanChange::RouteMoved,
+        PlanChange::RouteRemoved,
+        PlanChange::LimitsLowered,
+    ] {
+        let all = PartitionSite::start(30, 80).await;
+        let others = ReplicaStandin::start(own_address(), "i-other", 30, 80).await;
+        let entry = others.entry(OTHER_SERVICE, "v1", "ready");
+        all.site.store.put(REPLICA_TOPIC, "i-other", &entry);
+        let mut answers = Vec::new();
+        for number in 0..4 {
+            let request = all.site.chat(&all.boxes[0], &format!("admitted-{number}"));
+            answers.push(request.send().await.expect("the stream begins"));
+        }
+        change.write(&all.site);
+        all.wait_plan(2).await;
+
+        all.set_paths(0, ProxyFault::Reset);
+
+        for answer in answers {
+            let body = answer.text().await.unwrap_or_else(|error| panic!("{change:?}: {error}"));
+            assert_eq!(body, whole_stream(30), "{change:?}");
+        }
+        assert_eq!(others.runs(), [], "{change:?}: the other service wrote none of them");
+    }
+}
+
 /// A server at the former address of a box, which takes any request and answers 503. Yields the heads
 /// of the requests.
 async fn successor_of(former: &SiteBox, heads: UnboundedSender<String>) {
--- a/crates/core/src/route/answer.rs
+++ b/crates/core/src/route/answer.rs
@@ -79,11 +79,12 @@
     ) {
         self.count_usage(stamp.wall, ticket);
         self.record_begun(stamp.now, ticket);
-        let failed = head.status >= 500 || !head.proven;
-        self.count_answer(ticket, failed, took_ms);
-        self.record_trial_load(ticket, head.load);
         let Some(request) = self.requests.get(&ticket) else { return };
         let (kind, relayed) = (request.route.kind, request.relayed);
+        // The rest of a stream can only be a success.
+        let failed = head.status >= 500 || !head.proven || (relayed && !head.is_success());
+        self.count_answer(ticket, failed, took_ms);
+        self.record_trial_load(ticket, head.load);
         if failed && kind.repeatable() && self.reassign(stamp, ticket, SendCause::Failure, out) {
             return;
         }
@@ -96,7 +97,7 @@
             return;
         }
         if let Some(request) = self.requests.get_mut(&ticket) {
-            request.succeeds = (200..300).contains(&head.status);
+            request.succeeds = head.is_success();
             request.was_resumed = request.relayed;
             if !request.relayed {
                 request.relayed_on_trial = request.attempt.is_some_and(|attempt| attempt.on_trial);
--- a/crates/core/src/route/arrival.rs
+++ b/crates/core/src/route/arrival.rs
@@ -1,7 +1,9 @@
 //! Handles the arrival of a request: finds its route, checks its key and starts the first attempt.
+//! What a request of another box was admitted with comes with it.
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::admission::{RequestAdmission, RouteTerms};
 use super::backend_health::BackendOutcome;
 use super::event::{CallerRequest, PromptSize, RefusalReason, RouteEffect};
 use super::model_cascade;
@@ -40,7 +42,8 @@
         self.send(stamp, ticket, RefusalReason::NoReplica, out);
     }
 
-    /// Returns the state of a request that is admitted, or why it is refused.
+    /// Returns the state of a request that is admitted, or why it is refused. One that another box
+    /// admitted is not checked again: the plans of the boxes may differ.
     fn admit(
         &self,
         stamp: EventStamp,
@@ -55,62 +58,31 @@
         if !self.has_plan() {
             return Err(RefusalReason::NoPlan);
         }
+        let (admission, needs_key) = match &caller.forward {
+            Some(forwarded) => (*forwarded.admission.clone(), false),
+            None => self.admission(stamp, caller)?,
+        };
+        Ok(new_request(stamp, caller, admission, needs_key))
+    }
+
+    /// Returns what admits a request of a caller, and whether its route needs a key.
+    fn admission(
+        &self,
+        stamp: EventStamp,
+        caller: &CallerRequest,
+    ) -> Result<(RequestAdmission, bool), RefusalReason> {
         let (route, holder) = self.find_route(stamp, caller)?;
-        let allowed = caller.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
-        let left = allowed.saturating_sub(caller.waited_ms);
         let service = pick_target(route, stamp.random).ok_or(RefusalReason::NoReplica)?;
-        let chooses = caller.any_model && !route.sizes.is_empty();
         let account_regions = holder.map_or(&[][..], |holder| &holder.regions);
-        let mut route = route.clone();
-        if let Some(received) = caller.forward {
-            route.attempts = received.attempts + u32::from(received.is_repeat);
-        }
-        let chosen = || model_cascade::first_size(&route.sizes);
-        let begun_size = caller.forward.and_then(|received| received.begun?.size);
-        let zones = allowed_zones(&self.settings.regions, &[&route.regions, account_regions]);
-        let features = poison::features(caller.content, &service, &caller.parts);
-        Ok(RouteRequest {
+        let admission = RequestAdmission {
+            plan_version: self.table.plan().version,
+            route: RouteTerms::of(route),
             service,
             account: holder.map(|holder| holder.name.clone()),
             priority: holder.and_then(|holder| holder.priority).unwrap_or(route.priority),
-            key: caller.key.clone(),
-            zones,
-            affinity: caller.affinity,
-            prompt: prompt_size(caller),
-            body_bytes: caller.body_bytes,
-            session: caller.session,
-            content: caller.content,
-            parts: caller.parts.clone(),
-            features,
-            id_hash: xxh3_64(caller.id.as_bytes()),
-            size: if chooses { begun_size.or_else(chosen) } else { None },
-            confidence: None,
-            arrived: stamp.now,
-            deadline: stamp.now.plus_millis(left),
-            tried: Vec::new(),
-            sends: u32::from(caller.forward.is_some_and(|received| received.is_repeat)),
-            connect_failures: 0,
-            rejections: 0,
-            pauses_until: None,
-            counted: false,
-            counted_bad: false,
-            runs: RunRecord::default(),
-            relayed: false,
-            relayed_on_trial: false,
-            succeeds: false,
-            was_resumed: false,
-            outcome: BackendOutcome::Served,
-            attempt: None,
-            waiting: None,
-            entered_room: None,
-            left_room: None,
-            received: caller.forward,
-            forward_tried: Vec::new(),
-            forward: None,
-            work: None,
-            retry_after_ms: None,
-            route,
-        })
+            zones: allowed_zones(&self.settings.regions, &[&route.regions, account_regions]),
+        };
+        Ok((admission, !route.anonymous))
     }
 
     /// Finds the route of a request, and the holder of its key if it presents a known one.
@@ -121,18 +93,18 @@
     ) -> Result<(&RouteSpec, Option<&KeyHolder>), RefusalReason> {
         let route = self.table.find(&caller.host, &caller.path);
         let route = route.ok_or_else(|| self.denial(stamp, RefusalReason::NoRoute))?;
-        let holder = self.find_holder(stamp, route, caller.key.as_deref())?;
+        let holder = self.find_holder(stamp, !route.anonymous, caller.key.as_deref())?;
         Ok((route, holder))
     }
 
-    /// Finds the holder of a key that is presented on a route, if it is known.
+    /// Finds the holder of a key, if it is known. `needs_key` states whether the route needs one.
     fn find_holder(
         &self,
         stamp: EventStamp,
-        route: &RouteSpec,
+        needs_key: bool,
         key: Option<&str>,
     ) -> Result<Option<&KeyHolder>, RefusalReason> {
-        let keyed = self.table.asks_for_keys() && !route.anonymous;
+        let keyed = self.table.asks_for_keys() && needs_key;
         if keyed && !self.fresh.honours_keys(stamp.now, self.settings.fresh) {
             return Err(RefusalReason::PlanStale);
         }
@@ -152,14 +124,17 @@
         }
     }
 
-    /// Returns why a request that was admitted earlier may no longer be sent, if its key was revoked
-    /// or the plan became too old to accept keys.
+    /// Returns why a request that this box admitted earlier may no longer be sent, if its key was
+    /// revoked or the plan became too old to accept keys.
     pub(super) fn recheck_key(
         &self,
         stamp: EventStamp,
         request: &RouteRequest,
     ) -> Result<(), RefusalReason> {
-        let holder = self.find_holder(stamp, &request.route, request.key.as_deref())?;
+        if request.received.is_some() {
+            return Ok(());
+        }
+        let holder = self.find_holder(stamp, request.needs_key, request.key.as_deref())?;
         if holder.map(|holder| &holder.name) == request.account.as_ref() {
             Ok(())
         } else {
@@ -168,6 +143,70 @@
     }
 }
 
+/// Returns the state of an admitted request.
+fn new_request(
+    stamp: EventStamp,
+    caller: &CallerRequest,
+    admission: RequestAdmission,
+    needs_key: bool,
+) -> RouteRequest {
+    let RequestAdmission { plan_version, mut route, service, account, priority, zones } = admission;
+    let received = caller.forward.as_ref().map(|forwarded| forwarded.progress);
+    if let Some(received) = received {
+        route.attempts = received.attempts + u32::from(received.is_repeat);
+    }
+    let begun_size = received.and_then(|received| received.begun?.size);
+    let chooses = caller.any_model && !route.sizes.is_empty();
+    let size = begun_size.filter(|size| *size < route.sizes.len());
+    let size = size.or_else(|| model_cascade::first_size(&route.sizes)).filter(|_| chooses);
+    let allowed_ms = caller.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+    let left_ms = allowed_ms.saturating_sub(caller.waited_ms);
+    RouteRequest {
+        plan_version,
+        features: poison::features(caller.content, &service, &caller.parts),
+        service,
+        account,
+        priority,
+        key: caller.key.clone(),
+        needs_key,
+        zones,
+        affinity: caller.affinity,
+        prompt: prompt_size(caller),
+        body_bytes: caller.body_bytes,
+        session: caller.session,
+        content: caller.content,
+        parts: caller.parts.clone(),
+        id_hash: xxh3_64(caller.id.as_bytes()),
+        size,
+        confidence: None,
+        arrived: stamp.now,
+        deadline: stamp.now.plus_millis(left_ms),
+        tried: Vec::new(),
+        sends: u32::from(received.is_some_and(|received| received.is_repeat)),
+        connect_failures: 0,
+        rejections: 0,
+        pauses_until: None,
+        counted: false,
+        counted_bad: false,
+        runs: RunRecord::default(),
+        relayed: false,
+        relayed_on_trial: false,
+        succeeds: false,
+        was_resumed: false,
+        outcome: BackendOutcome::Served,
+        attempt: None,
+        waiting: None,
+        entered_room: None,
+        left_room: None,
+        received,
+        forward_tried: Vec::new(),
+        forward: None,
+        work: None,
+        retry_after_ms: None,
+        route,
+    }
+}
+
 /// Tokens assumed for a prompt whose size the caller does not state. A short prompt is
 /// assumed; the latency that is learned under this assumption fits other requests without a size.
 const DEFAULT_PROMPT_TOKENS: u32 = 1_000;
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -1,10 +1,11 @@
 //! The attempts of a request: which replica gets it, how long the router waits for it, and whether
 //! another attempt is allowed when one stalls, fails or breaks.
 
+use super::admission::RouteTerms;
 use super::backend_health::{BackendOutcome, UNREACHABLE_DELAY_MS};
 use super::choice::AttemptChoice;
 use super::event::{AttemptFailure, DecisionInputs, RefusalReason, RouteEffect, SendOrder};
-use super::plan::{RouteKind, RouteSpec};
+use super::plan::RouteKind;
 use super::request::{RouteRequest, RunningAttempt};
 use super::retry_budget::SendCause;
 use super::run_record::NotRunProof;
@@ -538,13 +539,13 @@
 }
 
 /// Returns the time limit of a response head where another replica may be tried, in milliseconds.
-fn head_ms(route: &RouteSpec) -> u64 {
+fn head_ms(route: &RouteTerms) -> u64 {
     let targets = if route.kind.is_stream() { HEAD_TARGETS } else { UNARY_HEAD_TARGETS };
     (route.target_ms as f64 * targets) as u64
 }
 
 /// Returns the time limit of a pause between events there, in milliseconds.
-fn pause_ms(route: &RouteSpec) -> u64 {
+fn pause_ms(route: &RouteTerms) -> u64 {
     match route.kind {
         RouteKind::Stream { .. } if route.pause_ms > 0 => {
             (route.pause_ms as f64 * PAUSE_SHARE) as u64
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -21,10 +21,11 @@
 use crate::position::TopicPosition;
 use crate::time::BoxTime;
 
+pub use super::admission::{RequestAdmission, RouteTerms};
 pub use super::exchange::{
     AnswerHead, AttemptFailure, BegunAnswer, CallerRequest, DecisionInputs, ForwardPass,
-    ForwardedRequest, PromptPart, PromptSize, RefusalReason, RouteRefusal, SendOrder, TrialInputs,
-    WaitOrder,
+    ForwardProgress, ForwardedRequest, PromptPart, PromptSize, RefusalReason, RouteRefusal,
+    SendOrder, TrialInputs, WaitOrder,
 };
 
 /// An event that a routing box receives.
--- a/crates/core/src/route/exchange.rs
+++ b/crates/core/src/route/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use super::admission::RequestAdmission;
 use super::plan::RouteKind;
 use super::scheduling::loads::BackendLoad;
 use crate::ids::ReplicaKey;
@@ -50,9 +51,18 @@
     pub forward: Option<ForwardedRequest>,
 }
 
-/// A request as the box left it that forwards it to this one.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// A request of another box, which forwards it to this one.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ForwardedRequest {
+    /// What admitted it there.
+    pub admission: Box<RequestAdmission>,
+    /// How far that box has brought it.
+    pub progress: ForwardProgress,
+}
+
+/// How far the box has brought a request that forwards it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ForwardProgress {
     /// Replicas that it may still be sent to.
     pub attempts: u32,
     /// Whether it may have reached a replica before.
@@ -110,6 +120,13 @@
     pub begun: Option<BegunAnswer>,
 }
 
+impl AnswerHead {
+    /// Whether the status is that of a success.
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+}
+
 /// Why an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptFailure {
@@ -301,7 +318,7 @@
 }
 
 /// What a box hands over with a request that it forwards.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ForwardPass {
     /// Key of the receiving box, which shows that a box of its fleet forwards the request.
     pub key: u64,
--- a/crates/core/src/route/forward.rs
+++ b/crates/core/src/route/forward.rs
@@ -1,8 +1,9 @@
 //! Requests that this box forwards through another one, because it cannot reach a replica for them.
 //!
-//! The other box treats a forwarded request like one of a caller: it checks the key, chooses version,
-//! model and replica, and counts it in its budgets and trials. It never forwards it again. Its
-//! response is relayed; a 503 of its own means that nothing ran, as for callers.
+//! What admitted the request goes with it, and the other box does not check it again: its plan may be
+//! older or newer. It chooses version, model and replica, and counts the request in its budgets and
+//! trials. It never forwards it again. Its response is relayed; a 4xx or 503 of its own means that it
+//! does not take the request and that nothing ran.
 //!
 //! The forwarding box keeps one attempt for itself: if the other box fails, it is not known at how
 //! many replicas the request ran.
@@ -12,8 +13,8 @@
 use super::backend_health::BackendOutcome;
 use super::choice::AttemptChoice;
 use super::event::{
-    AnswerHead, AttemptFailure, BegunAnswer, ForwardPass, ForwardedRequest, RefusalReason,
-    RouteEffect, SendOrder,
+    AnswerHead, AttemptFailure, BegunAnswer, ForwardPass, ForwardProgress, ForwardedRequest,
+    RefusalReason, RouteEffect, SendOrder,
 };
 use super::peers::ForwardQuery;
 use super::request::RunningForward;
@@ -97,11 +98,12 @@
         let left = request.route.attempts.saturating_sub(request.attempts_used());
         let reserved = u32::from(left > 1);
         let begun = request.begun();
-        let passed = ForwardedRequest {
+        let progress = ForwardProgress {
             attempts: left - reserved,
             is_repeat: request.sends > 0 || request.runs.may_have_run(),
             begun,
         };
+        let passed = ForwardedRequest { admission: Box::new(request.admission()), progress };
         let pass = ForwardPass { key: target.key, request: passed };
         request.runs.begin(permit);
         request.forward_tried.push(target.name.clone());
@@ -144,7 +146,7 @@
         out: &mut Vec<RouteEffect>,
     ) {
         let Some(request) = self.requests.get_mut(&ticket) else { return };
-        if head.proven {
+        if head.proven && (!request.relayed || head.is_success()) {
             let begins = !request.relayed;
             if let Some(BegunAnswer { size, on_trial }) = head.begun.filter(|_| begins) {
                 request.size = size.or(request.size);
@@ -156,34 +158,24 @@
             out.push(RouteEffect::Relay(ticket));
             return;
         }
-        let forward = request.forward.take();
+        let Some(forward) = request.forward.take() else { return };
         if let Some(proof) = NotRunProof::of_peer_answer(&head) {
             request.runs.settle(proof);
-        }
-        if head.status == 503 {
             request.retry_after_ms = head.backoff_ms;
-            let service = service_hash(&request.service);
-            if let Some(forward) = forward {
-                let until = stamp.now.plus_millis(FORWARD_REFUSED_MS);
-                self.peers.avoid(&forward.peer, Some(service), until);
-            }
+            let service = Some(service_hash(&request.service));
+            let until = stamp.now.plus_millis(FORWARD_REFUSED_MS);
+            self.peers.avoid(&forward.peer, service, until);
             return self.send(stamp, ticket, RefusalReason::NoReplica, out);
         }
-        // The caller has a part of the answer, so the request was admitted. What the other box thinks of
-        // it, by a newer or older plan, does not end it.
-        if request.relayed && head.status != TIME_UP_STATUS {
-            if let Some(forward) = forward {
-                self.peers.avoid(&forward.peer, None, stamp.now.plus_millis(FORWARD_FAILED_MS));
-            }
+        if head.status == TIME_UP_STATUS {
+            return self.give_up(stamp, ticket, RefusalReason::DeadlinePassed, out);
+        }
+        // The caller has a part of the answer. That another box could not go on does not end it.
+        if request.relayed {
+            self.peers.avoid(&forward.peer, None, stamp.now.plus_millis(FORWARD_FAILED_MS));
             return self.resend(stamp, ticket, RefusalReason::NoReplica, out);
         }
-        let reason = match head.status {
-            401 => RefusalReason::UnknownKey,
-            404 => RefusalReason::NoRoute,
-            TIME_UP_STATUS => RefusalReason::DeadlinePassed,
-            _ => RefusalReason::Failed,
-        };
-        self.give_up(stamp, ticket, reason, out);
+        self.give_up(stamp, ticket, RefusalReason::Failed, out);
     }
 
     /// Handles a failed exchange with the box that a request was forwarded to.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -5,7 +5,7 @@
 //! counterpart for signed bundles. It has no claims, bills or witnesses: on this platform a
 //! caller's retry is a new request, and bills are not used.
 //!
-//! A request enters in `arrival`. `choice` selects a replica, `waiting` holds a request
+//! A request enters in `arrival`, with what admits it ([`admission`]). `choice` selects a replica, `waiting` holds a request
 //! back, `attempt` sends to it, `answer`
 //! handles the response head, and `refuse` ends the request without a response. `feedback` records
 //! the results. `verdict` decides trials of new versions, `gossip` exchanges state with other
@@ -51,6 +51,7 @@
 //! - [`trial`], [`trial_stats`], [`trial_evidence`], [`trial_exposure`], [`trial_progress`]: new
 //!   versions, the evidence about them, the requests that they receive, and their progress
 
+pub mod admission;
 mod answer;
 mod arrival;
 mod attempt;
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -1,9 +1,9 @@
 //! A request in flight and its current attempt: plain data that the decisions share.
 
+use super::admission::{RequestAdmission, RouteTerms};
 use super::backend_health::BackendOutcome;
-use super::event::{BegunAnswer, ForwardedRequest, PromptPart, PromptSize};
+use super::event::{BegunAnswer, ForwardProgress, PromptPart, PromptSize};
 use super::model_cascade::ModelConfidence;
-use super::plan::RouteSpec;
 use super::poison::RequestFeature;
 use super::run_record::{AttemptPermit, RunRecord};
 use super::scheduling::waiting_room::{aged_priority, WaitingKey};
@@ -13,13 +13,17 @@
 /// A request in flight.
 #[derive(Clone, Debug)]
 pub(super) struct RouteRequest {
-    pub(super) route: RouteSpec,
+    /// Version of the plan that admitted it, here or at the box that forwarded it.
+    pub(super) plan_version: u64,
+    pub(super) route: RouteTerms,
     pub(super) service: String,
     pub(super) account: Option<String>,
     /// Priority of its account, or else of its route; 0 is the most urgent.
     pub(super) priority: u8,
     /// API key with which it was admitted.
     pub(super) key: Option<String>,
+    /// Whether it may wait only while its key is valid.
+    pub(super) needs_key: bool,
     /// Availability zones that may serve it; `None` for all.
     pub(super) zones: Option<Vec<String>>,
     pub(super) affinity: u64,
@@ -72,8 +76,8 @@
     pub(super) entered_room: Option<BoxTime>,
     /// When it left the waiting room.
     pub(super) left_room: Option<BoxTime>,
-    /// How the forwarding box received it, if another box forwarded it to this one.
-    pub(super) received: Option<ForwardedRequest>,
+    /// How far the forwarding box has brought it, if another box forwarded it to this one.
+    pub(super) received: Option<ForwardProgress>,
     /// Boxes to which it was forwarded.
     pub(super) forward_tried: Vec<String>,
     /// The box that has it now.
@@ -112,6 +116,18 @@
         u8::try_from(aged).unwrap_or(0)
     }
 
+    /// Returns what admitted it, for a box that takes it up.
+    pub(super) fn admission(&self) -> RequestAdmission {
+        RequestAdmission {
+            plan_version: self.plan_version,
+            route: self.route.clone(),
+            service: self.service.clone(),
+            account: self.account.clone(),
+            priority: self.priority,
+            zones: self.zones.clone(),
+        }
+    }
+
     /// Returns whether an attempt was made.
     pub(super) fn was_tried(&self) -> bool {
         self.connect_failures > 0 || self.sends > 0
--- a/crates/core/tests/route/partition_fleet.rs
+++ b/crates/core/tests/route/partition_fleet.rs
@@ -344,7 +344,7 @@
         let target = number_of(&order.address).expect("a box");
         let deadline = order.deadline.as_millis();
         let request = self.requests[&(number, ticket)].clone();
-        let pass = order.pass.expect("a pass");
+        let pass = order.pass.clone().expect("a pass");
         assert_eq!(pass.key, self.boxes[target].forward_key(), "the key of the box");
         self.attempts.insert((number, ticket), RunningTry { number: attempt, order, head: false });
         self.push(deadline, Step::Deadline(number, ticket));
--- a/crates/core/tests/route/replica_fleet.rs
+++ b/crates/core/tests/route/replica_fleet.rs
@@ -639,7 +639,7 @@
         self.feed(number, RouteEvent::CallerDisconnected(RequestTicket(ticket)));
         let target = number_of(&order.address).expect("a box");
         let Some(request) = self.requests.get(&ticket).cloned() else { return };
-        let pass = order.pass.expect("a pass");
+        let pass = order.pass.clone().expect("a pass");
         let request = CallerRequest { forward: Some(pass.request), ..request };
         let inner = (1 << 40) + self.number;
         self.number += 1;
