--- a/crates/bench/src/prompt_router.rs
+++ b/crates/bench/src/prompt_router.rs
@@ -6,7 +6,7 @@
 use ravenspoke_core::position::TopicPosition;
 use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
 use ravenspoke_core::route::event::{
-    AnswerHead, AttemptFailure, CallerRequest, PromptSize, RouteEffect, RouteEvent,
+    AnswerHead, AttemptFailure, CallerRequest, FormerEnd, PromptSize, RouteEffect, RouteEvent,
 };
 use ravenspoke_core::route::peers::BoxCapacity;
 use ravenspoke_core::route::plan::{RouteKind, RoutePlan, RouteSpec, RouteTarget};
@@ -240,6 +240,11 @@
         for effect in self.boxes[number].apply(stamp, event) {
             match effect {
                 RouteEffect::Send(ticket, order) if ticket.0 == row as u64 => {
+                    if order.overlap_ms.is_some() {
+                        // Engines here do not resume what another one has got.
+                        let ended = RouteEvent::FormerEnded(ticket, FormerEnd::Replaced);
+                        drop(self.boxes[number].apply(stamp, ended));
+                    }
                     let model = order.model.as_deref().and_then(|model| model.parse().ok());
                     step = RouterStep::Send {
                         engine: order.replica_id.parse().expect("replicas are named by row"),
--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -32,9 +32,11 @@
 #[derive(Debug)]
 pub enum RequestStep {
     /// Send the request to this replica.
-    Send(Box<SendOrder>),
+    Send(Arc<SendOrder>),
     /// Wait for the next step, which another event brings.
     Wait(WaitingTurn),
+    /// Go on with the attempt that was kept.
+    KeepFormer,
     /// Forward the response.
     Relay,
     /// Refuse the request.
@@ -339,6 +341,7 @@
 fn step_ticket(effect: &RouteEffect) -> Option<RequestTicket> {
     match effect {
         RouteEffect::Send(ticket, _)
+        | RouteEffect::KeepFormer(ticket)
         | RouteEffect::Relay(ticket)
         | RouteEffect::Refuse(ticket, ..)
         | RouteEffect::AbortResponse(ticket, _) => Some(*ticket),
@@ -349,7 +352,8 @@
 /// Returns the step that an effect is, or the effect if it is none.
 fn request_step(effect: RouteEffect) -> Result<RequestStep, Box<RouteEffect>> {
     match effect {
-        RouteEffect::Send(_, order) => Ok(RequestStep::Send(Box::new(order))),
+        RouteEffect::Send(_, order) => Ok(RequestStep::Send(Arc::new(order))),
+        RouteEffect::KeepFormer(_) => Ok(RequestStep::KeepFormer),
         RouteEffect::Relay(_) => Ok(RequestStep::Relay),
         RouteEffect::Refuse(_, refusal, _) => Ok(RequestStep::Refuse(refusal)),
         RouteEffect::AbortResponse(_, reason) => Ok(RequestStep::Abort(reason)),
--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -11,14 +11,16 @@
 use ravenspoke_adapter::headers;
 use ravenspoke_core::route::event::{CallerRequest, ForwardedRequest, RouteEvent, SendOrder};
 
+use super::attempts::{run_attempts, AttemptOutcome, AttemptRequest};
 use super::driver::{GatewayDriver, RequestName, RequestStep, WaitingTurn};
 use super::forward::{self, RequestOrigin, UnknownForwarder};
 use super::observe;
 use super::pool::ReplicaPool;
-use super::relay::{relay_stream, StreamSource};
-use super::replica_call::{call_replica, silent, ReplicaBody, ReplicaResponse};
+use super::relay::relay_stream;
+use super::replica_call::{ReplicaBody, ReplicaResponse};
 use super::responses::{full_body, refusal_response, text_response, AbortedResponse, CallerBody};
 use super::slow_readers::{ReadRequest, ReaderMeter, ReaderWatch};
+use super::stream_reader::StreamSource;
 use super::unknown_headers::UnknownHeaders;
 
 /// Shared context of requests.
@@ -189,14 +191,13 @@
             Some(RequestStep::Refuse(refusal)) => return Ok(refusal_response(refusal)),
             _ => return Err(AbortedResponse("the reducer returned no step for the request")),
         };
-        match attempt(&context, &caller, &mut guard, &order, None).await {
-            AttemptOutcome::Response(response) => {
-                step = guard.feed(RouteEvent::HeadReceived(guard.name.ticket, response.decoded));
-                if matches!(step, Some(RequestStep::Relay)) {
-                    return Ok(respond(context, caller, guard, order, *response));
-                }
+        let request = AttemptRequest { context: &context, caller: &caller, resume_after: None };
+        match run_attempts(&request, &mut guard, order, None).await {
+            AttemptOutcome::Response(order, response) => {
+                return Ok(respond(context, caller, guard, order, *response));
             }
             AttemptOutcome::Ended(next) => step = next,
+            AttemptOutcome::StreamResumed(_) | AttemptOutcome::StreamKept => step = None,
         }
     }
 }
@@ -222,75 +223,11 @@
     target + rows.map(|(name, value)| name.as_str().len() + value.len()).sum::<usize>()
 }
 
-/// Outcome of an attempt.
-pub enum AttemptOutcome {
-    /// A response to this request.
-    Response(Box<ReplicaResponse>),
-    /// No response; the reducer's next step.
-    Ended(Option<RequestStep>),
-}
-
-/// Sends the request to a replica and waits for its response within the limits of the order.
-pub async fn attempt(
-    context: &GatewayContext,
-    caller: &BufferedRequest,
-    guard: &mut RequestGuard,
-    order: &SendOrder,
-    resume_after: Option<&str>,
-) -> AttemptOutcome {
-    let began = Instant::now();
-    let call = call_replica(context, caller, guard.name.ticket, order, resume_after);
-    tokio::pin!(call);
-    let mut rechecks = context.driver.rechecks.subscribe();
-    let mut stall_at = context.driver.now().plus_millis(order.head_ms);
-    let failed = loop {
-        let left = context.driver.until(order.deadline);
-        let stall_limit = context.driver.until(stall_at);
-        let response = context.driver.clock().within(left.min(stall_limit), call.as_mut());
-        let ended = tokio::select! {
-            ended = response => ended,
-            // The sender lives as long as the driver.
-            _ = rechecks.changed() => {
-                if let Some(step) = guard.feed(RouteEvent::AttemptRechecked(guard.name.ticket)) {
-                    let failed = silent("its path is lost, or it has a feature that crashes replicas");
-                    observe::log_attempt_failed(&guard.name, &failed, began.elapsed());
-                    return AttemptOutcome::Ended(Some(step));
-                }
-                continue;
-            }
-        };
-        match ended {
-            Some(Ok(response)) => {
-                let (head, link_use) = (&response.decoded, response.link_use);
-                observe::log_head_received(&guard.name, head, link_use, began.elapsed());
-                return AttemptOutcome::Response(Box::new(response));
-            }
-            Some(Err(failed)) => break failed,
-            None if left <= stall_limit => {
-                return AttemptOutcome::Ended(
-                    guard.feed(RouteEvent::DeadlinePassed(guard.name.ticket)),
-                );
-            }
-            None => stall_at = context.driver.now().plus_millis(order.head_ms),
-        }
-        // A stall does not end the attempt by itself: the reducer names another replica, or the
-        // wait continues.
-        if let Some(step) = guard.feed(RouteEvent::AttemptStalled(guard.name.ticket)) {
-            let failed = silent("no response head within the limit");
-            observe::log_attempt_failed(&guard.name, &failed, began.elapsed());
-            return AttemptOutcome::Ended(Some(step));
-        }
-    };
-    observe::log_attempt_failed(&guard.name, &failed, began.elapsed());
-    let event = RouteEvent::AttemptFailed(guard.name.ticket, failed.failure);
-    AttemptOutcome::Ended(guard.feed(event))
-}
-
 fn respond(
     context: Arc<GatewayContext>,
     caller: BufferedRequest,
     mut guard: RequestGuard,
-    order: Box<SendOrder>,
+    order: Arc<SendOrder>,
     response: ReplicaResponse,
 ) -> Response<CallerBody> {
     if let Some(reader) = &caller.reader {
--- a/crates/box/src/gateway/mod.rs
+++ b/crates/box/src/gateway/mod.rs
@@ -1,8 +1,8 @@
 //! The routing gateway: a box that routes requests by host and path prefix on the users' platform.
 //!
 //! [`driver`] holds the reducer's state and applies events to it. [`entry`] accepts callers'
-//! connections, [`caller_stream`] and [`slow_readers`] disconnect callers that do not read, [`exchange`] serves one request, [`replica_call`] sends one attempt of it, [`responses`] builds the caller's response,
-//! [`relay`] forwards a stream and resumes it at another replica when it breaks, [`event_splitter`]
+//! connections, [`caller_stream`] and [`slow_readers`] disconnect callers that do not read, [`exchange`] serves one request, [`attempts`] runs its attempts, [`replica_call`] sends one of them, [`responses`] builds the caller's response,
+//! [`relay`] forwards a stream and resumes it at another place, [`stream_reader`] reads it, [`event_splitter`]
 //! splits it into whole events, [`pool`] keeps connections to replicas, [`carried_ids`] holds what they have carried, [`replica_stream`]
 //! bounds what is read from them, and [`probes`] opens some to check the paths. [`forward`] marks requests that go through another box, and `admission_wire` encodes what admitted them.
 //!
@@ -20,6 +20,7 @@
 //! running.
 
 mod admission_wire;
+pub mod attempts;
 pub mod caller_stream;
 pub mod carried_ids;
 pub mod checkpoints;
@@ -48,6 +49,7 @@
 pub mod responses;
 pub mod slow_readers;
 mod store_calls;
+pub mod stream_reader;
 pub mod sync_pacer;
 pub mod task_watch;
 mod topic_follower;
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -55,6 +55,10 @@
                 plan_age_ms = inputs.plan_age_ms,
             );
         }
+        RouteEffect::KeepFormer(_) => {
+            counter!("ravenspoke_attempts_kept_total", "because" => "no_place").increment(1);
+            info!(event = 775, name = "attempt_kept", id, because = "no_place");
+        }
         RouteEffect::AbortResponse(_, reason) => {
             counter!("ravenspoke_broken_off_total").increment(1);
             warn!(event = 703, name = "answer_broken_off", id, reason = reason.slug());
@@ -133,6 +137,7 @@
         content = format!("{:016x}", order.content),
         parts = part_names(&order.parts),
         head_ms = order.head_ms,
+        overlap_ms = order.overlap_ms,
     );
 }
 
@@ -207,6 +212,26 @@
     );
 }
 
+/// Logs that a paused attempt goes on, `after` another place was asked.
+pub fn log_attempt_resumed(name: &RequestName, after: Duration) {
+    counter!("ravenspoke_attempts_kept_total", "because" => "resumed").increment(1);
+    let after_ms = after.as_millis() as u64;
+    info!(event = 775, name = "attempt_kept", id = name.id, because = "resumed", after_ms);
+}
+
+/// Logs the end of an attempt that was kept while another place was asked.
+pub fn log_former_ended(name: &RequestName, failed: &FailedAttempt) {
+    let FailedAttempt { failure, why, link_use, .. } = failed;
+    info!(
+        event = 776,
+        name = "attempt_replaced",
+        id = name.id,
+        ?failure,
+        why,
+        connection = link_use.map(|link| link.connection),
+    );
+}
+
 /// Counts an answer that does not bear the id of the request that waits for it.
 pub fn count_foreign_answer() {
     counter!("ravenspoke_foreign_answers_total").increment(1);
--- a/crates/box/src/gateway/relay.rs
+++ b/crates/box/src/gateway/relay.rs
@@ -1,26 +1,21 @@
-//! Forwards a stream in whole events, and resumes it at another replica when it breaks.
+//! Forwards a stream in whole events, and resumes it at another place when it breaks or pauses.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::stream;
-use http::HeaderMap;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use ravenspoke_core::route::event::{AttemptFailure, RouteEvent, SendOrder};
 
+use super::attempts::{run_attempts, AttemptOutcome, AttemptRequest};
 use super::driver::RequestStep;
-use super::event_splitter::{EventSplitter, EVENT_LIMIT};
-use super::exchange::{attempt, AttemptOutcome, BufferedRequest, GatewayContext, RequestGuard};
+use super::exchange::{BufferedRequest, GatewayContext, RequestGuard};
 use super::observe;
-use super::pool::{LinkUse, ReplicaLink};
 use super::replica_call::{put_back, FailedAttempt, ReplicaBody};
 use super::responses::{AbortedResponse, CallerBody};
-
-/// Maximum number of bytes that are read of a stream between two events. Chunks have a few bytes in
-/// addition to the events.
-pub(super) const STREAM_ALLOWANCE: usize = 2 * EVENT_LIMIT;
+use super::stream_reader::{StreamPiece, StreamReader, StreamSource};
 
 /// An open stream. It is dropped when the caller disconnects, which closes the connection to the
 /// replica.
@@ -28,28 +23,18 @@
     context: Arc<GatewayContext>,
     caller: BufferedRequest,
     guard: RequestGuard,
-    order: Box<SendOrder>,
-    splitter: EventSplitter,
-    source: Option<StreamSource>,
+    order: Arc<SendOrder>,
+    reader: StreamReader,
     /// Time waited for the replica since the last event. Time in which the caller does not read does
-    /// not count, and bytes that complete no event do not end the wait.
+    /// not count, and comments do not end the wait.
     quiet: Duration,
+    /// Whether the reducer knows that the replica pauses.
+    is_paused: bool,
 }
 
-/// The replica's side of a stream.
-pub(super) struct StreamSource {
-    pub(super) body: Incoming,
-    pub(super) link: ReplicaLink,
-    pub(super) link_use: LinkUse,
-    /// Headers of the replica's response.
-    pub(super) headers: HeaderMap,
-}
-
-/// Next piece of a stream.
-enum StreamPiece {
-    Bytes(Bytes),
-    End,
-    Broken(&'static str),
+/// What a stream waited for.
+enum RelaySignal {
+    Piece(StreamPiece),
     Stalled,
     DeadlinePassed,
 }
@@ -59,12 +44,11 @@
     context: Arc<GatewayContext>,
     caller: BufferedRequest,
     guard: RequestGuard,
-    order: Box<SendOrder>,
+    order: Arc<SendOrder>,
     source: StreamSource,
 ) -> CallerBody {
-    let (splitter, source) = (EventSplitter::default(), Some(source));
-    let quiet = Duration::ZERO;
-    let relay = StreamRelay { context, caller, guard, order, splitter, source, quiet };
+    let (reader, quiet) = (StreamReader::new(source), Duration::ZERO);
+    let relay = StreamRelay { context, caller, guard, order, reader, quiet, is_paused: false };
     let pieces = stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
         match relay.next_events().await {
@@ -79,117 +63,118 @@
 impl StreamRelay {
     /// The next whole events, or `None` at the end of the stream.
     async fn next_events(&mut self) -> Result<Option<Bytes>, AbortedResponse> {
+        let mut resumed = None;
         loop {
             let began = Instant::now();
-            let pause_limit = Duration::from_millis(self.order.pause_ms);
-            let piece = self.next_piece(pause_limit.saturating_sub(self.quiet)).await;
+            let signal = match resumed.take() {
+                Some(piece) => RelaySignal::Piece(piece),
+                None => self.next_signal().await,
+            };
             self.quiet += began.elapsed();
-            let why = match piece {
-                StreamPiece::Bytes(bytes) => match self.splitter.push(&bytes) {
-                    Ok(Some(events)) => {
-                        if events.has_event {
-                            self.note_event();
-                        }
-                        return Ok(Some(events.bytes));
+            match signal {
+                RelaySignal::Piece(StreamPiece::Events(events)) => {
+                    if events.has_event {
+                        self.note_event();
                     }
-                    Ok(None) => continue,
-                    Err(_) => "an event is too long",
-                },
-                StreamPiece::End if self.splitter.has_partial() => {
-                    "the stream ended within an event"
+                    return Ok(Some(events.bytes));
                 }
-                StreamPiece::End => {
+                RelaySignal::Piece(StreamPiece::End) => {
                     self.end();
                     return Ok(None);
                 }
-                StreamPiece::Broken(why) => why,
-                StreamPiece::Stalled => {
-                    self.quiet = Duration::ZERO;
+                RelaySignal::Piece(StreamPiece::Broken(why)) => {
+                    self.log_failed(AttemptFailure::Broken, why, began);
+                    // The connection is closed before the reducer names another place, so that no
+                    // two work on the request.
+                    self.reader.close();
+                    let ticket = self.guard.name.ticket;
+                    let failed = RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken);
+                    let step = self.guard.feed(failed);
+                    resumed = self.resume(step).await?;
+                }
+                RelaySignal::Stalled => {
+                    self.is_paused = true;
                     let step = self.guard.feed(RouteEvent::AttemptStalled(self.guard.name.ticket));
-                    if step.is_none() {
-                        continue;
+                    if step.is_some() {
+                        self.log_failed(AttemptFailure::Silent, "no event within the limit", began);
+                        resumed = self.resume(step).await?;
                     }
-                    self.log_failed(AttemptFailure::Silent, "no event within the limit", began);
-                    self.resume(step).await?;
-                    continue;
+                    self.quiet = Duration::ZERO;
                 }
-                StreamPiece::DeadlinePassed => {
+                RelaySignal::DeadlinePassed => {
                     self.guard.feed(RouteEvent::DeadlinePassed(self.guard.name.ticket));
                     return Err(AbortedResponse("the deadline has passed"));
                 }
-            };
-            self.log_failed(AttemptFailure::Broken, why, began);
-            // The connection is closed before the reducer names another replica, so that no two
-            // replicas work on the request.
-            self.source = None;
-            let failed = RouteEvent::AttemptFailed(self.guard.name.ticket, AttemptFailure::Broken);
-            let step = self.guard.feed(failed);
-            self.resume(step).await?;
+            }
         }
     }
 
-    /// Allows the replica the time and the bytes of another event.
+    /// Records that an event has arrived.
     fn note_event(&mut self) {
         self.quiet = Duration::ZERO;
-        if let Some(source) = &self.source {
-            source.link.allowance.set(STREAM_ALLOWANCE);
+        if std::mem::take(&mut self.is_paused) {
+            self.guard.feed(RouteEvent::AttemptResumed(self.guard.name.ticket));
         }
     }
 
     fn log_failed(&self, failure: AttemptFailure, why: &str, began: Instant) {
-        let link_use = self.source.as_ref().map(|source| source.link_use);
+        let link_use = self.reader.link_use();
         let failed = FailedAttempt { failure, why: why.to_owned(), link_use, written: None };
         observe::log_attempt_failed(&self.guard.name, &failed, began.elapsed());
     }
 
-    async fn next_piece(&mut self, stall_limit: Duration) -> StreamPiece {
-        let Some(source) = &mut self.source else {
-            return StreamPiece::Broken("no connection to a replica");
-        };
+    async fn next_signal(&mut self) -> RelaySignal {
+        let clock = self.context.driver.clock();
+        let pause_limit = Duration::from_millis(self.order.pause_ms);
+        let stall_limit = pause_limit.saturating_sub(self.quiet);
         let left = self.context.driver.until(self.order.deadline);
-        match self.context.driver.clock().within(left.min(stall_limit), source.body.frame()).await {
-            Some(Some(Ok(frame))) => StreamPiece::Bytes(frame.into_data().unwrap_or_default()),
-            Some(Some(Err(_))) => StreamPiece::Broken("the stream broke"),
-            Some(None) => StreamPiece::End,
-            None if left <= stall_limit => StreamPiece::DeadlinePassed,
-            None => StreamPiece::Stalled,
+        match clock.within(left.min(stall_limit), self.reader.next()).await {
+            Some(piece) => RelaySignal::Piece(piece),
+            None if left <= stall_limit => RelaySignal::DeadlinePassed,
+            None => RelaySignal::Stalled,
         }
     }
 
-    /// Resumes the stream at another replica, after the last whole event.
-    async fn resume(&mut self, mut step: Option<RequestStep>) -> Result<(), AbortedResponse> {
-        self.source = None;
-        self.quiet = Duration::ZERO;
-        self.splitter.drop_partial();
-        let ticket = self.guard.name.ticket;
+    /// Asks for the rest of the stream at the places that the reducer names, after the last whole
+    /// event. The stream is read meanwhile if it only pauses; returns the piece with which it goes on.
+    async fn resume(
+        &mut self,
+        mut step: Option<RequestStep>,
+    ) -> Result<Option<StreamPiece>, AbortedResponse> {
         loop {
             let Some(RequestStep::Send(order)) = step else {
                 return Err(AbortedResponse("no replica could resume the stream"));
             };
-            self.order = order;
-            let last = self.splitter.last_id().map(str::to_owned);
-            let outcome =
-                attempt(&self.context, &self.caller, &mut self.guard, &self.order, last.as_deref());
-            match outcome.await {
-                AttemptOutcome::Response(response) => {
-                    step = self.guard.feed(RouteEvent::HeadReceived(ticket, response.decoded));
-                    if !matches!(step, Some(RequestStep::Relay)) {
-                        continue;
-                    }
+            let request = AttemptRequest {
+                context: &self.context,
+                caller: &self.caller,
+                resume_after: self.reader.last_id(),
+            };
+            let kept = order.overlap_ms.is_some().then_some(&mut self.reader);
+            match run_attempts(&request, &mut self.guard, order, kept).await {
+                AttemptOutcome::Response(order, response) => {
                     let ReplicaBody::Stream(body, link) = response.body else {
                         return Err(AbortedResponse("the resumed response is not a stream"));
                     };
                     let (link_use, headers) = (response.link_use, response.head.headers);
-                    self.source = Some(StreamSource { body, link, link_use, headers });
-                    return Ok(());
+                    self.order = order;
+                    self.is_paused = false;
+                    self.quiet = Duration::ZERO;
+                    self.reader.replace(StreamSource { body, link, link_use, headers });
+                    return Ok(None);
+                }
+                AttemptOutcome::StreamResumed(piece) => {
+                    self.is_paused = false;
+                    return Ok(Some(piece));
                 }
+                AttemptOutcome::StreamKept => return Ok(None),
                 AttemptOutcome::Ended(next) => step = next,
             }
         }
     }
 
     fn end(&mut self) {
-        if let Some(source) = self.source.take() {
+        if let Some(source) = self.reader.take_source() {
             put_back(&self.context, source.link, &source.headers);
         }
         self.guard.finish(http::StatusCode::OK.as_u16());
--- a/crates/box/src/gateway/replica_call.rs
+++ b/crates/box/src/gateway/replica_call.rs
@@ -16,13 +16,15 @@
     AnswerHead, AttemptFailure, ForwardPass, RouteEvent, SendOrder,
 };
 
+use tokio::sync::Notify;
+
 use super::carried_ids::RequestId;
 use super::exchange::{BufferedRequest, GatewayContext};
 use super::forward::{self, ForwardAttempt};
 use super::observe;
 use super::pool::{LinkUse, ReplicaLink};
-use super::relay::STREAM_ALLOWANCE;
 use super::replica_stream::ReadAllowance;
+use super::stream_reader::STREAM_ALLOWANCE;
 
 /// Maximum size of a response that is not a stream, in bytes. It is read completely before any of
 /// it is forwarded.
@@ -41,6 +43,13 @@
     pub(super) link_use: LinkUse,
 }
 
+impl ReplicaResponse {
+    /// Whether a place answers the request, and neither rejects it nor fails.
+    pub(super) fn is_answer(&self) -> bool {
+        self.decoded.proven && !self.decoded.not_run && self.decoded.status < 500
+    }
+}
+
 /// Body of a replica's response.
 pub enum ReplicaBody {
     /// A whole body.
@@ -95,12 +104,14 @@
 }
 
 /// Sends the request to the order's replica, and reads the whole response or the head of a stream.
+/// `written` is notified when the request is being written to an open connection.
 pub(super) async fn call_replica(
     context: &GatewayContext,
     caller: &BufferedRequest,
     ticket: RequestTicket,
     order: &SendOrder,
     resume_after: Option<&str>,
+    written: &Notify,
 ) -> Result<ReplicaResponse, FailedAttempt> {
     let address: SocketAddr = order
         .address
@@ -109,7 +120,8 @@
     let forward = order.pass.as_ref().map(|pass| (pass, ForwardAttempt::draw()));
     let request = || replica_request(context, caller, order, forward.as_ref(), resume_after);
     let id = RequestId::of(&caller.headers);
-    let (response, attempt) = send_request(context, order, address, ticket, id, request).await?;
+    let target = RequestTarget { order, address, ticket, id };
+    let (response, attempt) = send_request(context, target, request, written).await?;
     let link_use = attempt.link_use;
     let (mut head, body) = response.into_parts();
     let begun = forward::take_begun(&mut head.headers);
@@ -140,15 +152,22 @@
     Ok(ReplicaResponse { head, decoded, body, link_use })
 }
 
-/// Sends `request` on an idle connection, or on a new one if no idle connection accepts it.
-async fn send_request(
-    context: &GatewayContext,
-    order: &SendOrder,
+/// Where an attempt goes.
+struct RequestTarget<'a> {
+    order: &'a SendOrder,
     address: SocketAddr,
     ticket: RequestTicket,
     id: RequestId,
+}
+
+/// Sends `request` on an idle connection, or on a new one if no idle connection accepts it.
+async fn send_request(
+    context: &GatewayContext,
+    target: RequestTarget<'_>,
     request: impl Fn() -> Request<Full<Bytes>>,
+    written: &Notify,
 ) -> Result<(Response<Incoming>, AttemptLink), FailedAttempt> {
+    let RequestTarget { order, address, ticket, id } = target;
     let mut link = match context.pool.take(address, id, order.kind.repeatable()) {
         Some(link) => link,
         None => open(context, order, address).await?,
@@ -161,6 +180,7 @@
             return Err(attempt.failed(AttemptFailure::Withdrawn, why));
         }
         attempt.link.allowance.set(ReadAllowance::HEAD_BYTES);
+        written.notify_one();
         let error = match attempt.link.sender.try_send_request(request()).await {
             Ok(response) => {
                 if !attempt.link.used && order.pass.is_none() {
--- /dev/null
+++ b/crates/box/src/gateway/stream_reader.rs
@@ -0,0 +1,99 @@
+//! Reads a stream from a place that answers it, in whole events.
+
+use http::HeaderMap;
+use hyper::body::Incoming;
+
+use super::event_splitter::{EventSplitter, WholeEvents, EVENT_LIMIT};
+use super::pool::{LinkUse, ReplicaLink};
+
+use http_body_util::BodyExt;
+
+/// Maximum number of bytes that are read of a stream between two events. Chunks have a few bytes in
+/// addition to the events.
+pub(super) const STREAM_ALLOWANCE: usize = 2 * EVENT_LIMIT;
+
+/// The far side of a stream. Dropping it closes the connection.
+pub struct StreamSource {
+    pub(super) body: Incoming,
+    pub(super) link: ReplicaLink,
+    pub(super) link_use: LinkUse,
+    /// Headers of the response.
+    pub(super) headers: HeaderMap,
+}
+
+/// Next piece of a stream.
+#[derive(Debug)]
+pub enum StreamPiece {
+    /// Whole events.
+    Events(WholeEvents),
+    /// The stream ended where an event may end.
+    End,
+    /// The stream broke.
+    Broken(&'static str),
+}
+
+/// Reads a stream that may have several sources, one after the other.
+pub struct StreamReader {
+    source: Option<StreamSource>,
+    splitter: EventSplitter,
+}
+
+impl StreamReader {
+    /// Creates a reader of `source`.
+    pub(super) fn new(source: StreamSource) -> Self {
+        Self { source: Some(source), splitter: EventSplitter::default() }
+    }
+
+    /// The next piece. Nothing is lost if the future is dropped before it is ready.
+    pub(super) async fn next(&mut self) -> StreamPiece {
+        loop {
+            let Some(source) = &mut self.source else {
+                return StreamPiece::Broken("no connection to a replica");
+            };
+            let bytes = match source.body.frame().await {
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                Some(Err(_)) => return StreamPiece::Broken("the stream broke"),
+                None if self.splitter.has_partial() => {
+                    return StreamPiece::Broken("the stream ended within an event");
+                }
+                None => return StreamPiece::End,
+            };
+            match self.splitter.push(&bytes) {
+                Ok(Some(events)) => {
+                    if events.has_event {
+                        source.link.allowance.set(STREAM_ALLOWANCE);
+                    }
+                    return StreamPiece::Events(events);
+                }
+                Ok(None) => {}
+                Err(_) => return StreamPiece::Broken("an event is too long"),
+            }
+        }
+    }
+
+    /// Goes on with another source, which begins after the last whole event.
+    pub(super) fn replace(&mut self, source: StreamSource) {
+        self.splitter.drop_partial();
+        self.source = Some(source);
+    }
+
+    /// Closes the connection.
+    pub(super) fn close(&mut self) {
+        self.source = None;
+    }
+
+    /// The source, once the stream has ended.
+    pub(super) fn take_source(&mut self) -> Option<StreamSource> {
+        self.source.take()
+    }
+
+    /// Id of the last whole event that had one.
+    pub(super) fn last_id(&self) -> Option<String> {
+        self.splitter.last_id().map(str::to_owned)
+    }
+
+    /// The use of the connection, while there is one.
+    pub(super) fn link_use(&self) -> Option<LinkUse> {
+        self.source.as_ref().map(|source| source.link_use)
+    }
+}
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -95,6 +95,8 @@
     (772, "lookups_refused"),
     (773, "task_ended"),
     (774, "panicked"),
+    (775, "attempt_kept"),
+    (776, "attempt_replaced"),
 ];
 
 /// Logs and counts an effect, if it has a log event or a metric.
--- a/crates/core/src/route/answer.rs
+++ b/crates/core/src/route/answer.rs
@@ -2,7 +2,7 @@
 //! the request.
 
 use super::backend_health::BackendOutcome;
-use super::event::{AnswerHead, RefusalReason, RouteEffect};
+use super::event::{AnswerHead, FormerEnd, RefusalReason, RouteEffect};
 use super::model_cascade::{self, ModelConfidence};
 use super::model_latency::ServiceLatency;
 use super::retry_budget::SendCause;
@@ -61,7 +61,11 @@
         if let Some(request) = self.requests.get_mut(&ticket) {
             request.runs.settle(proof);
         }
+        self.record_refused_place(ticket);
         self.end_attempt(stamp, ticket, outcome);
+        if self.has_former(ticket) {
+            return self.ask_next_place(stamp, ticket, out);
+        }
         if is_other || !self.wait_after_rejection(stamp, ticket, out) {
             self.resend(stamp, ticket, RefusalReason::Full, out);
         }
@@ -85,6 +89,11 @@
         let failed = head.status >= 500 || !head.proven || (relayed && !head.is_success());
         self.count_answer(ticket, failed, took_ms);
         self.record_trial_load(ticket, head.load);
+        if failed && self.has_former(ticket) {
+            self.end_attempt(stamp, ticket, BackendOutcome::Failed);
+            return self.ask_next_place(stamp, ticket, out);
+        }
+        self.end_former(stamp, ticket, FormerEnd::Replaced);
         if failed && kind.repeatable() && self.reassign(stamp, ticket, SendCause::Failure, out) {
             return;
         }
--- a/crates/core/src/route/arrival.rs
+++ b/crates/core/src/route/arrival.rs
@@ -195,6 +195,7 @@
         was_resumed: false,
         outcome: BackendOutcome::Served,
         attempt: None,
+        former: None,
         waiting: None,
         entered_room: None,
         left_room: None,
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -4,7 +4,10 @@
 use super::admission::RouteTerms;
 use super::backend_health::{BackendOutcome, UNREACHABLE_DELAY_MS};
 use super::choice::AttemptChoice;
-use super::event::{AttemptFailure, DecisionInputs, RefusalReason, RouteEffect, SendOrder};
+use super::event::{
+    AttemptFailure, DecisionInputs, FormerEnd, RefusalReason, RouteEffect, SendOrder,
+};
+use super::former::OVERLAP_MS;
 use super::plan::RouteKind;
 use super::request::{RouteRequest, RunningAttempt};
 use super::retry_budget::SendCause;
@@ -243,6 +246,7 @@
             deadline: request.deadline,
             head_ms,
             pause_ms,
+            overlap_ms: request.former.as_ref().map(|_| OVERLAP_MS),
             inputs: Box::new(inputs),
             pass: None,
         };
@@ -260,8 +264,9 @@
         Some(load_urgency(request.priority_at(stamp.now), over_share, request.size))
     }
 
-    /// Ends the current attempt and assigns the request to another replica, if there is one and
-    /// attempts, time and budget allow it. Otherwise nothing changes and `false` is returned.
+    /// Assigns the request to another replica, if there is one and attempts, time and budget allow it.
+    /// Otherwise nothing changes and `false` is returned. The current attempt ends, unless its replica
+    /// may only pause.
     pub(super) fn reassign(
         &mut self,
         stamp: EventStamp,
@@ -287,12 +292,7 @@
             }
             return false;
         }
-        let outcome = match cause {
-            SendCause::LargerModel => BackendOutcome::Served,
-            SendCause::Failure | SendCause::Stall => BackendOutcome::Failed,
-            SendCause::PathLost => BackendOutcome::Inconclusive,
-        };
-        self.end_attempt(stamp, ticket, outcome);
+        self.set_aside(stamp, ticket, cause, size);
         match (target, choice) {
             (Some(target), _) => self.send_forward(stamp, ticket, target, out),
             (None, Some(choice)) => self.assign(stamp, ticket, choice, out),
@@ -362,14 +362,24 @@
     ) {
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         if let Some(attempt) = request.attempt.take() {
-            self.backends.remove_pending(attempt.replica, attempt.began);
-            self.backends.ended(attempt.replica, outcome, stamp.now);
-            if outcome == BackendOutcome::Unreachable {
-                self.settle_crashes(stamp.now);
-                self.mark_unreachable_cold(attempt.replica, stamp.now);
-                self.rounds.next_round =
-                    self.rounds.next_round.min(stamp.now.plus_millis(UNREACHABLE_DELAY_MS));
-            }
+            self.release(stamp, attempt, outcome);
+        }
+    }
+
+    /// Gives back an attempt's place at its replica, and records its outcome for that.
+    pub(super) fn release(
+        &mut self,
+        stamp: EventStamp,
+        attempt: RunningAttempt,
+        outcome: BackendOutcome,
+    ) {
+        self.backends.remove_pending(attempt.replica, attempt.began);
+        self.backends.ended(attempt.replica, outcome, stamp.now);
+        if outcome == BackendOutcome::Unreachable {
+            self.settle_crashes(stamp.now);
+            self.mark_unreachable_cold(attempt.replica, stamp.now);
+            self.rounds.next_round =
+                self.rounds.next_round.min(stamp.now.plus_millis(UNREACHABLE_DELAY_MS));
         }
     }
 
@@ -386,8 +396,8 @@
         out.push(RouteEffect::ReplicaUnreachable { replica, reported_by });
     }
 
-    /// Reassigns a stalled request if there is another replica and the budget allows it. Otherwise
-    /// the attempt continues.
+    /// Asks another replica for a stalled request if there is one and the budget allows it. The attempt
+    /// continues until that one has taken the request.
     pub(super) fn on_attempt_stalled(
         &mut self,
         stamp: EventStamp,
@@ -397,16 +407,20 @@
         if self.is_forwarded(ticket) {
             return self.on_forward_stalled(stamp, ticket, out);
         }
+        if self.has_former(ticket) {
+            return;
+        }
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         let Some(attempt) = &mut request.attempt else { return };
         attempt.pauses += 1;
+        let paused = *attempt;
         let last = request.sends + 1 >= request.route.attempts;
         let too_early = request.relayed && last && attempt.pauses < LAST_REPLICA_PAUSES;
         if !request.route.kind.repeatable() || too_early {
             return;
         }
         self.count_lost_answer(stamp, ticket);
-        self.record_silent(stamp, ticket);
+        self.record_silent(stamp, ticket, paused);
         let path_lost = self.paths.is_lost() || self.is_silent_everywhere(stamp.now);
         if !path_lost {
             self.learn_silence(stamp, ticket, out);
@@ -428,12 +442,17 @@
         }
         let Some(request) = self.requests.get(&ticket) else { return };
         let Some(attempt) = request.attempt else { return };
+        let has_former = request.former.is_some();
         let Some(row) = self.backends.get(attempt.replica) else { return };
         let lost = self.paths.is_lost() || row.path.is_lost(stamp.now);
-        let movable = request.route.kind.repeatable() && !request.relayed;
+        let movable = request.route.kind.repeatable() && !request.relayed || has_former;
         if !lost || !movable || row.path.reached_since(attempt.began) {
             return;
         }
+        if has_former {
+            self.end_attempt(stamp, ticket, BackendOutcome::Inconclusive);
+            return self.ask_next_place(stamp, ticket, out);
+        }
         self.reassign(stamp, ticket, SendCause::PathLost, out);
     }
 
@@ -475,18 +494,22 @@
                 self.report_unreachable(replica, None, out);
                 self.note_path_failed(stamp, replica, out);
             }
-            self.resend_unwritten(stamp, ticket, out);
+            if self.has_former(ticket) {
+                self.ask_next_place(stamp, ticket, out);
+            } else {
+                self.resend_unwritten(stamp, ticket, out);
+            }
             return;
         }
-        let replica = request.attempt.map(|attempt| attempt.replica);
-        if failure == AttemptFailure::Broken {
-            self.record_broken(stamp, ticket);
-            if let Some(replica) = replica {
-                self.note_suspicion(stamp, replica, out);
-            }
+        if let Some(attempt) = request.attempt.filter(|_| failure == AttemptFailure::Broken) {
+            self.record_broken(stamp, ticket, attempt);
+            self.note_suspicion(stamp, attempt.replica, out);
         }
         self.count_lost_answer(stamp, ticket);
         self.end_attempt(stamp, ticket, BackendOutcome::Failed);
+        if self.has_former(ticket) {
+            return self.ask_next_place(stamp, ticket, out);
+        }
         let Some(request) = self.requests.get(&ticket) else { return };
         if request.route.kind.repeatable() {
             self.resend(stamp, ticket, RefusalReason::Failed, out);
@@ -502,12 +525,14 @@
             .get(&ticket)
             .map_or(BackendOutcome::Inconclusive, |request| request.outcome);
         self.clear_features(stamp, ticket);
+        self.end_former(stamp, ticket, FormerEnd::Dropped);
         self.end_attempt(stamp, ticket, outcome);
         self.remove_request(ticket);
     }
 
     /// Ends a request whose caller disconnected.
     pub(super) fn on_caller_disconnected(&mut self, stamp: EventStamp, ticket: RequestTicket) {
+        self.end_former(stamp, ticket, FormerEnd::Dropped);
         self.end_attempt(stamp, ticket, BackendOutcome::Inconclusive);
         self.remove_request(ticket);
     }
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -52,6 +52,7 @@
             )
         });
         let version = trial.map_or(VersionFilter::Any, |trial| version_filter(trial, on_trial));
+        let excluded = request.excluded();
         let query = BackendQuery {
             service: &request.service,
             version,
@@ -63,7 +64,7 @@
             evacuated: &self.evacuated,
             zones: request.zones.as_deref(),
             bounds_cold: self.bounds_cold(&request.service),
-            tried: &request.tried,
+            tried: &excluded,
             random: stamp.random,
             now: stamp.now,
         };
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -23,7 +23,7 @@
 
 pub use super::admission::{RequestAdmission, RouteTerms};
 pub use super::exchange::{
-    AnswerHead, AttemptFailure, BegunAnswer, CallerRequest, DecisionInputs, ForwardPass,
+    AnswerHead, AttemptFailure, BegunAnswer, CallerRequest, DecisionInputs, FormerEnd, ForwardPass,
     ForwardProgress, ForwardedRequest, PromptPart, PromptSize, RefusalReason, RouteRefusal,
     SendOrder, TrialInputs, WaitOrder,
 };
@@ -157,9 +157,14 @@
     RequestArrived(RequestTicket, CallerRequest),
     /// The response head of a replica arrived.
     HeadReceived(RequestTicket, AnswerHead),
-    /// Nothing arrived for as long as the send order allows: another replica may be tried, or the
-    /// attempt continues. A stall alone never ends a request.
+    /// Nothing arrived for as long as the send order allows: another place may be asked, or the
+    /// attempt continues. A stall alone never ends a request, nor the attempt.
     AttemptStalled(RequestTicket),
+    /// Something arrived of an attempt after [`RouteEvent::AttemptStalled`]. If it is the former one
+    /// that is kept beside another, that other one has been ended.
+    AttemptResumed(RequestTicket),
+    /// The former attempt, which was kept beside the current one, has been ended.
+    FormerEnded(RequestTicket, FormerEnd),
     /// The attempt failed.
     AttemptFailed(RequestTicket, AttemptFailure),
     /// A new connection to a replica was tried.
@@ -190,6 +195,8 @@
     Send(RequestTicket, SendOrder),
     /// Let the request wait: a later event sends or refuses it.
     Wait(RequestTicket, WaitOrder),
+    /// Go on with the former attempt: no other place has taken the request.
+    KeepFormer(RequestTicket),
     /// Relay the response to the caller.
     Relay(RequestTicket),
     /// End the request with a refusal.
--- a/crates/core/src/route/exchange.rs
+++ b/crates/core/src/route/exchange.rs
@@ -140,6 +140,17 @@
     Withdrawn,
 }
 
+/// How an attempt ended that was kept while another place was asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FormerEnd {
+    /// Another place has the request, or the time for which it is kept has passed.
+    Replaced,
+    /// Its connection broke.
+    Broken,
+    /// The request has ended.
+    Dropped,
+}
+
 /// Why a request ends without the response of a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusalReason {
@@ -310,6 +321,9 @@
     /// Time between two events of a stream after which [`RouteEvent::AttemptStalled`] is due, in
     /// milliseconds.
     pub pause_ms: u64,
+    /// Time for which the former attempt is kept beside this one, in milliseconds, unless this one is
+    /// answered sooner; `None` if there is none.
+    pub overlap_ms: Option<u64>,
     /// Inputs of the decision.
     pub inputs: Box<DecisionInputs>,
     /// Set if the request goes to another box, which `replica_id` and `address` name, in place of a
--- /dev/null
+++ b/crates/core/src/route/former.rs
@@ -0,0 +1,182 @@
+//! An attempt that pauses is kept until another place has taken the request.
+//!
+//! A sound replica may pause, and all others may be full meanwhile. So a request that may go on
+//! elsewhere asks for another place while its former attempt is still read. The first sign of life of
+//! the former one ends the search; a place that refuses or fails costs nothing but itself. The former
+//! attempt ends once another place answers, or [`OVERLAP_MS`] after the last one was asked: a replica
+//! rejects at once what it has no room for, and no request is to be at work at two places for long.
+
+use super::backend_health::BackendOutcome;
+use super::event::{FormerEnd, RouteEffect};
+use super::request::{RouteRequest, RunningAttempt};
+use super::retry_budget::SendCause;
+use super::RouteState;
+use crate::event::{EventStamp, RequestTicket};
+use crate::ids::ReplicaKey;
+
+/// Time for which an attempt is kept beside the one that may replace it, in milliseconds.
+pub const OVERLAP_MS: u64 = 250;
+
+/// Places that are asked while an attempt pauses, at most. What they reject draws on the retry
+/// budget.
+pub const PLACES_ASKED: u32 = 2;
+
+/// An attempt that is kept while another place is asked.
+#[derive(Clone, Debug)]
+pub(super) struct FormerAttempt {
+    attempt: RunningAttempt,
+    /// Row of its model in the route's sizes, if the router chose it.
+    size: Option<usize>,
+    /// Why another place is asked.
+    pub(super) cause: SendCause,
+    /// Places asked so far.
+    asked: u32,
+    /// Replicas that refused the request meanwhile.
+    pub(super) refused: Vec<ReplicaKey>,
+    /// Number of boxes that the request was forwarded to before.
+    forwards_before: usize,
+}
+
+impl RouteRequest {
+    /// Puts the current attempt aside while another place is asked.
+    fn set_former(&mut self, cause: SendCause, size: Option<usize>) {
+        let Some(attempt) = self.attempt.take().filter(|_| self.former.is_none()) else { return };
+        self.former = Some(FormerAttempt {
+            attempt,
+            size,
+            cause,
+            asked: 0,
+            refused: Vec::new(),
+            forwards_before: self.forward_tried.len(),
+        });
+    }
+
+    /// Returns the attempts that run, the former one included.
+    pub(super) fn running_attempts(&self) -> impl Iterator<Item = &RunningAttempt> {
+        let former = self.former.as_ref().map(|former| &former.attempt);
+        self.attempt.iter().chain(former)
+    }
+
+    /// Returns the replicas that it may not be sent to now.
+    pub(super) fn excluded(&self) -> Vec<ReplicaKey> {
+        let refused = self.former.iter().flat_map(|former| &former.refused);
+        self.tried.iter().chain(refused).copied().collect()
+    }
+
+    /// Returns whether another place may be asked while its former attempt is kept.
+    pub(super) fn may_ask(&self) -> bool {
+        self.former.as_ref().is_none_or(|former| former.asked < PLACES_ASKED)
+    }
+}
+
+impl RouteState {
+    /// Makes room for the next attempt: keeps the current one if its replica may only pause, and ends
+    /// it otherwise. `size` is the row of its model.
+    pub(super) fn set_aside(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        cause: SendCause,
+        size: Option<usize>,
+    ) {
+        match cause {
+            SendCause::LargerModel => self.end_attempt(stamp, ticket, BackendOutcome::Served),
+            SendCause::Failure => self.end_attempt(stamp, ticket, BackendOutcome::Failed),
+            SendCause::Stall | SendCause::PathLost => {
+                let Some(request) = self.requests.get_mut(&ticket) else { return };
+                request.set_former(cause, size);
+            }
+        }
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        if let Some(former) = &mut request.former {
+            former.asked += 1;
+        }
+    }
+
+    /// Whether a former attempt of a request is kept.
+    pub(super) fn has_former(&self, ticket: RequestTicket) -> bool {
+        self.requests.get(&ticket).is_some_and(|request| request.former.is_some())
+    }
+
+    /// Asks the next place, after the last one refused or failed, or goes on with the former attempt.
+    pub(super) fn ask_next_place(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let Some(request) = self.requests.get(&ticket) else { return };
+        let Some(cause) = request.former.as_ref().map(|former| former.cause) else { return };
+        if request.may_ask() && self.reassign(stamp, ticket, cause, out) {
+            return;
+        }
+        self.return_to_former(ticket);
+        out.push(RouteEffect::KeepFormer(ticket));
+    }
+
+    /// Records that an attempt was rejected while the former one is kept. It counts as none.
+    pub(super) fn record_refused_place(&mut self, ticket: RequestTicket) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let (Some(former), Some(attempt)) = (&mut request.former, request.attempt) else { return };
+        former.refused.push(attempt.replica);
+        request.tried.retain(|key| *key != attempt.replica);
+        request.sends -= 1;
+    }
+
+    /// Makes the former attempt the current one again.
+    fn return_to_former(&mut self, ticket: RequestTicket) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let Some(former) = request.former.take() else { return };
+        request.attempt = Some(former.attempt);
+        request.size = former.size;
+        request.forward_tried.truncate(former.forwards_before);
+    }
+
+    /// Handles the first sign of life of a replica whose attempt paused. If another place was asked
+    /// meanwhile, it is not needed.
+    pub(super) fn on_attempt_resumed(&mut self, stamp: EventStamp, ticket: RequestTicket) {
+        if self.has_former(ticket) {
+            self.end_attempt(stamp, ticket, BackendOutcome::Inconclusive);
+            if let Some(request) = self.requests.get_mut(&ticket) {
+                request.forward = None;
+            }
+            self.return_to_former(ticket);
+        }
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let Some(attempt) = &mut request.attempt else { return };
+        attempt.pauses = 0;
+        let replica = attempt.replica;
+        self.note_answered(stamp, replica);
+    }
+
+    /// Handles the end of a former attempt: its connection broke, or it was kept for long enough.
+    pub(super) fn on_former_ended(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        end: FormerEnd,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        let Some(request) = self.requests.get(&ticket) else { return };
+        let Some(former) = &request.former else { return };
+        let attempt = former.attempt;
+        if end == FormerEnd::Broken {
+            self.record_broken(stamp, ticket, attempt);
+            self.note_suspicion(stamp, attempt.replica, out);
+        }
+        self.end_former(stamp, ticket, end);
+    }
+
+    /// Ends the former attempt of a request, if one is kept.
+    pub(super) fn end_former(&mut self, stamp: EventStamp, ticket: RequestTicket, end: FormerEnd) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let Some(former) = request.former.take() else { return };
+        let outcome = match (end, former.cause) {
+            (FormerEnd::Dropped, _) | (FormerEnd::Replaced, SendCause::PathLost) => {
+                BackendOutcome::Inconclusive
+            }
+            (FormerEnd::Replaced | FormerEnd::Broken, _) => BackendOutcome::Failed,
+        };
+        self.release(stamp, former.attempt, outcome);
+    }
+}
--- a/crates/core/src/route/forward.rs
+++ b/crates/core/src/route/forward.rs
@@ -13,9 +13,10 @@
 use super::backend_health::BackendOutcome;
 use super::choice::AttemptChoice;
 use super::event::{
-    AnswerHead, AttemptFailure, BegunAnswer, ForwardPass, ForwardProgress, ForwardedRequest,
-    RefusalReason, RouteEffect, SendOrder,
+    AnswerHead, AttemptFailure, BegunAnswer, FormerEnd, ForwardPass, ForwardProgress,
+    ForwardedRequest, RefusalReason, RouteEffect, SendOrder,
 };
+use super::former::OVERLAP_MS;
 use super::peers::ForwardQuery;
 use super::request::RunningForward;
 use super::run_record::NotRunProof;
@@ -126,6 +127,7 @@
             deadline: request.deadline,
             head_ms,
             pause_ms,
+            overlap_ms: request.former.as_ref().map(|_| OVERLAP_MS),
             inputs: Box::new(inputs),
             pass: Some(pass),
         };
@@ -155,6 +157,7 @@
             request.relayed = true;
             request.outcome = BackendOutcome::Inconclusive;
             request.succeeds = false;
+            self.end_former(stamp, ticket, FormerEnd::Replaced);
             out.push(RouteEffect::Relay(ticket));
             return;
         }
@@ -165,14 +168,24 @@
             let service = Some(service_hash(&request.service));
             let until = stamp.now.plus_millis(FORWARD_REFUSED_MS);
             self.peers.avoid(&forward.peer, service, until);
+            if self.has_former(ticket) {
+                return self.ask_next_place(stamp, ticket, out);
+            }
             return self.send(stamp, ticket, RefusalReason::NoReplica, out);
         }
+        request.sends = request.route.attempts - forward.reserved + request.rejections;
+        let relayed = request.relayed;
+        if relayed || request.former.is_some() {
+            self.peers.avoid(&forward.peer, None, stamp.now.plus_millis(FORWARD_FAILED_MS));
+        }
+        if self.has_former(ticket) {
+            return self.ask_next_place(stamp, ticket, out);
+        }
         if head.status == TIME_UP_STATUS {
             return self.give_up(stamp, ticket, RefusalReason::DeadlinePassed, out);
         }
         // The caller has a part of the answer. That another box could not go on does not end it.
-        if request.relayed {
-            self.peers.avoid(&forward.peer, None, stamp.now.plus_millis(FORWARD_FAILED_MS));
+        if relayed {
             return self.resend(stamp, ticket, RefusalReason::NoReplica, out);
         }
         self.give_up(stamp, ticket, RefusalReason::Failed, out);
@@ -190,12 +203,21 @@
         let Some(forward) = request.forward.take() else { return };
         self.peers.avoid(&forward.peer, None, stamp.now.plus_millis(FORWARD_FAILED_MS));
         let Some(request) = self.requests.get_mut(&ticket) else { return };
-        if let Some(proof) = NotRunProof::of_failure(failure) {
+        let proof = NotRunProof::of_failure(failure);
+        if let Some(proof) = proof {
             request.runs.settle(proof);
+        } else {
+            request.sends = request.route.attempts - forward.reserved + request.rejections;
+        }
+        let is_unwritten = proof.is_some();
+        let is_repeatable = request.route.kind.repeatable();
+        if self.has_former(ticket) {
+            return self.ask_next_place(stamp, ticket, out);
+        }
+        if is_unwritten {
             return self.send(stamp, ticket, RefusalReason::NoReplica, out);
         }
-        request.sends = request.route.attempts - forward.reserved + request.rejections;
-        if request.route.kind.repeatable() {
+        if is_repeatable {
             self.resend(stamp, ticket, RefusalReason::Failed, out);
         } else {
             self.give_up(stamp, ticket, RefusalReason::Failed, out);
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -30,6 +30,7 @@
 //! - [`backend`]: known replicas
 //! - [`backend_health`]: their health
 //! - [`paths`]: the network paths to them
+//! - [`former`]: attempts that are kept until another place has taken their request
 //! - [`forward`]: requests that another box sends to them
 //! - [`warm_up`]: cold replicas
 //! - `leaving`: replicas that report that they are leaving
@@ -66,6 +67,7 @@
 pub mod event;
 mod exchange;
 mod feedback;
+pub mod former;
 pub mod forward;
 mod gossip;
 pub mod leader;
@@ -379,6 +381,10 @@
             }
             RouteEvent::HeadReceived(ticket, head) => self.on_head(stamp, ticket, head, out),
             RouteEvent::AttemptStalled(ticket) => self.on_attempt_stalled(stamp, ticket, out),
+            RouteEvent::AttemptResumed(ticket) => self.on_attempt_resumed(stamp, ticket),
+            RouteEvent::FormerEnded(ticket, end) => {
+                self.on_former_ended(stamp, ticket, end, out);
+            }
             RouteEvent::AttemptFailed(ticket, failure) => {
                 self.on_failed(stamp, ticket, failure, out);
             }
@@ -482,7 +488,7 @@
 
     /// Requests in flight at replicas of an availability zone.
     fn in_flight_at(&self, zone: &str) -> usize {
-        let attempts = self.requests.values().filter_map(|request| request.attempt);
+        let attempts = self.requests.values().flat_map(RouteRequest::running_attempts);
         let rows = attempts.filter_map(|attempt| self.backends.get(attempt.replica));
         rows.filter(|row| row.entry.zone == zone).count()
     }
--- a/crates/core/src/route/poison/mod.rs
+++ b/crates/core/src/route/poison/mod.rs
@@ -40,6 +40,7 @@
 use super::backend::{service_hash, BackendState};
 use super::backend_health::{BackendOutcome, EJECTION_FIRST_MS};
 use super::event::{PromptPart, RefusalReason, RouteEffect};
+use super::request::RunningAttempt;
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
 use crate::time::BoxTime;
@@ -259,20 +260,35 @@
     /// Records a broken attempt: if its replica turns out to have crashed, it did so under this
     /// request. A leaving replica is ignored, since it exits for that reason. While the paths of this
     /// box are lost, another box has to observe the crash too.
-    pub(super) fn record_broken(&mut self, stamp: EventStamp, ticket: RequestTicket) {
-        self.record_crash(stamp, ticket, false);
+    pub(super) fn record_broken(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        attempt: RunningAttempt,
+    ) {
+        self.record_crash(stamp, ticket, attempt, false);
     }
 
     /// Records an attempt to which its replica sent nothing for too long. It may have crashed without
     /// closing its connections.
-    pub(super) fn record_silent(&mut self, stamp: EventStamp, ticket: RequestTicket) {
-        self.record_crash(stamp, ticket, true);
+    pub(super) fn record_silent(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        attempt: RunningAttempt,
+    ) {
+        self.record_crash(stamp, ticket, attempt, true);
     }
 
-    fn record_crash(&mut self, stamp: EventStamp, ticket: RequestTicket, silent: bool) {
+    fn record_crash(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        attempt: RunningAttempt,
+        silent: bool,
+    ) {
         let doubtful = self.paths.is_lost();
         let Some(request) = self.requests.get(&ticket) else { return };
-        let Some(attempt) = request.attempt else { return };
         let Some(row) = self.backends.get(attempt.replica) else { return };
         if row.entry.leaving {
             return;
--- a/crates/core/src/route/refuse.rs
+++ b/crates/core/src/route/refuse.rs
@@ -1,7 +1,7 @@
 //! Ends requests without a replica's answer. Only this module decides whether a refusal may state
 //! that the request has not run.
 
-use super::event::{DecisionInputs, RefusalReason, RouteEffect, RouteRefusal};
+use super::event::{DecisionInputs, FormerEnd, RefusalReason, RouteEffect, RouteRefusal};
 use super::request::RouteRequest;
 use super::run_record::NotRunGrant;
 use super::RouteState;
@@ -27,6 +27,7 @@
         reason: RefusalReason,
         out: &mut Vec<RouteEffect>,
     ) {
+        self.end_former(stamp, ticket, FormerEnd::Dropped);
         let Some(request) = self.remove_request(ticket) else { return };
         if request.relayed {
             out.push(RouteEffect::AbortResponse(ticket, reason));
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -3,6 +3,7 @@
 use super::admission::{RequestAdmission, RouteTerms};
 use super::backend_health::BackendOutcome;
 use super::event::{BegunAnswer, ForwardProgress, PromptPart, PromptSize};
+use super::former::FormerAttempt;
 use super::model_cascade::ModelConfidence;
 use super::poison::RequestFeature;
 use super::run_record::{AttemptPermit, RunRecord};
@@ -70,6 +71,8 @@
     /// Outcome for the replica whose answer was relayed.
     pub(super) outcome: BackendOutcome,
     pub(super) attempt: Option<RunningAttempt>,
+    /// The attempt before it, which is kept until another place has taken the request.
+    pub(super) former: Option<FormerAttempt>,
     /// Its place in the waiting room, while it waits.
     pub(super) waiting: Option<WaitingKey>,
     /// When it entered the waiting room.
@@ -152,7 +155,7 @@
     pub(super) on_trial: bool,
     /// When its answer began that is relayed.
     pub(super) answers_since: Option<BoxTime>,
-    /// Pauses so far.
+    /// Pauses since anything last arrived.
     pub(super) pauses: u32,
     /// Whether the replica was assumed to have the prompt's prefix cached.
     pub(super) cached: bool,
--- a/crates/core/src/route/waiting.rs
+++ b/crates/core/src/route/waiting.rs
@@ -28,6 +28,8 @@
     pub(super) fn of(event: &RouteEvent) -> Self {
         match event {
             RouteEvent::HeadReceived(ticket, _)
+            | RouteEvent::AttemptResumed(ticket)
+            | RouteEvent::FormerEnded(ticket, _)
             | RouteEvent::AttemptFailed(ticket, _)
             | RouteEvent::ResponseFinished(ticket)
             | RouteEvent::DeadlinePassed(ticket)
--- /dev/null
+++ b/crates/core/tests/route/former_attempts.rs
@@ -0,0 +1,130 @@
+//! Attempts that are kept while another place is asked for their request.
+
+use ravenspoke_core::event::RequestTicket;
+use ravenspoke_core::route::event::{
+    AnswerHead, AttemptFailure, FormerEnd, RefusalReason, RouteEffect, RouteEvent,
+};
+use ravenspoke_core::route::former::{OVERLAP_MS, PLACES_ASKED};
+
+use crate::fixture::{ask, entry, head, order_in, ready_box, TestBox};
+
+fn rejection() -> AnswerHead {
+    AnswerHead { not_run: true, proven: false, ..head(503) }
+}
+
+/// A box with four replicas, one of which has begun to answer a stream, and enough traffic for a few
+/// further attempts.
+fn box_with_stream() -> (TestBox, RequestTicket, String) {
+    let mut subject = ready_box();
+    subject.put(entry("c", "v1"));
+    subject.put(entry("d", "v1"));
+    for _ in 0..100 {
+        let (ticket, _) = subject.sent(ask("/read/x"));
+        subject.feed(RouteEvent::ResponseFinished(ticket));
+    }
+    let (ticket, order) = subject.sent(ask("/chat/x"));
+    assert_eq!(subject.feed(RouteEvent::HeadReceived(ticket, head(200))).len(), 1);
+    (subject, ticket, order.replica_id)
+}
+
+/// Guards against a stream that is cut because all other replicas are full while its own pauses.
+#[test]
+fn paused_stream_goes_on_where_it_was_when_other_replicas_reject_it() {
+    let (mut subject, ticket, _) = box_with_stream();
+    let mut effects = subject.feed(RouteEvent::AttemptStalled(ticket));
+    let mut asked = 0;
+    while let Some(order) = order_in(&effects) {
+        asked += 1;
+        assert_eq!(order.overlap_ms, Some(OVERLAP_MS));
+        effects = subject.feed(RouteEvent::HeadReceived(ticket, rejection()));
+    }
+
+    assert_eq!(asked, PLACES_ASKED);
+    assert_eq!(effects, [RouteEffect::KeepFormer(ticket)]);
+
+    // Its own replica breaks then: no attempt and no replica has been used up.
+    let broken = subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken));
+    let order = order_in(&broken).expect("it is resumed elsewhere");
+    assert_eq!((order.number, order.overlap_ms), (2, None));
+}
+
+#[test]
+fn paused_stream_that_goes_on_needs_no_other_place() {
+    let (mut subject, ticket, first) = box_with_stream();
+    let second = order_in(&subject.feed(RouteEvent::AttemptStalled(ticket))).expect("asked");
+    assert_ne!(second.replica_id, first);
+
+    assert_eq!(subject.feed(RouteEvent::AttemptResumed(ticket)), []);
+
+    let outstanding = |id: &str| {
+        let mut rows = subject.state.backends().rows();
+        rows.find(|(_, row)| row.entry.id == id).expect("a row").1.outstanding
+    };
+    assert_eq!((outstanding(&first), outstanding(&second.replica_id)), (1, 0));
+}
+
+#[test]
+fn paused_stream_moves_to_the_place_that_takes_it() {
+    let (mut subject, ticket, first) = box_with_stream();
+    let second = order_in(&subject.feed(RouteEvent::AttemptStalled(ticket))).expect("asked");
+
+    let effects = subject.feed(RouteEvent::HeadReceived(ticket, head(200)));
+
+    assert_eq!(effects, [RouteEffect::Relay(ticket)]);
+    let outstanding = |id: &str| {
+        let mut rows = subject.state.backends().rows();
+        rows.find(|(_, row)| row.entry.id == id).expect("a row").1.outstanding
+    };
+    assert_eq!((outstanding(&first), outstanding(&second.replica_id)), (0, 1));
+}
+
+#[test]
+fn former_attempt_that_breaks_leaves_the_request_at_the_place_that_was_asked() {
+    let (mut subject, ticket, _) = box_with_stream();
+    assert!(order_in(&subject.feed(RouteEvent::AttemptStalled(ticket))).is_some());
+    assert_eq!(subject.feed(RouteEvent::FormerEnded(ticket, FormerEnd::Broken)), []);
+
+    let effects = subject.feed(RouteEvent::HeadReceived(ticket, head(200)));
+
+    assert_eq!(effects, [RouteEffect::Relay(ticket)]);
+}
+
+/// Guards against a call that loses its place in a replica's queue although all others are full.
+#[test]
+fn call_without_a_response_keeps_its_place_when_other_replicas_reject_it() {
+    let (mut subject, _, _) = box_with_stream();
+    let (ticket, _) = subject.sent(ask("/read/x"));
+    let mut effects = subject.feed(RouteEvent::AttemptStalled(ticket));
+    while order_in(&effects).is_some() {
+        effects = subject.feed(RouteEvent::HeadReceived(ticket, rejection()));
+    }
+
+    assert_eq!(effects, [RouteEffect::KeepFormer(ticket)]);
+    let effects = subject.feed(RouteEvent::HeadReceived(ticket, head(200)));
+    assert_eq!(effects, [RouteEffect::Relay(ticket)]);
+}
+
+#[test]
+fn place_that_fails_leaves_a_paused_stream_where_it_was() {
+    for failure in [AttemptFailure::NeverSent, AttemptFailure::Broken] {
+        let (mut subject, ticket, _) = box_with_stream();
+        let mut effects = subject.feed(RouteEvent::AttemptStalled(ticket));
+        while order_in(&effects).is_some() {
+            effects = subject.feed(RouteEvent::AttemptFailed(ticket, failure));
+        }
+        assert!(effects.contains(&RouteEffect::KeepFormer(ticket)), "{failure:?}: {effects:?}");
+    }
+}
+
+#[test]
+fn deadline_ends_the_former_attempt_too() {
+    let (mut subject, ticket, _) = box_with_stream();
+    assert!(order_in(&subject.feed(RouteEvent::AttemptStalled(ticket))).is_some());
+
+    let effects = subject.feed(RouteEvent::DeadlinePassed(ticket));
+
+    let reason = RefusalReason::DeadlinePassed;
+    assert_eq!(effects, [RouteEffect::AbortResponse(ticket, reason)]);
+    let mut rows = subject.state.backends().rows();
+    assert!(rows.all(|(_, row)| row.outstanding == 0));
+}
--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -9,6 +9,7 @@
 mod exposure;
 mod fixture;
 mod fleet;
+mod former_attempts;
 mod incarnations;
 mod leader;
 mod leader_fleet;
--- a/crates/core/tests/route/not_run.rs
+++ b/crates/core/tests/route/not_run.rs
@@ -4,7 +4,7 @@
 use proptest::prelude::*;
 use ravenspoke_core::event::RequestTicket;
 use ravenspoke_core::route::event::{
-    AnswerHead, AttemptFailure, CallerRequest, RouteEffect, RouteEvent,
+    AnswerHead, AttemptFailure, CallerRequest, FormerEnd, RouteEffect, RouteEvent,
 };
 use ravenspoke_core::route::scheduling::control::LoadControl;
 use ravenspoke_core::route::RouteSettings;
@@ -23,6 +23,8 @@
     Withdrawn,
     Broken,
     Stalled,
+    Resumed,
+    FormerReplaced,
     Unproven,
     Unsure,
     PathsRechecked,
@@ -30,13 +32,15 @@
 }
 
 impl AttemptFate {
-    const ALL: [Self; 10] = [
+    const ALL: [Self; 12] = [
         Self::Rejected,
         Self::OtherReplica,
         Self::NeverSent,
         Self::Withdrawn,
         Self::Broken,
         Self::Stalled,
+        Self::Resumed,
+        Self::FormerReplaced,
         Self::Unproven,
         Self::Unsure,
         Self::PathsRechecked,
@@ -62,6 +66,8 @@
             Self::Withdrawn => failed(AttemptFailure::Withdrawn),
             Self::Broken => failed(AttemptFailure::Broken),
             Self::Stalled => Some(RouteEvent::AttemptStalled(ticket)),
+            Self::Resumed => Some(RouteEvent::AttemptResumed(ticket)),
+            Self::FormerReplaced => Some(RouteEvent::FormerEnded(ticket, FormerEnd::Replaced)),
             Self::PathsRechecked => Some(RouteEvent::AttemptRechecked(ticket)),
             Self::TimePasses => None,
         }
@@ -106,6 +112,9 @@
             prop_assert!(refusal.status != 503 || !has_run, "{refusal:?}");
             return Ok(false);
         }
+        if effects.iter().any(|effect| matches!(effect, RouteEffect::KeepFormer(_))) {
+            self.is_sent = true;
+        }
         if order_in(effects).is_some() {
             self.may_have_run |= self.is_sent;
             prop_assert!(!self.is_single || !self.may_have_run, "it is sent again");
--- a/crates/core/tests/route/partition_fleet.rs
+++ b/crates/core/tests/route/partition_fleet.rs
@@ -8,7 +8,7 @@
 use ravenspoke_core::ids::ReplicaKey;
 use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
 use ravenspoke_core::route::event::{
-    AnswerHead, AttemptFailure, CallerRequest, RouteEffect, RouteEvent, SendOrder,
+    AnswerHead, AttemptFailure, CallerRequest, FormerEnd, RouteEffect, RouteEvent, SendOrder,
 };
 use ravenspoke_core::route::plan::RoutePlan;
 use ravenspoke_core::route::{RouteSettings, RouteState};
@@ -61,6 +61,7 @@
     End(usize, u64),
     Fail(usize, u64, u64),
     Break(usize, u64, u64),
+    Overlap(usize, u64, u64),
     Stall(usize, u64, u64),
     Deadline(usize, u64),
     Probed(usize, ReplicaKey, bool),
@@ -112,6 +113,8 @@
     step_number: u64,
     tickets: u64,
     attempts: HashMap<(usize, u64), RunningTry>,
+    /// Attempts that are kept while another place is asked.
+    former: HashMap<(usize, u64), RunningTry>,
     attempt_number: u64,
     callers: Vec<CallerView>,
     tries: HashMap<(usize, u64), FirstTry>,
@@ -151,6 +154,7 @@
             step_number: 0,
             tickets: 0,
             attempts: HashMap::new(),
+            former: HashMap::new(),
             attempt_number: 0,
             callers: Vec::new(),
             tries: HashMap::new(),
@@ -210,6 +214,7 @@
         self.boxes[number] = new_state(number);
         self.keys[number].clear();
         self.attempts.retain(|(owner, _), _| *owner != number);
+        self.former.retain(|(owner, _), _| *owner != number);
         self.begin(number);
     }
 
@@ -272,6 +277,7 @@
 
     fn handle(&mut self, number: usize, effect: RouteEffect) {
         match effect {
+            RouteEffect::KeepFormer(ticket) => self.return_to_former(number, ticket.0),
             RouteEffect::Send(ticket, order) if order.pass.is_some() => {
                 self.forward(number, ticket.0, order);
             }
@@ -313,7 +319,7 @@
         let is_lost = self.lost[number][replica];
         self.repeats += usize::from(order.number > 1);
         let (head_ms, deadline) = (order.head_ms, order.deadline.as_millis());
-        self.attempts.insert((number, ticket), RunningTry { number: attempt, order, head: false });
+        self.begin_attempt(number, ticket, RunningTry { number: attempt, order, head: false });
         let was_open = self.now < self.lost_at + POOL_MS;
         let after_ms = match self.failure {
             _ if self.down[replica] => Some(1),
@@ -336,6 +342,48 @@
         self.push(deadline, Step::Deadline(number, ticket));
     }
 
+    /// Makes an attempt the current one, and keeps the one before if its order says so.
+    fn begin_attempt(&mut self, number: usize, ticket: u64, attempt: RunningTry) {
+        let overlap_ms = attempt.order.overlap_ms;
+        let count = attempt.number;
+        let last = self.attempts.insert((number, ticket), attempt);
+        if let Some(overlap_ms) = overlap_ms {
+            if let Some(last) = last {
+                self.former.entry((number, ticket)).or_insert(last);
+            }
+            self.push(self.now + overlap_ms, Step::Overlap(number, ticket, count));
+        }
+    }
+
+    fn return_to_former(&mut self, number: usize, ticket: u64) {
+        self.cancel_forwards(number, ticket);
+        if let Some(former) = self.former.remove(&(number, ticket)) {
+            self.attempts.insert((number, ticket), former);
+        }
+    }
+
+    /// Ends what a box forwarded of a request.
+    fn cancel_forwards(&mut self, number: usize, ticket: u64) {
+        let own = self.origins.iter().filter(|(_, origin)| **origin == (number, ticket));
+        let mut inner: Vec<(usize, u64)> = own.map(|(inner, _)| *inner).collect();
+        inner.sort_unstable();
+        for (target, inner) in inner {
+            self.origins.remove(&(target, inner));
+            self.attempts.remove(&(target, inner));
+            self.feed(target, RouteEvent::CallerDisconnected(RequestTicket(inner)));
+        }
+    }
+
+    fn is_former(&self, number: usize, ticket: u64, attempt: u64) -> bool {
+        let former = self.former.get(&(number, ticket));
+        former.is_some_and(|former| former.number == attempt)
+    }
+
+    fn end_former(&mut self, number: usize, ticket: u64, end: FormerEnd) {
+        self.former.remove(&(number, ticket));
+        self.feed(number, RouteEvent::FormerEnded(RequestTicket(ticket), end));
+    }
+
     /// Delivers a forwarded request to its box.
     fn forward(&mut self, number: usize, ticket: u64, order: SendOrder) {
         self.forwards[number] += 1;
@@ -346,7 +394,7 @@
         let request = self.requests[&(number, ticket)].clone();
         let pass = order.pass.clone().expect("a pass");
         assert_eq!(pass.key, self.boxes[target].forward_key(), "the key of the box");
-        self.attempts.insert((number, ticket), RunningTry { number: attempt, order, head: false });
+        self.begin_attempt(number, ticket, RunningTry { number: attempt, order, head: false });
         self.push(deadline, Step::Deadline(number, ticket));
         self.tickets += 1;
         let inner = self.tickets;
@@ -387,6 +435,7 @@
     }
 
     fn relay(&mut self, number: usize, ticket: u64) {
+        self.former.remove(&(number, ticket));
         self.answer_origin(number, ticket, head(200));
         if let Some(attempt) = self.attempts.get_mut(&(number, ticket)) {
             attempt.head = true;
@@ -435,6 +484,22 @@
             Step::Head(number, ticket, attempt) if self.is_running(number, ticket, attempt) => {
                 self.feed(number, RouteEvent::HeadReceived(RequestTicket(ticket), head(200)));
             }
+            Step::Head(number, ticket, attempt) if self.is_former(number, ticket, attempt) => {
+                self.feed(number, RouteEvent::AttemptResumed(RequestTicket(ticket)));
+                self.return_to_former(number, ticket);
+                self.feed(number, RouteEvent::HeadReceived(RequestTicket(ticket), head(200)));
+            }
+            Step::Overlap(number, ticket, attempt)
+                if self.is_running(number, ticket, attempt)
+                    && self.former.contains_key(&(number, ticket)) =>
+            {
+                self.end_former(number, ticket, FormerEnd::Replaced);
+            }
+            Step::Fail(number, ticket, attempt) | Step::Break(number, ticket, attempt)
+                if self.is_former(number, ticket, attempt) =>
+            {
+                self.end_former(number, ticket, FormerEnd::Broken);
+            }
             Step::End(number, ticket) if self.attempts.contains_key(&(number, ticket)) => {
                 self.attempts.remove(&(number, ticket));
                 self.feed(number, RouteEvent::ResponseFinished(RequestTicket(ticket)));
@@ -451,6 +516,7 @@
             Step::Deadline(number, ticket) => {
                 let ended = self.tries.get(&(number, ticket)).is_none_or(|row| row.ended.is_some());
                 if !ended {
+                    self.former.remove(&(number, ticket));
                     self.attempts.remove(&(number, ticket));
                     self.feed(number, RouteEvent::DeadlinePassed(RequestTicket(ticket)));
                 }
@@ -466,7 +532,7 @@
 
     fn stall(&mut self, number: usize, ticket: u64, attempt: u64) {
         let running = &self.attempts[&(number, ticket)];
-        if running.head {
+        if running.head || self.former.contains_key(&(number, ticket)) {
             return;
         }
         let head_ms = running.order.head_ms.max(1);
--- a/crates/core/tests/route/replica_fleet.rs
+++ b/crates/core/tests/route/replica_fleet.rs
@@ -8,8 +8,8 @@
 use ravenspoke_core::route::backend::{BackendChange, BackendEntry};
 use ravenspoke_core::route::backend_health::UnreachableUpdate;
 use ravenspoke_core::route::event::{
-    AnswerHead, AttemptFailure, CallerRequest, PromptSize, RefusalReason, RouteEffect, RouteEvent,
-    SendOrder,
+    AnswerHead, AttemptFailure, CallerRequest, FormerEnd, PromptSize, RefusalReason, RouteEffect,
+    RouteEvent, SendOrder,
 };
 use ravenspoke_core::route::peers::{GossipMessage, PeerInfo};
 use ravenspoke_core::route::plan::{RoutePlan, ServicePlan};
@@ -451,9 +451,13 @@
         let Some(poison) = self.hung.get(&(number, ticket)).copied() else { return };
         let stalled = RouteEvent::AttemptStalled(RequestTicket(ticket));
         let order = crate::fixture::order_in(&self.feed(number, stalled));
-        if order.is_some() {
+        if let Some(order) = &order {
+            if order.overlap_ms.is_some() {
+                let ended = FormerEnd::Replaced;
+                self.feed(number, RouteEvent::FormerEnded(RequestTicket(ticket), ended));
+            }
             self.hung.remove(&(number, ticket));
-            return self.place(number, ticket, poison, order);
+            return self.place(number, ticket, poison, Some(order.clone()));
         }
         self.push(self.now + UNSENT_MS - STALL_MS, Step::Break(number, ticket));
     }
--- a/crates/standins/src/platform/replica.rs
+++ b/crates/standins/src/platform/replica.rs
@@ -143,6 +143,8 @@
     /// Whether each whole response is sent again in place of the next one on its connection.
     repeats_late: bool,
     version_fault: Option<VersionFault>,
+    /// Requests that it has room for, if that is limited.
+    room: Option<u32>,
     /// Requests that it runs now.
     running: u32,
     /// Times of responses that its version made bad.
@@ -245,6 +247,11 @@
         self.lock().repeats_late = repeats;
     }
 
+    /// Sets how many requests it has room for; it rejects others at once, also while it is silent.
+    pub fn set_room(&self, room: u32) {
+        self.lock().room = Some(room);
+    }
+
     /// Sets the rate limit that its responses announce, in requests a second from all boxes
     /// together.
     pub fn set_limit(&self, limit_per_s: Option<f64>) {
@@ -267,6 +274,11 @@
         self.lock().silent_until = Some(Instant::now() + length);
     }
 
+    fn has_no_room(&self) -> bool {
+        let record = self.lock();
+        record.room.is_some_and(|room| record.running >= room)
+    }
+
     /// Waits until it is not silent.
     async fn wait_silence(&self) {
         loop {
@@ -469,6 +481,10 @@
             return Ok(true);
         }
         let mode = self.lock().mode;
+        if self.has_no_room() {
+            self.respond(stream, self.reject(&id), held).await?;
+            return Ok(true);
+        }
         self.wait_silence().await;
         if self.is_down() {
             return Ok(false);
