paths: pieces of streams show that paths work, and a running stream is not overdue

Callers saw: streams handed to another box although nothing was wrong with the paths of theirs, and work for both. Cause: `is_silent_everywhere` looked at response heads only, and counted streams that were under way since long as requests without an answer. A box all of whose streams run, or that stops, gets no heads: after 300 ms each pause looked like lost paths, which also spared it the budget for stalls. Change: relays report at most each 100 ms that a piece of a stream arrived (`StreamHeard`), and a stream is overdue only while it pauses for longer than its limit.

--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -121,6 +121,10 @@
 /// produces. On a saturated link new ones are dropped; later gossip messages repeat their contents.
 pub const GOSSIP_QUEUE_LIMIT: usize = 256;
 
+/// Least time between two reports to the reducer that pieces of streams arrive, in milliseconds. It
+/// is well below the silence that makes a box doubt its paths.
+const HEARD_INTERVAL_MS: u64 = 100;
+
 /// Channels that effects are sent to.
 pub struct GatewaySinks {
     /// Gossip messages, sync requests and other datagrams except sync responses.
@@ -146,6 +150,8 @@
     sinks: GatewaySinks,
     clock: Arc<BoxClock>,
     next_ticket: AtomicU64,
+    /// When the reducer was last told that a piece of a stream arrived, in milliseconds.
+    heard_ms: AtomicU64,
     /// Tasks that wait for the next step of their request. It is only changed under the lock of the
     /// state, so that no step is emitted before its task is known.
     waiting: Mutex<HashMap<RequestTicket, WaitingTask>>,
@@ -176,6 +182,7 @@
             sinks,
             clock,
             next_ticket: AtomicU64::new(1),
+            heard_ms: AtomicU64::new(0),
             waiting: Mutex::default(),
             operator: Mutex::default(),
             rechecks: watch::Sender::new(0),
@@ -265,6 +272,20 @@
         }
     }
 
+    /// Records that a piece of a stream arrived from a replica. The reducer is told at most once each
+    /// [`HEARD_INTERVAL_MS`].
+    pub fn note_heard(&self) {
+        let now_ms = self.now().as_millis();
+        let last_ms = self.heard_ms.load(Ordering::Relaxed);
+        if now_ms < last_ms + HEARD_INTERVAL_MS {
+            return;
+        }
+        let told = Ordering::Relaxed;
+        if self.heard_ms.compare_exchange(last_ms, now_ms, told, told).is_ok() {
+            self.feed(RouteEvent::StreamHeard);
+        }
+    }
+
     /// Number of tasks that wait for the next step of their request.
     pub fn waiting_tasks(&self) -> usize {
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner).len()
--- a/crates/box/src/gateway/relay.rs
+++ b/crates/box/src/gateway/relay.rs
@@ -73,6 +73,9 @@
             self.quiet += began.elapsed();
             match signal {
                 RelaySignal::Piece(StreamPiece::Events(events)) => {
+                    if self.order.pass.is_none() {
+                        self.context.driver.note_heard();
+                    }
                     if events.has_event {
                         self.note_event();
                     }
--- a/crates/box/tests/paused_streams.rs
+++ b/crates/box/tests/paused_streams.rs
@@ -77,6 +77,22 @@
     assert!(!first.events("attempt_kept").is_empty(), "other places were asked");
 }
 
+/// Guards against a box that takes its paths for lost because its streams got no response heads
+/// lately.
+#[tokio::test(flavor = "multi_thread")]
+async fn pause_of_one_replica_is_no_lost_path() {
+    let (site, replicas, first, _second) = crowded_site().await;
+    let answers = fill(&site, &first).await;
+    tokio::time::sleep(Duration::from_millis(350)).await;
+
+    replicas[0].fall_silent(PAUSE);
+
+    for answer in answers {
+        assert_eq!(answer.text().await.expect("a whole stream"), whole_stream());
+    }
+    assert_eq!(first.events("request_forwarded"), Vec::<serde_json::Value>::new());
+}
+
 /// Guards against a stopping box that closes the channel of a sound replica before another box has
 /// taken the stream.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -160,6 +160,9 @@
     /// Nothing arrived for as long as the send order allows: another place may be asked, or the
     /// attempt continues. A stall alone never ends a request, nor the attempt.
     AttemptStalled(RequestTicket),
+    /// A piece of a stream arrived from a replica. It is reported for all streams together, now and
+    /// then.
+    StreamHeard,
     /// Something arrived of an attempt after [`RouteEvent::AttemptStalled`]. If it is the former one
     /// that is kept beside another, that other one has been ended.
     AttemptResumed(RequestTicket),
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -381,6 +381,7 @@
             }
             RouteEvent::HeadReceived(ticket, head) => self.on_head(stamp, ticket, head, out),
             RouteEvent::AttemptStalled(ticket) => self.on_attempt_stalled(stamp, ticket, out),
+            RouteEvent::StreamHeard => self.note_heard(stamp.now),
             RouteEvent::AttemptResumed(ticket) => self.on_attempt_resumed(stamp, ticket),
             RouteEvent::FormerEnded(ticket, end) => {
                 self.on_former_ended(stamp, ticket, end, out);
--- a/crates/core/src/route/paths.rs
+++ b/crates/core/src/route/paths.rs
@@ -18,6 +18,7 @@
 use super::backend::BackendTable;
 use super::backend_health::UnreachableUpdate;
 use super::event::RouteEffect;
+use super::request::RouteRequest;
 use super::RouteState;
 use crate::event::EventStamp;
 use crate::ids::ReplicaKey;
@@ -141,7 +142,7 @@
     last_probed: ReplicaKey,
     /// When anything last arrived from any replica.
     reached_at: BoxTime,
-    /// When the last response head arrived from any replica.
+    /// When the last response head, or piece of a stream, arrived from any replica.
     answered_at: BoxTime,
     /// Whether callers may be directed to this box.
     listed: bool,
@@ -313,15 +314,22 @@
         self.backends.record_reached(key, stamp.now);
     }
 
-    /// Whether several replicas were sent requests and none has answered for a while. New connections
-    /// may succeed nevertheless, at a proxy on the path.
+    /// Records that a piece of a stream arrived from a replica. It came on an open connection, which
+    /// may outlive the path for new ones.
+    pub(super) fn note_heard(&mut self, now: BoxTime) {
+        self.paths.answered_at = now;
+    }
+
+    /// Whether several replicas are overdue, and nothing has arrived from any for a while. New
+    /// connections may succeed nevertheless, at a proxy on the path.
     pub(super) fn is_silent_everywhere(&self, now: BoxTime) -> bool {
         if now.millis_since(self.paths.answered_at) < SILENCE_MS {
             return false;
         }
-        let attempts = self.requests.values().filter_map(|request| request.attempt);
-        let overdue = attempts.filter(|attempt| {
-            now.millis_since(attempt.began) >= SILENCE_MS + 2 * attempt.expected_ms
+        let attempts = self.requests.values().flat_map(RouteRequest::running_attempts);
+        let overdue = attempts.filter(|attempt| match attempt.answers_since {
+            Some(_) => attempt.pauses > 0,
+            None => now.millis_since(attempt.began) >= SILENCE_MS + 2 * attempt.expected_ms,
         });
         let replicas: BTreeSet<ReplicaKey> = overdue.map(|attempt| attempt.replica).collect();
         replicas.len() >= SUSPECT_REPLICAS
