arrival: an old plan names no holder of a key, on routes that need none either

Callers saw: for 9 s after a key had gone to another client account, a box that the store turned away ran their requests under the account that held the key before (UNASKED), on a route that needs no key. Cause: the age of the plan was asked for only where the route needs a key. Change: a request with a key is refused as `plan_stale` (503, not run) by a box whose plan is too old to honour keys, whatever its route; one without a key is served as before. A request that needs no key keeps the account with which it was admitted while it waits, and is not refused because the key's holder changed. Test: route requests::a_key_on_a_route_that_needs_none_names_no_account_by_an_old_plan, red before.

--- a/crates/core/src/route/arrival.rs
+++ b/crates/core/src/route/arrival.rs
@@ -97,7 +97,8 @@
         Ok((route, holder))
     }
 
-    /// Finds the holder of a key, if it is known. `needs_key` states whether the route needs one.
+    /// Finds the holder of a key, if it is known. `needs_key` states whether the route needs one. A plan
+    /// that is too old names no holder, since another one may hold the key by now.
     fn find_holder(
         &self,
         stamp: EventStamp,
@@ -105,7 +106,9 @@
         key: Option<&str>,
     ) -> Result<Option<&KeyHolder>, RefusalReason> {
         let keyed = self.table.asks_for_keys() && needs_key;
-        if keyed && !self.fresh.honours_keys(stamp.now, self.settings.fresh) {
+        let names_holder = self.table.asks_for_keys() && key.is_some();
+        let is_stale = !self.fresh.honours_keys(stamp.now, self.settings.fresh);
+        if (keyed || names_holder) && is_stale {
             return Err(RefusalReason::PlanStale);
         }
         let holder = key.and_then(|key| self.table.holder(key));
@@ -124,14 +127,14 @@
         }
     }
 
-    /// Returns why a request that this box admitted earlier may no longer be sent, if its key was
+    /// Returns why a request that this box admitted by its key may no longer be sent, if the key was
     /// revoked or the plan became too old to accept keys.
     pub(super) fn recheck_key(
         &self,
         stamp: EventStamp,
         request: &RouteRequest,
     ) -> Result<(), RefusalReason> {
-        if request.received.is_some() {
+        if !request.needs_key {
             return Ok(());
         }
         let holder = self.find_holder(stamp, request.needs_key, request.key.as_deref())?;
--- a/crates/core/tests/route/requests.rs
+++ b/crates/core/tests/route/requests.rs
@@ -189,6 +189,26 @@
     assert_eq!(effects, [RouteEffect::AbortResponse(ticket, RefusalReason::Failed)]);
 }
 
+/// Guards against a client account that is named by a key which another one may hold by now.
+#[test]
+fn a_key_on_a_route_that_needs_none_names_no_account_by_an_old_plan() {
+    let mut subject = ready_box();
+    let mut open = plan(2);
+    open.routes[0].anonymous = true;
+    subject.read_plan(Some(open));
+    let without_key = || CallerRequest { key: None, ..ask("/read/x") };
+    let unknown_key = || CallerRequest { key: Some("unknown".to_owned()), ..ask("/read/x") };
+    assert_eq!(subject.sent(ask("/read/x")).1.account.as_deref(), Some("alpha"));
+    assert_eq!(subject.sent(unknown_key()).1.account, None);
+
+    subject.now += 5_000;
+
+    for caller in [ask("/read/x"), unknown_key()] {
+        assert!(is_refused(subject.refused(caller), 503, RefusalReason::PlanStale));
+    }
+    assert_eq!(subject.sent(without_key()).1.account, None);
+}
+
 #[test]
 fn a_stream_that_cannot_resume_is_aborted() {
     let mut subject = new_box("box-1");
