former: the answer of a model is kept until a larger one has taken the request

Cause: `escalate` ended the attempt whose answer had come before the larger model had the request. Change: that answer is kept like a paused attempt, for 50 ms after the request was written to the larger model, which rejects at once what it has no room for; its replica goes on writing meanwhile. If none takes the request, the answer in hand is relayed. A larger model that fails is not followed by another one. An attempt keeps the row of its model, so that a request returns to it with the attempt. Tests: route former_attempts::answer_is_relayed_when_every_larger_model_rejects_the_request and ..._when_the_larger_model_fails_at_once; both end in a refusal or a third attempt without the change. models::escalated_request now ends the kept answer first, as the box does after 50 ms; what it demands of the last attempt is the same.

--- a/crates/box/src/gateway/attempts.rs
+++ b/crates/box/src/gateway/attempts.rs
@@ -2,7 +2,7 @@
 //! be asked; the former attempt is read meanwhile, and whichever answers first is kept.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::Duration;
 
 use futures_util::future::BoxFuture;
 use ravenspoke_core::route::event::{AttemptFailure, FormerEnd, RouteEvent, SendOrder};
@@ -40,7 +40,7 @@
 /// A call to a replica or to another box.
 struct RunningCall<'a> {
     order: Arc<SendOrder>,
-    began: Instant,
+    began: BoxTime,
     /// When it stalls, if nothing arrives until then.
     stall_at: BoxTime,
     /// Notified when the request is being written.
@@ -59,9 +59,15 @@
             call_replica(request.context, request.caller, ticket, &sent, resume_after, &writes)
                 .await
         };
-        let stall_at = request.context.driver.now().plus_millis(order.head_ms);
+        let began = request.context.driver.now();
+        let stall_at = began.plus_millis(order.head_ms);
         let response = Box::pin(response);
-        Self { order, began: Instant::now(), stall_at, written, overlap_until: None, response }
+        Self { order, began, stall_at, written, overlap_until: None, response }
+    }
+
+    /// Time since it began.
+    fn elapsed(&self, driver: &GatewayDriver) -> Duration {
+        driver.clock().since(self.began)
     }
 
     /// Waits anew until it stalls.
@@ -85,6 +91,8 @@
 enum FormerAttempt<'a> {
     /// Its response has not begun.
     Call(RunningCall<'a>),
+    /// Its response has begun, and is not relayed while a larger model is asked.
+    Answer(Arc<SendOrder>, Box<ReplicaResponse>),
     /// The caller has a part of its response.
     Stream(&'a mut StreamReader),
 }
@@ -106,7 +114,7 @@
     match former {
         Some(FormerAttempt::Stream(reader)) => CallSignal::FormerPiece(reader.next().await),
         Some(FormerAttempt::Call(call)) => CallSignal::FormerResponse(call.response.as_mut().await),
-        None => std::future::pending().await,
+        Some(FormerAttempt::Answer(..)) | None => std::future::pending().await,
     }
 }
 
@@ -147,6 +155,7 @@
     let mut current = RunningCall::start(request, guard, order);
     let mut former = stream.map(FormerAttempt::Stream);
     loop {
+        let mut answered = None;
         let signal = next_signal(driver, &mut current, &mut former, &mut rechecks).await;
         let step = match signal {
             CallSignal::FormerPiece(StreamPiece::Broken(why)) => {
@@ -154,19 +163,16 @@
                 continue;
             }
             CallSignal::FormerPiece(piece) => {
-                observe::log_attempt_resumed(&guard.name, current.began.elapsed());
+                observe::log_attempt_resumed(&guard.name, current.elapsed(driver));
                 guard.feed(RouteEvent::AttemptResumed(ticket));
                 return AttemptOutcome::StreamResumed(piece);
             }
             CallSignal::FormerResponse(Ok(response)) if response.is_answer() => {
                 let Some(FormerAttempt::Call(call)) = former.take() else { continue };
-                observe::log_attempt_resumed(&guard.name, current.began.elapsed());
+                observe::log_attempt_resumed(&guard.name, current.elapsed(driver));
                 guard.feed(RouteEvent::AttemptResumed(ticket));
                 current = call;
-                match receive(guard, &current, response) {
-                    Received::Relayed(outcome) => return outcome,
-                    Received::Step(step) => step,
-                }
+                receive(guard, &current, response, &mut answered)
             }
             CallSignal::FormerResponse(Err(failed)) if failed.failure == AttemptFailure::Broken => {
                 end_former(guard, former.take(), FormerEnd::Broken, &failed.why);
@@ -176,12 +182,9 @@
                 end_former(guard, former.take(), FormerEnd::Replaced, "it has not run, or failed");
                 continue;
             }
-            CallSignal::Response(Ok(response)) => match receive(guard, &current, response) {
-                Received::Relayed(outcome) => return outcome,
-                Received::Step(step) => step,
-            },
+            CallSignal::Response(Ok(response)) => receive(guard, &current, response, &mut answered),
             CallSignal::Response(Err(failed)) => {
-                observe::log_attempt_failed(&guard.name, &failed, current.began.elapsed());
+                observe::log_attempt_failed(&guard.name, &failed, current.elapsed(driver));
                 guard.feed(RouteEvent::AttemptFailed(ticket, failed.failure))
             }
             CallSignal::Written => {
@@ -198,7 +201,7 @@
                 None => continue,
                 step => {
                     let why = "its path is lost, or it has a feature that crashes replicas";
-                    observe::log_attempt_failed(&guard.name, &silent(why), current.began.elapsed());
+                    observe::log_attempt_failed(&guard.name, &silent(why), current.elapsed(driver));
                     step
                 }
             },
@@ -208,7 +211,7 @@
                     None => continue,
                     step => {
                         let failed = silent("no response head within the limit");
-                        observe::log_attempt_failed(&guard.name, &failed, current.began.elapsed());
+                        observe::log_attempt_failed(&guard.name, &failed, current.elapsed(driver));
                         step
                     }
                 }
@@ -220,13 +223,25 @@
                 let next = RunningCall::start(request, guard, order);
                 let last = std::mem::replace(&mut current, next);
                 // With a former attempt, the last call has been refused or has failed.
-                former.get_or_insert(FormerAttempt::Call(last));
+                if former.is_none() {
+                    former = Some(match answered {
+                        Some(response) => FormerAttempt::Answer(last.order, response),
+                        None => FormerAttempt::Call(last),
+                    });
+                }
+            }
+            Some(RequestStep::Relay) => {
+                let Some(response) = answered else { return AttemptOutcome::Ended(None) };
+                return AttemptOutcome::Response(current.order, response);
             }
             Some(RequestStep::KeepFormer) => match former.take() {
                 Some(FormerAttempt::Call(call)) => {
                     current = call;
                     current.restart_stall(driver.now());
                 }
+                Some(FormerAttempt::Answer(order, response)) => {
+                    return AttemptOutcome::Response(order, response);
+                }
                 Some(FormerAttempt::Stream(_)) => return AttemptOutcome::StreamKept,
                 None => return AttemptOutcome::Ended(None),
             },
@@ -240,25 +255,17 @@
     }
 }
 
-/// What the reducer makes of a response.
-enum Received {
-    Relayed(AttemptOutcome),
-    Step(Option<RequestStep>),
-}
-
+/// Tells the reducer about a response, which is put into `answered`, and returns the next step.
 fn receive(
     guard: &mut RequestGuard,
     call: &RunningCall<'_>,
     response: ReplicaResponse,
-) -> Received {
+    answered: &mut Option<Box<ReplicaResponse>>,
+) -> Option<RequestStep> {
     let (head, link_use) = (response.decoded, response.link_use);
-    observe::log_head_received(&guard.name, &head, link_use, call.began.elapsed());
-    match guard.feed(RouteEvent::HeadReceived(guard.name.ticket, head)) {
-        Some(RequestStep::Relay) => {
-            Received::Relayed(AttemptOutcome::Response(call.order.clone(), Box::new(response)))
-        }
-        step => Received::Step(step),
-    }
+    observe::log_head_received(&guard.name, &head, link_use, call.elapsed(&guard.driver));
+    *answered = Some(Box::new(response));
+    guard.feed(RouteEvent::HeadReceived(guard.name.ticket, head))
 }
 
 /// Closes the former attempt's connection, and tells the reducer.
--- a/crates/core/src/route/answer.rs
+++ b/crates/core/src/route/answer.rs
@@ -3,6 +3,7 @@
 
 use super::backend_health::BackendOutcome;
 use super::event::{AnswerHead, FormerEnd, RefusalReason, RouteEffect};
+use super::former::PlaceOutcome;
 use super::model_cascade::{self, ModelConfidence};
 use super::model_latency::ServiceLatency;
 use super::retry_budget::SendCause;
@@ -64,7 +65,7 @@
         self.record_refused_place(ticket);
         self.end_attempt(stamp, ticket, outcome);
         if self.has_former(ticket) {
-            return self.ask_next_place(stamp, ticket, out);
+            return self.ask_next_place(stamp, ticket, PlaceOutcome::Refused, out);
         }
         if is_other || !self.wait_after_rejection(stamp, ticket, out) {
             self.resend(stamp, ticket, RefusalReason::Full, out);
@@ -91,7 +92,7 @@
         self.record_trial_load(ticket, head.load);
         if failed && self.has_former(ticket) {
             self.end_attempt(stamp, ticket, BackendOutcome::Failed);
-            return self.ask_next_place(stamp, ticket, out);
+            return self.ask_next_place(stamp, ticket, PlaceOutcome::Failed, out);
         }
         self.end_former(stamp, ticket, FormerEnd::Replaced);
         if failed && kind.repeatable() && self.reassign(stamp, ticket, SendCause::Failure, out) {
@@ -102,24 +103,32 @@
             self.give_up(stamp, ticket, RefusalReason::Failed, out);
             return;
         }
-        if !failed && self.escalate(stamp, ticket, head, out) {
-            return;
-        }
         if let Some(request) = self.requests.get_mut(&ticket) {
-            request.succeeds = head.is_success();
-            request.was_resumed = request.relayed;
-            if !request.relayed {
-                request.relayed_on_trial = request.attempt.is_some_and(|attempt| attempt.on_trial);
-            }
-            request.relayed = true;
+            request.outcome = if failed { BackendOutcome::Failed } else { BackendOutcome::Served };
             if let Some(attempt) = &mut request.attempt {
-                attempt.answers_since = Some(stamp.now);
+                attempt.answer = Some(head);
             }
-            request.outcome = if failed { BackendOutcome::Failed } else { BackendOutcome::Served };
         }
+        if !failed && self.escalate(stamp, ticket, head, out) {
+            return;
+        }
+        self.begin_relay(stamp, ticket);
         out.push(RouteEffect::Relay(ticket));
     }
 
+    /// Records that the answer of the current attempt is relayed from now on.
+    pub(super) fn begin_relay(&mut self, stamp: EventStamp, ticket: RequestTicket) {
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
+        let Some(attempt) = &mut request.attempt else { return };
+        attempt.answers_since = Some(stamp.now);
+        request.succeeds = attempt.answer.is_some_and(|head| head.is_success());
+        request.was_resumed = request.relayed;
+        if !request.relayed {
+            request.relayed_on_trial = attempt.on_trial;
+        }
+        request.relayed = true;
+    }
+
     /// Sends the request to a larger model in place of one with low confidence, if that is allowed.
     fn escalate(
         &mut self,
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -7,7 +7,7 @@
 use super::event::{
     AttemptFailure, DecisionInputs, FormerEnd, RefusalReason, RouteEffect, SendOrder,
 };
-use super::former::OVERLAP_MS;
+use super::former::PlaceOutcome;
 use super::plan::RouteKind;
 use super::request::{RouteRequest, RunningAttempt};
 use super::retry_budget::SendCause;
@@ -219,6 +219,8 @@
             replica: pick.key,
             began: stamp.now,
             on_trial,
+            size: request.size,
+            answer: None,
             answers_since: None,
             pauses: 0,
             cached: pick.cached,
@@ -246,7 +248,7 @@
             deadline: request.deadline,
             head_ms,
             pause_ms,
-            overlap_ms: request.former.as_ref().map(|_| OVERLAP_MS),
+            overlap_ms: request.overlap_ms(),
             inputs: Box::new(inputs),
             pass: None,
         };
@@ -265,8 +267,8 @@
     }
 
     /// Assigns the request to another replica, if there is one and attempts, time and budget allow it.
-    /// Otherwise nothing changes and `false` is returned. The current attempt ends, unless its replica
-    /// may only pause.
+    /// Otherwise nothing changes and `false` is returned. The current attempt ends if it has failed, and
+    /// is kept otherwise.
     pub(super) fn reassign(
         &mut self,
         stamp: EventStamp,
@@ -292,7 +294,7 @@
             }
             return false;
         }
-        self.set_aside(stamp, ticket, cause, size);
+        self.set_aside(stamp, ticket, cause);
         match (target, choice) {
             (Some(target), _) => self.send_forward(stamp, ticket, target, out),
             (None, Some(choice)) => self.assign(stamp, ticket, choice, out),
@@ -451,7 +453,7 @@
         }
         if has_former {
             self.end_attempt(stamp, ticket, BackendOutcome::Inconclusive);
-            return self.ask_next_place(stamp, ticket, out);
+            return self.ask_next_place(stamp, ticket, PlaceOutcome::Failed, out);
         }
         self.reassign(stamp, ticket, SendCause::PathLost, out);
     }
@@ -495,7 +497,7 @@
                 self.note_path_failed(stamp, replica, out);
             }
             if self.has_former(ticket) {
-                self.ask_next_place(stamp, ticket, out);
+                self.ask_next_place(stamp, ticket, PlaceOutcome::Refused, out);
             } else {
                 self.resend_unwritten(stamp, ticket, out);
             }
@@ -508,7 +510,7 @@
         self.count_lost_answer(stamp, ticket);
         self.end_attempt(stamp, ticket, BackendOutcome::Failed);
         if self.has_former(ticket) {
-            return self.ask_next_place(stamp, ticket, out);
+            return self.ask_next_place(stamp, ticket, PlaceOutcome::Failed, out);
         }
         let Some(request) = self.requests.get(&ticket) else { return };
         if request.route.kind.repeatable() {
--- a/crates/core/src/route/former.rs
+++ b/crates/core/src/route/former.rs
@@ -5,6 +5,9 @@
 //! the former one ends the search; a place that refuses or fails costs nothing but itself. The former
 //! attempt ends once another place answers, or [`OVERLAP_MS`] after the last one was asked: a replica
 //! rejects at once what it has no room for, and no request is to be at work at two places for long.
+//!
+//! The answer of a model is kept likewise while a larger one is asked, and is relayed if none takes
+//! the request.
 
 use super::backend_health::BackendOutcome;
 use super::event::{FormerEnd, RouteEffect};
@@ -17,6 +20,9 @@
 /// Time for which an attempt is kept beside the one that may replace it, in milliseconds.
 pub const OVERLAP_MS: u64 = 250;
 
+/// The same for the answer of a smaller model, whose replica goes on writing it meanwhile.
+pub const ANSWER_OVERLAP_MS: u64 = 50;
+
 /// Places that are asked while an attempt pauses, at most. What they reject draws on the retry
 /// budget.
 pub const PLACES_ASKED: u32 = 2;
@@ -25,8 +31,6 @@
 #[derive(Clone, Debug)]
 pub(super) struct FormerAttempt {
     attempt: RunningAttempt,
-    /// Row of its model in the route's sizes, if the router chose it.
-    size: Option<usize>,
     /// Why another place is asked.
     pub(super) cause: SendCause,
     /// Places asked so far.
@@ -37,13 +41,21 @@
     forwards_before: usize,
 }
 
+/// What came of a place that was asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum PlaceOutcome {
+    /// It did not take the request.
+    Refused,
+    /// It may have run the request, and has no answer.
+    Failed,
+}
+
 impl RouteRequest {
     /// Puts the current attempt aside while another place is asked.
-    fn set_former(&mut self, cause: SendCause, size: Option<usize>) {
+    fn set_former(&mut self, cause: SendCause) {
         let Some(attempt) = self.attempt.take().filter(|_| self.former.is_none()) else { return };
         self.former = Some(FormerAttempt {
             attempt,
-            size,
             cause,
             asked: 0,
             refused: Vec::new(),
@@ -51,6 +63,13 @@
         });
     }
 
+    /// Returns the time for which its former attempt is kept beside the next one, if there is one.
+    pub(super) fn overlap_ms(&self) -> Option<u64> {
+        let answers = |former: &FormerAttempt| former.cause == SendCause::LargerModel;
+        let overlap_ms = |former| if answers(former) { ANSWER_OVERLAP_MS } else { OVERLAP_MS };
+        self.former.as_ref().map(overlap_ms)
+    }
+
     /// Returns the attempts that run, the former one included.
     pub(super) fn running_attempts(&self) -> impl Iterator<Item = &RunningAttempt> {
         let former = self.former.as_ref().map(|former| &former.attempt);
@@ -70,24 +89,14 @@
 }
 
 impl RouteState {
-    /// Makes room for the next attempt: keeps the current one if its replica may only pause, and ends
-    /// it otherwise. `size` is the row of its model.
-    pub(super) fn set_aside(
-        &mut self,
-        stamp: EventStamp,
-        ticket: RequestTicket,
-        cause: SendCause,
-        size: Option<usize>,
-    ) {
-        match cause {
-            SendCause::LargerModel => self.end_attempt(stamp, ticket, BackendOutcome::Served),
-            SendCause::Failure => self.end_attempt(stamp, ticket, BackendOutcome::Failed),
-            SendCause::Stall | SendCause::PathLost => {
-                let Some(request) = self.requests.get_mut(&ticket) else { return };
-                request.set_former(cause, size);
-            }
+    /// Makes room for the next attempt: keeps the current one, unless it has failed.
+    pub(super) fn set_aside(&mut self, stamp: EventStamp, ticket: RequestTicket, cause: SendCause) {
+        if cause == SendCause::Failure {
+            return self.end_attempt(stamp, ticket, BackendOutcome::Failed);
         }
         let Some(request) = self.requests.get_mut(&ticket) else { return };
+        request.set_former(cause);
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
         if let Some(former) = &mut request.former {
             former.asked += 1;
         }
@@ -98,19 +107,25 @@
         self.requests.get(&ticket).is_some_and(|request| request.former.is_some())
     }
 
-    /// Asks the next place, after the last one refused or failed, or goes on with the former attempt.
+    /// Asks the next place, after what came of the last one, or goes on with the former attempt. An
+    /// answer in hand is not risked again after a larger model has failed.
     pub(super) fn ask_next_place(
         &mut self,
         stamp: EventStamp,
         ticket: RequestTicket,
+        last: PlaceOutcome,
         out: &mut Vec<RouteEffect>,
     ) {
         let Some(request) = self.requests.get(&ticket) else { return };
         let Some(cause) = request.former.as_ref().map(|former| former.cause) else { return };
-        if request.may_ask() && self.reassign(stamp, ticket, cause, out) {
+        let is_worth_it = last == PlaceOutcome::Refused || cause != SendCause::LargerModel;
+        if is_worth_it && request.may_ask() && self.reassign(stamp, ticket, cause, out) {
             return;
         }
         self.return_to_former(ticket);
+        if cause == SendCause::LargerModel {
+            self.begin_relay(stamp, ticket);
+        }
         out.push(RouteEffect::KeepFormer(ticket));
     }
 
@@ -128,8 +143,11 @@
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         let Some(former) = request.former.take() else { return };
         request.attempt = Some(former.attempt);
-        request.size = former.size;
+        request.size = former.attempt.size;
         request.forward_tried.truncate(former.forwards_before);
+        if !request.tried.contains(&former.attempt.replica) {
+            request.tried.push(former.attempt.replica);
+        }
     }
 
     /// Handles the first sign of life of a replica whose attempt paused. If another place was asked
@@ -175,6 +193,7 @@
             (FormerEnd::Dropped, _) | (FormerEnd::Replaced, SendCause::PathLost) => {
                 BackendOutcome::Inconclusive
             }
+            (FormerEnd::Replaced, SendCause::LargerModel) => BackendOutcome::Served,
             (FormerEnd::Replaced | FormerEnd::Broken, _) => BackendOutcome::Failed,
         };
         self.release(stamp, former.attempt, outcome);
--- a/crates/core/src/route/forward.rs
+++ b/crates/core/src/route/forward.rs
@@ -16,7 +16,7 @@
     AnswerHead, AttemptFailure, BegunAnswer, FormerEnd, ForwardPass, ForwardProgress,
     ForwardedRequest, RefusalReason, RouteEffect, SendOrder,
 };
-use super::former::OVERLAP_MS;
+use super::former::PlaceOutcome;
 use super::peers::ForwardQuery;
 use super::request::RunningForward;
 use super::run_record::NotRunProof;
@@ -127,7 +127,7 @@
             deadline: request.deadline,
             head_ms,
             pause_ms,
-            overlap_ms: request.former.as_ref().map(|_| OVERLAP_MS),
+            overlap_ms: request.overlap_ms(),
             inputs: Box::new(inputs),
             pass: Some(pass),
         };
@@ -169,7 +169,7 @@
             let until = stamp.now.plus_millis(FORWARD_REFUSED_MS);
             self.peers.avoid(&forward.peer, service, until);
             if self.has_former(ticket) {
-                return self.ask_next_place(stamp, ticket, out);
+                return self.ask_next_place(stamp, ticket, PlaceOutcome::Refused, out);
             }
             return self.send(stamp, ticket, RefusalReason::NoReplica, out);
         }
@@ -179,7 +179,7 @@
             self.peers.avoid(&forward.peer, None, stamp.now.plus_millis(FORWARD_FAILED_MS));
         }
         if self.has_former(ticket) {
-            return self.ask_next_place(stamp, ticket, out);
+            return self.ask_next_place(stamp, ticket, PlaceOutcome::Failed, out);
         }
         if head.status == TIME_UP_STATUS {
             return self.give_up(stamp, ticket, RefusalReason::DeadlinePassed, out);
@@ -212,7 +212,7 @@
         let is_unwritten = proof.is_some();
         let is_repeatable = request.route.kind.repeatable();
         if self.has_former(ticket) {
-            return self.ask_next_place(stamp, ticket, out);
+            return self.ask_next_place(stamp, ticket, PlaceOutcome::Failed, out);
         }
         if is_unwritten {
             return self.send(stamp, ticket, RefusalReason::NoReplica, out);
--- a/crates/core/src/route/paths.rs
+++ b/crates/core/src/route/paths.rs
@@ -327,7 +327,7 @@
             return false;
         }
         let attempts = self.requests.values().flat_map(RouteRequest::running_attempts);
-        let overdue = attempts.filter(|attempt| match attempt.answers_since {
+        let overdue = attempts.filter(|attempt| match attempt.answer {
             Some(_) => attempt.pauses > 0,
             None => now.millis_since(attempt.began) >= SILENCE_MS + 2 * attempt.expected_ms,
         });
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -2,7 +2,7 @@
 
 use super::admission::{RequestAdmission, RouteTerms};
 use super::backend_health::BackendOutcome;
-use super::event::{BegunAnswer, ForwardProgress, PromptPart, PromptSize};
+use super::event::{AnswerHead, BegunAnswer, ForwardProgress, PromptPart, PromptSize};
 use super::former::FormerAttempt;
 use super::model_cascade::ModelConfidence;
 use super::poison::RequestFeature;
@@ -153,6 +153,10 @@
     pub(super) began: BoxTime,
     /// Whether it runs on a version on trial.
     pub(super) on_trial: bool,
+    /// Row of its model in the route's sizes, if the router chose it.
+    pub(super) size: Option<usize>,
+    /// Head of its answer, unless the replica failed it.
+    pub(super) answer: Option<AnswerHead>,
     /// When its answer began that is relayed.
     pub(super) answers_since: Option<BoxTime>,
     /// Pauses since anything last arrived.
--- a/crates/core/tests/route/former_attempts.rs
+++ b/crates/core/tests/route/former_attempts.rs
@@ -2,11 +2,11 @@
 
 use ravenspoke_core::event::RequestTicket;
 use ravenspoke_core::route::event::{
-    AnswerHead, AttemptFailure, FormerEnd, RefusalReason, RouteEffect, RouteEvent,
+    AnswerHead, AttemptFailure, CallerRequest, FormerEnd, RefusalReason, RouteEffect, RouteEvent,
 };
-use ravenspoke_core::route::former::{OVERLAP_MS, PLACES_ASKED};
+use ravenspoke_core::route::former::{ANSWER_OVERLAP_MS, OVERLAP_MS, PLACES_ASKED};
 
-use crate::fixture::{ask, entry, head, order_in, ready_box, TestBox};
+use crate::fixture::{ask, entry, head, order_in, plan, ready_box, TestBox};
 
 fn rejection() -> AnswerHead {
     AnswerHead { not_run: true, proven: false, ..head(503) }
@@ -89,6 +89,54 @@
     assert_eq!(effects, [RouteEffect::Relay(ticket)]);
 }
 
+/// A box with three replicas and a request whose small model was unsure, sent to a large one.
+fn box_with_unsure_answer() -> (TestBox, RequestTicket, Vec<RouteEffect>) {
+    let mut subject = ready_box();
+    subject.put(entry("c", "v1"));
+    let mut sized = plan(2);
+    sized.routes[0].sizes = vec!["small".to_owned(), "large".to_owned()];
+    subject.read_plan(Some(sized));
+    let (ticket, small) = subject.sent(CallerRequest { any_model: true, ..ask("/read/x") });
+    assert_eq!(small.model.as_deref(), Some("small"));
+    let unsure = AnswerHead { confidence: Some(0), ..head(200) };
+    let effects = subject.feed(RouteEvent::HeadReceived(ticket, unsure));
+    let large = order_in(&effects).expect("a larger model is asked");
+    assert_eq!(
+        (large.model.as_deref(), large.overlap_ms),
+        (Some("large"), Some(ANSWER_OVERLAP_MS))
+    );
+    (subject, ticket, effects)
+}
+
+fn assert_ends_everywhere(mut subject: TestBox, ticket: RequestTicket) {
+    subject.feed(RouteEvent::ResponseFinished(ticket));
+    let mut rows = subject.state.backends().rows();
+    assert!(rows.all(|(_, row)| row.outstanding == 0));
+}
+
+/// Guards against an answer that is given up for that of a larger model, which then is not to be had.
+#[test]
+fn answer_is_relayed_when_every_larger_model_rejects_the_request() {
+    let (mut subject, ticket, mut effects) = box_with_unsure_answer();
+
+    while order_in(&effects).is_some() {
+        effects = subject.feed(RouteEvent::HeadReceived(ticket, rejection()));
+    }
+
+    assert_eq!(effects, [RouteEffect::KeepFormer(ticket)]);
+    assert_ends_everywhere(subject, ticket);
+}
+
+#[test]
+fn answer_is_relayed_when_the_larger_model_fails_at_once() {
+    let (mut subject, ticket, _) = box_with_unsure_answer();
+
+    let effects = subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken));
+
+    assert_eq!(effects, [RouteEffect::KeepFormer(ticket)]);
+    assert_ends_everywhere(subject, ticket);
+}
+
 /// Guards against a call that loses its place in a replica's queue although all others are full.
 #[test]
 fn call_without_a_response_keeps_its_place_when_other_replicas_reject_it() {
--- a/crates/core/tests/route/models.rs
+++ b/crates/core/tests/route/models.rs
@@ -2,7 +2,7 @@
 
 use ravenspoke_core::event::RequestTicket;
 use ravenspoke_core::route::event::{
-    AnswerHead, AttemptFailure, CallerRequest, PromptSize, RouteEffect, RouteEvent,
+    AnswerHead, AttemptFailure, CallerRequest, FormerEnd, PromptSize, RouteEffect, RouteEvent,
 };
 
 use ravenspoke_core::route::model_cascade::{
@@ -30,6 +30,8 @@
     let unsure = AnswerHead { confidence: Some(3), ..head(200) };
     let order = order_in(&subject.feed(RouteEvent::HeadReceived(ticket, unsure)));
     assert_eq!(order.expect("a larger model").model.as_deref(), Some("large"));
+    // The small model's answer is kept for a moment only.
+    subject.feed(RouteEvent::FormerEnded(ticket, FormerEnd::Replaced));
     ticket
 }
 
