bodies: what all callers send together stays within the box's memory

Callers saw: two boxes over their 110 MB, ended and started again four times, while 107 callers sent bodies as long as the plan allows (4 MB). Cause: each body is read whole before it is passed on, and only its own length was bounded. Change: each body draws on a budget of a third of the process's memory from before it is read until its request has ended (`body_budget`, `request_body`); long ones leave a quarter of it to those below 256 KB. What has no room is refused at once, unread, as not run (503 `no_memory`, 777, with Retry-After), and its rest is discarded for up to 5 s so that its caller reads the answer. A body that declares its length is not copied when it is complete. Without a memory limit in the settings nothing changes. Ruled out: letting such a request wait unread, which a caller takes for a box that does not answer. Not covered: whole answers (4 MB at most each) are held while they are read.

--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -6,18 +6,21 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Collected, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use ravenspoke_adapter::headers;
-use ravenspoke_core::route::event::{CallerRequest, ForwardedRequest, RouteEvent, SendOrder};
+use ravenspoke_core::route::event::{
+    CallerRequest, ForwardedRequest, RouteEvent, RouteRefusal, SendOrder,
+};
 
 use super::attempts::{run_attempts, AttemptOutcome, AttemptRequest};
+use super::body_budget::{BodyBudget, BodyShare};
 use super::driver::{GatewayDriver, RequestName, RequestStep, WaitingTurn};
 use super::forward::{self, RequestOrigin, UnknownForwarder};
 use super::observe;
 use super::pool::ReplicaPool;
 use super::relay::relay_stream;
 use super::replica_call::{ReplicaBody, ReplicaResponse};
+use super::request_body::{read_body, BodyFailure, HeldBody};
 use super::responses::{full_body, refusal_response, text_response, AbortedResponse, CallerBody};
 use super::slow_readers::{ReadRequest, ReaderMeter, ReaderWatch};
 use super::stream_reader::StreamSource;
@@ -31,6 +34,8 @@
     pub pool: Arc<ReplicaPool>,
     /// Logs headers of replicas that the box does not know.
     pub unknown_headers: UnknownHeaders,
+    /// Memory for the bodies of requests.
+    pub bodies: Arc<BodyBudget>,
     /// Disconnects callers that do not read, if load control asks for it.
     pub readers: Option<Arc<ReaderWatch>>,
 }
@@ -45,6 +50,8 @@
     pub(super) is_forwarded: bool,
     /// Progress of the caller in reading the response, if it is recorded.
     pub(super) reader: Option<Arc<ReaderMeter>>,
+    /// What the body takes of the box's memory.
+    _share: BodyShare,
 }
 
 /// Reports a disconnected caller to the reducer when the task of its request is dropped.
@@ -97,40 +104,31 @@
     }
 }
 
-/// Reason why a caller's request could not be read.
-enum ReadFailure {
-    /// The request is too large; status and text of the response.
-    TooLarge(StatusCode, &'static str),
-    /// The request was aborted.
-    Broken(AbortedResponse),
-}
-
 /// Reads the body of a request, within the plan's limits if a caller sent it. What another box
 /// forwards it has read within the limits of its own plan.
-async fn read_body(
+async fn read_request(
     context: &GatewayContext,
     head: &http::request::Parts,
     body: Incoming,
     origin: RequestOrigin,
-) -> Result<Bytes, ReadFailure> {
-    let truncated = || ReadFailure::Broken(AbortedResponse("the request body was truncated"));
-    if origin == RequestOrigin::Peer {
-        let body = body.collect().await;
-        return body.map(Collected::to_bytes).map_err(|_| truncated());
-    }
+) -> Result<HeldBody, Result<Response<CallerBody>, AbortedResponse>> {
     let limits = context.driver.state().plan().limits;
-    if head_bytes(head) > limits.header_bytes {
+    let is_caller = origin == RequestOrigin::Caller;
+    if is_caller && head_bytes(head) > limits.header_bytes {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
-        return Err(ReadFailure::TooLarge(status, "the head is too large"));
+        return Err(Ok(text_response(status, "the head is too large")));
     }
-    match Limited::new(body, limits.body_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            Err(ReadFailure::TooLarge(status, "the body is too large"))
+    let limit = if is_caller { limits.body_bytes } else { usize::MAX };
+    read_body(body, limit, &context.bodies).await.map_err(|failure| match failure {
+        BodyFailure::TooLarge => {
+            Ok(text_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"))
         }
-        Err(_) => Err(truncated()),
-    }
+        BodyFailure::NoMemory(_) => {
+            observe::log_body_refused(&headers::request_id(head), context.bodies.used());
+            Ok(refusal_response(RouteRefusal::no_memory()))
+        }
+        BodyFailure::Truncated => Err(AbortedResponse("the request body was truncated")),
+    })
 }
 
 /// Serves a request that has waited for the box to start for `waited`.
@@ -152,10 +150,9 @@
             return Ok(text_response(StatusCode::FORBIDDEN, "no box of this fleet"));
         }
     };
-    let body = match read_body(&context, &head, body, origin).await {
-        Ok(body) => body,
-        Err(ReadFailure::TooLarge(status, text)) => return Ok(text_response(status, text)),
-        Err(ReadFailure::Broken(broken)) => return Err(broken),
+    let HeldBody { bytes: body, share } = match read_request(&context, &head, body, origin).await {
+        Ok(held) => held,
+        Err(ended) => return ended,
     };
     let request = headers::read_request(&head);
     let content = xxhash_rust::xxh3::xxh3_64_with_seed(&body, request.content);
@@ -180,6 +177,7 @@
         body,
         is_forwarded,
         reader,
+        _share: share,
     };
     loop {
         let order = match step {
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -267,6 +267,12 @@
     warn!(event = 744, name = "box_woke", suspended_ms = length.as_millis() as u64);
 }
 
+/// Logs a request that is refused because the bodies of others take the box's memory.
+pub fn log_body_refused(id: &str, held_bytes: usize) {
+    counter!("ravenspoke_bodies_refused_total").increment(1);
+    info!(event = 777, name = "body_refused", id, held_bytes);
+}
+
 /// Logs a header that the platform's adapter does not know, the first time that a replica sends it.
 pub fn log_unknown_header(header: &str, value: &str, replica: &str) {
     counter!("ravenspoke_strange_headers_total").increment(1);
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -26,6 +26,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use super::body_budget::BodyBudget;
 use super::directory::{metrics_routes, ready_routes, resolve_routes};
 use super::driver::{GatewayDriver, GatewaySinks, PeerDatagram, GOSSIP_QUEUE_LIMIT};
 use super::entry::{CallerCount, CallerEntry, EntryPhase, CALLER_SHARE, FORWARD_SHARE};
@@ -277,9 +278,15 @@
         if let Some(readers) = &readers {
             tokio::spawn(readers.clone().run());
         }
+        let bodies = Arc::new(BodyBudget::new(settings.load.memory_bytes));
         let driver = driver.clone();
-        let context =
-            Arc::new(GatewayContext { driver: driver.clone(), pool, unknown_headers, readers });
+        let context = Arc::new(GatewayContext {
+            driver: driver.clone(),
+            pool,
+            unknown_headers,
+            bodies,
+            readers,
+        });
         let callers = Arc::new(CallerCount::default());
         let (phase, phases) = watch::channel(EntryPhase::Starting);
         let entry = |origin, share: f64| CallerEntry {
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -97,6 +97,7 @@
     (774, "panicked"),
     (775, "attempt_kept"),
     (776, "attempt_replaced"),
+    (777, "body_refused"),
 ];
 
 /// Logs and counts an effect, if it has a log event or a metric.
--- a/crates/core/src/route/exchange.rs
+++ b/crates/core/src/route/exchange.rs
@@ -185,6 +185,8 @@
     Failed,
     /// The deadline passed.
     DeadlinePassed,
+    /// The bodies of other requests take the memory of the box.
+    NoMemory,
     /// The box is stopping and could not finish the request before the process is killed.
     BoxStopping,
 }
@@ -208,6 +210,7 @@
             RefusalReason::SuspectedOfCrashes => "suspected_of_crashes",
             RefusalReason::Failed => "replica_failed",
             RefusalReason::DeadlinePassed => "time_up",
+            RefusalReason::NoMemory => "no_memory",
             RefusalReason::BoxStopping => "box_stopping",
         }
     }
--- a/crates/core/src/route/refuse.rs
+++ b/crates/core/src/route/refuse.rs
@@ -3,7 +3,7 @@
 
 use super::event::{DecisionInputs, FormerEnd, RefusalReason, RouteEffect, RouteRefusal};
 use super::request::RouteRequest;
-use super::run_record::NotRunGrant;
+use super::run_record::{NotRunGrant, RunRecord};
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
 
@@ -66,6 +66,13 @@
     }
 }
 
+impl RouteRefusal {
+    /// The refusal of a request whose body the box has no memory for, so that it was not admitted.
+    pub fn no_memory() -> Self {
+        refusal(RefusalReason::NoMemory, Some(RunRecord::never_attempted()))
+    }
+}
+
 /// Returns the refusal for a reason. Without a grant, the request may have run.
 pub(super) fn refusal(reason: RefusalReason, grant: Option<NotRunGrant>) -> RouteRefusal {
     let (status, retry_after_ms) = match (reason, grant) {
