--- a/crates/box/src/gateway/attempts.rs
+++ b/crates/box/src/gateway/attempts.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
+use ravenspoke_core::event::RequestTicket;
 use ravenspoke_core::route::event::{AttemptFailure, FormerEnd, RouteEvent, SendOrder};
 use ravenspoke_core::time::BoxTime;
 use tokio::sync::{watch, Notify};
@@ -118,172 +119,246 @@
     }
 }
 
-async fn next_signal(
-    driver: &GatewayDriver,
-    current: &mut RunningCall<'_>,
-    former: &mut Option<FormerAttempt<'_>>,
-    rechecks: &mut watch::Receiver<u64>,
-) -> CallSignal {
-    let has_former = former.is_some();
-    let (at, timer) = current.next_timer(has_former);
-    let (written, overlap_until) = (current.written.clone(), current.overlap_until);
-    let signal = async {
-        tokio::select! {
-            // What has arrived of the former attempt counts first.
-            biased;
-            signal = former_signal(former) => signal,
-            response = current.response.as_mut() => CallSignal::Response(response),
-            () = written.notified(), if has_former && overlap_until.is_none() => CallSignal::Written,
-            // The sender lives as long as the driver.
-            _ = rechecks.changed() => CallSignal::Rechecked,
-        }
-    };
-    driver.clock().within(driver.until(at), signal).await.unwrap_or(timer)
+/// What follows from a signal.
+enum SignalOutcome {
+    /// Nothing: the attempts go on.
+    GoOn,
+    /// The reducer's next step, with the response that led to it.
+    Step(Option<RequestStep>, Option<Box<ReplicaResponse>>),
+    /// The attempts have ended.
+    Ended(AttemptOutcome),
 }
 
-/// Sends the request as ordered, and to other places as the reducer decides, until one responds or the
-/// reducer takes another step. `stream` is kept until then, if the order says so.
-pub async fn run_attempts<'a>(
+/// The attempts of a request while none is answered: the current one, and the former one that is kept
+/// beside it.
+struct AttemptRun<'a> {
     request: &'a AttemptRequest<'a>,
-    guard: &mut RequestGuard,
-    order: Arc<SendOrder>,
-    stream: Option<&'a mut StreamReader>,
-) -> AttemptOutcome {
-    let driver = &request.context.driver;
-    let ticket = guard.name.ticket;
-    let mut rechecks = driver.rechecks.subscribe();
-    let mut current = RunningCall::start(request, guard, order);
-    let mut former = stream.map(FormerAttempt::Stream);
-    loop {
-        let mut answered = None;
-        let signal = next_signal(driver, &mut current, &mut former, &mut rechecks).await;
-        let step = match signal {
-            CallSignal::FormerPiece(StreamPiece::Broken(why)) => {
-                end_former(guard, former.take(), FormerEnd::Broken, why);
-                continue;
-            }
-            CallSignal::FormerPiece(piece) => {
-                observe::log_attempt_resumed(&guard.name, current.elapsed(driver));
-                guard.feed(RouteEvent::AttemptResumed(ticket));
-                return AttemptOutcome::StreamResumed(piece);
-            }
-            CallSignal::FormerResponse(Ok(response)) if response.is_answer() => {
-                let Some(FormerAttempt::Call(call)) = former.take() else { continue };
-                observe::log_attempt_resumed(&guard.name, current.elapsed(driver));
-                guard.feed(RouteEvent::AttemptResumed(ticket));
-                current = call;
-                receive(guard, &current, response, &mut answered)
-            }
-            CallSignal::FormerResponse(Err(failed)) if failed.failure == AttemptFailure::Broken => {
-                end_former(guard, former.take(), FormerEnd::Broken, &failed.why);
-                continue;
-            }
-            CallSignal::FormerResponse(_) => {
-                end_former(guard, former.take(), FormerEnd::Replaced, "it has not run, or failed");
-                continue;
+    guard: &'a mut RequestGuard,
+    rechecks: watch::Receiver<u64>,
+    current: RunningCall<'a>,
+    former: Option<FormerAttempt<'a>>,
+}
+
+impl<'a> AttemptRun<'a> {
+    fn driver(&self) -> &'a GatewayDriver {
+        &self.request.context.driver
+    }
+
+    fn ticket(&self) -> RequestTicket {
+        self.guard.name.ticket
+    }
+
+    async fn next_signal(&mut self) -> CallSignal {
+        let has_former = self.former.is_some();
+        let (at, timer) = self.current.next_timer(has_former);
+        let (written, overlap_until) = (self.current.written.clone(), self.current.overlap_until);
+        let driver = self.driver();
+        let signal = async {
+            tokio::select! {
+                // What has arrived of the former attempt counts first.
+                biased;
+                signal = former_signal(&mut self.former) => signal,
+                response = self.current.response.as_mut() => CallSignal::Response(response),
+                () = written.notified(), if has_former && overlap_until.is_none() => {
+                    CallSignal::Written
+                }
+                // The sender lives as long as the driver.
+                _ = self.rechecks.changed() => CallSignal::Rechecked,
             }
-            CallSignal::Response(Ok(response)) => receive(guard, &current, response, &mut answered),
+        };
+        driver.clock().within(driver.until(at), signal).await.unwrap_or(timer)
+    }
+
+    fn on_signal(&mut self, signal: CallSignal) -> SignalOutcome {
+        match signal {
+            CallSignal::FormerPiece(piece) => self.on_former_piece(piece),
+            CallSignal::FormerResponse(result) => self.on_former_response(result),
+            CallSignal::Response(Ok(response)) => self.on_response(response),
             CallSignal::Response(Err(failed)) => {
-                observe::log_attempt_failed(&guard.name, &failed, current.elapsed(driver));
-                guard.feed(RouteEvent::AttemptFailed(ticket, failed.failure))
+                self.log_failed(&failed);
+                self.step_after(RouteEvent::AttemptFailed(self.ticket(), failed.failure))
             }
             CallSignal::Written => {
-                let overlap_ms = current.order.overlap_ms.unwrap_or(0);
-                current.overlap_until = Some(driver.now().plus_millis(overlap_ms));
-                continue;
+                let overlap_ms = self.current.order.overlap_ms.unwrap_or(0);
+                self.current.overlap_until = Some(self.driver().now().plus_millis(overlap_ms));
+                SignalOutcome::GoOn
             }
             CallSignal::OverlapEnded => {
-                end_former(guard, former.take(), FormerEnd::Replaced, "another place has it");
-                current.restart_stall(driver.now());
-                continue;
+                self.current.restart_stall(self.driver().now());
+                self.end_former(FormerEnd::Replaced, "another place has it")
+            }
+            CallSignal::Rechecked => {
+                let why = "its path is lost, or it has a feature that crashes replicas";
+                self.step_if_any(RouteEvent::AttemptRechecked(self.ticket()), why)
             }
-            CallSignal::Rechecked => match guard.feed(RouteEvent::AttemptRechecked(ticket)) {
-                None => continue,
-                step => {
-                    let why = "its path is lost, or it has a feature that crashes replicas";
-                    observe::log_attempt_failed(&guard.name, &silent(why), current.elapsed(driver));
-                    step
-                }
-            },
             CallSignal::Stalled => {
-                current.restart_stall(driver.now());
-                match guard.feed(RouteEvent::AttemptStalled(ticket)) {
-                    None => continue,
-                    step => {
-                        let failed = silent("no response head within the limit");
-                        observe::log_attempt_failed(&guard.name, &failed, current.elapsed(driver));
-                        step
-                    }
+                self.current.restart_stall(self.driver().now());
+                let why = "no response head within the limit";
+                self.step_if_any(RouteEvent::AttemptStalled(self.ticket()), why)
+            }
+            CallSignal::DeadlinePassed => {
+                self.step_after(RouteEvent::DeadlinePassed(self.ticket()))
+            }
+        }
+    }
+
+    /// Handles a piece of the stream that is kept: it goes on, unless it broke.
+    fn on_former_piece(&mut self, piece: StreamPiece) -> SignalOutcome {
+        if let StreamPiece::Broken(why) = piece {
+            return self.end_former(FormerEnd::Broken, why);
+        }
+        self.note_resumed();
+        SignalOutcome::Ended(AttemptOutcome::StreamResumed(piece))
+    }
+
+    /// Handles the response of a former attempt, which counts if it is an answer.
+    fn on_former_response(
+        &mut self,
+        result: Result<ReplicaResponse, FailedAttempt>,
+    ) -> SignalOutcome {
+        match result {
+            Ok(response) if response.is_answer() => {
+                if let Some(FormerAttempt::Call(call)) = self.former.take() {
+                    self.note_resumed();
+                    self.current = call;
                 }
+                self.on_response(response)
             }
-            CallSignal::DeadlinePassed => guard.feed(RouteEvent::DeadlinePassed(ticket)),
+            Err(failed) if failed.failure == AttemptFailure::Broken => {
+                self.end_former(FormerEnd::Broken, &failed.why)
+            }
+            _ => self.end_former(FormerEnd::Replaced, "it has not run, or failed"),
+        }
+    }
+
+    /// Handles the response to the current call.
+    fn on_response(&mut self, response: ReplicaResponse) -> SignalOutcome {
+        let (head, link_use) = (response.decoded, response.link_use);
+        let after = self.current.elapsed(self.driver());
+        observe::log_head_received(&self.guard.name, &head, link_use, after);
+        let step = self.guard.feed(RouteEvent::HeadReceived(self.ticket(), head));
+        SignalOutcome::Step(step, Some(Box::new(response)))
+    }
+
+    /// Records that the former attempt goes on and the current one is not needed.
+    fn note_resumed(&mut self) {
+        let after = self.current.elapsed(self.driver());
+        observe::log_attempt_resumed(&self.guard.name, after);
+        self.guard.feed(RouteEvent::AttemptResumed(self.ticket()));
+    }
+
+    /// Closes the former attempt's connection, and tells the reducer.
+    fn end_former(&mut self, end: FormerEnd, why: &str) -> SignalOutcome {
+        let failure = match end {
+            FormerEnd::Broken => AttemptFailure::Broken,
+            FormerEnd::Replaced | FormerEnd::Dropped => AttemptFailure::Silent,
         };
+        let mut failed = FailedAttempt { failure, ..silent(why) };
+        if let Some(FormerAttempt::Stream(reader)) = self.former.take() {
+            failed.link_use = reader.link_use();
+            reader.close();
+        }
+        observe::log_former_ended(&self.guard.name, &failed);
+        self.guard.feed(RouteEvent::FormerEnded(self.ticket(), end));
+        SignalOutcome::GoOn
+    }
+
+    fn step_after(&mut self, event: RouteEvent) -> SignalOutcome {
+        SignalOutcome::Step(self.guard.feed(event), None)
+    }
+
+    /// Goes on after an event, unless the reducer takes a step. Then the current attempt is logged as
+    /// silent.
+    fn step_if_any(&mut self, event: RouteEvent, why: &str) -> SignalOutcome {
+        let step = self.guard.feed(event);
+        if step.is_none() {
+            return SignalOutcome::GoOn;
+        }
+        self.log_failed(&silent(why));
+        SignalOutcome::Step(step, None)
+    }
+
+    fn log_failed(&self, failed: &FailedAttempt) {
+        let after = self.current.elapsed(self.driver());
+        observe::log_attempt_failed(&self.guard.name, failed, after);
+    }
+
+    /// Takes a step of the reducer. Returns how the attempts ended, if they have.
+    fn take_step(
+        &mut self,
+        step: Option<RequestStep>,
+        answered: Option<Box<ReplicaResponse>>,
+    ) -> Option<AttemptOutcome> {
         match step {
             Some(RequestStep::Send(order)) if order.overlap_ms.is_some() => {
-                let next = RunningCall::start(request, guard, order);
-                let last = std::mem::replace(&mut current, next);
-                // With a former attempt, the last call has been refused or has failed.
-                if former.is_none() {
-                    former = Some(match answered {
-                        Some(response) => FormerAttempt::Answer(last.order, response),
-                        None => FormerAttempt::Call(last),
-                    });
-                }
-            }
-            Some(RequestStep::Relay) => {
-                let Some(response) = answered else { return AttemptOutcome::Ended(None) };
-                return AttemptOutcome::Response(current.order, response);
+                self.ask(order, answered);
+                None
             }
-            Some(RequestStep::KeepFormer) => match former.take() {
-                Some(FormerAttempt::Call(call)) => {
-                    current = call;
-                    current.restart_stall(driver.now());
-                }
-                Some(FormerAttempt::Answer(order, response)) => {
-                    return AttemptOutcome::Response(order, response);
-                }
-                Some(FormerAttempt::Stream(_)) => return AttemptOutcome::StreamKept,
-                None => return AttemptOutcome::Ended(None),
-            },
+            Some(RequestStep::KeepFormer) => self.keep_former(),
+            Some(RequestStep::Relay) => Some(match answered {
+                Some(response) => AttemptOutcome::Response(self.current.order.clone(), response),
+                None => AttemptOutcome::Ended(None),
+            }),
             step => {
-                if let Some(FormerAttempt::Stream(reader)) = former {
+                if let Some(FormerAttempt::Stream(reader)) = self.former.take() {
                     reader.close();
                 }
-                return AttemptOutcome::Ended(step);
+                Some(AttemptOutcome::Ended(step))
             }
         }
     }
-}
 
-/// Tells the reducer about a response, which is put into `answered`, and returns the next step.
-fn receive(
-    guard: &mut RequestGuard,
-    call: &RunningCall<'_>,
-    response: ReplicaResponse,
-    answered: &mut Option<Box<ReplicaResponse>>,
-) -> Option<RequestStep> {
-    let (head, link_use) = (response.decoded, response.link_use);
-    observe::log_head_received(&guard.name, &head, link_use, call.elapsed(&guard.driver));
-    *answered = Some(Box::new(response));
-    guard.feed(RouteEvent::HeadReceived(guard.name.ticket, head))
+    /// Asks another place, and keeps the attempt that came before.
+    fn ask(&mut self, order: Arc<SendOrder>, answered: Option<Box<ReplicaResponse>>) {
+        let next = RunningCall::start(self.request, self.guard, order);
+        let last = std::mem::replace(&mut self.current, next);
+        // With a former attempt, the last call has been refused or has failed.
+        if self.former.is_none() {
+            self.former = Some(match answered {
+                Some(response) => FormerAttempt::Answer(last.order, response),
+                None => FormerAttempt::Call(last),
+            });
+        }
+    }
+
+    /// Goes on with the former attempt. Returns how the attempts ended, if that needs no more waiting.
+    fn keep_former(&mut self) -> Option<AttemptOutcome> {
+        match self.former.take() {
+            Some(FormerAttempt::Call(call)) => {
+                self.current = call;
+                self.current.restart_stall(self.driver().now());
+                None
+            }
+            Some(FormerAttempt::Answer(order, response)) => {
+                Some(AttemptOutcome::Response(order, response))
+            }
+            Some(FormerAttempt::Stream(_)) => Some(AttemptOutcome::StreamKept),
+            None => Some(AttemptOutcome::Ended(None)),
+        }
+    }
 }
 
-/// Closes the former attempt's connection, and tells the reducer.
-fn end_former(
-    guard: &mut RequestGuard,
-    former: Option<FormerAttempt<'_>>,
-    end: FormerEnd,
-    why: &str,
-) {
-    let failure = match end {
-        FormerEnd::Broken => AttemptFailure::Broken,
-        FormerEnd::Replaced | FormerEnd::Dropped => AttemptFailure::Silent,
-    };
-    let mut failed = FailedAttempt { failure, ..silent(why) };
-    if let Some(FormerAttempt::Stream(reader)) = former {
-        failed.link_use = reader.link_use();
-        reader.close();
+/// Sends the request as ordered, and to other places as the reducer decides, until one responds or the
+/// reducer takes another step. `stream` is kept until then, if the order says so.
+pub async fn run_attempts<'a>(
+    request: &'a AttemptRequest<'a>,
+    guard: &'a mut RequestGuard,
+    order: Arc<SendOrder>,
+    stream: Option<&'a mut StreamReader>,
+) -> AttemptOutcome {
+    let rechecks = request.context.driver.rechecks.subscribe();
+    let current = RunningCall::start(request, guard, order);
+    let former = stream.map(FormerAttempt::Stream);
+    let mut run = AttemptRun { request, guard, rechecks, current, former };
+    loop {
+        let signal = run.next_signal().await;
+        let ended = match run.on_signal(signal) {
+            SignalOutcome::GoOn => None,
+            SignalOutcome::Step(step, answered) => run.take_step(step, answered),
+            SignalOutcome::Ended(outcome) => Some(outcome),
+        };
+        if let Some(outcome) = ended {
+            return outcome;
+        }
     }
-    observe::log_former_ended(&guard.name, &failed);
-    guard.feed(RouteEvent::FormerEnded(guard.name.ticket, end));
 }
