forward: what replicas have rejected counts at the next box, and so does the retry budget

Cause: a forwarded request carried its attempts, and not its rejections; a refusal did not say whether the request had arrived at replicas; each box that took it up counted it as a request for the budget. Change: rejections and whether a box counts the request go with it; a refusal of a forwarded request says what was spent (`ravenspoke-spent`). After one that arrived at replicas the next attempt is an extra one, which the budget has to allow.

--- a/crates/bench/src/prompt_router.rs
+++ b/crates/bench/src/prompt_router.rs
@@ -146,6 +146,7 @@
         if self.policy.is_reducer() {
             let head = AnswerHead {
                 begun: None,
+                spent: Default::default(),
                 brittle_per_s: None,
                 status: if good { 200 } else { 500 },
                 machine_percent: self.machine_percent,
--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -186,7 +186,13 @@
                 step = guard.wait_turn(turn).await;
                 continue;
             }
-            Some(RequestStep::Refuse(refusal)) => return Ok(refusal_response(refusal)),
+            Some(RequestStep::Refuse(refusal)) => {
+                let mut response = refusal_response(refusal);
+                if caller.is_forwarded {
+                    forward::write_spent(response.headers_mut(), refusal.spent);
+                }
+                return Ok(response);
+            }
             _ => return Err(AbortedResponse("the reducer returned no step for the request")),
         };
         let request = AttemptRequest { context: &context, caller: &caller, resume_after: None };
--- a/crates/box/src/gateway/forward.rs
+++ b/crates/box/src/gateway/forward.rs
@@ -5,12 +5,14 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue};
 use ravenspoke_adapter::headers::request_id_hash;
-use ravenspoke_core::route::event::{BegunAnswer, ForwardPass, ForwardProgress, ForwardedRequest};
+use ravenspoke_core::route::event::{
+    BegunAnswer, ForwardPass, ForwardProgress, ForwardedRequest, SpentAttempts,
+};
 
 use super::admission_wire::{read_admission, write_admission};
 
 /// Key of the receiving box, and how far the forwarding one has brought the request:
-/// `key=HEX;attempts=N;repeat=0|1`, and the begun answer if there is one.
+/// `key=HEX;attempts=N;repeat=0|1;rejections=N;counted=0|1`, and the begun answer if there is one.
 const FORWARD: HeaderName = HeaderName::from_static("ravenspoke-forward");
 
 /// What admitted the request, as [`super::admission_wire`] encodes it.
@@ -20,6 +22,9 @@
 /// the response is that of the receiving box to this attempt.
 const ATTEMPT: HeaderName = HeaderName::from_static("ravenspoke-attempt");
 
+/// What a refusal of a forwarded request has cost: `sends=N;rejections=N`.
+const SPENT: HeaderName = HeaderName::from_static("ravenspoke-spent");
+
 /// How the answer began, in the response to a forwarded request: `size=N;trial=0|1`.
 const BEGUN: HeaderName = HeaderName::from_static("ravenspoke-begun");
 
@@ -66,10 +71,12 @@
 
 /// Adds the headers of a forwarded request, which has its id already.
 pub fn write_pass(headers: &mut HeaderMap, pass: &ForwardPass) {
-    let ForwardProgress { attempts, is_repeat, begun } = pass.request.progress;
+    let ForwardProgress { attempts, is_repeat, rejections, is_counted, begun } =
+        pass.request.progress;
     let begun = begun.map_or(String::new(), |begun| format!(";{}", begun_text(begun)));
-    let repeat = u8::from(is_repeat);
-    let text = format!("key={:016x};attempts={attempts};repeat={repeat}{begun}", pass.key);
+    let (repeat, counted) = (u8::from(is_repeat), u8::from(is_counted));
+    let spent = format!("attempts={attempts};repeat={repeat};rejections={rejections}");
+    let text = format!("key={:016x};{spent};counted={counted}{begun}", pass.key);
     set(headers, FORWARD, &text);
     let admission = write_admission(request_id_hash(headers), &pass.request.admission);
     set(headers, ADMISSION, &admission);
@@ -95,12 +102,27 @@
     let progress = ForwardProgress {
         attempts: attempts.ok_or(UnknownForwarder)?,
         is_repeat: field(text, "repeat") == Some("1"),
+        rejections: number(text, "rejections"),
+        is_counted: field(text, "counted") == Some("1"),
         begun: read_begun_text(text),
     };
     let admission = Box::new(admission.ok_or(UnknownForwarder)?);
     Ok(ForwardedRequest { admission, progress })
 }
 
+/// Adds the header of a refusal of a forwarded request.
+pub fn write_spent(headers: &mut HeaderMap, spent: SpentAttempts) {
+    let SpentAttempts { sends, rejections } = spent;
+    set(headers, SPENT, &format!("sends={sends};rejections={rejections}"));
+}
+
+/// Removes the header of a refusal of a forwarded request and decodes it.
+pub fn take_spent(headers: &mut HeaderMap) -> SpentAttempts {
+    let Some(value) = headers.remove(&SPENT) else { return SpentAttempts::default() };
+    let text = value.to_str().unwrap_or_default();
+    SpentAttempts { sends: number(text, "sends"), rejections: number(text, "rejections") }
+}
+
 /// Adds the header of a response to a forwarded request.
 pub fn write_begun(headers: &mut HeaderMap, begun: BegunAnswer) {
     set(headers, BEGUN, &begun_text(begun));
@@ -123,6 +145,11 @@
     Some(BegunAnswer { size, on_trial })
 }
 
+/// Number in a field; 0 without one.
+fn number(text: &str, name: &str) -> u32 {
+    field(text, name).and_then(|value| value.parse().ok()).unwrap_or(0)
+}
+
 /// Value of a field in `name=value;name=value`.
 fn field<'a>(text: &'a str, name: &str) -> Option<&'a str> {
     let mut fields = text.split(';').filter_map(|field| field.split_once('='));
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -173,7 +173,7 @@
 /// Logs a request that another box forwarded to this one.
 pub fn log_forward_received(id: &str, request: &ForwardedRequest) {
     counter!("ravenspoke_forwards_received_total").increment(1);
-    let ForwardProgress { attempts, is_repeat: repeat, begun } = request.progress;
+    let ForwardProgress { attempts, is_repeat: repeat, rejections, begun, .. } = request.progress;
     let admission = &request.admission;
     info!(
         event = 759,
@@ -181,6 +181,7 @@
         id,
         attempts,
         repeat,
+        rejections,
         resumes = begun.is_some(),
         admitted_by = admission.plan_version,
         service = admission.service,
--- a/crates/box/src/gateway/replica_call.rs
+++ b/crates/box/src/gateway/replica_call.rs
@@ -125,7 +125,8 @@
     let link_use = attempt.link_use;
     let (mut head, body) = response.into_parts();
     let begun = forward::take_begun(&mut head.headers);
-    let decoded = AnswerHead { begun, ..headers::read_answer(&head) };
+    let spent = forward::take_spent(&mut head.headers);
+    let decoded = AnswerHead { begun, spent, ..headers::read_answer(&head) };
     // What another box responds by itself has no request id.
     let is_own = forward.is_some() && !decoded.proven;
     let repeats_id = is_own || headers::answers_request(&caller.headers, &head.headers);
--- a/crates/core/src/route/arrival.rs
+++ b/crates/core/src/route/arrival.rs
@@ -36,8 +36,10 @@
                 return;
             }
         };
-        let budget = self.budgets.entry(request.service.clone()).or_default();
-        budget.earn(self.settings.budget, stamp.now);
+        if !request.received.is_some_and(|received| received.is_counted) {
+            let budget = self.budgets.entry(request.service.clone()).or_default();
+            budget.earn(self.settings.budget, stamp.now);
+        }
         self.requests.insert(ticket, request);
         self.send(stamp, ticket, RefusalReason::NoReplica, out);
     }
@@ -185,9 +187,9 @@
         arrived: stamp.now,
         deadline: stamp.now.plus_millis(left_ms),
         tried: Vec::new(),
-        sends: u32::from(received.is_some_and(|received| received.is_repeat)),
+        sends: received.map_or(0, |received| u32::from(received.is_repeat) + received.rejections),
         connect_failures: 0,
-        rejections: 0,
+        rejections: received.map_or(0, |received| received.rejections),
         pauses_until: None,
         counted: false,
         counted_bad: false,
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -25,7 +25,7 @@
 pub use super::exchange::{
     AnswerHead, AttemptFailure, BegunAnswer, CallerRequest, DecisionInputs, FormerEnd, ForwardPass,
     ForwardProgress, ForwardedRequest, PromptPart, PromptSize, RefusalReason, RouteRefusal,
-    SendOrder, TrialInputs, WaitOrder,
+    SendOrder, SpentAttempts, TrialInputs, WaitOrder,
 };
 
 /// An event that a routing box receives.
--- a/crates/core/src/route/exchange.rs
+++ b/crates/core/src/route/exchange.rs
@@ -67,10 +67,23 @@
     pub attempts: u32,
     /// Whether it may have reached a replica before.
     pub is_repeat: bool,
+    /// Rejections by replicas that it met so far.
+    pub rejections: u32,
+    /// Whether another box counts it for the retry budget.
+    pub is_counted: bool,
     /// How the answer began of which the caller has a part.
     pub begun: Option<BegunAnswer>,
 }
 
+/// What a box that refuses a forwarded request has spent on it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SpentAttempts {
+    /// Attempts that it handed to replicas.
+    pub sends: u32,
+    /// Rejections among them that count as no attempts.
+    pub rejections: u32,
+}
+
 /// What the rest of a partly relayed answer must continue.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct BegunAnswer {
@@ -118,6 +131,8 @@
     pub proven: bool,
     /// How the answer began, if a box responds to which this one forwarded the request.
     pub begun: Option<BegunAnswer>,
+    /// What that box has spent, if it refuses the request.
+    pub spent: SpentAttempts,
 }
 
 impl AnswerHead {
@@ -226,6 +241,8 @@
     pub reason: RefusalReason,
     /// Time after which the caller should retry, in milliseconds.
     pub retry_after_ms: Option<u64>,
+    /// What this box has spent on the request, for the box that forwarded it.
+    pub spent: SpentAttempts,
 }
 
 /// How a trial of the service affected a routing decision, for the log.
--- a/crates/core/src/route/forward.rs
+++ b/crates/core/src/route/forward.rs
@@ -2,7 +2,7 @@
 //!
 //! What admitted the request goes with it, and the other box does not check it again: its plan may be
 //! older or newer. It chooses version, model and replica, and counts the request in its budgets and
-//! trials. It never forwards it again. Its response is relayed; a 4xx or 503 of its own means that it
+//! trials. What replicas rejected counts at both boxes. It never forwards it again. Its response is relayed; a 4xx or 503 of its own means that it
 //! does not take the request and that nothing ran.
 //!
 //! The forwarding box keeps one attempt for itself: if the other box fails, it is not known at how
@@ -101,7 +101,9 @@
         let begun = request.begun();
         let progress = ForwardProgress {
             attempts: left - reserved,
-            is_repeat: request.sends > 0 || request.runs.may_have_run(),
+            is_repeat: request.attempts_used() > 0 || request.runs.may_have_run(),
+            rejections: request.rejections,
+            is_counted: !request.forward_tried.is_empty(),
             begun,
         };
         let passed = ForwardedRequest { admission: Box::new(request.admission()), progress };
@@ -168,10 +170,16 @@
             let service = Some(service_hash(&request.service));
             let until = stamp.now.plus_millis(FORWARD_REFUSED_MS);
             self.peers.avoid(&forward.peer, service, until);
+            request.rejections += head.spent.rejections;
+            request.sends += head.spent.rejections;
             if self.has_former(ticket) {
                 return self.ask_next_place(stamp, ticket, PlaceOutcome::Refused, out);
             }
-            return self.send(stamp, ticket, RefusalReason::NoReplica, out);
+            if head.spent.sends == 0 {
+                return self.send(stamp, ticket, RefusalReason::NoReplica, out);
+            }
+            // It arrived at replicas of the other box, so that the next attempt is an extra one.
+            return self.resend(stamp, ticket, RefusalReason::Full, out);
         }
         request.sends = request.route.attempts - forward.reserved + request.rejections;
         let relayed = request.relayed;
--- a/crates/core/src/route/refuse.rs
+++ b/crates/core/src/route/refuse.rs
@@ -1,7 +1,9 @@
 //! Ends requests without a replica's answer. Only this module decides whether a refusal may state
 //! that the request has not run.
 
-use super::event::{DecisionInputs, FormerEnd, RefusalReason, RouteEffect, RouteRefusal};
+use super::event::{
+    DecisionInputs, FormerEnd, RefusalReason, RouteEffect, RouteRefusal, SpentAttempts,
+};
 use super::request::RouteRequest;
 use super::run_record::{NotRunGrant, RunRecord};
 use super::RouteState;
@@ -37,6 +39,7 @@
         if refusal.retry_after_ms.is_some() {
             refusal.retry_after_ms = request.retry_after_ms.or(refusal.retry_after_ms);
         }
+        refusal.spent = request.spent();
         let inputs = self.request_inputs(stamp, &request);
         out.push(RouteEffect::Refuse(ticket, refusal, inputs));
     }
@@ -83,7 +86,7 @@
         (RefusalReason::CrashesReplicas, _) | (_, None) => (502, None),
         (reason, Some(grant)) => not_run_status(reason, grant),
     };
-    RouteRefusal { status, reason, retry_after_ms }
+    RouteRefusal { status, reason, retry_after_ms, spent: SpentAttempts::default() }
 }
 
 /// Returns the status that promises that the request has not run, and the retry time.
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -2,7 +2,9 @@
 
 use super::admission::{RequestAdmission, RouteTerms};
 use super::backend_health::BackendOutcome;
-use super::event::{AnswerHead, BegunAnswer, ForwardProgress, PromptPart, PromptSize};
+use super::event::{
+    AnswerHead, BegunAnswer, ForwardProgress, PromptPart, PromptSize, SpentAttempts,
+};
 use super::former::FormerAttempt;
 use super::model_cascade::ModelConfidence;
 use super::poison::RequestFeature;
@@ -108,6 +110,15 @@
         self.sends.saturating_sub(self.rejections)
     }
 
+    /// Returns what this box has spent on it.
+    pub(super) fn spent(&self) -> SpentAttempts {
+        let before = self.received.unwrap_or_default();
+        SpentAttempts {
+            sends: self.sends.saturating_sub(u32::from(before.is_repeat) + before.rejections),
+            rejections: self.rejections.saturating_sub(before.rejections),
+        }
+    }
+
     /// Returns its priority, which falls while it waits.
     pub(super) fn priority_at(&self, now: BoxTime) -> u8 {
         if self.entered_room.is_none() {
--- a/crates/core/tests/route/fixture.rs
+++ b/crates/core/tests/route/fixture.rs
@@ -118,6 +118,7 @@
         other_replica: false,
         proven: true,
         begun: None,
+        spent: Default::default(),
     }
 }
 
--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -10,6 +10,7 @@
 mod fixture;
 mod fleet;
 mod former_attempts;
+mod forwards;
 mod incarnations;
 mod leader;
 mod leader_fleet;
