relay: a stream that is not kept is closed before another place is asked

By reading: since paused attempts are kept, a stream that went through another box which fell silent and was not heard of stayed open until the next place had answered, so that two could work on it for longer than they may. Only an order that says so keeps the stream now. No test: the time between is not seen from outside.

--- a/crates/box/src/gateway/relay.rs
+++ b/crates/box/src/gateway/relay.rs
@@ -153,7 +153,11 @@
                 caller: &self.caller,
                 resume_after: self.reader.last_id(),
             };
-            let kept = order.overlap_ms.is_some().then_some(&mut self.reader);
+            let keeps = order.overlap_ms.is_some();
+            if !keeps {
+                self.reader.close();
+            }
+            let kept = keeps.then_some(&mut self.reader);
             match run_attempts(&request, &mut self.guard, order, kept).await {
                 AttemptOutcome::Response(order, response) => {
                     let ReplicaBody::Stream(body, link) = response.body else {
