--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -63,6 +63,10 @@
 /// It covers the delay of the directory's response and of their requests.
 pub const ADDRESS_MARGIN_MS: u64 = 200;
 
+/// Interval at which the samples of histograms are summed up, in milliseconds. Until then each sample
+/// takes memory, unless somebody fetches the metrics.
+const UPKEEP_MS: u64 = 5_000;
+
 /// Interval at which a stopping box checks whether any work is left, in milliseconds.
 pub const STOP_POLL_MS: u64 = 50;
 
@@ -80,6 +84,8 @@
         .install_recorder()
         .map_err(|error| ProcessError::Metrics(error.to_string()))?;
     task_watch::log_panics();
+    let kept = metrics.clone();
+    tokio::spawn(task_watch::keep_running("run_upkeep", move || run_upkeep(kept.clone())));
     let (gossip_sender, gossip_receiver) = channel(GOSSIP_QUEUE_LIMIT);
     let (response_sender, response_receiver) = unbounded_channel();
     let (verdict_sender, verdict_receiver) = unbounded_channel();
@@ -459,6 +465,14 @@
     }
 }
 
+/// Sums up the samples of histograms now and then.
+async fn run_upkeep(metrics: PrometheusHandle) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(UPKEEP_MS)).await;
+        metrics.run_upkeep();
+    }
+}
+
 async fn wait_for_stop(mut terminate: Signal, mut interrupt: Signal) {
     tokio::select! {
         _ = terminate.recv() => {}
