--- a/crates/box/src/gateway/exchange.rs
+++ b/crates/box/src/gateway/exchange.rs
@@ -104,30 +104,47 @@
     }
 }
 
+/// How a request ends whose body is not held.
+enum UnreadRequest {
+    /// By this response.
+    Answered(Box<Response<CallerBody>>),
+    /// Without one.
+    Aborted(AbortedResponse),
+}
+
+impl UnreadRequest {
+    fn answered(response: Response<CallerBody>) -> Self {
+        Self::Answered(Box::new(response))
+    }
+}
+
 /// Reads the body of a request, within the plan's limits if a caller sent it. What another box
 /// forwards it has read within the limits of its own plan.
-async fn read_request(
+async fn hold_body(
     context: &GatewayContext,
     head: &http::request::Parts,
     body: Incoming,
     origin: RequestOrigin,
-) -> Result<HeldBody, Result<Response<CallerBody>, AbortedResponse>> {
+) -> Result<HeldBody, UnreadRequest> {
     let limits = context.driver.state().plan().limits;
     let is_caller = origin == RequestOrigin::Caller;
     if is_caller && head_bytes(head) > limits.header_bytes {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
-        return Err(Ok(text_response(status, "the head is too large")));
+        return Err(UnreadRequest::answered(text_response(status, "the head is too large")));
     }
     let limit = if is_caller { limits.body_bytes } else { usize::MAX };
     read_body(body, limit, &context.bodies).await.map_err(|failure| match failure {
         BodyFailure::TooLarge => {
-            Ok(text_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"))
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            UnreadRequest::answered(text_response(status, "the body is too large"))
         }
         BodyFailure::NoMemory(_) => {
             observe::log_body_refused(&headers::request_id(head), context.bodies.used());
-            Ok(refusal_response(RouteRefusal::no_memory()))
+            UnreadRequest::answered(refusal_response(RouteRefusal::no_memory()))
+        }
+        BodyFailure::Truncated => {
+            UnreadRequest::Aborted(AbortedResponse("the request body was truncated"))
         }
-        BodyFailure::Truncated => Err(AbortedResponse("the request body was truncated")),
     })
 }
 
@@ -150,9 +167,10 @@
             return Ok(text_response(StatusCode::FORBIDDEN, "no box of this fleet"));
         }
     };
-    let HeldBody { bytes: body, share } = match read_request(&context, &head, body, origin).await {
+    let HeldBody { bytes: body, share } = match hold_body(&context, &head, body, origin).await {
         Ok(held) => held,
-        Err(ended) => return ended,
+        Err(UnreadRequest::Answered(response)) => return Ok(*response),
+        Err(UnreadRequest::Aborted(error)) => return Err(error),
     };
     let request = headers::read_request(&head);
     let content = xxhash_rust::xxh3::xxh3_64_with_seed(&body, request.content);
