The outcome of earlier orders decides which version is the old one

Callers saw: from the order after a rolled-back one on, half of the requests of a service went to the rolled-back version until its replicas left, and sessions went back and forth between it and the old version. After an accepted one, requests went to the replicas that its acceptance had stopped: nothing ran there, but callers waited for up to 251 ms, and boxes took their paths for doubtful.

Cause: whatever is not the version on trial was taken for the old version (`VersionFilter::Not`), and an order that replaces another forgets its verdict. Replicas stay listed for seconds after a verdict.

Ruled out: that boxes knew of the orders at different times (all within 0.1 s).

Now a trial keeps a `VersionHistory`: beside it serves the version accepted last, or, where none was, what no order named. A rolled-back version serves nothing. The history goes with gossip and with the checkpoint, so that a box that is started later has it too. An order for the version that was accepted is done at once.

--- a/crates/box/src/gateway/gossip_wire/trial.rs
+++ b/crates/box/src/gateway/gossip_wire/trial.rs
@@ -6,6 +6,7 @@
 use ravenspoke_core::route::trial_exposure::ExposureCount;
 use ravenspoke_core::route::trial_progress::{TrialPhase, TrialProgress};
 use ravenspoke_core::route::trial_stats::{TrialStats, VersionStats};
+use ravenspoke_core::route::version_history::FormerTrial;
 
 #[derive(Clone, PartialEq, Message)]
 pub(super) struct WireTrial {
@@ -27,6 +28,18 @@
     sent_to_canary: u64,
     #[prost(uint64, tag = "9")]
     sent_to_all: u64,
+    #[prost(message, repeated, tag = "10")]
+    history: Vec<WireFormer>,
+}
+
+/// An earlier order for the service.
+#[derive(Clone, PartialEq, Message)]
+struct WireFormer {
+    #[prost(string, tag = "1")]
+    version: String,
+    /// As in [`WireVerdict`].
+    #[prost(uint32, tag = "2")]
+    state: u32,
 }
 
 #[derive(Clone, Copy, PartialEq, Message)]
@@ -151,9 +164,18 @@
         routes: trial.stats.iter().map(route).collect(),
         sent_to_canary: trial.exposure.canary,
         sent_to_all: trial.exposure.all,
+        history: trial.history.trials().iter().map(write_former).collect(),
     }
 }
 
+fn write_former(former: &FormerTrial) -> WireFormer {
+    WireFormer { version: former.version.clone(), state: write_state(former.state) }
+}
+
+fn read_former(former: WireFormer) -> FormerTrial {
+    FormerTrial { version: former.version, state: read_state(former.state) }
+}
+
 fn write_progress(progress: TrialProgress) -> WireProgress {
     let phase = WirePhase::from(progress.phase) as i32;
     WireProgress { phase, age_ms: progress.age_ms, carries_at_ms: progress.carries_at_ms }
@@ -183,23 +205,32 @@
         checkpoint,
         stats: trial.routes.into_iter().map(route).collect(),
         exposure: ExposureCount { canary: trial.sent_to_canary, all: trial.sent_to_all },
+        history: trial.history.into_iter().map(read_former).collect(),
     }
 }
 
 pub(super) fn write_verdict(verdict: &TrialVerdict) -> WireVerdict {
-    let state = match verdict.state {
+    let state = write_state(verdict.state);
+    WireVerdict { service: verdict.service.clone(), version: verdict.version.clone(), state }
+}
+
+pub(super) fn read_verdict(verdict: WireVerdict) -> TrialVerdict {
+    let state = read_state(verdict.state);
+    TrialVerdict { service: verdict.service, version: verdict.version, state }
+}
+
+fn write_state(state: TrialState) -> u32 {
+    match state {
         TrialState::Running => 0,
         TrialState::Done => 1,
         TrialState::RolledBack => 2,
-    };
-    WireVerdict { service: verdict.service.clone(), version: verdict.version.clone(), state }
+    }
 }
 
-pub(super) fn read_verdict(verdict: WireVerdict) -> TrialVerdict {
-    let state = match verdict.state {
+fn read_state(state: u32) -> TrialState {
+    match state {
         1 => TrialState::Done,
         2 => TrialState::RolledBack,
         _ => TrialState::Running,
-    };
-    TrialVerdict { service: verdict.service, version: verdict.version, state }
+    }
 }
--- a/crates/box/tests/gossip_wire.rs
+++ b/crates/box/tests/gossip_wire.rs
@@ -14,6 +14,7 @@
 use ravenspoke_core::route::model_latency::{LatencyEstimate, LatencyUpdate, ModelLatency};
 use ravenspoke_core::route::peers::{
     BudgetUpdate, EntryCoverage, GossipMessage, PeerInfo, PeerSummary, PlanPosition, SyncRequest,
+    TrialUpdate,
 };
 use ravenspoke_core::route::retry_budget::SendCount;
 use ravenspoke_core::route::scheduling::account_demand::{
@@ -24,6 +25,8 @@
 };
 use ravenspoke_core::route::shares::SHARES_PER_MESSAGE;
 use ravenspoke_core::route::store_access::StoreAccess;
+use ravenspoke_core::route::trial::TrialState;
+use ravenspoke_core::route::version_history::FormerTrial;
 use ravenspoke_core::time::BoxTime;
 
 /// Maximum size of a datagram, in bytes. One of the operator's records may come with a listing
@@ -129,6 +132,26 @@
     assert_eq!(decoded, DecodedDatagram::Gossip(Box::new(message), None));
 }
 
+#[test]
+fn trial_with_what_came_of_earlier_orders_round_trips() {
+    let states = [TrialState::Running, TrialState::Done, TrialState::RolledBack];
+    let former = |(number, state): (usize, &TrialState)| FormerTrial {
+        version: format!("v{number}"),
+        state: *state,
+    };
+    let trial = TrialUpdate {
+        service: "pool".to_owned(),
+        version: "v9".to_owned(),
+        history: states.iter().enumerate().map(former).collect(),
+        ..TrialUpdate::default()
+    };
+    let message = GossipMessage { trials: vec![trial], ..GossipMessage::default() };
+
+    let decoded = decode_datagram(&encode_gossip(&message, None, None)).expect("a datagram");
+
+    assert_eq!(decoded, DecodedDatagram::Gossip(Box::new(message), None));
+}
+
 #[test]
 fn gossip_message_without_a_request_has_no_entry_coverage() {
     let message =
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -96,7 +96,7 @@
         }
         let (count, _) = usable(VersionFilter::Only(&order.version));
         let share = if session == 0 {
-            usable(VersionFilter::Not(&order.version)).1 / WINDOW_LOAD
+            usable(version_filter(trial, false)).1 / WINDOW_LOAD
         } else {
             trial.trial_share() * SESSION_SPREAD
         };
@@ -130,16 +130,14 @@
     if on_trial {
         VersionFilter::Only(version)
     } else {
-        VersionFilter::Not(version)
+        VersionFilter::Baseline { on_trial: version, history: &trial.history }
     }
 }
 
 /// Returns the filter if no replica of the preferred version is usable.
 fn fallback_filter(trial: Option<&VersionTrial>) -> VersionFilter<'_> {
-    match trial {
-        Some(trial) if trial.is_rejected() || !trial.may_expose() => {
-            VersionFilter::Not(&trial.order.version)
-        }
-        _ => VersionFilter::Any,
-    }
+    let Some(trial) = trial else { return VersionFilter::Any };
+    let is_barred = trial.is_rejected() || !trial.may_expose();
+    let barred = is_barred.then_some(trial.order.version.as_str());
+    VersionFilter::NotBad { barred, history: &trial.history }
 }
--- a/crates/core/src/route/gossip.rs
+++ b/crates/core/src/route/gossip.rs
@@ -114,6 +114,7 @@
             checkpoint: trial.checkpoint,
             stats: trial.own.clone(),
             exposure: trial.exposure.own(),
+            history: trial.history.clone(),
         });
         GossipMessage {
             name: self.settings.name.clone(),
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -104,6 +104,7 @@
 pub mod trial_progress;
 pub mod trial_stats;
 mod verdict;
+pub mod version_history;
 mod waiting;
 pub mod warm_up;
 
--- a/crates/core/src/route/peers/mod.rs
+++ b/crates/core/src/route/peers/mod.rs
@@ -38,6 +38,7 @@
 use super::trial_exposure::ExposureCount;
 use super::trial_progress::TrialProgress;
 use super::trial_stats::RouteStats;
+use super::version_history::VersionHistory;
 use crate::position::TopicPosition;
 use crate::time::BoxTime;
 
@@ -162,6 +163,8 @@
     pub stats: RouteStats,
     /// Requests that the sender sent since the order.
     pub exposure: ExposureCount,
+    /// What came of the earlier orders for the service.
+    pub history: VersionHistory,
 }
 
 /// Update on the extra attempts of a box for a service in a window.
--- a/crates/core/src/route/scheduling/pick.rs
+++ b/crates/core/src/route/scheduling/pick.rs
@@ -7,6 +7,7 @@
 use crate::replica::mix;
 use crate::route::backend::BackendTable;
 use crate::route::evacuation::EvacuatedZones;
+use crate::route::version_history::VersionHistory;
 use crate::time::BoxTime;
 
 /// Load difference, as a share of slots, from which a replica of another availability zone is worth
@@ -62,8 +63,20 @@
     Any,
     /// This version only.
     Only(&'a str),
-    /// Any version but this one.
-    Not(&'a str),
+    /// The version that serves beside the one on trial.
+    Baseline {
+        /// Version on trial.
+        on_trial: &'a str,
+        /// What came of the earlier orders.
+        history: &'a VersionHistory,
+    },
+    /// Any version that was not found bad.
+    NotBad {
+        /// Version on trial, if it may get no requests.
+        barred: Option<&'a str>,
+        /// What came of the earlier orders.
+        history: &'a VersionHistory,
+    },
 }
 
 impl VersionFilter<'_> {
@@ -71,7 +84,12 @@
         match self {
             VersionFilter::Any => true,
             VersionFilter::Only(wanted) => version == wanted,
-            VersionFilter::Not(unwanted) => version != unwanted,
+            VersionFilter::Baseline { on_trial, history } => {
+                version != on_trial && history.is_baseline(version)
+            }
+            VersionFilter::NotBad { barred, history } => {
+                barred != Some(version) && !history.is_rolled_back(version)
+            }
         }
     }
 }
--- a/crates/core/src/route/trial.rs
+++ b/crates/core/src/route/trial.rs
@@ -29,6 +29,7 @@
 use super::trial_exposure::{ExposureBounds, ExposureCount, ExposureTally, DONE_AFTER_MS};
 use super::trial_progress::{TrialCheckpoint, TrialPhase, TrialProgress};
 use super::trial_stats::{RouteStats, TrialFinding, TrialStats, SLOW_FACTOR};
+use super::version_history::{FormerTrial, VersionHistory};
 use crate::replica::mix;
 use crate::time::BoxTime;
 
@@ -154,8 +155,8 @@
     /// The latest checkpoint in the store that this box knows of.
     #[serde(rename = "marked")]
     pub checkpoint: TrialProgress,
-    /// Versions whose orders were replaced by this order or earlier ones.
-    pub replaced: Vec<String>,
+    /// What came of the earlier orders for the service.
+    pub history: VersionHistory,
     /// Statistics of this box.
     pub own: RouteStats,
     /// Statistics of the other boxes, by box name.
@@ -187,7 +188,7 @@
             verdict_read: false,
             checkpoint_unread: false,
             checkpoint: TrialProgress::default(),
-            replaced: Vec::new(),
+            history: VersionHistory::default(),
             own: RouteStats::new(),
             peers: BTreeMap::new(),
             tests: FaultTests::default(),
@@ -197,11 +198,18 @@
         }
     }
 
-    /// Versions whose orders are replaced when another order arrives.
-    pub fn replaced_versions(&self) -> Vec<String> {
-        let mut versions = self.replaced.clone();
-        versions.push(self.order.version.clone());
-        versions
+    /// The history of the service once an order for `version` replaces this one. A version that
+    /// carries all sessions is as good as accepted: they must not be moved back.
+    pub fn history_before(&self, version: &str) -> VersionHistory {
+        let carries = self.phase == TrialPhase::Carried && !self.is_rejected();
+        let state = if carries { TrialState::Done } else { self.state };
+        let former = FormerTrial { version: self.order.version.clone(), state };
+        self.history.clone().with(former).without(version)
+    }
+
+    /// Whether a version was accepted last before this order, and so serves beside it.
+    pub fn has_accepted(&self, version: &str) -> bool {
+        self.history.accepted() == Some(version)
     }
 
     /// Whether no session can have got the version yet if the order was given at most `age_ms` ago.
@@ -336,6 +344,7 @@
             service: self.order.service.clone(),
             version: self.order.version.clone(),
             progress,
+            history: self.history.clone(),
         })
     }
 
--- a/crates/core/src/route/trial_progress.rs
+++ b/crates/core/src/route/trial_progress.rs
@@ -2,6 +2,8 @@
 
 use serde::Serialize;
 
+use super::version_history::VersionHistory;
+
 /// Phase of a running trial. It never goes back: a share computed anew from the current evidence
 /// would move sessions back and forth, since boxes and their statistics appear and disappear.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize)]
@@ -45,4 +47,6 @@
     pub version: String,
     /// Progress of the trial.
     pub progress: TrialProgress,
+    /// What came of the earlier orders for the service.
+    pub history: VersionHistory,
 }
--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -32,14 +32,18 @@
                 continue;
             }
             // A restored store may show an order that another one has replaced since.
-            if restored && known.is_some_and(|trial| trial.replaced.contains(&order.version)) {
+            if restored && known.is_some_and(|trial| trial.history.contains(&order.version)) {
                 continue;
             }
-            let replaced = known.map(VersionTrial::replaced_versions).unwrap_or_default();
+            let history = known.map(|trial| trial.history_before(&order.version));
+            let serves_already = known.is_some_and(|trial| trial.has_accepted(&order.version));
             self.verdict_at.remove(&order.service);
             let service = order.service.clone();
             let mut trial = VersionTrial::new(order, self.settings.exposure, stamp.now);
-            trial.replaced = replaced;
+            trial.history = history.unwrap_or_default();
+            if serves_already {
+                trial.state = TrialState::Done;
+            }
             // This box knows all records up to a moment ago, and the order was not among them. So
             // the store cannot have a verdict or checkpoint of this trial yet, and asking would
             // cost one call a box.
@@ -89,6 +93,7 @@
         let Some(trial) = self.trials.get_mut(&checkpoint.service) else { return };
         if trial.order.version == checkpoint.version {
             trial.merge_progress(checkpoint.progress, stamp.now);
+            trial.history.merge(&checkpoint.history);
             trial.note_checkpoint(checkpoint.progress);
         }
     }
@@ -142,6 +147,7 @@
                 continue;
             }
             trial.merge_progress(update.progress, stamp.now);
+            trial.history.merge(&update.history);
             if is_stored {
                 trial.note_checkpoint(update.checkpoint);
             }
--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -44,6 +44,7 @@
 mod rollout_site;
 mod share_fleet;
 mod store_readers;
+mod successive_orders;
 mod trials;
 mod waiting;
 mod waiting_property;
--- a/crates/core/tests/route/restarts.rs
+++ b/crates/core/tests/route/restarts.rs
@@ -17,6 +17,7 @@
 use ravenspoke_core::route::trial::{TrialOrder, TrialState, TrialVerdict, CARRY_LEAD_MS};
 use ravenspoke_core::route::trial_progress::{TrialCheckpoint, TrialPhase, TrialProgress};
 use ravenspoke_core::route::trial_stats::{TrialStats, VersionStats};
+use ravenspoke_core::route::version_history::VersionHistory;
 use ravenspoke_core::time::BoxTime;
 
 use crate::fixture::{
@@ -180,7 +181,8 @@
 /// A checkpoint of the trial.
 fn checkpoint(phase: TrialPhase, age_ms: u64) -> TrialCheckpoint {
     let progress = TrialProgress { phase, age_ms, ..TrialProgress::default() };
-    TrialCheckpoint { service: "pool".to_owned(), version: "v2".to_owned(), progress }
+    let history = VersionHistory::default();
+    TrialCheckpoint { service: "pool".to_owned(), version: "v2".to_owned(), progress, history }
 }
 
 #[test]
