An answer counts for the trial in which its attempt began

Callers saw nothing at once: the last answers of a rolled-back version counted as those of the version of the next order, whose trial begins with a few answers, so that a good version could be rolled back for them. The rest of a stream that a version on trial had begun went to the next order's version, before that may take any session.

Cause: an attempt keeps only that it ran "on trial", and a new order replaces the trial meanwhile.

Now an answer, a lost one, a load and a send that was never written count only if the attempt began after the trial's order was received, and requests in flight forget that their answer began on trial: their rest is served by the old version, which is the one that began it if that was accepted.

Tests, all three red before: `answer_of_an_attempt_before_the_next_order_...`, `answer_lost_before_the_next_order_...`, `stream_of_an_accepted_version_is_resumed_by_it_after_the_...` in `route successive_orders`.

--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -483,7 +483,10 @@
             };
             request.runs.settle(proof);
             let trial = self.trials.get_mut(&request.service);
-            if let Some((trial, attempt)) = trial.zip(request.attempt) {
+            let counted = trial
+                .zip(request.attempt)
+                .filter(|(trial, attempt)| trial.counts_attempt(attempt.began));
+            if let Some((trial, attempt)) = counted {
                 trial.exposure.remove_unsent(attempt.on_trial, request.sends == 1);
             }
             request.connect_failures += 1;
--- a/crates/core/src/route/backend_health.rs
+++ b/crates/core/src/route/backend_health.rs
@@ -54,6 +54,8 @@
     pub route: String,
     /// Whether the replica's version was on trial.
     pub on_trial: bool,
+    /// When the attempt began.
+    pub began: BoxTime,
     /// When the attempt was given up.
     pub at: BoxTime,
 }
--- a/crates/core/src/route/feedback.rs
+++ b/crates/core/src/route/feedback.rs
@@ -6,7 +6,7 @@
 use super::scheduling::loads::BackendLoad;
 use super::scheduling::pick::BackendPick;
 use super::scheduling::placement::{PlacementUpdate, PLACEMENT_GOSSIP_WORK_MS};
-use super::trial::{TrialState, VersionTrial};
+use super::trial::VersionTrial;
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
 use crate::ids::ReplicaKey;
@@ -85,8 +85,8 @@
         self.apply_lost_answers(&service, replica);
         if !counted_bad {
             let took_ms = (!bad).then_some(took_ms);
-            let running = |trial: &&mut VersionTrial| trial.state == TrialState::Running;
-            if let Some(trial) = self.trials.get_mut(&service).filter(running) {
+            let counts = |trial: &&mut VersionTrial| trial.counts_attempt(attempt.began);
+            if let Some(trial) = self.trials.get_mut(&service).filter(counts) {
                 trial.add_response(&route, on_trial, bad, took_ms, is_prompt);
             }
         }
@@ -96,7 +96,8 @@
     pub(super) fn record_trial_load(&mut self, ticket: RequestTicket, load: Option<BackendLoad>) {
         let Some((request, load)) = self.requests.get(&ticket).zip(load) else { return };
         let Some(attempt) = request.attempt else { return };
-        let Some(trial) = self.trials.get_mut(&request.service) else { return };
+        let counts = |trial: &&mut VersionTrial| trial.counts_attempt(attempt.began);
+        let Some(trial) = self.trials.get_mut(&request.service).filter(counts) else { return };
         let row = trial.own.entry(request.route.name.clone()).or_default();
         let side = if attempt.on_trial { &mut row.canary } else { &mut row.baseline };
         side.record_load(f64::from(load.running) / f64::from(load.slots.max(1)));
@@ -113,7 +114,8 @@
             return;
         }
         let (route, on_trial) = (request.route.name.clone(), attempt.on_trial);
-        self.backends.add_lost(attempt.replica, LostAnswer { route, on_trial, at: stamp.now });
+        let lost = LostAnswer { route, on_trial, began: attempt.began, at: stamp.now };
+        self.backends.add_lost(attempt.replica, lost);
     }
 
     /// Counts the lost answers of replicas that still exist and have not answered since.
@@ -128,10 +130,11 @@
     /// Adds a replica's lost answers to the trial of its service.
     fn apply_lost_answers(&mut self, service: &str, replica: ReplicaKey) {
         let lost_answers = self.backends.drain_lost(replica);
-        let running = |trial: &&mut VersionTrial| trial.state == TrialState::Running;
-        let Some(trial) = self.trials.get_mut(service).filter(running) else { return };
+        let Some(trial) = self.trials.get_mut(service) else { return };
         for lost in lost_answers {
-            trial.add_response(&lost.route, lost.on_trial, true, None, false);
+            if trial.counts_attempt(lost.began) {
+                trial.add_response(&lost.route, lost.on_trial, true, None, false);
+            }
         }
     }
 }
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -155,6 +155,14 @@
         }
         self.received.and_then(|received| received.begun)
     }
+
+    /// Notes that another version is on trial now: the one that began its answer is not.
+    pub(super) fn leave_trial(&mut self) {
+        self.relayed_on_trial = false;
+        if let Some(begun) = self.received.as_mut().and_then(|received| received.begun.as_mut()) {
+            begun.on_trial = false;
+        }
+    }
 }
 
 /// A current attempt.
--- a/crates/core/src/route/trial.rs
+++ b/crates/core/src/route/trial.rs
@@ -492,6 +492,12 @@
         (count.canary as f64) < self.bounds.allowed(count.all as f64)
     }
 
+    /// Whether the answer to an attempt counts for this trial: the trial runs, and the attempt began
+    /// after its order. Earlier ones tell of versions of earlier orders.
+    pub fn counts_attempt(&self, began: BoxTime) -> bool {
+        self.state == TrialState::Running && began >= self.received_at
+    }
+
     /// Whether `version` is the version of a running trial.
     pub fn is_on_trial(&self, version: &str) -> bool {
         self.state == TrialState::Running && self.order.version == version
--- a/crates/core/src/route/verdict.rs
+++ b/crates/core/src/route/verdict.rs
@@ -49,6 +49,9 @@
             // cost one call a box.
             trial.verdict_read = self.fresh.age_ms(stamp.now).is_some_and(|age| trial.is_new(age));
             out.push(state_changed(&trial));
+            for request in self.requests.values_mut().filter(|request| request.service == service) {
+                request.leave_trial();
+            }
             self.trials.insert(service, trial);
         }
     }
--- a/crates/core/tests/route/successive_orders.rs
+++ b/crates/core/tests/route/successive_orders.rs
@@ -1,14 +1,14 @@
 //! Orders for a service that follow each other while replicas of the earlier versions are still
 //! listed.
 
-use ravenspoke_core::route::event::{CallerRequest, RouteEffect, RouteEvent};
+use ravenspoke_core::route::event::{AttemptFailure, CallerRequest, RouteEffect, RouteEvent};
 use ravenspoke_core::route::peers::{GossipMessage, TrialUpdate};
 use ravenspoke_core::route::trial::{TrialOrder, TrialState, TrialVerdict};
 use ravenspoke_core::route::trial_progress::TrialCheckpoint;
 use ravenspoke_core::route::version_history::VersionHistory;
 use ravenspoke_core::time::BoxTime;
 
-use crate::fixture::{ask, entry, head, ready_box, session, TestBox};
+use crate::fixture::{ask, entry, head, order_in, ready_box, session, TestBox};
 
 fn order(version: &str) -> TrialOrder {
     TrialOrder { service: "pool".to_owned(), version: version.to_owned(), duration_ms: 10_000 }
@@ -172,3 +172,65 @@
     };
     effects.iter().filter_map(checkpoint).collect()
 }
+
+/// A box in the second half of the trial of `v2`, and a session that the version takes.
+fn box_in_second_half() -> (TestBox, u64) {
+    let mut subject = box_of_three_versions();
+    subject.give_order(order("v2"));
+    subject.now += 5_500;
+    subject.read_plan(None);
+    subject.feed(RouteEvent::Tick);
+    let moved = (1..).find(|number| serve(&mut subject, *number) == "v2");
+    (subject, session(moved.expect("a session that is moved")))
+}
+
+/// Responses that count for the version on trial, and the bad ones among them.
+fn counted(subject: &TestBox) -> (f64, f64) {
+    subject.state.dump(BoxTime::from_millis(subject.now)).trials[0].answers()
+}
+
+/// A good version was rolled back for the last answers of the bad one before it.
+#[test]
+fn answer_of_an_attempt_before_the_next_order_does_not_count_for_its_version() {
+    let (mut subject, session) = box_in_second_half();
+    let (ticket, sent) = subject.sent(CallerRequest { session, ..ask("/file/x") });
+    subject.feed(RouteEvent::VerdictStored(verdict("v2", TrialState::RolledBack)));
+    subject.now += 100;
+    subject.give_order(order("v3"));
+
+    subject.feed(RouteEvent::HeadReceived(ticket, head(500)));
+
+    assert_eq!(sent.version, "v2");
+    assert_eq!(counted(&subject), (0.0, 0.0));
+}
+
+/// As above, for answers that were lost before the next order.
+#[test]
+fn answer_lost_before_the_next_order_does_not_count_for_its_version() {
+    let (mut subject, session) = box_in_second_half();
+    let (ticket, sent) = subject.sent(CallerRequest { session, ..ask("/file/x") });
+    subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken));
+    subject.now += 100;
+    subject.give_order(order("v3"));
+
+    subject.now += 6_000;
+    subject.feed(RouteEvent::Tick);
+
+    assert_eq!(sent.version, "v2");
+    assert_eq!(counted(&subject), (0.0, 0.0));
+}
+
+/// The rest of a stream went to the next version before that took any session.
+#[test]
+fn stream_of_an_accepted_version_is_resumed_by_it_after_the_next_order() {
+    let (mut subject, session) = box_in_second_half();
+    let (ticket, first) = subject.sent(CallerRequest { session, ..ask("/chat/x") });
+    subject.feed(RouteEvent::HeadReceived(ticket, head(200)));
+    subject.feed(RouteEvent::VerdictStored(verdict("v2", TrialState::Done)));
+    subject.give_order(order("v3"));
+
+    let failed = RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken);
+    let next = order_in(&subject.feed(failed)).expect("another replica resumes it");
+
+    assert_eq!((first.version.as_str(), next.version.as_str()), ("v2", "v2"));
+}
