A status of a replaced order is not written over that of the next one

Operators saw `status/rollout` fall back to `rolled_back` of an order that they had replaced: a box that had not heard of the next order ended its own, and the boxes that knew the next one took its status for written and did not write it again until its end. After its end nobody did.

Now, where the store's status names another version, the box reads the operator's records after those that it knows, and writes only if its order is still the newest. The append is conditional on the end of the topic that it read before, so that a status written meanwhile refuses it. The price is one read of `keyed.op` for the first status of an order after another one. Event 778 (`verdict_withheld`) tells of it.

Tests: `status_of_a_replaced_order_is_not_written_over_that_of_the_next` (red before), `status_of_the_next_order_replaces_that_of_the_former` (box tests, `rollouts`).

--- a/crates/box/src/gateway/checkpoints.rs
+++ b/crates/box/src/gateway/checkpoints.rs
@@ -1,6 +1,7 @@
 //! Reads and writes the checkpoints of running trials in the store, so that their progress survives
 //! a restart of all boxes.
 
+use std::future::ready;
 use std::sync::Arc;
 
 use ravenspoke_adapter::records::{read_checkpoint, write_checkpoint, CHECKPOINT_TOPIC};
@@ -53,7 +54,7 @@
         let record = KeyedRecord::new(key, Some(value));
         let appended = append_unless(&mut follower, &record, |asked_at, stored| {
             let stored = apply_checkpoints(&driver, asked_at, stored);
-            stored.iter().any(|other| supersedes(other, &checkpoint))
+            ready(stored.iter().any(|other| supersedes(other, &checkpoint)))
         });
         if appended.await {
             driver.feed(RouteEvent::CheckpointStored(checkpoint));
--- a/crates/box/src/gateway/mod.rs
+++ b/crates/box/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 mod listen;
 pub mod observe;
 pub mod operator_records;
+mod order_reader;
 pub mod poison_records;
 pub mod pool;
 pub mod probes;
--- a/crates/box/src/gateway/observe.rs
+++ b/crates/box/src/gateway/observe.rs
@@ -20,6 +20,7 @@
 use ravenspoke_core::route::readiness::KnowledgeSummary;
 use ravenspoke_core::route::scheduling::account_shares::ShareSummary;
 use ravenspoke_core::route::shares::{AccountUse, MEASURED_ACCOUNTS};
+use ravenspoke_core::route::trial::TrialVerdict;
 use tracing::{error, info, warn};
 
 use super::control_stats::ControlStats;
@@ -602,6 +603,13 @@
     error!(event = 774, name = "panicked", place, why);
 }
 
+/// Logs that a verdict is not written, because `newest` is the version of the operator's newest
+/// order for its service, if one is known.
+pub fn log_verdict_withheld(verdict: &TrialVerdict, newest: Option<&str>) {
+    let TrialVerdict { service, version, state } = verdict;
+    info!(event = 778, name = "verdict_withheld", service, version, ?state, newest);
+}
+
 /// Logs that new connections are refused from now on, with the number of open ones.
 pub fn log_entry_closed(open_connections: usize) {
     info!(event = 727, name = "callers_refused", open_connections);
--- a/crates/box/src/gateway/poison_records.rs
+++ b/crates/box/src/gateway/poison_records.rs
@@ -1,6 +1,7 @@
 //! Reads and writes the records about poison in the store, so that what crashes replicas is known
 //! after a restart of all boxes.
 
+use std::future::ready;
 use std::sync::Arc;
 
 use ravenspoke_adapter::records::{read_poison, write_poison, POISON_TOPIC};
@@ -41,7 +42,7 @@
         let appended = append_unless(&mut follower, &keyed, |_, stored| {
             let stored = apply_poison(&driver, stored);
             let known = stored.iter().find(|other| other.feature == record.feature);
-            known.map_or(PoisonState::Dropped, |known| known.state) == record.state
+            ready(known.map_or(PoisonState::Dropped, |known| known.state) == record.state)
         });
         if appended.await {
             driver.feed(RouteEvent::PoisonStored(record));
--- a/crates/box/src/gateway/verdicts.rs
+++ b/crates/box/src/gateway/verdicts.rs
@@ -1,5 +1,6 @@
 //! Reads the verdicts in the store, and writes this box's verdicts that are due.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use super::checkpoints::CheckpointReader;
 use super::driver::GatewayDriver;
 use super::observe;
+use super::order_reader::OrderReader;
 use super::topic_follower::TopicFollower;
 
 /// Interval between reads of verdicts while a trial is running, in milliseconds.
@@ -77,16 +79,21 @@
     store: StoreClient,
     mut due: UnboundedReceiver<TrialVerdict>,
 ) {
-    let mut follower = TopicFollower::new(driver.clone(), store, VERDICT_TOPIC, |_, _| true);
+    let mut follower =
+        TopicFollower::new(driver.clone(), store.clone(), VERDICT_TOPIC, |_, _| true);
+    let orders = OrderReader::new(driver.clone(), store);
     while let Some(verdict) = due.recv().await {
         let (key, value) = write_verdict(&verdict);
         let record = KeyedRecord::new(key, Some(value));
+        let (verdict, orders) = (&verdict, &orders);
         let appended = append_unless(&mut follower, &record, |asked_at, stored| {
             let stored = apply_verdicts(&driver, asked_at, stored);
-            stored.iter().any(|other| supersedes(other, &verdict))
+            let is_superseded = stored.iter().any(|other| supersedes(other, verdict));
+            let is_doubtful = stored.iter().any(|other| is_of_other_order(other, verdict));
+            async move { is_superseded || is_doubtful && !orders.is_current(verdict).await }
         });
         if appended.await {
-            driver.feed(RouteEvent::VerdictStored(verdict));
+            driver.feed(RouteEvent::VerdictStored(verdict.clone()));
         }
     }
 }
@@ -94,15 +101,15 @@
 /// Appends a record, unless the topic has one that supersedes it. Returns whether the store
 /// accepted it. The result is false if that is unknown, because the reducer requests the write
 /// again if the store does not show the record.
-pub(super) async fn append_unless(
+pub(super) async fn append_unless<F: Future<Output = bool>>(
     follower: &mut TopicFollower,
     record: &KeyedRecord,
-    is_superseded_by: impl Fn(BoxTime, &[KeyedRecord]) -> bool,
+    is_superseded_by: impl Fn(BoxTime, &[KeyedRecord]) -> F,
 ) -> bool {
     for _ in 0..APPEND_ATTEMPTS {
         let Some(listed) = follower.list().await else { return false };
         let listing = listed.value;
-        if is_superseded_by(listed.asked_at, &listing.records) {
+        if is_superseded_by(listed.asked_at, &listing.records).await {
             return false;
         }
         match follower.append(Some(listing.end), record).await {
@@ -119,3 +126,8 @@
     let same = stored.service == new.service && stored.version == new.version;
     same && (stored.state != TrialState::Running || new.state == TrialState::Running)
 }
+
+/// Whether a stored verdict is of an earlier or later order for the same service.
+fn is_of_other_order(stored: &TrialVerdict, new: &TrialVerdict) -> bool {
+    stored.service == new.service && stored.version != new.version
+}
--- a/crates/box/src/observe.rs
+++ b/crates/box/src/observe.rs
@@ -98,6 +98,7 @@
     (775, "attempt_kept"),
     (776, "attempt_replaced"),
     (777, "body_refused"),
+    (778, "verdict_withheld"),
 ];
 
 /// Logs and counts an effect, if it has a log event or a metric.
--- a/crates/box/tests/rollouts.rs
+++ b/crates/box/tests/rollouts.rs
@@ -17,7 +17,8 @@
     STATUS_TOPIC,
 };
 use ravenspoke_standins::platform::site_box::SiteBox;
-use serde_json::json;
+use ravenspoke_standins::platform::store::{StoreFaults, StoreOutage};
+use serde_json::{json, Value};
 
 /// Duration of the order, in seconds. Its second half is long enough for a box to start in it.
 const ORDER_S: u64 = 9;
@@ -116,3 +117,80 @@
     })
     .await;
 }
+
+/// Duration of orders that nobody waits to be accepted, in seconds.
+const SHORT_ORDER_S: u64 = 2;
+
+fn status(version: &str, state: &str) -> Value {
+    json!({ "service": SITE_SERVICE, "target_version": version, "state": state })
+}
+
+fn order(version: &str, duration_s: u64) -> Value {
+    json!({ "service": SITE_SERVICE, "target_version": version, "duration_s": duration_s })
+}
+
+/// A site with a box that has written the status of an order for `v2`, whose replicas are missing.
+async fn site_with_unserved_order() -> (RunningSite, ReplicaStandin, SiteBox) {
+    let mut site = RunningSite::start(Path::new(env!("CARGO_BIN_EXE_ravenspoked"))).await;
+    site.write_plan(1, &[SITE_KEY]);
+    let old = start_replica(&site, "old", "v1").await;
+    let subject = site.start_ready("box-1").await;
+    site.store.put(OPERATOR_TOPIC, ROLLOUT_KEY, &order("v2", SHORT_ORDER_S));
+    wait_for_status(&site, &status("v2", "running")).await;
+    (site, old, subject)
+}
+
+/// Makes the store refuse to tell of orders, and waits until the box has met that. A record of no
+/// meaning ends the read that waits for orders.
+async fn shut_out_from_orders(site: &RunningSite, subject: &SiteBox) {
+    site.store.set_faults(StoreFaults {
+        outage: StoreOutage::Busy,
+        topics: [OPERATOR_TOPIC.to_owned()].into(),
+        ..StoreFaults::default()
+    });
+    site.store.put(OPERATOR_TOPIC, "note", &json!({}));
+    wait_for("the box has met the fault", || {
+        let lost = subject.events("store_lost");
+        std::future::ready(lost.iter().any(|event| event["topic"] == OPERATOR_TOPIC).then_some(()))
+    })
+    .await;
+}
+
+async fn wait_for_status(site: &RunningSite, status: &Value) {
+    wait_for("the status is written", || {
+        let newest = site.store.newest(STATUS_TOPIC, ROLLOUT_KEY);
+        std::future::ready((newest.as_ref() == Some(status)).then_some(()))
+    })
+    .await;
+}
+
+/// A box that had not heard of the next order wrote the end of its own over the status of that one,
+/// which nobody then wrote again.
+#[tokio::test]
+async fn status_of_a_replaced_order_is_not_written_over_that_of_the_next() {
+    let (site, _old, subject) = site_with_unserved_order().await;
+    shut_out_from_orders(&site, &subject).await;
+    site.store.put(OPERATOR_TOPIC, ROLLOUT_KEY, &order("v3", 600));
+    let next = status("v3", "running");
+    site.store.put(STATUS_TOPIC, ROLLOUT_KEY, &next);
+
+    wait_for("the box has tried to end its order", || async {
+        moved_sessions(&site, &subject).await;
+        let due = subject.events("verdict_due");
+        let tries = due.iter().filter(|event| event["state"] == "RolledBack").count();
+        let is_written = site.store.newest(STATUS_TOPIC, ROLLOUT_KEY)? != next;
+        (tries > 1 || is_written).then_some(())
+    })
+    .await;
+
+    assert_eq!(site.store.newest(STATUS_TOPIC, ROLLOUT_KEY), Some(next));
+}
+
+#[tokio::test]
+async fn status_of_the_next_order_replaces_that_of_the_former() {
+    let (site, _old, _subject) = site_with_unserved_order().await;
+
+    site.store.put(OPERATOR_TOPIC, ROLLOUT_KEY, &order("v3", 600));
+
+    wait_for_status(&site, &status("v3", "running")).await;
+}
--- a/crates/core/src/route/readiness.rs
+++ b/crates/core/src/route/readiness.rs
@@ -103,6 +103,11 @@
         self.trials.values().any(|trial| trial.state == trial::TrialState::Running)
     }
 
+    /// Version that the last known order for a service names.
+    pub fn version_on_trial(&self, service: &str) -> Option<&str> {
+        self.trials.get(service).map(|trial| trial.order.version.as_str())
+    }
+
     /// Whether the store was not asked for the verdict of some trial yet: it may have ended before
     /// this box started.
     pub fn has_unread_verdicts(&self) -> bool {
