Replicas of a new version wait until their order would be known

Callers saw sessions answered by a new version and then by the old one again: for up to 0.9 s, boxes used the replicas of a version whose order they had not read yet, like all others of the service. When they knew the order, whose first half leaves sessions where they are, they sent them back.

Cause: orders and replicas are read from two topics, at times of their own.

The order is given before its replicas are started. So a version that a box first heard of after the beginning of its last read of the orders, and after another version, is used only where no other is usable. It needs no time limit: the next read shows the order or that there is none. A box that has just started and knows two versions since takes callers only after that read, or when it takes them in any case.

--- a/crates/box/tests/rollouts.rs
+++ b/crates/box/tests/rollouts.rs
@@ -194,3 +194,23 @@
 
     wait_for_status(&site, &status("v3", "running")).await;
 }
+
+/// A box that knew a new version's replicas before its order sent them sessions, which went back to
+/// the old version once it knew the order (soak seeds 445 and 2001).
+#[tokio::test]
+async fn replica_known_before_its_order_gets_no_sessions() {
+    let mut site = RunningSite::start(Path::new(env!("CARGO_BIN_EXE_ravenspoked"))).await;
+    site.write_plan(1, &[SITE_KEY]);
+    let _old = start_replica(&site, "old", "v1").await;
+    let subject = site.start_ready("box-1").await;
+    shut_out_from_orders(&site, &subject).await;
+    site.store.put(OPERATOR_TOPIC, ROLLOUT_KEY, &order("v2", 600));
+
+    let _new = start_replica(&site, "new", "v2").await;
+    wait_for("the box knows the new replica", || async {
+        (subject.state().await?["backends"].as_array()?.len() == 2).then_some(())
+    })
+    .await;
+
+    assert_eq!(moved_sessions(&site, &subject).await, [false; SESSIONS]);
+}
--- a/crates/core/src/route/backend.rs
+++ b/crates/core/src/route/backend.rs
@@ -18,6 +18,7 @@
 use super::scheduling::backlog::ReplicaBacklog;
 use super::scheduling::replica_speed::ReplicaSpeed;
 use super::tombstones::ReplicaTombstones;
+use super::version_sightings::VersionSightings;
 use super::warm_up::{WarmUpPlan, ASSUMED_DOWN_MS};
 use crate::ids::ReplicaKey;
 use crate::position::TopicPosition;
@@ -221,6 +222,8 @@
     listed_to: TopicPosition,
     /// Services with a replica that shares its machine with other work.
     shared_machines: BTreeSet<String>,
+    /// When this box first heard of each version.
+    pub(super) versions: VersionSightings,
     /// Whether a replica became cold and this box's share of it was not computed yet.
     pub(super) newly_cold: bool,
 }
@@ -398,6 +401,7 @@
     }
 
     fn put(&mut self, entry: BackendEntry, at: TopicPosition, now: BoxTime) -> ChangeKind {
+        self.versions.record(&entry.service, &entry.version, now);
         let Some(key) = self.ids.get(&entry.id).copied() else {
             self.tombstones.forget(&entry.id);
             let leaving = entry.leaving;
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -56,6 +56,7 @@
         let query = BackendQuery {
             service: &request.service,
             version,
+            heard_by: self.fresh.as_of().filter(|_| !on_trial),
             most: trial
                 .filter(|_| on_trial)
                 .and_then(|trial| self.canary_replicas(trial, request.session, stamp.now)),
@@ -68,24 +69,36 @@
             random: stamp.random,
             now: stamp.now,
         };
-        let preferred = self.backends.pick(&query);
-        // If no replica of the preferred version is usable, any version serves except one found
-        // bad.
-        let fallback = || {
-            let version = fallback_filter(trial);
-            self.backends.pick(&BackendQuery { version, most: None, ..query })
-        };
-        // A session does not change its version because brittle replicas have no room for a moment.
-        let waits = || request.session != 0 && self.backends.any_without_room(&query);
-        let pick = preferred.or_else(|| if waits() { None } else { fallback() })?;
-        let trial = trial.map(|trial| TrialInputs {
-            age_ms: trial.age_ms(stamp.now),
-            share,
-            fell_back: preferred.is_none(),
-        });
+        let (pick, fell_back) = self.pick_version(request, &query, trial)?;
+        let trial =
+            trial.map(|trial| TrialInputs { age_ms: trial.age_ms(stamp.now), share, fell_back });
         Some(AttemptChoice { pick, trial })
     }
 
+    /// Picks a replica of the version that a query asks for or, if none is usable, of any version that
+    /// was not found bad. Returns whether it is of another version.
+    fn pick_version(
+        &self,
+        request: &RouteRequest,
+        query: &BackendQuery,
+        trial: Option<&VersionTrial>,
+    ) -> Option<(BackendPick, bool)> {
+        if let Some(pick) = self.backends.pick(query) {
+            return Some((pick, false));
+        }
+        // A session does not change its version because brittle replicas have no room for a moment.
+        if request.session != 0 && self.backends.any_without_room(query) {
+            return None;
+        }
+        let of_any_age = BackendQuery { heard_by: None, ..*query };
+        if let Some(pick) = self.backends.pick(&of_any_age) {
+            return Some((pick, false));
+        }
+        let version = fallback_filter(trial);
+        let pick = self.backends.pick(&BackendQuery { version, most: None, ..of_any_age })?;
+        Some((pick, true))
+    }
+
     /// Number of replicas that the version on trial uses while it has a share of the requests, so
     /// that their load is not far below the one to come; `None` for all.
     fn canary_replicas(&self, trial: &VersionTrial, session: u64, now: BoxTime) -> Option<usize> {
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -105,6 +105,7 @@
 pub mod trial_stats;
 mod verdict;
 pub mod version_history;
+mod version_sightings;
 mod waiting;
 pub mod warm_up;
 
--- a/crates/core/src/route/readiness.rs
+++ b/crates/core/src/route/readiness.rs
@@ -130,7 +130,14 @@
     /// enough.
     pub fn accepts_callers(&self, now: BoxTime) -> bool {
         let due = self.start.is_some_and(|start| now >= start.callers_at());
-        due || self.is_synced()
+        due || self.is_synced() && !self.may_lack_order()
+    }
+
+    /// Whether the order for one of several versions of a service may not be known yet.
+    fn may_lack_order(&self) -> bool {
+        let Some(as_of) = self.fresh.as_of() else { return true };
+        let mut changed = self.backends.versions.changed_since(as_of);
+        changed.any(|service| !self.trials.contains_key(service))
     }
 
     /// Whether the replicas are known: all of them as of some time, and at least one. A few changes
--- a/crates/core/src/route/scheduling/pick.rs
+++ b/crates/core/src/route/scheduling/pick.rs
@@ -36,6 +36,9 @@
     pub service: &'a str,
     /// Versions allowed.
     pub version: VersionFilter<'a>,
+    /// Versions that this box first heard of later than this, and than of another version, are not
+    /// used; `None` for no limit.
+    pub heard_by: Option<BoxTime>,
     /// At most this many replicas are used, the same ones on every box; `None` for all.
     pub most: Option<usize>,
     /// Work of reading its prompt, if it has one.
@@ -123,6 +126,8 @@
     /// Picks a replica, or returns `None` if none is usable.
     pub fn pick(&self, query: &BackendQuery) -> Option<BackendPick> {
         let keys = self.by_service.get(query.service)?;
+        let late = |heard_by| self.versions.later_than(query.service, heard_by).collect();
+        let late: Vec<&str> = query.heard_by.map_or_else(Vec::new, late);
         let fits = |key: &&ReplicaKey| {
             let row = &self.rows[**key];
             row.usable(query.now)
@@ -132,6 +137,7 @@
                 && !(query.bounds_cold && row.too_cold(query.now))
                 && row.accepts_requests(query.now)
                 && query.version.matches(&row.entry.version)
+                && !late.contains(&row.entry.version.as_str())
                 && !query.tried.contains(*key)
         };
         let usable: Vec<ReplicaKey> = keys.iter().filter(fits).copied().collect();
--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -5,6 +5,7 @@
 mod brittle;
 mod calls;
 mod cold;
+mod early_replicas;
 mod evacuations;
 mod exposure;
 mod fixture;
