A request at a silent box is kept until another place has taken it

Callers saw streams end in the middle of the answer: a box without paths to its replicas had forwarded them to another one, that one was not heard of for 1.7 s, the replica paused, and no other place had room, or there was none. The other box may have been well: its datagrams were lost, or it was starved.

A paused attempt at a replica is kept beside the next one since; one at a box was not, since only a `RunningAttempt` could be kept.

Now a `FormerAttempt` is at a replica or at a box. The next place is asked while the other box's channel is read; the first sign of life of that one ends the search, and refusals cost none of the attempts that this box kept for itself. The budget is that of a lost path, as before.

--- a/crates/core/src/route/former.rs
+++ b/crates/core/src/route/former.rs
@@ -1,17 +1,18 @@
 //! An attempt that pauses is kept until another place has taken the request.
 //!
-//! A sound replica may pause, and all others may be full meanwhile. So a request that may go on
-//! elsewhere asks for another place while its former attempt is still read. The first sign of life of
-//! the former one ends the search; a place that refuses or fails costs nothing but itself. The former
-//! attempt ends once another place answers, or [`OVERLAP_MS`] after the last one was asked: a replica
-//! rejects at once what it has no room for, and no request is to be at work at two places for long.
+//! A sound replica may pause, and all others may be full meanwhile; a box that took a request up may
+//! not be heard of for a while. So a request that may go on elsewhere asks for another place while its
+//! former attempt is still read. The first sign of life of the former one ends the search; a place
+//! that refuses or fails costs nothing but itself. The former attempt ends once another place answers,
+//! or [`OVERLAP_MS`] after the last one was asked: a replica rejects at once what it has no room for,
+//! and no request is to be at work at two places for long.
 //!
 //! The answer of a model is kept likewise while a larger one is asked, and is relayed if none takes
 //! the request.
 
 use super::backend_health::BackendOutcome;
 use super::event::{FormerEnd, RouteEffect};
-use super::request::{RouteRequest, RunningAttempt};
+use super::request::{RouteRequest, RunningAttempt, RunningForward};
 use super::retry_budget::SendCause;
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
@@ -27,10 +28,28 @@
 /// budget.
 pub const PLACES_ASKED: u32 = 2;
 
+/// Where a request is that may go on elsewhere.
+#[derive(Clone, Debug)]
+enum FormerPlace {
+    /// At a replica.
+    Replica(RunningAttempt),
+    /// At another box, which is silent.
+    Peer(RunningForward),
+}
+
+impl FormerPlace {
+    fn attempt(&self) -> Option<&RunningAttempt> {
+        match self {
+            FormerPlace::Replica(attempt) => Some(attempt),
+            FormerPlace::Peer(_) => None,
+        }
+    }
+}
+
 /// An attempt that is kept while another place is asked.
 #[derive(Clone, Debug)]
 pub(super) struct FormerAttempt {
-    attempt: RunningAttempt,
+    place: FormerPlace,
     /// Why another place is asked.
     pub(super) cause: SendCause,
     /// Places asked so far.
@@ -53,9 +72,15 @@
 impl RouteRequest {
     /// Puts the current attempt aside while another place is asked.
     fn set_former(&mut self, cause: SendCause) {
-        let Some(attempt) = self.attempt.take().filter(|_| self.former.is_none()) else { return };
+        if self.former.is_some() {
+            return;
+        }
+        let replica = self.attempt.take().map(FormerPlace::Replica);
+        let Some(place) = replica.or_else(|| self.forward.take().map(FormerPlace::Peer)) else {
+            return;
+        };
         self.former = Some(FormerAttempt {
-            attempt,
+            place,
             cause,
             asked: 0,
             refused: Vec::new(),
@@ -63,6 +88,21 @@
         });
     }
 
+    fn return_to_replica(&mut self, attempt: RunningAttempt) {
+        self.size = attempt.size;
+        if !self.tried.contains(&attempt.replica) {
+            self.tried.push(attempt.replica);
+        }
+        self.attempt = Some(attempt);
+    }
+
+    /// Goes on at another box. What was sent elsewhere meanwhile is taken off the attempts that this
+    /// box kept for itself.
+    fn return_to_peer(&mut self, forward: RunningForward) {
+        let reserved = self.route.attempts.saturating_sub(self.attempts_used());
+        self.forward = Some(RunningForward { reserved, ..forward });
+    }
+
     /// Returns the time for which its former attempt is kept beside the next one, if there is one.
     pub(super) fn overlap_ms(&self) -> Option<u64> {
         let answers = |former: &FormerAttempt| former.cause == SendCause::LargerModel;
@@ -72,7 +112,7 @@
 
     /// Returns the attempts that run, the former one included.
     pub(super) fn running_attempts(&self) -> impl Iterator<Item = &RunningAttempt> {
-        let former = self.former.as_ref().map(|former| &former.attempt);
+        let former = self.former.as_ref().and_then(|former| former.place.attempt());
         self.attempt.iter().chain(former)
     }
 
@@ -142,11 +182,10 @@
     fn return_to_former(&mut self, ticket: RequestTicket) {
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         let Some(former) = request.former.take() else { return };
-        request.attempt = Some(former.attempt);
-        request.size = former.attempt.size;
         request.forward_tried.truncate(former.forwards_before);
-        if !request.tried.contains(&former.attempt.replica) {
-            request.tried.push(former.attempt.replica);
+        match former.place {
+            FormerPlace::Replica(attempt) => request.return_to_replica(attempt),
+            FormerPlace::Peer(forward) => request.return_to_peer(forward),
         }
     }
 
@@ -177,8 +216,8 @@
     ) {
         let Some(request) = self.requests.get(&ticket) else { return };
         let Some(former) = &request.former else { return };
-        let attempt = former.attempt;
-        if end == FormerEnd::Broken {
+        let attempt = former.place.attempt().copied();
+        if let Some(attempt) = attempt.filter(|_| end == FormerEnd::Broken) {
             self.record_broken(stamp, ticket, attempt);
             self.note_suspicion(stamp, attempt.replica, out);
         }
@@ -196,6 +235,8 @@
             (FormerEnd::Replaced, SendCause::LargerModel) => BackendOutcome::Served,
             (FormerEnd::Replaced | FormerEnd::Broken, _) => BackendOutcome::Failed,
         };
-        self.release(stamp, former.attempt, outcome);
+        if let FormerPlace::Replica(attempt) = former.place {
+            self.release(stamp, attempt, outcome);
+        }
     }
 }
--- a/crates/core/src/route/forward.rs
+++ b/crates/core/src/route/forward.rs
@@ -19,6 +19,7 @@
 use super::former::PlaceOutcome;
 use super::peers::ForwardQuery;
 use super::request::RunningForward;
+use super::retry_budget::SendCause;
 use super::run_record::NotRunProof;
 use super::RouteState;
 use crate::event::{EventStamp, RequestTicket};
@@ -233,19 +234,25 @@
     }
 
     /// Handles a pause of a forwarded request. The other box handles those of its replica, so that
-    /// only its own silence matters.
+    /// only its own silence matters: then another place is asked for the request, which stays where it
+    /// is until one takes it. The other box may have used all attempts that it was granted.
     pub(super) fn on_forward_stalled(
         &mut self,
         stamp: EventStamp,
         ticket: RequestTicket,
         out: &mut Vec<RouteEffect>,
     ) {
-        let Some(request) = self.requests.get(&ticket) else { return };
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
         let Some(forward) = &request.forward else { return };
         let may_repeat = request.route.kind.repeatable() && forward.reserved > 0;
-        if may_repeat && !self.peers.is_live_peer(&forward.peer, stamp.now) {
-            self.on_forward_failed(stamp, ticket, AttemptFailure::Silent, out);
+        let is_silent = !self.peers.is_live_peer(&forward.peer, stamp.now);
+        if !may_repeat || !is_silent || request.former.is_some() {
+            return;
         }
+        request.sends = request.route.attempts - forward.reserved + request.rejections;
+        let avoided_until = stamp.now.plus_millis(FORWARD_FAILED_MS);
+        self.peers.avoid(&forward.peer, None, avoided_until);
+        self.reassign(stamp, ticket, SendCause::PathLost, out);
     }
 
     /// Key that other boxes present when they forward requests to this one.
--- a/crates/core/tests/route/former_attempts.rs
+++ b/crates/core/tests/route/former_attempts.rs
@@ -2,11 +2,13 @@
 
 use ravenspoke_core::event::RequestTicket;
 use ravenspoke_core::route::event::{
-    AnswerHead, AttemptFailure, CallerRequest, FormerEnd, RefusalReason, RouteEffect, RouteEvent,
+    AnswerHead, AttemptFailure, BegunAnswer, CallerRequest, FormerEnd, RefusalReason, RouteEffect,
+    RouteEvent,
 };
 use ravenspoke_core::route::former::{ANSWER_OVERLAP_MS, OVERLAP_MS, PLACES_ASKED};
 
 use crate::fixture::{ask, entry, head, order_in, plan, ready_box, TestBox};
+use crate::forwards::{box_with_one_replica, introduce};
 
 fn rejection() -> AnswerHead {
     AnswerHead { not_run: true, proven: false, ..head(503) }
@@ -176,3 +178,84 @@
     let mut rows = subject.state.backends().rows();
     assert!(rows.all(|(_, row)| row.outstanding == 0));
 }
+
+/// A box with enough traffic for a few further attempts that lost its only replica, and forwarded a
+/// stream, of which the caller has a part, to `box-2`, which has been silent since.
+fn box_with_silent_peer() -> (TestBox, RequestTicket) {
+    let mut subject = box_with_one_replica("box-1");
+    introduce(&mut subject, "box-2");
+    for _ in 0..100 {
+        let (ticket, _) = subject.sent(ask("/read/x"));
+        subject.feed(RouteEvent::ResponseFinished(ticket));
+    }
+    let (ticket, _) = subject.sent(ask("/chat/x"));
+    let failed = RouteEvent::AttemptFailed(ticket, AttemptFailure::NeverSent);
+    let order = order_in(&subject.feed(failed)).expect("it is forwarded");
+    assert_eq!(order.replica_id, "box-2");
+    let begun = Some(BegunAnswer { size: None, on_trial: false });
+    let answer = AnswerHead { begun, ..head(200) };
+    subject.feed(RouteEvent::HeadReceived(ticket, answer));
+    subject.drop_entry("a");
+    subject.now += 2_000;
+    subject.read_plan(None);
+    (subject, ticket)
+}
+
+/// A stream through a box that was not heard of ended when no replica could take it.
+#[test]
+fn stream_through_a_silent_box_is_kept_when_there_is_no_other_place() {
+    let (mut subject, ticket) = box_with_silent_peer();
+
+    let effects = subject.feed(RouteEvent::AttemptStalled(ticket));
+
+    assert_eq!(effects, []);
+}
+
+/// A stream through a box that was not heard of ended when the replicas left were full.
+#[test]
+fn stream_through_a_silent_box_is_kept_when_other_replicas_reject_it() {
+    let (mut subject, ticket) = box_with_silent_peer();
+    for id in ["b", "c", "d"] {
+        subject.put(entry(id, "v1"));
+    }
+    let mut effects = subject.feed(RouteEvent::AttemptStalled(ticket));
+    let mut asked = 0;
+    while let Some(order) = order_in(&effects) {
+        asked += 1;
+        assert_eq!(order.overlap_ms, Some(OVERLAP_MS));
+        effects = subject.feed(RouteEvent::HeadReceived(ticket, rejection()));
+    }
+
+    assert_eq!((asked, effects), (PLACES_ASKED, vec![RouteEffect::KeepFormer(ticket)]));
+
+    // The box breaks off then: the attempt that this one kept for itself has not been used.
+    let broken = subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken));
+    assert!(order_in(&broken).is_some(), "{broken:?}");
+}
+
+/// A stream through a box that was not heard of was moved although it went on.
+#[test]
+fn stream_through_a_silent_box_that_goes_on_needs_no_other_place() {
+    let (mut subject, ticket) = box_with_silent_peer();
+    subject.put(entry("b", "v1"));
+    let next = order_in(&subject.feed(RouteEvent::AttemptStalled(ticket))).expect("asked");
+    assert_eq!(next.overlap_ms, Some(OVERLAP_MS));
+
+    assert_eq!(subject.feed(RouteEvent::AttemptResumed(ticket)), []);
+
+    let is_idle = subject.state.backends().rows().all(|(_, row)| row.outstanding == 0);
+    assert!(is_idle);
+    assert_ends_everywhere(subject, ticket);
+}
+
+#[test]
+fn stream_through_a_silent_box_moves_to_the_place_that_takes_it() {
+    let (mut subject, ticket) = box_with_silent_peer();
+    subject.put(entry("b", "v1"));
+    assert!(order_in(&subject.feed(RouteEvent::AttemptStalled(ticket))).is_some());
+
+    let effects = subject.feed(RouteEvent::HeadReceived(ticket, head(200)));
+
+    assert_eq!(effects, [RouteEffect::Relay(ticket)]);
+    assert_ends_everywhere(subject, ticket);
+}
--- a/crates/core/tests/route/forwards.rs
+++ b/crates/core/tests/route/forwards.rs
@@ -18,7 +18,7 @@
 };
 
 /// A box with one replica, whose calls wait after a rejection.
-fn box_with_one_replica(name: &str) -> TestBox {
+pub fn box_with_one_replica(name: &str) -> TestBox {
     let load = LoadControl { overload: true, ..LoadControl::default() };
     let mut subject = new_box_with(RouteSettings { load, ..settings(name) });
     subject.read_plan(Some(plan(1)));
@@ -27,7 +27,7 @@
 }
 
 /// Lets a box know another one that takes requests.
-fn introduce(subject: &mut TestBox, name: &str) {
+pub fn introduce(subject: &mut TestBox, name: &str) {
     let info = PeerInfo {
         gossip_address: format!("{name}:90"),
         entry_address: format!("{name}:80"),
