attempts: a comment does not end the search for another place

Callers saw a stream cut at its deadline although a sound replica was free: theirs sent comments and no events.

Cause: a stream that pauses is read on while another place is asked, and any piece of it ended the search. A comment is none: it does not end the wait for an event either. Ruled out: the other replica (it had answered the request before), the retry budget, the load.

Now comments are held while another place is asked, and relayed before the next events.

--- a/crates/box/src/gateway/attempts.rs
+++ b/crates/box/src/gateway/attempts.rs
@@ -202,13 +202,22 @@
         }
     }
 
-    /// Handles a piece of the stream that is kept: it goes on, unless it broke.
+    /// Handles a piece of the stream that is kept: it goes on, unless it broke or the piece is a
+    /// comment, which a replica may send without working on the request.
     fn on_former_piece(&mut self, piece: StreamPiece) -> SignalOutcome {
-        if let StreamPiece::Broken(why) = piece {
-            return self.end_former(FormerEnd::Broken, why);
+        match piece {
+            StreamPiece::Broken(why) => self.end_former(FormerEnd::Broken, why),
+            StreamPiece::Events(events) if !events.has_event => {
+                if let Some(FormerAttempt::Stream(reader)) = &mut self.former {
+                    reader.hold_comments(&events.bytes);
+                }
+                SignalOutcome::GoOn
+            }
+            StreamPiece::Events(_) | StreamPiece::End => {
+                self.note_resumed();
+                SignalOutcome::Ended(AttemptOutcome::StreamResumed(piece))
+            }
         }
-        self.note_resumed();
-        SignalOutcome::Ended(AttemptOutcome::StreamResumed(piece))
     }
 
     /// Handles the response of a former attempt, which counts if it is an answer.
--- a/crates/box/src/gateway/stream_reader.rs
+++ b/crates/box/src/gateway/stream_reader.rs
@@ -1,5 +1,6 @@
 //! Reads a stream from a place that answers it, in whole events.
 
+use bytes::BytesMut;
 use http::HeaderMap;
 use hyper::body::Incoming;
 
@@ -36,16 +37,44 @@
 pub struct StreamReader {
     source: Option<StreamSource>,
     splitter: EventSplitter,
+    /// Comments that were read and not relayed yet.
+    held_comments: BytesMut,
 }
 
 impl StreamReader {
     /// Creates a reader of `source`.
     pub(super) fn new(source: StreamSource) -> Self {
-        Self { source: Some(source), splitter: EventSplitter::default() }
+        let (splitter, held_comments) = (EventSplitter::default(), BytesMut::new());
+        Self { source: Some(source), splitter, held_comments }
     }
 
-    /// The next piece. Nothing is lost if the future is dropped before it is ready.
+    /// The next piece, after the comments that were held. Nothing is lost if the future is dropped
+    /// before it is ready.
     pub(super) async fn next(&mut self) -> StreamPiece {
+        let piece = self.read_piece().await;
+        if self.held_comments.is_empty() {
+            return piece;
+        }
+        match piece {
+            StreamPiece::Events(events) => {
+                self.held_comments.extend_from_slice(&events.bytes);
+                let bytes = self.held_comments.split().freeze();
+                StreamPiece::Events(WholeEvents { bytes, ..events })
+            }
+            StreamPiece::End => {
+                let bytes = self.held_comments.split().freeze();
+                StreamPiece::Events(WholeEvents { bytes, has_event: false })
+            }
+            StreamPiece::Broken(_) => piece,
+        }
+    }
+
+    /// Holds comments, which [`Self::next`] returned, until the next piece.
+    pub(super) fn hold_comments(&mut self, comments: &[u8]) {
+        self.held_comments.extend_from_slice(comments);
+    }
+
+    async fn read_piece(&mut self) -> StreamPiece {
         loop {
             let Some(source) = &mut self.source else {
                 return StreamPiece::Broken("no connection to a replica");
--- a/crates/box/tests/paused_streams.rs
+++ b/crates/box/tests/paused_streams.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ravenspoke_standins::fleet::wait_for;
+use ravenspoke_standins::platform::endless::EndlessPart;
 use ravenspoke_standins::platform::replica::{ReplicaMode, ReplicaStandin};
 use ravenspoke_standins::platform::site::RunningSite;
 use ravenspoke_standins::platform::site_box::SiteBox;
@@ -21,6 +22,13 @@
 /// than the longest pause that still keeps an answer in time.
 const PAUSE: Duration = Duration::from_millis(480);
 
+/// Time without an event after which another place is asked.
+const PAUSE_LIMIT: Duration = Duration::from_millis(400);
+
+/// Time in which a replica that is asked answers: longer than that between two comments, and shorter
+/// than the one for which the stream is read on.
+const ANSWER_DELAY: Duration = Duration::from_millis(180);
+
 fn whole_stream() -> String {
     (1..=EVENTS.0).map(|number| format!("id: {number}\ndata: piece {number}\n\n")).collect()
 }
@@ -63,6 +71,21 @@
     answers
 }
 
+/// Begins a stream through a box that this replica answers. Those of others are given up.
+async fn begin_at(
+    site: &RunningSite,
+    subject: &SiteBox,
+    replica: &ReplicaStandin,
+) -> reqwest::Response {
+    for number in 0..100 {
+        let answer = site.chat(subject, &format!("at-{number}")).send().await.expect("an answer");
+        if !replica.runs().is_empty() {
+            return answer;
+        }
+    }
+    panic!("no stream began at the replica");
+}
+
 /// Guards against a stream that is given up before another place has taken it.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_are_whole_when_a_replica_pauses_and_all_others_are_full() {
@@ -169,3 +192,22 @@
     })
     .await;
 }
+
+/// Guards against a stream that stays at a replica that sends comments and no events, since a comment
+/// arrived while another replica was asked.
+#[tokio::test(flavor = "multi_thread")]
+async fn comments_of_a_stuck_replica_do_not_end_the_search_for_another() {
+    let (site, replicas, first, _second) = crowded_site().await;
+    let (stuck, others) = replicas.split_first().expect("replicas");
+    stuck.set_mode(ReplicaMode::Endless(EndlessPart::SlowComments));
+    let answer = begin_at(&site, &first, stuck).await;
+    for replica in others {
+        // It answers after the next comment of the stuck replica has arrived.
+        replica.fall_silent(PAUSE_LIMIT + ANSWER_DELAY);
+    }
+
+    let text = answer.text().await.expect("a whole stream");
+
+    assert_eq!(text.replace(": wait\n\n", ""), whole_stream());
+    assert_eq!(first.events("attempt_kept"), Vec::<serde_json::Value>::new());
+}
