former: a replica that was not needed may be asked again

Callers saw a stream cut whose own replica broke after a pause, although the only other replica was free.

Cause: the replica that was asked during the pause stayed among those that the request had tried when its own went on, so that nothing was left to resume it. Attempts were left; ruled out: the retry budget.

Now it may be asked again. It still counts as an attempt, so that no more replicas get the request than its route allows.

Test: `place_that_was_not_needed_may_be_asked_again`, red before.

--- a/crates/core/src/route/former.rs
+++ b/crates/core/src/route/former.rs
@@ -88,6 +88,12 @@
         });
     }
 
+    /// Lets the replica of the current attempt be asked again, since that one was not needed.
+    fn allow_again(&mut self) {
+        let Some(attempt) = &self.attempt else { return };
+        self.tried.retain(|key| *key != attempt.replica);
+    }
+
     fn return_to_replica(&mut self, attempt: RunningAttempt) {
         self.size = attempt.size;
         if !self.tried.contains(&attempt.replica) {
@@ -193,10 +199,11 @@
     /// meanwhile, it is not needed.
     pub(super) fn on_attempt_resumed(&mut self, stamp: EventStamp, ticket: RequestTicket) {
         if self.has_former(ticket) {
-            self.end_attempt(stamp, ticket, BackendOutcome::Inconclusive);
             if let Some(request) = self.requests.get_mut(&ticket) {
+                request.allow_again();
                 request.forward = None;
             }
+            self.end_attempt(stamp, ticket, BackendOutcome::Inconclusive);
             self.return_to_former(ticket);
         }
         let Some(request) = self.requests.get_mut(&ticket) else { return };
--- a/crates/core/tests/route/former_attempts.rs
+++ b/crates/core/tests/route/former_attempts.rs
@@ -65,6 +65,22 @@
     assert_eq!((outstanding(&first), outstanding(&second.replica_id)), (1, 0));
 }
 
+/// A stream was cut although the only other replica was free: it had been asked in an earlier pause.
+#[test]
+fn place_that_was_not_needed_may_be_asked_again() {
+    let (mut subject, ticket, first) = box_with_stream();
+    for id in ["a", "b", "c", "d"].into_iter().filter(|id| *id != first).skip(1) {
+        subject.drop_entry(id);
+    }
+    let second = order_in(&subject.feed(RouteEvent::AttemptStalled(ticket))).expect("asked");
+    subject.feed(RouteEvent::AttemptResumed(ticket));
+
+    let broken = subject.feed(RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken));
+
+    let third = order_in(&broken).expect("it is resumed elsewhere");
+    assert_eq!(third.replica_id, second.replica_id);
+}
+
 #[test]
 fn paused_stream_moves_to_the_place_that_takes_it() {
     let (mut subject, ticket, first) = box_with_stream();
