forward: a request that broke at two replicas goes on through another box

Callers saw a stream cut while other boxes reached sound replicas: its box had lost its paths, which went on accepting connections and reset what was written on them.

Cause: doubt about the paths ends with the first connection that succeeds, since only failed connections raise it elsewhere.

Weighed: (a) doubt that only an answer ends: it would also keep back what crashes say about contents, and answers on old connections would end it. (b) Asking for a report in place of a connection: a call to each replica in each doubt. (c) Taken: after two attempts of one request broke, the next goes through another box, if one is known that reaches the service; no belief is needed, and what admitted it goes along.

Test: `last_attempt_goes_through_another_box_after_two_broke`, red before.

--- a/crates/core/src/route/arrival.rs
+++ b/crates/core/src/route/arrival.rs
@@ -189,6 +189,7 @@
         tried: Vec::new(),
         sends: received.map_or(0, |received| u32::from(received.is_repeat) + received.rejections),
         connect_failures: 0,
+        breaks: 0,
         rejections: received.map_or(0, |received| received.rejections),
         pauses_until: None,
         counted: false,
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -507,6 +507,7 @@
             return;
         }
         if let Some(attempt) = request.attempt.filter(|_| failure == AttemptFailure::Broken) {
+            request.breaks += 1;
             self.record_broken(stamp, ticket, attempt);
             self.note_suspicion(stamp, attempt.replica, out);
         }
--- a/crates/core/src/route/former.rs
+++ b/crates/core/src/route/former.rs
@@ -221,10 +221,11 @@
         end: FormerEnd,
         out: &mut Vec<RouteEffect>,
     ) {
-        let Some(request) = self.requests.get(&ticket) else { return };
+        let Some(request) = self.requests.get_mut(&ticket) else { return };
         let Some(former) = &request.former else { return };
         let attempt = former.place.attempt().copied();
         if let Some(attempt) = attempt.filter(|_| end == FormerEnd::Broken) {
+            request.breaks += 1;
             self.record_broken(stamp, ticket, attempt);
             self.note_suspicion(stamp, attempt.replica, out);
         }
--- a/crates/core/src/route/forward.rs
+++ b/crates/core/src/route/forward.rs
@@ -35,13 +35,18 @@
 /// Time for which a box gets no requests after a connection to it failed, in milliseconds.
 pub const FORWARD_FAILED_MS: u64 = 1_000;
 
+/// Broken attempts of a request after which it is forwarded. Its path may break what replicas would
+/// answer, although connections to them succeed.
+pub const BREAKS_BEFORE_FORWARD: u32 = 2;
+
 /// Status with which another box ends a request whose deadline has passed.
 const TIME_UP_STATUS: u16 = 504;
 
 impl RouteState {
     /// Returns the box that a request should be forwarded to, rather than be sent by this box as
     /// chosen: the box reaches no replica for it, or only replicas of another version than the one
-    /// that the request should get, or its paths are in doubt and failed the request before.
+    /// that the request should get, its paths are in doubt and failed the request before, or the
+    /// request broke at several replicas.
     pub(super) fn better_forward(
         &self,
         stamp: EventStamp,
@@ -51,7 +56,8 @@
         let fell_back = |choice: &AttemptChoice| choice.trial.is_some_and(|trial| trial.fell_back);
         let request = self.requests.get(&ticket)?;
         let in_doubt = || self.paths.is_suspect() || self.is_silent_everywhere(stamp.now);
-        let doubtful = request.was_tried() && in_doubt();
+        let keeps_breaking = request.breaks >= BREAKS_BEFORE_FORWARD;
+        let doubtful = keeps_breaking || request.was_tried() && in_doubt();
         let sendable = choice.is_some_and(|choice| !fell_back(choice));
         if !self.paths.is_lost() && !doubtful && sendable {
             return None;
--- a/crates/core/src/route/request.rs
+++ b/crates/core/src/route/request.rs
@@ -51,6 +51,8 @@
     pub(super) tried: Vec<ReplicaKey>,
     pub(super) sends: u32,
     pub(super) connect_failures: u32,
+    /// Attempts of this box at replicas that broke after they were written.
+    pub(super) breaks: u32,
     /// Attempts that a replica rejected without running it and that do not count as such.
     pub(super) rejections: u32,
     /// When it is sent again after a rejection, if it waits for that.
--- a/crates/core/tests/route/forwards.rs
+++ b/crates/core/tests/route/forwards.rs
@@ -146,3 +146,28 @@
 
     assert_eq!((is_counted(first), is_counted(second)), (false, true));
 }
+
+/// A stream was cut whose three attempts all went over paths that accept connections and reset what is
+/// written on them.
+#[test]
+fn last_attempt_goes_through_another_box_after_two_broke() {
+    let mut subject = box_with_one_replica("box-1");
+    ["b", "c", "d"].iter().for_each(|id| subject.put(entry(id, "v1")));
+    introduce(&mut subject, "box-2");
+    subject.now += 1_000;
+    let (earlier, _) = subject.sent(ask("/chat/x"));
+    let (ticket, first) = subject.sent(ask("/chat/x"));
+    subject.feed(RouteEvent::HeadReceived(ticket, head(200)));
+    // Connections succeed, which ends the doubt that the breaks of the earlier stream raised.
+    for _ in 0..2 {
+        subject.feed(RouteEvent::AttemptFailed(earlier, AttemptFailure::Broken));
+    }
+    subject.feed(RouteEvent::PathProbed { replica: first.replica, reached: true });
+    let broken = || RouteEvent::AttemptFailed(ticket, AttemptFailure::Broken);
+    let second = order_in(&subject.feed(broken())).expect("it is resumed");
+    assert_eq!((second.number, second.pass), (2, None));
+
+    let third = order_in(&subject.feed(broken())).expect("it is resumed");
+
+    assert_eq!(third.replica_id, "box-2");
+}
