paths: only probes of a check count in it

Cause: four replicas had crashed; the box probed them to judge the crashes and to find blocked paths open again. The first refusal began a check of all paths, and the three others, 0.15 ms later, ended it with `Lost`, though no other replica had been asked. The crashes were retracted. Ruled out: load, the retry budget, the table of suspects (log of box-2, in the postmortem).

Now only the probes that a check has sent count in it, and it asks replicas first that no box knows to be down.

Tests: `refused_connections_to_crashed_replicas_are_no_lost_path`, `paths_are_lost_once_no_other_replica_ can_be_reached`, both red before.

--- a/crates/core/src/route/paths.rs
+++ b/crates/core/src/route/paths.rs
@@ -15,7 +15,7 @@
 
 use serde::Serialize;
 
-use super::backend::BackendTable;
+use super::backend::{BackendState, BackendTable};
 use super::backend_health::UnreachableUpdate;
 use super::event::RouteEffect;
 use super::request::RouteRequest;
@@ -136,7 +136,9 @@
     blocked: BTreeSet<ReplicaKey>,
     /// Replicas that are being probed.
     probing: BTreeSet<ReplicaKey>,
-    /// Failed probes of this phase.
+    /// Replicas that are probed to check all paths, in this phase.
+    checked: BTreeSet<ReplicaKey>,
+    /// Failed probes among them.
     failed_probes: usize,
     /// The blocked replica that was probed last.
     last_probed: ReplicaKey,
@@ -156,6 +158,7 @@
             failed: BTreeSet::new(),
             blocked: BTreeSet::new(),
             probing: BTreeSet::new(),
+            checked: BTreeSet::new(),
             failed_probes: 0,
             last_probed: ReplicaKey::default(),
             reached_at: BoxTime::default(),
@@ -193,6 +196,12 @@
     fn enter(&mut self, phase: PathPhase, now: BoxTime) {
         self.phase = phase;
         self.since = now;
+        self.begin_check();
+    }
+
+    /// Forgets which probes of the last check failed.
+    fn begin_check(&mut self) {
+        self.checked.clear();
         self.failed_probes = 0;
     }
 
@@ -249,8 +258,8 @@
         }
     }
 
-    /// Usable replicas to probe in the order of their hashes, those without a failed connection
-    /// first.
+    /// Usable replicas to probe in the order of their hashes, those of which no box says that its
+    /// connection failed first.
     fn probe_candidates(
         &self,
         paths: &BoxPaths,
@@ -259,7 +268,13 @@
     ) -> Vec<ReplicaKey> {
         let free = |key: &ReplicaKey| !paths.probing.contains(key);
         let rows = self.rows.iter().filter(|(key, row)| row.usable(stamp.now) && free(key));
-        let order = |row: &(ReplicaKey, u64)| (paths.failed.contains(&row.0), row.1);
+        let is_down = |key: &ReplicaKey| {
+            let is_reported = |row: &BackendState| {
+                row.path.is_blocked(stamp.now) || row.reported_until > stamp.now
+            };
+            paths.failed.contains(key) || self.rows.get(*key).is_some_and(is_reported)
+        };
+        let order = |row: &(ReplicaKey, u64)| (is_down(&row.0), row.1);
         let mut rows: Vec<(ReplicaKey, u64)> =
             rows.map(|(key, row)| (key, mix(row.id_hash ^ stamp.random))).collect();
         rows.sort_by_key(order);
@@ -348,7 +363,8 @@
             return self.note_connected(stamp, key, out);
         }
         self.note_path_failed(stamp, key, out);
-        if self.paths.phase() != PathPhase::Suspect {
+        // Probes of replicas that failed before show nothing of other paths.
+        if self.paths.phase() != PathPhase::Suspect || !self.paths.checked.remove(&key) {
             return;
         }
         self.paths.failed_probes += 1;
@@ -411,7 +427,7 @@
                 self.list_again(stamp.now);
             }
             PathPhase::Suspect if self.paths.probing.is_empty() => {
-                self.paths.failed_probes = 0;
+                self.paths.begin_check();
                 self.send_probes(stamp, SUSPECT_PROBES, out);
             }
             PathPhase::Suspect => {}
@@ -429,6 +445,7 @@
 
     fn send_probes(&mut self, stamp: EventStamp, count: usize, out: &mut Vec<RouteEffect>) {
         for key in self.backends.probe_candidates(&self.paths, count, stamp) {
+            self.paths.checked.insert(key);
             self.probe(key, out);
         }
     }
--- a/crates/core/tests/route/partitions.rs
+++ b/crates/core/tests/route/partitions.rs
@@ -1,6 +1,11 @@
 //! Boxes that lose their network paths to replicas, while callers, the store and other boxes still
 //! reach them.
 
+use ravenspoke_core::ids::ReplicaKey;
+use ravenspoke_core::route::event::{RouteEffect, RouteEvent};
+use ravenspoke_core::route::paths::{PathPhase, RECHECK_MS};
+
+use crate::fixture::{entry, new_box, plan, TestBox};
 use crate::partition_fleet::{FirstTry, PartitionFleet, PathFailure};
 
 /// Bound on the time until callers are served again, from the begin of a partition, in
@@ -230,3 +235,59 @@
         assert_eq!(fleet.forwards.iter().sum::<usize>(), 0, "{boxes} boxes");
     }
 }
+
+/// Time between two checks of all paths, in milliseconds, and a little more.
+const CHECK_PAUSE_MS: u64 = RECHECK_MS + 50;
+
+/// A box that knows six replicas, four of which have just crashed, before it checks its paths.
+fn box_with_crashed_replicas() -> (TestBox, Vec<ReplicaKey>) {
+    let mut subject = new_box("box-1");
+    subject.read_plan(Some(plan(1)));
+    ["a", "b", "c", "d", "e", "f"].iter().for_each(|id| subject.put(entry(id, "v1")));
+    let keys: Vec<ReplicaKey> = subject.state.backends().rows().map(|(key, _)| key).collect();
+    subject.now += CHECK_PAUSE_MS;
+    // The first check finds that the paths work; the next one is not due yet.
+    let checked = replicas_probed(&probed(&mut subject, &keys[..2], false));
+    probed(&mut subject, &checked, true);
+    probed(&mut subject, &keys[..4], false);
+    subject.now += CHECK_PAUSE_MS;
+    (subject, keys)
+}
+
+fn probed(subject: &mut TestBox, keys: &[ReplicaKey], reached: bool) -> Vec<RouteEffect> {
+    let probe = |key: &ReplicaKey| RouteEvent::PathProbed { replica: *key, reached };
+    keys.iter().flat_map(|key| subject.feed(probe(key))).collect()
+}
+
+fn replicas_probed(effects: &[RouteEffect]) -> Vec<ReplicaKey> {
+    let probe = |effect: &RouteEffect| match effect {
+        RouteEffect::ProbePath(key, _) => Some(*key),
+        _ => None,
+    };
+    effects.iter().filter_map(probe).collect()
+}
+
+/// Replicas that had crashed were counted as further evidence against the paths, so that crashes were
+/// taken back and the content behind them was not found.
+#[test]
+fn refused_connections_to_crashed_replicas_are_no_lost_path() {
+    let (mut subject, keys) = box_with_crashed_replicas();
+
+    probed(&mut subject, &keys[..4], false);
+
+    assert_eq!(subject.state.path_phase(), PathPhase::Suspect);
+    probed(&mut subject, &keys[4..], true);
+    assert_eq!(subject.state.path_phase(), PathPhase::Working);
+}
+
+#[test]
+fn paths_are_lost_once_no_other_replica_can_be_reached() {
+    let (mut subject, keys) = box_with_crashed_replicas();
+
+    let effects = probed(&mut subject, &keys[..1], false);
+
+    let checked = replicas_probed(&effects);
+    assert!(checked.contains(&keys[4]) && checked.contains(&keys[5]), "{checked:?} of {keys:?}");
+    probed(&mut subject, &checked, false);
+    assert_eq!(subject.state.path_phase(), PathPhase::Lost);
+}
