readiness: a box is ready once it accepts callers

Callers of a box that was stopped just after its status check had answered 200 got 503 for 2 s: `stopping_box_answers_requests_on_new_connections` failed in 15 of 160 plays, 20 at a time.

Cause: `ready` asked for a plan, and not whether the box accepts callers. In the log of a failed play the stop (715) comes 9 ms after the plan (710), and 726 never. Ruled out: load, which only widens the gap.

On processes: 0 of 160 plays failed after it, and 64 plays of all tests of `entry` passed.

--- a/crates/core/src/route/readiness.rs
+++ b/crates/core/src/route/readiness.rs
@@ -48,9 +48,10 @@
         self.start.is_some_and(|start| start.entry_opened)
     }
 
-    /// Whether the box can serve at all.
+    /// Whether the box serves: it accepts callers, and no planned stop has begun.
     pub fn ready(&self, now: BoxTime) -> bool {
-        self.has_plan() && !self.stopping() && self.fresh.honours_keys(now, self.settings.fresh)
+        let accepts = self.entry_opened() && !self.stopping();
+        accepts && self.has_plan() && self.fresh.honours_keys(now, self.settings.fresh)
     }
 
     /// Whether the planned stop has begun.
--- a/crates/core/tests/route/membership.rs
+++ b/crates/core/tests/route/membership.rs
@@ -8,6 +8,7 @@
     GossipMessage, PeerInfo, PeerSummary, SyncRequest, START_SETTLE_MS, START_SPREAD_MS,
     START_WAIT_MS,
 };
+use ravenspoke_core::route::startup::{ACCEPT_AFTER_PLAN_MS, ACCEPT_AFTER_READ_MS};
 use ravenspoke_core::route::{ADVERTISED_AGE_MS, EXPIRY_GRACE_MS};
 use ravenspoke_core::time::BoxTime;
 
@@ -551,3 +552,20 @@
     assert!(sync_request_in(&first).is_none() || sync_request_in(&second).is_none());
     assert!(sync_request_in(&second).is_none(), "the response was the same again");
 }
+
+/// A box said that it was ready as soon as it had a plan, and refused its callers when it was stopped
+/// then.
+#[test]
+fn box_is_not_ready_before_it_accepts_callers() {
+    let is_ready = |subject: &TestBox| subject.state.ready(BoxTime::from_millis(subject.now));
+    let mut subject = new_box("box-1");
+    subject.read_plan(Some(plan(1)));
+    assert!(!is_ready(&subject));
+
+    subject.now += ACCEPT_AFTER_PLAN_MS + ACCEPT_AFTER_READ_MS + START_WAIT_MS + START_SPREAD_MS;
+    let effects = subject.feed(RouteEvent::Tick);
+
+    assert!(effects.contains(&RouteEffect::AcceptCallers), "{effects:?}");
+    subject.read_plan(None);
+    assert!(is_ready(&subject));
+}
