--- a/crates/core/src/route/forward.rs
+++ b/crates/core/src/route/forward.rs
@@ -2,8 +2,9 @@
 //!
 //! What admitted the request goes with it, and the other box does not check it again: its plan may be
 //! older or newer. It chooses version, model and replica, and counts the request in its budgets and
-//! trials. What replicas rejected counts at both boxes. It never forwards it again. Its response is relayed; a 4xx or 503 of its own means that it
-//! does not take the request and that nothing ran.
+//! trials. What replicas rejected counts at both boxes. It never forwards the request again. Its
+//! response is relayed; a 4xx or 503 of its own means that it does not take the request and that
+//! nothing ran.
 //!
 //! The forwarding box keeps one attempt for itself: if the other box fails, it is not known at how
 //! many replicas the request ran.
--- a/crates/core/src/route/retry_budget.rs
+++ b/crates/core/src/route/retry_budget.rs
@@ -6,10 +6,9 @@
 //! the boxes with recent reports have together not spent their shares.
 //!
 //! Load pattern: hundreds of boxes with some twenty requests a window each, half of which need one
-//! extra attempt. By chance some boxes need more than their share while others use less. Where 100
-//! boxes kept to their own shares, 5 of 100 extra attempts were denied although the fleet's budget
-//! had room for all; with shared counts none is (simulated). The limits below are for the other
-//! pattern, where all boxes need more at once, as when every request fails. Since reports lag
+//! extra attempt. By chance some boxes need more than their share while others use less. Boxes that
+//! kept to their own shares would deny attempts for which the fleet's budget has room. The limits
+//! below are for the other pattern, where all boxes need more at once, as when every request fails. Since reports lag
 //! behind, they count for [`REPORT_KEPT_MS`] only, and each box stops at [`OWN_SHARE_LIMIT`] times
 //! its own share.
 
@@ -24,8 +23,7 @@
 pub const SLACK_USED: f64 = 0.5;
 
 /// Share of the budget reserved for failed requests: an escalation to a larger model may wait.
-/// Since boxes use what others leave, a tenth suffices: with a quarter and with a tenth, 187 and
-/// 188 of some 18,600 requests failed (eight days).
+/// Since boxes use what others leave, a tenth suffices.
 pub const FAILURE_RESERVE: f64 = 0.1;
 
 /// Extra attempts for stalls, for each request. Where replicas are slow because all are busy,
@@ -34,8 +32,7 @@
 
 /// How long another box's counts are used, in milliseconds: two gossip messages, in which a box
 /// receives from some twenty others. A failure storm that no report shows yet continues for as
-/// long. With 2,000 ms, one on an unspent budget made 10 attempts more than the operator's 2,000
-/// (100 boxes, simulated).
+/// long.
 pub const REPORT_KEPT_MS: u64 = 1_000;
 
 /// Extra attempts of a box, at most, as a multiple of its own share, however much others have left.
--- a/crates/core/src/route/scheduling/pick.rs
+++ b/crates/core/src/route/scheduling/pick.rs
@@ -16,9 +16,6 @@
 
 /// Replicas of which a request without a prompt gets the least loaded. Each box receives a
 /// replica's load only now and then, and boxes with the same reports would choose the same replica.
-/// With three of six replicas of six slots left at a load of two thirds, 205 of 2,494 calls of 300
-/// boxes were late or refused when the least loaded of all was chosen. With a sample of two, and
-/// loads that decay to the typical load, none of 2,458 were (simulated).
 const SAMPLE_SIZE: usize = 2;
 
 /// Distinguishes the draw of requests that go to slow replicas from other uses of the same random
--- a/crates/core/tests/route/early_replicas.rs
+++ b/crates/core/tests/route/early_replicas.rs
@@ -1,10 +1,9 @@
 //! Replicas of a new version that a box knows before the order to roll it out.
 
-use ravenspoke_core::route::event::{CallerRequest, RouteEvent};
 use ravenspoke_core::route::trial::TrialOrder;
 use ravenspoke_core::time::BoxTime;
 
-use crate::fixture::{ask, entry, head, new_box, plan, ready_box, session, TestBox};
+use crate::fixture::{entry, new_box, plan, ready_box, versions, TestBox};
 
 fn order() -> TrialOrder {
     TrialOrder { service: "pool".to_owned(), version: "v2".to_owned(), duration_ms: 10_000 }
@@ -19,22 +18,6 @@
     subject
 }
 
-/// Versions that serve 60 sessions, each version once.
-fn versions(subject: &mut TestBox) -> Vec<String> {
-    let mut versions: Vec<String> = (1..=60).map(|number| serve(subject, number)).collect();
-    versions.sort();
-    versions.dedup();
-    versions
-}
-
-fn serve(subject: &mut TestBox, number: u64) -> String {
-    let request = CallerRequest { session: session(number), ..ask("/file/x") };
-    let (ticket, order) = subject.sent(request);
-    subject.feed(RouteEvent::HeadReceived(ticket, head(200)));
-    subject.feed(RouteEvent::ResponseFinished(ticket));
-    order.version
-}
-
 /// Sessions went to a new version and back, until the box heard of the order.
 #[test]
 fn replicas_of_a_new_version_wait_until_its_order_would_be_known() {
--- a/crates/core/tests/route/fixture.rs
+++ b/crates/core/tests/route/fixture.rs
@@ -250,3 +250,20 @@
 pub fn is_refused(refusal: RouteRefusal, status: u16, reason: RefusalReason) -> bool {
     refusal.status == status && refusal.reason == reason
 }
+
+/// Versions that serve 60 sessions, each version once.
+pub fn versions(subject: &mut TestBox) -> Vec<String> {
+    let mut versions: Vec<String> = (1..=60).map(|number| serve(subject, number)).collect();
+    versions.sort();
+    versions.dedup();
+    versions
+}
+
+/// Serves a request of this session. Returns the version that ran it.
+pub fn serve(subject: &mut TestBox, number: u64) -> String {
+    let request = CallerRequest { session: session(number), ..ask("/file/x") };
+    let (ticket, order) = subject.sent(request);
+    subject.feed(RouteEvent::HeadReceived(ticket, head(200)));
+    subject.feed(RouteEvent::ResponseFinished(ticket));
+    order.version
+}
--- a/crates/core/tests/route/former_attempts.rs
+++ b/crates/core/tests/route/former_attempts.rs
@@ -29,6 +29,12 @@
     (subject, ticket, order.replica_id)
 }
 
+/// Requests that a box has at a replica.
+fn outstanding(subject: &TestBox, id: &str) -> u32 {
+    let mut rows = subject.state.backends().rows();
+    rows.find(|(_, row)| row.entry.id == id).expect("a row").1.outstanding
+}
+
 /// Guards against a stream that is cut because all other replicas are full while its own pauses.
 #[test]
 fn paused_stream_goes_on_where_it_was_when_other_replicas_reject_it() {
@@ -58,11 +64,7 @@
 
     assert_eq!(subject.feed(RouteEvent::AttemptResumed(ticket)), []);
 
-    let outstanding = |id: &str| {
-        let mut rows = subject.state.backends().rows();
-        rows.find(|(_, row)| row.entry.id == id).expect("a row").1.outstanding
-    };
-    assert_eq!((outstanding(&first), outstanding(&second.replica_id)), (1, 0));
+    assert_eq!((outstanding(&subject, &first), outstanding(&subject, &second.replica_id)), (1, 0));
 }
 
 /// A stream was cut although the only other replica was free: it had been asked in an earlier pause.
@@ -89,11 +91,7 @@
     let effects = subject.feed(RouteEvent::HeadReceived(ticket, head(200)));
 
     assert_eq!(effects, [RouteEffect::Relay(ticket)]);
-    let outstanding = |id: &str| {
-        let mut rows = subject.state.backends().rows();
-        rows.find(|(_, row)| row.entry.id == id).expect("a row").1.outstanding
-    };
-    assert_eq!((outstanding(&first), outstanding(&second.replica_id)), (0, 1));
+    assert_eq!((outstanding(&subject, &first), outstanding(&subject, &second.replica_id)), (0, 1));
 }
 
 #[test]
--- a/crates/core/tests/route/successive_orders.rs
+++ b/crates/core/tests/route/successive_orders.rs
@@ -8,7 +8,7 @@
 use ravenspoke_core::route::version_history::VersionHistory;
 use ravenspoke_core::time::BoxTime;
 
-use crate::fixture::{ask, entry, head, order_in, ready_box, session, TestBox};
+use crate::fixture::{ask, entry, head, order_in, ready_box, serve, session, versions, TestBox};
 
 fn order(version: &str) -> TrialOrder {
     TrialOrder { service: "pool".to_owned(), version: version.to_owned(), duration_ms: 10_000 }
@@ -38,22 +38,6 @@
     subject
 }
 
-/// Versions that serve 60 sessions, each version once.
-fn versions(subject: &mut TestBox) -> Vec<String> {
-    let mut versions: Vec<String> = (1..=60).map(|number| serve(subject, number)).collect();
-    versions.sort();
-    versions.dedup();
-    versions
-}
-
-fn serve(subject: &mut TestBox, number: u64) -> String {
-    let request = CallerRequest { session: session(number), ..ask("/file/x") };
-    let (ticket, order) = subject.sent(request);
-    subject.feed(RouteEvent::HeadReceived(ticket, head(200)));
-    subject.feed(RouteEvent::ResponseFinished(ticket));
-    order.version
-}
-
 /// A rolled-back version got half of the requests from the next order on, until its replicas left.
 #[test]
 fn rolled_back_version_gets_no_requests_after_the_next_order() {
