Test of the clock: its box accepts callers before its plan ages

The fixture lets it, by the time after which a box with a plan accepts callers in any case, and reads the plan again. The two assertions stay as they are.

--- a/crates/box/tests/clock.rs
+++ b/crates/box/tests/clock.rs
@@ -59,7 +59,21 @@
     assert_eq!(watch.check(&clock), None);
 }
 
-/// A driver whose box has just read a plan, and may rely on it for [`TEST_LIMIT`] at most.
+/// Time after which a box that knows a plan accepts callers in any case.
+const START_TIME: Duration = Duration::from_secs(10);
+
+/// Tells a driver's box that it has just read its plan.
+fn read_plan(driver: &GatewayDriver) {
+    let plan = Some(RoutePlan { version: 1, ..RoutePlan::default() });
+    driver.feed(RouteEvent::PlanRead {
+        asked_at: driver.now(),
+        read_to: TopicPosition::new(1, 1),
+        plan,
+    });
+}
+
+/// A driver whose box accepts callers, has just read a plan, and may rely on it for [`TEST_LIMIT`] at
+/// most.
 fn driver_with_plan(clock: Arc<BoxClock>) -> GatewayDriver {
     let settings = RouteSettings {
         load: Default::default(),
@@ -86,13 +100,11 @@
         probes: unbounded_channel().0,
         leader_orders: unbounded_channel().0,
     };
-    let driver = GatewayDriver::new(RouteState::new(settings), sinks, clock, SyncPacer::new(100.0));
-    let plan = Some(RoutePlan { version: 1, ..RoutePlan::default() });
-    driver.feed(RouteEvent::PlanRead {
-        asked_at: driver.now(),
-        read_to: TopicPosition::new(1, 1),
-        plan,
-    });
+    let pacer = SyncPacer::new(100.0);
+    let driver = GatewayDriver::new(RouteState::new(settings), sinks, clock.clone(), pacer);
+    read_plan(&driver);
+    clock.skip(START_TIME);
+    read_plan(&driver);
     driver
 }
 
