--- a/crates/core/src/route/retry_budget.rs
+++ b/crates/core/src/route/retry_budget.rs
@@ -8,9 +8,9 @@
 //! Load pattern: hundreds of boxes with some twenty requests a window each, half of which need one
 //! extra attempt. By chance some boxes need more than their share while others use less. Boxes that
 //! kept to their own shares would deny attempts for which the fleet's budget has room. The limits
-//! below are for the other pattern, where all boxes need more at once, as when every request fails. Since reports lag
-//! behind, they count for [`REPORT_KEPT_MS`] only, and each box stops at [`OWN_SHARE_LIMIT`] times
-//! its own share.
+//! below are for the other pattern, where all boxes need more at once, as when every request fails.
+//! Since reports lag behind, they count for [`REPORT_KEPT_MS`] only, and each box stops at
+//! [`OWN_SHARE_LIMIT`] times its own share.
 
 use std::collections::HashMap;
 
