--- a/crates/box/tests/rollouts.rs
+++ b/crates/box/tests/rollouts.rs
@@ -196,7 +196,7 @@
 }
 
 /// A box that knew a new version's replicas before its order sent them sessions, which went back to
-/// the old version once it knew the order (soak seeds 445 and 2001).
+/// the old version once it knew the order.
 #[tokio::test]
 async fn replica_known_before_its_order_gets_no_sessions() {
     let mut site = RunningSite::start(Path::new(env!("CARGO_BIN_EXE_ravenspoked"))).await;
--- a/crates/core/src/route/former.rs
+++ b/crates/core/src/route/former.rs
@@ -2,7 +2,7 @@
 //!
 //! A sound replica may pause, and all others may be full meanwhile; a box that took a request up may
 //! not be heard of for a while. So a request that may go on elsewhere asks for another place while its
-//! former attempt is still read. The first sign of life of the former one ends the search; a place
+//! former attempt is still read. Its next event, or its response, ends the search; a place
 //! that refuses or fails costs nothing but itself. The former attempt ends once another place answers,
 //! or [`OVERLAP_MS`] after the last one was asked: a replica rejects at once what it has no room for,
 //! and no request is to be at work at two places for long.
