--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -88,6 +88,8 @@
     }
     if sound != asked {
         record.both(&format!("only {sound} of {asked} short requests were answered with 200"));
+        drop(nodes);
+        tidy(&folder());
         exit(2);
     }
     store.put("keyed.op", "config", &config(2, &["site-key"], &LIMITS.replace(SMALL, LARGE)));
--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -100,9 +100,9 @@
 }
 
 fn read_line(reader: &mut impl BufRead) -> io::Result<Option<String>> {
-    let mut line = String::new();
-    let count = reader.read_line(&mut line)?;
-    Ok((count > 0).then(|| line.trim_end().to_owned()))
+    let mut line = Vec::new();
+    let count = reader.read_until(b'\n', &mut line)?;
+    Ok((count > 0).then(|| String::from_utf8_lossy(&line).trim_end().to_owned()))
 }
 
 /// Reads a head; `None` if the channel ended before it.
@@ -421,6 +421,8 @@
     pub replica: String,
     pub at_ms: u64,
     pub from: String,
+    /// `X-Ravenspoke-Tenant` as it came, if it came.
+    pub tenant: Option<String>,
 }
 
 /// What a replica does with a request that it runs: it writes the answer to the channel, and returns
@@ -474,7 +476,9 @@
                 writer.write_all(&answer_bytes(421, &[("X-Ravenspoke-Request-Id", &id)], b""))?;
                 continue;
             }
-            let run = Run { id, replica: self.id.clone(), at_ms: now_ms(), from: from.clone() };
+            let tenant = request.header("x-ravenspoke-tenant").map(str::to_owned);
+            let replica = self.id.clone();
+            let run = Run { id, replica, at_ms: now_ms(), from: from.clone(), tenant };
             self.runs.lock().unwrap().push(run);
             *self.running.lock().unwrap() += 1;
             let kept = handler(self, &request, &mut writer);
@@ -674,8 +678,13 @@
     bytes
 }
 
-/// A config with three routes: `/read/` may be repeated, `/file/` may not, `/chat/` is a stream.
+/// A config with one tenant.
 pub fn config(version: u64, keys: &[&str], limits: &str) -> String {
+    config_of(version, &[("alpha", keys)], limits)
+}
+
+/// A config with three routes: `/read/` may be repeated, `/file/` may not, `/chat/` is a stream.
+pub fn config_of(version: u64, tenants: &[(&str, &[&str])], limits: &str) -> String {
     let route = |name: &str, kind: &str, attempts: u32, timeout_ms: u64| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{name}/\",\"kind\":\"{kind}\",\
@@ -684,15 +693,18 @@
              \"gap_aim_ms\":1200}}"
         )
     };
-    let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
+    let tenant = |(name, keys): &(&str, &[&str])| {
+        let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
+        format!("{{\"name\":\"{name}\",\"api_keys\":[{}]}}", keys.join(","))
+    };
+    let tenants: Vec<String> = tenants.iter().map(tenant).collect();
     format!(
         "{{\"version\":{version},\"routes\":[{},{},{}],\"services\":[{{\"name\":\"pool\",\
-         \"max_connections\":370}}],\"tenants\":[{{\"name\":\"alpha\",\"api_keys\":[{}]}}],\
-         \"limits\":{limits}}}",
+         \"max_connections\":370}}],\"tenants\":[{}],\"limits\":{limits}}}",
         route("read", "idempotent", 2, 1_500),
         route("file", "non_idempotent", 1, 1_500),
         route("chat", "stream", 3, 20_000),
-        keys.join(",")
+        tenants.join(",")
     )
 }
 
