--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -119,6 +119,11 @@
         on_new += u32::from(client.ask(9, LONG_PARTS, &record) == 200);
     }
     let runs: usize = replicas.iter().map(|replica| replica.runs.lock().unwrap().len()).sum();
+    for replica in &replicas {
+        for run in replica.runs.lock().unwrap().iter() {
+            record.line(&format!("run: {} at {} on {}", run.id, run.at_ms, run.replica));
+        }
+    }
     let bound = 5.0 + f64::from(asked) / 500.0;
     record.both(&format!(
         "{asked} requests, {runs} ran; {denied} proper ones were denied with a 3xx or 4xx, the bound is \
