--- a/review/8/case.rs
+++ b/review/6/case.rs
@@ -1,4 +1,4 @@
-//! Case 8: two roll-outs of good versions, v2 and then v3, are done; then the operator orders the
+//! Case 6: two roll-outs of good versions, v2 and then v3, are done; then the operator orders the
 //! service back to v2, whose answers now fail in part. Without the trouble the last order names a new
 //! version, v4, whose answers fail in the same way.
 
@@ -67,15 +67,12 @@
         exit(2);
     };
     record.line("all boxes are ready");
-    let traffic = Traffic::start(&nodes, &record);
+    let mut traffic = Traffic::start(&nodes, &record);
     sleep_ms(2_000);
     let able = roll_out(&mut platform, "v2", &record) && roll_out(&mut platform, "v3", &record);
     let version = if trouble() { "v2" } else { "v4" };
-    let (ordered, seen) = if able {
-        roll_out_bad(&mut platform, version, &record)
-    } else {
-        (now_ms(), Vec::new())
-    };
+    let (ordered, seen) =
+        if able { roll_out_bad(&mut platform, version, &record) } else { (now_ms(), Vec::new()) };
     traffic.end(&platform, &record);
     let path = folder();
     drop(nodes);
@@ -90,10 +87,12 @@
     let all = platform.all_runs(ordered, deadline);
     let moved = platform.moved_to(last, ordered, ordered + DURATION_MS / 2);
     let bound = exposure_bound(all);
+    let (read, file) = traffic.failed_since(ordered);
     record.both(&format!(
         "{version}, which is bad, got {bad} of {all} requests between its order and the deadline; the \
          bound is {bound:.0}; states by ms after the order: {seen:?}; in the first half {moved} requests \
-         were moved to it within their sessions (PINNED: more than 3)"
+         were moved to it within their sessions (PINNED: more than 3); answers other than 200 from the order \
+         on: {read} to requests that may be repeated, {file} to calls that may run once"
     ));
     exit(i32::from(bad as f64 > bound));
 }
--- a/review/8/run.sh
+++ b/review/6/run.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
-# Case 8. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Case 6. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 # TROUBLE=0 names a new version in the last order, and must exit with 0.
 export TROUBLE="${TROUBLE:-1}"
 cd "$(dirname "$0")/../.." || exit 2
-program=target/review-2/case-8
+program=target/review-2/case-6
 [ -x "$program" ] && [ -x target/release/ravenspoked ] || { echo "build first: review/build-2.sh"; exit 2; }
-timeout --kill-after=2 110 "$program" target/release/ravenspoked review/8/record.txt
+timeout --kill-after=2 110 "$program" target/release/ravenspoked review/6/record.txt
 result=$?
 case $result in 0 | 1) exit $result ;; *) exit 2 ;; esac
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -1,139 +1,62 @@
-//! Case 7: a config raises the limit on request heads; channels that were open before still refuse
-//! what the config allows.
+//! Case 7: while a roll-out of a bad version, v2, runs, the operator orders the service back to v1,
+//! which serves all along. Without the trouble the roll-out goes on, and is rolled back.
 
 #[path = "../kit-2/kit.rs"]
 mod kit;
+#[path = "../kit-2/rollout.rs"]
+mod rollout;
 
-use std::io::{BufReader, Write};
-use std::net::TcpStream;
 use std::process::exit;
-use std::thread;
-use std::time::Duration;
 
 use kit::*;
+use rollout::*;
 
 const BOXES: u8 = 7;
-const CHANNELS_PER_BOX: usize = 4;
-const CONFIG_APPLY_MS: u64 = 2_000;
 
-/// Parts of the long prompts that clients send once the config allows it: a head of some 23 KB.
-const LONG_PARTS: usize = 1_500;
-
-const SMALL: &str = "\"max_header_bytes\":8192";
-const LARGE: &str = "\"max_header_bytes\":32768";
-
-/// A client with a channel that it keeps.
-struct Client {
-    number: usize,
-    writer: TcpStream,
-    reader: BufReader<TcpStream>,
-    node: usize,
-}
-
-impl Client {
-    fn connect(number: usize, node: usize, nodes: &[Node]) -> Self {
-        let stream = TcpStream::connect(nodes[node].front()).expect("a box takes channels");
-        stream.set_read_timeout(Some(Duration::from_secs(3))).unwrap();
-        stream.set_nodelay(true).unwrap();
-        Self { number, node, writer: stream.try_clone().unwrap(), reader: BufReader::new(stream) }
-    }
-
-    /// Sends one request on the kept channel. Returns its status, or 0 without an answer.
-    fn ask(&mut self, round: usize, parts: usize, record: &Record) -> u16 {
-        let id = format!("{:08x}{:08x}", round, self.number);
-        let list: Vec<String> = (0..parts).map(|part| format!("{part:012x}:1")).collect();
-        let more = [("X-Ravenspoke-Prefix-Hash", list.join(","))];
-        let more: Vec<(&str, &str)> = more.iter().map(|row| (row.0, row.1.as_str())).collect();
-        let request = request_bytes("POST", "/read/x", &id, 1_500, &more, b"body");
-        let head = request.len() - 4;
-        let sent = self.writer.write_all(&request);
-        let answer = sent.and_then(|()| read_message(&mut self.reader, true));
-        let (status, text) = match answer {
-            Ok(Some(answer)) => (answer.status(), answer.first),
-            Ok(None) => (0, "the channel ended".to_owned()),
-            Err(error) => (0, error.to_string()),
-        };
-        record.line(&format!("{id} to box {}, head of {head} bytes: {text}", self.node + 1));
-        status
-    }
-}
+/// Time between the order of the bad version and that of the former one.
+const BACK_AFTER_MS: u64 = 3_000;
 
 fn main() {
     let record = Record::create();
-    let store = Store::start(&own_ip(200));
-    // Without the trouble the first config has the larger limit already.
-    let first = if trouble() { LIMITS.to_owned() } else { LIMITS.replace(SMALL, LARGE) };
-    store.put("keyed.op", "config", &config(1, &["site-key"], &first));
-    let replicas: Vec<_> = (0..6)
-        .map(|row| Replica::start(&own_ip(100 + row), &format!("i-{row}"), plain_handler(15)))
-        .collect();
-    for replica in &replicas {
-        store.put("keyed.servers", &replica.id, &replica.entry("pool", "v1", "ready"));
-    }
-    let Some(nodes) = start_nodes(&store, BOXES) else {
+    let mut platform = Platform::start(&record, "v1");
+    let Some(nodes) = start_nodes(&platform.store, BOXES) else {
         record.both("the boxes did not become ready");
         exit(2);
     };
     record.line("all boxes are ready");
-    let mut clients: Vec<Client> = (0..usize::from(BOXES) * CHANNELS_PER_BOX)
-        .map(|number| Client::connect(number, number % usize::from(BOXES), &nodes))
-        .collect();
-    let (mut asked, mut sound) = (0_u32, 0_u32);
-    for round in 0..4 {
-        for client in &mut clients {
-            asked += 1;
-            sound += u32::from(client.ask(round, 3, &record) == 200);
+    let mut traffic = Traffic::start(&nodes, &record);
+    sleep_ms(2_000);
+    let ordered = platform.order("v2", true);
+    if trouble() {
+        sleep_until(ordered + BACK_AFTER_MS);
+        platform.order("v1", false);
+    }
+    let mut seen = Vec::new();
+    while now_ms() < ordered + DURATION_MS + BACK_AFTER_MS {
+        let version = if platform.state_of("v2").is_some() { "v2" } else { "v1" };
+        let state = (version, platform.state_of(version).unwrap_or("none"));
+        if seen.last().map(|row: &(u64, (&str, &str))| row.1) != Some(state) {
+            record.line(&format!("status of {}: {}", state.0, state.1));
+            seen.push((now_ms() - ordered, state));
+            if state == ("v2", "rolled_back") {
+                platform.drain(1);
+            }
         }
-        thread::sleep(Duration::from_millis(300));
+        sleep_ms(PLATFORM_POLL_MS);
     }
-    if sound != asked {
-        record.both(&format!("only {sound} of {asked} short requests were answered with 200"));
-        drop(nodes);
-        tidy(&folder());
-        exit(2);
-    }
-    store.put("keyed.op", "config", &config(2, &["site-key"], &LIMITS.replace(SMALL, LARGE)));
-    let confirmed = now_ms();
-    record.line("config 2 is confirmed: max_header_bytes 32768");
-    // Short requests go on, so that no channel rests for long.
-    for round in 4..8 {
-        for client in &mut clients {
-            asked += 1;
-            client.ask(round, 3, &record);
-        }
-        thread::sleep(Duration::from_millis(300));
-    }
-    sleep_until(confirmed + 2 * CONFIG_APPLY_MS);
-    record.line("long requests, all sent more than config_apply_ms after the confirmation");
-    let mut denied = 0_u32;
-    for client in &mut clients {
-        asked += 1;
-        let status = client.ask(8, LONG_PARTS, &record);
-        denied += u32::from((300..500).contains(&status) && ![408, 421, 429].contains(&status));
-    }
-    // The same request on new channels shows that it is proper.
-    let mut on_new = 0_u32;
-    for node in 0..usize::from(BOXES) {
-        asked += 1;
-        let mut client = Client::connect(900 + node, node, &nodes);
-        on_new += u32::from(client.ask(9, LONG_PARTS, &record) == 200);
-    }
-    let runs: usize = replicas.iter().map(|replica| replica.runs.lock().unwrap().len()).sum();
-    for replica in &replicas {
-        for run in replica.runs.lock().unwrap().iter() {
-            record.line(&format!("run: {} at {} on {}", run.id, run.at_ms, run.replica));
-        }
-    }
-    let bound = 5.0 + f64::from(asked) / 500.0;
-    record.both(&format!(
-        "{asked} requests, {runs} ran; {denied} proper ones were denied with a 3xx or 4xx, the bound is \
-         {bound:.1}; on new channels {on_new} of {BOXES} long ones were answered with 200"
-    ));
+    traffic.end(&platform, &record);
     let path = folder();
     drop(nodes);
     tidy(&path);
-    if on_new != u32::from(BOXES) {
-        exit(2);
-    }
-    exit(i32::from(f64::from(denied) > bound));
+    let deadline = ordered + DURATION_MS;
+    let bad = platform.runs(1, ordered, deadline);
+    let all = platform.all_runs(ordered, deadline);
+    let bound = exposure_bound(all);
+    let (read, file) = traffic.failed_since(ordered);
+    record.both(&format!(
+        "v2, which is bad, got {bad} of {all} requests between its order and the deadline; the bound is \
+         {bound:.0}; states by ms after the first order: {seen:?}; answers other than 200 from the order on: \
+         {read} to requests that may be repeated, {file} to calls that may run once"
+    ));
+    exit(i32::from(bad as f64 > bound));
 }
--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -357,11 +357,8 @@
     fn list(&self, request: &Message, topic: &str, from: &str) -> Vec<u8> {
         let state = self.state.lock().unwrap();
         let after = request.query("after").unwrap_or_default();
-        let rows: Vec<_> = state
-            .newest
-            .iter()
-            .filter(|((name, key), _)| name == topic && *key > after)
-            .collect();
+        let rows: Vec<_> =
+            state.newest.iter().filter(|((name, key), _)| name == topic && *key > after).collect();
         let items: Vec<String> = rows
             .iter()
             .map(|((_, key), (offset, value))| {
@@ -427,7 +424,8 @@
 
 /// What a replica does with a request that it runs: it writes the answer to the channel, and returns
 /// whether the channel is kept.
-pub type Handler = Arc<dyn Fn(&Replica, &Message, &mut TcpStream) -> io::Result<bool> + Send + Sync>;
+pub type Handler =
+    Arc<dyn Fn(&Replica, &Message, &mut TcpStream) -> io::Result<bool> + Send + Sync>;
 
 /// A replica.
 pub struct Replica {
--- a/review/kit-2/rollout.rs
+++ b/review/kit-2/rollout.rs
@@ -196,11 +196,13 @@
     format!("s{}-{}", &id[..4], round % SESSIONS_PER_CLIENT)
 }
 
-/// Clients that ask all the time.
+/// Answers to clients by second, route and status; 0 stands for none.
+type Answers = BTreeMap<(u64, &'static str, u16), u64>;
+
+/// Clients that ask all the time: every third one sends calls that may run once.
 pub struct Traffic {
     stop: Arc<AtomicBool>,
-    /// Answers by second and status; 0 stands for none.
-    answers: Arc<Mutex<BTreeMap<(u64, u16), u64>>>,
+    answers: Arc<Mutex<Answers>>,
     clients: Vec<JoinHandle<()>>,
 }
 
@@ -221,15 +223,25 @@
     }
 
     /// Ends the clients, and records what was answered and run.
-    pub fn end(self, platform: &Platform, record: &Record) {
+    pub fn end(&mut self, platform: &Platform, record: &Record) {
         self.stop.store(true, Ordering::Relaxed);
-        for client in self.clients {
+        for client in self.clients.drain(..) {
             let _ = client.join();
         }
         platform.record_runs();
-        record.line("answers to clients by (second, status), status 0 for none:");
+        record.line("answers to clients by (second, route, status), status 0 for none:");
         record.line(&format!("{:?}", self.answers.lock().unwrap()));
     }
+
+    /// Answers other than 200 from a time on, on a route that may be repeated and on one that may not.
+    pub fn failed_since(&self, from: u64) -> (u64, u64) {
+        let answers = self.answers.lock().unwrap();
+        let failed = |route: &str| {
+            let rows = answers.iter().filter(|(key, _)| key.0 >= from / 1_000);
+            rows.filter(|(key, _)| key.1 == route && key.2 != 200).map(|row| row.1).sum()
+        };
+        (failed("/read/x"), failed("/file/x"))
+    }
 }
 
 struct Client {
@@ -239,12 +251,8 @@
 }
 
 impl Client {
-    fn run(
-        &self,
-        stop: &AtomicBool,
-        answers: &Mutex<BTreeMap<(u64, u16), u64>>,
-        others: &AtomicU64,
-    ) {
+    fn run(&self, stop: &AtomicBool, answers: &Mutex<Answers>, others: &AtomicU64) {
+        let route = if self.number % 3 == 0 { "/file/x" } else { "/read/x" };
         for round in 0_u64.. {
             if stop.load(Ordering::Relaxed) {
                 return;
@@ -253,11 +261,12 @@
             let session = session_of(&id);
             let node = (self.number + round as usize) % self.fronts.len();
             let more = [("Session", session.as_str())];
-            let bytes = request_bytes("POST", "/read/x", &id, 1_500, &more, b"body");
+            let bytes = request_bytes("POST", route, &id, 1_500, &more, b"body");
             let status = exchange(self.fronts[node], &bytes, 2_000).map_or(0, |a| a.status());
-            *answers.lock().unwrap().entry((now_ms() / 1_000, status)).or_default() += 1;
+            *answers.lock().unwrap().entry((now_ms() / 1_000, route, status)).or_default() += 1;
             if status != 200 && others.fetch_add(1, Ordering::Relaxed) < OTHERS_RECORDED {
-                self.record.line(&format!("{id} ({session}) to box {}: {status}", node + 1));
+                self.record
+                    .line(&format!("{id} ({session}) {route} to box {}: {status}", node + 1));
             }
             sleep_ms(150);
         }
