--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -50,11 +50,11 @@
             seen.push((now_ms() - ordered, state));
             match state {
                 "done" => platform.stop(old),
-                "rolled_back" => platform.drain(old + 1),
+                "rolled_back" => platform.drain_later(old + 1),
                 _ => {}
             }
         }
-        sleep_ms(PLATFORM_POLL_MS);
+        platform.wait();
     }
     (ordered, seen)
 }
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -38,11 +38,14 @@
         if seen.last().map(|row: &(u64, (&str, &str))| row.1) != Some(state) {
             record.line(&format!("status of {}: {}", state.0, state.1));
             seen.push((now_ms() - ordered, state));
-            if state == ("v2", "rolled_back") {
-                platform.drain(1);
+            match state {
+                ("v2", "rolled_back") => platform.drain_later(1),
+                ("v1", "rolled_back") => platform.drain_later(2),
+                ("v1", "done") => platform.stop(1),
+                _ => {}
             }
         }
-        sleep_ms(PLATFORM_POLL_MS);
+        platform.wait();
     }
     traffic.end(&platform, &record);
     let path = folder();
--- a/review/kit-2/rollout.rs
+++ b/review/kit-2/rollout.rs
@@ -25,6 +25,9 @@
 /// Interval at which the platform looks at the system's status.
 pub const PLATFORM_POLL_MS: u64 = 200;
 
+/// Time after which new replicas drain once the platform has seen `rolled_back`.
+const DRAIN_AFTER_MS: u64 = 3_000;
+
 /// Bounds of the settings: `expose_share` and `expose_slack`.
 const EXPOSE_SHARE: f64 = 0.15;
 const EXPOSE_SLACK: f64 = 30.0;
@@ -63,6 +66,8 @@
     next_ip: u8,
     /// Replicas by version, in the order of their start.
     pub groups: Vec<(String, Vec<Arc<Replica>>)>,
+    /// Groups that are to drain, and when.
+    drains: Vec<(u64, usize)>,
 }
 
 impl Platform {
@@ -71,7 +76,8 @@
         let store = Store::start(&own_ip(250));
         store.put("keyed.op", "config", &config(1, &["site-key"], LIMITS));
         let record = record.clone();
-        let mut platform = Self { store, record, next_ip: 100, groups: Vec::new() };
+        let mut platform =
+            Self { store, record, next_ip: 100, groups: Vec::new(), drains: Vec::new() };
         platform.start_group(version, false);
         platform
     }
@@ -126,8 +132,22 @@
         self.record.line(&format!("replicas i-{group}-* of {version} were stopped"));
     }
 
-    /// Lets a group drain, as new replicas do after `rolled_back`.
-    pub fn drain(&self, group: usize) {
+    /// Lets a group drain some seconds from now, as new replicas do after `rolled_back`.
+    pub fn drain_later(&mut self, group: usize) {
+        self.drains.push((now_ms() + DRAIN_AFTER_MS, group));
+    }
+
+    /// Waits until the platform looks at the status again, and lets groups drain that are due.
+    pub fn wait(&mut self) {
+        sleep_ms(PLATFORM_POLL_MS);
+        let now = now_ms();
+        let due: Vec<usize> =
+            self.drains.iter().filter(|row| row.0 <= now).map(|row| row.1).collect();
+        self.drains.retain(|row| row.0 > now);
+        due.into_iter().for_each(|group| self.drain(group));
+    }
+
+    fn drain(&self, group: usize) {
         let (version, replicas) = &self.groups[group];
         for replica in replicas {
             let entry = replica.entry("pool", version, "draining");
@@ -229,8 +249,11 @@
             let _ = client.join();
         }
         platform.record_runs();
+        let answers = self.answers.lock().unwrap().clone();
+        let sent: u64 = answers.values().sum();
+        record.line(&format!("clients sent {sent} requests, each with an id of its own"));
         record.line("answers to clients by (second, route, status), status 0 for none:");
-        record.line(&format!("{:?}", self.answers.lock().unwrap()));
+        record.line(&format!("{answers:?}"));
     }
 
     /// Answers other than 200 from a time on, on a route that may be repeated and on one that may not.
