Tests of answers that are no answers and are refused already

A raw server in place of the only replica sends them; the box answers 502 to each on, also for lengths that are no number, two lengths that differ, a length that is not reached, folded lines, and the same in interim answers and trailers. Nothing in the product changes for these.

The server is a stand-in of its own, which writes the bytes of a script.

--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -8,6 +8,7 @@
 pub mod endless;
 mod group;
 pub mod replica;
+pub mod scripted;
 pub mod site;
 pub mod site_box;
 pub mod store;
