Answers in another transfer coding than chunks are refused

What callers saw: a replica whose head said `Transfer-Encoding: gzip`, or a spoilt `chunke`, was passed on as a complete answer with other bytes than its body: the raw ones, sizes of chunks included, with a length of the box's own, or a body of which one of two codings was undone. Streams alike.

Cause: the HTTP library reads an answer whose last coding it does not know up to the end of the connection, whatever its length says, and undoes `chunked` where it is the last of several; the box drops the line as hop-by-hop and trusts the bytes.

A broken head is a failed attempt that may have run.

--- a/crates/box/tests/broken_answers.rs
+++ b/crates/box/tests/broken_answers.rs
@@ -111,6 +111,13 @@
 const SOUND: AnswerShape =
     AnswerShape::success("Transfer-Encoding: chunked\r\n", BodyFraming::Chunked);
 
+/// A rejection whose end is in doubt, so that it proves nothing.
+const REJECTION_IN_ANOTHER_CODING: AnswerShape = AnswerShape {
+    status: "HTTP/1.1 503 Service Unavailable",
+    lines: "X-Ravenspoke-Not-Executed: 1\r\nTransfer-Encoding: gzip\r\n",
+    framing: BodyFraming::Plain,
+};
+
 /// A box before one server, which gives sound answers.
 struct BrokenSite {
     site: RunningSite,
@@ -259,6 +266,25 @@
         success("Transfer-Encoding: chunked\r\n", Trailed("X Name: x\r\n")),
         success("Transfer-Encoding: chunked\r\n", Trailed(" folded\r\n")),
     ];
+    answers_in_another_coding_than_chunks: Whole, [
+        success("Transfer-Encoding: gzip\r\n", Plain),
+        success("Transfer-Encoding: chunke\r\n", Chunked),
+        success("Transfer-Encoding: xchunked\r\n", Chunked),
+        success("Transfer-Encoding: identity\r\n", Plain),
+        success("Transfer-Encoding: gzip\r\nContent-Length: 12\r\n", Plain),
+        success("Transfer-Encoding: gzip, chunked\r\n", Chunked),
+        success("Transfer-Encoding: chunked, chunked\r\n", Chunked),
+        success("Transfer-Encoding: chunked, gzip\r\n", Chunked),
+        success("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", Chunked),
+        success("Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n", Chunked),
+        success("Transfer-Encoding:\r\n", Plain),
+        REJECTION_IN_ANOTHER_CODING,
+    ];
+    streams_in_another_coding_than_chunks: Stream, [
+        success("Transfer-Encoding: gzip\r\n", Plain),
+        success("Transfer-Encoding: chunke\r\n", Chunked),
+        success("Transfer-Encoding: gzip, chunked\r\n", Chunked),
+    ];
 }
 
 /// An answer that is whole as it is framed is not refused for another one behind it.
