Answers whose length contradicts the rest of the head are refused

What callers saw: `Content-Length: x` beside chunks went on to the caller, who could not read it or read another body; a 204 kept its `Content-Length: 12`; two length lines went on as two.

Cause: the library ignores a length beside chunks and any length of a 204, and the box passes the line on with the other headers.

Change: a head has one length, a number, or chunks, or neither; a 204 has none above 0.

Evidence, before: answers_with_a_length_beside_chunks (the caller's client could not read the answer), answers_without_content_that_have_a_length, answers_with_the_same_length_twice and streams_in_another_coding_than_chunks (its new row: 200 beside `Content-Length: 5`) failed. All pass now.

--- a/crates/box/src/gateway/replica_call.rs
+++ b/crates/box/src/gateway/replica_call.rs
@@ -127,7 +127,7 @@
     let (response, attempt) = send_request(context, target, request, written).await?;
     let link_use = attempt.link_use;
     let (mut head, body) = response.into_parts();
-    check_head(&head.headers)
+    check_head(head.status, &head.headers)
         .map_err(|broken| attempt.failed(AttemptFailure::Broken, broken.to_string()))?;
     let begun = forward::take_begun(&mut head.headers);
     let spent = forward::take_spent(&mut head.headers);
--- a/crates/box/tests/broken_answers.rs
+++ b/crates/box/tests/broken_answers.rs
@@ -12,7 +12,7 @@
 use ravenspoke_standins::platform::site_box::SiteBox;
 use ravenspoke_standins::platform::wire::chunk;
 
-use BodyFraming::{Chunked, Followed, Plain, Trailed};
+use BodyFraming::{Chunked, Followed, None as Bodyless, Plain, Trailed};
 
 /// Body of a plain answer.
 const BODY: &str = "a whole body";
@@ -72,6 +72,8 @@
     Trailed(&'static str),
     /// As it is, followed by these bytes.
     Followed(&'static str),
+    /// There is none.
+    None,
 }
 
 impl AnswerShape {
@@ -98,6 +100,7 @@
                 vec![[head, chunk(body.as_bytes()), trailer].concat()]
             }
             BodyFraming::Followed(bytes) => vec![[head, body.into(), bytes.into()].concat()],
+            BodyFraming::None => vec![head],
         }
     }
 
@@ -280,10 +283,23 @@
         success("Transfer-Encoding:\r\n", Plain),
         REJECTION_IN_ANOTHER_CODING,
     ];
+    answers_with_the_same_length_twice: Whole, [
+        success("Content-Length: 12\r\nContent-Length: 12\r\n", Plain),
+        success("Content-Length: 12, 12\r\n", Plain),
+    ];
+    answers_without_content_that_have_a_length: Whole, [
+        AnswerShape { framing: Bodyless, ..status("HTTP/1.1 204 No Content") },
+    ];
+    answers_with_a_length_beside_chunks: Whole, [
+        success("Content-Length: x\r\nTransfer-Encoding: chunked\r\n", Chunked),
+        success("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", Chunked),
+        success("Transfer-Encoding: chunked\r\nContent-Length: 12\r\n", Chunked),
+    ];
     streams_in_another_coding_than_chunks: Stream, [
         success("Transfer-Encoding: gzip\r\n", Plain),
         success("Transfer-Encoding: chunke\r\n", Chunked),
         success("Transfer-Encoding: gzip, chunked\r\n", Chunked),
+        success("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", Chunked),
     ];
 }
 
--- a/crates/framing/tests/heads.rs
+++ b/crates/framing/tests/heads.rs
@@ -1,15 +1,16 @@
 //! Tests of heads that frame an answer beyond doubt, and of others.
 
 use http::header::{HeaderMap, HeaderName, HeaderValue};
+use http::StatusCode;
 use ravenspoke_framing::{check_head, BrokenHead};
 
-fn check(lines: &[(&str, &str)]) -> Result<(), BrokenHead> {
+fn check(status: u16, lines: &[(&str, &str)]) -> Result<(), BrokenHead> {
     let mut headers = HeaderMap::new();
     for (name, value) in lines {
         let name: HeaderName = name.parse().expect("a name");
         headers.append(name, HeaderValue::from_str(value).expect("a value"));
     }
-    check_head(&headers)
+    check_head(StatusCode::from_u16(status).expect("a status"), &headers)
 }
 
 #[test]
@@ -21,15 +22,41 @@
         &[("transfer-encoding", "chunked")],
         &[("transfer-encoding", "Chunked ")],
     ] {
-        assert_eq!(check(lines), Ok(()), "{lines:?}");
+        for status in [200, 302, 404, 503, 599] {
+            assert_eq!(check(status, lines), Ok(()), "{status} {lines:?}");
+        }
     }
+    assert_eq!(check(204, &[("content-length", "0")]), Ok(()));
+    assert_eq!(check(304, &[("content-length", "12")]), Ok(()));
 }
 
 #[test]
 fn other_codings_than_chunks_are_refused() {
     for coding in ["gzip", "", "chunke", "gzip, chunked", "chunked, chunked", "chunked, gzip"] {
-        assert_eq!(check(&[("transfer-encoding", coding)]), Err(BrokenHead::Coding));
+        assert_eq!(check(200, &[("transfer-encoding", coding)]), Err(BrokenHead::Coding));
     }
     let lines = [("transfer-encoding", "chunked"), ("transfer-encoding", "chunked")];
-    assert_eq!(check(&lines), Err(BrokenHead::Coding));
+    assert_eq!(check(200, &lines), Err(BrokenHead::Coding));
+}
+
+#[test]
+fn lengths_that_are_not_one_number_are_refused() {
+    for length in ["", "x", "-1", "+1", "1 2", "1, 1", "99999999999999999999"] {
+        assert_eq!(check(200, &[("content-length", length)]), Err(BrokenHead::Length));
+    }
+    let lines = [("content-length", "1"), ("content-length", "1")];
+    assert_eq!(check(200, &lines), Err(BrokenHead::Length));
+}
+
+#[test]
+fn lengths_beside_chunks_are_refused() {
+    let lines = [("content-length", "12"), ("transfer-encoding", "chunked")];
+    assert_eq!(check(200, &lines), Err(BrokenHead::LengthBesideChunks));
+}
+
+#[test]
+fn bodies_of_answers_without_content_are_refused() {
+    for line in [("content-length", "5"), ("transfer-encoding", "chunked")] {
+        assert_eq!(check(204, &[line]), Err(BrokenHead::Bodyless(204)));
+    }
 }
