Answers whose status is that of no final answer are refused

What callers saw: 600 and 999 with a replica's body, and 101 without one, passed on as answers.

Cause: the library takes any number of three digits for a status, and 101 for the end of HTTP on the connection; the box passes on what is no failure of its own.

Change: `check_head` takes 200 to 599.

Evidence, before: answers_whose_status_is_of_no_class failed, 600 and "a whole body" reached the caller. It passes now. Status 000 and other numbers below 100 or of more or fewer digits were refused already.

--- a/crates/box/tests/broken_answers.rs
+++ b/crates/box/tests/broken_answers.rs
@@ -269,6 +269,11 @@
         success("Transfer-Encoding: chunked\r\n", Trailed("X Name: x\r\n")),
         success("Transfer-Encoding: chunked\r\n", Trailed(" folded\r\n")),
     ];
+    answers_whose_status_is_of_no_class: Whole, [
+        status("HTTP/1.1 600 Status"),
+        status("HTTP/1.1 999 Status"),
+        status("HTTP/1.1 101 Switching Protocols"),
+    ];
     answers_in_another_coding_than_chunks: Whole, [
         success("Transfer-Encoding: gzip\r\n", Plain),
         success("Transfer-Encoding: chunke\r\n", Chunked),
--- a/crates/framing/src/lib.rs
+++ b/crates/framing/src/lib.rs
@@ -10,9 +10,15 @@
 /// The only transfer coding that is read.
 const CHUNKED: &str = "chunked";
 
+/// Largest status that HTTP defines a class for.
+const LAST_STATUS: u16 = 599;
+
 /// Why the head of an answer is not relied on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum BrokenHead {
+    /// The status is that of no final answer.
+    #[error("the status {0} is that of no final answer")]
+    Status(u16),
     /// The body has another transfer coding than `chunked`, or several.
     #[error("the body has another transfer coding than chunks")]
     Coding,
@@ -32,6 +38,9 @@
 /// # Errors
 /// Returns [`BrokenHead`] if the answer's end, or that it is an answer, is in doubt.
 pub fn check_head(status: StatusCode, headers: &HeaderMap) -> Result<(), BrokenHead> {
+    if status.is_informational() || status.as_u16() > LAST_STATUS {
+        return Err(BrokenHead::Status(status.as_u16()));
+    }
     let is_chunked = read_coding(headers)?;
     let length = read_length(headers)?;
     if is_chunked && length.is_some() {
--- a/crates/framing/tests/heads.rs
+++ b/crates/framing/tests/heads.rs
@@ -30,6 +30,13 @@
     assert_eq!(check(304, &[("content-length", "12")]), Ok(()));
 }
 
+#[test]
+fn statuses_of_no_final_answer_are_refused() {
+    for status in [100, 101, 199, 600, 999] {
+        assert_eq!(check(status, &[]), Err(BrokenHead::Status(status)));
+    }
+}
+
 #[test]
 fn other_codings_than_chunks_are_refused() {
     for coding in ["gzip", "", "chunke", "gzip, chunked", "chunked, chunked", "chunked, gzip"] {
