Answers of whose end nothing tells are refused

What callers saw: a replica whose head held its length under a spoilt name, or chunks, was passed on as a complete answer as soon as its connection ended, whatever had come of the body by then: a part of it, raw chunks, or a body and the start of something else. Streams alike.

Cause: the library reads an answer without a length to the end of its connection. That is right only for a replica that ends the connection with the answer, and then the head says so.

Change: an answer with neither a length nor chunks has to announce the end of the connection, or be of an earlier version of HTTP.

Evidence, before: answers_that_tell_no_end and streams_that_tell_no_end failed, 200 with a body that nothing framed. Both pass now; sound_answers_are_passed_on has the forms that stay allowed.

--- a/crates/box/src/gateway/replica_call.rs
+++ b/crates/box/src/gateway/replica_call.rs
@@ -16,7 +16,7 @@
 use ravenspoke_core::route::event::{
     AnswerHead, AttemptFailure, ForwardPass, RouteEvent, SendOrder,
 };
-use ravenspoke_framing::check_head;
+use ravenspoke_framing::AnswerFrame;
 use tokio::sync::Notify;
 
 use super::carried_ids::RequestId;
@@ -127,8 +127,14 @@
     let (response, attempt) = send_request(context, target, request, written).await?;
     let link_use = attempt.link_use;
     let (mut head, body) = response.into_parts();
-    check_head(head.status, &head.headers)
-        .map_err(|broken| attempt.failed(AttemptFailure::Broken, broken.to_string()))?;
+    let frame = AnswerFrame {
+        method: &caller.method,
+        version: head.version,
+        status: head.status,
+        headers: &head.headers,
+    };
+    let framed = frame.check();
+    framed.map_err(|broken| attempt.failed(AttemptFailure::Broken, broken.to_string()))?;
     let begun = forward::take_begun(&mut head.headers);
     let spent = forward::take_spent(&mut head.headers);
     let decoded = AnswerHead { begun, spent, ..headers::read_answer(&head) };
--- a/crates/box/tests/broken_answers.rs
+++ b/crates/box/tests/broken_answers.rs
@@ -114,6 +114,9 @@
 const SOUND: AnswerShape =
     AnswerShape::success("Transfer-Encoding: chunked\r\n", BodyFraming::Chunked);
 
+/// Line of a rejection.
+const NOT_RUN: &str = "X-Ravenspoke-Not-Executed: 1\r\n";
+
 /// A rejection whose end is in doubt, so that it proves nothing.
 const REJECTION_IN_ANOTHER_CODING: AnswerShape = AnswerShape {
     status: "HTTP/1.1 503 Service Unavailable",
@@ -194,7 +197,7 @@
 
     /// Asserts that a caller gets this answer.
     async fn assert_whole(&self, shape: AnswerShape, kind: AnswerKind) {
-        self.answer_with(shape.script(kind, false));
+        self.answer_with(shape.script(kind, shape.lines.contains("close")));
         let answer = self.ask(kind).await;
         let body = answer.body.as_deref();
         assert_eq!((answer.status, body), (200, Some(kind.body().as_bytes())), "{shape:?}");
@@ -300,6 +303,17 @@
         success("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", Chunked),
         success("Transfer-Encoding: chunked\r\nContent-Length: 12\r\n", Chunked),
     ];
+    answers_that_tell_no_end: Whole, [
+        success("", Plain),
+        success("Content-Lenght: 12\r\n", Plain),
+        success("Connection: keep-alive\r\n", Plain),
+        success("Transfer-Encodin: chunked\r\n", Chunked),
+        AnswerShape { status: "HTTP/1.1 503 Service Unavailable", ..success(NOT_RUN, Plain) },
+    ];
+    streams_that_tell_no_end: Stream, [
+        success("", Plain),
+        success("Transfer-Encodin: chunked\r\n", Chunked),
+    ];
     streams_in_another_coding_than_chunks: Stream, [
         success("Transfer-Encoding: gzip\r\n", Plain),
         success("Transfer-Encoding: chunke\r\n", Chunked),
@@ -333,4 +347,9 @@
         site.assert_whole(success(lines, Chunked), AnswerKind::Stream).await;
     }
     site.assert_whole(success("Content-Length: 42\r\n", Plain), AnswerKind::Stream).await;
+    let ends_connection = success("Connection: close\r\n", Plain);
+    site.assert_whole(ends_connection, AnswerKind::Whole).await;
+    site.assert_whole(ends_connection, AnswerKind::Stream).await;
+    let earlier_version = AnswerShape { status: "HTTP/1.0 200 OK", ..ends_connection };
+    site.assert_whole(earlier_version, AnswerKind::Whole).await;
 }
--- a/crates/framing/src/lib.rs
+++ b/crates/framing/src/lib.rs
@@ -1,15 +1,18 @@
 //! Decides whether the head of an HTTP/1.1 answer tells beyond doubt where its body ends.
 //!
 //! HTTP libraries read many heads leniently: a coding that they don't know makes the connection's end
-//! the body's end, and a length beside chunks is ignored. Whoever reads an answer checks its head here
-//! before anything in it counts.
+//! the body's end, as a spoilt name of the length does, and a length beside chunks is ignored. Whoever
+//! reads an answer checks its head here before anything in it counts.
 
-use http::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::StatusCode;
+use http::header::{HeaderMap, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{Method, StatusCode, Version};
 
 /// The only transfer coding that is read.
 const CHUNKED: &str = "chunked";
 
+/// Value with which a head announces that the connection ends with the answer.
+const CLOSE: &[u8] = b"close";
+
 /// Largest status that HTTP defines a class for.
 const LAST_STATUS: u16 = 599;
 
@@ -28,28 +31,60 @@
     /// The length is not one number.
     #[error("the length is not one number")]
     Length,
+    /// Neither a length, nor chunks, nor the end of the connection tell where the body ends.
+    #[error("nothing in the head tells where the body ends")]
+    NoEnd,
     /// The status allows no body, and the head announces one.
     #[error("the status {0} allows no body")]
     Bodyless(u16),
 }
 
-/// Checks the head of a final answer.
-///
-/// # Errors
-/// Returns [`BrokenHead`] if the answer's end, or that it is an answer, is in doubt.
-pub fn check_head(status: StatusCode, headers: &HeaderMap) -> Result<(), BrokenHead> {
-    if status.is_informational() || status.as_u16() > LAST_STATUS {
-        return Err(BrokenHead::Status(status.as_u16()));
+/// What frames a final answer.
+#[derive(Clone, Copy, Debug)]
+pub struct AnswerFrame<'a> {
+    /// Method of the request.
+    pub method: &'a Method,
+    /// Version of the protocol in which the answer came.
+    pub version: Version,
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Headers of the answer.
+    pub headers: &'a HeaderMap,
+}
+
+impl AnswerFrame<'_> {
+    /// Checks the answer's head.
+    ///
+    /// # Errors
+    /// Returns [`BrokenHead`] if the answer's end, or that it is an answer, is in doubt.
+    pub fn check(self) -> Result<(), BrokenHead> {
+        let status = self.status.as_u16();
+        if self.status.is_informational() || status > LAST_STATUS {
+            return Err(BrokenHead::Status(status));
+        }
+        match (read_coding(self.headers)?, read_length(self.headers)?) {
+            (true, Some(_)) => Err(BrokenHead::LengthBesideChunks),
+            (true, None) | (false, Some(1..)) if self.status == StatusCode::NO_CONTENT => {
+                Err(BrokenHead::Bodyless(status))
+            }
+            (false, None) if self.has_body() && !self.ends_connection() => Err(BrokenHead::NoEnd),
+            _ => Ok(()),
+        }
     }
-    let is_chunked = read_coding(headers)?;
-    let length = read_length(headers)?;
-    if is_chunked && length.is_some() {
-        return Err(BrokenHead::LengthBesideChunks);
+
+    /// Whether a body follows the head.
+    fn has_body(self) -> bool {
+        let is_bodyless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&self.status);
+        *self.method != Method::HEAD && !is_bodyless
     }
-    if status == StatusCode::NO_CONTENT && (is_chunked || length.is_some_and(|length| length > 0)) {
-        return Err(BrokenHead::Bodyless(status.as_u16()));
+
+    /// Whether the head announces that the connection ends with the answer.
+    fn ends_connection(self) -> bool {
+        let is_close = |word: &[u8]| word.trim_ascii().eq_ignore_ascii_case(CLOSE);
+        let mut values = self.headers.get_all(CONNECTION).iter();
+        let closes = values.any(|value| value.as_bytes().split(|byte| *byte == b',').any(is_close));
+        closes || self.version < Version::HTTP_11
     }
-    Ok(())
 }
 
 /// Whether the body is in chunks.
--- a/crates/framing/tests/heads.rs
+++ b/crates/framing/tests/heads.rs
@@ -1,23 +1,35 @@
 //! Tests of heads that frame an answer beyond doubt, and of others.
 
 use http::header::{HeaderMap, HeaderName, HeaderValue};
-use http::StatusCode;
-use ravenspoke_framing::{check_head, BrokenHead};
+use http::{Method, StatusCode, Version};
+use ravenspoke_framing::{AnswerFrame, BrokenHead};
 
+/// Checks an answer to a POST with this status and these header lines.
 fn check(status: u16, lines: &[(&str, &str)]) -> Result<(), BrokenHead> {
+    check_answer(&Method::POST, Version::HTTP_11, status, lines)
+}
+
+fn check_answer(
+    method: &Method,
+    version: Version,
+    status: u16,
+    lines: &[(&str, &str)],
+) -> Result<(), BrokenHead> {
     let mut headers = HeaderMap::new();
     for (name, value) in lines {
         let name: HeaderName = name.parse().expect("a name");
         headers.append(name, HeaderValue::from_str(value).expect("a value"));
     }
-    check_head(StatusCode::from_u16(status).expect("a status"), &headers)
+    let status = StatusCode::from_u16(status).expect("a status");
+    AnswerFrame { method, version, status, headers: &headers }.check()
 }
 
 #[test]
 fn sound_heads_are_taken() {
     for lines in [
-        &[][..],
-        &[("content-length", "12")],
+        &[("content-length", "12")][..],
+        &[("connection", "close")],
+        &[("connection", "x-name, Close")],
         &[("content-length", "0")],
         &[("transfer-encoding", "chunked")],
         &[("transfer-encoding", "Chunked ")],
@@ -27,7 +39,11 @@
         }
     }
     assert_eq!(check(204, &[("content-length", "0")]), Ok(()));
+    assert_eq!(check(204, &[]), Ok(()));
     assert_eq!(check(304, &[("content-length", "12")]), Ok(()));
+    assert_eq!(check(304, &[]), Ok(()));
+    assert_eq!(check_answer(&Method::HEAD, Version::HTTP_11, 200, &[]), Ok(()));
+    assert_eq!(check_answer(&Method::GET, Version::HTTP_10, 200, &[]), Ok(()));
 }
 
 #[test]
@@ -61,6 +77,20 @@
     assert_eq!(check(200, &lines), Err(BrokenHead::LengthBesideChunks));
 }
 
+#[test]
+fn heads_that_tell_no_end_are_refused() {
+    for lines in [
+        &[][..],
+        &[("x-length", "12")],
+        &[("connection", "keep-alive")],
+        &[("connection", "closed")],
+    ] {
+        for status in [200, 404, 503] {
+            assert_eq!(check(status, lines), Err(BrokenHead::NoEnd), "{status} {lines:?}");
+        }
+    }
+}
+
 #[test]
 fn bodies_of_answers_without_content_are_refused() {
     for line in [("content-length", "5"), ("transfer-encoding", "chunked")] {
--- a/crates/standins/src/platform/endless.rs
+++ b/crates/standins/src/platform/endless.rs
@@ -64,7 +64,7 @@
             Self::Headers => "",
             Self::SlowHeader => "X-Long: ",
             Self::Length | Self::SlowLength => &format!("Content-Length: {STATED_LENGTH}\r\n\r\n"),
-            Self::Unframed => "\r\n",
+            Self::Unframed => "Connection: close\r\n\r\n",
             Self::Surplus => "Content-Length: 2\r\n\r\nok",
             Self::ChunkExtension => "Transfer-Encoding: chunked\r\n\r\n5;",
             Self::Trailers => "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
--- a/crates/standins/src/platform/replica.rs
+++ b/crates/standins/src/platform/replica.rs
@@ -568,6 +568,7 @@
             ReplicaMode::Closing => return Ok(false),
             ReplicaMode::Silent => return std::future::pending().await,
             mode if mode.is_unframed() => {
+                headers.push(("Connection", "close"));
                 let mut answer = response_head(status, &headers);
                 answer.extend(b"\r\n");
                 answer.extend(body.as_bytes());
@@ -600,9 +601,10 @@
             ("Content-Type", "text/event-stream"),
         ];
         let framed = |bytes: &[u8]| if mode.is_unframed() { bytes.to_vec() } else { chunk(bytes) };
-        if !mode.is_unframed() {
-            headers.push(("Transfer-Encoding", "chunked"));
-        }
+        headers.push(match mode.is_unframed() {
+            true => ("Connection", "close"),
+            false => ("Transfer-Encoding", "chunked"),
+        });
         let own_headers = self.status_headers();
         headers.extend(own_headers.iter().map(|(name, value)| (*name, value.as_str())));
         let mut head = response_head(200, &headers);
