Answers that are longer than their length are refused

What callers saw: a replica that sent `Content-Length: 5` before twelve bytes gave a complete answer of five; with 0 an empty answer, or a stream that ended before its first event. A stream cut by its length at the end of an event ended as complete.

Cause: the bytes behind an answer were seen only by the task that puts the connection back, when the answer had gone to the caller.

What was weighed: bytes that begin another answer leave the first one whole as it is framed (a replica in trouble sends an answer twice; refusing those would cost a call that may run once its answer). Other bytes leave in doubt where the body ends: then a 502 is less than a wrong body. Bytes that come later than the answer's end can't be told; an empty success is the one case where the body may still be on its way, so 50 ms are waited there, which covers a delayed acknowledgement.

Change: an answer counts only when its connection is ready for the next request, or has ended with nothing but another answer behind it. The library's connection hands over what it has read and not parsed, the socket what it has not read. A stream ends only so, and not before its first event unless the caller resumed it. The connection goes back to the pool in the same step, no longer in a task of its own. The link has a module of its own, out of `pool`.

Evidence, before: answers_that_are_longer_than_their_length failed, 200 and "a who"; streams_that_are_longer_than_their_length failed, 200 and one of two events. Both pass now, and answer_with_a_second_one_behind_it_is_whole passes as before.

--- a/crates/box/src/gateway/mod.rs
+++ b/crates/box/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //! [`driver`] holds the reducer's state and applies events to it. [`entry`] accepts callers'
 //! connections, [`exchange`] serves one request, [`attempts`] runs its attempts, [`replica_call`] sends one of them, [`responses`] builds the caller's response,
 //! [`relay`] forwards a stream and resumes it at another place, [`stream_reader`] reads it, [`event_splitter`]
-//! splits it into whole events, [`pool`] keeps connections to replicas, [`carried_ids`] holds what they have carried, [`replica_stream`]
+//! splits it into whole events, [`pool`] keeps connections to replicas, [`replica_link`] runs one and tells what stands on it behind an answer, [`carried_ids`] holds what they have carried, [`replica_stream`]
 //! bounds what is read from them, and [`probes`] opens some to check the paths. [`forward`] marks requests that go through another box, and `admission_wire` encodes what admitted them.
 //!
 //! [`follow`] follows the topics of the platform's store. `topic_follower` calls the store for one
@@ -45,6 +45,7 @@
 pub mod relay;
 pub mod reload;
 pub mod replica_call;
+pub mod replica_link;
 pub mod replica_stream;
 pub mod responses;
 mod store_calls;
--- a/crates/box/src/gateway/observe/requests.rs
+++ b/crates/box/src/gateway/observe/requests.rs
@@ -13,8 +13,8 @@
 use crate::clients::slow_readers::{ReaderStall, StallCause};
 use crate::gateway::driver::RequestName;
 use crate::gateway::forward::UnknownForwarder;
-use crate::gateway::pool::LinkUse;
 use crate::gateway::replica_call::FailedAttempt;
+use crate::gateway::replica_link::LinkUse;
 use crate::observe::count_body_unfinished;
 
 /// Logs a decision about a request.
--- a/crates/box/src/gateway/pool.rs
+++ b/crates/box/src/gateway/pool.rs
@@ -9,16 +9,14 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::client::conn::http1::Builder;
 use hyper_util::rt::TokioIo;
 use ravenspoke_core::time::BoxTime;
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::task::AbortHandle;
 
-use super::carried_ids::{CarriedIds, RequestId};
+use super::carried_ids::RequestId;
 use super::observe;
+use super::replica_link::ReplicaLink;
 use super::replica_stream::{
     ReadAllowance, ReplicaStream, WrittenBytes, READ_BUFFER_BYTES, RECEIVE_BUFFER_BYTES,
 };
@@ -47,63 +45,10 @@
 /// be silent for about a second. Keep-alive probes, if any, give up after it too.
 pub const UNSENT_MS: u64 = 3_000;
 
-/// Time within which a connection must be ready for the next request after a response, in
-/// milliseconds. One that is not ready has not sent the whole request.
-pub const READY_MS: u64 = 20;
-
 /// Time after which a probed connection must still be open, in milliseconds. A proxy on the path may
 /// accept a connection and close it at once.
 pub const PROBE_HOLD_MS: u64 = 20;
 
-/// Closes the connection when dropped, whatever its state.
-#[derive(Debug)]
-struct ClosingTask(AbortHandle);
-
-impl Drop for ClosingTask {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
-/// A connection to a replica; it is closed when dropped.
-#[derive(Debug)]
-pub struct ReplicaLink {
-    /// Sends requests on the connection.
-    pub sender: SendRequest<Full<Bytes>>,
-    /// Whether it has carried a request before.
-    pub used: bool,
-    /// Bytes that may be read for the current part of a response.
-    pub allowance: ReadAllowance,
-    /// Bytes written to the connection.
-    pub written: WrittenBytes,
-    /// Number of the connection in this process, for the log.
-    number: u64,
-    carried: CarriedIds,
-    address: SocketAddr,
-    _task: ClosingTask,
-}
-
-/// What a connection carried before an attempt, for the log.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct LinkUse {
-    /// Number of the connection in this process.
-    pub connection: u64,
-    /// Requests that it carried before.
-    pub earlier: usize,
-    /// Whether one of them had the same id.
-    pub repeats_id: bool,
-}
-
-impl ReplicaLink {
-    /// Records that a request is about to be written.
-    pub fn carry(&mut self, id: RequestId) -> LinkUse {
-        let repeats_id = self.carried.contains(id);
-        let earlier = self.carried.len();
-        self.carried.add(id);
-        LinkUse { connection: self.number, earlier, repeats_id }
-    }
-}
-
 struct IdleLink {
     link: ReplicaLink,
     since: BoxTime,
@@ -120,7 +65,7 @@
     /// two requests on it may have the same id.
     fn fits(&self, id: RequestId, repeatable: bool, now: BoxTime) -> bool {
         let is_fresh = repeatable || now.millis_since(self.since) <= SINGLE_IDLE_MS;
-        is_fresh && !self.link.carried.contains(id)
+        is_fresh && !self.link.carried().contains(id)
     }
 }
 
@@ -172,14 +117,8 @@
         let shaken = Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(stream).await;
         let (sender, connection) = shaken.map_err(std::io::Error::other)?;
         metrics::counter!("ravenspoke_replica_connections_total").increment(1);
-        let task = tokio::spawn(async move {
-            // An error of the connection shows up in the request that uses it.
-            let _ = connection.await;
-        });
-        let _task = ClosingTask(task.abort_handle());
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
-        let carried = CarriedIds::default();
-        Ok(ReplicaLink { sender, used: false, allowance, written, number, carried, address, _task })
+        Ok(ReplicaLink::new(address, number, sender, connection, allowance, written))
     }
 
     /// Connects from the box's own address, so that the network sees which box it is.
@@ -199,23 +138,22 @@
         tokio::time::sleep(Duration::from_millis(PROBE_HOLD_MS)).await;
         let is_open = !link.sender.is_closed();
         if is_open {
-            self.put_back(link, None).await;
+            self.put_back(link, None);
         }
         is_open
     }
 
-    /// Returns a connection to the pool after a whole response, if it is clean.
-    pub async fn put_back(&self, mut link: ReplicaLink, kept_ms: Option<u64>) {
+    /// Returns a connection to the pool after a whole response, if it is ready for the next request.
+    pub fn put_back(&self, mut link: ReplicaLink, kept_ms: Option<u64>) {
         let kept_ms = kept_ms.map_or(IDLE_MS, |kept| kept.saturating_sub(IDLE_MARGIN_MS));
-        let ready = tokio::time::timeout(Duration::from_millis(READY_MS), link.sender.ready());
-        if kept_ms == 0 || link.carried.is_full() || !matches!(ready.await, Ok(Ok(()))) {
+        if kept_ms == 0 || link.carried().is_full() || !link.sender.is_ready() {
             return;
         }
         link.used = true;
         let since = self.clock.now();
         let until = since.plus_millis(kept_ms.min(IDLE_MS));
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let links = idle.entry(link.address).or_default();
+        let links = idle.entry(link.address()).or_default();
         if links.len() < IDLE_LIMIT {
             links.push(IdleLink { link, since, until });
         }
--- a/crates/box/src/gateway/relay.rs
+++ b/crates/box/src/gateway/relay.rs
@@ -7,6 +7,7 @@
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use ravenspoke_adapter::headers;
 use ravenspoke_core::route::event::{AttemptFailure, RouteEvent, SendOrder};
 
 use super::attempts::{run_attempts, AttemptOutcome, AttemptRequest};
@@ -47,7 +48,8 @@
     order: Arc<SendOrder>,
     source: StreamSource,
 ) -> CallerBody {
-    let (reader, quiet) = (StreamReader::new(source), Duration::ZERO);
+    let is_resumed = headers::resumes_stream(&caller.headers);
+    let (reader, quiet) = (StreamReader::new(source, is_resumed), Duration::ZERO);
     let relay = StreamRelay { context, caller, guard, order, reader, quiet, is_paused: false };
     let pieces = stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
--- a/crates/box/src/gateway/replica_call.rs
+++ b/crates/box/src/gateway/replica_call.rs
@@ -6,9 +6,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use ravenspoke_adapter::headers;
@@ -23,7 +24,7 @@
 use super::exchange::{BufferedRequest, GatewayContext};
 use super::forward::{self, ForwardAttempt};
 use super::observe;
-use super::pool::{LinkUse, ReplicaLink};
+use super::replica_link::{LinkUse, ReplicaLink, EMPTY_WAIT_MS};
 use super::replica_stream::ReadAllowance;
 use super::stream_reader::STREAM_ALLOWANCE;
 use crate::clients::memory_account::{MemoryAccount, MemoryShare};
@@ -124,7 +125,7 @@
     let request = || replica_request(context, caller, order, forward.as_ref(), resume_after);
     let id = RequestId::of(&caller.headers);
     let target = RequestTarget { order, address, ticket, id };
-    let (response, attempt) = send_request(context, target, request, written).await?;
+    let (response, mut attempt) = send_request(context, target, request, written).await?;
     let link_use = attempt.link_use;
     let (mut head, body) = response.into_parts();
     let frame = AnswerFrame {
@@ -159,11 +160,21 @@
     attempt.link.allowance.set(RESPONSE_ALLOWANCE);
     let whole = read_answer(body, caller.share.account()).await;
     let whole = whole.map_err(|error| attempt.failed(AttemptFailure::Broken, error))?;
+    let settled = attempt.link.settle(empty_wait(&caller.method, &head, &whole)).await;
+    settled.map_err(|error| attempt.failed(AttemptFailure::Broken, error.to_string()))?;
     put_back(context, attempt.link, &head.headers);
     let body = ReplicaBody::Whole(whole);
     Ok(ReplicaResponse { head, decoded, body, link_use })
 }
 
+/// Time for which bytes behind an answer are waited for: none, unless it is a success that should
+/// have a body.
+fn empty_wait(method: &Method, head: &http::response::Parts, body: &HeldBody) -> Duration {
+    let needs_body = *method != Method::HEAD && head.status != StatusCode::NO_CONTENT;
+    let is_doubtful = needs_body && head.status.is_success() && body.bytes.is_empty();
+    Duration::from_millis(if is_doubtful { EMPTY_WAIT_MS } else { 0 })
+}
+
 /// Reads a whole answer. It waits while other clients take the memory.
 async fn read_answer(mut body: Incoming, account: &Arc<MemoryAccount>) -> Result<HeldBody, String> {
     let mut buffer = AnswerBuffer { bytes: Vec::new(), share: MemoryShare::new(account) };
@@ -266,12 +277,9 @@
     opened.map_err(|error| never_sent(error.to_string()))
 }
 
-/// Returns a connection to the pool in a separate task, so that the caller's response does not wait
-/// for the check of the connection.
+/// Returns a connection to the pool after this response.
 pub(super) fn put_back(context: &GatewayContext, link: ReplicaLink, response: &HeaderMap) {
-    let kept_ms = headers::kept_idle_ms(response);
-    let pool = context.pool.clone();
-    tokio::spawn(async move { pool.put_back(link, kept_ms).await });
+    context.pool.put_back(link, headers::kept_idle_ms(response));
 }
 
 fn replica_request(
--- a/crates/box/src/gateway/replica_stream.rs
+++ b/crates/box/src/gateway/replica_stream.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
+use bytes::Bytes;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -22,6 +23,9 @@
 /// Receive buffer while a long answer is read, in bytes.
 const ANSWER_BUFFER_BYTES: usize = 256 << 10;
 
+/// Bytes that are looked at behind the end of an answer, at most.
+const WAITING_BYTES: usize = 64;
+
 /// The replica sent more bytes than the part of the response may have.
 #[derive(Debug, thiserror::Error)]
 #[error("the replica sends more bytes than a response may have")]
@@ -90,6 +94,14 @@
         Self { stream, allowance, written, received: 0, is_wide: false }
     }
 
+    /// The first of the bytes that have arrived and were not read.
+    pub fn read_waiting(&self) -> Bytes {
+        let mut bytes = [0; WAITING_BYTES];
+        // An error means that there are none.
+        let read = self.stream.try_read(&mut bytes).unwrap_or(0);
+        Bytes::copy_from_slice(&bytes[..read])
+    }
+
     fn note_written(&mut self, result: &Poll<io::Result<usize>>) {
         if let Poll::Ready(Ok(bytes)) = result {
             self.written.add(*bytes);
--- a/crates/box/src/gateway/stream_reader.rs
+++ b/crates/box/src/gateway/stream_reader.rs
@@ -1,11 +1,13 @@
 //! Reads a stream from a place that answers it, in whole events.
 
+use std::time::Duration;
+
 use bytes::BytesMut;
 use http::HeaderMap;
 use hyper::body::Incoming;
 
 use super::event_splitter::{EventSplitter, WholeEvents, EVENT_LIMIT};
-use super::pool::{LinkUse, ReplicaLink};
+use super::replica_link::{LinkUse, ReplicaLink};
 
 use http_body_util::BodyExt;
 
@@ -39,13 +41,15 @@
     splitter: EventSplitter,
     /// Comments that were read and not relayed yet.
     held_comments: BytesMut,
+    /// Whether the stream may end: the caller has an event of it.
+    may_end: bool,
 }
 
 impl StreamReader {
-    /// Creates a reader of `source`.
-    pub(super) fn new(source: StreamSource) -> Self {
+    /// Creates a reader of `source`. `is_resumed`: whether the caller has the events before it.
+    pub(super) fn new(source: StreamSource, is_resumed: bool) -> Self {
         let (splitter, held_comments) = (EventSplitter::default(), BytesMut::new());
-        Self { source: Some(source), splitter, held_comments }
+        Self { source: Some(source), splitter, held_comments, may_end: is_resumed }
     }
 
     /// The next piece, after the comments that were held. Nothing is lost if the future is dropped
@@ -85,11 +89,20 @@
                 None if self.splitter.has_partial() => {
                     return StreamPiece::Broken("the stream ended within an event");
                 }
-                None => return StreamPiece::End,
+                None if !self.may_end => {
+                    return StreamPiece::Broken("the stream ended without an event");
+                }
+                None => {
+                    return match source.link.settle(Duration::ZERO).await {
+                        Ok(()) => StreamPiece::End,
+                        Err(_) => StreamPiece::Broken("bytes follow the end of the stream"),
+                    };
+                }
             };
             match self.splitter.push(&bytes) {
                 Ok(Some(events)) => {
                     if events.has_event {
+                        self.may_end = true;
                         source.link.allowance.set(STREAM_ALLOWANCE);
                     }
                     return StreamPiece::Events(events);
--- a/crates/box/tests/broken_answers.rs
+++ b/crates/box/tests/broken_answers.rs
@@ -12,7 +12,7 @@
 use ravenspoke_standins::platform::site_box::SiteBox;
 use ravenspoke_standins::platform::wire::chunk;
 
-use BodyFraming::{Chunked, Followed, None as Bodyless, Plain, Trailed};
+use BodyFraming::{Behind, Chunked, Followed, None as Bodyless, Plain, Trailed};
 
 /// Body of a plain answer.
 const BODY: &str = "a whole body";
@@ -70,6 +70,8 @@
     Chunked,
     /// In chunks, with these lines behind the last one.
     Trailed(&'static str),
+    /// As it is, in a second packet behind the head.
+    Behind,
     /// As it is, followed by these bytes.
     Followed(&'static str),
     /// There is none.
@@ -99,6 +101,7 @@
                 let trailer = format!("0\r\n{lines}\r\n").into_bytes();
                 vec![[head, chunk(body.as_bytes()), trailer].concat()]
             }
+            BodyFraming::Behind => vec![head, body.into()],
             BodyFraming::Followed(bytes) => vec![[head, body.into(), bytes.into()].concat()],
             BodyFraming::None => vec![head],
         }
@@ -303,6 +306,17 @@
         success("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", Chunked),
         success("Transfer-Encoding: chunked\r\nContent-Length: 12\r\n", Chunked),
     ];
+    answers_that_are_longer_than_their_length: Whole, [
+        success("Content-Length: 5\r\n", Plain),
+        success("Content-Length: 5\r\nConnection: close\r\n", Plain),
+        success("Content-Length: 11\r\n", Plain),
+        success("Content-Length: 0\r\n", Plain),
+        success("Content-Length: 0\r\n", Behind),
+        success("Content-Length: 5\r\n", Behind),
+        success("Content-Length: 12\r\n", Followed("more")),
+        success("Content-Length: 12\r\n", Followed("HTTP")),
+        success("Transfer-Encoding: chunked\r\n", Followed("")),
+    ];
     answers_that_tell_no_end: Whole, [
         success("", Plain),
         success("Content-Lenght: 12\r\n", Plain),
@@ -320,6 +334,13 @@
         success("Transfer-Encoding: gzip, chunked\r\n", Chunked),
         success("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", Chunked),
     ];
+    streams_that_are_longer_than_their_length: Stream, [
+        success("Content-Length: 21\r\n", Plain),
+        success("Content-Length: 0\r\n", Plain),
+        success("Content-Length: 0\r\n", Behind),
+        success("Content-Length: 0\r\n", Bodyless),
+        success("Content-Length: 5\r\n", Plain),
+    ];
 }
 
 /// An answer that is whole as it is framed is not refused for another one behind it.
