--- a/crates/framing/src/lib.rs
+++ b/crates/framing/src/lib.rs
@@ -52,7 +52,13 @@
     pub headers: &'a HeaderMap,
 }
 
-impl AnswerFrame<'_> {
+impl<'a> AnswerFrame<'a> {
+    /// The frame of a response to a request with this method.
+    pub fn of_response(method: &'a Method, response: &'a reqwest::Response) -> Self {
+        let (version, status) = (response.version(), response.status());
+        Self { method, version, status, headers: response.headers() }
+    }
+
     /// Checks the answer's head.
     ///
     /// # Errors
