Box of signed bundles: broken answers are failed attempts

What callers saw: a plain service's answer in an unknown transfer coding, with a length under a spoilt name or beside chunks, or with status 600, came as a whole answer with other bytes. The answers of the log, the box list, the rating service, load reports, and what the command reads took the same way.

Cause: these are read by the same library, with the same trust in its framing.

Change: the box checks the frame before the echo, "not run" or the body count; `ravenspoke-services` has one function that sends a call and checks its answer, which orders and the command use too.

Evidence, before: service_answers_whose_end_is_in_doubt_are_refused failed, 200 and "a whole body" for `Transfer-Encoding: gzip`. It passes now.

--- a/crates/box/src/exchange.rs
+++ b/crates/box/src/exchange.rs
@@ -18,6 +18,7 @@
 use ravenspoke_core::ids::RequestKey;
 use ravenspoke_core::message::OutcomeRecord;
 use ravenspoke_core::reason::ReasonCode;
+use ravenspoke_framing::AnswerFrame;
 use ravenspoke_services::RatingClient;
 use reqwest::header::HeaderMap;
 use reqwest::Method;
@@ -80,6 +81,16 @@
     },
 }
 
+impl UpstreamCall {
+    /// Method of the request.
+    fn method(&self) -> &Method {
+        match self {
+            Self::Chat { .. } => &Method::POST,
+            Self::Service { method, .. } => method,
+        }
+    }
+}
+
 /// A complete response that is held until the reducer releases it.
 struct HeldAnswer {
     status: u16,
@@ -298,6 +309,9 @@
             Ok(Err(_)) => return Some(AttemptEnd::Aborted { delivered: 0 }),
             Ok(Ok(response)) => response,
         };
+        if AnswerFrame::of_response(self.call.method(), &response).check().is_err() {
+            return Some(AttemptEnd::Aborted { delivered: 0 });
+        }
         let response_header = |name| header(response.headers(), name);
         if response_header(RUN_HEADER) == Some("not_run") {
             let leaving = response_header("x-ravenspoke-leaving").is_some();
--- a/crates/box/src/follow.rs
+++ b/crates/box/src/follow.rs
@@ -9,7 +9,7 @@
 use ravenspoke_core::event::BoxEvent;
 use ravenspoke_core::lease::ORDER_TIMEOUT_MS;
 use ravenspoke_core::message::LogRecord;
-use ravenspoke_services::{read_load, ListClient, LogClient};
+use ravenspoke_services::{call, read_load, ListClient, LogClient};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{sleep, MissedTickBehavior};
 
@@ -149,9 +149,8 @@
             if driver.now() >= order.send_before {
                 return;
             }
-            if let Err(error) = request.send().await.and_then(reqwest::Response::error_for_status) {
+            if let Err(error) = call("pool order", request).await {
                 metrics::counter!("ravenspoke_order_errors_total").increment(1);
-                let error = error.without_url();
                 tracing::warn!(event = 504, name = "order_failed", replica = order.replica, %error);
             }
         });
--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -2,7 +2,7 @@
 
 use ravenspoke_config::settings::SignerSettings;
 use ravenspoke_core::fold::SignOffRule;
-use ravenspoke_services::{BoxList, ListClient, LogClient};
+use ravenspoke_services::{call, BoxList, ListClient, LogClient};
 use serde::Deserialize;
 
 use crate::CommandError;
@@ -75,8 +75,8 @@
     pub async fn ask(&self, address: &str, path: &str) -> Option<serde_json::Value> {
         let key = std::env::var(OPERATOR_KEY).unwrap_or_default();
         let request = self.http.get(format!("http://{address}{path}")).bearer_auth(key);
-        let sent = request.timeout(ravenspoke_services::CALL_TIMEOUT).send().await.ok()?;
-        sent.error_for_status().ok()?.json().await.ok()
+        let request = request.timeout(ravenspoke_services::CALL_TIMEOUT);
+        call("box", request).await.ok()?.json().await.ok()
     }
 
     /// Requests a box's planned stop.
@@ -86,9 +86,8 @@
     pub async fn stop(&self, address: &str) -> Result<(), CommandError> {
         let key = std::env::var(OPERATOR_KEY).unwrap_or_default();
         let request = self.http.post(format!("http://{address}/stop")).bearer_auth(key);
-        let sent = request.timeout(ravenspoke_services::CALL_TIMEOUT).send().await;
-        sent.and_then(reqwest::Response::error_for_status)
-            .map(drop)
-            .map_err(|error| CommandError::Unreachable(error.without_url().to_string()))
+        let request = request.timeout(ravenspoke_services::CALL_TIMEOUT);
+        call("planned stop", request).await?;
+        Ok(())
     }
 }
--- a/crates/services/src/lib.rs
+++ b/crates/services/src/lib.rs
@@ -11,6 +11,8 @@
 use ravenspoke_core::membership::ListedBox;
 use ravenspoke_core::message::LogRecord;
 use ravenspoke_core::replica::{ListedReplica, LoadReport};
+use ravenspoke_framing::{AnswerFrame, BrokenHead};
+use reqwest::Method;
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 
 /// Timeout of a call that does not wait for new records.
@@ -27,6 +29,14 @@
         /// The HTTP client's error, without the address.
         error: reqwest::Error,
     },
+    /// The response is no answer, or its end is in doubt.
+    #[error("{what}: {error}")]
+    Broken {
+        /// The kind of call.
+        what: &'static str,
+        /// What is wrong with it.
+        error: BrokenHead,
+    },
     /// The service answered with an error status.
     #[error("{what}: the service answered with status {status}")]
     Status {
@@ -49,13 +59,27 @@
     what: &'static str,
     request: reqwest::RequestBuilder,
 ) -> Result<T, PlatformError> {
+    let response = call(what, request).await?;
+    response.json().await.map_err(|error| PlatformError::Http { what, error: error.without_url() })
+}
+
+/// Sends a request that is not for a head alone, and returns the response if it is a success.
+///
+/// # Errors
+/// Returns [`PlatformError`] if no sound response arrives, or another one than a success.
+pub async fn call(
+    what: &'static str,
+    request: reqwest::RequestBuilder,
+) -> Result<reqwest::Response, PlatformError> {
     let wrap = |error: reqwest::Error| PlatformError::Http { what, error: error.without_url() };
     let response = request.send().await.map_err(wrap)?;
+    let frame = AnswerFrame::of_response(&Method::GET, &response);
+    frame.check().map_err(|error| PlatformError::Broken { what, error })?;
     let status = response.status();
     if !status.is_success() {
         return Err(PlatformError::Status { what, status: status.as_u16() });
     }
-    response.json().await.map_err(wrap)
+    Ok(response)
 }
 
 /// Result of reading a stream.
