Redirects of backend servers and of the platform are not followed

What callers saw: a plain service that answered 307 had the call that may run once sent again, to an address of its choice, and the caller got what that address answered. The same held for orders and load reports of the box of signed bundles, and for the store's and the API's calls.

Cause: the HTTP client follows up to ten redirects unless it is told not to.

Change: none of the boxes' clients follows any; the status goes to the caller, as any other.

Evidence, before: redirects_of_a_service_are_not_followed failed, the other address had one request and the caller its 200. It passes now.

--- a/crates/box/src/process.rs
+++ b/crates/box/src/process.rs
@@ -12,6 +12,7 @@
 use ravenspoke_core::event::BoxEvent;
 use ravenspoke_core::state::{BoxSettings, BoxState};
 use ravenspoke_services::{ListClient, LogClient, RatingClient};
+use reqwest::redirect::Policy;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio_util::sync::CancellationToken;
@@ -102,7 +103,7 @@
         let error = error.to_string();
         ProcessError::Listen { address: settings.listen.peer, purpose: "peer", error }
     })?;
-    let platform_http = reqwest::Client::builder().build()?;
+    let platform_http = reqwest::Client::builder().redirect(Policy::none()).build()?;
     let log = LogClient::new(platform_http.clone(), &settings.platform.log);
     let list = ListClient::new(platform_http.clone(), &settings.platform.list);
 
@@ -211,6 +212,7 @@
     reqwest::Client::builder()
         .connect_timeout(Duration::from_millis(500))
         .pool_max_idle_per_host(256)
+        .redirect(Policy::none())
         .tcp_nodelay(true)
         .build()
 }
--- a/crates/box/tests/broken_bundle_answers.rs
+++ b/crates/box/tests/broken_bundle_answers.rs
@@ -130,3 +130,19 @@
         fleet.assert_refused(status, LENGTH, BODY).await;
     }
 }
+
+/// Guards against a call that runs where a backend server sends it.
+#[tokio::test]
+async fn redirects_of_a_service_are_not_followed() {
+    let fleet = BrokenFleet::start().await;
+    let elsewhere = ScriptedReplica::start(|request| {
+        AnswerScript::kept(answer(request, "200 OK", LENGTH, BODY))
+    })
+    .await;
+    let lines = format!("Location: http://{}/\r\nContent-Length: 0\r\n", elsewhere.address);
+
+    fleet.answer_with("307 Temporary Redirect", &lines, "", false);
+    let got = fleet.call().await;
+
+    assert_eq!(elsewhere.requests(), 0, "{got:?}");
+}
