Box of signed bundles: answers longer than their length are failed attempts

What callers saw: a plain service's `Content-Length: 5` before twelve bytes came as a whole answer of five, 0 as an empty one.

Cause: the HTTP client that this box used hands out no connection, so nobody could see what stands behind an answer.

Change: `upstream` calls backend servers over the pool and the links that the routing box has, and takes an answer's end as they do.

--- a/crates/box/src/entry.rs
+++ b/crates/box/src/entry.rs
@@ -18,7 +18,7 @@
 use crate::clients::memory_account::MemoryShare;
 use crate::clients::request_body::{discard_body, read_body, BodyFailure, BodyLimits, HeldBody};
 use crate::clock::BoxClock;
-use crate::exchange::{ExchangeTools, RequestExchange, UpstreamCall};
+use crate::exchange::{CallContent, ExchangeTools, RequestExchange};
 use crate::observe;
 
 /// Longest accepted header value, in bytes.
@@ -181,7 +181,7 @@
             RequestTarget::Model { class, .. } => *class,
             RequestTarget::Service { .. } => 0,
         };
-        self.exchange(headers, target, UpstreamCall::Chat { body, class }, held.share).await
+        self.exchange(headers, target, CallContent::Chat { body, class }, held.share).await
     }
 
     async fn call_service(
@@ -198,7 +198,7 @@
             method: head.method.as_str().to_owned(),
             path: path.clone(),
         };
-        let call = UpstreamCall::Service {
+        let call = CallContent::Service {
             method: head.method.clone(),
             path: match head.uri.query() {
                 Some(query) => format!("{path}?{query}"),
@@ -216,7 +216,7 @@
         &self,
         headers: CallerHeaders,
         target: RequestTarget,
-        call: UpstreamCall,
+        call: CallContent,
         share: MemoryShare,
     ) -> HeadAnswer {
         let driver = &self.tools.driver;
--- a/crates/box/src/exchange.rs
+++ b/crates/box/src/exchange.rs
@@ -12,16 +12,16 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use http::header::{HeaderMap, ACCEPT, CONTENT_TYPE};
+use http::{Method, Request};
+use http_body_util::Full;
 use ravenspoke_core::attempt::RequestRefusal;
 use ravenspoke_core::effect::AttemptOrder;
 use ravenspoke_core::event::{AttemptEnd, BoxEvent, RequestTicket};
 use ravenspoke_core::ids::RequestKey;
 use ravenspoke_core::message::OutcomeRecord;
 use ravenspoke_core::reason::ReasonCode;
-use ravenspoke_framing::AnswerFrame;
 use ravenspoke_services::RatingClient;
-use reqwest::header::HeaderMap;
-use reqwest::Method;
 use serde::Deserialize;
 use serde_json::json;
 use tokio::sync::mpsc::{channel, UnboundedReceiver};
@@ -32,6 +32,7 @@
 use crate::clients::memory_account::MemoryShare;
 use crate::driver::{BoxDriver, RequestStep};
 use crate::stream::EventReader;
+use crate::upstream::{UpstreamAnswer, UpstreamCall, UpstreamClient, UpstreamError};
 
 /// Header in which a backend server repeats the id of the attempt.
 pub const ECHO_HEADER: &str = "x-ravenspoke-attempt";
@@ -47,7 +48,7 @@
     /// Driver of the reducer.
     pub driver: Arc<BoxDriver>,
     /// Client for replicas.
-    pub http: reqwest::Client,
+    pub upstream: Arc<UpstreamClient>,
     /// Client of the rating service.
     pub rating: RatingClient,
     /// Longest time without data from a replica before an attempt fails.
@@ -58,7 +59,7 @@
 
 /// The request that is sent to the replica.
 #[derive(Clone, Debug)]
-pub enum UpstreamCall {
+pub enum CallContent {
     /// A chat completion; the box replaces the model's name by the version.
     Chat {
         /// The caller's body.
@@ -81,7 +82,7 @@
     },
 }
 
-impl UpstreamCall {
+impl CallContent {
     /// Method of the request.
     fn method(&self) -> &Method {
         match self {
@@ -137,7 +138,7 @@
     /// Id of the request.
     pub id: u128,
     /// Request to the replica.
-    pub call: UpstreamCall,
+    pub call: CallContent,
     /// Receives the head of the response; `None` once the head is sent.
     pub head: Option<oneshot::Sender<HeadAnswer>>,
     /// Receives the pieces of a streamed response once its head is sent.
@@ -159,7 +160,7 @@
         tools: Arc<ExchangeTools>,
         ticket: RequestTicket,
         id: u128,
-        call: UpstreamCall,
+        call: CallContent,
         share: MemoryShare,
         head: oneshot::Sender<HeadAnswer>,
     ) -> Self {
@@ -263,33 +264,31 @@
         self.tools.driver.feed(BoxEvent::CallerDisconnected(self.ticket));
     }
 
-    fn request(&self, order: &AttemptOrder) -> reqwest::RequestBuilder {
-        let http = &self.tools.http;
-        let echo = self.echo(order);
-        match &self.call {
-            UpstreamCall::Chat { body, .. } => {
-                let url = format!("http://{}/v1/chat/completions", order.address);
-                let request = http.post(url).header(ECHO_HEADER, echo);
-                let request = request.header("content-type", "application/json");
-                let request = request.body(body.for_version(&order.version));
-                match order.resume_from {
+    /// The call of an attempt; an error if the caller's request can't be written.
+    fn upstream_call(&self, order: &AttemptOrder) -> http::Result<UpstreamCall> {
+        let request = Request::builder().method(self.call.method());
+        let request = request.header(ECHO_HEADER, self.echo(order)).header(ACCEPT, "*/*");
+        let request = match &self.call {
+            CallContent::Chat { body, .. } => {
+                let request = request.uri("/v1/chat/completions");
+                let request = request.header(CONTENT_TYPE, "application/json");
+                let request = match order.resume_from {
                     0 => request,
                     tokens => request.header(RESUME_HEADER, tokens),
-                }
+                };
+                request.body(Full::new(body.for_version(&order.version).into()))
             }
-            UpstreamCall::Service { method, path, content_type, body, caller_key } => {
-                let url = format!("http://{}{path}", order.address);
-                let request = http
-                    .request(method.clone(), url)
-                    .header(ECHO_HEADER, echo)
-                    .header("content-type", content_type)
-                    .body(body.clone());
-                match caller_key {
+            CallContent::Service { path, content_type, body, caller_key, .. } => {
+                let request = request.uri(path).header(CONTENT_TYPE, content_type);
+                let request = match caller_key {
                     Some(key) => request.header("idempotency-key", key),
                     None => request,
-                }
+                };
+                request.body(Full::new(body.clone()))
             }
-        }
+        };
+        let is_repeatable = matches!(self.call, CallContent::Chat { .. });
+        Ok(UpstreamCall { address: order.address.clone(), request: request?, is_repeatable })
     }
 
     fn echo(&self, order: &AttemptOrder) -> String {
@@ -300,19 +299,18 @@
     async fn attempt(&mut self, key: RequestKey, order: &AttemptOrder) -> Option<AttemptEnd> {
         self.version.clone_from(&order.version);
         self.replica.clone_from(&order.replica);
-        let sent = self.request(order).send();
+        let Ok(call) = self.upstream_call(order) else { return Some(AttemptEnd::NeverConnected) };
+        let upstream = self.tools.upstream.clone();
+        let sent = upstream.call(call);
         let idle_timeout = self.tools.idle_timeout;
         let sent = self.unless_disconnected(tokio::time::timeout(idle_timeout, sent)).await?;
         let response = match sent {
             Err(_elapsed) => return Some(AttemptEnd::Aborted { delivered: 0 }),
-            Ok(Err(error)) if error.is_connect() => return Some(AttemptEnd::NeverConnected),
+            Ok(Err(UpstreamError::NeverSent(_))) => return Some(AttemptEnd::NeverConnected),
             Ok(Err(_)) => return Some(AttemptEnd::Aborted { delivered: 0 }),
             Ok(Ok(response)) => response,
         };
-        if AnswerFrame::of_response(self.call.method(), &response).check().is_err() {
-            return Some(AttemptEnd::Aborted { delivered: 0 });
-        }
-        let response_header = |name| header(response.headers(), name);
+        let response_header = |name| header(&response.headers, name);
         if response_header(RUN_HEADER) == Some("not_run") {
             let leaving = response_header("x-ravenspoke-leaving").is_some();
             return Some(AttemptEnd::Declined { leaving });
@@ -320,8 +318,8 @@
         if response_header(ECHO_HEADER) != Some(self.echo(order).as_str()) {
             return Some(AttemptEnd::WrongRequest);
         }
-        let streams = matches!(&self.call, UpstreamCall::Chat { body, .. } if body.stream);
-        if streams && response.status().is_success() {
+        let streams = matches!(&self.call, CallContent::Chat { body, .. } if body.stream);
+        if streams && response.status.is_success() {
             self.read_stream(key, order, response).await
         } else {
             self.read_whole(key, response).await
@@ -353,15 +351,15 @@
     async fn read_whole(
         &mut self,
         key: RequestKey,
-        mut response: reqwest::Response,
+        mut response: UpstreamAnswer,
     ) -> Option<AttemptEnd> {
-        let status = response.status().as_u16();
-        let media = header(response.headers(), "content-type").unwrap_or("application/json");
+        let status = response.status.as_u16();
+        let media = header(&response.headers, "content-type").unwrap_or("application/json");
         let content_type = media.to_owned();
         let mut body = BytesMut::new();
         let mut share = self.new_share();
         loop {
-            let piece = tokio::time::timeout(self.tools.idle_timeout, response.chunk());
+            let piece = tokio::time::timeout(self.tools.idle_timeout, response.piece());
             match self.unless_disconnected(piece).await? {
                 Ok(Ok(Some(piece))) => {
                     if body.is_empty() {
@@ -378,9 +376,10 @@
                 Ok(Err(_)) | Err(_) => return Some(AttemptEnd::Aborted { delivered: 0 }),
             }
         }
+        self.tools.upstream.keep(response);
         let body = body.freeze();
         let mut tokens = 0;
-        if matches!(self.call, UpstreamCall::Chat { .. }) {
+        if matches!(self.call, CallContent::Chat { .. }) {
             if status >= 500 {
                 return Some(AttemptEnd::Aborted { delivered: 0 });
             }
@@ -391,7 +390,7 @@
             let choice = answer.choices.into_iter().next().unwrap_or_default();
             self.text = choice.message.content.unwrap_or_default();
         }
-        let kept = if matches!(self.call, UpstreamCall::Service { .. }) {
+        let kept = if matches!(self.call, CallContent::Service { .. }) {
             body.to_vec()
         } else {
             Vec::new()
@@ -404,14 +403,14 @@
         &mut self,
         key: RequestKey,
         order: &AttemptOrder,
-        mut response: reqwest::Response,
+        mut response: UpstreamAnswer,
     ) -> Option<AttemptEnd> {
         let mut reader = EventReader::default();
         let mut held = BytesMut::new();
         let mut share = self.new_share();
         let mut first = true;
         loop {
-            let piece = tokio::time::timeout(self.tools.idle_timeout, response.chunk());
+            let piece = tokio::time::timeout(self.tools.idle_timeout, response.piece());
             let broken =
                 AttemptEnd::Aborted { delivered: if order.buffered { 0 } else { reader.tokens } };
             let piece = match self.unless_disconnected(piece).await? {
@@ -435,6 +434,7 @@
                 return None;
             }
         }
+        self.tools.upstream.keep(response);
         self.text = std::mem::take(&mut reader.text);
         if order.buffered {
             held.extend_from_slice(&EventReader::end_marker());
@@ -520,14 +520,14 @@
     }
 
     fn question(&self) -> String {
-        let UpstreamCall::Chat { body, .. } = &self.call else { return String::new() };
+        let CallContent::Chat { body, .. } = &self.call else { return String::new() };
         body.question()
     }
 
     fn class(&self) -> u8 {
         match self.call {
-            UpstreamCall::Chat { class, .. } => class,
-            UpstreamCall::Service { .. } => 0,
+            CallContent::Chat { class, .. } => class,
+            CallContent::Service { .. } => 0,
         }
     }
 
--- a/crates/box/src/gateway/carried_ids.rs
+++ b/crates/box/src/gateway/carried_ids.rs
@@ -11,6 +11,11 @@
 pub struct RequestId(u64);
 
 impl RequestId {
+    /// The id of a request that a number names.
+    pub fn from_number(number: u64) -> Self {
+        Self(number)
+    }
+
     /// The id in the headers of a request.
     pub fn of(headers: &HeaderMap) -> Self {
         Self(headers::request_id_hash(headers))
--- a/crates/box/src/gateway/pool.rs
+++ b/crates/box/src/gateway/pool.rs
@@ -71,16 +71,16 @@
 
 /// Idle connections by address.
 pub struct ReplicaPool {
-    /// The box's own address, from which it connects.
-    local: IpAddr,
+    /// The box's own address, from which it connects, if it has to.
+    local: Option<IpAddr>,
     clock: Arc<BoxClock>,
     next_number: AtomicU64,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleLink>>>,
 }
 
 impl ReplicaPool {
-    /// Creates an empty pool that connects from `local` and whose idle times are measured by `clock`.
-    pub fn new(local: IpAddr, clock: Arc<BoxClock>) -> Self {
+    /// Creates an empty pool that connects from `local`, or from any address, and whose idle times are measured by `clock`.
+    pub fn new(local: Option<IpAddr>, clock: Arc<BoxClock>) -> Self {
         Self { local, clock, next_number: AtomicU64::new(1), idle: Mutex::default() }
     }
 
@@ -105,7 +105,6 @@
     /// # Errors
     /// Returns the error of the operating system, or a timeout.
     pub async fn open(&self, address: SocketAddr, limit: Duration) -> std::io::Result<ReplicaLink> {
-        let limit = limit.min(Duration::from_millis(CONNECT_MS));
         let stream = tokio::time::timeout(limit, self.connect(address)).await??;
         stream.set_nodelay(true)?;
         let unsent = Duration::from_millis(UNSENT_MS);
@@ -121,10 +120,12 @@
         Ok(ReplicaLink::new(address, number, sender, connection, allowance, written))
     }
 
-    /// Connects from the box's own address, so that the network sees which box it is.
+    /// Connects, from the box's own address if it has one, so that the network sees which box it is.
     async fn connect(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
         let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        socket.bind(SocketAddr::new(self.local, 0))?;
+        if let Some(local) = self.local {
+            socket.bind(SocketAddr::new(local, 0))?;
+        }
         if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES as u32) {
             observe::log_socket_failed("receive buffer", &error);
         }
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -291,7 +291,7 @@
         tools: EntryTools,
     ) -> Self {
         let EntryTools { connections, readers, probes } = tools;
-        let pool = Arc::new(ReplicaPool::new(settings.entry.ip(), driver.shared_clock()));
+        let pool = Arc::new(ReplicaPool::new(Some(settings.entry.ip()), driver.shared_clock()));
         let probing = run_probes(driver.clone(), pool.clone(), probes);
         tokio::spawn(task_watch::exit_with("run_probes", probing));
         let ticking = (driver.clone(), pool.clone());
--- a/crates/box/src/gateway/replica_call.rs
+++ b/crates/box/src/gateway/replica_call.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use ravenspoke_adapter::headers;
@@ -24,7 +24,8 @@
 use super::exchange::{BufferedRequest, GatewayContext};
 use super::forward::{self, ForwardAttempt};
 use super::observe;
-use super::replica_link::{LinkUse, ReplicaLink, EMPTY_WAIT_MS};
+use super::pool::CONNECT_MS;
+use super::replica_link::{empty_wait, LinkUse, ReplicaLink};
 use super::replica_stream::ReadAllowance;
 use super::stream_reader::STREAM_ALLOWANCE;
 use crate::clients::memory_account::{MemoryAccount, MemoryShare};
@@ -160,21 +161,14 @@
     attempt.link.allowance.set(RESPONSE_ALLOWANCE);
     let whole = read_answer(body, caller.share.account()).await;
     let whole = whole.map_err(|error| attempt.failed(AttemptFailure::Broken, error))?;
-    let settled = attempt.link.settle(empty_wait(&caller.method, &head, &whole)).await;
+    let settled =
+        attempt.link.settle(empty_wait(&caller.method, head.status, whole.bytes.is_empty())).await;
     settled.map_err(|error| attempt.failed(AttemptFailure::Broken, error.to_string()))?;
     put_back(context, attempt.link, &head.headers);
     let body = ReplicaBody::Whole(whole);
     Ok(ReplicaResponse { head, decoded, body, link_use })
 }
 
-/// Time for which bytes behind an answer are waited for: none, unless it is a success that should
-/// have a body.
-fn empty_wait(method: &Method, head: &http::response::Parts, body: &HeldBody) -> Duration {
-    let needs_body = *method != Method::HEAD && head.status != StatusCode::NO_CONTENT;
-    let is_doubtful = needs_body && head.status.is_success() && body.bytes.is_empty();
-    Duration::from_millis(if is_doubtful { EMPTY_WAIT_MS } else { 0 })
-}
-
 /// Reads a whole answer. It waits while other clients take the memory.
 async fn read_answer(mut body: Incoming, account: &Arc<MemoryAccount>) -> Result<HeldBody, String> {
     let mut buffer = AnswerBuffer { bytes: Vec::new(), share: MemoryShare::new(account) };
@@ -272,7 +266,7 @@
     order: &SendOrder,
     address: SocketAddr,
 ) -> Result<ReplicaLink, FailedAttempt> {
-    let limit = context.driver.until(order.deadline);
+    let limit = context.driver.until(order.deadline).min(Duration::from_millis(CONNECT_MS));
     let opened = context.pool.open(address, limit).await;
     opened.map_err(|error| never_sent(error.to_string()))
 }
--- a/crates/box/src/gateway/replica_link.rs
+++ b/crates/box/src/gateway/replica_link.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::{Method, StatusCode};
 use http_body_util::Full;
 use hyper::client::conn::http1::{Connection, Parts, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -23,7 +24,7 @@
 
 /// Time for which bytes behind an empty answer are waited for, in milliseconds. A body that a wrong
 /// length denies follows its head at once, or when the head is acknowledged, which may take 40 ms.
-pub const EMPTY_WAIT_MS: u64 = 50;
+const EMPTY_WAIT_MS: u64 = 50;
 
 /// Start of an answer.
 const ANSWER_START: &[u8] = b"HTTP/1.";
@@ -44,6 +45,14 @@
     }
 }
 
+/// Time for which bytes behind an answer to a request with this method are waited for: none, unless it
+/// is a success that has no body and should have one.
+pub fn empty_wait(method: &Method, status: StatusCode, is_empty: bool) -> Duration {
+    let needs_body = *method != Method::HEAD && status != StatusCode::NO_CONTENT;
+    let is_doubtful = is_empty && needs_body && status.is_success();
+    Duration::from_millis(if is_doubtful { EMPTY_WAIT_MS } else { 0 })
+}
+
 /// Runs a connection until it ends or is told to, and reports the bytes that belong to no answer.
 async fn run_connection(
     mut connection: ReplicaConnection,
@@ -171,7 +180,7 @@
     ///
     /// # Errors
     /// Returns [`UnexpectedBytes`] if bytes that begin no other answer stand behind this one.
-    pub(super) async fn settle(&mut self, quiet: Duration) -> Result<(), UnexpectedBytes> {
+    pub async fn settle(&mut self, quiet: Duration) -> Result<(), UnexpectedBytes> {
         let limit = Duration::from_millis(READY_MS);
         let ready = tokio::time::timeout(limit, self.sender.ready()).await;
         if !matches!(ready, Ok(Ok(()))) {
--- a/crates/box/src/process.rs
+++ b/crates/box/src/process.rs
@@ -31,6 +31,7 @@
 use crate::links::{accept_links, run_links, LinkIdentity};
 use crate::observe;
 use crate::operator::OperatorEntry;
+use crate::upstream::UpstreamClient;
 
 /// Size of a request's head, in bytes.
 const HEAD_BYTES: usize = 16 << 10;
@@ -117,9 +118,11 @@
     tokio::spawn(follow::follow_list(driver.clone(), list, platform_http.clone()));
     tokio::spawn(follow::run_ticks(driver.clone()));
 
+    let upstream = Arc::new(UpstreamClient::new(BoxClock::start()?));
+    tokio::spawn(upstream.clone().sweep());
     let tools = Arc::new(ExchangeTools {
         driver: driver.clone(),
-        http: replica_client()?,
+        upstream,
         rating: RatingClient::new(platform_http, &settings.platform.rating),
         idle_timeout: Duration::from_millis(settings.limits.silence_ms),
         answer_bytes: settings.limits.answer_bytes,
@@ -207,16 +210,6 @@
     }
 }
 
-/// Creates the client for replicas, which keeps idle connections and limits the time to connect.
-fn replica_client() -> Result<reqwest::Client, reqwest::Error> {
-    reqwest::Client::builder()
-        .connect_timeout(Duration::from_millis(500))
-        .pool_max_idle_per_host(256)
-        .redirect(Policy::none())
-        .tcp_nodelay(true)
-        .build()
-}
-
 async fn stop_on_signal(driver: Arc<BoxDriver>) {
     use tokio::signal::unix::{signal, SignalKind};
     let (Ok(mut terminate), Ok(mut interrupt)) =
--- a/crates/box/tests/broken_bundle_answers.rs
+++ b/crates/box/tests/broken_bundle_answers.rs
@@ -131,6 +131,16 @@
     }
 }
 
+/// Guards against a part of the service's body that passes for the whole.
+#[tokio::test]
+async fn service_answers_that_are_longer_than_their_length_are_refused() {
+    let fleet = BrokenFleet::start().await;
+
+    for lines in ["Content-Length: 5\r\n", "Content-Length: 0\r\n"] {
+        fleet.assert_refused("200 OK", lines, BODY).await;
+    }
+}
+
 /// Guards against a call that runs where a backend server sends it.
 #[tokio::test]
 async fn redirects_of_a_service_are_not_followed() {
