Answers without end, many at once, stay within the memory of a box

What operators saw: a replica in trouble sent bodies, or one event, without end; the box kept them for all requests at once, went over its memory and ended with the requests of everybody. One request at a time was bounded; 300 at once were not.

Cause, four parts: an announced length over the limit was read up to the limit all the same; a partial event of a stream (up to 1 MB, its buffer more) drew on no account; each long answer widened its kernel's receive buffer to 256 KB, which the kernel doubles, whether its memory was granted or not, and streams did so too; and the library read 64 KB ahead on every connection.

Change: such a length is refused from the head; a partial event beyond 32 KB waits for its share as an answer does; a connection gets a wide buffer only once the answer's memory is granted and the account is not short, and pays for it; otherwise the kernel has 32 KB and 16 KB are read at a time. Of an event that has ended no buffer is kept.

The stand-in's slow body now states 1 MB, so that it is still read and falls silent: 1 TB is refused at once. Its test asks for the same failure as before.

--- a/crates/box/src/gateway/event_splitter.rs
+++ b/crates/box/src/gateway/event_splitter.rs
@@ -39,12 +39,21 @@
             return if long { Err(EventTooLong) } else { Ok(None) };
         };
         let whole = self.pending.split_to(end).freeze();
+        if self.pending.is_empty() {
+            // The rest of a long event's buffer is not kept.
+            self.pending = BytesMut::new();
+        }
         if let Some(id) = last_event_id(&whole) {
             self.last_id = Some(id);
         }
         Ok(Some(WholeEvents { has_event: has_event(&whole), bytes: whole }))
     }
 
+    /// Memory that a partial event takes, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.pending.capacity()
+    }
+
     /// Whether a partial event is buffered.
     pub fn has_partial(&self) -> bool {
         !self.pending.is_empty()
--- a/crates/box/src/gateway/replica_call.rs
+++ b/crates/box/src/gateway/replica_call.rs
@@ -26,7 +26,7 @@
 use super::observe;
 use super::pool::CONNECT_MS;
 use super::replica_link::{empty_wait, LinkUse, ReplicaLink};
-use super::replica_stream::ReadAllowance;
+use super::replica_stream::{ReadAllowance, RECEIVE_BUFFER_BYTES, WIDE_BUFFER_BYTES};
 use super::stream_reader::STREAM_ALLOWANCE;
 use crate::clients::memory_account::{MemoryAccount, MemoryShare};
 use crate::clients::request_body::HeldBody;
@@ -159,7 +159,7 @@
         return Ok(ReplicaResponse { head, decoded, body, link_use });
     }
     attempt.link.allowance.set(RESPONSE_ALLOWANCE);
-    let whole = read_answer(body, caller.share.account()).await;
+    let whole = read_answer(body, &attempt.link.allowance, caller.share.account()).await;
     let whole = whole.map_err(|error| attempt.failed(AttemptFailure::Broken, error))?;
     let settled =
         attempt.link.settle(empty_wait(&caller.method, head.status, whole.bytes.is_empty())).await;
@@ -170,12 +170,14 @@
 }
 
 /// Reads a whole answer. It waits while other clients take the memory.
-async fn read_answer(mut body: Incoming, account: &Arc<MemoryAccount>) -> Result<HeldBody, String> {
-    let mut buffer = AnswerBuffer { bytes: Vec::new(), share: MemoryShare::new(account) };
-    let announced = body.size_hint().exact().map_or(0, |length| length as usize);
-    if announced <= RESPONSE_LIMIT {
-        buffer.reserve(announced).await?;
-    }
+async fn read_answer(
+    mut body: Incoming,
+    allowance: &ReadAllowance,
+    account: &Arc<MemoryAccount>,
+) -> Result<HeldBody, String> {
+    let mut buffer = AnswerBuffer::new(allowance, account);
+    let announced = body.size_hint().exact().unwrap_or(0);
+    buffer.reserve(usize::try_from(announced).unwrap_or(usize::MAX)).await?;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| error.to_string())?;
         if let Ok(data) = frame.into_data() {
@@ -187,12 +189,21 @@
 }
 
 /// An answer while it is read. What it allocates is accounted for before.
-struct AnswerBuffer {
+struct AnswerBuffer<'a> {
     bytes: Vec<u8>,
     share: MemoryShare,
+    /// Allowance of the connection on which it arrives.
+    allowance: &'a ReadAllowance,
+    /// What the connection's wide receive buffer takes, if it has one. It is given back with the answer.
+    wide: MemoryShare,
 }
 
-impl AnswerBuffer {
+impl<'a> AnswerBuffer<'a> {
+    fn new(allowance: &'a ReadAllowance, account: &Arc<MemoryAccount>) -> Self {
+        let (share, wide) = (MemoryShare::new(account), MemoryShare::new(account));
+        Self { bytes: Vec::new(), share, allowance, wide }
+    }
+
     /// Makes room for an answer of `length` bytes.
     async fn reserve(&mut self, length: usize) -> Result<(), String> {
         if length > RESPONSE_LIMIT {
@@ -203,9 +214,19 @@
             let capacity = length.max(doubled);
             self.share.wait_for_answer(capacity).await;
             self.bytes.reserve_exact(capacity - self.bytes.len());
+            if capacity > RECEIVE_BUFFER_BYTES {
+                self.widen();
+            }
         }
         Ok(())
     }
+
+    /// Gives the connection a wide receive buffer while there is plenty of memory.
+    fn widen(&mut self) {
+        if !self.wide.account().is_short() && self.wide.grow_to(WIDE_BUFFER_BYTES).is_ok() {
+            self.allowance.widen();
+        }
+    }
 }
 
 /// Where an attempt goes.
--- a/crates/box/src/gateway/replica_stream.rs
+++ b/crates/box/src/gateway/replica_stream.rs
@@ -6,7 +6,7 @@
 
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
@@ -18,10 +18,13 @@
 pub const READ_BUFFER_BYTES: usize = 64 << 10;
 
 /// Receive buffer of a connection, in bytes. The kernel doubles it for its own overhead.
-pub const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+pub const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
 
-/// Receive buffer while a long answer is read, in bytes.
-const ANSWER_BUFFER_BYTES: usize = 256 << 10;
+/// Receive buffer while a long answer is read whose memory is accounted for, in bytes.
+pub const WIDE_BUFFER_BYTES: usize = 256 << 10;
+
+/// Bytes that are read at once on a connection without a wide buffer, at most.
+const PIECE_BYTES: usize = 16 << 10;
 
 /// Bytes that are looked at behind the end of an answer, at most.
 const WAITING_BYTES: usize = 64;
@@ -31,9 +34,17 @@
 #[error("the replica sends more bytes than a response may have")]
 pub struct TooManyBytes;
 
-/// Number of bytes that may still be read from a connection.
+/// What may still be read from a connection, and how fast.
 #[derive(Clone, Debug)]
-pub struct ReadAllowance(Arc<AtomicUsize>);
+pub struct ReadAllowance(Arc<AllowedRead>);
+
+#[derive(Debug)]
+struct AllowedRead {
+    /// Bytes that may still be read.
+    bytes: AtomicUsize,
+    /// Whether the receive buffer may be a wide one.
+    is_wide: AtomicBool,
+}
 
 impl ReadAllowance {
     /// The allowance for a head, with the start of the body that is read together with it.
@@ -41,24 +52,38 @@
 
     /// Creates the allowance of a connection before its first request.
     pub fn for_head() -> Self {
-        Self(Arc::new(AtomicUsize::new(Self::HEAD_BYTES)))
+        let (bytes, is_wide) = (AtomicUsize::new(Self::HEAD_BYTES), AtomicBool::new(false));
+        Self(Arc::new(AllowedRead { bytes, is_wide }))
     }
 
     /// Sets the bytes that may be read from now on.
     pub fn set(&self, bytes: usize) {
-        self.0.store(bytes, Ordering::Relaxed);
+        self.0.bytes.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Allows a wide receive buffer until the next request.
+    pub fn widen(&self) {
+        self.0.is_wide.store(true, Ordering::Relaxed);
+    }
+
+    fn is_wide(&self) -> bool {
+        self.0.is_wide.load(Ordering::Relaxed)
+    }
+
+    fn narrow(&self) {
+        self.0.is_wide.store(false, Ordering::Relaxed);
     }
 
     /// Bytes that may still be read.
     fn left(&self) -> usize {
-        self.0.load(Ordering::Relaxed)
+        self.0.bytes.load(Ordering::Relaxed)
     }
 
     /// Subtracts bytes that were read. Another thread may have set the allowance since.
     fn subtract(&self, bytes: usize) {
         let less = |left: usize| Some(left.saturating_sub(bytes));
         // The closure always returns a value, so the update can't fail.
-        let _ = self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, less);
+        let _ = self.0.bytes.fetch_update(Ordering::Relaxed, Ordering::Relaxed, less);
     }
 }
 
@@ -82,16 +107,14 @@
     stream: TcpStream,
     allowance: ReadAllowance,
     written: WrittenBytes,
-    /// Bytes received since the last write.
-    received: usize,
-    /// Whether the receive buffer is the one for long answers.
+    /// Whether the receive buffer is a wide one.
     is_wide: bool,
 }
 
 impl ReplicaStream {
     /// Wraps a connection.
     pub fn new(stream: TcpStream, allowance: ReadAllowance, written: WrittenBytes) -> Self {
-        Self { stream, allowance, written, received: 0, is_wide: false }
+        Self { stream, allowance, written, is_wide: false }
     }
 
     /// The first of the bytes that have arrived and were not read.
@@ -106,22 +129,30 @@
         if let Poll::Ready(Ok(bytes)) = result {
             self.written.add(*bytes);
         }
-        self.received = 0;
+        self.allowance.narrow();
         self.set_wide(false);
     }
 
-    /// Records received bytes. A long answer gets a larger receive buffer once it is read, so that the
-    /// kernel holds little of one that waits for memory.
-    fn note_received(&mut self, bytes: usize) {
-        self.allowance.subtract(bytes);
-        self.received += bytes;
-        self.set_wide(self.is_wide || self.received > RECEIVE_BUFFER_BYTES);
+    /// Reads what has arrived, a piece at a time unless the receive buffer is wide.
+    fn read_piece(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.is_wide || buffer.remaining() <= PIECE_BYTES {
+            return Pin::new(&mut self.stream).poll_read(context, buffer);
+        }
+        let mut bytes = [0; PIECE_BYTES];
+        let mut piece = ReadBuf::new(&mut bytes);
+        let read = Pin::new(&mut self.stream).poll_read(context, &mut piece);
+        buffer.put_slice(piece.filled());
+        read
     }
 
     fn set_wide(&mut self, is_wide: bool) {
         if is_wide != self.is_wide {
             self.is_wide = is_wide;
-            let bytes = if is_wide { ANSWER_BUFFER_BYTES } else { RECEIVE_BUFFER_BYTES };
+            let bytes = if is_wide { WIDE_BUFFER_BYTES } else { RECEIVE_BUFFER_BYTES };
             // Where it can't be set, the buffer stays as it was.
             let _ = socket2::SockRef::from(&self.stream).set_recv_buffer_size(bytes);
         }
@@ -138,9 +169,11 @@
             return Poll::Ready(Err(io::Error::other(TooManyBytes)));
         }
         let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let is_wide = self.allowance.is_wide();
+        self.set_wide(is_wide);
+        let read = self.read_piece(context, buffer);
         let received = buffer.filled().len() - before;
-        self.note_received(received);
+        self.allowance.subtract(received);
         read
     }
 }
--- a/crates/box/src/gateway/stream_reader.rs
+++ b/crates/box/src/gateway/stream_reader.rs
@@ -1,5 +1,6 @@
 //! Reads a stream from a place that answers it, in whole events.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -9,12 +10,16 @@
 use super::event_splitter::{EventSplitter, WholeEvents, EVENT_LIMIT};
 use super::replica_link::{LinkUse, ReplicaLink};
 
+use crate::clients::memory_account::{MemoryAccount, MemoryShare};
 use http_body_util::BodyExt;
 
 /// Maximum number of bytes that are read of a stream between two events. Chunks have a few bytes in
 /// addition to the events.
 pub(super) const STREAM_ALLOWANCE: usize = 2 * EVENT_LIMIT;
 
+/// Memory of a partial event that is not accounted for, in bytes.
+const SHORT_EVENT_BYTES: usize = 32 << 10;
+
 /// The far side of a stream. Dropping it closes the connection.
 pub struct StreamSource {
     pub(super) body: Incoming,
@@ -43,13 +48,21 @@
     held_comments: BytesMut,
     /// Whether the stream may end: the caller has an event of it.
     may_end: bool,
+    /// What a long event takes of the memory while it is partial.
+    share: MemoryShare,
 }
 
 impl StreamReader {
     /// Creates a reader of `source`. `is_resumed`: whether the caller has the events before it.
-    pub(super) fn new(source: StreamSource, is_resumed: bool) -> Self {
+    /// Long events take their memory from `account`.
+    pub(super) fn new(
+        source: StreamSource,
+        is_resumed: bool,
+        account: &Arc<MemoryAccount>,
+    ) -> Self {
         let (splitter, held_comments) = (EventSplitter::default(), BytesMut::new());
-        Self { source: Some(source), splitter, held_comments, may_end: is_resumed }
+        let share = MemoryShare::new(account);
+        Self { source: Some(source), splitter, held_comments, may_end: is_resumed, share }
     }
 
     /// The next piece, after the comments that were held. Nothing is lost if the future is dropped
@@ -80,6 +93,7 @@
 
     async fn read_piece(&mut self) -> StreamPiece {
         loop {
+            self.hold_partial().await;
             let Some(source) = &mut self.source else {
                 return StreamPiece::Broken("no connection to a replica");
             };
@@ -113,6 +127,17 @@
         }
     }
 
+    /// Accounts for a long partial event, and for as much again, to which its buffer may grow. Waits for
+    /// the room.
+    async fn hold_partial(&mut self) {
+        let held = self.splitter.held_bytes();
+        if held <= SHORT_EVENT_BYTES {
+            self.share.shrink_to(0);
+        } else {
+            self.share.wait_for_answer(2 * held).await;
+        }
+    }
+
     /// Goes on with another source, which begins after the last whole event.
     pub(super) fn replace(&mut self, source: StreamSource) {
         self.splitter.drop_partial();
--- a/crates/box/tests/misbehaving_clients/main.rs
+++ b/crates/box/tests/misbehaving_clients/main.rs
@@ -1,5 +1,5 @@
 //! Clients that do not behave, at boxes as processes: crowds that send large, endless or unfinished
-//! requests, read nothing, or only connect.
+//! requests, read nothing, or only connect; and replicas that send many answers without end at once.
 //!
 //! Each test fixes its crowd and its bounds. It checks that the process lives, that its memory and
 //! its open descriptors stay within the bounds, and that an ordinary request is answered while the
@@ -10,5 +10,6 @@
 
 mod bundle_box;
 mod crowd;
+mod endless_servers;
 mod gauge;
 mod routing_box;
--- a/crates/box/tests/misbehaving_clients/routing_box.rs
+++ b/crates/box/tests/misbehaving_clients/routing_box.rs
@@ -17,7 +17,7 @@
 const MEMORY_MB: u32 = 110;
 
 /// Descriptors that the box may open, and the bound on them.
-const DESCRIPTORS: u32 = 4_100;
+pub(super) const DESCRIPTORS: u32 = 4_100;
 
 /// Descriptors of a box whose places a small crowd fills.
 const FEW_DESCRIPTORS: u32 = 400;
@@ -29,38 +29,44 @@
 const HEAD_LIMIT: usize = 8_192;
 
 /// Length of an ordinary body, in bytes.
-const ORDINARY_BODY: usize = 2_000;
+pub(super) const ORDINARY_BODY: usize = 2_000;
 
 /// Time within which an ordinary client gives up.
 const PATIENCE: Duration = Duration::from_secs(30);
 
 /// A box before one replica, and what is sampled of its process.
-struct BoxUnderTest {
-    site: RunningSite,
-    replica: ReplicaStandin,
-    subject: SiteBox,
+pub(super) struct BoxUnderTest {
+    pub(super) site: RunningSite,
+    pub(super) replica: ReplicaStandin,
+    pub(super) subject: SiteBox,
     gauge: ProcessGauge,
 }
 
 impl BoxUnderTest {
-    async fn start(descriptors: u32) -> Self {
+    pub(super) async fn start(descriptors: u32) -> Self {
         let mut site = RunningSite::start(Path::new(env!("CARGO_BIN_EXE_ravenspoked"))).await;
         site.memory_mb = Some(MEMORY_MB);
         site.descriptors = descriptors;
         site.store.put(OPERATOR_TOPIC, "config", &plan());
         let replica = site.start_replica("i-1", 3, 1).await;
         let subject = site.start_ready("box-1").await;
-        wait_for("the box knows the replica", || async {
-            let state = subject.state().await?;
-            (state["backends"].as_array()?.len() == 1).then_some(())
+        let gauge = ProcessGauge::start(subject.pid(), subject.ip);
+        let started = Self { site, replica, subject, gauge };
+        started.wait_replicas(1).await;
+        started
+    }
+
+    /// Waits until the box knows this many replicas.
+    pub(super) async fn wait_replicas(&self, count: usize) {
+        wait_for("the box knows the replicas", || async {
+            let state = self.subject.state().await?;
+            (state["backends"].as_array()?.len() == count).then_some(())
         })
         .await;
-        let gauge = ProcessGauge::start(subject.pid(), subject.ip);
-        Self { site, replica, subject, gauge }
     }
 
     /// Address at which the box accepts callers.
-    fn entry(&self) -> SocketAddr {
+    pub(super) fn entry(&self) -> SocketAddr {
         self.subject.entry_address().parse().expect("an address")
     }
 
@@ -78,7 +84,7 @@
     }
 
     /// Checks the process, and that a request with a body of this length is answered.
-    async fn check(&self, body_bytes: usize) {
+    pub(super) async fn check(&self, body_bytes: usize) {
         assert_eq!(self.answer(body_bytes).await, 200, "an ordinary request is answered");
         self.gauge.check((MEMORY_MB as usize) << 20, self.site.descriptors as usize);
     }
@@ -102,6 +108,10 @@
             "name": "read", "host": SITE_HOST, "path_prefix": "/read/", "kind": "idempotent",
             "timeout_ms": 8000, "target_latency_ms": 500, "priority": 1,
             "service": SITE_SERVICE, "max_attempts": 2,
+        }, {
+            "name": "chat", "host": SITE_HOST, "path_prefix": "/chat/", "kind": "stream",
+            "timeout_ms": 8000, "target_latency_ms": 500, "priority": 1,
+            "service": SITE_SERVICE, "max_attempts": 2, "stream_resume": true, "gap_aim_ms": 500,
         }],
         "services": [{ "name": SITE_SERVICE, "max_connections": 3_000 }],
         "tenants": [{ "name": "alpha", "api_keys": [SITE_KEY] }],
@@ -114,9 +124,14 @@
 
 /// Head of a request up to its framing.
 fn head(key: Option<&str>) -> String {
+    head_for("/read/x", key)
+}
+
+/// Head of a request for this path up to its framing.
+pub(super) fn head_for(path: &str, key: Option<&str>) -> String {
     let key = key.map_or(String::new(), |key| format!("Authorization: Bearer {key}\r\n"));
     format!(
-        "POST /read/x HTTP/1.1\r\nHost: {SITE_HOST}\r\nX-Ravenspoke-Request-Id: crowd\r\n\
+        "POST {path} HTTP/1.1\r\nHost: {SITE_HOST}\r\nX-Ravenspoke-Request-Id: crowd\r\n\
          X-Ravenspoke-Deadline-Ms: 7000\r\n{key}"
     )
 }
--- a/crates/standins/src/platform/endless.rs
+++ b/crates/standins/src/platform/endless.rs
@@ -4,9 +4,12 @@
 
 use super::wire::{chunk, response_head};
 
-/// Length that a response states and its body exceeds or never reaches, in bytes.
+/// Length that a response states and its body never reaches, in bytes.
 const STATED_LENGTH: u64 = 1 << 40;
 
+/// The same for a body that is sent slowly: one that a router may read.
+const SLOW_LENGTH: u64 = 1 << 20;
+
 /// Size of a piece of a part that is sent fast, in bytes.
 const PIECE_BYTES: usize = 8 << 10;
 
@@ -63,7 +66,8 @@
             Self::Banner | Self::Interims | Self::SlowInterims => return Vec::new(),
             Self::Headers => "",
             Self::SlowHeader => "X-Long: ",
-            Self::Length | Self::SlowLength => &format!("Content-Length: {STATED_LENGTH}\r\n\r\n"),
+            Self::Length => &format!("Content-Length: {STATED_LENGTH}\r\n\r\n"),
+            Self::SlowLength => &format!("Content-Length: {SLOW_LENGTH}\r\n\r\n"),
             Self::Unframed => "Connection: close\r\n\r\n",
             Self::Surplus => "Content-Length: 2\r\n\r\nok",
             Self::ChunkExtension => "Transfer-Encoding: chunked\r\n\r\n5;",
