Requests that have not ended when a stopping box exits get an answer

What callers saw: in a planned stop, in calm, calls that were in hand at the end of the grace period were cut: the connection closed without an answer, and nobody could tell whether they had run.

Cause: the box left when its time was up, with whatever was in flight.

Change: 500 ms before the kill each request whose answer has not begun is ended as one that may have run: 502, "box_stopping", no promise (503 if nothing was sent). 200 ms are left for writing. The replica's record is not touched. A stream whose answer has begun is broken off as before.

--- a/crates/box/src/gateway/attempts.rs
+++ b/crates/box/src/gateway/attempts.rs
@@ -105,6 +105,7 @@
     Response(Result<ReplicaResponse, FailedAttempt>),
     Written,
     Rechecked,
+    StopEnding,
     Stalled,
     OverlapEnded,
     DeadlinePassed,
@@ -135,6 +136,7 @@
     request: &'a AttemptRequest<'a>,
     guard: &'a mut RequestGuard,
     rechecks: watch::Receiver<u64>,
+    stop_ending: watch::Receiver<bool>,
     current: RunningCall<'a>,
     former: Option<FormerAttempt<'a>>,
 }
@@ -164,6 +166,7 @@
                 }
                 // The sender lives as long as the driver.
                 _ = self.rechecks.changed() => CallSignal::Rechecked,
+                _ = self.stop_ending.wait_for(|is_ending| *is_ending) => CallSignal::StopEnding,
             }
         };
         driver.clock().within(driver.until(at), signal).await.unwrap_or(timer)
@@ -196,6 +199,7 @@
                 let why = "no response head within the limit";
                 self.step_if_any(RouteEvent::AttemptStalled(self.ticket()), why)
             }
+            CallSignal::StopEnding => self.step_after(RouteEvent::StopEnding(self.ticket())),
             CallSignal::DeadlinePassed => {
                 self.step_after(RouteEvent::DeadlinePassed(self.ticket()))
             }
@@ -356,9 +360,10 @@
     stream: Option<&'a mut StreamReader>,
 ) -> AttemptOutcome {
     let rechecks = request.context.driver.rechecks.subscribe();
+    let stop_ending = request.context.driver.stop_ending.subscribe();
     let current = RunningCall::start(request, guard, order);
     let former = stream.map(FormerAttempt::Stream);
-    let mut run = AttemptRun { request, guard, rechecks, current, former };
+    let mut run = AttemptRun { request, guard, rechecks, stop_ending, current, former };
     loop {
         let signal = run.next_signal().await;
         let ended = match run.on_signal(signal) {
--- a/crates/box/src/gateway/driver.rs
+++ b/crates/box/src/gateway/driver.rs
@@ -160,6 +160,8 @@
     operator: Mutex<OperatorRecords>,
     /// Changes when requests in flight have to be rechecked.
     pub rechecks: watch::Sender<u64>,
+    /// Whether the box is about to exit, so that requests in flight have to end.
+    pub stop_ending: watch::Sender<bool>,
     /// Notified when callers are to be served.
     pub accept_callers: Notify,
     /// Whether the store may hold this box's record with its gossip address.
@@ -187,6 +189,7 @@
             waiting: Mutex::default(),
             operator: Mutex::default(),
             rechecks: watch::Sender::new(0),
+            stop_ending: watch::Sender::new(false),
             accept_callers: Notify::new(),
             registered: AtomicBool::new(false),
             sync_pacer,
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -60,6 +60,10 @@
 /// Part of the time between the stop signal and the kill that is held in reserve, in milliseconds.
 pub const GRACE_MARGIN_MS: u64 = 500;
 
+/// Time for which the answers to requests that have not ended are written before the exit, in
+/// milliseconds.
+pub const LAST_ANSWERS_MS: u64 = 200;
+
 /// Time for which callers may still connect after their cached addresses expire, in milliseconds.
 /// It covers the delay of the directory's response and of their requests.
 pub const ADDRESS_MARGIN_MS: u64 = 200;
@@ -393,6 +397,8 @@
     stop.wait_until_empty(STOP_ACCEPT_MS.max(advertised_ms).min(limit_ms)).await;
     entry.close().await;
     stop.wait_until_empty(limit_ms).await;
+    driver.stop_ending.send_replace(true);
+    stop.wait_until_empty(limit_ms + LAST_ANSWERS_MS).await;
 }
 
 fn listen_error(
--- a/crates/box/tests/broken_answers.rs
+++ b/crates/box/tests/broken_answers.rs
@@ -109,7 +109,11 @@
 
     /// The script of a server that sends it.
     fn script(self, kind: AnswerKind, closes: bool) -> impl Fn(&str) -> AnswerScript {
-        move |id| AnswerScript { pieces: self.pieces(id, kind.body()), closes }
+        move |id| AnswerScript {
+            pieces: self.pieces(id, kind.body()),
+            closes,
+            ..AnswerScript::default()
+        }
     }
 }
 
--- a/crates/box/tests/broken_bundle_answers.rs
+++ b/crates/box/tests/broken_bundle_answers.rs
@@ -90,7 +90,7 @@
         self.server.set_script(move |request| {
             load_answer(request).unwrap_or_else(|| {
                 let bytes = answer(request, &status, &lines, &body);
-                AnswerScript { pieces: vec![bytes], closes }
+                AnswerScript { closes, ..AnswerScript::kept(bytes) }
             })
         });
     }
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -557,6 +557,17 @@
         self.end_attempt(stamp, ticket, BackendOutcome::Inconclusive);
         self.give_up(stamp, ticket, RefusalReason::DeadlinePassed, out);
     }
+
+    /// Ends a request that has not ended when the box exits. Its replica is not to blame.
+    pub(super) fn on_stop_ending(
+        &mut self,
+        stamp: EventStamp,
+        ticket: RequestTicket,
+        out: &mut Vec<RouteEffect>,
+    ) {
+        self.end_attempt(stamp, ticket, BackendOutcome::Inconclusive);
+        self.give_up(stamp, ticket, RefusalReason::BoxStopping, out);
+    }
 }
 
 /// Returns the time limits of a response head and of a pause between events, in milliseconds.
--- a/crates/core/src/route/event.rs
+++ b/crates/core/src/route/event.rs
@@ -183,6 +183,8 @@
     ResponseFinished(RequestTicket),
     /// The deadline of the request passed.
     DeadlinePassed(RequestTicket),
+    /// The box is about to exit, and the request has not ended.
+    StopEnding(RequestTicket),
     /// The time of [`RouteEffect::Wait`] is over, and no other step came.
     WaitEnded(RequestTicket),
     /// The caller closed its connection.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -397,6 +397,7 @@
             RouteEvent::AttemptRechecked(ticket) => self.on_attempt_rechecked(stamp, ticket, out),
             RouteEvent::ResponseFinished(ticket) => self.on_response_finished(stamp, ticket),
             RouteEvent::DeadlinePassed(ticket) => self.on_deadline_passed(stamp, ticket, out),
+            RouteEvent::StopEnding(ticket) => self.on_stop_ending(stamp, ticket, out),
             RouteEvent::WaitEnded(ticket) => self.on_wait_ended(stamp, ticket, out),
             RouteEvent::CallerDisconnected(ticket) => self.on_caller_disconnected(stamp, ticket),
             RouteEvent::StopRequested => {
--- a/crates/core/src/route/waiting.rs
+++ b/crates/core/src/route/waiting.rs
@@ -33,6 +33,7 @@
             | RouteEvent::AttemptFailed(ticket, _)
             | RouteEvent::ResponseFinished(ticket)
             | RouteEvent::DeadlinePassed(ticket)
+            | RouteEvent::StopEnding(ticket)
             | RouteEvent::WaitEnded(ticket)
             | RouteEvent::CallerDisconnected(ticket) => Self::ServiceOf(*ticket),
             RouteEvent::Tick
--- a/crates/standins/src/platform/scripted.rs
+++ b/crates/standins/src/platform/scripted.rs
@@ -21,17 +21,19 @@
     pub pieces: Vec<Vec<u8>>,
     /// Whether the connection is closed after the last piece.
     pub closes: bool,
+    /// Time before the first piece.
+    pub delay: Duration,
 }
 
 impl AnswerScript {
     /// An answer in one piece, after which the connection stays open.
     pub fn kept(bytes: Vec<u8>) -> Self {
-        Self { pieces: vec![bytes], closes: false }
+        Self { pieces: vec![bytes], ..Self::default() }
     }
 
     /// An answer in one piece, after which the connection is closed.
     pub fn closed(bytes: Vec<u8>) -> Self {
-        Self { pieces: vec![bytes], closes: true }
+        Self { closes: true, ..Self::kept(bytes) }
     }
 }
 
@@ -111,6 +113,7 @@
                 record.script.clone()
             };
             let answer = script(&request);
+            tokio::time::sleep(answer.delay).await;
             for (number, piece) in answer.pieces.iter().enumerate() {
                 if number > 0 {
                     tokio::time::sleep(PIECE_PAUSE).await;
