A stopping box refuses what can't be expected to end before it exits

What callers saw: in a planned stop, in calm, calls that came up to 2.5 s after the signal were taken and passed on although calls of their kind take longer than the rest of the grace period, and were cut at its end, those that may run once among them.

Cause: new requests were judged by the time since the signal alone.

What was weighed: the route's time-out is no measure, since it is often longer than the whole grace period and all would be refused; the mean is drawn by a few. Refusing is right only where somebody else serves.

Change: a box remembers how long the last 15 successes of each service took, whole answers and streams apart. While it stops, a request that would end after the exit by their median is refused at once, 503, not run, if another box serves. With fewer than five, or alone, it takes it as before.

Evidence, before: requests_that_can_not_end_in_the_grace_period_are_refused failed: the call that came 2.2 s after the signal, of calls that take 6 s, was taken and held until the end. It passes now: the one at the signal gets 200, the late one 503 within 500 ms and reaches no replica.

--- a/crates/bench/src/prompt_router.rs
+++ b/crates/bench/src/prompt_router.rs
@@ -321,6 +321,7 @@
 pub fn new_box(site: &PromptSite, row: usize) -> RouteState {
     let mut state = RouteState::new(RouteSettings {
         load: Default::default(),
+        drain_ms: 7_500,
         forward_key: 1,
         name: row.to_string(),
         zone: format!("zone-{}", site.boxes[row]),
--- a/crates/box/src/gateway/process.rs
+++ b/crates/box/src/gateway/process.rs
@@ -389,7 +389,7 @@
 /// Serves requests until callers have learned of the stop, then finishes the open ones.
 async fn drain(settings: &GatewaySettings, driver: &GatewayDriver, entry: &mut GatewayEntry) {
     let stop = StopWait { driver, connections: entry.connections.clone(), began: driver.now() };
-    let limit_ms = settings.grace_ms.saturating_sub(GRACE_MARGIN_MS);
+    let limit_ms = drain_ms(settings);
     // Callers cache addresses for the TTL, some of them longer, and then look for another box.
     let advertised_ms = (settings.address_ttl_ms + ADDRESS_MARGIN_MS).min(limit_ms);
     stop.wait_until(advertised_ms).await;
@@ -416,9 +416,15 @@
     ClientListener::bind(address).map_err(|error| listen_error(address, purpose, &error))
 }
 
+/// Time from the stop signal to the end of the last requests, in milliseconds.
+fn drain_ms(settings: &GatewaySettings) -> u64 {
+    settings.grace_ms.saturating_sub(GRACE_MARGIN_MS)
+}
+
 fn route_settings(settings: &GatewaySettings) -> RouteSettings {
     RouteSettings {
         load: settings.load,
+        drain_ms: drain_ms(settings),
         name: settings.name.clone(),
         zone: settings.zone.clone(),
         incarnation: rand::random(),
--- a/crates/box/tests/clock.rs
+++ b/crates/box/tests/clock.rs
@@ -77,6 +77,7 @@
 fn driver_with_plan(clock: Arc<BoxClock>) -> GatewayDriver {
     let settings = RouteSettings {
         load: Default::default(),
+        drain_ms: 7_500,
         forward_key: 1,
         name: "box-1".to_owned(),
         zone: "east".to_owned(),
--- a/crates/box/tests/late_in_a_stop.rs
+++ b/crates/box/tests/late_in_a_stop.rs
@@ -16,6 +16,9 @@
 /// Time from the signal to the kill, as the settings of the site's boxes name it.
 const GRACE: Duration = Duration::from_secs(8);
 
+/// Requests from which a box learns how long they take.
+const SAMPLES: usize = 12;
+
 /// Two boxes before one replica, on a route of calls that may run once.
 struct StoppingSite {
     _site: RunningSite,
@@ -59,6 +62,14 @@
         answer.map_or(0, |answer| answer.status().as_u16())
     }
 
+    /// Sends calls at once, and waits for their answers.
+    async fn learn(&self) {
+        let ids: Vec<String> = (0..SAMPLES).map(|number| format!("learn-{number}")).collect();
+        let calls = ids.iter().map(|id| self.call(id));
+        let statuses = futures_util::future::join_all(calls).await;
+        assert_eq!(statuses, [200; SAMPLES], "calls are served before the stop");
+    }
+
     /// Stops the first box. Returns when it was told.
     fn stop(&self) -> Instant {
         self.boxes[0].signal("TERM");
@@ -99,3 +110,23 @@
     assert_eq!((early, late), (502, 502));
     assert!(all.server.has_received("late"), "it was passed on: nothing was known of its time");
 }
+
+/// Guards against requests that are taken although they can't end within the grace period.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_can_not_end_in_the_grace_period_are_refused() {
+    let all = StoppingSite::start(Duration::from_secs(6)).await;
+    all.learn().await;
+
+    let told = all.stop();
+    let (early, late) = tokio::join!(all.call("early"), async {
+        tokio::time::sleep(Duration::from_millis(2_200)).await;
+        let began = Instant::now();
+        let status = all.call("late").await;
+        assert!(began.elapsed() < Duration::from_millis(500), "it is refused at once");
+        status
+    });
+
+    assert_eq!((early, late), (200, 503));
+    assert!(told.elapsed() < GRACE);
+    assert!(!all.server.has_received("late"), "what is refused has not run");
+}
--- a/crates/core/src/route/arrival.rs
+++ b/crates/core/src/route/arrival.rs
@@ -109,6 +109,9 @@
             Some(forwarded) => (*forwarded.admission.clone(), false),
             None => self.admission(stamp, caller)?,
         };
+        if self.ends_too_late(stamp.now, &admission.service, admission.route.kind.is_stream()) {
+            return Err(RefusalReason::BoxStopping);
+        }
         Ok(new_request(stamp, caller, admission, needs_key))
     }
 
--- a/crates/core/src/route/attempt.rs
+++ b/crates/core/src/route/attempt.rs
@@ -526,10 +526,14 @@
 
     /// Ends a request whose response was relayed completely.
     pub(super) fn on_response_finished(&mut self, stamp: EventStamp, ticket: RequestTicket) {
-        let outcome = self
-            .requests
-            .get(&ticket)
-            .map_or(BackendOutcome::Inconclusive, |request| request.outcome);
+        let mut outcome = BackendOutcome::Inconclusive;
+        if let Some(request) = self.requests.get(&ticket) {
+            outcome = request.outcome;
+            if request.succeeds {
+                let took_ms = stamp.now.millis_since(request.arrived);
+                self.durations.add(&request.service, request.route.kind.is_stream(), took_ms);
+            }
+        }
         self.clear_features(stamp, ticket);
         self.end_former(stamp, ticket, FormerEnd::Dropped);
         self.end_attempt(stamp, ticket, outcome);
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -22,6 +22,7 @@
 //! - `store_era`: restores of the store from an older copy
 //! - [`startup`]: the start of a box
 //! - [`readiness`]: what a box knows, and whether it can serve
+//! - `request_durations`: which requests end before the box exits
 //! - [`peers`]: the other boxes
 //! - [`leader`]: tasks that one box performs for the fleet
 //!
@@ -88,6 +89,7 @@
 pub mod region;
 pub mod rejected;
 mod request;
+mod request_durations;
 pub mod retry_budget;
 mod run_record;
 pub mod scheduling;
@@ -132,6 +134,7 @@
 use poison::{PoisonFeatures, StoredPoison};
 use region::ZoneRegions;
 use request::RouteRequest;
+use request_durations::RequestDurations;
 use retry_budget::{BudgetBounds, SendBudget};
 use scheduling::contention::ServiceContention;
 use scheduling::control::LoadControl;
@@ -191,6 +194,8 @@
     pub regions: ZoneRegions,
     /// Load control.
     pub load: LoadControl,
+    /// Time from the begin of a planned stop to the end of the last requests, in milliseconds.
+    pub drain_ms: u64,
 }
 
 /// Source of changes to replicas' entries.
@@ -229,6 +234,8 @@
     gains: HashMap<String, ConfidenceGains>,
     /// Latency estimates of the models, by service.
     latencies: HashMap<String, ServiceLatency>,
+    /// How long requests take.
+    durations: RequestDurations,
     contention: ServiceContention,
     rooms: WaitingRooms,
     /// Samples of replicas' speeds.
@@ -280,6 +287,7 @@
             budgets: HashMap::new(),
             gains: HashMap::new(),
             latencies: HashMap::new(),
+            durations: RequestDurations::default(),
             contention: ServiceContention::default(),
             rooms: WaitingRooms::default(),
             speeds: SpeedSamples::default(),
--- a/crates/core/tests/route/fixture.rs
+++ b/crates/core/tests/route/fixture.rs
@@ -49,6 +49,7 @@
         leader: None,
         regions: BTreeMap::new(),
         load: Default::default(),
+        drain_ms: 7_500,
     }
 }
 
--- a/crates/core/tests/route/main.rs
+++ b/crates/core/tests/route/main.rs
@@ -13,6 +13,7 @@
 mod former_attempts;
 mod forwards;
 mod incarnations;
+mod late_requests;
 mod leader;
 mod leader_fleet;
 mod leaving;
