Test of broken answers to requests that go through another box

They are read by the same function as a replica's; with the paths of one box lost, four broken forms of the server's answer reach its caller as 502.

--- a/crates/box/tests/broken_answers.rs
+++ b/crates/box/tests/broken_answers.rs
@@ -11,6 +11,7 @@
 use ravenspoke_standins::platform::site::{RunningSite, REPLICA_TOPIC, SITE_KEY, SITE_SERVICE};
 use ravenspoke_standins::platform::site_box::SiteBox;
 use ravenspoke_standins::platform::wire::chunk;
+use ravenspoke_standins::soak::proxy::{FaultProxy, ProxyFault};
 
 use BodyFraming::{Behind, Chunked, Followed, None as Bodyless, Plain, Trailed};
 
@@ -20,6 +21,9 @@
 /// Events of a stream.
 const EVENTS: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
 
+/// Entries of a server with several paths.
+const PATHS: usize = 4;
+
 /// Status line of a success.
 const SUCCESS: &str = "HTTP/1.1 200 OK";
 
@@ -137,6 +141,10 @@
     subject: SiteBox,
     server: ScriptedReplica,
     sent: AtomicUsize,
+    /// Paths from the box to the server, if they may be lost.
+    paths: Vec<FaultProxy>,
+    /// The box that serves then.
+    other: Option<SiteBox>,
 }
 
 /// What a caller got.
@@ -159,7 +167,46 @@
             (subject.state().await?["backends"].as_array()?.len() == 1).then_some(())
         })
         .await;
-        Self { site, subject, server, sent: AtomicUsize::new(0) }
+        Self { site, subject, server, sent: AtomicUsize::new(0), paths: Vec::new(), other: None }
+    }
+
+    /// Starts two boxes before one server, which has several entries, each with a path of its own.
+    async fn start_with_paths() -> Self {
+        let mut broken = Self::start().await;
+        for number in 0..PATHS {
+            let server = broken.server.address;
+            let path = FaultProxy::start(server.ip(), server).await;
+            let mut entry = broken.server.entry(SITE_SERVICE);
+            entry["address"] = path.address.to_string().into();
+            broken.site.store.put(REPLICA_TOPIC, &format!("i-{number}"), &entry);
+            broken.paths.push(path);
+        }
+        broken.site.store.drop_key(REPLICA_TOPIC, "i-broken");
+        let other = broken.site.start_ready("box-2").await;
+        for subject in [&broken.subject, &other] {
+            wait_for("the box knows the paths and the other box", || async {
+                let knows = subject.state().await?["backends"].as_array()?.len() == PATHS;
+                (knows && subject.resolve().await?.len() == 2).then_some(())
+            })
+            .await;
+        }
+        broken.other = Some(other);
+        broken
+    }
+
+    /// Cuts the box off from the server, and waits until it has noticed.
+    async fn lose_paths(&self) {
+        self.answer_with(SOUND.script(AnswerKind::Whole, false));
+        self.paths.iter().for_each(|path| path.set_from(self.subject.ip, ProxyFault::Reset));
+        wait_for("the box notices that its paths are lost", || async {
+            let id = format!("notice-{}", self.sent.fetch_add(1, Ordering::Relaxed));
+            let request = self.site.request(&self.subject, "GET", "/read/x", &id);
+            // Some of these fail while the box has not noticed.
+            drop(request.send().await);
+            let events = self.subject.events("paths_changed");
+            events.last().filter(|event| event["phase"] == "Lost").map(drop)
+        })
+        .await;
     }
 
     /// Makes the server answer by this script.
@@ -359,6 +406,27 @@
     site.assert_whole(SOUND, AnswerKind::Whole).await;
 }
 
+/// Guards against a broken answer that reaches a caller through the box that forwarded the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_answers_to_forwarded_requests_are_refused() {
+    let broken = BrokenSite::start_with_paths().await;
+    broken.lose_paths().await;
+
+    for shape in [
+        success("Transfer-Encoding: gzip\r\n", Plain),
+        success("Content-Length: 5\r\n", Plain),
+        success("Content-Lenght: 12\r\n", Plain),
+        status("HTTP/1.1 600 Status"),
+    ] {
+        broken.assert_refused(shape, AnswerKind::Whole).await;
+    }
+
+    assert!(
+        !broken.subject.events("request_forwarded").is_empty(),
+        "they went through another box"
+    );
+}
+
 /// The forms in which a sound replica may answer.
 #[tokio::test]
 async fn sound_answers_are_passed_on() {
