Answers that name two requests are refused

What callers saw: an answer with the request's id and, in a second line, another one was passed on, though nothing tells to which of the two it belongs.

Cause: only the first line of the id was compared.

--- a/crates/box/tests/broken_answers.rs
+++ b/crates/box/tests/broken_answers.rs
@@ -379,6 +379,9 @@
         success("", Plain),
         success("Transfer-Encodin: chunked\r\n", Chunked),
     ];
+    answers_that_name_two_requests: Whole, [
+        success("X-Ravenspoke-Request-Id: other\r\nContent-Length: 12\r\n", Plain),
+    ];
     streams_in_another_coding_than_chunks: Stream, [
         success("Transfer-Encoding: gzip\r\n", Plain),
         success("Transfer-Encoding: chunke\r\n", Chunked),
