--- a/crates/box/tests/broken_answers.rs
+++ b/crates/box/tests/broken_answers.rs
@@ -430,6 +430,22 @@
     );
 }
 
+/// Guards against a success without the replica's proof, which its head names as of one connection.
+#[tokio::test]
+async fn proof_of_an_answer_reaches_the_caller_whatever_the_head_says() {
+    let broken = BrokenSite::start().await;
+    let lines = "Connection: X-Ravenspoke-Response-Stamp, X-Ravenspoke-Request-Id\r\n\
+                 Content-Length: 12\r\n";
+    broken.answer_with(success(lines, Plain).script(AnswerKind::Whole, false));
+
+    let request = broken.site.request(&broken.subject, "POST", "/file/x", "r1").body("b");
+    let answer = request.send().await.expect("an answer");
+
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.headers()["x-ravenspoke-response-stamp"], "stamp");
+    assert_eq!(answer.headers()["x-ravenspoke-request-id"], "r1");
+}
+
 /// The forms in which a sound replica may answer.
 #[tokio::test]
 async fn sound_answers_are_passed_on() {
