--- a/crates/box/src/gateway/pool.rs
+++ b/crates/box/src/gateway/pool.rs
@@ -79,7 +79,8 @@
 }
 
 impl ReplicaPool {
-    /// Creates an empty pool that connects from `local`, or from any address, and whose idle times are measured by `clock`.
+    /// Creates an empty pool that connects from `local`, or from any address, and whose idle times are
+    /// measured by `clock`.
     pub fn new(local: Option<IpAddr>, clock: Arc<BoxClock>) -> Self {
         Self { local, clock, next_number: AtomicU64::new(1), idle: Mutex::default() }
     }
--- a/crates/box/src/gateway/relay.rs
+++ b/crates/box/src/gateway/relay.rs
@@ -49,8 +49,8 @@
     source: StreamSource,
 ) -> CallerBody {
     let is_resumed = headers::resumes_stream(&caller.headers);
-    let (reader, quiet) =
-        (StreamReader::new(source, is_resumed, caller.share.account()), Duration::ZERO);
+    let reader = StreamReader::new(source, is_resumed, caller.share.account());
+    let quiet = Duration::ZERO;
     let relay = StreamRelay { context, caller, guard, order, reader, quiet, is_paused: false };
     let pieces = stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
--- a/crates/box/src/gateway/replica_call.rs
+++ b/crates/box/src/gateway/replica_call.rs
@@ -161,8 +161,8 @@
     attempt.link.allowance.set(RESPONSE_ALLOWANCE);
     let whole = read_answer(body, &attempt.link.allowance, caller.share.account()).await;
     let whole = whole.map_err(|error| attempt.failed(AttemptFailure::Broken, error))?;
-    let settled =
-        attempt.link.settle(empty_wait(&caller.method, head.status, whole.bytes.is_empty())).await;
+    let wait = empty_wait(&caller.method, head.status, whole.bytes.is_empty());
+    let settled = attempt.link.settle(wait).await;
     settled.map_err(|error| attempt.failed(AttemptFailure::Broken, error.to_string()))?;
     put_back(context, attempt.link, &head.headers);
     let body = ReplicaBody::Whole(whole);
--- a/crates/box/tests/late_in_a_stop.rs
+++ b/crates/box/tests/late_in_a_stop.rs
@@ -21,6 +21,7 @@
 
 /// Two boxes before one replica, on a route of calls that may run once.
 struct StoppingSite {
+    /// It holds the store and the settings of the boxes.
     _site: RunningSite,
     boxes: Vec<SiteBox>,
     server: ScriptedReplica,
