Tests of a thousand answers without end at once, known red

The account holds bodies and long events; what each stream, its kernel queues and read buffers hold is in none.

--- a/crates/box/tests/misbehaving_clients/endless_servers.rs
+++ b/crates/box/tests/misbehaving_clients/endless_servers.rs
@@ -38,13 +38,18 @@
     (subject, endless)
 }
 
-/// Sends the requests, checks the box while they are served, and that the parts were sent.
+/// Sends [`REQUESTS`], checks the box while they are served, and that the parts were sent.
 async fn assert_borne(path: &str, parts: &[EndlessPart]) {
+    assert_bears(REQUESTS, path, parts).await;
+}
+
+/// The same for this many requests.
+async fn assert_bears(count: usize, path: &str, parts: &[EndlessPart]) {
     let (subject, endless) = box_before(parts).await;
     let request =
         ClientRequest::with_body(&head_for(path, Some(SITE_KEY)), BodyFraming::Announced, b"x", 0);
 
-    let crowd = ClientCrowd::start(subject.entry(), REQUESTS, &request);
+    let crowd = ClientCrowd::start(subject.entry(), count, &request);
     crowd.settle().await;
 
     if endless.len() >= ATTEMPTS {
@@ -97,6 +102,24 @@
     assert_borne(STREAM, &[EndlessPart::Event; 3]).await;
 }
 
+/// Requests at once of a large crowd.
+const THOUSAND: usize = 1_000;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn thousand_streams_of_events_without_end() {
+    assert_bears(THOUSAND, STREAM, &[EndlessPart::Events]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn thousand_streams_of_single_events_without_end() {
+    assert_bears(THOUSAND, STREAM, &[EndlessPart::Event]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn thousand_answers_in_chunks_without_end_of_most_replicas() {
+    assert_bears(THOUSAND, WHOLE, &[EndlessPart::Chunks; 3]).await;
+}
+
 /// Bytes of a piece of an answer of the server below.
 const PIECE_BYTES: usize = 8 << 10;
 
