--- a/crates/box/tests/broken_bundle_answers.rs
+++ b/crates/box/tests/broken_bundle_answers.rs
@@ -16,6 +16,14 @@
 /// Body of the service's answers.
 const BODY: &str = "a whole body";
 
+/// Whole answer of an engine.
+const CHAT_ANSWER: &str =
+    r#"{"usage":{"completion_tokens":1},"choices":[{"message":{"content":"because"}}]}"#;
+
+/// Events of an engine's stream.
+const CHAT_EVENTS: &str =
+    "data: {\"choices\":[{\"delta\":{\"content\":\"because\"}}]}\n\ndata: [DONE]\n\n";
+
 /// Length line of [`BODY`].
 const LENGTH: &str = "Content-Length: 12\r\n";
 
@@ -102,6 +110,33 @@
         Some((status, answer.text().await.ok()?))
     }
 
+    /// Status and body of the answer to a chat request; `None` without a whole one.
+    async fn chat(&self, is_stream: bool) -> Option<(u16, String)> {
+        let answer = self.fleet.chat(0, KEY, "small", is_stream).send().await.ok()?;
+        let status = answer.status().as_u16();
+        Some((status, answer.text().await.ok()?))
+    }
+
+    /// Asserts that no caller gets an engine's answer with these lines, as one whose body is `body`.
+    async fn assert_chat_refused(&self, lines: &str, body: &str, is_stream: bool) {
+        let content = if is_stream { CHAT_EVENTS } else { CHAT_ANSWER };
+        for closes in [false, true] {
+            let sound = format!("Content-Length: {}\r\n", content.len());
+            self.answer_with("200 OK", &sound, content, false);
+            wait_for("a sound answer is passed on", || async {
+                let got = self.chat(is_stream).await;
+                got.filter(|(status, _)| *status == 200).map(drop)
+            })
+            .await;
+
+            self.answer_with("200 OK", lines, body, closes);
+            let got = self.chat(is_stream).await;
+
+            let is_whole = got.as_ref().is_some_and(|(status, _)| *status == 200);
+            assert!(!is_whole, "{lines:?}, stream: {is_stream}, closes: {closes}: {got:?}");
+        }
+    }
+
     /// Asserts that no caller gets such an answer of the service.
     async fn assert_refused(&self, status: &str, lines: &str, body: &str) {
         for closes in [false, true] {
@@ -131,6 +166,19 @@
     }
 }
 
+/// Guards against an engine's answer, whole or a stream, whose end is in doubt.
+#[tokio::test]
+async fn engine_answers_whose_end_is_in_doubt_are_refused() {
+    let fleet = BrokenFleet::start().await;
+    for (content, is_stream) in [(CHAT_ANSWER, false), (CHAT_EVENTS, true)] {
+        for lines in ["Transfer-Encoding: gzip\r\n", "Content-Lenght: 12\r\n"] {
+            fleet.assert_chat_refused(lines, content, is_stream).await;
+        }
+        let short = format!("Content-Length: {}\r\n", content.len());
+        fleet.assert_chat_refused(&short, &format!("{content}more"), is_stream).await;
+    }
+}
+
 /// Guards against a part of the service's body that passes for the whole.
 #[tokio::test]
 async fn service_answers_that_are_longer_than_their_length_are_refused() {
